--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/ServerCandidate.kt
@@ -0,0 +1,15 @@
+package org.quetzalloom.core.backend
+
+import org.quetzalloom.core.identity.BackendServerId
+
+/**
+ * A backend server that may take a request now.
+ *
+ * @property load the requests that it is known to run, as a share of its capacity.
+ * @property sameZone whether it is in the availability zone of this VM.
+ */
+public data class ServerCandidate(
+    public val server: BackendServerId,
+    public val load: Double,
+    public val sameZone: Boolean,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationChange.kt
@@ -0,0 +1,66 @@
+package org.quetzalloom.core.configuration
+
+import org.quetzalloom.core.identity.AvailabilityZoneId
+import org.quetzalloom.core.identity.BackendServerId
+import org.quetzalloom.core.identity.VersionId
+
+/** One change of the configuration. */
+public sealed interface ConfigurationChange {
+    /** Replaces everything by [configuration], whose own revision number is ignored. */
+    public data class Publish(public val configuration: Configuration) : ConfigurationChange
+
+    /** Takes [zone] out of service, or brings it back. */
+    public data class SetZone(public val zone: AvailabilityZoneId, public val inService: Boolean) : ConfigurationChange
+
+    /** Withdraws [version] for good, and ends a roll-out to it. */
+    public data class Withdraw(public val version: VersionId) : ConfigurationChange
+
+    /** Marks [server] as leaving, or as staying. */
+    public data class SetLeaving(public val server: BackendServerId, public val leaving: Boolean) : ConfigurationChange
+
+    /** Starts [rollout], or replaces the one of the same model. */
+    public data class SetRollout(public val rollout: Rollout) : ConfigurationChange
+
+    /** Ends the roll-out of [model]; every request goes to the old version again. */
+    public data class EndRollout(public val model: String) : ConfigurationChange
+}
+
+/**
+ * Returns the configuration that follows this one by [change], at the next revision,
+ * or `null` if the change names something that does not exist.
+ */
+public fun Configuration.applyOrNull(change: ConfigurationChange): Configuration? =
+    changedOrNull(change)?.copy(revision = revision + 1)
+
+private fun Configuration.changedOrNull(change: ConfigurationChange): Configuration? = when (change) {
+    is ConfigurationChange.Publish -> change.configuration
+    is ConfigurationChange.SetZone -> withZoneOrNull(change)
+    is ConfigurationChange.Withdraw -> withoutVersionOrNull(change.version)
+    is ConfigurationChange.SetLeaving -> backendServers[change.server]?.let {
+        copy(backendServers = backendServers.put(it.id, it.copy(leaving = change.leaving)))
+    }
+    is ConfigurationChange.SetRollout -> withRolloutOrNull(change.rollout)
+    is ConfigurationChange.EndRollout -> if (change.model in rollouts) {
+        copy(rollouts = rollouts.remove(change.model))
+    } else {
+        null
+    }
+}
+
+private fun Configuration.withZoneOrNull(change: ConfigurationChange.SetZone): Configuration? = when {
+    change.zone !in zones -> null
+    change.inService -> copy(zonesOut = zonesOut.remove(change.zone))
+    else -> copy(zonesOut = zonesOut.add(change.zone))
+}
+
+private fun Configuration.withoutVersionOrNull(id: VersionId): Configuration? = versions[id]?.let { version ->
+    val remaining = if (rollouts[version.model]?.to == id) rollouts.remove(version.model) else rollouts
+    copy(versions = versions.put(id, version.copy(withdrawn = true)), rollouts = remaining)
+}
+
+private fun Configuration.withRolloutOrNull(rollout: Rollout): Configuration? {
+    val from = activeVersionOrNull(rollout.from) ?: return null
+    val to = activeVersionOrNull(rollout.to) ?: return null
+    val valid = from.model == to.model && rollout.sharePermille in 0..Rollout.FULL_SHARE_PERMILLE
+    return if (valid) copy(rollouts = rollouts.put(to.model, rollout)) else null
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationPart.kt
@@ -0,0 +1,93 @@
+package org.quetzalloom.core.configuration
+
+import org.quetzalloom.core.event.Event
+import org.quetzalloom.core.identity.VmId
+import org.quetzalloom.core.log.LogEntry
+import org.quetzalloom.core.log.LogRecord
+import org.quetzalloom.core.log.LogStream
+import org.quetzalloom.core.membership.livePeers
+import org.quetzalloom.core.peer.PeerMessage
+import org.quetzalloom.core.reducer.then
+import org.quetzalloom.core.router.Part
+import org.quetzalloom.core.router.RouterState
+import org.quetzalloom.core.router.Step
+import org.quetzalloom.core.router.enqueue
+import org.quetzalloom.core.router.rendezvousOrNull
+import org.quetzalloom.core.router.report
+import org.quetzalloom.core.router.tell
+import org.quetzalloom.core.router.unchanged
+import org.quetzalloom.core.time.Timestamp
+
+/**
+ * Follows the configuration stream, learns newer revisions from peers and hands them on, and puts snapshots back.
+ */
+internal object ConfigurationPart : Part {
+    override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
+        is Event.OfPlatform.LogRead -> state.heard(now).read(event, now)
+        is Event.PeerTold -> state.heard(now).told(event, now)
+        is Event.Tick -> state.writeSnapshot(now)
+        else -> state.unchanged()
+    }
+
+    private fun RouterState.heard(now: Timestamp): RouterState =
+        copy(configuration = configuration.copy(heardAt = now))
+
+    private fun RouterState.read(event: Event.OfPlatform.LogRead, now: Timestamp): Step {
+        if (event.stream != LogStream.CONFIGURATION) return unchanged()
+        return event.entries.fold(unchanged()) { reached, entry -> reached.then { it.read(entry, now) } }
+    }
+
+    private fun RouterState.read(entry: LogEntry, now: Timestamp): Step {
+        val record = (entry.record as? LogRecord.OfConfiguration)?.record ?: return unchanged()
+        val snapshotAt = if (record is ConfigurationRecord.Snapshot) now else configuration.snapshotAt
+        return copy(configuration = configuration.copy(snapshotAt = snapshotAt))
+            .moveTo(configuration.view.read(record), "log", now)
+    }
+
+    private fun RouterState.told(event: Event.PeerTold, now: Timestamp): Step = when (val message = event.message) {
+        is PeerMessage.Digest -> answerDigest(event.from, message)
+        is PeerMessage.AskConfiguration -> tellConfiguration(event.from)
+        is PeerMessage.TellConfiguration ->
+            moveTo(configuration.view.adopt(message.configuration), event.from.value, now)
+        else -> unchanged()
+    }
+
+    private fun RouterState.answerDigest(from: VmId, digest: PeerMessage.Digest): Step {
+        val own = configuration.view.revision
+        return when {
+            digest.revision > own -> tell(from, PeerMessage.AskConfiguration)
+            digest.revision < own -> tellConfiguration(from)
+            else -> unchanged()
+        }
+    }
+
+    private fun RouterState.tellConfiguration(to: VmId): Step {
+        val current = configuration.view.current ?: return unchanged()
+        return tell(to, PeerMessage.TellConfiguration(current))
+    }
+
+    private fun RouterState.moveTo(view: ConfigurationView, source: String, now: Timestamp): Step {
+        val moved = copy(configuration = configuration.copy(view = view))
+        if (view.revision == configuration.view.revision) return moved.unchanged()
+        return moved.report(now, "configuration_in_force", "revision" to view.revision, "source" to source)
+    }
+
+    private fun RouterState.writeSnapshot(now: Timestamp): Step {
+        val current = configuration.view.current ?: return unchanged()
+        val last = configuration.snapshotAt ?: return copy(
+            configuration = configuration.copy(snapshotAt = now),
+        ).unchanged()
+        val due = now - last >= settings.limits.snapshotIntervalMilliseconds
+        val writer = rendezvousOrNull(livePeers(now) + settings.vm, "snapshot:${current.revision}")
+        if (!due || writer != settings.vm) return unchanged()
+        return copy(configuration = configuration.copy(snapshotAt = now))
+            .enqueue(LogRecord.OfConfiguration(ConfigurationRecord.Snapshot(current)))
+            .report(now, "snapshot_written", "revision" to current.revision)
+    }
+}
+
+/** Returns whether the configuration may be relied on for new work. */
+internal fun RouterState.isFresh(now: Timestamp): Boolean {
+    val heardAt = configuration.heardAt ?: return false
+    return configuration.view.current != null && now - heardAt < settings.limits.stalenessMilliseconds
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/Rollout.kt
@@ -0,0 +1,21 @@
+package org.quetzalloom.core.configuration
+
+import org.quetzalloom.core.identity.VersionId
+
+/**
+ * The gradual replacement of one version by another of the same model.
+ *
+ * @property sharePermille the requests per thousand that go to [to] in place of [from].
+ * @property paused whether the share stays as it is until an operator resumes the roll-out.
+ */
+public data class Rollout(
+    public val from: VersionId,
+    public val to: VersionId,
+    public val sharePermille: Int,
+    public val paused: Boolean = false,
+) {
+    public companion object {
+        /** The share at which every request goes to the new version. */
+        public const val FULL_SHARE_PERMILLE: Int = 1_000
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/log/LogPart.kt
@@ -0,0 +1,106 @@
+package org.quetzalloom.core.log
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import org.quetzalloom.core.effect.Effect
+import org.quetzalloom.core.event.Event
+import org.quetzalloom.core.reducer.then
+import org.quetzalloom.core.router.Part
+import org.quetzalloom.core.router.RouterState
+import org.quetzalloom.core.router.Step
+import org.quetzalloom.core.router.report
+import org.quetzalloom.core.router.unchanged
+import org.quetzalloom.core.router.with
+import org.quetzalloom.core.time.Timestamp
+
+/**
+ * Reads the streams that the router follows, and appends what the other parts have enqueued in batches.
+ *
+ * A batch whose append failed, or whose answer was lost, is appended again: readers ignore a second intent,
+ * outcome or release of the same request and a second bill of the same identity.
+ */
+internal object LogPart : Part {
+    private val followed = listOf(LogStream.CONFIGURATION, LogStream.COMMANDS)
+
+    override fun reduce(state: RouterState, event: Event, now: Timestamp): Step =
+        state.handle(event, now).then { it.appendAll(now) }.then { it.readAll(now) }
+
+    private fun RouterState.handle(event: Event, now: Timestamp): Step = when (event) {
+        is Event.OfPlatform.LogRead -> read(event, now)
+        is Event.OfPlatform.LogReadFailed -> readFailed(event.stream, now).unchanged()
+        is Event.OfPlatform.LogAppended -> appended(event.append, now).unchanged()
+        is Event.OfPlatform.LogAppendFailed -> appendFailed(event.append, now)
+        else -> unchanged()
+    }
+
+    private fun RouterState.read(event: Event.OfPlatform.LogRead, now: Timestamp): Step {
+        val reader = log.readerOf(event.stream)
+        val wait = if (event.entries.isEmpty() && !reader.again) settings.limits.readIntervalMilliseconds else 0
+        val next = withReader(event.stream, StreamReader(next = event.next, dueAt = now + wait))
+        if (reader.next == 0L || event.earliest <= reader.next) return next.unchanged()
+        return next.report(now, "log_records_expired", "stream" to event.stream, "from" to reader.next)
+    }
+
+    private fun RouterState.readFailed(stream: LogStream, now: Timestamp): RouterState {
+        val reader = log.readerOf(stream)
+        return withReader(stream, reader.copy(reading = false, dueAt = now + settings.limits.readIntervalMilliseconds))
+    }
+
+    /** An append that succeeded is read back at once, as requests may wait for it. */
+    private fun RouterState.appended(append: Long, now: Timestamp): RouterState {
+        val (stream, writer) = writerOfOrNull(append) ?: return this
+        val done = withWriter(stream, writer.copy(append = null, inFlight = persistentListOf()))
+        val reader = done.log.readerOf(stream)
+        return if (stream in followed) done.withReader(stream, reader.copy(again = true, dueAt = now)) else done
+    }
+
+    private fun RouterState.appendFailed(append: Long, now: Timestamp): Step {
+        val (stream, writer) = writerOfOrNull(append) ?: return unchanged()
+        val again = writer.copy(
+            append = null,
+            inFlight = persistentListOf(),
+            queue = writer.inFlight.addAll(writer.queue),
+            dueAt = now + settings.limits.appendRetryMilliseconds,
+        )
+        return withWriter(stream, again)
+            .report(now, "log_append_failed", "stream" to stream, "records" to writer.inFlight.size)
+    }
+
+    private fun RouterState.writerOfOrNull(append: Long): Pair<LogStream, StreamWriter>? =
+        log.writers.entries.firstOrNull { it.value.append == append }?.let { it.key to it.value }
+
+    private fun RouterState.appendAll(now: Timestamp): Step =
+        log.writers.keys.sorted().fold(unchanged()) { reached, stream -> reached.then { it.append(stream, now) } }
+
+    private fun RouterState.append(stream: LogStream, now: Timestamp): Step {
+        val writer = log.writerOf(stream)
+        if (writer.append != null || writer.queue.isEmpty() || now < writer.dueAt) return unchanged()
+        val number = log.appends + 1
+        val batch = writer.queue.take(settings.limits.appendBatchRecords).toPersistentList()
+        val started = StreamWriter(
+            queue = writer.queue.drop(batch.size).toPersistentList(),
+            append = number,
+            inFlight = batch,
+            dueAt = now + settings.limits.appendIntervalMilliseconds,
+        )
+        return withWriter(stream, started).copy(stamp = stamp + 1).let {
+            it.copy(log = it.log.copy(appends = number))
+                .with(Effect.OfPlatform.Append(number, stream, it.stamp, batch))
+        }
+    }
+
+    private fun RouterState.readAll(now: Timestamp): Step =
+        followed.fold(unchanged()) { reached, stream -> reached.then { it.read(stream, now) } }
+
+    private fun RouterState.read(stream: LogStream, now: Timestamp): Step {
+        val reader = log.readerOf(stream)
+        if (reader.reading || now < reader.dueAt) return unchanged()
+        return withReader(stream, reader.copy(reading = true)).with(Effect.OfPlatform.Read(stream, reader.next))
+    }
+
+    private fun RouterState.withReader(stream: LogStream, reader: StreamReader): RouterState =
+        copy(log = log.copy(readers = log.readers.put(stream, reader)))
+
+    private fun RouterState.withWriter(stream: LogStream, writer: StreamWriter): RouterState =
+        copy(log = log.copy(writers = log.writers.put(stream, writer)))
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/rollout/RolloutPart.kt
@@ -0,0 +1,72 @@
+package org.quetzalloom.core.rollout
+
+import org.quetzalloom.core.configuration.Configuration
+import org.quetzalloom.core.configuration.ConfigurationChange
+import org.quetzalloom.core.configuration.ConfigurationRecord
+import org.quetzalloom.core.configuration.Rollout
+import org.quetzalloom.core.event.Event
+import org.quetzalloom.core.identity.VersionId
+import org.quetzalloom.core.log.LogRecord
+import org.quetzalloom.core.membership.livePeers
+import org.quetzalloom.core.reducer.then
+import org.quetzalloom.core.router.Part
+import org.quetzalloom.core.router.RouterState
+import org.quetzalloom.core.router.Step
+import org.quetzalloom.core.router.enqueue
+import org.quetzalloom.core.router.rendezvousOrNull
+import org.quetzalloom.core.router.report
+import org.quetzalloom.core.router.unchanged
+import org.quetzalloom.core.selection.QualityEstimate
+import org.quetzalloom.core.selection.QualityState
+import org.quetzalloom.core.time.Timestamp
+
+/**
+ * Moves roll-outs on. One VM decides for each model; should two think that they are the one, the log's order
+ * settles which step counts, and any other VM can go on from what is in the log.
+ */
+internal object RolloutPart : Part {
+    private const val DECISION_INTERVAL_MILLISECONDS = 1_000L
+
+    override fun reduce(state: RouterState, event: Event, now: Timestamp): Step =
+        if (event is Event.Tick) state.decideAll(now) else state.unchanged()
+
+    private fun RouterState.decideAll(now: Timestamp): Step {
+        val current = configuration.view.current ?: return unchanged()
+        val last = rollout.decidedAt
+        val due = last == null || now - last >= DECISION_INTERVAL_MILLISECONDS
+        if (!due || current.rollouts.isEmpty()) return unchanged()
+        val marked = copy(rollout = rollout.copy(decidedAt = now))
+        return current.rollouts.keys.sorted().fold(marked.unchanged()) { reached, model ->
+            reached.then { it.decide(current, model, now) }
+        }
+    }
+
+    private fun RouterState.decide(current: Configuration, model: String, now: Timestamp): Step {
+        val plan = current.rollouts[model] ?: return unchanged()
+        val steward = rendezvousOrNull(livePeers(now) + settings.vm, "rollout:$model")
+        val mine = steward == settings.vm && !plan.paused && rollout.proposedOn != current.revision
+        val evidence = if (mine) evidenceOrNull(current, plan) else null
+        return when (val decision = evidence?.let { settings.policies.rollout.decide(plan, it) }) {
+            is RolloutDecision.Share ->
+                propose(current, ConfigurationChange.SetRollout(plan.copy(sharePermille = decision.sharePermille)), now)
+            is RolloutDecision.Abort -> propose(current, ConfigurationChange.EndRollout(model), now)
+            else -> unchanged()
+        }
+    }
+
+    private fun RouterState.evidenceOrNull(current: Configuration, plan: Rollout): RolloutEvidence? {
+        val from = current.versions[plan.from] ?: return null
+        val to = current.versions[plan.to] ?: return null
+        return RolloutEvidence(from, to, quality.totalOf(plan.from), quality.totalOf(plan.to))
+    }
+
+    private fun RouterState.propose(current: Configuration, change: ConfigurationChange, now: Timestamp): Step {
+        val record = ConfigurationRecord.Proposed(base = current.revision, author = settings.vm.value, change = change)
+        return copy(rollout = rollout.copy(proposedOn = current.revision))
+            .enqueue(LogRecord.OfConfiguration(record))
+            .report(now, "rollout_step_proposed", "base" to current.revision, "change" to change)
+    }
+
+    private fun QualityState.totalOf(version: VersionId): QualityEstimate =
+        sums.keys.filter { it.version == version }.fold(QualityEstimate()) { sum, subject -> sum + estimateOf(subject) }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/router/Part.kt
@@ -0,0 +1,56 @@
+package org.quetzalloom.core.router
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentMap
+import org.quetzalloom.core.effect.Effect
+import org.quetzalloom.core.event.Event
+import org.quetzalloom.core.identity.VmId
+import org.quetzalloom.core.log.LogRecord
+import org.quetzalloom.core.peer.PeerMessage
+import org.quetzalloom.core.reducer.Transition
+import org.quetzalloom.core.time.Timestamp
+import org.quetzalloom.core.timeline.CausalStamp
+import org.quetzalloom.core.timeline.TimelineEntry
+
+/** The transitions of a router. */
+internal typealias Step = Transition<RouterState, Effect>
+
+/** A part of the reducer: it reads the whole state and decides over its own slice. */
+internal fun interface Part {
+    /** Returns the transition that [event] causes in this part's slice of [state]. */
+    fun reduce(state: RouterState, event: Event, now: Timestamp): Step
+}
+
+/** Returns the transition that changes nothing. */
+internal fun RouterState.unchanged(): Step = Transition(this)
+
+/** Returns the transition to this state with [effects]. */
+internal fun RouterState.with(vararg effects: Effect): Step = Transition(this, persistentListOf(*effects))
+
+/** Returns the transition that reports what happened, with the next causal stamp. */
+internal fun RouterState.report(now: Timestamp, name: String, vararg fields: Pair<String, Any?>): Step {
+    val next = copy(stamp = stamp + 1)
+    val entry = TimelineEntry(
+        stamp = CausalStamp(counter = next.stamp, vm = settings.vm),
+        at = now,
+        name = name,
+        fields = fields.mapNotNull { (key, value) -> value?.let { key to it.toString() } }.toMap().toPersistentMap(),
+    )
+    return next.with(Effect.Report(entry))
+}
+
+/** Returns the transition that sends [message] to [peer]. */
+internal fun RouterState.tell(peer: VmId, message: PeerMessage): Step {
+    val next = copy(stamp = stamp + 1)
+    return next.with(Effect.Tell(to = peer, stamp = next.stamp, message = message))
+}
+
+/** Returns the transition that sends [message] to each of [peers]. */
+internal fun RouterState.tellAll(peers: Iterable<VmId>, message: PeerMessage): Step =
+    peers.sorted().fold(unchanged()) { reached, peer ->
+        val told = reached.state.tell(peer, message)
+        Transition(told.state, reached.effects.addAll(told.effects))
+    }
+
+/** Returns the state with [record] waiting to be appended to the log. */
+internal fun RouterState.enqueue(record: LogRecord): RouterState = copy(log = log.enqueue(record))
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/router/RouterLimits.kt
@@ -0,0 +1,56 @@
+package org.quetzalloom.core.router
+
+/**
+ * Bounds in time and number. All times are in milliseconds.
+ *
+ * @property stalenessMilliseconds without word from the log or a peer for this long, no new work is taken.
+ * @property readIntervalMilliseconds the time between two reads of a log stream that brings nothing new.
+ * @property appendIntervalMilliseconds the least time between two appends of this VM to one stream.
+ * @property appendRetryMilliseconds the time from a failed append to the next try.
+ * @property appendBatchRecords the most records in one append.
+ * @property gossipIntervalMilliseconds the time between two digests sent to peers.
+ * @property peerSilenceMilliseconds a peer that was not heard for this long counts as gone.
+ * @property loadIntervalMilliseconds the time between two load reports of one backend server.
+ * @property firstTokenMilliseconds an engine that has not begun to answer for this long is given up.
+ * @property tokenGapMilliseconds an answer that has not gone on for this long is given up.
+ * @property serviceSilenceMilliseconds a service that has not answered for this long is given up.
+ * @property sessionAnswerMilliseconds the longest wait for the home VM of a session.
+ * @property verdictMilliseconds the longest wait to learn whether a backend server went down, and for peers to note it.
+ * @property suspicionMilliseconds how long a request that took down a backend server is remembered.
+ * @property trialMilliseconds how long other VMs wait for the second try of such a request.
+ * @property billHoldMilliseconds the longest wait of an answer's end for its bill to be kept.
+ * @property billTakeoverMilliseconds a bill kept for a peer for this long is appended by its keeper.
+ * @property commandMemoryMilliseconds how long keys are remembered; no longer than the log keeps records.
+ * @property snapshotIntervalMilliseconds the age of the last snapshot at which a new one is put into the log.
+ * @property drainGraceMilliseconds how long new work is still taken after readiness was turned off.
+ * @property activeRequests the most requests at once.
+ * @property triesPerRequest the most attempts of one request.
+ * @property retryShare the retries allowed for each request that arrives, on average.
+ * @property sampleShare the share of answers submitted for rating, 0.0 to 1.0.
+ */
+public data class RouterLimits(
+    public val stalenessMilliseconds: Long = 5_000,
+    public val readIntervalMilliseconds: Long = 250,
+    public val appendIntervalMilliseconds: Long = 20,
+    public val appendRetryMilliseconds: Long = 200,
+    public val appendBatchRecords: Int = 500,
+    public val gossipIntervalMilliseconds: Long = 500,
+    public val peerSilenceMilliseconds: Long = 3_000,
+    public val loadIntervalMilliseconds: Long = 500,
+    public val firstTokenMilliseconds: Long = 2_000,
+    public val tokenGapMilliseconds: Long = 1_000,
+    public val serviceSilenceMilliseconds: Long = 10_000,
+    public val sessionAnswerMilliseconds: Long = 150,
+    public val verdictMilliseconds: Long = 200,
+    public val suspicionMilliseconds: Long = 600_000,
+    public val trialMilliseconds: Long = 10_000,
+    public val billHoldMilliseconds: Long = 100,
+    public val billTakeoverMilliseconds: Long = 5_000,
+    public val commandMemoryMilliseconds: Long = 86_400_000,
+    public val snapshotIntervalMilliseconds: Long = 600_000,
+    public val drainGraceMilliseconds: Long = 2_000,
+    public val activeRequests: Int = 2_000,
+    public val triesPerRequest: Int = 4,
+    public val retryShare: Double = 0.2,
+    public val sampleShare: Double = 0.1,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/router/RouterReducer.kt
@@ -0,0 +1,48 @@
+package org.quetzalloom.core.router
+
+import kotlinx.collections.immutable.persistentListOf
+import org.quetzalloom.core.backend.BackendsPart
+import org.quetzalloom.core.billing.BillingPart
+import org.quetzalloom.core.configuration.ConfigurationPart
+import org.quetzalloom.core.drain.DrainPart
+import org.quetzalloom.core.effect.Effect
+import org.quetzalloom.core.event.Event
+import org.quetzalloom.core.ledger.LedgerPart
+import org.quetzalloom.core.log.LogPart
+import org.quetzalloom.core.membership.MembershipPart
+import org.quetzalloom.core.quarantine.QuarantinePart
+import org.quetzalloom.core.reducer.Reducer
+import org.quetzalloom.core.reducer.Transition
+import org.quetzalloom.core.reducer.then
+import org.quetzalloom.core.request.RequestsPart
+import org.quetzalloom.core.rollout.RolloutPart
+import org.quetzalloom.core.selection.QualityPart
+import org.quetzalloom.core.session.SessionsPart
+import org.quetzalloom.core.time.Timestamp
+import org.quetzalloom.core.timeline.StampPart
+
+/**
+ * The one reducer of a router, over all its events.
+ *
+ * Each part sees every event, in a fixed order, with the state that the parts before it have left.
+ */
+public object RouterReducer : Reducer<RouterState, Event, Effect> {
+    private val parts = persistentListOf<Part>(
+        StampPart,
+        MembershipPart,
+        ConfigurationPart,
+        BackendsPart,
+        QualityPart,
+        LedgerPart,
+        QuarantinePart,
+        SessionsPart,
+        RequestsPart,
+        RolloutPart,
+        BillingPart,
+        DrainPart,
+        LogPart,
+    )
+
+    override fun reduce(state: RouterState, event: Event, now: Timestamp): Transition<RouterState, Effect> =
+        parts.fold(state.unchanged()) { reached, part -> reached.then { part.reduce(it, event, now) } }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/selection/VersionChoice.kt
@@ -0,0 +1,14 @@
+package org.quetzalloom.core.selection
+
+import org.quetzalloom.core.configuration.Version
+
+/** Decides which version a request runs on. */
+public fun interface VersionChoice {
+    /**
+     * Returns one of [options].
+     *
+     * @param options the versions allowed; not empty.
+     * @param qualityTarget the share of answers that must be good.
+     */
+    public fun choose(options: List<VersionOption>, qualityTarget: Double): Version
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/session/SessionToken.kt
@@ -0,0 +1,58 @@
+package org.quetzalloom.core.session
+
+import org.quetzalloom.core.identity.SessionId
+import org.quetzalloom.core.identity.VersionId
+import org.quetzalloom.core.identity.WorkspaceId
+import org.quetzalloom.core.identity.isIdentifier
+import java.security.MessageDigest
+import java.util.Base64
+import javax.crypto.Mac
+import javax.crypto.spec.SecretKeySpec
+
+/**
+ * Proves to any VM of the fleet which version a session has.
+ *
+ * @property version the version that the session keeps.
+ */
+public data class SessionToken(
+    public val workspace: WorkspaceId,
+    public val session: SessionId,
+    public val version: VersionId,
+) {
+    /** Returns the text form, signed with [secret]. */
+    public fun format(secret: String): String {
+        val content = listOf(workspace.value, session.value, version.value).joinToString(SEPARATOR)
+        return encode(content.toByteArray()) + "." + encode(sign(content, secret))
+    }
+
+    public companion object {
+        private const val SEPARATOR = "\n"
+        private const val ALGORITHM = "HmacSHA256"
+        private const val FIELDS = 3
+
+        /** Returns the token whose text form signed with [secret] is [text], or `null` if it is none. */
+        public fun parseOrNull(text: String, secret: String): SessionToken? {
+            val content = decodeOrNull(text.substringBefore('.'))?.decodeToString() ?: return null
+            val signature = decodeOrNull(text.substringAfter('.', missingDelimiterValue = "")) ?: return null
+            val fields = content.split(SEPARATOR)
+            val valid = MessageDigest.isEqual(signature, sign(content, secret)) &&
+                fields.size == FIELDS &&
+                fields.all { isIdentifier(it) }
+            return if (valid) SessionToken(WorkspaceId(fields[0]), SessionId(fields[1]), VersionId(fields[2])) else null
+        }
+
+        private fun sign(content: String, secret: String): ByteArray {
+            val mac = Mac.getInstance(ALGORITHM)
+            mac.init(SecretKeySpec(secret.toByteArray(), ALGORITHM))
+            return mac.doFinal(content.toByteArray())
+        }
+
+        private fun encode(bytes: ByteArray): String = Base64.getUrlEncoder().withoutPadding().encodeToString(bytes)
+
+        private fun decodeOrNull(text: String): ByteArray? = try {
+            Base64.getUrlDecoder().decode(text)
+        } catch (_: IllegalArgumentException) {
+            null
+        }
+    }
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/org/quetzalloom/runtime/EventLoop.kt
@@ -0,0 +1,88 @@
+package org.quetzalloom.runtime
+
+import org.quetzalloom.core.reducer.Reducer
+import org.quetzalloom.core.time.Clock
+import org.quetzalloom.core.time.Timestamp
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicReference
+
+/**
+ * Drives one reducer on one thread: takes an event, reduces it, carries out the effects, and so on.
+ *
+ * The state is confined to the loop's thread; other threads see it through [snapshot], which is immutable.
+ *
+ * @param initial the first state.
+ * @param tick the event that tells of the passing of time, or `null` for none.
+ */
+public class EventLoop<S : Any, E : Any, F : Any>(
+    initial: S,
+    private val reducer: Reducer<S, E, F>,
+    private val tick: E?,
+    private val settings: LoopSettings,
+    private val clock: Clock = SystemClock(),
+) {
+    private val inbox = Inbox<Posting<E>>()
+    private val published = AtomicReference(initial)
+    private val ended = CountDownLatch(1)
+
+    /** Adds [event] to the inbox. May be called from any thread. */
+    public fun post(event: E): Unit = inbox.put(Posting.OfEvent(event))
+
+    /** Adds [event] to the inbox; [beforehand] runs on the loop's thread just before the event is reduced. */
+    public fun post(event: E, beforehand: () -> Unit): Unit = inbox.put(Posting.OfEvent(event, beforehand))
+
+    /** Asks the loop to end after what was posted before. */
+    public fun stop(): Unit = inbox.put(Posting.Stop)
+
+    /** The state after the last reduction. */
+    public fun snapshot(): S = published.get()
+
+    /** Waits until the loop has ended, for at most [milliseconds]; returns whether it has. */
+    public fun awaitEnd(milliseconds: Long): Boolean = ended.await(milliseconds, TimeUnit.MILLISECONDS)
+
+    /** Starts the loop's thread, which hands effects to [interpreter]. */
+    public fun start(interpreter: Interpreter<F>) {
+        Thread({ run(interpreter) }, settings.name).start()
+    }
+
+    private fun run(interpreter: Interpreter<F>) {
+        try {
+            loop(interpreter)
+        } finally {
+            ended.countDown()
+        }
+    }
+
+    private fun loop(interpreter: Interpreter<F>) {
+        var tickDueAt = clock.now()
+        var running = true
+        while (running) {
+            running = take(tickDueAt).all { it.process(interpreter) }
+            val now = clock.now()
+            if (running && now >= tickDueAt) {
+                tick?.let { reduce(it, interpreter) }
+                tickDueAt = now + settings.tickMilliseconds
+            }
+        }
+    }
+
+    private fun take(until: Timestamp): List<Posting<E>> =
+        inbox.takeAllWithin((until - clock.now()).coerceAtLeast(0))
+
+    /** Processes one posting; returns whether the loop goes on. */
+    private fun Posting<E>.process(interpreter: Interpreter<F>): Boolean = when (this) {
+        is Posting.OfEvent -> {
+            beforehand?.invoke()
+            reduce(event, interpreter)
+            true
+        }
+        is Posting.Stop -> false
+    }
+
+    private fun reduce(event: E, interpreter: Interpreter<F>) {
+        val transition = reducer.reduce(published.get(), event, clock.now())
+        published.set(transition.state)
+        transition.effects.forEach { interpreter.carryOut(it) }
+    }
+}
--- /dev/null
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/configuration/ConfigurationMapping.kt
@@ -0,0 +1,131 @@
+package org.quetzalloom.wire.configuration
+
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.collections.immutable.toPersistentSet
+import org.quetzalloom.core.configuration.BackendServer
+import org.quetzalloom.core.configuration.Configuration
+import org.quetzalloom.core.configuration.Rollout
+import org.quetzalloom.core.configuration.ServiceRoute
+import org.quetzalloom.core.configuration.Version
+import org.quetzalloom.core.configuration.VersionKind
+import org.quetzalloom.core.configuration.Workspace
+import org.quetzalloom.core.identity.AvailabilityZoneId
+import org.quetzalloom.core.identity.BackendServerId
+import org.quetzalloom.core.identity.VersionId
+import org.quetzalloom.core.identity.WorkspaceId
+
+/**
+ * Returns the configuration that this document describes. References are not checked;
+ * see [org.quetzalloom.core.configuration.problems].
+ *
+ * @throws IllegalArgumentException if a name is not an identifier or a kind does not exist.
+ */
+public fun ConfigurationDocument.toConfiguration(): Configuration {
+    val coreVersions = versions.map { it.toVersion() }.associateBy { it.id }
+    return Configuration(
+        revision = revision,
+        workspaces = workspaces.map { it.toWorkspace() }.associateBy { it.id }.toPersistentMap(),
+        versions = coreVersions.toPersistentMap(),
+        backendServers = backendServers.map { it.toBackendServer() }.associateBy { it.id }.toPersistentMap(),
+        zones = zones.map { AvailabilityZoneId(it.id) }.toPersistentSet(),
+        zonesOut = zones.filterNot { it.inService }.map { AvailabilityZoneId(it.id) }.toPersistentSet(),
+        services = services.map { it.toServiceRoute() }.toPersistentList(),
+        rollouts = rollouts.map { it.toRollout() }
+            .associateBy { coreVersions[it.to]?.model ?: it.to.value }
+            .toPersistentMap(),
+    )
+}
+
+private fun VersionDocument.toVersion(): Version = Version(
+    id = VersionId(id),
+    model = model,
+    kind = VersionKind.valueOf(kind.uppercase()),
+    costMicros = costMicros,
+    expectedQuality = expectedQuality,
+    withdrawn = withdrawn,
+)
+
+private fun WorkspaceDocument.toWorkspace(): Workspace = Workspace(
+    id = WorkspaceId(id),
+    allowed = allowed.map { VersionId(it) }.toPersistentSet(),
+    qualityTarget = qualityTarget,
+)
+
+private fun BackendServerDocument.toBackendServer(): BackendServer = BackendServer(
+    id = BackendServerId(id),
+    zone = AvailabilityZoneId(zone),
+    address = address,
+    versions = versions.map { VersionId(it) }.toPersistentSet(),
+    capacity = capacity,
+    coldCapacity = coldCapacity,
+    warmUpMilliseconds = warmUpMilliseconds,
+    checksFencing = checksFencing,
+    leaving = leaving,
+)
+
+private fun ServiceDocument.toServiceRoute(): ServiceRoute = ServiceRoute(
+    pathPrefix = pathPrefix,
+    model = model,
+    nonRepeatableMethods = nonRepeatableMethods.map { it.uppercase() }.toPersistentSet(),
+)
+
+/** Returns the roll-out that this document describes. */
+public fun RolloutDocument.toRollout(): Rollout = Rollout(
+    from = VersionId(from),
+    to = VersionId(to),
+    sharePermille = sharePermille,
+    paused = paused,
+)
+
+/** Returns the text form of this configuration, in a fixed order. */
+public fun Configuration.toDocument(): ConfigurationDocument = ConfigurationDocument(
+    revision = revision,
+    zones = zones.sorted().map { ZoneDocument(id = it.value, inService = it !in zonesOut) },
+    versions = versions.values.sortedBy { it.id }.map { it.toDocument() },
+    workspaces = workspaces.values.sortedBy { it.id }.map { it.toDocument() },
+    backendServers = backendServers.values.sortedBy { it.id }.map { it.toDocument() },
+    services = services.map { it.toDocument() },
+    rollouts = rollouts.values.sortedBy { it.to }.map { it.toDocument() },
+)
+
+private fun Version.toDocument(): VersionDocument = VersionDocument(
+    id = id.value,
+    model = model,
+    kind = kind.name.lowercase(),
+    costMicros = costMicros,
+    expectedQuality = expectedQuality,
+    withdrawn = withdrawn,
+)
+
+private fun Workspace.toDocument(): WorkspaceDocument = WorkspaceDocument(
+    id = id.value,
+    allowed = allowed.sorted().map { it.value },
+    qualityTarget = qualityTarget,
+)
+
+private fun BackendServer.toDocument(): BackendServerDocument = BackendServerDocument(
+    id = id.value,
+    zone = zone.value,
+    address = address,
+    versions = versions.sorted().map { it.value },
+    capacity = capacity,
+    coldCapacity = coldCapacity,
+    warmUpMilliseconds = warmUpMilliseconds,
+    checksFencing = checksFencing,
+    leaving = leaving,
+)
+
+private fun ServiceRoute.toDocument(): ServiceDocument = ServiceDocument(
+    pathPrefix = pathPrefix,
+    model = model,
+    nonRepeatableMethods = nonRepeatableMethods.sorted(),
+)
+
+/** Returns the text form of this roll-out. */
+public fun Rollout.toDocument(): RolloutDocument = RolloutDocument(
+    from = from.value,
+    to = to.value,
+    sharePermille = sharePermille,
+    paused = paused,
+)
--- /dev/null
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/log/BillDocument.kt
@@ -0,0 +1,34 @@
+package org.quetzalloom.wire.log
+
+import kotlinx.serialization.Serializable
+import org.quetzalloom.core.billing.Bill
+import org.quetzalloom.core.identity.VersionId
+import org.quetzalloom.core.identity.WorkspaceId
+
+/** The text form of a bill. */
+@Serializable
+public data class BillDocument(
+    public val identity: String,
+    public val workspace: String,
+    public val version: String,
+    public val units: Long,
+    public val costMicros: Long,
+)
+
+/** Returns the text form of this bill. */
+public fun Bill.toDocument(): BillDocument = BillDocument(
+    identity = identity,
+    workspace = workspace.value,
+    version = version.value,
+    units = units,
+    costMicros = costMicros,
+)
+
+/** Returns the bill that this document describes. */
+public fun BillDocument.toBill(): Bill = Bill(
+    identity = identity,
+    workspace = WorkspaceId(workspace),
+    version = VersionId(version),
+    units = units,
+    costMicros = costMicros,
+)
