--- a/core/src/main/kotlin/org/quetzalloom/core/backend/AttemptOrder.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/AttemptOrder.kt
@@ -12,6 +12,7 @@
  * @property address host and port of the backend server.
  * @property resumeFrom the tokens of the answer that the caller already has.
  * @property fencing the fencing number, or `null` where the call may be repeated.
+ * @property scope the command that [fencing] belongs to, or `null` where the call may be repeated.
  */
 public data class AttemptOrder(
     public val attempt: AttemptId,
@@ -23,4 +24,5 @@
     public val priority: Priority,
     public val resumeFrom: Int,
     public val fencing: Long?,
+    public val scope: String?,
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/backend/BackendsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/BackendsPart.kt
@@ -113,6 +113,11 @@
     return copy(failures = failures + 1, suspendedUntil = now + pause, doubted = true)
 }
 
+/** Returns the health after the backend server refused work: a short pause, so that it is not asked in a loop. */
+internal fun ServerHealth.refusedWork(now: Timestamp): ServerHealth =
+    copy(suspendedUntil = now + REFUSAL_PAUSE_MILLISECONDS)
+
+private const val REFUSAL_PAUSE_MILLISECONDS = 100L
 private const val FIRST_PAUSE_MILLISECONDS = 250L
 private const val LONGEST_PAUSE_DOUBLINGS = 4
 
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Attempts.kt
@@ -3,6 +3,7 @@
 import org.quetzalloom.core.backend.AttemptFailure
 import org.quetzalloom.core.backend.askLoad
 import org.quetzalloom.core.backend.failed
+import org.quetzalloom.core.backend.refusedWork
 import org.quetzalloom.core.backend.withHealth
 import org.quetzalloom.core.effect.Effect
 import org.quetzalloom.core.error.ErrorKind
@@ -116,7 +117,7 @@
 }
 
 private fun RouterState.notedFailure(server: BackendServerId, failure: AttemptFailure, now: Timestamp): RouterState =
-    if (failure == AttemptFailure.REFUSED) this else withHealth(server) { it.failed(now) }
+    withHealth(server) { if (failure == AttemptFailure.REFUSED) it.refusedWork(now) else it.failed(now) }
 
 private fun RouterState.afterFailure(
     request: ActiveRequest,
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Dispatch.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Dispatch.kt
@@ -106,6 +106,7 @@
         priority = request.call.priority,
         resumeFrom = request.delivered,
         fencing = request.fencing,
+        scope = request.command?.toString(),
     )
     return startedAt(server.id, attempt, running)
         .with(Effect.OfBackend.Start(order))
--- /dev/null
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/Daemon.kt
@@ -0,0 +1,121 @@
+package org.quetzalloom.daemon
+
+import arrow.fx.coroutines.ResourceScope
+import arrow.fx.coroutines.resourceScope
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.engine.cio.endpoint
+import io.ktor.client.plugins.HttpTimeout
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.routing
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import org.quetzalloom.core.event.Event
+import org.quetzalloom.core.router.RouterReducer
+import org.quetzalloom.core.router.RouterState
+import org.quetzalloom.core.router.status
+import org.quetzalloom.daemon.backend.BackendClient
+import org.quetzalloom.daemon.caller.CallParser
+import org.quetzalloom.daemon.caller.CallerRoutes
+import org.quetzalloom.daemon.caller.Exchanges
+import org.quetzalloom.daemon.peer.PeerClient
+import org.quetzalloom.daemon.peer.PeerRoutes
+import org.quetzalloom.daemon.platform.PlatformClient
+import org.quetzalloom.daemon.report.AdminRoutes
+import org.quetzalloom.daemon.report.Metrics
+import org.quetzalloom.daemon.report.Reporter
+import org.quetzalloom.runtime.EventLoop
+import org.quetzalloom.runtime.LoopSettings
+import org.quetzalloom.runtime.SystemClock
+
+/** One router process: the loop, the front ends that post events to it, and the clients that carry out its effects. */
+internal class Daemon(private val settings: DaemonSettings) {
+    private val clock = SystemClock()
+    private val loop: RouterLoop = EventLoop(
+        initial = RouterState.initial(settings.router),
+        reducer = RouterReducer,
+        tick = Event.Tick,
+        settings = LoopSettings(name = "router-loop"),
+        clock = clock,
+    )
+    private val stopped = CompletableDeferred<Unit>()
+    private val metrics = Metrics { loop.snapshot().status(clock.now()) }
+    private val reporter = Reporter(metrics.events)
+    private val exchanges = Exchanges()
+
+    /** Asks the router to stop once nothing is left to do. */
+    fun requestShutdown(): Unit = loop.post(Event.ShutdownRequested)
+
+    /** Runs until the router has stopped. */
+    suspend fun run(): Unit = resourceScope {
+        val client = client()
+        val scope = workers()
+        loop.start(interpreter(client, scope))
+        server()
+        stopped.await()
+        loop.stop()
+    }
+
+    private suspend fun ResourceScope.client(): HttpClient = install(
+        acquire = { httpClient() },
+        release = { client, _ -> client.close() },
+    )
+
+    private suspend fun ResourceScope.workers(): CoroutineScope = install(
+        acquire = { CoroutineScope(SupervisorJob() + Dispatchers.Default) },
+        release = { scope, _ -> scope.cancel() },
+    )
+
+    private suspend fun ResourceScope.server(): EmbeddedServer<*, *> = install(
+        acquire = { startServer() },
+        release = { server, _ -> server.stop(STOP_GRACE_MILLISECONDS, STOP_TIMEOUT_MILLISECONDS) },
+    )
+
+    private fun startServer(): EmbeddedServer<*, *> {
+        val (host, port) = settings.ownAddress.split(':', limit = 2)
+        val server = embeddedServer(io.ktor.server.cio.CIO, port = port.toInt(), host = host) {
+            routing { installRoutes(this) }
+        }
+        return server.start(wait = false)
+    }
+
+    private fun installRoutes(routing: Route) {
+        val parser = CallParser(settings.defaultTimeoutMilliseconds)
+        AdminRoutes(loop, clock, reporter, metrics).install(routing)
+        PeerRoutes(loop).install(routing)
+        CallerRoutes(loop, exchanges, parser, settings.largestBodyBytes).install(routing)
+    }
+
+    private fun interpreter(client: HttpClient, scope: CoroutineScope): EffectInterpreter {
+        val router = settings.router
+        return EffectInterpreter(
+            exchanges = exchanges,
+            backends = BackendClient(client, scope, loop),
+            platform = PlatformClient(client, scope, loop, settings.platform, "${router.vm}:${router.incarnation}"),
+            peers = PeerClient(client, scope, router.vm, settings.addresses),
+            reporter = reporter,
+            stop = { stopped.complete(Unit) },
+        )
+    }
+
+    private fun httpClient(): HttpClient = HttpClient(CIO) {
+        install(HttpTimeout) { connectTimeoutMillis = CONNECT_TIMEOUT_MILLISECONDS }
+        engine {
+            requestTimeout = 0
+            maxConnectionsCount = MOST_CONNECTIONS
+            endpoint { maxConnectionsPerRoute = MOST_CONNECTIONS }
+        }
+    }
+
+    private companion object {
+        const val STOP_GRACE_MILLISECONDS = 500L
+        const val STOP_TIMEOUT_MILLISECONDS = 2_000L
+        const val CONNECT_TIMEOUT_MILLISECONDS = 500L
+        const val MOST_CONNECTIONS = 10_000
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/DaemonSettings.kt
@@ -0,0 +1,57 @@
+package org.quetzalloom.daemon
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.toPersistentMap
+import org.quetzalloom.core.identity.VmId
+import org.quetzalloom.core.router.RouterSettings
+import org.quetzalloom.daemon.platform.PlatformAddresses
+import org.quetzalloom.wire.site.Site
+import org.quetzalloom.wire.site.routerSettings
+
+/**
+ * What one daemon is told at its start.
+ *
+ * @property addresses host and port of every VM.
+ * @property largestBodyBytes the longest body of a caller that is read.
+ * @property defaultTimeoutMilliseconds the timeout of a request whose caller names none.
+ */
+internal data class DaemonSettings(
+    val router: RouterSettings,
+    val addresses: PersistentMap<VmId, String>,
+    val platform: PlatformAddresses,
+    val largestBodyBytes: Long = 1_048_576,
+    val defaultTimeoutMilliseconds: Long = 60_000,
+) {
+    /** Host and port that this daemon listens on. */
+    val ownAddress: String get() = addresses.getValue(router.vm)
+
+    companion object {
+        /** Returns the settings of [vm] in [site], or what is missing. */
+        fun of(site: Site, vm: String, incarnation: String): Result<DaemonSettings, String> = try {
+            Ok(build(site, VmId(vm), incarnation))
+        } catch (problem: IllegalArgumentException) {
+            Err(problem.message.orEmpty())
+        }
+
+        private fun build(site: Site, vm: VmId, incarnation: String): DaemonSettings {
+            val platform = requireNotNull(site.document.platform) { "the table [platform] is missing" }
+            val usual = DaemonSettings(
+                router = site.routerSettings(vm, incarnation),
+                addresses = site.document.vms.associate { VmId(it.id) to it.address }.toPersistentMap(),
+                platform = PlatformAddresses(
+                    log = requireNotNull(platform.log) { "the key platform.log is missing" },
+                    vms = requireNotNull(platform.vms) { "the key platform.vms is missing" },
+                    ratings = requireNotNull(platform.ratings) { "the key platform.ratings is missing" },
+                ),
+            )
+            val fleet = site.document.fleet
+            return usual.copy(
+                largestBodyBytes = fleet?.largestBodyBytes ?: usual.largestBodyBytes,
+                defaultTimeoutMilliseconds = fleet?.defaultTimeoutMilliseconds ?: usual.defaultTimeoutMilliseconds,
+            )
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/EffectInterpreter.kt
@@ -0,0 +1,30 @@
+package org.quetzalloom.daemon
+
+import org.quetzalloom.core.effect.Effect
+import org.quetzalloom.daemon.backend.BackendClient
+import org.quetzalloom.daemon.caller.Exchanges
+import org.quetzalloom.daemon.peer.PeerClient
+import org.quetzalloom.daemon.platform.PlatformClient
+import org.quetzalloom.daemon.report.Reporter
+import org.quetzalloom.runtime.Interpreter
+
+/** Hands each effect to the adapter that carries it out. */
+internal class EffectInterpreter(
+    private val exchanges: Exchanges,
+    private val backends: BackendClient,
+    private val platform: PlatformClient,
+    private val peers: PeerClient,
+    private val reporter: Reporter,
+    private val stop: () -> Unit,
+) : Interpreter<Effect> {
+    override fun carryOut(effect: Effect) {
+        when (effect) {
+            is Effect.OfCaller -> exchanges.deliver(effect)
+            is Effect.OfBackend -> backends.carryOut(effect)
+            is Effect.OfPlatform -> platform.carryOut(effect)
+            is Effect.Tell -> peers.carryOut(effect)
+            is Effect.Report -> reporter.report(effect.entry)
+            is Effect.Stop -> stop()
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/RouterLoop.kt
@@ -0,0 +1,9 @@
+package org.quetzalloom.daemon
+
+import org.quetzalloom.core.effect.Effect
+import org.quetzalloom.core.event.Event
+import org.quetzalloom.core.router.RouterState
+import org.quetzalloom.runtime.EventLoop
+
+/** The loop of a router. */
+internal typealias RouterLoop = EventLoop<RouterState, Event, Effect>
--- /dev/null
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/BackendClient.kt
@@ -0,0 +1,107 @@
+package org.quetzalloom.daemon.backend
+
+import io.ktor.client.HttpClient
+import io.ktor.client.plugins.timeout
+import io.ktor.client.request.get
+import io.ktor.client.statement.bodyAsText
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
+import kotlinx.io.IOException
+import kotlinx.serialization.SerializationException
+import org.quetzalloom.core.backend.AttemptFailure
+import org.quetzalloom.core.backend.AttemptOrder
+import org.quetzalloom.core.effect.Effect
+import org.quetzalloom.core.event.Event
+import org.quetzalloom.core.identity.AttemptId
+import org.quetzalloom.core.identity.StartIdentity
+import org.quetzalloom.core.request.Target
+import org.quetzalloom.daemon.RouterLoop
+import org.quetzalloom.wire.WireFormat
+import org.quetzalloom.wire.backend.LoadResponse
+import org.slf4j.Logger
+import org.slf4j.LoggerFactory
+import java.net.ConnectException
+
+/** Carries out orders to backend servers. Its methods are called on the loop's thread. */
+internal class BackendClient(
+    private val client: HttpClient,
+    private val scope: CoroutineScope,
+    private val loop: RouterLoop,
+) {
+    private var jobs = persistentMapOf<AttemptId, Job>()
+
+    /** Carries out [effect]. */
+    fun carryOut(effect: Effect.OfBackend) {
+        when (effect) {
+            is Effect.OfBackend.Start -> start(effect.order)
+            is Effect.OfBackend.Cancel -> cancel(effect.attempt)
+            is Effect.OfBackend.AskLoad -> askLoad(effect)
+        }
+    }
+
+    private fun start(order: AttemptOrder) {
+        val job = scope.launch { run(order) }
+        jobs = jobs.put(order.attempt, job)
+    }
+
+    private fun cancel(attempt: AttemptId) {
+        jobs[attempt]?.cancel()
+        jobs = jobs.remove(attempt)
+    }
+
+    private suspend fun run(order: AttemptOrder) {
+        val call: BackendCall = when (order.target) {
+            is Target.Completion -> EngineCall(client, order, loop)
+            is Target.ServiceCall -> ServiceCall(client, order, loop)
+        }
+        val last = try {
+            call.run()
+        } catch (cancelled: CancellationException) {
+            throw cancelled
+        } catch (problem: ConnectException) {
+            logFailure(order, problem)
+            Event.OfBackend.Failed(order.attempt, AttemptFailure.NOT_SENT)
+        } catch (problem: IOException) {
+            logFailure(order, problem)
+            Event.OfBackend.Failed(order.attempt, AttemptFailure.BROKEN)
+        } catch (problem: SerializationException) {
+            logFailure(order, problem)
+            Event.OfBackend.Failed(order.attempt, AttemptFailure.BROKEN)
+        }
+        loop.post(last) { jobs = jobs.remove(order.attempt) }
+    }
+
+    private fun logFailure(order: AttemptOrder, problem: Exception) {
+        logger.debug("event=attempt_io_failed attempt={} problem=\"{}\"", order.attempt, problem.message)
+    }
+
+    private fun askLoad(effect: Effect.OfBackend.AskLoad) {
+        scope.launch {
+            val event = try {
+                val text = client.get("http://${effect.address}/load") {
+                    timeout { requestTimeoutMillis = LOAD_TIMEOUT_MILLISECONDS }
+                }.bodyAsText()
+                val load = WireFormat.decodeFromString<LoadResponse>(text)
+                Event.OfBackend.LoadReported(
+                    effect.server,
+                    StartIdentity(load.start),
+                    load.running,
+                    load.upForMilliseconds,
+                )
+            } catch (_: IOException) {
+                Event.OfBackend.LoadUnknown(effect.server)
+            } catch (_: IllegalArgumentException) {
+                Event.OfBackend.LoadUnknown(effect.server)
+            }
+            loop.post(event)
+        }
+    }
+
+    private companion object {
+        const val LOAD_TIMEOUT_MILLISECONDS = 1_000L
+        val logger: Logger = LoggerFactory.getLogger(BackendClient::class.java)
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/EngineCall.kt
@@ -0,0 +1,75 @@
+package org.quetzalloom.daemon.backend
+
+import io.ktor.client.HttpClient
+import io.ktor.client.request.header
+import io.ktor.client.request.preparePost
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsChannel
+import io.ktor.http.ContentType
+import io.ktor.http.contentType
+import io.ktor.http.isSuccess
+import io.ktor.utils.io.readLine
+import kotlinx.serialization.encodeToString
+import org.quetzalloom.core.backend.AttemptFailure
+import org.quetzalloom.core.backend.AttemptOrder
+import org.quetzalloom.core.event.Event
+import org.quetzalloom.core.identity.StartIdentity
+import org.quetzalloom.core.request.Target
+import org.quetzalloom.daemon.RouterLoop
+import org.quetzalloom.wire.WireFormat
+import org.quetzalloom.wire.backend.BackendHeaders
+import org.quetzalloom.wire.backend.GenerateEvent
+import org.quetzalloom.wire.backend.GenerateRequest
+
+/** A completion by a model engine, streamed as server-sent events. */
+internal class EngineCall(
+    private val client: HttpClient,
+    private val order: AttemptOrder,
+    private val loop: RouterLoop,
+) : BackendCall {
+    override suspend fun run(): Event.OfBackend = client.preparePost("http://${order.address}/generate") {
+        contentType(ContentType.Application.Json)
+        header(BackendHeaders.ATTEMPT, order.attempt.value)
+        setBody(WireFormat.encodeToString(request()))
+    }.execute { read(it) }
+
+    private fun request(): GenerateRequest {
+        val target = order.target as Target.Completion
+        return GenerateRequest(
+            version = order.version.value,
+            prompt = order.body,
+            maximumTokens = target.maximumTokens,
+            priority = order.priority.ordinal,
+            resumeFrom = order.resumeFrom,
+        )
+    }
+
+    private suspend fun read(response: HttpResponse): Event.OfBackend {
+        if (!response.status.isSuccess()) return refusal(order, response)
+        accepted(order, response)?.let { loop.post(it) }
+        val channel = response.bodyAsChannel()
+        while (true) {
+            val line = channel.readLine() ?: return Event.OfBackend.Failed(order.attempt, AttemptFailure.BROKEN)
+            if (!line.startsWith(DATA)) continue
+            val event = WireFormat.decodeFromString<GenerateEvent>(line.removePrefix(DATA))
+            val total = event.total
+            if (total != null) return Event.OfBackend.Finished(order.attempt, total, response.status.value)
+            loop.post(Event.OfBackend.Progressed(order.attempt, event.position, event.tokens, event.text))
+        }
+    }
+
+    private companion object {
+        const val DATA = "data: "
+    }
+}
+
+/** Returns the event that tells of the start named in [response], or `null` if it names none. */
+internal fun accepted(order: AttemptOrder, response: HttpResponse): Event.OfBackend.Accepted? =
+    response.headers[BackendHeaders.START]?.let { Event.OfBackend.Accepted(order.attempt, StartIdentity(it)) }
+
+/** Returns the failure that an unsuccessful [response] stands for. */
+internal fun refusal(order: AttemptOrder, response: HttpResponse): Event.OfBackend.Failed {
+    val notRun = response.headers[BackendHeaders.NOT_RUN] != null
+    return Event.OfBackend.Failed(order.attempt, if (notRun) AttemptFailure.REFUSED else AttemptFailure.BROKEN)
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/ServiceCall.kt
@@ -0,0 +1,42 @@
+package org.quetzalloom.daemon.backend
+
+import io.ktor.client.HttpClient
+import io.ktor.client.request.header
+import io.ktor.client.request.prepareRequest
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.ContentType
+import io.ktor.http.HttpMethod
+import io.ktor.http.contentType
+import org.quetzalloom.core.backend.AttemptOrder
+import org.quetzalloom.core.event.Event
+import org.quetzalloom.core.request.Target
+import org.quetzalloom.daemon.RouterLoop
+import org.quetzalloom.wire.backend.BackendHeaders
+
+/** A call of a plain service: one request, one response. */
+internal class ServiceCall(
+    private val client: HttpClient,
+    private val order: AttemptOrder,
+    private val loop: RouterLoop,
+) : BackendCall {
+    override suspend fun run(): Event.OfBackend {
+        val target = order.target as Target.ServiceCall
+        return client.prepareRequest("http://${order.address}${target.path}") {
+            method = HttpMethod.parse(target.method)
+            contentType(ContentType.Application.Json)
+            header(BackendHeaders.ATTEMPT, order.attempt.value)
+            order.fencing?.let { header(BackendHeaders.FENCING, it) }
+            order.scope?.let { header(BackendHeaders.FENCING_SCOPE, it) }
+            if (order.body.isNotEmpty()) setBody(order.body)
+        }.execute { read(it) }
+    }
+
+    private suspend fun read(response: HttpResponse): Event.OfBackend {
+        if (response.headers[BackendHeaders.NOT_RUN] != null) return refusal(order, response)
+        accepted(order, response)?.let { loop.post(it) }
+        loop.post(Event.OfBackend.Progressed(order.attempt, position = 0, tokens = 1, text = response.bodyAsText()))
+        return Event.OfBackend.Finished(order.attempt, tokens = 1, status = response.status.value)
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/CallerRoutes.kt
@@ -0,0 +1,88 @@
+package org.quetzalloom.daemon.caller
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.header
+import io.ktor.server.request.httpMethod
+import io.ktor.server.request.receiveChannel
+import io.ktor.server.request.uri
+import io.ktor.server.response.header
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.post
+import io.ktor.server.routing.route
+import io.ktor.utils.io.readRemaining
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.channels.Channel
+import kotlinx.io.IOException
+import kotlinx.io.readByteArray
+import org.quetzalloom.core.effect.Effect
+import org.quetzalloom.core.error.ErrorKind
+import org.quetzalloom.core.error.RouterError
+import org.quetzalloom.core.event.Event
+import org.quetzalloom.core.identity.RequestId
+import org.quetzalloom.core.request.CallerRequest
+import org.quetzalloom.core.request.Target
+import org.quetzalloom.daemon.RouterLoop
+import org.quetzalloom.wire.caller.CallerHeaders
+import java.util.UUID
+
+/**
+ * The HTTP front end of callers: parses requests, posts them to the loop and writes what comes back.
+ *
+ * @property largestBodyBytes the longest body that is read.
+ */
+internal class CallerRoutes(
+    private val loop: RouterLoop,
+    private val exchanges: Exchanges,
+    private val parser: CallParser,
+    private val largestBodyBytes: Long,
+) {
+    /** Adds the routes of callers to [routing]. */
+    fun install(routing: Route) {
+        routing.post("/v1/chat/completions") { handle(call) { body -> parser.completion(call::header, body) } }
+        routing.route("{path...}") {
+            handle {
+                val target = Target.ServiceCall(call.request.httpMethod.value.uppercase(), call.request.uri)
+                handle(call) { body -> parser.service(call::header, target, body) }
+            }
+        }
+    }
+
+    private suspend fun handle(call: ApplicationCall, parse: (String) -> Result<CallerRequest, RouterError>) {
+        val body = readBodyOrNull(call)
+        if (body == null) {
+            ErrorWriter.write(call, RouterError(ErrorKind.TOO_LARGE, "the body is above $largestBodyBytes bytes"))
+        } else {
+            parse(body).fold(success = { serve(call, it) }, failure = { ErrorWriter.write(call, it) })
+        }
+    }
+
+    private suspend fun readBodyOrNull(call: ApplicationCall): String? {
+        val bytes = call.receiveChannel().readRemaining(largestBodyBytes + 1).readByteArray()
+        return if (bytes.size > largestBodyBytes) null else bytes.decodeToString()
+    }
+
+    private suspend fun serve(call: ApplicationCall, request: CallerRequest) {
+        val id = RequestId(UUID.randomUUID().toString())
+        val answers = Channel<Effect.OfCaller>(Channel.UNLIMITED)
+        loop.post(Event.OfCaller.Arrived(id, request)) { exchanges.register(id, answers) }
+        call.response.header(CallerHeaders.REQUEST, id.value)
+        try {
+            AnswerWriter(call, id, request.target).write(answers)
+        } catch (_: IOException) {
+            leave(id)
+        } catch (cancelled: CancellationException) {
+            leave(id)
+            throw cancelled
+        }
+    }
+
+    private fun leave(id: RequestId) = loop.post(Event.OfCaller.Left(id)) { exchanges.forget(id) }
+}
+
+private fun ApplicationCall.header(name: String): String? = request.header(name)
+
+/** Returns the status of an HTTP answer with [code]. */
+internal fun statusOf(code: Int): HttpStatusCode = HttpStatusCode.fromValue(code)
--- /dev/null
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/platform/PlatformClient.kt
@@ -0,0 +1,151 @@
+package org.quetzalloom.daemon.platform
+
+import io.ktor.client.HttpClient
+import io.ktor.client.plugins.timeout
+import io.ktor.client.request.get
+import io.ktor.client.request.post
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.ContentType
+import io.ktor.http.contentType
+import io.ktor.http.isSuccess
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.io.IOException
+import kotlinx.serialization.encodeToString
+import org.quetzalloom.core.effect.Effect
+import org.quetzalloom.core.event.Event
+import org.quetzalloom.core.identity.RequestClass
+import org.quetzalloom.core.identity.VersionId
+import org.quetzalloom.core.identity.VmId
+import org.quetzalloom.core.identity.WorkspaceId
+import org.quetzalloom.core.log.LogEntry
+import org.quetzalloom.core.log.LogStream
+import org.quetzalloom.core.peer.VmListing
+import org.quetzalloom.core.selection.Rating
+import org.quetzalloom.core.selection.RatingSubject
+import org.quetzalloom.daemon.RouterLoop
+import org.quetzalloom.wire.WireFormat
+import org.quetzalloom.wire.log.toDocument
+import org.quetzalloom.wire.log.toRecord
+import org.quetzalloom.wire.platform.AppendRequest
+import org.quetzalloom.wire.platform.EntryDocument
+import org.quetzalloom.wire.platform.RatingDocument
+import org.quetzalloom.wire.platform.RatingsResponse
+import org.quetzalloom.wire.platform.ReadResponse
+import org.quetzalloom.wire.platform.SampleRequest
+import org.quetzalloom.wire.platform.VmsResponse
+
+/**
+ * Calls the platform's services.
+ *
+ * @property submitter names this VM start at the rating service.
+ */
+internal class PlatformClient(
+    private val client: HttpClient,
+    private val scope: CoroutineScope,
+    private val loop: RouterLoop,
+    private val addresses: PlatformAddresses,
+    private val submitter: String,
+) {
+    /** Starts to carry out [effect]. */
+    fun carryOut(effect: Effect.OfPlatform) {
+        scope.launch {
+            when (effect) {
+                is Effect.OfPlatform.Append -> append(effect)
+                is Effect.OfPlatform.Read -> read(effect)
+                is Effect.OfPlatform.ListVms -> listVms()
+                is Effect.OfPlatform.ReadRatings -> readRatings(effect)
+                is Effect.OfPlatform.SubmitForRating -> submit(effect)
+            }
+        }
+    }
+
+    private suspend fun append(effect: Effect.OfPlatform.Append) {
+        val request = AppendRequest(effect.stamp, effect.records.map { it.toDocument() })
+        val event = attempt(failed = Event.OfPlatform.LogAppendFailed(effect.append)) {
+            post(streamUrl(effect.stream), WireFormat.encodeToString(request))
+            Event.OfPlatform.LogAppended(effect.append)
+        }
+        loop.post(event)
+    }
+
+    private suspend fun read(effect: Effect.OfPlatform.Read) {
+        val event = attempt(failed = Event.OfPlatform.LogReadFailed(effect.stream)) {
+            val response = WireFormat.decodeFromString<ReadResponse>(get("${streamUrl(effect.stream)}?from=${effect.from}"))
+            val entries = response.entries.map { it.toEntry() }.toPersistentList()
+            Event.OfPlatform.LogRead(effect.stream, entries, response.next, response.earliest)
+        }
+        loop.post(event)
+    }
+
+    private suspend fun listVms() {
+        val event = attempt(failed = Event.OfPlatform.PlatformReadFailed("vms")) {
+            val response = WireFormat.decodeFromString<VmsResponse>(get("http://${addresses.vms}/vms"))
+            Event.OfPlatform.VmsListed(response.vms.map { VmListing(VmId(it.vm), it.leaving) }.toPersistentList())
+        }
+        loop.post(event)
+    }
+
+    private suspend fun readRatings(effect: Effect.OfPlatform.ReadRatings) {
+        val event = attempt(failed = Event.OfPlatform.PlatformReadFailed("ratings")) {
+            val url = "http://${addresses.ratings}/ratings?submitter=$submitter&from=${effect.from}"
+            val response = WireFormat.decodeFromString<RatingsResponse>(get(url))
+            Event.OfPlatform.RatingsRead(response.ratings.map { it.toRating() }.toPersistentList(), response.next)
+        }
+        loop.post(event)
+    }
+
+    private suspend fun submit(effect: Effect.OfPlatform.SubmitForRating) {
+        val sample = SampleRequest(
+            submitter = submitter,
+            request = effect.request.value,
+            workspace = effect.subject.workspace.value,
+            requestClass = effect.subject.requestClass.value,
+            version = effect.subject.version.value,
+            answer = effect.answer,
+        )
+        val failure = attempt<Event?>(failed = Event.OfPlatform.PlatformReadFailed("samples")) {
+            post("http://${addresses.ratings}/samples", WireFormat.encodeToString(sample))
+            null
+        }
+        failure?.let { loop.post(it) }
+    }
+
+    private fun streamUrl(stream: LogStream): String = "http://${addresses.log}/streams/${stream.name.lowercase()}"
+
+    private suspend fun get(url: String): String = client.get(url) {
+        timeout { requestTimeoutMillis = TIMEOUT_MILLISECONDS }
+    }.successful().bodyAsText()
+
+    private suspend fun post(url: String, body: String): String = client.post(url) {
+        timeout { requestTimeoutMillis = TIMEOUT_MILLISECONDS }
+        contentType(ContentType.Application.Json)
+        setBody(body)
+    }.successful().bodyAsText()
+
+    private fun HttpResponse.successful(): HttpResponse =
+        if (status.isSuccess()) this else throw IOException("the platform answered $status")
+
+    /** Returns what [call] returns, or [failed] if the platform cannot be reached or makes no sense. */
+    private suspend fun <T> attempt(failed: T, call: suspend () -> T): T = try {
+        call()
+    } catch (_: IOException) {
+        failed
+    } catch (_: IllegalArgumentException) {
+        failed
+    }
+
+    private companion object {
+        const val TIMEOUT_MILLISECONDS = 2_000L
+    }
+}
+
+private fun EntryDocument.toEntry(): LogEntry = LogEntry(offset, stamp, record.toRecord())
+
+private fun RatingDocument.toRating(): Rating = Rating(
+    subject = RatingSubject(WorkspaceId(workspace), RequestClass(requestClass), VersionId(version)),
+    good = good,
+)
--- a/wire/src/main/kotlin/org/quetzalloom/wire/backend/BackendMessages.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/backend/BackendMessages.kt
@@ -11,6 +11,9 @@
     /** The fencing number of an order. In requests. */
     public const val FENCING: String = "X-Fencing-Number"
 
+    /** What the fencing number is compared within: orders of another scope do not count. In requests. */
+    public const val FENCING_SCOPE: String = "X-Fencing-Scope"
+
     /** Present if the backend server did not run the request. In answers. */
     public const val NOT_RUN: String = "X-Not-Run"
 
--- /dev/null
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/Overlay.kt
@@ -0,0 +1,50 @@
+package org.quetzalloom.wire.site
+
+/** Returns this document with everything that [overlay] says in its place; list entries are matched by their name. */
+public fun SiteDocument.overlaidBy(overlay: SiteDocument): SiteDocument = SiteDocument(
+    platform = platform.overlaidBy(overlay.platform) { base, top ->
+        PlatformDocument(log = top.log ?: base.log, vms = top.vms ?: base.vms, ratings = top.ratings ?: base.ratings)
+    },
+    fleet = fleet.overlaidBy(overlay.fleet) { base, top -> base.overlaidBy(top) },
+    limits = limits.overlaidBy(overlay.limits) { base, top -> base.overlaidBy(top) },
+    vms = vms.overlaidBy(overlay.vms) { it.id },
+    zones = zones.overlaidBy(overlay.zones) { it.id },
+    versions = versions.overlaidBy(overlay.versions) { it.id },
+    workspaces = workspaces.overlaidBy(overlay.workspaces) { it.id },
+    backendServers = backendServers.overlaidBy(overlay.backendServers) { it.id },
+    services = services.overlaidBy(overlay.services) { it.pathPrefix },
+    rollouts = rollouts.overlaidBy(overlay.rollouts) { it.to },
+)
+
+private fun FleetDocument.overlaidBy(top: FleetDocument): FleetDocument = FleetDocument(
+    sessionSecret = top.sessionSecret ?: sessionSecret,
+    largestBodyBytes = top.largestBodyBytes ?: largestBodyBytes,
+    defaultTimeoutMilliseconds = top.defaultTimeoutMilliseconds ?: defaultTimeoutMilliseconds,
+)
+
+private fun LimitsDocument.overlaidBy(top: LimitsDocument): LimitsDocument = LimitsDocument(
+    stalenessMilliseconds = top.stalenessMilliseconds ?: stalenessMilliseconds,
+    readIntervalMilliseconds = top.readIntervalMilliseconds ?: readIntervalMilliseconds,
+    appendIntervalMilliseconds = top.appendIntervalMilliseconds ?: appendIntervalMilliseconds,
+    gossipIntervalMilliseconds = top.gossipIntervalMilliseconds ?: gossipIntervalMilliseconds,
+    loadIntervalMilliseconds = top.loadIntervalMilliseconds ?: loadIntervalMilliseconds,
+    firstTokenMilliseconds = top.firstTokenMilliseconds ?: firstTokenMilliseconds,
+    tokenGapMilliseconds = top.tokenGapMilliseconds ?: tokenGapMilliseconds,
+    serviceSilenceMilliseconds = top.serviceSilenceMilliseconds ?: serviceSilenceMilliseconds,
+    commandMemoryMilliseconds = top.commandMemoryMilliseconds ?: commandMemoryMilliseconds,
+    snapshotIntervalMilliseconds = top.snapshotIntervalMilliseconds ?: snapshotIntervalMilliseconds,
+    drainGraceMilliseconds = top.drainGraceMilliseconds ?: drainGraceMilliseconds,
+    activeRequests = top.activeRequests ?: activeRequests,
+    triesPerRequest = top.triesPerRequest ?: triesPerRequest,
+    sampleShare = top.sampleShare ?: sampleShare,
+)
+
+private fun <T : Any> T?.overlaidBy(top: T?, merge: (T, T) -> T): T? =
+    if (this != null && top != null) merge(this, top) else top ?: this
+
+/** Entries of [top] stand in place of those with the same name; new ones come last. */
+private fun <T : Any> List<T>.overlaidBy(top: List<T>, name: (T) -> String): List<T> {
+    val replacements = top.associateBy(name)
+    val names = map(name).toSet()
+    return map { replacements[name(it)] ?: it } + top.filter { name(it) !in names }
+}
--- /dev/null
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/Site.kt
@@ -0,0 +1,75 @@
+package org.quetzalloom.wire.site
+
+import arrow.core.NonEmptyList
+import arrow.core.nonEmptyListOf
+import arrow.core.toNonEmptyListOrNull
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.get
+import org.quetzalloom.core.configuration.Configuration
+import org.quetzalloom.core.configuration.problems
+import org.quetzalloom.wire.configuration.ConfigurationDocument
+import org.quetzalloom.wire.configuration.toConfiguration
+
+/**
+ * A base file with the overlay of a site, checked as a whole.
+ *
+ * @property document both files together.
+ * @property configuration the part of them that operators publish, at revision 0.
+ */
+public data class Site(
+    public val document: SiteDocument,
+    public val configuration: Configuration,
+) {
+    public companion object {
+        /** Returns the site that [files] describe, later ones on top of earlier ones, or everything that is wrong. */
+        public fun load(files: List<SiteFile>): Result<Site, NonEmptyList<SiteProblem>> {
+            val parsed = files.map { it.parse() }
+            val broken = parsed.mapNotNull { it.getError() }.toNonEmptyListOrNull()
+            if (broken != null) return Err(broken)
+            val document = parsed.mapNotNull { it.get() }.reduce { base, overlay -> base.overlaidBy(overlay) }
+            return check(document, files)
+        }
+
+        private fun check(document: SiteDocument, files: List<SiteFile>): Result<Site, NonEmptyList<SiteProblem>> {
+            val configuration = try {
+                document.toConfigurationDocument().toConfiguration()
+            } catch (problem: IllegalArgumentException) {
+                return Err(nonEmptyListOf(located(problem.message.orEmpty(), files)))
+            }
+            val words = document.fleetProblems() + configuration.problems(document.vms.size.takeIf { it > 0 })
+            val problems = words.map { located(it, files) }.toNonEmptyListOrNull()
+            return if (problems == null) Ok(Site(document, configuration)) else Err(problems)
+        }
+
+        /** Finds the line that names what [message] quotes first, in the last file that has it. */
+        private fun located(message: String, files: List<SiteFile>): SiteProblem {
+            val quoted = QUOTED.findAll(message).map { it.groupValues[1] }.toList()
+            val place = quoted.firstNotNullOfOrNull { word ->
+                files.reversed().firstNotNullOfOrNull { file -> file.lineOfOrNull(word)?.let { file.name to it } }
+            }
+            return SiteProblem(file = place?.first ?: files.last().name, line = place?.second, message = message)
+        }
+
+        private val QUOTED = Regex("'([^']+)'")
+    }
+}
+
+private fun SiteDocument.toConfigurationDocument(): ConfigurationDocument = ConfigurationDocument(
+    zones = zones,
+    versions = versions,
+    workspaces = workspaces,
+    backendServers = backendServers,
+    services = services,
+    rollouts = rollouts,
+)
+
+private fun SiteDocument.fleetProblems(): List<String> {
+    val zoneIds = zones.map { it.id }.toSet()
+    val repeated = vms.groupBy { it.id }.filterValues { it.size > 1 }.keys.map { "VM '$it' is listed twice" }
+    val misplaced = vms.filter { it.zone !in zoneIds }
+        .map { "VM '${it.id}' is in availability zone '${it.zone}', which does not exist" }
+    return repeated + misplaced
+}
--- /dev/null
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteFile.kt
@@ -0,0 +1,51 @@
+package org.quetzalloom.wire.site
+
+import com.akuleshov7.ktoml.Toml
+import com.akuleshov7.ktoml.exceptions.TomlDecodingException
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.decodeFromString
+
+/**
+ * A settings file by name and content.
+ *
+ * @property name the path, for messages.
+ * @property text the content, in TOML.
+ */
+public data class SiteFile(
+    public val name: String,
+    public val text: String,
+) {
+    /** Returns the document in this file, or what is wrong with it. */
+    public fun parse(): Result<SiteDocument, SiteProblem> = try {
+        Ok(Toml.decodeFromString<SiteDocument>(text))
+    } catch (problem: TomlDecodingException) {
+        Err(problemOf(problem.message))
+    } catch (problem: SerializationException) {
+        Err(problemOf(problem.message))
+    } catch (problem: IllegalArgumentException) {
+        Err(problemOf(problem.message))
+    }
+
+    /** Returns the number of the first line, from 1, that has [word] in quotes, or `null`. */
+    public fun lineOfOrNull(word: String): Int? =
+        text.lines().indexOfFirst { "\"$word\"" in it }.takeIf { it >= 0 }?.let { it + 1 }
+
+    private fun problemOf(message: String?): SiteProblem {
+        val words = message.orEmpty().replace('\n', ' ').trim()
+        val line = LINE.find(words)?.groupValues?.get(1)?.toIntOrNull() ?: unknownKeyLineOrNull(words)
+        return SiteProblem(file = name, line = line, message = words.replaceFirst(LINE, "").trim())
+    }
+
+    private fun unknownKeyLineOrNull(message: String): Int? {
+        val key = QUOTED.find(message)?.groupValues?.get(1) ?: return null
+        return text.lines().indexOfFirst { it.trim().startsWith(key) }.takeIf { it >= 0 }?.let { it + 1 }
+    }
+
+    private companion object {
+        val LINE = Regex("""^Line (\d+): """)
+        val QUOTED = Regex("""[<'"]([A-Za-z0-9_]+)[>'"]""")
+    }
+}
--- /dev/null
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteSettings.kt
@@ -0,0 +1,41 @@
+package org.quetzalloom.wire.site
+
+import kotlinx.collections.immutable.toPersistentMap
+import org.quetzalloom.core.identity.AvailabilityZoneId
+import org.quetzalloom.core.identity.VmId
+import org.quetzalloom.core.router.RouterLimits
+import org.quetzalloom.core.router.RouterSettings
+
+/**
+ * Returns the settings of the router on [vm].
+ *
+ * @param incarnation differs after each start.
+ * @throws IllegalArgumentException if the site does not list [vm] or has no session secret.
+ */
+public fun Site.routerSettings(vm: VmId, incarnation: String): RouterSettings = RouterSettings(
+    vm = vm,
+    incarnation = incarnation,
+    fleet = document.vms.associate { VmId(it.id) to AvailabilityZoneId(it.zone) }.toPersistentMap(),
+    sessionSecret = document.fleet?.sessionSecret.orEmpty(),
+    limits = (document.limits ?: LimitsDocument()).toLimits(),
+)
+
+private fun LimitsDocument.toLimits(): RouterLimits {
+    val usual = RouterLimits()
+    return usual.copy(
+        stalenessMilliseconds = stalenessMilliseconds ?: usual.stalenessMilliseconds,
+        readIntervalMilliseconds = readIntervalMilliseconds ?: usual.readIntervalMilliseconds,
+        appendIntervalMilliseconds = appendIntervalMilliseconds ?: usual.appendIntervalMilliseconds,
+        gossipIntervalMilliseconds = gossipIntervalMilliseconds ?: usual.gossipIntervalMilliseconds,
+        loadIntervalMilliseconds = loadIntervalMilliseconds ?: usual.loadIntervalMilliseconds,
+        firstTokenMilliseconds = firstTokenMilliseconds ?: usual.firstTokenMilliseconds,
+        tokenGapMilliseconds = tokenGapMilliseconds ?: usual.tokenGapMilliseconds,
+        serviceSilenceMilliseconds = serviceSilenceMilliseconds ?: usual.serviceSilenceMilliseconds,
+        commandMemoryMilliseconds = commandMemoryMilliseconds ?: usual.commandMemoryMilliseconds,
+        snapshotIntervalMilliseconds = snapshotIntervalMilliseconds ?: usual.snapshotIntervalMilliseconds,
+        drainGraceMilliseconds = drainGraceMilliseconds ?: usual.drainGraceMilliseconds,
+        activeRequests = activeRequests ?: usual.activeRequests,
+        triesPerRequest = triesPerRequest ?: usual.triesPerRequest,
+        sampleShare = sampleShare ?: usual.sampleShare,
+    )
+}
