--- /dev/null
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/Main.kt
@@ -0,0 +1,111 @@
+package org.quetzalloom.standins
+
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import kotlinx.cli.required
+import org.quetzalloom.standins.engine.EngineSettings
+import org.quetzalloom.standins.engine.EngineStandIn
+import org.quetzalloom.standins.fault.Faulty
+import org.quetzalloom.standins.http.StandIn
+import org.quetzalloom.standins.http.StandInServer
+import org.quetzalloom.standins.load.LoadCommand
+import org.quetzalloom.standins.log.LogStandIn
+import org.quetzalloom.standins.ratings.RaterStandIn
+import org.quetzalloom.standins.service.ServiceStandIn
+import org.quetzalloom.standins.vms.VmListStandIn
+import org.quetzalloom.standins.weights.WeightStoreStandIn
+import java.util.UUID
+
+/** Runs one stand-in, or the load tool: `standin log --port 7001`. */
+@OptIn(ExperimentalCli::class)
+fun main(arguments: Array<String>) {
+    val parser = ArgParser("standin")
+    parser.subcommands(
+        LogCommand(),
+        VmListCommand(),
+        RaterCommand(),
+        WeightStoreCommand(),
+        EngineCommand(),
+        ServiceCommand(),
+        LoadCommand(),
+    )
+    parser.parse(arguments)
+}
+
+/** A command that runs a stand-in until the process is ended. */
+@OptIn(ExperimentalCli::class)
+private abstract class StandInCommand(name: String, description: String) : Subcommand(name, description) {
+    private val port by option(ArgType.Int, description = "The port on this machine").required()
+
+    abstract fun standIn(): StandIn<*>
+
+    override fun execute() {
+        start(standIn())
+    }
+
+    private fun <S : Any> start(standIn: StandIn<S>) {
+        StandInServer(Faulty(standIn), port).start()
+    }
+}
+
+private class LogCommand : StandInCommand("log", "The platform's append-only log") {
+    private val appendsPerSecond by option(ArgType.Int, "appends-per-second", description = "The rate limit")
+        .default(500)
+    private val retention by option(ArgType.Int, "retention-milliseconds", description = "How long records are kept")
+        .default(86_400_000)
+
+    override fun standIn(): StandIn<*> = LogStandIn(appendsPerSecond, retention.toLong())
+}
+
+private class VmListCommand : StandInCommand("vms", "The platform's list of VMs") {
+    private val lag by option(ArgType.Int, "lag-milliseconds", description = "The time until a change is shown")
+        .default(2_000)
+
+    override fun standIn(): StandIn<*> = VmListStandIn(lag.toLong())
+}
+
+private class RaterCommand : StandInCommand("ratings", "The service that rates answers") {
+    private val lag by option(ArgType.Int, "lag-milliseconds", description = "The time until a verdict is shown")
+        .default(1_000)
+
+    override fun standIn(): StandIn<*> = RaterStandIn(lag.toLong())
+}
+
+private class WeightStoreCommand : StandInCommand("weights", "The rate-limited weight store") {
+    private val interval by option(ArgType.Int, "interval-milliseconds", description = "The time between downloads")
+        .default(1_000)
+
+    override fun standIn(): StandIn<*> = WeightStoreStandIn(interval.toLong())
+}
+
+private class EngineCommand : StandInCommand("engine", "A model engine") {
+    private val id by option(ArgType.String, description = "The name of the engine").required()
+    private val capacity by option(ArgType.Int, description = "Generations at once when warm").default(32)
+    private val coldCapacity by option(ArgType.Int, "cold-capacity", description = "Generations at once when cold")
+        .default(4)
+    private val warmUp by option(ArgType.Int, "warm-up-milliseconds", description = "The time until it is warm")
+        .default(5_000)
+    private val token by option(ArgType.Int, "token-milliseconds", description = "The time between tokens").default(10)
+
+    override fun standIn(): StandIn<*> = EngineStandIn(
+        EngineSettings(
+            name = id,
+            capacity = capacity,
+            coldCapacity = coldCapacity,
+            warmUpMilliseconds = warmUp.toLong(),
+            tokenMilliseconds = token.toLong(),
+        ),
+    )
+}
+
+private class ServiceCommand : StandInCommand("service", "A plain service") {
+    private val checksFencing by option(ArgType.Boolean, "checks-fencing", description = "Refuse old fencing numbers")
+        .default(false)
+    private val work by option(ArgType.Int, "work-milliseconds", description = "The time that a call takes").default(20)
+
+    override fun standIn(): StandIn<*> =
+        ServiceStandIn(start = UUID.randomUUID().toString(), checksFencing = checksFencing, workMilliseconds = work.toLong())
+}
--- /dev/null
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/engine/AnswerText.kt
@@ -0,0 +1,21 @@
+package org.quetzalloom.standins.engine
+
+import net.openhft.hashing.LongHashFunction
+
+/** The answers of the stand-in engines: a version always answers a prompt with the same words. */
+object AnswerText {
+    private val words = listOf("flour", "water", "salt", "proof", "bake", "tulle", "hem", "fit", "steam", "rest")
+
+    /** Returns the number of tokens in the answer to [prompt] if at most [maximumTokens] are wanted. */
+    fun length(prompt: String, maximumTokens: Int): Int =
+        1 + Math.floorMod(hash("length", prompt), maximumTokens.toLong()).toInt()
+
+    /** Returns the tokens from [position] on, [count] of them, of the answer of [version] to [prompt]. */
+    fun tokens(version: String, prompt: String, position: Int, count: Int): String =
+        (position until position + count).joinToString("") { "${word(version, prompt, it)} " }
+
+    private fun word(version: String, prompt: String, position: Int): String =
+        words[Math.floorMod(hash(version, prompt, position.toString()), words.size.toLong()).toInt()]
+
+    private fun hash(vararg parts: String): Long = LongHashFunction.xx3().hashChars(parts.joinToString("\u0000"))
+}
--- /dev/null
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadCommand.kt
@@ -0,0 +1,99 @@
+package org.quetzalloom.standins.load
+
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.engine.cio.endpoint
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import kotlinx.cli.required
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.encodeToString
+import org.quetzalloom.runtime.EventLoop
+import org.quetzalloom.runtime.LoopSettings
+import org.quetzalloom.wire.WireFormat
+import java.io.File
+import kotlin.system.exitProcess
+
+/** Sends requests at a fixed rate and reports latencies, answers and refusals. */
+@OptIn(ExperimentalCli::class)
+class LoadCommand : Subcommand("load", "Send requests at a fixed rate and report what came of them") {
+    private val targets by option(ArgType.String, description = "Host and port of each router, by comma").required()
+    private val direct by option(ArgType.Boolean, description = "The targets are engines").default(false)
+    private val rate by option(ArgType.Int, description = "Requests a second").default(20)
+    private val duration by option(ArgType.Int, "duration-milliseconds", description = "How long requests start")
+        .default(5_000)
+    private val workspace by option(ArgType.String, description = "The workspace").default("")
+    private val model by option(ArgType.String, description = "The model").default("auto")
+    private val version by option(ArgType.String, description = "The version, for engines")
+    private val maximumTokens by option(ArgType.Int, "max-tokens", description = "The longest answer").default(32)
+    private val commandPercent by option(ArgType.Int, "command-percent", description = "The share of commands")
+        .default(0)
+    private val commandPath by option(ArgType.String, "command-path", description = "The path of commands").default("")
+    private val sessions by option(ArgType.Int, description = "Sessions to spread completions over").default(0)
+    private val seed by option(ArgType.Int, description = "Decides the prompts").default(1)
+    private val output by option(ArgType.String, description = "The file to write the report to")
+    private val mustBeWhole by option(ArgType.Boolean, "must-be-whole", description = "Fail unless all are whole")
+        .default(false)
+
+    override fun execute() {
+        val report = run(settings())
+        output?.let { File(it).writeText(WireFormat.encodeToString(report)) }
+        println(WireFormat.encodeToString(report.copy(samples = emptyList())))
+        val allWhole = report.results.keys.all { it.endsWith(":whole") }
+        exitProcess(if (mustBeWhole && !allWhole) 1 else 0)
+    }
+
+    private fun settings(): LoadSettings = LoadSettings(
+        targets = targets.split(','),
+        direct = direct,
+        requestsPerSecond = rate,
+        durationMilliseconds = duration.toLong(),
+        workspace = workspace,
+        model = model,
+        version = version,
+        maximumTokens = maximumTokens,
+        commandPercent = commandPercent,
+        commandPath = commandPath,
+        sessions = sessions,
+        seed = seed.toLong(),
+    )
+
+    private fun run(settings: LoadSettings): LoadReport {
+        val caller = LoadCaller(client(), settings)
+        val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+        val report = CompletableDeferred<LoadReport>()
+        val loop: EventLoop<LoadState, LoadEvent, LoadEffect> = EventLoop(
+            initial = LoadState(),
+            reducer = LoadReducer(settings),
+            tick = LoadEvent.Tick,
+            settings = LoopSettings(name = "load-loop", tickMilliseconds = 1),
+        )
+        loop.start { effect ->
+            when (effect) {
+                is LoadEffect.Complete -> scope.launch { loop.post(LoadEvent.Ended(caller.complete(effect))) }
+                is LoadEffect.Command -> scope.launch { loop.post(LoadEvent.Ended(caller.command(effect))) }
+                is LoadEffect.Report -> report.complete(LoadReport.of(effect.samples))
+            }
+        }
+        return runBlocking { report.await() }
+    }
+
+    private fun client(): HttpClient = HttpClient(CIO) {
+        engine {
+            requestTimeout = 0
+            maxConnectionsCount = MOST_CONNECTIONS
+            endpoint { maxConnectionsPerRoute = MOST_CONNECTIONS }
+        }
+    }
+
+    private companion object {
+        const val MOST_CONNECTIONS = 10_000
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadReport.kt
@@ -0,0 +1,74 @@
+package org.quetzalloom.standins.load
+
+import kotlinx.serialization.Serializable
+import org.HdrHistogram.Histogram
+
+/** Percentiles of a latency, in microseconds. */
+@Serializable
+data class Percentiles(
+    val count: Long,
+    val p50: Long,
+    val p95: Long,
+    val p99: Long,
+    val max: Long,
+) {
+    companion object {
+        private const val LARGEST_MICROSECONDS = 3_600_000_000L
+        private const val SIGNIFICANT_DIGITS = 3
+        private const val MEDIAN = 50.0
+        private const val NEARLY_ALL = 95.0
+        private const val ALL_BUT_FEW = 99.0
+
+        /** Returns the percentiles of [microseconds]. */
+        fun of(microseconds: List<Long>): Percentiles {
+            val histogram = Histogram(LARGEST_MICROSECONDS, SIGNIFICANT_DIGITS)
+            microseconds.forEach { histogram.recordValue(it) }
+            return Percentiles(
+                count = histogram.totalCount,
+                p50 = histogram.getValueAtPercentile(MEDIAN),
+                p95 = histogram.getValueAtPercentile(NEARLY_ALL),
+                p99 = histogram.getValueAtPercentile(ALL_BUT_FEW),
+                max = histogram.maxValue,
+            )
+        }
+    }
+}
+
+/**
+ * What came of a load.
+ *
+ * @property results the number of requests by kind and result.
+ * @property first the time to the first piece of whole completions.
+ * @property whole the time to the end of whole completions.
+ * @property commands the time to the answer of commands that were run.
+ * @property movedSessions the sessions that were answered by more than one version.
+ */
+@Serializable
+data class LoadReport(
+    val results: Map<String, Int>,
+    val versions: Map<String, Int>,
+    val first: Percentiles,
+    val whole: Percentiles,
+    val commands: Percentiles,
+    val movedSessions: Int,
+    val samples: List<LoadSample>,
+) {
+    companion object {
+        /** Returns the report on [samples]. */
+        fun of(samples: List<LoadSample>): LoadReport {
+            val whole = samples.filter { it.result == "whole" }
+            val completions = whole.filter { it.kind == "completion" }
+            return LoadReport(
+                results = samples.groupingBy { "${it.kind}:${it.result}" }.eachCount().toSortedMap(),
+                versions = completions.groupingBy { it.version.orEmpty() }.eachCount().toSortedMap(),
+                first = Percentiles.of(completions.mapNotNull { it.firstMicroseconds }),
+                whole = Percentiles.of(completions.map { it.wholeMicroseconds }),
+                commands = Percentiles.of(whole.filter { it.kind == "command" }.map { it.wholeMicroseconds }),
+                movedSessions = completions.filter { it.session != null }
+                    .groupBy { it.session }
+                    .count { (_, answers) -> answers.map { it.version }.toSet().size > 1 },
+                samples = samples,
+            )
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/ratings/RaterStandIn.kt
@@ -0,0 +1,100 @@
+package org.quetzalloom.standins.ratings
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.serialization.encodeToString
+import net.openhft.hashing.LongHashFunction
+import org.quetzalloom.core.reducer.Transition
+import org.quetzalloom.core.time.Timestamp
+import org.quetzalloom.standins.http.HttpCall
+import org.quetzalloom.standins.http.HttpEffect
+import org.quetzalloom.standins.http.HttpEvent
+import org.quetzalloom.standins.http.StandIn
+import org.quetzalloom.standins.http.notFound
+import org.quetzalloom.standins.http.unchanged
+import org.quetzalloom.standins.http.with
+import org.quetzalloom.wire.WireFormat
+import org.quetzalloom.wire.platform.RatingDocument
+import org.quetzalloom.wire.platform.RatingsResponse
+import org.quetzalloom.wire.platform.SampleRequest
+
+/** A verdict and the time from which it is shown. */
+data class DueRating(val dueAt: Timestamp, val rating: RatingDocument)
+
+/**
+ * The true quality of versions, and the verdicts by submitter.
+ *
+ * @property qualities the share of good answers by version; 1.0 where none is named.
+ */
+data class RaterState(
+    val qualities: PersistentMap<String, Double> = persistentMapOf(),
+    val ratings: PersistentMap<String, PersistentList<DueRating>> = persistentMapOf(),
+)
+
+/**
+ * Stands in for the service that rates answers. `PUT /qualities/{version}` with a number sets a true quality.
+ *
+ * @property lagMilliseconds the time from a sample to its verdict.
+ * @property missingPercent the share of samples that are never rated.
+ */
+class RaterStandIn(
+    private val lagMilliseconds: Long = 1_000,
+    private val missingPercent: Int = 10,
+) : StandIn<RaterState> {
+    override val initial: RaterState = RaterState()
+
+    override fun reduce(state: RaterState, event: HttpEvent, now: Timestamp): Transition<RaterState, HttpEffect> =
+        when (event) {
+            is HttpEvent.Called -> call(state, event.call, now)
+            is HttpEvent.Tick, is HttpEvent.Left -> state.unchanged()
+        }
+
+    private fun call(state: RaterState, call: HttpCall, now: Timestamp): Transition<RaterState, HttpEffect> = when {
+        call.matches("POST", "/samples") -> sample(state, call, now)
+        call.matches("GET", "/ratings") -> state.with(ratings(state, call, now))
+        call.method == "PUT" && call.path.startsWith(QUALITIES) -> setQuality(state, call)
+        else -> state.with(call.notFound())
+    }
+
+    private fun sample(state: RaterState, call: HttpCall, now: Timestamp): Transition<RaterState, HttpEffect> {
+        val sample = try {
+            WireFormat.decodeFromString<SampleRequest>(call.body)
+        } catch (problem: IllegalArgumentException) {
+            return state.with(HttpEffect.Respond(call.exchange, status = 400, body = problem.message.orEmpty()))
+        }
+        val answered = HttpEffect.Respond(call.exchange)
+        if (chance(sample.request, "missing") * PERCENT < missingPercent) return state.with(answered)
+        val good = chance(sample.request, sample.version) < (state.qualities[sample.version] ?: 1.0)
+        val rating = RatingDocument(sample.workspace, sample.requestClass, sample.version, good)
+        val earlier = state.ratings[sample.submitter] ?: persistentListOf()
+        val later = earlier.add(DueRating(now + lagMilliseconds, rating))
+        return state.copy(ratings = state.ratings.put(sample.submitter, later)).with(answered)
+    }
+
+    private fun ratings(state: RaterState, call: HttpCall, now: Timestamp): HttpEffect {
+        val all = state.ratings[call.query["submitter"].orEmpty()] ?: persistentListOf()
+        val from = call.query["from"]?.toIntOrNull()?.coerceIn(0, all.size) ?: 0
+        val due = all.drop(from).takeWhile { it.dueAt <= now }
+        val response = RatingsResponse(due.map { it.rating }, next = (from + due.size).toLong())
+        return HttpEffect.Respond(call.exchange, body = WireFormat.encodeToString(response))
+    }
+
+    private fun setQuality(state: RaterState, call: HttpCall): Transition<RaterState, HttpEffect> {
+        val quality = call.body.trim().toDoubleOrNull()?.takeIf { it in 0.0..1.0 }
+            ?: return state.with(HttpEffect.Respond(call.exchange, status = 400, body = "not within 0.0 and 1.0"))
+        val version = call.path.removePrefix(QUALITIES)
+        return state.copy(qualities = state.qualities.put(version, quality)).with(HttpEffect.Respond(call.exchange))
+    }
+
+    /** Returns a number from 0.0 until 1.0 that is the same for the same request and [purpose]. */
+    private fun chance(request: String, purpose: String): Double =
+        Math.floorMod(LongHashFunction.xx3().hashChars("$purpose:$request"), CHANCES) / CHANCES.toDouble()
+
+    private companion object {
+        const val QUALITIES = "/qualities/"
+        const val PERCENT = 100
+        const val CHANCES = 1_000_000L
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/vms/VmListStandIn.kt
@@ -0,0 +1,62 @@
+package org.quetzalloom.standins.vms
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.serialization.encodeToString
+import org.quetzalloom.core.reducer.Transition
+import org.quetzalloom.core.time.Timestamp
+import org.quetzalloom.standins.http.HttpCall
+import org.quetzalloom.standins.http.HttpEffect
+import org.quetzalloom.standins.http.HttpEvent
+import org.quetzalloom.standins.http.StandIn
+import org.quetzalloom.standins.http.notFound
+import org.quetzalloom.standins.http.unchanged
+import org.quetzalloom.standins.http.with
+import org.quetzalloom.wire.WireFormat
+import org.quetzalloom.wire.platform.VmsResponse
+
+/** A list of VMs and the time from which it is shown. */
+data class ShownList(val shownAt: Timestamp, val list: VmsResponse)
+
+/** The list shown, and later ones that are not shown yet. */
+data class VmListState(
+    val shown: VmsResponse = VmsResponse(emptyList()),
+    val upcoming: PersistentList<ShownList> = persistentListOf(),
+)
+
+/**
+ * Stands in for the platform's list of live and leaving VMs. `PUT /vms` replaces the list.
+ *
+ * @property lagMilliseconds the time until a change is shown.
+ */
+class VmListStandIn(private val lagMilliseconds: Long = 2_000) : StandIn<VmListState> {
+    override val initial: VmListState = VmListState()
+
+    override fun reduce(state: VmListState, event: HttpEvent, now: Timestamp): Transition<VmListState, HttpEffect> =
+        when (event) {
+            is HttpEvent.Called -> call(caughtUp(state, now), event.call, now)
+            is HttpEvent.Tick, is HttpEvent.Left -> state.unchanged()
+        }
+
+    private fun call(state: VmListState, call: HttpCall, now: Timestamp): Transition<VmListState, HttpEffect> = when {
+        call.matches("GET", "/vms") ->
+            state.with(HttpEffect.Respond(call.exchange, body = WireFormat.encodeToString(state.shown)))
+        call.matches("PUT", "/vms") -> replace(state, call, now)
+        else -> state.with(call.notFound())
+    }
+
+    private fun replace(state: VmListState, call: HttpCall, now: Timestamp): Transition<VmListState, HttpEffect> = try {
+        val list = WireFormat.decodeFromString<VmsResponse>(call.body)
+        state.copy(upcoming = state.upcoming.add(ShownList(now + lagMilliseconds, list)))
+            .with(HttpEffect.Respond(call.exchange))
+    } catch (problem: IllegalArgumentException) {
+        state.with(HttpEffect.Respond(call.exchange, status = 400, body = problem.message.orEmpty()))
+    }
+
+    private fun caughtUp(state: VmListState, now: Timestamp): VmListState {
+        val due = state.upcoming.takeWhile { it.shownAt <= now }
+        if (due.isEmpty()) return state
+        return VmListState(shown = due.last().list, upcoming = state.upcoming.drop(due.size).toPersistentList())
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/weights/WeightStoreStandIn.kt
@@ -0,0 +1,51 @@
+package org.quetzalloom.standins.weights
+
+import kotlinx.collections.immutable.persistentMapOf
+import org.quetzalloom.core.reducer.Transition
+import org.quetzalloom.core.time.Timestamp
+import org.quetzalloom.standins.http.HttpCall
+import org.quetzalloom.standins.http.HttpEffect
+import org.quetzalloom.standins.http.HttpEvent
+import org.quetzalloom.standins.http.StandIn
+import org.quetzalloom.standins.http.notFound
+import org.quetzalloom.standins.http.unchanged
+import org.quetzalloom.standins.http.with
+
+/** When the next download may begin. */
+data class WeightStoreState(val freeAt: Timestamp = Timestamp.EPOCH)
+
+/**
+ * Stands in for the rate-limited weight store: `GET /weights/{version}`.
+ *
+ * @property intervalMilliseconds the least time between two downloads; an earlier one is refused with status 429.
+ */
+class WeightStoreStandIn(private val intervalMilliseconds: Long = 1_000) : StandIn<WeightStoreState> {
+    override val initial: WeightStoreState = WeightStoreState()
+
+    override fun reduce(
+        state: WeightStoreState,
+        event: HttpEvent,
+        now: Timestamp,
+    ): Transition<WeightStoreState, HttpEffect> = when (event) {
+        is HttpEvent.Called -> call(state, event.call, now)
+        is HttpEvent.Tick, is HttpEvent.Left -> state.unchanged()
+    }
+
+    private fun call(state: WeightStoreState, call: HttpCall, now: Timestamp): Transition<WeightStoreState, HttpEffect> =
+        when {
+            call.method != "GET" || !call.path.startsWith(WEIGHTS) -> state.with(call.notFound())
+            now < state.freeAt -> state.with(refusal(call, state.freeAt - now))
+            else -> WeightStoreState(freeAt = now + intervalMilliseconds)
+                .with(HttpEffect.Respond(call.exchange, body = "weights of ${call.path.removePrefix(WEIGHTS)}"))
+        }
+
+    private fun refusal(call: HttpCall, waitMilliseconds: Long): HttpEffect = HttpEffect.Respond(
+        exchange = call.exchange,
+        status = 429,
+        headers = persistentMapOf("X-Wait-Milliseconds" to waitMilliseconds.toString()),
+    )
+
+    private companion object {
+        const val WEIGHTS = "/weights/"
+    }
+}
