--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationChange.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationChange.kt
@@ -1,12 +1,16 @@
 package org.quetzalloom.core.configuration
 
+import kotlinx.collections.immutable.mutate
 import org.quetzalloom.core.identity.AvailabilityZoneId
 import org.quetzalloom.core.identity.BackendServerId
 import org.quetzalloom.core.identity.VersionId
 
 /** One change of the configuration. */
 public sealed interface ConfigurationChange {
-    /** Replaces everything by [configuration], whose own revision number is ignored. */
+    /**
+     * Replaces everything by [configuration], whose own revision number is ignored. What operators have said by
+     * other changes stays: versions withdrawn, availability zones out, backend servers leaving, and roll-outs.
+     */
     public data class Publish(public val configuration: Configuration) : ConfigurationChange
 
     /** Takes [zone] out of service, or brings it back. */
@@ -33,7 +37,7 @@
     changedOrNull(change)?.copy(revision = revision + 1)
 
 private fun Configuration.changedOrNull(change: ConfigurationChange): Configuration? = when (change) {
-    is ConfigurationChange.Publish -> change.configuration
+    is ConfigurationChange.Publish -> change.configuration.keepingOrdersOf(this)
     is ConfigurationChange.SetZone -> withZoneOrNull(change)
     is ConfigurationChange.Withdraw -> withoutVersionOrNull(change.version)
     is ConfigurationChange.SetLeaving -> backendServers[change.server]?.let {
@@ -47,6 +51,22 @@
     }
 }
 
+private fun Configuration.keepingOrdersOf(old: Configuration): Configuration {
+    val kept = copy(
+        revision = old.revision,
+        zonesOut = zonesOut.addAll(old.zonesOut.filter { it in zones }),
+        versions = versions.mutate { all ->
+            old.versions.values.filter { it.withdrawn }
+                .forEach { gone -> all.computeIfPresent(gone.id) { _, new -> new.copy(withdrawn = true) } }
+        },
+        backendServers = backendServers.mutate { all ->
+            old.backendServers.values.filter { it.leaving }
+                .forEach { gone -> all.computeIfPresent(gone.id) { _, new -> new.copy(leaving = true) } }
+        },
+    )
+    return old.rollouts.values.fold(kept) { reached, rollout -> reached.withRolloutOrNull(rollout) ?: reached }
+}
+
 private fun Configuration.withZoneOrNull(change: ConfigurationChange.SetZone): Configuration? = when {
     change.zone !in zones -> null
     change.inService -> copy(zonesOut = zonesOut.remove(change.zone))
--- /dev/null
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/command/OrderCommands.kt
@@ -0,0 +1,80 @@
+package org.quetzalloom.tool.command
+
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.default
+import kotlinx.cli.optional
+import org.quetzalloom.core.configuration.ConfigurationChange
+import org.quetzalloom.core.identity.AvailabilityZoneId
+import org.quetzalloom.core.identity.BackendServerId
+import org.quetzalloom.core.identity.VersionId
+import org.quetzalloom.tool.ExitCode
+import org.quetzalloom.tool.operation.Operation
+import org.quetzalloom.tool.operation.Orders
+import org.quetzalloom.wire.site.Site
+
+/** `zone out|in`: takes an availability zone out of service, or brings it back. */
+@OptIn(ExperimentalCli::class)
+internal class ZoneCommand : ToolCommand("zone", "Take an availability zone out of service, or bring it back") {
+    private val direction by argument(ArgType.Choice(listOf("out", "in"), { it }), description = "out or in")
+    private val zone by argument(ArgType.String, description = "The availability zone")
+
+    override fun run(site: Site): ExitCode {
+        val change = ConfigurationChange.SetZone(AvailabilityZoneId(zone), inService = direction == "in")
+        return run(site, Operation.Change(decide = Orders.simple(change, "availability zone '$zone' $direction")))
+    }
+}
+
+/** `withdraw`: withdraws a version for good. */
+@OptIn(ExperimentalCli::class)
+internal class WithdrawCommand : ToolCommand("withdraw", "Withdraw a version; it receives no new work") {
+    private val version by argument(ArgType.String, description = "The version")
+
+    override fun run(site: Site): ExitCode {
+        val change = ConfigurationChange.Withdraw(VersionId(version))
+        return run(site, Operation.Change(decide = Orders.simple(change, "version '$version' withdrawn")))
+    }
+}
+
+/** `drain`: sends no new work to a backend server, or stops an entry VM once its requests are answered. */
+@OptIn(ExperimentalCli::class)
+internal class DrainCommand : ToolCommand("drain", "Send no new work to a backend server, or stop an entry VM") {
+    private val kind by argument(ArgType.Choice(listOf("server", "vm"), { it }), description = "server or vm")
+    private val subject by argument(ArgType.String, description = "The backend server or the VM")
+    private val undo by option(ArgType.Boolean, description = "Let a backend server take work again").default(false)
+
+    override fun run(site: Site): ExitCode = if (kind == "server") drainServer(site) else drainVm(site)
+
+    private fun drainServer(site: Site): ExitCode {
+        val change = ConfigurationChange.SetLeaving(BackendServerId(subject), leaving = !undo)
+        return run(site, Operation.Change(decide = Orders.simple(change, "backend server '$subject'")))
+    }
+
+    private fun drainVm(site: Site): ExitCode {
+        if (site.document.vms.none { it.id == subject }) exit(ExitCode.BAD_USAGE, "VM '$subject' does not exist")
+        return run(site, Operation.Ask(listOf(subject), "POST", "/admin/drain") { "draining $subject" })
+    }
+}
+
+/** `rollout start|pause|resume|abort`. */
+@OptIn(ExperimentalCli::class)
+internal class RolloutCommand : ToolCommand("rollout", "Replace a version by another, step by step") {
+    private val action by argument(
+        ArgType.Choice(listOf("start", "pause", "resume", "abort"), { it }),
+        description = "What to do",
+    )
+    private val subject by argument(ArgType.String, description = "The old version (start), or the model")
+    private val target by argument(ArgType.String, description = "The new version (start)").optional()
+    private val share by option(ArgType.Int, description = "The first share, in requests per thousand").default(10)
+
+    override fun run(site: Site): ExitCode = run(site, Operation.Change(decide = decision()))
+
+    private fun decision() = when (action) {
+        "start" -> Orders.startRollout(VersionId(subject), VersionId(newVersion()), share)
+        "pause" -> Orders.pauseRollout(subject, paused = true)
+        "resume" -> Orders.pauseRollout(subject, paused = false)
+        else -> Orders.simple(ConfigurationChange.EndRollout(subject), "the roll-out of '$subject'")
+    }
+
+    private fun newVersion(): String = target ?: exit(ExitCode.BAD_USAGE, "rollout start needs two versions")
+}
--- /dev/null
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/command/ToolCommand.kt
@@ -0,0 +1,51 @@
+package org.quetzalloom.tool.command
+
+import com.github.michaelbull.result.fold
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import kotlinx.cli.required
+import org.quetzalloom.tool.ExitCode
+import org.quetzalloom.tool.ToolProcess
+import org.quetzalloom.tool.operation.Operation
+import org.quetzalloom.wire.site.Site
+import org.quetzalloom.wire.site.SiteFile
+import java.io.File
+import kotlin.system.exitProcess
+
+/** A command of the tool: it reads the settings, and then asks the fleet or changes its configuration. */
+@OptIn(ExperimentalCli::class)
+internal abstract class ToolCommand(name: String, description: String) : Subcommand(name, description) {
+    private val settings by option(ArgType.String, description = "The base file").required()
+    private val overlay by option(ArgType.String, description = "The overlay of the site")
+
+    /** Whether to print JSON. */
+    protected val json: Boolean by option(ArgType.Boolean, description = "Print JSON").default(false)
+
+    /** Carries the command out at [site]; returns how it ended. */
+    protected abstract fun run(site: Site): ExitCode
+
+    final override fun execute() {
+        val paths = listOfNotNull(settings, overlay)
+        val missing = paths.firstOrNull { !File(it).canRead() }
+        if (missing != null) exit(ExitCode.BAD_USAGE, "$missing: the file cannot be read")
+        val site = Site.load(paths.map { SiteFile(name = it, text = File(it).readText()) })
+        site.fold(
+            success = { exitProcess(run(it).status) },
+            failure = { problems -> exit(ExitCode.BAD_USAGE, problems.joinToString("\n")) },
+        )
+    }
+
+    /** Runs [operation] against the fleet of [site]. */
+    protected fun run(site: Site, operation: Operation): ExitCode {
+        val log = site.document.platform?.log ?: exit(ExitCode.BAD_USAGE, "the key platform.log is missing")
+        return ToolProcess(log, site.document.vms.associate { it.id to it.address }).run(operation)
+    }
+
+    /** Ends the process with [message] as an error. */
+    protected fun exit(code: ExitCode, message: String): Nothing {
+        System.err.println(message)
+        exitProcess(code.status)
+    }
+}
--- /dev/null
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/ConfigurationDiff.kt
@@ -0,0 +1,34 @@
+package org.quetzalloom.tool.operation
+
+import org.quetzalloom.core.configuration.Configuration
+
+/** Compares two configurations for a reader. */
+internal object ConfigurationDiff {
+    /** Returns a line for each entry that [new] adds, removes or changes; [old] may be `null` for nothing. */
+    fun lines(old: Configuration?, new: Configuration): List<String> {
+        val before = old ?: Configuration()
+        return section("zone", before.zones.associateWith { it !in before.zonesOut }, zones(new, before)) +
+            section("version", before.versions, new.versions) +
+            section("workspace", before.workspaces, new.workspaces) +
+            section("backend server", before.backendServers, new.backendServers) +
+            section("service", before.services.associateBy { it.pathPrefix }, new.services.associateBy { it.pathPrefix })
+    }
+
+    /** Publishing leaves availability zones in or out of service as they are. */
+    private fun zones(new: Configuration, before: Configuration) =
+        new.zones.associateWith { it !in new.zonesOut && it !in before.zonesOut }
+
+    private fun <K : Any, V : Any> section(name: String, old: Map<K, V>, new: Map<K, V>): List<String> {
+        val names = (old.keys + new.keys).sortedBy { it.toString() }
+        return names.mapNotNull { key ->
+            val before = old[key]
+            val after = new[key]
+            when {
+                before == after -> null
+                before == null -> "+ $name $key"
+                after == null -> "- $name $key"
+                else -> "~ $name $key\n    from $before\n    to   $after"
+            }
+        }
+    }
+}
