--- a/standins/src/main/kotlin/org/quetzalloom/standins/Main.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/Main.kt
@@ -6,6 +6,9 @@
 import kotlinx.cli.Subcommand
 import kotlinx.cli.default
 import kotlinx.cli.required
+import org.quetzalloom.standins.audit.AuditCommand
+import org.quetzalloom.standins.audit.FetchCommand
+import org.quetzalloom.standins.audit.WorkCommand
 import org.quetzalloom.standins.engine.EngineSettings
 import org.quetzalloom.standins.engine.EngineStandIn
 import org.quetzalloom.standins.fault.Faulty
@@ -31,6 +34,9 @@
         EngineCommand(),
         ServiceCommand(),
         LoadCommand(),
+        AuditCommand(),
+        WorkCommand(),
+        FetchCommand(),
     )
     parser.parse(arguments)
 }
--- /dev/null
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/audit/AuditCommand.kt
@@ -0,0 +1,43 @@
+package org.quetzalloom.standins.audit
+
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.required
+import kotlinx.serialization.encodeToString
+import org.quetzalloom.standins.load.LoadReport
+import org.quetzalloom.standins.service.Books
+import org.quetzalloom.wire.WireFormat
+import org.quetzalloom.wire.log.RecordDocument
+import org.quetzalloom.wire.platform.ReadResponse
+import java.io.File
+import kotlin.system.exitProcess
+
+/** Holds what callers were told against the books of the services and the bills in the log. */
+@OptIn(ExperimentalCli::class)
+class AuditCommand : Subcommand("audit", "Compare load reports with the services' books and the bills in the log") {
+    private val log by option(ArgType.String, description = "Host and port of the log").required()
+    private val services by option(ArgType.String, description = "Host and port of each service, by comma").required()
+    private val reports by option(ArgType.String, description = "Files of load reports, by comma").required()
+
+    override fun execute() {
+        val findings = AuditFindings.of(
+            samples = reports.split(',').flatMap { WireFormat.decodeFromString<LoadReport>(File(it).readText()).samples },
+            books = services.split(',').flatMap { books(it) },
+            bills = bills(),
+        )
+        println(WireFormat.encodeToString(findings))
+        exitProcess(if (findings.clean) 0 else 1)
+    }
+
+    private fun books(address: String) =
+        WireFormat.decodeFromString<Books>(HttpReader.read("http://$address/books")).entries
+
+    private fun bills(): List<RecordDocument.OfBill> {
+        val pages = generateSequence(page(0)) { last -> page(last.next) }.takeWhile { it.entries.isNotEmpty() }
+        return pages.flatMap { it.entries }.mapNotNull { it.record as? RecordDocument.OfBill }.toList()
+    }
+
+    private fun page(from: Long): ReadResponse =
+        WireFormat.decodeFromString(HttpReader.read("http://$log/streams/bills?from=$from"))
+}
--- /dev/null
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/audit/HttpReader.kt
@@ -0,0 +1,30 @@
+package org.quetzalloom.standins.audit
+
+import java.io.IOException
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.time.Duration
+
+/** Reads pages over HTTP. */
+internal object HttpReader {
+    private const val TIMEOUT_SECONDS = 5L
+    private val client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
+
+    /** Returns the body of the page at [url]. */
+    fun read(url: String): String = send(HttpRequest.newBuilder(URI(url)).GET())
+
+    /** Posts [body] to [url] and returns the answer. */
+    fun post(url: String, body: String): String =
+        send(HttpRequest.newBuilder(URI(url)).POST(HttpRequest.BodyPublishers.ofString(body)))
+
+    private fun send(builder: HttpRequest.Builder): String {
+        val request = builder.timeout(Duration.ofSeconds(TIMEOUT_SECONDS)).build()
+        val response = client.send(request, HttpResponse.BodyHandlers.ofString())
+        if (response.statusCode() >= FIRST_ERROR_STATUS) throw IOException("$request: status ${response.statusCode()}")
+        return response.body()
+    }
+
+    private const val FIRST_ERROR_STATUS = 400
+}
