--- a/core/src/main/kotlin/org/quetzalloom/core/backend/BackendsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/BackendsPart.kt
@@ -1,7 +1,6 @@
 package org.quetzalloom.core.backend
 
 import org.quetzalloom.core.configuration.BackendServer
-import org.quetzalloom.core.effect.Effect
 import org.quetzalloom.core.event.Event
 import org.quetzalloom.core.identity.BackendServerId
 import org.quetzalloom.core.identity.StartIdentity
@@ -15,7 +14,6 @@
 import org.quetzalloom.core.router.report
 import org.quetzalloom.core.router.tellAll
 import org.quetzalloom.core.router.unchanged
-import org.quetzalloom.core.router.with
 import org.quetzalloom.core.time.Timestamp
 
 /** Watches backend servers: starts, load and failures, and which of them this VM may send to. */
@@ -27,7 +25,7 @@
         is Event.Tick -> askLoad(now)
         is Event.OfBackend.Accepted -> accepted(event, now)
         is Event.OfBackend.LoadReported -> reported(event, now)
-        is Event.OfBackend.LoadUnknown -> unknown(event.server, now).unchanged()
+        is Event.OfBackend.LoadUnknown -> withHealth(event.server) { it.failed(now) }.unchanged()
         is Event.PeerTold -> (event.message as? PeerMessage.Restarted)?.let { restarted(it, now) } ?: unchanged()
         else -> unchanged()
     }
@@ -54,7 +52,16 @@
     private fun RouterState.accepted(event: Event.OfBackend.Accepted, now: Timestamp): Step {
         val running = requests.byAttemptOrNull(event.attempt)?.phase as? Phase.Running ?: return unchanged()
         return sawStart(running.server, event.start, startedAt = now, now = now)
-            .then { it.withHealth(running.server) { health -> health.copy(doubted = health.doubted && health.start != event.start, failures = 0) }.unchanged() }
+            .then {
+                it.withHealth(
+                    running.server
+                ) { health ->
+                    health.copy(
+                        doubted = health.doubted && health.start != event.start,
+                        failures = 0
+                    )
+                }.unchanged()
+            }
     }
 
     private fun RouterState.reported(event: Event.OfBackend.LoadReported, now: Timestamp): Step {
@@ -86,7 +93,14 @@
     ): Step {
         val known = backends.healthOf(server).start != null
         val next = withHealth(server) { it.started(start, startedAt) }
-        val told = if (known) next.tellAll(next.livePeers(now), PeerMessage.Restarted(server, start)) else next.unchanged()
+        val told = if (known) {
+            next.tellAll(
+                next.livePeers(now),
+                PeerMessage.Restarted(server, start)
+            )
+        } else {
+            next.unchanged()
+        }
         return told.then { it.report(now, "backend_server_started", "server" to server, "start" to start) }
     }
 
@@ -94,47 +108,4 @@
         if (message.server !in backends.homes) return unchanged()
         return sawStart(message.server, message.start, startedAt = now, now = now)
     }
-
-    private fun RouterState.unknown(server: BackendServerId, now: Timestamp): RouterState =
-        withHealth(server) { it.failed(now) }
-}
-
-/** Returns the state with the health of [server] changed. */
-internal fun RouterState.withHealth(server: BackendServerId, change: (ServerHealth) -> ServerHealth): RouterState =
-    copy(backends = backends.withHealth(server, change))
-
-/** Returns the transition that asks [server] for a load report. */
-internal fun RouterState.askLoad(server: BackendServer, now: Timestamp): Step =
-    withHealth(server.id) { it.copy(askedAt = now) }.with(Effect.OfBackend.AskLoad(server.id, server.address))
-
-/** Returns the health after a failure: no new work for a while, longer after each failure in a row. */
-internal fun ServerHealth.failed(now: Timestamp): ServerHealth {
-    val pause = (FIRST_PAUSE_MILLISECONDS shl failures.coerceAtMost(LONGEST_PAUSE_DOUBLINGS))
-    return copy(failures = failures + 1, suspendedUntil = now + pause, doubted = true)
-}
-
-/** Returns the health after the backend server refused work: a short pause, so that it is not asked in a loop. */
-internal fun ServerHealth.refusedWork(now: Timestamp): ServerHealth =
-    copy(suspendedUntil = now + REFUSAL_PAUSE_MILLISECONDS)
-
-private const val REFUSAL_PAUSE_MILLISECONDS = 100L
-private const val FIRST_PAUSE_MILLISECONDS = 250L
-private const val LONGEST_PAUSE_DOUBLINGS = 4
-
-/** Returns the most attempts that this VM may have under way at [server] now. */
-internal fun RouterState.allowance(server: BackendServer, now: Timestamp): Int {
-    val homes = backends.homes[server.id] ?: return 0
-    val health = backends.healthOf(server.id)
-    if (health.start == null || health.doubted) return server.coldCapacity / homes
-    val limit = settings.policies.coldStartRamp.limit(server, now - health.startedAt)
-    return if (limit >= server.capacity) (server.capacity + homes - 1) / homes else limit / homes
-}
-
-/** Returns whether this VM may start one more attempt at [server] now. */
-internal fun RouterState.hasRoom(server: BackendServer, now: Timestamp): Boolean {
-    val health = backends.healthOf(server.id)
-    val homes = backends.homes[server.id] ?: return false
-    return now >= health.suspendedUntil &&
-        health.running < allowance(server, now) &&
-        health.unconfirmed < maxOf(1, server.coldCapacity / homes)
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationChange.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationChange.kt
@@ -79,8 +79,8 @@
 }
 
 private fun Configuration.withRolloutOrNull(rollout: Rollout): Configuration? {
-    val from = activeVersionOrNull(rollout.from) ?: return null
-    val to = activeVersionOrNull(rollout.to) ?: return null
-    val valid = from.model == to.model && rollout.sharePermille in 0..Rollout.FULL_SHARE_PERMILLE
-    return if (valid) copy(rollouts = rollouts.put(to.model, rollout)) else null
+    val model = activeVersionOrNull(rollout.to)?.model ?: return null
+    val sameModel = activeVersionOrNull(rollout.from)?.model == model
+    val validShare = rollout.sharePermille in 0..Rollout.FULL_SHARE_PERMILLE
+    return if (sameModel && validShare) copy(rollouts = rollouts.put(model, rollout)) else null
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationPart.kt
@@ -73,17 +73,20 @@
     }
 
     private fun RouterState.writeSnapshot(now: Timestamp): Step {
-        val current = configuration.view.current ?: return unchanged()
-        val last = configuration.snapshotAt ?: return copy(
-            configuration = configuration.copy(snapshotAt = now),
-        ).unchanged()
+        val current = configuration.view.current
+        val last = configuration.snapshotAt ?: now
         val due = now - last >= settings.limits.snapshotIntervalMilliseconds
-        val writer = rendezvousOrNull(livePeers(now) + settings.vm, "snapshot:${current.revision}")
-        if (!due || writer != settings.vm) return unchanged()
-        return copy(configuration = configuration.copy(snapshotAt = now))
-            .enqueue(LogRecord.OfConfiguration(ConfigurationRecord.Snapshot(current)))
-            .report(now, "snapshot_written", "revision" to current.revision)
+        return if (current != null && due && writesSnapshotOf(current, now)) {
+            copy(configuration = configuration.copy(snapshotAt = now))
+                .enqueue(LogRecord.OfConfiguration(ConfigurationRecord.Snapshot(current)))
+                .report(now, "snapshot_written", "revision" to current.revision)
+        } else {
+            copy(configuration = configuration.copy(snapshotAt = last)).unchanged()
+        }
     }
+
+    private fun RouterState.writesSnapshotOf(current: Configuration, now: Timestamp): Boolean =
+        rendezvousOrNull(livePeers(now) + settings.vm, "snapshot:${current.revision}") == settings.vm
 }
 
 /** Returns whether the configuration may be relied on for new work. */
--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/Problems.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/Problems.kt
@@ -10,7 +10,9 @@
 public fun Configuration.problems(fleetSize: Int? = null): List<String> =
     workspaceProblems() + serverProblems() + serviceProblems() + rolloutProblems() + fleetProblems(fleetSize)
 
-private fun Configuration.workspaceProblems(): List<String> = workspaces.values.sortedBy { it.id }.flatMap { workspace ->
+private fun Configuration.workspaceProblems(): List<String> = workspaces.values.sortedBy {
+    it.id
+}.flatMap { workspace ->
     val unknown = workspace.allowed.sorted().filter { it !in versions }
         .map { "workspace '${workspace.id}' allows version '$it', which does not exist" }
     val unserved = workspace.allowed.sorted().filter { it in versions && !isServed(it) }
@@ -18,7 +20,9 @@
     val target = if (workspace.qualityTarget in 0.0..1.0) {
         emptyList()
     } else {
-        listOf("workspace '${workspace.id}' has quality_target ${workspace.qualityTarget}, which is not within 0.0 and 1.0")
+        listOf(
+            "workspace '${workspace.id}' has quality_target ${workspace.qualityTarget}, which is not within 0.0 and 1.0"
+        )
     }
     unknown + unserved + target
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/log/LogPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/log/LogPart.kt
@@ -1,7 +1,6 @@
 package org.quetzalloom.core.log
 
 import kotlinx.collections.immutable.persistentListOf
-import kotlinx.collections.immutable.toPersistentList
 import org.quetzalloom.core.effect.Effect
 import org.quetzalloom.core.event.Event
 import org.quetzalloom.core.reducer.then
@@ -69,26 +68,6 @@
     private fun RouterState.writerOfOrNull(append: Long): Pair<LogStream, StreamWriter>? =
         log.writers.entries.firstOrNull { it.value.append == append }?.let { it.key to it.value }
 
-    private fun RouterState.appendAll(now: Timestamp): Step =
-        log.writers.keys.sorted().fold(unchanged()) { reached, stream -> reached.then { it.append(stream, now) } }
-
-    private fun RouterState.append(stream: LogStream, now: Timestamp): Step {
-        val writer = log.writerOf(stream)
-        if (writer.append != null || writer.queue.isEmpty() || now < writer.dueAt) return unchanged()
-        val number = log.appends + 1
-        val batch = writer.queue.take(settings.limits.appendBatchRecords).toPersistentList()
-        val started = StreamWriter(
-            queue = writer.queue.drop(batch.size).toPersistentList(),
-            append = number,
-            inFlight = batch,
-            dueAt = now + settings.limits.appendIntervalMilliseconds,
-        )
-        return withWriter(stream, started).copy(stamp = stamp + 1).let {
-            it.copy(log = it.log.copy(appends = number))
-                .with(Effect.OfPlatform.Append(number, stream, it.stamp, batch))
-        }
-    }
-
     private fun RouterState.readAll(now: Timestamp): Step =
         followed.fold(unchanged()) { reached, stream -> reached.then { it.read(stream, now) } }
 
@@ -97,10 +76,4 @@
         if (reader.reading || now < reader.dueAt) return unchanged()
         return withReader(stream, reader.copy(reading = true)).with(Effect.OfPlatform.Read(stream, reader.next))
     }
-
-    private fun RouterState.withReader(stream: LogStream, reader: StreamReader): RouterState =
-        copy(log = log.copy(readers = log.readers.put(stream, reader)))
-
-    private fun RouterState.withWriter(stream: LogStream, writer: StreamWriter): RouterState =
-        copy(log = log.copy(writers = log.writers.put(stream, writer)))
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Completion.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Completion.kt
@@ -101,7 +101,13 @@
 
 /** Answers [request] with an error. An intent that was won and not used is given back. */
 internal fun RouterState.refuse(request: ActiveRequest, kind: ErrorKind, detail: String, now: Timestamp): Step {
-    val told = if (request.callerLeft) unchanged() else with(Effect.OfCaller.Refuse(request.id, RouterError(kind, detail)))
+    val told = if (request.callerLeft) {
+        unchanged()
+    } else {
+        with(
+            Effect.OfCaller.Refuse(request.id, RouterError(kind, detail))
+        )
+    }
     return told.then { it.copy(requests = it.requests.remove(request.id)).giveBackIntent(request).unchanged() }
         .then {
             it.report(
@@ -118,7 +124,9 @@
 private fun RouterState.giveBackIntent(request: ActiveRequest): RouterState {
     val command = request.command ?: return this
     return when {
-        request.phase is Phase.AwaitingIntent -> copy(ledger = ledger.copy(abandoned = ledger.abandoned.add(request.id)))
+        request.phase is Phase.AwaitingIntent -> copy(
+            ledger = ledger.copy(abandoned = ledger.abandoned.add(request.id))
+        )
         request.fencing != null && !request.mayHaveRun && request.phase !is Phase.Running ->
             enqueue(LogRecord.Release(command, request.id))
         else -> this
@@ -128,4 +136,3 @@
 /** Forgets [request], whose caller has left. */
 internal fun RouterState.drop(request: ActiveRequest): Step =
     copy(requests = requests.remove(request.id)).giveBackIntent(request).unchanged()
-
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Priority.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Priority.kt
@@ -14,6 +14,8 @@
 
     public companion object {
         /** Returns the priority named [text] in any case, or `null`. */
-        public fun parseOrNull(text: String): Priority? = entries.firstOrNull { it.name.equals(text, ignoreCase = true) }
+        public fun parseOrNull(
+            text: String
+        ): Priority? = entries.firstOrNull { it.name.equals(text, ignoreCase = true) }
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/RequestsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/RequestsPart.kt
@@ -45,7 +45,9 @@
         return when {
             phase is Phase.Settling -> put(request.copy(callerLeft = true))
             phase is Phase.Running && request.command != null -> put(request.copy(callerLeft = true))
-            phase is Phase.Running -> release(phase).drop(request).then { it.with(Effect.OfBackend.Cancel(phase.attempt)) }
+            phase is Phase.Running -> release(
+                phase
+            ).drop(request).then { it.with(Effect.OfBackend.Cancel(phase.attempt)) }
             else -> drop(request)
         }.then { it.report(now, "caller_left", "request" to event.request) }
     }
@@ -93,7 +95,12 @@
         request.phase is Phase.AwaitingIntent ->
             refuse(request, ErrorKind.LOG_UNAVAILABLE, "the intent could not be recorded in time", now)
         request.phase is Phase.AwaitingOutcome ->
-            refuse(request, ErrorKind.OUTCOME_UNKNOWN, "the same call was sent before and is not known to have ended", now)
+            refuse(
+                request,
+                ErrorKind.OUTCOME_UNKNOWN,
+                "the same call was sent before and is not known to have ended",
+                now
+            )
         request.mayHaveRun -> refuse(request, ErrorKind.DEADLINE_EXCEEDED, "the deadline passed between attempts", now)
         else -> refuse(request, ErrorKind.NO_CAPACITY, "no backend server became free in time", now)
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Versions.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Versions.kt
@@ -4,6 +4,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import org.quetzalloom.core.configuration.Configuration
+import org.quetzalloom.core.configuration.Rollout
 import org.quetzalloom.core.configuration.Version
 import org.quetzalloom.core.configuration.VersionKind
 import org.quetzalloom.core.error.ErrorKind
@@ -86,13 +87,10 @@
     val applies = usable.any { it.id == rollout.from } &&
         usable.any { it.id == rollout.to } &&
         (target as? Target.Completion)?.model != version.id.value
-    if (!applies) return false
-    val takesNew = bucketOf("rollout:${rollout.to}:$subject", FULL_SHARE) < rollout.sharePermille
-    return version.id == if (takesNew) rollout.from else rollout.to
+    val takesNew = bucketOf("rollout:${rollout.to}:$subject", Rollout.FULL_SHARE_PERMILLE) < rollout.sharePermille
+    return applies && version.id == if (takesNew) rollout.from else rollout.to
 }
 
-private const val FULL_SHARE = 1_000
-
 /** Returns whether any backend server in service that this VM may send to serves [version]. */
 private fun RouterState.hasServer(version: VersionId): Boolean {
     val current = configuration.view.current ?: return false
--- a/core/src/main/kotlin/org/quetzalloom/core/rollout/RolloutPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/rollout/RolloutPart.kt
@@ -31,10 +31,10 @@
         if (event is Event.Tick) state.decideAll(now) else state.unchanged()
 
     private fun RouterState.decideAll(now: Timestamp): Step {
-        val current = configuration.view.current ?: return unchanged()
+        val current = configuration.view.current
         val last = rollout.decidedAt
         val due = last == null || now - last >= DECISION_INTERVAL_MILLISECONDS
-        if (!due || current.rollouts.isEmpty()) return unchanged()
+        if (!due || current == null || current.rollouts.isEmpty()) return unchanged()
         val marked = copy(rollout = rollout.copy(decidedAt = now))
         return current.rollouts.keys.sorted().fold(marked.unchanged()) { reached, model ->
             reached.then { it.decide(current, model, now) }
@@ -55,8 +55,9 @@
     }
 
     private fun RouterState.evidenceOrNull(current: Configuration, plan: Rollout): RolloutEvidence? {
-        val from = current.versions[plan.from] ?: return null
-        val to = current.versions[plan.to] ?: return null
+        val from = current.versions[plan.from]
+        val to = current.versions[plan.to]
+        if (from == null || to == null) return null
         return RolloutEvidence(from, to, quality.totalOf(plan.from), quality.totalOf(plan.to))
     }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/selection/QualityPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/selection/QualityPart.kt
@@ -45,8 +45,8 @@
     }
 
     private fun RouterState.told(event: Event.PeerTold): RouterState {
-        val message = event.message as? PeerMessage.TellRatings ?: return this
-        if (message.origin == settings.origin) return this
+        val message = event.message as? PeerMessage.TellRatings
+        if (message == null || message.origin == settings.origin) return this
         val merged = message.sums.entries.fold(quality) { reached, (subject, sum) ->
             reached.merged(subject, message.origin, sum)
         }
--- a/core/src/main/kotlin/org/quetzalloom/core/session/SessionToken.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/session/SessionToken.kt
@@ -33,7 +33,7 @@
         /** Returns the token whose text form signed with [secret] is [text], or `null` if it is none. */
         public fun parseOrNull(text: String, secret: String): SessionToken? {
             val content = decodeOrNull(text.substringBefore('.'))?.decodeToString() ?: return null
-            val signature = decodeOrNull(text.substringAfter('.', missingDelimiterValue = "")) ?: return null
+            val signature = decodeOrNull(text.substringAfter('.', missingDelimiterValue = ""))
             val fields = content.split(SEPARATOR)
             val valid = MessageDigest.isEqual(signature, sign(content, secret)) &&
                 fields.size == FIELDS &&
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/Daemon.kt
@@ -26,6 +26,7 @@
 import org.quetzalloom.daemon.peer.PeerClient
 import org.quetzalloom.daemon.peer.PeerRoutes
 import org.quetzalloom.daemon.platform.PlatformClient
+import org.quetzalloom.daemon.platform.PlatformHttp
 import org.quetzalloom.daemon.report.AdminRoutes
 import org.quetzalloom.daemon.report.Metrics
 import org.quetzalloom.daemon.report.Reporter
@@ -96,7 +97,13 @@
         return EffectInterpreter(
             exchanges = exchanges,
             backends = BackendClient(client, scope, loop),
-            platform = PlatformClient(client, scope, loop, settings.platform, "${router.vm}:${router.incarnation}"),
+            platform = PlatformClient(
+                PlatformHttp(client),
+                scope,
+                loop,
+                settings.platform,
+                "${router.vm}:${router.incarnation}"
+            ),
             peers = PeerClient(client, scope, router.vm, settings.addresses),
             reporter = reporter,
             stop = { stopped.complete(Unit) },
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/EngineCall.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/EngineCall.kt
@@ -9,6 +9,7 @@
 import io.ktor.http.ContentType
 import io.ktor.http.contentType
 import io.ktor.http.isSuccess
+import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.readLine
 import kotlinx.serialization.encodeToString
 import org.quetzalloom.core.backend.AttemptFailure
@@ -48,17 +49,28 @@
     private suspend fun read(response: HttpResponse): Event.OfBackend {
         if (!response.status.isSuccess()) return refusal(order, response)
         accepted(order, response)?.let { loop.post(it) }
-        val channel = response.bodyAsChannel()
+        val total = readTokens(response.bodyAsChannel())
+        return if (total == null) {
+            Event.OfBackend.Failed(order.attempt, AttemptFailure.BROKEN)
+        } else {
+            Event.OfBackend.Finished(order.attempt, total, response.status.value)
+        }
+    }
+
+    /** Posts the tokens as they come; returns their number at the end of the answer, or `null` if it breaks off. */
+    private suspend fun readTokens(channel: ByteReadChannel): Int? {
         while (true) {
-            val line = channel.readLine() ?: return Event.OfBackend.Failed(order.attempt, AttemptFailure.BROKEN)
-            if (!line.startsWith(DATA)) continue
-            val event = WireFormat.decodeFromString<GenerateEvent>(line.removePrefix(DATA))
-            val total = event.total
-            if (total != null) return Event.OfBackend.Finished(order.attempt, total, response.status.value)
-            loop.post(Event.OfBackend.Progressed(order.attempt, event.position, event.tokens, event.text))
+            val line = channel.readLine() ?: return null
+            val event = line.takeIf { it.startsWith(DATA) }?.let { parse(it) }
+            if (event?.total != null) return event.total
+            if (event != null) {
+                loop.post(Event.OfBackend.Progressed(order.attempt, event.position, event.tokens, event.text))
+            }
         }
     }
 
+    private fun parse(line: String): GenerateEvent = WireFormat.decodeFromString(line.removePrefix(DATA))
+
     private companion object {
         const val DATA = "data: "
     }
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/platform/PlatformClient.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/platform/PlatformClient.kt
@@ -1,19 +1,10 @@
 package org.quetzalloom.daemon.platform
 
-import io.ktor.client.HttpClient
-import io.ktor.client.plugins.timeout
 import io.ktor.client.request.get
 import io.ktor.client.request.post
-import io.ktor.client.request.setBody
-import io.ktor.client.statement.HttpResponse
-import io.ktor.client.statement.bodyAsText
-import io.ktor.http.ContentType
-import io.ktor.http.contentType
-import io.ktor.http.isSuccess
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
-import kotlinx.io.IOException
 import kotlinx.serialization.encodeToString
 import org.quetzalloom.core.effect.Effect
 import org.quetzalloom.core.event.Event
@@ -44,7 +35,7 @@
  * @property submitter names this VM start at the rating service.
  */
 internal class PlatformClient(
-    private val client: HttpClient,
+    private val http: PlatformHttp,
     private val scope: CoroutineScope,
     private val loop: RouterLoop,
     private val addresses: PlatformAddresses,
@@ -65,16 +56,18 @@
 
     private suspend fun append(effect: Effect.OfPlatform.Append) {
         val request = AppendRequest(effect.stamp, effect.records.map { it.toDocument() })
-        val event = attempt(failed = Event.OfPlatform.LogAppendFailed(effect.append)) {
-            post(streamUrl(effect.stream), WireFormat.encodeToString(request))
+        val event = http.attempt(failed = Event.OfPlatform.LogAppendFailed(effect.append)) {
+            http.post(streamUrl(effect.stream), WireFormat.encodeToString(request))
             Event.OfPlatform.LogAppended(effect.append)
         }
         loop.post(event)
     }
 
     private suspend fun read(effect: Effect.OfPlatform.Read) {
-        val event = attempt(failed = Event.OfPlatform.LogReadFailed(effect.stream)) {
-            val response = WireFormat.decodeFromString<ReadResponse>(get("${streamUrl(effect.stream)}?from=${effect.from}"))
+        val event = http.attempt(failed = Event.OfPlatform.LogReadFailed(effect.stream)) {
+            val response = WireFormat.decodeFromString<ReadResponse>(
+                http.get("${streamUrl(effect.stream)}?from=${effect.from}")
+            )
             val entries = response.entries.map { it.toEntry() }.toPersistentList()
             Event.OfPlatform.LogRead(effect.stream, entries, response.next, response.earliest)
         }
@@ -82,17 +75,17 @@
     }
 
     private suspend fun listVms() {
-        val event = attempt(failed = Event.OfPlatform.PlatformReadFailed("vms")) {
-            val response = WireFormat.decodeFromString<VmsResponse>(get("http://${addresses.vms}/vms"))
+        val event = http.attempt(failed = Event.OfPlatform.PlatformReadFailed("vms")) {
+            val response = WireFormat.decodeFromString<VmsResponse>(http.get("http://${addresses.vms}/vms"))
             Event.OfPlatform.VmsListed(response.vms.map { VmListing(VmId(it.vm), it.leaving) }.toPersistentList())
         }
         loop.post(event)
     }
 
     private suspend fun readRatings(effect: Effect.OfPlatform.ReadRatings) {
-        val event = attempt(failed = Event.OfPlatform.PlatformReadFailed("ratings")) {
+        val event = http.attempt(failed = Event.OfPlatform.PlatformReadFailed("ratings")) {
             val url = "http://${addresses.ratings}/ratings?submitter=$submitter&from=${effect.from}"
-            val response = WireFormat.decodeFromString<RatingsResponse>(get(url))
+            val response = WireFormat.decodeFromString<RatingsResponse>(http.get(url))
             Event.OfPlatform.RatingsRead(response.ratings.map { it.toRating() }.toPersistentList(), response.next)
         }
         loop.post(event)
@@ -107,40 +100,14 @@
             version = effect.subject.version.value,
             answer = effect.answer,
         )
-        val failure = attempt<Event?>(failed = Event.OfPlatform.PlatformReadFailed("samples")) {
-            post("http://${addresses.ratings}/samples", WireFormat.encodeToString(sample))
+        val failure = http.attempt<Event?>(failed = Event.OfPlatform.PlatformReadFailed("samples")) {
+            http.post("http://${addresses.ratings}/samples", WireFormat.encodeToString(sample))
             null
         }
         failure?.let { loop.post(it) }
     }
 
     private fun streamUrl(stream: LogStream): String = "http://${addresses.log}/streams/${stream.name.lowercase()}"
-
-    private suspend fun get(url: String): String = client.get(url) {
-        timeout { requestTimeoutMillis = TIMEOUT_MILLISECONDS }
-    }.successful().bodyAsText()
-
-    private suspend fun post(url: String, body: String): String = client.post(url) {
-        timeout { requestTimeoutMillis = TIMEOUT_MILLISECONDS }
-        contentType(ContentType.Application.Json)
-        setBody(body)
-    }.successful().bodyAsText()
-
-    private fun HttpResponse.successful(): HttpResponse =
-        if (status.isSuccess()) this else throw IOException("the platform answered $status")
-
-    /** Returns what [call] returns, or [failed] if the platform cannot be reached or makes no sense. */
-    private suspend fun <T> attempt(failed: T, call: suspend () -> T): T = try {
-        call()
-    } catch (_: IOException) {
-        failed
-    } catch (_: IllegalArgumentException) {
-        failed
-    }
-
-    private companion object {
-        const val TIMEOUT_MILLISECONDS = 2_000L
-    }
 }
 
 private fun EntryDocument.toEntry(): LogEntry = LogEntry(offset, stamp, record.toRecord())
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/report/Reporter.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/report/Reporter.kt
@@ -26,14 +26,14 @@
         return "event=${entry.name} vm=${entry.stamp.vm} stamp=${entry.stamp.counter}$fields"
     }
 
-    private fun quote(value: String): String =
-        if (value.isNotEmpty() && value.none { it.isWhitespace() || it == '"' || it == '=' }) {
-            value
-        } else {
-            "\"${value.replace("\\", "\\\\").replace("\"", "\\\"").replace("\n", "\\n")}\""
-        }
+    private fun quote(value: String): String = if (PLAIN.matches(value)) {
+        value
+    } else {
+        "\"${value.replace("\\", "\\\\").replace("\"", "\\\"").replace("\n", "\\n")}\""
+    }
 
     private companion object {
+        val PLAIN = Regex("""[^\s"=]+""")
         val logger: Logger = LoggerFactory.getLogger("quetzalloom")
     }
 }
--- a/runtime/src/main/kotlin/org/quetzalloom/runtime/EventLoop.kt
+++ b/runtime/src/main/kotlin/org/quetzalloom/runtime/EventLoop.kt
@@ -26,11 +26,12 @@
     private val published = AtomicReference(initial)
     private val ended = CountDownLatch(1)
 
-    /** Adds [event] to the inbox. May be called from any thread. */
-    public fun post(event: E): Unit = inbox.put(Posting.OfEvent(event))
-
-    /** Adds [event] to the inbox; [beforehand] runs on the loop's thread just before the event is reduced. */
-    public fun post(event: E, beforehand: () -> Unit): Unit = inbox.put(Posting.OfEvent(event, beforehand))
+    /**
+     * Adds [event] to the inbox. May be called from any thread.
+     *
+     * @param beforehand runs on the loop's thread just before the event is reduced.
+     */
+    public fun post(event: E, beforehand: (() -> Unit)? = null): Unit = inbox.put(Posting.OfEvent(event, beforehand))
 
     /** Asks the loop to end after what was posted before. */
     public fun stop(): Unit = inbox.put(Posting.Stop)
--- a/standins/src/main/kotlin/org/quetzalloom/standins/Main.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/Main.kt
@@ -22,6 +22,14 @@
 import org.quetzalloom.standins.weights.WeightStoreStandIn
 import java.util.UUID
 
+private const val APPENDS_PER_SECOND = 500
+private const val RETENTION_MILLISECONDS = 86_400_000
+private const val LIST_LAG_MILLISECONDS = 2_000
+private const val RATING_LAG_MILLISECONDS = 1_000
+private const val DOWNLOAD_INTERVAL_MILLISECONDS = 1_000
+private const val WORK_MILLISECONDS = 20
+private val usualEngine = EngineSettings(name = "engine")
+
 /** Runs one stand-in, or the load tool: `standin log --port 7001`. */
 @OptIn(ExperimentalCli::class)
 fun main(arguments: Array<String>) {
@@ -59,42 +67,49 @@
 
 private class LogCommand : StandInCommand("log", "The platform's append-only log") {
     private val appendsPerSecond by option(ArgType.Int, "appends-per-second", description = "The rate limit")
-        .default(500)
+        .default(APPENDS_PER_SECOND)
     private val retention by option(ArgType.Int, "retention-milliseconds", description = "How long records are kept")
-        .default(86_400_000)
+        .default(RETENTION_MILLISECONDS)
 
     override fun standIn(): StandIn<*> = LogStandIn(appendsPerSecond, retention.toLong())
 }
 
 private class VmListCommand : StandInCommand("vms", "The platform's list of VMs") {
     private val lag by option(ArgType.Int, "lag-milliseconds", description = "The time until a change is shown")
-        .default(2_000)
+        .default(LIST_LAG_MILLISECONDS)
 
     override fun standIn(): StandIn<*> = VmListStandIn(lag.toLong())
 }
 
 private class RaterCommand : StandInCommand("ratings", "The service that rates answers") {
     private val lag by option(ArgType.Int, "lag-milliseconds", description = "The time until a verdict is shown")
-        .default(1_000)
+        .default(RATING_LAG_MILLISECONDS)
 
     override fun standIn(): StandIn<*> = RaterStandIn(lag.toLong())
 }
 
 private class WeightStoreCommand : StandInCommand("weights", "The rate-limited weight store") {
     private val interval by option(ArgType.Int, "interval-milliseconds", description = "The time between downloads")
-        .default(1_000)
+        .default(DOWNLOAD_INTERVAL_MILLISECONDS)
 
     override fun standIn(): StandIn<*> = WeightStoreStandIn(interval.toLong())
 }
 
 private class EngineCommand : StandInCommand("engine", "A model engine") {
     private val id by option(ArgType.String, description = "The name of the engine").required()
-    private val capacity by option(ArgType.Int, description = "Generations at once when warm").default(32)
+    private val capacity by option(
+        ArgType.Int,
+        description = "Generations at once when warm"
+    ).default(usualEngine.capacity)
     private val coldCapacity by option(ArgType.Int, "cold-capacity", description = "Generations at once when cold")
-        .default(4)
+        .default(usualEngine.coldCapacity)
     private val warmUp by option(ArgType.Int, "warm-up-milliseconds", description = "The time until it is warm")
-        .default(5_000)
-    private val token by option(ArgType.Int, "token-milliseconds", description = "The time between tokens").default(10)
+        .default(usualEngine.warmUpMilliseconds.toInt())
+    private val token by option(
+        ArgType.Int,
+        "token-milliseconds",
+        description = "The time between tokens"
+    ).default(usualEngine.tokenMilliseconds.toInt())
 
     override fun standIn(): StandIn<*> = EngineStandIn(
         EngineSettings(
@@ -110,8 +125,16 @@
 private class ServiceCommand : StandInCommand("service", "A plain service") {
     private val checksFencing by option(ArgType.Boolean, "checks-fencing", description = "Refuse old fencing numbers")
         .default(false)
-    private val work by option(ArgType.Int, "work-milliseconds", description = "The time that a call takes").default(20)
+    private val work by option(
+        ArgType.Int,
+        "work-milliseconds",
+        description = "The time that a call takes"
+    ).default(WORK_MILLISECONDS)
 
     override fun standIn(): StandIn<*> =
-        ServiceStandIn(start = UUID.randomUUID().toString(), checksFencing = checksFencing, workMilliseconds = work.toLong())
+        ServiceStandIn(
+            start = UUID.randomUUID().toString(),
+            checksFencing = checksFencing,
+            workMilliseconds = work.toLong()
+        )
 }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/audit/AuditCommand.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/audit/AuditCommand.kt
@@ -22,7 +22,9 @@
 
     override fun execute() {
         val findings = AuditFindings.of(
-            samples = reports.split(',').flatMap { WireFormat.decodeFromString<LoadReport>(File(it).readText()).samples },
+            samples = reports.split(
+                ','
+            ).flatMap { WireFormat.decodeFromString<LoadReport>(File(it).readText()).samples },
             books = services.split(',').flatMap { books(it) },
             bills = bills(),
         )
--- a/standins/src/main/kotlin/org/quetzalloom/standins/fault/Faulty.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/fault/Faulty.kt
@@ -8,7 +8,8 @@
 import org.quetzalloom.standins.http.HttpEffect
 import org.quetzalloom.standins.http.HttpEvent
 import org.quetzalloom.standins.http.StandIn
-import org.quetzalloom.wire.WireFormat
+import org.quetzalloom.standins.http.parseOrNull
+import org.quetzalloom.standins.http.unreadable
 
 /** Gives [inner] the fault switches. */
 class Faulty<S : Any>(private val inner: StandIn<S>) : StandIn<FaultyState<S>> {
@@ -20,18 +21,17 @@
         now: Timestamp,
     ): Transition<FaultyState<S>, HttpEffect> = when {
         event is HttpEvent.Called && event.call.matches("POST", "/faults") -> switch(state, event.call)
-        event is HttpEvent.Called && state.faults.down -> Transition(state, persistentListOf(HttpEffect.Abort(event.call.exchange)))
+        event is HttpEvent.Called && state.faults.down -> Transition(
+            state,
+            persistentListOf(HttpEffect.Abort(event.call.exchange))
+        )
         else -> pass(state, event, now)
     }
 
     private fun switch(state: FaultyState<S>, call: HttpCall): Transition<FaultyState<S>, HttpEffect> {
-        val faults = try {
-            WireFormat.decodeFromString<Faults>(call.body)
-        } catch (problem: IllegalArgumentException) {
-            val refusal = HttpEffect.Respond(call.exchange, status = 400, body = problem.message.orEmpty())
-            return Transition(state, persistentListOf(refusal))
-        }
-        return Transition(state.copy(faults = faults), persistentListOf(HttpEffect.Respond(call.exchange)))
+        val faults = call.parseOrNull<Faults>()
+        val answer = if (faults == null) call.unreadable() else HttpEffect.Respond(call.exchange)
+        return Transition(state.copy(faults = faults ?: state.faults), persistentListOf(answer))
     }
 
     private fun pass(
--- a/standins/src/main/kotlin/org/quetzalloom/standins/http/HttpCall.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/http/HttpCall.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import org.quetzalloom.wire.WireFormat
 
 /**
  * One HTTP request that a stand-in received.
@@ -23,3 +24,13 @@
     /** Returns whether this is a [method] request of [path]. */
     fun matches(method: String, path: String): Boolean = this.method == method && this.path == path
 }
+
+/** Returns the body as a [T], or `null` if it is none. */
+internal inline fun <reified T> HttpCall.parseOrNull(): T? = try {
+    WireFormat.decodeFromString<T>(body)
+} catch (_: IllegalArgumentException) {
+    null
+}
+
+/** Returns the answer to a body that makes no sense. */
+internal fun HttpCall.unreadable(): HttpEffect = HttpEffect.Respond(exchange, status = 400, body = "unreadable body")
--- a/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadCaller.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadCaller.kt
@@ -10,6 +10,7 @@
 import io.ktor.http.ContentType
 import io.ktor.http.contentType
 import io.ktor.http.isSuccess
+import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.readLine
 import kotlinx.io.IOException
 import kotlinx.serialization.encodeToString
@@ -80,19 +81,21 @@
         if (!response.status.isSuccess()) {
             return answer.sample(effect, watch, prompt = "").refused(response.bodyAsText())
         }
-        val channel = response.bodyAsChannel()
+        val error = readPieces(response.bodyAsChannel(), answer, watch)
+        val sample = answer.sample(effect, watch, prompt = "$ROLE: ${effect.prompt}")
+        return if (error == null) sample else sample.refused(error)
+    }
+
+    /** Adds all pieces to [answer]; returns the error that ended it, or `null`. */
+    private suspend fun readPieces(channel: ByteReadChannel, answer: Answer, watch: Stopwatch): String? {
         while (true) {
-            val line = channel.readLine() ?: break
-            if (line == "event: error") {
-                val error = channel.readLine().orEmpty().removePrefix(DATA)
-                return answer.sample(effect, watch, prompt = "").refused(error)
-            }
+            val line = channel.readLine() ?: return null
+            if (line == ERROR) return channel.readLine().orEmpty().removePrefix(DATA)
             if (line.startsWith(DATA) && line != DONE) {
                 val piece = WireFormat.decodeFromString<ChatPiece>(line.removePrefix(DATA))
                 answer.add(piece.choices.first().delta.content, ended = piece.usage != null, watch = watch)
             }
         }
-        return answer.sample(effect, watch, prompt = "$ROLE: ${effect.prompt}")
     }
 
     private suspend fun generate(effect: LoadEffect.Complete, watch: Stopwatch): LoadSample {
@@ -161,6 +164,7 @@
         const val COMMAND = "command"
         const val ROLE = "user"
         const val DATA = "data: "
+        const val ERROR = "event: error"
         const val DONE = "data: [DONE]"
     }
 }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadCommand.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadCommand.kt
@@ -21,18 +21,24 @@
 import java.io.File
 import kotlin.system.exitProcess
 
+private val usual = LoadSettings(targets = emptyList())
+
 /** Sends requests at a fixed rate and reports latencies, answers and refusals. */
 @OptIn(ExperimentalCli::class)
 class LoadCommand : Subcommand("load", "Send requests at a fixed rate and report what came of them") {
     private val targets by option(ArgType.String, description = "Host and port of each router, by comma").required()
     private val direct by option(ArgType.Boolean, description = "The targets are engines").default(false)
-    private val rate by option(ArgType.Int, description = "Requests a second").default(20)
+    private val rate by option(ArgType.Int, description = "Requests a second").default(usual.requestsPerSecond)
     private val duration by option(ArgType.Int, "duration-milliseconds", description = "How long requests start")
-        .default(5_000)
+        .default(usual.durationMilliseconds.toInt())
     private val workspace by option(ArgType.String, description = "The workspace").default("")
     private val model by option(ArgType.String, description = "The model").default("auto")
     private val version by option(ArgType.String, description = "The version, for engines")
-    private val maximumTokens by option(ArgType.Int, "max-tokens", description = "The longest answer").default(32)
+    private val maximumTokens by option(
+        ArgType.Int,
+        "max-tokens",
+        description = "The longest answer"
+    ).default(usual.maximumTokens)
     private val commandPercent by option(ArgType.Int, "command-percent", description = "The share of commands")
         .default(0)
     private val commandPath by option(ArgType.String, "command-path", description = "The path of commands").default("")
--- a/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadReducer.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadReducer.kt
@@ -38,7 +38,14 @@
     private fun chance(number: Long): Long = Math.floorMod(hash(number), PERCENT)
 
     private fun session(number: Long): String? =
-        if (settings.sessions == 0) null else "session-${settings.seed}-${Math.floorMod(hash(number), settings.sessions)}"
+        if (settings.sessions == 0) {
+            null
+        } else {
+            "session-${settings.seed}-${Math.floorMod(
+                hash(number),
+                settings.sessions
+            )}"
+        }
 
     private fun hash(number: Long): Long = LongHashFunction.xx3().hashChars("${settings.seed}:$number")
 
--- a/standins/src/main/kotlin/org/quetzalloom/standins/log/LogStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/log/LogStandIn.kt
@@ -13,7 +13,9 @@
 import org.quetzalloom.standins.http.HttpEvent
 import org.quetzalloom.standins.http.StandIn
 import org.quetzalloom.standins.http.notFound
+import org.quetzalloom.standins.http.parseOrNull
 import org.quetzalloom.standins.http.unchanged
+import org.quetzalloom.standins.http.unreadable
 import org.quetzalloom.standins.http.with
 import org.quetzalloom.wire.WireFormat
 import org.quetzalloom.wire.platform.AppendRequest
@@ -75,18 +77,26 @@
     ): Transition<LogState, HttpEffect> {
         val second = now.epochMilliseconds / MILLISECONDS_PER_SECOND
         val earlier = if (second == state.second) state.appendsInSecond else 0
-        if (earlier >= appendsPerSecond) return state.with(HttpEffect.Respond(call.exchange, status = 429))
-        val request = try {
-            WireFormat.decodeFromString<AppendRequest>(call.body)
-        } catch (problem: IllegalArgumentException) {
-            return state.with(HttpEffect.Respond(call.exchange, status = 400, body = problem.message.orEmpty()))
+        val request = call.parseOrNull<AppendRequest>()
+        val counted = state.copy(second = second, appendsInSecond = earlier + 1)
+        return when {
+            earlier >= appendsPerSecond -> state.with(HttpEffect.Respond(call.exchange, status = 429))
+            request == null -> state.with(call.unreadable())
+            else -> append(counted, stream, call, request, now)
         }
+    }
+
+    private fun append(
+        state: LogState,
+        stream: String,
+        call: HttpCall,
+        request: AppendRequest,
+        now: Timestamp,
+    ): Transition<LogState, HttpEffect> {
         val old = state.streams[stream] ?: StreamState()
         val response = WireFormat.encodeToString(AppendResponse(old.next))
         return state.copy(
-            streams = state.streams.put(stream, old.appended(request, now)),
-            second = second,
-            appendsInSecond = earlier + 1,
+            streams = state.streams.put(stream, old.appended(request, now))
         ).with(HttpEffect.Respond(call.exchange, body = response))
     }
 
--- a/standins/src/main/kotlin/org/quetzalloom/standins/ratings/RaterStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/ratings/RaterStandIn.kt
@@ -13,7 +13,9 @@
 import org.quetzalloom.standins.http.HttpEvent
 import org.quetzalloom.standins.http.StandIn
 import org.quetzalloom.standins.http.notFound
+import org.quetzalloom.standins.http.parseOrNull
 import org.quetzalloom.standins.http.unchanged
+import org.quetzalloom.standins.http.unreadable
 import org.quetzalloom.standins.http.with
 import org.quetzalloom.wire.WireFormat
 import org.quetzalloom.wire.platform.RatingDocument
@@ -59,11 +61,16 @@
     }
 
     private fun sample(state: RaterState, call: HttpCall, now: Timestamp): Transition<RaterState, HttpEffect> {
-        val sample = try {
-            WireFormat.decodeFromString<SampleRequest>(call.body)
-        } catch (problem: IllegalArgumentException) {
-            return state.with(HttpEffect.Respond(call.exchange, status = 400, body = problem.message.orEmpty()))
-        }
+        val sample = call.parseOrNull<SampleRequest>()
+        return if (sample == null) state.with(call.unreadable()) else sample(state, sample, call, now)
+    }
+
+    private fun sample(
+        state: RaterState,
+        sample: SampleRequest,
+        call: HttpCall,
+        now: Timestamp,
+    ): Transition<RaterState, HttpEffect> {
         val answered = HttpEffect.Respond(call.exchange)
         if (chance(sample.request, "missing") * PERCENT < missingPercent) return state.with(answered)
         val good = chance(sample.request, sample.version) < (state.qualities[sample.version] ?: 1.0)
--- a/standins/src/main/kotlin/org/quetzalloom/standins/service/ServiceStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/service/ServiceStandIn.kt
@@ -4,6 +4,7 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentList
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.encodeToString
 import org.quetzalloom.core.reducer.Transition
@@ -80,9 +81,9 @@
     }
 
     private fun isFenced(state: ServiceState, call: HttpCall): Boolean {
-        val number = call.fencing ?: return false
-        val highest = state.fences[call.scope.orEmpty()] ?: return false
-        return checksFencing && number < highest
+        val number = call.fencing
+        val highest = state.fences[call.scope.orEmpty()]
+        return checksFencing && number != null && highest != null && number < highest
     }
 
     private fun refusal(call: HttpCall): HttpEffect = HttpEffect.Respond(
@@ -104,7 +105,7 @@
         val done = state.running.filter { it.dueAt <= now }
         if (done.isEmpty()) return state.unchanged()
         val next = state.copy(running = state.running.removeAll(done))
-        return next.with(*done.map { answer(it.call) }.toTypedArray())
+        return Transition(next, done.map { answer(it.call) }.toPersistentList())
     }
 
     private fun answer(call: HttpCall): HttpEffect = HttpEffect.Respond(
--- a/standins/src/main/kotlin/org/quetzalloom/standins/vms/VmListStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/vms/VmListStandIn.kt
@@ -11,7 +11,9 @@
 import org.quetzalloom.standins.http.HttpEvent
 import org.quetzalloom.standins.http.StandIn
 import org.quetzalloom.standins.http.notFound
+import org.quetzalloom.standins.http.parseOrNull
 import org.quetzalloom.standins.http.unchanged
+import org.quetzalloom.standins.http.unreadable
 import org.quetzalloom.standins.http.with
 import org.quetzalloom.wire.WireFormat
 import org.quetzalloom.wire.platform.VmsResponse
@@ -46,13 +48,11 @@
         else -> state.with(call.notFound())
     }
 
-    private fun replace(state: VmListState, call: HttpCall, now: Timestamp): Transition<VmListState, HttpEffect> = try {
-        val list = WireFormat.decodeFromString<VmsResponse>(call.body)
-        state.copy(upcoming = state.upcoming.add(ShownList(now + lagMilliseconds, list)))
-            .with(HttpEffect.Respond(call.exchange))
-    } catch (problem: IllegalArgumentException) {
-        state.with(HttpEffect.Respond(call.exchange, status = 400, body = problem.message.orEmpty()))
-    }
+    private fun replace(state: VmListState, call: HttpCall, now: Timestamp): Transition<VmListState, HttpEffect> =
+        call.parseOrNull<VmsResponse>()?.let {
+            state.copy(upcoming = state.upcoming.add(ShownList(now + lagMilliseconds, it)))
+                .with(HttpEffect.Respond(call.exchange))
+        } ?: state.with(call.unreadable())
 
     private fun caughtUp(state: VmListState, now: Timestamp): VmListState {
         val due = state.upcoming.takeWhile { it.shownAt <= now }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/weights/WeightStoreStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/weights/WeightStoreStandIn.kt
@@ -31,13 +31,16 @@
         is HttpEvent.Tick, is HttpEvent.Left -> state.unchanged()
     }
 
-    private fun call(state: WeightStoreState, call: HttpCall, now: Timestamp): Transition<WeightStoreState, HttpEffect> =
-        when {
-            call.method != "GET" || !call.path.startsWith(WEIGHTS) -> state.with(call.notFound())
-            now < state.freeAt -> state.with(refusal(call, state.freeAt - now))
-            else -> WeightStoreState(freeAt = now + intervalMilliseconds)
-                .with(HttpEffect.Respond(call.exchange, body = "weights of ${call.path.removePrefix(WEIGHTS)}"))
-        }
+    private fun call(
+        state: WeightStoreState,
+        call: HttpCall,
+        now: Timestamp,
+    ): Transition<WeightStoreState, HttpEffect> = when {
+        call.method != "GET" || !call.path.startsWith(WEIGHTS) -> state.with(call.notFound())
+        now < state.freeAt -> state.with(refusal(call, state.freeAt - now))
+        else -> WeightStoreState(freeAt = now + intervalMilliseconds)
+            .with(HttpEffect.Respond(call.exchange, body = "weights of ${call.path.removePrefix(WEIGHTS)}"))
+    }
 
     private fun refusal(call: HttpCall, waitMilliseconds: Long): HttpEffect = HttpEffect.Respond(
         exchange = call.exchange,
--- a/tool/src/main/kotlin/org/quetzalloom/tool/command/OrderCommands.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/command/OrderCommands.kt
@@ -13,6 +13,8 @@
 import org.quetzalloom.tool.operation.Orders
 import org.quetzalloom.wire.site.Site
 
+private const val FIRST_SHARE_PERMILLE = 10
+
 /** `zone out|in`: takes an availability zone out of service, or brings it back. */
 @OptIn(ExperimentalCli::class)
 internal class ZoneCommand : ToolCommand("zone", "Take an availability zone out of service, or bring it back") {
@@ -65,7 +67,10 @@
     )
     private val subject by argument(ArgType.String, description = "The old version (start), or the model")
     private val target by argument(ArgType.String, description = "The new version (start)").optional()
-    private val share by option(ArgType.Int, description = "The first share, in requests per thousand").default(10)
+    private val share by option(
+        ArgType.Int,
+        description = "The first share, in requests per thousand"
+    ).default(FIRST_SHARE_PERMILLE)
 
     override fun run(site: Site): ExitCode = run(site, Operation.Change(decide = decision()))
 
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/ConfigurationDiff.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/ConfigurationDiff.kt
@@ -11,9 +11,11 @@
             section("version", before.versions, new.versions) +
             section("workspace", before.workspaces, new.workspaces) +
             section("backend server", before.backendServers, new.backendServers) +
-            section("service", before.services.associateBy { it.pathPrefix }, new.services.associateBy { it.pathPrefix })
+            section("service", services(before), services(new))
     }
 
+    private fun services(configuration: Configuration) = configuration.services.associateBy { it.pathPrefix }
+
     /** Publishing leaves availability zones in or out of service as they are. */
     private fun zones(new: Configuration, before: Configuration) =
         new.zones.associateWith { it !in new.zonesOut && it !in before.zonesOut }
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/Orders.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/Orders.kt
@@ -26,7 +26,9 @@
         when {
             current == null -> ChangeDecision.Refuse("no configuration was published yet")
             next == null -> ChangeDecision.Refuse("$what does not exist in revision ${current.revision}")
-            next.copy(revision = current.revision) == current -> ChangeDecision.Nothing("nothing to change: $what is so")
+            next.copy(revision = current.revision) == current -> ChangeDecision.Nothing(
+                "nothing to change: $what is so"
+            )
             else -> ChangeDecision.Make(change)
         }
     }
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/StatusTable.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/StatusTable.kt
@@ -9,9 +9,11 @@
 /** Shows the states of VMs. */
 internal object StatusTable {
     /** Returns a line for each VM. */
-    fun text(answers: Map<String, String?>): String = (listOf(HEADER) + answers.toSortedMap().map { (vm, body) ->
-        body?.let { line(WireFormat.decodeFromString<StatusDocument>(it)) } ?: "$vm\tno answer"
-    }).joinToString("\n")
+    fun text(answers: Map<String, String?>): String = (
+        listOf(HEADER) + answers.toSortedMap().map { (vm, body) ->
+            body?.let { line(WireFormat.decodeFromString<StatusDocument>(it)) } ?: "$vm\tno answer"
+        }
+        ).joinToString("\n")
 
     /** Returns one JSON object with the answer of each VM. */
     fun json(answers: Map<String, String?>): String = WireFormat.encodeToString(
--- a/wire/src/main/kotlin/org/quetzalloom/wire/site/Overlay.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/Overlay.kt
@@ -22,7 +22,10 @@
     defaultTimeoutMilliseconds = top.defaultTimeoutMilliseconds ?: defaultTimeoutMilliseconds,
 )
 
-private fun LimitsDocument.overlaidBy(top: LimitsDocument): LimitsDocument = LimitsDocument(
+private fun LimitsDocument.overlaidBy(top: LimitsDocument): LimitsDocument =
+    timesOverlaidBy(top).countsOf(base = this, top = top)
+
+private fun LimitsDocument.timesOverlaidBy(top: LimitsDocument): LimitsDocument = LimitsDocument(
     stalenessMilliseconds = top.stalenessMilliseconds ?: stalenessMilliseconds,
     readIntervalMilliseconds = top.readIntervalMilliseconds ?: readIntervalMilliseconds,
     appendIntervalMilliseconds = top.appendIntervalMilliseconds ?: appendIntervalMilliseconds,
@@ -34,9 +37,12 @@
     commandMemoryMilliseconds = top.commandMemoryMilliseconds ?: commandMemoryMilliseconds,
     snapshotIntervalMilliseconds = top.snapshotIntervalMilliseconds ?: snapshotIntervalMilliseconds,
     drainGraceMilliseconds = top.drainGraceMilliseconds ?: drainGraceMilliseconds,
-    activeRequests = top.activeRequests ?: activeRequests,
-    triesPerRequest = top.triesPerRequest ?: triesPerRequest,
-    sampleShare = top.sampleShare ?: sampleShare,
+)
+
+private fun LimitsDocument.countsOf(base: LimitsDocument, top: LimitsDocument): LimitsDocument = copy(
+    activeRequests = top.activeRequests ?: base.activeRequests,
+    triesPerRequest = top.triesPerRequest ?: base.triesPerRequest,
+    sampleShare = top.sampleShare ?: base.sampleShare,
 )
 
 private fun <T : Any> T?.overlaidBy(top: T?, merge: (T, T) -> T): T? =
--- a/wire/src/main/kotlin/org/quetzalloom/wire/site/Site.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/Site.kt
@@ -6,8 +6,8 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
-import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
 import org.quetzalloom.core.configuration.Configuration
 import org.quetzalloom.core.configuration.problems
 import org.quetzalloom.wire.configuration.ConfigurationDocument
--- a/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteSettings.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteSettings.kt
@@ -20,8 +20,9 @@
     limits = (document.limits ?: LimitsDocument()).toLimits(),
 )
 
-private fun LimitsDocument.toLimits(): RouterLimits {
-    val usual = RouterLimits()
+private fun LimitsDocument.toLimits(): RouterLimits = counts(times(RouterLimits()))
+
+private fun LimitsDocument.times(usual: RouterLimits): RouterLimits {
     return usual.copy(
         stalenessMilliseconds = stalenessMilliseconds ?: usual.stalenessMilliseconds,
         readIntervalMilliseconds = readIntervalMilliseconds ?: usual.readIntervalMilliseconds,
@@ -34,8 +35,11 @@
         commandMemoryMilliseconds = commandMemoryMilliseconds ?: usual.commandMemoryMilliseconds,
         snapshotIntervalMilliseconds = snapshotIntervalMilliseconds ?: usual.snapshotIntervalMilliseconds,
         drainGraceMilliseconds = drainGraceMilliseconds ?: usual.drainGraceMilliseconds,
-        activeRequests = activeRequests ?: usual.activeRequests,
-        triesPerRequest = triesPerRequest ?: usual.triesPerRequest,
-        sampleShare = sampleShare ?: usual.sampleShare,
     )
 }
+
+private fun LimitsDocument.counts(usual: RouterLimits): RouterLimits = usual.copy(
+    activeRequests = activeRequests ?: usual.activeRequests,
+    triesPerRequest = triesPerRequest ?: usual.triesPerRequest,
+    sampleShare = sampleShare ?: usual.sampleShare,
+)
