Prove commands and bills under failure, and mend what the proofs found

The end of an answer now waits for the bill to be in the log; copies are made only when that takes longer than 50 ms, at two peers, so that in the usual case no copy is sent at all. - A takeover after 5 s left a long window; it is 1 s now.

Ruled out: appending failed batches again as the cause; readers ignore the second record of a request or an identity.

Limit: a bill survives the death of any two VMs during an outage of the log.

--- a/core/src/main/kotlin/org/quetzalloom/core/billing/BillingPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/billing/BillingPart.kt
@@ -1,48 +1,46 @@
 package org.quetzalloom.core.billing
 
 import kotlinx.collections.immutable.PersistentList
-import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 import org.quetzalloom.core.event.Event
 import org.quetzalloom.core.identity.VmId
 import org.quetzalloom.core.log.LogRecord
-import org.quetzalloom.core.membership.livePeers
 import org.quetzalloom.core.peer.PeerMessage
 import org.quetzalloom.core.reducer.then
+import org.quetzalloom.core.reducer.thenEach
 import org.quetzalloom.core.router.Part
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.router.Step
 import org.quetzalloom.core.router.enqueue
-import org.quetzalloom.core.router.rendezvousOrNull
 import org.quetzalloom.core.router.tell
 import org.quetzalloom.core.router.unchanged
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * Brings each bill into the log, and keeps the bills of peers until they are there.
+ * Brings each bill into the log. A bill that is not there soon is copied to peers, who keep it until it is.
  *
- * Only bills that are not yet in the log are copied, to one peer, as in delayed parity generation with active data
- * replication (Chandy, "Parity Redundancy Strategies in a Large Scale Distributed Storage System").
+ * Only what is not yet in the log is copied, and dropped once it is, as in delayed parity generation with active
+ * data replication (Chandy, "Parity Redundancy Strategies in a Large Scale Distributed Storage System").
  */
 internal object BillingPart : Part {
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
         is Event.OfPlatform.LogAppended -> state.appended(event.append)
         is Event.PeerTold -> state.told(event, now)
-        is Event.Tick -> state.takeOver(now).unchanged()
+        is Event.Tick -> state.takeOver(now).copyOverdue(now)
         else -> state.unchanged()
     }
 
     private fun RouterState.appended(append: Long): Step {
         val durable = log.recordsOf(append).filterIsInstance<LogRecord.OfBill>().map { it.bill.identity }
-        if (durable.isEmpty()) return unchanged()
-        val byKeeper = durable.groupBy { billing.unsettled[it] }
+        val copies = durable.flatMap { identity ->
+            billing.unsettled[identity]?.sentTo.orEmpty().map { keeper -> keeper to identity }
+        }
         val settled = durable.fold(billing) { reached, identity ->
             reached.copy(unsettled = reached.unsettled.remove(identity), kept = reached.kept.remove(identity))
         }
-        val keepers = byKeeper.keys.filterNotNull().sorted()
-        return keepers.fold(copy(billing = settled).unchanged()) { reached, keeper ->
-            val identities = byKeeper.getValue(keeper).toPersistentList()
-            reached.then { it.tell(keeper, PeerMessage.DropBills(identities)) }
+        val byKeeper = copies.groupBy({ it.first }, { it.second }).toSortedMap()
+        return copy(billing = settled).unchanged().thenEach(byKeeper.entries) { state, (keeper, identities) ->
+            state.tell(keeper, PeerMessage.DropBills(identities.toPersistentList()))
         }
     }
 
@@ -54,14 +52,16 @@
     }
 
     private fun RouterState.hold(owner: VmId, bills: PersistentList<Bill>, now: Timestamp): Step {
-        val kept = bills.fold(billing.kept) { reached, bill -> reached.put(bill.identity, KeptBill(bill, now)) }
+        val kept = bills.filter { it.identity !in billing.kept }
+            .fold(billing.kept) { reached, bill -> reached.put(bill.identity, KeptBill(bill, now)) }
         val identities = bills.map { it.identity }.toPersistentList()
         return copy(billing = billing.copy(kept = kept)).tell(owner, PeerMessage.BillsHeld(identities))
     }
 
     private fun RouterState.held(keeper: VmId, identities: PersistentList<String>): RouterState {
-        val known = identities.filter { it in billing.unsettled }
-        val unsettled = known.fold(billing.unsettled) { reached, identity -> reached.put(identity, keeper) }
+        val unsettled = identities.fold(billing.unsettled) { reached, identity ->
+            reached[identity]?.let { reached.put(identity, it.copy(keptBy = it.keptBy.add(keeper))) } ?: reached
+        }
         return copy(billing = billing.copy(unsettled = unsettled))
     }
 
@@ -80,23 +80,37 @@
             state.copy(billing = state.billing.copy(kept = marked)).enqueue(LogRecord.OfBill(kept.bill))
         }
     }
-}
 
-/** Returns the transition that sends [bill] on its way into the log, and a copy to a peer. */
-internal fun RouterState.issue(bill: Bill, now: Timestamp): Step {
-    val issued = copy(billing = billing.copy(unsettled = billing.unsettled.put(bill.identity, null)))
-        .enqueue(LogRecord.OfBill(bill))
-    val keeper = keeperOrNull(now) ?: return issued.unchanged()
-    return issued.tell(keeper, PeerMessage.HoldBills(settings.vm, persistentListOf(bill)))
+    /** Asks peers to keep the bills that are not in the log in time, and asks again where that was not confirmed. */
+    private fun RouterState.copyOverdue(now: Timestamp): Step {
+        val due = billing.unsettled.values.filter { isOverdue(it, now) }.sortedBy { it.bill.identity }
+        val keepers = if (due.isEmpty()) emptyList() else billKeepers(now)
+        if (keepers.isEmpty()) return unchanged()
+        val sent = due.fold(billing.unsettled) { reached, each ->
+            reached.put(each.bill.identity, each.copy(sentTo = each.sentTo.clear().addAll(keepers), sentAt = now))
+        }
+        val message = PeerMessage.HoldBills(settings.vm, due.map { it.bill }.toPersistentList())
+        return copy(billing = billing.copy(unsettled = sent)).unchanged()
+            .thenEach(keepers) { state, keeper -> state.tell(keeper, message) }
+    }
+
+    private fun RouterState.isOverdue(bill: UnsettledBill, now: Timestamp): Boolean {
+        val hold = settings.limits.billHoldMilliseconds
+        val asked = bill.sentTo.isNotEmpty()
+        return now - bill.since >= hold && !bill.isKept && (!asked || now - bill.sentAt >= hold * RESEND_HOLDS)
+    }
+
+    private const val RESEND_HOLDS = 4
 }
 
-/** Returns the peer that keeps this VM's bills: one in another availability zone where there is one. */
-private fun RouterState.keeperOrNull(now: Timestamp): VmId? {
-    val live = livePeers(now)
-    val elsewhere = live.filter { settings.fleet[it] != settings.zone }
-    return rendezvousOrNull(elsewhere.ifEmpty { live }, "bills:${settings.vm}")
+/** Returns the state with [bill] on its way into the log. */
+internal fun RouterState.issue(bill: Bill, now: Timestamp): RouterState {
+    val unsettled = billing.unsettled.put(bill.identity, UnsettledBill(bill, since = now))
+    return copy(billing = billing.copy(unsettled = unsettled)).enqueue(LogRecord.OfBill(bill))
 }
 
-/** Returns whether [bill] is in the log or kept by a peer. */
-internal fun RouterState.isKept(bill: Bill): Boolean =
-    bill.identity !in billing.unsettled || billing.unsettled[bill.identity] != null
+/** Returns whether [bill] is in the log. */
+internal fun RouterState.isInLog(bill: Bill): Boolean = bill.identity !in billing.unsettled
+
+/** Returns whether peers keep copies of [bill]. */
+internal fun RouterState.isKept(bill: Bill): Boolean = billing.unsettled[bill.identity]?.isKept == true
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/billing/Keepers.kt
@@ -0,0 +1,14 @@
+package org.quetzalloom.core.billing
+
+import org.quetzalloom.core.identity.VmId
+import org.quetzalloom.core.membership.livePeers
+import org.quetzalloom.core.router.RouterState
+import org.quetzalloom.core.router.stableHash
+import org.quetzalloom.core.time.Timestamp
+
+private const val COPIES = 2
+
+/** Returns the peers that keep this VM's bills: in other availability zones first, and always the same while they live. */
+internal fun RouterState.billKeepers(now: Timestamp): List<VmId> = livePeers(now)
+    .sortedWith(compareBy({ settings.fleet[it] == settings.zone }, { stableHash("bills", settings.vm, it) }))
+    .take(COPIES)
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Attempts.kt
@@ -53,17 +53,21 @@
         delivered = request.delivered + event.tokens,
         answer = if (keepsAnswer(request)) request.answer.add(event.text) else request.answer,
     )
-    val begin = if (request.begun) unchanged() else with(begin(request))
-    return begin.then { it.put(next) }
-        .then { it.with(Effect.OfCaller.Piece(request.id, request.delivered, event.text)) }
+    return beginIfNew(request).then { it.put(next) }
+        .then { it.answer(request, Effect.OfCaller.Piece(request.id, request.delivered, event.text)) }
 }
 
-private fun RouterState.begin(request: ActiveRequest): Effect.OfCaller.Begin {
+private fun RouterState.beginIfNew(request: ActiveRequest): Step {
+    if (request.begun) return unchanged()
     val token = request.call.session?.takeIf { request.pinned }
         ?.let { SessionToken(request.call.workspace, it, request.version).format(settings.sessionSecret) }
-    return Effect.OfCaller.Begin(request.id, request.version, token)
+    return answer(request, Effect.OfCaller.Begin(request.id, request.version, token))
 }
 
+/** Returns the transition that hands [effect] to the caller of [request], unless that one has left. */
+internal fun RouterState.answer(request: ActiveRequest, effect: Effect.OfCaller): Step =
+    if (request.callerLeft) unchanged() else with(effect)
+
 /** Returns whether the text of the answer is needed after it was sent: for its outcome, or for a rating. */
 private fun RouterState.keepsAnswer(request: ActiveRequest): Boolean = request.command != null || isSampled(request)
 
@@ -89,8 +93,7 @@
     event: Event.OfBackend.Finished,
     now: Timestamp,
 ): Step {
-    val begin = if (request.begun) unchanged() else with(begin(request))
-    return begin.then { it.release(phase).unchanged() }
+    return beginIfNew(request).then { it.release(phase).unchanged() }
         .then { it.withHealth(phase.server) { health -> health.copy(failures = 0) }.unchanged() }
         .then { it.settle(request.copy(begun = true), event, now) }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Completion.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Completion.kt
@@ -1,6 +1,7 @@
 package org.quetzalloom.core.request
 
 import org.quetzalloom.core.billing.Bill
+import org.quetzalloom.core.billing.isInLog
 import org.quetzalloom.core.billing.isKept
 import org.quetzalloom.core.billing.issue
 import org.quetzalloom.core.configuration.VersionKind
@@ -31,7 +32,7 @@
 internal fun RouterState.settle(request: ActiveRequest, event: Event.OfBackend.Finished, now: Timestamp): Step {
     val bill = bill(request, event.tokens)
     return recordOutcome(request, event).clearSuspicion(request, now)
-        .then { it.issue(bill, now) }
+        .then { it.issue(bill, now).unchanged() }
         .then { it.submitSample(request) }
         .then {
             val phase = Phase.Settling(bill, event.tokens, event.status, since = now)
@@ -69,12 +70,15 @@
     return with(Effect.OfPlatform.SubmitForRating(request.id, subject, answer))
 }
 
-/** Sends the end of the answer once its bill is kept by somebody else than this VM, or after a while. */
+/** Sends the end of the answer once its bill is in the log; after a while it is enough that a peer keeps it. */
 internal fun RouterState.awaitBill(request: ActiveRequest, phase: Phase.Settling, now: Timestamp): Step {
-    val waited = now - phase.since >= settings.limits.billHoldMilliseconds
-    if (!waited && !isKept(phase.bill)) return unchanged()
+    val waited = now - phase.since
+    val safe = isInLog(phase.bill) ||
+        (waited >= settings.limits.billHoldMilliseconds && isKept(phase.bill)) ||
+        waited >= settings.limits.billPatienceMilliseconds
+    if (!safe) return unchanged()
     val end = Effect.OfCaller.End(request.id, phase.tokens, phase.bill.costMicros, phase.status)
-    return copy(requests = requests.remove(request.id)).with(end).then {
+    return copy(requests = requests.remove(request.id)).answer(request, end).then {
         it.report(
             now,
             "request_answered",
@@ -101,13 +105,7 @@
 
 /** Answers [request] with an error. An intent that was won and not used is given back. */
 internal fun RouterState.refuse(request: ActiveRequest, kind: ErrorKind, detail: String, now: Timestamp): Step {
-    val told = if (request.callerLeft) {
-        unchanged()
-    } else {
-        with(
-            Effect.OfCaller.Refuse(request.id, RouterError(kind, detail))
-        )
-    }
+    val told = answer(request, Effect.OfCaller.Refuse(request.id, RouterError(kind, detail)))
     return told.then { it.copy(requests = it.requests.remove(request.id)).giveBackIntent(request).unchanged() }
         .then {
             it.report(
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Deadlines.kt
@@ -0,0 +1,66 @@
+package org.quetzalloom.core.request
+
+import org.quetzalloom.core.effect.Effect
+import org.quetzalloom.core.error.ErrorKind
+import org.quetzalloom.core.error.RouterError
+import org.quetzalloom.core.reducer.then
+import org.quetzalloom.core.router.RouterState
+import org.quetzalloom.core.router.Step
+import org.quetzalloom.core.router.unchanged
+import org.quetzalloom.core.router.with
+import org.quetzalloom.core.time.Timestamp
+
+/** Gives up attempts that went silent, and requests whose deadline has passed. */
+internal fun RouterState.expireAll(now: Timestamp): Step =
+    requests.active.keys.sorted().fold(unchanged()) { reached, id ->
+        reached.then { state -> state.requests.active[id]?.let { state.expire(it, now) } ?: state.unchanged() }
+    }
+
+private fun RouterState.expire(request: ActiveRequest, now: Timestamp): Step {
+    val phase = request.phase
+    return when {
+        phase is Phase.Settling -> unchanged()
+        phase is Phase.Running && isSilent(request, phase, now) -> cancelAndFail(request, phase, now)
+        now < request.deadline || request.callerLeft -> unchanged()
+        phase is Phase.Running -> expireRunning(request, phase, now)
+        else -> expireWaiting(request, now)
+    }
+}
+
+private fun RouterState.isSilent(request: ActiveRequest, phase: Phase.Running, now: Timestamp): Boolean {
+    val patience = when {
+        request.call.target is Target.ServiceCall -> settings.limits.serviceSilenceMilliseconds
+        request.delivered == 0 -> settings.limits.firstTokenMilliseconds
+        else -> settings.limits.tokenGapMilliseconds
+    }
+    return now - phase.progressAt >= patience
+}
+
+private fun RouterState.expireRunning(request: ActiveRequest, phase: Phase.Running, now: Timestamp): Step =
+    if (request.command != null) {
+        put(request.copy(callerLeft = true)).then {
+            val error = RouterError(
+                ErrorKind.OUTCOME_UNKNOWN,
+                "the call still runs at its deadline",
+            )
+            it.with(Effect.OfCaller.Refuse(request.id, error))
+        }
+    } else {
+        with(Effect.OfBackend.Cancel(phase.attempt))
+            .then { it.release(phase).refuse(request, ErrorKind.DEADLINE_EXCEEDED, "the deadline passed", now) }
+    }
+
+/** Refuses [request], which does not run and whose deadline has passed. */
+internal fun RouterState.expireWaiting(request: ActiveRequest, now: Timestamp): Step = when {
+    request.phase is Phase.AwaitingIntent ->
+        refuse(request, ErrorKind.LOG_UNAVAILABLE, "the intent could not be recorded in time", now)
+    request.phase is Phase.AwaitingOutcome ->
+        refuse(
+            request,
+            ErrorKind.OUTCOME_UNKNOWN,
+            "the same call was sent before and is not known to have ended",
+            now
+        )
+    request.mayHaveRun -> refuse(request, ErrorKind.DEADLINE_EXCEEDED, "the deadline passed between attempts", now)
+    else -> refuse(request, ErrorKind.NO_CAPACITY, "no backend server became free in time", now)
+}
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Dispatch.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Dispatch.kt
@@ -26,6 +26,7 @@
 }
 
 private fun RouterState.dispatch(request: ActiveRequest, now: Timestamp): Step = when {
+    now >= request.deadline -> expireWaiting(request, now)
     !mayUse(request.call.workspace, request.version) -> reassign(request, now)
     request.mayHaveRun && request.tries >= settings.limits.triesPerRequest ->
         refuse(request, ErrorKind.BACKEND_FAILED, "${request.tries} attempts failed", now)
--- a/core/src/main/kotlin/org/quetzalloom/core/router/RouterLimits.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/router/RouterLimits.kt
@@ -18,7 +18,9 @@
  * @property verdictMilliseconds the longest wait to learn whether a backend server went down, and for peers to note it.
  * @property suspicionMilliseconds how long a request that took down a backend server is remembered.
  * @property trialMilliseconds how long other VMs wait for the second try of such a request.
- * @property billHoldMilliseconds the longest wait of an answer's end for its bill to be kept.
+ * @property billHoldMilliseconds the time for which an answer's end waits for its bill to be in the log; after it,
+ *   copies at peers are enough.
+ * @property billPatienceMilliseconds the time after which the end is sent in any case.
  * @property billTakeoverMilliseconds a bill kept for a peer for this long is appended by its keeper.
  * @property commandMemoryMilliseconds how long keys are remembered; no longer than the log keeps records.
  * @property snapshotIntervalMilliseconds the age of the last snapshot at which a new one is put into the log.
@@ -44,8 +46,9 @@
     public val verdictMilliseconds: Long = 200,
     public val suspicionMilliseconds: Long = 600_000,
     public val trialMilliseconds: Long = 10_000,
-    public val billHoldMilliseconds: Long = 100,
-    public val billTakeoverMilliseconds: Long = 5_000,
+    public val billHoldMilliseconds: Long = 50,
+    public val billPatienceMilliseconds: Long = 1_000,
+    public val billTakeoverMilliseconds: Long = 1_000,
     public val commandMemoryMilliseconds: Long = 86_400_000,
     public val snapshotIntervalMilliseconds: Long = 600_000,
     public val drainGraceMilliseconds: Long = 2_000,
--- a/core/src/main/kotlin/org/quetzalloom/core/router/RouterReducer.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/router/RouterReducer.kt
@@ -1,5 +1,6 @@
 package org.quetzalloom.core.router
 
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import org.quetzalloom.core.backend.BackendsPart
 import org.quetzalloom.core.billing.BillingPart
@@ -13,7 +14,6 @@
 import org.quetzalloom.core.quarantine.QuarantinePart
 import org.quetzalloom.core.reducer.Reducer
 import org.quetzalloom.core.reducer.Transition
-import org.quetzalloom.core.reducer.then
 import org.quetzalloom.core.request.RequestsPart
 import org.quetzalloom.core.rollout.RolloutPart
 import org.quetzalloom.core.selection.QualityPart
@@ -27,7 +27,7 @@
  * Each part sees every event, in a fixed order, with the state that the parts before it have left.
  */
 public object RouterReducer : Reducer<RouterState, Event, Effect> {
-    private val parts = persistentListOf<Part>(
+    internal val parts: PersistentList<Part> = persistentListOf(
         StampPart,
         MembershipPart,
         ConfigurationPart,
@@ -43,6 +43,8 @@
         LogPart,
     )
 
+    private val composed = PartsReducer(parts)
+
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Transition<RouterState, Effect> =
-        parts.fold(state.unchanged()) { reached, part -> reached.then { part.reduce(it, event, now) } }
+        composed.reduce(state, event, now)
 }
--- /dev/null
+++ b/core/src/test/kotlin/org/quetzalloom/core/billing/BillingUnderFailureTest.kt
@@ -0,0 +1,68 @@
+package org.quetzalloom.core.billing
+
+import org.quetzalloom.core.log.LogRecord
+import org.quetzalloom.core.log.LogStream
+import org.quetzalloom.core.peer.PeerMessage
+import org.quetzalloom.core.rig.Fault
+import org.quetzalloom.core.rig.Fleet
+import org.quetzalloom.core.rig.Rig
+import org.quetzalloom.core.rig.inflict
+import org.quetzalloom.core.rig.inflictWithin
+import org.quetzalloom.core.rig.requireNone
+import org.quetzalloom.core.rig.seeds
+import kotlin.test.Test
+import kotlin.test.assertTrue
+
+class BillingUnderFailureTest {
+    @Test
+    fun everyWholeAnswerIsBilledOnce() = seeds(SEEDS).forEach { seed ->
+        val rig = load(seed)
+        requireNone(seed, rig, findings(rig))
+    }
+
+    @Test
+    fun withoutACopyAtAPeerBillsAreLost() {
+        val lost = seeds(SEEDS).sumOf { seed ->
+            val rig = load(seed, losesMessage = { it is PeerMessage.HoldBills })
+            findings(rig).size
+        }
+        assertTrue(lost > 0, "the check must find what the copy prevents")
+    }
+
+    private fun load(seed: Long, losesMessage: (PeerMessage) -> Boolean = { false }): Rig {
+        val rig = Fleet.rig(seed)
+        rig.losesMessage = losesMessage
+        repeat(REQUESTS) { number ->
+            rig.schedule.after(number * 20L) {
+                rig.up.randomOrNull(rig.random)?.let { rig.send(it, Fleet.completion("bread $number")) }
+            }
+        }
+        rig.schedule.after(500) { rig.log.down = true }
+        rig.schedule.after(500 + OUTAGE_MILLISECONDS) { rig.log.down = false }
+        repeat(KILLS) {
+            rig.schedule.after(500 + rig.random.nextLong(OUTAGE_MILLISECONDS)) { rig.inflict(Fault.KILL_VM) }
+        }
+        rig.inflictWithin(milliseconds = 4_000, count = 1, faults = listOf(Fault.LOSE_APPEND_ANSWERS))
+        rig.runFor(SETTLE_MILLISECONDS)
+        return rig
+    }
+
+    private fun findings(rig: Rig): List<String> {
+        val bills = rig.log.records(LogStream.BILLS).map { (it as LogRecord.OfBill).bill }
+        val byIdentity = bills.groupBy { it.identity }
+        val missing = rig.callers.filter { it.whole && "request:${it.request}" !in byIdentity }
+            .map { "${it.request} has no bill" }
+        val unequal = byIdentity.filterValues { copies -> copies.toSet().size > 1 }.map { "${it.key} has unequal bills" }
+        return missing + unequal
+    }
+
+    private companion object {
+        const val SEEDS = 60
+        const val REQUESTS = 200
+
+        /** The VMs that may die during one outage: as many as keep copies beside the owner. */
+        const val KILLS = 2
+        const val OUTAGE_MILLISECONDS = 5_000L
+        const val SETTLE_MILLISECONDS = 20_000L
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/quetzalloom/core/rig/Faults.kt
@@ -0,0 +1,63 @@
+package org.quetzalloom.core.rig
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+
+/** Kinds of failure that a test can let happen at random times. */
+enum class Fault {
+    KILL_VM,
+    FREEZE_VM,
+    LOG_DOWN,
+    LOSE_APPEND_ANSWERS,
+    CUT_FROM_LOG,
+    CUT_FROM_PEERS,
+    BREAK_CONNECTIONS,
+    SILENCE_CONNECTIONS,
+    RESTART_SERVER,
+    ;
+
+    companion object {
+        /** What a platform and its VMs suffer. */
+        val ofPlatform: PersistentList<Fault> =
+            persistentListOf(KILL_VM, FREEZE_VM, LOG_DOWN, LOSE_APPEND_ANSWERS, CUT_FROM_LOG, CUT_FROM_PEERS)
+    }
+}
+
+/** Lets [fault] happen at once; it is over after some time drawn from the rig's seed. */
+fun Rig.inflict(fault: Fault) {
+    val lasting = random.nextLong(50, 2_500)
+    val vm = Fleet.vms.random(random)
+    val server = servers.values.sortedBy { it.server.id }.random(random)
+    trace.add("${schedule.now} fault $fault on $vm or ${server.server.id} for $lasting ms")
+    when (fault) {
+        Fault.KILL_VM -> {
+            kill(vm)
+            schedule.after(lasting) { if (vm !in up) start(vm) }
+        }
+        Fault.FREEZE_VM -> {
+            freeze(vm)
+            schedule.after(lasting) { thaw(vm) }
+        }
+        Fault.LOG_DOWN -> {
+            log.down = true
+            schedule.after(lasting) { log.down = false }
+        }
+        Fault.LOSE_APPEND_ANSWERS -> log.lostAnswers += random.nextInt(1, 4)
+        Fault.CUT_FROM_LOG -> {
+            cutFromLog.add(vm)
+            schedule.after(lasting) { cutFromLog.remove(vm) }
+        }
+        Fault.CUT_FROM_PEERS -> {
+            cutFromPeers.add(vm)
+            schedule.after(lasting) { cutFromPeers.remove(vm) }
+        }
+        Fault.BREAK_CONNECTIONS -> server.breakConnections()
+        Fault.SILENCE_CONNECTIONS -> server.silence()
+        Fault.RESTART_SERVER -> server.goDown()
+    }
+}
+
+/** Lets [count] of [faults] happen at random times within the next [milliseconds]. */
+fun Rig.inflictWithin(milliseconds: Long, count: Int, faults: List<Fault>) = repeat(count) {
+    schedule.after(random.nextLong(milliseconds)) { inflict(faults.random(random)) }
+}
--- a/standins/src/main/kotlin/org/quetzalloom/standins/audit/FetchCommand.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/audit/FetchCommand.kt
@@ -14,13 +14,14 @@
     private val url by option(ArgType.String, description = "The page").required()
     private val post by option(ArgType.String, description = "What to post")
     private val contains by option(ArgType.String, description = "What the answer must contain").default("")
+    private val lacks by option(ArgType.String, description = "What the answer must not contain")
     private val patience by option(ArgType.Int, "patience-milliseconds", description = "How long to try").default(0)
 
     override fun execute() {
         val until = System.nanoTime() + patience * NANOSECONDS_PER_MILLISECOND
         while (true) {
             val answer = answerOrNull()
-            if (answer != null && contains in answer) {
+            if (answer != null && isExpected(answer)) {
                 println(answer)
                 exitProcess(0)
             }
@@ -32,6 +33,8 @@
         }
     }
 
+    private fun isExpected(answer: String): Boolean = contains in answer && lacks?.let { it in answer } != true
+
     private fun answerOrNull(): String? = try {
         post?.let { HttpReader.post(url, it) } ?: HttpReader.read(url)
     } catch (_: IOException) {
