--- a/core/src/main/kotlin/org/quetzalloom/core/peer/PeerMessage.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/peer/PeerMessage.kt
@@ -37,16 +37,22 @@
     /**
      * Tells that a backend server went down while it ran a request.
      *
-     * @property trial whether the sender is about to run the request once more.
+     * @property trial whether the sender is about to run the request once more, and nobody else may.
+     * @property trialAt the backend server that the sender wants to run it at, or `null` while it looks for one.
      */
     public data class Suspect(
         public val fingerprint: Fingerprint,
         public val server: BackendServerId,
         public val trial: Boolean,
+        public val trialAt: BackendServerId? = null,
     ) : PeerMessage
 
-    /** Tells that the sender has noted a [Suspect] message. */
-    public data class SuspectNoted(public val fingerprint: Fingerprint) : PeerMessage
+    /**
+     * Tells that the sender has noted a [Suspect] message.
+     *
+     * @property agreed whether no trial of the sender stands in the way of the one announced.
+     */
+    public data class SuspectNoted(public val fingerprint: Fingerprint, public val agreed: Boolean) : PeerMessage
 
     /** Tells that a suspected request ran to its end. */
     public data class Cleared(public val fingerprint: Fingerprint) : PeerMessage
--- a/core/src/main/kotlin/org/quetzalloom/core/quarantine/QuarantinePart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/quarantine/QuarantinePart.kt
@@ -1,12 +1,11 @@
 package org.quetzalloom.core.quarantine
 
-import kotlinx.collections.immutable.persistentSetOf
 import org.quetzalloom.core.event.Event
-import org.quetzalloom.core.identity.BackendServerId
 import org.quetzalloom.core.identity.VmId
 import org.quetzalloom.core.peer.PeerMessage
 import org.quetzalloom.core.reducer.then
 import org.quetzalloom.core.request.Fingerprint
+import org.quetzalloom.core.request.Phase
 import org.quetzalloom.core.router.Part
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.router.Step
@@ -15,7 +14,13 @@
 import org.quetzalloom.core.router.unchanged
 import org.quetzalloom.core.time.Timestamp
 
-/** Remembers requests that took down backend servers, and shares what it knows with peers. */
+/**
+ * Remembers requests that took down backend servers, and shares what it knows with peers.
+ *
+ * Such a request is tried once more, by one VM and at a backend server where no other suspect is tried, so that a
+ * second crash says for certain which request brought it about. VMs that want the same backend server settle it by
+ * the smaller fingerprint, unless a trial already runs.
+ */
 internal object QuarantinePart : Part {
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
         is Event.PeerTold -> state.told(event, now)
@@ -24,20 +29,46 @@
     }
 
     private fun RouterState.told(event: Event.PeerTold, now: Timestamp): Step = when (val message = event.message) {
-        is PeerMessage.Suspect -> suspect(event.from, message, now)
-        is PeerMessage.SuspectNoted -> noted(message.fingerprint, event.from).unchanged()
+        is PeerMessage.Suspect -> suspect(event, message, now)
+        is PeerMessage.SuspectNoted -> noted(event.from, message).unchanged()
         is PeerMessage.Cleared -> cleared(message.fingerprint).unchanged()
         else -> unchanged()
     }
 
-    private fun RouterState.suspect(from: VmId, message: PeerMessage.Suspect, now: Timestamp): Step =
-        suspected(message.fingerprint, message.server, from.takeIf { message.trial }, now)
-            .tell(from, PeerMessage.SuspectNoted(message.fingerprint))
+    private fun RouterState.suspect(event: Event.PeerTold, message: PeerMessage.Suspect, now: Timestamp): Step {
+        val from = event.from
+        val rivals = ownTrials().filterValues { it.trialAt != null && it.trialAt == message.trialAt }.keys
+            .filter { it != message.fingerprint }
+        val keepsOwn = message.trial && keepsOwnTrial(message.fingerprint, from)
+        val agreed = !keepsOwn && rivals.none { it.value < message.fingerprint.value || hasBegun(it) }
+        val yielded = if (agreed) rivals.fold(this) { state, rival -> state.withoutTrialServer(rival) } else this
+        val noted = yielded.suspected(message.fingerprint, message.server, now)
+        val by = from.takeIf { message.trial }
+        val next = if (keepsOwn) noted else noted.withTrial(message.fingerprint, by, message.trialAt, now, event.stamp)
+        return next.tell(from, PeerMessage.SuspectNoted(message.fingerprint, agreed))
             .then { it.report(now, "request_suspected", "fingerprint" to message.fingerprint, "by" to from) }
+    }
+
+    private fun RouterState.ownTrials() = quarantine.suspicions.filterValues { it.trialBy == settings.vm }
+
+    /** Returns whether this VM goes on with its own trial of the request that [other] wants to try. */
+    private fun RouterState.keepsOwnTrial(fingerprint: Fingerprint, other: VmId): Boolean =
+        fingerprint in ownTrials() && (hasBegun(fingerprint) || settings.vm < other)
 
-    private fun RouterState.noted(fingerprint: Fingerprint, by: VmId): RouterState {
+    private fun RouterState.hasBegun(fingerprint: Fingerprint): Boolean =
+        requests.active.values.any {
+            it.fingerprint == fingerprint && (it.phase is Phase.Queued || it.phase is Phase.Running)
+        }
+
+    private fun RouterState.withoutTrialServer(fingerprint: Fingerprint): RouterState {
         val known = quarantine.suspicions[fingerprint] ?: return this
-        return withSuspicion(fingerprint, known.copy(notedBy = known.notedBy.add(by)))
+        return withSuspicion(fingerprint, known.copy(trialAt = null))
+    }
+
+    private fun RouterState.noted(by: VmId, message: PeerMessage.SuspectNoted): RouterState {
+        val known = quarantine.suspicions[message.fingerprint]?.takeIf { it.trialBy == settings.vm } ?: return this
+        val next = if (message.agreed) known.copy(notedBy = known.notedBy.add(by)) else known.copy(trialAt = null)
+        return withSuspicion(message.fingerprint, next)
     }
 
     private fun RouterState.forgetOld(now: Timestamp): RouterState {
@@ -45,29 +76,3 @@
         return old.fold(this) { state, fingerprint -> state.cleared(fingerprint) }
     }
 }
-
-/** Returns the state after the request of [fingerprint] took down [server]. */
-internal fun RouterState.suspected(
-    fingerprint: Fingerprint,
-    server: BackendServerId,
-    trialBy: VmId?,
-    now: Timestamp,
-): RouterState {
-    val known = quarantine.suspicions[fingerprint]
-    val servers = (known?.servers ?: persistentSetOf()).add(server)
-    return withSuspicion(fingerprint, Suspicion(servers = servers, at = now, trialBy = trialBy))
-}
-
-/** Returns the state in which nothing is held against the request of [fingerprint]. */
-internal fun RouterState.cleared(fingerprint: Fingerprint): RouterState =
-    copy(quarantine = quarantine.copy(suspicions = quarantine.suspicions.remove(fingerprint)))
-
-private fun RouterState.withSuspicion(fingerprint: Fingerprint, suspicion: Suspicion): RouterState =
-    copy(quarantine = quarantine.copy(suspicions = quarantine.suspicions.put(fingerprint, suspicion)))
-
-/** Returns whether another VM runs the suspected request of [fingerprint] at this time. */
-internal fun RouterState.isTriedElsewhere(fingerprint: Fingerprint, now: Timestamp): Boolean {
-    val suspicion = quarantine.suspicions[fingerprint] ?: return false
-    val by = suspicion.trialBy
-    return by != null && by != settings.vm && now - suspicion.trialSince < settings.limits.trialMilliseconds
-}
--- a/core/src/main/kotlin/org/quetzalloom/core/quarantine/Suspicion.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/quarantine/Suspicion.kt
@@ -11,14 +11,18 @@
  *
  * @property servers the backend servers that went down while they ran it.
  * @property trialBy the VM that runs it once more, or `null`.
+ * @property trialAt the backend server that it runs at then, or `null` while that is not chosen.
  * @property trialSince when that was heard.
- * @property notedBy the peers that know of it.
+ * @property trialStamp the causal stamp of that news; what was said before it does not count.
+ * @property notedBy the peers that agree to it.
  */
 internal data class Suspicion(
     val servers: PersistentSet<BackendServerId>,
     val at: Timestamp,
     val trialBy: VmId? = null,
+    val trialAt: BackendServerId? = null,
     val trialSince: Timestamp = at,
+    val trialStamp: Long = 0,
     val notedBy: PersistentSet<VmId> = persistentSetOf(),
 ) {
     /** Whether the request is refused. */
--- a/core/src/main/kotlin/org/quetzalloom/core/request/ActiveRequest.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/ActiveRequest.kt
@@ -23,6 +23,7 @@
  * @property mayHaveRun whether any attempt may have run.
  * @property begun whether the caller was sent the beginning of the answer.
  * @property delivered the tokens that the caller was sent.
+ * @property trialFrom the tokens that had been delivered when the request was suspected.
  * @property answer the answer so far, where it is needed later.
  * @property callerLeft whether nobody waits for the answer any more.
  */
@@ -41,6 +42,7 @@
     val mayHaveRun: Boolean = false,
     val begun: Boolean = false,
     val delivered: Int = 0,
+    val trialFrom: Int = 0,
     val answer: PersistentList<String> = persistentListOf(),
     val callerLeft: Boolean = false,
 ) {
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Arrival.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Arrival.kt
@@ -67,7 +67,7 @@
     val key = request.sessionKey
     return when {
         request.command != null -> propose(request, now)
-        quarantine.suspicions[request.fingerprint] != null && request.phase == Phase.Queued -> startTrial(request, now)
+        quarantine.suspicions[request.fingerprint] != null && request.phase == Phase.Queued -> awaitTrial(request, now)
         key != null -> joinSession(request, key, admitted, now)
         else -> put(request)
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Attempts.kt
@@ -55,6 +55,7 @@
     )
     return beginIfNew(request).then { it.put(next) }
         .then { it.answer(request, Effect.OfCaller.Piece(request.id, request.delivered, event.text)) }
+        .then { if (next.delivered - next.trialFrom < TRIAL_TOKENS) it.unchanged() else it.clearSuspicion(next, now) }
 }
 
 private fun RouterState.beginIfNew(request: ActiveRequest): Step {
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Completion.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Completion.kt
@@ -58,11 +58,6 @@
     return enqueue(LogRecord.Outcome(command, request.id, CommandResult.Answered(event.status, body)))
 }
 
-private fun RouterState.clearSuspicion(request: ActiveRequest, now: Timestamp): Step {
-    if (request.fingerprint !in quarantine.suspicions) return unchanged()
-    return cleared(request.fingerprint).tellAll(livePeers(now), PeerMessage.Cleared(request.fingerprint))
-}
-
 private fun RouterState.submitSample(request: ActiveRequest): Step {
     if (!isSampled(request)) return unchanged()
     val subject = RatingSubject(request.call.workspace, request.call.requestClass, request.version)
@@ -107,6 +102,7 @@
 internal fun RouterState.refuse(request: ActiveRequest, kind: ErrorKind, detail: String, now: Timestamp): Step {
     val told = answer(request, Effect.OfCaller.Refuse(request.id, RouterError(kind, detail)))
     return told.then { it.copy(requests = it.requests.remove(request.id)).giveBackIntent(request).unchanged() }
+        .then { it.abandonTrial(request, now) }
         .then {
             it.report(
                 now,
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Placement.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Placement.kt
@@ -4,7 +4,6 @@
 import org.quetzalloom.core.backend.hasRoom
 import org.quetzalloom.core.configuration.BackendServer
 import org.quetzalloom.core.router.RouterState
-import org.quetzalloom.core.router.rendezvousOrNull
 import org.quetzalloom.core.router.stableHash
 import org.quetzalloom.core.time.Timestamp
 
@@ -14,32 +13,20 @@
     val fresh = free.filter { it.id !in request.tried }
     val candidates = if (request.command == null) fresh.ifEmpty { free } else free
     return when {
+        isTrial(request) -> free.firstOrNull { it.id == quarantine.suspicions[request.fingerprint]?.trialAt }
         candidates.isEmpty() -> null
-        isTrial(request) -> chooseForTrial(request, candidates)
         else -> chooseByLoad(request, candidates)
     }
 }
 
 /** Returns the backend servers in service that this VM may send [request] to, in a fixed order. */
-private fun RouterState.serversFor(request: ActiveRequest): List<BackendServer> {
+internal fun RouterState.serversFor(request: ActiveRequest): List<BackendServer> {
     val current = configuration.view.current ?: return emptyList()
     return backends.homes.keys.mapNotNull { current.backendServers[it] }
         .filter { request.version in it.versions && current.isInService(it) }
         .sortedBy { it.id }
 }
 
-private fun RouterState.isTrial(request: ActiveRequest): Boolean =
-    quarantine.suspicions[request.fingerprint]?.trialBy == settings.vm
-
-/** Keeps suspected requests apart, so that one that crashes a backend server brings no other under suspicion twice. */
-private fun RouterState.chooseForTrial(request: ActiveRequest, candidates: List<BackendServer>): BackendServer? {
-    val withTrial = requests.attempts.values.mapNotNull { requests.active[it] }
-        .filter { isTrial(it) }
-        .mapNotNull { (it.phase as? Phase.Running)?.server }
-    val untouched = candidates.filter { it.id !in request.tried && it.id !in withTrial }
-    return rendezvousOrNull(untouched.map { it.id }, request.fingerprint)?.let { id -> untouched.first { it.id == id } }
-}
-
 private fun RouterState.chooseByLoad(request: ActiveRequest, candidates: List<BackendServer>): BackendServer {
     val rated = candidates.map { ServerCandidate(it.id, load(it), sameZone = it.zone == settings.zone) }
     val seed = stableHash(request.id, request.tries, settings.incarnation)
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Progress.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Progress.kt
@@ -34,7 +34,8 @@
     is Phase.AwaitingNotes -> awaitNotes(request, phase, now)
     is Phase.AwaitingTrial -> awaitTrial(request, now)
     is Phase.Settling -> awaitBill(request, phase, now)
-    is Phase.Queued, is Phase.Running -> unchanged()
+    is Phase.Queued -> if (hasLostTrialServer(request)) awaitTrial(request, now) else unchanged()
+    is Phase.Running -> unchanged()
 }
 
 private fun RouterState.awaitSession(request: ActiveRequest, phase: Phase.AwaitingSession, now: Timestamp): Step {
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Verdicts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Verdicts.kt
@@ -6,6 +6,7 @@
 import org.quetzalloom.core.membership.livePeers
 import org.quetzalloom.core.peer.PeerMessage
 import org.quetzalloom.core.quarantine.suspected
+import org.quetzalloom.core.quarantine.withTrial
 import org.quetzalloom.core.reducer.then
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.router.Step
@@ -31,8 +32,9 @@
 
 /** Holds it against [request] that [server] went down while it ran there. */
 internal fun RouterState.crashed(request: ActiveRequest, server: BackendServerId, now: Timestamp): Step {
-    val next = suspected(request.fingerprint, server, trialBy = settings.vm, now = now)
-    val condemned = next.quarantine.suspicions[request.fingerprint]?.condemned == true
+    val known = suspected(request.fingerprint, server, now)
+    val condemned = known.quarantine.suspicions[request.fingerprint]?.condemned == true
+    val next = known.withTrial(request.fingerprint, by = settings.vm.takeUnless { condemned }, at = null, now = now)
     val told = next.tellAll(
         next.livePeers(now),
         PeerMessage.Suspect(request.fingerprint, server, trial = !condemned),
@@ -41,7 +43,7 @@
         if (condemned) {
             it.refuse(request, ErrorKind.QUARANTINED, "the request took down two backend servers", now)
         } else {
-            it.retry(request, now, Phase.AwaitingNotes(now))
+            it.retry(request.copy(trialFrom = request.delivered), now, Phase.AwaitingTrial)
         }
     }
 }
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/Main.kt
@@ -19,10 +19,14 @@
 
 private const val EXIT_BAD_SETTINGS = 2
 private const val EXIT_FAILED = 70
+
+/** The property of the HTTP server that lets it close by itself on a signal, which would cut requests. */
+private const val SERVER_SHUTDOWN_HOOK = "io.ktor.server.engine.ShutdownHook"
 private val logger = LoggerFactory.getLogger("quetzalloomd")
 
 /** Runs the router: `quetzalloomd --settings base.toml --overlay site.toml --vm vm-1`. */
 public fun main(arguments: Array<String>) {
+    System.setProperty(SERVER_SHUTDOWN_HOOK, "false")
     val parser = ArgParser("quetzalloomd")
     val settings by parser.option(ArgType.String, description = "The base file").required()
     val overlay by parser.option(ArgType.String, description = "The overlay of the site")
--- a/wire/src/main/kotlin/org/quetzalloom/wire/peer/PeerDocument.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/peer/PeerDocument.kt
@@ -70,12 +70,13 @@
         public val fingerprint: Long,
         public val server: String,
         public val trial: Boolean,
+        public val trialAt: String? = null,
     ) : PeerDocument
 
     /** See [PeerMessage.SuspectNoted]. */
     @Serializable
     @SerialName("suspect_noted")
-    public data class SuspectNoted(public val fingerprint: Long) : PeerDocument
+    public data class SuspectNoted(public val fingerprint: Long, public val agreed: Boolean) : PeerDocument
 
     /** See [PeerMessage.Cleared]. */
     @Serializable
@@ -129,8 +130,8 @@
     is PeerMessage.HoldBills -> PeerDocument.HoldBills(owner.value, bills.map { it.toDocument() })
     is PeerMessage.BillsHeld -> PeerDocument.BillsHeld(identities)
     is PeerMessage.DropBills -> PeerDocument.DropBills(identities)
-    is PeerMessage.Suspect -> PeerDocument.Suspect(fingerprint.value, server.value, trial)
-    is PeerMessage.SuspectNoted -> PeerDocument.SuspectNoted(fingerprint.value)
+    is PeerMessage.Suspect -> PeerDocument.Suspect(fingerprint.value, server.value, trial, trialAt?.value)
+    is PeerMessage.SuspectNoted -> PeerDocument.SuspectNoted(fingerprint.value, agreed)
     is PeerMessage.Cleared -> PeerDocument.Cleared(fingerprint.value)
     is PeerMessage.Restarted -> PeerDocument.Restarted(server.value, start.value)
     is PeerMessage.AskSession -> PeerDocument.AskSession(workspace.value, session.value, proposed.value)
@@ -157,8 +158,13 @@
     is PeerDocument.HoldBills -> PeerMessage.HoldBills(VmId(owner), bills.map { it.toBill() }.toPersistentList())
     is PeerDocument.BillsHeld -> PeerMessage.BillsHeld(identities.toPersistentList())
     is PeerDocument.DropBills -> PeerMessage.DropBills(identities.toPersistentList())
-    is PeerDocument.Suspect -> PeerMessage.Suspect(Fingerprint(fingerprint), BackendServerId(server), trial)
-    is PeerDocument.SuspectNoted -> PeerMessage.SuspectNoted(Fingerprint(fingerprint))
+    is PeerDocument.Suspect -> PeerMessage.Suspect(
+        fingerprint = Fingerprint(fingerprint),
+        server = BackendServerId(server),
+        trial = trial,
+        trialAt = trialAt?.let { BackendServerId(it) },
+    )
+    is PeerDocument.SuspectNoted -> PeerMessage.SuspectNoted(Fingerprint(fingerprint), agreed)
     is PeerDocument.Cleared -> PeerMessage.Cleared(Fingerprint(fingerprint))
     is PeerDocument.Restarted -> PeerMessage.Restarted(BackendServerId(server), StartIdentity(start))
     is PeerDocument.AskSession ->
