Let a VM's agreement to a trial name the backend server it agrees to

Ruled out: a wrong verdict about which server went down; the traces show that each broken attempt was followed by a new start.

--- a/core/src/main/kotlin/org/quetzalloom/core/peer/PeerMessage.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/peer/PeerMessage.kt
@@ -50,9 +50,14 @@
     /**
      * Tells that the sender has noted a [Suspect] message.
      *
+     * @property trialAt the backend server that the message named.
      * @property agreed whether no trial of the sender stands in the way of the one announced.
      */
-    public data class SuspectNoted(public val fingerprint: Fingerprint, public val agreed: Boolean) : PeerMessage
+    public data class SuspectNoted(
+        public val fingerprint: Fingerprint,
+        public val trialAt: BackendServerId?,
+        public val agreed: Boolean,
+    ) : PeerMessage
 
     /** Tells that a suspected request ran to its end. */
     public data class Cleared(public val fingerprint: Fingerprint) : PeerMessage
--- a/core/src/main/kotlin/org/quetzalloom/core/quarantine/QuarantinePart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/quarantine/QuarantinePart.kt
@@ -45,7 +45,7 @@
         val noted = yielded.suspected(message.fingerprint, message.server, now)
         val by = from.takeIf { message.trial }
         val next = if (keepsOwn) noted else noted.withTrial(message.fingerprint, by, message.trialAt, now, event.stamp)
-        return next.tell(from, PeerMessage.SuspectNoted(message.fingerprint, agreed))
+        return next.tell(from, PeerMessage.SuspectNoted(message.fingerprint, message.trialAt, agreed))
             .then { it.report(now, "request_suspected", "fingerprint" to message.fingerprint, "by" to from) }
     }
 
@@ -66,7 +66,9 @@
     }
 
     private fun RouterState.noted(by: VmId, message: PeerMessage.SuspectNoted): RouterState {
-        val known = quarantine.suspicions[message.fingerprint]?.takeIf { it.trialBy == settings.vm } ?: return this
+        val known = quarantine.suspicions[message.fingerprint]
+            ?.takeIf { it.trialBy == settings.vm && it.trialAt == message.trialAt }
+            ?: return this
         val next = if (message.agreed) known.copy(notedBy = known.notedBy.add(by)) else known.copy(trialAt = null)
         return withSuspicion(message.fingerprint, next)
     }
--- a/wire/src/main/kotlin/org/quetzalloom/wire/peer/PeerDocument.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/peer/PeerDocument.kt
@@ -76,7 +76,11 @@
     /** See [PeerMessage.SuspectNoted]. */
     @Serializable
     @SerialName("suspect_noted")
-    public data class SuspectNoted(public val fingerprint: Long, public val agreed: Boolean) : PeerDocument
+    public data class SuspectNoted(
+        public val fingerprint: Long,
+        public val trialAt: String? = null,
+        public val agreed: Boolean,
+    ) : PeerDocument
 
     /** See [PeerMessage.Cleared]. */
     @Serializable
@@ -131,7 +135,7 @@
     is PeerMessage.BillsHeld -> PeerDocument.BillsHeld(identities)
     is PeerMessage.DropBills -> PeerDocument.DropBills(identities)
     is PeerMessage.Suspect -> PeerDocument.Suspect(fingerprint.value, server.value, trial, trialAt?.value)
-    is PeerMessage.SuspectNoted -> PeerDocument.SuspectNoted(fingerprint.value, agreed)
+    is PeerMessage.SuspectNoted -> PeerDocument.SuspectNoted(fingerprint.value, trialAt?.value, agreed)
     is PeerMessage.Cleared -> PeerDocument.Cleared(fingerprint.value)
     is PeerMessage.Restarted -> PeerDocument.Restarted(server.value, start.value)
     is PeerMessage.AskSession -> PeerDocument.AskSession(workspace.value, session.value, proposed.value)
@@ -164,7 +168,8 @@
         trial = trial,
         trialAt = trialAt?.let { BackendServerId(it) },
     )
-    is PeerDocument.SuspectNoted -> PeerMessage.SuspectNoted(Fingerprint(fingerprint), agreed)
+    is PeerDocument.SuspectNoted ->
+        PeerMessage.SuspectNoted(Fingerprint(fingerprint), trialAt?.let { BackendServerId(it) }, agreed)
     is PeerDocument.Cleared -> PeerMessage.Cleared(Fingerprint(fingerprint))
     is PeerDocument.Restarted -> PeerMessage.Restarted(BackendServerId(server), StartIdentity(start))
     is PeerDocument.AskSession ->
