--- a/core/src/main/kotlin/org/quetzalloom/core/billing/BillingPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/billing/BillingPart.kt
@@ -6,7 +6,6 @@
 import org.quetzalloom.core.identity.VmId
 import org.quetzalloom.core.log.LogRecord
 import org.quetzalloom.core.peer.PeerMessage
-import org.quetzalloom.core.reducer.then
 import org.quetzalloom.core.reducer.thenEach
 import org.quetzalloom.core.router.Part
 import org.quetzalloom.core.router.RouterState
--- a/core/src/main/kotlin/org/quetzalloom/core/billing/Keepers.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/billing/Keepers.kt
@@ -8,7 +8,7 @@
 
 private const val COPIES = 2
 
-/** Returns the peers that keep this VM's bills: in other availability zones first, and always the same while they live. */
+/** Returns the peers that keep this VM's bills: other availability zones first, always the same while they live. */
 internal fun RouterState.billKeepers(now: Timestamp): List<VmId> = livePeers(now)
     .sortedWith(compareBy({ settings.fleet[it] == settings.zone }, { stableHash("bills", settings.vm, it) }))
     .take(COPIES)
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Answers.kt
@@ -0,0 +1,20 @@
+package org.quetzalloom.core.request
+
+import org.quetzalloom.core.effect.Effect
+import org.quetzalloom.core.router.RouterState
+import org.quetzalloom.core.router.Step
+import org.quetzalloom.core.router.unchanged
+import org.quetzalloom.core.router.with
+import org.quetzalloom.core.session.SessionToken
+
+/** Tells the caller of [request] that the answer begins, unless it was told before. */
+internal fun RouterState.beginIfNew(request: ActiveRequest): Step {
+    if (request.begun) return unchanged()
+    val token = request.call.session?.takeIf { request.pinned }
+        ?.let { SessionToken(request.call.workspace, it, request.version).format(settings.sessionSecret) }
+    return answer(request, Effect.OfCaller.Begin(request.id, request.version, token))
+}
+
+/** Returns the transition that hands [effect] to the caller of [request], unless that one has left. */
+internal fun RouterState.answer(request: ActiveRequest, effect: Effect.OfCaller): Step =
+    if (request.callerLeft) unchanged() else with(effect)
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Attempts.kt
@@ -9,8 +9,6 @@
 import org.quetzalloom.core.router.Step
 import org.quetzalloom.core.router.bucketOf
 import org.quetzalloom.core.router.unchanged
-import org.quetzalloom.core.router.with
-import org.quetzalloom.core.session.SessionToken
 import org.quetzalloom.core.time.Timestamp
 
 /** Returns the transition of [step] if [attempt] is under way; events of attempts that were given up change nothing. */
@@ -58,17 +56,6 @@
         .then { if (next.delivered - next.trialFrom < TRIAL_TOKENS) it.unchanged() else it.clearSuspicion(next, now) }
 }
 
-private fun RouterState.beginIfNew(request: ActiveRequest): Step {
-    if (request.begun) return unchanged()
-    val token = request.call.session?.takeIf { request.pinned }
-        ?.let { SessionToken(request.call.workspace, it, request.version).format(settings.sessionSecret) }
-    return answer(request, Effect.OfCaller.Begin(request.id, request.version, token))
-}
-
-/** Returns the transition that hands [effect] to the caller of [request], unless that one has left. */
-internal fun RouterState.answer(request: ActiveRequest, effect: Effect.OfCaller): Step =
-    if (request.callerLeft) unchanged() else with(effect)
-
 /** Returns whether the text of the answer is needed after it was sent: for its outcome, or for a rating. */
 private fun RouterState.keepsAnswer(request: ActiveRequest): Boolean = request.command != null || isSampled(request)
 
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Completion.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Completion.kt
@@ -11,15 +11,11 @@
 import org.quetzalloom.core.event.Event
 import org.quetzalloom.core.ledger.CommandResult
 import org.quetzalloom.core.log.LogRecord
-import org.quetzalloom.core.membership.livePeers
-import org.quetzalloom.core.peer.PeerMessage
-import org.quetzalloom.core.quarantine.cleared
 import org.quetzalloom.core.reducer.then
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.router.Step
 import org.quetzalloom.core.router.enqueue
 import org.quetzalloom.core.router.report
-import org.quetzalloom.core.router.tellAll
 import org.quetzalloom.core.router.unchanged
 import org.quetzalloom.core.router.with
 import org.quetzalloom.core.selection.RatingSubject
--- a/core/src/test/kotlin/org/quetzalloom/core/backend/ServersUnderFailureTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/backend/ServersUnderFailureTest.kt
@@ -39,7 +39,7 @@
         requireNoWork(seed, ConfigurationChange.SetLeaving(leaving, leaving = true)) { it.server.id == leaving }
     }
 
-    /** Accepts [change] and lets the log go down just after; the servers that [concerned] names must get no new work. */
+    /** Accepts [change] and lets the log go down just after; the servers [concerned] must get no new work. */
     private fun requireNoWork(
         seed: Long,
         change: ConfigurationChange,
--- a/core/src/test/kotlin/org/quetzalloom/core/billing/BillingUnderFailureTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/billing/BillingUnderFailureTest.kt
@@ -52,7 +52,8 @@
         val byIdentity = bills.groupBy { it.identity }
         val missing = rig.callers.filter { it.whole && "request:${it.request}" !in byIdentity }
             .map { "${it.request} has no bill" }
-        val unequal = byIdentity.filterValues { copies -> copies.toSet().size > 1 }.map { "${it.key} has unequal bills" }
+        val unequal = byIdentity.filterValues { copies -> copies.toSet().size > 1 }
+            .map { "${it.key} has unequal bills" }
         return missing + unequal
     }
 
--- a/core/src/test/kotlin/org/quetzalloom/core/configuration/ConfigurationViewTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/configuration/ConfigurationViewTest.kt
@@ -38,7 +38,9 @@
         val whole = honest.fold(start) { view, record -> view.read(record) }
         val half = honest.take(honest.size / 2).fold(start) { view, record -> view.read(record) }
         val snapshot = ConfigurationRecord.Snapshot(requireNotNull(half.current))
-        val late = (honest.drop(honest.size / 2) + snapshot).fold(ConfigurationView()) { view, record -> view.read(record) }
+        val late = (honest.drop(honest.size / 2) + snapshot).fold(
+            ConfigurationView()
+        ) { view, record -> view.read(record) }
         assertEquals(whole.current, late.current)
     }
 
--- a/core/src/test/kotlin/org/quetzalloom/core/drain/DrainTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/drain/DrainTest.kt
@@ -28,7 +28,8 @@
         rig.schedule.after(1_000) { rig.shutDown(leaving) }
         rig.runFor(15_000)
         val cut = rig.callers.filter { it.pending }.map { "${it.request} was cut" }
-        val falselyRefused = rig.callers.filter { it.refusal?.notRun == false }.map { "${it.request} was ${it.refusal}" }
+        val falselyRefused = rig.callers.filter { it.refusal?.notRun == false }
+            .map { "${it.request} was ${it.refusal}" }
         val billed = rig.log.records(LogStream.BILLS).map { (it as LogRecord.OfBill).bill.identity }.toSet()
         val unbilled = rig.callers.filter { it.answered }
             .filter { it.call.key == null && "request:${it.request}" !in billed }
--- a/core/src/test/kotlin/org/quetzalloom/core/quarantine/QuarantineTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/quarantine/QuarantineTest.kt
@@ -25,9 +25,12 @@
 
     @Test
     fun withoutSharedSuspicionItTakesDownMore() {
-        val parts = RouterReducer.parts.add(0, Part { state, _, _ ->
-            state.copy(quarantine = QuarantineState()).unchanged()
-        })
+        val parts = RouterReducer.parts.add(
+            0,
+            Part { state, _, _ ->
+                state.copy(quarantine = QuarantineState()).unchanged()
+            }
+        )
         val found = seeds(SEEDS).sumOf { findings(load(it, parts)).size }
         assertTrue(found > 0, "the check must find what the quarantine prevents")
     }
@@ -35,7 +38,9 @@
     private fun load(seed: Long, parts: PersistentList<Part>): Rig {
         val rig = Fleet.rig(seed, parts)
         repeat(REQUESTS) { number ->
-            rig.schedule.after(number * 20L) { rig.send(Fleet.vms.random(rig.random), Fleet.completion("bread $number")) }
+            rig.schedule.after(
+                number * 20L
+            ) { rig.send(Fleet.vms.random(rig.random), Fleet.completion("bread $number")) }
         }
         rig.schedule.after(500) { sendBad(rig, Fleet.vms.random(rig.random), left = 5) }
         rig.runFor(20_000)
--- a/core/src/test/kotlin/org/quetzalloom/core/rig/FakeLog.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/rig/FakeLog.kt
@@ -29,9 +29,9 @@
         appends += 1
         val entries = streams.getValue(stream)
         records.forEach { entries.add(LogEntry(entries.size.toLong(), stamp, it)) }
-        if (lostAnswers == 0) return true
-        lostAnswers -= 1
-        return false
+        val lost = lostAnswers > 0
+        if (lost) lostAnswers -= 1
+        return !lost
     }
 
     fun append(effect: Effect.OfPlatform.Append): Event = if (append(effect.stream, effect.stamp, effect.records)) {
--- a/core/src/test/kotlin/org/quetzalloom/core/rig/FakeServer.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/rig/FakeServer.kt
@@ -97,7 +97,9 @@
                 goDown()
             }
             position < total -> {
-                current.reply(Event.OfBackend.Progressed(order.attempt, position, 1, token(order.version.value, position)))
+                current.reply(
+                    Event.OfBackend.Progressed(order.attempt, position, 1, token(order.version.value, position))
+                )
                 generate(order, position + 1)
             }
             else -> {
--- a/core/src/test/kotlin/org/quetzalloom/core/rig/Rig.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/rig/Rig.kt
@@ -169,7 +169,9 @@
         when (effect) {
             is Effect.OfBackend.Start -> {
                 val connection = Connection(vm)
-                schedule.after(latency()) { servers.getValue(effect.order.server).take(effect.order, connection::reply) }
+                schedule.after(
+                    latency()
+                ) { servers.getValue(effect.order.server).take(effect.order, connection::reply) }
             }
             is Effect.OfBackend.Cancel -> schedule.after(latency()) {
                 servers.values.forEach { it.cancel(effect.attempt) }
--- a/core/src/test/kotlin/org/quetzalloom/core/session/VersionsUnderFailureTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/session/VersionsUnderFailureTest.kt
@@ -53,7 +53,10 @@
     fun aTokenOfAnotherFleetIsRefused() {
         val rig = Fleet.rig(seed = 1)
         val foreign = SessionToken(Fleet.workspace, SessionId("s"), Fleet.forbidden)
-        val caller = rig.send(Fleet.vms[0], Fleet.completion("b", session = "s", token = foreign.format("other secret")))
+        val caller = rig.send(
+            Fleet.vms[0],
+            Fleet.completion("b", session = "s", token = foreign.format("other secret"))
+        )
         rig.runFor(1_000)
         assertEquals("bad_session_token", caller.refusal?.code)
     }
@@ -85,7 +88,10 @@
     }
 
     /** Each of several sessions sends one request after another; with [tokens], it gives back the last token it got. */
-    private fun send(rig: Rig, tokens: Boolean) = repeat(SESSIONS) { number -> sendNext(rig, "s$number", tokens, left = 12, last = null) }
+    private fun send(
+        rig: Rig,
+        tokens: Boolean
+    ) = repeat(SESSIONS) { number -> sendNext(rig, "s$number", tokens, left = 12, last = null) }
 
     private fun sendNext(rig: Rig, session: String, tokens: Boolean, left: Int, last: FakeCaller?) {
         if (left == 0) return
--- /dev/null
+++ b/runtime/src/test/kotlin/org/quetzalloom/runtime/InboxTest.kt
@@ -0,0 +1,43 @@
+package org.quetzalloom.runtime
+
+import org.jetbrains.lincheck.datastructures.ModelCheckingOptions
+import org.jetbrains.lincheck.datastructures.Operation
+import org.jetbrains.lincheck.datastructures.StressOptions
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+/** Several threads put, any thread takes: the inbox must behave as if one did after the other. */
+class InboxTest {
+    private val inbox = Inbox<Int>()
+
+    @Operation
+    fun put(item: Int) = inbox.put(item)
+
+    @Operation
+    fun takeAll(): List<Int> = inbox.takeAll()
+
+    @Test
+    fun modelChecking() = ModelCheckingOptions().iterations(
+        30
+    ).invocationsPerIteration(500).check(InboxTest::class.java)
+
+    @Test
+    fun stress() = StressOptions().iterations(30).invocationsPerIteration(500).check(InboxTest::class.java)
+
+    @Test
+    fun itemsComeInTheOrderInWhichTheyWerePut() {
+        val own = Inbox<Int>()
+        (1..100).forEach { own.put(it) }
+        assertEquals((1..100).toList(), own.takeAll().toList())
+    }
+
+    @Test
+    fun aReaderThatWaitsIsWoken() {
+        val own = Inbox<Int>()
+        val writer = Thread { own.put(7) }
+        writer.start()
+        val taken = generateSequence { own.takeAllWithin(milliseconds = 60_000) }.first { it.isNotEmpty() }
+        writer.join()
+        assertEquals(listOf(7), taken.toList())
+    }
+}
--- /dev/null
+++ b/tool/src/test/kotlin/org/quetzalloom/tool/operation/ToolReducerTest.kt
@@ -0,0 +1,138 @@
+package org.quetzalloom.tool.operation
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toPersistentList
+import org.quetzalloom.core.configuration.Configuration
+import org.quetzalloom.core.configuration.ConfigurationChange
+import org.quetzalloom.core.configuration.ConfigurationRecord
+import org.quetzalloom.core.identity.AvailabilityZoneId
+import org.quetzalloom.core.identity.VmId
+import org.quetzalloom.core.log.LogEntry
+import org.quetzalloom.core.log.LogRecord
+import org.quetzalloom.core.time.Timestamp
+import org.quetzalloom.core.timeline.CausalStamp
+import org.quetzalloom.core.timeline.TimelineEntry
+import org.quetzalloom.tool.ExitCode
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class ToolReducerTest {
+    private val zone = AvailabilityZoneId("a")
+    private val published =
+        proposed(0, "first", ConfigurationChange.Publish(Configuration(zones = persistentSetOf(zone))))
+    private val zoneOut = Operation.Change(
+        decide = Orders.simple(ConfigurationChange.SetZone(zone, inService = false), "availability zone 'a' out"),
+    )
+
+    private fun proposed(base: Long, author: String, change: ConfigurationChange) =
+        LogRecord.OfConfiguration(ConfigurationRecord.Proposed(base, author, change))
+
+    /** A log in memory; [interfere] may append what another operator does before each append. */
+    private class Log(val loseAnswers: Boolean = false, val interfere: (MutableList<LogRecord>) -> Unit = {}) {
+        val records = mutableListOf<LogRecord>()
+
+        fun answer(effect: ToolEffect): ToolEvent? = when (effect) {
+            is ToolEffect.ReadLog -> {
+                val entries = records.drop(effect.from.toInt())
+                    .mapIndexed { place, record -> LogEntry(effect.from + place, 0, record) }
+                ToolEvent.LogRead(entries.toPersistentList(), effect.from + entries.size)
+            }
+            is ToolEffect.Append -> {
+                interfere(records)
+                records.add(effect.record)
+                if (loseAnswers) ToolEvent.AppendFailed else ToolEvent.Appended
+            }
+            else -> null
+        }
+    }
+
+    private fun run(operation: Operation, log: Log): ExitCode? {
+        val events = ArrayDeque<ToolEvent>(listOf(ToolEvent.Tick))
+        var state = ToolState(operation, author = "me")
+        var code: ExitCode? = null
+        repeat(MOST_STEPS) {
+            val event = events.removeFirstOrNull() ?: return code
+            val step = ToolReducer.reduce(state, event, Timestamp(0))
+            state = step.state
+            step.effects.forEach { effect ->
+                log.answer(effect)?.let { events.add(it) }
+                if (effect is ToolEffect.Exit) code = effect.code
+            }
+        }
+        return code
+    }
+
+    @Test
+    fun anOrderIsAccepted() {
+        val log = Log().apply { records.add(published) }
+        assertEquals(ExitCode.DONE, run(zoneOut, log))
+        assertEquals(2, log.records.size)
+    }
+
+    @Test
+    fun anOrderWhoseAnswerIsLostIsFoundInTheLog() {
+        val log = Log(loseAnswers = true).apply { records.add(published) }
+        assertEquals(ExitCode.DONE, run(zoneOut, log))
+        assertEquals(2, log.records.size)
+    }
+
+    @Test
+    fun anOrderThatLosesARaceIsMadeAgain() {
+        val other = AvailabilityZoneId("b")
+        val both = Configuration(zones = persistentSetOf(zone, other))
+        val change = proposed(1, "other", ConfigurationChange.SetZone(other, inService = false))
+        val log = Log { if (it.size == 1) it.add(change) }
+            .apply { records.add(proposed(0, "first", ConfigurationChange.Publish(both))) }
+        assertEquals(ExitCode.DONE, run(zoneOut, log))
+        assertEquals(4, log.records.size)
+    }
+
+    @Test
+    fun aPublishThatLosesARaceIsTold() {
+        val change = proposed(1, "other", ConfigurationChange.SetZone(zone, inService = false))
+        val log = Log { if (it.size == 1) it.add(change) }.apply { records.add(published) }
+        val publish = Operation.Change(
+            repeats = false,
+            decide = Orders.publish(Configuration(zones = persistentSetOf(zone, AvailabilityZoneId("b")))),
+        )
+        assertEquals(ExitCode.LOST_RACE, run(publish, log))
+    }
+
+    @Test
+    fun anOrderForAnUnknownZoneIsRefused() {
+        val unknown = ConfigurationChange.SetZone(AvailabilityZoneId("nowhere"), inService = false)
+        val log = Log().apply { records.add(published) }
+        assertEquals(ExitCode.REFUSED, run(Operation.Change(decide = Orders.simple(unknown, "it")), log))
+        assertEquals(1, log.records.size)
+    }
+
+    @Test
+    fun withoutAnswersTheOutcomeIsNotKnown() {
+        val state = ToolState(zoneOut, author = "me", begunAt = Timestamp(0), proposedOn = 1)
+        val step = ToolReducer.reduce(state, ToolEvent.Tick, Timestamp(60_000))
+        assertEquals(ToolEffect.Exit(ExitCode.UNKNOWN), step.effects.last())
+    }
+
+    @Test
+    fun theTimeLineReadsRightWhenClocksDiffer() {
+        fun entry(counter: Long, vm: String, at: Long, name: String, request: String) = TimelineEntry(
+            stamp = CausalStamp(counter, VmId(vm)),
+            at = Timestamp(at),
+            name = name,
+            fields = persistentMapOf("request" to request, "key" to "k"),
+        )
+        val entries = persistentListOf(
+            entry(5, "vm-2", at = 1_000, name = "outcome_replayed", request = "r2"),
+            entry(2, "vm-1", at = 61_000, name = "attempt_started", request = "r1"),
+            entry(1, "vm-1", at = 60_990, name = "request_arrived", request = "r1"),
+        )
+        val names = TimelineFilter(key = "k").select(entries).map { it.name }
+        assertEquals(listOf("request_arrived", "attempt_started", "outcome_replayed"), names)
+    }
+
+    private companion object {
+        const val MOST_STEPS = 200
+    }
+}
--- a/wire/src/main/kotlin/org/quetzalloom/wire/peer/PeerDocument.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/peer/PeerDocument.kt
@@ -162,14 +162,8 @@
     is PeerDocument.HoldBills -> PeerMessage.HoldBills(VmId(owner), bills.map { it.toBill() }.toPersistentList())
     is PeerDocument.BillsHeld -> PeerMessage.BillsHeld(identities.toPersistentList())
     is PeerDocument.DropBills -> PeerMessage.DropBills(identities.toPersistentList())
-    is PeerDocument.Suspect -> PeerMessage.Suspect(
-        fingerprint = Fingerprint(fingerprint),
-        server = BackendServerId(server),
-        trial = trial,
-        trialAt = trialAt?.let { BackendServerId(it) },
-    )
-    is PeerDocument.SuspectNoted ->
-        PeerMessage.SuspectNoted(Fingerprint(fingerprint), trialAt?.let { BackendServerId(it) }, agreed)
+    is PeerDocument.Suspect -> toSuspect()
+    is PeerDocument.SuspectNoted -> toSuspectNoted()
     is PeerDocument.Cleared -> PeerMessage.Cleared(Fingerprint(fingerprint))
     is PeerDocument.Restarted -> PeerMessage.Restarted(BackendServerId(server), StartIdentity(start))
     is PeerDocument.AskSession ->
@@ -180,6 +174,16 @@
         PeerMessage.TellRatings(origin, sums.associate { it.toSubject() to it.toEstimate() }.toPersistentMap())
 }
 
+private fun PeerDocument.Suspect.toSuspect(): PeerMessage.Suspect = PeerMessage.Suspect(
+    fingerprint = Fingerprint(fingerprint),
+    server = BackendServerId(server),
+    trial = trial,
+    trialAt = trialAt?.let { BackendServerId(it) },
+)
+
+private fun PeerDocument.SuspectNoted.toSuspectNoted(): PeerMessage.SuspectNoted =
+    PeerMessage.SuspectNoted(Fingerprint(fingerprint), trialAt?.let { BackendServerId(it) }, agreed)
+
 private fun SumDocument.toSubject(): RatingSubject =
     RatingSubject(WorkspaceId(workspace), RequestClass(requestClass), VersionId(version))
 
