--- /dev/null
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/Main.kt
@@ -0,0 +1,24 @@
+package org.quetzalloom.bench
+
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.default
+import kotlinx.serialization.encodeToString
+import org.quetzalloom.wire.WireFormat
+
+private const val VERSIONS = 30
+private const val WORKSPACES = 100
+
+/** Prints what one VM's reducer costs in fleets of several sizes: `slopes --sizes 10:27,100:270,400:2700`. */
+public fun main(arguments: Array<String>) {
+    val parser = ArgParser("slopes")
+    val sizes by parser.option(ArgType.String, description = "VMs and replicas of each size")
+        .default("10:27,10:270,100:270,400:270,100:2700,400:2700")
+    parser.parse(arguments)
+    sizes.split(',').map { parse(it) }.forEach { println(WireFormat.encodeToString(SlopeMeter(it).measure())) }
+}
+
+private fun parse(text: String): FleetSize {
+    val (vms, replicas) = text.split(':', limit = 2).map { it.toInt() }
+    return FleetSize(vms = vms, replicas = replicas, versions = VERSIONS, workspaces = WORKSPACES)
+}
--- a/core/src/main/kotlin/org/quetzalloom/core/log/Appends.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/log/Appends.kt
@@ -3,6 +3,7 @@
 import kotlinx.collections.immutable.toPersistentList
 import org.quetzalloom.core.effect.Effect
 import org.quetzalloom.core.reducer.then
+import org.quetzalloom.core.router.RouterSettings
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.router.Step
 import org.quetzalloom.core.router.unchanged
@@ -22,7 +23,7 @@
         queue = writer.queue.drop(batch.size).toPersistentList(),
         append = number,
         inFlight = batch,
-        dueAt = now + settings.limits.appendIntervalMilliseconds,
+        dueAt = now + settings.appendIntervalMilliseconds(),
     )
     return withWriter(stream, started).copy(stamp = stamp + 1).let {
         it.copy(log = it.log.copy(appends = number))
@@ -37,3 +38,11 @@
 /** Returns the state with the writer of [stream] replaced. */
 internal fun RouterState.withWriter(stream: LogStream, writer: StreamWriter): RouterState =
     copy(log = log.copy(writers = log.writers.put(stream, writer)))
+
+/** Returns the least time between two appends of this VM to one stream, so that the whole fleet keeps to its limit. */
+private fun RouterSettings.appendIntervalMilliseconds(): Long =
+    fleet.size * WRITTEN_STREAMS * MILLISECONDS_PER_SECOND / limits.appendsPerSecond
+
+/** The streams that a VM appends to all the time. */
+private const val WRITTEN_STREAMS = 2
+private const val MILLISECONDS_PER_SECOND = 1_000L
--- a/core/src/main/kotlin/org/quetzalloom/core/router/RouterLimits.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/router/RouterLimits.kt
@@ -5,7 +5,8 @@
  *
  * @property stalenessMilliseconds without word from the log or a peer for this long, no new work is taken.
  * @property readIntervalMilliseconds the time between two reads of a log stream that brings nothing new.
- * @property appendIntervalMilliseconds the least time between two appends of this VM to one stream.
+ * @property appendsPerSecond the appends that the platform's log takes from the whole fleet in a second; each VM
+ *   keeps to its share.
  * @property appendRetryMilliseconds the time from a failed append to the next try.
  * @property appendBatchRecords the most records in one append.
  * @property gossipIntervalMilliseconds the time between two digests sent to peers.
@@ -33,7 +34,7 @@
 public data class RouterLimits(
     public val stalenessMilliseconds: Long = 5_000,
     public val readIntervalMilliseconds: Long = 250,
-    public val appendIntervalMilliseconds: Long = 20,
+    public val appendsPerSecond: Int = 300,
     public val appendRetryMilliseconds: Long = 200,
     public val appendBatchRecords: Int = 500,
     public val gossipIntervalMilliseconds: Long = 500,
--- a/daemon/src/test/kotlin/org/quetzalloom/daemon/DaemonProcessTest.kt
+++ b/daemon/src/test/kotlin/org/quetzalloom/daemon/DaemonProcessTest.kt
@@ -71,7 +71,8 @@
     private fun command(port: Int, key: String): CompletableFuture<HttpResponse<String>?> =
         CompletableFuture.supplyAsync {
             try {
-                TestSite.post("http://127.0.0.1:$port/ovens/start", "{}", workspace, CallerHeaders.KEY to key)
+                val headers = arrayOf(workspace, CallerHeaders.KEY to key, CallerHeaders.TIMEOUT to "5000")
+                TestSite.post("http://127.0.0.1:$port/ovens/start", "{}", *headers)
             } catch (_: IOException) {
                 null
             }
@@ -104,7 +105,7 @@
         TestSite.await { site.books().entries.isNotEmpty() }
         processes.getValue("vm-1").destroyForcibly().waitFor()
         sent.forEach { it.get() }
-        val again = (1..20).mapNotNull { command(site.vmPorts[1], "k-$it").get() }
+        val again = (1..20).map { command(site.vmPorts[1], "k-$it") }.mapNotNull { it.get() }
         assertEquals(20, again.size)
         val runs = site.books().entries.groupingBy { it.scope }.eachCount()
         assertTrue(runs.values.all { it == 1 }, "$runs")
--- a/wire/src/main/kotlin/org/quetzalloom/wire/site/Site.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/Site.kt
@@ -44,10 +44,10 @@
             return if (problems == null) Ok(Site(document, configuration)) else Err(problems)
         }
 
-        /** Finds the line that names what [message] quotes first, in the last file that has it. */
+        /** Finds the line that names what [message] quotes last, in the last file that has it. */
         private fun located(message: String, files: List<SiteFile>): SiteProblem {
             val quoted = QUOTED.findAll(message).map { it.groupValues[1] }.toList()
-            val place = quoted.firstNotNullOfOrNull { word ->
+            val place = quoted.reversed().firstNotNullOfOrNull { word ->
                 files.reversed().firstNotNullOfOrNull { file -> file.lineOfOrNull(word)?.let { file.name to it } }
             }
             return SiteProblem(file = place?.first ?: files.last().name, line = place?.second, message = message)
--- a/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteDocument.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteDocument.kt
@@ -64,8 +64,8 @@
     public val stalenessMilliseconds: Long? = null,
     @SerialName("read_interval_milliseconds")
     public val readIntervalMilliseconds: Long? = null,
-    @SerialName("append_interval_milliseconds")
-    public val appendIntervalMilliseconds: Long? = null,
+    @SerialName("appends_per_second")
+    public val appendsPerSecond: Int? = null,
     @SerialName("gossip_interval_milliseconds")
     public val gossipIntervalMilliseconds: Long? = null,
     @SerialName("load_interval_milliseconds")
--- a/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteSettings.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteSettings.kt
@@ -26,7 +26,7 @@
     return usual.copy(
         stalenessMilliseconds = stalenessMilliseconds ?: usual.stalenessMilliseconds,
         readIntervalMilliseconds = readIntervalMilliseconds ?: usual.readIntervalMilliseconds,
-        appendIntervalMilliseconds = appendIntervalMilliseconds ?: usual.appendIntervalMilliseconds,
+        appendsPerSecond = appendsPerSecond ?: usual.appendsPerSecond,
         gossipIntervalMilliseconds = gossipIntervalMilliseconds ?: usual.gossipIntervalMilliseconds,
         loadIntervalMilliseconds = loadIntervalMilliseconds ?: usual.loadIntervalMilliseconds,
         firstTokenMilliseconds = firstTokenMilliseconds ?: usual.firstTokenMilliseconds,
