--- a/bench/src/main/kotlin/org/quetzalloom/bench/Main.kt
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/Main.kt
@@ -9,12 +9,20 @@
 private const val VERSIONS = 30
 private const val WORKSPACES = 100
 
-/** Prints what one VM's reducer costs in fleets of several sizes: `slopes --sizes 10:27,100:270,400:2700`. */
+/**
+ * Prints what one VM's reducer costs in fleets of several sizes: `slopes --sizes 10:27,100:270,400:2700`. With
+ * `--policies` it prints what policies come to instead.
+ */
 public fun main(arguments: Array<String>) {
     val parser = ArgParser("slopes")
     val sizes by parser.option(ArgType.String, description = "VMs and replicas of each size")
         .default("10:27,10:270,100:270,400:270,100:2700,400:2700")
+    val policies by parser.option(ArgType.Boolean, description = "Compare policies instead").default(false)
     parser.parse(arguments)
+    if (policies) printPolicies() else printSlopes(sizes)
+}
+
+private fun printSlopes(sizes: String) {
     sizes.split(',').map { parse(it) }.forEach { println(WireFormat.encodeToString(SlopeMeter(it).measure())) }
 }
 
--- a/bench/src/main/kotlin/org/quetzalloom/bench/SlopeMeter.kt
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/SlopeMeter.kt
@@ -6,6 +6,7 @@
 import org.quetzalloom.core.configuration.ConfigurationRecord
 import org.quetzalloom.core.effect.Effect
 import org.quetzalloom.core.event.Event
+import org.quetzalloom.core.identity.BackendServerId
 import org.quetzalloom.core.identity.IdempotencyKey
 import org.quetzalloom.core.identity.RequestId
 import org.quetzalloom.core.identity.StartIdentity
@@ -36,15 +37,16 @@
     fun measure(): Slope {
         begin()
         val stateBytes = bytes(drive.state)
+        val homes = drive.state.status(Timestamp(drive.now)).running.keys.sorted()
         val request = drive.nanoseconds(RUNS) { answer("request-$it", pieces = 0) }
         val whole = drive.nanoseconds(RUNS) { answer("long-$it", pieces = PIECES) }
         return Slope(
             vms = size.vms,
             replicas = size.replicas,
-            homes = drive.state.status(Timestamp(drive.now)).running.size,
+            homes = homes.size,
             tickNanoseconds = drive.nanoseconds(RUNS) { tick() },
             digestNanoseconds = drive.nanoseconds(RUNS) { digest() },
-            loadNanoseconds = drive.nanoseconds(RUNS) { load() },
+            loadNanoseconds = drive.nanoseconds(RUNS) { load(homes.first()) },
             changeNanoseconds = drive.nanoseconds(CHANGES) { change(it) },
             requestNanoseconds = request,
             tokenNanoseconds = (whole - request) / PIECES,
@@ -66,33 +68,32 @@
         tick()
         repeat(size.vms) { digest() }
         drive.state.status(Timestamp(drive.now)).running.keys.sorted().forEach { server ->
-            drive.reduce(Event.OfBackend.LoadReported(server, StartIdentity("$server-1"), 0, WARM_MILLISECONDS))
+            step(Event.OfBackend.LoadReported(server, StartIdentity("$server-1"), 0, WARM_MILLISECONDS))
         }
     }
 
     private fun tick() {
         drive.now += TICK_MILLISECONDS
-        settlePlatform(drive.reduce(Event.Tick))
+        step(Event.Tick)
     }
 
-    /** Answers reads and appends at once, so that the router goes on as it would. */
-    private fun settlePlatform(effects: List<Effect>) = effects.forEach { effect ->
+    /** Reduces [event], and answers reads and appends at once, so that the router goes on as it would. */
+    private fun step(event: Event): List<Effect> = drive.reduce(event).flatMap { effect ->
         when (effect) {
             is Effect.OfPlatform.Read ->
-                drive.reduce(Event.OfPlatform.LogRead(effect.stream, persistentListOf(), effect.from, 0))
-            is Effect.OfPlatform.Append -> drive.reduce(Event.OfPlatform.LogAppended(effect.append))
-            else -> Unit
+                step(Event.OfPlatform.LogRead(effect.stream, persistentListOf(), effect.from, earliest = 0))
+            is Effect.OfPlatform.Append -> step(Event.OfPlatform.LogAppended(effect.append))
+            else -> listOf(effect)
         }
     }
 
     private fun digest() {
         peer = peer % (size.vms - 1) + 1
-        drive.reduce(Event.PeerTold(VmId("vm-${peer + 1}"), stamp = 1, message = PeerMessage.Digest(revision)))
+        step(Event.PeerTold(VmId("vm-${peer + 1}"), stamp = 1, message = PeerMessage.Digest(revision)))
     }
 
-    private fun load() {
-        val server = drive.state.status(Timestamp(drive.now)).running.keys.first()
-        drive.reduce(Event.OfBackend.LoadReported(server, StartIdentity("$server-1"), 1, WARM_MILLISECONDS))
+    private fun load(server: BackendServerId) {
+        step(Event.OfBackend.LoadReported(server, StartIdentity("$server-1"), 1, WARM_MILLISECONDS))
     }
 
     private fun change(number: Int) {
@@ -112,16 +113,16 @@
 
     private fun read(stream: LogStream, record: LogRecord) {
         offset += 1
-        drive.reduce(Event.OfPlatform.LogRead(stream, persistentListOf(LogEntry(offset, 1, record)), offset + 1, 0))
+        step(Event.OfPlatform.LogRead(stream, persistentListOf(LogEntry(offset, 1, record)), offset + 1, 0))
     }
 
     /** Leads one request through all its events. */
     private fun answer(name: String, pieces: Int) {
         val started = arrive(name) ?: error("request $name was not started")
         val attempt = started.order.attempt
-        drive.reduce(Event.OfBackend.Accepted(attempt, StartIdentity("${started.order.server}-1")))
-        repeat(pieces) { drive.reduce(Event.OfBackend.Progressed(attempt, it, 1, "word ")) }
-        settlePlatform(drive.reduce(Event.OfBackend.Finished(attempt, pieces, STATUS)))
+        step(Event.OfBackend.Accepted(attempt, StartIdentity("${started.order.server}-1")))
+        repeat(pieces) { step(Event.OfBackend.Progressed(attempt, it, 1, "word ")) }
+        step(Event.OfBackend.Finished(attempt, pieces, STATUS))
         tick()
     }
 
@@ -132,7 +133,7 @@
             timeoutMilliseconds = WARM_MILLISECONDS,
             body = "a prompt of a few words",
         )
-        return drive.reduce(Event.OfCaller.Arrived(RequestId(name), call))
+        return step(Event.OfCaller.Arrived(RequestId(name), call))
             .filterIsInstance<Effect.OfBackend.Start>()
             .firstOrNull()
     }
@@ -141,7 +142,7 @@
         val before = bytes(drive.state)
         val started = (1..UNDER_WAY).mapNotNull { arrive("under-way-$it") }
         started.forEach {
-            drive.reduce(Event.OfBackend.Accepted(it.order.attempt, StartIdentity("${it.order.server}-1")))
+            step(Event.OfBackend.Accepted(it.order.attempt, StartIdentity("${it.order.server}-1")))
         }
         return (bytes(drive.state) - before) / UNDER_WAY
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/membership/MembershipPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/membership/MembershipPart.kt
@@ -6,6 +6,7 @@
 import org.quetzalloom.core.identity.VmId
 import org.quetzalloom.core.peer.PeerMessage
 import org.quetzalloom.core.reducer.then
+import org.quetzalloom.core.reducer.thenEach
 import org.quetzalloom.core.router.Part
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.router.Step
@@ -36,9 +37,9 @@
 
     private fun RouterState.gossip(now: Timestamp): Step {
         val last = membership.gossipAt
-        val peers = peers()
         val due = last == null || now - last >= settings.limits.gossipIntervalMilliseconds
-        if (!due || peers.isEmpty()) return unchanged()
+        val peers = if (due) peers() else emptyList()
+        if (peers.isEmpty()) return unchanged()
         val turn = membership.gossipTurn
         val receiver = peers[(turn % peers.size).toInt()]
         val next = copy(membership = membership.copy(gossipAt = now, gossipTurn = turn + 1))
@@ -46,10 +47,8 @@
             .then { it.tellRatings(receiver) }
     }
 
-    private fun RouterState.tellRatings(receiver: VmId): Step {
-        val message = quality.ownSums(settings)
-        return if (message.sums.isEmpty()) unchanged() else tell(receiver, message)
-    }
+    private fun RouterState.tellRatings(receiver: VmId): Step =
+        unchanged().thenEach(quality.ownSums(settings)) { state, message -> state.tell(receiver, message) }
 
     private fun RouterState.askForList(now: Timestamp): Step {
         val last = membership.listedAt
--- a/core/src/main/kotlin/org/quetzalloom/core/peer/PeerMessage.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/peer/PeerMessage.kt
@@ -12,6 +12,7 @@
 import org.quetzalloom.core.identity.WorkspaceId
 import org.quetzalloom.core.request.Fingerprint
 import org.quetzalloom.core.selection.QualityEstimate
+import org.quetzalloom.core.selection.RatingOrigin
 import org.quetzalloom.core.selection.RatingSubject
 
 /** What VMs tell each other. Any message may be lost, late or doubled. */
@@ -79,9 +80,9 @@
         public val version: VersionId,
     ) : PeerMessage
 
-    /** Tells the sums of all ratings that the VM start named [origin] has collected. */
+    /** Tells the sums of all ratings of one [origin]. */
     public data class TellRatings(
-        public val origin: String,
+        public val origin: RatingOrigin,
         public val sums: PersistentMap<RatingSubject, QualityEstimate>,
     ) : PeerMessage
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/RequestsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/RequestsPart.kt
@@ -15,7 +15,9 @@
 internal object RequestsPart : Part {
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step {
         val handled = state.handle(event, now)
-        if (handled.state.requests.waiting.isEmpty()) return handled
+        val waiting = handled.state.requests.waiting
+        val onlyTokens = event is Event.OfBackend.Progressed && waiting === state.requests.waiting
+        if (waiting.isEmpty() || onlyTokens) return handled
         return handled.then { it.advanceAll(now) }.then { it.dispatchAll(now) }
     }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Versions.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Versions.kt
@@ -13,6 +13,7 @@
 import org.quetzalloom.core.identity.WorkspaceId
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.router.bucketOf
+import org.quetzalloom.core.router.stableHash
 import org.quetzalloom.core.selection.RatingSubject
 import org.quetzalloom.core.selection.VersionOption
 
@@ -73,7 +74,7 @@
         .let { kept -> kept.filter { hasServer(it.id) }.ifEmpty { kept } }
         .map { VersionOption(it, quality.estimateOf(RatingSubject(call.workspace, call.requestClass, it.id))) }
     val qualityTarget = current?.workspaces?.get(call.workspace)?.qualityTarget ?: 0.0
-    return settings.policies.versionChoice.choose(options, qualityTarget).id
+    return settings.policies.versionChoice.choose(options, qualityTarget, stableHash("version", subject)).id
 }
 
 /** Returns whether a roll-out keeps this request away from [version]. */
--- a/core/src/main/kotlin/org/quetzalloom/core/router/RouterLimits.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/router/RouterLimits.kt
@@ -29,6 +29,8 @@
  * @property activeRequests the most requests at once.
  * @property triesPerRequest the most attempts of one request.
  * @property retryShare the retries allowed for each request that arrives, on average.
+ * @property ratingPeriodMilliseconds the length of a rating period.
+ * @property ratingPeriods the latest rating periods that estimates of quality come from.
  * @property sampleShare the share of answers submitted for rating, 0.0 to 1.0.
  */
 public data class RouterLimits(
@@ -56,5 +58,7 @@
     public val activeRequests: Int = 2_000,
     public val triesPerRequest: Int = 4,
     public val retryShare: Double = 0.2,
+    public val ratingPeriodMilliseconds: Long = 600_000,
+    public val ratingPeriods: Int = 6,
     public val sampleShare: Double = 0.1,
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/selection/CheapestConfident.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/selection/CheapestConfident.kt
@@ -5,15 +5,40 @@
 /**
  * Takes the cheapest version whose quality is above the target with confidence, or the best one where none is.
  *
+ * A small share of requests tries a cheaper version that may be good enough for all that is known, so that a version
+ * about which little was expected gets its ratings.
+ *
  * @property deviations the width of the confidence interval, in standard deviations each way.
+ * @property exploredPermille the requests per thousand that try such a version.
  */
-public data class CheapestConfident(public val deviations: Double = 1.0) : VersionChoice {
-    override fun choose(options: List<VersionOption>, qualityTarget: Double): Version {
+public data class CheapestConfident(
+    public val deviations: Double = 1.0,
+    public val exploredPermille: Int = 100,
+) : VersionChoice {
+    override fun choose(options: List<VersionOption>, qualityTarget: Double, seed: Long): Version {
+        val known = known(options, qualityTarget)
+        val explores = Math.floorMod(seed, PERMILLE) < exploredPermille
+        return if (explores) promising(options, known, qualityTarget) ?: known else known
+    }
+
+    private fun known(options: List<VersionOption>, qualityTarget: Double): Version {
         val confident = options.filter { it.lowerBound() >= qualityTarget }
         val chosen = confident.minWithOrNull(compareBy({ it.version.costMicros }, { it.version.id }))
             ?: options.maxWith(compareBy<VersionOption> { it.lowerBound() }.thenByDescending { it.version.id })
         return chosen.version
     }
 
+    /** Returns the least rated of the cheaper versions that may be above the target. */
+    private fun promising(options: List<VersionOption>, known: Version, qualityTarget: Double): Version? = options
+        .filter { it.version.costMicros < known.costMicros && it.upperBound() >= qualityTarget }
+        .minWithOrNull(compareBy({ it.estimate.rated }, { it.version.id }))
+        ?.version
+
     private fun VersionOption.lowerBound(): Double = estimate.lowerBound(version.expectedQuality, deviations)
+
+    private fun VersionOption.upperBound(): Double = estimate.upperBound(version.expectedQuality, deviations)
+
+    private companion object {
+        const val PERMILLE = 1_000L
+    }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/selection/QualityPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/selection/QualityPart.kt
@@ -19,7 +19,7 @@
 
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
         is Event.Tick -> state.askForRatings(now)
-        is Event.OfPlatform.RatingsRead -> state.counted(event).unchanged()
+        is Event.OfPlatform.RatingsRead -> state.counted(event, now).unchanged()
         is Event.PeerTold -> state.told(event).unchanged()
         else -> state.unchanged()
     }
@@ -27,17 +27,20 @@
     private fun RouterState.askForRatings(now: Timestamp): Step {
         val last = quality.askedAt
         if (last != null && now - last < RATINGS_INTERVAL_MILLISECONDS) return unchanged()
-        return copy(quality = quality.copy(askedAt = now)).with(Effect.OfPlatform.ReadRatings(quality.next))
+        val firstPeriod = settings.ratingPeriod(now) - settings.limits.ratingPeriods + 1
+        return copy(quality = quality.since(firstPeriod).copy(askedAt = now))
+            .with(Effect.OfPlatform.ReadRatings(quality.next))
     }
 
     /** Counts the ratings, unless a later read has already been counted. */
-    private fun RouterState.counted(event: Event.OfPlatform.RatingsRead): RouterState {
+    private fun RouterState.counted(event: Event.OfPlatform.RatingsRead, now: Timestamp): RouterState {
         if (event.next <= quality.next) return this
-        val counted = event.ratings.fold(quality) { reached, rating -> reached.plus(rating, settings.origin) }
+        val origin = RatingOrigin(settings.collector, settings.ratingPeriod(now))
+        val counted = event.ratings.fold(quality) { reached, rating -> reached.plus(rating, origin) }
         return copy(quality = counted.copy(next = event.next))
     }
 
-    private fun QualityState.plus(rating: Rating, origin: String): QualityState {
+    private fun QualityState.plus(rating: Rating, origin: RatingOrigin): QualityState {
         val byOrigin = sums[rating.subject] ?: persistentMapOf()
         val one = QualityEstimate(good = if (rating.good) 1 else 0, rated = 1)
         val sum = (byOrigin[origin] ?: QualityEstimate()) + one
@@ -46,7 +49,7 @@
 
     private fun RouterState.told(event: Event.PeerTold): RouterState {
         val message = event.message as? PeerMessage.TellRatings
-        if (message == null || message.origin == settings.origin) return this
+        if (message == null || message.origin.collector == settings.collector) return this
         val merged = message.sums.entries.fold(quality) { reached, (subject, sum) ->
             reached.merged(subject, message.origin, sum)
         }
@@ -54,7 +57,7 @@
     }
 
     /** Sums of one origin only grow, so the larger one is the later one. */
-    private fun QualityState.merged(subject: RatingSubject, origin: String, sum: QualityEstimate): QualityState {
+    private fun QualityState.merged(subject: RatingSubject, origin: RatingOrigin, sum: QualityEstimate): QualityState {
         val byOrigin = sums[subject] ?: persistentMapOf()
         val known = byOrigin[origin]
         if (known != null && known.rated >= sum.rated) return this
@@ -62,11 +65,24 @@
     }
 }
 
-/** Names one start of one VM, as the origin of ratings. */
-internal val RouterSettings.origin: String get() = "$vm:$incarnation"
+/** Names one start of one VM, as the collector of ratings. */
+internal val RouterSettings.collector: String get() = "$vm:$incarnation"
 
-/** Returns the sums that this VM has collected, as a message. */
-internal fun QualityState.ownSums(settings: RouterSettings): PeerMessage.TellRatings {
-    val own = sums.mapNotNull { (subject, byOrigin) -> byOrigin[settings.origin]?.let { subject to it } }
-    return PeerMessage.TellRatings(origin = settings.origin, sums = own.toMap().toPersistentMap())
+/** Returns the number of the rating period at [now]. */
+internal fun RouterSettings.ratingPeriod(now: Timestamp): Long =
+    now.epochMilliseconds / limits.ratingPeriodMilliseconds
+
+/** Returns the sums that this VM has collected, a message for each period. */
+internal fun QualityState.ownSums(settings: RouterSettings): List<PeerMessage.TellRatings> {
+    val own = sums.flatMap { (subject, byOrigin) ->
+        byOrigin.filterKeys { it.collector == settings.collector }.map { (origin, sum) -> Triple(origin, subject, sum) }
+    }
+    return own.groupBy { it.first }.toSortedMap(compareBy { it.period })
+        .map { (origin, parts) ->
+            PeerMessage.TellRatings(origin, parts.associate { it.second to it.third }.toPersistentMap())
+        }
+        .takeLast(PERIODS_TOLD)
 }
+
+/** The rating periods that a VM tells its peers of: the current one, and the one before for late ratings. */
+private const val PERIODS_TOLD = 2
--- a/core/src/main/kotlin/org/quetzalloom/core/selection/QualityState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/selection/QualityState.kt
@@ -7,15 +7,31 @@
 /**
  * The slice of [QualityPart].
  *
- * @property sums the ratings known, by subject and by the VM start that collected them.
+ * @property sums the ratings of the latest periods, by subject and origin.
  * @property next the place from which to read this VM's ratings next.
  * @property askedAt when ratings were last asked for.
  */
 internal data class QualityState(
-    val sums: PersistentMap<RatingSubject, PersistentMap<String, QualityEstimate>> = persistentMapOf(),
+    val sums: PersistentMap<RatingSubject, PersistentMap<RatingOrigin, QualityEstimate>> = persistentMapOf(),
     val next: Long = 0,
     val askedAt: Timestamp? = null,
 ) {
     fun estimateOf(subject: RatingSubject): QualityEstimate =
         sums[subject]?.values?.fold(QualityEstimate()) { sum, part -> sum + part } ?: QualityEstimate()
+
+    /** Returns the state without the ratings of periods before [first], so that a version that turns bad is seen. */
+    fun since(first: Long): QualityState {
+        val kept = sums.entries.fold(sums) { reached, (subject, byOrigin) ->
+            val old = byOrigin.keys.filter { it.period < first }
+            if (old.isEmpty()) {
+                reached
+            } else {
+                reached.put(
+                    subject,
+                    old.fold(byOrigin) { left, origin -> left.remove(origin) }
+                )
+            }
+        }
+        return copy(sums = kept)
+    }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/selection/VersionChoice.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/selection/VersionChoice.kt
@@ -9,6 +9,7 @@
      *
      * @param options the versions allowed; not empty.
      * @param qualityTarget the share of answers that must be good.
+     * @param seed a number that differs between requests and decides what is left to chance.
      */
-    public fun choose(options: List<VersionOption>, qualityTarget: Double): Version
+    public fun choose(options: List<VersionOption>, qualityTarget: Double, seed: Long): Version
 }
--- a/daemon/src/test/kotlin/org/quetzalloom/daemon/DaemonProcessTest.kt
+++ b/daemon/src/test/kotlin/org/quetzalloom/daemon/DaemonProcessTest.kt
@@ -109,9 +109,9 @@
         assertEquals(20, again.size)
         val runs = site.books().entries.groupingBy { it.scope }.eachCount()
         assertTrue(runs.values.all { it == 1 }, "$runs")
-        val answered = again.filter { it.statusCode() == 200 }
-        assertTrue(answered.isNotEmpty())
         again.filter { it.statusCode() != 200 }.forEach { assertContains(it.body(), "outcome_unknown") }
+        assertEquals(200, command(site.vmPorts[1], "new").get()?.statusCode())
+        assertEquals(1, site.books().entries.count { it.scope == "bakery/new" })
     }
 
     @Test
--- a/wire/src/main/kotlin/org/quetzalloom/wire/peer/PeerDocument.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/peer/PeerDocument.kt
@@ -14,6 +14,7 @@
 import org.quetzalloom.core.peer.PeerMessage
 import org.quetzalloom.core.request.Fingerprint
 import org.quetzalloom.core.selection.QualityEstimate
+import org.quetzalloom.core.selection.RatingOrigin
 import org.quetzalloom.core.selection.RatingSubject
 import org.quetzalloom.wire.configuration.ConfigurationDocument
 import org.quetzalloom.wire.configuration.toConfiguration
@@ -113,7 +114,11 @@
     /** See [PeerMessage.TellRatings]. */
     @Serializable
     @SerialName("tell_ratings")
-    public data class TellRatings(public val origin: String, public val sums: List<SumDocument>) : PeerDocument
+    public data class TellRatings(
+        public val collector: String,
+        public val period: Long,
+        public val sums: List<SumDocument>,
+    ) : PeerDocument
 }
 
 /** The ratings of one subject. */
@@ -141,7 +146,8 @@
     is PeerMessage.AskSession -> PeerDocument.AskSession(workspace.value, session.value, proposed.value)
     is PeerMessage.TellSession -> PeerDocument.TellSession(workspace.value, session.value, version.value)
     is PeerMessage.TellRatings -> PeerDocument.TellRatings(
-        origin = origin,
+        collector = origin.collector,
+        period = origin.period,
         sums = sums.entries.map { (subject, sum) -> sum.toDocument(subject) },
     )
 }
@@ -171,7 +177,10 @@
     is PeerDocument.TellSession ->
         PeerMessage.TellSession(WorkspaceId(workspace), SessionId(session), VersionId(version))
     is PeerDocument.TellRatings ->
-        PeerMessage.TellRatings(origin, sums.associate { it.toSubject() to it.toEstimate() }.toPersistentMap())
+        PeerMessage.TellRatings(
+            RatingOrigin(collector, period),
+            sums.associate { it.toSubject() to it.toEstimate() }.toPersistentMap(),
+        )
 }
 
 private fun PeerDocument.Suspect.toSuspect(): PeerMessage.Suspect = PeerMessage.Suspect(
--- a/wire/src/test/kotlin/org/quetzalloom/wire/log/RecordDocumentTest.kt
+++ b/wire/src/test/kotlin/org/quetzalloom/wire/log/RecordDocumentTest.kt
@@ -29,6 +29,7 @@
 import org.quetzalloom.core.peer.PeerMessage
 import org.quetzalloom.core.request.Fingerprint
 import org.quetzalloom.core.selection.QualityEstimate
+import org.quetzalloom.core.selection.RatingOrigin
 import org.quetzalloom.core.selection.RatingSubject
 import org.quetzalloom.wire.WireFormat
 import org.quetzalloom.wire.peer.PeerDocument
@@ -85,7 +86,10 @@
             PeerMessage.Restarted(server, StartIdentity("s")),
             PeerMessage.AskSession(workspace, SessionId("s"), version),
             PeerMessage.TellSession(workspace, SessionId("s"), version),
-            PeerMessage.TellRatings("vm-1:i", persistentMapOf(subject to QualityEstimate(good = 1, rated = 2))),
+            PeerMessage.TellRatings(
+                RatingOrigin("vm-1:i", period = 3),
+                persistentMapOf(subject to QualityEstimate(good = 1, rated = 2)),
+            ),
         )
         val texts = messages.map { WireFormat.encodeToString<PeerDocument>(it.toDocument()) }
         assertEquals(messages, texts.map { WireFormat.decodeFromString<PeerDocument>(it).toMessage() })
