--- a/bench/src/main/kotlin/org/quetzalloom/bench/Policies.kt
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/Policies.kt
@@ -30,7 +30,7 @@
 /** Prints what each policy comes to for each quality target and seed, on the same input. */
 internal fun printPolicies() = listOf(HIGH_TARGET, MIDDLE_TARGET, LOW_TARGET).forEach { target ->
     policies.forEach { (name, policy) ->
-        (1L..SEEDS).forEach { seed ->
+        for (seed in 1L..SEEDS) {
             println(WireFormat.encodeToString(SelectionTrial(versions, target, seed).run(name, policy)))
         }
     }
--- a/bench/src/main/kotlin/org/quetzalloom/bench/WireSizes.kt
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/WireSizes.kt
@@ -24,28 +24,42 @@
     private val identity = UUID(0, 0).toString()
 
     fun digest(): Int =
-        WireFormat.encodeToString(PeerEnvelope(fleet.vm.value, 1_000_000, PeerMessage.Digest(1_000).toDocument())).length
+        WireFormat.encodeToString(
+            PeerEnvelope(fleet.vm.value, STAMP, PeerMessage.Digest(REVISION).toDocument())
+        ).length
 
     fun change(): Int {
         val change = ConfigurationChange.SetZone(fleet.configuration().zones.first(), inService = false)
-        return bytes(LogRecord.OfConfiguration(ConfigurationRecord.Proposed(1_000, "operator:$identity", change)))
+        return bytes(LogRecord.OfConfiguration(ConfigurationRecord.Proposed(REVISION, "operator:$identity", change)))
     }
 
     fun configuration(): Int = WireFormat.encodeToString(fleet.configuration().toDocument()).length
 
     fun bill(): Int {
         val version = fleet.configuration().versions.keys.first()
-        return bytes(LogRecord.OfBill(Bill("request:$identity", fleet.workspace, version, 220, 220_000)))
+        return bytes(LogRecord.OfBill(Bill("request:$identity", fleet.workspace, version, UNITS, COST_MICROS)))
     }
 
     fun command(): Int {
         val command = CommandId(fleet.workspace, IdempotencyKey(identity))
         val request = RequestId(identity)
         val intent = LogRecord.Intent(command, fleet.vm, request, Fingerprint(Long.MAX_VALUE))
-        val outcome = LogRecord.Outcome(command, request, CommandResult.Answered(status = 200, body = "{\"done\":true}"))
+        val outcome = LogRecord.Outcome(
+            command,
+            request,
+            CommandResult.Answered(status = STATUS, body = "{\"done\":true}")
+        )
         return bytes(intent) + bytes(outcome)
     }
 
     private fun bytes(record: LogRecord): Int =
         WireFormat.encodeToString<RecordDocument>(record.toDocument()).length
+
+    private companion object {
+        const val STAMP = 1_000_000L
+        const val REVISION = 1_000L
+        const val UNITS = 220L
+        const val COST_MICROS = 220_000L
+        const val STATUS = 200
+    }
 }
