--- a/tool/src/main/kotlin/org/quetzalloom/tool/ToolProcess.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/ToolProcess.kt
@@ -44,10 +44,12 @@
  *
  * @property logAddress host and port of the platform's log.
  * @property vms host and port of each VM, by its name.
+ * @property format returns what is printed in place of a text.
  */
 internal class ToolProcess(
     private val logAddress: String,
     private val vms: Map<String, String>,
+    private val format: (String) -> String = { it },
 ) : Interpreter<ToolEffect> {
     private val client = HttpClient(CIO) {
         install(HttpTimeout) { requestTimeoutMillis = TIMEOUT_MILLISECONDS }
@@ -77,8 +79,8 @@
             is ToolEffect.ReadLog -> scope.launch { post(readLog(effect)) }
             is ToolEffect.Append -> scope.launch { post(append(effect)) }
             is ToolEffect.Call -> scope.launch { post(call(effect)) }
-            is ToolEffect.Print -> println(effect.text)
-            is ToolEffect.Complain -> System.err.println(effect.text)
+            is ToolEffect.Print -> println(format(effect.text))
+            is ToolEffect.Complain -> System.err.println(format(effect.text))
             is ToolEffect.Exit -> exit.complete(effect.code)
         }
     }
--- a/tool/src/main/kotlin/org/quetzalloom/tool/command/ToolCommand.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/command/ToolCommand.kt
@@ -6,9 +6,11 @@
 import kotlinx.cli.Subcommand
 import kotlinx.cli.default
 import kotlinx.cli.required
+import kotlinx.serialization.encodeToString
 import org.quetzalloom.tool.ExitCode
 import org.quetzalloom.tool.ToolProcess
 import org.quetzalloom.tool.operation.Operation
+import org.quetzalloom.wire.WireFormat
 import org.quetzalloom.wire.site.Site
 import org.quetzalloom.wire.site.SiteFile
 import java.io.File
@@ -40,9 +42,13 @@
     /** Runs [operation] against the fleet of [site]. */
     protected fun run(site: Site, operation: Operation): ExitCode {
         val log = site.document.platform?.log ?: exit(ExitCode.BAD_USAGE, "the key platform.log is missing")
-        return ToolProcess(log, site.document.vms.associate { it.id to it.address }).run(operation)
+        val wraps = json && operation !is Operation.Ask
+        val format: (String) -> String = if (wraps) ::message else { text -> text }
+        return ToolProcess(log, site.document.vms.associate { it.id to it.address }, format).run(operation)
     }
 
+    private fun message(text: String): String = WireFormat.encodeToString(mapOf("message" to text))
+
     /** Ends the process with [message] as an error. */
     protected fun exit(code: ExitCode, message: String): Nothing {
         System.err.println(message)
