--- a/core/src/main/kotlin/org/quetzalloom/core/request/RequestsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/RequestsPart.kt
@@ -45,9 +45,8 @@
         return when {
             phase is Phase.Settling -> put(request.copy(callerLeft = true))
             phase is Phase.Running && request.command != null -> put(request.copy(callerLeft = true))
-            phase is Phase.Running -> release(
-                phase
-            ).drop(request).then { it.with(Effect.OfBackend.Cancel(phase.attempt)) }
+            phase is Phase.Running ->
+                release(phase).drop(request).then { it.with(Effect.OfBackend.Cancel(phase.attempt)) }
             else -> drop(request)
         }.then { it.report(now, "caller_left", "request" to event.request) }
     }
