--- a/core/src/main/kotlin/org/quetzalloom/core/error/ErrorKind.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/error/ErrorKind.kt
@@ -20,6 +20,15 @@
     /** The body is larger than the limit in the settings. */
     TOO_LARGE("body_too_large", status = 413, notRun = true, retryable = false),
 
+    /** The header is larger than the limit in force. */
+    HEADER_TOO_LARGE("header_too_large", status = 431, notRun = true, retryable = false),
+
+    /** The request did not come in within the time in force. */
+    TOO_SLOW("request_too_slow", status = 408, notRun = true, retryable = true),
+
+    /** The key of the caller is missing or unknown. */
+    UNAUTHENTICATED("key_unknown", status = 401, notRun = true, retryable = false),
+
     /** The workspace is not in the configuration. */
     UNKNOWN_WORKSPACE("unknown_workspace", status = 403, notRun = true, retryable = false),
 
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayPart.kt
@@ -0,0 +1,33 @@
+package org.quetzalloom.core.relay
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentMap
+import org.quetzalloom.core.reducer.Reducer
+import org.quetzalloom.core.reducer.Transition
+import org.quetzalloom.core.time.Timestamp
+import org.quetzalloom.core.timeline.CausalStamp
+import org.quetzalloom.core.timeline.TimelineEntry
+
+/** The transitions of a relay. */
+internal typealias RelayStep = Transition<RelayState, RelayEffect>
+
+/** A part of the relay's reducer: it reads the whole state and decides over its own slice. */
+internal fun interface RelayPart : Reducer<RelayState, RelayEvent, RelayEffect>
+
+/** Returns the transition that changes nothing. */
+internal fun RelayState.unchanged(): RelayStep = Transition(this)
+
+/** Returns the transition to this state with [effects]. */
+internal fun RelayState.with(vararg effects: RelayEffect): RelayStep = Transition(this, persistentListOf(*effects))
+
+/** Returns the transition that reports what happened, with the next causal stamp. */
+internal fun RelayState.report(now: Timestamp, name: String, vararg fields: Pair<String, Any?>): RelayStep {
+    val next = copy(stamp = stamp + 1)
+    val entry = TimelineEntry(
+        stamp = CausalStamp(counter = next.stamp, vm = settings.vm),
+        at = now,
+        name = name,
+        fields = fields.mapNotNull { (key, value) -> value?.let { key to it.toString() } }.toMap().toPersistentMap(),
+    )
+    return next.with(RelayEffect.Report(entry))
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayPolicies.kt
@@ -0,0 +1,15 @@
+package org.quetzalloom.core.relay
+
+import org.quetzalloom.core.relay.model.ConfidenceCascade
+import org.quetzalloom.core.relay.model.ModelChoice
+import org.quetzalloom.core.relay.rollout.ExposurePolicy
+import org.quetzalloom.core.relay.rollout.SteppedExposure
+import org.quetzalloom.core.relay.server.AffinityPlacement
+import org.quetzalloom.core.relay.server.Placement
+
+/** The decisions of a relay that can be exchanged, each with the one used by default. */
+public data class RelayPolicies(
+    public val modelChoice: ModelChoice = ConfidenceCascade(),
+    public val placement: Placement = AffinityPlacement(),
+    public val exposure: ExposurePolicy = SteppedExposure,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
@@ -0,0 +1,37 @@
+package org.quetzalloom.core.relay
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import org.quetzalloom.core.reducer.PartsReducer
+import org.quetzalloom.core.reducer.Reducer
+import org.quetzalloom.core.reducer.Transition
+import org.quetzalloom.core.relay.exchange.ExchangesPart
+import org.quetzalloom.core.relay.feed.FeedsPart
+import org.quetzalloom.core.relay.member.MembersPart
+import org.quetzalloom.core.relay.rollout.RolloutsPart
+import org.quetzalloom.core.relay.routing.RoutingPart
+import org.quetzalloom.core.relay.server.ServersPart
+import org.quetzalloom.core.relay.stop.StopPart
+import org.quetzalloom.core.time.Timestamp
+
+/**
+ * The one reducer of a relay, over all its events.
+ *
+ * Each part sees every event, in a fixed order, with the state that the parts before it have left.
+ */
+public object RelayReducer : Reducer<RelayState, RelayEvent, RelayEffect> {
+    internal val parts: PersistentList<RelayPart> = persistentListOf(
+        FeedsPart,
+        RoutingPart,
+        ServersPart,
+        MembersPart,
+        RolloutsPart,
+        ExchangesPart,
+        StopPart,
+    )
+
+    private val composed = PartsReducer(parts)
+
+    override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): Transition<RelayState, RelayEffect> =
+        composed.reduce(state, event, now)
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelaySettings.kt
@@ -0,0 +1,38 @@
+package org.quetzalloom.core.relay
+
+import org.quetzalloom.core.identity.AvailabilityZoneId
+import org.quetzalloom.core.identity.VmId
+import org.quetzalloom.core.relay.feed.Feed
+
+/**
+ * What a relay is told at its start.
+ *
+ * @property graceMilliseconds the time between the request to stop and the kill.
+ * @property repeatRatio the repeats that a service may get for each request, in any [repeatWindowMilliseconds].
+ * @property repeatSlack the repeats that a service may get besides, from all routers together.
+ * @property serversPauseMilliseconds the time between two reads of the list of backend servers.
+ */
+public data class RelaySettings(
+    public val vm: VmId,
+    public val zone: AvailabilityZoneId,
+    public val graceMilliseconds: Long,
+    public val repeatRatio: Double,
+    public val repeatWindowMilliseconds: Long,
+    public val repeatSlack: Double,
+    public val serversPauseMilliseconds: Long = SERVERS_PAUSE_MILLISECONDS,
+) {
+    /** Returns the time between two reads of [feed]. A waiting read needs none. */
+    internal fun pause(feed: Feed): Long = when (feed) {
+        Feed.ORDERS -> 0
+        Feed.SERVERS -> serversPauseMilliseconds
+        Feed.STATUS -> STATUS_PAUSE_MILLISECONDS
+    }
+
+    private companion object {
+        /** A leaving server must get nothing 2 s after the store knows; this leaves room for two failed reads. */
+        const val SERVERS_PAUSE_MILLISECONDS = 700L
+
+        /** A reverted version must get nothing within seconds. */
+        const val STATUS_PAUSE_MILLISECONDS = 700L
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
@@ -0,0 +1,44 @@
+package org.quetzalloom.core.relay
+
+import org.quetzalloom.core.relay.exchange.ExchangesState
+import org.quetzalloom.core.relay.feed.FeedsState
+import org.quetzalloom.core.relay.member.MembersState
+import org.quetzalloom.core.relay.rollout.RolloutsState
+import org.quetzalloom.core.relay.routing.RoutingTable
+import org.quetzalloom.core.relay.server.ServersState
+import org.quetzalloom.core.relay.stop.StopState
+
+/**
+ * Everything that one relay knows. Immutable; a slice for each part of the reducer.
+ *
+ * @property settings what the relay was told at its start, or at the last change of its settings.
+ * @property policies the decisions that can be exchanged.
+ */
+@ConsistentCopyVisibility
+public data class RelayState internal constructor(
+    public val settings: RelaySettings,
+    public val policies: RelayPolicies,
+    internal val stamp: Long = 0,
+    internal val routing: RoutingTable? = null,
+    internal val feeds: FeedsState = FeedsState(),
+    internal val servers: ServersState = ServersState(),
+    internal val members: MembersState = MembersState(),
+    internal val rollouts: RolloutsState = RolloutsState(),
+    internal val exchanges: ExchangesState = ExchangesState(),
+    internal val stop: StopState = StopState(),
+) {
+    /** Requests that have not been answered yet. */
+    public val activeExchanges: Int get() = exchanges.byId.size
+
+    /** Backend servers that are known, whether usable or not. */
+    public val knownServers: Int get() = servers.views.size
+
+    /** The version of the configuration in force, or `null` before the first. */
+    public val configurationVersion: Long? get() = routing?.version
+
+    public companion object {
+        /** Returns the state of a relay that has just started with [settings]. */
+        public fun initial(settings: RelaySettings, policies: RelayPolicies = RelayPolicies()): RelayState =
+            RelayState(settings, policies)
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Answers.kt
@@ -0,0 +1,81 @@
+package org.quetzalloom.core.relay.exchange
+
+import org.quetzalloom.core.reducer.then
+import org.quetzalloom.core.relay.RelayEffect
+import org.quetzalloom.core.relay.RelayEvent
+import org.quetzalloom.core.relay.RelayState
+import org.quetzalloom.core.relay.RelayStep
+import org.quetzalloom.core.relay.report
+import org.quetzalloom.core.relay.server.takeAnswer
+import org.quetzalloom.core.relay.unchanged
+import org.quetzalloom.core.relay.with
+import org.quetzalloom.core.time.Timestamp
+
+/** Returns the transition that takes the head of an answer: passes it on, or drops it and asks elsewhere. */
+internal fun RelayState.answerStarted(event: RelayEvent.AnswerStarted, now: Timestamp): RelayStep {
+    val exchange = exchanges.byId[event.exchange] ?: return unchanged()
+    val attempt = exchange.currentOrNull(event.attempt) ?: return unchanged()
+    val heard = copy(servers = servers.update(attempt.server) { it.takeAnswer(event.head, now) })
+    return when {
+        event.head.notRun -> heard.refusedByServer(exchange, attempt, event.head, now)
+        exchange.passing -> heard.goOn(exchange, attempt, event.head, now)
+        event.head.isServerFailure -> heard.failedByServer(exchange, attempt, event.head, now)
+        event.head.isSuccess -> heard.succeeded(exchange, attempt, event.head, now)
+        else -> heard.passOn(exchange, attempt)
+    }
+}
+
+/** Returns the transition that ends an exchange whose answer has been passed on whole. */
+internal fun RelayState.answerFinished(event: RelayEvent.AnswerFinished, now: Timestamp): RelayStep {
+    val exchange = exchanges.byId[event.exchange] ?: return unchanged()
+    val attempt = exchange.currentOrNull(event.attempt) ?: return unchanged()
+    return release(attempt).copy(exchanges = exchanges.without(exchange.id))
+        .reportEnd(exchange, "answered", now)
+}
+
+private fun RelayState.passOn(exchange: Exchange, attempt: Attempt): RelayStep =
+    copy(exchanges = exchanges.with(exchange.copy(passing = true, mayHaveRun = true)))
+        .with(RelayEffect.PassOn(exchange.id, attempt.number))
+
+/** A stream that was broken goes on with the answer of another backend server, if that is a success too. */
+private fun RelayState.goOn(exchange: Exchange, attempt: Attempt, head: AnswerHead, now: Timestamp): RelayStep =
+    if (head.isSuccess) passOn(exchange, attempt) else tryElsewhere(exchange, attempt, "resumption_failed", now)
+
+private fun RelayState.succeeded(exchange: Exchange, attempt: Attempt, head: AnswerHead, now: Timestamp): RelayStep {
+    val better = betterModelOrNull(exchange, head, now) ?: return passOn(exchange, attempt)
+    val next = exchange.copy(model = better, mayHaveRun = true, runs = exchange.runs + 1)
+    return copy(exchanges = exchanges.with(next)).abandon(next)
+        .then {
+            it.report(
+                now,
+                "answer_dropped",
+                "request" to exchange.request.callerId,
+                "confidence" to head.confidence,
+                "model" to exchange.modelName,
+                "next_model" to next.modelName,
+            )
+        }
+        .then { it.place(next.copy(attempt = null), now) }
+}
+
+private fun RelayState.betterModelOrNull(exchange: Exchange, head: AnswerHead, now: Timestamp): Int? {
+    val confidence = head.confidence ?: return null
+    if (!exchange.request.wantsModel || !mayRunOnceMore(exchange, now)) return null
+    return policies.modelChoice.nextOrNull(exchange.route, exchange.request, exchange.model, confidence)
+}
+
+/** Returns whether [exchange], which may have run, may be sent to one more backend server. */
+internal fun RelayState.mayRunOnceMore(exchange: Exchange, now: Timestamp): Boolean =
+    exchange.route.mayRunAgain && exchange.runs + 1 < exchange.route.maximumAttempts && budgetLeft(exchange, now)
+
+private fun RelayState.failedByServer(
+    exchange: Exchange,
+    attempt: Attempt,
+    head: AnswerHead,
+    now: Timestamp,
+): RelayStep =
+    if (mayRunOnceMore(exchange, now)) {
+        tryElsewhere(exchange, attempt, "status_${head.status}", now)
+    } else {
+        passOn(exchange, attempt)
+    }
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
@@ -0,0 +1,106 @@
+package org.quetzalloom.core.relay.exchange
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.map
+import org.quetzalloom.core.error.ErrorKind
+import org.quetzalloom.core.error.RouterError
+import org.quetzalloom.core.identity.WorkspaceId
+import org.quetzalloom.core.reducer.then
+import org.quetzalloom.core.relay.RelayEffect
+import org.quetzalloom.core.relay.RelayEvent
+import org.quetzalloom.core.relay.RelayState
+import org.quetzalloom.core.relay.RelayStep
+import org.quetzalloom.core.relay.report
+import org.quetzalloom.core.relay.routing.Route
+import org.quetzalloom.core.relay.routing.RoutingTable
+import org.quetzalloom.core.relay.routing.ServiceName
+import org.quetzalloom.core.relay.with
+import org.quetzalloom.core.router.bucketOf
+import org.quetzalloom.core.time.Timestamp
+
+/** A request may wait this share of its time for a backend server; the rest is needed to answer it. */
+internal const val WAIT_DIVISOR = 4
+
+/** The time after which a caller may come back to a relay that has no configuration yet. */
+private const val NOT_READY_RETRY_MILLISECONDS = 500L
+
+private class Admission(val route: Route, val workspace: WorkspaceId?)
+
+/** Returns the transition that admits a request and sends it, or refuses it. */
+internal fun RelayState.arrive(event: RelayEvent.RequestArrived, now: Timestamp): RelayStep =
+    admit(event.request).fold(
+        success = { begin(event, it, now) },
+        failure = { refuseArrival(event, it, now) },
+    )
+
+private fun RelayState.admit(request: RelayRequest): Result<Admission, RouterError> =
+    routingOrError().andThen { table ->
+        table.find(request).andThen { route ->
+            table.authenticate(request, route).map { Admission(route, it) }
+        }
+    }
+
+private fun RelayState.routingOrError(): Result<RoutingTable, RouterError> =
+    routing?.let { Ok(it) } ?: Err(RouterError(ErrorKind.NOT_READY, "no configuration has been read yet"))
+
+private fun RoutingTable.find(request: RelayRequest): Result<Route, RouterError> =
+    routeOrNull(request.host, request.path)?.let { Ok(it) }
+        ?: Err(RouterError(ErrorKind.UNKNOWN_TARGET, "no route for this host and path"))
+
+private fun RoutingTable.authenticate(request: RelayRequest, route: Route): Result<WorkspaceId?, RouterError> {
+    val keys = workspacesByKey ?: return Ok(null)
+    val workspace = request.key?.let { keys[it] }
+    return if (workspace != null || route.public) {
+        Ok(workspace)
+    } else {
+        Err(RouterError(ErrorKind.UNAUTHENTICATED, "the key is missing or unknown"))
+    }
+}
+
+private fun RelayState.refuseArrival(event: RelayEvent.RequestArrived, error: RouterError, now: Timestamp): RelayStep {
+    val retryAfter = NOT_READY_RETRY_MILLISECONDS.takeIf { error.kind == ErrorKind.NOT_READY }
+    return with(RelayEffect.Refuse(event.exchange, error.kind, error.detail, retryAfter)).then {
+        it.report(
+            now,
+            "request_refused",
+            "request" to event.request.callerId,
+            "kind" to error.kind.code,
+            "path" to event.request.path,
+            "host" to event.request.host,
+            "version" to routing?.version,
+        )
+    }
+}
+
+private fun RelayState.begin(event: RelayEvent.RequestArrived, admission: Admission, now: Timestamp): RelayStep {
+    val request = event.request
+    val route = admission.route
+    val time = minOf(request.timeLeftMilliseconds ?: Long.MAX_VALUE, route.timeoutMilliseconds)
+    val exchange = Exchange(
+        id = event.exchange,
+        request = request,
+        route = route,
+        service = route.draw(request),
+        workspace = admission.workspace,
+        arrivedAt = now,
+        deadlineAt = now + time,
+        waitUntil = now + time / WAIT_DIVISOR,
+        model = if (request.wantsModel) policies.modelChoice.first(route, request) else 0,
+        lastEventId = request.lastEventId,
+    )
+    val budget = (exchanges.budgets[exchange.service] ?: RepeatBudget()).countFirst(now)
+    val counted = exchanges.copy(budgets = exchanges.budgets.put(exchange.service, budget))
+    return copy(exchanges = counted.with(exchange)).place(exchange, now)
+}
+
+private fun Route.draw(request: RelayRequest): ServiceName {
+    val total = splits.sumOf { it.weight }
+    if (splits.size == 1 || total <= 0) return splits.first().service
+    val drawn = bucketOf(request.callerId ?: request.path, total)
+    val reached = splits.runningFold(0) { sum, split -> sum + split.weight }.drop(1)
+    return splits[reached.indexOfFirst { drawn < it }].service
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempt.kt
@@ -0,0 +1,19 @@
+package org.quetzalloom.core.relay.exchange
+
+import org.quetzalloom.core.identity.BackendServerId
+import org.quetzalloom.core.time.Timestamp
+
+/**
+ * One try of a request at one backend server.
+ *
+ * @property number from 1.
+ * @property version the version of the backend server's software.
+ * @property model the place of the model among those of the route, from 0.
+ */
+internal data class Attempt(
+    val number: Int,
+    val server: BackendServerId,
+    val version: String,
+    val model: Int,
+    val sentAt: Timestamp,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
@@ -0,0 +1,134 @@
+package org.quetzalloom.core.relay.exchange
+
+import org.quetzalloom.core.error.ErrorKind
+import org.quetzalloom.core.reducer.then
+import org.quetzalloom.core.relay.RelayEffect
+import org.quetzalloom.core.relay.RelayState
+import org.quetzalloom.core.relay.RelayStep
+import org.quetzalloom.core.relay.report
+import org.quetzalloom.core.relay.server.PlacementRequest
+import org.quetzalloom.core.relay.server.ServerView
+import org.quetzalloom.core.relay.server.allowed
+import org.quetzalloom.core.relay.server.takeSend
+import org.quetzalloom.core.relay.server.toCandidate
+import org.quetzalloom.core.relay.unchanged
+import org.quetzalloom.core.relay.with
+import org.quetzalloom.core.time.Timestamp
+
+/** A stream that has not begun after this many times its target is tried elsewhere. */
+private const val FIRST_SILENCE_TARGETS = 4
+
+/** A stream whose pause is this many times the longest that is still on time goes on elsewhere. */
+private const val SILENCE_GAPS = 3
+
+/** An answer that may be asked for again is, when it has not come after this many times its target. */
+private const val PLAIN_SILENCE_TARGETS = 3
+
+/** The shortest silence that says something, in milliseconds: many answers take longer than their target. */
+private const val SHORTEST_SILENCE_MILLISECONDS = 300L
+
+/** The time after which a caller may come back when no backend server could take its request. */
+private const val NO_CAPACITY_RETRY_MILLISECONDS = 250L
+
+/** Returns the transition that sends [exchange] to a backend server, or leaves it waiting if none can take it. */
+internal fun RelayState.place(exchange: Exchange, now: Timestamp): RelayStep {
+    val allowed = allowed(exchange, now).filter { it.listing.id !in exchange.tried }
+    val chosen = policies.placement.chooseOrNull(allowed.map { it.toCandidate(now) }, placementRequest(exchange))
+    val view = chosen?.let { servers.views[it.server] }
+    return if (view == null) wait(exchange, now) else send(exchange, view, now)
+}
+
+private fun RelayState.placementRequest(exchange: Exchange): PlacementRequest = PlacementRequest(
+    subject = exchange.request.subjectOrNull?.id,
+    seed = (exchange.request.callerId ?: exchange.request.path) + exchange.attempts,
+    zone = settings.zone,
+)
+
+private fun RelayState.wait(exchange: Exchange, now: Timestamp): RelayStep {
+    val waiting = copy(exchanges = exchanges.with(exchange.copy(attempt = null)))
+    return if (now < exchange.waitUntil) waiting.unchanged() else waiting.giveUp(exchange, now)
+}
+
+/** Returns the transition that ends [exchange], for which no backend server is left. */
+internal fun RelayState.giveUp(exchange: Exchange, now: Timestamp): RelayStep = when {
+    exchange.passing -> cutOff(exchange, "no_server", now)
+    exchange.mayHaveRun -> fail(exchange, ErrorKind.BACKEND_FAILED, "no backend server gave a whole answer", now)
+    else -> fail(exchange, ErrorKind.NO_CAPACITY, "no backend server could take the request", now)
+}
+
+/** Returns the transition that answers [exchange] with an error of the relay's own. */
+internal fun RelayState.fail(exchange: Exchange, kind: ErrorKind, detail: String, now: Timestamp): RelayStep {
+    val retryAfter = NO_CAPACITY_RETRY_MILLISECONDS.takeIf { kind.notRun && kind.retryable }
+    return copy(exchanges = exchanges.without(exchange.id))
+        .with(RelayEffect.Refuse(exchange.id, kind, detail, retryAfter))
+        .then { it.reportEnd(exchange, "refused", now, "kind" to kind.code) }
+}
+
+/** Returns the transition that breaks off the answer of [exchange], which the caller has in part. */
+internal fun RelayState.cutOff(exchange: Exchange, reason: String, now: Timestamp): RelayStep =
+    copy(exchanges = exchanges.without(exchange.id))
+        .with(RelayEffect.CutOff(exchange.id))
+        .then { it.reportEnd(exchange, "cut_off", now, "reason" to reason) }
+
+private fun RelayState.send(exchange: Exchange, view: ServerView, now: Timestamp): RelayStep {
+    val attempt = Attempt(
+        number = exchange.attempts + 1,
+        server = view.listing.id,
+        version = view.listing.version,
+        model = exchange.model,
+        sentAt = now,
+    )
+    val sent = exchange.copy(attempt = attempt, attempts = attempt.number)
+    val next = copy(
+        exchanges = countRepeat(exchange, now).with(sent),
+        servers = servers.update(view.listing.id) { it.takeSend(now) },
+    )
+    return next.with(RelayEffect.Send(exchange.id, attempt.number, order(exchange, view, now)))
+        .then { it.reportSend(sent, view, now) }
+}
+
+private fun RelayState.countRepeat(exchange: Exchange, now: Timestamp): ExchangesState {
+    if (exchange.attempts == 0) return exchanges
+    val budget = (exchanges.budgets[exchange.service] ?: RepeatBudget()).countRepeat(now)
+    return exchanges.copy(budgets = exchanges.budgets.put(exchange.service, budget))
+}
+
+private fun RelayState.reportSend(exchange: Exchange, view: ServerView, now: Timestamp): RelayStep = report(
+    now,
+    "attempt_sent",
+    "request" to exchange.request.callerId,
+    "attempt" to exchange.attempts,
+    "server" to view.listing.id,
+    "service" to exchange.service,
+    "server_version" to view.listing.version,
+    "model" to exchange.modelName,
+    "in_flight" to view.inFlight,
+    "load" to view.loadAt(now),
+    "configuration" to routing?.version,
+    "listed_ms_ago" to servers.listReadAt?.let { now - it },
+    "time_left_ms" to (exchange.deadlineAt - now),
+    "last_event_id" to exchange.lastEventId,
+)
+
+private fun RelayState.order(exchange: Exchange, view: ServerView, now: Timestamp): SendOrder {
+    val route = exchange.route
+    val connections = routing?.services?.get(exchange.service)?.maximumConnections ?: Int.MAX_VALUE
+    return SendOrder(
+        server = view.listing.id,
+        address = view.listing.address,
+        maximumConnections = (connections / members.shareholders).coerceAtLeast(1),
+        timeLeftMilliseconds = (exchange.deadlineAt - now).coerceAtLeast(1),
+        workspace = exchange.workspace,
+        model = exchange.modelName,
+        lastEventId = exchange.lastEventId,
+        streaming = route.streaming,
+        firstSilenceMilliseconds = if (route.mayRunAgain) firstSilence(exchange) else null,
+        silenceMilliseconds = (route.gapMilliseconds * SILENCE_GAPS).takeIf { route.resumable && it > 0 },
+        mustBeSure = !route.mayRunAgain,
+    )
+}
+
+private fun firstSilence(exchange: Exchange): Long {
+    val targets = if (exchange.route.streaming) FIRST_SILENCE_TARGETS else PLAIN_SILENCE_TARGETS
+    return maxOf(exchange.route.targetMilliseconds * targets, SHORTEST_SILENCE_MILLISECONDS)
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ExchangesState.kt
@@ -0,0 +1,21 @@
+package org.quetzalloom.core.relay.exchange
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import org.quetzalloom.core.relay.routing.ServiceName
+
+/**
+ * The requests that have not been answered yet.
+ *
+ * @property budgets the repeats of late, by service.
+ */
+internal data class ExchangesState(
+    val byId: PersistentMap<ExchangeId, Exchange> = persistentMapOf(),
+    val budgets: PersistentMap<ServiceName, RepeatBudget> = persistentMapOf(),
+) {
+    /** Returns the state with [exchange]. */
+    fun with(exchange: Exchange): ExchangesState = copy(byId = byId.put(exchange.id, exchange))
+
+    /** Returns the state without the exchange [id]. */
+    fun without(id: ExchangeId): ExchangesState = copy(byId = byId.remove(id))
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
@@ -0,0 +1,124 @@
+package org.quetzalloom.core.relay.exchange
+
+import org.quetzalloom.core.error.ErrorKind
+import org.quetzalloom.core.reducer.then
+import org.quetzalloom.core.reducer.thenEach
+import org.quetzalloom.core.relay.RelayEvent
+import org.quetzalloom.core.relay.RelayState
+import org.quetzalloom.core.relay.RelayStep
+import org.quetzalloom.core.relay.report
+import org.quetzalloom.core.relay.server.takeFailure
+import org.quetzalloom.core.relay.unchanged
+import org.quetzalloom.core.time.Timestamp
+
+/** Backend servers that may refuse a request, beside those that run it. */
+private const val MOST_REFUSALS = 4
+
+/** Returns the transition that takes the loss of an attempt: resumes, repeats, or ends the exchange. */
+internal fun RelayState.attemptBroke(event: RelayEvent.AttemptBroke, now: Timestamp): RelayStep {
+    val exchange = exchanges.byId[event.exchange] ?: return unchanged()
+    val attempt = exchange.currentOrNull(event.attempt) ?: return unchanged()
+    val failure = event.failure
+    val known = copy(servers = servers.update(attempt.server) { it.takeFailure(failure, now) }).release(attempt)
+    val broken = exchange.copy(attempt = null, lastEventId = event.lastEventId ?: exchange.lastEventId)
+    return known.report(
+        now,
+        "attempt_failed",
+        "request" to exchange.request.callerId,
+        "attempt" to attempt.number,
+        "server" to attempt.server,
+        "failure" to failure,
+        "after_ms" to (now - attempt.sentAt),
+        "passing" to exchange.passing,
+        "last_event_id" to broken.lastEventId,
+    ).then {
+        if (failure.sent) {
+            it.lost(broken, attempt, now)
+        } else {
+            it.retryNotRun(broken.copy(tried = broken.tried.add(attempt.server)), now)
+        }
+    }
+}
+
+private fun RelayState.lost(exchange: Exchange, attempt: Attempt, now: Timestamp): RelayStep {
+    val ran = exchange.copy(mayHaveRun = true)
+    return when {
+        !mayRunOnceMore(ran, now) -> giveUp(ran, now)
+        ran.passing && !ran.route.resumable -> giveUp(ran, now)
+        else -> place(ran.afterRun(attempt, now), now)
+    }
+}
+
+private fun Exchange.afterRun(attempt: Attempt, now: Timestamp): Exchange = copy(
+    runs = runs + 1,
+    tried = tried.add(attempt.server),
+    waitUntil = maxOf(waitUntil, now + (deadlineAt - now) / WAIT_DIVISOR),
+)
+
+/** Returns the transition that goes on with [exchange] at another server than that of [attempt], which ran it. */
+internal fun RelayState.tryElsewhere(
+    exchange: Exchange,
+    attempt: Attempt,
+    reason: String,
+    now: Timestamp,
+): RelayStep = unchanged().then {
+    it.report(
+        now,
+        "attempt_repeated",
+        "request" to exchange.request.callerId,
+        "attempt" to attempt.number,
+        "server" to attempt.server,
+        "reason" to reason,
+    )
+}.then { it.abandon(it.exchanges.byId[exchange.id] ?: exchange) }
+    .then { it.lost(exchange.copy(attempt = null), attempt, now) }
+
+/** Returns the transition that takes an answer which says that the request has not run. */
+internal fun RelayState.refusedByServer(
+    exchange: Exchange,
+    attempt: Attempt,
+    head: AnswerHead,
+    now: Timestamp,
+): RelayStep = abandon(exchange).then {
+    it.report(
+        now,
+        "attempt_refused",
+        "request" to exchange.request.callerId,
+        "attempt" to attempt.number,
+        "server" to attempt.server,
+        "status" to head.status,
+        "misdirected" to head.misdirected,
+    )
+}.then { it.retryNotRun(exchange.copy(attempt = null, tried = exchange.tried.add(attempt.server)), now) }
+
+private fun RelayState.retryNotRun(exchange: Exchange, now: Timestamp): RelayStep {
+    val refusals = exchange.attempts - exchange.runs
+    val allowed = refusals < MOST_REFUSALS && budgetLeft(exchange, now)
+    return if (allowed) place(exchange, now) else giveUp(exchange, now)
+}
+
+/** Returns whether this router may send one more repeat to the service of [exchange]. */
+internal fun RelayState.budgetLeft(exchange: Exchange, now: Timestamp): Boolean =
+    exchanges.budgets[exchange.service]?.mayRepeat(settings, members.shareholders, now) ?: false
+
+/** Returns the transition that ends what has reached its deadline, and places what waits. */
+internal fun RelayState.checkTimes(now: Timestamp): RelayStep {
+    val due = exchanges.byId.values.filter { now >= it.deadlineAt }
+    val waiting = exchanges.byId.values.filter { it.attempt == null && now < it.deadlineAt }.sortedBy { it.urgency }
+    return unchanged().thenEach(due) { reached, exchange -> reached.expire(exchange, now) }
+        .thenEach(waiting) { reached, exchange -> reached.place(exchange, now) }
+}
+
+private val Exchange.urgency: Long get() = route.priority * PRIORITY_STEP + deadlineAt.epochMilliseconds % PRIORITY_STEP
+
+/** More milliseconds than a deadline is away, so that the priority goes before the deadline. */
+private const val PRIORITY_STEP = 1_000_000_000_000_000L
+
+private fun RelayState.expire(exchange: Exchange, now: Timestamp): RelayStep = abandon(exchange).then {
+    val sent = exchange.mayHaveRun || exchange.attempt != null
+    when {
+        exchange.passing -> it.cutOff(exchange, "deadline", now)
+        sent -> it.fail(exchange, ErrorKind.DEADLINE_EXCEEDED, "the deadline passed while the request ran", now)
+        else -> it.giveUp(exchange, now)
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/RepeatBudget.kt
@@ -0,0 +1,52 @@
+package org.quetzalloom.core.relay.exchange
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import org.quetzalloom.core.relay.RelaySettings
+import org.quetzalloom.core.time.Timestamp
+
+/**
+ * Counts the requests of a service and their repeats, of which there may be only so many in any window.
+ *
+ * Counts are kept by the second. A window of repeats is rounded up to whole seconds and one of requests down, so that the
+ * bound holds for every window.
+ *
+ * @property firsts first attempts, by the second in which they were sent.
+ * @property repeats further attempts, by the second in which they were sent.
+ */
+internal data class RepeatBudget(
+    val firsts: PersistentMap<Long, Int> = persistentMapOf(),
+    val repeats: PersistentMap<Long, Int> = persistentMapOf(),
+) {
+    /** Returns the budget after a first attempt at [now]. */
+    fun countFirst(now: Timestamp): RepeatBudget = copy(firsts = firsts.increment(now))
+
+    /** Returns the budget after a further attempt at [now]. */
+    fun countRepeat(now: Timestamp): RepeatBudget = copy(repeats = repeats.increment(now))
+
+    /** Returns whether this router may make one more repeat at [now], as one of [shareholders] routers. */
+    fun mayRepeat(settings: RelaySettings, shareholders: Int, now: Timestamp): Boolean {
+        val second = now.second
+        val span = settings.repeatWindowMilliseconds / MILLISECONDS_PER_SECOND
+        val requests = firsts.entries.sumOf { (at, count) -> if (at > second - span) count else 0 }
+        val made = repeats.entries.sumOf { (at, count) -> if (at >= second - span) count else 0 }
+        val allowed = settings.repeatRatio * requests * RESERVE + Math.floor(settings.repeatSlack / shareholders)
+        return made + 1 <= allowed
+    }
+
+    private fun PersistentMap<Long, Int>.increment(now: Timestamp): PersistentMap<Long, Int> {
+        val second = now.second
+        val kept = keys.filter { it < second - LONGEST_WINDOW_SECONDS }.fold(this) { counts, old -> counts.remove(old) }
+        return kept.put(second, (kept[second] ?: 0) + 1)
+    }
+
+    private val Timestamp.second: Long get() = Math.floorDiv(epochMilliseconds, MILLISECONDS_PER_SECOND)
+
+    private companion object {
+        const val MILLISECONDS_PER_SECOND = 1_000L
+        const val LONGEST_WINDOW_SECONDS = 60L
+
+        /** The share of the bound that is used; the rest is for what arrives later than it was sent. */
+        const val RESERVE = 0.9
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersPart.kt
@@ -0,0 +1,99 @@
+package org.quetzalloom.core.relay.member
+
+import kotlinx.collections.immutable.toPersistentSet
+import org.quetzalloom.core.reducer.then
+import org.quetzalloom.core.relay.RelayEffect
+import org.quetzalloom.core.relay.RelayEvent
+import org.quetzalloom.core.relay.RelayPart
+import org.quetzalloom.core.relay.RelayState
+import org.quetzalloom.core.relay.RelayStep
+import org.quetzalloom.core.relay.report
+import org.quetzalloom.core.relay.unchanged
+import org.quetzalloom.core.relay.with
+import org.quetzalloom.core.time.Timestamp
+
+/** Keeps this router in the group of routers, and knows the others. */
+internal object MembersPart : RelayPart {
+    /** The time between two joins; a third of the time to live of a member. */
+    private const val JOIN_INTERVAL_MILLISECONDS = 1_000L
+
+    /** After this time without a confirmation the duty has passed to another router. */
+    private const val DUTY_MILLISECONDS = 2_000L
+
+    /** The time after a failed call before the next. */
+    private const val PAUSE_MILLISECONDS = 500L
+
+    override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
+        RelayEvent.Tick -> state.joinIfDue(now).then { it.listIfDue(now) }.then { it.dropDutyIfLate(now) }
+        is RelayEvent.GroupJoined -> state.joined(event, now)
+        is RelayEvent.GroupFailed -> state.failed(event, now)
+        is RelayEvent.MembersListed -> state.listed(event, now)
+        else -> state.unchanged()
+    }
+
+    private fun RelayState.joinIfDue(now: Timestamp): RelayStep {
+        if (members.joining || now < members.joinDueAt || stop.requestedAt != null) return unchanged()
+        return copy(members = members.copy(joining = true)).with(RelayEffect.JoinGroup(members.generation))
+    }
+
+    private fun RelayState.listIfDue(now: Timestamp): RelayStep {
+        val stale = members.generation != members.listedGeneration
+        if (!stale || members.listing || now < members.listDueAt) return unchanged()
+        return copy(members = members.copy(listing = true)).with(RelayEffect.ListMembers(members.generation))
+    }
+
+    private fun RelayState.dropDutyIfLate(now: Timestamp): RelayStep {
+        val late = members.joinedAt?.let { now - it > DUTY_MILLISECONDS } ?: true
+        if (!members.holdsDuty || !late) return unchanged()
+        return copy(members = members.copy(holdsDuty = false)).report(now, "duty_lost", "reason" to "not_confirmed")
+    }
+
+    private fun RelayState.joined(event: RelayEvent.GroupJoined, now: Timestamp): RelayStep {
+        val next = copy(
+            members = members.copy(
+                generation = event.generation,
+                holdsDuty = event.holdsDuty,
+                joinedAt = now,
+                joinDueAt = now + JOIN_INTERVAL_MILLISECONDS,
+                joining = false,
+                failures = 0,
+            ),
+        )
+        val changed = event.holdsDuty != members.holdsDuty || members.joinedAt == null
+        return if (changed) next.reportDuty(event, now) else next.unchanged()
+    }
+
+    private fun RelayState.reportDuty(event: RelayEvent.GroupJoined, now: Timestamp): RelayStep =
+        report(now, "group_joined", "generation" to event.generation, "duty" to event.holdsDuty)
+
+    private fun RelayState.failed(event: RelayEvent.GroupFailed, now: Timestamp): RelayStep {
+        val next = copy(
+            members = members.copy(
+                joining = false,
+                listing = false,
+                joinDueAt = now + PAUSE_MILLISECONDS,
+                listDueAt = now + PAUSE_MILLISECONDS,
+                failures = members.failures + 1,
+            ),
+        )
+        return if (members.failures == 0) next.report(now, "group_lost", "detail" to event.detail) else next.unchanged()
+    }
+
+    private fun RelayState.listed(event: RelayEvent.MembersListed, now: Timestamp): RelayStep {
+        val next = members.copy(
+            vms = event.vms.toPersistentSet().add(settings.vm),
+            listedGeneration = event.generation,
+            listing = false,
+            listDueAt = now + PAUSE_MILLISECONDS,
+        )
+        val changed = copy(members = next)
+        return if (next.vms == members.vms) changed.unchanged() else changed.reportMembers(now)
+    }
+
+    private fun RelayState.reportMembers(now: Timestamp): RelayStep = report(
+        now,
+        "members_changed",
+        "generation" to members.listedGeneration,
+        "members" to members.vms.size,
+    )
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersState.kt
@@ -0,0 +1,38 @@
+package org.quetzalloom.core.relay.member
+
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentSetOf
+import org.quetzalloom.core.identity.VmId
+import org.quetzalloom.core.time.Timestamp
+
+/**
+ * Who else routes.
+ *
+ * @property generation the generation of the group that was last heard; 0 before the first.
+ * @property vms the members, as of [listedGeneration]; empty before they were first read.
+ * @property holdsDuty whether this router performs what only one of them may.
+ * @property joinedAt when the group last confirmed this router.
+ * @property joinDueAt when it joins again.
+ * @property joining whether a call to join is under way.
+ * @property listing whether a call to list the members is under way.
+ */
+internal data class MembersState(
+    val generation: Long = 0,
+    val vms: PersistentSet<VmId> = persistentSetOf(),
+    val listedGeneration: Long = 0,
+    val holdsDuty: Boolean = false,
+    val joinedAt: Timestamp? = null,
+    val joinDueAt: Timestamp = Timestamp.EPOCH,
+    val joining: Boolean = false,
+    val listing: Boolean = false,
+    val listDueAt: Timestamp = Timestamp.EPOCH,
+    val failures: Int = 0,
+) {
+    /** The routers that share fleet-wide limits: those known, or many where none are known yet. */
+    val shareholders: Int get() = if (vms.isEmpty()) UNKNOWN_FLEET_SIZE else vms.size
+
+    private companion object {
+        /** Routers; the size that the system is designed for, so that a router that knows nothing takes nearly nothing. */
+        const val UNKNOWN_FLEET_SIZE = 400
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutsState.kt
@@ -0,0 +1,17 @@
+package org.quetzalloom.core.relay.rollout
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import org.quetzalloom.core.relay.routing.ServiceName
+
+/** The roll-outs that this router knows, the latest of each service. */
+internal data class RolloutsState(
+    val byService: PersistentMap<ServiceName, RolloutProgress> = persistentMapOf(),
+) {
+    /** The roll-outs that are neither completed nor reverted. */
+    val active: List<RolloutProgress> get() = byService.values.filter { it.open }
+
+    /** Returns the state with [progress] for its service. */
+    fun with(progress: RolloutProgress): RolloutsState =
+        copy(byService = byService.put(progress.order.service, progress))
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/routing/RoutingTable.kt
@@ -0,0 +1,28 @@
+package org.quetzalloom.core.relay.routing
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import org.quetzalloom.core.identity.WorkspaceId
+
+/**
+ * The configuration of the relay, whole, as operators wrote it.
+ *
+ * @property version rises with each change, in uneven steps.
+ * @property workspacesByKey the workspace that each key belongs to; `null` where no keys are needed at all.
+ */
+public data class RoutingTable(
+    public val version: Long,
+    public val routes: PersistentList<Route> = persistentListOf(),
+    public val services: PersistentMap<ServiceName, BackendService> = persistentMapOf(),
+    public val limits: CallerLimits,
+    public val workspacesByKey: PersistentMap<String, WorkspaceId>? = null,
+) {
+    private val routesByHost = routes.groupBy { it.host.lowercase() }
+        .mapValues { (_, sameHost) -> sameHost.sortedByDescending { it.pathPrefix.length } }
+
+    /** Returns the route of [host] with the longest prefix of [path], or `null`. */
+    public fun routeOrNull(host: String, path: String): Route? =
+        routesByHost[host.lowercase()]?.firstOrNull { path.startsWith(it.pathPrefix) }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/Candidate.kt
@@ -0,0 +1,20 @@
+package org.quetzalloom.core.relay.server
+
+import org.quetzalloom.core.identity.AvailabilityZoneId
+import org.quetzalloom.core.identity.BackendServerId
+
+/**
+ * A backend server that may get a request.
+ *
+ * @property inFlight this router's own attempts at it.
+ * @property load the requests at it, as far as this router knows.
+ * @property failing the share of its recent attempts that failed.
+ */
+public data class Candidate(
+    public val server: BackendServerId,
+    public val zone: AvailabilityZoneId,
+    public val slots: Int,
+    public val inFlight: Int,
+    public val load: Int,
+    public val failing: Double,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/Placement.kt
@@ -0,0 +1,7 @@
+package org.quetzalloom.core.relay.server
+
+/** Chooses the backend server of an attempt. */
+public interface Placement {
+    /** Returns one of [candidates], or `null` if there are none. */
+    public fun chooseOrNull(candidates: List<Candidate>, request: PlacementRequest): Candidate?
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersPart.kt
@@ -0,0 +1,128 @@
+package org.quetzalloom.core.relay.server
+
+import org.quetzalloom.core.identity.BackendServerId
+import org.quetzalloom.core.reducer.then
+import org.quetzalloom.core.reducer.thenEach
+import org.quetzalloom.core.relay.RelayEvent
+import org.quetzalloom.core.relay.RelayPart
+import org.quetzalloom.core.relay.RelayState
+import org.quetzalloom.core.relay.RelayStep
+import org.quetzalloom.core.relay.feed.Feed
+import org.quetzalloom.core.relay.feed.FeedEntry
+import org.quetzalloom.core.relay.report
+import org.quetzalloom.core.relay.unchanged
+import org.quetzalloom.core.time.Timestamp
+
+/** Keeps the list of backend servers and the evacuated availability zones. */
+internal object ServersPart : RelayPart {
+    /** Entries that lapsed while the list could not be read are back within this time, if their servers live. */
+    private const val RETURN_MILLISECONDS = 2_000L
+
+    /** A list that failed no longer ago than this may have dropped entries of servers that live. */
+    private const val RECENT_FAILURE_MILLISECONDS = 3_000L
+
+    override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
+        is RelayEvent.FeedRead -> state.read(event, now)
+        is RelayEvent.FeedFailed -> state.failed(event, now)
+        RelayEvent.Tick -> state.dropGone(now)
+        else -> state.unchanged()
+    }
+
+    private fun RelayState.read(event: RelayEvent.FeedRead, now: Timestamp): RelayStep {
+        val listed = event.entries.filterIsInstance<FeedEntry.Server>().associateBy { it.listing.id }
+        val removed = event.entries.filterIsInstance<FeedEntry.ServerRemoved>().map { it.id }
+        val absent = if (event.feed == Feed.SERVERS && event.snapshot) servers.views.keys - listed.keys else emptySet()
+        val known = if (event.feed == Feed.SERVERS) copy(servers = servers.copy(listReadAt = now)) else this
+        return known.unchanged()
+            .thenEach(event.entries) { reached, entry -> reached.take(entry, now) }
+            .thenEach(removed + absent) { reached, id -> reached.remove(id, now) }
+            .then { reached -> if (event.snapshot) reached.endEvacuations(event, now) else reached.unchanged() }
+    }
+
+    private fun RelayState.take(entry: FeedEntry, now: Timestamp): RelayStep = when (entry) {
+        is FeedEntry.Server -> list(entry.listing, now)
+        is FeedEntry.Evacuation -> evacuate(entry, now)
+        else -> unchanged()
+    }
+
+    private fun RelayState.list(listing: ServerListing, now: Timestamp): RelayStep {
+        val known = servers.views[listing.id]
+        val view = known?.relist(listing, now) ?: ServerView(
+            listing = listing,
+            coldUntil = now + listing.coldMilliseconds,
+        )
+        val next = copy(servers = servers.copy(views = servers.views.put(listing.id, view)))
+        val unlike = known == null || known.goneAt != null || known.listing.isUnlike(listing)
+        return if (unlike) next.reportListed(view, now) else next.unchanged()
+    }
+
+    private fun ServerListing.isUnlike(other: ServerListing): Boolean =
+        draining != other.draining || startedAt != other.startedAt || address != other.address
+
+    private fun RelayState.reportListed(view: ServerView, now: Timestamp): RelayStep = report(
+        now,
+        "server_listed",
+        "server" to view.listing.id,
+        "service" to view.listing.service,
+        "address" to view.listing.address,
+        "zone" to view.listing.zone,
+        "version" to view.listing.version,
+        "draining" to view.listing.draining,
+        "cold_ms" to view.listing.coldMilliseconds,
+        "sequence" to view.listing.sequence,
+    )
+
+    private fun ServerView.relist(listing: ServerListing, now: Timestamp): ServerView {
+        if (listing.startedAt != this.listing.startedAt) {
+            return ServerView(listing = listing, coldUntil = now + listing.coldMilliseconds, inFlight = inFlight)
+        }
+        return copy(listing = listing, coldUntil = now + listing.coldMilliseconds, goneAt = null)
+    }
+
+    private fun RelayState.remove(id: BackendServerId, now: Timestamp): RelayStep {
+        val view = servers.views[id]?.takeIf { it.goneAt == null } ?: return unchanged()
+        val lapsedInOutage = servers.listFailedAt?.let { now - it <= RECENT_FAILURE_MILLISECONDS } ?: false
+        val goneAt = if (lapsedInOutage && !view.listing.draining) now + RETURN_MILLISECONDS else now
+        val next = copy(servers = servers.update(id) { it.copy(goneAt = goneAt) })
+        return next.report(now, "server_removed", "server" to id, "dropped_in_ms" to (goneAt - now))
+    }
+
+    private fun RelayState.dropGone(now: Timestamp): RelayStep {
+        val gone = servers.views.values.filter { view -> view.inFlight == 0 && view.goneAt?.let { it <= now } ?: false }
+        if (gone.isEmpty()) return unchanged()
+        val left = gone.fold(servers.views) { views, view -> views.remove(view.listing.id) }
+        return copy(servers = servers.copy(views = left)).unchanged()
+    }
+
+    private fun RelayState.failed(event: RelayEvent.FeedFailed, now: Timestamp): RelayStep =
+        if (event.feed == Feed.SERVERS) copy(servers = servers.copy(listFailedAt = now)).unchanged() else unchanged()
+
+    private fun RelayState.evacuate(entry: FeedEntry.Evacuation, now: Timestamp): RelayStep {
+        val known = entry.zone in servers.evacuated
+        if (known == entry.active) return unchanged()
+        val next = if (entry.active) {
+            servers.copy(evacuated = servers.evacuated.put(entry.zone, now))
+        } else {
+            servers.copy(evacuated = servers.evacuated.remove(entry.zone)).suspectCold(entry, this, now)
+        }
+        return copy(servers = next).report(now, "zone_evacuated", "zone" to entry.zone, "active" to entry.active)
+    }
+
+    /** The servers of a zone that is taken back may have turned cold meanwhile, before their entries say so. */
+    private fun ServersState.suspectCold(
+        entry: FeedEntry.Evacuation,
+        relay: RelayState,
+        now: Timestamp,
+    ): ServersState = views.values.filter { it.listing.zone == entry.zone }.fold(this) { reached, view ->
+        val cold = relay.routing?.services?.get(view.listing.service)?.coldMilliseconds ?: 0
+        reached.update(view.listing.id) { it.copy(coldUntil = maxOf(it.coldUntil, now + cold)) }
+    }
+
+    private fun RelayState.endEvacuations(event: RelayEvent.FeedRead, now: Timestamp): RelayStep {
+        if (event.feed != Feed.ORDERS) return unchanged()
+        val active = event.entries.filterIsInstance<FeedEntry.Evacuation>().filter { it.active }.map { it.zone }.toSet()
+        return unchanged().then { it.unchanged() }.thenEach(servers.evacuated.keys - active) { reached, zone ->
+            reached.evacuate(FeedEntry.Evacuation(zone, active = false), now)
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
@@ -0,0 +1,35 @@
+package org.quetzalloom.core.relay.server
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import org.quetzalloom.core.identity.AvailabilityZoneId
+import org.quetzalloom.core.identity.BackendServerId
+import org.quetzalloom.core.relay.routing.ServiceName
+import org.quetzalloom.core.time.Timestamp
+
+/**
+ * The backend servers that this router knows.
+ *
+ * @property evacuated the availability zones whose servers get nothing.
+ * @property listFailedAt when the list could last not be read.
+ * @property listReadAt when the list was last read.
+ */
+internal data class ServersState(
+    val views: PersistentMap<BackendServerId, ServerView> = persistentMapOf(),
+    val evacuated: PersistentMap<AvailabilityZoneId, Timestamp> = persistentMapOf(),
+    val listFailedAt: Timestamp? = null,
+    val listReadAt: Timestamp? = null,
+) {
+    /** Returns the servers of [service] that may get new work at [now]. */
+    fun usable(service: ServiceName, now: Timestamp): List<ServerView> =
+        views.values.filter { it.listing.service == service && it.isUsable(now) }
+
+    /** Returns the state with the view of [id] changed, if there is one. */
+    fun update(id: BackendServerId, change: (ServerView) -> ServerView): ServersState {
+        val view = views[id] ?: return this
+        return copy(views = views.put(id, change(view)))
+    }
+
+    private fun ServerView.isUsable(now: Timestamp): Boolean =
+        !listing.draining && goneAt == null && now >= suspendedUntil && listing.zone !in evacuated
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/stop/StopPart.kt
@@ -0,0 +1,52 @@
+package org.quetzalloom.core.relay.stop
+
+import org.quetzalloom.core.reducer.then
+import org.quetzalloom.core.relay.RelayEffect
+import org.quetzalloom.core.relay.RelayEvent
+import org.quetzalloom.core.relay.RelayPart
+import org.quetzalloom.core.relay.RelayState
+import org.quetzalloom.core.relay.RelayStep
+import org.quetzalloom.core.relay.report
+import org.quetzalloom.core.relay.unchanged
+import org.quetzalloom.core.relay.with
+import org.quetzalloom.core.time.Timestamp
+
+/** Declares readiness, and ends the process once a graceful stop has nothing left to do. */
+internal object StopPart : RelayPart {
+    /** New connections may come for this time after readiness is gone: two health checks, a second apart, and a reserve. */
+    private const val LAST_CONNECTIONS_MILLISECONDS = 3_000L
+
+    /** The process ends this long before it would be killed. */
+    private const val RESERVE_MILLISECONDS = 300L
+
+    override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
+        RelayEvent.StopRequested -> state.request(now)
+        RelayEvent.Tick -> state.declare(now).then { it.finishIfDone(now) }
+        else -> state.unchanged()
+    }
+
+    private fun RelayState.request(now: Timestamp): RelayStep {
+        if (stop.requestedAt != null) return unchanged()
+        return copy(stop = stop.copy(requestedAt = now)).with(RelayEffect.CloseAfterAnswers)
+            .then { it.report(now, "stop_requested", "active" to exchanges.byId.size) }
+            .then { it.declare(now) }
+    }
+
+    private fun RelayState.declare(now: Timestamp): RelayStep {
+        val ready = stop.requestedAt == null && routing != null && servers.listReadAt != null
+        if (ready == stop.ready) return unchanged()
+        return copy(stop = stop.copy(ready = ready)).with(RelayEffect.DeclareReady(ready))
+            .then { it.report(now, "readiness", "ready" to ready, "version" to routing?.version) }
+    }
+
+    private fun RelayState.finishIfDone(now: Timestamp): RelayStep {
+        val requestedAt = stop.requestedAt ?: return unchanged()
+        val elapsed = now - requestedAt
+        val done = exchanges.byId.isEmpty() && elapsed >= LAST_CONNECTIONS_MILLISECONDS
+        val late = elapsed >= settings.graceMilliseconds - RESERVE_MILLISECONDS
+        if (stop.finished || !(done || late)) return unchanged()
+        return copy(stop = stop.copy(finished = true))
+            .report(now, "stopped", "active" to exchanges.byId.size, "after_ms" to elapsed)
+            .then { it.with(RelayEffect.Finish) }
+    }
+}
--- a/core/src/main/kotlin/org/quetzalloom/core/router/Part.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/router/Part.kt
@@ -7,6 +7,7 @@
 import org.quetzalloom.core.identity.VmId
 import org.quetzalloom.core.log.LogRecord
 import org.quetzalloom.core.peer.PeerMessage
+import org.quetzalloom.core.reducer.Reducer
 import org.quetzalloom.core.reducer.Transition
 import org.quetzalloom.core.time.Timestamp
 import org.quetzalloom.core.timeline.CausalStamp
@@ -16,10 +17,7 @@
 internal typealias Step = Transition<RouterState, Effect>
 
 /** A part of the reducer: it reads the whole state and decides over its own slice. */
-internal fun interface Part {
-    /** Returns the transition that [event] causes in this part's slice of [state]. */
-    fun reduce(state: RouterState, event: Event, now: Timestamp): Step
-}
+internal fun interface Part : Reducer<RouterState, Event, Effect>
 
 /** Returns the transition that changes nothing. */
 internal fun RouterState.unchanged(): Step = Transition(this)
--- a/core/src/main/kotlin/org/quetzalloom/core/router/RouterReducer.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/router/RouterReducer.kt
@@ -12,6 +12,7 @@
 import org.quetzalloom.core.log.LogPart
 import org.quetzalloom.core.membership.MembershipPart
 import org.quetzalloom.core.quarantine.QuarantinePart
+import org.quetzalloom.core.reducer.PartsReducer
 import org.quetzalloom.core.reducer.Reducer
 import org.quetzalloom.core.reducer.Transition
 import org.quetzalloom.core.request.RequestsPart
--- a/core/src/test/kotlin/org/quetzalloom/core/rig/Fleet.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/rig/Fleet.kt
@@ -20,10 +20,10 @@
 import org.quetzalloom.core.identity.VersionId
 import org.quetzalloom.core.identity.VmId
 import org.quetzalloom.core.identity.WorkspaceId
+import org.quetzalloom.core.reducer.PartsReducer
 import org.quetzalloom.core.request.CallerRequest
 import org.quetzalloom.core.request.Target
 import org.quetzalloom.core.router.Part
-import org.quetzalloom.core.router.PartsReducer
 import org.quetzalloom.core.router.RouterLimits
 import org.quetzalloom.core.router.RouterPolicies
 import org.quetzalloom.core.router.RouterReducer
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/report/Reporter.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/report/Reporter.kt
@@ -3,6 +3,7 @@
 import io.prometheus.metrics.core.metrics.Counter
 import kotlinx.collections.immutable.PersistentList
 import org.quetzalloom.core.timeline.TimelineEntry
+import org.quetzalloom.runtime.toLogLine
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
 import java.util.concurrent.atomic.AtomicReference
@@ -18,22 +19,10 @@
     fun report(entry: TimelineEntry) {
         recent.set(recent.get().add(entry))
         events.labelValues(entry.name).inc()
-        if (logger.isInfoEnabled) logger.info(format(entry))
-    }
-
-    private fun format(entry: TimelineEntry): String {
-        val fields = entry.fields.entries.sortedBy { it.key }.joinToString("") { " ${it.key}=${quote(it.value)}" }
-        return "event=${entry.name} vm=${entry.stamp.vm} stamp=${entry.stamp.counter}$fields"
-    }
-
-    private fun quote(value: String): String = if (PLAIN.matches(value)) {
-        value
-    } else {
-        "\"${value.replace("\\", "\\\\").replace("\"", "\\\"").replace("\n", "\\n")}\""
+        if (logger.isInfoEnabled) logger.info(entry.toLogLine())
     }
 
     private companion object {
-        val PLAIN = Regex("""[^\s"=]+""")
         val logger: Logger = LoggerFactory.getLogger("quetzalloom")
     }
 }
--- /dev/null
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/Listeners.kt
@@ -0,0 +1,16 @@
+package org.quetzalloom.relay
+
+import org.quetzalloom.relay.http.Address
+
+/**
+ * Where a relay listens.
+ *
+ * @property callers for the requests of callers.
+ * @property ready for health checks.
+ * @property metrics for metrics, or `null` for nowhere.
+ */
+public data class Listeners(
+    public val callers: Address,
+    public val ready: Address,
+    public val metrics: Address? = null,
+)
--- /dev/null
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
@@ -0,0 +1,90 @@
+package org.quetzalloom.relay
+
+import io.netty.channel.nio.NioEventLoopGroup
+import org.quetzalloom.core.relay.RelayEffect
+import org.quetzalloom.core.relay.RelayEvent
+import org.quetzalloom.core.relay.RelayPolicies
+import org.quetzalloom.core.relay.RelayReducer
+import org.quetzalloom.core.relay.RelaySettings
+import org.quetzalloom.core.relay.RelayState
+import org.quetzalloom.core.time.Clock
+import org.quetzalloom.relay.http.Address
+import org.quetzalloom.relay.http.CallClient
+import org.quetzalloom.relay.http.MessageCodec
+import org.quetzalloom.relay.http.StatusServer
+import org.quetzalloom.relay.report.RelayMetrics
+import org.quetzalloom.relay.report.Reporter
+import org.quetzalloom.runtime.Interpreter
+import org.quetzalloom.runtime.SystemClock
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+
+/**
+ * A relay as a process: one thread that selects sockets, reduces events and carries out effects.
+ *
+ * @param settings what the reducer is told.
+ * @param listeners where the relay listens.
+ * @param codec the meaning of headers.
+ * @param store carries out the effects that concern the platform's store; made once the thread is there.
+ */
+public class RelayProgram(
+    settings: RelaySettings,
+    private val listeners: Listeners,
+    codec: MessageCodec,
+    store: (CallClient, (RelayEvent) -> Unit) -> Interpreter<RelayEffect>,
+    private val clock: Clock = SystemClock(),
+    policies: RelayPolicies = RelayPolicies(),
+) {
+    private val group = NioEventLoopGroup(1)
+    private val executor = group.next()
+    private val finished = CountDownLatch(1)
+    private val loop =
+        RelayLoop<RelayState, RelayEvent, RelayEffect>(
+            initial = RelayState.initial(settings, policies),
+            reducer = RelayReducer,
+            tick = RelayEvent.Tick,
+            eventLoop = executor,
+            clock = clock,
+        )
+    private val metrics = RelayMetrics { loop.state }
+    private val reporter = Reporter(metrics)
+    private val relay = Relay(group, executor, codec, reporter, clock, loop::post)
+    private val storeInterpreter = store(CallClient(group), loop::post)
+    private var ready = false
+
+    /** Starts to listen, and to read the store. */
+    public fun start() {
+        loop.interpreter = Interpreter { carryOut(it) }
+        metrics.observe(relay)
+        val status = StatusServer(group)
+        status.listen(listeners.ready) { StatusServer.Page(ok = ready, text = if (ready) "ready\n" else "not ready\n") }
+        listeners.metrics?.let { address ->
+            status.listen(address) { StatusServer.Page(ok = true, text = metrics.format()) }
+        }
+        relay.listen(listeners.callers)
+        executor.execute { loop.startTicking() }
+        executor.scheduleWithFixedDelay(relay::prune, PRUNE_MILLISECONDS, PRUNE_MILLISECONDS, TimeUnit.MILLISECONDS)
+    }
+
+    /** Tells the reducer of [event]. May be called from any thread. */
+    public fun tell(event: RelayEvent): Unit = executor.execute { loop.post(event) }
+
+    /** Waits until the relay has finished. */
+    public fun awaitEnd(): Unit = finished.await()
+
+    private fun carryOut(effect: RelayEffect) {
+        when (effect) {
+            is RelayEffect.Report -> reporter.report(effect.entry)
+            is RelayEffect.DeclareReady -> ready = effect.ready
+            RelayEffect.Finish -> finished.countDown()
+            else -> {
+                relay.carryOut(effect)
+                storeInterpreter.carryOut(effect)
+            }
+        }
+    }
+
+    private companion object {
+        const val PRUNE_MILLISECONDS = 500L
+    }
+}
--- /dev/null
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/CallEvents.kt
@@ -0,0 +1,16 @@
+package org.quetzalloom.relay.backend
+
+import io.netty.handler.codec.http.HttpResponse
+import org.quetzalloom.core.relay.exchange.AttemptFailure
+
+/** What an attempt tells of its progress. */
+internal interface CallEvents {
+    /** The answer has begun with [head]; unless it is a stream, it is whole. */
+    fun started(call: BackendCall, head: HttpResponse)
+
+    /** The whole answer has been passed on. */
+    fun finished(call: BackendCall)
+
+    /** No whole answer will come; the caller has the events up to [lastEventId]. */
+    fun broke(call: BackendCall, failure: AttemptFailure, lastEventId: String?)
+}
--- /dev/null
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/AnswerWriter.kt
@@ -0,0 +1,95 @@
+package org.quetzalloom.relay.caller
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+
+/**
+ * Writes the one answer to a request.
+ *
+ * @param connection the connection on which the request came.
+ * @param channel the channel of that connection.
+ */
+internal class AnswerWriter(
+    private val connection: CallerConnection,
+    private val channel: Channel,
+    private val request: HttpRequest,
+) {
+    private val keepAlive = HttpUtil.isKeepAlive(request)
+
+    /** Whether the head of an answer has been written. */
+    var begun = false
+        private set
+
+    /** Writes a whole answer. */
+    fun writeWhole(status: HttpResponseStatus, headers: HttpHeaders, body: ByteBuf) {
+        begun = true
+        val answer = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
+        answer.headers().add(headers)
+        if (hasBody(status)) answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+        end(answer)
+    }
+
+    /** Writes the head of an answer whose length is not known. */
+    fun begin(status: HttpResponseStatus, headers: HttpHeaders) {
+        begun = true
+        val answer = DefaultHttpResponse(HttpVersion.HTTP_1_1, status)
+        answer.headers().add(headers)
+        if (request.protocolVersion().isKeepAliveDefault) {
+            answer.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+        }
+        if (closes()) answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        channel.write(answer)
+    }
+
+    /** Writes a piece of the body; [bytes] are released. */
+    fun write(bytes: ByteBuf) {
+        channel.writeAndFlush(DefaultHttpContent(bytes))
+    }
+
+    /** Ends an answer that was begun. */
+    fun finish(): Unit = end(LastHttpContent.EMPTY_LAST_CONTENT)
+
+    /** Closes the connection without the end of the answer. */
+    fun cutOff() {
+        channel.close()
+    }
+
+    private fun end(last: LastHttpContent) {
+        if (last is DefaultFullHttpResponse && closes()) {
+            last.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        }
+        val closing = closes()
+        val written = channel.writeAndFlush(last)
+        if (closing) {
+            written.addListener(ChannelFutureListener { connection.closeGently() })
+        }
+        connection.answered()
+    }
+
+    private fun closes(): Boolean = !keepAlive || connection.closesAfterAnswer || request.isAmbiguousVersion()
+
+    private fun HttpRequest.isAmbiguousVersion(): Boolean = !protocolVersion().isKeepAliveDefault
+
+    private fun hasBody(status: HttpResponseStatus): Boolean =
+        request.method() != HttpMethod.HEAD && status != HttpResponseStatus.NO_CONTENT &&
+            status != HttpResponseStatus.NOT_MODIFIED
+
+    companion object {
+        /** An empty body. */
+        val EMPTY: ByteBuf = Unpooled.EMPTY_BUFFER
+    }
+}
--- /dev/null
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerFront.kt
@@ -0,0 +1,95 @@
+package org.quetzalloom.relay.caller
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.ByteBuf
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseEncoder
+import org.quetzalloom.core.error.ErrorKind
+import org.quetzalloom.core.relay.routing.CallerLimits
+import org.quetzalloom.relay.http.Address
+import org.quetzalloom.relay.http.StrictRequestDecoder
+import org.quetzalloom.relay.http.withRelayOptions
+import java.util.concurrent.TimeUnit
+
+/**
+ * The listener for callers, and all their connections. Confined to the loop's thread.
+ *
+ * @param handler what is done with requests.
+ */
+internal class CallerFront(private val handler: CallerHandler) {
+    private val connections = LinkedHashSet<CallerConnection>()
+    private var listener: Channel? = null
+
+    /** What callers may send. */
+    var limits: CallerLimits = DEFAULT_LIMITS
+
+    /** Whether connections end with their next answer. */
+    var stopping: Boolean = false
+        private set
+
+    /** Connections that are open. */
+    val size: Int get() = connections.size
+
+    /** Listens at [address]. */
+    fun listen(group: EventLoopGroup, address: Address) {
+        val bootstrap = ServerBootstrap().group(group)
+            .channel(NioServerSocketChannel::class.java)
+            .withRelayOptions()
+            .childHandler(Initializer())
+        listener = bootstrap.bind(address.toSocketAddress()).sync().channel()
+    }
+
+    /** Ends connections with their next answer, and idle ones after [idleAfterMilliseconds]. */
+    fun stop(group: EventLoopGroup, idleAfterMilliseconds: Long) {
+        stopping = true
+        group.schedule(
+            { connections.toList().forEach { it.closeIfIdle() } },
+            idleAfterMilliseconds,
+            TimeUnit.MILLISECONDS,
+        )
+    }
+
+    fun opened(connection: CallerConnection) {
+        connections.add(connection)
+    }
+
+    fun closed(connection: CallerConnection) {
+        connections.remove(connection)
+    }
+
+    /** Hands on a request that was read whole; returns `null` if it has been answered already. */
+    fun arrived(head: HttpRequest, body: ByteBuf, answer: AnswerWriter): CallerExchange? =
+        handler.arrived(head, body, answer)
+
+    fun callerLeft(exchange: CallerExchange): Unit = handler.callerLeft(exchange)
+
+    fun refuse(answer: AnswerWriter, kind: ErrorKind, detail: String, retryAfterMilliseconds: Long?): Unit =
+        handler.refuse(answer, kind, detail, retryAfterMilliseconds)
+
+    fun reportProblem(name: String, cause: Throwable): Unit = handler.reportProblem(name, cause)
+
+    private inner class Initializer : ChannelInitializer<SocketChannel>() {
+        override fun initChannel(channel: SocketChannel) {
+            channel.pipeline().addLast(
+                HttpResponseEncoder(),
+                StrictRequestDecoder(limits.maximumHeaderBytes),
+                CallerConnection(this@CallerFront),
+            )
+        }
+    }
+
+    private companion object {
+        /** In force until a configuration has been read; every request is refused until then. */
+        val DEFAULT_LIMITS = CallerLimits(
+            maximumHeaderBytes = 16_384,
+            maximumBodyBytes = 1_048_576,
+            headerMilliseconds = 3_000,
+            idleMilliseconds = 15_000,
+        )
+    }
+}
--- /dev/null
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/CallClient.kt
@@ -0,0 +1,141 @@
+package org.quetzalloom.relay.http
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.FullHttpResponse
+import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.util.concurrent.ScheduledFuture
+import java.util.concurrent.TimeUnit
+
+/** What the answer to a call, or why there is none, is handed to. */
+public typealias CallListener = (Result<FullHttpResponse, String>) -> Unit
+
+/**
+ * Makes calls whose answers are short and read whole. Keeps connections by address, and closes one whose call was not
+ * answered in time. Confined to the loop's thread.
+ */
+public class CallClient internal constructor(private val group: EventLoopGroup) {
+    private val idle = HashMap<Address, ArrayDeque<Connection>>()
+
+    /**
+     * Sends [request] to [address], and hands the answer to [listener] within [timeoutMilliseconds].
+     *
+     * The answer is released after [listener] returns. A call without an answer may have been carried out.
+     */
+    public fun call(address: Address, request: FullHttpRequest, timeoutMilliseconds: Long, listener: CallListener) {
+        val kept = takeIdle(address)
+        val connection = kept ?: Connection(address)
+        connection.begin(listener, timeoutMilliseconds)
+        if (kept != null) kept.send(request) else connect(connection, request)
+    }
+
+    private fun takeIdle(address: Address): Connection? {
+        val connections = idle[address] ?: return null
+        while (connections.isNotEmpty()) {
+            val newest = connections.removeLast()
+            if (newest.isOpen) return newest
+        }
+        return null
+    }
+
+    private fun connect(connection: Connection, request: FullHttpRequest) {
+        val bootstrap = Bootstrap().group(group)
+            .channel(NioSocketChannel::class.java)
+            .withRelayOptions()
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLISECONDS)
+            .handler(Initializer(connection))
+        bootstrap.connect(connection.address.toSocketAddress()).addListener { future ->
+            if (future.isSuccess) {
+                connection.send(request)
+            } else {
+                request.release()
+                connection.end(Err("cannot connect: ${future.cause().message}"))
+            }
+        }
+    }
+
+    private class Initializer(private val connection: Connection) : ChannelInitializer<Channel>() {
+        override fun initChannel(channel: Channel) {
+            channel.pipeline().addLast(HttpClientCodec(), HttpObjectAggregator(MAXIMUM_BYTES), connection)
+        }
+    }
+
+    private inner class Connection(val address: Address) : SimpleChannelInboundHandler<FullHttpResponse>() {
+        private var channel: Channel? = null
+        private var listener: CallListener? = null
+        private var timer: ScheduledFuture<*>? = null
+
+        val isOpen: Boolean get() = channel?.isActive ?: false
+
+        fun begin(listener: CallListener, timeoutMilliseconds: Long) {
+            this.listener = listener
+            timer = group.next().schedule({ timeOut() }, timeoutMilliseconds, TimeUnit.MILLISECONDS)
+        }
+
+        fun send(request: FullHttpRequest) {
+            val open = channel
+            if (listener == null || open == null) {
+                request.release()
+                open?.close()
+            } else {
+                open.writeAndFlush(request)
+            }
+        }
+
+        fun end(result: Result<FullHttpResponse, String>) {
+            timer?.cancel(false)
+            val waiting = listener ?: return
+            listener = null
+            waiting(result)
+        }
+
+        override fun channelActive(context: ChannelHandlerContext) {
+            channel = context.channel()
+        }
+
+        override fun channelRead0(context: ChannelHandlerContext, answer: FullHttpResponse) {
+            if (listener == null || !HttpUtil.isKeepAlive(answer)) {
+                context.close()
+            } else {
+                idle.getOrPut(address) { ArrayDeque() }.addLast(this)
+            }
+            end(Ok(answer))
+        }
+
+        override fun channelInactive(context: ChannelHandlerContext) {
+            idle[address]?.remove(this)
+            end(Err("the connection was closed"))
+        }
+
+        @Deprecated("the supertype's method is")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            end(Err("the connection failed: ${cause.message}"))
+            context.close()
+        }
+
+        private fun timeOut() {
+            end(Err("no answer in time"))
+            channel?.close()
+        }
+    }
+
+    private companion object {
+        /** The store answers in a few milliseconds; a lost packet is sent again within this time. */
+        const val CONNECT_MILLISECONDS = 500
+
+        /** More than any page of the store's newest records. */
+        const val MAXIMUM_BYTES = 8 * 1_024 * 1_024
+    }
+}
--- /dev/null
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/HopHeaders.kt
@@ -0,0 +1,27 @@
+package org.quetzalloom.relay.http
+
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+
+private val CONNECTION_HEADERS = listOf(
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+)
+
+/** Returns a copy without the headers that concern one connection only, and without the length of the body. */
+public fun HttpHeaders.withoutConnectionHeaders(): HttpHeaders {
+    val named = getAll(HttpHeaderNames.CONNECTION).flatMap { it.split(',') }.map { it.trim() }.filter { it.isNotEmpty() }
+    val copy = DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders().add(this)
+    (CONNECTION_HEADERS + named).forEach { copy.remove(it) }
+    copy.remove(HttpHeaderNames.CONTENT_LENGTH)
+    return copy
+}
--- /dev/null
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/StatusServer.kt
@@ -0,0 +1,68 @@
+package org.quetzalloom.relay.http
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+
+/** Serves one page a listener, whatever the path: the readiness of a process, or its metrics. */
+internal class StatusServer(private val group: EventLoopGroup) {
+    /**
+     * An answer.
+     *
+     * @property ok whether the status is 200; otherwise it is 503.
+     */
+    class Page(val ok: Boolean, val text: String)
+
+    /** Listens at [address], and answers with what [page] returns. */
+    fun listen(address: Address, page: () -> Page) {
+        ServerBootstrap().group(group)
+            .channel(NioServerSocketChannel::class.java)
+            .withRelayOptions()
+            .childHandler(Initializer(page))
+            .bind(address.toSocketAddress())
+            .sync()
+    }
+
+    private class Initializer(private val page: () -> Page) : ChannelInitializer<SocketChannel>() {
+        override fun initChannel(channel: SocketChannel) {
+            channel.pipeline().addLast(HttpServerCodec(), HttpObjectAggregator(MAXIMUM_BYTES), Handler(page))
+        }
+    }
+
+    private class Handler(private val page: () -> Page) : SimpleChannelInboundHandler<FullHttpRequest>() {
+        override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
+            val answer = page()
+            val status = if (answer.ok) HttpResponseStatus.OK else HttpResponseStatus.SERVICE_UNAVAILABLE
+            val body = Unpooled.copiedBuffer(answer.text, Charsets.UTF_8)
+            val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8")
+            val written = context.writeAndFlush(response)
+            if (!HttpUtil.isKeepAlive(request)) written.addListener(ChannelFutureListener.CLOSE)
+        }
+
+        @Deprecated("the supertype's method is")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            context.close()
+        }
+    }
+
+    private companion object {
+        /** Health checks and scrapes have no body to speak of. */
+        const val MAXIMUM_BYTES = 4_096
+    }
+}
