--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
@@ -48,7 +48,7 @@
     /** Whether the connection can be used. */
     val open: Boolean get() = channel.isActive && reusable
 
-    override fun channelActive(context: ChannelHandlerContext) {
+    override fun handlerAdded(context: ChannelHandlerContext) {
         channel = context.channel()
     }
 
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/CallClient.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/CallClient.kt
@@ -101,7 +101,7 @@
             waiting(result)
         }
 
-        override fun channelActive(context: ChannelHandlerContext) {
+        override fun handlerAdded(context: ChannelHandlerContext) {
             channel = context.channel()
         }
 
