--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
@@ -11,6 +11,7 @@
 import org.quetzalloom.core.relay.rollout.RolloutsPart
 import org.quetzalloom.core.relay.routing.RoutingPart
 import org.quetzalloom.core.relay.server.ServersPart
+import org.quetzalloom.core.relay.session.PinsPart
 import org.quetzalloom.core.relay.stop.StopPart
 import org.quetzalloom.core.time.Timestamp
 
@@ -26,6 +27,7 @@
         ServersPart,
         MembersPart,
         RolloutsPart,
+        PinsPart,
         ExchangesPart,
         StopPart,
     )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
@@ -6,6 +6,7 @@
 import org.quetzalloom.core.relay.rollout.RolloutsState
 import org.quetzalloom.core.relay.routing.RoutingTable
 import org.quetzalloom.core.relay.server.ServersState
+import org.quetzalloom.core.relay.session.PinsState
 import org.quetzalloom.core.relay.stop.StopState
 
 /**
@@ -24,6 +25,7 @@
     internal val servers: ServersState = ServersState(),
     internal val members: MembersState = MembersState(),
     internal val rollouts: RolloutsState = RolloutsState(),
+    internal val pins: PinsState = PinsState(),
     internal val exchanges: ExchangesState = ExchangesState(),
     internal val stop: StopState = StopState(),
 ) {
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Answers.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Answers.kt
@@ -20,6 +20,7 @@
         event.head.notRun -> heard.refusedByServer(exchange, attempt, event.head, now)
         exchange.passing -> heard.goOn(exchange, attempt, event.head, now)
         event.head.isServerFailure -> heard.failedByServer(exchange, attempt, event.head, now)
+        event.head.isSuccess && !event.head.signed -> heard.tryElsewhere(exchange, attempt, "unsigned", now)
         event.head.isSuccess -> heard.succeeded(exchange, attempt, event.head, now)
         else -> heard.passOn(exchange, attempt)
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
@@ -11,6 +11,7 @@
 import org.quetzalloom.core.relay.server.allowed
 import org.quetzalloom.core.relay.server.takeSend
 import org.quetzalloom.core.relay.server.toCandidate
+import org.quetzalloom.core.relay.session.pin
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.relay.with
 import org.quetzalloom.core.time.Timestamp
@@ -79,7 +80,7 @@
         sentAt = now,
     )
     val sent = exchange.copy(attempt = attempt, attempts = attempt.number)
-    val next = copy(
+    val next = pin(exchange, attempt.version, now).copy(
         exchanges = countRepeat(exchange, now).with(sent),
         servers = servers.update(view.listing.id) { it.takeSend(now) },
     )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/RelayRequest.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/RelayRequest.kt
@@ -13,6 +13,7 @@
  * @property prompt the parts of the prompt, in order.
  * @property promptTokens the length of the prompt; 0 if it is not for a model.
  * @property outputTokens the most tokens to generate; 0 if it is not for a model.
+ * @property session names the session that the request belongs to, or `null`.
  * @property lastEventId where the caller wants a stream to go on, or `null` for its start.
  */
 public data class RelayRequest(
@@ -26,6 +27,7 @@
     public val prompt: PersistentList<PromptPart> = persistentListOf(),
     public val promptTokens: Int = 0,
     public val outputTokens: Int = 0,
+    public val session: String? = null,
     public val lastEventId: String? = null,
 ) {
     /** The last part of the prompt that other requests share, or `null`; the last part is the request's own. */
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/SteppedExposure.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/SteppedExposure.kt
@@ -10,9 +10,12 @@
     private const val SECOND_SHARE = 0.4
 
     /** Shares of the roll-out's time. Old backend servers need the rest of it to finish their streams. */
-    private const val SECOND_STEP_AT = 0.45
-    private const val LAST_STEP_AT = 0.55
-    private const val COMPLETION_AT = 0.8
+    private const val SECOND_STEP_AT = 0.52
+    private const val LAST_STEP_AT = 0.62
+    private const val COMPLETION_AT = 0.85
+
+    /** In the first half a session stays on its version. */
+    private const val SESSIONS_MOVE_AT = 0.52
 
     /** Three failures at once are no accident where the old version has few. */
     private const val FEWEST_FAILURES = 3
@@ -29,6 +32,8 @@
         else -> 1.0
     }
 
+    override fun mayMoveSessions(elapsed: Double): Boolean = elapsed >= SESSIONS_MOVE_AT
+
     override fun mayComplete(elapsed: Double): Boolean = elapsed >= COMPLETION_AT
 
     override fun isBad(old: OutcomeSums, new: OutcomeSums): Boolean = fails(old, new) || isSlow(old, new)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/Candidates.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/Candidates.kt
@@ -53,9 +53,22 @@
 private fun RolloutProgress.wantsNew(state: RelayState, exchange: Exchange, now: Timestamp): Boolean = when {
     condemned || phase == RolloutPhase.REVERTED -> false
     phase == RolloutPhase.COMPLETED -> true
-    else -> {
-        val share = state.policies.exposure.share(elapsed(this, now))
-        bucketOf(exchange.request.callerId ?: exchange.id, PER_THOUSAND) < share * PER_THOUSAND
+    else -> drawsNew(state, exchange, now)
+}
+
+/** A session that is already at one version stays there while it must, and never goes back. */
+private fun RolloutProgress.drawsNew(state: RelayState, exchange: Exchange, now: Timestamp): Boolean {
+    val exposure = state.policies.exposure
+    val session = exchange.request.session
+    val pin = session?.let { state.pins.pinOrNull(it, state.settings.sessionMilliseconds, now) }
+    val elapsed = elapsed(this, now)
+    return when {
+        pin?.version == order.version -> true
+        pin != null && !exposure.mayMoveSessions(elapsed) -> false
+        else -> {
+            val subject = session ?: exchange.request.callerId ?: exchange.id
+            bucketOf(subject, PER_THOUSAND) < exposure.share(elapsed) * PER_THOUSAND
+        }
     }
 }
 
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/session/PinsPart.kt
@@ -0,0 +1,31 @@
+package org.quetzalloom.core.relay.session
+
+import org.quetzalloom.core.relay.RelayEvent
+import org.quetzalloom.core.relay.RelayPart
+import org.quetzalloom.core.relay.RelayState
+import org.quetzalloom.core.relay.RelayStep
+import org.quetzalloom.core.relay.exchange.Exchange
+import org.quetzalloom.core.relay.exchange.ExchangeId
+import org.quetzalloom.core.relay.unchanged
+import org.quetzalloom.core.time.Timestamp
+
+/** Keeps the pins of sessions that are in use, and drops the others. */
+internal object PinsPart : RelayPart {
+    override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
+        is RelayEvent.AnswerFinished -> state.use(event.exchange, event.attempt, now)
+        RelayEvent.Tick -> state.copy(pins = state.pins.prune(state.settings.sessionMilliseconds, now)).unchanged()
+        else -> state.unchanged()
+    }
+
+    private fun RelayState.use(id: ExchangeId, number: Int, now: Timestamp): RelayStep {
+        val exchange = exchanges.byId[id] ?: return unchanged()
+        val attempt = exchange.currentOrNull(number) ?: return unchanged()
+        return pin(exchange, attempt.version, now).unchanged()
+    }
+}
+
+/** Returns the state in which the session of [exchange] is at [version]. */
+internal fun RelayState.pin(exchange: Exchange, version: String, now: Timestamp): RelayState {
+    val session = exchange.request.session ?: return this
+    return copy(pins = pins.use(session, version, now))
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/session/VersionPin.kt
@@ -0,0 +1,10 @@
+package org.quetzalloom.core.relay.session
+
+import org.quetzalloom.core.time.Timestamp
+
+/**
+ * The version that the latest request of a session ran on.
+ *
+ * @property usedAt when the latest request of the session was sent or answered.
+ */
+internal data class VersionPin(val version: String, val usedAt: Timestamp)
