--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
@@ -8,8 +8,10 @@
 import org.quetzalloom.core.relay.exchange.ExchangesPart
 import org.quetzalloom.core.relay.feed.FeedsPart
 import org.quetzalloom.core.relay.member.MembersPart
+import org.quetzalloom.core.relay.rollout.OutcomesPart
 import org.quetzalloom.core.relay.rollout.RolloutsPart
 import org.quetzalloom.core.relay.routing.RoutingPart
+import org.quetzalloom.core.relay.server.EvacuationsPart
 import org.quetzalloom.core.relay.server.ServersPart
 import org.quetzalloom.core.relay.session.PinsPart
 import org.quetzalloom.core.relay.stop.StopPart
@@ -25,7 +27,9 @@
         FeedsPart,
         RoutingPart,
         ServersPart,
+        EvacuationsPart,
         MembersPart,
+        OutcomesPart,
         RolloutsPart,
         PinsPart,
         ExchangesPart,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Answers.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Answers.kt
@@ -13,8 +13,7 @@
 
 /** Returns the transition that takes the head of an answer: passes it on, or drops it and asks elsewhere. */
 internal fun RelayState.answerStarted(event: RelayEvent.AnswerStarted, now: Timestamp): RelayStep {
-    val exchange = exchanges.byId[event.exchange] ?: return unchanged()
-    val attempt = exchange.currentOrNull(event.attempt) ?: return unchanged()
+    val (exchange, attempt) = exchanges.currentOrNull(event.exchange, event.attempt) ?: return unchanged()
     val heard = copy(servers = servers.update(attempt.server) { it.takeAnswer(event.head, now) })
     return when {
         event.head.notRun -> heard.refusedByServer(exchange, attempt, event.head, now)
@@ -28,8 +27,7 @@
 
 /** Returns the transition that ends an exchange whose answer has been passed on whole. */
 internal fun RelayState.answerFinished(event: RelayEvent.AnswerFinished, now: Timestamp): RelayStep {
-    val exchange = exchanges.byId[event.exchange] ?: return unchanged()
-    val attempt = exchange.currentOrNull(event.attempt) ?: return unchanged()
+    val (exchange, attempt) = exchanges.currentOrNull(event.exchange, event.attempt) ?: return unchanged()
     return release(attempt).copy(exchanges = exchanges.without(exchange.id))
         .reportEnd(exchange, "answered", now)
 }
@@ -60,9 +58,8 @@
 }
 
 private fun RelayState.betterModelOrNull(exchange: Exchange, head: AnswerHead, now: Timestamp): Int? {
-    val confidence = head.confidence ?: return null
-    if (!exchange.request.wantsModel || !mayRunOnceMore(exchange, now)) return null
-    return policies.modelChoice.nextOrNull(exchange.route, exchange.request, exchange.model, confidence)
+    val confidence = head.confidence?.takeIf { exchange.request.wantsModel && mayRunOnceMore(exchange, now) }
+    return confidence?.let { policies.modelChoice.nextOrNull(exchange.route, exchange.request, exchange.model, it) }
 }
 
 /** Returns whether [exchange], which may have run, may be sent to one more backend server. */
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
@@ -1,6 +1,5 @@
 package org.quetzalloom.core.relay.exchange
 
-import org.quetzalloom.core.error.ErrorKind
 import org.quetzalloom.core.reducer.then
 import org.quetzalloom.core.relay.RelayEffect
 import org.quetzalloom.core.relay.RelayState
@@ -28,9 +27,6 @@
 /** The shortest silence that says something, in milliseconds: many answers take longer than their target. */
 private const val SHORTEST_SILENCE_MILLISECONDS = 300L
 
-/** The time after which a caller may come back when no backend server could take its request. */
-private const val NO_CAPACITY_RETRY_MILLISECONDS = 250L
-
 /** Returns the transition that sends [exchange] to a backend server, or leaves it waiting if none can take it. */
 internal fun RelayState.place(exchange: Exchange, now: Timestamp): RelayStep {
     val allowed = allowed(exchange, now).filter { it.listing.id !in exchange.tried }
@@ -50,27 +46,6 @@
     return if (now < exchange.waitUntil) waiting.unchanged() else waiting.giveUp(exchange, now)
 }
 
-/** Returns the transition that ends [exchange], for which no backend server is left. */
-internal fun RelayState.giveUp(exchange: Exchange, now: Timestamp): RelayStep = when {
-    exchange.passing -> cutOff(exchange, "no_server", now)
-    exchange.mayHaveRun -> fail(exchange, ErrorKind.BACKEND_FAILED, "no backend server gave a whole answer", now)
-    else -> fail(exchange, ErrorKind.NO_CAPACITY, "no backend server could take the request", now)
-}
-
-/** Returns the transition that answers [exchange] with an error of the relay's own. */
-internal fun RelayState.fail(exchange: Exchange, kind: ErrorKind, detail: String, now: Timestamp): RelayStep {
-    val retryAfter = NO_CAPACITY_RETRY_MILLISECONDS.takeIf { kind.notRun && kind.retryable }
-    return copy(exchanges = exchanges.without(exchange.id))
-        .with(RelayEffect.Refuse(exchange.id, kind, detail, retryAfter))
-        .then { it.reportEnd(exchange, "refused", now, "kind" to kind.code) }
-}
-
-/** Returns the transition that breaks off the answer of [exchange], which the caller has in part. */
-internal fun RelayState.cutOff(exchange: Exchange, reason: String, now: Timestamp): RelayStep =
-    copy(exchanges = exchanges.without(exchange.id))
-        .with(RelayEffect.CutOff(exchange.id))
-        .then { it.reportEnd(exchange, "cut_off", now, "reason" to reason) }
-
 private fun RelayState.send(exchange: Exchange, view: ServerView, now: Timestamp): RelayStep {
     val attempt = Attempt(
         number = exchange.attempts + 1,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Exchange.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Exchange.kt
@@ -40,9 +40,6 @@
     val passing: Boolean = false,
     val lastEventId: String? = null,
 ) {
-    /** Returns the attempt under way if its number is [number], or `null`. */
-    fun currentOrNull(number: Int): Attempt? = attempt?.takeIf { it.number == number }
-
     /** The name of the model that is to answer, or `null` if the caller names it. */
     val modelName: String? get() = if (request.wantsModel) route.models.getOrNull(model) else null
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ExchangesState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ExchangesState.kt
@@ -13,6 +13,13 @@
     val byId: PersistentMap<ExchangeId, Exchange> = persistentMapOf(),
     val budgets: PersistentMap<ServiceName, RepeatBudget> = persistentMapOf(),
 ) {
+    /** Returns the exchange [id] and its attempt [number], if that is under way, or `null`. */
+    fun currentOrNull(id: ExchangeId, number: Int): CurrentAttempt? {
+        val exchange = byId[id]
+        val attempt = exchange?.attempt?.takeIf { it.number == number }
+        return if (attempt == null) null else CurrentAttempt(exchange, attempt)
+    }
+
     /** Returns the state with [exchange]. */
     fun with(exchange: Exchange): ExchangesState = copy(byId = byId.put(exchange.id, exchange))
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
@@ -16,8 +16,7 @@
 
 /** Returns the transition that takes the loss of an attempt: resumes, repeats, or ends the exchange. */
 internal fun RelayState.attemptBroke(event: RelayEvent.AttemptBroke, now: Timestamp): RelayStep {
-    val exchange = exchanges.byId[event.exchange] ?: return unchanged()
-    val attempt = exchange.currentOrNull(event.attempt) ?: return unchanged()
+    val (exchange, attempt) = exchanges.currentOrNull(event.exchange, event.attempt) ?: return unchanged()
     val failure = event.failure
     val known = copy(servers = servers.update(attempt.server) { it.takeFailure(failure, now) }).release(attempt)
     val broken = exchange.copy(attempt = null, lastEventId = event.lastEventId ?: exchange.lastEventId)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/RepeatBudget.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/RepeatBudget.kt
@@ -8,8 +8,8 @@
 /**
  * Counts the requests of a service and their repeats, of which there may be only so many in any window.
  *
- * Counts are kept by the second. A window of repeats is rounded up to whole seconds and one of requests down, so that the
- * bound holds for every window.
+ * Counts are kept by the second. A window of repeats is rounded up to whole seconds and one of requests down, so that
+ * the bound holds for every window.
  *
  * @property firsts first attempts, by the second in which they were sent.
  * @property repeats further attempts, by the second in which they were sent.
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersState.kt
@@ -32,7 +32,7 @@
     val shareholders: Int get() = if (vms.isEmpty()) UNKNOWN_FLEET_SIZE else vms.size
 
     private companion object {
-        /** Routers; the size that the system is designed for, so that a router that knows nothing takes nearly nothing. */
+        /** Routers; the size designed for, so that a router that knows nothing takes nearly nothing. */
         const val UNKNOWN_FLEET_SIZE = 400
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/model/ModelChoice.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/model/ModelChoice.kt
@@ -9,8 +9,8 @@
     public fun first(route: Route, request: RelayRequest): Int
 
     /**
-     * Returns the model that is asked after [model] has answered with [confidence], from 0 to 100, or `null` if that answer
-     * is good enough.
+     * Returns the model that is asked after [model] has answered with [confidence], from 0 to 100, or `null` if that
+     * answer is good enough.
      */
     public fun nextOrNull(route: Route, request: RelayRequest, model: Int, confidence: Int): Int?
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutProgress.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutProgress.kt
@@ -25,4 +25,7 @@
 ) {
     /** Whether it is neither completed nor reverted. */
     val open: Boolean get() = phase == null || phase == RolloutPhase.IN_PROGRESS
+
+    /** Returns whether a status may be written at [now]. */
+    fun mayWrite(now: Timestamp): Boolean = !writing && now >= writeDueAt
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/SteppedExposure.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/SteppedExposure.kt
@@ -24,7 +24,8 @@
 
     /** A mean over fewer answers depends too much on the prompts that came. */
     private const val FEWEST_LATENCIES = 8
-    private val SLOWER = Math.log(3.0)
+    private const val SLOWER_FACTOR = 3.0
+    private val SLOWER = Math.log(SLOWER_FACTOR)
 
     override fun share(elapsed: Double): Double = when {
         elapsed < SECOND_STEP_AT -> FIRST_SHARE
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/routing/Route.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/routing/Route.kt
@@ -13,7 +13,7 @@
  * @property resumable whether a broken stream may go on elsewhere after the last event that was passed on.
  * @property timeoutMilliseconds the longest time that a caller is kept waiting for the whole answer.
  * @property targetMilliseconds the time within which an answer, or its first event, is worth most.
- * @property gapMilliseconds the longest pause between two events for which a stream is still on time; 0 if not streaming.
+ * @property gapMilliseconds the longest pause between two events for which a stream is on time; 0 if not streaming.
  * @property priority 0 is the most urgent.
  * @property models the models that may answer, smallest first; empty where the caller names the model.
  * @property maximumAttempts the most backend servers that one request may be sent to.
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/AffinityPlacement.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/AffinityPlacement.kt
@@ -4,8 +4,8 @@
 import org.quetzalloom.core.router.stableHash
 
 /**
- * Keeps requests of one subject at one backend server while its load is bounded; draws two for all others and takes the one
- * with less load.
+ * Keeps requests of one subject at one backend server while its load is bounded; draws two for all others and takes the
+ * one with less load.
  *
  * The servers of a subject are ranked by a hash, so that routers agree without a message and few subjects move when a
  * server comes or goes.
@@ -19,9 +19,12 @@
 ) : Placement {
     override fun chooseOrNull(candidates: List<Candidate>, request: PlacementRequest): Candidate? {
         val sound = candidates.filter { it.failing <= mostFailing }.ifEmpty { candidates }
-        if (sound.isEmpty()) return null
-        val subject = request.subject ?: return sound.lessLoadedOfTwo(request)
-        return sound.bounded(subject)
+        val subject = request.subject
+        return when {
+            sound.isEmpty() -> null
+            subject == null -> sound.lessLoadedOfTwo(request)
+            else -> sound.bounded(subject)
+        }
     }
 
     private fun List<Candidate>.bounded(subject: String): Candidate {
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerOutcomes.kt
@@ -0,0 +1,56 @@
+package org.quetzalloom.core.relay.server
+
+import org.quetzalloom.core.relay.exchange.AnswerHead
+import org.quetzalloom.core.relay.exchange.AttemptFailure
+import org.quetzalloom.core.time.Timestamp
+
+/** The weight of the latest attempt in the share of failures. */
+private const val FAILURE_WEIGHT = 0.25
+
+/** The pause after the first failed connection; it doubles with each further one. */
+private const val SUSPENSION_MILLISECONDS = 250L
+private const val LONGEST_SUSPENSION_DOUBLINGS = 3
+
+/** The pause after a refusal; a full backend server has room again within some answers. */
+private const val REFUSAL_MILLISECONDS = 100L
+
+/** Returns the view after the head of an answer. */
+internal fun ServerView.takeAnswer(head: AnswerHead, now: Timestamp): ServerView {
+    val failed = head.isServerFailure
+    val heard = score(failed, now).copy(
+        failuresInRow = 0,
+        load = head.load ?: load,
+        loadAt = if (head.load != null) now else loadAt,
+        coldUntil = head.coldMilliseconds?.let { maxOf(coldUntil, now + it) } ?: coldUntil,
+    )
+    return when {
+        head.misdirected -> heard.copy(goneAt = now)
+        head.notRun -> heard.copy(suspendedUntil = now + REFUSAL_MILLISECONDS)
+        else -> heard
+    }
+}
+
+/** Returns the view after an attempt was lost. */
+internal fun ServerView.takeFailure(failure: AttemptFailure, now: Timestamp): ServerView {
+    if (!failure.serverSuspect) return score(failed = failure.sent, now)
+    val pause = SUSPENSION_MILLISECONDS shl failuresInRow.coerceAtMost(LONGEST_SUSPENSION_DOUBLINGS)
+    return score(failed = true, now).copy(failuresInRow = failuresInRow + 1, suspendedUntil = now + pause)
+}
+
+private fun ServerView.score(failed: Boolean, now: Timestamp): ServerView {
+    val latest = if (failed) 1.0 else 0.0
+    return copy(
+        failureScore = failureScoreAt(now) * (1 - FAILURE_WEIGHT) + latest * FAILURE_WEIGHT,
+        scoredAt = now,
+    )
+}
+
+/** Returns the view as a placement sees it. */
+internal fun ServerView.toCandidate(now: Timestamp): Candidate = Candidate(
+    server = listing.id,
+    zone = listing.zone,
+    slots = listing.slots,
+    inFlight = inFlight,
+    load = loadAt(now),
+    failing = failureScoreAt(now),
+)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersPart.kt
@@ -1,7 +1,6 @@
 package org.quetzalloom.core.relay.server
 
 import org.quetzalloom.core.identity.BackendServerId
-import org.quetzalloom.core.reducer.then
 import org.quetzalloom.core.reducer.thenEach
 import org.quetzalloom.core.relay.RelayEvent
 import org.quetzalloom.core.relay.RelayPart
@@ -13,7 +12,7 @@
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.time.Timestamp
 
-/** Keeps the list of backend servers and the evacuated availability zones. */
+/** Keeps the list of backend servers. */
 internal object ServersPart : RelayPart {
     /** Entries that lapsed while the list could not be read are back within this time, if their servers live. */
     private const val RETURN_MILLISECONDS = 2_000L
@@ -34,15 +33,8 @@
         val absent = if (event.feed == Feed.SERVERS && event.snapshot) servers.views.keys - listed.keys else emptySet()
         val known = if (event.feed == Feed.SERVERS) copy(servers = servers.copy(listReadAt = now)) else this
         return known.unchanged()
-            .thenEach(event.entries) { reached, entry -> reached.take(entry, now) }
+            .thenEach(listed.values) { reached, entry -> reached.list(entry.listing, now) }
             .thenEach(removed + absent) { reached, id -> reached.remove(id, now) }
-            .then { reached -> if (event.snapshot) reached.endEvacuations(event, now) else reached.unchanged() }
-    }
-
-    private fun RelayState.take(entry: FeedEntry, now: Timestamp): RelayStep = when (entry) {
-        is FeedEntry.Server -> list(entry.listing, now)
-        is FeedEntry.Evacuation -> evacuate(entry, now)
-        else -> unchanged()
     }
 
     private fun RelayState.list(listing: ServerListing, now: Timestamp): RelayStep {
@@ -96,33 +88,4 @@
 
     private fun RelayState.failed(event: RelayEvent.FeedFailed, now: Timestamp): RelayStep =
         if (event.feed == Feed.SERVERS) copy(servers = servers.copy(listFailedAt = now)).unchanged() else unchanged()
-
-    private fun RelayState.evacuate(entry: FeedEntry.Evacuation, now: Timestamp): RelayStep {
-        val known = entry.zone in servers.evacuated
-        if (known == entry.active) return unchanged()
-        val next = if (entry.active) {
-            servers.copy(evacuated = servers.evacuated.put(entry.zone, now))
-        } else {
-            servers.copy(evacuated = servers.evacuated.remove(entry.zone)).suspectCold(entry, this, now)
-        }
-        return copy(servers = next).report(now, "zone_evacuated", "zone" to entry.zone, "active" to entry.active)
-    }
-
-    /** The servers of a zone that is taken back may have turned cold meanwhile, before their entries say so. */
-    private fun ServersState.suspectCold(
-        entry: FeedEntry.Evacuation,
-        relay: RelayState,
-        now: Timestamp,
-    ): ServersState = views.values.filter { it.listing.zone == entry.zone }.fold(this) { reached, view ->
-        val cold = relay.routing?.services?.get(view.listing.service)?.coldMilliseconds ?: 0
-        reached.update(view.listing.id) { it.copy(coldUntil = maxOf(it.coldUntil, now + cold)) }
-    }
-
-    private fun RelayState.endEvacuations(event: RelayEvent.FeedRead, now: Timestamp): RelayStep {
-        if (event.feed != Feed.ORDERS) return unchanged()
-        val active = event.entries.filterIsInstance<FeedEntry.Evacuation>().filter { it.active }.map { it.zone }.toSet()
-        return unchanged().then { it.unchanged() }.thenEach(servers.evacuated.keys - active) { reached, zone ->
-            reached.evacuate(FeedEntry.Evacuation(zone, active = false), now)
-        }
-    }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/session/PinsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/session/PinsPart.kt
@@ -18,8 +18,7 @@
     }
 
     private fun RelayState.use(id: ExchangeId, number: Int, now: Timestamp): RelayStep {
-        val exchange = exchanges.byId[id] ?: return unchanged()
-        val attempt = exchange.currentOrNull(number) ?: return unchanged()
+        val (exchange, attempt) = exchanges.currentOrNull(id, number) ?: return unchanged()
         return pin(exchange, attempt.version, now).unchanged()
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/stop/StopPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/stop/StopPart.kt
@@ -13,7 +13,7 @@
 
 /** Declares readiness, and ends the process once a graceful stop has nothing left to do. */
 internal object StopPart : RelayPart {
-    /** New connections may come for this time after readiness is gone: two health checks, a second apart, and a reserve. */
+    /** New connections may come for this time after readiness is gone: two health checks, and a reserve. */
     private const val LAST_CONNECTIONS_MILLISECONDS = 3_000L
 
     /** The process ends this long before it would be killed. */
@@ -40,13 +40,15 @@
     }
 
     private fun RelayState.finishIfDone(now: Timestamp): RelayStep {
-        val requestedAt = stop.requestedAt ?: return unchanged()
-        val elapsed = now - requestedAt
-        val done = exchanges.byId.isEmpty() && elapsed >= LAST_CONNECTIONS_MILLISECONDS
-        val late = elapsed >= settings.graceMilliseconds - RESERVE_MILLISECONDS
-        if (stop.finished || !(done || late)) return unchanged()
+        val elapsed = stop.requestedAt?.takeUnless { stop.finished }?.let { now - it }
+        if (elapsed == null || !mayFinish(elapsed)) return unchanged()
         return copy(stop = stop.copy(finished = true))
             .report(now, "stopped", "active" to exchanges.byId.size, "after_ms" to elapsed)
             .then { it.with(RelayEffect.Finish) }
     }
+
+    private fun RelayState.mayFinish(elapsed: Long): Boolean {
+        val done = exchanges.byId.isEmpty() && elapsed >= LAST_CONNECTIONS_MILLISECONDS
+        return done || elapsed >= settings.graceMilliseconds - RESERVE_MILLISECONDS
+    }
 }
--- /dev/null
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/Callers.kt
@@ -0,0 +1,74 @@
+package org.quetzalloom.relay
+
+import com.github.michaelbull.result.fold
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseStatus
+import org.quetzalloom.core.error.ErrorKind
+import org.quetzalloom.core.relay.RelayEffect
+import org.quetzalloom.core.relay.RelayEvent
+import org.quetzalloom.core.relay.exchange.RelayRequest
+import org.quetzalloom.relay.caller.AnswerWriter
+import org.quetzalloom.relay.caller.CallerExchange
+import org.quetzalloom.relay.caller.CallerHandler
+import org.quetzalloom.relay.http.MessageCodec
+import org.quetzalloom.relay.report.Reporter
+
+/**
+ * Hands requests of callers to the reducer, and answers them with errors of the relay's own.
+ *
+ * @param post hands an event to the reducer.
+ */
+internal class Callers(
+    private val exchanges: ExchangeTable,
+    private val codec: MessageCodec,
+    private val reporter: Reporter,
+    private val post: (RelayEvent) -> Unit,
+) : CallerHandler {
+    /** Answers the request of [effect], if it has not been answered yet. */
+    fun refuse(effect: RelayEffect.Refuse) {
+        val exchange = exchanges.remove(effect.exchange) ?: return
+        refuse(exchange.answer, effect.kind, effect.detail, effect.retryAfterMilliseconds)
+    }
+
+    override fun arrived(head: HttpRequest, body: ByteBuf, answer: AnswerWriter): CallerExchange? =
+        codec.decodeRequest(head).fold(
+            success = { arrived(it, head, body, answer) },
+            failure = { problem ->
+                body.release()
+                refuse(answer, ErrorKind.MALFORMED, problem, retryAfterMilliseconds = null)
+                null
+            },
+        )
+
+    override fun callerLeft(exchange: CallerExchange) {
+        if (exchanges.getOrNull(exchange.id) == null) return
+        post(RelayEvent.CallerLeft(exchange.id))
+        exchange.call?.abandon()
+        exchanges.remove(exchange.id)
+    }
+
+    override fun refuse(answer: AnswerWriter, kind: ErrorKind, detail: String, retryAfterMilliseconds: Long?) {
+        reporter.countRefusal(kind)
+        val headers = DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8")
+        retryAfterMilliseconds?.let { codec.encodeRetryAfter(headers, it) }
+        val body = Unpooled.copiedBuffer("${kind.code}: $detail\n", Charsets.UTF_8)
+        answer.writeWhole(HttpResponseStatus.valueOf(kind.status), headers, body)
+    }
+
+    override fun reportProblem(name: String, cause: Throwable): Unit = reporter.problem(name, cause)
+
+    private fun arrived(
+        request: RelayRequest,
+        head: HttpRequest,
+        body: ByteBuf,
+        answer: AnswerWriter,
+    ): CallerExchange? {
+        val exchange = exchanges.add(request, head, body, answer)
+        post(RelayEvent.RequestArrived(exchange.id, request))
+        return exchanges.getOrNull(exchange.id)
+    }
+}
--- a/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
@@ -8,7 +8,6 @@
 import org.quetzalloom.core.relay.RelaySettings
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.time.Clock
-import org.quetzalloom.relay.http.Address
 import org.quetzalloom.relay.http.CallClient
 import org.quetzalloom.relay.http.MessageCodec
 import org.quetzalloom.relay.http.StatusServer
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
@@ -1,18 +1,12 @@
 package org.quetzalloom.relay.backend
 
-import io.netty.buffer.ByteBuf
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.DefaultFullHttpRequest
-import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
-import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpStatusClass
-import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
-import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import org.quetzalloom.core.relay.exchange.AttemptFailure
 import org.quetzalloom.core.time.Timestamp
@@ -22,8 +16,8 @@
 /**
  * One connection to a backend server, which serves one request at a time.
  *
- * An answer to another request is read and dropped, and the connection is not used again after the next one. Bytes that come
- * while no request is under way close it.
+ * Bytes that come while no request is under way make it useless. It goes back to the pool only once all that has
+ * arrived with the end of an answer has been read, so that surplus bytes never meet the next request.
  */
 internal class BackendConnection(
     private val pool: BackendPool,
@@ -31,20 +25,25 @@
     private val decoder: AnswerDecoder,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var channel: Channel
-    private var call: BackendCall? = null
-    private var skipping = false
+    private var reader: AnswerReader? = null
     private var reusable = true
     private var written = true
-    private var idlePending = false
-    private var broken = false
+    private var answered = false
 
-    /** How long the backend server keeps the connection when it is idle, in milliseconds, or `null` if it did not say. */
+    /** How long the backend server keeps the connection when it is idle, in milliseconds, or `null` if unknown. */
     var keepAliveMilliseconds: Long? = null
         private set
 
     /** Since when no request is under way. */
     var idleSince: Timestamp = Timestamp.EPOCH
 
+    /** Whether nothing more is read for now. */
+    var paused: Boolean
+        get() = !channel.config().isAutoRead
+        set(value) {
+            channel.config().isAutoRead = !value
+        }
+
     /** Whether the connection can be used. */
     val open: Boolean get() = channel.isActive && reusable
 
@@ -54,13 +53,15 @@
 
     /** Sends the request of [call] with [headers]. */
     fun send(call: BackendCall, headers: HttpHeaders) {
-        this.call = call
+        reader = AnswerReader(codec, call)
         call.sentOn(this)
         val head = call.exchange.head
         val body = call.exchange.body.retainedDuplicate()
         val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(), body)
         request.headers().add(headers)
-        if (hasBody(call, body)) request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+        if (body.isReadable || head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+        }
         decoder.method = head.method()
         written = false
         channel.writeAndFlush(request).addListener { written = true }
@@ -68,27 +69,27 @@
 
     /** Closes the connection; nothing more is told of it. */
     fun abandon() {
-        call = null
-        reusable = false
-        channel.close()
-    }
-
-    /** Stops or goes on reading. */
-    fun pause(paused: Boolean) {
-        channel.config().isAutoRead = !paused
+        reader = null
+        close()
     }
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
-        try {
-            read(message)
-        } finally {
-            ReferenceCountUtil.release(message)
+        val current = reader
+        val progress = current?.take(message) ?: AnswerReader.Progress.BAD
+        ReferenceCountUtil.release(message)
+        when (progress) {
+            AnswerReader.Progress.MORE -> Unit
+            AnswerReader.Progress.WHOLE -> current?.let { finish(it) }
+            AnswerReader.Progress.BAD -> {
+                close()
+                fail(AttemptFailure.BAD_ANSWER)
+            }
         }
     }
 
     override fun channelReadComplete(context: ChannelHandlerContext) {
-        if (!idlePending) return
-        idlePending = false
+        if (!answered) return
+        answered = false
         if (open && written) pool.idle(this) else close()
     }
 
@@ -98,59 +99,20 @@
         fail(AttemptFailure.CONNECTION_LOST)
     }
 
+    /** A reset makes the answer incomplete, also one that has no length and ends with its connection. */
     @Deprecated("the supertype's method is")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        broken = true
         close()
+        fail(AttemptFailure.CONNECTION_LOST)
     }
 
-    private fun read(message: Any) {
-        if (call == null || broken) return surplus()
-        if (message is HttpResponse) begin(message)
-        if (message is HttpContent && call != null) add(message)
-    }
-
-    /** Bytes that belong to no request make the connection useless. */
-    private fun surplus(): Unit = close()
-
-    private fun begin(answer: HttpResponse) {
-        val current = call ?: return
-        skipping = answer.status().codeClass() == HttpStatusClass.INFORMATIONAL
-        when {
-            answer.decoderResult().isFailure -> failAndClose(AttemptFailure.BAD_ANSWER)
-            skipping -> Unit
-            !codec.belongs(current.exchange.request, answer) -> {
-                skipping = true
-                reusable = false
-            }
-            answer.headers().contains(HttpHeaderNames.CONTENT_ENCODING) -> failAndClose(AttemptFailure.BAD_ANSWER)
-            else -> {
-                keepAliveMilliseconds = keepAliveOrNull(answer.headers())
-                if (!HttpUtil.isKeepAlive(answer) || !isFramed(answer)) reusable = false
-                current.takeHead(answer)
-            }
-        }
-    }
-
-    private fun add(content: HttpContent) {
-        val current = call ?: return
-        if (content.decoderResult().isFailure) return failAndClose(AttemptFailure.BAD_ANSWER)
-        if (skipping) return
-        if (content.content().isReadable) current.takeBody(content.content())
-        if (content is LastHttpContent && call === current) {
-            call = null
-            idlePending = true
-            current.takeEnd()
-        }
-    }
-
-    private fun isFramed(answer: HttpResponse): Boolean =
-        HttpUtil.isContentLengthSet(answer) || HttpUtil.isTransferEncodingChunked(answer)
-
-    private fun failAndClose(failure: AttemptFailure) {
-        reusable = false
-        fail(failure)
-        channel.close()
+    private fun finish(current: AnswerReader) {
+        if (reader !== current) return
+        reader = null
+        answered = true
+        reusable = reusable && current.reusable
+        keepAliveMilliseconds = current.keepAliveMilliseconds
+        current.call.takeEnd()
     }
 
     private fun close() {
@@ -159,21 +121,8 @@
     }
 
     private fun fail(failure: AttemptFailure) {
-        val current = call ?: return
-        call = null
-        current.takeFailure(failure)
-    }
-
-    private fun hasBody(call: BackendCall, body: ByteBuf): Boolean =
-        body.isReadable || call.exchange.head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-
-    private companion object {
-        const val MILLISECONDS_PER_SECOND = 1_000L
-        val TIMEOUT = Regex("""timeout\s*=\s*(\d+)""")
-
-        fun keepAliveOrNull(headers: HttpHeaders): Long? = headers.get("Keep-Alive")
-            ?.let { TIMEOUT.find(it) }
-            ?.let { it.groupValues[1].toLongOrNull() }
-            ?.let { it * MILLISECONDS_PER_SECOND }
+        val current = reader ?: return
+        reader = null
+        current.call.takeFailure(failure)
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
@@ -76,15 +76,14 @@
         peers.values.removeIf { it.all.isEmpty() && it.connecting == 0 }
     }
 
+    /** The newest connection is the least likely to be closed by the other side; dead ones are dropped on the way. */
     private fun takeKept(peer: Peer, mustBeSure: Boolean): BackendConnection? {
         val now = clock.now()
         val share = if (mustBeSure) SURE_SHARE else KEPT_SHARE
-        while (true) {
-            val newest = peer.idle.lastOrNull() ?: return null
-            if (newest.open && !newest.isFresh(now, share)) return null
-            peer.idle.removeLast()
-            if (newest.open) return newest
-        }
+        peer.idle.removeAll { !it.open }
+        val newest = peer.idle.lastOrNull()?.takeIf { it.isFresh(now, share) }
+        newest?.let { peer.idle.removeLast() }
+        return newest
     }
 
     private fun BackendConnection.isFresh(now: Timestamp, share: Double): Boolean =
@@ -111,7 +110,7 @@
         peers[call.order.address] = peer
         peer.all.add(connection)
         addresses[connection] = call.order.address
-        if (call.abandoned) {
+        if (call.ended) {
             idle(connection)
         } else {
             connection.send(call, codec.encodeRequest(call.exchange.head, call.order))
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/AnswerWriter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/AnswerWriter.kt
@@ -75,7 +75,7 @@
         val closing = closes()
         val written = channel.writeAndFlush(last)
         if (closing) {
-            written.addListener(ChannelFutureListener { connection.closeGently() })
+            written.addListener(ChannelFutureListener { connection.closer.close() })
         }
         connection.answered()
     }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerFront.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerFront.kt
@@ -1,15 +1,12 @@
 package org.quetzalloom.relay.caller
 
 import io.netty.bootstrap.ServerBootstrap
-import io.netty.buffer.ByteBuf
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
-import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseEncoder
-import org.quetzalloom.core.error.ErrorKind
 import org.quetzalloom.core.relay.routing.CallerLimits
 import org.quetzalloom.relay.http.Address
 import org.quetzalloom.relay.http.StrictRequestDecoder
@@ -19,9 +16,9 @@
 /**
  * The listener for callers, and all their connections. Confined to the loop's thread.
  *
- * @param handler what is done with requests.
+ * @property handler what is done with requests.
  */
-internal class CallerFront(private val handler: CallerHandler) {
+internal class CallerFront(val handler: CallerHandler) {
     private val connections = LinkedHashSet<CallerConnection>()
     private var listener: Channel? = null
 
@@ -54,30 +51,22 @@
         )
     }
 
+    /** Takes a connection that was accepted. */
     fun opened(connection: CallerConnection) {
         connections.add(connection)
     }
 
+    /** Takes that a connection has closed. */
     fun closed(connection: CallerConnection) {
         connections.remove(connection)
     }
 
-    /** Hands on a request that was read whole; returns `null` if it has been answered already. */
-    fun arrived(head: HttpRequest, body: ByteBuf, answer: AnswerWriter): CallerExchange? =
-        handler.arrived(head, body, answer)
-
-    fun callerLeft(exchange: CallerExchange): Unit = handler.callerLeft(exchange)
-
-    fun refuse(answer: AnswerWriter, kind: ErrorKind, detail: String, retryAfterMilliseconds: Long?): Unit =
-        handler.refuse(answer, kind, detail, retryAfterMilliseconds)
-
-    fun reportProblem(name: String, cause: Throwable): Unit = handler.reportProblem(name, cause)
-
     private inner class Initializer : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
             channel.pipeline().addLast(
                 HttpResponseEncoder(),
                 StrictRequestDecoder(limits.maximumHeaderBytes),
+                RequestReader { limits },
                 CallerConnection(this@CallerFront),
             )
         }
--- /dev/null
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestReader.kt
@@ -0,0 +1,120 @@
+package org.quetzalloom.relay.caller
+
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.handler.codec.http.TooLongHttpHeaderException
+import io.netty.handler.codec.http.TooLongHttpLineException
+import io.netty.util.ReferenceCountUtil
+import org.quetzalloom.core.error.ErrorKind
+import org.quetzalloom.core.relay.routing.CallerLimits
+import org.quetzalloom.relay.http.Countdown
+
+/**
+ * Reads requests whole, within limits. Passes on [CallerMessage]s; after a rejection it reads nothing more.
+ *
+ * @param limits returns the limits in force.
+ */
+internal class RequestReader(private val limits: () -> CallerLimits) : ChannelInboundHandlerAdapter() {
+    private class Reading(val head: HttpRequest) {
+        val body = Unpooled.buffer()
+    }
+
+    private var reading: Reading? = null
+    private var rejected = false
+    private var bodyTime: Countdown? = null
+
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        try {
+            if (!rejected && message is HttpRequest) begin(context, message)
+            if (!rejected && message is HttpContent) reading?.let { add(context, it, message) }
+        } finally {
+            ReferenceCountUtil.release(message)
+        }
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        drop()
+        context.fireChannelInactive()
+    }
+
+    private fun begin(context: ChannelHandlerContext, head: HttpRequest) {
+        context.fireChannelRead(CallerMessage.Begun)
+        val problem = problemOrNull(head)
+        if (problem != null) return reject(context, head, problem.first, problem.second)
+        if (HttpUtil.is100ContinueExpected(head)) {
+            context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
+        }
+        reading = Reading(head)
+        bodyTime = Countdown(context.executor()).also { time ->
+            time.restart(limits().idleMilliseconds) {
+                reject(context, head, ErrorKind.TOO_SLOW, "the body did not arrive in time")
+            }
+        }
+    }
+
+    private fun add(context: ChannelHandlerContext, current: Reading, content: HttpContent) {
+        val size = current.body.readableBytes() + content.content().readableBytes()
+        when {
+            content.decoderResult().isFailure ->
+                reject(context, current.head, ErrorKind.MALFORMED, "the body is malformed")
+            size > limits().maximumBodyBytes -> reject(context, current.head, ErrorKind.TOO_LARGE, bodyTooLarge())
+            else -> {
+                current.body.writeBytes(content.content())
+                if (content is LastHttpContent) complete(context, current)
+            }
+        }
+    }
+
+    private fun complete(context: ChannelHandlerContext, request: Reading) {
+        bodyTime?.cancel()
+        reading = null
+        context.fireChannelRead(CallerMessage.Whole(request.head, request.body))
+    }
+
+    private fun reject(context: ChannelHandlerContext, head: HttpRequest, kind: ErrorKind, detail: String) {
+        drop()
+        rejected = true
+        context.fireChannelRead(CallerMessage.Rejected(head, kind, detail))
+    }
+
+    private fun drop() {
+        bodyTime?.cancel()
+        reading?.body?.release()
+        reading = null
+    }
+
+    private fun problemOrNull(head: HttpRequest): Pair<ErrorKind, String>? {
+        val failure = head.decoderResult().cause()
+        val framing = if (failure == null) framingProblemOrNull(head) else null
+        return when {
+            failure is TooLongHttpHeaderException || failure is TooLongHttpLineException ->
+                ErrorKind.HEADER_TOO_LARGE to "the header is larger than ${limits().maximumHeaderBytes} bytes"
+            failure != null -> ErrorKind.MALFORMED to "the request could not be parsed"
+            framing != null -> ErrorKind.MALFORMED to framing
+            HttpUtil.getContentLength(head, 0L) > limits().maximumBodyBytes -> ErrorKind.TOO_LARGE to bodyTooLarge()
+            else -> null
+        }
+    }
+
+    private fun framingProblemOrNull(head: HttpRequest): String? = when {
+        head.protocolVersion().majorVersion() != 1 -> "the protocol version is not supported"
+        head.headers().getAll(HttpHeaderNames.HOST).size != 1 -> "there must be one Host header"
+        !head.uri().startsWith("/") -> "the target must be a path"
+        head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).size > 1 ->
+            "there must be one Transfer-Encoding header"
+        head.headers().contains(HttpHeaderNames.TRANSFER_ENCODING) && !HttpUtil.isTransferEncodingChunked(head) ->
+            "the transfer encoding is not supported"
+        else -> null
+    }
+
+    private fun bodyTooLarge(): String = "the body is larger than ${limits().maximumBodyBytes} bytes"
+}
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/AnswerDecoder.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/AnswerDecoder.kt
@@ -1,7 +1,7 @@
 package org.quetzalloom.relay.http
 
-import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponseDecoder
 
 /** Decodes answers; knows the method that was asked with, as an answer to `HEAD` has a length but no body. */
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/CallClient.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/CallClient.kt
@@ -16,8 +16,6 @@
 import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpUtil
-import io.netty.util.concurrent.ScheduledFuture
-import java.util.concurrent.TimeUnit
 
 /** What the answer to a call, or why there is none, is handed to. */
 public typealias CallListener = (Result<FullHttpResponse, String>) -> Unit
@@ -42,12 +40,9 @@
     }
 
     private fun takeIdle(address: Address): Connection? {
-        val connections = idle[address] ?: return null
-        while (connections.isNotEmpty()) {
-            val newest = connections.removeLast()
-            if (newest.isOpen) return newest
-        }
-        return null
+        val connections = idle[address]
+        connections?.removeAll { !it.isOpen }
+        return connections?.removeLastOrNull()
     }
 
     private fun connect(connection: Connection, request: FullHttpRequest) {
@@ -75,13 +70,13 @@
     private inner class Connection(val address: Address) : SimpleChannelInboundHandler<FullHttpResponse>() {
         private var channel: Channel? = null
         private var listener: CallListener? = null
-        private var timer: ScheduledFuture<*>? = null
+        private val patience = Countdown(group.next())
 
         val isOpen: Boolean get() = channel?.isActive ?: false
 
         fun begin(listener: CallListener, timeoutMilliseconds: Long) {
             this.listener = listener
-            timer = group.next().schedule({ timeOut() }, timeoutMilliseconds, TimeUnit.MILLISECONDS)
+            patience.restart(timeoutMilliseconds) { timeOut() }
         }
 
         fun send(request: FullHttpRequest) {
@@ -95,7 +90,7 @@
         }
 
         fun end(result: Result<FullHttpResponse, String>) {
-            timer?.cancel(false)
+            patience.cancel()
             val waiting = listener ?: return
             listener = null
             waiting(result)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/HopHeaders.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/HopHeaders.kt
@@ -19,9 +19,10 @@
 
 /** Returns a copy without the headers that concern one connection only, and without the length of the body. */
 public fun HttpHeaders.withoutConnectionHeaders(): HttpHeaders {
-    val named = getAll(HttpHeaderNames.CONNECTION).flatMap { it.split(',') }.map { it.trim() }.filter { it.isNotEmpty() }
+    val named = getAll(HttpHeaderNames.CONNECTION).flatMap { it.split(',') }.map { it.trim() }
+    val dropped = CONNECTION_HEADERS + named.filter { it.isNotEmpty() }
     val copy = DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders().add(this)
-    (CONNECTION_HEADERS + named).forEach { copy.remove(it) }
+    dropped.forEach { copy.remove(it) }
     copy.remove(HttpHeaderNames.CONTENT_LENGTH)
     return copy
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/MessageCodec.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/MessageCodec.kt
@@ -13,7 +13,7 @@
     /** Returns the request whose head is [head], or what is wrong with it in words for the caller. */
     public fun decodeRequest(head: HttpRequest): Result<RelayRequest, String>
 
-    /** Returns the headers with which a request is sent on, without those of the connection and of the body's framing. */
+    /** Returns the headers to send a request with, without those of the connection and of the body's length. */
     public fun encodeRequest(head: HttpRequest, order: SendOrder): HttpHeaders
 
     /** Returns whether [answer] is one to [request], and not to another request. */
--- a/relay/src/main/kotlin/org/quetzalloom/relay/report/RelayMetrics.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/report/RelayMetrics.kt
@@ -24,9 +24,13 @@
     private val failures = counter("quetzalloom_relay_attempt_failures_total", "Attempts lost, by cause.", "failure")
     private val dropped = Counter.builder().name("quetzalloom_relay_log_lines_dropped_total")
         .help("Log lines dropped because the queue was full.").register(registry)
-    private val latency = Histogram.builder().name("quetzalloom_relay_request_seconds")
+    private val latency = Histogram.builder()
+        .name("quetzalloom_relay_request_seconds")
         .help("Time from the end of a request to the end of its answer, by route.")
-        .labelNames("route").classicOnly().classicUpperBounds(*BOUNDS).register(registry)
+        .labelNames("route")
+        .classicOnly()
+        .classicExponentialUpperBounds(FIRST_BOUND, BOUND_FACTOR, BOUNDS)
+        .register(registry)
 
     init {
         gauge("quetzalloom_relay_active_requests", "Requests not answered yet.") { it.activeExchanges.toDouble() }
@@ -81,6 +85,8 @@
         const val MILLISECONDS_PER_SECOND = 1_000.0
 
         /** Seconds; commands are to be answered in about a tenth, long streams in twenty. */
-        val BOUNDS = doubleArrayOf(0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 15.0, 20.0)
+        const val FIRST_BOUND = 0.01
+        const val BOUND_FACTOR = 2.0
+        const val BOUNDS = 12
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/report/Reporter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/report/Reporter.kt
@@ -7,7 +7,7 @@
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
 
-/** Writes time line entries to the log, and counts them. Never waits: lines that find the log's queue full are dropped. */
+/** Writes time line entries to the log, and counts them. Never waits: lines are dropped while the queue is full. */
 internal class Reporter(private val metrics: RelayMetrics) {
     private val appender =
         (LoggerFactory.getLogger(Logger.ROOT_LOGGER_NAME) as? ch.qos.logback.classic.Logger)
