--- /dev/null
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/RelaySite.kt
@@ -0,0 +1,151 @@
+package org.quetzalloom.relay
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import org.quetzalloom.core.identity.AvailabilityZoneId
+import org.quetzalloom.core.identity.BackendServerId
+import org.quetzalloom.core.identity.VmId
+import org.quetzalloom.core.relay.RelayEvent
+import org.quetzalloom.core.relay.RelaySettings
+import org.quetzalloom.core.relay.feed.Feed
+import org.quetzalloom.core.relay.feed.FeedEntry
+import org.quetzalloom.core.relay.routing.BackendService
+import org.quetzalloom.core.relay.routing.CallerLimits
+import org.quetzalloom.core.relay.routing.Route
+import org.quetzalloom.core.relay.routing.RoutingTable
+import org.quetzalloom.core.relay.routing.ServiceName
+import org.quetzalloom.core.relay.routing.Split
+import org.quetzalloom.core.relay.server.ServerListing
+import org.quetzalloom.relay.http.Address
+import org.quetzalloom.runtime.Interpreter
+import org.quetzalloom.standins.scripted.ScriptedRequest
+import org.quetzalloom.standins.scripted.ScriptedServer
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import kotlin.test.assertTrue
+
+/** One relay on loopback, before backend servers that follow scripts. */
+class RelaySite(vararg scripts: (ScriptedRequest) -> Unit) : AutoCloseable {
+    val servers = scripts.map { ScriptedServer(it).start() }
+    private val callers = Address("127.0.0.1", freePort())
+    private val ready = Address("127.0.0.1", freePort())
+    private val program = RelayProgram(
+        settings = RelaySettings(
+            vm = VmId("vm-1"),
+            zone = zone,
+            graceMilliseconds = 8_000,
+            repeatRatio = 0.9,
+            repeatWindowMilliseconds = 10_000,
+            repeatSlack = 54.0,
+            sessionMilliseconds = 5_000,
+        ),
+        listeners = Listeners(callers, ready),
+        codec = PlainCodec,
+        store = { _, _ -> Interpreter { } },
+    )
+
+    init {
+        program.start()
+        program.tell(RelayEvent.MembersListed(generation = 0, vms = setOf(VmId("vm-1"))))
+        program.tell(RelayEvent.FeedRead(Feed.ORDERS, listOf(FeedEntry.Configuration(table)), 1, snapshot = true))
+        program.tell(RelayEvent.FeedRead(Feed.SERVERS, listings(), 1, snapshot = true))
+        awaitReady()
+    }
+
+    private fun awaitReady() {
+        val given = System.nanoTime()
+        while (System.nanoTime() - given < READ_MILLISECONDS * NANOSECONDS) {
+            val answer = CallerSocket(Socket(ready.host, ready.port)).use {
+                it.send("GET / HTTP/1.1\r\nHost: app\r\nConnection: close\r\n\r\n").readAll()
+            }
+            if (" 200 " in answer) return
+        }
+        error("the relay is not ready")
+    }
+
+    /** Opens a connection as a caller. */
+    fun connect(): CallerSocket = CallerSocket(Socket(callers.host, callers.port))
+
+    /** Sends [request] on a connection of its own, and returns all bytes until the relay closes it. */
+    fun exchange(request: String): String = connect().use { it.send(request).readAll() }
+
+    override fun close() {
+        servers.forEach { it.close() }
+    }
+
+    private fun listings(): List<FeedEntry> = servers.mapIndexed { index, server ->
+        FeedEntry.Server(
+            ServerListing(
+                id = BackendServerId("s-$index"),
+                service = service,
+                address = "127.0.0.1:${server.port}",
+                zone = zone,
+                version = "v1",
+                slots = 6,
+                draining = false,
+                coldMilliseconds = 0,
+                startedAt = 1,
+                sequence = 1,
+            ),
+        )
+    }
+
+    /** A caller's connection. */
+    class CallerSocket(private val socket: Socket) : AutoCloseable {
+        init {
+            socket.soTimeout = READ_MILLISECONDS.toInt()
+        }
+
+        /** Writes [text] as it is. */
+        fun send(text: String): CallerSocket = apply {
+            socket.getOutputStream().write(text.toByteArray(Charsets.ISO_8859_1))
+            socket.getOutputStream().flush()
+        }
+
+        /** Reads until the relay closes the connection. */
+        fun readAll(): String = socket.getInputStream().readAllBytes().toString(Charsets.ISO_8859_1)
+
+        /** Reads until what was read contains [text]. */
+        fun readUntil(text: String): String {
+            val read = StringBuilder()
+            while (text !in read) {
+                val next = socket.getInputStream().read()
+                assertTrue(next >= 0, "the connection ended after '$read'")
+                read.append(next.toChar())
+            }
+            return read.toString()
+        }
+
+        override fun close(): Unit = socket.close()
+    }
+
+    companion object {
+        private const val READ_MILLISECONDS = 5_000L
+        private const val NANOSECONDS = 1_000_000L
+        private val zone = AvailabilityZoneId("zone-a")
+        private val service = ServiceName("ledger")
+        private val splits = persistentListOf(Split(service, weight = 1))
+        private val once = Route("book", "app", "/book/", splits, false, timeoutMilliseconds = 2_000, targetMilliseconds = 400)
+        private val table = RoutingTable(
+            version = 1,
+            routes = persistentListOf(
+                once,
+                once.copy(name = "look", pathPrefix = "/look/", repeatable = true, maximumAttempts = 2),
+                once.copy(
+                    name = "draft",
+                    pathPrefix = "/draft/",
+                    streaming = true,
+                    resumable = true,
+                    maximumAttempts = 3,
+                    gapMilliseconds = 1_000,
+                ),
+                once.copy(name = "note", pathPrefix = "/note/", streaming = true),
+            ),
+            services = persistentMapOf(service to BackendService(service, maximumConnections = 20)),
+            limits = CallerLimits(2_048, 10_000, headerMilliseconds = 1_000, idleMilliseconds = 5_000),
+        )
+
+        private fun freePort(): Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+    }
+}
--- /dev/null
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/RequestsTest.kt
@@ -0,0 +1,85 @@
+package org.quetzalloom.relay
+
+import org.quetzalloom.standins.scripted.ScriptedRequest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** Requests reach a backend server as they came, or not at all. */
+class RequestsTest {
+    private val echo: (ScriptedRequest) -> Unit =
+        { it.answer("200 OK", mapOf("Id" to it.headers.getValue("id")), it.body.decodeToString()) }
+
+    private fun status(answer: String): String = answer.lineSequence().first().split(' ')[1]
+
+    @Test
+    fun `path, query and a body in chunks are passed on to the byte`() {
+        RelaySite(echo).use { site ->
+            val head = "POST /book/a%2Fb?x=1&y=%20 HTTP/1.1\r\nHost: app\r\nId: a\r\nTransfer-Encoding: chunked\r\n"
+            val answer = site.exchange("${head}Connection: close\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+            assertEquals("abcde", answer.substringAfter("\r\n\r\n"))
+            val request = site.servers[0].requests.single()
+            assertEquals("POST /book/a%2Fb?x=1&y=%20 HTTP/1.1", request.line)
+            assertEquals("5", request.headers["content-length"])
+            assertEquals(null, request.headers["transfer-encoding"])
+        }
+    }
+
+    @Test
+    fun `one connection carries many requests, one after the other`() {
+        RelaySite(echo).use { site ->
+            site.connect().use { caller ->
+                repeat(3) { number ->
+                    val request = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a$number\r\nContent-Length: 2\r\n\r\nb$number"
+                    assertTrue(caller.send(request).readUntil("b$number").startsWith("HTTP/1.1 200"))
+                }
+            }
+            assertEquals(1, site.servers[0].accepted)
+        }
+    }
+
+    @Test
+    fun `malformed requests are answered and never passed on`() {
+        val bad = listOf(
+            "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
+            "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nTransfer-Encoding: gzip\r\n\r\n",
+            "GET /book/1 HTTP/1.1\r\nHost: app\r\nHost: other\r\nId: a\r\n\r\n",
+            "GET /book/1 HTTP/1.1\r\nId: a\r\n\r\n",
+            "GET http://app/book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\n\r\n",
+            "GET /book/1 HTTP/1.1\r\nHost: app\r\nId : a\r\n\r\n",
+            "GET /book/1 HTTP/1.1\r\nHost: app\r\n\r\n",
+            "nonsense\r\n\r\n",
+        )
+        RelaySite(echo).use { site ->
+            bad.forEach { request ->
+                val answer = site.connect().use { it.send(request).readUntil("\r\n\r\n") }
+                assertEquals("400", status(answer), request)
+            }
+            assertEquals(0, site.servers[0].requests.size)
+        }
+    }
+
+    @Test
+    fun `headers and bodies over the limits are refused`() {
+        RelaySite(echo).use { site ->
+            val long = "GET /look/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nX: ${"x".repeat(3_000)}\r\n\r\n"
+            assertEquals("431", status(site.exchange(long)))
+            val big = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nContent-Length: 20000\r\n\r\n"
+            assertEquals("413", status(site.exchange(big)))
+            assertEquals(0, site.servers[0].requests.size)
+        }
+    }
+
+    @Test
+    fun `a request without a route is answered 404 on the same connection`() {
+        RelaySite(echo).use { site ->
+            site.connect().use { caller ->
+                val unknown = "GET /nowhere HTTP/1.1\r\nHost: app\r\nId: a\r\n\r\n"
+                assertEquals("404", status(caller.send(unknown).readUntil("unknown_target")))
+                val known = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nContent-Length: 2\r\n\r\nok"
+                assertTrue(caller.send(known).readUntil("ok").contains("HTTP/1.1 200"))
+            }
+        }
+    }
+}
