--- a/relay/src/test/kotlin/org/quetzalloom/relay/AnswersTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/AnswersTest.kt
@@ -1,6 +1,7 @@
 package org.quetzalloom.relay
 
 import org.quetzalloom.standins.scripted.ScriptedRequest
+import java.util.concurrent.CompletableFuture
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -131,10 +132,14 @@
 
     @Test
     fun `a backend server hears at once that the caller has gone`() {
-        val closed = java.util.concurrent.CompletableFuture<Boolean>()
-        RelaySite({ closed.complete(it.awaitClose(milliseconds = 500)) }).use { site ->
+        val reached = CompletableFuture<Unit>()
+        val closed = CompletableFuture<Boolean>()
+        RelaySite({
+            reached.complete(Unit)
+            closed.complete(it.awaitClose(milliseconds = 500))
+        }).use { site ->
             val caller = site.connect().send(get)
-            while (site.servers[0].requests.isEmpty()) Thread.onSpinWait()
+            reached.get()
             caller.close()
             assertTrue(closed.get())
         }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/http/StandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/http/StandIn.kt
@@ -8,6 +8,9 @@
 interface StandIn<S : Any> : Reducer<S, HttpEvent, HttpEffect> {
     /** The state at the start. */
     val initial: S
+
+    /** Whether bodies are bytes; they are then shown as text with one character a byte. */
+    val binary: Boolean get() = false
 }
 
 /** Returns the transition to this state that changes nothing else. */
--- a/standins/src/main/kotlin/org/quetzalloom/standins/http/StandInServer.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/http/StandInServer.kt
@@ -8,8 +8,10 @@
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.request.httpMethod
 import io.ktor.server.request.path
+import io.ktor.server.request.receive
 import io.ktor.server.request.receiveText
 import io.ktor.server.response.header
+import io.ktor.server.response.respondBytes
 import io.ktor.server.response.respondBytesWriter
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.route
@@ -26,7 +28,7 @@
 import java.util.UUID
 
 /** Runs a stand-in as an HTTP server on one port of this machine. */
-class StandInServer<S : Any>(standIn: StandIn<S>, private val port: Int) {
+class StandInServer<S : Any>(private val standIn: StandIn<S>, private val port: Int) {
     private val loop: EventLoop<S, HttpEvent, HttpEffect> = EventLoop(
         initial = standIn.initial,
         reducer = standIn,
@@ -78,7 +80,7 @@
         headers = call.request.headers.entries()
             .associate { it.key.lowercase() to it.value.first() }
             .toPersistentMap(),
-        body = call.receiveText(),
+        body = if (standIn.binary) call.receive<ByteArray>().toString(Charsets.ISO_8859_1) else call.receiveText(),
     )
 
     private suspend fun write(call: ApplicationCall, answers: ReceiveChannel<HttpEffect>) {
@@ -92,7 +94,12 @@
 
     private suspend fun respond(call: ApplicationCall, answer: HttpEffect.Respond) {
         answer.headers.forEach { (name, value) -> call.response.header(name, value) }
-        call.respondText(answer.body, ContentType.Application.Json, HttpStatusCode.fromValue(answer.status))
+        val status = HttpStatusCode.fromValue(answer.status)
+        if (standIn.binary) {
+            call.respondBytes(answer.body.toByteArray(Charsets.ISO_8859_1), ContentType.Application.OctetStream, status)
+        } else {
+            call.respondText(answer.body, ContentType.Application.Json, status)
+        }
     }
 
     private suspend fun stream(call: ApplicationCall, open: HttpEffect.Open, answers: ReceiveChannel<HttpEffect>) {
