Place requests by the prompts that servers have still to read

Cause: two thirds of the late answers waited seconds at one server behind long prompts (a status brief began 2.4 s after it arrived while other servers were idle); requests in flight say nothing of that. Ruled out: few slots (most were free), shared parts read again (0.5 of 8.8 million tokens).

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayPolicies.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayPolicies.kt
@@ -2,6 +2,8 @@
 
 import org.quetzalloom.core.relay.model.ConfidenceCascade
 import org.quetzalloom.core.relay.model.ModelChoice
+import org.quetzalloom.core.relay.model.PromptWork
+import org.quetzalloom.core.relay.model.WorkEstimate
 import org.quetzalloom.core.relay.rollout.ExposurePolicy
 import org.quetzalloom.core.relay.rollout.SteppedExposure
 import org.quetzalloom.core.relay.server.AffinityPlacement
@@ -11,5 +13,6 @@
 public data class RelayPolicies(
     public val modelChoice: ModelChoice = ConfidenceCascade(),
     public val placement: Placement = AffinityPlacement(),
+    public val work: WorkEstimate = PromptWork(),
     public val exposure: ExposurePolicy = SteppedExposure,
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Answers.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Answers.kt
@@ -7,14 +7,20 @@
 import org.quetzalloom.core.relay.RelayStep
 import org.quetzalloom.core.relay.report
 import org.quetzalloom.core.relay.server.takeAnswer
+import org.quetzalloom.core.relay.server.takeRead
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.relay.with
 import org.quetzalloom.core.time.Timestamp
 
 /** Returns the transition that takes the head of an answer: passes it on, or drops it and asks elsewhere. */
 internal fun RelayState.answerStarted(event: RelayEvent.AnswerStarted, now: Timestamp): RelayStep {
-    val (exchange, attempt) = exchanges.currentOrNull(event.exchange, event.attempt) ?: return unchanged()
-    val heard = copy(servers = servers.update(attempt.server) { it.takeAnswer(event.head, now) })
+    val (asked, pending) = exchanges.currentOrNull(event.exchange, event.attempt) ?: return unchanged()
+    val attempt = pending.copy(work = 0)
+    val exchange = asked.copy(attempt = attempt)
+    val heard = copy(
+        exchanges = exchanges.with(exchange),
+        servers = servers.update(attempt.server) { it.takeAnswer(event.head, now).takeRead(pending.work) },
+    )
     return when {
         event.head.notRun -> heard.refusedByServer(exchange, attempt, event.head, now)
         exchange.passing -> heard.goOn(exchange, attempt, event.head, now)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
@@ -36,7 +36,8 @@
 }
 
 private fun RelayState.placementRequest(exchange: Exchange): PlacementRequest = PlacementRequest(
-    subject = exchange.request.subjectOrNull?.id,
+    subject = exchange.request.subjectOrNull,
+    work = policies.work.of(exchange.request, exchange.model),
     seed = (exchange.request.callerId ?: exchange.request.path) + exchange.attempts,
     zone = settings.zone,
 )
@@ -53,11 +54,12 @@
         version = view.listing.version,
         model = exchange.model,
         sentAt = now,
+        work = policies.work.of(exchange.request, exchange.model),
     )
     val sent = exchange.copy(attempt = attempt, attempts = attempt.number)
     val next = pin(exchange, attempt.version, now).copy(
         exchanges = countRepeat(exchange, now).with(sent),
-        servers = servers.update(view.listing.id) { it.takeSend(now) },
+        servers = servers.update(view.listing.id) { it.takeSend(attempt.work, now) },
     )
     return next.with(RelayEffect.Send(exchange.id, attempt.number, order(exchange, view, now)))
         .then { it.reportSend(sent, view, now) }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Endings.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Endings.kt
@@ -6,6 +6,7 @@
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.RelayStep
 import org.quetzalloom.core.relay.report
+import org.quetzalloom.core.relay.server.takeEnd
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.relay.with
 import org.quetzalloom.core.time.Timestamp
@@ -23,7 +24,7 @@
 
 /** Returns the state in which the backend server of [attempt] has one request less. */
 internal fun RelayState.release(attempt: Attempt): RelayState = copy(
-    servers = servers.update(attempt.server) { it.copy(inFlight = (it.inFlight - 1).coerceAtLeast(0)) },
+    servers = servers.update(attempt.server) { it.takeEnd(attempt.work) },
 )
 
 /** Returns the transition that reports how [exchange] ended. */
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/AffinityPlacement.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/AffinityPlacement.kt
@@ -4,36 +4,42 @@
 import org.quetzalloom.core.router.stableHash
 
 /**
- * Keeps requests of one subject at one backend server while its load is bounded; draws two for all others and takes the
- * one with less load.
+ * Takes the backend server with the least work; but keeps requests that share a long part of their prompts at one of them,
+ * while that has not much more work than the others.
  *
- * The servers of a subject are ranked by a hash, so that routers agree without a message and few subjects move when a
+ * The servers of a shared part are ranked by a hash, so that routers agree without a message and few parts move when a
  * server comes or goes.
  *
- * @property spread how much more than the mean a backend server may have before a subject goes to its next one.
+ * @property longPartTokens shorter parts are read again as quickly as they are found.
+ * @property spread how much more work than the mean a backend server may have before a part goes to its next one.
  * @property mostFailing candidates with a larger share of failures are left out while others are there.
  */
 public data class AffinityPlacement(
+    public val longPartTokens: Int = 512,
     public val spread: Double = 1.5,
     public val mostFailing: Double = 0.5,
 ) : Placement {
     override fun chooseOrNull(candidates: List<Candidate>, request: PlacementRequest): Candidate? {
         val sound = candidates.filter { it.failing <= mostFailing }.ifEmpty { candidates }
-        val subject = request.subject
+        val subject = request.subject?.takeIf { it.tokens >= longPartTokens }
         return when {
             sound.isEmpty() -> null
-            subject == null -> sound.lessLoadedOfTwo(request)
-            else -> sound.bounded(subject)
+            request.work == 0L -> sound.lessLoadedOfTwo(request)
+            subject == null -> sound.leastWork(request)
+            else -> sound.bounded(subject.id, request)
         }
     }
 
-    private fun List<Candidate>.bounded(subject: String): Candidate {
-        val own = sumOf { it.inFlight }
-        val bound = spread * (own + 1) / size + 1
+    private fun List<Candidate>.bounded(subject: String, request: PlacementRequest): Candidate {
+        val bound = spread * (sumOf { it.work } + request.work) / size
         val ranked = sortedByDescending { stableHash(subject, it.server.value) }
-        return ranked.firstOrNull { it.inFlight < bound && it.load < it.slots } ?: minBy { it.load }
+        return ranked.firstOrNull { it.work <= bound && it.load < it.slots } ?: leastWork(request)
     }
 
+    /** Among servers that seem equal the draw is random, so that routers do not all take the same. */
+    private fun List<Candidate>.leastWork(request: PlacementRequest): Candidate =
+        minWith(compareBy({ it.load >= it.slots }, { it.work }, { stableHash(request.seed, it.server.value) }))
+
     private fun List<Candidate>.lessLoadedOfTwo(request: PlacementRequest): Candidate {
         val first = this[bucketOf(request.seed, size)]
         val others = filter { it.server != first.server }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/Candidate.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/Candidate.kt
@@ -8,6 +8,7 @@
  *
  * @property inFlight this router's own attempts at it.
  * @property load the requests at it, as far as this router knows.
+ * @property work the prompts that it has still to read, weighed by model, as far as this router knows.
  * @property failing the share of its recent attempts that failed.
  */
 public data class Candidate(
@@ -16,5 +17,6 @@
     public val slots: Int,
     public val inFlight: Int,
     public val load: Int,
+    public val work: Long,
     public val failing: Double,
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ColdShares.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ColdShares.kt
@@ -25,8 +25,8 @@
 }
 
 /** Returns the view after an attempt was sent at [now]. */
-internal fun ServerView.takeSend(now: Timestamp): ServerView {
+internal fun ServerView.takeSend(work: Long, now: Timestamp): ServerView {
     val recent = coldSends.filter { now - it < COLD_WINDOW_MILLISECONDS }
     val sends = if (now < coldUntil) recent + now else recent
-    return copy(inFlight = inFlight + 1, coldSends = sends.toPersistentList())
+    return copy(inFlight = inFlight + 1, work = this.work + work, coldSends = sends.toPersistentList())
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerOutcomes.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerOutcomes.kt
@@ -30,6 +30,13 @@
     }
 }
 
+/** Returns the view after [work] of the prompts has been read. */
+internal fun ServerView.takeRead(work: Long): ServerView = copy(work = (this.work - work).coerceAtLeast(0))
+
+/** Returns the view after an attempt has ended, of which [workLeft] had still to be read. */
+internal fun ServerView.takeEnd(workLeft: Long): ServerView =
+    copy(inFlight = (inFlight - 1).coerceAtLeast(0), work = (work - workLeft).coerceAtLeast(0))
+
 /** Returns the view after an attempt was lost. */
 internal fun ServerView.takeFailure(failure: AttemptFailure, now: Timestamp): ServerView {
     if (!failure.serverSuspect) return score(failed = failure.sent, now)
@@ -52,5 +59,6 @@
     slots = listing.slots,
     inFlight = inFlight,
     load = loadAt(now),
+    work = work,
     failing = failureScoreAt(now),
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerView.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerView.kt
@@ -14,6 +14,7 @@
  * @property failureScore the share of recent attempts that failed, from 0 to 1.
  * @property scoredAt when [failureScore] was last changed.
  * @property inFlight this router's own attempts at it.
+ * @property work the prompts of these attempts that it has still to read, weighed by model.
  * @property load its last report.
  * @property loadAt when [load] was reported.
  * @property coldSends when this router sent to it lately while it was cold.
@@ -27,6 +28,7 @@
     val failureScore: Double = 0.0,
     val scoredAt: Timestamp = Timestamp.EPOCH,
     val inFlight: Int = 0,
+    val work: Long = 0,
     val load: LoadReport? = null,
     val loadAt: Timestamp = Timestamp.EPOCH,
     val coldSends: PersistentList<Timestamp> = persistentListOf(),
