Let routers tell each other of their work, and read the store less often

Cause: a router knows a seventh of the load, so several sent long prompts to the same server at once. Ruled out: reports in answers alone (a second old at each router).

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
@@ -1,9 +1,11 @@
 package org.quetzalloom.core.relay
 
+import kotlinx.collections.immutable.PersistentList
 import org.quetzalloom.core.error.ErrorKind
 import org.quetzalloom.core.relay.exchange.ExchangeId
 import org.quetzalloom.core.relay.exchange.SendOrder
 import org.quetzalloom.core.relay.feed.Feed
+import org.quetzalloom.core.relay.peer.PeerBeacon
 import org.quetzalloom.core.relay.rollout.RolloutPhase
 import org.quetzalloom.core.relay.routing.CallerLimits
 import org.quetzalloom.core.relay.routing.ServiceName
@@ -44,6 +46,12 @@
     /** Lists the members of the group. */
     public data class ListMembers(public val generation: Long) : RelayEffect
 
+    /** Sends [beacon] to the routers at [addresses], each a `host:port`. */
+    public data class TellPeers(
+        public val addresses: PersistentList<String>,
+        public val beacon: PeerBeacon,
+    ) : RelayEffect
+
     /** Writes how far a roll-out is, unless the status feed no longer ends at [expectedEnd]. */
     public data class WriteRolloutStatus(
         public val service: ServiceName,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
@@ -8,6 +8,7 @@
 import org.quetzalloom.core.relay.feed.Feed
 import org.quetzalloom.core.relay.feed.FeedEntry
 import org.quetzalloom.core.relay.feed.FeedProblem
+import org.quetzalloom.core.relay.peer.PeerBeacon
 import org.quetzalloom.core.relay.rollout.RolloutPhase
 import org.quetzalloom.core.relay.routing.ServiceName
 
@@ -80,8 +81,15 @@
     /** The group could not be joined or listed. */
     public data class GroupFailed(public val detail: String) : RelayEvent
 
-    /** The members of the group, asked for when [generation] was the last one heard. */
-    public data class MembersListed(public val generation: Long, public val vms: Set<VmId>) : RelayEvent
+    /**
+     * The members of the group, asked for when [generation] was the last one heard.
+     *
+     * @property vms the `host:port` at which each member receives beacons; empty where it is not known.
+     */
+    public data class MembersListed(public val generation: Long, public val vms: Map<VmId, String>) : RelayEvent
+
+    /** Another router has told of its work. */
+    public data class PeerHeard(public val beacon: PeerBeacon) : RelayEvent
 
     /** A status was written, or was not because of [detail]. */
     public data class StatusWritten(
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
@@ -8,6 +8,7 @@
 import org.quetzalloom.core.relay.exchange.ExchangesPart
 import org.quetzalloom.core.relay.feed.FeedsPart
 import org.quetzalloom.core.relay.member.MembersPart
+import org.quetzalloom.core.relay.peer.PeersPart
 import org.quetzalloom.core.relay.rollout.OutcomesPart
 import org.quetzalloom.core.relay.rollout.RolloutsPart
 import org.quetzalloom.core.relay.routing.RoutingPart
@@ -29,6 +30,7 @@
         ServersPart,
         EvacuationsPart,
         MembersPart,
+        PeersPart,
         OutcomesPart,
         RolloutsPart,
         PinsPart,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelaySettings.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelaySettings.kt
@@ -31,10 +31,10 @@
     }
 
     private companion object {
-        /** A leaving server must get nothing 2 s after the store knows; this leaves room for two failed reads. */
-        const val SERVERS_PAUSE_MILLISECONDS = 700L
+        /** A leaving server must get nothing 2 s after the store knows; this leaves room for a failed read. */
+        const val SERVERS_PAUSE_MILLISECONDS = 1_000L
 
         /** A reverted version must get nothing within seconds. */
-        const val STATUS_PAUSE_MILLISECONDS = 700L
+        const val STATUS_PAUSE_MILLISECONDS = 1_000L
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
@@ -3,6 +3,7 @@
 import org.quetzalloom.core.relay.exchange.ExchangesState
 import org.quetzalloom.core.relay.feed.FeedsState
 import org.quetzalloom.core.relay.member.MembersState
+import org.quetzalloom.core.relay.peer.PeersState
 import org.quetzalloom.core.relay.rollout.RolloutsState
 import org.quetzalloom.core.relay.routing.RoutingTable
 import org.quetzalloom.core.relay.server.ServersState
@@ -24,6 +25,7 @@
     internal val feeds: FeedsState = FeedsState(),
     internal val servers: ServersState = ServersState(),
     internal val members: MembersState = MembersState(),
+    internal val peers: PeersState = PeersState(),
     internal val rollouts: RolloutsState = RolloutsState(),
     internal val pins: PinsState = PinsState(),
     internal val exchanges: ExchangesState = ExchangesState(),
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersPart.kt
@@ -1,6 +1,6 @@
 package org.quetzalloom.core.relay.member
 
-import kotlinx.collections.immutable.toPersistentSet
+import kotlinx.collections.immutable.toPersistentMap
 import org.quetzalloom.core.reducer.then
 import org.quetzalloom.core.relay.RelayEffect
 import org.quetzalloom.core.relay.RelayEvent
@@ -81,7 +81,7 @@
 
     private fun RelayState.listed(event: RelayEvent.MembersListed, now: Timestamp): RelayStep {
         val next = members.copy(
-            vms = event.vms.toPersistentSet().add(settings.vm),
+            vms = event.vms.toPersistentMap().put(settings.vm, ""),
             listedGeneration = event.generation,
             listing = false,
             listDueAt = now + PAUSE_MILLISECONDS,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersState.kt
@@ -1,7 +1,7 @@
 package org.quetzalloom.core.relay.member
 
-import kotlinx.collections.immutable.PersistentSet
-import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
 import org.quetzalloom.core.identity.VmId
 import org.quetzalloom.core.time.Timestamp
 
@@ -9,7 +9,7 @@
  * Who else routes.
  *
  * @property generation the generation of the group that was last heard; 0 before the first.
- * @property vms the members, as of [listedGeneration]; empty before they were first read.
+ * @property vms the members, and where each receives beacons, as of [listedGeneration]; empty before they were first read.
  * @property holdsDuty whether this router performs what only one of them may.
  * @property joinedAt when the group last confirmed this router.
  * @property joinDueAt when it joins again.
@@ -18,7 +18,7 @@
  */
 internal data class MembersState(
     val generation: Long = 0,
-    val vms: PersistentSet<VmId> = persistentSetOf(),
+    val vms: PersistentMap<VmId, String> = persistentMapOf(),
     val listedGeneration: Long = 0,
     val holdsDuty: Boolean = false,
     val joinedAt: Timestamp? = null,
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeerBeacon.kt
@@ -0,0 +1,17 @@
+package org.quetzalloom.core.relay.peer
+
+import kotlinx.collections.immutable.PersistentMap
+import org.quetzalloom.core.identity.BackendServerId
+import org.quetzalloom.core.identity.VmId
+
+/**
+ * What a router tells the others now and then.
+ *
+ * @property sequence rises with each beacon of one start of a router.
+ * @property work the prompts that backend servers have still to read for [vm], weighed by model; only those that are not 0.
+ */
+public data class PeerBeacon(
+    public val vm: VmId,
+    public val sequence: Long,
+    public val work: PersistentMap<BackendServerId, Long>,
+)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ColdShares.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ColdShares.kt
@@ -20,7 +20,7 @@
 private fun RelayState.coldShare(view: ServerView, borne: Double): Int {
     val equal = Math.floor(borne / members.shareholders).toInt()
     if (equal > 0) return equal
-    val ranked = members.vms.sortedBy { stableHash(view.listing.id.value, it.value) }.take(borne.toInt())
+    val ranked = members.vms.keys.sortedBy { stableHash(view.listing.id.value, it.value) }.take(borne.toInt())
     return if (settings.vm in ranked) 1 else 0
 }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerOutcomes.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerOutcomes.kt
@@ -52,13 +52,13 @@
     )
 }
 
-/** Returns the view as a placement sees it. */
-internal fun ServerView.toCandidate(now: Timestamp): Candidate = Candidate(
+/** Returns the view as a placement sees it, where other routers have [othersWork] at the server. */
+internal fun ServerView.toCandidate(othersWork: Long, now: Timestamp): Candidate = Candidate(
     server = listing.id,
     zone = listing.zone,
     slots = listing.slots,
     inFlight = inFlight,
     load = loadAt(now),
-    work = work,
+    work = work + othersWork,
     failing = failureScoreAt(now),
 )
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RelayRig.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RelayRig.kt
@@ -28,6 +28,7 @@
     var state: RelayState = RelayState.initial(settings(vm), policies)
         private set
     private var lastId = 0L
+    private var joined = false
 
     /** Reduces [event] now; returns the effects. */
     fun on(event: RelayEvent): List<RelayEffect> {
@@ -36,10 +37,12 @@
         return transition.effects
     }
 
-    /** Lets [milliseconds] pass, with ticks; returns all effects. */
+    /** Lets [milliseconds] pass, with ticks, while the group confirms its members; returns all effects. */
     fun pass(milliseconds: Long): List<RelayEffect> = (1..milliseconds / TICK).flatMap {
         now += TICK
-        on(RelayEvent.Tick)
+        val effects = on(RelayEvent.Tick)
+        val confirmed = joined && effects.any { it is RelayEffect.JoinGroup }
+        if (confirmed) effects + on(RelayEvent.GroupJoined(generation = 1, holdsDuty = true)) else effects
     }
 
     /** Reads [entries] of [feed]. */
@@ -55,9 +58,11 @@
     }
 
     /** Learns that [members] routers are alive. */
-    fun join(members: Int): List<RelayEffect> =
-        on(RelayEvent.GroupJoined(generation = 1, holdsDuty = true)) +
-            on(RelayEvent.MembersListed(generation = 1, vms = (1..members).map { VmId("vm-$it") }.toSet()))
+    fun join(members: Int): List<RelayEffect> {
+        joined = true
+        return on(RelayEvent.GroupJoined(generation = 1, holdsDuty = true)) +
+            on(RelayEvent.MembersListed(generation = 1, vms = (1..members).associate { VmId("vm-$it") to "10.0.0.$it:70" }))
+    }
 
     /** Lets [request] arrive; returns its id and the effects. */
     fun arrive(request: RelayRequest): Pair<ExchangeId, List<RelayEffect>> {
--- /dev/null
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RolloutsTest.kt
@@ -0,0 +1,97 @@
+package org.quetzalloom.core.relay
+
+import org.quetzalloom.core.relay.exchange.AnswerHead
+import org.quetzalloom.core.relay.feed.Feed
+import org.quetzalloom.core.relay.feed.FeedEntry
+import org.quetzalloom.core.relay.rollout.RolloutOrder
+import org.quetzalloom.core.relay.rollout.RolloutPhase
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** Roll-outs are completed or reverted, and expose few requests to a bad version. */
+class RolloutsTest {
+    private val order = RolloutOrder(RelayRig.plain, "v2", durationMilliseconds = 24_000)
+    private val new = RelayRig.server("s-9", RelayRig.plain, version = "v2")
+    private var sent = 0
+
+    private fun begun(): RelayRig = RelayRig().start(RelayRig.plainServers + new).apply {
+        read(Feed.ORDERS, FeedEntry.Rollout(order))
+        read(Feed.STATUS, snapshot = true)
+    }
+
+    /** Sends a request every 20 ms for [milliseconds]; returns the versions that they went to. */
+    private fun RelayRig.load(
+        milliseconds: Long,
+        session: String? = null,
+        newStatus: Int = 200,
+    ): List<Pair<String, List<RelayEffect>>> = (1..milliseconds / RelayRig.TICK).map {
+        val (id, effects) = arrive(RelayRig.read.copy(callerId = "l-${++sent}", session = session))
+        val send = effects.only<RelayEffect.Send>()
+        val isNew = send.order.server == new.id
+        val after = answer(send, AnswerHead(status = if (isNew) newStatus else 200)) + pass(RelayRig.TICK)
+        on(RelayEvent.CallerLeft(id))
+        (if (isNew) "v2" else "v1") to after
+    }
+
+    private fun List<Pair<String, List<RelayEffect>>>.written(): List<RolloutPhase> =
+        flatMap { it.second }.filterIsInstance<RelayEffect.WriteRolloutStatus>().map { it.phase }
+
+    private fun RelayRig.accept(phase: RolloutPhase) =
+        on(RelayEvent.StatusWritten(RelayRig.plain, phase, accepted = true))
+
+    @Test
+    fun `a good version gets a tenth, later all, and is completed within its time`() {
+        val rig = begun()
+        assertEquals(listOf(RolloutPhase.IN_PROGRESS), rig.load(100).written())
+        rig.accept(RolloutPhase.IN_PROGRESS)
+        val first = rig.load(12_000)
+        assertTrue(first.count { it.first == "v2" } in 30..90, "${first.count { it.first == "v2" }} of ${first.size}")
+        val last = rig.load(11_000)
+        assertTrue(last.takeLast(200).all { it.first == "v2" })
+        assertEquals(RolloutPhase.COMPLETED, last.written().first())
+    }
+
+    @Test
+    fun `a bad version is reverted after few requests, and gets nothing more`() {
+        val rig = begun()
+        rig.load(100)
+        rig.accept(RolloutPhase.IN_PROGRESS)
+        val load = rig.load(12_000, newStatus = 500)
+        assertEquals(RolloutPhase.REVERTED, load.written().first())
+        assertTrue(load.count { it.first == "v2" } <= 4)
+        rig.accept(RolloutPhase.REVERTED)
+        assertTrue(rig.load(14_000, newStatus = 500).none { it.first == "v2" })
+    }
+
+    @Test
+    fun `what another router has found ends the exposure here too`() {
+        val rig = begun()
+        rig.read(Feed.STATUS, FeedEntry.RolloutStatus(RelayRig.plain, "v2", RolloutPhase.REVERTED))
+        assertTrue(rig.load(24_000).none { it.first == "v2" })
+    }
+
+    @Test
+    fun `a session stays on its version in the first half, and never goes back`() {
+        repeat(30) { number ->
+            val rig = RelayRig().start()
+            val session = "session-$number"
+            rig.load(100, session)
+            rig.read(Feed.SERVERS, FeedEntry.Server(new))
+            rig.read(Feed.ORDERS, FeedEntry.Rollout(order))
+            val versions = rig.load(11_900, session).map { it.first }
+            assertTrue(versions.all { it == "v1" })
+            val later = rig.load(11_000, session).map { it.first }
+            assertTrue(later.dropWhile { it == "v1" }.all { it == "v2" })
+        }
+    }
+
+    @Test
+    fun `a status is not written before the feed has been read, nor twice at once`() {
+        val rig = RelayRig().start(RelayRig.plainServers + new)
+        rig.read(Feed.ORDERS, FeedEntry.Rollout(order))
+        assertTrue(rig.load(200).written().isEmpty())
+        rig.read(Feed.STATUS, snapshot = true)
+        assertEquals(1, rig.load(1_000).written().size)
+    }
+}
--- a/relay/src/main/kotlin/org/quetzalloom/relay/Listeners.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/Listeners.kt
@@ -7,10 +7,12 @@
  *
  * @property callers for the requests of callers.
  * @property ready for health checks.
+ * @property peers for the beacons of other routers, or `null` for nowhere.
  * @property metrics for metrics, or `null` for nowhere.
  */
 public data class Listeners(
     public val callers: Address,
     public val ready: Address,
+    public val peers: Address? = null,
     public val metrics: Address? = null,
 )
--- a/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
@@ -11,6 +11,7 @@
 import org.quetzalloom.relay.http.CallClient
 import org.quetzalloom.relay.http.MessageCodec
 import org.quetzalloom.relay.http.StatusServer
+import org.quetzalloom.relay.peer.PeerSocket
 import org.quetzalloom.relay.report.RelayMetrics
 import org.quetzalloom.relay.report.Reporter
 import org.quetzalloom.runtime.Interpreter
@@ -48,6 +49,7 @@
     private val metrics = RelayMetrics { loop.state }
     private val reporter = Reporter(metrics)
     private val relay = Relay(group, executor, codec, reporter, clock, loop::post)
+    private val peers = PeerSocket(group, reporter, loop::post)
     private val storeInterpreter = store(CallClient(group), loop::post)
     private var ready = false
 
@@ -60,6 +62,7 @@
         listeners.metrics?.let { address ->
             status.listen(address) { StatusServer.Page(ok = true, text = metrics.format()) }
         }
+        listeners.peers?.let { peers.listen(it) }
         relay.listen(listeners.callers)
         executor.execute { loop.startTicking() }
         executor.scheduleWithFixedDelay(relay::prune, PRUNE_MILLISECONDS, PRUNE_MILLISECONDS, TimeUnit.MILLISECONDS)
@@ -75,6 +78,7 @@
         when (effect) {
             is RelayEffect.Report -> reporter.report(effect.entry)
             is RelayEffect.DeclareReady -> ready = effect.ready
+            is RelayEffect.TellPeers -> peers.tell(effect)
             RelayEffect.Finish -> finished.countDown()
             else -> {
                 relay.carryOut(effect)
--- /dev/null
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/peer/PeerSocket.kt
@@ -0,0 +1,53 @@
+package org.quetzalloom.relay.peer
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.DatagramPacket
+import io.netty.channel.socket.nio.NioDatagramChannel
+import org.quetzalloom.core.relay.RelayEffect
+import org.quetzalloom.core.relay.RelayEvent
+import org.quetzalloom.relay.http.Address
+import org.quetzalloom.relay.report.Reporter
+
+/**
+ * Sends beacons to other routers, and receives theirs, as JSON in datagrams: a beacon that is lost is followed by the next.
+ *
+ * @param post hands an event to the reducer.
+ */
+internal class PeerSocket(
+    private val group: EventLoopGroup,
+    private val reporter: Reporter,
+    private val post: (RelayEvent) -> Unit,
+) {
+    private var channel: Channel? = null
+
+    /** Receives beacons at [address]. */
+    fun listen(address: Address) {
+        val bootstrap = Bootstrap().group(group).channel(NioDatagramChannel::class.java).handler(Receiver())
+        channel = bootstrap.bind(address.toSocketAddress()).sync().channel()
+    }
+
+    /** Sends the beacon of [effect]. */
+    fun tell(effect: RelayEffect.TellPeers) {
+        val open = channel ?: return
+        val bytes = BeaconFormat.encode(effect.beacon).toByteArray()
+        effect.addresses.mapNotNull { Address.parseOrNull(it) }.forEach { address ->
+            open.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), address.toSocketAddress()))
+        }
+        open.flush()
+    }
+
+    private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
+        override fun channelRead0(context: ChannelHandlerContext, packet: DatagramPacket) {
+            post(RelayEvent.PeerHeard(BeaconFormat.decode(packet.content().toString(Charsets.UTF_8))))
+        }
+
+        @Deprecated("the supertype's method is")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable): Unit =
+            reporter.problem("beacon_dropped", cause)
+    }
+}
