--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
@@ -26,8 +26,8 @@
 /** A request may wait this share of its time for a backend server; the rest is needed to answer it. */
 internal const val WAIT_DIVISOR = 4
 
-/** The time after which a caller may come back to a relay that has no configuration yet. */
-private const val NOT_READY_RETRY_MILLISECONDS = 500L
+/** The time after which a caller may come back to a relay that has no configuration yet; it reads it at its start. */
+private const val NOT_READY_RETRY_MILLISECONDS = 200L
 
 /** The time after which a caller may come back to another router; its next connection may still come here. */
 private const val SHUTTING_DOWN_RETRY_MILLISECONDS = 50L
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
@@ -8,6 +8,7 @@
 import org.quetzalloom.core.relay.server.PlacementRequest
 import org.quetzalloom.core.relay.server.ServerView
 import org.quetzalloom.core.relay.server.allowed
+import org.quetzalloom.core.relay.server.connectionShare
 import org.quetzalloom.core.relay.server.takeSend
 import org.quetzalloom.core.relay.server.toCandidate
 import org.quetzalloom.core.relay.session.pin
@@ -90,11 +91,10 @@
 
 private fun RelayState.order(exchange: Exchange, view: ServerView, now: Timestamp): SendOrder {
     val route = exchange.route
-    val connections = routing?.services?.get(exchange.service)?.maximumConnections ?: Int.MAX_VALUE
     return SendOrder(
         server = view.listing.id,
         address = view.listing.address,
-        maximumConnections = (connections / members.shareholders).coerceAtLeast(1),
+        maximumConnections = connectionShare(exchange.service),
         timeLeftMilliseconds = (exchange.deadlineAt - now).coerceAtLeast(1),
         workspace = exchange.workspace,
         model = exchange.modelName,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/Candidates.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/Candidates.kt
@@ -5,6 +5,7 @@
 import org.quetzalloom.core.relay.rollout.RolloutPhase
 import org.quetzalloom.core.relay.rollout.RolloutProgress
 import org.quetzalloom.core.relay.rollout.elapsed
+import org.quetzalloom.core.relay.routing.ServiceName
 import org.quetzalloom.core.router.bucketOf
 import org.quetzalloom.core.time.Timestamp
 
@@ -15,7 +16,14 @@
     val usable = servers.usable(exchange.service, now)
     val versions = usable.map { it.listing.version }.toSet()
     val right = if (versions.size <= 1) usable.notReverted(this, exchange) else usable.ofVersion(this, exchange, now)
-    return right.filter { mayTakeCold(it, now) }
+    val connections = connectionShare(exchange.service)
+    return right.filter { it.inFlight < connections && mayTakeCold(it, now) }
+}
+
+/** Returns the connections that this router may have to a backend server of [service]; each carries one request. */
+internal fun RelayState.connectionShare(service: ServiceName): Int {
+    val connections = routing?.services?.get(service)?.maximumConnections ?: Int.MAX_VALUE
+    return (connections / members.shareholders).coerceAtLeast(1)
 }
 
 private fun List<ServerView>.notReverted(state: RelayState, exchange: Exchange): List<ServerView> {
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/ServersTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/ServersTest.kt
@@ -94,6 +94,16 @@
         assertTrue(!rig.mayUse("new"))
     }
 
+    @Test
+    fun `requests wait while all connections that a router may have are in use`() {
+        val rig = RelayRig().start(listOf(one), members = 50)
+        val (first, _) = rig.arrive(RelayRig.read)
+        rig.arrive(RelayRig.read)
+        assertTrue(rig.arrive(RelayRig.command).second.none { it is RelayEffect.Send || it is RelayEffect.Refuse })
+        rig.on(RelayEvent.CallerLeft(first))
+        assertEquals(1, rig.pass(20).filterIsInstance<RelayEffect.Send>().size)
+    }
+
     /** The bound is the platform's: what a cold server bears in any second, over all routers. */
     @Property(tries = 25)
     fun `a cold server gets no more than it bears, from all routers together`(
