--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempt.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempt.kt
@@ -9,7 +9,7 @@
  * @property number from 1.
  * @property version the version of the backend server's software.
  * @property model the place of the model among those of the route, from 0.
- * @property work the prompt that the backend server has still to read, weighed by the model; 0 once its answer has begun.
+ * @property work the prompt that the backend server has still to read, weighed by model; 0 once its answer has begun.
  */
 internal data class Attempt(
     val number: Int,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
@@ -30,8 +30,9 @@
 
 /** Returns the transition that sends [exchange] to a backend server, or leaves it waiting if none can take it. */
 internal fun RelayState.place(exchange: Exchange, now: Timestamp): RelayStep {
-    val allowed = allowed(exchange, now).filter { it.listing.id !in exchange.tried }
-    val chosen = policies.placement.chooseOrNull(allowed.map { it.toCandidate(peers.workAt(it.listing.id, now), now) }, placementRequest(exchange))
+    val candidates = allowed(exchange, now).filter { it.listing.id !in exchange.tried }
+        .map { it.toCandidate(othersWork = peers.workAt(it.listing.id, now), now = now) }
+    val chosen = policies.placement.chooseOrNull(candidates, placementRequest(exchange))
     val view = chosen?.let { servers.views[it.server] }
     return if (view == null) wait(exchange, now) else send(exchange, view, now)
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersState.kt
@@ -9,7 +9,8 @@
  * Who else routes.
  *
  * @property generation the generation of the group that was last heard; 0 before the first.
- * @property vms the members, and where each receives beacons, as of [listedGeneration]; empty before they were first read.
+ * @property vms the members, and where each receives beacons; empty before they were first read.
+ * @property listedGeneration the generation when they were read.
  * @property holdsDuty whether this router performs what only one of them may.
  * @property joinedAt when the group last confirmed this router.
  * @property joinDueAt when it joins again.
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeerBeacon.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeerBeacon.kt
@@ -8,7 +8,7 @@
  * What a router tells the others now and then.
  *
  * @property sequence rises with each beacon of one start of a router.
- * @property work the prompts that backend servers have still to read for [vm], weighed by model; only those that are not 0.
+ * @property work the prompts that servers have still to read for [vm], weighed by model; only those that are not 0.
  */
 public data class PeerBeacon(
     public val vm: VmId,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersPart.kt
@@ -17,7 +17,7 @@
     /** A prompt of usual length is read in about this time. */
     private const val INTERVAL_MILLISECONDS = 100L
 
-    /** Routers told with each beacon; in a larger fleet others each time, so that the traffic of a router stays bounded. */
+    /** Routers told with each beacon; in a larger fleet others each time, so that the traffic stays bounded. */
     private const val MOST_TOLD = 8
 
     /** Backend servers told of, those with the most work first; a beacon must fit into one datagram. */
@@ -39,8 +39,8 @@
         if (now < peers.tellAt) return unchanged()
         val next = copy(peers = peers.copy(tellAt = now + INTERVAL_MILLISECONDS, sequence = peers.sequence + 1))
         val addresses = receivers(next.peers.sequence)
-        if (addresses.isEmpty()) return next.unchanged()
-        return next.with(RelayEffect.TellPeers(addresses.toPersistentList(), beacon(next.peers.sequence)))
+        val told = RelayEffect.TellPeers(addresses.toPersistentList(), beacon(next.peers.sequence))
+        return if (addresses.isEmpty()) next.unchanged() else next.with(told)
     }
 
     private fun RelayState.receivers(sequence: Long): List<String> = members.vms.entries
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/AffinityPlacement.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/AffinityPlacement.kt
@@ -4,8 +4,8 @@
 import org.quetzalloom.core.router.stableHash
 
 /**
- * Takes the backend server with the least work; but keeps requests that share a long part of their prompts at one of them,
- * while that has not much more work than the others.
+ * Takes the backend server with the least work; but keeps requests that share a long part of their prompts at one of
+ * them, while that has not much more work than the others.
  *
  * The servers of a shared part are ranked by a hash, so that routers agree without a message and few parts move when a
  * server comes or goes.
--- a/relay/src/main/kotlin/org/quetzalloom/relay/peer/PeerSocket.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/peer/PeerSocket.kt
@@ -14,7 +14,7 @@
 import org.quetzalloom.relay.report.Reporter
 
 /**
- * Sends beacons to other routers, and receives theirs, as JSON in datagrams: a beacon that is lost is followed by the next.
+ * Sends beacons to other routers, and receives theirs, as JSON in datagrams. One that is lost is followed by the next.
  *
  * @param post hands an event to the reducer.
  */
--- a/standins/src/main/kotlin/org/quetzalloom/standins/scripted/ScriptedRequest.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/scripted/ScriptedRequest.kt
@@ -3,6 +3,7 @@
 import java.io.IOException
 import java.io.InputStream
 import java.net.Socket
+import java.net.SocketTimeoutException
 
 /**
  * One request that a [ScriptedServer] has read, and the socket to answer it on.
@@ -45,8 +46,10 @@
     fun awaitClose(milliseconds: Int): Boolean = try {
         socket.soTimeout = milliseconds
         socket.getInputStream().read() < 0
-    } catch (problem: IOException) {
-        problem !is java.net.SocketTimeoutException
+    } catch (_: SocketTimeoutException) {
+        false
+    } catch (_: IOException) {
+        true
     }
 
     internal companion object {
--- /dev/null
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreGroup.kt
@@ -0,0 +1,39 @@
+package org.quetzalloom.standins.store
+
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.put
+import org.quetzalloom.standins.http.HttpCall
+import org.quetzalloom.standins.http.HttpEffect
+import org.quetzalloom.standins.http.with
+import org.quetzalloom.wire.WireFormat
+
+/** The one group of the store; each member holds the partition whose number is its place. */
+internal object StoreGroup {
+    /** Adds the member that the body names, or keeps it. */
+    fun join(state: StoreState, call: HttpCall): StoreStep {
+        val member = WireFormat.decodeFromString<JsonObject>(call.body).getValue("member_id").jsonPrimitive.content
+        val next = if (member in state.members) state else state.add(member)
+        val held = next.rows().filter { it.last().jsonPrimitive.content == member }
+        return next.with(HttpEffect.Respond(call.exchange, body = reply(next, held)))
+    }
+
+    /** Lists all members. */
+    fun owners(state: StoreState, call: HttpCall): StoreStep =
+        state.with(HttpEffect.Respond(call.exchange, body = reply(state, state.rows())))
+
+    private fun StoreState.add(member: String): StoreState =
+        copy(members = members.add(member), generation = generation + 1)
+
+    private fun StoreState.rows(): List<JsonArray> = members.mapIndexed { index, member ->
+        JsonArray(listOf(JsonPrimitive("routers-0"), JsonPrimitive(index), JsonPrimitive(member)))
+    }
+
+    private fun reply(state: StoreState, rows: List<JsonArray>): String = buildJsonObject {
+        put("generation", state.generation)
+        put("parts", JsonArray(rows))
+    }.toString()
+}
