--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/RelayRequest.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/RelayRequest.kt
@@ -18,7 +18,6 @@
  */
 public data class RelayRequest(
     public val callerId: String?,
-    public val method: String,
     public val host: String,
     public val path: String,
     public val key: String? = null,
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RelayRig.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RelayRig.kt
@@ -85,11 +85,10 @@
         val engines = ServiceName("loom")
         val zones = listOf("zone-a", "zone-b", "zone-c").map { AvailabilityZoneId(it) }
 
-        val command = RelayRequest("c-1", "POST", "app.example", "/book/1", key = "key-1", timeLeftMilliseconds = 1_000)
-        val read = RelayRequest("r-1", "GET", "app.example", "/look/1", key = "key-1", timeLeftMilliseconds = 1_000)
+        val command = RelayRequest("c-1", "app.example", "/book/1", key = "key-1", timeLeftMilliseconds = 1_000)
+        val read = RelayRequest("r-1", "app.example", "/look/1", key = "key-1", timeLeftMilliseconds = 1_000)
         val prompt = RelayRequest(
             callerId = "p-1",
-            method = "POST",
             host = "app.example",
             path = "/draft/1",
             key = "key-1",
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/AnswerWriter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/AnswerWriter.kt
@@ -1,9 +1,9 @@
 package org.quetzalloom.relay.caller
 
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
@@ -30,6 +30,9 @@
 ) {
     private val keepAlive = HttpUtil.isKeepAlive(request)
 
+    /** HTTP/1.0 knows no chunks: an answer without length then ends with the connection. */
+    private val takesChunks = request.protocolVersion().isKeepAliveDefault
+
     /** Whether the head of an answer has been written. */
     var begun = false
         private set
@@ -48,7 +51,7 @@
         begun = true
         val answer = DefaultHttpResponse(HttpVersion.HTTP_1_1, status)
         answer.headers().add(headers)
-        if (request.protocolVersion().isKeepAliveDefault) {
+        if (takesChunks) {
             answer.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
         }
         if (closes()) answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
@@ -63,8 +66,9 @@
     /** Ends an answer that was begun. */
     fun finish(): Unit = end(LastHttpContent.EMPTY_LAST_CONTENT)
 
-    /** Closes the connection without the end of the answer. */
+    /** Closes the connection without the end of the answer; resets it where that would look like the end. */
     fun cutOff() {
+        if (!takesChunks) channel.config().setOption(ChannelOption.SO_LINGER, 0)
         channel.close()
     }
 
@@ -80,16 +84,9 @@
         connection.answered()
     }
 
-    private fun closes(): Boolean = !keepAlive || connection.closesAfterAnswer || request.isAmbiguousVersion()
-
-    private fun HttpRequest.isAmbiguousVersion(): Boolean = !protocolVersion().isKeepAliveDefault
+    private fun closes(): Boolean = !keepAlive || connection.closesAfterAnswer || !takesChunks
 
     private fun hasBody(status: HttpResponseStatus): Boolean =
         request.method() != HttpMethod.HEAD && status != HttpResponseStatus.NO_CONTENT &&
             status != HttpResponseStatus.NOT_MODIFIED
-
-    companion object {
-        /** An empty body. */
-        val EMPTY: ByteBuf = Unpooled.EMPTY_BUFFER
-    }
 }
--- a/relay/src/test/kotlin/org/quetzalloom/relay/PlainCodec.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/PlainCodec.kt
@@ -19,7 +19,6 @@
         return Ok(
             RelayRequest(
                 callerId = id,
-                method = head.method().name(),
                 host = head.headers().get("Host"),
                 path = head.uri().substringBefore('?'),
                 lastEventId = head.headers().get("Last-Event-Id"),
