Ask a larger model only while it can answer in time

Each doubtful answer was still asked of the largest model, which reads ten times as long, so that streams took over ten seconds and ended after their callers' deadlines.

Ruled out: admission (small models alone fit into the servers that were left) and placement (work was spread evenly).

A router now learns how fast the servers of a service read prompts, from the work ahead of each answer and the time that it took to begin. A doubtful answer is dropped only if a server can take the request again and the largest model would begin within the route's target. What decided is in the log line of the end.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Answers.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Answers.kt
@@ -19,7 +19,8 @@
     val exchange = asked.copy(attempt = attempt)
     val heard = copy(
         exchanges = exchanges.with(exchange),
-        servers = servers.update(attempt.server) { it.takeAnswer(event.head, now).takeRead(pending.work) },
+        servers = servers.update(attempt.server) { it.takeAnswer(event.head, now).takeRead(pending.work) }
+            .let { if (event.head.isSuccess) it.countPace(asked.service, pending.ahead, now - pending.sentAt) else it },
     )
     return when {
         event.head.notRun -> heard.refusedByServer(exchange, attempt, event.head, now)
@@ -47,15 +48,21 @@
     if (head.isSuccess) passOn(exchange, attempt) else tryElsewhere(exchange, attempt, "resumption_failed", now)
 
 private fun RelayState.succeeded(exchange: Exchange, attempt: Attempt, head: AnswerHead, now: Timestamp): RelayStep {
-    val better = betterModelOrNull(exchange, head, now) ?: return passOn(exchange, attempt)
-    val next = exchange.copy(model = better, mayHaveRun = true, runs = exchange.runs + 1)
+    val verdict = verdictOrNull(exchange, head, now)
+    val judged = exchange.copy(verdict = verdict)
+    return if (verdict?.next == null) passOn(judged, attempt) else askAgain(judged, verdict.next, now)
+}
+
+private fun RelayState.askAgain(exchange: Exchange, model: Int, now: Timestamp): RelayStep {
+    val next = exchange.copy(model = model, mayHaveRun = true, runs = exchange.runs + 1)
     return copy(exchanges = exchanges.with(next)).abandon(next)
         .then {
             it.report(
                 now,
                 "answer_dropped",
                 "request" to exchange.request.callerId,
-                "confidence" to head.confidence,
+                "confidence" to exchange.verdict?.confidence,
+                "largest_after_ms" to exchange.verdict?.largestAfterMilliseconds,
                 "model" to exchange.modelName,
                 "next_model" to next.modelName,
             )
@@ -63,9 +70,12 @@
         .then { it.place(next.copy(attempt = null), now) }
 }
 
-private fun RelayState.betterModelOrNull(exchange: Exchange, head: AnswerHead, now: Timestamp): Int? {
-    val confidence = head.confidence?.takeIf { exchange.request.wantsModel && mayRunOnceMore(exchange, now) }
-    return confidence?.let { policies.modelChoice.nextOrNull(exchange.route, exchange.request, exchange.model, it) }
+/** Returns what is to become of the answer of a model that the router has chosen, or `null` for any other answer. */
+private fun RelayState.verdictOrNull(exchange: Exchange, head: AnswerHead, now: Timestamp): AnswerVerdict? {
+    val confidence = head.confidence?.takeIf { exchange.request.wantsModel } ?: return null
+    val outlook = outlookOrNull(exchange, now)?.takeIf { mayRunOnceMore(exchange, now) }
+    val next = outlook?.let { policies.modelChoice.nextOrNull(exchange.route, exchange.model, confidence, it) }
+    return AnswerVerdict(confidence, outlook?.startOf(exchange.route.models.lastIndex), next)
 }
 
 /** Returns whether [exchange], which may have run, may be sent to one more backend server. */
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
@@ -7,7 +7,6 @@
 import org.quetzalloom.core.relay.report
 import org.quetzalloom.core.relay.server.PlacementRequest
 import org.quetzalloom.core.relay.server.ServerView
-import org.quetzalloom.core.relay.server.allowed
 import org.quetzalloom.core.relay.server.connectionShare
 import org.quetzalloom.core.relay.server.takeSend
 import org.quetzalloom.core.relay.server.toCandidate
@@ -30,7 +29,7 @@
 
 /** Returns the transition that sends [exchange] to a backend server, or leaves it waiting if none can take it. */
 internal fun RelayState.place(exchange: Exchange, now: Timestamp): RelayStep {
-    val candidates = allowed(exchange, now).filter { it.listing.id !in exchange.tried }
+    val candidates = untried(exchange, now)
         .map { it.toCandidate(othersWork = peers.workAt(it.listing.id, now), now = now) }
     val chosen = policies.placement.chooseOrNull(candidates, placementRequest(exchange))
     val view = chosen?.let { servers.views[it.server] }
@@ -50,13 +49,15 @@
 }
 
 private fun RelayState.send(exchange: Exchange, view: ServerView, now: Timestamp): RelayStep {
+    val work = policies.work.of(exchange.request, exchange.model)
     val attempt = Attempt(
         number = exchange.attempts + 1,
         server = view.listing.id,
         version = view.listing.version,
         model = exchange.model,
         sentAt = now,
-        work = policies.work.of(exchange.request, exchange.model),
+        ahead = workBefore(view, work, now),
+        work = work,
     )
     val sent = exchange.copy(attempt = attempt, attempts = attempt.number)
     val next = pin(exchange, attempt.version, now).copy(
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Endings.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Endings.kt
@@ -43,6 +43,8 @@
     "attempts" to exchange.attempts,
     "may_have_run" to exchange.mayHaveRun,
     "model" to exchange.modelName,
+    "confidence" to exchange.verdict?.confidence,
+    "largest_after_ms" to exchange.verdict?.largestAfterMilliseconds,
     "server" to exchange.attempt?.server,
     *fields,
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Exchange.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Exchange.kt
@@ -21,6 +21,7 @@
  * @property mayHaveRun whether some backend server may have run it.
  * @property passing whether the caller has got the head of an answer.
  * @property lastEventId the last event that the caller has, or `null`.
+ * @property verdict what decided about the answer of the model asked last, or `null` before one.
  */
 internal data class Exchange(
     val id: ExchangeId,
@@ -39,6 +40,7 @@
     val mayHaveRun: Boolean = false,
     val passing: Boolean = false,
     val lastEventId: String? = null,
+    val verdict: AnswerVerdict? = null,
 ) {
     /** The name of the model that is to answer, or `null` if the caller names it. */
     val modelName: String? get() = if (request.wantsModel) route.models.getOrNull(model) else null
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Outlooks.kt
@@ -0,0 +1,25 @@
+package org.quetzalloom.core.relay.exchange
+
+import kotlinx.collections.immutable.toPersistentList
+import org.quetzalloom.core.relay.RelayState
+import org.quetzalloom.core.relay.model.ModelOutlook
+import org.quetzalloom.core.relay.server.ReadingPace
+import org.quetzalloom.core.relay.server.ServerView
+import org.quetzalloom.core.relay.server.allowed
+import org.quetzalloom.core.time.Timestamp
+
+/** Returns the backend servers that may get the next attempt of [exchange]. */
+internal fun RelayState.untried(exchange: Exchange, now: Timestamp): List<ServerView> =
+    allowed(exchange, now).filter { it.listing.id !in exchange.tried }
+
+/** Returns the prompts to be read at [view] before an attempt that is [work] would be answered, itself among them. */
+internal fun RelayState.workBefore(view: ServerView, work: Long, now: Timestamp): Long =
+    view.work + peers.workAt(view.listing.id, now) + work
+
+/** Returns how soon each model could answer [exchange], or `null` if no backend server could take it now. */
+internal fun RelayState.outlookOrNull(exchange: Exchange, now: Timestamp): ModelOutlook? {
+    val least = untried(exchange, now).minOfOrNull { workBefore(it, work = 0, now) } ?: return null
+    val pace = servers.paces[exchange.service] ?: ReadingPace()
+    val waits = exchange.route.models.indices.map { pace.estimate(least + policies.work.of(exchange.request, it)) }
+    return ModelOutlook(now - exchange.arrivedAt, waits.toPersistentList())
+}
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/model/ConfidenceCascade.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/model/ConfidenceCascade.kt
@@ -4,14 +4,23 @@
 import org.quetzalloom.core.relay.routing.Route
 
 /**
- * Asks the smallest model first, and the largest if the answer's confidence is below [threshold].
+ * Asks the smallest model first, and the largest if the answer's confidence is below [threshold] and the largest could
+ * still answer in time.
  *
- * A request that may not run twice goes to the largest model at once.
+ * Where backend servers are busy, a second answer would come late and make all others late as well; the first is kept
+ * then. A request that may not run twice goes to the largest model at once.
+ *
+ * @property patience how many times the route's target an answer may take to begin.
  */
-public data class ConfidenceCascade(public val threshold: Int = 50) : ModelChoice {
+public data class ConfidenceCascade(
+    public val threshold: Int = 50,
+    public val patience: Double = 1.0,
+) : ModelChoice {
     override fun first(route: Route, request: RelayRequest): Int =
         if (route.mayRunAgain && route.maximumAttempts > 1) 0 else route.models.lastIndex
 
-    override fun nextOrNull(route: Route, request: RelayRequest, model: Int, confidence: Int): Int? =
-        route.models.lastIndex.takeIf { confidence < threshold && model < it }
+    override fun nextOrNull(route: Route, model: Int, confidence: Int, outlook: ModelOutlook): Int? =
+        route.models.lastIndex.takeIf {
+            confidence < threshold && model < it && outlook.startOf(it) <= patience * route.targetMilliseconds
+        }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/model/ModelChoice.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/model/ModelChoice.kt
@@ -10,7 +10,7 @@
 
     /**
      * Returns the model that is asked after [model] has answered with [confidence], from 0 to 100, or `null` if that
-     * answer is good enough.
+     * answer is kept.
      */
-    public fun nextOrNull(route: Route, request: RelayRequest, model: Int, confidence: Int): Int?
+    public fun nextOrNull(route: Route, model: Int, confidence: Int, outlook: ModelOutlook): Int?
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
@@ -13,12 +13,14 @@
  * @property evacuated the availability zones whose servers get nothing.
  * @property listFailedAt when the list could last not be read.
  * @property listReadAt when the list was last read.
+ * @property paces how fast the servers of each service read prompts.
  */
 internal data class ServersState(
     val views: PersistentMap<BackendServerId, ServerView> = persistentMapOf(),
     val evacuated: PersistentMap<AvailabilityZoneId, Timestamp> = persistentMapOf(),
     val listFailedAt: Timestamp? = null,
     val listReadAt: Timestamp? = null,
+    val paces: PersistentMap<ServiceName, ReadingPace> = persistentMapOf(),
 ) {
     /** Returns the servers of [service] that may get new work at [now]. */
     fun usable(service: ServiceName, now: Timestamp): List<ServerView> =
@@ -30,6 +32,10 @@
         return copy(views = views.put(id, change(view)))
     }
 
+    /** Returns the state after an answer of [service] that began [elapsed] milliseconds after it had [ahead] to read. */
+    fun countPace(service: ServiceName, ahead: Long, elapsed: Long): ServersState =
+        copy(paces = paces.put(service, (paces[service] ?: ReadingPace()).count(ahead, elapsed)))
+
     private fun ServerView.isUsable(now: Timestamp): Boolean =
         !listing.draining && goneAt == null && now >= suspendedUntil && listing.zone !in evacuated
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RelayRig.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RelayRig.kt
@@ -107,6 +107,7 @@
                     streaming = true,
                     resumable = true,
                     timeoutMilliseconds = 20_000,
+                    targetMilliseconds = 2_000,
                     gapMilliseconds = 1_000,
                     models = persistentListOf("small", "middle", "large"),
                     maximumAttempts = 3,
