Let routers tell each other of the outcomes and the age of roll-outs

Cause: each router judged a new version by its own answers alone, and one that had just restarted took a roll-out's order for new.

Beacons now carry, for each open roll-out, its age, the teller's own counts, and whether it has found the version bad. Counts of all routers decide together; the earliest beginning that is told counts, but for differences within the error of clocks.

Ruled out: a record of the beginning in the store (another call and another record to keep; routers that run know it).

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersPart.kt
@@ -7,6 +7,7 @@
 import org.quetzalloom.core.relay.RelayPart
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.RelayStep
+import org.quetzalloom.core.relay.rollout.rolloutReports
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.relay.with
 import org.quetzalloom.core.router.stableHash
@@ -39,7 +40,7 @@
         if (now < peers.tellAt) return unchanged()
         val next = copy(peers = peers.copy(tellAt = now + INTERVAL_MILLISECONDS, sequence = peers.sequence + 1))
         val addresses = receivers(next.peers.sequence)
-        val told = RelayEffect.TellPeers(addresses.toPersistentList(), beacon(next.peers.sequence))
+        val told = RelayEffect.TellPeers(addresses.toPersistentList(), beacon(next.peers.sequence, now))
         return if (addresses.isEmpty()) next.unchanged() else next.with(told)
     }
 
@@ -50,10 +51,11 @@
         }
         .map { it.value }
 
-    private fun RelayState.beacon(sequence: Long): PeerBeacon = PeerBeacon(
+    private fun RelayState.beacon(sequence: Long, now: Timestamp): PeerBeacon = PeerBeacon(
         vm = settings.vm,
         sequence = sequence,
         work = servers.views.values.filter { it.work > 0 }.sortedByDescending { it.work }.take(MOST_SERVERS)
             .associate { it.listing.id to it.work }.toPersistentMap(),
+        rollouts = rolloutReports(now).toPersistentList(),
     )
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/OutcomeSums.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/OutcomeSums.kt
@@ -18,6 +18,13 @@
     /** The logarithm of the geometric mean of the latencies; 0 before the first answer. */
     public val meanLogLatency: Double get() = if (answers == 0) 0.0 else logLatency / answers
 
+    /** Returns the sums over the answers of both. */
+    public operator fun plus(other: OutcomeSums): OutcomeSums = OutcomeSums(
+        answers = answers + other.answers,
+        failures = failures + other.failures,
+        logLatency = logLatency + other.logLatency,
+    )
+
     /** Returns the sums with one more answer, which took [latencyMilliseconds] to begin. */
     public fun count(failed: Boolean, latencyMilliseconds: Long): OutcomeSums = OutcomeSums(
         answers = answers + 1,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/OutcomesPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/OutcomesPart.kt
@@ -27,22 +27,4 @@
         }
         return condemnIfBad(next, now)
     }
-
-    private fun RelayState.condemnIfBad(progress: RolloutProgress, now: Timestamp): RelayStep {
-        val bad = !progress.condemned && policies.exposure.isBad(progress.old, progress.new)
-        val next = copy(rollouts = rollouts.with(progress.copy(condemned = progress.condemned || bad)))
-        return if (bad) next.reportCondemned(progress, now) else next.unchanged()
-    }
-
-    private fun RelayState.reportCondemned(progress: RolloutProgress, now: Timestamp): RelayStep = report(
-        now,
-        "version_condemned",
-        "service" to progress.order.service,
-        "version" to progress.order.version,
-        "answers" to progress.new.answers,
-        "failures" to progress.new.failures,
-        "old_answers" to progress.old.answers,
-        "old_failures" to progress.old.failures,
-        "log_latency_rise" to progress.new.meanLogLatency - progress.old.meanLogLatency,
-    )
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutProgress.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutProgress.kt
@@ -1,15 +1,19 @@
 package org.quetzalloom.core.relay.rollout
 
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import org.quetzalloom.core.identity.VmId
 import org.quetzalloom.core.time.Timestamp
 
 /**
  * What this router knows of one roll-out.
  *
- * @property seenAt when the order was first read.
+ * @property seenAt when the order was first read, by this router or by one that told of it.
  * @property phase the phase in the store, or `null` while none is known.
- * @property old the outcomes of the versions before.
- * @property new the outcomes of the new version.
- * @property condemned whether the new version's outcomes here are bad.
+ * @property old this router's outcomes of the versions before.
+ * @property new this router's outcomes of the new version.
+ * @property heard the outcomes that other routers have told.
+ * @property condemned whether the outcomes of the new version were found to be bad.
  * @property writing whether a status is being written.
  * @property writeDueAt when the next status may be written.
  */
@@ -19,6 +23,7 @@
     val phase: RolloutPhase? = null,
     val old: OutcomeSums = OutcomeSums(),
     val new: OutcomeSums = OutcomeSums(),
+    val heard: PersistentMap<VmId, HeardOutcomes> = persistentMapOf(),
     val condemned: Boolean = false,
     val writing: Boolean = false,
     val writeDueAt: Timestamp = Timestamp.EPOCH,
@@ -26,6 +31,12 @@
     /** Whether it is neither completed nor reverted. */
     val open: Boolean get() = phase == null || phase == RolloutPhase.IN_PROGRESS
 
+    /** The outcomes of the versions before, of all routers that were heard. */
+    val allOld: OutcomeSums get() = heard.values.fold(old) { sums, told -> sums + told.old }
+
+    /** The outcomes of the new version, of all routers that were heard. */
+    val allNew: OutcomeSums get() = heard.values.fold(new) { sums, told -> sums + told.new }
+
     /** Returns whether a status may be written at [now]. */
     fun mayWrite(now: Timestamp): Boolean = !writing && now >= writeDueAt
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutsPart.kt
@@ -28,6 +28,9 @@
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
         is RelayEvent.FeedRead -> state.read(event, now)
         is RelayEvent.StatusWritten -> state.written(event, now)
+        is RelayEvent.PeerHeard -> state.unchanged().thenEach(event.beacon.rollouts) { reached, told ->
+            reached.takeReport(event.beacon.vm, told, now)
+        }
         RelayEvent.Tick -> state.unchanged().thenEach(
             state.rollouts.active
         ) { reached, each -> reached.advance(each, now) }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RolloutsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RolloutsTest.kt
@@ -1,8 +1,14 @@
 package org.quetzalloom.core.relay
 
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import org.quetzalloom.core.identity.VmId
 import org.quetzalloom.core.relay.exchange.AnswerHead
 import org.quetzalloom.core.relay.feed.Feed
 import org.quetzalloom.core.relay.feed.FeedEntry
+import org.quetzalloom.core.relay.peer.PeerBeacon
+import org.quetzalloom.core.relay.peer.RolloutReport
+import org.quetzalloom.core.relay.rollout.OutcomeSums
 import org.quetzalloom.core.relay.rollout.RolloutOrder
 import org.quetzalloom.core.relay.rollout.RolloutPhase
 import kotlin.test.Test
@@ -71,6 +77,67 @@
         assertTrue(rig.load(24_000).none { it.first == "v2" })
     }
 
+    private fun RelayRig.hear(vm: String, told: RolloutReport) =
+        on(RelayEvent.PeerHeard(PeerBeacon(VmId(vm), 1, persistentMapOf(), persistentListOf(told))))
+
+    private fun told(age: Long = 100, failures: Int = 0, condemned: Boolean = false) = RolloutReport(
+        service = RelayRig.plain,
+        version = "v2",
+        ageMilliseconds = age,
+        old = OutcomeSums(answers = 40),
+        new = OutcomeSums(answers = 4, failures = failures),
+        condemned = condemned,
+    )
+
+    @Test
+    fun `failures that each router saw once are enough together`() {
+        val rig = begun()
+        rig.hear("vm-2", told(failures = 1))
+        rig.hear("vm-3", told(failures = 1))
+        assertTrue(rig.hear("vm-3", told(failures = 1)).none<RelayEffect.Report>())
+        val line = rig.hear("vm-4", told(failures = 1)).only<RelayEffect.Report>().entry
+        assertEquals("version_condemned" to "3", line.name to line.fields["failures"])
+        assertTrue(rig.load(12_000).none { it.first == "v2" })
+    }
+
+    @Test
+    fun `a version that another router has condemned gets nothing more here`() {
+        val rig = begun()
+        rig.hear("vm-2", told(condemned = true))
+        val load = rig.load(12_000)
+        assertTrue(load.none { it.first == "v2" })
+        assertEquals(RolloutPhase.REVERTED, load.written().first())
+    }
+
+    @Test
+    fun `a report of another version changes nothing`() {
+        val rig = begun()
+        rig.hear("vm-2", told(condemned = true).copy(version = "v3"))
+        assertTrue(rig.load(12_000).any { it.first == "v2" })
+    }
+
+    @Test
+    fun `a router that has just started completes a roll-out in its time`() {
+        val alone = begun()
+        assertTrue(alone.load(4_000).written().none { it == RolloutPhase.COMPLETED })
+        val told = begun()
+        told.hear("vm-2", told(age = 20_000))
+        told.accept(RolloutPhase.IN_PROGRESS)
+        assertEquals(RolloutPhase.COMPLETED, told.load(1_000).written().first())
+    }
+
+    @Test
+    fun `outcomes and age are told to others while a roll-out is open`() {
+        val rig = begun()
+        rig.join(members = 2)
+        val before = rig.load(2_000).flatMap { it.second }.filterIsInstance<RelayEffect.TellPeers>().last().beacon
+        assertTrue(before.rollouts.single().ageMilliseconds in 1_800..2_000)
+        assertTrue(before.rollouts.single().let { it.old.answers + it.new.answers } > 80)
+        rig.read(Feed.STATUS, FeedEntry.RolloutStatus(RelayRig.plain, "v2", RolloutPhase.COMPLETED))
+        val after = rig.load(200).flatMap { it.second }.filterIsInstance<RelayEffect.TellPeers>().last().beacon
+        assertTrue(after.rollouts.isEmpty())
+    }
+
     @Test
     fun `a session stays on its version in the first half, and never goes back`() {
         repeat(30) { number ->
--- a/relay/src/main/kotlin/org/quetzalloom/relay/peer/BeaconFormat.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/peer/BeaconFormat.kt
@@ -1,22 +1,49 @@
 package org.quetzalloom.relay.peer
 
+import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import org.quetzalloom.core.identity.BackendServerId
 import org.quetzalloom.core.identity.VmId
 import org.quetzalloom.core.relay.peer.PeerBeacon
+import org.quetzalloom.core.relay.peer.RolloutReport
+import org.quetzalloom.core.relay.rollout.OutcomeSums
+import org.quetzalloom.core.relay.routing.ServiceName
 
 /** Beacons as JSON. */
 internal object BeaconFormat {
     @Serializable
-    private class Document(val vm: String, val sequence: Long, val work: Map<String, Long>)
+    private class Document(
+        val vm: String,
+        val sequence: Long,
+        val work: Map<String, Long>,
+        val rollouts: List<Rollout> = emptyList(),
+    )
+
+    @Serializable
+    private class Rollout(
+        val service: String,
+        val version: String,
+        val ageMilliseconds: Long,
+        val old: Outcomes,
+        val new: Outcomes,
+        val condemned: Boolean,
+    )
+
+    @Serializable
+    private class Outcomes(val answers: Int, val failures: Int, val logLatency: Double)
 
     private val json = Json { ignoreUnknownKeys = true }
 
     /** Returns [beacon] as JSON. */
     fun encode(beacon: PeerBeacon): String = json.encodeToString(
-        Document(beacon.vm.value, beacon.sequence, beacon.work.entries.associate { it.key.value to it.value }),
+        Document(
+            vm = beacon.vm.value,
+            sequence = beacon.sequence,
+            work = beacon.work.entries.associate { it.key.value to it.value },
+            rollouts = beacon.rollouts.map { it.toDocument() },
+        ),
     )
 
     /** Returns the beacon in [text]. Throws [IllegalArgumentException] if it is none. */
@@ -26,6 +53,29 @@
             vm = VmId(document.vm),
             sequence = document.sequence,
             work = document.work.entries.associate { BackendServerId(it.key) to it.value }.toPersistentMap(),
+            rollouts = document.rollouts.map { it.toReport() }.toPersistentList(),
         )
     }
+
+    private fun RolloutReport.toDocument(): Rollout = Rollout(
+        service = service.value,
+        version = version,
+        ageMilliseconds = ageMilliseconds,
+        old = old.toDocument(),
+        new = new.toDocument(),
+        condemned = condemned,
+    )
+
+    private fun Rollout.toReport(): RolloutReport = RolloutReport(
+        service = ServiceName(service),
+        version = version,
+        ageMilliseconds = ageMilliseconds,
+        old = old.toSums(),
+        new = new.toSums(),
+        condemned = condemned,
+    )
+
+    private fun OutcomeSums.toDocument(): Outcomes = Outcomes(answers, failures, logLatency)
+
+    private fun Outcomes.toSums(): OutcomeSums = OutcomeSums(answers, failures, logLatency)
 }
--- /dev/null
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/peer/BeaconFormatTest.kt
@@ -0,0 +1,49 @@
+package org.quetzalloom.relay.peer
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import org.junit.jupiter.api.assertThrows
+import org.quetzalloom.core.identity.BackendServerId
+import org.quetzalloom.core.identity.VmId
+import org.quetzalloom.core.relay.peer.PeerBeacon
+import org.quetzalloom.core.relay.peer.RolloutReport
+import org.quetzalloom.core.relay.rollout.OutcomeSums
+import org.quetzalloom.core.relay.routing.ServiceName
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+/** Beacons are read as they were written. */
+class BeaconFormatTest {
+    private val beacon = PeerBeacon(
+        vm = VmId("vm-1"),
+        sequence = 7,
+        work = persistentMapOf(BackendServerId("s-1") to 1_200L),
+        rollouts = persistentListOf(
+            RolloutReport(
+                service = ServiceName("loom"),
+                version = "v2",
+                ageMilliseconds = 1_500,
+                old = OutcomeSums(answers = 40, failures = 1, logLatency = 120.5),
+                new = OutcomeSums(answers = 4, failures = 2, logLatency = 11.25),
+                condemned = true,
+            ),
+        ),
+    )
+
+    @Test
+    fun `a beacon is read as it was written`() {
+        assertEquals(beacon, BeaconFormat.decode(BeaconFormat.encode(beacon)))
+    }
+
+    @Test
+    fun `fields that are not known and lists that are absent do no harm`() {
+        val text = """{"vm":"vm-1","sequence":7,"work":{"s-1":1200},"later":true}"""
+        assertEquals(beacon.copy(rollouts = persistentListOf()), BeaconFormat.decode(text))
+    }
+
+    @Test
+    fun `text that is no beacon is refused`() {
+        assertThrows<IllegalArgumentException> { BeaconFormat.decode("nothing") }
+        assertThrows<IllegalArgumentException> { BeaconFormat.decode("""{"vm":"vm-1"}""") }
+    }
+}
