Call the store through another router while it turns this one away

Cause: the store may refuse some routers and serve the others and the operators. Such a router heard nothing of new configurations, drains and evacuations until it was served again, and fell out of the group.

Only the paths of the store's calls are passed on.

Ruled out: carrying configurations in beacons (they do not fit into a datagram).

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
@@ -37,6 +37,9 @@
     /** Closes the caller's connection in a way that an answer that was begun does not look whole. */
     public data class CutOff(public val exchange: ExchangeId) : RelayEffect
 
+    /** Makes all further calls to the platform's store through the router at [through], or directly if it is `null`. */
+    public data class ReachStore(public val through: String?) : RelayEffect
+
     /** Reads [feed] from offset [from], or the newest records of all keys if it is `null`. */
     public data class ReadFeed(public val feed: Feed, public val from: Long?) : RelayEffect
 
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/AccessState.kt
@@ -0,0 +1,16 @@
+package org.quetzalloom.core.relay.access
+
+import org.quetzalloom.core.time.Timestamp
+
+/**
+ * How this router reaches the platform's store.
+ *
+ * @property through the `host:port` of the router that passes calls on, or `null` while the store is called directly.
+ * @property failures calls that failed in a row.
+ * @property directAt when the store is called directly again.
+ */
+internal data class AccessState(
+    val through: String? = null,
+    val failures: Int = 0,
+    val directAt: Timestamp = Timestamp.EPOCH,
+)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
@@ -9,6 +9,8 @@
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.time.Clock
 import org.quetzalloom.relay.http.CallClient
+import org.quetzalloom.relay.http.CallForwarder
+import org.quetzalloom.relay.http.Forwarding
 import org.quetzalloom.relay.http.MessageCodec
 import org.quetzalloom.relay.http.StatusServer
 import org.quetzalloom.relay.peer.PeerSocket
@@ -25,12 +27,14 @@
  * @param settings what the reducer is told.
  * @param listeners where the relay listens.
  * @param codec the meaning of headers.
+ * @param forwarding the calls that other routers may make through this one, or `null` for none.
  * @param store carries out the effects that concern the platform's store; made once the thread is there.
  */
 public class RelayProgram(
     settings: RelaySettings,
     private val listeners: Listeners,
     codec: MessageCodec,
+    private val forwarding: Forwarding? = null,
     store: (CallClient, (RelayEvent) -> Unit) -> Interpreter<RelayEffect>,
     private val clock: Clock = SystemClock(),
     policies: RelayPolicies = RelayPolicies(),
@@ -50,7 +54,8 @@
     private val reporter = Reporter(metrics)
     private val relay = Relay(group, executor, codec, reporter, clock, loop::post)
     private val peers = PeerSocket(group, reporter, loop::post)
-    private val storeInterpreter = store(CallClient(group), loop::post)
+    private val calls = CallClient(group)
+    private val storeInterpreter = store(calls, loop::post)
     private var ready = false
 
     /** Starts to listen, and to read the store. */
@@ -62,7 +67,10 @@
         listeners.metrics?.let { address ->
             status.listen(address) { StatusServer.Page(ok = true, text = metrics.format()) }
         }
-        listeners.peers?.let { peers.listen(it) }
+        listeners.peers?.let { address ->
+            peers.listen(address)
+            forwarding?.let { CallForwarder(group, calls, it).listen(address) }
+        }
         relay.listen(listeners.callers)
         executor.execute { loop.startTicking() }
         executor.scheduleWithFixedDelay(relay::prune, PRUNE_MILLISECONDS, PRUNE_MILLISECONDS, TimeUnit.MILLISECONDS)
--- /dev/null
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/CallForwarder.kt
@@ -0,0 +1,87 @@
+package org.quetzalloom.relay.http
+
+import com.github.michaelbull.result.fold
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.FullHttpResponse
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.codec.http.HttpVersion
+
+/** Makes calls for other routers, and hands them the answers. Each call is made once. */
+internal class CallForwarder(
+    private val group: EventLoopGroup,
+    private val client: CallClient,
+    private val forwarding: Forwarding,
+) {
+    /** Listens for calls at [address]. */
+    fun listen(address: Address) {
+        ServerBootstrap().group(group)
+            .channel(NioServerSocketChannel::class.java)
+            .withRelayOptions()
+            .childHandler(Initializer())
+            .bind(address.toSocketAddress())
+            .sync()
+    }
+
+    private inner class Initializer : ChannelInitializer<SocketChannel>() {
+        override fun initChannel(channel: SocketChannel) {
+            channel.pipeline().addLast(HttpServerCodec(), HttpObjectAggregator(MAXIMUM_BYTES), Handler())
+        }
+    }
+
+    private inner class Handler : SimpleChannelInboundHandler<FullHttpRequest>() {
+        override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
+            if (request.uri().substringBefore('?') !in forwarding.paths) {
+                context.answer(HttpResponseStatus.NOT_FOUND, text("this path is not passed on"))
+                return
+            }
+            client.call(forwarding.target, request.toTarget(), CALL_MILLISECONDS) { result ->
+                result.fold(
+                    success = { context.answer(it.status(), it.content().retain()) },
+                    failure = { context.answer(HttpResponseStatus.BAD_GATEWAY, text(it)) },
+                )
+            }
+        }
+
+        @Deprecated("the supertype's method is")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            context.close()
+        }
+    }
+
+    private fun FullHttpRequest.toTarget(): FullHttpRequest {
+        val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method(), uri(), content().retain())
+        request.headers().set(HttpHeaderNames.HOST, forwarding.target.toString())
+        request.headers().set(HttpHeaderNames.CONTENT_LENGTH, content().readableBytes())
+        return request
+    }
+
+    private fun ChannelHandlerContext.answer(status: HttpResponseStatus, body: ByteBuf) {
+        val response: FullHttpResponse = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+        writeAndFlush(response)
+    }
+
+    private fun text(problem: String): ByteBuf = Unpooled.copiedBuffer("$problem\n", Charsets.UTF_8)
+
+    private companion object {
+        /** A little longer than the longest call of a router, which waits a second and a half for a record. */
+        const val CALL_MILLISECONDS = 2_500L
+
+        /** Calls carry one record at most, of some hundred bytes. */
+        const val MAXIMUM_BYTES = 64 * 1_024
+    }
+}
