Tell callers to come back later while the store is away

Cause: routers that were killed while the store was down have no configuration to serve by.

They now say 2 s once a call to the store has failed. Not measured apart; the test shows what is said.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
@@ -29,6 +29,12 @@
 /** The time after which a caller may come back to a relay that has no configuration yet; it reads it at its start. */
 private const val NOT_READY_RETRY_MILLISECONDS = 200L
 
+/**
+ * The same while the store does not answer. Outages last for seconds, callers come back once or twice, and they wait for a
+ * third of their time at most.
+ */
+private const val STORE_AWAY_RETRY_MILLISECONDS = 2_000L
+
 /** The time after which a caller may come back to another router; its next connection may still come here. */
 private const val SHUTTING_DOWN_RETRY_MILLISECONDS = 50L
 
@@ -71,7 +77,8 @@
 
 private fun RelayState.refuseArrival(event: RelayEvent.RequestArrived, error: RouterError, now: Timestamp): RelayStep {
     val retryAfter = when (error.kind) {
-        ErrorKind.NOT_READY -> NOT_READY_RETRY_MILLISECONDS
+        ErrorKind.NOT_READY ->
+            if (access.failures > 0) STORE_AWAY_RETRY_MILLISECONDS else NOT_READY_RETRY_MILLISECONDS
         ErrorKind.SHUTTING_DOWN -> SHUTTING_DOWN_RETRY_MILLISECONDS
         else -> null
     }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/ConfigurationTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/ConfigurationTest.kt
@@ -21,6 +21,15 @@
         assertEquals(503, ErrorKind.NOT_READY.status)
     }
 
+    @Test
+    fun `callers come back later while the store is away`() {
+        val rig = RelayRig()
+        val soon = rig.arrive(RelayRig.command).second.only<RelayEffect.Refuse>().retryAfterMilliseconds
+        rig.on(RelayEvent.FeedFailed(Feed.ORDERS, FeedProblem.UNAVAILABLE, "status 503"))
+        val later = rig.arrive(RelayRig.command).second.only<RelayEffect.Refuse>().retryAfterMilliseconds
+        assertEquals(listOf(200L, 2_000L), listOf(soon, later))
+    }
+
     @Test
     fun `routes and keys that are not there are refused, and public routes need no key`() {
         val rig = RelayRig().start()
