Bound the time of a request's header, and end the answer under way before a bad request

The time in which a caller must send a header was only bounded by the idle time. It now runs from the first byte; a header that does not arrive in time is answered 408. A bad request that was sent ahead no longer cuts off the answer before it.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
@@ -90,12 +90,11 @@
         active = front.handler.arrived(request.head, request.body, answer)
     }
 
+    /** An answer that is under way ends first, and the connection with it. */
     private fun reject(request: CallerMessage.Rejected) {
         if (closer.closing) return
         rejected = true
-        if (active != null) {
-            context.close()
-        } else {
+        if (active == null) {
             val answer = AnswerWriter(this, context.channel(), request.head)
             front.handler.refuse(answer, request.kind, request.detail, retryAfterMilliseconds = null)
         }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerFront.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerFront.kt
@@ -63,10 +63,12 @@
 
     private inner class Initializer : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
+            val reader = RequestReader { limits }
             channel.pipeline().addLast(
                 HttpResponseEncoder(),
+                ArrivalNotice(reader),
                 StrictRequestDecoder(limits.maximumHeaderBytes),
-                RequestReader { limits },
+                reader,
                 CallerConnection(this@CallerFront),
             )
         }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestReader.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestReader.kt
@@ -4,8 +4,10 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
@@ -30,7 +32,23 @@
 
     private var reading: Reading? = null
     private var rejected = false
-    private var bodyTime: Countdown? = null
+    private var betweenRequests = true
+    private lateinit var context: ChannelHandlerContext
+    private lateinit var patience: Countdown
+
+    override fun handlerAdded(context: ChannelHandlerContext) {
+        this.context = context
+        patience = Countdown(context.executor())
+    }
+
+    /** Takes that bytes have come, which the decoder has not read yet: the header's time begins with its first. */
+    fun bytesArrived() {
+        if (!betweenRequests || rejected) return
+        betweenRequests = false
+        patience.restart(limits().headerMilliseconds) {
+            reject(context, NO_HEAD, ErrorKind.TOO_SLOW, "the header did not arrive in time")
+        }
+    }
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         try {
@@ -48,16 +66,15 @@
 
     private fun begin(context: ChannelHandlerContext, head: HttpRequest) {
         context.fireChannelRead(CallerMessage.Begun)
+        betweenRequests = false
         val problem = problemOrNull(head)
         if (problem != null) return reject(context, head, problem.first, problem.second)
         if (HttpUtil.is100ContinueExpected(head)) {
             context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
         }
         reading = Reading(head)
-        bodyTime = Countdown(context.executor()).also { time ->
-            time.restart(limits().idleMilliseconds) {
-                reject(context, head, ErrorKind.TOO_SLOW, "the body did not arrive in time")
-            }
+        patience.restart(limits().idleMilliseconds) {
+            reject(context, head, ErrorKind.TOO_SLOW, "the body did not arrive in time")
         }
     }
 
@@ -75,7 +92,8 @@
     }
 
     private fun complete(context: ChannelHandlerContext, request: Reading) {
-        bodyTime?.cancel()
+        patience.cancel()
+        betweenRequests = true
         reading = null
         context.fireChannelRead(CallerMessage.Whole(request.head, request.body))
     }
@@ -87,7 +105,7 @@
     }
 
     private fun drop() {
-        bodyTime?.cancel()
+        patience.cancel()
         reading?.body?.release()
         reading = null
     }
@@ -117,4 +135,9 @@
     }
 
     private fun bodyTooLarge(): String = "the body is larger than ${limits().maximumBodyBytes} bytes"
+
+    private companion object {
+        /** Stands for a head that has not arrived; the answer to it depends on nothing in it. */
+        val NO_HEAD = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/")
+    }
 }
--- a/relay/src/test/kotlin/org/quetzalloom/relay/RelaySite.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/RelaySite.kt
@@ -38,6 +38,7 @@
             repeatRatio = 0.9,
             repeatWindowMilliseconds = 10_000,
             repeatSlack = 54.0,
+            exposureLimit = 0.15,
             sessionMilliseconds = 5_000,
         ),
         listeners = Listeners(callers, ready),
--- a/relay/src/test/kotlin/org/quetzalloom/relay/RequestsTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/RequestsTest.kt
@@ -72,6 +72,33 @@
         }
     }
 
+    @Test
+    fun `a header that does not arrive in time is answered 408, and its connection closed`() {
+        RelaySite(echo).use { site ->
+            site.connect().use { caller ->
+                val known = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nContent-Length: 2\r\n\r\nok"
+                assertTrue(caller.send(known).readUntil("ok").contains("HTTP/1.1 200"))
+                Thread.sleep(1_200)
+                assertEquals("408", status(caller.send("POST /book/1 HTTP/1.1\r\nHost: a").readUntil("in time")))
+            }
+            assertEquals(1, site.servers[0].requests.size)
+        }
+    }
+
+    @Test
+    fun `a bad request that is sent ahead does not cut off the answer before it`() {
+        val slow: (ScriptedRequest) -> Unit = {
+            Thread.sleep(300)
+            echo(it)
+        }
+        RelaySite(slow).use { site ->
+            val known = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nContent-Length: 2\r\n\r\nok"
+            site.connect().use { caller ->
+                assertTrue(caller.send(known + "nonsense\r\n\r\n").readUntil("ok").contains("HTTP/1.1 200"))
+            }
+        }
+    }
+
     @Test
     fun `a request without a route is answered 404 on the same connection`() {
         RelaySite(echo).use { site ->
