Ask for second answers only where no queue has formed

Cause: with a bound on the second answer's own start alone, each class kept the queue as long as its target; streams on the engines that were left still ended late.

The prompts before a request at the least busy server may now take a twentieth of the target.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Outlooks.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Outlooks.kt
@@ -21,5 +21,9 @@
     val least = untried(exchange, now).minOfOrNull { workBefore(it, work = 0, now) } ?: return null
     val pace = servers.paces[exchange.service] ?: ReadingPace()
     val waits = exchange.route.models.indices.map { pace.estimate(least + policies.work.of(exchange.request, it)) }
-    return ModelOutlook(now - exchange.arrivedAt, waits.toPersistentList())
+    return ModelOutlook(
+        elapsedMilliseconds = now - exchange.arrivedAt,
+        queueMilliseconds = pace.estimate(least),
+        waitsMilliseconds = waits.toPersistentList(),
+    )
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/model/ConfidenceCascade.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/model/ConfidenceCascade.kt
@@ -11,16 +11,21 @@
  * then. A request that may not run twice goes to the largest model at once.
  *
  * @property patience how many times the route's target an answer may take to begin.
+ * @property queueShare the share of the route's target that may pass with the prompts of others. A queue at the least
+ *   busy backend server means that all are busy, and that each second answer delays first ones.
  */
 public data class ConfidenceCascade(
     public val threshold: Int = 50,
     public val patience: Double = 1.0,
+    public val queueShare: Double = 0.05,
 ) : ModelChoice {
     override fun first(route: Route, request: RelayRequest): Int =
         if (route.mayRunAgain && route.maximumAttempts > 1) 0 else route.models.lastIndex
 
     override fun nextOrNull(route: Route, model: Int, confidence: Int, outlook: ModelOutlook): Int? =
-        route.models.lastIndex.takeIf {
-            confidence < threshold && model < it && outlook.startOf(it) <= patience * route.targetMilliseconds
-        }
+        route.models.lastIndex.takeIf { confidence < threshold && model < it && route.allows(it, outlook) }
+
+    private fun Route.allows(model: Int, outlook: ModelOutlook): Boolean =
+        outlook.queueMilliseconds <= queueShare * targetMilliseconds &&
+            outlook.startOf(model) <= patience * targetMilliseconds
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/CascadeTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/CascadeTest.kt
@@ -83,6 +83,16 @@
         assertEquals(null, cascade.after(route.copy(targetMilliseconds = 999), outlook))
     }
 
+    @Test
+    fun `where all servers are busy a doubtful answer is kept, though the largest model would be in time`() {
+        val route = RelayRig.table.routes.last().copy(targetMilliseconds = 2_000)
+        val outlook = ModelOutlook(waitsMilliseconds = persistentListOf(10, 30, 900))
+        val cascade = ConfidenceCascade()
+        assertEquals(2, cascade.after(route, outlook.copy(queueMilliseconds = 100)))
+        assertEquals(null, cascade.after(route, outlook.copy(queueMilliseconds = 101)))
+        assertEquals(2, cascade.copy(queueShare = 1.0).after(route, outlook.copy(queueMilliseconds = 101)))
+    }
+
     private fun ModelChoice.after(route: Route, outlook: ModelOutlook): Int? =
         nextOrNull(route, model = 0, confidence = 20, outlook = outlook)
 }
