Ask for second answers sooner where prompts are short against answers

Cause: one threshold for all requests. A second answer to a long prompt costs its service ten times as much reading; one to a short prompt with a long answer costs little and is worth as much.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Answers.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Answers.kt
@@ -5,6 +5,7 @@
 import org.quetzalloom.core.relay.RelayEvent
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.RelayStep
+import org.quetzalloom.core.relay.model.ModelAnswer
 import org.quetzalloom.core.relay.report
 import org.quetzalloom.core.relay.server.takeAnswer
 import org.quetzalloom.core.relay.server.takeRead
@@ -74,7 +75,8 @@
 private fun RelayState.verdictOrNull(exchange: Exchange, head: AnswerHead, now: Timestamp): AnswerVerdict? {
     val confidence = head.confidence?.takeIf { exchange.request.wantsModel } ?: return null
     val outlook = outlookOrNull(exchange, now)?.takeIf { mayRunOnceMore(exchange, now) }
-    val next = outlook?.let { policies.modelChoice.nextOrNull(exchange.route, exchange.model, confidence, it) }
+    val answer = ModelAnswer(exchange.model, confidence)
+    val next = outlook?.let { policies.modelChoice.nextOrNull(exchange.route, exchange.request, answer, it) }
     return AnswerVerdict(confidence, outlook?.startOf(exchange.route.models.lastIndex), next)
 }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/model/ModelChoice.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/model/ModelChoice.kt
@@ -9,8 +9,7 @@
     public fun first(route: Route, request: RelayRequest): Int
 
     /**
-     * Returns the model that is asked after [model] has answered with [confidence], from 0 to 100, or `null` if that
-     * answer is kept.
+     * Returns the model that is asked after another has given [answer], or `null` if that answer is kept.
      */
-    public fun nextOrNull(route: Route, model: Int, confidence: Int, outlook: ModelOutlook): Int?
+    public fun nextOrNull(route: Route, request: RelayRequest, answer: ModelAnswer, outlook: ModelOutlook): Int?
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/CascadeTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/CascadeTest.kt
@@ -5,6 +5,7 @@
 import org.quetzalloom.core.relay.feed.Feed
 import org.quetzalloom.core.relay.feed.FeedEntry
 import org.quetzalloom.core.relay.model.ConfidenceCascade
+import org.quetzalloom.core.relay.model.ModelAnswer
 import org.quetzalloom.core.relay.model.ModelChoice
 import org.quetzalloom.core.relay.model.ModelOutlook
 import org.quetzalloom.core.relay.routing.Route
@@ -93,6 +94,16 @@
         assertEquals(2, cascade.copy(queueShare = 1.0).after(route, outlook.copy(queueMilliseconds = 101)))
     }
 
+    @Test
+    fun `a second answer is asked for sooner where the prompt is short against the answer`() {
+        val route = RelayRig.table.routes.last()
+        val short = RelayRig.prompt.copy(promptTokens = 800, outputTokens = 300)
+        val long = RelayRig.prompt.copy(promptTokens = 12_000, outputTokens = 100)
+        val answer = ModelAnswer(model = 0, confidence = 55)
+        assertEquals(2, ConfidenceCascade().nextOrNull(route, short, answer, ModelOutlook()))
+        assertEquals(null, ConfidenceCascade().nextOrNull(route, long, answer, ModelOutlook()))
+    }
+
     private fun ModelChoice.after(route: Route, outlook: ModelOutlook): Int? =
-        nextOrNull(route, model = 0, confidence = 20, outlook = outlook)
+        nextOrNull(route, RelayRig.prompt, ModelAnswer(model = 0, confidence = 20), outlook)
 }
