Judge a server's silence by how long prompts usually take to read

Cause: a stream was tried elsewhere only after four times its target, twelve seconds on Tutu Ledger, and a server that had been silent rested for a quarter of a second; each further try cost its caller as long again.

A silent server rests for half a second at first. Ruled out: sending to resting servers when no others are there (requests hammer a server that is down).

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/AttemptFailure.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/AttemptFailure.kt
@@ -5,8 +5,13 @@
  *
  * @property sent whether the backend server may have received the request.
  * @property serverSuspect whether the backend server itself may be gone, and not only one request or connection.
+ * @property heard whether anything came from the backend server at all, be it the end of a connection.
  */
-public enum class AttemptFailure(public val sent: Boolean, public val serverSuspect: Boolean) {
+public enum class AttemptFailure(
+    public val sent: Boolean,
+    public val serverSuspect: Boolean,
+    public val heard: Boolean = true,
+) {
     /** No connection could be made. */
     NOT_CONNECTED(sent = false, serverSuspect = true),
 
@@ -20,5 +25,5 @@
     BAD_ANSWER(sent = true, serverSuspect = false),
 
     /** Nothing was heard for too long. */
-    SILENT(sent = true, serverSuspect = true),
+    SILENT(sent = true, serverSuspect = true, heard = false),
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
@@ -15,18 +15,6 @@
 import org.quetzalloom.core.relay.with
 import org.quetzalloom.core.time.Timestamp
 
-/** A stream that has not begun after this many times its target is tried elsewhere. */
-private const val FIRST_SILENCE_TARGETS = 4
-
-/** A stream whose pause is this many times the longest that is still on time goes on elsewhere. */
-private const val SILENCE_GAPS = 3
-
-/** An answer that may be asked for again is, when it has not come after this many times its target. */
-private const val PLAIN_SILENCE_TARGETS = 3
-
-/** The shortest silence that says something, in milliseconds: many answers take longer than their target. */
-private const val SHORTEST_SILENCE_MILLISECONDS = 300L
-
 /** Returns the transition that sends [exchange] to a backend server, or leaves it waiting if none can take it. */
 internal fun RelayState.place(exchange: Exchange, now: Timestamp): RelayStep {
     val candidates = untried(exchange, now)
@@ -64,7 +52,7 @@
         exchanges = countRepeat(exchange, now).with(sent),
         servers = servers.update(view.listing.id) { it.takeSend(attempt.work, now) },
     )
-    return next.with(RelayEffect.Send(exchange.id, attempt.number, order(exchange, view, now)))
+    return next.with(RelayEffect.Send(exchange.id, attempt.number, order(exchange, view, attempt, now)))
         .then { it.reportSend(sent, view, now) }
 }
 
@@ -91,7 +79,7 @@
     "last_event_id" to exchange.lastEventId,
 )
 
-private fun RelayState.order(exchange: Exchange, view: ServerView, now: Timestamp): SendOrder {
+private fun RelayState.order(exchange: Exchange, view: ServerView, attempt: Attempt, now: Timestamp): SendOrder {
     val route = exchange.route
     return SendOrder(
         server = view.listing.id,
@@ -102,13 +90,8 @@
         model = exchange.modelName,
         lastEventId = exchange.lastEventId,
         streaming = route.streaming,
-        firstSilenceMilliseconds = if (route.mayRunAgain) firstSilence(exchange) else null,
-        silenceMilliseconds = (route.gapMilliseconds * SILENCE_GAPS).takeIf { route.resumable && it > 0 },
+        firstSilenceMilliseconds = firstSilenceOrNull(exchange, attempt),
+        silenceMilliseconds = silenceOrNull(route),
         mustBeSure = !route.mayRunAgain,
     )
 }
-
-private fun firstSilence(exchange: Exchange): Long {
-    val targets = if (exchange.route.streaming) FIRST_SILENCE_TARGETS else PLAIN_SILENCE_TARGETS
-    return maxOf(exchange.route.targetMilliseconds * targets, SHORTEST_SILENCE_MILLISECONDS)
-}
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Outlooks.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Outlooks.kt
@@ -20,10 +20,12 @@
 internal fun RelayState.outlookOrNull(exchange: Exchange, now: Timestamp): ModelOutlook? {
     val least = untried(exchange, now).minOfOrNull { workBefore(it, work = 0, now) } ?: return null
     val pace = servers.paces[exchange.service] ?: ReadingPace()
-    val waits = exchange.route.models.indices.map { pace.estimate(least + policies.work.of(exchange.request, it)) }
+    fun wait(ahead: Long): Long = pace.estimateOrNull(ahead) ?: 0
     return ModelOutlook(
         elapsedMilliseconds = now - exchange.arrivedAt,
-        queueMilliseconds = pace.estimate(least),
-        waitsMilliseconds = waits.toPersistentList(),
+        queueMilliseconds = wait(least),
+        waitsMilliseconds = exchange.route.models.indices
+            .map { wait(least + policies.work.of(exchange.request, it)) }
+            .toPersistentList(),
     )
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ReadingPace.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ReadingPace.kt
@@ -14,8 +14,8 @@
         return ReadingPace(work = work * kept + ahead, milliseconds = milliseconds * kept + elapsed)
     }
 
-    /** Returns how many milliseconds [ahead] takes to read; 0 while nothing is known. */
-    fun estimate(ahead: Long): Long = if (work < MOST_WORK * HALF) 0 else (ahead * milliseconds / work).toLong()
+    /** Returns how many milliseconds [ahead] takes to read, or `null` while too little is known. */
+    fun estimateOrNull(ahead: Long): Long? = (ahead * milliseconds / work).toLong().takeIf { work >= MOST_WORK * HALF }
 
     private companion object {
         /** Answers to shorter prompts begin after a time that says more of the network than of reading. */
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerOutcomes.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerOutcomes.kt
@@ -10,6 +10,10 @@
 /** The pause after the first failed connection; it doubles with each further one. */
 private const val SUSPENSION_MILLISECONDS = 250L
 private const val LONGEST_SUSPENSION_DOUBLINGS = 3
+private const val LONGEST_SUSPENSION_MILLISECONDS = 2_000L
+
+/** The first pause of a server that was not heard at all: each further try costs its caller about a second. */
+private const val SILENT_SUSPENSION_MILLISECONDS = 500L
 
 /** The pause after a refusal; a full backend server has room again within some answers. */
 private const val REFUSAL_MILLISECONDS = 100L
@@ -40,7 +44,8 @@
 /** Returns the view after an attempt was lost. */
 internal fun ServerView.takeFailure(failure: AttemptFailure, now: Timestamp): ServerView {
     if (!failure.serverSuspect) return score(failed = failure.sent, now)
-    val pause = SUSPENSION_MILLISECONDS shl failuresInRow.coerceAtMost(LONGEST_SUSPENSION_DOUBLINGS)
+    val first = if (failure.heard) SUSPENSION_MILLISECONDS else SILENT_SUSPENSION_MILLISECONDS
+    val pause = (first shl failuresInRow.coerceAtMost(LONGEST_SUSPENSION_DOUBLINGS)).coerceAtMost(LONGEST_SUSPENSION_MILLISECONDS)
     return score(failed = true, now).copy(failuresInRow = failuresInRow + 1, suspendedUntil = now + pause)
 }
 
--- /dev/null
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/SilencesTest.kt
@@ -0,0 +1,63 @@
+package org.quetzalloom.core.relay
+
+import org.quetzalloom.core.relay.exchange.AnswerHead
+import org.quetzalloom.core.relay.exchange.AttemptFailure
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** How long a router waits for a server that says nothing. */
+class SilencesTest {
+    private val prompt = RelayRig.prompt.copy(promptTokens = 10_000)
+
+    private fun RelayRig.serve(number: Int, milliseconds: Long) {
+        val send = arrive(prompt.copy(callerId = "p-$number")).second.only<RelayEffect.Send>()
+        pass(milliseconds)
+        answer(send, AnswerHead(200, confidence = 90))
+        on(RelayEvent.AnswerFinished(send.exchange, send.attempt))
+    }
+
+    private fun RelayRig.patience(): Long? =
+        arrive(prompt).second.only<RelayEffect.Send>().order.firstSilenceMilliseconds
+
+    @Test
+    fun `a stream may take some targets to begin while nothing is known of its servers`() {
+        assertEquals(8_000, RelayRig().start(RelayRig.engineServers).patience())
+    }
+
+    @Test
+    fun `a stream that takes much longer than prompts usually do is tried elsewhere`() {
+        val quick = RelayRig().start(RelayRig.engineServers).apply { repeat(100) { serve(it, milliseconds = 100) } }
+        assertEquals(1_000, quick.patience())
+        val slow = RelayRig().start(RelayRig.engineServers).apply { repeat(100) { serve(it, milliseconds = 1_000) } }
+        assertEquals(4_500, slow.patience())
+    }
+
+    @Test
+    fun `what may run once only is never given up for silence`() {
+        val send = RelayRig().start().arrive(RelayRig.command).second.only<RelayEffect.Send>()
+        assertEquals(null, send.order.firstSilenceMilliseconds)
+        assertEquals(null, send.order.silenceMilliseconds)
+    }
+
+    @Test
+    fun `a server that was silent rests longer than one that closed a connection`() {
+        val rested = listOf(AttemptFailure.CONNECTION_LOST, AttemptFailure.SILENT).map { failure ->
+            val rig = RelayRig().start(RelayRig.plainServers.take(1))
+            val send = rig.arrive(RelayRig.read).second.only<RelayEffect.Send>()
+            rig.lose(send, failure)
+            rig.on(RelayEvent.CallerLeft(send.exchange))
+            rig.pass(400)
+            rig.arrive(RelayRig.read.copy(callerId = "next")).second.none<RelayEffect.Send>()
+        }
+        assertEquals(listOf(false, true), rested)
+    }
+
+    @Test
+    fun `the other servers get what a silent one had`() {
+        val rig = RelayRig().start()
+        val first = rig.arrive(RelayRig.read).second.only<RelayEffect.Send>()
+        val second = rig.lose(first, AttemptFailure.SILENT).only<RelayEffect.Send>()
+        assertTrue(first.order.server != second.order.server)
+    }
+}
