Take turns at cold servers by a member's place among all

Cause: in fleets larger than a cold server bears requests, every router ranked all others by hash for each waiting request at each tick. The members are now ordered once when they are read; a server's hash says where its turns begin.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersPart.kt
@@ -1,5 +1,6 @@
 package org.quetzalloom.core.relay.member
 
+import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
 import org.quetzalloom.core.reducer.then
 import org.quetzalloom.core.relay.RelayEffect
@@ -80,8 +81,10 @@
     }
 
     private fun RelayState.listed(event: RelayEvent.MembersListed, now: Timestamp): RelayStep {
+        val vms = event.vms.toPersistentMap().put(settings.vm, "")
         val next = members.copy(
-            vms = event.vms.toPersistentMap().put(settings.vm, ""),
+            vms = vms,
+            ordered = vms.keys.sorted().toPersistentList(),
             listedGeneration = event.generation,
             listing = false,
             listDueAt = now + PAUSE_MILLISECONDS,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersState.kt
@@ -1,6 +1,8 @@
 package org.quetzalloom.core.relay.member
 
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import org.quetzalloom.core.identity.VmId
 import org.quetzalloom.core.time.Timestamp
@@ -10,6 +12,7 @@
  *
  * @property generation the generation of the group that was last heard; 0 before the first.
  * @property vms the members, and where each receives beacons; empty before they were first read.
+ * @property ordered the members in the order of their names, which is the same at each of them.
  * @property listedGeneration the generation when they were read.
  * @property holdsDuty whether this router performs what only one of them may.
  * @property joinedAt when the group last confirmed this router.
@@ -20,6 +23,7 @@
 internal data class MembersState(
     val generation: Long = 0,
     val vms: PersistentMap<VmId, String> = persistentMapOf(),
+    val ordered: PersistentList<VmId> = persistentListOf(),
     val listedGeneration: Long = 0,
     val holdsDuty: Boolean = false,
     val joinedAt: Timestamp? = null,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ColdShares.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ColdShares.kt
@@ -2,7 +2,7 @@
 
 import kotlinx.collections.immutable.toPersistentList
 import org.quetzalloom.core.relay.RelayState
-import org.quetzalloom.core.router.stableHash
+import org.quetzalloom.core.router.bucketOf
 import org.quetzalloom.core.time.Timestamp
 
 /** The span in which requests to a cold backend server are counted. */
@@ -19,9 +19,15 @@
 /** Returns how many requests a second this router may send to a cold backend server that bears [borne] of them. */
 private fun RelayState.coldShare(view: ServerView, borne: Double): Int {
     val equal = Math.floor(borne / members.shareholders).toInt()
-    if (equal > 0) return equal
-    val ranked = members.vms.keys.sortedBy { stableHash(view.listing.id.value, it.value) }.take(borne.toInt())
-    return if (settings.vm in ranked) 1 else 0
+    return if (equal > 0) equal else membersTurn(view, borne.toInt())
+}
+
+/** Of more routers than requests that a server bears, as many use it, one request each; others for each server. */
+private fun RelayState.membersTurn(view: ServerView, borne: Int): Int {
+    val place = members.ordered.indexOf(settings.vm)
+    if (place < 0) return 0
+    val first = bucketOf(view.listing.id.value, members.ordered.size)
+    return if (Math.floorMod(place - first, members.ordered.size) < borne) 1 else 0
 }
 
 /** Returns the view after an attempt was sent at [now]. */
