--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
@@ -40,8 +40,16 @@
     /** Makes all further calls to the platform's store through the router at [through], or directly if it is `null`. */
     public data class ReachStore(public val through: String?) : RelayEffect
 
-    /** Reads [feed] from offset [from], or the newest records of all keys if it is `null`. */
-    public data class ReadFeed(public val feed: Feed, public val from: Long?) : RelayEffect
+    /**
+     * Reads [feed] from offset [from], or the newest records of all keys if it is `null`.
+     *
+     * @property waitMilliseconds how long a read from an offset waits for a record.
+     */
+    public data class ReadFeed(
+        public val feed: Feed,
+        public val from: Long?,
+        public val waitMilliseconds: Long,
+    ) : RelayEffect
 
     /** Joins the group of routers, or stays in it. */
     public data class JoinGroup(public val generation: Long) : RelayEffect
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayPart.kt
@@ -1,7 +1,6 @@
 package org.quetzalloom.core.relay
 
 import kotlinx.collections.immutable.persistentListOf
-import kotlinx.collections.immutable.toPersistentMap
 import org.quetzalloom.core.reducer.Reducer
 import org.quetzalloom.core.reducer.Transition
 import org.quetzalloom.core.time.Timestamp
@@ -23,11 +22,6 @@
 /** Returns the transition that reports what happened, with the next causal stamp. */
 internal fun RelayState.report(now: Timestamp, name: String, vararg fields: Pair<String, Any?>): RelayStep {
     val next = copy(stamp = stamp + 1)
-    val entry = TimelineEntry(
-        stamp = CausalStamp(counter = next.stamp, vm = settings.vm),
-        at = now,
-        name = name,
-        fields = fields.mapNotNull { (key, value) -> value?.let { key to it.toString() } }.toMap().toPersistentMap(),
-    )
+    val entry = TimelineEntry.of(CausalStamp(counter = next.stamp, vm = settings.vm), now, name, fields)
     return next.with(RelayEffect.Report(entry))
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelaySettings.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelaySettings.kt
@@ -32,7 +32,13 @@
         Feed.STATUS -> STATUS_PAUSE_MILLISECONDS
     }
 
+    /** Returns how long a read of [feed] waits for a record. */
+    internal fun wait(feed: Feed): Long = if (feed == Feed.ORDERS) ORDERS_WAIT_MILLISECONDS else 0
+
     private companion object {
+        /** Short enough to notice a connection that has gone silent. */
+        const val ORDERS_WAIT_MILLISECONDS = 1_500L
+
         /** A leaving server must get nothing 2 s after the store knows; this leaves room for a failed read. */
         const val SERVERS_PAUSE_MILLISECONDS = 1_000L
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
@@ -31,7 +31,8 @@
     zone = settings.zone,
 )
 
-private fun RelayState.wait(exchange: Exchange, now: Timestamp): RelayStep {
+/** Returns the transition that leaves [exchange] waiting, or gives it up if it has waited long enough. */
+internal fun RelayState.wait(exchange: Exchange, now: Timestamp): RelayStep {
     val waiting = copy(exchanges = exchanges.with(exchange.copy(attempt = null)))
     return if (now < exchange.waitUntil) waiting.unchanged() else waiting.giveUp(exchange, now)
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
@@ -69,7 +69,7 @@
         "server" to attempt.server,
         "reason" to reason,
     )
-}.then { it.abandon(it.exchanges.byId[exchange.id] ?: exchange) }
+}.then { it.abandon(exchange) }
     .then { it.lost(exchange.copy(attempt = null), attempt, now) }
 
 /** Returns the transition that takes an answer which says that the request has not run. */
@@ -105,9 +105,13 @@
     val due = exchanges.byId.values.filter { now >= it.deadlineAt }
     val waiting = exchanges.byId.values.filter { it.attempt == null && now < it.deadlineAt }.sortedBy { it.urgency }
     return unchanged().thenEach(due) { reached, exchange -> reached.expire(exchange, now) }
-        .thenEach(waiting) { reached, exchange -> reached.place(exchange, now) }
+        .thenEach(waiting) { reached, exchange -> reached.placeWaiting(exchange, now) }
 }
 
+/** A repeat that has waited asks the budget again: others may have taken what was left of it. */
+private fun RelayState.placeWaiting(exchange: Exchange, now: Timestamp): RelayStep =
+    if (exchange.attempts == 0 || budgetLeft(exchange, now)) place(exchange, now) else wait(exchange, now)
+
 private val Exchange.urgency: Long get() = route.priority * PRIORITY_STEP + deadlineAt.epochMilliseconds % PRIORITY_STEP
 
 /** More milliseconds than a deadline is away, so that the priority goes before the deadline. */
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
@@ -36,7 +36,7 @@
         val wanted = feed != Feed.STATUS || rollouts.active.isNotEmpty()
         if (cursor.reading || now < cursor.dueAt || !wanted) return unchanged()
         return copy(feeds = feeds.with(feed, cursor.copy(reading = true)))
-            .with(RelayEffect.ReadFeed(feed = feed, from = cursor.next))
+            .with(RelayEffect.ReadFeed(feed, from = cursor.next, waitMilliseconds = settings.wait(feed)))
     }
 
     private fun RelayState.read(event: RelayEvent.FeedRead, now: Timestamp): RelayStep {
--- a/core/src/main/kotlin/org/quetzalloom/core/router/Part.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/router/Part.kt
@@ -1,7 +1,6 @@
 package org.quetzalloom.core.router
 
 import kotlinx.collections.immutable.persistentListOf
-import kotlinx.collections.immutable.toPersistentMap
 import org.quetzalloom.core.effect.Effect
 import org.quetzalloom.core.event.Event
 import org.quetzalloom.core.identity.VmId
@@ -28,12 +27,7 @@
 /** Returns the transition that reports what happened, with the next causal stamp. */
 internal fun RouterState.report(now: Timestamp, name: String, vararg fields: Pair<String, Any?>): Step {
     val next = copy(stamp = stamp + 1)
-    val entry = TimelineEntry(
-        stamp = CausalStamp(counter = next.stamp, vm = settings.vm),
-        at = now,
-        name = name,
-        fields = fields.mapNotNull { (key, value) -> value?.let { key to it.toString() } }.toMap().toPersistentMap(),
-    )
+    val entry = TimelineEntry.of(CausalStamp(counter = next.stamp, vm = settings.vm), now, name, fields)
     return next.with(Effect.Report(entry))
 }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/timeline/TimelineEntry.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/timeline/TimelineEntry.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentMap
 import org.quetzalloom.core.time.Timestamp
 
 /**
@@ -16,4 +17,16 @@
     public val at: Timestamp,
     public val name: String,
     public val fields: PersistentMap<String, String> = persistentMapOf(),
-)
+) {
+    internal companion object {
+        /** Returns the entry with those of [fields] whose value is not `null`, each as text. */
+        fun of(stamp: CausalStamp, at: Timestamp, name: String, fields: Array<out Pair<String, Any?>>): TimelineEntry =
+            TimelineEntry(
+                stamp = stamp,
+                at = at,
+                name = name,
+                fields = fields.mapNotNull { (key, value) -> value?.let { key to it.toString() } }.toMap()
+                    .toPersistentMap(),
+            )
+    }
+}
