--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelaySettings.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelaySettings.kt
@@ -10,7 +10,8 @@
  * @property graceMilliseconds the time between the request to stop and the kill.
  * @property repeatRatio the repeats that a service may get for each request, in any [repeatWindowMilliseconds].
  * @property repeatSlack the repeats that a service may get besides, from all routers together.
- * @property exposureLimit the largest share of a service's requests in the time of a roll-out that a bad version may get.
+ * @property exposureLimit the largest share of a service's requests in the time of a roll-out that a version may get
+ *   which turns out to be bad.
  * @property sessionMilliseconds requests of a session that follow each other within this time belong together.
  * @property serversPauseMilliseconds the time between two reads of the list of backend servers.
  */
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/AccessPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/AccessPart.kt
@@ -41,10 +41,11 @@
     private fun RelayState.failed(now: Timestamp): RelayStep {
         val counted = copy(access = access.copy(failures = access.failures + 1))
         val helper = helperOrNull(counted.access.failures)
+        val directAt = if (access.through == null) now + DETOUR_MILLISECONDS else access.directAt
         return if (counted.access.failures < FAILURES_BEFORE_DETOUR || helper == null) {
             counted.unchanged()
         } else {
-            counted.reach(helper, directAt = if (access.through == null) now + DETOUR_MILLISECONDS else access.directAt, now)
+            counted.reach(helper, directAt, now)
         }
     }
 
@@ -59,11 +60,9 @@
 
     private fun RelayState.reach(through: String?, directAt: Timestamp, now: Timestamp): RelayStep {
         val next = copy(access = access.copy(through = through, directAt = directAt))
-        return if (through == access.through) {
-            next.unchanged()
-        } else {
-            next.with(RelayEffect.ReachStore(through))
-                .then { it.report(now, "store_path", "through" to (through ?: "direct"), "failures" to access.failures) }
+        if (through == access.through) return next.unchanged()
+        return next.with(RelayEffect.ReachStore(through)).then {
+            it.report(now, "store_path", "through" to (through ?: "direct"), "failures" to access.failures)
         }
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
@@ -30,8 +30,8 @@
 private const val NOT_READY_RETRY_MILLISECONDS = 200L
 
 /**
- * The same while the store does not answer. Outages last for seconds, callers come back once or twice, and they wait for a
- * third of their time at most.
+ * The same while the store does not answer. Outages last for seconds, callers come back once or twice, and they wait
+ * for a third of their time at most.
  */
 private const val STORE_AWAY_RETRY_MILLISECONDS = 2_000L
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/model/ConfidenceCascade.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/model/ConfidenceCascade.kt
@@ -10,8 +10,8 @@
  * Where backend servers are busy, a second answer would come late and make all others late as well; the first is kept
  * then. A request that may not run twice goes to the largest model at once.
  *
- * @property lean how much the threshold differs between a request that is all answer and one that is all prompt: reading a
- *   long prompt again costs more than it does for a short one with a long answer.
+ * @property lean how much the threshold differs between a request that is all answer and one that is all prompt, as
+ *   reading a long prompt again costs more.
  * @property patience how many times the route's target an answer may take to begin.
  * @property queueShare the share of the route's target that may pass with the prompts of others. A queue at the least
  *   busy backend server means that all are busy, and that each second answer delays first ones.
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/OutcomesPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/OutcomesPart.kt
@@ -5,7 +5,6 @@
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.RelayStep
 import org.quetzalloom.core.relay.exchange.CurrentAttempt
-import org.quetzalloom.core.relay.report
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.time.Timestamp
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/SteppedExposure.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/SteppedExposure.kt
@@ -1,7 +1,7 @@
 package org.quetzalloom.core.relay.rollout
 
 /**
- * A small share first; then all, so late that a bad version stays under the limit even if it never shows that it is bad.
+ * A small share first; then all, so late that a bad version stays under the limit even if it never shows that.
  *
  * Some versions fail only under a load that they do not reach, or long after their start. With the first share over the
  * whole time and all requests from the last step on, a version gets two thirds of the limit; the rest is for a burst at
@@ -15,8 +15,8 @@
     private const val LAST_PART = 0.45
 
     /**
-     * The store needs some tries to take the status in the time that is left. What old backend servers still work on then
-     * goes on at new ones.
+     * The store needs some tries to take the status in the time that is left. What old backend servers still work on
+     * then goes on at new ones.
      */
     private const val COMPLETION_AT = 0.97
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerOutcomes.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerOutcomes.kt
@@ -45,7 +45,8 @@
 internal fun ServerView.takeFailure(failure: AttemptFailure, now: Timestamp): ServerView {
     if (!failure.serverSuspect) return score(failed = failure.sent, now)
     val first = if (failure.heard) SUSPENSION_MILLISECONDS else SILENT_SUSPENSION_MILLISECONDS
-    val pause = (first shl failuresInRow.coerceAtMost(LONGEST_SUSPENSION_DOUBLINGS)).coerceAtMost(LONGEST_SUSPENSION_MILLISECONDS)
+    val doublings = failuresInRow.coerceAtMost(LONGEST_SUSPENSION_DOUBLINGS)
+    val pause = (first shl doublings).coerceAtMost(LONGEST_SUSPENSION_MILLISECONDS)
     return score(failed = true, now).copy(failuresInRow = failuresInRow + 1, suspendedUntil = now + pause)
 }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
@@ -32,7 +32,7 @@
         return copy(views = views.put(id, change(view)))
     }
 
-    /** Returns the state after an answer of [service] that began [elapsed] milliseconds after it had [ahead] to read. */
+    /** Returns the state after an answer of [service] that began after [elapsed] milliseconds, with [ahead] to read. */
     fun countPace(service: ServiceName, ahead: Long, elapsed: Long): ServersState =
         copy(paces = paces.put(service, (paces[service] ?: ReadingPace()).count(ahead, elapsed)))
 
--- a/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
@@ -10,7 +10,6 @@
 import org.quetzalloom.core.time.Clock
 import org.quetzalloom.relay.http.CallClient
 import org.quetzalloom.relay.http.CallForwarder
-import org.quetzalloom.relay.http.Forwarding
 import org.quetzalloom.relay.http.MessageCodec
 import org.quetzalloom.relay.http.StatusServer
 import org.quetzalloom.relay.peer.PeerSocket
@@ -27,14 +26,12 @@
  * @param settings what the reducer is told.
  * @param listeners where the relay listens.
  * @param codec the meaning of headers.
- * @param forwarding the calls that other routers may make through this one, or `null` for none.
  * @param store carries out the effects that concern the platform's store; made once the thread is there.
  */
 public class RelayProgram(
     settings: RelaySettings,
     private val listeners: Listeners,
     codec: MessageCodec,
-    private val forwarding: Forwarding? = null,
     store: (CallClient, (RelayEvent) -> Unit) -> Interpreter<RelayEffect>,
     private val clock: Clock = SystemClock(),
     policies: RelayPolicies = RelayPolicies(),
@@ -69,7 +66,7 @@
         }
         listeners.peers?.let { address ->
             peers.listen(address)
-            forwarding?.let { CallForwarder(group, calls, it).listen(address) }
+            listeners.forwarding?.let { CallForwarder(group, calls, it).listen(address) }
         }
         relay.listen(listeners.callers)
         executor.execute { loop.startTicking() }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestReader.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestReader.kt
@@ -6,15 +6,12 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpRequest
 import io.netty.handler.codec.http.HttpContent
-import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
-import io.netty.handler.codec.http.TooLongHttpHeaderException
-import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
 import org.quetzalloom.core.error.ErrorKind
 import org.quetzalloom.core.relay.routing.CallerLimits
@@ -30,6 +27,7 @@
         val body = Unpooled.buffer()
     }
 
+    private val check = RequestCheck(limits)
     private var reading: Reading? = null
     private var rejected = false
     private var betweenRequests = true
@@ -67,7 +65,7 @@
     private fun begin(context: ChannelHandlerContext, head: HttpRequest) {
         context.fireChannelRead(CallerMessage.Begun)
         betweenRequests = false
-        val problem = problemOrNull(head)
+        val problem = check.problemOrNull(head)
         if (problem != null) return reject(context, head, problem.first, problem.second)
         if (HttpUtil.is100ContinueExpected(head)) {
             context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
@@ -83,7 +81,7 @@
         when {
             content.decoderResult().isFailure ->
                 reject(context, current.head, ErrorKind.MALFORMED, "the body is malformed")
-            size > limits().maximumBodyBytes -> reject(context, current.head, ErrorKind.TOO_LARGE, bodyTooLarge())
+            size > limits().maximumBodyBytes -> reject(context, current.head, ErrorKind.TOO_LARGE, check.bodyTooLarge())
             else -> {
                 current.body.writeBytes(content.content())
                 if (content is LastHttpContent) complete(context, current)
@@ -110,32 +108,6 @@
         reading = null
     }
 
-    private fun problemOrNull(head: HttpRequest): Pair<ErrorKind, String>? {
-        val failure = head.decoderResult().cause()
-        val framing = if (failure == null) framingProblemOrNull(head) else null
-        return when {
-            failure is TooLongHttpHeaderException || failure is TooLongHttpLineException ->
-                ErrorKind.HEADER_TOO_LARGE to "the header is larger than ${limits().maximumHeaderBytes} bytes"
-            failure != null -> ErrorKind.MALFORMED to "the request could not be parsed"
-            framing != null -> ErrorKind.MALFORMED to framing
-            HttpUtil.getContentLength(head, 0L) > limits().maximumBodyBytes -> ErrorKind.TOO_LARGE to bodyTooLarge()
-            else -> null
-        }
-    }
-
-    private fun framingProblemOrNull(head: HttpRequest): String? = when {
-        head.protocolVersion().majorVersion() != 1 -> "the protocol version is not supported"
-        head.headers().getAll(HttpHeaderNames.HOST).size != 1 -> "there must be one Host header"
-        !head.uri().startsWith("/") -> "the target must be a path"
-        head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).size > 1 ->
-            "there must be one Transfer-Encoding header"
-        head.headers().contains(HttpHeaderNames.TRANSFER_ENCODING) && !HttpUtil.isTransferEncodingChunked(head) ->
-            "the transfer encoding is not supported"
-        else -> null
-    }
-
-    private fun bodyTooLarge(): String = "the body is larger than ${limits().maximumBodyBytes} bytes"
-
     private companion object {
         /** Stands for a head that has not arrived; the answer to it depends on nothing in it. */
         val NO_HEAD = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/")
