Leave servers alone that have turned slow; change the path to the store less often

A server's answers are now compared with what is usual for its service; one that takes two and a half times as long as the middle one gets nothing until that is forgotten. The path changes after two failures in a row.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Answers.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Answers.kt
@@ -21,7 +21,7 @@
     val heard = copy(
         exchanges = exchanges.with(exchange),
         servers = servers.update(attempt.server) { it.takeAnswer(event.head, now).takeRead(pending.work) }
-            .let { if (event.head.isSuccess) it.countPace(asked.service, pending.ahead, now - pending.sentAt) else it },
+            .let { if (event.head.isSuccess) it.countPace(pending, asked.service, now) else it },
     )
     return when {
         event.head.notRun -> heard.refusedByServer(exchange, attempt, event.head, now)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/AffinityPlacement.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/AffinityPlacement.kt
@@ -12,15 +12,17 @@
  *
  * @property longPartTokens shorter parts are read again as quickly as they are found.
  * @property spread how much more work than the mean a backend server may have before a part goes to its next one.
+ * @property mostSlow candidates that take more times as long as the middle one are left out.
  * @property mostFailing candidates with a larger share of failures are left out while others are there.
  */
 public data class AffinityPlacement(
     public val longPartTokens: Int = 512,
     public val spread: Double = 1.5,
     public val mostFailing: Double = 0.5,
+    public val mostSlow: Double = 2.5,
 ) : Placement {
     override fun chooseOrNull(candidates: List<Candidate>, request: PlacementRequest): Candidate? {
-        val sound = candidates.filter { it.failing <= mostFailing }.ifEmpty { candidates }
+        val sound = candidates.filter { it.failing <= mostFailing }.ifEmpty { candidates }.withoutSlow()
         val subject = request.subject?.takeIf { it.tokens >= longPartTokens }
         return when {
             sound.isEmpty() -> null
@@ -30,6 +32,12 @@
         }
     }
 
+    private fun List<Candidate>.withoutSlow(): List<Candidate> {
+        if (isEmpty()) return this
+        val middle = map { it.slowness }.sorted()[(size - 1) / 2]
+        return filter { it.slowness <= mostSlow * middle }
+    }
+
     private fun List<Candidate>.bounded(subject: String, request: PlacementRequest): Candidate {
         val bound = spread * (sumOf { it.work } + request.work) / size
         val ranked = sortedByDescending { stableHash(subject, it.server.value) }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerOutcomes.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerOutcomes.kt
@@ -67,4 +67,5 @@
     load = loadAt(now),
     work = work + othersWork,
     failing = failureScoreAt(now),
+    slowness = slowness.factorAt(now),
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerView.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerView.kt
@@ -17,6 +17,7 @@
  * @property work the prompts of these attempts that it has still to read, weighed by model.
  * @property load its last report.
  * @property loadAt when [load] was reported.
+ * @property slowness how long its answers take to begin, against the usual time.
  * @property coldSends when this router sent to it lately while it was cold.
  * @property goneAt when it is dropped, if its entry has been removed.
  */
@@ -31,6 +32,7 @@
     val work: Long = 0,
     val load: LoadReport? = null,
     val loadAt: Timestamp = Timestamp.EPOCH,
+    val slowness: Slowness = Slowness(),
     val coldSends: PersistentList<Timestamp> = persistentListOf(),
     val goneAt: Timestamp? = null,
 ) {
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
@@ -4,6 +4,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import org.quetzalloom.core.identity.AvailabilityZoneId
 import org.quetzalloom.core.identity.BackendServerId
+import org.quetzalloom.core.relay.exchange.Attempt
 import org.quetzalloom.core.relay.routing.ServiceName
 import org.quetzalloom.core.time.Timestamp
 
@@ -32,9 +33,18 @@
         return copy(views = views.put(id, change(view)))
     }
 
-    /** Returns the state after an answer of [service] that began after [elapsed] milliseconds, with [ahead] to read. */
-    fun countPace(service: ServiceName, ahead: Long, elapsed: Long): ServersState =
-        copy(paces = paces.put(service, (paces[service] ?: ReadingPace()).count(ahead, elapsed)))
+    /** Returns the state after the answer of [attempt] at [service] has begun at [now]. */
+    fun countPace(attempt: Attempt, service: ServiceName, now: Timestamp): ServersState {
+        val elapsed = now - attempt.sentAt
+        val pace = paces[service] ?: ReadingPace()
+        val usual = pace.estimateOrNull(attempt.ahead)
+        val counted = copy(paces = paces.put(service, pace.count(attempt.ahead, elapsed)))
+        return if (usual == null || attempt.ahead == 0L) {
+            counted
+        } else {
+            counted.update(attempt.server) { it.copy(slowness = it.slowness.count(elapsed, usual, now)) }
+        }
+    }
 
     private fun ServerView.isUsable(now: Timestamp): Boolean =
         !listing.draining && goneAt == null && now >= suspendedUntil && listing.zone !in evacuated
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/AccessTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/AccessTest.kt
@@ -38,6 +38,7 @@
         val rig = RelayRig().start(members = 40)
         rig.fail()
         val first = rig.fail().path().through
+        assertTrue(rig.fail().none<RelayEffect.ReachStore>())
         assertNotEquals(first, rig.fail().path().through)
     }
 
