Test an answer that comes before the whole body has been read

The mechanism was there without a test of its own: a connection is used again only after its request has been written whole. With that condition taken out the next request is sent into the rest of the body, and the test fails.

--- a/relay/src/test/kotlin/org/quetzalloom/relay/AnswersTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/AnswersTest.kt
@@ -153,4 +153,23 @@
             assertEquals("9000 bytes", body(site.exchange("${head}Content-Length: 9000\r\n\r\n" + "x".repeat(9_000))))
         }
     }
+
+    @Test
+    fun `after an answer that comes before the body is read no request meets the rest of the body`() {
+        val answering: (ScriptedRequest) -> Unit = {
+            it.answer("200 OK", mapOf("Id" to it.headers.getValue("id")), "for ${it.headers["id"]}")
+            Thread.sleep(300)
+        }
+        RelaySite(answering, early = true).use { site ->
+            val length = RelaySite.MAXIMUM_BODY_BYTES
+            val head = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nContent-Length: $length\r\n\r\n"
+            site.connect().use { caller ->
+                assertTrue(caller.send(head + "x".repeat(length)).readUntil("for a").startsWith("HTTP/1.1 200"))
+            }
+            val next = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: b\r\nContent-Length: 2\r\n\r\nok"
+            site.connect().use { caller -> caller.send(next).readUntil("for b") }
+            assertEquals(listOf("a", "b"), site.servers[0].requests.map { it.headers["id"] })
+            assertEquals(2, site.servers[0].accepted)
+        }
+    }
 }
--- a/relay/src/test/kotlin/org/quetzalloom/relay/RelaySite.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/RelaySite.kt
@@ -25,9 +25,13 @@
 import java.net.Socket
 import kotlin.test.assertTrue
 
-/** One relay on loopback, before backend servers that follow scripts. */
-class RelaySite(vararg scripts: (ScriptedRequest) -> Unit) : AutoCloseable {
-    val servers = scripts.map { ScriptedServer(it).start() }
+/**
+ * One relay on loopback, before backend servers that follow scripts.
+ *
+ * @param early whether the servers answer before they read a body.
+ */
+class RelaySite(vararg scripts: (ScriptedRequest) -> Unit, early: Boolean = false) : AutoCloseable {
+    val servers = scripts.map { ScriptedServer(early, it).start() }
     private val callers = Address("127.0.0.1", freePort())
     private val ready = Address("127.0.0.1", freePort())
     private val program = RelayProgram(
@@ -122,6 +126,8 @@
     }
 
     companion object {
+        /** More than the buffers of a loopback connection hold. */
+        const val MAXIMUM_BODY_BYTES = 16_000_000
         private const val READ_MILLISECONDS = 5_000L
         private const val NANOSECONDS = 1_000_000L
         private val zone = AvailabilityZoneId("zone-a")
@@ -152,7 +158,7 @@
                 once.copy(name = "note", pathPrefix = "/note/", streaming = true),
             ),
             services = persistentMapOf(service to BackendService(service, maximumConnections = 20)),
-            limits = CallerLimits(2_048, 10_000, headerMilliseconds = 1_000, idleMilliseconds = 5_000),
+            limits = CallerLimits(2_048, MAXIMUM_BODY_BYTES, headerMilliseconds = 1_000, idleMilliseconds = 5_000),
         )
 
         private fun freePort(): Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
--- a/relay/src/test/kotlin/org/quetzalloom/relay/RequestsTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/RequestsTest.kt
@@ -66,7 +66,7 @@
         RelaySite(echo).use { site ->
             val long = "GET /look/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nX: ${"x".repeat(3_000)}\r\n\r\n"
             assertEquals("431", status(site.exchange(long)))
-            val big = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nContent-Length: 20000\r\n\r\n"
+            val big = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nContent-Length: 20000000\r\n\r\n"
             assertEquals("413", status(site.exchange(big)))
             assertEquals(0, site.servers[0].requests.size)
         }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/scripted/ScriptedRequest.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/scripted/ScriptedRequest.kt
@@ -18,6 +18,9 @@
     val body: ByteArray,
     private val socket: Socket,
 ) {
+    /** The length of the body, as the header says. */
+    val bodyLength: Long get() = headers["content-length"]?.toLong() ?: 0
+
     /** Writes [text] as it is. */
     fun write(text: String) {
         socket.getOutputStream().write(text.toByteArray(Charsets.ISO_8859_1))
@@ -55,12 +58,12 @@
     internal companion object {
         private const val HEXADECIMAL = 16
 
-        /** Returns the next request, or `null` at the end of the connection. */
-        fun readOrNull(input: InputStream, socket: Socket): ScriptedRequest? {
+        /** Returns the next request, without its body if it is [headOnly], or `null` at the end of the connection. */
+        fun readOrNull(input: InputStream, socket: Socket, headOnly: Boolean): ScriptedRequest? {
             val line = readLineOrNull(input) ?: return null
             val headers = generateSequence { readLineOrNull(input)?.takeIf { it.isNotEmpty() } }
                 .associate { it.substringBefore(':').trim().lowercase() to it.substringAfter(':').trim() }
-            val body = input.readNBytes(headers["content-length"]?.toInt() ?: 0)
+            val body = input.readNBytes(headers["content-length"]?.toInt()?.takeUnless { headOnly } ?: 0)
             return ScriptedRequest(line, headers, body, socket)
         }
 
--- a/standins/src/main/kotlin/org/quetzalloom/standins/scripted/ScriptedServer.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/scripted/ScriptedServer.kt
@@ -11,8 +11,13 @@
 /**
  * Stands in for a backend server that may misbehave in any way that bytes can: each request is answered by [script],
  * which writes what it likes.
+ *
+ * @param early whether a request is answered before its body is read; the body is read afterwards.
  */
-class ScriptedServer(private val script: (ScriptedRequest) -> Unit) : AutoCloseable {
+class ScriptedServer(
+    private val early: Boolean = false,
+    private val script: (ScriptedRequest) -> Unit,
+) : AutoCloseable {
     private val listener = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
     private val sockets = CopyOnWriteArrayList<Socket>()
 
@@ -51,9 +56,10 @@
         val input = BufferedInputStream(socket.getInputStream())
         try {
             while (true) {
-                val request = ScriptedRequest.readOrNull(input, socket) ?: return
+                val request = ScriptedRequest.readOrNull(input, socket, early) ?: return
                 requests += request
                 script(request)
+                if (early) input.skipNBytes(request.bodyLength)
             }
         } catch (_: IOException) {
             socket.close()
