--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/AffinityPlacement.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/AffinityPlacement.kt
@@ -12,7 +12,7 @@
  *
  * @property longPartTokens shorter parts are read again as quickly as they are found.
  * @property spread how much more work than the mean a backend server may have before a part goes to its next one.
- * @property mostSlow candidates that take more times as long as the middle one are left out.
+ * @property mostSlow candidates that take more than this many times as long as the median one are left out.
  * @property mostFailing candidates with a larger share of failures are left out while others are there.
  */
 public data class AffinityPlacement(
@@ -34,8 +34,8 @@
 
     private fun List<Candidate>.withoutSlow(): List<Candidate> {
         if (isEmpty()) return this
-        val middle = map { it.slowness }.sorted()[(size - 1) / 2]
-        return filter { it.slowness <= mostSlow * middle }
+        val median = map { it.slowness }.sorted()[(size - 1) / 2]
+        return filter { it.slowness <= mostSlow * median }
     }
 
     private fun List<Candidate>.bounded(subject: String, request: PlacementRequest): Candidate {
