Do work once: the deadlines' walk, the work at a server, the outlook of an answer

Each tick walked all exchanges twice; placement summed the work at a server beside the function that does; the servers were gone through for each answer, also where no second one may be asked for; a condemnation went through an empty step. No decision changes.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Answers.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Answers.kt
@@ -74,7 +74,7 @@
 /** Returns what is to become of the answer of a model that the router has chosen, or `null` for any other answer. */
 private fun RelayState.verdictOrNull(exchange: Exchange, head: AnswerHead, now: Timestamp): AnswerVerdict? {
     val confidence = head.confidence?.takeIf { exchange.request.wantsModel } ?: return null
-    val outlook = outlookOrNull(exchange, now)?.takeIf { mayRunOnceMore(exchange, now) }
+    val outlook = if (mayRunOnceMore(exchange, now)) outlookOrNull(exchange, now) else null
     val answer = ModelAnswer(exchange.model, confidence)
     val next = outlook?.let { policies.modelChoice.nextOrNull(exchange.route, exchange.request, answer, it) }
     return AnswerVerdict(confidence, outlook?.startOf(exchange.route.models.lastIndex), next)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
@@ -17,8 +17,7 @@
 
 /** Returns the transition that sends [exchange] to a backend server, or leaves it waiting if none can take it. */
 internal fun RelayState.place(exchange: Exchange, now: Timestamp): RelayStep {
-    val candidates = untried(exchange, now)
-        .map { it.toCandidate(othersWork = peers.workAt(it.listing.id, now), now = now) }
+    val candidates = untried(exchange, now).map { it.toCandidate(workBefore(it, work = 0, now), now) }
     val chosen = policies.placement.chooseOrNull(candidates, placementRequest(exchange))
     val view = chosen?.let { servers.views[it.server] }
     return if (view == null) wait(exchange, now) else send(exchange, view, now)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
@@ -102,8 +102,8 @@
 
 /** Returns the transition that ends what has reached its deadline, and places what waits. */
 internal fun RelayState.checkTimes(now: Timestamp): RelayStep {
-    val due = exchanges.byId.values.filter { now >= it.deadlineAt }
-    val waiting = exchanges.byId.values.filter { it.attempt == null && now < it.deadlineAt }.sortedBy { it.urgency }
+    val (due, inTime) = exchanges.byId.values.partition { now >= it.deadlineAt }
+    val waiting = inTime.filter { it.attempt == null }.sortedBy { it.urgency }
     return unchanged().thenEach(due) { reached, exchange -> reached.expire(exchange, now) }
         .thenEach(waiting) { reached, exchange -> reached.placeWaiting(exchange, now) }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutReports.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutReports.kt
@@ -1,7 +1,6 @@
 package org.quetzalloom.core.relay.rollout
 
 import org.quetzalloom.core.identity.VmId
-import org.quetzalloom.core.reducer.then
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.RelayStep
 import org.quetzalloom.core.relay.peer.RolloutReport
@@ -41,8 +40,7 @@
 }
 
 private fun RelayState.condemnWith(progress: RolloutProgress, teller: VmId, now: Timestamp): RelayStep =
-    copy(rollouts = rollouts.with(progress.copy(condemned = true))).unchanged()
-        .then { it.reportCondemned(progress, now, foundBy = teller) }
+    copy(rollouts = rollouts.with(progress.copy(condemned = true))).reportCondemned(progress, now, foundBy = teller)
 
 /** Returns the transition that stops the new version of [progress] if its outcomes, here and elsewhere, are bad. */
 internal fun RelayState.condemnIfBad(progress: RolloutProgress, now: Timestamp): RelayStep {
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerOutcomes.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerOutcomes.kt
@@ -58,14 +58,14 @@
     )
 }
 
-/** Returns the view as a placement sees it, where other routers have [othersWork] at the server. */
-internal fun ServerView.toCandidate(othersWork: Long, now: Timestamp): Candidate = Candidate(
+/** Returns the view as a placement sees it, where all routers together have [allWork] at the server. */
+internal fun ServerView.toCandidate(allWork: Long, now: Timestamp): Candidate = Candidate(
     server = listing.id,
     zone = listing.zone,
     slots = listing.slots,
     inFlight = inFlight,
     load = loadAt(now),
-    work = work + othersWork,
+    work = allWork,
     failing = failureScoreAt(now),
     slowness = slowness.factorAt(now),
 )
