Name the limits and the peer messaging of the router after what they bound and do

Cause: verdict, patience and hold don't say what is timed, and tell and reached don't say what is sent or accumulated. Renames only; two lines that became too long are wrapped.

rename: tell -> sendToPeer (declared in router/Part.kt, only in: core/src/main/kotlin/org/quetzalloom/core) rename: tellAll -> sendToPeers (declared in router/Part.kt) rename: verdictMilliseconds -> crashCheckTimeoutMilliseconds (declared in router/RouterLimits.kt) rename: suspicionMilliseconds -> suspicionRetentionMilliseconds (declared in router/RouterLimits.kt) rename: trialMilliseconds -> trialTimeoutMilliseconds (declared in router/RouterLimits.kt) rename: billHoldMilliseconds -> billLogWaitMilliseconds (declared in router/RouterLimits.kt) rename: billPatienceMilliseconds -> billMaximumWaitMilliseconds (declared in router/RouterLimits.kt) rename: sessionAnswerMilliseconds -> sessionAnswerTimeoutMilliseconds (declared in router/RouterLimits.kt) rename: peerSilenceMilliseconds -> peerTimeoutMilliseconds (declared in router/RouterLimits.kt) rename: retryShare -> retryBudgetRatio (declared in router/RouterLimits.kt) rename: reached -> transition (declared in router/Part.kt, only in: core/src/main/kotlin/org/quetzalloom/core/router/Part.kt) rename: told -> sent (declared in router/Part.kt, only in: core/src/main/kotlin/org/quetzalloom/core/router/Part.kt)

--- a/core/src/main/kotlin/org/quetzalloom/core/backend/BackendsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/BackendsPart.kt
@@ -12,7 +12,7 @@
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.router.Step
 import org.quetzalloom.core.router.report
-import org.quetzalloom.core.router.tellAll
+import org.quetzalloom.core.router.sendToPeers
 import org.quetzalloom.core.router.unchanged
 import org.quetzalloom.core.time.Timestamp
 
@@ -94,7 +94,7 @@
         val known = backends.healthOf(server).start != null
         val next = withHealth(server) { it.started(start, startedAt) }
         val told = if (known) {
-            next.tellAll(
+            next.sendToPeers(
                 next.livePeers(now),
                 PeerMessage.Restarted(server, start)
             )
--- a/core/src/main/kotlin/org/quetzalloom/core/billing/BillingPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/billing/BillingPart.kt
@@ -11,7 +11,7 @@
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.router.Step
 import org.quetzalloom.core.router.enqueue
-import org.quetzalloom.core.router.tell
+import org.quetzalloom.core.router.sendToPeer
 import org.quetzalloom.core.router.unchanged
 import org.quetzalloom.core.time.Timestamp
 
@@ -39,7 +39,7 @@
         }
         val byKeeper = copies.groupBy({ it.first }, { it.second }).toSortedMap()
         return copy(billing = settled).unchanged().thenEach(byKeeper.entries) { state, (keeper, identities) ->
-            state.tell(keeper, PeerMessage.DropBills(identities.toPersistentList()))
+            state.sendToPeer(keeper, PeerMessage.DropBills(identities.toPersistentList()))
         }
     }
 
@@ -54,7 +54,7 @@
         val kept = bills.filter { it.identity !in billing.kept }
             .fold(billing.kept) { reached, bill -> reached.put(bill.identity, KeptBill(bill, now)) }
         val identities = bills.map { it.identity }.toPersistentList()
-        return copy(billing = billing.copy(kept = kept)).tell(owner, PeerMessage.BillsHeld(identities))
+        return copy(billing = billing.copy(kept = kept)).sendToPeer(owner, PeerMessage.BillsHeld(identities))
     }
 
     private fun RouterState.held(keeper: VmId, identities: PersistentList<String>): RouterState {
@@ -90,11 +90,11 @@
         }
         val message = PeerMessage.HoldBills(settings.vm, due.map { it.bill }.toPersistentList())
         return copy(billing = billing.copy(unsettled = sent)).unchanged()
-            .thenEach(keepers) { state, keeper -> state.tell(keeper, message) }
+            .thenEach(keepers) { state, keeper -> state.sendToPeer(keeper, message) }
     }
 
     private fun RouterState.isOverdue(bill: UnsettledBill, now: Timestamp): Boolean {
-        val hold = settings.limits.billHoldMilliseconds
+        val hold = settings.limits.billLogWaitMilliseconds
         val asked = bill.sentTo.isNotEmpty()
         return now - bill.since >= hold && !bill.isKept && (!asked || now - bill.sentAt >= hold * RESEND_HOLDS)
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationPart.kt
@@ -14,7 +14,7 @@
 import org.quetzalloom.core.router.enqueue
 import org.quetzalloom.core.router.rendezvousOrNull
 import org.quetzalloom.core.router.report
-import org.quetzalloom.core.router.tell
+import org.quetzalloom.core.router.sendToPeer
 import org.quetzalloom.core.router.unchanged
 import org.quetzalloom.core.time.Timestamp
 
@@ -55,7 +55,7 @@
     private fun RouterState.answerDigest(from: VmId, digest: PeerMessage.Digest): Step {
         val own = configuration.view.revision
         return when {
-            digest.revision > own -> tell(from, PeerMessage.AskConfiguration)
+            digest.revision > own -> sendToPeer(from, PeerMessage.AskConfiguration)
             digest.revision < own -> tellConfiguration(from)
             else -> unchanged()
         }
@@ -63,7 +63,7 @@
 
     private fun RouterState.tellConfiguration(to: VmId): Step {
         val current = configuration.view.current ?: return unchanged()
-        return tell(to, PeerMessage.TellConfiguration(current))
+        return sendToPeer(to, PeerMessage.TellConfiguration(current))
     }
 
     private fun RouterState.moveTo(view: ConfigurationView, source: String, now: Timestamp): Step {
--- a/core/src/main/kotlin/org/quetzalloom/core/membership/MembershipPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/membership/MembershipPart.kt
@@ -10,7 +10,7 @@
 import org.quetzalloom.core.router.Part
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.router.Step
-import org.quetzalloom.core.router.tell
+import org.quetzalloom.core.router.sendToPeer
 import org.quetzalloom.core.router.unchanged
 import org.quetzalloom.core.router.with
 import org.quetzalloom.core.selection.ownSums
@@ -43,12 +43,12 @@
         val turn = membership.gossipTurn
         val receiver = peers[(turn % peers.size).toInt()]
         val next = copy(membership = membership.copy(gossipAt = now, gossipTurn = turn + 1))
-        return next.tell(receiver, PeerMessage.Digest(next.configuration.view.revision))
+        return next.sendToPeer(receiver, PeerMessage.Digest(next.configuration.view.revision))
             .then { it.tellRatings(receiver) }
     }
 
     private fun RouterState.tellRatings(receiver: VmId): Step =
-        unchanged().thenEach(quality.ownSums(settings)) { state, message -> state.tell(receiver, message) }
+        unchanged().thenEach(quality.ownSums(settings)) { state, message -> state.sendToPeer(receiver, message) }
 
     private fun RouterState.askForList(now: Timestamp): Step {
         val last = membership.listedAt
@@ -64,6 +64,6 @@
 internal fun RouterState.livePeers(now: Timestamp): List<VmId> = peers().filter { peer ->
     val heardAt = membership.heardAt[peer]
     heardAt != null &&
-        now - heardAt < settings.limits.peerSilenceMilliseconds &&
+        now - heardAt < settings.limits.peerTimeoutMilliseconds &&
         membership.leaving[peer] != true
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/quarantine/QuarantinePart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/quarantine/QuarantinePart.kt
@@ -10,7 +10,7 @@
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.router.Step
 import org.quetzalloom.core.router.report
-import org.quetzalloom.core.router.tell
+import org.quetzalloom.core.router.sendToPeer
 import org.quetzalloom.core.router.unchanged
 import org.quetzalloom.core.time.Timestamp
 
@@ -45,7 +45,7 @@
         val noted = yielded.suspected(message.fingerprint, message.server, now)
         val by = from.takeIf { message.trial }
         val next = if (keepsOwn) noted else noted.withTrial(message.fingerprint, by, message.trialAt, now, event.stamp)
-        return next.tell(from, PeerMessage.SuspectNoted(message.fingerprint, message.trialAt, agreed))
+        return next.sendToPeer(from, PeerMessage.SuspectNoted(message.fingerprint, message.trialAt, agreed))
             .then { it.report(now, "request_suspected", "fingerprint" to message.fingerprint, "by" to from) }
     }
 
@@ -74,7 +74,8 @@
     }
 
     private fun RouterState.forgetOld(now: Timestamp): RouterState {
-        val old = quarantine.suspicions.filterValues { now - it.at > settings.limits.suspicionMilliseconds }.keys
+        val old = quarantine.suspicions
+            .filterValues { now - it.at > settings.limits.suspicionRetentionMilliseconds }.keys
         return old.fold(this) { state, fingerprint -> state.cleared(fingerprint) }
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/quarantine/Suspicions.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/quarantine/Suspicions.kt
@@ -54,4 +54,6 @@
         .toSet()
 
 private fun RouterState.isUnderTrial(suspicion: Suspicion, now: Timestamp): Boolean =
-    suspicion.trialBy != null && !suspicion.condemned && now - suspicion.trialSince < settings.limits.trialMilliseconds
+    suspicion.trialBy != null &&
+        !suspicion.condemned &&
+        now - suspicion.trialSince < settings.limits.trialTimeoutMilliseconds
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Arrival.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Arrival.kt
@@ -11,7 +11,7 @@
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.router.Step
 import org.quetzalloom.core.router.report
-import org.quetzalloom.core.router.tell
+import org.quetzalloom.core.router.sendToPeer
 import org.quetzalloom.core.router.with
 import org.quetzalloom.core.session.SessionKey
 import org.quetzalloom.core.session.assignedOrNull
@@ -51,7 +51,7 @@
         version = chooseVersion(event.call, admitted.versions, subject),
         command = admitted.command,
     )
-    return copy(requests = requests.withBudget(settings.limits.retryShare))
+    return copy(requests = requests.withBudget(settings.limits.retryBudgetRatio))
         .report(
             now,
             "request_arrived",
@@ -88,7 +88,7 @@
         known != null -> put(request)
         home == settings.vm -> decide(key, request.version, now).then { it.put(request.pinnedTo(request.version)) }
         else -> put(request.copy(phase = Phase.AwaitingSession(now))).then {
-            it.tell(home, PeerMessage.AskSession(key.workspace, key.session, request.version))
+            it.sendToPeer(home, PeerMessage.AskSession(key.workspace, key.session, request.version))
         }
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Completion.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Completion.kt
@@ -65,8 +65,8 @@
 internal fun RouterState.awaitBill(request: ActiveRequest, phase: Phase.Settling, now: Timestamp): Step {
     val waited = now - phase.since
     val safe = isInLog(phase.bill) ||
-        (waited >= settings.limits.billHoldMilliseconds && isKept(phase.bill)) ||
-        waited >= settings.limits.billPatienceMilliseconds
+        (waited >= settings.limits.billLogWaitMilliseconds && isKept(phase.bill)) ||
+        waited >= settings.limits.billMaximumWaitMilliseconds
     if (!safe) return unchanged()
     val end = Effect.OfCaller.End(request.id, phase.tokens, phase.bill.costMicros, phase.status)
     return copy(requests = requests.remove(request.id)).answer(request, end).then {
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Progress.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Progress.kt
@@ -22,7 +22,7 @@
     is Phase.AwaitingSession -> awaitSession(request, phase, now)
     is Phase.AwaitingIntent, is Phase.AwaitingOutcome -> awaitCommand(request, now)
     is Phase.AwaitingVerdict ->
-        if (now - phase.since < settings.limits.verdictMilliseconds) {
+        if (now - phase.since < settings.limits.crashCheckTimeoutMilliseconds) {
             unchanged()
         } else {
             crashed(
@@ -45,7 +45,7 @@
         assigned != null && isNamedBy(request, assigned) ->
             put(request.pinnedTo(assigned).copy(phase = Phase.Queued))
         assigned != null -> put(request.copy(phase = Phase.Queued))
-        now - phase.since < settings.limits.sessionAnswerMilliseconds -> unchanged()
+        now - phase.since < settings.limits.sessionAnswerTimeoutMilliseconds -> unchanged()
         else -> decide(key, request.version, now).then {
             it.put(request.pinnedTo(request.version).copy(phase = Phase.Queued))
         }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/RequestsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/RequestsPart.kt
@@ -36,7 +36,7 @@
 
     /** Returns whether the backend server that reports has started lately, as one does that went down. */
     private fun RouterState.restartedSinceFailure(event: Event.OfBackend.LoadReported): Boolean =
-        event.upForMilliseconds < settings.limits.verdictMilliseconds
+        event.upForMilliseconds < settings.limits.crashCheckTimeoutMilliseconds
 
     /** A call that may not be repeated goes on without its caller, so that its outcome is recorded. */
     private fun RouterState.leave(event: Event.OfCaller.Left, now: Timestamp): Step {
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Trials.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Trials.kt
@@ -12,7 +12,7 @@
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.router.Step
 import org.quetzalloom.core.router.rendezvousOrNull
-import org.quetzalloom.core.router.tellAll
+import org.quetzalloom.core.router.sendToPeers
 import org.quetzalloom.core.router.unchanged
 import org.quetzalloom.core.time.Timestamp
 
@@ -46,7 +46,7 @@
     val crashed = suspicion.servers.min()
     val phase = if (server == null) Phase.AwaitingTrial else Phase.AwaitingNotes(now)
     return withTrial(request.fingerprint, by = settings.vm, at = server, now = now)
-        .tellAll(livePeers(now), PeerMessage.Suspect(request.fingerprint, crashed, trial = true, trialAt = server))
+        .sendToPeers(livePeers(now), PeerMessage.Suspect(request.fingerprint, crashed, trial = true, trialAt = server))
         .then { it.put(request.copy(phase = phase)) }
 }
 
@@ -61,7 +61,7 @@
 internal fun RouterState.awaitNotes(request: ActiveRequest, phase: Phase.AwaitingNotes, now: Timestamp): Step {
     val suspicion = quarantine.suspicions[request.fingerprint]
     val agreed = suspicion?.notedBy.orEmpty().containsAll(livePeers(now))
-    val waited = now - phase.since >= settings.limits.verdictMilliseconds
+    val waited = now - phase.since >= settings.limits.crashCheckTimeoutMilliseconds
     return when {
         suspicion?.trialBy != settings.vm || suspicion.trialAt == null -> awaitTrial(request, now)
         agreed || waited -> put(request.copy(phase = Phase.Queued))
@@ -83,7 +83,7 @@
 /** Lets go of what was held against [request], which has run further than where it was suspected. */
 internal fun RouterState.clearSuspicion(request: ActiveRequest, now: Timestamp): Step {
     if (request.fingerprint !in quarantine.suspicions) return unchanged()
-    return cleared(request.fingerprint).tellAll(livePeers(now), PeerMessage.Cleared(request.fingerprint))
+    return cleared(request.fingerprint).sendToPeers(livePeers(now), PeerMessage.Cleared(request.fingerprint))
 }
 
 /** Ends the trial of [request] without a verdict, so that another may be tried. */
@@ -92,5 +92,5 @@
     if (suspicion == null || suspicion.trialBy != settings.vm || isTriedByAnother(request)) return unchanged()
     val crashed = suspicion.servers.min()
     return withTrial(request.fingerprint, by = null, at = null, now = now)
-        .tellAll(livePeers(now), PeerMessage.Suspect(request.fingerprint, crashed, trial = false))
+        .sendToPeers(livePeers(now), PeerMessage.Suspect(request.fingerprint, crashed, trial = false))
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Verdicts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Verdicts.kt
@@ -10,7 +10,7 @@
 import org.quetzalloom.core.reducer.then
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.router.Step
-import org.quetzalloom.core.router.tellAll
+import org.quetzalloom.core.router.sendToPeers
 import org.quetzalloom.core.router.unchanged
 import org.quetzalloom.core.time.Timestamp
 
@@ -35,7 +35,7 @@
     val known = suspected(request.fingerprint, server, now)
     val condemned = known.quarantine.suspicions[request.fingerprint]?.condemned == true
     val next = known.withTrial(request.fingerprint, by = settings.vm.takeUnless { condemned }, at = null, now = now)
-    val told = next.tellAll(
+    val told = next.sendToPeers(
         next.livePeers(now),
         PeerMessage.Suspect(request.fingerprint, server, trial = !condemned),
     )
--- a/core/src/main/kotlin/org/quetzalloom/core/router/Part.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/router/Part.kt
@@ -32,16 +32,16 @@
 }
 
 /** Returns the transition that sends [message] to [peer]. */
-internal fun RouterState.tell(peer: VmId, message: PeerMessage): Step {
+internal fun RouterState.sendToPeer(peer: VmId, message: PeerMessage): Step {
     val next = copy(stamp = stamp + 1)
     return next.with(Effect.Tell(to = peer, stamp = next.stamp, message = message))
 }
 
 /** Returns the transition that sends [message] to each of [peers]. */
-internal fun RouterState.tellAll(peers: Iterable<VmId>, message: PeerMessage): Step =
-    peers.sorted().fold(unchanged()) { reached, peer ->
-        val told = reached.state.tell(peer, message)
-        Transition(told.state, reached.effects.addAll(told.effects))
+internal fun RouterState.sendToPeers(peers: Iterable<VmId>, message: PeerMessage): Step =
+    peers.sorted().fold(unchanged()) { transition, peer ->
+        val sent = transition.state.sendToPeer(peer, message)
+        Transition(sent.state, transition.effects.addAll(sent.effects))
     }
 
 /** Returns the state with [record] waiting to be appended to the log. */
--- a/core/src/main/kotlin/org/quetzalloom/core/session/SessionsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/session/SessionsPart.kt
@@ -10,7 +10,7 @@
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.router.Step
 import org.quetzalloom.core.router.rendezvousOrNull
-import org.quetzalloom.core.router.tell
+import org.quetzalloom.core.router.sendToPeer
 import org.quetzalloom.core.router.unchanged
 import org.quetzalloom.core.time.Timestamp
 
@@ -38,7 +38,7 @@
         val key = SessionKey(message.workspace, message.session)
         val version = assignedOrNull(key) ?: message.proposed
         return decide(key, version, now)
-            .then { it.tell(event.from, PeerMessage.TellSession(key.workspace, key.session, version)) }
+            .then { it.sendToPeer(event.from, PeerMessage.TellSession(key.workspace, key.session, version)) }
     }
 
     private fun RouterState.sweep(now: Timestamp): RouterState {
@@ -68,5 +68,5 @@
     val next = assigned(key, version, now)
     val heir = rendezvousOrNull(livePeers(now), key)
     if (known || heir == null) return next.unchanged()
-    return next.tell(heir, PeerMessage.TellSession(key.workspace, key.session, version))
+    return next.sendToPeer(heir, PeerMessage.TellSession(key.workspace, key.session, version))
 }
