Name the parts of the quality estimate and of the version choice after their purpose

Cause: known, promising, counted, told and merged don't say what they return, and since reads as a time. Renames only; two signatures that became too long are wrapped.

rename: exploredPermille -> explorationPermille (declared in selection/CheapestConfident.kt) rename: known -> preferred (declared in selection/CheapestConfident.kt, only in: core/src/main/kotlin/org/quetzalloom/core/selection/CheapestConfident.kt) rename: promising -> explorationCandidateOrNull (declared in selection/CheapestConfident.kt, only in: core/src/main/kotlin/org/quetzalloom/core/selection/CheapestConfident.kt) rename: askForRatings -> readRatings (declared in selection/QualityPart.kt, only in: core/src/main/kotlin/org/quetzalloom/core/selection/QualityPart.kt) rename: counted() -> withRatings() (declared in selection/QualityPart.kt; the local value counted stays) rename: told -> withPeerSums (declared in selection/QualityPart.kt, only in: core/src/main/kotlin/org/quetzalloom/core/selection/QualityPart.kt) rename: merged() -> withLaterSum() (declared in selection/QualityPart.kt; the local value merged stays) rename: reached -> updated (declared in selection/QualityPart.kt, only in: core/src/main/kotlin/org/quetzalloom/core/selection/QualityPart.kt) rename: reached -> updated (declared in selection/QualityState.kt, only in: core/src/main/kotlin/org/quetzalloom/core/selection/QualityState.kt) rename: since -> withoutPeriodsBefore (declared in selection/QualityState.kt, only in: core/src/main/kotlin/org/quetzalloom/core/selection) rename: one -> single (declared in selection/QualityPart.kt, only in: core/src/main/kotlin/org/quetzalloom/core/selection/QualityPart.kt) rename: PERIODS_TOLD -> PERIODS_SENT (declared in selection/QualityPart.kt) rename: askedAt -> readAt (declared in selection/QualityState.kt, only in: core/src/main/kotlin/org/quetzalloom/core/selection) rename: left -> remaining (declared in selection/QualityState.kt, only in: core/src/main/kotlin/org/quetzalloom/core/selection/QualityState.kt) rename: old -> expired (declared in selection/QualityState.kt, only in: core/src/main/kotlin/org/quetzalloom/core/selection/QualityState.kt)

--- a/bench/src/main/kotlin/org/quetzalloom/bench/Policies.kt
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/Policies.kt
@@ -19,7 +19,7 @@
 
 private val policies: Map<String, VersionChoice> = mapOf(
     "cheapest confident" to CheapestConfident(),
-    "without exploration" to CheapestConfident(exploredPermille = 0),
+    "without exploration" to CheapestConfident(explorationPermille = 0),
     "always the dearest" to VersionChoice { options, _, _ -> options.maxBy { it.version.costMicros }.version },
     "always the cheapest" to VersionChoice { options, _, _ -> options.minBy { it.version.costMicros }.version },
     "round robin" to VersionChoice { options, _, seed ->
--- a/core/src/main/kotlin/org/quetzalloom/core/router/RouterLimits.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/router/RouterLimits.kt
@@ -16,7 +16,8 @@
  * @property tokenGapMilliseconds an answer that has not gone on for this long is given up.
  * @property serviceSilenceMilliseconds a service that has not answered for this long is given up.
  * @property sessionAnswerTimeoutMilliseconds the longest wait for the home VM of a session.
- * @property crashCheckTimeoutMilliseconds the longest wait to learn whether a backend server went down, and for peers to note it.
+ * @property crashCheckTimeoutMilliseconds the longest wait to learn whether a backend server went down, and for peers
+ *   to note it.
  * @property suspicionRetentionMilliseconds how long a request that took down a backend server is remembered.
  * @property trialTimeoutMilliseconds how long other VMs wait for the second try of such a request.
  * @property billLogWaitMilliseconds the time for which an answer's end waits for its bill to be in the log; after it,
--- a/core/src/main/kotlin/org/quetzalloom/core/selection/CheapestConfident.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/selection/CheapestConfident.kt
@@ -9,19 +9,19 @@
  * about which little was expected gets its ratings.
  *
  * @property deviations the width of the confidence interval, in standard deviations each way.
- * @property exploredPermille the requests per thousand that try such a version.
+ * @property explorationPermille the requests per thousand that try such a version.
  */
 public data class CheapestConfident(
     public val deviations: Double = 1.0,
-    public val exploredPermille: Int = 100,
+    public val explorationPermille: Int = 100,
 ) : VersionChoice {
     override fun choose(options: List<VersionOption>, qualityTarget: Double, seed: Long): Version {
-        val known = known(options, qualityTarget)
-        val explores = Math.floorMod(seed, PERMILLE) < exploredPermille
-        return if (explores) promising(options, known, qualityTarget) ?: known else known
+        val preferred = preferred(options, qualityTarget)
+        val explores = Math.floorMod(seed, PERMILLE) < explorationPermille
+        return if (explores) explorationCandidateOrNull(options, preferred, qualityTarget) ?: preferred else preferred
     }
 
-    private fun known(options: List<VersionOption>, qualityTarget: Double): Version {
+    private fun preferred(options: List<VersionOption>, qualityTarget: Double): Version {
         val confident = options.filter { it.lowerBound() >= qualityTarget }
         val chosen = confident.minWithOrNull(compareBy({ it.version.costMicros }, { it.version.id }))
             ?: options.maxWith(compareBy<VersionOption> { it.lowerBound() }.thenByDescending { it.version.id })
@@ -29,8 +29,12 @@
     }
 
     /** Returns the least rated of the cheaper versions that may be above the target. */
-    private fun promising(options: List<VersionOption>, known: Version, qualityTarget: Double): Version? = options
-        .filter { it.version.costMicros < known.costMicros && it.upperBound() >= qualityTarget }
+    private fun explorationCandidateOrNull(
+        options: List<VersionOption>,
+        preferred: Version,
+        qualityTarget: Double,
+    ): Version? = options
+        .filter { it.version.costMicros < preferred.costMicros && it.upperBound() >= qualityTarget }
         .minWithOrNull(compareBy({ it.estimate.rated }, { it.version.id }))
         ?.version
 
--- a/core/src/main/kotlin/org/quetzalloom/core/selection/QualityPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/selection/QualityPart.kt
@@ -18,46 +18,50 @@
     private const val RATINGS_INTERVAL_MILLISECONDS = 1_000L
 
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
-        is Event.Tick -> state.askForRatings(now)
-        is Event.OfPlatform.RatingsRead -> state.counted(event, now).unchanged()
-        is Event.PeerTold -> state.told(event).unchanged()
+        is Event.Tick -> state.readRatings(now)
+        is Event.OfPlatform.RatingsRead -> state.withRatings(event, now).unchanged()
+        is Event.PeerTold -> state.withPeerSums(event).unchanged()
         else -> state.unchanged()
     }
 
-    private fun RouterState.askForRatings(now: Timestamp): Step {
-        val last = quality.askedAt
+    private fun RouterState.readRatings(now: Timestamp): Step {
+        val last = quality.readAt
         if (last != null && now - last < RATINGS_INTERVAL_MILLISECONDS) return unchanged()
         val firstPeriod = settings.ratingPeriod(now) - settings.limits.ratingPeriods + 1
-        return copy(quality = quality.since(firstPeriod).copy(askedAt = now))
+        return copy(quality = quality.withoutPeriodsBefore(firstPeriod).copy(readAt = now))
             .with(Effect.OfPlatform.ReadRatings(quality.next))
     }
 
     /** Counts the ratings, unless a later read has already been counted. */
-    private fun RouterState.counted(event: Event.OfPlatform.RatingsRead, now: Timestamp): RouterState {
+    private fun RouterState.withRatings(event: Event.OfPlatform.RatingsRead, now: Timestamp): RouterState {
         if (event.next <= quality.next) return this
         val origin = RatingOrigin(settings.collector, settings.ratingPeriod(now))
-        val counted = event.ratings.fold(quality) { reached, rating -> reached.plus(rating, origin) }
+        val counted = event.ratings.fold(quality) { updated, rating -> updated.plus(rating, origin) }
         return copy(quality = counted.copy(next = event.next))
     }
 
     private fun QualityState.plus(rating: Rating, origin: RatingOrigin): QualityState {
         val byOrigin = sums[rating.subject] ?: persistentMapOf()
-        val one = QualityEstimate(good = if (rating.good) 1 else 0, rated = 1)
-        val sum = (byOrigin[origin] ?: QualityEstimate()) + one
+        val single = QualityEstimate(good = if (rating.good) 1 else 0, rated = 1)
+        val sum = (byOrigin[origin] ?: QualityEstimate()) + single
         return copy(sums = sums.put(rating.subject, byOrigin.put(origin, sum)))
     }
 
-    private fun RouterState.told(event: Event.PeerTold): RouterState {
+    private fun RouterState.withPeerSums(event: Event.PeerTold): RouterState {
         val message = event.message as? PeerMessage.TellRatings
         if (message == null || message.origin.collector == settings.collector) return this
-        val merged = message.sums.entries.fold(quality) { reached, (subject, sum) ->
-            reached.merged(subject, message.origin, sum)
+        val merged = message.sums.entries.fold(quality) { updated, (subject, sum) ->
+            updated.withLaterSum(subject, message.origin, sum)
         }
         return copy(quality = merged)
     }
 
     /** Sums of one origin only grow, so the larger one is the later one. */
-    private fun QualityState.merged(subject: RatingSubject, origin: RatingOrigin, sum: QualityEstimate): QualityState {
+    private fun QualityState.withLaterSum(
+        subject: RatingSubject,
+        origin: RatingOrigin,
+        sum: QualityEstimate,
+    ): QualityState {
         val byOrigin = sums[subject] ?: persistentMapOf()
         val known = byOrigin[origin]
         if (known != null && known.rated >= sum.rated) return this
@@ -81,8 +85,8 @@
         .map { (origin, parts) ->
             PeerMessage.TellRatings(origin, parts.associate { it.second to it.third }.toPersistentMap())
         }
-        .takeLast(PERIODS_TOLD)
+        .takeLast(PERIODS_SENT)
 }
 
 /** The rating periods that a VM tells its peers of: the current one, and the one before for late ratings. */
-private const val PERIODS_TOLD = 2
+private const val PERIODS_SENT = 2
--- a/core/src/main/kotlin/org/quetzalloom/core/selection/QualityState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/selection/QualityState.kt
@@ -9,26 +9,26 @@
  *
  * @property sums the ratings of the latest periods, by subject and origin.
  * @property next the place from which to read this VM's ratings next.
- * @property askedAt when ratings were last asked for.
+ * @property readAt when ratings were last asked for.
  */
 internal data class QualityState(
     val sums: PersistentMap<RatingSubject, PersistentMap<RatingOrigin, QualityEstimate>> = persistentMapOf(),
     val next: Long = 0,
-    val askedAt: Timestamp? = null,
+    val readAt: Timestamp? = null,
 ) {
     fun estimateOf(subject: RatingSubject): QualityEstimate =
         sums[subject]?.values?.fold(QualityEstimate()) { sum, part -> sum + part } ?: QualityEstimate()
 
     /** Returns the state without the ratings of periods before [first], so that a version that turns bad is seen. */
-    fun since(first: Long): QualityState {
-        val kept = sums.entries.fold(sums) { reached, (subject, byOrigin) ->
-            val old = byOrigin.keys.filter { it.period < first }
-            if (old.isEmpty()) {
-                reached
+    fun withoutPeriodsBefore(first: Long): QualityState {
+        val kept = sums.entries.fold(sums) { updated, (subject, byOrigin) ->
+            val expired = byOrigin.keys.filter { it.period < first }
+            if (expired.isEmpty()) {
+                updated
             } else {
-                reached.put(
+                updated.put(
                     subject,
-                    old.fold(byOrigin) { left, origin -> left.remove(origin) }
+                    expired.fold(byOrigin) { remaining, origin -> remaining.remove(origin) }
                 )
             }
         }
