Name the roll-out policy, its stages and the VM that decides after what they are

Cause: RatedSteps doesn't say that it is the policy of roll-outs, its Step was spelled like the transition of a router, and the deciding VM was called a steward.

rename: RatedSteps -> SteppedRolloutPolicy (declared in rollout/RatedSteps.kt) rename: Step -> Stage (declared in rollout/SteppedRolloutPolicy.kt, only in: core/src/main/kotlin/org/quetzalloom/core/rollout/SteppedRolloutPolicy.kt) rename: steps -> stages (declared in rollout/SteppedRolloutPolicy.kt, only in: core/src/main/kotlin/org/quetzalloom/core/rollout/SteppedRolloutPolicy.kt) rename: step -> stage (declared in rollout/SteppedRolloutPolicy.kt, only in: core/src/main/kotlin/org/quetzalloom/core/rollout/SteppedRolloutPolicy.kt) rename: ratings -> requiredRatings (declared in rollout/SteppedRolloutPolicy.kt, only in: core/src/main/kotlin/org/quetzalloom/core/rollout/SteppedRolloutPolicy.kt) rename: leastQuality -> minimumQuality (declared in rollout/SteppedRolloutPolicy.kt, only in: core/src/main/kotlin/org/quetzalloom/core/rollout/SteppedRolloutPolicy.kt) rename: FEWEST_RATINGS -> MINIMUM_RATINGS (declared in rollout/SteppedRolloutPolicy.kt, only in: core/src/main/kotlin/org/quetzalloom/core/rollout/SteppedRolloutPolicy.kt) rename: steward -> leader (declared in rollout/RolloutPart.kt, only in: core/src/main/kotlin/org/quetzalloom/core/rollout/RolloutPart.kt) rename: mine -> decides (declared in rollout/RolloutPart.kt, only in: core/src/main/kotlin/org/quetzalloom/core/rollout/RolloutPart.kt) rename: DECISION_INTERVAL_MILLISECONDS -> EVALUATION_INTERVAL_MILLISECONDS (declared in rollout/RolloutPart.kt, only in: core/src/main/kotlin/org/quetzalloom/core/rollout/RolloutPart.kt) rename: decideAll -> evaluateAll (declared in rollout/RolloutPart.kt, only in: core/src/main/kotlin/org/quetzalloom/core/rollout/RolloutPart.kt) rename: decidedAt -> evaluatedAt (declared in rollout/RolloutState.kt, only in: core/src/main/kotlin/org/quetzalloom/core/rollout) rename: proposedOn -> lastProposedRevision (declared in rollout/RolloutState.kt, only in: core/src/main/kotlin/org/quetzalloom/core/rollout) rename: reached -> transition (declared in rollout/RolloutPart.kt, only in: core/src/main/kotlin/org/quetzalloom/core/rollout/RolloutPart.kt) rename: marked -> evaluated (declared in rollout/RolloutPart.kt, only in: core/src/main/kotlin/org/quetzalloom/core/rollout/RolloutPart.kt)

--- a/core/src/main/kotlin/org/quetzalloom/core/rollout/RolloutPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/rollout/RolloutPart.kt
@@ -25,27 +25,27 @@
  * settles which step counts, and any other VM can go on from what is in the log.
  */
 internal object RolloutPart : Part {
-    private const val DECISION_INTERVAL_MILLISECONDS = 1_000L
+    private const val EVALUATION_INTERVAL_MILLISECONDS = 1_000L
 
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step =
-        if (event is Event.Tick) state.decideAll(now) else state.unchanged()
+        if (event is Event.Tick) state.evaluateAll(now) else state.unchanged()
 
-    private fun RouterState.decideAll(now: Timestamp): Step {
+    private fun RouterState.evaluateAll(now: Timestamp): Step {
         val current = configuration.view.current
-        val last = rollout.decidedAt
-        val due = last == null || now - last >= DECISION_INTERVAL_MILLISECONDS
+        val last = rollout.evaluatedAt
+        val due = last == null || now - last >= EVALUATION_INTERVAL_MILLISECONDS
         if (!due || current == null || current.rollouts.isEmpty()) return unchanged()
-        val marked = copy(rollout = rollout.copy(decidedAt = now))
-        return current.rollouts.keys.sorted().fold(marked.unchanged()) { reached, model ->
-            reached.then { it.decide(current, model, now) }
+        val evaluated = copy(rollout = rollout.copy(evaluatedAt = now))
+        return current.rollouts.keys.sorted().fold(evaluated.unchanged()) { transition, model ->
+            transition.then { it.decide(current, model, now) }
         }
     }
 
     private fun RouterState.decide(current: Configuration, model: String, now: Timestamp): Step {
         val plan = current.rollouts[model] ?: return unchanged()
-        val steward = rendezvousOrNull(livePeers(now) + settings.vm, "rollout:$model")
-        val mine = steward == settings.vm && !plan.paused && rollout.proposedOn != current.revision
-        val evidence = if (mine) evidenceOrNull(current, plan) else null
+        val leader = rendezvousOrNull(livePeers(now) + settings.vm, "rollout:$model")
+        val decides = leader == settings.vm && !plan.paused && rollout.lastProposedRevision != current.revision
+        val evidence = if (decides) evidenceOrNull(current, plan) else null
         return when (val decision = evidence?.let { settings.policies.rollout.decide(plan, it) }) {
             is RolloutDecision.Share ->
                 propose(current, ConfigurationChange.SetRollout(plan.copy(sharePermille = decision.sharePermille)), now)
@@ -63,7 +63,7 @@
 
     private fun RouterState.propose(current: Configuration, change: ConfigurationChange, now: Timestamp): Step {
         val record = ConfigurationRecord.Proposed(base = current.revision, author = settings.vm.value, change = change)
-        return copy(rollout = rollout.copy(proposedOn = current.revision))
+        return copy(rollout = rollout.copy(lastProposedRevision = current.revision))
             .enqueue(LogRecord.OfConfiguration(record))
             .report(now, "rollout_step_proposed", "base" to current.revision, "change" to change)
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/rollout/RolloutState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/rollout/RolloutState.kt
@@ -5,10 +5,10 @@
 /**
  * The slice of [RolloutPart].
  *
- * @property decidedAt when roll-outs were last looked at.
- * @property proposedOn the revision that this VM last proposed a step on; one step is proposed on each.
+ * @property evaluatedAt when roll-outs were last looked at.
+ * @property lastProposedRevision the revision that this VM last proposed a step on; one step is proposed on each.
  */
 internal data class RolloutState(
-    val decidedAt: Timestamp? = null,
-    val proposedOn: Long = 0,
+    val evaluatedAt: Timestamp? = null,
+    val lastProposedRevision: Long = 0,
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/rollout/RatedSteps.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/rollout/SteppedRolloutPolicy.kt
@@ -10,41 +10,41 @@
  * @property deviations the width of the confidence interval, in standard deviations each way.
  * @property margin the loss of quality that is accepted, as a share of answers.
  */
-public data class RatedSteps(
+public data class SteppedRolloutPolicy(
     public val deviations: Double = 1.64,
     public val margin: Double = 0.05,
 ) : RolloutPolicy {
     override fun decide(rollout: Rollout, evidence: RolloutEvidence): RolloutDecision {
-        val step = steps.lastOrNull { it.sharePermille <= rollout.sharePermille } ?: steps.first()
-        val next = steps.firstOrNull { it.sharePermille > rollout.sharePermille }
+        val stage = stages.lastOrNull { it.sharePermille <= rollout.sharePermille } ?: stages.first()
+        val next = stages.firstOrNull { it.sharePermille > rollout.sharePermille }
         return when {
             isWorse(evidence) -> RolloutDecision.Abort
-            next == null || evidence.toEstimate.rated < step.ratings -> RolloutDecision.Keep
+            next == null || evidence.toEstimate.rated < stage.requiredRatings -> RolloutDecision.Keep
             isGood(evidence) -> RolloutDecision.Share(next.sharePermille)
             else -> RolloutDecision.Keep
         }
     }
 
     private fun isWorse(evidence: RolloutEvidence): Boolean =
-        evidence.toEstimate.rated >= FEWEST_RATINGS &&
-            evidence.toEstimate.upperBound(evidence.to.expectedQuality, deviations) < evidence.leastQuality()
+        evidence.toEstimate.rated >= MINIMUM_RATINGS &&
+            evidence.toEstimate.upperBound(evidence.to.expectedQuality, deviations) < evidence.minimumQuality()
 
     private fun isGood(evidence: RolloutEvidence): Boolean =
-        evidence.toEstimate.lowerBound(evidence.to.expectedQuality, deviations) >= evidence.leastQuality()
+        evidence.toEstimate.lowerBound(evidence.to.expectedQuality, deviations) >= evidence.minimumQuality()
 
-    private fun RolloutEvidence.leastQuality(): Double = fromEstimate.mean(from.expectedQuality) - margin
+    private fun RolloutEvidence.minimumQuality(): Double = fromEstimate.mean(from.expectedQuality) - margin
 
-    private data class Step(val sharePermille: Int, val ratings: Long)
+    private data class Stage(val sharePermille: Int, val requiredRatings: Long)
 
     private companion object {
-        const val FEWEST_RATINGS = 10L
-
-        val steps = listOf(
-            Step(sharePermille = 10, ratings = 20),
-            Step(sharePermille = 50, ratings = 60),
-            Step(sharePermille = 200, ratings = 150),
-            Step(sharePermille = 500, ratings = 300),
-            Step(sharePermille = Rollout.FULL_SHARE_PERMILLE, ratings = 0),
+        const val MINIMUM_RATINGS = 10L
+
+        val stages = listOf(
+            Stage(sharePermille = 10, requiredRatings = 20),
+            Stage(sharePermille = 50, requiredRatings = 60),
+            Stage(sharePermille = 200, requiredRatings = 150),
+            Stage(sharePermille = 500, requiredRatings = 300),
+            Stage(sharePermille = Rollout.FULL_SHARE_PERMILLE, requiredRatings = 0),
         )
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/router/RouterPolicies.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/router/RouterPolicies.kt
@@ -6,8 +6,8 @@
 import org.quetzalloom.core.backend.TwoChoices
 import org.quetzalloom.core.request.AdmissionPolicy
 import org.quetzalloom.core.request.PriorityShares
-import org.quetzalloom.core.rollout.RatedSteps
 import org.quetzalloom.core.rollout.RolloutPolicy
+import org.quetzalloom.core.rollout.SteppedRolloutPolicy
 import org.quetzalloom.core.selection.CheapestConfident
 import org.quetzalloom.core.selection.VersionChoice
 
@@ -16,6 +16,6 @@
     public val versionChoice: VersionChoice = CheapestConfident(),
     public val serverChoice: ServerChoice = TwoChoices(),
     public val coldStartRamp: ColdStartRamp = LinearRamp,
-    public val rollout: RolloutPolicy = RatedSteps(),
+    public val rollout: RolloutPolicy = SteppedRolloutPolicy(),
     public val admission: AdmissionPolicy = PriorityShares,
 )
