Say what the functions, limits and states of the router return, bound and hold

Cause: the comments named things by figures of speech and left out units, edge cases and errors. Comments only; the effect of each limit is now spelled out.

--- a/core/src/main/kotlin/org/quetzalloom/core/router/Part.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/router/Part.kt
@@ -12,37 +12,41 @@
 import org.quetzalloom.core.timeline.CausalStamp
 import org.quetzalloom.core.timeline.TimelineEntry
 
-/** The transitions of a router. */
+/** The next state of a router together with the effects to carry out. */
 internal typealias Step = Transition<RouterState, Effect>
 
-/** A part of the reducer: it reads the whole state and decides over its own slice. */
+/** One of the reducers that [RouterReducer] is composed of. It may read the whole state and owns one slice of it. */
 internal fun interface Part : Reducer<RouterState, Event, Effect>
 
-/** Returns the transition that changes nothing. */
+/** Returns the transition that keeps this state and has no effects. */
 internal fun RouterState.unchanged(): Step = Transition(this)
 
-/** Returns the transition to this state with [effects]. */
+/** Returns the transition to this state with [effects], in order. */
 internal fun RouterState.with(vararg effects: Effect): Step = Transition(this, persistentListOf(*effects))
 
-/** Returns the transition that reports what happened, with the next causal stamp. */
+/**
+ * Returns the transition that adds an entry called [name] to the time line, under the next causal stamp.
+ *
+ * Fields whose value is `null` are left out.
+ */
 internal fun RouterState.report(now: Timestamp, name: String, vararg fields: Pair<String, Any?>): Step {
     val next = copy(stamp = stamp + 1)
     val entry = TimelineEntry.of(CausalStamp(counter = next.stamp, vm = settings.vm), now, name, fields)
     return next.with(Effect.Report(entry))
 }
 
-/** Returns the transition that sends [message] to [peer]. */
+/** Returns the transition that sends [message] to [peer], under the next causal stamp. */
 internal fun RouterState.sendToPeer(peer: VmId, message: PeerMessage): Step {
     val next = copy(stamp = stamp + 1)
     return next.with(Effect.Tell(to = peer, stamp = next.stamp, message = message))
 }
 
-/** Returns the transition that sends [message] to each of [peers]. */
+/** Returns the transition that sends [message] to each of [peers], in the order of their identifiers. */
 internal fun RouterState.sendToPeers(peers: Iterable<VmId>, message: PeerMessage): Step =
     peers.sorted().fold(unchanged()) { transition, peer ->
         val sent = transition.state.sendToPeer(peer, message)
         Transition(sent.state, transition.effects.addAll(sent.effects))
     }
 
-/** Returns the state with [record] waiting to be appended to the log. */
+/** Returns the state with [record] at the end of the queue of records to append to the log. */
 internal fun RouterState.enqueue(record: LogRecord): RouterState = copy(log = log.enqueue(record))
--- a/core/src/main/kotlin/org/quetzalloom/core/router/RouterLimits.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/router/RouterLimits.kt
@@ -1,38 +1,49 @@
 package org.quetzalloom.core.router
 
 /**
- * Bounds in time and number. All times are in milliseconds.
+ * The timeouts, intervals, retention times and size limits of a router.
  *
- * @property stalenessMilliseconds without word from the log or a peer for this long, no new work is taken.
- * @property readIntervalMilliseconds the time between two reads of a log stream that brings nothing new.
- * @property appendsPerSecond the appends that the platform's log takes from the whole fleet in a second; each VM
- *   keeps to its share.
- * @property appendRetryMilliseconds the time from a failed append to the next try.
- * @property appendBatchRecords the most records in one append.
- * @property gossipIntervalMilliseconds the time between two digests sent to peers.
- * @property peerTimeoutMilliseconds a peer that was not heard for this long counts as gone.
- * @property loadIntervalMilliseconds the time between two load reports of one backend server.
- * @property firstTokenMilliseconds an engine that has not begun to answer for this long is given up.
- * @property tokenGapMilliseconds an answer that has not gone on for this long is given up.
- * @property serviceSilenceMilliseconds a service that has not answered for this long is given up.
- * @property sessionAnswerTimeoutMilliseconds the longest wait for the home VM of a session.
+ * @property stalenessMilliseconds the time without a successful log read or a message from a peer after which the
+ *   configuration counts as stale and new requests are refused.
+ * @property readIntervalMilliseconds the time from a read of a log stream that failed or found no new records to the
+ *   next read.
+ * @property appendsPerSecond the appends per second that the platform's log accepts from the whole fleet; each VM
+ *   keeps to an equal share.
+ * @property appendRetryMilliseconds the time from a failed append to the next one.
+ * @property appendBatchRecords the maximum number of records in one append.
+ * @property gossipIntervalMilliseconds the time between two digests; each goes to one peer, in rotation.
+ * @property peerTimeoutMilliseconds the time without a message from a peer after which it no longer counts as live.
+ * @property loadIntervalMilliseconds the time between two requests for a load report of one backend server.
+ * @property firstTokenMilliseconds the longest silence of an engine before the first token of the answer; the attempt
+ *   then fails.
+ * @property tokenGapMilliseconds the longest silence of an engine between two tokens; the attempt then fails.
+ * @property serviceSilenceMilliseconds the longest silence of a plain service; the attempt then fails.
+ * @property sessionAnswerTimeoutMilliseconds the longest wait for the home VM of a session to answer with its
+ *   version.
  * @property crashCheckTimeoutMilliseconds the longest wait to learn whether a backend server went down, and for peers
- *   to note it.
- * @property suspicionRetentionMilliseconds how long a request that took down a backend server is remembered.
- * @property trialTimeoutMilliseconds how long other VMs wait for the second try of such a request.
- * @property billLogWaitMilliseconds the time for which an answer's end waits for its bill to be in the log; after it,
- *   copies at peers are enough.
- * @property billMaximumWaitMilliseconds the time after which the end is sent in any case.
- * @property billTakeoverMilliseconds a bill kept for a peer for this long is appended by its keeper.
- * @property commandMemoryMilliseconds how long keys are remembered; no longer than the log keeps records.
- * @property snapshotIntervalMilliseconds the age of the last snapshot at which a new one is put into the log.
- * @property drainGraceMilliseconds how long new work is still taken after readiness was turned off.
- * @property activeRequests the most requests at once.
- * @property triesPerRequest the most attempts of one request.
- * @property retryBudgetRatio the retries allowed for each request that arrives, on average.
+ *   to confirm a trial of the request that was running there. A server that has been up for less than this counts as
+ *   restarted.
+ * @property suspicionRetentionMilliseconds how long a request during which a backend server went down is remembered.
+ * @property trialTimeoutMilliseconds how long other VMs wait for the outcome of the trial, which runs such a
+ *   request once more.
+ * @property billLogWaitMilliseconds how long the end of an answer waits for its bill to be in the log. After that, the
+ *   bill is copied to peers, and a confirmed copy suffices to send the end.
+ * @property billMaximumWaitMilliseconds the longest that the end of an answer waits for its bill; after that it
+ *   is sent in any case.
+ * @property billTakeoverMilliseconds how long a VM keeps a copy of the bill of a peer before it appends it to the
+ *   log itself.
+ * @property commandMemoryMilliseconds how long idempotency keys and recorded outcomes are remembered; at most as long
+ *   as the log keeps records.
+ * @property snapshotIntervalMilliseconds the age of the last configuration snapshot at which a new one is appended to
+ *   the log.
+ * @property drainGraceMilliseconds how long new requests are still accepted after shutdown was requested and readiness
+ *   turned off.
+ * @property activeRequests the maximum number of unanswered requests at once.
+ * @property triesPerRequest the maximum number of attempts per request.
+ * @property retryBudgetRatio the retries that each arriving request adds to the retry budget.
  * @property ratingPeriodMilliseconds the length of a rating period.
- * @property ratingPeriods the latest rating periods that estimates of quality come from.
- * @property sampleShare the share of answers submitted for rating, 0.0 to 1.0.
+ * @property ratingPeriods the number of latest rating periods that quality estimates are computed from.
+ * @property sampleShare the share of answers that are submitted for rating, 0.0 to 1.0.
  */
 public data class RouterLimits(
     public val stalenessMilliseconds: Long = 5_000,
--- a/core/src/main/kotlin/org/quetzalloom/core/router/RouterPolicies.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/router/RouterPolicies.kt
@@ -11,7 +11,15 @@
 import org.quetzalloom.core.selection.CheapestConfident
 import org.quetzalloom.core.selection.VersionChoice
 
-/** The decisions that can be exchanged, each with the one used by default. */
+/**
+ * The replaceable policies of a router, with their defaults.
+ *
+ * @property versionChoice chooses the version that a request runs on.
+ * @property serverChoice chooses the backend server among those with free capacity.
+ * @property coldStartRamp computes the capacity of a backend server while it warms up.
+ * @property rollout decides when a roll-out goes on or is aborted.
+ * @property admission decides which requests are refused under load.
+ */
 public data class RouterPolicies(
     public val versionChoice: VersionChoice = CheapestConfident(),
     public val serverChoice: ServerChoice = TwoChoices(),
--- a/core/src/main/kotlin/org/quetzalloom/core/router/RouterReducer.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/router/RouterReducer.kt
@@ -23,9 +23,9 @@
 import org.quetzalloom.core.timeline.StampPart
 
 /**
- * The one reducer of a router, over all its events.
+ * The reducer of a router over all its events.
  *
- * Each part sees every event, in a fixed order, with the state that the parts before it have left.
+ * Each part is given every event, in a fixed order, and starts from the state that the parts before it returned.
  */
 public object RouterReducer : Reducer<RouterState, Event, Effect> {
     internal val parts: PersistentList<Part> = persistentListOf(
--- a/core/src/main/kotlin/org/quetzalloom/core/router/RouterSettings.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/router/RouterSettings.kt
@@ -5,14 +5,15 @@
 import org.quetzalloom.core.identity.VmId
 
 /**
- * What one router is told at its start, and cannot change later.
+ * The settings of one router, which are fixed for the life of its process.
  *
- * @property vm the slot of this VM.
- * @property incarnation differs after each start of the VM; an identifier.
- * @property fleet every VM slot with its availability zone, this one included.
- * @property sessionSecret signs session tokens; the same on all VMs.
- * @property limits bounds in time and number.
- * @property policies the decisions that can be exchanged.
+ * @property vm the fleet slot of this VM.
+ * @property incarnation an identifier of this process, different after each start.
+ * @property fleet every VM slot, this one included, with its availability zone.
+ * @property sessionSecret the key that signs session tokens; the same on all VMs.
+ * @property limits timeouts, intervals and size limits.
+ * @property policies the replaceable policies.
+ * @throws IllegalArgumentException if [vm] is not in [fleet] or [sessionSecret] is empty.
  */
 public data class RouterSettings(
     public val vm: VmId,
--- a/core/src/main/kotlin/org/quetzalloom/core/router/RouterState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/router/RouterState.kt
@@ -15,9 +15,9 @@
 import org.quetzalloom.core.session.SessionsState
 
 /**
- * Everything that one router knows. Immutable; a slice for each part of the reducer.
+ * The state of one router: its settings, its causal stamp and one slice for each part of the reducer. Immutable.
  *
- * @property settings what the router was told at its start.
+ * @property settings the settings that the router was started with.
  */
 @ConsistentCopyVisibility
 public data class RouterState internal constructor(
@@ -36,7 +36,7 @@
     internal val drain: DrainState = DrainState(),
     internal val log: LogState = LogState(),
 ) {
-    /** The configuration in force at this VM, or `null` before the first. */
+    /** The configuration in force at this VM, or `null` until one is known. */
     public val configurationOrNull: Configuration? get() = configuration.view.current
 
     public companion object {
--- a/core/src/main/kotlin/org/quetzalloom/core/router/RouterStatus.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/router/RouterStatus.kt
@@ -10,18 +10,18 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * A summary of what a router knows, for operators and metrics.
+ * A summary of the state of a router, for operators and metrics.
  *
- * @property revision the configuration revision in force at this VM, or 0 before the first.
- * @property ready whether the balancer may send new work.
- * @property draining whether the VM was asked to stop.
- * @property active the requests not answered yet.
- * @property waiting those of [active] that do not run at a backend server.
- * @property unsettledBills bills of this VM that are not known to be in the log.
- * @property keptBills bills kept for peers.
- * @property commands the commands remembered.
- * @property livePeers the peers heard lately.
- * @property running this VM's attempts under way, by backend server that it may send to.
+ * @property revision the configuration revision in force at this VM, or 0 until one is known.
+ * @property ready whether the load balancer may send new requests to this VM.
+ * @property draining whether shutdown was requested.
+ * @property active the number of unanswered requests.
+ * @property waiting the number of those that are not running at a backend server.
+ * @property unsettledBills the number of bills of this VM that are not known to be in the log.
+ * @property keptBills the number of bills kept for peers.
+ * @property commands the number of remembered commands, which are calls that may run at most once.
+ * @property livePeers the peers that were heard from lately and are not about to leave.
+ * @property running the number of attempts in flight from this VM to each backend server that it may send to.
  */
 public data class RouterStatus(
     public val vm: VmId,
@@ -37,7 +37,7 @@
     public val running: PersistentMap<BackendServerId, Int>,
 )
 
-/** Returns the summary of this state at [now]. */
+/** Returns a summary of this state at [now]. */
 public fun RouterState.status(now: Timestamp): RouterStatus = RouterStatus(
     vm = settings.vm,
     revision = configuration.view.revision,
