--- a/core/src/main/kotlin/org/quetzalloom/core/selection/CheapestConfident.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/selection/CheapestConfident.kt
@@ -3,13 +3,14 @@
 import org.quetzalloom.core.configuration.Version
 
 /**
- * Takes the cheapest version whose quality is above the target with confidence, or the best one where none is.
+ * Chooses the cheapest version whose quality is confidently at or above the target. If there is none, chooses the
+ * version with the highest lower confidence bound.
  *
- * A small share of requests tries a cheaper version that may be good enough for all that is known, so that a version
- * about which little was expected gets its ratings.
+ * A small share of requests explores: it runs on a cheaper version whose upper confidence bound reaches the target.
+ * Otherwise a version with a low expected quality would never be rated.
  *
- * @property deviations the width of the confidence interval, in standard deviations each way.
- * @property explorationPermille the requests per thousand that try such a version.
+ * @property deviations the half-width of the confidence interval, in standard errors.
+ * @property explorationPermille the requests per thousand that explore.
  */
 public data class CheapestConfident(
     public val deviations: Double = 1.0,
@@ -28,7 +29,7 @@
         return chosen.version
     }
 
-    /** Returns the least rated of the cheaper versions that may be above the target. */
+    /** Returns the version with the fewest ratings among those that are cheaper and may reach the target, or `null`. */
     private fun explorationCandidateOrNull(
         options: List<VersionOption>,
         preferred: Version,
--- a/core/src/main/kotlin/org/quetzalloom/core/selection/QualityEstimate.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/selection/QualityEstimate.kt
@@ -3,7 +3,7 @@
 import kotlin.math.sqrt
 
 /**
- * What ratings say of the quality of a version.
+ * Counts of ratings, from which the quality of a version is estimated.
  *
  * @property good the number of answers rated good.
  * @property rated the number of answers rated.
@@ -16,20 +16,22 @@
         require(good in 0..rated) { "$good good of $rated rated answers" }
     }
 
-    /** Returns the estimate after both sets of ratings. */
+    /** Returns the estimate from the ratings of both. */
     public operator fun plus(other: QualityEstimate): QualityEstimate =
         QualityEstimate(good = good + other.good, rated = rated + other.rated)
 
     /**
-     * Returns the share of good answers, with [expected] counted as [PRIOR_RATINGS] ratings.
+     * Returns the estimated share of good answers, 0.0 to 1.0.
+     *
+     * @param expected the share to expect without ratings; it weighs as much as [PRIOR_RATINGS] ratings.
      */
     public fun mean(expected: Double): Double = (good + expected * PRIOR_RATINGS) / (rated + PRIOR_RATINGS)
 
-    /** Returns the lower end of the confidence interval that is [deviations] standard deviations wide each way. */
+    /** Returns the lower end of the confidence interval that extends [deviations] standard errors around the [mean]. */
     public fun lowerBound(expected: Double, deviations: Double): Double =
         mean(expected) - deviations * standardError(expected)
 
-    /** Returns the upper end of the same interval. */
+    /** Returns the upper end of the confidence interval that extends [deviations] standard errors around the [mean]. */
     public fun upperBound(expected: Double, deviations: Double): Double =
         mean(expected) + deviations * standardError(expected)
 
--- a/core/src/main/kotlin/org/quetzalloom/core/selection/QualityPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/selection/QualityPart.kt
@@ -13,7 +13,10 @@
 import org.quetzalloom.core.router.with
 import org.quetzalloom.core.time.Timestamp
 
-/** Collects ratings, and exchanges their sums with peers so that all VMs learn from all ratings. */
+/**
+ * Reads the ratings of this VM's samples and exchanges their sums with peers, so that all VMs estimate quality from the
+ * ratings of all.
+ */
 internal object QualityPart : Part {
     private const val RATINGS_INTERVAL_MILLISECONDS = 1_000L
 
@@ -32,7 +35,7 @@
             .with(Effect.OfPlatform.ReadRatings(quality.next))
     }
 
-    /** Counts the ratings, unless a later read has already been counted. */
+    /** Returns the state with the ratings of [event] added, unless they were already added by an earlier read. */
     private fun RouterState.withRatings(event: Event.OfPlatform.RatingsRead, now: Timestamp): RouterState {
         if (event.next <= quality.next) return this
         val origin = RatingOrigin(settings.collector, settings.ratingPeriod(now))
@@ -56,7 +59,7 @@
         return copy(quality = merged)
     }
 
-    /** Sums of one origin only grow, so the larger one is the later one. */
+    /** Returns the state with the later of [sum] and the known one: as sums of one origin only grow, the larger one. */
     private fun QualityState.withLaterSum(
         subject: RatingSubject,
         origin: RatingOrigin,
@@ -69,14 +72,14 @@
     }
 }
 
-/** Names one start of one VM, as the collector of ratings. */
+/** The name under which this process collects ratings: its VM and its incarnation. */
 internal val RouterSettings.collector: String get() = "$vm:$incarnation"
 
-/** Returns the number of the rating period at [now]. */
+/** Returns the number of the rating period at [now], counted from the Unix epoch. */
 internal fun RouterSettings.ratingPeriod(now: Timestamp): Long =
     now.epochMilliseconds / limits.ratingPeriodMilliseconds
 
-/** Returns the sums that this VM has collected, a message for each period. */
+/** Returns the sums that this process has collected in the latest [PERIODS_SENT] periods, one message per period. */
 internal fun QualityState.ownSums(settings: RouterSettings): List<PeerMessage.TellRatings> {
     val own = sums.flatMap { (subject, byOrigin) ->
         byOrigin.filterKeys { it.collector == settings.collector }.map { (origin, sum) -> Triple(origin, subject, sum) }
@@ -88,5 +91,5 @@
         .takeLast(PERIODS_SENT)
 }
 
-/** The rating periods that a VM tells its peers of: the current one, and the one before for late ratings. */
+/** The number of rating periods that are sent to peers: the current one, and the one before it for late ratings. */
 private const val PERIODS_SENT = 2
--- a/core/src/main/kotlin/org/quetzalloom/core/selection/QualityState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/selection/QualityState.kt
@@ -5,21 +5,22 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * The slice of [QualityPart].
+ * The state of [QualityPart].
  *
- * @property sums the ratings of the latest periods, by subject and origin.
- * @property next the place from which to read this VM's ratings next.
- * @property readAt when ratings were last asked for.
+ * @property sums the sums of the ratings of the latest periods, by subject and origin.
+ * @property next the offset from which to read the ratings of this VM's samples next.
+ * @property readAt when the last read of ratings began, or `null` before the first.
  */
 internal data class QualityState(
     val sums: PersistentMap<RatingSubject, PersistentMap<RatingOrigin, QualityEstimate>> = persistentMapOf(),
     val next: Long = 0,
     val readAt: Timestamp? = null,
 ) {
+    /** Returns the estimate for [subject] from the ratings of all origins. */
     fun estimateOf(subject: RatingSubject): QualityEstimate =
         sums[subject]?.values?.fold(QualityEstimate()) { sum, part -> sum + part } ?: QualityEstimate()
 
-    /** Returns the state without the ratings of periods before [first], so that a version that turns bad is seen. */
+    /** Returns the state without the ratings of periods before [first], so that a loss of quality becomes visible. */
     fun withoutPeriodsBefore(first: Long): QualityState {
         val kept = sums.entries.fold(sums) { updated, (subject, byOrigin) ->
             val expired = byOrigin.keys.filter { it.period < first }
--- a/core/src/main/kotlin/org/quetzalloom/core/selection/Rating.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/selection/Rating.kt
@@ -3,8 +3,8 @@
 /**
  * The verdict of the rating service on one sampled answer.
  *
- * @property subject what the answer was produced by and for.
- * @property good whether the answer is good enough.
+ * @property subject the workspace, request class and version of the answer.
+ * @property good whether the rating service found the answer good.
  */
 public data class Rating(
     public val subject: RatingSubject,
--- a/core/src/main/kotlin/org/quetzalloom/core/selection/RatingOrigin.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/selection/RatingOrigin.kt
@@ -1,10 +1,10 @@
 package org.quetzalloom.core.selection
 
 /**
- * Where and when ratings were collected. Sums of one origin only grow.
+ * The process and period that ratings were collected in. The sums of one origin only grow.
  *
- * @property collector names one start of one VM.
- * @property period the number of the rating period, counted from the epoch.
+ * @property collector names the VM and its incarnation.
+ * @property period the number of the rating period, counted from the Unix epoch.
  */
 public data class RatingOrigin(
     public val collector: String,
--- a/core/src/main/kotlin/org/quetzalloom/core/selection/VersionChoice.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/selection/VersionChoice.kt
@@ -2,14 +2,14 @@
 
 import org.quetzalloom.core.configuration.Version
 
-/** Decides which version a request runs on. */
+/** The policy that chooses the version a request runs on. */
 public fun interface VersionChoice {
     /**
-     * Returns one of [options].
+     * Returns the version of one of [options].
      *
-     * @param options the versions allowed; not empty.
-     * @param qualityTarget the share of answers that must be good.
-     * @param seed a number that differs between requests and decides what is left to chance.
+     * @param options the versions that the request may run on; not empty.
+     * @param qualityTarget the share of answers that must be good, 0.0 to 1.0.
+     * @param seed a pseudo-random number for randomized choices, the same for all requests of a session.
      */
     public fun choose(options: List<VersionOption>, qualityTarget: Double, seed: Long): Version
 }
