--- a/core/src/main/kotlin/org/quetzalloom/core/rollout/RolloutDecision.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/rollout/RolloutDecision.kt
@@ -1,13 +1,13 @@
 package org.quetzalloom.core.rollout
 
-/** What becomes of a roll-out. */
+/** What a [RolloutPolicy] decides about a roll-out. */
 public sealed interface RolloutDecision {
-    /** The share stays as it is. */
+    /** Keeps the share. */
     public data object Keep : RolloutDecision
 
-    /** The share becomes [sharePermille]. */
+    /** Changes the share of the new version to [sharePermille] requests per thousand. */
     public data class Share(public val sharePermille: Int) : RolloutDecision
 
-    /** The old version takes every request again. */
+    /** Ends the roll-out; every request goes to the old version again. */
     public data object Abort : RolloutDecision
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/rollout/RolloutEvidence.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/rollout/RolloutEvidence.kt
@@ -3,7 +3,12 @@
 import org.quetzalloom.core.configuration.Version
 import org.quetzalloom.core.selection.QualityEstimate
 
-/** What is known about both versions of a roll-out, over all workspaces and classes. */
+/**
+ * The two versions of a roll-out with their quality estimates over all workspaces and request classes.
+ *
+ * @property from the old version.
+ * @property to the new version.
+ */
 public data class RolloutEvidence(
     public val from: Version,
     public val to: Version,
--- a/core/src/main/kotlin/org/quetzalloom/core/rollout/RolloutPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/rollout/RolloutPart.kt
@@ -21,8 +21,11 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * Moves roll-outs on. One VM decides for each model; should two think that they are the one, the log's order
- * settles which step counts, and any other VM can go on from what is in the log.
+ * Evaluates roll-outs and proposes their next steps.
+ *
+ * Rendezvous hashing over the live VMs elects one leader for each model. While VMs disagree on who is live, two may
+ * act as leader: the first proposal in the log then takes effect. As the state of roll-outs is in the log, another VM
+ * can take over.
  */
 internal object RolloutPart : Part {
     private const val EVALUATION_INTERVAL_MILLISECONDS = 1_000L
--- a/core/src/main/kotlin/org/quetzalloom/core/rollout/RolloutPolicy.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/rollout/RolloutPolicy.kt
@@ -2,8 +2,8 @@
 
 import org.quetzalloom.core.configuration.Rollout
 
-/** Decides how far a roll-out goes. */
+/** The policy that decides when a roll-out goes on or is aborted. */
 public fun interface RolloutPolicy {
-    /** Returns what becomes of [rollout] in the light of [evidence]. */
+    /** Returns the decision on [rollout] that follows from [evidence]. */
     public fun decide(rollout: Rollout, evidence: RolloutEvidence): RolloutDecision
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/rollout/RolloutState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/rollout/RolloutState.kt
@@ -3,10 +3,11 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * The slice of [RolloutPart].
+ * The state of [RolloutPart].
  *
- * @property evaluatedAt when roll-outs were last looked at.
- * @property lastProposedRevision the revision that this VM last proposed a step on; one step is proposed on each.
+ * @property evaluatedAt when roll-outs were last evaluated, or `null` before the first time.
+ * @property lastProposedRevision the configuration revision that the last proposal of this VM was based on, or 0 before
+ *   the first. A VM proposes at most one step per revision.
  */
 internal data class RolloutState(
     val evaluatedAt: Timestamp? = null,
--- a/core/src/main/kotlin/org/quetzalloom/core/rollout/SteppedRolloutPolicy.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/rollout/SteppedRolloutPolicy.kt
@@ -3,12 +3,14 @@
 import org.quetzalloom.core.configuration.Rollout
 
 /**
- * Raises the share step by step, each step only once enough answers of the new version were rated and they are,
- * with confidence, not worse than those of the old one by more than a margin; falls back to the old version as
- * soon as they are, with confidence, worse.
+ * Raises the share of the new version in stages.
  *
- * @property deviations the width of the confidence interval, in standard deviations each way.
- * @property margin the loss of quality that is accepted, as a share of answers.
+ * The next stage begins once the new version has the ratings that the current stage requires and is confidently not
+ * worse than the old version by more than [margin]. The roll-out is aborted as soon as the new version is confidently
+ * worse than that.
+ *
+ * @property deviations the half-width of the confidence interval, in standard errors.
+ * @property margin the accepted loss of quality, as a share of answers.
  */
 public data class SteppedRolloutPolicy(
     public val deviations: Double = 1.64,
@@ -34,9 +36,16 @@
 
     private fun RolloutEvidence.minimumQuality(): Double = fromEstimate.mean(from.expectedQuality) - margin
 
+    /**
+     * One stage of a roll-out.
+     *
+     * @property sharePermille the requests per thousand that go to the new version.
+     * @property requiredRatings the ratings of the new version that the next stage requires.
+     */
     private data class Stage(val sharePermille: Int, val requiredRatings: Long)
 
     private companion object {
+        /** The ratings of the new version below which a roll-out is not aborted. */
         const val MINIMUM_RATINGS = 10L
 
         val stages = listOf(
