--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/Configuration.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/Configuration.kt
@@ -25,7 +25,7 @@
     public val versions: PersistentMap<VersionId, Version> = persistentMapOf(),
     public val backendServers: PersistentMap<BackendServerId, BackendServer> = persistentMapOf(),
     public val zones: PersistentSet<AvailabilityZoneId> = persistentSetOf(),
-    public val zonesOut: PersistentSet<AvailabilityZoneId> = persistentSetOf(),
+    public val zonesOutOfService: PersistentSet<AvailabilityZoneId> = persistentSetOf(),
     public val services: PersistentList<ServiceRoute> = persistentListOf(),
     public val rollouts: PersistentMap<String, Rollout> = persistentMapOf(),
 ) {
@@ -37,5 +37,5 @@
         services.filter { path.startsWith(it.pathPrefix) }.maxByOrNull { it.pathPrefix.length }
 
     /** Returns whether [server] may receive new work as far as operators have said. */
-    public fun isInService(server: BackendServer): Boolean = !server.leaving && server.zone !in zonesOut
+    public fun isInService(server: BackendServer): Boolean = !server.leaving && server.zone !in zonesOutOfService
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationChange.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationChange.kt
@@ -37,7 +37,7 @@
     changedOrNull(change)?.copy(revision = revision + 1)
 
 private fun Configuration.changedOrNull(change: ConfigurationChange): Configuration? = when (change) {
-    is ConfigurationChange.Publish -> change.configuration.keepingOrdersOf(this)
+    is ConfigurationChange.Publish -> change.configuration.keepingOperatorChangesOf(this)
     is ConfigurationChange.SetZone -> withZoneOrNull(change)
     is ConfigurationChange.Withdraw -> withoutVersionOrNull(change.version)
     is ConfigurationChange.SetLeaving -> backendServers[change.server]?.let {
@@ -51,10 +51,10 @@
     }
 }
 
-private fun Configuration.keepingOrdersOf(old: Configuration): Configuration {
-    val kept = copy(
+private fun Configuration.keepingOperatorChangesOf(old: Configuration): Configuration {
+    val merged = copy(
         revision = old.revision,
-        zonesOut = zonesOut.addAll(old.zonesOut.filter { it in zones }),
+        zonesOutOfService = zonesOutOfService.addAll(old.zonesOutOfService.filter { it in zones }),
         versions = versions.mutate { all ->
             old.versions.values.filter { it.withdrawn }
                 .forEach { gone -> all.computeIfPresent(gone.id) { _, new -> new.copy(withdrawn = true) } }
@@ -64,13 +64,13 @@
                 .forEach { gone -> all.computeIfPresent(gone.id) { _, new -> new.copy(leaving = true) } }
         },
     )
-    return old.rollouts.values.fold(kept) { reached, rollout -> reached.withRolloutOrNull(rollout) ?: reached }
+    return old.rollouts.values.fold(merged) { updated, rollout -> updated.withRolloutOrNull(rollout) ?: updated }
 }
 
 private fun Configuration.withZoneOrNull(change: ConfigurationChange.SetZone): Configuration? = when {
     change.zone !in zones -> null
-    change.inService -> copy(zonesOut = zonesOut.remove(change.zone))
-    else -> copy(zonesOut = zonesOut.add(change.zone))
+    change.inService -> copy(zonesOutOfService = zonesOutOfService.remove(change.zone))
+    else -> copy(zonesOutOfService = zonesOutOfService.add(change.zone))
 }
 
 private fun Configuration.withoutVersionOrNull(id: VersionId): Configuration? = versions[id]?.let { version ->
--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationPart.kt
@@ -23,32 +23,32 @@
  */
 internal object ConfigurationPart : Part {
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
-        is Event.OfPlatform.LogRead -> state.heard(now).read(event, now)
-        is Event.PeerTold -> state.heard(now).told(event, now)
-        is Event.Tick -> state.writeSnapshot(now)
+        is Event.OfPlatform.LogRead -> state.recordContact(now).read(event, now)
+        is Event.PeerTold -> state.recordContact(now).handle(event, now)
+        is Event.Tick -> state.writeSnapshotIfDue(now)
         else -> state.unchanged()
     }
 
-    private fun RouterState.heard(now: Timestamp): RouterState =
-        copy(configuration = configuration.copy(heardAt = now))
+    private fun RouterState.recordContact(now: Timestamp): RouterState =
+        copy(configuration = configuration.copy(lastContactAt = now))
 
     private fun RouterState.read(event: Event.OfPlatform.LogRead, now: Timestamp): Step {
         if (event.stream != LogStream.CONFIGURATION) return unchanged()
-        return event.entries.fold(unchanged()) { reached, entry -> reached.then { it.read(entry, now) } }
+        return event.entries.fold(unchanged()) { transition, entry -> transition.then { it.read(entry, now) } }
     }
 
     private fun RouterState.read(entry: LogEntry, now: Timestamp): Step {
         val record = (entry.record as? LogRecord.OfConfiguration)?.record ?: return unchanged()
         val snapshotAt = if (record is ConfigurationRecord.Snapshot) now else configuration.snapshotAt
         return copy(configuration = configuration.copy(snapshotAt = snapshotAt))
-            .moveTo(configuration.view.read(record), "log", now)
+            .withView(configuration.view.read(record), "log", now)
     }
 
-    private fun RouterState.told(event: Event.PeerTold, now: Timestamp): Step = when (val message = event.message) {
+    private fun RouterState.handle(event: Event.PeerTold, now: Timestamp): Step = when (val message = event.message) {
         is PeerMessage.Digest -> answerDigest(event.from, message)
-        is PeerMessage.AskConfiguration -> tellConfiguration(event.from)
+        is PeerMessage.AskConfiguration -> sendConfiguration(event.from)
         is PeerMessage.TellConfiguration ->
-            moveTo(configuration.view.adopt(message.configuration), event.from.value, now)
+            withView(configuration.view.adopt(message.configuration), event.from.value, now)
         else -> unchanged()
     }
 
@@ -56,27 +56,27 @@
         val own = configuration.view.revision
         return when {
             digest.revision > own -> sendToPeer(from, PeerMessage.AskConfiguration)
-            digest.revision < own -> tellConfiguration(from)
+            digest.revision < own -> sendConfiguration(from)
             else -> unchanged()
         }
     }
 
-    private fun RouterState.tellConfiguration(to: VmId): Step {
+    private fun RouterState.sendConfiguration(to: VmId): Step {
         val current = configuration.view.current ?: return unchanged()
         return sendToPeer(to, PeerMessage.TellConfiguration(current))
     }
 
-    private fun RouterState.moveTo(view: ConfigurationView, source: String, now: Timestamp): Step {
-        val moved = copy(configuration = configuration.copy(view = view))
-        if (view.revision == configuration.view.revision) return moved.unchanged()
-        return moved.report(now, "configuration_in_force", "revision" to view.revision, "source" to source)
+    private fun RouterState.withView(view: ConfigurationView, source: String, now: Timestamp): Step {
+        val updated = copy(configuration = configuration.copy(view = view))
+        if (view.revision == configuration.view.revision) return updated.unchanged()
+        return updated.report(now, "configuration_in_force", "revision" to view.revision, "source" to source)
     }
 
-    private fun RouterState.writeSnapshot(now: Timestamp): Step {
+    private fun RouterState.writeSnapshotIfDue(now: Timestamp): Step {
         val current = configuration.view.current
         val last = configuration.snapshotAt ?: now
         val due = now - last >= settings.limits.snapshotIntervalMilliseconds
-        return if (current != null && due && writesSnapshotOf(current, now)) {
+        return if (current != null && due && isSnapshotWriter(current, now)) {
             copy(configuration = configuration.copy(snapshotAt = now))
                 .enqueue(LogRecord.OfConfiguration(ConfigurationRecord.Snapshot(current)))
                 .report(now, "snapshot_written", "revision" to current.revision)
@@ -85,12 +85,12 @@
         }
     }
 
-    private fun RouterState.writesSnapshotOf(current: Configuration, now: Timestamp): Boolean =
+    private fun RouterState.isSnapshotWriter(current: Configuration, now: Timestamp): Boolean =
         rendezvousOrNull(livePeers(now) + settings.vm, "snapshot:${current.revision}") == settings.vm
 }
 
 /** Returns whether the configuration may be relied on for new work. */
 internal fun RouterState.isFresh(now: Timestamp): Boolean {
-    val heardAt = configuration.heardAt ?: return false
-    return configuration.view.current != null && now - heardAt < settings.limits.stalenessMilliseconds
+    val lastContactAt = configuration.lastContactAt ?: return false
+    return configuration.view.current != null && now - lastContactAt < settings.limits.stalenessMilliseconds
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationState.kt
@@ -10,6 +10,6 @@
  */
 internal data class ConfigurationState(
     val view: ConfigurationView = ConfigurationView(),
-    val heardAt: Timestamp? = null,
+    val lastContactAt: Timestamp? = null,
     val snapshotAt: Timestamp? = null,
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationView.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationView.kt
@@ -24,25 +24,26 @@
     /** Returns the view after [record], the next one of the stream. */
     public fun read(record: ConfigurationRecord): ConfigurationView = when (record) {
         is ConfigurationRecord.Snapshot -> adopt(record.configuration)
-        is ConfigurationRecord.Proposed -> propose(record)
+        is ConfigurationRecord.Proposed -> readProposal(record)
     }
 
     /** Returns the view after hearing of [configuration] from a snapshot or a peer; an older one is ignored. */
     public fun adopt(configuration: Configuration): ConfigurationView =
-        if (configuration.revision <= revision) this else copy(current = configuration).settled()
+        if (configuration.revision <= revision) this else copy(current = configuration).withPendingApplied()
 
-    private fun propose(record: ConfigurationRecord.Proposed): ConfigurationView {
+    private fun readProposal(record: ConfigurationRecord.Proposed): ConfigurationView {
         if (record.base < revision) return this
         val earlier = pending[record.base] ?: persistentListOf()
-        return copy(pending = pending.put(record.base, earlier.add(record.change))).settled()
+        return copy(pending = pending.put(record.base, earlier.add(record.change))).withPendingApplied()
     }
 
     /** Applies the first valid pending change of each revision, as far as they reach. */
-    private fun settled(): ConfigurationView {
+    private fun withPendingApplied(): ConfigurationView {
         val base = current ?: Configuration()
         val next = pending[base.revision].orEmpty().firstNotNullOfOrNull { base.applyOrNull(it) }
-        val kept = pending.keys.filter { it <= base.revision }.fold(pending) { left, revision -> left.remove(revision) }
+        val kept = pending.keys.filter { it <= base.revision }
+            .fold(pending) { remaining, revision -> remaining.remove(revision) }
         if (next == null) return copy(pending = kept)
-        return ConfigurationView(current = next, pending = kept).settled()
+        return ConfigurationView(current = next, pending = kept).withPendingApplied()
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/Problems.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/Problems.kt
@@ -15,16 +15,16 @@
 }.flatMap { workspace ->
     val unknown = workspace.allowed.sorted().filter { it !in versions }
         .map { "workspace '${workspace.id}' allows version '$it', which does not exist" }
-    val unserved = workspace.allowed.sorted().filter { it in versions && !isServed(it) }
+    val notServed = workspace.allowed.sorted().filter { it in versions && !isServed(it) }
         .map { "workspace '${workspace.id}' allows version '$it', which no backend server serves" }
-    val target = if (workspace.qualityTarget in 0.0..1.0) {
+    val qualityTarget = if (workspace.qualityTarget in 0.0..1.0) {
         emptyList()
     } else {
         listOf(
             "workspace '${workspace.id}' has quality_target ${workspace.qualityTarget}, which is not within 0.0 and 1.0"
         )
     }
-    unknown + unserved + target
+    unknown + notServed + qualityTarget
 }
 
 private fun Configuration.isServed(version: VersionId): Boolean =
@@ -61,8 +61,8 @@
     if (fleetSize == null) return emptyList()
     val pools = backendServers.values.groupBy { it.versions.sorted() }
     return pools.entries.mapNotNull { (served, servers) ->
-        val places = servers.sumOf { it.coldCapacity }
-        "the backend servers of $served have a cold_capacity of $places together, below the $fleetSize entry VMs"
-            .takeIf { places < fleetSize }
+        val coldCapacity = servers.sumOf { it.coldCapacity }
+        "the backend servers of $served have a cold_capacity of $coldCapacity together, below the $fleetSize entry VMs"
+            .takeIf { coldCapacity < fleetSize }
     }
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/configuration/ConfigurationUnderFailureTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/configuration/ConfigurationUnderFailureTest.kt
@@ -22,7 +22,7 @@
     @Test
     fun whatIsAcceptedIsInForceEverywhereAndNeverReverts() = seeds(SEEDS).forEach { seed ->
         val rig = Fleet.rig(seed)
-        val findings = watch(rig)
+        val findings = watchRevisions(rig)
         raceOperators(rig)
         rig.inflictWithin(milliseconds = 5_000, count = 4, faults = Fault.ofPlatform)
         rig.runFor(SETTLE_MILLISECONDS)
@@ -34,7 +34,7 @@
         val parts = RouterReducer.parts.add(RouterReducer.parts.indexOf(ConfigurationPart) + 1, lastWriteWins)
         val found = seeds(SEEDS).sumOf { seed ->
             val rig = Fleet.rig(seed, parts)
-            val findings = watch(rig)
+            val findings = watchRevisions(rig)
             raceOperators(rig)
             rig.inflictWithin(milliseconds = 5_000, count = 4, faults = Fault.ofPlatform)
             rig.runFor(SETTLE_MILLISECONDS)
@@ -46,20 +46,20 @@
     @Test
     fun aVmCutFromTheLogFollowsItsPeers() {
         val rig = Fleet.rig(seed = 1)
-        rig.cutFromLog.add(cut)
+        rig.cutFromLog.add(thirdVm)
         rig.runFor(10_000)
         rig.change(base = 1, change = zoneOut)
         rig.runFor(SECONDS_TO_FOLLOW * 1_000L)
-        assertEquals(2, rig.revision(cut))
+        assertEquals(2, rig.revision(thirdVm))
     }
 
     @Test
-    fun aVmCutFromEverythingTakesNoNewWorkAfterAWhile() {
+    fun aVmCutFromEverythingRefusesNewRequestsOnceStale() {
         val rig = Fleet.rig(seed = 1)
-        rig.cutFromLog.add(cut)
-        rig.cutFromPeers.add(cut)
+        rig.cutFromLog.add(thirdVm)
+        rig.cutFromPeers.add(thirdVm)
         rig.runFor(Fleet.limits.stalenessMilliseconds)
-        val refused = rig.send(cut, Fleet.completion("bread"))
+        val refused = rig.send(thirdVm, Fleet.completion("bread"))
         rig.runFor(1_000)
         assertEquals(true, refused.refusal?.notRun)
     }
@@ -68,12 +68,12 @@
     fun aNewVmDuringAnOutageLearnsFromAPeer() {
         val rig = Fleet.rig(seed = 1)
         rig.log.down = true
-        rig.kill(cut)
+        rig.kill(thirdVm)
         rig.runFor(1_000)
-        rig.start(cut)
-        val early = rig.send(cut, Fleet.completion("too early"))
+        rig.start(thirdVm)
+        val early = rig.send(thirdVm, Fleet.completion("too early"))
         rig.runFor(3_000)
-        val later = rig.send(cut, Fleet.completion("bread"))
+        val later = rig.send(thirdVm, Fleet.completion("bread"))
         rig.runFor(3_000)
         assertEquals(true, early.refusal?.notRun ?: true)
         assertTrue(later.whole, rig.trace.joinToString("\n"))
@@ -87,15 +87,15 @@
         rig.change(base = 2, change = ConfigurationChange.Withdraw(Fleet.new))
         rig.log.expire(LogStream.CONFIGURATION, kept = 2)
         Fleet.vms.forEach { rig.kill(it) }
-        rig.start(cut)
+        rig.start(thirdVm)
         rig.runFor(2_000)
-        val current = assertNotNull(rig.state(cut).configurationOrNull, rig.trace.joinToString("\n"))
+        val current = assertNotNull(rig.state(thirdVm).configurationOrNull, rig.trace.joinToString("\n"))
         assertEquals(3, current.revision)
         assertTrue(current.versions.getValue(Fleet.new).withdrawn)
     }
 
     @Test
-    fun acceptanceToInForceTakesLessThanASecond() {
+    fun anAcceptedChangeIsInForceEverywhereWithinASecond() {
         val rig = Fleet.rig(seed = 1)
         rig.change(base = 1, change = zoneOut)
         rig.runFor(1_000)
@@ -113,33 +113,33 @@
     }
 
     /** Notes each VM whose revision falls while it runs. */
-    private fun watch(rig: Rig): List<String> {
+    private fun watchRevisions(rig: Rig): List<String> {
         val findings = mutableListOf<String>()
         val highest = mutableMapOf<String, Long>()
-        fun look() {
+        fun check() {
             rig.up.forEach { vm ->
                 val name = "$vm ${rig.state(vm).settings.incarnation}"
                 val revision = rig.revision(vm)
                 if (revision < (highest[name] ?: 0)) findings.add("$name went back to revision $revision")
                 highest[name] = revision
             }
-            rig.schedule.after(20, ::look)
+            rig.schedule.after(20, ::check)
         }
-        look()
+        check()
         return findings
     }
 
     private fun differences(rig: Rig): List<String> {
-        val accepted = accepted(rig)
+        val accepted = acceptedByLog(rig)
         return rig.up.filter { rig.state(it).configurationOrNull != accepted }
             .map { "$it is at revision ${rig.revision(it)} and differs from what the log accepted" }
     }
 
     /** The naive twin: reads the records one by one, and takes those that build on the revision reached. */
-    private fun accepted(rig: Rig): Configuration = rig.log.records(LogStream.CONFIGURATION)
+    private fun acceptedByLog(rig: Rig): Configuration = rig.log.records(LogStream.CONFIGURATION)
         .mapNotNull { (it as LogRecord.OfConfiguration).record as? ConfigurationRecord.Proposed }
-        .fold(Configuration()) { reached, record ->
-            if (record.base == reached.revision) reached.applyOrNull(record.change) ?: reached else reached
+        .fold(Configuration()) { current, record ->
+            if (record.base == current.revision) current.applyOrNull(record.change) ?: current else current
         }
 
     private fun Rig.revision(vm: VmId): Long = state(vm).configurationOrNull?.revision ?: 0
@@ -149,7 +149,7 @@
         const val CHANGES = 20
         const val SETTLE_MILLISECONDS = 20_000L
         const val SECONDS_TO_FOLLOW = 3
-        val cut = Fleet.vms[2]
+        val thirdVm = Fleet.vms[2]
         val zoneOut = ConfigurationChange.SetZone(Fleet.zones[1], inService = false)
 
         /** Takes over every change that is read, whatever it builds on. */
@@ -158,7 +158,7 @@
                 .mapNotNull { (it.record as? LogRecord.OfConfiguration)?.record }
                 .filterIsInstance<ConfigurationRecord.Proposed>()
             val current = state.configuration.view.current
-            val changed = read.fold(current) { reached, record -> reached?.applyOrNull(record.change) ?: reached }
+            val changed = read.fold(current) { updated, record -> updated?.applyOrNull(record.change) ?: updated }
             val view = state.configuration.view.copy(current = changed)
             state.copy(configuration = state.configuration.copy(view = view)).unchanged()
         }
--- a/core/src/test/kotlin/org/quetzalloom/core/configuration/ConfigurationViewTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/configuration/ConfigurationViewTest.kt
@@ -34,24 +34,24 @@
     fun aLateReaderWithASnapshotAgreesWithOneThatReadEverything(
         @ForAll("proposals") records: List<ConfigurationRecord.Proposed>,
     ) {
-        val honest = honest(records)
-        val whole = honest.fold(start) { view, record -> view.read(record) }
-        val half = honest.take(honest.size / 2).fold(start) { view, record -> view.read(record) }
-        val snapshot = ConfigurationRecord.Snapshot(requireNotNull(half.current))
-        val late = (honest.drop(honest.size / 2) + snapshot).fold(
+        val valid = withExistingBases(records)
+        val fromStart = valid.fold(start) { view, record -> view.read(record) }
+        val firstHalf = valid.take(valid.size / 2).fold(start) { view, record -> view.read(record) }
+        val snapshot = ConfigurationRecord.Snapshot(requireNotNull(firstHalf.current))
+        val fromSnapshot = (valid.drop(valid.size / 2) + snapshot).fold(
             ConfigurationView()
         ) { view, record -> view.read(record) }
-        assertEquals(whole.current, late.current)
+        assertEquals(fromStart.current, fromSnapshot.current)
     }
 
     @Property(seed = "3")
-    fun theSequentialTwinAcceptsTheSameChanges(@ForAll("proposals") records: List<ConfigurationRecord.Proposed>) {
-        val honest = honest(records)
-        val view = honest.fold(start) { reached, record -> reached.read(record) }
-        val naive = honest.fold(requireNotNull(start.current)) { reached, record ->
-            if (record.base == reached.revision) reached.applyOrNull(record.change) ?: reached else reached
+    fun aSequentialReferenceAcceptsTheSameChanges(@ForAll("proposals") records: List<ConfigurationRecord.Proposed>) {
+        val valid = withExistingBases(records)
+        val view = valid.fold(start) { current, record -> current.read(record) }
+        val expected = valid.fold(requireNotNull(start.current)) { current, record ->
+            if (record.base == current.revision) current.applyOrNull(record.change) ?: current else current
         }
-        assertEquals(naive, view.current)
+        assertEquals(expected, view.current)
     }
 
     @Test
@@ -71,7 +71,7 @@
     }
 
     /** Writers build only on revisions that exist: a record on a later one is moved to the revision reached so far. */
-    private fun honest(records: List<ConfigurationRecord.Proposed>): List<ConfigurationRecord.Proposed> =
+    private fun withExistingBases(records: List<ConfigurationRecord.Proposed>): List<ConfigurationRecord.Proposed> =
         records.fold(start to emptyList<ConfigurationRecord.Proposed>()) { (view, kept), record ->
             val moved = record.copy(base = minOf(record.base, view.revision))
             view.read(moved) to kept + moved
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/ConfigurationDiff.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/ConfigurationDiff.kt
@@ -7,7 +7,7 @@
     /** Returns a line for each entry that [new] adds, removes or changes; [old] may be `null` for nothing. */
     fun lines(old: Configuration?, new: Configuration): List<String> {
         val before = old ?: Configuration()
-        return section("zone", before.zones.associateWith { it !in before.zonesOut }, zones(new, before)) +
+        return section("zone", before.zones.associateWith { it !in before.zonesOutOfService }, zones(new, before)) +
             section("version", before.versions, new.versions) +
             section("workspace", before.workspaces, new.workspaces) +
             section("backend server", before.backendServers, new.backendServers) +
@@ -18,7 +18,7 @@
 
     /** Publishing leaves availability zones in or out of service as they are. */
     private fun zones(new: Configuration, before: Configuration) =
-        new.zones.associateWith { it !in new.zonesOut && it !in before.zonesOut }
+        new.zones.associateWith { it !in new.zonesOutOfService && it !in before.zonesOutOfService }
 
     private fun <K : Any, V : Any> section(name: String, old: Map<K, V>, new: Map<K, V>): List<String> {
         val names = (old.keys + new.keys).sortedBy { it.toString() }
--- a/wire/src/main/kotlin/org/quetzalloom/wire/configuration/ConfigurationFormat.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/configuration/ConfigurationFormat.kt
@@ -10,7 +10,7 @@
 /** Returns the text form of this configuration, in a fixed order. */
 public fun Configuration.toDocument(): ConfigurationDocument = ConfigurationDocument(
     revision = revision,
-    zones = zones.sorted().map { ZoneDocument(id = it.value, inService = it !in zonesOut) },
+    zones = zones.sorted().map { ZoneDocument(id = it.value, inService = it !in zonesOutOfService) },
     versions = versions.values.sortedBy { it.id }.map { it.toDocument() },
     workspaces = workspaces.values.sortedBy { it.id }.map { it.toDocument() },
     backendServers = backendServers.values.sortedBy { it.id }.map { it.toDocument() },
--- a/wire/src/main/kotlin/org/quetzalloom/wire/configuration/ConfigurationMapping.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/configuration/ConfigurationMapping.kt
@@ -29,7 +29,7 @@
         versions = coreVersions.toPersistentMap(),
         backendServers = backendServers.map { it.toBackendServer() }.associateBy { it.id }.toPersistentMap(),
         zones = zones.map { AvailabilityZoneId(it.id) }.toPersistentSet(),
-        zonesOut = zones.filterNot { it.inService }.map { AvailabilityZoneId(it.id) }.toPersistentSet(),
+        zonesOutOfService = zones.filterNot { it.inService }.map { AvailabilityZoneId(it.id) }.toPersistentSet(),
         services = services.map { it.toServiceRoute() }.toPersistentList(),
         rollouts = rollouts.map { it.toRollout() }
             .associateBy { coreVersions[it.to]?.model ?: it.to.value }
--- a/wire/src/test/kotlin/org/quetzalloom/wire/log/RecordDocumentTest.kt
+++ b/wire/src/test/kotlin/org/quetzalloom/wire/log/RecordDocumentTest.kt
@@ -48,7 +48,7 @@
         workspaces = persistentMapOf(workspace to Workspace(workspace, persistentSetOf(version), 0.9)),
         versions = persistentMapOf(version to Version(version, "m", VersionKind.SERVICE, 5, 0.8, withdrawn = true)),
         zones = persistentSetOf(AvailabilityZoneId("a"), AvailabilityZoneId("b")),
-        zonesOut = persistentSetOf(AvailabilityZoneId("b")),
+        zonesOutOfService = persistentSetOf(AvailabilityZoneId("b")),
         services = persistentListOf(ServiceRoute("/p/", "m", persistentSetOf("POST"))),
         rollouts = persistentMapOf("m" to Rollout(VersionId("m@0"), version, 50)),
     )
