Name the digests and the last contacts of membership after what they are

Cause: heard, listed, gossip and turn don't say what is recorded or counted. Renames only.

rename: heardAt -> lastMessageAt (declared in membership/MembershipState.kt, only in: core/src/main/kotlin/org/quetzalloom/core/membership) rename: heard -> recordMessage (declared in membership/MembershipPart.kt, only in: core/src/main/kotlin/org/quetzalloom/core/membership) rename: listed -> recordListing (declared in membership/MembershipPart.kt, only in: core/src/main/kotlin/org/quetzalloom/core/membership) rename: gossip -> sendDigest (declared in membership/MembershipPart.kt, only in: core/src/main/kotlin/org/quetzalloom/core/membership) rename: gossipTurn -> digestsSent (declared in membership/MembershipState.kt, only in: core/src/main/kotlin/org/quetzalloom/core/membership) rename: gossipAt -> digestSentAt (declared in membership/MembershipState.kt, only in: core/src/main/kotlin/org/quetzalloom/core/membership) rename: turn -> digestNumber (declared in membership/MembershipPart.kt, only in: core/src/main/kotlin/org/quetzalloom/core/membership/MembershipPart.kt) rename: tellRatings -> sendRatings (declared in membership/MembershipPart.kt, only in: core/src/main/kotlin/org/quetzalloom/core/membership) rename: askForList -> listVms (declared in membership/MembershipPart.kt, only in: core/src/main/kotlin/org/quetzalloom/core/membership) rename: listedAt -> listRequestedAt (declared in membership/MembershipState.kt, only in: core/src/main/kotlin/org/quetzalloom/core/membership)

--- a/core/src/main/kotlin/org/quetzalloom/core/membership/MembershipPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/membership/MembershipPart.kt
@@ -21,39 +21,39 @@
     private const val LIST_INTERVAL_MILLISECONDS = 2_000L
 
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
-        is Event.PeerTold -> state.heard(event.from, now).unchanged()
-        is Event.OfPlatform.VmsListed -> state.listed(event).unchanged()
-        is Event.Tick -> state.gossip(now).then { it.askForList(now) }
+        is Event.PeerTold -> state.recordMessage(event.from, now).unchanged()
+        is Event.OfPlatform.VmsListed -> state.recordListing(event).unchanged()
+        is Event.Tick -> state.sendDigest(now).then { it.listVms(now) }
         else -> state.unchanged()
     }
 
-    private fun RouterState.heard(peer: VmId, now: Timestamp): RouterState =
-        copy(membership = membership.copy(heardAt = membership.heardAt.put(peer, now)))
+    private fun RouterState.recordMessage(peer: VmId, now: Timestamp): RouterState =
+        copy(membership = membership.copy(lastMessageAt = membership.lastMessageAt.put(peer, now)))
 
-    private fun RouterState.listed(event: Event.OfPlatform.VmsListed): RouterState {
+    private fun RouterState.recordListing(event: Event.OfPlatform.VmsListed): RouterState {
         val leaving = event.listings.associate { it.vm to it.leaving }.toPersistentMap()
         return copy(membership = membership.copy(leaving = leaving))
     }
 
-    private fun RouterState.gossip(now: Timestamp): Step {
-        val last = membership.gossipAt
+    private fun RouterState.sendDigest(now: Timestamp): Step {
+        val last = membership.digestSentAt
         val due = last == null || now - last >= settings.limits.gossipIntervalMilliseconds
         val peers = if (due) peers() else emptyList()
         if (peers.isEmpty()) return unchanged()
-        val turn = membership.gossipTurn
-        val receiver = peers[(turn % peers.size).toInt()]
-        val next = copy(membership = membership.copy(gossipAt = now, gossipTurn = turn + 1))
+        val digestNumber = membership.digestsSent
+        val receiver = peers[(digestNumber % peers.size).toInt()]
+        val next = copy(membership = membership.copy(digestSentAt = now, digestsSent = digestNumber + 1))
         return next.sendToPeer(receiver, PeerMessage.Digest(next.configuration.view.revision))
-            .then { it.tellRatings(receiver) }
+            .then { it.sendRatings(receiver) }
     }
 
-    private fun RouterState.tellRatings(receiver: VmId): Step =
+    private fun RouterState.sendRatings(receiver: VmId): Step =
         unchanged().thenEach(quality.ownSums(settings)) { state, message -> state.sendToPeer(receiver, message) }
 
-    private fun RouterState.askForList(now: Timestamp): Step {
-        val last = membership.listedAt
+    private fun RouterState.listVms(now: Timestamp): Step {
+        val last = membership.listRequestedAt
         if (last != null && now - last < LIST_INTERVAL_MILLISECONDS) return unchanged()
-        return copy(membership = membership.copy(listedAt = now)).with(Effect.OfPlatform.ListVms)
+        return copy(membership = membership.copy(listRequestedAt = now)).with(Effect.OfPlatform.ListVms)
     }
 }
 
@@ -62,8 +62,8 @@
 
 /** Returns the peers that were heard lately and are not listed as leaving. */
 internal fun RouterState.livePeers(now: Timestamp): List<VmId> = peers().filter { peer ->
-    val heardAt = membership.heardAt[peer]
-    heardAt != null &&
-        now - heardAt < settings.limits.peerTimeoutMilliseconds &&
+    val lastMessageAt = membership.lastMessageAt[peer]
+    lastMessageAt != null &&
+        now - lastMessageAt < settings.limits.peerTimeoutMilliseconds &&
         membership.leaving[peer] != true
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/membership/MembershipState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/membership/MembershipState.kt
@@ -8,16 +8,16 @@
 /**
  * The slice of [MembershipPart].
  *
- * @property heardAt when each peer was last heard.
+ * @property lastMessageAt when each peer was last heard.
  * @property leaving the VMs that the platform lists, and whether each is leaving.
- * @property gossipAt when the last digest was sent.
- * @property gossipTurn the number of digests sent.
- * @property listedAt when the list of VMs was last asked for.
+ * @property digestSentAt when the last digest was sent.
+ * @property digestsSent the number of digests sent.
+ * @property listRequestedAt when the list of VMs was last asked for.
  */
 internal data class MembershipState(
-    val heardAt: PersistentMap<VmId, Timestamp> = persistentMapOf(),
+    val lastMessageAt: PersistentMap<VmId, Timestamp> = persistentMapOf(),
     val leaving: PersistentMap<VmId, Boolean> = persistentMapOf(),
-    val gossipAt: Timestamp? = null,
-    val gossipTurn: Long = 0,
-    val listedAt: Timestamp? = null,
+    val digestSentAt: Timestamp? = null,
+    val digestsSent: Long = 0,
+    val listRequestedAt: Timestamp? = null,
 )
