Name the reader and the appends of the log after what they hold and do

Cause: next, again and appends don't say what is counted or due, and appended and readFailed named events, not what is done about them. Renames only.

rename: reached -> transition (declared in log/Appends.kt, only in: core/src/main/kotlin/org/quetzalloom/core/log/Appends.kt) rename: reached -> transition (declared in log/LogPart.kt, only in: core/src/main/kotlin/org/quetzalloom/core/log/LogPart.kt) rename: again -> readAgain (declared in log/StreamReader.kt, only in: core/src/main/kotlin/org/quetzalloom/core/log) rename: recordsOf -> recordsInFlight (declared in log/LogState.kt) rename: appends -> appendsStarted (declared in log/LogState.kt, only in: core/src/main/kotlin/org/quetzalloom/core/log) rename: appended -> recordAppend (declared in log/LogPart.kt, only in: core/src/main/kotlin/org/quetzalloom/core/log/LogPart.kt) rename: appendFailed -> retryAppend (declared in log/LogPart.kt, only in: core/src/main/kotlin/org/quetzalloom/core/log/LogPart.kt) rename: readFailed -> retryRead (declared in log/LogPart.kt, only in: core/src/main/kotlin/org/quetzalloom/core/log/LogPart.kt) rename: done -> updated (declared in log/LogPart.kt, only in: core/src/main/kotlin/org/quetzalloom/core/log/LogPart.kt) rename: StreamReader.next -> nextOffset (declared in log/StreamReader.kt, by hand in log/LogPart.kt) rename: the local value again in retryAppend -> retried (log/LogPart.kt)

--- a/core/src/main/kotlin/org/quetzalloom/core/billing/BillingPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/billing/BillingPart.kt
@@ -30,7 +30,7 @@
     }
 
     private fun RouterState.appended(append: Long): Step {
-        val durable = log.recordsOf(append).filterIsInstance<LogRecord.OfBill>().map { it.bill.identity }
+        val durable = log.recordsInFlight(append).filterIsInstance<LogRecord.OfBill>().map { it.bill.identity }
         val copies = durable.flatMap { identity ->
             billing.unsettled[identity]?.sentTo.orEmpty().map { keeper -> keeper to identity }
         }
--- a/core/src/main/kotlin/org/quetzalloom/core/log/Appends.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/log/Appends.kt
@@ -12,12 +12,12 @@
 
 /** Starts an append of each stream that has records waiting and is due. */
 internal fun RouterState.appendAll(now: Timestamp): Step =
-    log.writers.keys.sorted().fold(unchanged()) { reached, stream -> reached.then { it.append(stream, now) } }
+    log.writers.keys.sorted().fold(unchanged()) { transition, stream -> transition.then { it.append(stream, now) } }
 
 private fun RouterState.append(stream: LogStream, now: Timestamp): Step {
     val writer = log.writerOf(stream)
     if (writer.append != null || writer.queue.isEmpty() || now < writer.dueAt) return unchanged()
-    val number = log.appends + 1
+    val number = log.appendsStarted + 1
     val batch = writer.queue.take(settings.limits.appendBatchRecords).toPersistentList()
     val started = StreamWriter(
         queue = writer.queue.drop(batch.size).toPersistentList(),
@@ -26,7 +26,7 @@
         dueAt = now + settings.appendIntervalMilliseconds(),
     )
     return withWriter(stream, started).copy(stamp = stamp + 1).let {
-        it.copy(log = it.log.copy(appends = number))
+        it.copy(log = it.log.copy(appendsStarted = number))
             .with(Effect.OfPlatform.Append(number, stream, it.stamp, batch))
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/log/LogPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/log/LogPart.kt
@@ -26,42 +26,42 @@
 
     private fun RouterState.handle(event: Event, now: Timestamp): Step = when (event) {
         is Event.OfPlatform.LogRead -> read(event, now)
-        is Event.OfPlatform.LogReadFailed -> readFailed(event.stream, now).unchanged()
-        is Event.OfPlatform.LogAppended -> appended(event.append, now).unchanged()
-        is Event.OfPlatform.LogAppendFailed -> appendFailed(event.append, now)
+        is Event.OfPlatform.LogReadFailed -> retryRead(event.stream, now).unchanged()
+        is Event.OfPlatform.LogAppended -> recordAppend(event.append, now).unchanged()
+        is Event.OfPlatform.LogAppendFailed -> retryAppend(event.append, now)
         else -> unchanged()
     }
 
     private fun RouterState.read(event: Event.OfPlatform.LogRead, now: Timestamp): Step {
         val reader = log.readerOf(event.stream)
-        val wait = if (event.entries.isEmpty() && !reader.again) settings.limits.readIntervalMilliseconds else 0
-        val next = withReader(event.stream, StreamReader(next = event.next, dueAt = now + wait))
-        if (reader.next == 0L || event.earliest <= reader.next) return next.unchanged()
-        return next.report(now, "log_records_expired", "stream" to event.stream, "from" to reader.next)
+        val wait = if (event.entries.isEmpty() && !reader.readAgain) settings.limits.readIntervalMilliseconds else 0
+        val next = withReader(event.stream, StreamReader(nextOffset = event.next, dueAt = now + wait))
+        if (reader.nextOffset == 0L || event.earliest <= reader.nextOffset) return next.unchanged()
+        return next.report(now, "log_records_expired", "stream" to event.stream, "from" to reader.nextOffset)
     }
 
-    private fun RouterState.readFailed(stream: LogStream, now: Timestamp): RouterState {
+    private fun RouterState.retryRead(stream: LogStream, now: Timestamp): RouterState {
         val reader = log.readerOf(stream)
         return withReader(stream, reader.copy(reading = false, dueAt = now + settings.limits.readIntervalMilliseconds))
     }
 
     /** An append that succeeded is read back at once, as requests may wait for it. */
-    private fun RouterState.appended(append: Long, now: Timestamp): RouterState {
+    private fun RouterState.recordAppend(append: Long, now: Timestamp): RouterState {
         val (stream, writer) = writerOfOrNull(append) ?: return this
-        val done = withWriter(stream, writer.copy(append = null, inFlight = persistentListOf()))
-        val reader = done.log.readerOf(stream)
-        return if (stream in followed) done.withReader(stream, reader.copy(again = true, dueAt = now)) else done
+        val updated = withWriter(stream, writer.copy(append = null, inFlight = persistentListOf()))
+        val reader = updated.log.readerOf(stream)
+        return if (stream in followed) updated.withReader(stream, reader.copy(readAgain = true, dueAt = now)) else updated
     }
 
-    private fun RouterState.appendFailed(append: Long, now: Timestamp): Step {
+    private fun RouterState.retryAppend(append: Long, now: Timestamp): Step {
         val (stream, writer) = writerOfOrNull(append) ?: return unchanged()
-        val again = writer.copy(
+        val retried = writer.copy(
             append = null,
             inFlight = persistentListOf(),
             queue = writer.inFlight.addAll(writer.queue),
             dueAt = now + settings.limits.appendRetryMilliseconds,
         )
-        return withWriter(stream, again)
+        return withWriter(stream, retried)
             .report(now, "log_append_failed", "stream" to stream, "records" to writer.inFlight.size)
     }
 
@@ -69,11 +69,11 @@
         log.writers.entries.firstOrNull { it.value.append == append }?.let { it.key to it.value }
 
     private fun RouterState.readAll(now: Timestamp): Step =
-        followed.fold(unchanged()) { reached, stream -> reached.then { it.read(stream, now) } }
+        followed.fold(unchanged()) { transition, stream -> transition.then { it.read(stream, now) } }
 
     private fun RouterState.read(stream: LogStream, now: Timestamp): Step {
         val reader = log.readerOf(stream)
         if (reader.reading || now < reader.dueAt) return unchanged()
-        return withReader(stream, reader.copy(reading = true)).with(Effect.OfPlatform.Read(stream, reader.next))
+        return withReader(stream, reader.copy(reading = true)).with(Effect.OfPlatform.Read(stream, reader.nextOffset))
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/log/LogState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/log/LogState.kt
@@ -9,7 +9,7 @@
 internal data class LogState(
     val readers: PersistentMap<LogStream, StreamReader> = persistentMapOf(),
     val writers: PersistentMap<LogStream, StreamWriter> = persistentMapOf(),
-    val appends: Long = 0,
+    val appendsStarted: Long = 0,
 ) {
     fun readerOf(stream: LogStream): StreamReader = readers[stream] ?: StreamReader()
 
@@ -22,6 +22,6 @@
     }
 
     /** Returns the records of the append numbered [append] while it is under way, or none. */
-    fun recordsOf(append: Long): PersistentList<LogRecord> =
+    fun recordsInFlight(append: Long): PersistentList<LogRecord> =
         writers.values.firstOrNull { it.append == append }?.inFlight ?: persistentListOf()
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/log/StreamReader.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/log/StreamReader.kt
@@ -5,14 +5,14 @@
 /**
  * How far a stream was read.
  *
- * @property next the offset to read from.
+ * @property nextOffset the offset to read from.
  * @property reading whether a read is under way.
- * @property again whether something was appended since that read began, so that another is due at its end.
+ * @property readAgain whether something was appended since that read began, so that another is due at its end.
  * @property dueAt when to read next.
  */
 internal data class StreamReader(
-    val next: Long = 0,
+    val nextOffset: Long = 0,
     val reading: Boolean = false,
-    val again: Boolean = false,
+    val readAgain: Boolean = false,
     val dueAt: Timestamp = Timestamp.EPOCH,
 )
