--- a/core/src/main/kotlin/org/quetzalloom/core/log/LogPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/log/LogPart.kt
@@ -48,9 +48,9 @@
     /** An append that succeeded is read back at once, as requests may wait for it. */
     private fun RouterState.recordAppend(append: Long, now: Timestamp): RouterState {
         val (stream, writer) = writerOfOrNull(append) ?: return this
-        val updated = withWriter(stream, writer.copy(append = null, inFlight = persistentListOf()))
-        val reader = updated.log.readerOf(stream)
-        return if (stream in followed) updated.withReader(stream, reader.copy(readAgain = true, dueAt = now)) else updated
+        val next = withWriter(stream, writer.copy(append = null, inFlight = persistentListOf()))
+        val reader = next.log.readerOf(stream)
+        return if (stream in followed) next.withReader(stream, reader.copy(readAgain = true, dueAt = now)) else next
     }
 
     private fun RouterState.retryAppend(append: Long, now: Timestamp): Step {
