Name the events of callers, engines and peers after what arrives

Cause: Left, Progressed, LoadUnknown and PeerTold don't say what left, moved on or was told.

rename: Left -> Disconnected (declared in event/Event.kt, only in: core daemon) rename: PeerTold -> FromPeer (declared in event/Event.kt) rename: Progressed -> ChunkReceived (declared in event/Event.kt) rename: LoadUnknown -> LoadReportFailed (declared in event/Event.kt)

--- a/bench/src/main/kotlin/org/quetzalloom/bench/MeasuredVm.kt
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/MeasuredVm.kt
@@ -62,7 +62,7 @@
     /** Lets the next peer tell its revision. */
     fun digest() {
         peer = peer % (size.vms - 1) + 1
-        step(Event.PeerTold(VmId("vm-${peer + 1}"), stamp = 1, message = PeerMessage.Digest(revision)))
+        step(Event.FromPeer(VmId("vm-${peer + 1}"), stamp = 1, message = PeerMessage.Digest(revision)))
     }
 
     /** Lets [server] report its load. */
@@ -97,7 +97,7 @@
         val started = arrive(name) ?: error("request $name was not started")
         val attempt = started.order.attempt
         step(Event.OfBackend.Accepted(attempt, StartIdentity("${started.order.server}-1")))
-        repeat(pieces) { step(Event.OfBackend.Progressed(attempt, it, 1, "word ")) }
+        repeat(pieces) { step(Event.OfBackend.ChunkReceived(attempt, it, 1, "word ")) }
         step(Event.OfBackend.Finished(attempt, pieces, STATUS))
         tick()
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/backend/BackendsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/BackendsPart.kt
@@ -25,8 +25,8 @@
         is Event.Tick -> askLoad(now)
         is Event.OfBackend.Accepted -> accepted(event, now)
         is Event.OfBackend.LoadReported -> reported(event, now)
-        is Event.OfBackend.LoadUnknown -> withHealth(event.server) { it.failed(now) }.unchanged()
-        is Event.PeerTold -> (event.message as? PeerMessage.Restarted)?.let { restarted(it, now) } ?: unchanged()
+        is Event.OfBackend.LoadReportFailed -> withHealth(event.server) { it.failed(now) }.unchanged()
+        is Event.FromPeer -> (event.message as? PeerMessage.Restarted)?.let { restarted(it, now) } ?: unchanged()
         else -> unchanged()
     }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/billing/BillingPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/billing/BillingPart.kt
@@ -24,7 +24,7 @@
 internal object BillingPart : Part {
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
         is Event.OfPlatform.LogAppended -> state.appended(event.append)
-        is Event.PeerTold -> state.told(event, now)
+        is Event.FromPeer -> state.told(event, now)
         is Event.Tick -> state.takeOver(now).copyOverdue(now)
         else -> state.unchanged()
     }
@@ -43,7 +43,7 @@
         }
     }
 
-    private fun RouterState.told(event: Event.PeerTold, now: Timestamp): Step = when (val message = event.message) {
+    private fun RouterState.told(event: Event.FromPeer, now: Timestamp): Step = when (val message = event.message) {
         is PeerMessage.HoldBills -> hold(event.from, message.bills, now)
         is PeerMessage.BillsHeld -> held(event.from, message.identities).unchanged()
         is PeerMessage.DropBills -> dropped(message.identities).unchanged()
--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationPart.kt
@@ -24,7 +24,7 @@
 internal object ConfigurationPart : Part {
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
         is Event.OfPlatform.LogRead -> state.recordContact(now).read(event, now)
-        is Event.PeerTold -> state.recordContact(now).handle(event, now)
+        is Event.FromPeer -> state.recordContact(now).handle(event, now)
         is Event.Tick -> state.writeSnapshotIfDue(now)
         else -> state.unchanged()
     }
@@ -44,7 +44,7 @@
             .withView(configuration.view.read(record), "log", now)
     }
 
-    private fun RouterState.handle(event: Event.PeerTold, now: Timestamp): Step = when (val message = event.message) {
+    private fun RouterState.handle(event: Event.FromPeer, now: Timestamp): Step = when (val message = event.message) {
         is PeerMessage.Digest -> answerDigest(event.from, message)
         is PeerMessage.AskConfiguration -> sendConfiguration(event.from)
         is PeerMessage.TellConfiguration ->
--- a/core/src/main/kotlin/org/quetzalloom/core/event/Event.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/event/Event.kt
@@ -28,7 +28,7 @@
         public data class Arrived(public val request: RequestId, public val call: CallerRequest) : OfCaller
 
         /** The caller closed its connection before the answer was whole. */
-        public data class Left(public val request: RequestId) : OfCaller
+        public data class Disconnected(public val request: RequestId) : OfCaller
     }
 
     /** What backend servers do. */
@@ -37,7 +37,7 @@
         public data class Accepted(public val attempt: AttemptId, public val start: StartIdentity) : OfBackend
 
         /** Tokens arrived. [position] counts the tokens of the answer before [text]; [tokens] are in it. */
-        public data class Progressed(
+        public data class ChunkReceived(
             public val attempt: AttemptId,
             public val position: Int,
             public val tokens: Int,
@@ -63,7 +63,7 @@
         ) : OfBackend
 
         /** The backend server did not report. */
-        public data class LoadUnknown(public val server: BackendServerId) : OfBackend
+        public data class LoadReportFailed(public val server: BackendServerId) : OfBackend
     }
 
     /** What the platform does. */
@@ -96,7 +96,7 @@
     }
 
     /** A peer sent [message]; [stamp] is its causal stamp at that time. */
-    public data class PeerTold(
+    public data class FromPeer(
         public val from: VmId,
         public val stamp: Long,
         public val message: PeerMessage,
--- a/core/src/main/kotlin/org/quetzalloom/core/membership/MembershipPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/membership/MembershipPart.kt
@@ -21,7 +21,7 @@
     private const val LIST_INTERVAL_MILLISECONDS = 2_000L
 
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
-        is Event.PeerTold -> state.recordMessage(event.from, now).unchanged()
+        is Event.FromPeer -> state.recordMessage(event.from, now).unchanged()
         is Event.OfPlatform.VmsListed -> state.recordListing(event).unchanged()
         is Event.Tick -> state.sendDigest(now).then { it.listVms(now) }
         else -> state.unchanged()
--- a/core/src/main/kotlin/org/quetzalloom/core/quarantine/QuarantinePart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/quarantine/QuarantinePart.kt
@@ -23,19 +23,19 @@
  */
 internal object QuarantinePart : Part {
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
-        is Event.PeerTold -> state.told(event, now)
+        is Event.FromPeer -> state.told(event, now)
         is Event.Tick -> state.forgetOld(now).unchanged()
         else -> state.unchanged()
     }
 
-    private fun RouterState.told(event: Event.PeerTold, now: Timestamp): Step = when (val message = event.message) {
+    private fun RouterState.told(event: Event.FromPeer, now: Timestamp): Step = when (val message = event.message) {
         is PeerMessage.Suspect -> suspect(event, message, now)
         is PeerMessage.SuspectNoted -> noted(event.from, message).unchanged()
         is PeerMessage.Cleared -> cleared(message.fingerprint).unchanged()
         else -> unchanged()
     }
 
-    private fun RouterState.suspect(event: Event.PeerTold, message: PeerMessage.Suspect, now: Timestamp): Step {
+    private fun RouterState.suspect(event: Event.FromPeer, message: PeerMessage.Suspect, now: Timestamp): Step {
         val from = event.from
         val rivals = ownTrials().filterValues { it.trialAt != null && it.trialAt == message.trialAt }.keys
             .filter { it != message.fingerprint }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Attempts.kt
@@ -30,7 +30,7 @@
     }
 
 /** Passes tokens on to the caller if they are the next ones; what came before is dropped. */
-internal fun RouterState.progress(event: Event.OfBackend.Progressed, now: Timestamp): Step =
+internal fun RouterState.progress(event: Event.OfBackend.ChunkReceived, now: Timestamp): Step =
     whileRunning(event.attempt) { request, phase ->
         when {
             event.position + event.tokens <= request.delivered -> unchanged()
@@ -42,7 +42,7 @@
 private fun RouterState.deliver(
     request: ActiveRequest,
     phase: Phase.Running,
-    event: Event.OfBackend.Progressed,
+    event: Event.OfBackend.ChunkReceived,
     now: Timestamp,
 ): Step {
     val next = request.copy(
--- a/core/src/main/kotlin/org/quetzalloom/core/request/RequestsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/RequestsPart.kt
@@ -16,20 +16,20 @@
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step {
         val handled = state.handle(event, now)
         val waiting = handled.state.requests.waiting
-        val onlyTokens = event is Event.OfBackend.Progressed && waiting === state.requests.waiting
+        val onlyTokens = event is Event.OfBackend.ChunkReceived && waiting === state.requests.waiting
         if (waiting.isEmpty() || onlyTokens) return handled
         return handled.then { it.advanceAll(now) }.then { it.dispatchAll(now) }
     }
 
     private fun RouterState.handle(event: Event, now: Timestamp): Step = when (event) {
         is Event.OfCaller.Arrived -> arrive(event, now)
-        is Event.OfCaller.Left -> leave(event, now)
+        is Event.OfCaller.Disconnected -> leave(event, now)
         is Event.OfBackend.Accepted -> accept(event, now)
-        is Event.OfBackend.Progressed -> progress(event, now)
+        is Event.OfBackend.ChunkReceived -> progress(event, now)
         is Event.OfBackend.Finished -> finish(event, now)
         is Event.OfBackend.Failed -> fail(event, now)
         is Event.OfBackend.LoadReported -> verdict(event.server, restartedSinceFailure(event), now)
-        is Event.OfBackend.LoadUnknown -> verdict(event.server, down = true, now = now)
+        is Event.OfBackend.LoadReportFailed -> verdict(event.server, down = true, now = now)
         is Event.Tick -> expireAll(now)
         else -> unchanged()
     }
@@ -39,7 +39,7 @@
         event.upForMilliseconds < settings.limits.crashCheckTimeoutMilliseconds
 
     /** A call that may not be repeated goes on without its caller, so that its outcome is recorded. */
-    private fun RouterState.leave(event: Event.OfCaller.Left, now: Timestamp): Step {
+    private fun RouterState.leave(event: Event.OfCaller.Disconnected, now: Timestamp): Step {
         val request = requests.active[event.request] ?: return unchanged()
         val phase = request.phase
         return when {
--- a/core/src/main/kotlin/org/quetzalloom/core/selection/QualityPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/selection/QualityPart.kt
@@ -23,7 +23,7 @@
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
         is Event.Tick -> state.readRatings(now)
         is Event.OfPlatform.RatingsRead -> state.withRatings(event, now).unchanged()
-        is Event.PeerTold -> state.withPeerSums(event).unchanged()
+        is Event.FromPeer -> state.withPeerSums(event).unchanged()
         else -> state.unchanged()
     }
 
@@ -50,7 +50,7 @@
         return copy(sums = sums.put(rating.subject, byOrigin.put(origin, sum)))
     }
 
-    private fun RouterState.withPeerSums(event: Event.PeerTold): RouterState {
+    private fun RouterState.withPeerSums(event: Event.FromPeer): RouterState {
         val message = event.message as? PeerMessage.TellRatings
         if (message == null || message.origin.collector == settings.collector) return this
         val merged = message.sums.entries.fold(quality) { updated, (subject, sum) ->
--- a/core/src/main/kotlin/org/quetzalloom/core/session/SessionsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/session/SessionsPart.kt
@@ -22,19 +22,19 @@
     private const val MEMORY_MILLISECONDS = 3_600_000L
 
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
-        is Event.PeerTold -> state.told(event, now)
+        is Event.FromPeer -> state.told(event, now)
         is Event.Tick -> state.sweep(now).unchanged()
         else -> state.unchanged()
     }
 
-    private fun RouterState.told(event: Event.PeerTold, now: Timestamp): Step = when (val message = event.message) {
+    private fun RouterState.told(event: Event.FromPeer, now: Timestamp): Step = when (val message = event.message) {
         is PeerMessage.AskSession -> answer(event, message, now)
         is PeerMessage.TellSession ->
             assigned(SessionKey(message.workspace, message.session), message.version, now).unchanged()
         else -> unchanged()
     }
 
-    private fun RouterState.answer(event: Event.PeerTold, message: PeerMessage.AskSession, now: Timestamp): Step {
+    private fun RouterState.answer(event: Event.FromPeer, message: PeerMessage.AskSession, now: Timestamp): Step {
         val key = SessionKey(message.workspace, message.session)
         val version = assignedOrNull(key) ?: message.proposed
         return decide(key, version, now)
--- a/core/src/main/kotlin/org/quetzalloom/core/timeline/StampPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/timeline/StampPart.kt
@@ -10,7 +10,7 @@
 /** Raises the causal stamp above that of every message and log record received. */
 internal object StampPart : Part {
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
-        is Event.PeerTold -> state.raised(event.stamp)
+        is Event.FromPeer -> state.raised(event.stamp)
         is Event.OfPlatform.LogRead -> state.raised(event.entries.maxOfOrNull { it.stamp } ?: 0)
         else -> state.unchanged()
     }
--- a/core/src/test/kotlin/org/quetzalloom/core/rig/FakeServer.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/rig/FakeServer.kt
@@ -36,7 +36,7 @@
     private val isDown: Boolean get() = schedule.now < downUntil
 
     fun load(): Event = if (isDown) {
-        Event.OfBackend.LoadUnknown(server.id)
+        Event.OfBackend.LoadReportFailed(server.id)
     } else {
         Event.OfBackend.LoadReported(server.id, start, work.size, schedule.now - startedAt)
     }
@@ -98,7 +98,7 @@
             }
             position < total -> {
                 current.reply(
-                    Event.OfBackend.Progressed(order.attempt, position, 1, token(order.version.value, position))
+                    Event.OfBackend.ChunkReceived(order.attempt, position, 1, token(order.version.value, position))
                 )
                 generate(order, position + 1)
             }
@@ -113,7 +113,7 @@
         val current = work[order.attempt]
         if (current != null && !current.silent) {
             work.remove(order.attempt)
-            current.reply(Event.OfBackend.Progressed(order.attempt, 0, 1, "ran ${order.body}"))
+            current.reply(Event.OfBackend.ChunkReceived(order.attempt, 0, 1, "ran ${order.body}"))
             current.reply(Event.OfBackend.Finished(order.attempt, 1, status = 200))
         }
     }
--- a/core/src/test/kotlin/org/quetzalloom/core/rig/Rig.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/rig/Rig.kt
@@ -210,7 +210,7 @@
 
     private fun tell(vm: VmId, effect: Effect.Tell) {
         val cut = vm in cutFromPeers || effect.to in cutFromPeers || losesMessage(effect.message)
-        if (!cut) post(effect.to, Event.PeerTold(vm, effect.stamp, effect.message), latency())
+        if (!cut) post(effect.to, Event.FromPeer(vm, effect.stamp, effect.message), latency())
     }
 
     private fun note(vm: VmId, text: String) {
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/BackendClient.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/BackendClient.kt
@@ -92,9 +92,9 @@
                     load.upForMilliseconds,
                 )
             } catch (_: IOException) {
-                Event.OfBackend.LoadUnknown(effect.server)
+                Event.OfBackend.LoadReportFailed(effect.server)
             } catch (_: IllegalArgumentException) {
-                Event.OfBackend.LoadUnknown(effect.server)
+                Event.OfBackend.LoadReportFailed(effect.server)
             }
             loop.post(event)
         }
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/EngineCall.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/EngineCall.kt
@@ -64,7 +64,7 @@
             val event = line.takeIf { it.startsWith(DATA) }?.let { parse(it) }
             if (event?.total != null) return event.total
             if (event != null) {
-                loop.post(Event.OfBackend.Progressed(order.attempt, event.position, event.tokens, event.text))
+                loop.post(Event.OfBackend.ChunkReceived(order.attempt, event.position, event.tokens, event.text))
             }
         }
     }
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/ServiceCall.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/ServiceCall.kt
@@ -36,7 +36,7 @@
     private suspend fun read(response: HttpResponse): Event.OfBackend {
         if (response.headers[BackendHeaders.NOT_RUN] != null) return refusal(order, response)
         accepted(order, response)?.let { loop.post(it) }
-        loop.post(Event.OfBackend.Progressed(order.attempt, position = 0, tokens = 1, text = response.bodyAsText()))
+        loop.post(Event.OfBackend.ChunkReceived(order.attempt, position = 0, tokens = 1, text = response.bodyAsText()))
         return Event.OfBackend.Finished(order.attempt, tokens = 1, status = response.status.value)
     }
 }
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/CallerRoutes.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/CallerRoutes.kt
@@ -79,7 +79,7 @@
         }
     }
 
-    private fun leave(id: RequestId) = loop.post(Event.OfCaller.Left(id)) { exchanges.forget(id) }
+    private fun leave(id: RequestId) = loop.post(Event.OfCaller.Disconnected(id)) { exchanges.forget(id) }
 }
 
 private fun ApplicationCall.header(name: String): String? = request.header(name)
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/peer/PeerRoutes.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/peer/PeerRoutes.kt
@@ -28,9 +28,9 @@
         }
     }
 
-    private fun parseOrNull(body: String): Event.PeerTold? = try {
+    private fun parseOrNull(body: String): Event.FromPeer? = try {
         val envelope = WireFormat.decodeFromString<PeerEnvelope>(body)
-        Event.PeerTold(VmId(envelope.from), envelope.stamp, envelope.message.toMessage())
+        Event.FromPeer(VmId(envelope.from), envelope.stamp, envelope.message.toMessage())
     } catch (_: IllegalArgumentException) {
         null
     }
