Name the effects after what is sent or requested

Cause: Tell, Piece and AskLoad don't name the receiver or the thing. Renames only.

rename: Piece -> Chunk (declared in effect/Effect.kt) rename: Tell -> SendToPeer (declared in effect/Effect.kt) rename: AskLoad -> RequestLoadReport (declared in effect/Effect.kt)

--- a/core/src/main/kotlin/org/quetzalloom/core/backend/HealthChanges.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/HealthChanges.kt
@@ -14,7 +14,7 @@
 
 /** Returns the transition that asks [server] for a load report. */
 internal fun RouterState.askLoad(server: BackendServer, now: Timestamp): Step =
-    withHealth(server.id) { it.copy(askedAt = now) }.with(Effect.OfBackend.AskLoad(server.id, server.address))
+    withHealth(server.id) { it.copy(askedAt = now) }.with(Effect.OfBackend.RequestLoadReport(server.id, server.address))
 
 /** Returns the health after a failure: no new work for a while, longer after each failure in a row. */
 internal fun ServerHealth.failed(now: Timestamp): ServerHealth {
--- a/core/src/main/kotlin/org/quetzalloom/core/effect/Effect.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/effect/Effect.kt
@@ -16,7 +16,7 @@
 
 /** Everything that a router can ask its surroundings to do. */
 public sealed interface Effect {
-    /** Answers to callers. A request gets one [Begin], any number of [Piece]s, and one [End] or [Refuse]. */
+    /** Answers to callers. A request gets one [Begin], any number of [Chunk]s, and one [End] or [Refuse]. */
     public sealed interface OfCaller : Effect {
         /** The request that is answered. */
         public val request: RequestId
@@ -33,7 +33,7 @@
         ) : OfCaller
 
         /** The next tokens of the answer, the first of which is number [position] from 0. */
-        public data class Piece(
+        public data class Chunk(
             override val request: RequestId,
             public val position: Int,
             public val text: String,
@@ -60,7 +60,7 @@
         public data class Cancel(public val attempt: AttemptId) : OfBackend
 
         /** Ask [server] at [address] for a load report. */
-        public data class AskLoad(public val server: BackendServerId, public val address: String) : OfBackend
+        public data class RequestLoadReport(public val server: BackendServerId, public val address: String) : OfBackend
     }
 
     /** Calls of the platform. */
@@ -91,7 +91,7 @@
     }
 
     /** Send [message] to the peer [to]. */
-    public data class Tell(public val to: VmId, public val stamp: Long, public val message: PeerMessage) : Effect
+    public data class SendToPeer(public val to: VmId, public val stamp: Long, public val message: PeerMessage) : Effect
 
     /** Add [entry] to the time line and to the logs. */
     public data class Report(public val entry: TimelineEntry) : Effect
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Attempts.kt
@@ -52,7 +52,7 @@
         answer = if (keepsAnswer(request)) request.answer.add(event.text) else request.answer,
     )
     return beginIfNew(request).then { it.put(next) }
-        .then { it.answer(request, Effect.OfCaller.Piece(request.id, request.delivered, event.text)) }
+        .then { it.answer(request, Effect.OfCaller.Chunk(request.id, request.delivered, event.text)) }
         .then { if (next.delivered - next.trialFrom < TRIAL_TOKENS) it.unchanged() else it.clearSuspicion(next, now) }
 }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Completion.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Completion.kt
@@ -88,7 +88,7 @@
     is CommandResult.Answered -> copy(requests = requests.remove(request.id))
         .with(
             Effect.OfCaller.Begin(request.id, request.version, sessionToken = null),
-            Effect.OfCaller.Piece(request.id, position = 0, text = result.body),
+            Effect.OfCaller.Chunk(request.id, position = 0, text = result.body),
             Effect.OfCaller.End(request.id, tokens = 0, costMicros = 0, status = result.status),
         )
         .then { it.report(now, "outcome_replayed", "request" to request.id, "key" to request.command?.key) }
--- a/core/src/main/kotlin/org/quetzalloom/core/router/Part.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/router/Part.kt
@@ -38,7 +38,7 @@
 /** Returns the transition that sends [message] to [peer], under the next causal stamp. */
 internal fun RouterState.sendToPeer(peer: VmId, message: PeerMessage): Step {
     val next = copy(stamp = stamp + 1)
-    return next.with(Effect.Tell(to = peer, stamp = next.stamp, message = message))
+    return next.with(Effect.SendToPeer(to = peer, stamp = next.stamp, message = message))
 }
 
 /** Returns the transition that sends [message] to each of [peers], in the order of their identifiers. */
--- a/core/src/test/kotlin/org/quetzalloom/core/rig/FakeCaller.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/rig/FakeCaller.kt
@@ -33,7 +33,7 @@
                 version = effect.version.value
                 sessionToken = effect.sessionToken
             }
-            is Effect.OfCaller.Piece -> text.append(effect.text)
+            is Effect.OfCaller.Chunk -> text.append(effect.text)
             is Effect.OfCaller.End -> end(now)
             is Effect.OfCaller.Refuse -> {
                 refusal = effect.error.kind
--- a/core/src/test/kotlin/org/quetzalloom/core/rig/Rig.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/rig/Rig.kt
@@ -147,7 +147,7 @@
             is Effect.OfCaller -> callers.first { it.request == effect.request }.receive(effect, schedule.now)
             is Effect.OfBackend -> carryOut(vm, effect)
             is Effect.OfPlatform -> carryOut(vm, effect)
-            is Effect.Tell -> tell(vm, effect)
+            is Effect.SendToPeer -> tell(vm, effect)
             is Effect.Report -> report(vm, effect)
             is Effect.Stop -> schedule.after(0) {
                 if (nodes[vm]?.incarnation == incarnation) {
@@ -176,7 +176,7 @@
             is Effect.OfBackend.Cancel -> schedule.after(latency()) {
                 servers.values.forEach { it.cancel(effect.attempt) }
             }
-            is Effect.OfBackend.AskLoad -> schedule.after(latency()) {
+            is Effect.OfBackend.RequestLoadReport -> schedule.after(latency()) {
                 post(vm, servers.getValue(effect.server).load(), latency())
             }
         }
@@ -208,7 +208,7 @@
         }
     }
 
-    private fun tell(vm: VmId, effect: Effect.Tell) {
+    private fun tell(vm: VmId, effect: Effect.SendToPeer) {
         val cut = vm in cutFromPeers || effect.to in cutFromPeers || losesMessage(effect.message)
         if (!cut) post(effect.to, Event.FromPeer(vm, effect.stamp, effect.message), latency())
     }
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/EffectInterpreter.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/EffectInterpreter.kt
@@ -22,7 +22,7 @@
             is Effect.OfCaller -> exchanges.deliver(effect)
             is Effect.OfBackend -> backends.carryOut(effect)
             is Effect.OfPlatform -> platform.carryOut(effect)
-            is Effect.Tell -> peers.carryOut(effect)
+            is Effect.SendToPeer -> peers.carryOut(effect)
             is Effect.Report -> reporter.report(effect.entry)
             is Effect.Stop -> stop()
         }
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/BackendClient.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/BackendClient.kt
@@ -38,7 +38,7 @@
         when (effect) {
             is Effect.OfBackend.Start -> start(effect.order)
             is Effect.OfBackend.Cancel -> cancel(effect.attempt)
-            is Effect.OfBackend.AskLoad -> askLoad(effect)
+            is Effect.OfBackend.RequestLoadReport -> askLoad(effect)
         }
     }
 
@@ -78,7 +78,7 @@
         logger.debug("event=attempt_io_failed attempt={} problem=\"{}\"", order.attempt, problem.message)
     }
 
-    private fun askLoad(effect: Effect.OfBackend.AskLoad) {
+    private fun askLoad(effect: Effect.OfBackend.RequestLoadReport) {
         scope.launch {
             val event = try {
                 val text = client.get("http://${effect.address}/load") {
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/AnswerWriter.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/AnswerWriter.kt
@@ -33,7 +33,7 @@
         when (val first = answers.receive()) {
             is Effect.OfCaller.Refuse -> ErrorWriter.write(call, first.error)
             is Effect.OfCaller.Begin -> begun(first, answers)
-            is Effect.OfCaller.Piece, is Effect.OfCaller.End -> error("an answer must begin before it goes on")
+            is Effect.OfCaller.Chunk, is Effect.OfCaller.End -> error("an answer must begin before it goes on")
         }
     }
 
@@ -60,7 +60,7 @@
 
     private fun format(answer: Effect.OfCaller, begin: Effect.OfCaller.Begin): String = when (answer) {
         is Effect.OfCaller.Begin -> ""
-        is Effect.OfCaller.Piece -> event(piece(begin, PieceChoice(delta = PieceDelta(answer.text))))
+        is Effect.OfCaller.Chunk -> event(piece(begin, PieceChoice(delta = PieceDelta(answer.text))))
         is Effect.OfCaller.End -> event(
             piece(begin, PieceChoice(delta = PieceDelta(), finishReason = "stop"))
                 .copy(usage = ChatUsage(answer.tokens, answer.costMicros)),
@@ -78,7 +78,7 @@
         for (answer in answers) {
             when (answer) {
                 is Effect.OfCaller.Begin -> Unit
-                is Effect.OfCaller.Piece -> text.append(answer.text)
+                is Effect.OfCaller.Chunk -> text.append(answer.text)
                 is Effect.OfCaller.Refuse -> ErrorWriter.write(call, answer.error)
                 is Effect.OfCaller.End -> respondEnd(begin, text.toString(), answer)
             }
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/peer/PeerClient.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/peer/PeerClient.kt
@@ -27,7 +27,7 @@
     private val addresses: PersistentMap<VmId, String>,
 ) {
     /** Starts to send the message of [effect]. */
-    fun carryOut(effect: Effect.Tell) {
+    fun carryOut(effect: Effect.SendToPeer) {
         val address = addresses[effect.to] ?: return
         val envelope = PeerEnvelope(self.value, effect.stamp, effect.message.toDocument())
         scope.launch { send(address, WireFormat.encodeToString(envelope)) }
