--- a/core/src/main/kotlin/org/quetzalloom/core/reducer/PartsReducer.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/reducer/PartsReducer.kt
@@ -6,5 +6,5 @@
 /** Composes [parts], each of which goes on from the state that the one before it has left. */
 internal class PartsReducer<S, E, F>(private val parts: PersistentList<Reducer<S, E, F>>) : Reducer<S, E, F> {
     override fun reduce(state: S, event: E, now: Timestamp): Transition<S, F> =
-        parts.fold(Transition(state)) { reached, part -> reached.then { part.reduce(it, event, now) } }
+        parts.fold(Transition(state)) { transition, part -> transition.then { part.reduce(it, event, now) } }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/reducer/Transition.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/reducer/Transition.kt
@@ -25,4 +25,4 @@
 public inline fun <S, F, T> Transition<S, F>.thenEach(
     items: Iterable<T>,
     step: (S, T) -> Transition<S, F>,
-): Transition<S, F> = items.fold(this) { reached, item -> reached.then { step(it, item) } }
+): Transition<S, F> = items.fold(this) { transition, item -> transition.then { step(it, item) } }
