Name the update of the causal stamp after its result

Cause: raised and seen don't say to what the stamp is raised. Renames only.

rename: raised -> withStampAtLeast (declared in timeline/StampPart.kt, only in: core/src/main/kotlin/org/quetzalloom/core/timeline) rename: seen -> received (declared in timeline/StampPart.kt, only in: core/src/main/kotlin/org/quetzalloom/core/timeline)

--- a/core/src/main/kotlin/org/quetzalloom/core/timeline/StampPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/timeline/StampPart.kt
@@ -10,10 +10,10 @@
 /** Raises the causal stamp above that of every message and log record received. */
 internal object StampPart : Part {
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
-        is Event.FromPeer -> state.raised(event.stamp)
-        is Event.OfPlatform.LogRead -> state.raised(event.entries.maxOfOrNull { it.stamp } ?: 0)
+        is Event.FromPeer -> state.withStampAtLeast(event.stamp)
+        is Event.OfPlatform.LogRead -> state.withStampAtLeast(event.entries.maxOfOrNull { it.stamp } ?: 0)
         else -> state.unchanged()
     }
 
-    private fun RouterState.raised(seen: Long): Step = copy(stamp = maxOf(stamp, seen)).unchanged()
+    private fun RouterState.withStampAtLeast(received: Long): Step = copy(stamp = maxOf(stamp, received)).unchanged()
 }
