Name the messages of the event loop and their callback after what they are

Cause: Posting, beforehand and take don't say what is posted, when the callback runs and what is taken.

rename: Posting -> LoopMessage (declared in runtime/Posting.kt, only in: runtime) rename: beforehand -> beforeReduce (declared in runtime/EventLoop.kt, only in: runtime) rename: take -> takeMessages (declared in runtime/EventLoop.kt, only in: runtime/src/main) rename: parked -> parkedReader (declared in runtime/Inbox.kt, only in: runtime/src/main) rename: note -> recordThread (declared in runtime/EventLoopTest.kt, only in: runtime/src/test) rename: effectsAndWhatIsDoneBeforehandRunOnTheLoopsThread -> effectsAndCallbacksRunOnTheLoopThread (declared in runtime/EventLoopTest.kt, only in: runtime/src/test) rename: own -> fresh (declared in runtime/InboxTest.kt, only in: runtime/src/test) rename: last -> received (declared in runtime/EventLoopTest.kt, only in: runtime/src/test)

--- a/runtime/src/main/kotlin/org/quetzalloom/runtime/EventLoop.kt
+++ b/runtime/src/main/kotlin/org/quetzalloom/runtime/EventLoop.kt
@@ -22,19 +22,20 @@
     private val settings: LoopSettings,
     private val clock: Clock = SystemClock(),
 ) {
-    private val inbox = Inbox<Posting<E>>()
+    private val inbox = Inbox<LoopMessage<E>>()
     private val published = AtomicReference(initial)
     private val ended = CountDownLatch(1)
 
     /**
      * Adds [event] to the inbox. May be called from any thread.
      *
-     * @param beforehand runs on the loop's thread just before the event is reduced.
+     * @param beforeReduce runs on the loop's thread just before the event is reduced.
      */
-    public fun post(event: E, beforehand: (() -> Unit)? = null): Unit = inbox.put(Posting.OfEvent(event, beforehand))
+    public fun post(event: E, beforeReduce: (() -> Unit)? = null): Unit =
+        inbox.put(LoopMessage.OfEvent(event, beforeReduce))
 
     /** Asks the loop to end after what was posted before. */
-    public fun stop(): Unit = inbox.put(Posting.Stop)
+    public fun stop(): Unit = inbox.put(LoopMessage.Stop)
 
     /** The state after the last reduction. */
     public fun snapshot(): S = published.get()
@@ -59,7 +60,7 @@
         var tickDueAt = clock.now()
         var running = true
         while (running) {
-            running = take(tickDueAt).all { it.process(interpreter) }
+            running = takeMessages(tickDueAt).all { it.process(interpreter) }
             val now = clock.now()
             if (running && now >= tickDueAt) {
                 tick?.let { reduce(it, interpreter) }
@@ -68,17 +69,17 @@
         }
     }
 
-    private fun take(until: Timestamp): List<Posting<E>> =
+    private fun takeMessages(until: Timestamp): List<LoopMessage<E>> =
         inbox.takeAllWithin((until - clock.now()).coerceAtLeast(0))
 
     /** Processes one posting; returns whether the loop goes on. */
-    private fun Posting<E>.process(interpreter: Interpreter<F>): Boolean = when (this) {
-        is Posting.OfEvent -> {
-            beforehand?.invoke()
+    private fun LoopMessage<E>.process(interpreter: Interpreter<F>): Boolean = when (this) {
+        is LoopMessage.OfEvent -> {
+            beforeReduce?.invoke()
             reduce(event, interpreter)
             true
         }
-        is Posting.Stop -> false
+        is LoopMessage.Stop -> false
     }
 
     private fun reduce(event: E, interpreter: Interpreter<F>) {
--- a/runtime/src/main/kotlin/org/quetzalloom/runtime/Inbox.kt
+++ b/runtime/src/main/kotlin/org/quetzalloom/runtime/Inbox.kt
@@ -12,12 +12,12 @@
  */
 public class Inbox<T : Any> {
     private val items = AtomicReference<PersistentList<T>>(persistentListOf())
-    private val parked = AtomicReference<Thread?>(null)
+    private val parkedReader = AtomicReference<Thread?>(null)
 
     /** Adds [item] at the end, and wakes the reader. */
     public fun put(item: T) {
         items.updateAndGet { it.add(item) }
-        parked.get()?.let { LockSupport.unpark(it) }
+        parkedReader.get()?.let { LockSupport.unpark(it) }
     }
 
     /** Takes everything that was put so far, without waiting; may be empty. */
@@ -25,9 +25,9 @@
 
     /** Waits until something is there or [milliseconds] have passed, then takes everything. Only for the reader. */
     public fun takeAllWithin(milliseconds: Long): PersistentList<T> {
-        parked.set(Thread.currentThread())
+        parkedReader.set(Thread.currentThread())
         if (items.get().isEmpty()) LockSupport.parkNanos(this, milliseconds * NANOSECONDS_PER_MILLISECOND)
-        parked.set(null)
+        parkedReader.set(null)
         return takeAll()
     }
 
--- a/runtime/src/test/kotlin/org/quetzalloom/runtime/EventLoopTest.kt
+++ b/runtime/src/test/kotlin/org/quetzalloom/runtime/EventLoopTest.kt
@@ -25,27 +25,27 @@
     @Test
     fun eventsOfManyThreadsAreReducedOneByOne() {
         val loop = loop()
-        val last = CountDownLatch(THREADS * EVENTS)
-        loop.start { last.countDown() }
+        val received = CountDownLatch(THREADS * EVENTS)
+        loop.start { received.countDown() }
         val threads = (1..THREADS).map { Thread { repeat(EVENTS) { loop.post(1) } } }
         threads.forEach { it.start() }
-        assertTrue(last.await(60, TimeUnit.SECONDS))
+        assertTrue(received.await(60, TimeUnit.SECONDS))
         loop.stop()
         assertTrue(loop.awaitEnd(60_000))
         assertEquals(THREADS * EVENTS, loop.snapshot())
     }
 
     @Test
-    fun effectsAndWhatIsDoneBeforehandRunOnTheLoopsThread() {
+    fun effectsAndCallbacksRunOnTheLoopThread() {
         val loop = loop()
         val threads = AtomicReference(emptyList<String>())
         val done = CountDownLatch(1)
-        fun note() = threads.updateAndGet { it + Thread.currentThread().name }
+        fun recordThread() = threads.updateAndGet { it + Thread.currentThread().name }
         loop.start {
-            note()
+            recordThread()
             done.countDown()
         }
-        loop.post(1) { note() }
+        loop.post(1) { recordThread() }
         assertTrue(done.await(60, TimeUnit.SECONDS))
         loop.stop()
         assertEquals(listOf("test-loop", "test-loop"), threads.get())
--- a/runtime/src/test/kotlin/org/quetzalloom/runtime/InboxTest.kt
+++ b/runtime/src/test/kotlin/org/quetzalloom/runtime/InboxTest.kt
@@ -26,17 +26,17 @@
 
     @Test
     fun itemsComeInTheOrderInWhichTheyWerePut() {
-        val own = Inbox<Int>()
-        (1..100).forEach { own.put(it) }
-        assertEquals((1..100).toList(), own.takeAll().toList())
+        val fresh = Inbox<Int>()
+        (1..100).forEach { fresh.put(it) }
+        assertEquals((1..100).toList(), fresh.takeAll().toList())
     }
 
     @Test
     fun aReaderThatWaitsIsWoken() {
-        val own = Inbox<Int>()
-        val writer = Thread { own.put(7) }
+        val fresh = Inbox<Int>()
+        val writer = Thread { fresh.put(7) }
         writer.start()
-        val taken = generateSequence { own.takeAllWithin(milliseconds = 60_000) }.first { it.isNotEmpty() }
+        val taken = generateSequence { fresh.takeAllWithin(milliseconds = 60_000) }.first { it.isNotEmpty() }
         writer.join()
         assertEquals(listOf(7), taken.toList())
     }
