Describe the configuration, its changes and its checks in the usual terms

Cause: comments spoke of what operators have said and of work that is borne, and left out when a change is invalid. Comments, and the wording of four messages about an invalid configuration; no test or tool matches them, and the names that they quote, by which the line in the settings is found, stay in their order. Also the comments of the tests; what they check is unchanged.

--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/BackendServer.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/BackendServer.kt
@@ -6,15 +6,15 @@
 import org.quetzalloom.core.identity.VersionId
 
 /**
- * One replica that runs requests.
+ * A replica that runs requests of one or more versions.
  *
- * @property address host and port, such as `127.0.0.1:9001`.
+ * @property address the host and port, such as `127.0.0.1:9001`.
  * @property versions the versions that it serves.
- * @property capacity the requests that it bears at once when warm, from the whole fleet.
- * @property coldCapacity the requests that it bears at once just after a start, from the whole fleet.
- * @property warmUpMilliseconds the time from a start until it bears [capacity].
- * @property checksFencing whether it refuses an order that carries a lower fencing number than it has seen.
- * @property leaving whether it receives no new work because it is about to be taken away.
+ * @property capacity the maximum number of concurrent requests when warm, from all VMs together.
+ * @property coldCapacity the maximum number of concurrent requests just after a start, from all VMs together.
+ * @property warmUpMilliseconds the time from a start until it can take [capacity] requests.
+ * @property checksFencing whether it refuses a call whose fencing number is lower than the highest it has seen.
+ * @property leaving whether it is about to be removed and receives no new requests.
  */
 public data class BackendServer(
     public val id: BackendServerId,
--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/Configuration.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/Configuration.kt
@@ -12,12 +12,12 @@
 import org.quetzalloom.core.identity.WorkspaceId
 
 /**
- * Everything that operators decide, at one revision.
+ * The workspaces, versions, backend servers, services and roll-outs that operators have set, at one revision.
  *
- * @property revision the number of accepted changes that led here.
+ * @property revision the number of changes accepted up to and including this configuration.
  * @property zones every availability zone.
- * @property zonesOut the availability zones that are out of service.
- * @property rollouts the roll-outs under way, by the model they concern.
+ * @property zonesOutOfService the availability zones whose backend servers receive no new requests.
+ * @property rollouts the current roll-outs, by model.
  */
 public data class Configuration(
     public val revision: Long = 0,
@@ -29,13 +29,13 @@
     public val services: PersistentList<ServiceRoute> = persistentListOf(),
     public val rollouts: PersistentMap<String, Rollout> = persistentMapOf(),
 ) {
-    /** Returns the version named [id] if it may receive new work, or `null`. */
+    /** Returns the version [id], or `null` if it does not exist or is withdrawn. */
     public fun activeVersionOrNull(id: VersionId): Version? = versions[id]?.takeUnless { it.withdrawn }
 
-    /** Returns the service route with the longest prefix of [path], or `null`. */
+    /** Returns the service route with the longest matching prefix of [path], or `null` if none matches. */
     public fun routeOrNull(path: String): ServiceRoute? =
         services.filter { path.startsWith(it.pathPrefix) }.maxByOrNull { it.pathPrefix.length }
 
-    /** Returns whether [server] may receive new work as far as operators have said. */
+    /** Returns whether [server] may receive new requests: neither it is leaving nor its zone is out of service. */
     public fun isInService(server: BackendServer): Boolean = !server.leaving && server.zone !in zonesOutOfService
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationChange.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationChange.kt
@@ -5,33 +5,37 @@
 import org.quetzalloom.core.identity.BackendServerId
 import org.quetzalloom.core.identity.VersionId
 
-/** One change of the configuration. */
+/** A change of the configuration that an operator or the roll-out policy makes. */
 public sealed interface ConfigurationChange {
     /**
-     * Replaces everything by [configuration], whose own revision number is ignored. What operators have said by
-     * other changes stays: versions withdrawn, availability zones out, backend servers leaving, and roll-outs.
+     * Replaces the whole configuration by [configuration], whose revision number is ignored.
+     *
+     * What other changes have set stays in effect for items that still exist: withdrawn versions, availability zones
+     * out of service, leaving backend servers and roll-outs.
      */
     public data class Publish(public val configuration: Configuration) : ConfigurationChange
 
-    /** Takes [zone] out of service, or brings it back. */
+    /** Puts [zone] in service or takes it out of service. */
     public data class SetZone(public val zone: AvailabilityZoneId, public val inService: Boolean) : ConfigurationChange
 
-    /** Withdraws [version] for good, and ends a roll-out to it. */
+    /** Withdraws [version] permanently and ends the roll-out to it, if any. */
     public data class Withdraw(public val version: VersionId) : ConfigurationChange
 
-    /** Marks [server] as leaving, or as staying. */
+    /** Sets whether [server] is leaving. */
     public data class SetLeaving(public val server: BackendServerId, public val leaving: Boolean) : ConfigurationChange
 
-    /** Starts [rollout], or replaces the one of the same model. */
+    /** Starts [rollout] or replaces the current roll-out of the same model. */
     public data class SetRollout(public val rollout: Rollout) : ConfigurationChange
 
-    /** Ends the roll-out of [model]; every request goes to the old version again. */
+    /** Ends the roll-out of [model], so that every request goes to the old version again. */
     public data class EndRollout(public val model: String) : ConfigurationChange
 }
 
 /**
- * Returns the configuration that follows this one by [change], at the next revision,
- * or `null` if the change names something that does not exist.
+ * Returns the configuration after [change], at the next revision.
+ *
+ * Returns `null` if the change is invalid: it names something that does not exist, or its roll-out has a share out of
+ * range or does not connect two active versions of one model.
  */
 public fun Configuration.applyOrNull(change: ConfigurationChange): Configuration? =
     changedOrNull(change)?.copy(revision = revision + 1)
--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationPart.kt
@@ -19,7 +19,10 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * Follows the configuration stream, learns newer revisions from peers and hands them on, and puts snapshots back.
+ * Reads the configuration stream of the log, exchanges newer revisions with peers, and appends snapshots to the stream.
+ *
+ * A snapshot keeps the configuration readable after the log has expired the records that led to it. Rendezvous hashing
+ * over the live VMs selects the one that writes it.
  */
 internal object ConfigurationPart : Part {
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
@@ -89,7 +92,10 @@
         rendezvousOrNull(livePeers(now) + settings.vm, "snapshot:${current.revision}") == settings.vm
 }
 
-/** Returns whether the configuration may be relied on for new work. */
+/**
+ * Returns whether the configuration may be used for new requests: one is known, and the log was read or a peer heard
+ * from within the staleness limit.
+ */
 internal fun RouterState.isFresh(now: Timestamp): Boolean {
     val lastContactAt = configuration.lastContactAt ?: return false
     return configuration.view.current != null && now - lastContactAt < settings.limits.stalenessMilliseconds
--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationRecord.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationRecord.kt
@@ -1,12 +1,12 @@
 package org.quetzalloom.core.configuration
 
-/** One record of the configuration stream of the platform's log. */
+/** A record of the configuration stream in the platform's log. */
 public sealed interface ConfigurationRecord {
     /**
-     * A change that was decided in sight of revision [base]. It takes effect if it is the first in the log
-     * to build on that revision.
+     * A change that was made on the basis of revision [base]. It takes effect if it is the first valid one in the log
+     * with that base.
      *
-     * @property author who made the change.
+     * @property author the operator or VM that made the change.
      */
     public data class Proposed(
         public val base: Long,
@@ -14,6 +14,9 @@
         public val change: ConfigurationChange,
     ) : ConfigurationRecord
 
-    /** The state at some revision, put back so that it outlives the records that led to it. Changes nothing. */
+    /**
+     * The [configuration] at its revision, appended so that it stays readable after the log has expired the records
+     * that led to it. Does not change the configuration.
+     */
     public data class Snapshot(public val configuration: Configuration) : ConfigurationRecord
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationView.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationView.kt
@@ -6,28 +6,28 @@
 import kotlinx.collections.immutable.persistentMapOf
 
 /**
- * What a reader of the configuration stream knows.
+ * The configuration as a reader of the configuration stream knows it.
  *
- * Every reader of the same records in the same order accepts the same changes. The revision never falls.
+ * All readers of the same records in the same order accept the same changes. The revision never decreases.
  *
- * @property current the newest configuration known, or `null` before the first.
- * @property pending for each revision above [current], the changes seen that build on it, in order. A reader that
- *   starts after the oldest records have expired needs these once it finds a snapshot.
+ * @property current the newest known configuration, or `null` before the first.
+ * @property pending changes based on revisions later than [current], by that revision, in log order. A reader that
+ *   starts after the oldest records have expired applies them once it reads a snapshot.
  */
 public data class ConfigurationView(
     public val current: Configuration? = null,
     public val pending: PersistentMap<Long, PersistentList<ConfigurationChange>> = persistentMapOf(),
 ) {
-    /** The newest revision known, or 0 before the first. */
+    /** The newest known revision, or 0 before the first. */
     public val revision: Long get() = current?.revision ?: 0
 
-    /** Returns the view after [record], the next one of the stream. */
+    /** Returns the view after reading [record], the next one of the stream. */
     public fun read(record: ConfigurationRecord): ConfigurationView = when (record) {
         is ConfigurationRecord.Snapshot -> adopt(record.configuration)
         is ConfigurationRecord.Proposed -> readProposal(record)
     }
 
-    /** Returns the view after hearing of [configuration] from a snapshot or a peer; an older one is ignored. */
+    /** Returns the view with [configuration], from a snapshot or a peer, if it is newer than the current one. */
     public fun adopt(configuration: Configuration): ConfigurationView =
         if (configuration.revision <= revision) this else copy(current = configuration).withPendingApplied()
 
@@ -37,7 +37,7 @@
         return copy(pending = pending.put(record.base, earlier.add(record.change))).withPendingApplied()
     }
 
-    /** Applies the first valid pending change of each revision, as far as they reach. */
+    /** Applies the first valid pending change of each revision in turn, until a revision has none. */
     private fun withPendingApplied(): ConfigurationView {
         val base = current ?: Configuration()
         val next = pending[base.revision].orEmpty().firstNotNullOfOrNull { base.applyOrNull(it) }
--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/Problems.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/Problems.kt
@@ -3,9 +3,10 @@
 import org.quetzalloom.core.identity.VersionId
 
 /**
- * Returns everything that is wrong with this configuration, in words for operators; empty if nothing is.
+ * Returns a message for the operator about each problem of this configuration; empty if it is valid.
  *
- * @param fleetSize the number of entry VMs, or `null` where it is not known.
+ * @param fleetSize the number of entry VMs, or `null` if it is not known. The capacity for the fleet is then not
+ *   checked.
  */
 public fun Configuration.problems(fleetSize: Int? = null): List<String> =
     workspaceProblems() + serverProblems() + serviceProblems() + rolloutProblems() + fleetProblems(fleetSize)
@@ -21,7 +22,7 @@
         emptyList()
     } else {
         listOf(
-            "workspace '${workspace.id}' has quality_target ${workspace.qualityTarget}, which is not within 0.0 and 1.0"
+            "workspace '${workspace.id}' has quality_target ${workspace.qualityTarget}, which is not in 0.0..1.0"
         )
     }
     unknown + notServed + qualityTarget
@@ -34,7 +35,7 @@
     val name = "backend server '${server.id}'"
     listOfNotNull(
         "$name is in availability zone '${server.zone}', which does not exist".takeIf { server.zone !in zones },
-        "$name has cold_capacity ${server.coldCapacity}, which is not within 1 and its capacity ${server.capacity}"
+        "$name has cold_capacity ${server.coldCapacity}, which is not between 1 and its capacity ${server.capacity}"
             .takeIf { server.coldCapacity !in 1..server.capacity },
         "$name has warm_up_milliseconds ${server.warmUpMilliseconds}, which is below 0"
             .takeIf { server.warmUpMilliseconds < 0 },
@@ -46,23 +47,26 @@
 private fun Configuration.serviceProblems(): List<String> = services.flatMap { route ->
     listOfNotNull(
         "service path '${route.pathPrefix}' must start with '/'".takeIf { !route.pathPrefix.startsWith("/") },
-        "service path '${route.pathPrefix}' leads to '${route.model}', of which no version is of kind service"
+        "service path '${route.pathPrefix}' routes to '${route.model}', which has no version of kind service"
             .takeIf { versions.values.none { it.model == route.model && it.kind == VersionKind.SERVICE } },
     )
 }
 
 private fun Configuration.rolloutProblems(): List<String> = rollouts.values.sortedBy { it.to }.mapNotNull { rollout ->
-    "the roll-out from '${rollout.from}' to '${rollout.to}' needs two versions of one model and a share up to 1000"
+    "the roll-out from '${rollout.from}' to '${rollout.to}' needs active versions of one model and a share of 0 to 1000"
         .takeIf { applyOrNull(ConfigurationChange.SetRollout(rollout)) == null }
 }
 
-/** Backend servers of the same versions must bear one request from each VM, so that each VM may send to one. */
+/**
+ * Checks that the backend servers of each set of versions together take one request per VM when cold. Otherwise some VM
+ * would have none to send to, as a backend server is given at most as many VMs as its cold capacity.
+ */
 private fun Configuration.fleetProblems(fleetSize: Int?): List<String> {
     if (fleetSize == null) return emptyList()
     val pools = backendServers.values.groupBy { it.versions.sorted() }
     return pools.entries.mapNotNull { (served, servers) ->
         val coldCapacity = servers.sumOf { it.coldCapacity }
-        "the backend servers of $served have a cold_capacity of $coldCapacity together, below the $fleetSize entry VMs"
+        "the backend servers of $served have a combined cold_capacity of $coldCapacity, below the $fleetSize entry VMs"
             .takeIf { coldCapacity < fleetSize }
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/Rollout.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/Rollout.kt
@@ -3,10 +3,12 @@
 import org.quetzalloom.core.identity.VersionId
 
 /**
- * The gradual replacement of one version by another of the same model.
+ * A gradual replacement of one version by another of the same model.
  *
- * @property sharePermille the requests per thousand that go to [to] in place of [from].
- * @property paused whether the share stays as it is until an operator resumes the roll-out.
+ * @property from the old version.
+ * @property to the new version.
+ * @property sharePermille the requests per thousand that go to [to] instead of [from].
+ * @property paused whether the share is kept until an operator resumes the roll-out.
  */
 public data class Rollout(
     public val from: VersionId,
--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/ServiceRoute.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/ServiceRoute.kt
@@ -3,11 +3,12 @@
 import kotlinx.collections.immutable.PersistentSet
 
 /**
- * Routes calls by path to a plain service.
+ * A route from a path prefix to a plain service.
  *
- * @property pathPrefix the start of the paths that are routed, such as `/ovens/`.
- * @property model the service that answers.
- * @property nonRepeatableMethods the HTTP methods, in upper case, whose calls run at most once and need a key.
+ * @property pathPrefix the prefix of the paths that are routed, such as `/ovens/`.
+ * @property model the name of the service, which its versions carry as their model.
+ * @property nonRepeatableMethods the HTTP methods, in upper case, whose calls run at most once and require an
+ *   idempotency key.
  */
 public data class ServiceRoute(
     public val pathPrefix: String,
--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/Version.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/Version.kt
@@ -3,13 +3,14 @@
 import org.quetzalloom.core.identity.VersionId
 
 /**
- * One version of a model or of a plain service.
+ * A version of a model or of a plain service.
  *
- * @property model the model or service that this is a version of.
+ * @property model the name of the model or service that this is a version of.
  * @property costMicros the price of 1,000 generated tokens (engine) or of 1,000 calls (service),
  *   in millionths of the currency unit.
- * @property expectedQuality the share of good answers to expect before any rating is known, 0.0 to 1.0.
- * @property withdrawn whether the version receives no new work.
+ * @property expectedQuality the share of good answers to expect before there are ratings, 0.0 to 1.0; the prior of
+ *   quality estimates.
+ * @property withdrawn whether the version receives no new requests.
  */
 public data class Version(
     public val id: VersionId,
--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/VersionKind.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/VersionKind.kt
@@ -1,10 +1,10 @@
 package org.quetzalloom.core.configuration
 
-/** What the backend servers of a version are. */
+/** The kind of backend server that a version runs on. */
 public enum class VersionKind {
-    /** A model engine, which answers completions in pieces and can resume a stream. */
+    /** A model engine, which streams completions in chunks and can resume a stream. */
     ENGINE,
 
-    /** A plain service, which answers one HTTP request with one response. */
+    /** A plain service, which answers each HTTP request with one response. */
     SERVICE,
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/Workspace.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/Workspace.kt
@@ -5,7 +5,7 @@
 import org.quetzalloom.core.identity.WorkspaceId
 
 /**
- * A customer of the router, with what its requests may use.
+ * A customer of the router, with the versions that its requests may use.
  *
  * @property allowed the versions that its requests may run on.
  * @property qualityTarget the share of answers that must be rated good, 0.0 to 1.0.
--- a/core/src/test/kotlin/org/quetzalloom/core/EmbeddingTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/EmbeddingTest.kt
@@ -15,7 +15,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-/** The example of the page on embedding. */
+/** Runs the example of the embedding guide: a caller drives the reducer without a daemon. */
 class EmbeddingTest {
     private val settings = RouterSettings(
         vm = VmId("vm-1"),
--- a/core/src/test/kotlin/org/quetzalloom/core/configuration/ConfigurationUnderFailureTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/configuration/ConfigurationUnderFailureTest.kt
@@ -18,6 +18,10 @@
 import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
 
+/**
+ * Changes of the configuration while VMs, the log and the links between peers fail: all VMs must end at the
+ * configuration that the order of the log gives, and none may go back to an earlier revision.
+ */
 class ConfigurationUnderFailureTest {
     @Test
     fun whatIsAcceptedIsInForceEverywhereAndNeverReverts() = seeds(SEEDS).forEach { seed ->
@@ -40,7 +44,7 @@
             rig.runFor(SETTLE_MILLISECONDS)
             (findings + differences(rig)).size
         }
-        assertTrue(found > 0, "the check must find what the order of the log prevents")
+        assertTrue(found > 0, "the check must find VMs that disagree when the order of the log is ignored")
     }
 
     @Test
@@ -102,7 +106,7 @@
         assertEquals(listOf(2L, 2L, 2L), Fleet.vms.map { rig.revision(it) })
     }
 
-    /** Two operators propose a change on the revision that each of them sees, every 300 milliseconds. */
+    /** Every 300 milliseconds, two operators propose a change, both based on the highest revision in force. */
     private fun raceOperators(rig: Rig) = repeat(CHANGES) { number ->
         rig.schedule.after(number * 300L) {
             val base = rig.up.maxOfOrNull { rig.revision(it) } ?: 1
@@ -112,7 +116,7 @@
         }
     }
 
-    /** Notes each VM whose revision falls while it runs. */
+    /** Adds a finding for each VM whose revision decreases while it runs. */
     private fun watchRevisions(rig: Rig): List<String> {
         val findings = mutableListOf<String>()
         val highest = mutableMapOf<String, Long>()
@@ -135,7 +139,7 @@
             .map { "$it is at revision ${rig.revision(it)} and differs from what the log accepted" }
     }
 
-    /** The naive twin: reads the records one by one, and takes those that build on the revision reached. */
+    /** Reference implementation: reads all records in order and applies each that is based on the current revision. */
     private fun acceptedByLog(rig: Rig): Configuration = rig.log.records(LogStream.CONFIGURATION)
         .mapNotNull { (it as LogRecord.OfConfiguration).record as? ConfigurationRecord.Proposed }
         .fold(Configuration()) { current, record ->
@@ -152,7 +156,7 @@
         val thirdVm = Fleet.vms[2]
         val zoneOut = ConfigurationChange.SetZone(Fleet.zones[1], inService = false)
 
-        /** Takes over every change that is read, whatever it builds on. */
+        /** A faulty part for comparison: applies every change that is read, whatever revision it is based on. */
         val lastWriteWins = Part { state, event, _ ->
             val read = (event as? Event.OfPlatform.LogRead)?.entries.orEmpty()
                 .mapNotNull { (it.record as? LogRecord.OfConfiguration)?.record }
--- a/core/src/test/kotlin/org/quetzalloom/core/configuration/ConfigurationViewTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/configuration/ConfigurationViewTest.kt
@@ -9,6 +9,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
+/** Which changes a reader of the configuration stream accepts, for random sequences of proposals. */
 class ConfigurationViewTest {
     private val start = ConfigurationView()
         .read(ConfigurationRecord.Proposed(0, "first", ConfigurationChange.Publish(Fleet.configuration)))
@@ -70,7 +71,7 @@
         assertEquals(true, withdrawn.read(again).current?.versions?.get(Fleet.old)?.withdrawn)
     }
 
-    /** Writers build only on revisions that exist: a record on a later one is moved to the revision reached so far. */
+    /** Lowers the base of each record to the current revision if it is later: writers know only existing ones. */
     private fun withExistingBases(records: List<ConfigurationRecord.Proposed>): List<ConfigurationRecord.Proposed> =
         records.fold(start to emptyList<ConfigurationRecord.Proposed>()) { (view, kept), record ->
             val moved = record.copy(base = minOf(record.base, view.revision))
