--- a/core/src/main/kotlin/org/quetzalloom/core/membership/MembershipPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/membership/MembershipPart.kt
@@ -16,7 +16,7 @@
 import org.quetzalloom.core.selection.ownSums
 import org.quetzalloom.core.time.Timestamp
 
-/** Keeps track of peers, and sends digests to them in turn. */
+/** Tracks which peers are live, and gossips: sends a digest and this VM's rating sums to one peer in rotation. */
 internal object MembershipPart : Part {
     private const val LIST_INTERVAL_MILLISECONDS = 2_000L
 
@@ -57,10 +57,10 @@
     }
 }
 
-/** Returns the other VM slots of the fleet, in order. */
+/** Returns the other VMs of the fleet in the order of their identifiers. */
 internal fun RouterState.peers(): List<VmId> = settings.fleet.keys.filter { it != settings.vm }.sorted()
 
-/** Returns the peers that were heard lately and are not listed as leaving. */
+/** Returns the peers that were heard from within the peer timeout and are not listed as leaving, in order. */
 internal fun RouterState.livePeers(now: Timestamp): List<VmId> = peers().filter { peer ->
     val lastMessageAt = membership.lastMessageAt[peer]
     lastMessageAt != null &&
--- a/core/src/main/kotlin/org/quetzalloom/core/membership/MembershipState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/membership/MembershipState.kt
@@ -6,13 +6,13 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * The slice of [MembershipPart].
+ * The state of [MembershipPart].
  *
- * @property lastMessageAt when each peer was last heard.
- * @property leaving the VMs that the platform lists, and whether each is leaving.
- * @property digestSentAt when the last digest was sent.
- * @property digestsSent the number of digests sent.
- * @property listRequestedAt when the list of VMs was last asked for.
+ * @property lastMessageAt when the last message of each peer was received.
+ * @property leaving whether each VM is leaving, for the VMs that the platform lists.
+ * @property digestSentAt when the last digest was sent, or `null` before the first.
+ * @property digestsSent the number of digests sent since the start; determines the next receiver.
+ * @property listRequestedAt when the list of VMs was last requested, or `null` before the first time.
  */
 internal data class MembershipState(
     val lastMessageAt: PersistentMap<VmId, Timestamp> = persistentMapOf(),
