--- a/core/src/main/kotlin/org/quetzalloom/core/log/Appends.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/log/Appends.kt
@@ -10,7 +10,7 @@
 import org.quetzalloom.core.router.with
 import org.quetzalloom.core.time.Timestamp
 
-/** Starts an append of each stream that has records waiting and is due. */
+/** Starts an append to each stream that has queued records, no append in flight and whose next append is due. */
 internal fun RouterState.appendAll(now: Timestamp): Step =
     log.writers.keys.sorted().fold(unchanged()) { transition, stream -> transition.then { it.append(stream, now) } }
 
@@ -39,10 +39,10 @@
 internal fun RouterState.withWriter(stream: LogStream, writer: StreamWriter): RouterState =
     copy(log = log.copy(writers = log.writers.put(stream, writer)))
 
-/** Returns the least time between two appends of this VM to one stream, so that the whole fleet keeps to its limit. */
+/** Returns the minimum time between two appends of a VM to one stream at which the whole fleet keeps to the limit. */
 private fun RouterSettings.appendIntervalMilliseconds(): Long =
     fleet.size * WRITTEN_STREAMS * MILLISECONDS_PER_SECOND / limits.appendsPerSecond
 
-/** The streams that a VM appends to all the time. */
+/** The number of streams that a VM appends to continually: commands and bills. */
 private const val WRITTEN_STREAMS = 2
 private const val MILLISECONDS_PER_SECOND = 1_000L
--- a/core/src/main/kotlin/org/quetzalloom/core/log/LogPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/log/LogPart.kt
@@ -13,10 +13,10 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * Reads the streams that the router follows, and appends what the other parts have enqueued in batches.
+ * Reads the streams that the router follows, and appends the records that the other parts have queued, in batches.
  *
- * A batch whose append failed, or whose answer was lost, is appended again: readers ignore a second intent,
- * outcome or release of the same request and a second bill of the same identity.
+ * A batch is appended again if its append failed or the response was lost, so the log may contain it twice. Readers
+ * ignore a second intent, outcome or release of the same request and a second bill of the same identity.
  */
 internal object LogPart : Part {
     private val followed = listOf(LogStream.CONFIGURATION, LogStream.COMMANDS)
@@ -45,7 +45,7 @@
         return withReader(stream, reader.copy(reading = false, dueAt = now + settings.limits.readIntervalMilliseconds))
     }
 
-    /** An append that succeeded is read back at once, as requests may wait for it. */
+    /** Completes an append and reads its stream at once, as requests may be waiting for the records. */
     private fun RouterState.recordAppend(append: Long, now: Timestamp): RouterState {
         val (stream, writer) = writerOfOrNull(append) ?: return this
         val next = withWriter(stream, writer.copy(append = null, inFlight = persistentListOf()))
--- a/core/src/main/kotlin/org/quetzalloom/core/log/LogRecord.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/log/LogRecord.kt
@@ -8,7 +8,7 @@
 import org.quetzalloom.core.ledger.CommandResult
 import org.quetzalloom.core.request.Fingerprint
 
-/** One record of the platform's log. */
+/** A record of the platform's log. */
 public sealed interface LogRecord {
     /** The stream that the record belongs to. */
     public val stream: LogStream
@@ -19,8 +19,12 @@
     }
 
     /**
-     * The wish of [owner] to run [command] for [request]. The first intent of a command gives its owner, and
-     * nobody else, the right to send the call once.
+     * A claim of [owner] to run [command] for [request].
+     *
+     * The first intent of a command in the log gives its owner, and no other VM, the right to send the call once. If it
+     * is released, the next intent after the release takes its place.
+     *
+     * @property fingerprint identifies the content of the request, to detect a key that is reused for another one.
      */
     public data class Intent(
         public val command: CommandId,
@@ -31,7 +35,7 @@
         override val stream: LogStream get() = LogStream.COMMANDS
     }
 
-    /** The end of the run that the intent of [request] allowed. */
+    /** The [result] of the call that the intent of [request] gave the right to send. */
     public data class Outcome(
         public val command: CommandId,
         public val request: RequestId,
@@ -40,7 +44,7 @@
         override val stream: LogStream get() = LogStream.COMMANDS
     }
 
-    /** Tells that the intent of [request] was given up before anything was sent. */
+    /** Withdraws the intent of [request], which was abandoned before the call was sent. */
     public data class Release(
         public val command: CommandId,
         public val request: RequestId,
@@ -48,7 +52,7 @@
         override val stream: LogStream get() = LogStream.COMMANDS
     }
 
-    /** A bill. */
+    /** A record of the bills stream. */
     public data class OfBill(public val bill: Bill) : LogRecord {
         override val stream: LogStream get() = LogStream.BILLS
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/log/LogStream.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/log/LogStream.kt
@@ -2,10 +2,10 @@
 
 /** The streams of the platform's log that the router uses. */
 public enum class LogStream {
-    /** Changes of the configuration, and snapshots of it. */
+    /** Proposed changes and snapshots of the configuration. */
     CONFIGURATION,
 
-    /** Intents, outcomes and releases of calls that may not be repeated. */
+    /** Intents, outcomes and releases of calls that may run at most once. */
     COMMANDS,
 
     /** Bills. */
--- a/core/src/main/kotlin/org/quetzalloom/core/log/StreamWriter.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/log/StreamWriter.kt
@@ -5,11 +5,11 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * What is to be appended to a stream.
+ * The records that this VM has yet to append to a stream.
  *
- * @property queue records that wait.
- * @property append the number of the append under way, or `null`.
- * @property inFlight its records.
+ * @property queue the records that wait for the next append, oldest first.
+ * @property append the number of the append in flight, or `null`.
+ * @property inFlight the records of the append in flight.
  * @property dueAt the earliest time of the next append.
  */
 internal data class StreamWriter(
@@ -18,5 +18,6 @@
     val inFlight: PersistentList<LogRecord> = persistentListOf(),
     val dueAt: Timestamp = Timestamp.EPOCH,
 ) {
+    /** Whether no record is queued and no append is in flight. */
     val idle: Boolean get() = queue.isEmpty() && append == null
 }
