--- a/core/src/main/kotlin/org/quetzalloom/core/event/Event.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/event/Event.kt
@@ -14,29 +14,34 @@
 import org.quetzalloom.core.request.CallerRequest
 import org.quetzalloom.core.selection.Rating
 
-/** Everything that can happen to a router. */
+/** An input of the router's reducer. */
 public sealed interface Event {
-    /** Time has passed. Due several times a second. */
+    /** Time has passed. Must come several times a second, as timeouts and intervals are checked on ticks. */
     public data object Tick : Event
 
-    /** The operator or the platform asks the VM to stop. */
+    /** The operator or the platform requests a graceful shutdown of the VM. */
     public data object ShutdownRequested : Event
 
-    /** What callers do. */
+    /** Events of callers. */
     public sealed interface OfCaller : Event {
-        /** A caller sent [call], which the front end named [request]. */
+        /** A caller sent [call], to which the front end has given the identifier [request]. */
         public data class Arrived(public val request: RequestId, public val call: CallerRequest) : OfCaller
 
-        /** The caller closed its connection before the answer was whole. */
+        /** The caller of [request] closed its connection before the answer was complete. */
         public data class Disconnected(public val request: RequestId) : OfCaller
     }
 
-    /** What backend servers do. */
+    /** Events of backend servers. */
     public sealed interface OfBackend : Event {
-        /** The backend server began to answer; [start] names the start that it runs since. */
+        /** The backend server began to answer. [start] identifies its current process. */
         public data class Accepted(public val attempt: AttemptId, public val start: StartIdentity) : OfBackend
 
-        /** Tokens arrived. [position] counts the tokens of the answer before [text]; [tokens] are in it. */
+        /**
+         * A chunk of the answer arrived. A plain service sends its whole body as one chunk of one token.
+         *
+         * @property position the number of tokens of the answer before this chunk.
+         * @property tokens the number of tokens in [text].
+         */
         public data class ChunkReceived(
             public val attempt: AttemptId,
             public val position: Int,
@@ -44,17 +49,28 @@
             public val text: String,
         ) : OfBackend
 
-        /** The answer ended. [tokens] counts those of the whole answer; [status] is the HTTP status of a service. */
+        /**
+         * The answer is complete.
+         *
+         * @property tokens the number of tokens of the whole answer.
+         * @property status the HTTP status of the response.
+         */
         public data class Finished(
             public val attempt: AttemptId,
             public val tokens: Int,
             public val status: Int,
         ) : OfBackend
 
-        /** The attempt failed. */
+        /** The attempt ended without a complete answer. */
         public data class Failed(public val attempt: AttemptId, public val failure: AttemptFailure) : OfBackend
 
-        /** A load report: [running] requests, and the time since the start in milliseconds. Late by some time. */
+        /**
+         * A load report of [server], which may be out of date when it arrives.
+         *
+         * @property start identifies the current process of the backend server.
+         * @property running the number of requests that it runs, from all VMs.
+         * @property upForMilliseconds the time since its start.
+         */
         public data class LoadReported(
             public val server: BackendServerId,
             public val start: StartIdentity,
@@ -62,13 +78,18 @@
             public val upForMilliseconds: Long,
         ) : OfBackend
 
-        /** The backend server did not report. */
+        /** A load report of [server] was requested and could not be read. */
         public data class LoadReportFailed(public val server: BackendServerId) : OfBackend
     }
 
-    /** What the platform does. */
+    /** Events of the platform. */
     public sealed interface OfPlatform : Event {
-        /** The log gave [entries]; [next] is the offset to read from next, [earliest] the oldest one kept. */
+        /**
+         * A read of [stream] returned [entries], which may be empty.
+         *
+         * @property next the offset to read from next.
+         * @property earliest the offset of the oldest record that the log still keeps.
+         */
         public data class LogRead(
             public val stream: LogStream,
             public val entries: PersistentList<LogEntry>,
@@ -76,26 +97,30 @@
             public val earliest: Long,
         ) : OfPlatform
 
-        /** The log could not be read. */
+        /** A read of [stream] failed. */
         public data class LogReadFailed(public val stream: LogStream) : OfPlatform
 
-        /** The append numbered [append] is in the log. */
+        /** The append numbered [append] succeeded. */
         public data class LogAppended(public val append: Long) : OfPlatform
 
-        /** The append numbered [append] failed, or its answer was lost after it took effect. */
+        /** The append numbered [append] failed, or it took effect and its response was lost. */
         public data class LogAppendFailed(public val append: Long) : OfPlatform
 
-        /** The list of VMs, which lags. */
+        /** The platform's list of VMs, which may be out of date. */
         public data class VmsListed(public val listings: PersistentList<VmListing>) : OfPlatform
 
-        /** Ratings of answers that this VM had submitted; [next] is the place to read from next. */
+        /** Ratings of answers that this VM had submitted. [next] is the offset to read from next. */
         public data class RatingsRead(public val ratings: PersistentList<Rating>, public val next: Long) : OfPlatform
 
-        /** A read of the VM list or of the ratings failed. */
+        /**
+         * A read of the VM list or of the ratings, or a submission for rating, failed.
+         *
+         * @property source what was read or submitted: `vms`, `ratings` or `samples`.
+         */
         public data class PlatformReadFailed(public val source: String) : OfPlatform
     }
 
-    /** A peer sent [message]; [stamp] is its causal stamp at that time. */
+    /** The peer [from] sent [message]. [stamp] is the counter of its causal stamp at that time. */
     public data class FromPeer(
         public val from: VmId,
         public val stamp: Long,
