--- a/core/src/main/kotlin/org/quetzalloom/core/effect/Effect.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/effect/Effect.kt
@@ -14,17 +14,22 @@
 import org.quetzalloom.core.selection.RatingSubject
 import org.quetzalloom.core.timeline.TimelineEntry
 
-/** Everything that a router can ask its surroundings to do. */
+/** An output of the router's reducer, which the process that drives it carries out. */
 public sealed interface Effect {
-    /** Answers to callers. A request gets one [Begin], any number of [Chunk]s, and one [End] or [Refuse]. */
+    /**
+     * Answers to callers. A request is answered by [Begin], any number of [Chunk]s and [End], or by [Refuse], which may
+     * also come after [Begin] and [Chunk]s.
+     */
     public sealed interface OfCaller : Effect {
         /** The request that is answered. */
         public val request: RequestId
 
         /**
-         * The answer begins.
+         * Begins the answer.
          *
-         * @property sessionToken the token to send with later requests of the session, or `null` without one.
+         * @property version the version that the request runs on.
+         * @property sessionToken the token for the caller to send with later requests of the session, or `null` if
+         *   there is none.
          */
         public data class Begin(
             override val request: RequestId,
@@ -32,14 +37,20 @@
             public val sessionToken: String?,
         ) : OfCaller
 
-        /** The next tokens of the answer, the first of which is number [position] from 0. */
+        /** Sends the next chunk of the answer. [position] is the number of tokens before it. */
         public data class Chunk(
             override val request: RequestId,
             public val position: Int,
             public val text: String,
         ) : OfCaller
 
-        /** The answer is whole. */
+        /**
+         * Completes the answer.
+         *
+         * @property tokens the number of tokens of the whole answer.
+         * @property costMicros the price of the answer, in millionths of the currency unit.
+         * @property status the HTTP status of the answer.
+         */
         public data class End(
             override val request: RequestId,
             public val tokens: Int,
@@ -47,25 +58,30 @@
             public val status: Int,
         ) : OfCaller
 
-        /** The request failed; after [Begin], the answer stays incomplete. */
+        /** Answers the request with [error]. After [Begin], the answer remains incomplete. */
         public data class Refuse(override val request: RequestId, public val error: RouterError) : OfCaller
     }
 
-    /** Orders to backend servers. */
+    /** Requests to backend servers. */
     public sealed interface OfBackend : Effect {
-        /** Send [order]. */
+        /** Starts the attempt that [order] describes. */
         public data class Start(public val order: AttemptOrder) : OfBackend
 
-        /** Close the connection of [attempt] and never use it again. */
+        /** Cancels [attempt] and closes its connection, which must not be reused. */
         public data class Cancel(public val attempt: AttemptId) : OfBackend
 
-        /** Ask [server] at [address] for a load report. */
+        /** Requests a load report from [server] at [address], which is host and port. */
         public data class RequestLoadReport(public val server: BackendServerId, public val address: String) : OfBackend
     }
 
-    /** Calls of the platform. */
+    /** Calls to the platform. */
     public sealed interface OfPlatform : Effect {
-        /** Append [records] to [stream] as one batch. */
+        /**
+         * Appends [records] to [stream] as one batch.
+         *
+         * @property append the number of the append, which its result carries.
+         * @property stamp the counter of the causal stamp at the time of the append.
+         */
         public data class Append(
             public val append: Long,
             public val stream: LogStream,
@@ -73,16 +89,16 @@
             public val records: PersistentList<LogRecord>,
         ) : OfPlatform
 
-        /** Read [stream] from the offset [from]. */
+        /** Reads [stream] from the offset [from]. */
         public data class Read(public val stream: LogStream, public val from: Long) : OfPlatform
 
-        /** Read the list of VMs. */
+        /** Reads the platform's list of VMs. */
         public data object ListVms : OfPlatform
 
-        /** Read the ratings of this VM's samples from [from] on. */
+        /** Reads the ratings of answers that this VM has submitted, from the offset [from]. */
         public data class ReadRatings(public val from: Long) : OfPlatform
 
-        /** Submit an answer for rating. */
+        /** Submits the [answer] to [request] for rating. */
         public data class SubmitForRating(
             public val request: RequestId,
             public val subject: RatingSubject,
@@ -90,12 +106,12 @@
         ) : OfPlatform
     }
 
-    /** Send [message] to the peer [to]. */
+    /** Sends [message] to the peer [to]. [stamp] is the counter of this VM's causal stamp. */
     public data class SendToPeer(public val to: VmId, public val stamp: Long, public val message: PeerMessage) : Effect
 
-    /** Add [entry] to the time line and to the logs. */
+    /** Adds [entry] to the time line and to the logs. */
     public data class Report(public val entry: TimelineEntry) : Effect
 
-    /** Nothing is left to do: stop the process. */
+    /** Stops the process, which has drained. */
     public data object Stop : Effect
 }
