--- a/core/src/main/kotlin/org/quetzalloom/core/reducer/Reducer.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/reducer/Reducer.kt
@@ -8,6 +8,6 @@
  * The same state, event and time always give the same transition.
  */
 public fun interface Reducer<S, in E, out F> {
-    /** Returns the transition that [event], taken at [now], causes in [state]. */
+    /** Returns the transition from [state] on [event], which is handled at [now]. */
     public fun reduce(state: S, event: E, now: Timestamp): Transition<S, F>
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/reducer/Transition.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/reducer/Transition.kt
@@ -5,23 +5,23 @@
 import kotlinx.collections.immutable.plus
 
 /**
- * The outcome of one reduction.
+ * The result of a [Reducer]: the next state and the effects to carry out.
  *
- * @property state the state that follows.
- * @property effects what the process is asked to do, in order.
+ * @property state the next state.
+ * @property effects the effects to carry out, in order.
  */
 public data class Transition<out S, out F>(
     public val state: S,
     public val effects: PersistentList<F> = persistentListOf(),
 )
 
-/** Runs [step] on the state reached so far and appends its effects. */
+/** Returns this transition followed by that of [step] from its state. The effects of [step] come last. */
 public inline fun <S, F> Transition<S, F>.then(step: (S) -> Transition<S, F>): Transition<S, F> {
     val next = step(state)
     return Transition(state = next.state, effects = effects + next.effects)
 }
 
-/** Runs [step] for each of [items] in order, from the state reached so far. */
+/** Returns this transition followed by those of [step] for each of [items], in order. */
 public inline fun <S, F, T> Transition<S, F>.thenEach(
     items: Iterable<T>,
     step: (S, T) -> Transition<S, F>,
