--- a/core/src/main/kotlin/org/quetzalloom/core/timeline/CausalStamp.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/timeline/CausalStamp.kt
@@ -3,10 +3,11 @@
 import org.quetzalloom.core.identity.VmId
 
 /**
- * Orders events of different processes so that a cause always comes before what it brings about, whatever
- * their clocks say. A Lamport clock with the VM as the second key.
+ * A Lamport timestamp, which orders events of different VMs independently of their clocks: a cause is always ordered
+ * before its effects. Equal counters are ordered by the VM.
  *
- * @property counter rises with each event, and above that of each message received.
+ * @property counter increases with each time line entry, peer message and append of the VM, and is never below that of
+ *   a peer message or log record that the VM has received.
  */
 public data class CausalStamp(
     public val counter: Long,
--- a/core/src/main/kotlin/org/quetzalloom/core/timeline/StampPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/timeline/StampPart.kt
@@ -7,7 +7,7 @@
 import org.quetzalloom.core.router.unchanged
 import org.quetzalloom.core.time.Timestamp
 
-/** Raises the causal stamp above that of every message and log record received. */
+/** Raises the causal stamp to at least that of every peer message and log record received. */
 internal object StampPart : Part {
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
         is Event.FromPeer -> state.withStampAtLeast(event.stamp)
--- a/core/src/main/kotlin/org/quetzalloom/core/timeline/TimelineEntry.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/timeline/TimelineEntry.kt
@@ -6,11 +6,11 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * One thing that happened at one VM.
+ * An event at one VM, as shown in the time line and the logs.
  *
- * @property at the wall clock of the VM; not comparable between VMs.
- * @property name what happened, such as `attempt_started`.
- * @property fields what it happened to; the key `request` names the request.
+ * @property at the time by the clock of the VM; not comparable between VMs.
+ * @property name the kind of event, such as `attempt_started`.
+ * @property fields the attributes of the event; the key `request` holds the identifier of the request.
  */
 public data class TimelineEntry(
     public val stamp: CausalStamp,
@@ -19,7 +19,7 @@
     public val fields: PersistentMap<String, String> = persistentMapOf(),
 ) {
     internal companion object {
-        /** Returns the entry with those of [fields] whose value is not `null`, each as text. */
+        /** Returns the entry with the text forms of [fields]; those whose value is `null` are left out. */
         fun of(stamp: CausalStamp, at: Timestamp, name: String, fields: Array<out Pair<String, Any?>>): TimelineEntry =
             TimelineEntry(
                 stamp = stamp,
