--- a/core/src/main/kotlin/org/quetzalloom/core/error/RouterError.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/error/RouterError.kt
@@ -1,9 +1,9 @@
 package org.quetzalloom.core.error
 
 /**
- * One error, as a caller is told of it.
+ * An error that a caller is answered with.
  *
- * @property detail what was wrong, in words for the caller.
+ * @property detail a message for the caller.
  */
 public data class RouterError(
     public val kind: ErrorKind,
