Describe the messages between VMs by what they report and request

Cause: the trial of a suspected request wasn't explained, and the message that clears a request was said to need its end, where it also comes after some more tokens. Comments only.

--- a/core/src/main/kotlin/org/quetzalloom/core/peer/PeerMessage.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/peer/PeerMessage.kt
@@ -15,31 +15,41 @@
 import org.quetzalloom.core.selection.RatingOrigin
 import org.quetzalloom.core.selection.RatingSubject
 
-/** What VMs tell each other. Any message may be lost, late or doubled. */
+/** A message between VMs. Messages may be lost, delayed or duplicated. */
 public sealed interface PeerMessage {
-    /** What the sender knows, told in turn to each peer. */
+    /**
+     * The gossip message that is sent to each peer in rotation.
+     *
+     * @property revision the configuration revision of the sender.
+     */
     public data class Digest(public val revision: Long) : PeerMessage
 
-    /** Asks for the configuration, which the receiver holds at a higher revision. */
+    /** Requests the configuration from a peer that has a higher revision. */
     public data object AskConfiguration : PeerMessage
 
-    /** The configuration that the sender holds. */
+    /** The configuration in force at the sender. */
     public data class TellConfiguration(public val configuration: Configuration) : PeerMessage
 
-    /** Asks the receiver to keep [bills] of [owner] until they are dropped, or to append them itself. */
+    /**
+     * Requests that the receiver keep [bills] of [owner] until it receives [DropBills]. If none comes in time, it
+     * appends them to the log itself.
+     */
     public data class HoldBills(public val owner: VmId, public val bills: PersistentList<Bill>) : PeerMessage
 
-    /** Tells that the sender keeps the bills named. */
+    /** Confirms that the sender keeps the bills with these [identities]. */
     public data class BillsHeld(public val identities: PersistentList<String>) : PeerMessage
 
-    /** Tells that the bills named are in the log and need not be kept. */
+    /** Reports that the bills with these [identities] are in the log and need no longer be kept. */
     public data class DropBills(public val identities: PersistentList<String>) : PeerMessage
 
     /**
-     * Tells that a backend server went down while it ran a request.
+     * Reports that a backend server went down while it ran a request, and announces or ends a trial, in which one VM
+     * runs the request once more to find out whether it was the cause.
      *
-     * @property trial whether the sender is about to run the request once more, and nobody else may.
-     * @property trialAt the backend server that the sender wants to run it at, or `null` while it looks for one.
+     * @property fingerprint identifies the content of the request.
+     * @property server the backend server that went down.
+     * @property trial whether the sender is to run the trial; no other VM may then run the request.
+     * @property trialAt the backend server for the trial, or `null` if the sender has not chosen one yet.
      */
     public data class Suspect(
         public val fingerprint: Fingerprint,
@@ -49,10 +59,10 @@
     ) : PeerMessage
 
     /**
-     * Tells that the sender has noted a [Suspect] message.
+     * Acknowledges a [Suspect] message.
      *
-     * @property trialAt the backend server that the message named.
-     * @property agreed whether no trial of the sender stands in the way of the one announced.
+     * @property trialAt the backend server for the trial in that message.
+     * @property agreed whether the announced trial conflicts with no trial of the sender.
      */
     public data class SuspectNoted(
         public val fingerprint: Fingerprint,
@@ -60,27 +70,27 @@
         public val agreed: Boolean,
     ) : PeerMessage
 
-    /** Tells that a suspected request ran to its end. */
+    /** Reports that the suspected request with [fingerprint] has run past the point of the crash and is cleared. */
     public data class Cleared(public val fingerprint: Fingerprint) : PeerMessage
 
-    /** Tells that [server] started anew. */
+    /** Reports that [server] has restarted; [start] identifies its new process. */
     public data class Restarted(public val server: BackendServerId, public val start: StartIdentity) : PeerMessage
 
-    /** Asks the home VM of a session for its version; [proposed] is what the sender would choose. */
+    /** Asks the home VM of [session] for its version. The home VM assigns [proposed] if it has none yet. */
     public data class AskSession(
         public val workspace: WorkspaceId,
         public val session: SessionId,
         public val proposed: VersionId,
     ) : PeerMessage
 
-    /** Tells the version of a session. */
+    /** Reports the version of [session], as the answer to [AskSession] or as a copy for the next home VM. */
     public data class TellSession(
         public val workspace: WorkspaceId,
         public val session: SessionId,
         public val version: VersionId,
     ) : PeerMessage
 
-    /** Tells the sums of all ratings of one [origin]. */
+    /** Reports the sums of all ratings of one [origin], by subject. */
     public data class TellRatings(
         public val origin: RatingOrigin,
         public val sums: PersistentMap<RatingSubject, QualityEstimate>,
