--- a/core/src/main/kotlin/org/quetzalloom/core/time/Timestamp.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/time/Timestamp.kt
@@ -3,17 +3,17 @@
 /**
  * An instant on the clock of one process, in milliseconds since the Unix epoch.
  *
- * Two timestamps of different processes are not ordered by cause; see
- * [org.quetzalloom.core.timeline.CausalStamp] for that.
+ * The order of timestamps of different processes says nothing about cause and effect; see
+ * [org.quetzalloom.core.timeline.CausalStamp].
  *
  * @property epochMilliseconds milliseconds since 1970-01-01T00:00Z; may be negative.
  */
 @JvmInline
 public value class Timestamp(public val epochMilliseconds: Long) : Comparable<Timestamp> {
-    /** Returns the timestamp [milliseconds] after this one; a negative number goes back. */
+    /** Returns the timestamp [milliseconds] after this one, or before it if the number is negative. */
     public operator fun plus(milliseconds: Long): Timestamp = Timestamp(epochMilliseconds + milliseconds)
 
-    /** Returns the milliseconds from [earlier] to this one; negative when [earlier] is in fact later. */
+    /** Returns the milliseconds from [earlier] to this timestamp, negative if [earlier] is the later one. */
     public operator fun minus(earlier: Timestamp): Long = epochMilliseconds - earlier.epochMilliseconds
 
     override fun compareTo(other: Timestamp): Int = epochMilliseconds.compareTo(other.epochMilliseconds)
