--- a/core/src/main/kotlin/org/quetzalloom/core/identity/IdempotencyKey.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/identity/IdempotencyKey.kt
@@ -1,9 +1,9 @@
 package org.quetzalloom.core.identity
 
 /**
- * Names one request that may not be repeated, within its workspace; chosen by the caller.
+ * The key under which a request runs at most once, unique within its workspace and chosen by the caller.
  *
- * @property value the text form: 1 to 128 characters of letters, digits and `. _ - : @ / + =`.
+ * @property value the text form: 1 to 128 ASCII letters, digits and `. _ - : @ / + =`.
  * @throws IllegalArgumentException if [value] is not of that form.
  */
 @JvmInline
--- a/core/src/main/kotlin/org/quetzalloom/core/identity/RequestClass.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/identity/RequestClass.kt
@@ -1,10 +1,10 @@
 package org.quetzalloom.core.identity
 
 /**
- * Names a kind of request for which quality is estimated apart, such as `plan` or `summary`; chosen by the caller.
+ * A class of requests whose quality is estimated separately, such as `plan` or `summary`, chosen by the caller.
  *
- * @property value the text form, an identifier.
- * @throws IllegalArgumentException if [value] is not an identifier.
+ * @property value the text form: 1 to 128 ASCII letters, digits and `. _ - : @ / + =`.
+ * @throws IllegalArgumentException if [value] is not of that form.
  */
 @JvmInline
 public value class RequestClass(public val value: String) {
@@ -15,7 +15,7 @@
     override fun toString(): String = value
 
     public companion object {
-        /** The class of a request whose caller names none. */
+        /** The class of requests whose caller gives none. */
         public val DEFAULT: RequestClass = RequestClass("default")
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/identity/SessionId.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/identity/SessionId.kt
@@ -1,9 +1,9 @@
 package org.quetzalloom.core.identity
 
 /**
- * Names one session of a caller within its workspace.
+ * The identifier of a session, unique within its workspace and chosen by the caller.
  *
- * @property value the text form: 1 to 128 characters of letters, digits and `. _ - : @ / + =`.
+ * @property value the text form: 1 to 128 ASCII letters, digits and `. _ - : @ / + =`.
  * @throws IllegalArgumentException if [value] is not of that form.
  */
 @JvmInline
--- a/core/src/main/kotlin/org/quetzalloom/core/identity/StartIdentity.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/identity/StartIdentity.kt
@@ -1,9 +1,9 @@
 package org.quetzalloom.core.identity
 
 /**
- * Names one start of a backend server; it differs after each start.
+ * The identifier of one run of a backend server process, different after each start.
  *
- * @property value the text form: 1 to 128 characters of letters, digits and `. _ - : @ / + =`.
+ * @property value the text form: 1 to 128 ASCII letters, digits and `. _ - : @ / + =`.
  * @throws IllegalArgumentException if [value] is not of that form.
  */
 @JvmInline
--- a/core/src/main/kotlin/org/quetzalloom/core/identity/VersionId.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/identity/VersionId.kt
@@ -1,9 +1,9 @@
 package org.quetzalloom.core.identity
 
 /**
- * Names one version of a model or of a plain service, such as `menu-large@3`.
+ * The identifier of a version of a model or of a plain service, such as `menu-large@3`.
  *
- * @property value the text form: 1 to 128 characters of letters, digits and `. _ - : @ / + =`.
+ * @property value the text form: 1 to 128 ASCII letters, digits and `. _ - : @ / + =`.
  * @throws IllegalArgumentException if [value] is not of that form.
  */
 @JvmInline
--- a/core/src/main/kotlin/org/quetzalloom/core/identity/WorkspaceId.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/identity/WorkspaceId.kt
@@ -1,9 +1,9 @@
 package org.quetzalloom.core.identity
 
 /**
- * Names one workspace.
+ * The identifier of a workspace.
  *
- * @property value the text form: 1 to 128 characters of letters, digits and `. _ - : @ / + =`.
+ * @property value the text form: 1 to 128 ASCII letters, digits and `. _ - : @ / + =`.
  * @throws IllegalArgumentException if [value] is not of that form.
  */
 @JvmInline
