--- a/runtime/src/main/kotlin/org/quetzalloom/runtime/EventLoop.kt
+++ b/runtime/src/main/kotlin/org/quetzalloom/runtime/EventLoop.kt
@@ -8,12 +8,12 @@
 import java.util.concurrent.atomic.AtomicReference
 
 /**
- * Drives one reducer on one thread: takes an event, reduces it, carries out the effects, and so on.
+ * Drives a reducer on one thread: takes events from an inbox, reduces them in order and carries out their effects.
  *
- * The state is confined to the loop's thread; other threads see it through [snapshot], which is immutable.
+ * Only the loop's thread changes the state. Other threads read it through [snapshot], which is immutable.
  *
- * @param initial the first state.
- * @param tick the event that tells of the passing of time, or `null` for none.
+ * @param initial the state before the first event.
+ * @param tick the event to reduce at every tick, or `null` for none.
  */
 public class EventLoop<S : Any, E : Any, F : Any>(
     initial: S,
@@ -29,21 +29,21 @@
     /**
      * Adds [event] to the inbox. May be called from any thread.
      *
-     * @param beforeReduce runs on the loop's thread just before the event is reduced.
+     * @param beforeReduce a callback to run on the loop's thread immediately before the event is reduced.
      */
     public fun post(event: E, beforeReduce: (() -> Unit)? = null): Unit =
         inbox.put(LoopMessage.OfEvent(event, beforeReduce))
 
-    /** Asks the loop to end after what was posted before. */
+    /** Requests that the loop end once it has processed the events posted before. Returns immediately. */
     public fun stop(): Unit = inbox.put(LoopMessage.Stop)
 
-    /** The state after the last reduction. */
+    /** Returns the state after the latest reduction. */
     public fun snapshot(): S = published.get()
 
-    /** Waits until the loop has ended, for at most [milliseconds]; returns whether it has. */
+    /** Waits up to [milliseconds] for the loop to end. Returns whether it has ended. */
     public fun awaitEnd(milliseconds: Long): Boolean = ended.await(milliseconds, TimeUnit.MILLISECONDS)
 
-    /** Starts the loop's thread, which hands effects to [interpreter]. */
+    /** Starts the loop's thread, which passes the effects to [interpreter]. */
     public fun start(interpreter: Interpreter<F>) {
         Thread({ run(interpreter) }, settings.name).start()
     }
@@ -72,7 +72,7 @@
     private fun takeMessages(until: Timestamp): List<LoopMessage<E>> =
         inbox.takeAllWithin((until - clock.now()).coerceAtLeast(0))
 
-    /** Processes one posting; returns whether the loop goes on. */
+    /** Processes this message. Returns whether the loop continues. */
     private fun LoopMessage<E>.process(interpreter: Interpreter<F>): Boolean = when (this) {
         is LoopMessage.OfEvent -> {
             beforeReduce?.invoke()
--- a/runtime/src/main/kotlin/org/quetzalloom/runtime/Inbox.kt
+++ b/runtime/src/main/kotlin/org/quetzalloom/runtime/Inbox.kt
@@ -6,24 +6,27 @@
 import java.util.concurrent.locks.LockSupport
 
 /**
- * Hands items from any number of threads to one reader, in the order in which they were put.
+ * A queue with any number of writers and one reader, which takes the items in the order in which they were put.
  *
- * The one object that threads share. A reader that finds nothing is parked.
+ * It is the only object that writers share with the reader. A reader that waits is parked and does not spin.
  */
 public class Inbox<T : Any> {
     private val items = AtomicReference<PersistentList<T>>(persistentListOf())
     private val parkedReader = AtomicReference<Thread?>(null)
 
-    /** Adds [item] at the end, and wakes the reader. */
+    /** Adds [item] at the end and wakes the reader if it waits. */
     public fun put(item: T) {
         items.updateAndGet { it.add(item) }
         parkedReader.get()?.let { LockSupport.unpark(it) }
     }
 
-    /** Takes everything that was put so far, without waiting; may be empty. */
+    /** Removes and returns all items, without waiting; may return none. */
     public fun takeAll(): PersistentList<T> = items.getAndSet(persistentListOf())
 
-    /** Waits until something is there or [milliseconds] have passed, then takes everything. Only for the reader. */
+    /**
+     * Waits up to [milliseconds] for an item, then removes and returns all items. May return none, also before the time
+     * has passed. Must be called by the reader only.
+     */
     public fun takeAllWithin(milliseconds: Long): PersistentList<T> {
         parkedReader.set(Thread.currentThread())
         if (items.get().isEmpty()) LockSupport.parkNanos(this, milliseconds * NANOSECONDS_PER_MILLISECOND)
--- a/runtime/src/main/kotlin/org/quetzalloom/runtime/Interpreter.kt
+++ b/runtime/src/main/kotlin/org/quetzalloom/runtime/Interpreter.kt
@@ -1,7 +1,7 @@
 package org.quetzalloom.runtime
 
-/** Carries out effects. Called on the loop's thread, so it must hand over whatever takes time. */
+/** Carries out effects. It is called on the loop's thread, so it must not block. */
 public fun interface Interpreter<in F> {
-    /** Carries out [effect], or starts to. */
+    /** Carries out [effect], or starts to and returns; a result comes back as an event. */
     public fun carryOut(effect: F)
 }
--- a/runtime/src/main/kotlin/org/quetzalloom/runtime/LoopMessage.kt
+++ b/runtime/src/main/kotlin/org/quetzalloom/runtime/LoopMessage.kt
@@ -1,10 +1,10 @@
 package org.quetzalloom.runtime
 
-/** What is put into a loop's inbox. */
+/** An item of a loop's inbox. */
 internal sealed interface LoopMessage<out E> {
-    /** An event, and what to do on the loop's thread before it. */
+    /** An event, with a callback to run on the loop's thread before it is reduced. */
     class OfEvent<E>(val event: E, val beforeReduce: (() -> Unit)? = null) : LoopMessage<E>
 
-    /** The loop ends. */
+    /** Ends the loop. */
     data object Stop : LoopMessage<Nothing>
 }
--- a/runtime/src/main/kotlin/org/quetzalloom/runtime/LoopSettings.kt
+++ b/runtime/src/main/kotlin/org/quetzalloom/runtime/LoopSettings.kt
@@ -1,10 +1,10 @@
 package org.quetzalloom.runtime
 
 /**
- * How a loop is driven.
+ * The settings of an [EventLoop].
  *
- * @property name the name of its thread.
- * @property tickMilliseconds the time between two tick events.
+ * @property name the name of the loop's thread.
+ * @property tickMilliseconds the minimum time between two ticks. A loop that is busy ticks later.
  */
 public data class LoopSettings(
     public val name: String,
--- a/runtime/src/main/kotlin/org/quetzalloom/runtime/SystemClock.kt
+++ b/runtime/src/main/kotlin/org/quetzalloom/runtime/SystemClock.kt
@@ -3,7 +3,11 @@
 import org.quetzalloom.core.time.Clock
 import org.quetzalloom.core.time.Timestamp
 
-/** The clock of the machine, made to never go back within one process. */
+/**
+ * The system time at the creation of this clock plus the monotonic time elapsed since, so that it never goes back.
+ *
+ * Later adjustments of the system time have no effect.
+ */
 public class SystemClock : Clock {
     private val startedAt = System.currentTimeMillis()
     private val startedNanoseconds = System.nanoTime()
--- a/runtime/src/test/kotlin/org/quetzalloom/runtime/EventLoopTest.kt
+++ b/runtime/src/test/kotlin/org/quetzalloom/runtime/EventLoopTest.kt
@@ -10,6 +10,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
+/** Drives a reducer that adds events up and emits each sum as an effect. */
 class EventLoopTest {
     private val sum =
         Reducer<Int, Int, Int> { state, event, _ -> Transition(state + event, persistentListOf(state + event)) }
--- a/runtime/src/test/kotlin/org/quetzalloom/runtime/InboxTest.kt
+++ b/runtime/src/test/kotlin/org/quetzalloom/runtime/InboxTest.kt
@@ -6,7 +6,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
-/** Several threads put, any thread takes: the inbox must behave as if one did after the other. */
+/** Concurrent puts and takes must be linearizable: they behave as if they were done one after the other. */
 class InboxTest {
     private val inbox = Inbox<Int>()
 
