--- a/core/src/main/kotlin/org/quetzalloom/core/backend/BackendsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/BackendsPart.kt
@@ -12,7 +12,7 @@
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.router.Step
 import org.quetzalloom.core.router.report
-import org.quetzalloom.core.router.tellAll
+import org.quetzalloom.core.router.sendToPeers
 import org.quetzalloom.core.router.unchanged
 import org.quetzalloom.core.time.Timestamp
 
@@ -25,8 +25,8 @@
         is Event.Tick -> askLoad(now)
         is Event.OfBackend.Accepted -> accepted(event, now)
         is Event.OfBackend.LoadReported -> reported(event, now)
-        is Event.OfBackend.LoadUnknown -> withHealth(event.server) { it.failed(now) }.unchanged()
-        is Event.PeerTold -> (event.message as? PeerMessage.Restarted)?.let { restarted(it, now) } ?: unchanged()
+        is Event.OfBackend.LoadReportFailed -> withHealth(event.server) { it.failed(now) }.unchanged()
+        is Event.FromPeer -> (event.message as? PeerMessage.Restarted)?.let { restarted(it, now) } ?: unchanged()
         else -> unchanged()
     }
 
@@ -94,7 +94,7 @@
         val known = backends.healthOf(server).start != null
         val next = withHealth(server) { it.started(start, startedAt) }
         val told = if (known) {
-            next.tellAll(
+            next.sendToPeers(
                 next.livePeers(now),
                 PeerMessage.Restarted(server, start)
             )
--- a/core/src/main/kotlin/org/quetzalloom/core/billing/BillingPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/billing/BillingPart.kt
@@ -11,7 +11,7 @@
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.router.Step
 import org.quetzalloom.core.router.enqueue
-import org.quetzalloom.core.router.tell
+import org.quetzalloom.core.router.sendToPeer
 import org.quetzalloom.core.router.unchanged
 import org.quetzalloom.core.time.Timestamp
 
@@ -24,13 +24,13 @@
 internal object BillingPart : Part {
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
         is Event.OfPlatform.LogAppended -> state.appended(event.append)
-        is Event.PeerTold -> state.told(event, now)
+        is Event.FromPeer -> state.told(event, now)
         is Event.Tick -> state.takeOver(now).copyOverdue(now)
         else -> state.unchanged()
     }
 
     private fun RouterState.appended(append: Long): Step {
-        val durable = log.recordsOf(append).filterIsInstance<LogRecord.OfBill>().map { it.bill.identity }
+        val durable = log.recordsInFlight(append).filterIsInstance<LogRecord.OfBill>().map { it.bill.identity }
         val copies = durable.flatMap { identity ->
             billing.unsettled[identity]?.sentTo.orEmpty().map { keeper -> keeper to identity }
         }
@@ -39,11 +39,11 @@
         }
         val byKeeper = copies.groupBy({ it.first }, { it.second }).toSortedMap()
         return copy(billing = settled).unchanged().thenEach(byKeeper.entries) { state, (keeper, identities) ->
-            state.tell(keeper, PeerMessage.DropBills(identities.toPersistentList()))
+            state.sendToPeer(keeper, PeerMessage.DropBills(identities.toPersistentList()))
         }
     }
 
-    private fun RouterState.told(event: Event.PeerTold, now: Timestamp): Step = when (val message = event.message) {
+    private fun RouterState.told(event: Event.FromPeer, now: Timestamp): Step = when (val message = event.message) {
         is PeerMessage.HoldBills -> hold(event.from, message.bills, now)
         is PeerMessage.BillsHeld -> held(event.from, message.identities).unchanged()
         is PeerMessage.DropBills -> dropped(message.identities).unchanged()
@@ -54,7 +54,7 @@
         val kept = bills.filter { it.identity !in billing.kept }
             .fold(billing.kept) { reached, bill -> reached.put(bill.identity, KeptBill(bill, now)) }
         val identities = bills.map { it.identity }.toPersistentList()
-        return copy(billing = billing.copy(kept = kept)).tell(owner, PeerMessage.BillsHeld(identities))
+        return copy(billing = billing.copy(kept = kept)).sendToPeer(owner, PeerMessage.BillsHeld(identities))
     }
 
     private fun RouterState.held(keeper: VmId, identities: PersistentList<String>): RouterState {
@@ -90,11 +90,11 @@
         }
         val message = PeerMessage.HoldBills(settings.vm, due.map { it.bill }.toPersistentList())
         return copy(billing = billing.copy(unsettled = sent)).unchanged()
-            .thenEach(keepers) { state, keeper -> state.tell(keeper, message) }
+            .thenEach(keepers) { state, keeper -> state.sendToPeer(keeper, message) }
     }
 
     private fun RouterState.isOverdue(bill: UnsettledBill, now: Timestamp): Boolean {
-        val hold = settings.limits.billHoldMilliseconds
+        val hold = settings.limits.billLogWaitMilliseconds
         val asked = bill.sentTo.isNotEmpty()
         return now - bill.since >= hold && !bill.isKept && (!asked || now - bill.sentAt >= hold * RESEND_HOLDS)
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/quarantine/QuarantinePart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/quarantine/QuarantinePart.kt
@@ -10,7 +10,7 @@
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.router.Step
 import org.quetzalloom.core.router.report
-import org.quetzalloom.core.router.tell
+import org.quetzalloom.core.router.sendToPeer
 import org.quetzalloom.core.router.unchanged
 import org.quetzalloom.core.time.Timestamp
 
@@ -23,19 +23,19 @@
  */
 internal object QuarantinePart : Part {
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
-        is Event.PeerTold -> state.told(event, now)
+        is Event.FromPeer -> state.told(event, now)
         is Event.Tick -> state.forgetOld(now).unchanged()
         else -> state.unchanged()
     }
 
-    private fun RouterState.told(event: Event.PeerTold, now: Timestamp): Step = when (val message = event.message) {
+    private fun RouterState.told(event: Event.FromPeer, now: Timestamp): Step = when (val message = event.message) {
         is PeerMessage.Suspect -> suspect(event, message, now)
         is PeerMessage.SuspectNoted -> noted(event.from, message).unchanged()
         is PeerMessage.Cleared -> cleared(message.fingerprint).unchanged()
         else -> unchanged()
     }
 
-    private fun RouterState.suspect(event: Event.PeerTold, message: PeerMessage.Suspect, now: Timestamp): Step {
+    private fun RouterState.suspect(event: Event.FromPeer, message: PeerMessage.Suspect, now: Timestamp): Step {
         val from = event.from
         val rivals = ownTrials().filterValues { it.trialAt != null && it.trialAt == message.trialAt }.keys
             .filter { it != message.fingerprint }
@@ -45,7 +45,7 @@
         val noted = yielded.suspected(message.fingerprint, message.server, now)
         val by = from.takeIf { message.trial }
         val next = if (keepsOwn) noted else noted.withTrial(message.fingerprint, by, message.trialAt, now, event.stamp)
-        return next.tell(from, PeerMessage.SuspectNoted(message.fingerprint, message.trialAt, agreed))
+        return next.sendToPeer(from, PeerMessage.SuspectNoted(message.fingerprint, message.trialAt, agreed))
             .then { it.report(now, "request_suspected", "fingerprint" to message.fingerprint, "by" to from) }
     }
 
@@ -74,7 +74,8 @@
     }
 
     private fun RouterState.forgetOld(now: Timestamp): RouterState {
-        val old = quarantine.suspicions.filterValues { now - it.at > settings.limits.suspicionMilliseconds }.keys
+        val old = quarantine.suspicions
+            .filterValues { now - it.at > settings.limits.suspicionRetentionMilliseconds }.keys
         return old.fold(this) { state, fingerprint -> state.cleared(fingerprint) }
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Attempts.kt
@@ -30,7 +30,7 @@
     }
 
 /** Passes tokens on to the caller if they are the next ones; what came before is dropped. */
-internal fun RouterState.progress(event: Event.OfBackend.Progressed, now: Timestamp): Step =
+internal fun RouterState.progress(event: Event.OfBackend.ChunkReceived, now: Timestamp): Step =
     whileRunning(event.attempt) { request, phase ->
         when {
             event.position + event.tokens <= request.delivered -> unchanged()
@@ -42,7 +42,7 @@
 private fun RouterState.deliver(
     request: ActiveRequest,
     phase: Phase.Running,
-    event: Event.OfBackend.Progressed,
+    event: Event.OfBackend.ChunkReceived,
     now: Timestamp,
 ): Step {
     val next = request.copy(
@@ -52,7 +52,7 @@
         answer = if (keepsAnswer(request)) request.answer.add(event.text) else request.answer,
     )
     return beginIfNew(request).then { it.put(next) }
-        .then { it.answer(request, Effect.OfCaller.Piece(request.id, request.delivered, event.text)) }
+        .then { it.answer(request, Effect.OfCaller.Chunk(request.id, request.delivered, event.text)) }
         .then { if (next.delivered - next.trialFrom < TRIAL_TOKENS) it.unchanged() else it.clearSuspicion(next, now) }
 }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Completion.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Completion.kt
@@ -65,8 +65,8 @@
 internal fun RouterState.awaitBill(request: ActiveRequest, phase: Phase.Settling, now: Timestamp): Step {
     val waited = now - phase.since
     val safe = isInLog(phase.bill) ||
-        (waited >= settings.limits.billHoldMilliseconds && isKept(phase.bill)) ||
-        waited >= settings.limits.billPatienceMilliseconds
+        (waited >= settings.limits.billLogWaitMilliseconds && isKept(phase.bill)) ||
+        waited >= settings.limits.billMaximumWaitMilliseconds
     if (!safe) return unchanged()
     val end = Effect.OfCaller.End(request.id, phase.tokens, phase.bill.costMicros, phase.status)
     return copy(requests = requests.remove(request.id)).answer(request, end).then {
@@ -88,7 +88,7 @@
     is CommandResult.Answered -> copy(requests = requests.remove(request.id))
         .with(
             Effect.OfCaller.Begin(request.id, request.version, sessionToken = null),
-            Effect.OfCaller.Piece(request.id, position = 0, text = result.body),
+            Effect.OfCaller.Chunk(request.id, position = 0, text = result.body),
             Effect.OfCaller.End(request.id, tokens = 0, costMicros = 0, status = result.status),
         )
         .then { it.report(now, "outcome_replayed", "request" to request.id, "key" to request.command?.key) }
--- a/core/src/main/kotlin/org/quetzalloom/core/session/SessionsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/session/SessionsPart.kt
@@ -10,7 +10,7 @@
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.router.Step
 import org.quetzalloom.core.router.rendezvousOrNull
-import org.quetzalloom.core.router.tell
+import org.quetzalloom.core.router.sendToPeer
 import org.quetzalloom.core.router.unchanged
 import org.quetzalloom.core.time.Timestamp
 
@@ -22,23 +22,23 @@
     private const val MEMORY_MILLISECONDS = 3_600_000L
 
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
-        is Event.PeerTold -> state.told(event, now)
+        is Event.FromPeer -> state.told(event, now)
         is Event.Tick -> state.sweep(now).unchanged()
         else -> state.unchanged()
     }
 
-    private fun RouterState.told(event: Event.PeerTold, now: Timestamp): Step = when (val message = event.message) {
+    private fun RouterState.told(event: Event.FromPeer, now: Timestamp): Step = when (val message = event.message) {
         is PeerMessage.AskSession -> answer(event, message, now)
         is PeerMessage.TellSession ->
             assigned(SessionKey(message.workspace, message.session), message.version, now).unchanged()
         else -> unchanged()
     }
 
-    private fun RouterState.answer(event: Event.PeerTold, message: PeerMessage.AskSession, now: Timestamp): Step {
+    private fun RouterState.answer(event: Event.FromPeer, message: PeerMessage.AskSession, now: Timestamp): Step {
         val key = SessionKey(message.workspace, message.session)
         val version = assignedOrNull(key) ?: message.proposed
         return decide(key, version, now)
-            .then { it.tell(event.from, PeerMessage.TellSession(key.workspace, key.session, version)) }
+            .then { it.sendToPeer(event.from, PeerMessage.TellSession(key.workspace, key.session, version)) }
     }
 
     private fun RouterState.sweep(now: Timestamp): RouterState {
@@ -68,5 +68,5 @@
     val next = assigned(key, version, now)
     val heir = rendezvousOrNull(livePeers(now), key)
     if (known || heir == null) return next.unchanged()
-    return next.tell(heir, PeerMessage.TellSession(key.workspace, key.session, version))
+    return next.sendToPeer(heir, PeerMessage.TellSession(key.workspace, key.session, version))
 }
--- a/runtime/src/main/kotlin/org/quetzalloom/runtime/EventLoop.kt
+++ b/runtime/src/main/kotlin/org/quetzalloom/runtime/EventLoop.kt
@@ -8,12 +8,12 @@
 import java.util.concurrent.atomic.AtomicReference
 
 /**
- * Drives one reducer on one thread: takes an event, reduces it, carries out the effects, and so on.
+ * Drives a reducer on one thread: takes events from an inbox, reduces them in order and carries out their effects.
  *
- * The state is confined to the loop's thread; other threads see it through [snapshot], which is immutable.
+ * Only the loop's thread changes the state. Other threads read it through [snapshot], which is immutable.
  *
- * @param initial the first state.
- * @param tick the event that tells of the passing of time, or `null` for none.
+ * @param initial the state before the first event.
+ * @param tick the event to reduce at every tick, or `null` for none.
  */
 public class EventLoop<S : Any, E : Any, F : Any>(
     initial: S,
@@ -22,27 +22,28 @@
     private val settings: LoopSettings,
     private val clock: Clock = SystemClock(),
 ) {
-    private val inbox = Inbox<Posting<E>>()
+    private val inbox = Inbox<LoopMessage<E>>()
     private val published = AtomicReference(initial)
     private val ended = CountDownLatch(1)
 
     /**
      * Adds [event] to the inbox. May be called from any thread.
      *
-     * @param beforehand runs on the loop's thread just before the event is reduced.
+     * @param beforeReduce a callback to run on the loop's thread immediately before the event is reduced.
      */
-    public fun post(event: E, beforehand: (() -> Unit)? = null): Unit = inbox.put(Posting.OfEvent(event, beforehand))
+    public fun post(event: E, beforeReduce: (() -> Unit)? = null): Unit =
+        inbox.put(LoopMessage.OfEvent(event, beforeReduce))
 
-    /** Asks the loop to end after what was posted before. */
-    public fun stop(): Unit = inbox.put(Posting.Stop)
+    /** Requests that the loop end once it has processed the events posted before. Returns immediately. */
+    public fun stop(): Unit = inbox.put(LoopMessage.Stop)
 
-    /** The state after the last reduction. */
+    /** Returns the state after the latest reduction. */
     public fun snapshot(): S = published.get()
 
-    /** Waits until the loop has ended, for at most [milliseconds]; returns whether it has. */
+    /** Waits up to [milliseconds] for the loop to end. Returns whether it has ended. */
     public fun awaitEnd(milliseconds: Long): Boolean = ended.await(milliseconds, TimeUnit.MILLISECONDS)
 
-    /** Starts the loop's thread, which hands effects to [interpreter]. */
+    /** Starts the loop's thread, which passes the effects to [interpreter]. */
     public fun start(interpreter: Interpreter<F>) {
         Thread({ run(interpreter) }, settings.name).start()
     }
@@ -59,7 +60,7 @@
         var tickDueAt = clock.now()
         var running = true
         while (running) {
-            running = take(tickDueAt).all { it.process(interpreter) }
+            running = takeMessages(tickDueAt).all { it.process(interpreter) }
             val now = clock.now()
             if (running && now >= tickDueAt) {
                 tick?.let { reduce(it, interpreter) }
@@ -68,17 +69,17 @@
         }
     }
 
-    private fun take(until: Timestamp): List<Posting<E>> =
+    private fun takeMessages(until: Timestamp): List<LoopMessage<E>> =
         inbox.takeAllWithin((until - clock.now()).coerceAtLeast(0))
 
-    /** Processes one posting; returns whether the loop goes on. */
-    private fun Posting<E>.process(interpreter: Interpreter<F>): Boolean = when (this) {
-        is Posting.OfEvent -> {
-            beforehand?.invoke()
+    /** Processes this message. Returns whether the loop continues. */
+    private fun LoopMessage<E>.process(interpreter: Interpreter<F>): Boolean = when (this) {
+        is LoopMessage.OfEvent -> {
+            beforeReduce?.invoke()
             reduce(event, interpreter)
             true
         }
-        is Posting.Stop -> false
+        is LoopMessage.Stop -> false
     }
 
     private fun reduce(event: E, interpreter: Interpreter<F>) {
