Rename the relay's request handling after the terms of proxies

Names such as silence, verdict, lost, goOn and passing had to be looked up. Timeouts, retries, the retry budget, escalation to a larger model and forwarding are named so now; an index into the models of a route ends in Index. Only names change, and line breaks where a longer name needs one.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
@@ -24,7 +24,7 @@
 import org.quetzalloom.core.time.Timestamp
 
 /** A request may wait this share of its time for a backend server; the rest is needed to answer it. */
-internal const val WAIT_DIVISOR = 4
+internal const val QUEUE_TIME_DIVISOR = 4
 
 /** The time after which a caller may come back to a relay that has no configuration yet; it reads it at its start. */
 private const val NOT_READY_RETRY_MILLISECONDS = 200L
@@ -33,7 +33,7 @@
  * The same while the store does not answer. Outages last for seconds, callers come back once or twice, and they wait
  * for a third of their time at most.
  */
-private const val STORE_AWAY_RETRY_MILLISECONDS = 2_000L
+private const val STORE_UNAVAILABLE_RETRY_MILLISECONDS = 2_000L
 
 /** The time after which a caller may come back to another router; its next connection may still come here. */
 private const val SHUTTING_DOWN_RETRY_MILLISECONDS = 50L
@@ -43,9 +43,9 @@
 private class Admission(val route: Route, val workspace: WorkspaceId?)
 
 /** Returns the transition that admits a request and sends it, or refuses it. */
-internal fun RelayState.arrive(event: RelayEvent.RequestArrived, now: Timestamp): RelayStep =
+internal fun RelayState.admitOrRefuse(event: RelayEvent.RequestArrived, now: Timestamp): RelayStep =
     admit(event.request, now).fold(
-        success = { begin(event, it, now) },
+        success = { startExchange(event, it, now) },
         failure = { refuseArrival(event, it, now) },
     )
 
@@ -78,7 +78,7 @@
 private fun RelayState.refuseArrival(event: RelayEvent.RequestArrived, error: RouterError, now: Timestamp): RelayStep {
     val retryAfter = when (error.kind) {
         ErrorKind.NOT_READY ->
-            if (access.failures > 0) STORE_AWAY_RETRY_MILLISECONDS else NOT_READY_RETRY_MILLISECONDS
+            if (access.failures > 0) STORE_UNAVAILABLE_RETRY_MILLISECONDS else NOT_READY_RETRY_MILLISECONDS
         ErrorKind.SHUTTING_DOWN -> SHUTTING_DOWN_RETRY_MILLISECONDS
         else -> null
     }
@@ -95,7 +95,11 @@
     }
 }
 
-private fun RelayState.begin(event: RelayEvent.RequestArrived, admission: Admission, now: Timestamp): RelayStep {
+private fun RelayState.startExchange(
+    event: RelayEvent.RequestArrived,
+    admission: Admission,
+    now: Timestamp,
+): RelayStep {
     val request = event.request
     val route = admission.route
     val time = minOf(request.timeLeftMilliseconds ?: Long.MAX_VALUE, route.timeoutMilliseconds)
@@ -103,23 +107,23 @@
         id = event.exchange,
         request = request,
         route = route,
-        service = route.draw(request),
+        service = route.pickService(request),
         workspace = admission.workspace,
         arrivedAt = now,
         deadlineAt = now + time,
-        waitUntil = now + time / WAIT_DIVISOR,
-        model = if (request.wantsModel) policies.modelChoice.first(route, request) else 0,
+        waitUntil = now + time / QUEUE_TIME_DIVISOR,
+        modelIndex = if (request.routerChoosesModel) policies.modelChoice.first(route, request) else 0,
         lastEventId = request.lastEventId,
     )
-    val budget = (exchanges.budgets[exchange.service] ?: RepeatBudget()).countFirst(now)
+    val budget = (exchanges.budgets[exchange.service] ?: RetryBudget()).countFirst(now)
     val counted = exchanges.copy(budgets = exchanges.budgets.put(exchange.service, budget))
-    return copy(exchanges = counted.with(exchange)).place(exchange, now)
+    return copy(exchanges = counted.with(exchange)).placeOrWait(exchange, now)
 }
 
-private fun Route.draw(request: RelayRequest): ServiceName {
+private fun Route.pickService(request: RelayRequest): ServiceName {
     val total = splits.sumOf { it.weight }
     if (splits.size == 1 || total <= 0) return splits.first().service
-    val drawn = bucketOf(request.callerId ?: request.path, total)
-    val reached = splits.runningFold(0) { sum, split -> sum + split.weight }.drop(1)
-    return splits[reached.indexOfFirst { drawn < it }].service
+    val point = bucketOf(request.callerId ?: request.path, total)
+    val upperBounds = splits.runningFold(0) { sum, split -> sum + split.weight }.drop(1)
+    return splits[upperBounds.indexOfFirst { point < it }].service
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempt.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempt.kt
@@ -8,16 +8,16 @@
  *
  * @property number from 1.
  * @property version the version of the backend server's software.
- * @property model the place of the model among those of the route, from 0.
- * @property ahead the prompts that were to be read there before its answer could begin, its own among them.
+ * @property modelIndex the place of the model among those of the route, from 0.
+ * @property workUntilAnswer the prompts that were to be read there before its answer could begin, its own among them.
  * @property work the prompt that the backend server has still to read, weighed by model; 0 once its answer has begun.
  */
 internal data class Attempt(
     val number: Int,
     val server: BackendServerId,
     val version: String,
-    val model: Int,
+    val modelIndex: Int,
     val sentAt: Timestamp,
-    val ahead: Long = 0,
+    val workUntilAnswer: Long = 0,
     val work: Long = 0,
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
@@ -16,49 +16,49 @@
 import org.quetzalloom.core.time.Timestamp
 
 /** Returns the transition that sends [exchange] to a backend server, or leaves it waiting if none can take it. */
-internal fun RelayState.place(exchange: Exchange, now: Timestamp): RelayStep {
-    val candidates = untried(exchange, now).map { it.toCandidate(workBefore(it, work = 0, now), now) }
+internal fun RelayState.placeOrWait(exchange: Exchange, now: Timestamp): RelayStep {
+    val candidates = untriedServers(exchange, now).map { it.toCandidate(workUntilAnswer(it, work = 0, now), now) }
     val chosen = policies.placement.chooseOrNull(candidates, placementRequest(exchange))
     val view = chosen?.let { servers.views[it.server] }
-    return if (view == null) wait(exchange, now) else send(exchange, view, now)
+    return if (view == null) waitOrGiveUp(exchange, now) else send(exchange, view, now)
 }
 
 private fun RelayState.placementRequest(exchange: Exchange): PlacementRequest = PlacementRequest(
-    subject = exchange.request.subjectOrNull,
-    work = policies.work.of(exchange.request, exchange.model),
+    subject = exchange.request.sharedPartOrNull,
+    work = policies.work.of(exchange.request, exchange.modelIndex),
     seed = (exchange.request.callerId ?: exchange.request.path) + exchange.attempts,
     zone = settings.zone,
 )
 
 /** Returns the transition that leaves [exchange] waiting, or gives it up if it has waited long enough. */
-internal fun RelayState.wait(exchange: Exchange, now: Timestamp): RelayStep {
+internal fun RelayState.waitOrGiveUp(exchange: Exchange, now: Timestamp): RelayStep {
     val waiting = copy(exchanges = exchanges.with(exchange.copy(attempt = null)))
     return if (now < exchange.waitUntil) waiting.unchanged() else waiting.giveUp(exchange, now)
 }
 
 private fun RelayState.send(exchange: Exchange, view: ServerView, now: Timestamp): RelayStep {
-    val work = policies.work.of(exchange.request, exchange.model)
+    val work = policies.work.of(exchange.request, exchange.modelIndex)
     val attempt = Attempt(
         number = exchange.attempts + 1,
         server = view.listing.id,
         version = view.listing.version,
-        model = exchange.model,
+        modelIndex = exchange.modelIndex,
         sentAt = now,
-        ahead = workBefore(view, work, now),
+        workUntilAnswer = workUntilAnswer(view, work, now),
         work = work,
     )
     val sent = exchange.copy(attempt = attempt, attempts = attempt.number)
     val next = pin(exchange, attempt.version, now).copy(
-        exchanges = countRepeat(exchange, now).with(sent),
+        exchanges = countRetry(exchange, now).with(sent),
         servers = servers.update(view.listing.id) { it.takeSend(attempt.work, now) },
     )
-    return next.with(RelayEffect.Send(exchange.id, attempt.number, order(exchange, view, attempt, now)))
+    return next.with(RelayEffect.Send(exchange.id, attempt.number, sendOrder(exchange, view, attempt, now)))
         .then { it.reportSend(sent, view, now) }
 }
 
-private fun RelayState.countRepeat(exchange: Exchange, now: Timestamp): ExchangesState {
+private fun RelayState.countRetry(exchange: Exchange, now: Timestamp): ExchangesState {
     if (exchange.attempts == 0) return exchanges
-    val budget = (exchanges.budgets[exchange.service] ?: RepeatBudget()).countRepeat(now)
+    val budget = (exchanges.budgets[exchange.service] ?: RetryBudget()).countRetry(now)
     return exchanges.copy(budgets = exchanges.budgets.put(exchange.service, budget))
 }
 
@@ -79,7 +79,7 @@
     "last_event_id" to exchange.lastEventId,
 )
 
-private fun RelayState.order(exchange: Exchange, view: ServerView, attempt: Attempt, now: Timestamp): SendOrder {
+private fun RelayState.sendOrder(exchange: Exchange, view: ServerView, attempt: Attempt, now: Timestamp): SendOrder {
     val route = exchange.route
     return SendOrder(
         server = view.listing.id,
@@ -90,8 +90,8 @@
         model = exchange.modelName,
         lastEventId = exchange.lastEventId,
         streaming = route.streaming,
-        firstSilenceMilliseconds = firstSilenceOrNull(exchange, attempt),
-        silenceMilliseconds = silenceOrNull(route),
-        mustBeSure = !route.mayRunAgain,
+        startTimeoutMilliseconds = startTimeoutOrNull(exchange, attempt),
+        idleTimeoutMilliseconds = idleTimeoutOrNull(route),
+        requiresLiveConnection = !route.mayRunAgain,
     )
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Endings.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Endings.kt
@@ -15,7 +15,7 @@
 private const val NO_CAPACITY_RETRY_MILLISECONDS = 250L
 
 /** Returns the transition that gives up the attempt of [exchange] that is under way, if there is one. */
-internal fun RelayState.abandon(exchange: Exchange): RelayStep {
+internal fun RelayState.cancelAttempt(exchange: Exchange): RelayStep {
     val attempt = exchange.attempt ?: return unchanged()
     return release(attempt)
         .copy(exchanges = exchanges.with(exchange.copy(attempt = null)))
@@ -43,21 +43,22 @@
     "attempts" to exchange.attempts,
     "may_have_run" to exchange.mayHaveRun,
     "model" to exchange.modelName,
-    "confidence" to exchange.verdict?.confidence,
-    "largest_after_ms" to exchange.verdict?.largestAfterMilliseconds,
+    "confidence" to exchange.escalation?.confidence,
+    "largest_after_ms" to exchange.escalation?.largestModelStartMilliseconds,
     "server" to exchange.attempt?.server,
     *fields,
 )
 
 /** Returns the transition that ends [exchange], for which no backend server is left. */
 internal fun RelayState.giveUp(exchange: Exchange, now: Timestamp): RelayStep = when {
-    exchange.passing -> cutOff(exchange, "no_server", now)
-    exchange.mayHaveRun -> fail(exchange, ErrorKind.BACKEND_FAILED, "no backend server gave a whole answer", now)
-    else -> fail(exchange, ErrorKind.NO_CAPACITY, "no backend server could take the request", now)
+    exchange.headForwarded -> cutOff(exchange, "no_server", now)
+    exchange.mayHaveRun ->
+        failExchange(exchange, ErrorKind.BACKEND_FAILED, "no backend server gave a whole answer", now)
+    else -> failExchange(exchange, ErrorKind.NO_CAPACITY, "no backend server could take the request", now)
 }
 
 /** Returns the transition that answers [exchange] with an error of the relay's own. */
-internal fun RelayState.fail(exchange: Exchange, kind: ErrorKind, detail: String, now: Timestamp): RelayStep {
+internal fun RelayState.failExchange(exchange: Exchange, kind: ErrorKind, detail: String, now: Timestamp): RelayStep {
     val retryAfter = NO_CAPACITY_RETRY_MILLISECONDS.takeIf { kind.notRun && kind.retryable }
     return copy(exchanges = exchanges.without(exchange.id))
         .with(RelayEffect.Refuse(exchange.id, kind, detail, retryAfter))
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Exchange.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Exchange.kt
@@ -13,15 +13,15 @@
  *
  * @property deadlineAt when the caller gets an answer at the latest.
  * @property waitUntil when the request is refused if no backend server has taken it.
- * @property model the place of the model that is to answer, among those of the route.
+ * @property modelIndex the place of the model that is to answer, among those of the route.
  * @property attempt the attempt under way, or `null` while the request waits.
  * @property attempts how many were made.
  * @property runs how many of them may have run.
  * @property tried the backend servers that failed or refused it.
  * @property mayHaveRun whether some backend server may have run it.
- * @property passing whether the caller has got the head of an answer.
+ * @property headForwarded whether the caller has got the head of an answer.
  * @property lastEventId the last event that the caller has, or `null`.
- * @property verdict what decided about the answer of the model asked last, or `null` before one.
+ * @property escalation what decided about the answer of the model asked last, or `null` before one.
  */
 internal data class Exchange(
     val id: ExchangeId,
@@ -32,16 +32,16 @@
     val arrivedAt: Timestamp,
     val deadlineAt: Timestamp,
     val waitUntil: Timestamp,
-    val model: Int = 0,
+    val modelIndex: Int = 0,
     val attempt: Attempt? = null,
     val attempts: Int = 0,
     val runs: Int = 0,
     val tried: PersistentSet<BackendServerId> = persistentSetOf(),
     val mayHaveRun: Boolean = false,
-    val passing: Boolean = false,
+    val headForwarded: Boolean = false,
     val lastEventId: String? = null,
-    val verdict: AnswerVerdict? = null,
+    val escalation: EscalationDecision? = null,
 ) {
     /** The name of the model that is to answer, or `null` if the caller names it. */
-    val modelName: String? get() = if (request.wantsModel) route.models.getOrNull(model) else null
+    val modelName: String? get() = if (request.routerChoosesModel) route.models.getOrNull(modelIndex) else null
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ExchangesPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ExchangesPart.kt
@@ -12,19 +12,19 @@
 /** Leads each request from its arrival to its one answer. */
 internal object ExchangesPart : RelayPart {
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
-        is RelayEvent.RequestArrived -> state.arrive(event, now)
+        is RelayEvent.RequestArrived -> state.admitOrRefuse(event, now)
         is RelayEvent.AnswerStarted -> state.answerStarted(event, now)
         is RelayEvent.AnswerFinished -> state.answerFinished(event, now)
-        is RelayEvent.AttemptBroke -> state.attemptBroke(event, now)
+        is RelayEvent.AttemptBroke -> state.attemptFailed(event, now)
         is RelayEvent.CallerLeft -> state.callerLeft(event, now)
         is RelayEvent.SettingsChanged -> state.copy(settings = event.settings).report(now, "settings_changed")
-        RelayEvent.Tick -> state.checkTimes(now)
+        RelayEvent.Tick -> state.checkDeadlines(now)
         else -> state.unchanged()
     }
 
     private fun RelayState.callerLeft(event: RelayEvent.CallerLeft, now: Timestamp): RelayStep {
         val exchange = exchanges.byId[event.exchange] ?: return unchanged()
-        return unchanged().then { it.abandon(exchange) }
+        return unchanged().then { it.cancelAttempt(exchange) }
             .then { it.copy(exchanges = it.exchanges.without(exchange.id)).unchanged() }
             .then { it.reportEnd(exchange, "caller_left", now) }
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ExchangesState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ExchangesState.kt
@@ -11,7 +11,7 @@
  */
 internal data class ExchangesState(
     val byId: PersistentMap<ExchangeId, Exchange> = persistentMapOf(),
-    val budgets: PersistentMap<ServiceName, RepeatBudget> = persistentMapOf(),
+    val budgets: PersistentMap<ServiceName, RetryBudget> = persistentMapOf(),
 ) {
     /** Returns the exchange [id] and its attempt [number], if that is under way, or `null`. */
     fun currentOrNull(id: ExchangeId, number: Int): CurrentAttempt? {
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
@@ -12,10 +12,10 @@
 import org.quetzalloom.core.time.Timestamp
 
 /** Backend servers that may refuse a request, beside those that run it. */
-private const val MOST_REFUSALS = 4
+private const val MAXIMUM_REFUSALS = 4
 
 /** Returns the transition that takes the loss of an attempt: resumes, repeats, or ends the exchange. */
-internal fun RelayState.attemptBroke(event: RelayEvent.AttemptBroke, now: Timestamp): RelayStep {
+internal fun RelayState.attemptFailed(event: RelayEvent.AttemptBroke, now: Timestamp): RelayStep {
     val (exchange, attempt) = exchanges.currentOrNull(event.exchange, event.attempt) ?: return unchanged()
     val failure = event.failure
     val known = copy(servers = servers.update(attempt.server) { it.takeFailure(failure, now) }).release(attempt)
@@ -28,34 +28,34 @@
         "server" to attempt.server,
         "failure" to failure,
         "after_ms" to (now - attempt.sentAt),
-        "passing" to exchange.passing,
+        "passing" to exchange.headForwarded,
         "last_event_id" to broken.lastEventId,
     ).then {
-        if (failure.sent) {
-            it.lost(broken, attempt, now)
+        if (failure.mayHaveArrived) {
+            it.retryOrGiveUp(broken, attempt, now)
         } else {
             it.retryNotRun(broken.copy(tried = broken.tried.add(attempt.server)), now)
         }
     }
 }
 
-private fun RelayState.lost(exchange: Exchange, attempt: Attempt, now: Timestamp): RelayStep {
+private fun RelayState.retryOrGiveUp(exchange: Exchange, attempt: Attempt, now: Timestamp): RelayStep {
     val ran = exchange.copy(mayHaveRun = true)
     return when {
         !mayRunOnceMore(ran, now) -> giveUp(ran, now)
-        ran.passing && !ran.route.resumable -> giveUp(ran, now)
-        else -> place(ran.afterRun(attempt, now), now)
+        ran.headForwarded && !ran.route.resumable -> giveUp(ran, now)
+        else -> placeOrWait(ran.afterRun(attempt, now), now)
     }
 }
 
 private fun Exchange.afterRun(attempt: Attempt, now: Timestamp): Exchange = copy(
     runs = runs + 1,
     tried = tried.add(attempt.server),
-    waitUntil = maxOf(waitUntil, now + (deadlineAt - now) / WAIT_DIVISOR),
+    waitUntil = maxOf(waitUntil, now + (deadlineAt - now) / QUEUE_TIME_DIVISOR),
 )
 
 /** Returns the transition that goes on with [exchange] at another server than that of [attempt], which ran it. */
-internal fun RelayState.tryElsewhere(
+internal fun RelayState.retryElsewhere(
     exchange: Exchange,
     attempt: Attempt,
     reason: String,
@@ -69,16 +69,16 @@
         "server" to attempt.server,
         "reason" to reason,
     )
-}.then { it.abandon(exchange) }
-    .then { it.lost(exchange.copy(attempt = null), attempt, now) }
+}.then { it.cancelAttempt(exchange) }
+    .then { it.retryOrGiveUp(exchange.copy(attempt = null), attempt, now) }
 
 /** Returns the transition that takes an answer which says that the request has not run. */
-internal fun RelayState.refusedByServer(
+internal fun RelayState.handleNotRun(
     exchange: Exchange,
     attempt: Attempt,
     head: AnswerHead,
     now: Timestamp,
-): RelayStep = abandon(exchange).then {
+): RelayStep = cancelAttempt(exchange).then {
     it.report(
         now,
         "attempt_refused",
@@ -92,16 +92,16 @@
 
 private fun RelayState.retryNotRun(exchange: Exchange, now: Timestamp): RelayStep {
     val refusals = exchange.attempts - exchange.runs
-    val allowed = refusals < MOST_REFUSALS && budgetLeft(exchange, now)
-    return if (allowed) place(exchange, now) else giveUp(exchange, now)
+    val allowed = refusals < MAXIMUM_REFUSALS && budgetLeft(exchange, now)
+    return if (allowed) placeOrWait(exchange, now) else giveUp(exchange, now)
 }
 
 /** Returns whether this router may send one more repeat to the service of [exchange]. */
 internal fun RelayState.budgetLeft(exchange: Exchange, now: Timestamp): Boolean =
-    exchanges.budgets[exchange.service]?.mayRepeat(settings, members.shareholders, now) ?: false
+    exchanges.budgets[exchange.service]?.mayRetry(settings, members.shareholders, now) ?: false
 
 /** Returns the transition that ends what has reached its deadline, and places what waits. */
-internal fun RelayState.checkTimes(now: Timestamp): RelayStep {
+internal fun RelayState.checkDeadlines(now: Timestamp): RelayStep {
     val (due, inTime) = exchanges.byId.values.partition { now >= it.deadlineAt }
     val waiting = inTime.filter { it.attempt == null }.sortedBy { it.urgency }
     return unchanged().thenEach(due) { reached, exchange -> reached.expire(exchange, now) }
@@ -110,18 +110,18 @@
 
 /** A repeat that has waited asks the budget again: others may have taken what was left of it. */
 private fun RelayState.placeWaiting(exchange: Exchange, now: Timestamp): RelayStep =
-    if (exchange.attempts == 0 || budgetLeft(exchange, now)) place(exchange, now) else wait(exchange, now)
+    if (exchange.attempts == 0 || budgetLeft(exchange, now)) placeOrWait(exchange, now) else waitOrGiveUp(exchange, now)
 
 private val Exchange.urgency: Long get() = route.priority * PRIORITY_STEP + deadlineAt.epochMilliseconds % PRIORITY_STEP
 
 /** More milliseconds than a deadline is away, so that the priority goes before the deadline. */
 private const val PRIORITY_STEP = 1_000_000_000_000_000L
 
-private fun RelayState.expire(exchange: Exchange, now: Timestamp): RelayStep = abandon(exchange).then {
+private fun RelayState.expire(exchange: Exchange, now: Timestamp): RelayStep = cancelAttempt(exchange).then {
     val sent = exchange.mayHaveRun || exchange.attempt != null
     when {
-        exchange.passing -> it.cutOff(exchange, "deadline", now)
-        sent -> it.fail(exchange, ErrorKind.DEADLINE_EXCEEDED, "the deadline passed while the request ran", now)
+        exchange.headForwarded -> it.cutOff(exchange, "deadline", now)
+        sent -> it.failExchange(exchange, ErrorKind.DEADLINE_EXCEEDED, "the deadline passed while the request ran", now)
         else -> it.giveUp(exchange, now)
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/RepeatBudget.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/RetryBudget.kt
@@ -11,26 +11,26 @@
  * Counts are kept by the second. A window of repeats is rounded up to whole seconds and one of requests down, so that
  * the bound holds for every window.
  *
- * @property firsts first attempts, by the second in which they were sent.
- * @property repeats further attempts, by the second in which they were sent.
+ * @property firstAttempts first attempts, by the second in which they were sent.
+ * @property retries further attempts, by the second in which they were sent.
  */
-internal data class RepeatBudget(
-    val firsts: PersistentMap<Long, Int> = persistentMapOf(),
-    val repeats: PersistentMap<Long, Int> = persistentMapOf(),
+internal data class RetryBudget(
+    val firstAttempts: PersistentMap<Long, Int> = persistentMapOf(),
+    val retries: PersistentMap<Long, Int> = persistentMapOf(),
 ) {
     /** Returns the budget after a first attempt at [now]. */
-    fun countFirst(now: Timestamp): RepeatBudget = copy(firsts = firsts.increment(now))
+    fun countFirst(now: Timestamp): RetryBudget = copy(firstAttempts = firstAttempts.increment(now))
 
     /** Returns the budget after a further attempt at [now]. */
-    fun countRepeat(now: Timestamp): RepeatBudget = copy(repeats = repeats.increment(now))
+    fun countRetry(now: Timestamp): RetryBudget = copy(retries = retries.increment(now))
 
     /** Returns whether this router may make one more repeat at [now], as one of [shareholders] routers. */
-    fun mayRepeat(settings: RelaySettings, shareholders: Int, now: Timestamp): Boolean {
+    fun mayRetry(settings: RelaySettings, shareholders: Int, now: Timestamp): Boolean {
         val second = now.second
         val span = settings.repeatWindowMilliseconds / MILLISECONDS_PER_SECOND
-        val requests = firsts.entries.sumOf { (at, count) -> if (at > second - span) count else 0 }
-        val made = repeats.entries.sumOf { (at, count) -> if (at >= second - span) count else 0 }
-        val allowed = settings.repeatRatio * requests * RESERVE + Math.floor(settings.repeatSlack / shareholders)
+        val requests = firstAttempts.entries.sumOf { (at, count) -> if (at > second - span) count else 0 }
+        val made = retries.entries.sumOf { (at, count) -> if (at >= second - span) count else 0 }
+        val allowed = settings.repeatRatio * requests * USED_SHARE + Math.floor(settings.repeatSlack / shareholders)
         return made + 1 <= allowed
     }
 
@@ -47,6 +47,6 @@
         const val LONGEST_WINDOW_SECONDS = 60L
 
         /** The share of the bound that is used; the rest is for what arrives later than it was sent. */
-        const val RESERVE = 0.9
+        const val USED_SHARE = 0.9
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/SendOrder.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/SendOrder.kt
@@ -13,9 +13,9 @@
  * @property model the model that is to answer, or `null` to pass on what the caller named.
  * @property lastEventId the last event that the caller has, or `null` to send what the caller said.
  * @property streaming whether the answer is passed on as it comes; otherwise it is held until it is whole.
- * @property firstSilenceMilliseconds the longest time until the answer begins, or `null` for no limit.
- * @property silenceMilliseconds the longest pause in the answer, or `null` for no limit.
- * @property mustBeSure whether only a connection that is new or surely alive may be used.
+ * @property startTimeoutMilliseconds the longest time until the answer begins, or `null` for no limit.
+ * @property idleTimeoutMilliseconds the longest pause in the answer, or `null` for no limit.
+ * @property requiresLiveConnection whether only a connection that is new or surely alive may be used.
  */
 public data class SendOrder(
     public val server: BackendServerId,
@@ -26,7 +26,7 @@
     public val model: String?,
     public val lastEventId: String?,
     public val streaming: Boolean,
-    public val firstSilenceMilliseconds: Long?,
-    public val silenceMilliseconds: Long?,
-    public val mustBeSure: Boolean,
+    public val startTimeoutMilliseconds: Long?,
+    public val idleTimeoutMilliseconds: Long?,
+    public val requiresLiveConnection: Boolean,
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerOutcomes.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerOutcomes.kt
@@ -43,8 +43,8 @@
 
 /** Returns the view after an attempt was lost. */
 internal fun ServerView.takeFailure(failure: AttemptFailure, now: Timestamp): ServerView {
-    if (!failure.serverSuspect) return score(failed = failure.sent, now)
-    val first = if (failure.heard) SUSPENSION_MILLISECONDS else SILENT_SUSPENSION_MILLISECONDS
+    if (!failure.serverSuspect) return score(failed = failure.mayHaveArrived, now)
+    val first = if (failure.serverReacted) SUSPENSION_MILLISECONDS else SILENT_SUSPENSION_MILLISECONDS
     val doublings = failuresInRow.coerceAtMost(LONGEST_SUSPENSION_DOUBLINGS)
     val pause = (first shl doublings).coerceAtMost(LONGEST_SUSPENSION_MILLISECONDS)
     return score(failed = true, now).copy(failuresInRow = failuresInRow + 1, suspendedUntil = now + pause)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
@@ -37,9 +37,9 @@
     fun countPace(attempt: Attempt, service: ServiceName, now: Timestamp): ServersState {
         val elapsed = now - attempt.sentAt
         val pace = paces[service] ?: ReadingPace()
-        val usual = pace.estimateOrNull(attempt.ahead)
-        val counted = copy(paces = paces.put(service, pace.count(attempt.ahead, elapsed)))
-        return if (usual == null || attempt.ahead == 0L) {
+        val usual = pace.estimateOrNull(attempt.workUntilAnswer)
+        val counted = copy(paces = paces.put(service, pace.count(attempt.workUntilAnswer, elapsed)))
+        return if (usual == null || attempt.workUntilAnswer == 0L) {
             counted
         } else {
             counted.update(attempt.server) { it.copy(slowness = it.slowness.count(elapsed, usual, now)) }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/AtMostOnceTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/AtMostOnceTest.kt
@@ -14,7 +14,7 @@
 
     @Test
     fun `a command whose connection was lost is not sent again, and is not said not to have run`() {
-        AttemptFailure.entries.filter { it.sent }.forEach { failure ->
+        AttemptFailure.entries.filter { it.mayHaveArrived }.forEach { failure ->
             val rig = RelayRig().start()
             val send = rig.arrive(RelayRig.command).second.only<RelayEffect.Send>()
             val effects = rig.lose(send, failure)
@@ -26,7 +26,7 @@
 
     @Test
     fun `a command that was never sent goes to another server`() {
-        AttemptFailure.entries.filter { !it.sent }.forEach { failure ->
+        AttemptFailure.entries.filter { !it.mayHaveArrived }.forEach { failure ->
             val rig = RelayRig().start()
             val first = rig.arrive(RelayRig.command).second.only<RelayEffect.Send>()
             val second = rig.lose(first, failure).only<RelayEffect.Send>()
@@ -84,7 +84,7 @@
     @Test
     fun `a command goes only over a connection that is surely alive`() {
         val rig = RelayRig().start()
-        assertTrue(rig.arrive(RelayRig.command).second.only<RelayEffect.Send>().order.mustBeSure)
-        assertTrue(!rig.arrive(RelayRig.read).second.only<RelayEffect.Send>().order.mustBeSure)
+        assertTrue(rig.arrive(RelayRig.command).second.only<RelayEffect.Send>().order.requiresLiveConnection)
+        assertTrue(!rig.arrive(RelayRig.read).second.only<RelayEffect.Send>().order.requiresLiveConnection)
     }
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/SilencesTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/AttemptTimeoutsTest.kt
@@ -7,7 +7,7 @@
 import kotlin.test.assertTrue
 
 /** How long a router waits for a server that says nothing. */
-class SilencesTest {
+class AttemptTimeoutsTest {
     private val prompt = RelayRig.prompt.copy(promptTokens = 10_000)
 
     private fun RelayRig.serve(number: Int, milliseconds: Long) {
@@ -18,7 +18,7 @@
     }
 
     private fun RelayRig.patience(): Long? =
-        arrive(prompt).second.only<RelayEffect.Send>().order.firstSilenceMilliseconds
+        arrive(prompt).second.only<RelayEffect.Send>().order.startTimeoutMilliseconds
 
     @Test
     fun `a stream may take some targets to begin while nothing is known of its servers`() {
@@ -36,8 +36,8 @@
     @Test
     fun `what may run once only is never given up for silence`() {
         val send = RelayRig().start().arrive(RelayRig.command).second.only<RelayEffect.Send>()
-        assertEquals(null, send.order.firstSilenceMilliseconds)
-        assertEquals(null, send.order.silenceMilliseconds)
+        assertEquals(null, send.order.startTimeoutMilliseconds)
+        assertEquals(null, send.order.idleTimeoutMilliseconds)
     }
 
     @Test
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RelayRig.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RelayRig.kt
@@ -93,7 +93,7 @@
             path = "/draft/1",
             key = "key-1",
             timeLeftMilliseconds = 20_000,
-            wantsModel = true,
+            routerChoosesModel = true,
         )
 
         val table = RoutingTable(
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RepeatsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RetriesTest.kt
@@ -6,7 +6,7 @@
 import org.quetzalloom.core.error.ErrorKind
 import org.quetzalloom.core.relay.exchange.AnswerHead
 import org.quetzalloom.core.relay.exchange.AttemptFailure
-import org.quetzalloom.core.relay.exchange.RepeatBudget
+import org.quetzalloom.core.relay.exchange.RetryBudget
 import org.quetzalloom.core.time.Timestamp
 import kotlin.random.Random
 import kotlin.test.Test
@@ -15,7 +15,7 @@
 import kotlin.test.assertTrue
 
 /** Repeats: which requests get them, how many in all, and where streams go on. */
-class RepeatsTest {
+class RetriesTest {
     @Test
     fun `a read goes to another server, but to no more servers than its route allows`() {
         val rig = RelayRig().start()
@@ -61,25 +61,25 @@
 
     /** The bound is the operators': repeats in any window, over all routers, against the ratio and the slack. */
     @Property(tries = 200)
-    fun `repeats of all routers stay within the bound in every window`(
+    fun `retries of all routers stay within the bound in every window`(
         @ForAll @IntRange(min = 1, max = 60) routers: Int,
         @ForAll seed: Long,
     ) {
         val settings = RelayRig.settings("vm-1")
         val random = Random(seed)
         val firsts = mutableListOf<Long>()
-        val repeats = mutableListOf<Long>()
+        val retries = mutableListOf<Long>()
         repeat(routers) {
-            var budget = RepeatBudget()
+            var budget = RetryBudget()
             var at = random.nextLong(0, 1_000)
             val gap = random.nextLong(5, 400)
             while (at < 40_000) {
                 val now = Timestamp(at)
                 budget = budget.countFirst(now).also { firsts += at }
                 repeat(3) {
-                    if (budget.mayRepeat(settings, routers, now)) {
-                        budget = budget.countRepeat(now)
-                        repeats += at
+                    if (budget.mayRetry(settings, routers, now)) {
+                        budget = budget.countRetry(now)
+                        retries += at
                     }
                 }
                 at += random.nextLong(1, 2 * gap)
@@ -88,7 +88,7 @@
         for (start in 0L..30_000L step 250) {
             val window = start until start + settings.repeatWindowMilliseconds
             val bound = settings.repeatRatio * firsts.count { it in window } + settings.repeatSlack
-            assertTrue(repeats.count { it in window } <= bound, "window from $start")
+            assertTrue(retries.count { it in window } <= bound, "window from $start")
         }
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
@@ -41,14 +41,14 @@
     /** Tells that the request is being sent on [connection]. */
     fun sentOn(connection: BackendConnection) {
         this.connection = connection
-        silence.restart(order.firstSilenceMilliseconds, fallSilent)
+        silence.restart(order.startTimeoutMilliseconds, fallSilent)
     }
 
     /** Takes the head of the answer. */
     fun takeHead(head: HttpResponse) {
         val answer = HeldAnswer(head, mayStream = order.streaming)
         held = answer
-        silence.restart(order.silenceMilliseconds, fallSilent)
+        silence.restart(order.idleTimeoutMilliseconds, fallSilent)
         if (answer.streams) events.started(this, head)
     }
 
@@ -56,7 +56,7 @@
     fun takeBody(bytes: ByteBuf) {
         val answer = held
         if (ended || answer == null) return
-        silence.restart(order.silenceMilliseconds, fallSilent)
+        silence.restart(order.idleTimeoutMilliseconds, fallSilent)
         answer.add(bytes)
         if (passing) answer.passReady(exchange.answer)
     }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
@@ -44,7 +44,7 @@
     /** Sends [call] on a connection that is kept, or on a new one. */
     fun send(call: BackendCall) {
         val peer = peers.getOrPut(call.order.address) { Peer() }
-        val kept = takeKept(peer, call.order.mustBeSure)
+        val kept = takeKept(peer, call.order.requiresLiveConnection)
         when {
             kept != null -> kept.send(call, codec.encodeRequest(call.exchange.head, call.order))
             peer.all.size + peer.connecting >= call.order.maximumConnections ->
@@ -77,9 +77,9 @@
     }
 
     /** The newest connection is the least likely to be closed by the other side; dead ones are dropped on the way. */
-    private fun takeKept(peer: Peer, mustBeSure: Boolean): BackendConnection? {
+    private fun takeKept(peer: Peer, requiresLiveConnection: Boolean): BackendConnection? {
         val now = clock.now()
-        val share = if (mustBeSure) SURE_SHARE else KEPT_SHARE
+        val share = if (requiresLiveConnection) SURE_SHARE else KEPT_SHARE
         peer.idle.removeAll { !it.open }
         val newest = peer.idle.lastOrNull()?.takeIf { it.isFresh(now, share) }
         newest?.let { peer.idle.removeLast() }
