--- a/core/src/test/kotlin/org/quetzalloom/core/relay/AttemptTimeoutsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/AttemptTimeoutsTest.kt
@@ -17,20 +17,20 @@
         on(RelayEvent.AnswerFinished(send.exchange, send.attempt))
     }
 
-    private fun RelayRig.patience(): Long? =
+    private fun RelayRig.startTimeout(): Long? =
         arrive(prompt).second.only<RelayEffect.Send>().order.startTimeoutMilliseconds
 
     @Test
     fun `a stream may take some targets to begin while nothing is known of its servers`() {
-        assertEquals(8_000, RelayRig().start(RelayRig.engineServers).patience())
+        assertEquals(8_000, RelayRig().start(RelayRig.engineServers).startTimeout())
     }
 
     @Test
     fun `a stream that takes much longer than prompts usually do is tried elsewhere`() {
         val quick = RelayRig().start(RelayRig.engineServers).apply { repeat(100) { serve(it, milliseconds = 100) } }
-        assertEquals(1_000, quick.patience())
+        assertEquals(1_000, quick.startTimeout())
         val slow = RelayRig().start(RelayRig.engineServers).apply { repeat(100) { serve(it, milliseconds = 1_000) } }
-        assertEquals(4_500, slow.patience())
+        assertEquals(4_500, slow.startTimeout())
     }
 
     @Test
