Say plainly how the relay handles requests

They now state what is returned, the units, what null means and which events change nothing. Test names follow.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/AnswerHead.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/AnswerHead.kt
@@ -3,14 +3,14 @@
 import org.quetzalloom.core.relay.server.LoadReport
 
 /**
- * What a relay must know of the head of a backend server's answer.
+ * The status and the headers of a backend server's answer on which the router bases its decisions.
  *
- * @property notRun whether the backend server says that it has not run the request, and will not.
- * @property misdirected whether another backend server than the one that was meant has answered.
- * @property signed whether the answer bears the backend server's signature.
- * @property confidence the model's own opinion of its answer, from 0 to 100, or `null`.
- * @property load the backend server's load, or `null`.
- * @property coldMilliseconds how much longer the backend server is cold, or `null` if it did not say.
+ * @property notRun whether the backend server guarantees that it has not run the request and will not run it.
+ * @property misdirected whether the answer came from another backend server than the one addressed.
+ * @property signed whether the answer carries the backend server's signature.
+ * @property confidence the model's confidence in its answer, from 0 to 100, or `null` if it reported none.
+ * @property load the backend server's load, or `null` if it reported none.
+ * @property coldMilliseconds the rest of the backend server's warm-up, or `null` if it reported none.
  */
 public data class AnswerHead(
     public val status: Int,
@@ -21,10 +21,10 @@
     public val load: LoadReport? = null,
     public val coldMilliseconds: Long? = null,
 ) {
-    /** Whether the backend server ran the request and failed. */
+    /** Whether the backend server failed (status 500 or above) without a guarantee that it has not run the request. */
     public val isServerFailure: Boolean get() = !notRun && status >= SERVER_FAILURE
 
-    /** Whether the request succeeded. */
+    /** Whether the status is in the range 200 to 299. */
     public val isSuccess: Boolean get() = status in SUCCESS
 
     private companion object {
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Answers.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Answers.kt
@@ -13,7 +13,10 @@
 import org.quetzalloom.core.relay.with
 import org.quetzalloom.core.time.Timestamp
 
-/** Returns the transition that takes the head of an answer: passes it on, or drops it and asks elsewhere. */
+/**
+ * Returns the transition that handles the head of an answer: forwards the answer to the caller, or drops it and tries
+ * another backend server. Events of attempts that are no longer current change nothing.
+ */
 internal fun RelayState.answerStarted(event: RelayEvent.AnswerStarted, now: Timestamp): RelayStep {
     val (asked, pending) = exchanges.currentOrNull(event.exchange, event.attempt) ?: return unchanged()
     val attempt = pending.copy(work = 0)
@@ -33,7 +36,7 @@
     }
 }
 
-/** Returns the transition that ends an exchange whose answer has been passed on whole. */
+/** Returns the transition that ends an exchange whose answer has been forwarded completely. */
 internal fun RelayState.answerFinished(event: RelayEvent.AnswerFinished, now: Timestamp): RelayStep {
     val (exchange, attempt) = exchanges.currentOrNull(event.exchange, event.attempt) ?: return unchanged()
     return release(attempt).copy(exchanges = exchanges.without(exchange.id))
@@ -44,7 +47,7 @@
     copy(exchanges = exchanges.with(exchange.copy(headForwarded = true, mayHaveRun = true)))
         .with(RelayEffect.PassOn(exchange.id, attempt.number))
 
-/** A stream that was broken goes on with the answer of another backend server, if that is a success too. */
+/** Resumes a broken stream with the answer of another backend server, or tries one more if that is not a success. */
 private fun RelayState.resumeStream(exchange: Exchange, attempt: Attempt, head: AnswerHead, now: Timestamp): RelayStep =
     if (head.isSuccess) {
         forwardAnswer(exchange, attempt)
@@ -84,7 +87,10 @@
         .then { it.placeOrWait(next.copy(attempt = null), now) }
 }
 
-/** Returns what is to become of the answer of a model that the router has chosen, or `null` for any other answer. */
+/**
+ * Decides whether the answer with [head] is kept or a larger model is asked. Returns `null` if there is nothing to
+ * decide: the caller named the model, or the answer reports no confidence.
+ */
 private fun RelayState.escalationOrNull(exchange: Exchange, head: AnswerHead, now: Timestamp): EscalationDecision? {
     val confidence = head.confidence?.takeIf { exchange.request.routerChoosesModel } ?: return null
     val outlook = if (mayRunOnceMore(exchange, now)) outlookOrNull(exchange, now) else null
@@ -93,7 +99,10 @@
     return EscalationDecision(confidence, outlook?.startOf(exchange.route.models.lastIndex), next)
 }
 
-/** Returns whether [exchange], which may have run, may be sent to one more backend server. */
+/**
+ * Returns whether [exchange], which may have run, may run once more: its route, its number of attempts and the retry
+ * budget of its service allow it.
+ */
 internal fun RelayState.mayRunOnceMore(exchange: Exchange, now: Timestamp): Boolean =
     exchange.route.mayRunAgain && exchange.runs + 1 < exchange.route.maximumAttempts && budgetLeft(exchange, now)
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
@@ -23,26 +23,30 @@
 import org.quetzalloom.core.router.bucketOf
 import org.quetzalloom.core.time.Timestamp
 
-/** A request may wait this share of its time for a backend server; the rest is needed to answer it. */
+/** A request may wait for a backend server during its time left divided by this; the rest is needed to answer it. */
 internal const val QUEUE_TIME_DIVISOR = 4
 
-/** The time after which a caller may come back to a relay that has no configuration yet; it reads it at its start. */
+/** The retry-after time before the first configuration, which the router reads as soon as it starts. */
 private const val NOT_READY_RETRY_MILLISECONDS = 200L
 
 /**
- * The same while the store does not answer. Outages last for seconds, callers come back once or twice, and they wait
- * for a third of their time at most.
+ * The retry-after time before the first configuration while the store does not answer. Outages last for seconds, and
+ * callers retry once or twice and wait for at most a third of their time.
  */
 private const val STORE_UNAVAILABLE_RETRY_MILLISECONDS = 2_000L
 
-/** The time after which a caller may come back to another router; its next connection may still come here. */
+/**
+ * The retry-after time while this router shuts down. Another router can serve the caller at once, though the caller's
+ * next connection may still reach this one.
+ */
 private const val SHUTTING_DOWN_RETRY_MILLISECONDS = 50L
 
-private val SHUTTING_DOWN = RouterError(ErrorKind.SHUTTING_DOWN, "this router stops before the request could end")
+private val SHUTTING_DOWN =
+    RouterError(ErrorKind.SHUTTING_DOWN, "this router is shutting down before the request could finish")
 
 private class Admission(val route: Route, val workspace: WorkspaceId?)
 
-/** Returns the transition that admits a request and sends it, or refuses it. */
+/** Returns the transition that admits the request of [event] and places it at a backend server, or refuses it. */
 internal fun RelayState.admitOrRefuse(event: RelayEvent.RequestArrived, now: Timestamp): RelayStep =
     admit(event.request, now).fold(
         success = { startExchange(event, it, now) },
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempt.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempt.kt
@@ -4,13 +4,15 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * One try of a request at one backend server.
+ * One attempt to have a request answered by one backend server.
  *
- * @property number from 1.
+ * @property number the number of the attempt within its exchange, from 1.
  * @property version the version of the backend server's software.
- * @property modelIndex the place of the model among those of the route, from 0.
- * @property workUntilAnswer the prompts that were to be read there before its answer could begin, its own among them.
- * @property work the prompt that the backend server has still to read, weighed by model; 0 once its answer has begun.
+ * @property modelIndex the index of the model among those of the route.
+ * @property workUntilAnswer the work ahead of the answer when the attempt was sent: the prompts that the backend server
+ *   had still to read, this attempt's own included. The unit is that of [work].
+ * @property work the part of this attempt's prompt that the backend server has still to read, in tokens weighted by
+ *   model size; 0 once its answer has begun.
  */
 internal data class Attempt(
     val number: Int,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/AttemptFailure.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/AttemptFailure.kt
@@ -1,29 +1,29 @@
 package org.quetzalloom.core.relay.exchange
 
 /**
- * Why an attempt has ended without a whole answer.
+ * Why an attempt ended without a complete answer.
  *
  * @property mayHaveArrived whether the backend server may have received the request.
- * @property serverSuspect whether the backend server itself may be gone, and not only one request or connection.
- * @property serverReacted whether anything came from the backend server at all, be it the end of a connection.
+ * @property serverSuspect whether the backend server itself may be gone, rather than only one request or connection.
+ * @property serverReacted whether anything came from the backend server, if only the end of a connection.
  */
 public enum class AttemptFailure(
     public val mayHaveArrived: Boolean,
     public val serverSuspect: Boolean,
     public val serverReacted: Boolean = true,
 ) {
-    /** No connection could be made. */
+    /** No connection could be established. */
     NOT_CONNECTED(mayHaveArrived = false, serverSuspect = true),
 
-    /** No more connections may be made to the backend server. */
+    /** All connections that this router may have to the backend server were in use. */
     NO_CONNECTION_LEFT(mayHaveArrived = false, serverSuspect = false),
 
-    /** The connection ended before the answer was whole. */
+    /** The connection ended before the answer was complete. */
     CONNECTION_LOST(mayHaveArrived = true, serverSuspect = true),
 
-    /** The answer was not in the protocol, belonged to another request, or bore no signature. */
+    /** The answer violated the protocol, belonged to another request, or carried no signature. */
     BAD_ANSWER(mayHaveArrived = true, serverSuspect = false),
 
-    /** Nothing was heard for too long. */
+    /** The answer did not begin, or did not continue, within its timeout. */
     SILENT(mayHaveArrived = true, serverSuspect = true, serverReacted = false),
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/AttemptTimeouts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/AttemptTimeouts.kt
@@ -3,25 +3,28 @@
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.routing.Route
 
-/** A stream that has not begun after this many times its target is tried elsewhere, however much is read before it. */
+/** The maximum start timeout of a stream, in targets of its route, however much has to be read before it. */
 private const val MAXIMUM_STREAM_START_TARGETS = 4
 
-/** A stream may take this many times as long to begin as the prompts before it usually do. */
+/** A stream may take this many times as long to begin as the prompts ahead of it usually take to read. */
 private const val STREAM_START_FACTOR = 4
 
-/** The same for what does not depend on prompts, in milliseconds: a new connection, a lost packet. */
+/** Added to the start timeout of a stream for what does not depend on prompts: a new connection, a lost packet. */
 private const val STREAM_START_ALLOWANCE_MILLISECONDS = 500L
 
-/** A stream whose pause is this many times the longest that is still on time goes on elsewhere. */
+/** The idle timeout of a resumable stream, in multiples of the longest pause that still counts as on time. */
 private const val IDLE_TIMEOUT_GAPS = 1.5
 
-/** An answer that may be asked for again is, when it has not come after this many times its target. */
+/** The start timeout of an answer that is not a stream, in targets of its route. */
 private const val PLAIN_START_TARGETS = 1.5
 
-/** The shortest silence that says something, in milliseconds: many answers take longer than their target. */
+/** The minimum start timeout. Many answers take longer than a short target, so less says nothing about the server. */
 private const val MINIMUM_START_TIMEOUT_MILLISECONDS = 200L
 
-/** Returns how long the answer of [attempt] may take to begin before another is asked for, or `null` for no limit. */
+/**
+ * Returns how long the answer of [attempt] may take to begin before another backend server is tried, in milliseconds;
+ * `null`, for no limit, if the request may not run again.
+ */
 internal fun RelayState.startTimeoutOrNull(exchange: Exchange, attempt: Attempt): Long? {
     val route = exchange.route
     return when {
@@ -38,6 +41,9 @@
     return maxOf(target / 2, usual * STREAM_START_FACTOR + STREAM_START_ALLOWANCE_MILLISECONDS).coerceAtMost(longest)
 }
 
-/** Returns the longest pause in an answer of [route] before it goes on elsewhere, or `null` for no limit. */
+/**
+ * Returns the maximum pause in an answer of [route] before another backend server resumes it, in milliseconds; `null`,
+ * for no limit, if the route is not resumable or has no target for pauses.
+ */
 internal fun idleTimeoutOrNull(route: Route): Long? =
     (route.gapMilliseconds * IDLE_TIMEOUT_GAPS).toLong().takeIf { route.resumable && it > 0 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
@@ -15,7 +15,10 @@
 import org.quetzalloom.core.relay.with
 import org.quetzalloom.core.time.Timestamp
 
-/** Returns the transition that sends [exchange] to a backend server, or leaves it waiting if none can take it. */
+/**
+ * Returns the transition that sends [exchange] to the backend server that the placement policy chooses. If no backend
+ * server can take it, the exchange waits, or ends once it has waited for too long.
+ */
 internal fun RelayState.placeOrWait(exchange: Exchange, now: Timestamp): RelayStep {
     val candidates = untriedServers(exchange, now).map { it.toCandidate(workUntilAnswer(it, work = 0, now), now) }
     val chosen = policies.placement.chooseOrNull(candidates, placementRequest(exchange))
@@ -30,7 +33,7 @@
     zone = settings.zone,
 )
 
-/** Returns the transition that leaves [exchange] waiting, or gives it up if it has waited long enough. */
+/** Returns the transition that leaves [exchange] waiting for a backend server, or ends it if it has waited too long. */
 internal fun RelayState.waitOrGiveUp(exchange: Exchange, now: Timestamp): RelayStep {
     val waiting = copy(exchanges = exchanges.with(exchange.copy(attempt = null)))
     return if (now < exchange.waitUntil) waiting.unchanged() else waiting.giveUp(exchange, now)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/EscalationDecision.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/EscalationDecision.kt
@@ -1,12 +1,12 @@
 package org.quetzalloom.core.relay.exchange
 
 /**
- * What decided whether the answer of a model was kept.
+ * The decision whether to keep a model's answer or to ask another model instead, and what it was based on.
  *
- * @property confidence the model's own opinion of it, from 0 to 100.
- * @property largestModelStartMilliseconds when the largest model could have begun its answer, after the request's
- *   arrival; `null` if no backend server could have taken the request once more.
- * @property nextModelIndex the model that is asked instead, or `null` if the answer is kept.
+ * @property confidence the model's confidence in its answer, from 0 to 100.
+ * @property largestModelStartMilliseconds the estimated time from the request's arrival to the start of an answer of
+ *   the largest model; `null` if the request could not be sent once more.
+ * @property nextModelIndex the index of the model to ask instead, or `null` if the answer is kept.
  */
 internal data class EscalationDecision(
     val confidence: Int,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Exchange.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Exchange.kt
@@ -9,19 +9,20 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * A request that has not been answered yet.
+ * A request that has not been answered completely.
  *
- * @property deadlineAt when the caller gets an answer at the latest.
- * @property waitUntil when the request is refused if no backend server has taken it.
- * @property modelIndex the place of the model that is to answer, among those of the route.
- * @property attempt the attempt under way, or `null` while the request waits.
- * @property attempts how many were made.
- * @property runs how many of them may have run.
- * @property tried the backend servers that failed or refused it.
- * @property mayHaveRun whether some backend server may have run it.
+ * @property workspace the workspace of the caller's key, or `null` if the caller has no known key.
+ * @property deadlineAt the latest time at which the caller gets an answer.
+ * @property waitUntil the time until which the request may wait for a backend server; after it, the request is refused.
+ * @property modelIndex the index, among the models of the route, of the model to ask.
+ * @property attempt the attempt in flight, or `null` while the request waits for a backend server.
+ * @property attempts the number of attempts made.
+ * @property runs the number of attempts that may have run.
+ * @property tried the backend servers that failed or refused the request; it is not sent to them again.
+ * @property mayHaveRun whether a backend server may have run the request.
  * @property headForwarded whether the caller has got the head of an answer.
- * @property lastEventId the last event that the caller has, or `null`.
- * @property escalation what decided about the answer of the model asked last, or `null` before one.
+ * @property lastEventId the id of the last event that the caller has, or `null` before the first.
+ * @property escalation the decision about the latest answer with a confidence, or `null` before one.
  */
 internal data class Exchange(
     val id: ExchangeId,
@@ -42,6 +43,6 @@
     val lastEventId: String? = null,
     val escalation: EscalationDecision? = null,
 ) {
-    /** The name of the model that is to answer, or `null` if the caller names it. */
+    /** The name of the model to ask, or `null` if the router does not choose the model. */
     val modelName: String? get() = if (request.routerChoosesModel) route.models.getOrNull(modelIndex) else null
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ExchangeId.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ExchangeId.kt
@@ -1,6 +1,6 @@
 package org.quetzalloom.core.relay.exchange
 
-/** Names one request of a caller within one start of one relay. */
+/** Identifies a caller's request; unique within one run of one router process. */
 @JvmInline
 public value class ExchangeId(public val value: Long) : Comparable<ExchangeId> {
     override fun compareTo(other: ExchangeId): Int = value.compareTo(other.value)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ExchangesState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ExchangesState.kt
@@ -5,15 +5,15 @@
 import org.quetzalloom.core.relay.routing.ServiceName
 
 /**
- * The requests that have not been answered yet.
+ * The requests that have not been answered completely.
  *
- * @property budgets the repeats of late, by service.
+ * @property budgets the retry budget of each service that has had a request.
  */
 internal data class ExchangesState(
     val byId: PersistentMap<ExchangeId, Exchange> = persistentMapOf(),
     val budgets: PersistentMap<ServiceName, RetryBudget> = persistentMapOf(),
 ) {
-    /** Returns the exchange [id] and its attempt [number], if that is under way, or `null`. */
+    /** Returns the exchange [id] with its attempt [number], or `null` if that attempt is not in flight. */
     fun currentOrNull(id: ExchangeId, number: Int): CurrentAttempt? {
         val exchange = byId[id]
         val attempt = exchange?.attempt?.takeIf { it.number == number }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
@@ -11,10 +11,13 @@
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.time.Timestamp
 
-/** Backend servers that may refuse a request, beside those that run it. */
+/** The attempts per request that may end without a run, beside those that run it. */
 private const val MAXIMUM_REFUSALS = 4
 
-/** Returns the transition that takes the loss of an attempt: resumes, repeats, or ends the exchange. */
+/**
+ * Returns the transition that handles a failed attempt: resumes the stream, retries the request, or ends the exchange.
+ * Events of attempts that are no longer current change nothing.
+ */
 internal fun RelayState.attemptFailed(event: RelayEvent.AttemptBroke, now: Timestamp): RelayStep {
     val (exchange, attempt) = exchanges.currentOrNull(event.exchange, event.attempt) ?: return unchanged()
     val failure = event.failure
@@ -54,7 +57,10 @@
     waitUntil = maxOf(waitUntil, now + (deadlineAt - now) / QUEUE_TIME_DIVISOR),
 )
 
-/** Returns the transition that goes on with [exchange] at another server than that of [attempt], which ran it. */
+/**
+ * Returns the transition that cancels [attempt], whose backend server has run the request, and retries [exchange] at
+ * another one, or ends it if it may not run again.
+ */
 internal fun RelayState.retryElsewhere(
     exchange: Exchange,
     attempt: Attempt,
@@ -72,7 +78,7 @@
 }.then { it.cancelAttempt(exchange) }
     .then { it.retryOrGiveUp(exchange.copy(attempt = null), attempt, now) }
 
-/** Returns the transition that takes an answer which says that the request has not run. */
+/** Returns the transition that handles an answer which guarantees that the request has not run. */
 internal fun RelayState.handleNotRun(
     exchange: Exchange,
     attempt: Attempt,
@@ -96,11 +102,14 @@
     return if (allowed) placeOrWait(exchange, now) else giveUp(exchange, now)
 }
 
-/** Returns whether this router may send one more repeat to the service of [exchange]. */
+/** Returns whether the retry budget of the service of [exchange] allows one more retry. */
 internal fun RelayState.budgetLeft(exchange: Exchange, now: Timestamp): Boolean =
     exchanges.budgets[exchange.service]?.mayRetry(settings, members.shareholders, now) ?: false
 
-/** Returns the transition that ends what has reached its deadline, and places what waits. */
+/**
+ * Returns the transition that ends the exchanges whose deadline has passed, and places the waiting ones again, in the
+ * order of their priority and deadline.
+ */
 internal fun RelayState.checkDeadlines(now: Timestamp): RelayStep {
     val (due, inTime) = exchanges.byId.values.partition { now >= it.deadlineAt }
     val waiting = inTime.filter { it.attempt == null }.sortedBy { it.urgency }
@@ -108,13 +117,13 @@
         .thenEach(waiting) { reached, exchange -> reached.placeWaiting(exchange, now) }
 }
 
-/** A repeat that has waited asks the budget again: others may have taken what was left of it. */
+/** Checks the retry budget again before a waiting retry is placed, as others may have used it up in the meantime. */
 private fun RelayState.placeWaiting(exchange: Exchange, now: Timestamp): RelayStep =
     if (exchange.attempts == 0 || budgetLeft(exchange, now)) placeOrWait(exchange, now) else waitOrGiveUp(exchange, now)
 
 private val Exchange.urgency: Long get() = route.priority * PRIORITY_STEP + deadlineAt.epochMilliseconds % PRIORITY_STEP
 
-/** More milliseconds than a deadline is away, so that the priority goes before the deadline. */
+/** More milliseconds than any deadline since the Unix epoch, so that the priority outweighs the deadline. */
 private const val PRIORITY_STEP = 1_000_000_000_000_000L
 
 private fun RelayState.expire(exchange: Exchange, now: Timestamp): RelayStep = cancelAttempt(exchange).then {
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Outlooks.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Outlooks.kt
@@ -8,15 +8,21 @@
 import org.quetzalloom.core.relay.server.allowed
 import org.quetzalloom.core.time.Timestamp
 
-/** Returns the backend servers that may get the next attempt of [exchange]. */
+/** Returns the eligible backend servers that have neither failed nor refused [exchange]. */
 internal fun RelayState.untriedServers(exchange: Exchange, now: Timestamp): List<ServerView> =
     allowed(exchange, now).filter { it.listing.id !in exchange.tried }
 
-/** Returns the prompts to be read at [view] before an attempt that is [work] would be answered, itself among them. */
+/**
+ * Returns the work at the server of [view] before an attempt with [work] of its own would be answered: the prompts to
+ * be read for this router and, as far as they have reported, for the others, plus [work].
+ */
 internal fun RelayState.workUntilAnswer(view: ServerView, work: Long, now: Timestamp): Long =
     view.work + peers.workAt(view.listing.id, now) + work
 
-/** Returns how soon each model could answer [exchange], or `null` if no backend server could take it now. */
+/**
+ * Estimates how soon each model of the route could begin to answer [exchange]. Returns `null` if no backend server can
+ * take it now. While the reading pace of the service is unknown, prompts count as read in no time.
+ */
 internal fun RelayState.outlookOrNull(exchange: Exchange, now: Timestamp): ModelOutlook? {
     val least = untriedServers(exchange, now).minOfOrNull { workUntilAnswer(it, work = 0, now) } ?: return null
     val pace = servers.paces[exchange.service] ?: ReadingPace()
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/RelayRequest.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/RelayRequest.kt
@@ -4,17 +4,17 @@
 import kotlinx.collections.immutable.persistentListOf
 
 /**
- * What a relay must know of a request to decide about it. Its head and body stay with the process.
+ * What the router needs to know of a request for its decisions. The message itself stays outside the reducer.
  *
- * @property callerId the caller's own id of the request, or `null` if it gave none.
- * @property key the key of the caller, or `null`.
- * @property timeLeftMilliseconds how long the caller will wait from now on, or `null` if it did not say.
- * @property routerChoosesModel whether the request is for a model, and leaves it open which.
+ * @property callerId the id that the caller gave the request, or `null` if it gave none.
+ * @property key the caller's API key, or `null` if it sent none.
+ * @property timeLeftMilliseconds how long the caller will still wait, or `null` if it did not say.
+ * @property routerChoosesModel whether the request is for a model and leaves the choice of the model to the router.
  * @property prompt the parts of the prompt, in order.
- * @property promptTokens the length of the prompt; 0 if it is not for a model.
- * @property outputTokens the most tokens to generate; 0 if it is not for a model.
- * @property session names the session that the request belongs to, or `null`.
- * @property lastEventId where the caller wants a stream to go on, or `null` for its start.
+ * @property promptTokens the length of the prompt; 0 if the request is not for a model.
+ * @property outputTokens the maximum number of tokens to generate; 0 if the request is not for a model.
+ * @property session the id of the session that the request belongs to, or `null` if it belongs to none.
+ * @property lastEventId the id of the event after which the caller wants to resume a stream, or `null` to start it.
  */
 public data class RelayRequest(
     public val callerId: String?,
@@ -29,7 +29,10 @@
     public val session: String? = null,
     public val lastEventId: String? = null,
 ) {
-    /** The last part of the prompt that other requests share, or `null`; the last part is the request's own. */
+    /**
+     * The last part of the prompt that other requests may share: the second to last, as the last one is the request's
+     * own. Returns the only part of a prompt of one part, and `null` if there is no prompt.
+     */
     public val sharedPartOrNull: PromptPart?
         get() = if (prompt.size >= 2) prompt[prompt.size - 2] else prompt.lastOrNull()
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/RetryBudget.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/RetryBudget.kt
@@ -6,25 +6,30 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * Counts the requests of a service and their repeats, of which there may be only so many in any window.
+ * Counts the requests of a service and their retries, to limit the retries in any window of time.
  *
- * Counts are kept by the second. A window of repeats is rounded up to whole seconds and one of requests down, so that
- * the bound holds for every window.
+ * Counts are kept per second. The window is rounded up to whole seconds for retries and down for requests, so that the
+ * limit holds for every window.
  *
- * @property firstAttempts first attempts, by the second in which they were sent.
- * @property retries further attempts, by the second in which they were sent.
+ * @property firstAttempts the number of requests, by the second in which they arrived.
+ * @property retries the number of further attempts, by the second in which they were sent.
  */
 internal data class RetryBudget(
     val firstAttempts: PersistentMap<Long, Int> = persistentMapOf(),
     val retries: PersistentMap<Long, Int> = persistentMapOf(),
 ) {
-    /** Returns the budget after a first attempt at [now]. */
+    /** Returns the budget after a request has arrived at [now]. */
     fun countFirst(now: Timestamp): RetryBudget = copy(firstAttempts = firstAttempts.increment(now))
 
-    /** Returns the budget after a further attempt at [now]. */
+    /** Returns the budget after a retry at [now]. */
     fun countRetry(now: Timestamp): RetryBudget = copy(retries = retries.increment(now))
 
-    /** Returns whether this router may make one more repeat at [now], as one of [shareholders] routers. */
+    /**
+     * Returns whether this router may send one more retry at [now].
+     *
+     * The limit is [RelaySettings.repeatRatio] of this router's requests in the window plus an equal share, among
+     * [shareholders] routers, of [RelaySettings.repeatSlack].
+     */
     fun mayRetry(settings: RelaySettings, shareholders: Int, now: Timestamp): Boolean {
         val second = now.second
         val span = settings.repeatWindowMilliseconds / MILLISECONDS_PER_SECOND
@@ -46,7 +51,7 @@
         const val MILLISECONDS_PER_SECOND = 1_000L
         const val LONGEST_WINDOW_SECONDS = 60L
 
-        /** The share of the bound that is used; the rest is for what arrives later than it was sent. */
+        /** The share of the limit that is used; the rest covers attempts that arrive later than they were sent. */
         const val USED_SHARE = 0.9
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/SendOrder.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/SendOrder.kt
@@ -4,18 +4,18 @@
 import org.quetzalloom.core.identity.WorkspaceId
 
 /**
- * How one attempt is to be sent.
+ * Where and how an attempt is sent, and how long the router waits for its answer.
  *
  * @property address the `host:port` of the backend server.
- * @property maximumConnections the connections that this router may have to it.
- * @property timeLeftMilliseconds how long the backend server may work on the request.
- * @property workspace the workspace of the caller's key, or `null`.
- * @property model the model that is to answer, or `null` to pass on what the caller named.
- * @property lastEventId the last event that the caller has, or `null` to send what the caller said.
- * @property streaming whether the answer is passed on as it comes; otherwise it is held until it is whole.
- * @property startTimeoutMilliseconds the longest time until the answer begins, or `null` for no limit.
- * @property idleTimeoutMilliseconds the longest pause in the answer, or `null` for no limit.
- * @property requiresLiveConnection whether only a connection that is new or surely alive may be used.
+ * @property maximumConnections the number of connections that this router may have to the backend server.
+ * @property timeLeftMilliseconds how long the backend server may work on the request; at least 1.
+ * @property workspace the workspace of the caller's key, or `null` if the caller has no known key.
+ * @property model the name of the model to ask, or `null` to forward what the caller asked for.
+ * @property lastEventId the id of the last event that the caller has, or `null` to forward what the caller sent.
+ * @property streaming whether the answer is forwarded as it arrives; otherwise it is buffered until it is complete.
+ * @property startTimeoutMilliseconds the maximum time until the answer begins, or `null` for no limit.
+ * @property idleTimeoutMilliseconds the maximum pause within the answer, or `null` for no limit.
+ * @property requiresLiveConnection whether only a new connection, or one that is known to be alive, may be used.
  */
 public data class SendOrder(
     public val server: BackendServerId,
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/AtMostOnceTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/AtMostOnceTest.kt
@@ -8,12 +8,15 @@
 import kotlin.test.assertNotEquals
 import kotlin.test.assertTrue
 
-/** A request that may not be repeated runs at most once, and what says that it has not run is true. */
+/**
+ * Guards against a request that must not run twice being retried after it may have run, and against errors that claim
+ * that a request has not run when it may have.
+ */
 class AtMostOnceTest {
     private val refusal = AnswerHead(status = 503, notRun = true, signed = false)
 
     @Test
-    fun `a command whose connection was lost is not sent again, and is not said not to have run`() {
+    fun `a command whose connection was lost is not sent again, and its error does not claim that it has not run`() {
         AttemptFailure.entries.filter { it.mayHaveArrived }.forEach { failure ->
             val rig = RelayRig().start()
             val send = rig.arrive(RelayRig.command).second.only<RelayEffect.Send>()
@@ -43,7 +46,7 @@
     }
 
     @Test
-    fun `a command that all servers refused is answered as not run, with a time to come back`() {
+    fun `a command that all servers refused is answered as not run, with a retry-after time`() {
         val rig = RelayRig().start()
         var send = rig.arrive(RelayRig.command).second.only<RelayEffect.Send>()
         repeat(2) { send = rig.answer(send, refusal).only() }
@@ -55,7 +58,7 @@
     }
 
     @Test
-    fun `a command that a server ran and failed is passed on as it is`() {
+    fun `the answer of a server that failed while running a command is forwarded unchanged`() {
         val rig = RelayRig().start()
         val send = rig.arrive(RelayRig.command).second.only<RelayEffect.Send>()
         val effects = rig.answer(send, AnswerHead(status = 500))
@@ -64,7 +67,7 @@
     }
 
     @Test
-    fun `a command that runs at its deadline is answered as unknown`() {
+    fun `a command that still runs at its deadline is answered as deadline exceeded, and its attempt is cancelled`() {
         val rig = RelayRig().start()
         rig.arrive(RelayRig.command)
         val effects = rig.pass(1_100)
@@ -73,7 +76,7 @@
     }
 
     @Test
-    fun `a success without a signature is not passed on`() {
+    fun `a success without a signature is not forwarded`() {
         val rig = RelayRig().start()
         val send = rig.arrive(RelayRig.command).second.only<RelayEffect.Send>()
         val effects = rig.answer(send, AnswerHead(status = 200, signed = false))
@@ -82,7 +85,7 @@
     }
 
     @Test
-    fun `a command goes only over a connection that is surely alive`() {
+    fun `a command requires a connection that is known to be alive, a read does not`() {
         val rig = RelayRig().start()
         assertTrue(rig.arrive(RelayRig.command).second.only<RelayEffect.Send>().order.requiresLiveConnection)
         assertTrue(!rig.arrive(RelayRig.read).second.only<RelayEffect.Send>().order.requiresLiveConnection)
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/AttemptTimeoutsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/AttemptTimeoutsTest.kt
@@ -6,7 +6,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-/** How long a router waits for a server that says nothing. */
+/** How long a router waits for a server that does not answer, and what it does with the server afterwards. */
 class AttemptTimeoutsTest {
     private val prompt = RelayRig.prompt.copy(promptTokens = 10_000)
 
@@ -21,12 +21,12 @@
         arrive(prompt).second.only<RelayEffect.Send>().order.startTimeoutMilliseconds
 
     @Test
-    fun `a stream may take some targets to begin while nothing is known of its servers`() {
+    fun `a stream may take several targets to begin while the pace of its servers is unknown`() {
         assertEquals(8_000, RelayRig().start(RelayRig.engineServers).startTimeout())
     }
 
     @Test
-    fun `a stream that takes much longer than prompts usually do is tried elsewhere`() {
+    fun `the start timeout of a stream follows the usual time to read its prompt`() {
         val quick = RelayRig().start(RelayRig.engineServers).apply { repeat(100) { serve(it, milliseconds = 100) } }
         assertEquals(1_000, quick.startTimeout())
         val slow = RelayRig().start(RelayRig.engineServers).apply { repeat(100) { serve(it, milliseconds = 1_000) } }
@@ -34,14 +34,14 @@
     }
 
     @Test
-    fun `what may run once only is never given up for silence`() {
+    fun `a request that may run only once has no timeouts before its deadline`() {
         val send = RelayRig().start().arrive(RelayRig.command).second.only<RelayEffect.Send>()
         assertEquals(null, send.order.startTimeoutMilliseconds)
         assertEquals(null, send.order.idleTimeoutMilliseconds)
     }
 
     @Test
-    fun `a server that was silent rests longer than one that closed a connection`() {
+    fun `a server that timed out is suspended for longer than one that closed a connection`() {
         val rested = listOf(AttemptFailure.CONNECTION_LOST, AttemptFailure.SILENT).map { failure ->
             val rig = RelayRig().start(RelayRig.plainServers.take(1))
             val send = rig.arrive(RelayRig.read).second.only<RelayEffect.Send>()
@@ -54,7 +54,7 @@
     }
 
     @Test
-    fun `the other servers get what a silent one had`() {
+    fun `a request that timed out at one server is retried at another`() {
         val rig = RelayRig().start()
         val first = rig.arrive(RelayRig.read).second.only<RelayEffect.Send>()
         val second = rig.lose(first, AttemptFailure.SILENT).only<RelayEffect.Send>()
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RetriesTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RetriesTest.kt
@@ -14,10 +14,10 @@
 import kotlin.test.assertNotEquals
 import kotlin.test.assertTrue
 
-/** Repeats: which requests get them, how many in all, and where streams go on. */
+/** Which requests are retried, how many retries there may be, and how streams are resumed. */
 class RetriesTest {
     @Test
-    fun `a read goes to another server, but to no more servers than its route allows`() {
+    fun `a read is retried at another server, but at no more servers than its route allows`() {
         val rig = RelayRig().start()
         val first = rig.arrive(RelayRig.read).second.only<RelayEffect.Send>()
         val second = rig.lose(first, AttemptFailure.CONNECTION_LOST).only<RelayEffect.Send>()
@@ -28,7 +28,7 @@
     }
 
     @Test
-    fun `a broken stream goes on after the last event that the caller has`() {
+    fun `a broken stream is resumed after the last event that the caller has`() {
         val rig = RelayRig().start(RelayRig.engineServers)
         val first = rig.arrive(RelayRig.prompt).second.only<RelayEffect.Send>()
         assertEquals(1, rig.answer(first, AnswerHead(200, confidence = 90)).filterIsInstance<RelayEffect.PassOn>().size)
@@ -38,7 +38,7 @@
     }
 
     @Test
-    fun `a stream that cannot go on is cut off`() {
+    fun `a stream that cannot be resumed is cut off`() {
         val rig = RelayRig().start(RelayRig.engineServers.take(1))
         val first = rig.arrive(RelayRig.prompt).second.only<RelayEffect.Send>()
         rig.answer(first, AnswerHead(200, confidence = 90))
@@ -48,7 +48,7 @@
     }
 
     @Test
-    fun `a doubtful answer is dropped and asked of the largest model, once`() {
+    fun `an answer of low confidence is dropped and the largest model is asked, once`() {
         val rig = RelayRig().start(RelayRig.engineServers)
         val first = rig.arrive(RelayRig.prompt).second.only<RelayEffect.Send>()
         assertEquals("small", first.order.model)
@@ -59,7 +59,7 @@
         assertTrue(rig.answer(second, AnswerHead(200, confidence = 20)).none<RelayEffect.Send>())
     }
 
-    /** The bound is the operators': repeats in any window, over all routers, against the ratio and the slack. */
+    /** Operators bound the retries of all routers in any window: the ratio of the requests, plus the slack. */
     @Property(tries = 200)
     fun `retries of all routers stay within the bound in every window`(
         @ForAll @IntRange(min = 1, max = 60) routers: Int,
