Rename the relay's choice of backend servers after the terms of load balancing

Names such as takeAnswer, goneAt, failing, sound, spread and membersTurn had to be looked up, and loadAt was both a time and a function. Functions that return a changed view are named afterX, a view counts its pending work, and the placement has a minimum, a load factor and maxima. Only names change, and line breaks where a longer name needs one.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Answers.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Answers.kt
@@ -7,8 +7,8 @@
 import org.quetzalloom.core.relay.RelayStep
 import org.quetzalloom.core.relay.model.ModelAnswer
 import org.quetzalloom.core.relay.report
-import org.quetzalloom.core.relay.server.takeAnswer
-import org.quetzalloom.core.relay.server.takeRead
+import org.quetzalloom.core.relay.server.afterAnswerHead
+import org.quetzalloom.core.relay.server.afterPromptRead
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.relay.with
 import org.quetzalloom.core.time.Timestamp
@@ -19,12 +19,13 @@
  */
 internal fun RelayState.answerStarted(event: RelayEvent.AnswerStarted, now: Timestamp): RelayStep {
     val (asked, pending) = exchanges.currentOrNull(event.exchange, event.attempt) ?: return unchanged()
-    val attempt = pending.copy(work = 0)
+    val attempt = pending.copy(pendingWork = 0)
     val exchange = asked.copy(attempt = attempt)
     val updated = copy(
         exchanges = exchanges.with(exchange),
-        servers = servers.update(attempt.server) { it.takeAnswer(event.head, now).takeRead(pending.work) }
-            .let { if (event.head.isSuccess) it.countPace(pending, asked.service, now) else it },
+        servers = servers
+            .update(attempt.server) { it.afterAnswerHead(event.head, now).afterPromptRead(pending.pendingWork) }
+            .let { if (event.head.isSuccess) it.recordAnswerStart(pending, asked.service, now) else it },
     )
     return when {
         event.head.notRun -> updated.handleNotRun(exchange, attempt, event.head, now)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempt.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempt.kt
@@ -10,9 +10,9 @@
  * @property version the version of the backend server's software.
  * @property modelIndex the index of the model among those of the route.
  * @property workUntilAnswer the work ahead of the answer when the attempt was sent: the prompts that the backend server
- *   had still to read, this attempt's own included. The unit is that of [work].
- * @property work the part of this attempt's prompt that the backend server has still to read, in tokens weighted by
- *   model size; 0 once its answer has begun.
+ *   had still to read, this attempt's own included. The unit is that of [pendingWork].
+ * @property pendingWork the part of this attempt's prompt that the backend server has still to read, in tokens weighted
+ *   by model size; 0 once its answer has begun.
  */
 internal data class Attempt(
     val number: Int,
@@ -21,5 +21,5 @@
     val modelIndex: Int,
     val sentAt: Timestamp,
     val workUntilAnswer: Long = 0,
-    val work: Long = 0,
+    val pendingWork: Long = 0,
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
@@ -7,8 +7,8 @@
 import org.quetzalloom.core.relay.report
 import org.quetzalloom.core.relay.server.PlacementRequest
 import org.quetzalloom.core.relay.server.ServerView
+import org.quetzalloom.core.relay.server.afterSend
 import org.quetzalloom.core.relay.server.connectionShare
-import org.quetzalloom.core.relay.server.takeSend
 import org.quetzalloom.core.relay.server.toCandidate
 import org.quetzalloom.core.relay.session.pin
 import org.quetzalloom.core.relay.unchanged
@@ -27,7 +27,7 @@
 }
 
 private fun RelayState.placementRequest(exchange: Exchange): PlacementRequest = PlacementRequest(
-    subject = exchange.request.sharedPartOrNull,
+    sharedPart = exchange.request.sharedPartOrNull,
     work = policies.work.of(exchange.request, exchange.modelIndex),
     seed = (exchange.request.callerId ?: exchange.request.path) + exchange.attempts,
     zone = settings.zone,
@@ -48,12 +48,12 @@
         modelIndex = exchange.modelIndex,
         sentAt = now,
         workUntilAnswer = workUntilAnswer(view, work, now),
-        work = work,
+        pendingWork = work,
     )
     val sent = exchange.copy(attempt = attempt, attempts = attempt.number)
     val next = pin(exchange, attempt.version, now).copy(
         exchanges = countRetry(exchange, now).with(sent),
-        servers = servers.update(view.listing.id) { it.takeSend(attempt.work, now) },
+        servers = servers.update(view.listing.id) { it.afterSend(attempt.pendingWork, now) },
     )
     return next.with(RelayEffect.Send(exchange.id, attempt.number, sendOrder(exchange, view, attempt, now)))
         .then { it.reportSend(sent, view, now) }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Endings.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Endings.kt
@@ -6,7 +6,7 @@
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.RelayStep
 import org.quetzalloom.core.relay.report
-import org.quetzalloom.core.relay.server.takeEnd
+import org.quetzalloom.core.relay.server.afterAttemptEnd
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.relay.with
 import org.quetzalloom.core.time.Timestamp
@@ -24,7 +24,7 @@
 
 /** Returns the state in which [attempt] no longer counts as in flight at its backend server. */
 internal fun RelayState.release(attempt: Attempt): RelayState = copy(
-    servers = servers.update(attempt.server) { it.takeEnd(attempt.work) },
+    servers = servers.update(attempt.server) { it.afterAttemptEnd(attempt.pendingWork) },
 )
 
 /** Returns the transition that logs how [exchange] ended. */
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
@@ -7,7 +7,7 @@
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.RelayStep
 import org.quetzalloom.core.relay.report
-import org.quetzalloom.core.relay.server.takeFailure
+import org.quetzalloom.core.relay.server.afterFailure
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.time.Timestamp
 
@@ -21,7 +21,7 @@
 internal fun RelayState.attemptFailed(event: RelayEvent.AttemptBroke, now: Timestamp): RelayStep {
     val (exchange, attempt) = exchanges.currentOrNull(event.exchange, event.attempt) ?: return unchanged()
     val failure = event.failure
-    val known = copy(servers = servers.update(attempt.server) { it.takeFailure(failure, now) }).release(attempt)
+    val known = copy(servers = servers.update(attempt.server) { it.afterFailure(failure, now) }).release(attempt)
     val broken = exchange.copy(attempt = null, lastEventId = event.lastEventId ?: exchange.lastEventId)
     return known.report(
         now,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Outlooks.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Outlooks.kt
@@ -3,21 +3,21 @@
 import kotlinx.collections.immutable.toPersistentList
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.model.ModelOutlook
-import org.quetzalloom.core.relay.server.ReadingPace
+import org.quetzalloom.core.relay.server.PrefillPace
 import org.quetzalloom.core.relay.server.ServerView
-import org.quetzalloom.core.relay.server.allowed
+import org.quetzalloom.core.relay.server.eligibleServers
 import org.quetzalloom.core.time.Timestamp
 
 /** Returns the eligible backend servers that have neither failed nor refused [exchange]. */
 internal fun RelayState.untriedServers(exchange: Exchange, now: Timestamp): List<ServerView> =
-    allowed(exchange, now).filter { it.listing.id !in exchange.tried }
+    eligibleServers(exchange, now).filter { it.listing.id !in exchange.tried }
 
 /**
  * Returns the work at the server of [view] before an attempt with [work] of its own would be answered: the prompts to
  * be read for this router and, as far as they have reported, for the others, plus [work].
  */
 internal fun RelayState.workUntilAnswer(view: ServerView, work: Long, now: Timestamp): Long =
-    view.work + peers.workAt(view.listing.id, now) + work
+    view.pendingWork + peers.workAt(view.listing.id, now) + work
 
 /**
  * Estimates how soon each model of the route could begin to answer [exchange]. Returns `null` if no backend server can
@@ -25,7 +25,7 @@
  */
 internal fun RelayState.outlookOrNull(exchange: Exchange, now: Timestamp): ModelOutlook? {
     val least = untriedServers(exchange, now).minOfOrNull { workUntilAnswer(it, work = 0, now) } ?: return null
-    val pace = servers.paces[exchange.service] ?: ReadingPace()
+    val pace = servers.prefillPaces[exchange.service] ?: PrefillPace()
     fun wait(ahead: Long): Long = pace.estimateOrNull(ahead) ?: 0
     return ModelOutlook(
         elapsedMilliseconds = now - exchange.arrivedAt,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersPart.kt
@@ -54,8 +54,10 @@
     private fun RelayState.beacon(sequence: Long, now: Timestamp): PeerBeacon = PeerBeacon(
         vm = settings.vm,
         sequence = sequence,
-        work = servers.views.values.filter { it.work > 0 }.sortedByDescending { it.work }.take(MOST_SERVERS)
-            .associate { it.listing.id to it.work }.toPersistentMap(),
+        work = servers.views.values.filter { it.pendingWork > 0 }
+            .sortedByDescending { it.pendingWork }
+            .take(MOST_SERVERS)
+            .associate { it.listing.id to it.pendingWork }.toPersistentMap(),
         rollouts = rolloutReports(now).toPersistentList(),
     )
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/Candidates.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/Candidates.kt
@@ -12,12 +12,16 @@
 private const val PER_THOUSAND = 1_000
 
 /** Returns the backend servers that may get [exchange] at [now]. */
-internal fun RelayState.allowed(exchange: Exchange, now: Timestamp): List<ServerView> {
+internal fun RelayState.eligibleServers(exchange: Exchange, now: Timestamp): List<ServerView> {
     val usable = servers.usable(exchange.service, now)
     val versions = usable.map { it.listing.version }.toSet()
-    val right = if (versions.size <= 1) usable.notReverted(this, exchange) else usable.ofVersion(this, exchange, now)
+    val matching = if (versions.size <= 1) {
+        usable.withoutReverted(this, exchange)
+    } else {
+        usable.ofChosenVersion(this, exchange, now)
+    }
     val connections = connectionShare(exchange.service)
-    return right.filter { it.inFlight < connections && mayTakeCold(it, now) }
+    return matching.filter { it.inFlight < connections && withinColdLimit(it, now) }
 }
 
 /** Returns the connections that this router may have to a backend server of [service]; each carries one request. */
@@ -26,17 +30,17 @@
     return (connections / members.shareholders).coerceAtLeast(1)
 }
 
-private fun List<ServerView>.notReverted(state: RelayState, exchange: Exchange): List<ServerView> {
+private fun List<ServerView>.withoutReverted(state: RelayState, exchange: Exchange): List<ServerView> {
     val rollout = state.rollouts.byService[exchange.service]
-    val stopped = rollout?.takeIf { it.phase == RolloutPhase.REVERTED || it.condemned }?.order?.version
-    return filter { it.listing.version != stopped }
+    val revertedVersion = rollout?.takeIf { it.phase == RolloutPhase.REVERTED || it.condemned }?.order?.version
+    return filter { it.listing.version != revertedVersion }
 }
 
-private fun List<ServerView>.ofVersion(state: RelayState, exchange: Exchange, now: Timestamp): List<ServerView> {
+private fun List<ServerView>.ofChosenVersion(state: RelayState, exchange: Exchange, now: Timestamp): List<ServerView> {
     val rollout = state.rollouts.byService[exchange.service] ?: return ofMostCommonVersion()
     val (new, old) = partition { it.listing.version == rollout.order.version }
-    val wantsNew = rollout.wantsNew(state, exchange, now)
-    return if (wantsNew) new else old
+    val usesNewVersion = rollout.usesNewVersion(state, exchange, now)
+    return if (usesNewVersion) new else old
 }
 
 /** Without an order a second version may only be the forerunner of one that has not been read yet. */
@@ -45,14 +49,14 @@
         compareBy({ it.size }, { -it.minOf { view -> view.listing.startedAt } })
     )
 
-private fun RolloutProgress.wantsNew(state: RelayState, exchange: Exchange, now: Timestamp): Boolean = when {
+private fun RolloutProgress.usesNewVersion(state: RelayState, exchange: Exchange, now: Timestamp): Boolean = when {
     condemned || phase == RolloutPhase.REVERTED -> false
     phase == RolloutPhase.COMPLETED -> true
-    else -> drawsNew(state, exchange, now)
+    else -> samplesNewVersion(state, exchange, now)
 }
 
 /** A session that is already at one version stays there while it must, and never goes back. */
-private fun RolloutProgress.drawsNew(state: RelayState, exchange: Exchange, now: Timestamp): Boolean {
+private fun RolloutProgress.samplesNewVersion(state: RelayState, exchange: Exchange, now: Timestamp): Boolean {
     val exposure = state.policies.exposure
     val session = exchange.request.session
     val pin = session?.let { state.pins.pinOrNull(it, state.settings.sessionMilliseconds, now) }
@@ -61,8 +65,8 @@
         pin?.version == order.version -> true
         pin != null && !exposure.mayMoveSessions(elapsed) -> false
         else -> {
-            val subject = session ?: exchange.request.callerId ?: exchange.id
-            bucketOf(subject, PER_THOUSAND) < exposure.share(elapsed, state.settings.exposureLimit) * PER_THOUSAND
+            val samplingKey = session ?: exchange.request.callerId ?: exchange.id
+            bucketOf(samplingKey, PER_THOUSAND) < exposure.share(elapsed, state.settings.exposureLimit) * PER_THOUSAND
         }
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ColdShares.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ColdShares.kt
@@ -9,30 +9,30 @@
 private const val COLD_WINDOW_MILLISECONDS = 1_000L
 
 /** A cold backend server bears only so many requests a second, from all routers together. */
-internal fun RelayState.mayTakeCold(view: ServerView, now: Timestamp): Boolean {
-    val borne = routing?.services?.get(view.listing.service)?.coldPerSecond ?: 0.0
-    if (now >= view.coldUntil || borne <= 0.0) return true
+internal fun RelayState.withinColdLimit(view: ServerView, now: Timestamp): Boolean {
+    val coldLimit = routing?.services?.get(view.listing.service)?.coldPerSecond ?: 0.0
+    if (now >= view.coldUntil || coldLimit <= 0.0) return true
     val recent = view.coldSends.count { now - it < COLD_WINDOW_MILLISECONDS }
-    return recent < coldShare(view, borne)
+    return recent < coldShare(view, coldLimit)
 }
 
-/** Returns how many requests a second this router may send to a cold backend server that bears [borne] of them. */
-private fun RelayState.coldShare(view: ServerView, borne: Double): Int {
-    val equal = Math.floor(borne / members.shareholders).toInt()
-    return if (equal > 0) equal else membersTurn(view, borne.toInt())
+/** Returns how many requests a second this router may send to a cold backend server that bears [coldLimit] of them. */
+private fun RelayState.coldShare(view: ServerView, coldLimit: Double): Int {
+    val equalShare = Math.floor(coldLimit / members.shareholders).toInt()
+    return if (equalShare > 0) equalShare else rotatedShare(view, coldLimit.toInt())
 }
 
 /** Of more routers than requests that a server bears, as many use it, one request each; others for each server. */
-private fun RelayState.membersTurn(view: ServerView, borne: Int): Int {
-    val place = members.ordered.indexOf(settings.vm)
-    if (place < 0) return 0
+private fun RelayState.rotatedShare(view: ServerView, coldLimit: Int): Int {
+    val position = members.ordered.indexOf(settings.vm)
+    if (position < 0) return 0
     val first = bucketOf(view.listing.id.value, members.ordered.size)
-    return if (Math.floorMod(place - first, members.ordered.size) < borne) 1 else 0
+    return if (Math.floorMod(position - first, members.ordered.size) < coldLimit) 1 else 0
 }
 
 /** Returns the view after an attempt was sent at [now]. */
-internal fun ServerView.takeSend(work: Long, now: Timestamp): ServerView {
+internal fun ServerView.afterSend(work: Long, now: Timestamp): ServerView {
     val recent = coldSends.filter { now - it < COLD_WINDOW_MILLISECONDS }
     val sends = if (now < coldUntil) recent + now else recent
-    return copy(inFlight = inFlight + 1, work = this.work + work, coldSends = sends.toPersistentList())
+    return copy(inFlight = inFlight + 1, pendingWork = pendingWork + work, coldSends = sends.toPersistentList())
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/EvacuationsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/EvacuationsPart.kt
@@ -14,15 +14,15 @@
 /** Keeps the availability zones whose backend servers get nothing. */
 internal object EvacuationsPart : RelayPart {
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep =
-        if (event is RelayEvent.FeedRead && event.feed == Feed.ORDERS) state.read(event, now) else state.unchanged()
+        if (event is RelayEvent.FeedRead && event.feed == Feed.ORDERS) state.feedRead(event, now) else state.unchanged()
 
-    private fun RelayState.read(event: RelayEvent.FeedRead, now: Timestamp): RelayStep {
+    private fun RelayState.feedRead(event: RelayEvent.FeedRead, now: Timestamp): RelayStep {
         val entries = event.entries.filterIsInstance<FeedEntry.Evacuation>()
         val named = entries.map { it.zone }.toSet()
         val ended = if (event.snapshot) servers.evacuated.keys - named else emptySet()
         return unchanged()
-            .thenEach(entries) { reached, entry -> reached.evacuate(entry, now) }
-            .thenEach(ended) { reached, zone -> reached.evacuate(FeedEntry.Evacuation(zone, active = false), now) }
+            .thenEach(entries) { current, entry -> current.evacuate(entry, now) }
+            .thenEach(ended) { current, zone -> current.evacuate(FeedEntry.Evacuation(zone, active = false), now) }
     }
 
     private fun RelayState.evacuate(entry: FeedEntry.Evacuation, now: Timestamp): RelayStep {
@@ -31,18 +31,18 @@
         val next = if (entry.active) {
             servers.copy(evacuated = servers.evacuated.put(entry.zone, now))
         } else {
-            servers.copy(evacuated = servers.evacuated.remove(entry.zone)).suspectCold(entry, this, now)
+            servers.copy(evacuated = servers.evacuated.remove(entry.zone)).treatAsCold(entry, this, now)
         }
         return copy(servers = next).report(now, "zone_evacuated", "zone" to entry.zone, "active" to entry.active)
     }
 
     /** The servers of a zone that is taken back may have turned cold meanwhile, before their entries say so. */
-    private fun ServersState.suspectCold(
+    private fun ServersState.treatAsCold(
         entry: FeedEntry.Evacuation,
         relay: RelayState,
         now: Timestamp,
-    ): ServersState = views.values.filter { it.listing.zone == entry.zone }.fold(this) { reached, view ->
+    ): ServersState = views.values.filter { it.listing.zone == entry.zone }.fold(this) { current, view ->
         val cold = relay.routing?.services?.get(view.listing.service)?.coldMilliseconds ?: 0
-        reached.update(view.listing.id) { it.copy(coldUntil = maxOf(it.coldUntil, now + cold)) }
+        current.update(view.listing.id) { it.copy(coldUntil = maxOf(it.coldUntil, now + cold)) }
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/PlacementRequest.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/PlacementRequest.kt
@@ -6,13 +6,13 @@
 /**
  * What a placement may depend on.
  *
- * @property subject the part of the prompt that backend servers should keep together, or `null`.
+ * @property sharedPart the part of the prompt that backend servers should keep together, or `null`.
  * @property work the prompt to read, weighed by the model; 0 if the request is not for a model.
  * @property seed differs from attempt to attempt.
  * @property zone the availability zone of this router.
  */
 public data class PlacementRequest(
-    public val subject: PromptPart?,
+    public val sharedPart: PromptPart?,
     public val work: Long,
     public val seed: String,
     public val zone: AvailabilityZoneId,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerOutcomes.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerOutcomes.kt
@@ -16,45 +16,47 @@
 private const val SILENT_SUSPENSION_MILLISECONDS = 500L
 
 /** The pause after a refusal; a full backend server has room again within some answers. */
-private const val REFUSAL_MILLISECONDS = 100L
+private const val REFUSAL_SUSPENSION_MILLISECONDS = 100L
 
 /** Returns the view after the head of an answer. */
-internal fun ServerView.takeAnswer(head: AnswerHead, now: Timestamp): ServerView {
+internal fun ServerView.afterAnswerHead(head: AnswerHead, now: Timestamp): ServerView {
     val failed = head.isServerFailure
-    val heard = score(failed, now).copy(
-        failuresInRow = 0,
-        load = head.load ?: load,
-        loadAt = if (head.load != null) now else loadAt,
+    val updated = withOutcome(failed, now).copy(
+        consecutiveFailures = 0,
+        loadReport = head.load ?: loadReport,
+        loadReportedAt = if (head.load != null) now else loadReportedAt,
         coldUntil = head.coldMilliseconds?.let { maxOf(coldUntil, now + it) } ?: coldUntil,
     )
     return when {
-        head.misdirected -> heard.copy(goneAt = now)
-        head.notRun -> heard.copy(suspendedUntil = now + REFUSAL_MILLISECONDS)
-        else -> heard
+        head.misdirected -> updated.copy(dropAt = now)
+        head.notRun -> updated.copy(suspendedUntil = now + REFUSAL_SUSPENSION_MILLISECONDS)
+        else -> updated
     }
 }
 
 /** Returns the view after [work] of the prompts has been read. */
-internal fun ServerView.takeRead(work: Long): ServerView = copy(work = (this.work - work).coerceAtLeast(0))
+internal fun ServerView.afterPromptRead(work: Long): ServerView =
+    copy(pendingWork = (pendingWork - work).coerceAtLeast(0))
 
 /** Returns the view after an attempt has ended, of which [workLeft] had still to be read. */
-internal fun ServerView.takeEnd(workLeft: Long): ServerView =
-    copy(inFlight = (inFlight - 1).coerceAtLeast(0), work = (work - workLeft).coerceAtLeast(0))
+internal fun ServerView.afterAttemptEnd(workLeft: Long): ServerView =
+    copy(inFlight = (inFlight - 1).coerceAtLeast(0), pendingWork = (pendingWork - workLeft).coerceAtLeast(0))
 
 /** Returns the view after an attempt was lost. */
-internal fun ServerView.takeFailure(failure: AttemptFailure, now: Timestamp): ServerView {
-    if (!failure.serverSuspect) return score(failed = failure.mayHaveArrived, now)
+internal fun ServerView.afterFailure(failure: AttemptFailure, now: Timestamp): ServerView {
+    if (!failure.serverSuspect) return withOutcome(failed = failure.mayHaveArrived, now)
     val first = if (failure.serverReacted) SUSPENSION_MILLISECONDS else SILENT_SUSPENSION_MILLISECONDS
-    val doublings = failuresInRow.coerceAtMost(LONGEST_SUSPENSION_DOUBLINGS)
+    val doublings = consecutiveFailures.coerceAtMost(LONGEST_SUSPENSION_DOUBLINGS)
     val pause = (first shl doublings).coerceAtMost(LONGEST_SUSPENSION_MILLISECONDS)
-    return score(failed = true, now).copy(failuresInRow = failuresInRow + 1, suspendedUntil = now + pause)
+    return withOutcome(failed = true, now)
+        .copy(consecutiveFailures = consecutiveFailures + 1, suspendedUntil = now + pause)
 }
 
-private fun ServerView.score(failed: Boolean, now: Timestamp): ServerView {
+private fun ServerView.withOutcome(failed: Boolean, now: Timestamp): ServerView {
     val latest = if (failed) 1.0 else 0.0
     return copy(
-        failureScore = failureScoreAt(now) * (1 - FAILURE_WEIGHT) + latest * FAILURE_WEIGHT,
-        scoredAt = now,
+        failureRate = failureRateAt(now) * (1 - FAILURE_WEIGHT) + latest * FAILURE_WEIGHT,
+        failureRateUpdatedAt = now,
     )
 }
 
@@ -65,7 +67,7 @@
     slots = listing.slots,
     inFlight = inFlight,
     load = loadAt(now),
-    work = allWork,
-    failing = failureScoreAt(now),
+    pendingWork = allWork,
+    failureRate = failureRateAt(now),
     slowness = slowness.factorAt(now),
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerView.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerView.kt
@@ -10,41 +10,41 @@
  * @property listing its last entry in the list.
  * @property coldUntil until when it is taken to be cold.
  * @property suspendedUntil until when it gets nothing, after connections to it failed.
- * @property failuresInRow connections that failed since the last answer.
- * @property failureScore the share of recent attempts that failed, from 0 to 1.
- * @property scoredAt when [failureScore] was last changed.
+ * @property consecutiveFailures connections that failed since the last answer.
+ * @property failureRate the share of recent attempts that failed, from 0 to 1.
+ * @property failureRateUpdatedAt when [failureRate] was last changed.
  * @property inFlight this router's own attempts at it.
- * @property work the prompts of these attempts that it has still to read, weighed by model.
- * @property load its last report.
- * @property loadAt when [load] was reported.
+ * @property pendingWork the prompts of these attempts that it has still to read, weighed by model.
+ * @property loadReport its last report.
+ * @property loadReportedAt when [loadReport] was reported.
  * @property slowness how long its answers take to begin, against the usual time.
  * @property coldSends when this router sent to it lately while it was cold.
- * @property goneAt when it is dropped, if its entry has been removed.
+ * @property dropAt when it is dropped, if its entry has been removed.
  */
 internal data class ServerView(
     val listing: ServerListing,
     val coldUntil: Timestamp = Timestamp.EPOCH,
     val suspendedUntil: Timestamp = Timestamp.EPOCH,
-    val failuresInRow: Int = 0,
-    val failureScore: Double = 0.0,
-    val scoredAt: Timestamp = Timestamp.EPOCH,
+    val consecutiveFailures: Int = 0,
+    val failureRate: Double = 0.0,
+    val failureRateUpdatedAt: Timestamp = Timestamp.EPOCH,
     val inFlight: Int = 0,
-    val work: Long = 0,
-    val load: LoadReport? = null,
-    val loadAt: Timestamp = Timestamp.EPOCH,
+    val pendingWork: Long = 0,
+    val loadReport: LoadReport? = null,
+    val loadReportedAt: Timestamp = Timestamp.EPOCH,
     val slowness: Slowness = Slowness(),
     val coldSends: PersistentList<Timestamp> = persistentListOf(),
-    val goneAt: Timestamp? = null,
+    val dropAt: Timestamp? = null,
 ) {
     /** Returns the failure score at [now], which halves every [FAILURE_HALF_LIFE_MILLISECONDS]. */
-    fun failureScoreAt(now: Timestamp): Double {
-        val halves = (now - scoredAt).coerceAtLeast(0).toDouble() / FAILURE_HALF_LIFE_MILLISECONDS
-        return failureScore * Math.pow(HALF, halves)
+    fun failureRateAt(now: Timestamp): Double {
+        val halves = (now - failureRateUpdatedAt).coerceAtLeast(0).toDouble() / FAILURE_HALF_LIFE_MILLISECONDS
+        return failureRate * Math.pow(HALF, halves)
     }
 
     /** Returns the requests at the server, as far as this router knows. */
     fun loadAt(now: Timestamp): Int {
-        val reported = load?.takeIf { now - loadAt <= LOAD_REPORT_VALID_MILLISECONDS }
+        val reported = loadReport?.takeIf { now - loadReportedAt <= LOAD_REPORT_VALID_MILLISECONDS }
         return maxOf(inFlight, reported?.let { it.running + it.waiting } ?: 0)
     }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersPart.kt
@@ -15,40 +15,40 @@
 /** Keeps the list of backend servers. */
 internal object ServersPart : RelayPart {
     /** Entries that lapsed while the list could not be read are back within this time, if their servers live. */
-    private const val RETURN_MILLISECONDS = 2_000L
+    private const val LAPSED_ENTRY_GRACE_MILLISECONDS = 2_000L
 
     /** A list that failed no longer ago than this may have dropped entries of servers that live. */
-    private const val RECENT_FAILURE_MILLISECONDS = 3_000L
+    private const val RECENT_LIST_FAILURE_MILLISECONDS = 3_000L
 
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
-        is RelayEvent.FeedRead -> state.read(event, now)
-        is RelayEvent.FeedFailed -> state.failed(event, now)
-        RelayEvent.Tick -> state.dropGone(now)
+        is RelayEvent.FeedRead -> state.feedRead(event, now)
+        is RelayEvent.FeedFailed -> state.listFailed(event, now)
+        RelayEvent.Tick -> state.dropRemoved(now)
         else -> state.unchanged()
     }
 
-    private fun RelayState.read(event: RelayEvent.FeedRead, now: Timestamp): RelayStep {
+    private fun RelayState.feedRead(event: RelayEvent.FeedRead, now: Timestamp): RelayStep {
         val listed = event.entries.filterIsInstance<FeedEntry.Server>().associateBy { it.listing.id }
         val removed = event.entries.filterIsInstance<FeedEntry.ServerRemoved>().map { it.id }
         val absent = if (event.feed == Feed.SERVERS && event.snapshot) servers.views.keys - listed.keys else emptySet()
         val known = if (event.feed == Feed.SERVERS) copy(servers = servers.copy(listReadAt = now)) else this
         return known.unchanged()
-            .thenEach(listed.values) { reached, entry -> reached.list(entry.listing, now) }
-            .thenEach(removed + absent) { reached, id -> reached.remove(id, now) }
+            .thenEach(listed.values) { current, entry -> current.updateListing(entry.listing, now) }
+            .thenEach(removed + absent) { current, id -> current.markRemoved(id, now) }
     }
 
-    private fun RelayState.list(listing: ServerListing, now: Timestamp): RelayStep {
+    private fun RelayState.updateListing(listing: ServerListing, now: Timestamp): RelayStep {
         val known = servers.views[listing.id]
-        val view = known?.relist(listing, now) ?: ServerView(
+        val view = known?.withListing(listing, now) ?: ServerView(
             listing = listing,
             coldUntil = now + listing.coldMilliseconds,
         )
         val next = copy(servers = servers.copy(views = servers.views.put(listing.id, view)))
-        val unlike = known == null || known.goneAt != null || known.listing.isUnlike(listing)
-        return if (unlike) next.reportListed(view, now) else next.unchanged()
+        val changed = known == null || known.dropAt != null || known.listing.differsFrom(listing)
+        return if (changed) next.reportListed(view, now) else next.unchanged()
     }
 
-    private fun ServerListing.isUnlike(other: ServerListing): Boolean =
+    private fun ServerListing.differsFrom(other: ServerListing): Boolean =
         draining != other.draining || startedAt != other.startedAt || address != other.address
 
     private fun RelayState.reportListed(view: ServerView, now: Timestamp): RelayStep = report(
@@ -64,28 +64,29 @@
         "sequence" to view.listing.sequence,
     )
 
-    private fun ServerView.relist(listing: ServerListing, now: Timestamp): ServerView {
+    private fun ServerView.withListing(listing: ServerListing, now: Timestamp): ServerView {
         if (listing.startedAt != this.listing.startedAt) {
             return ServerView(listing = listing, coldUntil = now + listing.coldMilliseconds, inFlight = inFlight)
         }
-        return copy(listing = listing, coldUntil = now + listing.coldMilliseconds, goneAt = null)
+        return copy(listing = listing, coldUntil = now + listing.coldMilliseconds, dropAt = null)
     }
 
-    private fun RelayState.remove(id: BackendServerId, now: Timestamp): RelayStep {
-        val view = servers.views[id]?.takeIf { it.goneAt == null } ?: return unchanged()
-        val lapsedInOutage = servers.listFailedAt?.let { now - it <= RECENT_FAILURE_MILLISECONDS } ?: false
-        val goneAt = if (lapsedInOutage && !view.listing.draining) now + RETURN_MILLISECONDS else now
-        val next = copy(servers = servers.update(id) { it.copy(goneAt = goneAt) })
-        return next.report(now, "server_removed", "server" to id, "dropped_in_ms" to (goneAt - now))
+    private fun RelayState.markRemoved(id: BackendServerId, now: Timestamp): RelayStep {
+        val view = servers.views[id]?.takeIf { it.dropAt == null } ?: return unchanged()
+        val lapsedInOutage = servers.listFailedAt?.let { now - it <= RECENT_LIST_FAILURE_MILLISECONDS } ?: false
+        val dropAt = if (lapsedInOutage && !view.listing.draining) now + LAPSED_ENTRY_GRACE_MILLISECONDS else now
+        val next = copy(servers = servers.update(id) { it.copy(dropAt = dropAt) })
+        return next.report(now, "server_removed", "server" to id, "dropped_in_ms" to (dropAt - now))
     }
 
-    private fun RelayState.dropGone(now: Timestamp): RelayStep {
-        val gone = servers.views.values.filter { view -> view.inFlight == 0 && view.goneAt?.let { it <= now } ?: false }
-        if (gone.isEmpty()) return unchanged()
-        val left = gone.fold(servers.views) { views, view -> views.remove(view.listing.id) }
+    private fun RelayState.dropRemoved(now: Timestamp): RelayStep {
+        val removable = servers.views.values
+            .filter { view -> view.inFlight == 0 && view.dropAt?.let { it <= now } ?: false }
+        if (removable.isEmpty()) return unchanged()
+        val left = removable.fold(servers.views) { views, view -> views.remove(view.listing.id) }
         return copy(servers = servers.copy(views = left)).unchanged()
     }
 
-    private fun RelayState.failed(event: RelayEvent.FeedFailed, now: Timestamp): RelayStep =
+    private fun RelayState.listFailed(event: RelayEvent.FeedFailed, now: Timestamp): RelayStep =
         if (event.feed == Feed.SERVERS) copy(servers = servers.copy(listFailedAt = now)).unchanged() else unchanged()
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
@@ -14,14 +14,14 @@
  * @property evacuated the availability zones whose servers get nothing.
  * @property listFailedAt when the list could last not be read.
  * @property listReadAt when the list was last read.
- * @property paces how fast the servers of each service read prompts.
+ * @property prefillPaces how fast the servers of each service read prompts.
  */
 internal data class ServersState(
     val views: PersistentMap<BackendServerId, ServerView> = persistentMapOf(),
     val evacuated: PersistentMap<AvailabilityZoneId, Timestamp> = persistentMapOf(),
     val listFailedAt: Timestamp? = null,
     val listReadAt: Timestamp? = null,
-    val paces: PersistentMap<ServiceName, ReadingPace> = persistentMapOf(),
+    val prefillPaces: PersistentMap<ServiceName, PrefillPace> = persistentMapOf(),
 ) {
     /** Returns the servers of [service] that may get new work at [now]. */
     fun usable(service: ServiceName, now: Timestamp): List<ServerView> =
@@ -34,18 +34,18 @@
     }
 
     /** Returns the state after the answer of [attempt] at [service] has begun at [now]. */
-    fun countPace(attempt: Attempt, service: ServiceName, now: Timestamp): ServersState {
+    fun recordAnswerStart(attempt: Attempt, service: ServiceName, now: Timestamp): ServersState {
         val elapsed = now - attempt.sentAt
-        val pace = paces[service] ?: ReadingPace()
+        val pace = prefillPaces[service] ?: PrefillPace()
         val usual = pace.estimateOrNull(attempt.workUntilAnswer)
-        val counted = copy(paces = paces.put(service, pace.count(attempt.workUntilAnswer, elapsed)))
+        val counted = copy(prefillPaces = prefillPaces.put(service, pace.record(attempt.workUntilAnswer, elapsed)))
         return if (usual == null || attempt.workUntilAnswer == 0L) {
             counted
         } else {
-            counted.update(attempt.server) { it.copy(slowness = it.slowness.count(elapsed, usual, now)) }
+            counted.update(attempt.server) { it.copy(slowness = it.slowness.record(elapsed, usual, now)) }
         }
     }
 
     private fun ServerView.isUsable(now: Timestamp): Boolean =
-        !listing.draining && goneAt == null && now >= suspendedUntil && listing.zone !in evacuated
+        !listing.draining && dropAt == null && now >= suspendedUntil && listing.zone !in evacuated
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/SlownessTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/SlownessTest.kt
@@ -33,7 +33,7 @@
 
     @Test
     fun `without leaving slow servers alone it would get its share`() {
-        val rig = RelayRig(policies = RelayPolicies(placement = AffinityPlacement(mostSlow = 100.0)))
+        val rig = RelayRig(policies = RelayPolicies(placement = AffinityPlacement(maximumSlowness = 100.0)))
         rig.start(RelayRig.engineServers).serve(150)
         assertTrue(rig.serve(200, slow = "e-1").share("e-1") > 0.25)
     }
