Say plainly how the relay chooses backend servers

They now name rendezvous hashing with bounded loads, give units and ranges, and say what null means; the reasons behind the constants stay. Test names follow.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/AffinityPlacement.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/AffinityPlacement.kt
@@ -4,16 +4,19 @@
 import org.quetzalloom.core.router.stableHash
 
 /**
- * Takes the backend server with the least work; but keeps requests that share a long part of their prompts at one of
- * them, while that has not much more work than the others.
+ * Chooses the backend server with the least pending work, but keeps requests that share a long part of their prompts on
+ * one server, which has the part in its cache, unless that server has much more work than the others.
  *
- * The servers of a shared part are ranked by a hash, so that routers agree without a message and few parts move when a
- * server comes or goes.
+ * The servers for a shared part are ranked by rendezvous hashing with bounded loads: routers agree on the ranking
+ * without messages, and few parts move when a server comes or goes. Requests that are not for a model go to the less
+ * loaded of two servers drawn at random.
  *
- * @property minimumSharedTokens shorter parts are read again as quickly as they are found.
- * @property loadFactor how much more work than the mean a backend server may have before a part goes to its next one.
- * @property maximumSlowness candidates that take more than this many times as long as the median one are left out.
- * @property maximumFailureRate candidates with a larger share of failures are left out while others are there.
+ * @property minimumSharedTokens the length from which a shared part keeps its requests together; a server reads shorter
+ *   parts again as quickly as it finds them in its cache.
+ * @property loadFactor the bound on a server's work, in multiples of the mean with the new request included; above it,
+ *   a shared part goes to the next server of its ranking.
+ * @property maximumFailureRate candidates with a higher failure rate are left out, unless all have one.
+ * @property maximumSlowness candidates slower than this many times the median slowness are left out.
  */
 public data class AffinityPlacement(
     public val minimumSharedTokens: Int = 512,
@@ -44,7 +47,10 @@
         return ranked.firstOrNull { it.pendingWork <= bound && it.load < it.slots } ?: leastWork(request)
     }
 
-    /** Among servers that seem equal the draw is random, so that routers do not all take the same. */
+    /**
+     * Returns the candidate with the least pending work, among those with a free slot if there are any. Ties are broken
+     * by a hash of the seed, so that not all routers choose the same server.
+     */
     private fun List<Candidate>.leastWork(request: PlacementRequest): Candidate =
         minWith(compareBy({ it.load >= it.slots }, { it.pendingWork }, { stableHash(request.seed, it.server.value) }))
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/Candidate.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/Candidate.kt
@@ -4,13 +4,15 @@
 import org.quetzalloom.core.identity.BackendServerId
 
 /**
- * A backend server that may get a request.
+ * A backend server that a placement may choose for a request.
  *
- * @property inFlight this router's own attempts at it.
- * @property load the requests at it, as far as this router knows.
- * @property pendingWork the prompts that it has still to read, weighed by model, as far as this router knows.
- * @property slowness how many times as long as usual it takes to begin its answers.
- * @property failureRate the share of its recent attempts that failed.
+ * @property slots the number of requests that the server works on at once.
+ * @property inFlight the number of this router's attempts in flight at the server.
+ * @property load the number of requests at the server, as far as this router knows.
+ * @property pendingWork the prompts of all routers that the server has still to read, as far as this router knows, in
+ *   tokens weighted by model size.
+ * @property failureRate the share of recent attempts at the server that failed, from 0 to 1.
+ * @property slowness the time that the server's answers take to begin, in multiples of the usual time of its service.
  */
 public data class Candidate(
     public val server: BackendServerId,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/Candidates.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/Candidates.kt
@@ -11,7 +11,10 @@
 
 private const val PER_THOUSAND = 1_000
 
-/** Returns the backend servers that may get [exchange] at [now]. */
+/**
+ * Returns the backend servers that may get [exchange] at [now]: those that are usable, run the version chosen for the
+ * exchange, and have a connection and, while cold, a request left in this router's share.
+ */
 internal fun RelayState.eligibleServers(exchange: Exchange, now: Timestamp): List<ServerView> {
     val usable = servers.usable(exchange.service, now)
     val versions = usable.map { it.listing.version }.toSet()
@@ -24,7 +27,10 @@
     return matching.filter { it.inFlight < connections && withinColdLimit(it, now) }
 }
 
-/** Returns the connections that this router may have to a backend server of [service]; each carries one request. */
+/**
+ * Returns the number of connections, at least 1, that this router may have to a backend server of [service]: an equal
+ * share among the routers. Each connection carries one request at a time.
+ */
 internal fun RelayState.connectionShare(service: ServiceName): Int {
     val connections = routing?.services?.get(service)?.maximumConnections ?: Int.MAX_VALUE
     return (connections / members.shareholders).coerceAtLeast(1)
@@ -43,7 +49,10 @@
     return if (usesNewVersion) new else old
 }
 
-/** Without an order a second version may only be the forerunner of one that has not been read yet. */
+/**
+ * Returns the servers of the version that most servers run; on a tie, the one that started first. Without a roll-out
+ * order, another version can only belong to a roll-out whose order this router has not read yet.
+ */
 private fun List<ServerView>.ofMostCommonVersion(): List<ServerView> =
     groupBy { it.listing.version }.values.maxWith(
         compareBy({ it.size }, { -it.minOf { view -> view.listing.startedAt } })
@@ -55,7 +64,10 @@
     else -> samplesNewVersion(state, exchange, now)
 }
 
-/** A session that is already at one version stays there while it must, and never goes back. */
+/**
+ * Returns whether [exchange] is in the sample of requests for the new version. A session on the old version stays there
+ * until the exposure policy lets it move, and a session on the new version never goes back.
+ */
 private fun RolloutProgress.samplesNewVersion(state: RelayState, exchange: Exchange, now: Timestamp): Boolean {
     val exposure = state.policies.exposure
     val session = exchange.request.session
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ColdShares.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ColdShares.kt
@@ -5,10 +5,13 @@
 import org.quetzalloom.core.router.bucketOf
 import org.quetzalloom.core.time.Timestamp
 
-/** The span in which requests to a cold backend server are counted. */
+/** The window over which requests to a cold backend server are counted. */
 private const val COLD_WINDOW_MILLISECONDS = 1_000L
 
-/** A cold backend server bears only so many requests a second, from all routers together. */
+/**
+ * Returns whether this router may send one more request to the server of [view]. While a server is cold, all routers
+ * together may send it only [org.quetzalloom.core.relay.routing.BackendService.coldPerSecond] requests a second.
+ */
 internal fun RelayState.withinColdLimit(view: ServerView, now: Timestamp): Boolean {
     val coldLimit = routing?.services?.get(view.listing.service)?.coldPerSecond ?: 0.0
     if (now >= view.coldUntil || coldLimit <= 0.0) return true
@@ -16,13 +19,16 @@
     return recent < coldShare(view, coldLimit)
 }
 
-/** Returns how many requests a second this router may send to a cold backend server that bears [coldLimit] of them. */
+/** Returns this router's share, in requests a second, of the [coldLimit] of a cold backend server. */
 private fun RelayState.coldShare(view: ServerView, coldLimit: Double): Int {
     val equalShare = Math.floor(coldLimit / members.shareholders).toInt()
     return if (equalShare > 0) equalShare else rotatedShare(view, coldLimit.toInt())
 }
 
-/** Of more routers than requests that a server bears, as many use it, one request each; others for each server. */
+/**
+ * Returns this router's share where there are more routers than requests: [coldLimit] of the routers may send one
+ * request a second each, and a hash of the server's id decides which, so that they differ from server to server.
+ */
 private fun RelayState.rotatedShare(view: ServerView, coldLimit: Int): Int {
     val position = members.ordered.indexOf(settings.vm)
     if (position < 0) return 0
@@ -30,7 +36,7 @@
     return if (Math.floorMod(position - first, members.ordered.size) < coldLimit) 1 else 0
 }
 
-/** Returns the view after an attempt was sent at [now]. */
+/** Returns the view after an attempt with [work] to read was sent at [now]. */
 internal fun ServerView.afterSend(work: Long, now: Timestamp): ServerView {
     val recent = coldSends.filter { now - it < COLD_WINDOW_MILLISECONDS }
     val sends = if (now < coldUntil) recent + now else recent
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/EvacuationsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/EvacuationsPart.kt
@@ -11,7 +11,7 @@
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.time.Timestamp
 
-/** Keeps the availability zones whose backend servers get nothing. */
+/** Tracks the evacuated availability zones, whose backend servers get no requests. */
 internal object EvacuationsPart : RelayPart {
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep =
         if (event is RelayEvent.FeedRead && event.feed == Feed.ORDERS) state.feedRead(event, now) else state.unchanged()
@@ -36,7 +36,10 @@
         return copy(servers = next).report(now, "zone_evacuated", "zone" to entry.zone, "active" to entry.active)
     }
 
-    /** The servers of a zone that is taken back may have turned cold meanwhile, before their entries say so. */
+    /**
+     * Treats the servers of a zone whose evacuation has ended as cold. They may have become cold in the meantime,
+     * before their entries in the list say so.
+     */
     private fun ServersState.treatAsCold(
         entry: FeedEntry.Evacuation,
         relay: RelayState,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/LoadReport.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/LoadReport.kt
@@ -1,6 +1,12 @@
 package org.quetzalloom.core.relay.server
 
-/** How many requests a backend server works on, how many wait there, and how many it can work on at once. */
+/**
+ * The load that a backend server reports with its answers.
+ *
+ * @property running the number of requests that the server works on.
+ * @property waiting the number of requests in the server's queue.
+ * @property slots the number of requests that the server can work on at once.
+ */
 public data class LoadReport(
     public val running: Int,
     public val waiting: Int,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/PlacementRequest.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/PlacementRequest.kt
@@ -4,11 +4,11 @@
 import org.quetzalloom.core.relay.exchange.PromptPart
 
 /**
- * What a placement may depend on.
+ * What a placement may know of the attempt to place.
  *
- * @property sharedPart the part of the prompt that backend servers should keep together, or `null`.
- * @property work the prompt to read, weighed by the model; 0 if the request is not for a model.
- * @property seed differs from attempt to attempt.
+ * @property sharedPart the part of the prompt whose requests should share a backend server, or `null` for none.
+ * @property work the prompt to read, in tokens weighted by model size; 0 if the request is not for a model.
+ * @property seed the seed of random choices, which differs from attempt to attempt.
  * @property zone the availability zone of this router.
  */
 public data class PlacementRequest(
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerListing.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerListing.kt
@@ -5,15 +5,16 @@
 import org.quetzalloom.core.relay.routing.ServiceName
 
 /**
- * What a backend server says of itself in the list of backend servers.
+ * A backend server's own entry in the list of backend servers.
  *
- * @property address the `host:port` of its listener.
- * @property version the version of its software.
- * @property slots the requests that it works on at once.
- * @property draining whether it has said that it leaves.
- * @property coldMilliseconds how much longer it is cold, as of when it wrote the entry.
- * @property startedAt identifies one start of it: the milliseconds since the Unix epoch by its own clock.
- * @property sequence rises with each entry of one start.
+ * @property address the `host:port` on which the server listens.
+ * @property version the version of the server's software.
+ * @property slots the number of requests that the server works on at once.
+ * @property draining whether the server has announced that it shuts down.
+ * @property coldMilliseconds the rest of the server's warm-up at the time it wrote the entry; 0 if it is warm.
+ * @property startedAt the start of the server's process, in milliseconds since the Unix epoch by the server's own
+ *   clock; distinguishes one run from the next.
+ * @property sequence the number of the entry, which rises within one run of the server.
  */
 public data class ServerListing(
     public val id: BackendServerId,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerOutcomes.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerOutcomes.kt
@@ -4,21 +4,24 @@
 import org.quetzalloom.core.relay.exchange.AttemptFailure
 import org.quetzalloom.core.time.Timestamp
 
-/** The weight of the latest attempt in the share of failures. */
+/** The weight of the latest attempt in the failure rate. */
 private const val FAILURE_WEIGHT = 0.25
 
-/** The pause after the first failed connection; it doubles with each further one. */
+/** The suspension after the first failed connection; it doubles with each further one in a row. */
 private const val SUSPENSION_MILLISECONDS = 250L
 private const val LONGEST_SUSPENSION_DOUBLINGS = 3
 private const val LONGEST_SUSPENSION_MILLISECONDS = 2_000L
 
-/** The first pause of a server that was not heard at all: each further try costs its caller about a second. */
+/** The first suspension of a server that did not react at all, as each further try costs its caller about a second. */
 private const val SILENT_SUSPENSION_MILLISECONDS = 500L
 
-/** The pause after a refusal; a full backend server has room again within some answers. */
+/** The suspension after a refusal. A full backend server has free slots again after a few answers. */
 private const val REFUSAL_SUSPENSION_MILLISECONDS = 100L
 
-/** Returns the view after the head of an answer. */
+/**
+ * Returns the view after the head of an answer. A server that refused the request is suspended, and one that is not the
+ * server addressed is dropped.
+ */
 internal fun ServerView.afterAnswerHead(head: AnswerHead, now: Timestamp): ServerView {
     val failed = head.isServerFailure
     val updated = withOutcome(failed, now).copy(
@@ -34,15 +37,15 @@
     }
 }
 
-/** Returns the view after [work] of the prompts has been read. */
+/** Returns the view after the server has read [work] of its pending work. */
 internal fun ServerView.afterPromptRead(work: Long): ServerView =
     copy(pendingWork = (pendingWork - work).coerceAtLeast(0))
 
-/** Returns the view after an attempt has ended, of which [workLeft] had still to be read. */
+/** Returns the view after an attempt has ended, of whose prompt [workLeft] had still to be read. */
 internal fun ServerView.afterAttemptEnd(workLeft: Long): ServerView =
     copy(inFlight = (inFlight - 1).coerceAtLeast(0), pendingWork = (pendingWork - workLeft).coerceAtLeast(0))
 
-/** Returns the view after an attempt was lost. */
+/** Returns the view after an attempt failed. The server is suspended if the failure makes it suspect. */
 internal fun ServerView.afterFailure(failure: AttemptFailure, now: Timestamp): ServerView {
     if (!failure.serverSuspect) return withOutcome(failed = failure.mayHaveArrived, now)
     val first = if (failure.serverReacted) SUSPENSION_MILLISECONDS else SILENT_SUSPENSION_MILLISECONDS
@@ -60,7 +63,7 @@
     )
 }
 
-/** Returns the view as a placement sees it, where all routers together have [allWork] at the server. */
+/** Returns the view as a candidate for placement, where all routers together have [allWork] pending at the server. */
 internal fun ServerView.toCandidate(allWork: Long, now: Timestamp): Candidate = Candidate(
     server = listing.id,
     zone = listing.zone,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerView.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerView.kt
@@ -5,21 +5,23 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * What this router believes of one backend server.
+ * What this router knows of one backend server.
  *
- * @property listing its last entry in the list.
- * @property coldUntil until when it is taken to be cold.
- * @property suspendedUntil until when it gets nothing, after connections to it failed.
- * @property consecutiveFailures connections that failed since the last answer.
- * @property failureRate the share of recent attempts that failed, from 0 to 1.
- * @property failureRateUpdatedAt when [failureRate] was last changed.
- * @property inFlight this router's own attempts at it.
- * @property pendingWork the prompts of these attempts that it has still to read, weighed by model.
- * @property loadReport its last report.
- * @property loadReportedAt when [loadReport] was reported.
- * @property slowness how long its answers take to begin, against the usual time.
- * @property coldSends when this router sent to it lately while it was cold.
- * @property dropAt when it is dropped, if its entry has been removed.
+ * @property listing the server's last entry in the list.
+ * @property coldUntil the time until which the server counts as cold.
+ * @property suspendedUntil the time until which the server gets no requests after it refused one or failed.
+ * @property consecutiveFailures the number of failures that made the server suspect since its last answer.
+ * @property failureRate the share of recent attempts that failed, from 0 to 1, as of [failureRateUpdatedAt].
+ * @property failureRateUpdatedAt when [failureRate] last changed.
+ * @property inFlight the number of this router's attempts in flight at the server.
+ * @property pendingWork the prompts of these attempts that the server has still to read, in tokens weighted by model
+ *   size.
+ * @property loadReport the server's last load report, or `null` before the first.
+ * @property loadReportedAt when [loadReport] arrived.
+ * @property slowness how long the server's answers take to begin, compared with the usual time of its service.
+ * @property coldSends the times of this router's recent attempts at the server while it was cold.
+ * @property dropAt when the server is dropped, because its entry was removed or another server answers at its address;
+ *   `null` while it is listed. It gets no requests in the meantime.
  */
 internal data class ServerView(
     val listing: ServerListing,
@@ -36,23 +38,26 @@
     val coldSends: PersistentList<Timestamp> = persistentListOf(),
     val dropAt: Timestamp? = null,
 ) {
-    /** Returns the failure score at [now], which halves every [FAILURE_HALF_LIFE_MILLISECONDS]. */
+    /** Returns the failure rate at [now]; it halves every [FAILURE_HALF_LIFE_MILLISECONDS] without an attempt. */
     fun failureRateAt(now: Timestamp): Double {
         val halves = (now - failureRateUpdatedAt).coerceAtLeast(0).toDouble() / FAILURE_HALF_LIFE_MILLISECONDS
         return failureRate * Math.pow(HALF, halves)
     }
 
-    /** Returns the requests at the server, as far as this router knows. */
+    /**
+     * Returns the number of requests at the server at [now]: this router's own, or those of the last load report if
+     * that is recent and names more.
+     */
     fun loadAt(now: Timestamp): Int {
         val reported = loadReport?.takeIf { now - loadReportedAt <= LOAD_REPORT_VALID_MILLISECONDS }
         return maxOf(inFlight, reported?.let { it.running + it.waiting } ?: 0)
     }
 
     private companion object {
-        /** After this time a failure counts half. A failing server is tried again a few times in each. */
+        /** The half-life of a failure. A failing server is tried again a few times in each half-life. */
         const val FAILURE_HALF_LIFE_MILLISECONDS = 4_000L
 
-        /** Older reports say nothing of the load of now; most answers take less. */
+        /** Older reports say nothing of the current load, as most answers take less time than this. */
         const val LOAD_REPORT_VALID_MILLISECONDS = 1_500L
         const val HALF = 0.5
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersPart.kt
@@ -12,12 +12,12 @@
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.time.Timestamp
 
-/** Keeps the list of backend servers. */
+/** Maintains the list of backend servers from the feed of their entries. */
 internal object ServersPart : RelayPart {
-    /** Entries that lapsed while the list could not be read are back within this time, if their servers live. */
+    /** How long entries that lapsed while the list could not be read are kept; servers that are alive renew them. */
     private const val LAPSED_ENTRY_GRACE_MILLISECONDS = 2_000L
 
-    /** A list that failed no longer ago than this may have dropped entries of servers that live. */
+    /** For this time after a failed read, the list may lack entries of servers that are alive. */
     private const val RECENT_LIST_FAILURE_MILLISECONDS = 3_000L
 
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
@@ -11,9 +11,10 @@
 /**
  * The backend servers that this router knows.
  *
- * @property evacuated the availability zones whose servers get nothing.
- * @property listFailedAt when the list could last not be read.
- * @property listReadAt when the list was last read.
+ * @property views what is known of each server, listed or about to be dropped.
+ * @property evacuated the evacuated availability zones, whose servers get no requests, and when each was evacuated.
+ * @property listFailedAt when the list last could not be read, or `null` if that never happened.
+ * @property listReadAt when the list was last read, or `null` before the first time.
  * @property prefillPaces how fast the servers of each service read prompts.
  */
 internal data class ServersState(
@@ -23,17 +24,20 @@
     val listReadAt: Timestamp? = null,
     val prefillPaces: PersistentMap<ServiceName, PrefillPace> = persistentMapOf(),
 ) {
-    /** Returns the servers of [service] that may get new work at [now]. */
+    /** Returns the servers of [service] that are listed and neither draining, suspended nor in an evacuated zone. */
     fun usable(service: ServiceName, now: Timestamp): List<ServerView> =
         views.values.filter { it.listing.service == service && it.isUsable(now) }
 
-    /** Returns the state with the view of [id] changed, if there is one. */
+    /** Returns the state with [change] applied to the view of [id]; the same state if [id] is unknown. */
     fun update(id: BackendServerId, change: (ServerView) -> ServerView): ServersState {
         val view = views[id] ?: return this
         return copy(views = views.put(id, change(view)))
     }
 
-    /** Returns the state after the answer of [attempt] at [service] has begun at [now]. */
+    /**
+     * Returns the state after the answer of [attempt] at [service] has begun at [now]: updates the pace of the service
+     * and, against the pace before, the slowness of the server.
+     */
     fun recordAnswerStart(attempt: Attempt, service: ServiceName, now: Timestamp): ServersState {
         val elapsed = now - attempt.sentAt
         val pace = prefillPaces[service] ?: PrefillPace()
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/ServersTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/ServersTest.kt
@@ -12,7 +12,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-/** Which backend servers get requests. */
+/** Which backend servers get requests, as the list, evacuations, failures, versions and limits change. */
 class ServersTest {
     private val one = RelayRig.server("s-1", RelayRig.plain)
 
@@ -23,7 +23,7 @@
     }
 
     @Test
-    fun `a server that leaves, or whose zone is evacuated, gets nothing`() {
+    fun `a server that drains, or whose zone is evacuated, gets no requests`() {
         val draining = RelayRig().start()
         draining.read(Feed.SERVERS, FeedEntry.Server(one.copy(draining = true, sequence = 2)))
         assertTrue(!draining.mayUse("s-1") && draining.mayUse("s-2"))
@@ -36,7 +36,7 @@
     }
 
     @Test
-    fun `an evacuation that a snapshot no longer shows has ended`() {
+    fun `an evacuation that is missing from a snapshot has ended`() {
         val rig = RelayRig().start()
         rig.read(Feed.ORDERS, FeedEntry.Evacuation(RelayRig.zones[0], active = true))
         rig.read(Feed.ORDERS, FeedEntry.Configuration(RelayRig.table), snapshot = true)
@@ -44,7 +44,7 @@
     }
 
     @Test
-    fun `a server whose entry is removed gets nothing, and is forgotten`() {
+    fun `a server whose entry is removed gets no requests and is dropped`() {
         val rig = RelayRig().start()
         rig.read(Feed.SERVERS, FeedEntry.ServerRemoved(one.id))
         assertTrue(!rig.mayUse("s-1"))
@@ -53,7 +53,7 @@
     }
 
     @Test
-    fun `entries that lapsed while the list could not be read come back`() {
+    fun `a server whose entry lapsed while the list could not be read is kept until the entry is renewed`() {
         val rig = RelayRig().start()
         rig.on(RelayEvent.FeedFailed(Feed.SERVERS, FeedProblem.UNAVAILABLE, "down"))
         rig.pass(1_000)
@@ -66,7 +66,7 @@
     }
 
     @Test
-    fun `another server at the address drops the entry`() {
+    fun `a server is dropped when another one answers at its address`() {
         val rig = RelayRig().start(listOf(one))
         val send = rig.arrive(RelayRig.read).second.only<RelayEffect.Send>()
         rig.answer(send, AnswerHead(status = 421, notRun = true, misdirected = true))
@@ -74,7 +74,7 @@
     }
 
     @Test
-    fun `a server that cannot be reached rests, longer each time`() {
+    fun `a server that cannot be reached is suspended, for longer each time`() {
         val rig = RelayRig().start(listOf(one))
         repeat(2) {
             val send = rig.arrive(RelayRig.read).second.only<RelayEffect.Send>()
@@ -89,13 +89,13 @@
     }
 
     @Test
-    fun `a second version gets nothing before its roll-out has been read`() {
+    fun `a second version gets no requests before its roll-out has been read`() {
         val rig = RelayRig().start(RelayRig.plainServers + RelayRig.server("new", RelayRig.plain, version = "v2"))
         assertTrue(!rig.mayUse("new"))
     }
 
     @Test
-    fun `requests wait while all connections that a router may have are in use`() {
+    fun `requests wait while all connections in the share of a router are in use`() {
         val rig = RelayRig().start(listOf(one), members = 50)
         val (first, _) = rig.arrive(RelayRig.read)
         rig.arrive(RelayRig.read)
@@ -104,9 +104,9 @@
         assertEquals(1, rig.pass(20).filterIsInstance<RelayEffect.Send>().size)
     }
 
-    /** The bound is the platform's: what a cold server bears in any second, over all routers. */
+    /** The platform bounds the requests that a cold server may get in any second from all routers together. */
     @Property(tries = 25)
-    fun `a cold server gets no more than it bears, from all routers together`(
+    fun `a cold server gets no more requests than its limit from all routers together`(
         @ForAll @IntRange(min = 1, max = 70) routers: Int,
     ) {
         val cold = RelayRig.server("e-1", RelayRig.engines).copy(coldMilliseconds = 3_000)
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/SlownessTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/SlownessTest.kt
@@ -6,12 +6,12 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-/** Servers that have turned slow are left alone, and tried again later. */
+/** Servers that have become slow get fewer requests, and are tried again later. */
 class SlownessTest {
     private val prompt = RelayRig.prompt.copy(promptTokens = 10_000)
     private var sent = 0
 
-    /** Serves [count] requests, which take 100 ms each, but 500 ms at the server [slow]; returns where they went. */
+    /** Serves [count] requests, which take 100 ms each, but 500 ms at the server [slow]; returns their servers. */
     private fun RelayRig.serve(count: Int, slow: String? = null): List<String> = (1..count).map {
         val send = arrive(prompt.copy(callerId = "p-${++sent}")).second.only<RelayEffect.Send>()
         val server = send.order.server.value
@@ -24,7 +24,7 @@
     private fun List<String>.share(server: String): Double = count { it == server }.toDouble() / size
 
     @Test
-    fun `a server that has turned slow gets few requests`() {
+    fun `a server that has become slow gets few requests`() {
         val rig = RelayRig().start(RelayRig.engineServers)
         assertTrue(rig.serve(150).share("e-1") > 0.25)
         val share = rig.serve(200, slow = "e-1").share("e-1")
@@ -32,7 +32,7 @@
     }
 
     @Test
-    fun `without leaving slow servers alone it would get its share`() {
+    fun `without the limit on slowness a slow server keeps its share`() {
         val rig = RelayRig(policies = RelayPolicies(placement = AffinityPlacement(maximumSlowness = 100.0)))
         rig.start(RelayRig.engineServers).serve(150)
         assertTrue(rig.serve(200, slow = "e-1").share("e-1") > 0.25)
