--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/PrefillPace.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/PrefillPace.kt
@@ -7,7 +7,7 @@
  * @property milliseconds the sum of the times that these answers took to begin.
  */
 internal data class PrefillPace(val work: Double = 0.0, val milliseconds: Double = 0.0) {
-    /** Returns the pace after an answer with [workUntilAnswer] ahead of it that took [elapsed] milliseconds to begin. */
+    /** Returns the pace after an answer that took [elapsed] milliseconds to begin with [workUntilAnswer] ahead. */
     fun record(workUntilAnswer: Long, elapsed: Long): PrefillPace {
         if (workUntilAnswer < MINIMUM_SAMPLE_WORK) return this
         val kept = if (work > MAXIMUM_WORK) HALF else 1.0
