Rename the relay's roll-outs after what is counted and decided

Names such as heard, told, teller and wantedPhase left open whose outcomes and which phase were meant. Only names change, and line breaks where a longer name needs one.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/OutcomeSums.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/OutcomeSums.kt
@@ -26,7 +26,7 @@
     )
 
     /** Returns the sums with one more answer, which took [latencyMilliseconds] to begin. */
-    public fun count(failed: Boolean, latencyMilliseconds: Long): OutcomeSums = OutcomeSums(
+    public fun record(failed: Boolean, latencyMilliseconds: Long): OutcomeSums = OutcomeSums(
         answers = answers + 1,
         failures = if (failed) failures + 1 else failures,
         logLatency = logLatency + Math.log(latencyMilliseconds.coerceAtLeast(1).toDouble()),
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/OutcomesPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/OutcomesPart.kt
@@ -13,16 +13,16 @@
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep {
         val current = (event as? RelayEvent.AnswerStarted)?.takeUnless { it.head.notRun }
             ?.let { state.exchanges.currentOrNull(it.exchange, it.attempt) }
-        return if (current == null) state.unchanged() else state.count(current, event.head.isServerFailure, now)
+        return if (current == null) state.unchanged() else state.recordOutcome(current, event.head.isServerFailure, now)
     }
 
-    private fun RelayState.count(current: CurrentAttempt, failed: Boolean, now: Timestamp): RelayStep {
+    private fun RelayState.recordOutcome(current: CurrentAttempt, failed: Boolean, now: Timestamp): RelayStep {
         val progress = rollouts.byService[current.exchange.service]?.takeIf { it.open } ?: return unchanged()
         val latency = now - current.attempt.sentAt
         val next = if (current.attempt.version == progress.order.version) {
-            progress.copy(new = progress.new.count(failed, latency))
+            progress.copy(new = progress.new.record(failed, latency))
         } else {
-            progress.copy(old = progress.old.count(failed, latency))
+            progress.copy(old = progress.old.record(failed, latency))
         }
         return condemnIfBad(next, now)
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/HeardOutcomes.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/PeerOutcomes.kt
@@ -1,4 +1,4 @@
 package org.quetzalloom.core.relay.rollout
 
 /** The outcomes of both versions of a roll-out, as another router has counted them. */
-internal data class HeardOutcomes(val old: OutcomeSums, val new: OutcomeSums)
+internal data class PeerOutcomes(val old: OutcomeSums, val new: OutcomeSums)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutDecisions.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutDecisions.kt
@@ -4,7 +4,7 @@
 import org.quetzalloom.core.time.Timestamp
 
 /** Returns the phase that the roll-out should be in, as far as this router may say, or `null`. */
-internal fun RelayState.wantedPhase(progress: RolloutProgress, now: Timestamp): RolloutPhase? = when {
+internal fun RelayState.targetPhase(progress: RolloutProgress, now: Timestamp): RolloutPhase? = when {
     progress.condemned -> RolloutPhase.REVERTED
     !members.holdsDuty -> null
     mayComplete(progress, now) -> RolloutPhase.COMPLETED
@@ -12,11 +12,11 @@
 }
 
 private fun RelayState.mayComplete(progress: RolloutProgress, now: Timestamp): Boolean =
-    policies.exposure.mayComplete(elapsed(progress, now)) && newServers(progress, now) > 0
+    policies.exposure.mayComplete(elapsedShare(progress, now)) && newServerCount(progress, now) > 0
 
-private fun RelayState.newServers(progress: RolloutProgress, now: Timestamp): Int =
+private fun RelayState.newServerCount(progress: RolloutProgress, now: Timestamp): Int =
     servers.usable(progress.order.service, now).count { it.listing.version == progress.order.version }
 
 /** Returns the share of the time of [progress] that has passed. */
-internal fun elapsed(progress: RolloutProgress, now: Timestamp): Double =
-    (now - progress.seenAt).toDouble() / progress.order.durationMilliseconds.coerceAtLeast(1)
+internal fun elapsedShare(progress: RolloutProgress, now: Timestamp): Double =
+    (now - progress.firstSeenAt).toDouble() / progress.order.durationMilliseconds.coerceAtLeast(1)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutReports.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutReports.kt
@@ -16,7 +16,7 @@
     RolloutReport(
         service = it.order.service,
         version = it.order.version,
-        ageMilliseconds = now - it.seenAt,
+        ageMilliseconds = now - it.firstSeenAt,
         old = it.old,
         new = it.new,
         condemned = it.condemned,
@@ -24,23 +24,27 @@
 }
 
 /**
- * Returns the transition that takes what the router [teller] says of a roll-out: its outcomes, and when it began.
+ * Returns the transition that takes what the router [sender] says of a roll-out: its outcomes, and when it began.
  *
  * A report of a roll-out that this router does not know, or of another version, changes nothing.
  */
-internal fun RelayState.takeReport(teller: VmId, told: RolloutReport, now: Timestamp): RelayStep {
-    val progress = rollouts.byService[told.service]?.takeIf { it.open && it.order.version == told.version }
+internal fun RelayState.applyReport(sender: VmId, received: RolloutReport, now: Timestamp): RelayStep {
+    val progress = rollouts.byService[received.service]?.takeIf { it.open && it.order.version == received.version }
         ?: return unchanged()
-    val begunAt = now + -told.ageMilliseconds
-    val heard = progress.copy(
-        seenAt = if (progress.seenAt - begunAt > CLOCK_ERROR_MILLISECONDS) begunAt else progress.seenAt,
-        heard = progress.heard.put(teller, HeardOutcomes(old = told.old, new = told.new)),
+    val begunAt = now + -received.ageMilliseconds
+    val updated = progress.copy(
+        firstSeenAt = if (progress.firstSeenAt - begunAt > CLOCK_ERROR_MILLISECONDS) begunAt else progress.firstSeenAt,
+        peerOutcomes = progress.peerOutcomes.put(sender, PeerOutcomes(old = received.old, new = received.new)),
     )
-    return if (told.condemned && !heard.condemned) condemnWith(heard, teller, now) else condemnIfBad(heard, now)
+    return if (received.condemned && !updated.condemned) {
+        adoptCondemnation(updated, sender, now)
+    } else {
+        condemnIfBad(updated, now)
+    }
 }
 
-private fun RelayState.condemnWith(progress: RolloutProgress, teller: VmId, now: Timestamp): RelayStep =
-    copy(rollouts = rollouts.with(progress.copy(condemned = true))).reportCondemned(progress, now, foundBy = teller)
+private fun RelayState.adoptCondemnation(progress: RolloutProgress, sender: VmId, now: Timestamp): RelayStep =
+    copy(rollouts = rollouts.with(progress.copy(condemned = true))).reportCondemned(progress, now, foundBy = sender)
 
 /** Returns the transition that stops the new version of [progress] if its outcomes, here and elsewhere, are bad. */
 internal fun RelayState.condemnIfBad(progress: RolloutProgress, now: Timestamp): RelayStep {
@@ -55,7 +59,7 @@
     "service" to progress.order.service,
     "version" to progress.order.version,
     "found_by" to foundBy,
-    "routers_heard" to progress.heard.size,
+    "routers_heard" to progress.peerOutcomes.size,
     "answers" to progress.allNew.answers,
     "failures" to progress.allNew.failures,
     "old_answers" to progress.allOld.answers,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutsPart.kt
@@ -23,39 +23,39 @@
  */
 internal object RolloutsPart : RelayPart {
     /** A status that could not be written is tried again after this time. */
-    private const val WRITE_PAUSE_MILLISECONDS = 300L
+    private const val WRITE_INTERVAL_MILLISECONDS = 300L
 
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
-        is RelayEvent.FeedRead -> state.read(event, now)
-        is RelayEvent.StatusWritten -> state.written(event, now)
-        is RelayEvent.PeerHeard -> state.unchanged().thenEach(event.beacon.rollouts) { reached, told ->
-            reached.takeReport(event.beacon.vm, told, now)
+        is RelayEvent.FeedRead -> state.feedRead(event, now)
+        is RelayEvent.StatusWritten -> state.statusWritten(event, now)
+        is RelayEvent.PeerHeard -> state.unchanged().thenEach(event.beacon.rollouts) { current, received ->
+            current.applyReport(event.beacon.vm, received, now)
         }
         RelayEvent.Tick -> state.unchanged().thenEach(
             state.rollouts.active
-        ) { reached, each -> reached.advance(each, now) }
+        ) { current, each -> current.advance(each, now) }
         else -> state.unchanged()
     }
 
-    private fun RelayState.read(event: RelayEvent.FeedRead, now: Timestamp): RelayStep {
+    private fun RelayState.feedRead(event: RelayEvent.FeedRead, now: Timestamp): RelayStep {
         val ordered = event.entries.filterIsInstance<FeedEntry.Rollout>().map { it.order.service }.toSet()
         val removed = event.entries.filterIsInstance<FeedEntry.RolloutRemoved>().map { it.service }
-        val whole = event.snapshot && event.feed == Feed.ORDERS
-        val absent = if (whole) rollouts.byService.keys - ordered else emptySet()
+        val isOrdersSnapshot = event.snapshot && event.feed == Feed.ORDERS
+        val absent = if (isOrdersSnapshot) rollouts.byService.keys - ordered else emptySet()
         return unchanged()
-            .thenEach(event.entries) { reached, entry -> reached.take(entry, now) }
-            .thenEach(removed + absent) { reached, service -> reached.forget(service) }
+            .thenEach(event.entries) { current, entry -> current.applyEntry(entry, now) }
+            .thenEach(removed + absent) { current, service -> current.forget(service) }
     }
 
-    private fun RelayState.take(entry: FeedEntry, now: Timestamp): RelayStep = when (entry) {
-        is FeedEntry.Rollout -> begin(entry.order, now)
-        is FeedEntry.RolloutStatus -> learn(entry, now)
+    private fun RelayState.applyEntry(entry: FeedEntry, now: Timestamp): RelayStep = when (entry) {
+        is FeedEntry.Rollout -> startRollout(entry.order, now)
+        is FeedEntry.RolloutStatus -> applyStatus(entry, now)
         else -> unchanged()
     }
 
-    private fun RelayState.begin(order: RolloutOrder, now: Timestamp): RelayStep {
+    private fun RelayState.startRollout(order: RolloutOrder, now: Timestamp): RelayStep {
         if (rollouts.byService[order.service]?.order == order) return unchanged()
-        val next = copy(rollouts = rollouts.with(RolloutProgress(order = order, seenAt = now)))
+        val next = copy(rollouts = rollouts.with(RolloutProgress(order = order, firstSeenAt = now)))
         return next.report(
             now,
             "rollout_ordered",
@@ -68,7 +68,7 @@
     private fun RelayState.forget(service: ServiceName): RelayStep =
         copy(rollouts = rollouts.copy(byService = rollouts.byService.remove(service))).unchanged()
 
-    private fun RelayState.learn(entry: FeedEntry.RolloutStatus, now: Timestamp): RelayStep {
+    private fun RelayState.applyStatus(entry: FeedEntry.RolloutStatus, now: Timestamp): RelayStep {
         val progress = rollouts.byService[entry.service]?.takeIf { it.order.version == entry.version }
         if (progress == null || progress.phase == entry.phase) return unchanged()
         return copy(rollouts = rollouts.with(progress.copy(phase = entry.phase)))
@@ -76,20 +76,20 @@
     }
 
     private fun RelayState.advance(progress: RolloutProgress, now: Timestamp): RelayStep {
-        val phase = wantedPhase(progress, now)?.takeIf { it != progress.phase && progress.mayWrite(now) }
-        val known = feeds.of(Feed.STATUS).next
-        if (phase == null || known == null) return unchanged()
+        val phase = targetPhase(progress, now)?.takeIf { it != progress.phase && progress.mayWrite(now) }
+        val statusEnd = feeds.of(Feed.STATUS).next
+        if (phase == null || statusEnd == null) return unchanged()
         val order = progress.order
         return copy(rollouts = rollouts.with(progress.copy(writing = true)))
-            .with(RelayEffect.WriteRolloutStatus(order.service, order.version, phase, expectedEnd = known))
+            .with(RelayEffect.WriteRolloutStatus(order.service, order.version, phase, expectedEnd = statusEnd))
             .then { it.report(now, "rollout_status_proposed", "service" to order.service, "phase" to phase) }
     }
 
-    private fun RelayState.written(event: RelayEvent.StatusWritten, now: Timestamp): RelayStep {
+    private fun RelayState.statusWritten(event: RelayEvent.StatusWritten, now: Timestamp): RelayStep {
         val progress = rollouts.byService[event.service] ?: return unchanged()
         val next = progress.copy(
             writing = false,
-            writeDueAt = now + WRITE_PAUSE_MILLISECONDS,
+            writeDueAt = now + WRITE_INTERVAL_MILLISECONDS,
             phase = if (event.accepted) event.phase else progress.phase,
         )
         return copy(rollouts = rollouts.with(next)).report(
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/SteppedExposure.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/SteppedExposure.kt
@@ -9,10 +9,10 @@
  */
 public object SteppedExposure : ExposurePolicy {
     /** The share of requests in the first step, as a part of the limit: some dozen requests find most bad versions. */
-    private const val FIRST_PART = 0.2
+    private const val FIRST_STEP_SHARE_OF_LIMIT = 0.2
 
     /** The last step's share of the time, as a part of the limit. */
-    private const val LAST_PART = 0.45
+    private const val LAST_STEP_TIME_OF_LIMIT = 0.45
 
     /**
      * The store needs some tries to take the status in the time that is left. What old backend servers still work on
@@ -24,27 +24,28 @@
     private const val SESSIONS_MOVE_AT = 0.52
 
     /** Three failures at once are no accident where the old version has few. */
-    private const val FEWEST_FAILURES = 3
-    private const val FAILURE_SHARE = 0.2
+    private const val MINIMUM_FAILURES = 3
+    private const val MINIMUM_FAILURE_RATE = 0.2
     private const val FAILURE_FACTOR = 2.0
 
     /** A mean over fewer answers of all routers depends too much on the prompts that came. */
-    private const val FEWEST_LATENCIES = 16
-    private const val SLOWER_FACTOR = 3.0
-    private val SLOWER = Math.log(SLOWER_FACTOR)
+    private const val MINIMUM_LATENCIES = 16
+    private const val LATENCY_FACTOR = 3.0
+    private val LOG_LATENCY_FACTOR = Math.log(LATENCY_FACTOR)
 
     override fun share(elapsed: Double, limit: Double): Double =
-        if (elapsed < 1 - LAST_PART * limit) FIRST_PART * limit else 1.0
+        if (elapsed < 1 - LAST_STEP_TIME_OF_LIMIT * limit) FIRST_STEP_SHARE_OF_LIMIT * limit else 1.0
 
     override fun mayMoveSessions(elapsed: Double): Boolean = elapsed >= SESSIONS_MOVE_AT
 
     override fun mayComplete(elapsed: Double): Boolean = elapsed >= COMPLETION_AT
 
-    override fun isBad(old: OutcomeSums, new: OutcomeSums): Boolean = fails(old, new) || isSlow(old, new)
+    override fun isBad(old: OutcomeSums, new: OutcomeSums): Boolean = failsMoreOften(old, new) || isSlow(old, new)
 
-    private fun fails(old: OutcomeSums, new: OutcomeSums): Boolean = new.failures >= FEWEST_FAILURES &&
-        new.failureRate >= FAILURE_SHARE && new.failureRate > FAILURE_FACTOR * old.failureRate
+    private fun failsMoreOften(old: OutcomeSums, new: OutcomeSums): Boolean = new.failures >= MINIMUM_FAILURES &&
+        new.failureRate >= MINIMUM_FAILURE_RATE && new.failureRate > FAILURE_FACTOR * old.failureRate
 
     private fun isSlow(old: OutcomeSums, new: OutcomeSums): Boolean =
-        minOf(old.answers, new.answers) >= FEWEST_LATENCIES && new.meanLogLatency - old.meanLogLatency > SLOWER
+        minOf(old.answers, new.answers) >= MINIMUM_LATENCIES &&
+            new.meanLogLatency - old.meanLogLatency > LOG_LATENCY_FACTOR
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/Candidates.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/Candidates.kt
@@ -4,7 +4,7 @@
 import org.quetzalloom.core.relay.exchange.Exchange
 import org.quetzalloom.core.relay.rollout.RolloutPhase
 import org.quetzalloom.core.relay.rollout.RolloutProgress
-import org.quetzalloom.core.relay.rollout.elapsed
+import org.quetzalloom.core.relay.rollout.elapsedShare
 import org.quetzalloom.core.relay.routing.ServiceName
 import org.quetzalloom.core.router.bucketOf
 import org.quetzalloom.core.time.Timestamp
@@ -72,7 +72,7 @@
     val exposure = state.policies.exposure
     val session = exchange.request.session
     val pin = session?.let { state.pins.pinOrNull(it, state.settings.sessionMilliseconds, now) }
-    val elapsed = elapsed(this, now)
+    val elapsed = elapsedShare(this, now)
     return when {
         pin?.version == order.version -> true
         pin != null && !exposure.mayMoveSessions(elapsed) -> false
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RolloutsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RolloutsTest.kt
@@ -79,10 +79,10 @@
         assertTrue(rig.load(24_000).none { it.first == "v2" })
     }
 
-    private fun RelayRig.hear(vm: String, told: RolloutReport) =
-        on(RelayEvent.PeerHeard(PeerBeacon(VmId(vm), 1, persistentMapOf(), persistentListOf(told))))
+    private fun RelayRig.receive(vm: String, peerReport: RolloutReport) =
+        on(RelayEvent.PeerHeard(PeerBeacon(VmId(vm), 1, persistentMapOf(), persistentListOf(peerReport))))
 
-    private fun told(age: Long = 100, failures: Int = 0, condemned: Boolean = false) = RolloutReport(
+    private fun peerReport(age: Long = 100, failures: Int = 0, condemned: Boolean = false) = RolloutReport(
         service = RelayRig.plain,
         version = "v2",
         ageMilliseconds = age,
@@ -94,10 +94,10 @@
     @Test
     fun `failures that each router saw once are enough together`() {
         val rig = begun()
-        rig.hear("vm-2", told(failures = 1))
-        rig.hear("vm-3", told(failures = 1))
-        assertTrue(rig.hear("vm-3", told(failures = 1)).none<RelayEffect.Report>())
-        val line = rig.hear("vm-4", told(failures = 1)).only<RelayEffect.Report>().entry
+        rig.receive("vm-2", peerReport(failures = 1))
+        rig.receive("vm-3", peerReport(failures = 1))
+        assertTrue(rig.receive("vm-3", peerReport(failures = 1)).none<RelayEffect.Report>())
+        val line = rig.receive("vm-4", peerReport(failures = 1)).only<RelayEffect.Report>().entry
         assertEquals("version_condemned" to "3", line.name to line.fields["failures"])
         assertTrue(rig.load(12_000).none { it.first == "v2" })
     }
@@ -105,7 +105,7 @@
     @Test
     fun `a version that another router has condemned gets nothing more here`() {
         val rig = begun()
-        rig.hear("vm-2", told(condemned = true))
+        rig.receive("vm-2", peerReport(condemned = true))
         val load = rig.load(12_000)
         assertTrue(load.none { it.first == "v2" })
         assertEquals(RolloutPhase.REVERTED, load.written().first())
@@ -114,7 +114,7 @@
     @Test
     fun `a report of another version changes nothing`() {
         val rig = begun()
-        rig.hear("vm-2", told(condemned = true).copy(version = "v3"))
+        rig.receive("vm-2", peerReport(condemned = true).copy(version = "v3"))
         assertTrue(rig.load(12_000).any { it.first == "v2" })
     }
 
@@ -122,10 +122,10 @@
     fun `a router that has just started completes a roll-out in its time`() {
         val alone = begun()
         assertTrue(alone.load(4_000).written().none { it == RolloutPhase.COMPLETED })
-        val told = begun()
-        told.hear("vm-2", told(age = 23_000))
-        told.accept(RolloutPhase.IN_PROGRESS)
-        assertEquals(RolloutPhase.COMPLETED, told.load(1_000).written().first())
+        val informed = begun()
+        informed.receive("vm-2", peerReport(age = 23_000))
+        informed.accept(RolloutPhase.IN_PROGRESS)
+        assertEquals(RolloutPhase.COMPLETED, informed.load(1_000).written().first())
     }
 
     @Test
