Say plainly how the relay carries out roll-outs

Comments of the folder rollout spoke of wishes, duties and accidents. They now say who decides on a phase, what the two steps of the exposure give the new version and why each threshold stands. Test names follow. Ran: core verify with the tests of core.relay (73, none failed) and the linter, compilation of all modules.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/OutcomeSums.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/OutcomeSums.kt
@@ -1,24 +1,24 @@
 package org.quetzalloom.core.relay.rollout
 
 /**
- * Sums over the answers of one version.
+ * Sums over the answers of a version.
  *
- * @property answers how many were counted.
- * @property failures how many of them were failures.
- * @property logLatency the sum of the natural logarithms of the milliseconds that answers took to begin.
+ * @property answers the number of answers, failures included.
+ * @property failures the number of answers that were server failures.
+ * @property logLatency the sum of the natural logarithms of the milliseconds that the answers took to begin.
  */
 public data class OutcomeSums(
     public val answers: Int = 0,
     public val failures: Int = 0,
     public val logLatency: Double = 0.0,
 ) {
-    /** The share of failures; 0 before the first answer. */
+    /** The share of answers that were failures, from 0 to 1; 0 before the first answer. */
     public val failureRate: Double get() = if (answers == 0) 0.0 else failures.toDouble() / answers
 
-    /** The logarithm of the geometric mean of the latencies; 0 before the first answer. */
+    /** The natural logarithm of the geometric mean latency in milliseconds; 0 before the first answer. */
     public val meanLogLatency: Double get() = if (answers == 0) 0.0 else logLatency / answers
 
-    /** Returns the sums over the answers of both. */
+    /** Returns the sums over the answers of this and [other]. */
     public operator fun plus(other: OutcomeSums): OutcomeSums = OutcomeSums(
         answers = answers + other.answers,
         failures = failures + other.failures,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutDecisions.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutDecisions.kt
@@ -3,7 +3,11 @@
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.time.Timestamp
 
-/** Returns the phase that the roll-out should be in, as far as this router may say, or `null`. */
+/**
+ * Returns the phase that the roll-out should be in, or `null` if that is not for this router to decide. Any router
+ * reverts a condemned version; only the leader starts and completes roll-outs, and it completes one only while a
+ * backend server of the new version is usable.
+ */
 internal fun RelayState.targetPhase(progress: RolloutProgress, now: Timestamp): RolloutPhase? = when {
     progress.condemned -> RolloutPhase.REVERTED
     !members.holdsDuty -> null
@@ -17,6 +21,6 @@
 private fun RelayState.newServerCount(progress: RolloutProgress, now: Timestamp): Int =
     servers.usable(progress.order.service, now).count { it.listing.version == progress.order.version }
 
-/** Returns the share of the time of [progress] that has passed. */
+/** Returns the share of the roll-out's duration that has elapsed; more than 1 after its end. */
 internal fun elapsedShare(progress: RolloutProgress, now: Timestamp): Double =
     (now - progress.firstSeenAt).toDouble() / progress.order.durationMilliseconds.coerceAtLeast(1)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutOrder.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutOrder.kt
@@ -3,9 +3,9 @@
 import org.quetzalloom.core.relay.routing.ServiceName
 
 /**
- * The wish to move all traffic of a service to one version of its software.
+ * An operator's order to move all traffic of a service to one version of its software.
  *
- * @property durationMilliseconds the time, from the order on, in which it is to be completed or reverted.
+ * @property durationMilliseconds the time after the order within which the roll-out must be completed or reverted.
  */
 public data class RolloutOrder(
     public val service: ServiceName,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutPhase.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutPhase.kt
@@ -1,11 +1,11 @@
 package org.quetzalloom.core.relay.rollout
 
-/** How far a roll-out is. */
+/** The phase of a roll-out. */
 public enum class RolloutPhase {
-    /** Both versions get traffic. */
+    /** The old and the new version get traffic. */
     IN_PROGRESS,
 
-    /** The new version gets all traffic; the old one is stopped. */
+    /** The new version gets all traffic; the old version is stopped. */
     COMPLETED,
 
     /** The old version gets all traffic again. */
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutProgress.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutProgress.kt
@@ -8,14 +8,14 @@
 /**
  * What this router knows of one roll-out.
  *
- * @property firstSeenAt when the order was first read, by this router or by one that told of it.
+ * @property firstSeenAt when the order was first read by this router, or by another one that reported an earlier time.
  * @property phase the phase in the store, or `null` while none is known.
- * @property old this router's outcomes of the versions before.
- * @property new this router's outcomes of the new version.
- * @property peerOutcomes the outcomes that other routers have told.
- * @property condemned whether the outcomes of the new version were found to be bad.
+ * @property old the outcomes of the old versions at this router.
+ * @property new the outcomes of the new version at this router.
+ * @property peerOutcomes the outcomes that the other routers have reported last.
+ * @property condemned whether this router or another one has found the new version to be bad.
  * @property writing whether a status is being written.
- * @property writeDueAt when the next status may be written.
+ * @property writeDueAt the earliest time to write the next status.
  */
 internal data class RolloutProgress(
     val order: RolloutOrder,
@@ -28,15 +28,15 @@
     val writing: Boolean = false,
     val writeDueAt: Timestamp = Timestamp.EPOCH,
 ) {
-    /** Whether it is neither completed nor reverted. */
+    /** Whether the roll-out is neither completed nor reverted. */
     val open: Boolean get() = phase == null || phase == RolloutPhase.IN_PROGRESS
 
-    /** The outcomes of the versions before, of all routers that were heard. */
+    /** The outcomes of the old versions at this router and all routers that have reported theirs. */
     val allOld: OutcomeSums get() = peerOutcomes.values.fold(old) { sums, outcomes -> sums + outcomes.old }
 
-    /** The outcomes of the new version, of all routers that were heard. */
+    /** The outcomes of the new version at this router and all routers that have reported theirs. */
     val allNew: OutcomeSums get() = peerOutcomes.values.fold(new) { sums, outcomes -> sums + outcomes.new }
 
-    /** Returns whether a status may be written at [now]. */
+    /** Returns whether a status may be written at [now]: no other write is under way or has just ended. */
     fun mayWrite(now: Timestamp): Boolean = !writing && now >= writeDueAt
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutReports.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutReports.kt
@@ -8,10 +8,10 @@
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.time.Timestamp
 
-/** Times told by others are as exact as this; smaller differences would add up from router to router. */
+/** The accuracy of times that other routers report. Smaller differences would add up from router to router. */
 private const val CLOCK_ERROR_MILLISECONDS = 200L
 
-/** Returns what this router tells the others of its roll-outs. */
+/** Returns this router's reports of the roll-outs in progress, to send to the other routers. */
 internal fun RelayState.rolloutReports(now: Timestamp): List<RolloutReport> = rollouts.active.map {
     RolloutReport(
         service = it.order.service,
@@ -24,9 +24,10 @@
 }
 
 /**
- * Returns the transition that takes what the router [sender] says of a roll-out: its outcomes, and when it began.
+ * Returns the transition that applies a report [received] from the router [sender]: its outcomes, its judgement of the
+ * new version, and the time of the order if that is earlier than known so far.
  *
- * A report of a roll-out that this router does not know, or of another version, changes nothing.
+ * A report of a roll-out that this router does not know or that has ended, or of another version, changes nothing.
  */
 internal fun RelayState.applyReport(sender: VmId, received: RolloutReport, now: Timestamp): RelayStep {
     val progress = rollouts.byService[received.service]?.takeIf { it.open && it.order.version == received.version }
@@ -46,7 +47,7 @@
 private fun RelayState.adoptCondemnation(progress: RolloutProgress, sender: VmId, now: Timestamp): RelayStep =
     copy(rollouts = rollouts.with(progress.copy(condemned = true))).reportCondemned(progress, now, foundBy = sender)
 
-/** Returns the transition that stops the new version of [progress] if its outcomes, here and elsewhere, are bad. */
+/** Returns the transition that condemns the new version of [progress] if its outcomes at all routers are bad. */
 internal fun RelayState.condemnIfBad(progress: RolloutProgress, now: Timestamp): RelayStep {
     val bad = !progress.condemned && policies.exposure.isBad(progress.allOld, progress.allNew)
     val next = copy(rollouts = rollouts.with(progress.copy(condemned = progress.condemned || bad)))
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutsPart.kt
@@ -16,13 +16,13 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * Brings roll-outs to their end.
+ * Carries out roll-outs: follows their orders and phases, and writes the next phase to the store.
  *
- * Any router that finds the new version bad reverts; only the one that holds the duty completes. A status is written
- * only after the status feed has been read, and only if nobody has written since.
+ * Any router that knows the new version to be bad reverts the roll-out; only the leader completes it. A status is
+ * written only after the status feed has been read, and only if no router has written to the feed since.
  */
 internal object RolloutsPart : RelayPart {
-    /** A status that could not be written is tried again after this time. */
+    /** The pause after a write of a status before the next one, so that a failed write is retried after this time. */
     private const val WRITE_INTERVAL_MILLISECONDS = 300L
 
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutsState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutsState.kt
@@ -4,14 +4,14 @@
 import kotlinx.collections.immutable.persistentMapOf
 import org.quetzalloom.core.relay.routing.ServiceName
 
-/** The roll-outs that this router knows, the latest of each service. */
+/** The roll-outs that this router knows: the latest of each service. */
 internal data class RolloutsState(
     val byService: PersistentMap<ServiceName, RolloutProgress> = persistentMapOf(),
 ) {
     /** The roll-outs that are neither completed nor reverted. */
     val active: List<RolloutProgress> get() = byService.values.filter { it.open }
 
-    /** Returns the state with [progress] for its service. */
+    /** Returns the state with [progress] as the latest roll-out of its service. */
     fun with(progress: RolloutProgress): RolloutsState =
         copy(byService = byService.put(progress.order.service, progress))
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/SteppedExposure.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/SteppedExposure.kt
@@ -1,34 +1,34 @@
 package org.quetzalloom.core.relay.rollout
 
 /**
- * A small share first; then all, so late that a bad version stays under the limit even if it never shows that.
+ * Sends a canary share of the requests to the new version first, and all requests in a last step that starts so late
+ * that the limit holds even for a bad version that is never recognized.
  *
- * Some versions fail only under a load that they do not reach, or long after their start. With the first share over the
- * whole time and all requests from the last step on, a version gets two thirds of the limit; the rest is for a burst at
- * the end.
+ * Some versions fail only under a load that the canary share does not reach, or long after their start. The two steps
+ * together give the new version two thirds of the limit; the rest allows for a burst of requests at the end.
  */
 public object SteppedExposure : ExposurePolicy {
-    /** The share of requests in the first step, as a part of the limit: some dozen requests find most bad versions. */
+    /** The share of requests in the first step, as a part of the limit. Some dozen requests expose most bad versions. */
     private const val FIRST_STEP_SHARE_OF_LIMIT = 0.2
 
-    /** The last step's share of the time, as a part of the limit. */
+    /** The last step's share of the roll-out's duration, as a part of the limit. */
     private const val LAST_STEP_TIME_OF_LIMIT = 0.45
 
     /**
-     * The store needs some tries to take the status in the time that is left. What old backend servers still work on
-     * then goes on at new ones.
+     * When the roll-out is completed. The time left allows for several attempts to write the status to the store.
+     * Requests that old backend servers still work on continue at new ones.
      */
     private const val COMPLETION_AT = 0.97
 
-    /** In the first half a session stays on its version. */
+    /** Sessions stay on their version for the first half of the roll-out. */
     private const val SESSIONS_MOVE_AT = 0.52
 
-    /** Three failures at once are no accident where the old version has few. */
+    /** Three failures within a few requests are no coincidence where the old version rarely fails. */
     private const val MINIMUM_FAILURES = 3
     private const val MINIMUM_FAILURE_RATE = 0.2
     private const val FAILURE_FACTOR = 2.0
 
-    /** A mean over fewer answers of all routers depends too much on the prompts that came. */
+    /** The mean latency of fewer answers, of all routers together, depends too much on the prompts in the sample. */
     private const val MINIMUM_LATENCIES = 16
     private const val LATENCY_FACTOR = 3.0
     private val LOG_LATENCY_FACTOR = Math.log(LATENCY_FACTOR)
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RolloutsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RolloutsTest.kt
@@ -15,7 +15,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-/** Roll-outs are completed or reverted, and expose few requests to a bad version. */
+/** Roll-outs are completed or reverted in time, and a bad version gets only few requests. */
 class RolloutsTest {
     private val order = RolloutOrder(RelayRig.plain, "v2", durationMilliseconds = 24_000)
     private val new = RelayRig.server("s-9", RelayRig.plain, version = "v2")
@@ -26,7 +26,7 @@
         read(Feed.STATUS, snapshot = true)
     }
 
-    /** Sends a request every 20 ms for [milliseconds]; returns the versions that they went to. */
+    /** Sends a request every 20 ms for [milliseconds]; returns the version and the effects of each. */
     private fun RelayRig.load(
         milliseconds: Long,
         session: String? = null,
@@ -46,9 +46,9 @@
     private fun RelayRig.accept(phase: RolloutPhase) =
         on(RelayEvent.StatusWritten(RelayRig.plain, phase, accepted = true))
 
-    /** The bound is the operators': a share of all requests from the order to the end of its time. */
+    /** Operators limit the exposure to a share of all requests from the order to the end of its duration. */
     @Test
-    fun `a version that never fails is completed in its time, within the limit on bad ones`() {
+    fun `a version that never fails is completed in time, within the limit for bad ones`() {
         val rig = begun()
         assertEquals(listOf(RolloutPhase.IN_PROGRESS), rig.load(100).written())
         rig.accept(RolloutPhase.IN_PROGRESS)
@@ -61,7 +61,7 @@
     }
 
     @Test
-    fun `a bad version is reverted after few requests, and gets nothing more`() {
+    fun `a bad version is reverted after few requests, and gets no more`() {
         val rig = begun()
         rig.load(100)
         rig.accept(RolloutPhase.IN_PROGRESS)
@@ -73,7 +73,7 @@
     }
 
     @Test
-    fun `what another router has found ends the exposure here too`() {
+    fun `a reverted status that another router wrote ends the exposure at this router too`() {
         val rig = begun()
         rig.read(Feed.STATUS, FeedEntry.RolloutStatus(RelayRig.plain, "v2", RolloutPhase.REVERTED))
         assertTrue(rig.load(24_000).none { it.first == "v2" })
@@ -92,7 +92,7 @@
     )
 
     @Test
-    fun `failures that each router saw once are enough together`() {
+    fun `single failures at several routers together condemn a version`() {
         val rig = begun()
         rig.receive("vm-2", peerReport(failures = 1))
         rig.receive("vm-3", peerReport(failures = 1))
@@ -103,7 +103,7 @@
     }
 
     @Test
-    fun `a version that another router has condemned gets nothing more here`() {
+    fun `a version that another router has condemned gets no more requests from this router`() {
         val rig = begun()
         rig.receive("vm-2", peerReport(condemned = true))
         val load = rig.load(12_000)
@@ -119,7 +119,7 @@
     }
 
     @Test
-    fun `a router that has just started completes a roll-out in its time`() {
+    fun `a router that has just started completes a roll-out in time, by the age that others report`() {
         val alone = begun()
         assertTrue(alone.load(4_000).written().none { it == RolloutPhase.COMPLETED })
         val informed = begun()
@@ -129,7 +129,7 @@
     }
 
     @Test
-    fun `outcomes and age are told to others while a roll-out is open`() {
+    fun `outcomes and age are reported to other routers while a roll-out is in progress`() {
         val rig = begun()
         rig.join(members = 2)
         val before = rig.load(2_000).flatMap { it.second }.filterIsInstance<RelayEffect.TellPeers>().last().beacon
@@ -141,7 +141,7 @@
     }
 
     @Test
-    fun `a session stays on its version in the first half, and never goes back`() {
+    fun `a session stays on its version in the first half, and never returns to the old one`() {
         repeat(30) { number ->
             val rig = RelayRig().start()
             val session = "session-$number"
@@ -156,7 +156,7 @@
     }
 
     @Test
-    fun `a status is not written before the feed has been read, nor twice at once`() {
+    fun `a status is not written before the feed has been read, nor while another write is under way`() {
         val rig = RelayRig().start(RelayRig.plainServers + new)
         rig.read(Feed.ORDERS, FeedEntry.Rollout(order))
         assertTrue(rig.load(200).written().isEmpty())
