--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/AttemptFailure.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/AttemptFailure.kt
@@ -1,29 +1,29 @@
 package org.quetzalloom.core.relay.exchange
 
 /**
- * Why an attempt has ended without a whole answer.
+ * Why an attempt ended without a complete answer.
  *
- * @property sent whether the backend server may have received the request.
- * @property serverSuspect whether the backend server itself may be gone, and not only one request or connection.
- * @property heard whether anything came from the backend server at all, be it the end of a connection.
+ * @property mayHaveArrived whether the backend server may have received the request.
+ * @property serverSuspect whether the backend server itself may be gone, rather than only one request or connection.
+ * @property serverReacted whether anything came from the backend server, if only the end of a connection.
  */
 public enum class AttemptFailure(
-    public val sent: Boolean,
+    public val mayHaveArrived: Boolean,
     public val serverSuspect: Boolean,
-    public val heard: Boolean = true,
+    public val serverReacted: Boolean = true,
 ) {
-    /** No connection could be made. */
-    NOT_CONNECTED(sent = false, serverSuspect = true),
+    /** No connection could be established. */
+    NOT_CONNECTED(mayHaveArrived = false, serverSuspect = true),
 
-    /** No more connections may be made to the backend server. */
-    NO_CONNECTION_LEFT(sent = false, serverSuspect = false),
+    /** All connections that this router may have to the backend server were in use. */
+    NO_CONNECTION_LEFT(mayHaveArrived = false, serverSuspect = false),
 
-    /** The connection ended before the answer was whole. */
-    CONNECTION_LOST(sent = true, serverSuspect = true),
+    /** The connection ended before the answer was complete. */
+    CONNECTION_LOST(mayHaveArrived = true, serverSuspect = true),
 
-    /** The answer was not in the protocol, belonged to another request, or bore no signature. */
-    BAD_ANSWER(sent = true, serverSuspect = false),
+    /** The answer violated the protocol, belonged to another request, or carried no signature. */
+    BAD_ANSWER(mayHaveArrived = true, serverSuspect = false),
 
-    /** Nothing was heard for too long. */
-    SILENT(sent = true, serverSuspect = true, heard = false),
+    /** The answer did not begin, or did not continue, within its timeout. */
+    SILENT(mayHaveArrived = true, serverSuspect = true, serverReacted = false),
 }
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/RetryBudget.kt
@@ -0,0 +1,57 @@
+package org.quetzalloom.core.relay.exchange
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import org.quetzalloom.core.relay.RelaySettings
+import org.quetzalloom.core.time.Timestamp
+
+/**
+ * Counts the requests of a service and their retries, to limit the retries in any window of time.
+ *
+ * Counts are kept per second. The window is rounded up to whole seconds for retries and down for requests, so that the
+ * limit holds for every window.
+ *
+ * @property firstAttempts the number of requests, by the second in which they arrived.
+ * @property retries the number of further attempts, by the second in which they were sent.
+ */
+internal data class RetryBudget(
+    val firstAttempts: PersistentMap<Long, Int> = persistentMapOf(),
+    val retries: PersistentMap<Long, Int> = persistentMapOf(),
+) {
+    /** Returns the budget after a request has arrived at [now]. */
+    fun countFirst(now: Timestamp): RetryBudget = copy(firstAttempts = firstAttempts.increment(now))
+
+    /** Returns the budget after a retry at [now]. */
+    fun countRetry(now: Timestamp): RetryBudget = copy(retries = retries.increment(now))
+
+    /**
+     * Returns whether this router may send one more retry at [now].
+     *
+     * The limit is [RelaySettings.repeatRatio] of this router's requests in the window plus an equal share, among
+     * [shareholders] routers, of [RelaySettings.repeatSlack].
+     */
+    fun mayRetry(settings: RelaySettings, shareholders: Int, now: Timestamp): Boolean {
+        val second = now.second
+        val span = settings.repeatWindowMilliseconds / MILLISECONDS_PER_SECOND
+        val requests = firstAttempts.entries.sumOf { (at, count) -> if (at > second - span) count else 0 }
+        val made = retries.entries.sumOf { (at, count) -> if (at >= second - span) count else 0 }
+        val allowed = settings.repeatRatio * requests * USED_SHARE + Math.floor(settings.repeatSlack / shareholders)
+        return made + 1 <= allowed
+    }
+
+    private fun PersistentMap<Long, Int>.increment(now: Timestamp): PersistentMap<Long, Int> {
+        val second = now.second
+        val kept = keys.filter { it < second - LONGEST_WINDOW_SECONDS }.fold(this) { counts, old -> counts.remove(old) }
+        return kept.put(second, (kept[second] ?: 0) + 1)
+    }
+
+    private val Timestamp.second: Long get() = Math.floorDiv(epochMilliseconds, MILLISECONDS_PER_SECOND)
+
+    private companion object {
+        const val MILLISECONDS_PER_SECOND = 1_000L
+        const val LONGEST_WINDOW_SECONDS = 60L
+
+        /** The share of the limit that is used; the rest covers attempts that arrive later than they were sent. */
+        const val USED_SHARE = 0.9
+    }
+}
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/OutcomesPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/OutcomesPart.kt
@@ -8,21 +8,21 @@
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.time.Timestamp
 
-/** Counts the answers of both versions of a roll-out, and finds a new version that is bad. */
+/** Counts the answers of the old and the new version during a roll-out, and condemns a new version that is bad. */
 internal object OutcomesPart : RelayPart {
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep {
         val current = (event as? RelayEvent.AnswerStarted)?.takeUnless { it.head.notRun }
             ?.let { state.exchanges.currentOrNull(it.exchange, it.attempt) }
-        return if (current == null) state.unchanged() else state.count(current, event.head.isServerFailure, now)
+        return if (current == null) state.unchanged() else state.recordOutcome(current, event.head.isServerFailure, now)
     }
 
-    private fun RelayState.count(current: CurrentAttempt, failed: Boolean, now: Timestamp): RelayStep {
+    private fun RelayState.recordOutcome(current: CurrentAttempt, failed: Boolean, now: Timestamp): RelayStep {
         val progress = rollouts.byService[current.exchange.service]?.takeIf { it.open } ?: return unchanged()
         val latency = now - current.attempt.sentAt
         val next = if (current.attempt.version == progress.order.version) {
-            progress.copy(new = progress.new.count(failed, latency))
+            progress.copy(new = progress.new.record(failed, latency))
         } else {
-            progress.copy(old = progress.old.count(failed, latency))
+            progress.copy(old = progress.old.record(failed, latency))
         }
         return condemnIfBad(next, now)
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/Candidates.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/Candidates.kt
@@ -4,65 +4,81 @@
 import org.quetzalloom.core.relay.exchange.Exchange
 import org.quetzalloom.core.relay.rollout.RolloutPhase
 import org.quetzalloom.core.relay.rollout.RolloutProgress
-import org.quetzalloom.core.relay.rollout.elapsed
+import org.quetzalloom.core.relay.rollout.elapsedShare
 import org.quetzalloom.core.relay.routing.ServiceName
 import org.quetzalloom.core.router.bucketOf
 import org.quetzalloom.core.time.Timestamp
 
 private const val PER_THOUSAND = 1_000
 
-/** Returns the backend servers that may get [exchange] at [now]. */
-internal fun RelayState.allowed(exchange: Exchange, now: Timestamp): List<ServerView> {
+/**
+ * Returns the backend servers that may get [exchange] at [now]: those that are usable, run the version chosen for the
+ * exchange, and have a connection and, while cold, a request left in this router's share.
+ */
+internal fun RelayState.eligibleServers(exchange: Exchange, now: Timestamp): List<ServerView> {
     val usable = servers.usable(exchange.service, now)
     val versions = usable.map { it.listing.version }.toSet()
-    val right = if (versions.size <= 1) usable.notReverted(this, exchange) else usable.ofVersion(this, exchange, now)
+    val matching = if (versions.size <= 1) {
+        usable.withoutReverted(this, exchange)
+    } else {
+        usable.ofChosenVersion(this, exchange, now)
+    }
     val connections = connectionShare(exchange.service)
-    return right.filter { it.inFlight < connections && mayTakeCold(it, now) }
+    return matching.filter { it.inFlight < connections && withinColdLimit(it, now) }
 }
 
-/** Returns the connections that this router may have to a backend server of [service]; each carries one request. */
+/**
+ * Returns the number of connections, at least 1, that this router may have to a backend server of [service]: an equal
+ * share among the routers. Each connection carries one request at a time.
+ */
 internal fun RelayState.connectionShare(service: ServiceName): Int {
     val connections = routing?.services?.get(service)?.maximumConnections ?: Int.MAX_VALUE
     return (connections / members.shareholders).coerceAtLeast(1)
 }
 
-private fun List<ServerView>.notReverted(state: RelayState, exchange: Exchange): List<ServerView> {
+private fun List<ServerView>.withoutReverted(state: RelayState, exchange: Exchange): List<ServerView> {
     val rollout = state.rollouts.byService[exchange.service]
-    val stopped = rollout?.takeIf { it.phase == RolloutPhase.REVERTED || it.condemned }?.order?.version
-    return filter { it.listing.version != stopped }
+    val revertedVersion = rollout?.takeIf { it.phase == RolloutPhase.REVERTED || it.condemned }?.order?.version
+    return filter { it.listing.version != revertedVersion }
 }
 
-private fun List<ServerView>.ofVersion(state: RelayState, exchange: Exchange, now: Timestamp): List<ServerView> {
+private fun List<ServerView>.ofChosenVersion(state: RelayState, exchange: Exchange, now: Timestamp): List<ServerView> {
     val rollout = state.rollouts.byService[exchange.service] ?: return ofMostCommonVersion()
     val (new, old) = partition { it.listing.version == rollout.order.version }
-    val wantsNew = rollout.wantsNew(state, exchange, now)
-    return if (wantsNew) new else old
+    val usesNewVersion = rollout.usesNewVersion(state, exchange, now)
+    return if (usesNewVersion) new else old
 }
 
-/** Without an order a second version may only be the forerunner of one that has not been read yet. */
+/**
+ * Returns the servers of the version that most servers run; on a tie, the one that started first. Without a roll-out
+ * order, another version can only belong to a roll-out whose order this router has not read yet.
+ */
 private fun List<ServerView>.ofMostCommonVersion(): List<ServerView> =
     groupBy { it.listing.version }.values.maxWith(
         compareBy({ it.size }, { -it.minOf { view -> view.listing.startedAt } })
     )
 
-private fun RolloutProgress.wantsNew(state: RelayState, exchange: Exchange, now: Timestamp): Boolean = when {
+private fun RolloutProgress.usesNewVersion(state: RelayState, exchange: Exchange, now: Timestamp): Boolean = when {
     condemned || phase == RolloutPhase.REVERTED -> false
     phase == RolloutPhase.COMPLETED -> true
-    else -> drawsNew(state, exchange, now)
+    else -> samplesNewVersion(state, exchange, now)
 }
 
-/** A session that is already at one version stays there while it must, and never goes back. */
-private fun RolloutProgress.drawsNew(state: RelayState, exchange: Exchange, now: Timestamp): Boolean {
+/**
+ * Returns whether [exchange] is in the sample of requests for the new version. A session on the old version stays there
+ * until the exposure policy lets it move, and a session on the new version never goes back.
+ */
+private fun RolloutProgress.samplesNewVersion(state: RelayState, exchange: Exchange, now: Timestamp): Boolean {
     val exposure = state.policies.exposure
     val session = exchange.request.session
     val pin = session?.let { state.pins.pinOrNull(it, state.settings.sessionMilliseconds, now) }
-    val elapsed = elapsed(this, now)
+    val elapsed = elapsedShare(this, now)
     return when {
         pin?.version == order.version -> true
         pin != null && !exposure.mayMoveSessions(elapsed) -> false
         else -> {
-            val subject = session ?: exchange.request.callerId ?: exchange.id
-            bucketOf(subject, PER_THOUSAND) < exposure.share(elapsed, state.settings.exposureLimit) * PER_THOUSAND
+            val samplingKey = session ?: exchange.request.callerId ?: exchange.id
+            bucketOf(samplingKey, PER_THOUSAND) < exposure.share(elapsed, state.settings.exposureLimit) * PER_THOUSAND
         }
     }
 }
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/PrefillPace.kt
@@ -0,0 +1,29 @@
+package org.quetzalloom.core.relay.server
+
+/**
+ * How fast the backend servers of a service read prompts, measured over recent answers.
+ *
+ * @property work the sum of the work ahead of these answers, in tokens weighted by model size.
+ * @property milliseconds the sum of the times that these answers took to begin.
+ */
+internal data class PrefillPace(val work: Double = 0.0, val milliseconds: Double = 0.0) {
+    /** Returns the pace after an answer that took [elapsed] milliseconds to begin with [workUntilAnswer] ahead. */
+    fun record(workUntilAnswer: Long, elapsed: Long): PrefillPace {
+        if (workUntilAnswer < MINIMUM_SAMPLE_WORK) return this
+        val kept = if (work > MAXIMUM_WORK) HALF else 1.0
+        return PrefillPace(work = work * kept + workUntilAnswer, milliseconds = milliseconds * kept + elapsed)
+    }
+
+    /** Estimates how many milliseconds [workUntilAnswer] takes to read; `null` while too little was measured. */
+    fun estimateOrNull(workUntilAnswer: Long): Long? =
+        (workUntilAnswer * milliseconds / work).toLong().takeIf { work >= MAXIMUM_WORK * HALF }
+
+    private companion object {
+        /** Less work is not recorded: the time until its answer says more about the network than about reading. */
+        const val MINIMUM_SAMPLE_WORK = 2_000L
+
+        /** The sums are halved when they exceed this much work, about a hundred prompts of usual length. */
+        const val MAXIMUM_WORK = 1_000_000.0
+        const val HALF = 0.5
+    }
+}
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
@@ -11,41 +11,45 @@
 /**
  * The backend servers that this router knows.
  *
- * @property evacuated the availability zones whose servers get nothing.
- * @property listFailedAt when the list could last not be read.
- * @property listReadAt when the list was last read.
- * @property paces how fast the servers of each service read prompts.
+ * @property views what is known of each server, listed or about to be dropped.
+ * @property evacuated the evacuated availability zones, whose servers get no requests, and when each was evacuated.
+ * @property listFailedAt when the list last could not be read, or `null` if that never happened.
+ * @property listReadAt when the list was last read, or `null` before the first time.
+ * @property prefillPaces how fast the servers of each service read prompts.
  */
 internal data class ServersState(
     val views: PersistentMap<BackendServerId, ServerView> = persistentMapOf(),
     val evacuated: PersistentMap<AvailabilityZoneId, Timestamp> = persistentMapOf(),
     val listFailedAt: Timestamp? = null,
     val listReadAt: Timestamp? = null,
-    val paces: PersistentMap<ServiceName, ReadingPace> = persistentMapOf(),
+    val prefillPaces: PersistentMap<ServiceName, PrefillPace> = persistentMapOf(),
 ) {
-    /** Returns the servers of [service] that may get new work at [now]. */
+    /** Returns the servers of [service] that are listed and neither draining, suspended nor in an evacuated zone. */
     fun usable(service: ServiceName, now: Timestamp): List<ServerView> =
         views.values.filter { it.listing.service == service && it.isUsable(now) }
 
-    /** Returns the state with the view of [id] changed, if there is one. */
+    /** Returns the state with [change] applied to the view of [id]; the same state if [id] is unknown. */
     fun update(id: BackendServerId, change: (ServerView) -> ServerView): ServersState {
         val view = views[id] ?: return this
         return copy(views = views.put(id, change(view)))
     }
 
-    /** Returns the state after the answer of [attempt] at [service] has begun at [now]. */
-    fun countPace(attempt: Attempt, service: ServiceName, now: Timestamp): ServersState {
+    /**
+     * Returns the state after the answer of [attempt] at [service] has begun at [now]: updates the pace of the service
+     * and, against the pace before, the slowness of the server.
+     */
+    fun recordAnswerStart(attempt: Attempt, service: ServiceName, now: Timestamp): ServersState {
         val elapsed = now - attempt.sentAt
-        val pace = paces[service] ?: ReadingPace()
-        val usual = pace.estimateOrNull(attempt.ahead)
-        val counted = copy(paces = paces.put(service, pace.count(attempt.ahead, elapsed)))
-        return if (usual == null || attempt.ahead == 0L) {
+        val pace = prefillPaces[service] ?: PrefillPace()
+        val usual = pace.estimateOrNull(attempt.workUntilAnswer)
+        val counted = copy(prefillPaces = prefillPaces.put(service, pace.record(attempt.workUntilAnswer, elapsed)))
+        return if (usual == null || attempt.workUntilAnswer == 0L) {
             counted
         } else {
-            counted.update(attempt.server) { it.copy(slowness = it.slowness.count(elapsed, usual, now)) }
+            counted.update(attempt.server) { it.copy(slowness = it.slowness.record(elapsed, usual, now)) }
         }
     }
 
     private fun ServerView.isUsable(now: Timestamp): Boolean =
-        !listing.draining && goneAt == null && now >= suspendedUntil && listing.zone !in evacuated
+        !listing.draining && dropAt == null && now >= suspendedUntil && listing.zone !in evacuated
 }
