Name the request code after what it does

Many names of the request path were figurative or said only half of what they do (take, drop, verdict, notes). Renames only. The whole tree compiles (mvn test-compile).

rename: AwaitingNotes -> AwaitingTrialConsent (declared in Phase.kt) rename: AwaitingVerdict -> AwaitingCrashCheck (declared in Phase.kt) rename: LARGEST_RECORDED_BODY_CHARACTERS -> MAX_RECORDED_BODY_CHARACTERS (declared in Completion.kt) rename: LARGEST_RETRY_BUDGET -> MAX_RETRY_BUDGET (declared in RequestsState.kt) rename: TRIAL_TOKENS -> CLEARING_TOKENS (declared in Trials.kt) rename: accept -> onAccepted (declared in Attempts.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request rename: affected -> pending (declared in Verdicts.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request/Verdicts.kt rename: afterFailure -> onAttemptFailed (declared in Failures.kt) rename: answer(request, effect) -> sendToCaller (declared in Answers.kt, only in: core/request) rename: arrive -> onArrived (declared in Arrival.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request rename: askVerdict -> checkForCrash (declared in Verdicts.kt) rename: awaitBill -> advanceSettling (declared in Completion.kt) rename: awaitCommand -> advanceCommand (declared in Commands.kt) rename: awaitNotes -> advanceTrialConsent (declared in Trials.kt) rename: awaitSession -> advanceSession (declared in Progress.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request rename: awaitTrial -> startTrialOrWait (declared in Trials.kt) rename: begin -> enterFirstPhase (declared in Arrival.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request/Arrival.kt rename: beginIfNew -> beginAnswerOnce (declared in Answers.kt) rename: begun -> answerStarted (declared in ActiveRequest.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request core/src/test/kotlin/org/quetzalloom/core/request rename: bill -> billFor (declared in Completion.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request/Completion.kt rename: bill(request, tokens) -> billFor (declared in Completion.kt, the function only) rename: checkRoom -> checkActiveRequests (declared in Admission.kt) rename: commandLost -> recordUnknownOutcome (declared in Failures.kt) rename: crashed -> recordCrash (declared in Verdicts.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request/Verdicts.kt core/src/main/kotlin/org/quetzalloom/core/request/Progress.kt rename: delivered -> deliveredTokens (declared in ActiveRequest.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request core/src/test/kotlin/org/quetzalloom/core/request rename: drop -> discard (declared in Completion.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request rename: fail(event, now) -> onFailed, fail(request, ...) -> failAttempt (declared in Failures.kt, only in: core/request) rename: finish(event, now) -> onFinished, finish(request, ...) -> completeAttempt (declared in Attempts.kt, only in: core/request) rename: fits -> usableIds (declared in Arrival.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request rename: giveBackIntent -> releaseIntent (declared in Completion.kt) rename: hasServer -> hasServerInService (declared in Versions.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request rename: isLeftByRollout -> isExcludedByRollout (declared in Versions.kt) rename: isNamedBy -> matchesTarget (declared in Progress.kt) rename: isSilent -> isStalled (declared in Deadlines.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request rename: isTrial -> isOnTrialHere (declared in Trials.kt) rename: isTriedByAnother -> hasOtherActiveCopy (declared in Trials.kt) rename: joinSession -> resolveSessionVersion (declared in Arrival.kt) rename: keepsAnswer -> keepsAnswerText (declared in Attempts.kt) rename: leave -> onCallerLeft (declared in RequestsPart.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request rename: named(target) -> versionsNamedBy (declared in Versions.kt, the function only) rename: names -> matches (declared in Versions.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request rename: notedFailure -> recordServerFailure (declared in Failures.kt) rename: patience -> timeout (declared in Deadlines.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request/Deadlines.kt rename: progress -> onProgressed (declared in Attempts.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request rename: propose -> proposeIntent (declared in Commands.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request rename: reached -> transition (declared in RequestsPart.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request rename: reassign -> reassignVersion (declared in Dispatch.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request rename: refuseAtOnce -> refuseArrival (declared in Arrival.kt) rename: release -> releaseAttempt (declared in Attempts.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request rename: replay -> replayOutcome (declared in Completion.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request rename: restartedSinceFailure -> restartedRecently (declared in RequestsPart.kt) rename: start -> startAttempt (declared in Dispatch.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request/Dispatch.kt rename: startedAt -> withAttemptStarted (declared in Dispatch.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request/Dispatch.kt rename: take(event, ...) -> acceptArrival (declared in Arrival.kt, only in: core/request) rename: takesNew -> onNewVersion (declared in Versions.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request rename: the file Verdicts.kt -> CrashChecks.kt rename: tokenOf -> verifiedTokenOf (declared in Admission.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request rename: told -> announced (declared in Verdicts.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request/Verdicts.kt rename: told -> answered (declared in Completion.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request/Completion.kt rename: trialFrom -> tokensAtSuspicion (declared in ActiveRequest.kt) rename: tried -> failedServers (declared in ActiveRequest.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request core/src/test/kotlin/org/quetzalloom/core/request rename: tries -> attemptCount (declared in ActiveRequest.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request core/src/test/kotlin/org/quetzalloom/core/request rename: verdict -> resolveCrashChecks (declared in Verdicts.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request rename: whileRunning -> ifRunning (declared in Attempts.kt) rename: withBudget -> addToRetryBudget (declared in RequestsState.kt) rename: won -> onIntentWon (declared in Commands.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request

--- a/core/src/main/kotlin/org/quetzalloom/core/request/Admission.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Admission.kt
@@ -19,9 +19,9 @@
     val current = readyConfiguration(now).bind()
     val versions = current.versionsFor(call).bind()
     val command = current.commandOf(call).bind()
-    val token = tokenOf(call).bind()
+    val token = verifiedTokenOf(call).bind()
     checkQuarantine(call).bind()
-    checkRoom(call).bind()
+    checkActiveRequests(call).bind()
     Admitted(versions, command, token)
 }
 
@@ -53,7 +53,7 @@
     }
 }
 
-private fun RouterState.tokenOf(call: CallerRequest): Result<SessionToken?, RouterError> {
+private fun RouterState.verifiedTokenOf(call: CallerRequest): Result<SessionToken?, RouterError> {
     val text = call.sessionToken ?: return Ok(null)
     val token = SessionToken.parseOrNull(text, settings.sessionSecret)
     return if (token != null && token.workspace == call.workspace && token.session == call.session) {
@@ -70,7 +70,7 @@
         Ok(Unit)
     }
 
-private fun RouterState.checkRoom(call: CallerRequest): Result<Unit, RouterError> {
+private fun RouterState.checkActiveRequests(call: CallerRequest): Result<Unit, RouterError> {
     val limit = settings.limits.activeRequests
     return if (settings.policies.admission.admits(call.priority, requests.active.size, limit)) {
         Ok(Unit)
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Answers.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Answers.kt
@@ -8,13 +8,13 @@
 import org.quetzalloom.core.session.SessionToken
 
 /** Tells the caller of [request] that the answer begins, unless it was told before. */
-internal fun RouterState.beginIfNew(request: ActiveRequest): Step {
-    if (request.begun) return unchanged()
+internal fun RouterState.beginAnswerOnce(request: ActiveRequest): Step {
+    if (request.answerStarted) return unchanged()
     val token = request.call.session?.takeIf { request.pinned }
         ?.let { SessionToken(request.call.workspace, it, request.version).format(settings.sessionSecret) }
-    return answer(request, Effect.OfCaller.Begin(request.id, request.version, token))
+    return sendToCaller(request, Effect.OfCaller.Begin(request.id, request.version, token))
 }
 
 /** Returns the transition that hands [effect] to the caller of [request], unless that one has left. */
-internal fun RouterState.answer(request: ActiveRequest, effect: Effect.OfCaller): Step =
+internal fun RouterState.sendToCaller(request: ActiveRequest, effect: Effect.OfCaller): Step =
     if (request.callerLeft) unchanged() else with(effect)
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Arrival.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Arrival.kt
@@ -20,13 +20,13 @@
 import org.quetzalloom.core.time.Timestamp
 
 /** Takes a request that arrives, or refuses it. */
-internal fun RouterState.arrive(event: Event.OfCaller.Arrived, now: Timestamp): Step =
+internal fun RouterState.onArrived(event: Event.OfCaller.Arrived, now: Timestamp): Step =
     admit(event.call, now).fold(
-        success = { take(event, it, now) },
-        failure = { refuseAtOnce(event, it, now) },
+        success = { acceptArrival(event, it, now) },
+        failure = { refuseArrival(event, it, now) },
     )
 
-private fun RouterState.refuseAtOnce(event: Event.OfCaller.Arrived, error: RouterError, now: Timestamp): Step =
+private fun RouterState.refuseArrival(event: Event.OfCaller.Arrived, error: RouterError, now: Timestamp): Step =
     with(Effect.OfCaller.Refuse(event.request, error)).then {
         it.report(
             now,
@@ -39,7 +39,7 @@
         )
     }
 
-private fun RouterState.take(event: Event.OfCaller.Arrived, admitted: Admitted, now: Timestamp): Step {
+private fun RouterState.acceptArrival(event: Event.OfCaller.Arrived, admitted: Admitted, now: Timestamp): Step {
     val fingerprint = Fingerprint.of(event.call)
     val subject = event.call.session?.let { SessionKey(event.call.workspace, it).toString() } ?: event.request.value
     val request = ActiveRequest(
@@ -51,7 +51,7 @@
         version = chooseVersion(event.call, admitted.versions, subject),
         command = admitted.command,
     )
-    return copy(requests = requests.withBudget(settings.limits.retryShare))
+    return copy(requests = requests.addToRetryBudget(settings.limits.retryShare))
         .report(
             now,
             "request_arrived",
@@ -60,31 +60,32 @@
             "session" to event.call.session,
             "key" to event.call.key,
         )
-        .then { it.begin(request, admitted, now) }
+        .then { it.enterFirstPhase(request, admitted, now) }
 }
 
-private fun RouterState.begin(request: ActiveRequest, admitted: Admitted, now: Timestamp): Step {
+private fun RouterState.enterFirstPhase(request: ActiveRequest, admitted: Admitted, now: Timestamp): Step {
     val key = request.sessionKey
     return when {
-        request.command != null -> propose(request, now)
-        quarantine.suspicions[request.fingerprint] != null && request.phase == Phase.Queued -> awaitTrial(request, now)
-        key != null -> joinSession(request, key, admitted, now)
+        request.command != null -> proposeIntent(request, now)
+        quarantine.suspicions[request.fingerprint] != null && request.phase == Phase.Queued ->
+            startTrialOrWait(request, now)
+        key != null -> resolveSessionVersion(request, key, admitted, now)
         else -> put(request)
     }
 }
 
 /** Gives the request the version of its session: from its token, from memory, or from the session's home VM. */
-private fun RouterState.joinSession(
+private fun RouterState.resolveSessionVersion(
     request: ActiveRequest,
     key: SessionKey,
     admitted: Admitted,
     now: Timestamp,
 ): Step {
-    val fits = admitted.versions.map { it.id }
-    val known = admitted.token?.version?.takeIf { it in fits } ?: assignedOrNull(key)
+    val usableIds = admitted.versions.map { it.id }
+    val known = admitted.token?.version?.takeIf { it in usableIds } ?: assignedOrNull(key)
     val home = sessionHome(key, now)
     return when {
-        known != null && known in fits -> decide(key, known, now).then { it.put(request.pinnedTo(known)) }
+        known != null && known in usableIds -> decide(key, known, now).then { it.put(request.pinnedTo(known)) }
         known != null -> put(request)
         home == settings.vm -> decide(key, request.version, now).then { it.put(request.pinnedTo(request.version)) }
         else -> put(request.copy(phase = Phase.AwaitingSession(now))).then {
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Attempts.kt
@@ -12,15 +12,15 @@
 import org.quetzalloom.core.time.Timestamp
 
 /** Returns the transition of [step] if [attempt] is under way; events of attempts that were given up change nothing. */
-internal fun RouterState.whileRunning(attempt: AttemptId, step: (ActiveRequest, Phase.Running) -> Step): Step {
+internal fun RouterState.ifRunning(attempt: AttemptId, step: (ActiveRequest, Phase.Running) -> Step): Step {
     val request = requests.byAttemptOrNull(attempt)
     val phase = request?.phase as? Phase.Running
     return if (request == null || phase == null) unchanged() else step(request, phase)
 }
 
 /** Notes that a backend server has begun to answer. */
-internal fun RouterState.accept(event: Event.OfBackend.Accepted, now: Timestamp): Step =
-    whileRunning(event.attempt) { request, phase ->
+internal fun RouterState.onAccepted(event: Event.OfBackend.Accepted, now: Timestamp): Step =
+    ifRunning(event.attempt) { request, phase ->
         if (phase.accepted) {
             unchanged()
         } else {
@@ -30,11 +30,11 @@
     }
 
 /** Passes tokens on to the caller if they are the next ones; what came before is dropped. */
-internal fun RouterState.progress(event: Event.OfBackend.Progressed, now: Timestamp): Step =
-    whileRunning(event.attempt) { request, phase ->
+internal fun RouterState.onProgressed(event: Event.OfBackend.Progressed, now: Timestamp): Step =
+    ifRunning(event.attempt) { request, phase ->
         when {
-            event.position + event.tokens <= request.delivered -> unchanged()
-            event.position != request.delivered -> cancelAndFail(request, phase, now)
+            event.position + event.tokens <= request.deliveredTokens -> unchanged()
+            event.position != request.deliveredTokens -> cancelAndFail(request, phase, now)
             else -> deliver(request, phase, event, now)
         }
     }
@@ -47,17 +47,23 @@
 ): Step {
     val next = request.copy(
         phase = phase.copy(progressAt = now),
-        begun = true,
-        delivered = request.delivered + event.tokens,
-        answer = if (keepsAnswer(request)) request.answer.add(event.text) else request.answer,
+        answerStarted = true,
+        deliveredTokens = request.deliveredTokens + event.tokens,
+        answer = if (keepsAnswerText(request)) request.answer.add(event.text) else request.answer,
     )
-    return beginIfNew(request).then { it.put(next) }
-        .then { it.answer(request, Effect.OfCaller.Piece(request.id, request.delivered, event.text)) }
-        .then { if (next.delivered - next.trialFrom < TRIAL_TOKENS) it.unchanged() else it.clearSuspicion(next, now) }
+    return beginAnswerOnce(request).then { it.put(next) }
+        .then { it.sendToCaller(request, Effect.OfCaller.Piece(request.id, request.deliveredTokens, event.text)) }
+        .then {
+            if (next.deliveredTokens - next.tokensAtSuspicion < CLEARING_TOKENS) {
+                it.unchanged()
+            } else {
+                it.clearSuspicion(next, now)
+            }
+        }
 }
 
 /** Returns whether the text of the answer is needed after it was sent: for its outcome, or for a rating. */
-private fun RouterState.keepsAnswer(request: ActiveRequest): Boolean = request.command != null || isSampled(request)
+private fun RouterState.keepsAnswerText(request: ActiveRequest): Boolean = request.command != null || isSampled(request)
 
 internal fun RouterState.isSampled(request: ActiveRequest): Boolean =
     request.call.target is Target.Completion &&
@@ -66,28 +72,28 @@
 private const val SAMPLE_BUCKETS = 10_000
 
 /** Ends a request whose answer is whole; one that lacks tokens goes on elsewhere. */
-internal fun RouterState.finish(event: Event.OfBackend.Finished, now: Timestamp): Step =
-    whileRunning(event.attempt) { request, phase ->
-        if (event.tokens == request.delivered) {
-            finish(request, phase, event, now)
+internal fun RouterState.onFinished(event: Event.OfBackend.Finished, now: Timestamp): Step =
+    ifRunning(event.attempt) { request, phase ->
+        if (event.tokens == request.deliveredTokens) {
+            completeAttempt(request, phase, event, now)
         } else {
             cancelAndFail(request, phase, now)
         }
     }
 
-private fun RouterState.finish(
+private fun RouterState.completeAttempt(
     request: ActiveRequest,
     phase: Phase.Running,
     event: Event.OfBackend.Finished,
     now: Timestamp,
 ): Step {
-    return beginIfNew(request).then { it.release(phase).unchanged() }
+    return beginAnswerOnce(request).then { it.releaseAttempt(phase).unchanged() }
         .then { it.withHealth(phase.server) { health -> health.copy(failures = 0) }.unchanged() }
-        .then { it.settle(request.copy(begun = true), event, now) }
+        .then { it.settle(request.copy(answerStarted = true), event, now) }
 }
 
 /** Returns the state in which the attempt of [phase] no longer counts. */
-internal fun RouterState.release(phase: Phase.Running): RouterState {
+internal fun RouterState.releaseAttempt(phase: Phase.Running): RouterState {
     val unconfirmed = if (phase.accepted) 0 else 1
     val freed = withHealth(phase.server) {
         it.copy(running = it.running - 1, unconfirmed = it.unconfirmed - unconfirmed)
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Completion.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Completion.kt
@@ -22,11 +22,11 @@
 import org.quetzalloom.core.time.Timestamp
 
 private const val UNITS_PER_PRICE = 1_000
-private const val LARGEST_RECORDED_BODY_CHARACTERS = 65_536
+private const val MAX_RECORDED_BODY_CHARACTERS = 65_536
 
 /** Bills a request whose answer is whole, and records its outcome. */
 internal fun RouterState.settle(request: ActiveRequest, event: Event.OfBackend.Finished, now: Timestamp): Step {
-    val bill = bill(request, event.tokens)
+    val bill = billFor(request, event.tokens)
     return recordOutcome(request, event).clearSuspicion(request, now)
         .then { it.issue(bill, now).unchanged() }
         .then { it.submitSample(request) }
@@ -36,7 +36,7 @@
         }
 }
 
-private fun RouterState.bill(request: ActiveRequest, tokens: Int): Bill {
+private fun RouterState.billFor(request: ActiveRequest, tokens: Int): Bill {
     val version = configuration.view.current?.versions?.get(request.version)
     val units = if (version?.kind == VersionKind.SERVICE) 1L else tokens.toLong()
     return Bill(
@@ -50,7 +50,7 @@
 
 private fun RouterState.recordOutcome(request: ActiveRequest, event: Event.OfBackend.Finished): RouterState {
     val command = request.command ?: return this
-    val body = request.answer.joinToString(separator = "").take(LARGEST_RECORDED_BODY_CHARACTERS)
+    val body = request.answer.joinToString(separator = "").take(MAX_RECORDED_BODY_CHARACTERS)
     return enqueue(LogRecord.Outcome(command, request.id, CommandResult.Answered(event.status, body)))
 }
 
@@ -62,27 +62,31 @@
 }
 
 /** Sends the end of the answer once its bill is in the log; after a while it is enough that a peer keeps it. */
-internal fun RouterState.awaitBill(request: ActiveRequest, phase: Phase.Settling, now: Timestamp): Step {
+internal fun RouterState.advanceSettling(request: ActiveRequest, phase: Phase.Settling, now: Timestamp): Step {
     val waited = now - phase.since
     val safe = isInLog(phase.bill) ||
         (waited >= settings.limits.billHoldMilliseconds && isKept(phase.bill)) ||
         waited >= settings.limits.billPatienceMilliseconds
     if (!safe) return unchanged()
     val end = Effect.OfCaller.End(request.id, phase.tokens, phase.bill.costMicros, phase.status)
-    return copy(requests = requests.remove(request.id)).answer(request, end).then {
+    return copy(requests = requests.remove(request.id)).sendToCaller(request, end).then {
         it.report(
             now,
             "request_answered",
             "request" to request.id,
             "version" to request.version,
             "tokens" to phase.tokens,
-            "tries" to request.tries,
+            "tries" to request.attemptCount,
         )
     }
 }
 
 /** Answers a re-sent command from its recorded outcome. */
-internal fun RouterState.replay(request: ActiveRequest, result: CommandResult, now: Timestamp): Step = when (result) {
+internal fun RouterState.replayOutcome(
+    request: ActiveRequest,
+    result: CommandResult,
+    now: Timestamp,
+): Step = when (result) {
     is CommandResult.Unknown ->
         refuse(request, ErrorKind.OUTCOME_UNKNOWN, "the call was sent before and its outcome is not known", now)
     is CommandResult.Answered -> copy(requests = requests.remove(request.id))
@@ -96,8 +100,8 @@
 
 /** Answers [request] with an error. An intent that was won and not used is given back. */
 internal fun RouterState.refuse(request: ActiveRequest, kind: ErrorKind, detail: String, now: Timestamp): Step {
-    val told = answer(request, Effect.OfCaller.Refuse(request.id, RouterError(kind, detail)))
-    return told.then { it.copy(requests = it.requests.remove(request.id)).giveBackIntent(request).unchanged() }
+    val answered = sendToCaller(request, Effect.OfCaller.Refuse(request.id, RouterError(kind, detail)))
+    return answered.then { it.copy(requests = it.requests.remove(request.id)).releaseIntent(request).unchanged() }
         .then { it.abandonTrial(request, now) }
         .then {
             it.report(
@@ -111,7 +115,7 @@
         }
 }
 
-private fun RouterState.giveBackIntent(request: ActiveRequest): RouterState {
+private fun RouterState.releaseIntent(request: ActiveRequest): RouterState {
     val command = request.command ?: return this
     return when {
         request.phase is Phase.AwaitingIntent -> copy(
@@ -124,5 +128,5 @@
 }
 
 /** Forgets [request], whose caller has left. */
-internal fun RouterState.drop(request: ActiveRequest): Step =
-    copy(requests = requests.remove(request.id)).giveBackIntent(request).unchanged()
+internal fun RouterState.discard(request: ActiveRequest): Step =
+    copy(requests = requests.remove(request.id)).releaseIntent(request).unchanged()
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Deadlines.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Deadlines.kt
@@ -12,28 +12,28 @@
 
 /** Gives up attempts that went silent, and requests whose deadline has passed. */
 internal fun RouterState.expireAll(now: Timestamp): Step =
-    requests.active.keys.sorted().fold(unchanged()) { reached, id ->
-        reached.then { state -> state.requests.active[id]?.let { state.expire(it, now) } ?: state.unchanged() }
+    requests.active.keys.sorted().fold(unchanged()) { transition, id ->
+        transition.then { state -> state.requests.active[id]?.let { state.expire(it, now) } ?: state.unchanged() }
     }
 
 private fun RouterState.expire(request: ActiveRequest, now: Timestamp): Step {
     val phase = request.phase
     return when {
         phase is Phase.Settling -> unchanged()
-        phase is Phase.Running && isSilent(request, phase, now) -> cancelAndFail(request, phase, now)
+        phase is Phase.Running && isStalled(request, phase, now) -> cancelAndFail(request, phase, now)
         now < request.deadline || request.callerLeft -> unchanged()
         phase is Phase.Running -> expireRunning(request, phase, now)
         else -> expireWaiting(request, now)
     }
 }
 
-private fun RouterState.isSilent(request: ActiveRequest, phase: Phase.Running, now: Timestamp): Boolean {
-    val patience = when {
+private fun RouterState.isStalled(request: ActiveRequest, phase: Phase.Running, now: Timestamp): Boolean {
+    val timeout = when {
         request.call.target is Target.ServiceCall -> settings.limits.serviceSilenceMilliseconds
-        request.delivered == 0 -> settings.limits.firstTokenMilliseconds
+        request.deliveredTokens == 0 -> settings.limits.firstTokenMilliseconds
         else -> settings.limits.tokenGapMilliseconds
     }
-    return now - phase.progressAt >= patience
+    return now - phase.progressAt >= timeout
 }
 
 private fun RouterState.expireRunning(request: ActiveRequest, phase: Phase.Running, now: Timestamp): Step =
@@ -47,7 +47,7 @@
         }
     } else {
         with(Effect.OfBackend.Cancel(phase.attempt))
-            .then { it.release(phase).refuse(request, ErrorKind.DEADLINE_EXCEEDED, "the deadline passed", now) }
+            .then { it.releaseAttempt(phase).refuse(request, ErrorKind.DEADLINE_EXCEEDED, "the deadline passed", now) }
     }
 
 /** Refuses [request], which does not run and whose deadline has passed. */
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Dispatch.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Dispatch.kt
@@ -22,45 +22,48 @@
     val queued = requests.waiting.mapNotNull { requests.active[it] }.filter { it.phase == Phase.Queued }
     if (queued.isEmpty()) return unchanged()
     val ordered = queued.sortedWith(compareBy({ it.call.priority }, { it.arrivedAt }, { it.id }))
-    return ordered.fold(unchanged()) { reached, request -> reached.then { it.dispatch(request, now) } }
+    return ordered.fold(unchanged()) { transition, request -> transition.then { it.dispatch(request, now) } }
 }
 
 private fun RouterState.dispatch(request: ActiveRequest, now: Timestamp): Step = when {
     now >= request.deadline -> expireWaiting(request, now)
-    !mayUse(request.call.workspace, request.version) -> reassign(request, now)
-    request.mayHaveRun && request.tries >= settings.limits.triesPerRequest ->
-        refuse(request, ErrorKind.BACKEND_FAILED, "${request.tries} attempts failed", now)
-    else -> chooseServer(request, now)?.let { start(request, it, now) } ?: unchanged()
+    !mayUse(request.call.workspace, request.version) -> reassignVersion(request, now)
+    request.mayHaveRun && request.attemptCount >= settings.limits.triesPerRequest ->
+        refuse(request, ErrorKind.BACKEND_FAILED, "${request.attemptCount} attempts failed", now)
+    else -> chooseServer(request, now)?.let { startAttempt(request, it, now) } ?: unchanged()
 }
 
 /** Finds another version for a request whose version may no longer be used. */
-private fun RouterState.reassign(request: ActiveRequest, now: Timestamp): Step {
+private fun RouterState.reassignVersion(request: ActiveRequest, now: Timestamp): Step {
     val current = configuration.view.current
     return when {
         current == null -> unchanged()
-        request.delivered > 0 ->
+        request.deliveredTokens > 0 ->
             refuse(request, ErrorKind.BACKEND_FAILED, "version '${request.version}' was withdrawn half-way", now)
         else -> current.versionsFor(request.call).mapBoth(
-            success = { reassign(request, it, now) },
+            success = { reassignVersion(request, it, now) },
             failure = { refuse(request, it.kind, it.detail, now) },
         )
     }
 }
 
-private fun RouterState.reassign(request: ActiveRequest, usable: List<Version>, now: Timestamp): Step {
+private fun RouterState.reassignVersion(request: ActiveRequest, usable: List<Version>, now: Timestamp): Step {
     val subject = request.sessionKey?.toString() ?: request.id.value
-    val moved = request.copy(version = chooseVersion(request.call, usable, subject), tried = request.tried.clear())
+    val moved = request.copy(
+        version = chooseVersion(request.call, usable, subject),
+        failedServers = request.failedServers.clear(),
+    )
     val session = request.sessionKey?.takeIf { request.pinned }
     val decided = session?.let { decide(it, moved.version, now) } ?: unchanged()
     return decided.then { it.put(moved) }.then { it.dispatch(moved, now) }
 }
 
-private fun RouterState.start(request: ActiveRequest, server: BackendServer, now: Timestamp): Step {
+private fun RouterState.startAttempt(request: ActiveRequest, server: BackendServer, now: Timestamp): Step {
     val number = requests.attemptsMade + 1
     val attempt = AttemptId("${settings.vm}:${settings.incarnation}:$number")
     val running = request.copy(
         phase = Phase.Running(attempt, server.id, accepted = false, progressAt = now),
-        tries = request.tries + 1,
+        attemptCount = request.attemptCount + 1,
     )
     val order = AttemptOrder(
         attempt = attempt,
@@ -70,11 +73,11 @@
         target = request.call.target,
         body = request.call.body,
         priority = request.call.priority,
-        resumeFrom = request.delivered,
+        resumeFrom = request.deliveredTokens,
         fencing = request.fencing,
         scope = request.command?.toString(),
     )
-    return startedAt(server.id, attempt, running)
+    return withAttemptStarted(server.id, attempt, running)
         .with(Effect.OfBackend.Start(order))
         .then {
             it.report(
@@ -88,7 +91,11 @@
         }
 }
 
-private fun RouterState.startedAt(server: BackendServerId, attempt: AttemptId, request: ActiveRequest): RouterState {
+private fun RouterState.withAttemptStarted(
+    server: BackendServerId,
+    attempt: AttemptId,
+    request: ActiveRequest,
+): RouterState {
     val counted = backends.withHealth(server) {
         it.copy(running = it.running + 1, unconfirmed = it.unconfirmed + 1)
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Failures.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Failures.kt
@@ -21,24 +21,24 @@
 /** Closes the connection of a request that makes no progress or no sense, and tries elsewhere. */
 internal fun RouterState.cancelAndFail(request: ActiveRequest, phase: Phase.Running, now: Timestamp): Step =
     with(Effect.OfBackend.Cancel(phase.attempt))
-        .then { it.fail(Event.OfBackend.Failed(phase.attempt, AttemptFailure.NO_PROGRESS), now) }
+        .then { it.onFailed(Event.OfBackend.Failed(phase.attempt, AttemptFailure.NO_PROGRESS), now) }
         .then { it.report(now, "attempt_cancelled", "request" to request.id, "attempt" to phase.attempt) }
 
 /** Decides what becomes of a request whose attempt failed. */
-internal fun RouterState.fail(event: Event.OfBackend.Failed, now: Timestamp): Step =
-    whileRunning(event.attempt) { request, phase -> fail(request, phase, event.failure, now) }
+internal fun RouterState.onFailed(event: Event.OfBackend.Failed, now: Timestamp): Step =
+    ifRunning(event.attempt) { request, phase -> failAttempt(request, phase, event.failure, now) }
 
-private fun RouterState.fail(
+private fun RouterState.failAttempt(
     request: ActiveRequest,
     phase: Phase.Running,
     failure: AttemptFailure,
     now: Timestamp,
 ): Step {
     val failed = request.copy(
-        tried = request.tried.add(phase.server),
+        failedServers = request.failedServers.add(phase.server),
         mayHaveRun = request.mayHaveRun || failure.mayHaveRun,
     )
-    return release(phase).notedFailure(phase.server, failure, now)
+    return releaseAttempt(phase).recordServerFailure(phase.server, failure, now)
         .report(
             now,
             "attempt_failed",
@@ -47,27 +47,31 @@
             "server" to phase.server,
             "failure" to failure.name.lowercase(),
         )
-        .then { it.afterFailure(failed, phase.server, failure, now) }
+        .then { it.onAttemptFailed(failed, phase.server, failure, now) }
 }
 
-private fun RouterState.notedFailure(server: BackendServerId, failure: AttemptFailure, now: Timestamp): RouterState =
+private fun RouterState.recordServerFailure(
+    server: BackendServerId,
+    failure: AttemptFailure,
+    now: Timestamp,
+): RouterState =
     withHealth(server) { if (failure == AttemptFailure.REFUSED) it.refusedWork(now) else it.failed(now) }
 
-private fun RouterState.afterFailure(
+private fun RouterState.onAttemptFailed(
     request: ActiveRequest,
     server: BackendServerId,
     failure: AttemptFailure,
     now: Timestamp,
 ): Step = when {
-    request.callerLeft && request.command == null -> drop(request)
-    request.command != null && failure.mayHaveRun -> commandLost(request, now)
+    request.callerLeft && request.command == null -> discard(request)
+    request.command != null && failure.mayHaveRun -> recordUnknownOutcome(request, now)
     request.command != null || !failure.mayHaveRun -> put(request.copy(phase = Phase.Queued))
-    failure == AttemptFailure.BROKEN -> askVerdict(request, server, now)
+    failure == AttemptFailure.BROKEN -> checkForCrash(request, server, now)
     else -> retry(request, now)
 }
 
 /** Records that a call that may not be repeated was sent and that nobody knows whether it ran. */
-private fun RouterState.commandLost(request: ActiveRequest, now: Timestamp): Step {
+private fun RouterState.recordUnknownOutcome(request: ActiveRequest, now: Timestamp): Step {
     val command = requireNotNull(request.command) { "request ${request.id} is not a command" }
     return enqueue(LogRecord.Outcome(command, request.id, CommandResult.Unknown))
         .refuse(request, ErrorKind.OUTCOME_UNKNOWN, "the call was sent and its outcome is not known", now)
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Phase.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Phase.kt
@@ -17,10 +17,10 @@
     data object AwaitingOutcome : Phase
 
     /** Waits until it is known whether [server] went down while it ran the request. */
-    data class AwaitingVerdict(val server: BackendServerId, val since: Timestamp) : Phase
+    data class AwaitingCrashCheck(val server: BackendServerId, val since: Timestamp) : Phase
 
     /** Waits until peers have noted that the request is run once more after it took down a backend server. */
-    data class AwaitingNotes(val since: Timestamp) : Phase
+    data class AwaitingTrialConsent(val since: Timestamp) : Phase
 
     /** Waits until another VM has run the same suspected request to an end. */
     data object AwaitingTrial : Phase
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Placement.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Placement.kt
@@ -10,10 +10,10 @@
 /** Returns the backend server that takes [request] now, or `null` if none has room. */
 internal fun RouterState.chooseServer(request: ActiveRequest, now: Timestamp): BackendServer? {
     val free = serversFor(request).filter { hasRoom(it, now) }
-    val fresh = free.filter { it.id !in request.tried }
+    val fresh = free.filter { it.id !in request.failedServers }
     val candidates = if (request.command == null) fresh.ifEmpty { free } else free
     return when {
-        isTrial(request) -> free.firstOrNull { it.id == quarantine.suspicions[request.fingerprint]?.trialAt }
+        isOnTrialHere(request) -> free.firstOrNull { it.id == quarantine.suspicions[request.fingerprint]?.trialAt }
         candidates.isEmpty() -> null
         else -> chooseByLoad(request, candidates)
     }
@@ -29,7 +29,7 @@
 
 private fun RouterState.chooseByLoad(request: ActiveRequest, candidates: List<BackendServer>): BackendServer {
     val rated = candidates.map { ServerCandidate(it.id, load(it), sameZone = it.zone == settings.zone) }
-    val seed = stableHash(request.id, request.tries, settings.incarnation)
+    val seed = stableHash(request.id, request.attemptCount, settings.incarnation)
     val chosen = settings.policies.serverChoice.choose(rated, seed)
     return candidates.first { it.id == chosen.server }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Progress.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Progress.kt
@@ -14,35 +14,35 @@
 
 /** Moves every request on that waits for something which has come about. */
 internal fun RouterState.advanceAll(now: Timestamp): Step =
-    requests.waiting.sorted().fold(unchanged()) { reached, id ->
-        reached.then { state -> state.requests.active[id]?.let { state.advance(it, now) } ?: state.unchanged() }
+    requests.waiting.sorted().fold(unchanged()) { transition, id ->
+        transition.then { state -> state.requests.active[id]?.let { state.advance(it, now) } ?: state.unchanged() }
     }
 
 private fun RouterState.advance(request: ActiveRequest, now: Timestamp): Step = when (val phase = request.phase) {
-    is Phase.AwaitingSession -> awaitSession(request, phase, now)
-    is Phase.AwaitingIntent, is Phase.AwaitingOutcome -> awaitCommand(request, now)
-    is Phase.AwaitingVerdict ->
+    is Phase.AwaitingSession -> advanceSession(request, phase, now)
+    is Phase.AwaitingIntent, is Phase.AwaitingOutcome -> advanceCommand(request, now)
+    is Phase.AwaitingCrashCheck ->
         if (now - phase.since < settings.limits.verdictMilliseconds) {
             unchanged()
         } else {
-            crashed(
+            recordCrash(
                 request,
                 phase.server,
                 now
             )
         }
-    is Phase.AwaitingNotes -> awaitNotes(request, phase, now)
-    is Phase.AwaitingTrial -> awaitTrial(request, now)
-    is Phase.Settling -> awaitBill(request, phase, now)
-    is Phase.Queued -> if (hasLostTrialServer(request)) awaitTrial(request, now) else unchanged()
+    is Phase.AwaitingTrialConsent -> advanceTrialConsent(request, phase, now)
+    is Phase.AwaitingTrial -> startTrialOrWait(request, now)
+    is Phase.Settling -> advanceSettling(request, phase, now)
+    is Phase.Queued -> if (hasLostTrialServer(request)) startTrialOrWait(request, now) else unchanged()
     is Phase.Running -> unchanged()
 }
 
-private fun RouterState.awaitSession(request: ActiveRequest, phase: Phase.AwaitingSession, now: Timestamp): Step {
+private fun RouterState.advanceSession(request: ActiveRequest, phase: Phase.AwaitingSession, now: Timestamp): Step {
     val key = request.sessionKey ?: return put(request.copy(phase = Phase.Queued))
     val assigned = assignedOrNull(key)
     return when {
-        assigned != null && isNamedBy(request, assigned) ->
+        assigned != null && matchesTarget(request, assigned) ->
             put(request.pinnedTo(assigned).copy(phase = Phase.Queued))
         assigned != null -> put(request.copy(phase = Phase.Queued))
         now - phase.since < settings.limits.sessionAnswerMilliseconds -> unchanged()
@@ -52,7 +52,7 @@
     }
 }
 
-private fun RouterState.isNamedBy(
+private fun RouterState.matchesTarget(
     request: ActiveRequest,
     version: VersionId,
-): Boolean = configuration.view.current?.versions?.get(version)?.let { request.call.target.names(it) } == true
+): Boolean = configuration.view.current?.versions?.get(version)?.let { request.call.target.matches(it) } == true
--- a/core/src/main/kotlin/org/quetzalloom/core/request/RequestsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/RequestsPart.kt
@@ -22,32 +22,32 @@
     }
 
     private fun RouterState.handle(event: Event, now: Timestamp): Step = when (event) {
-        is Event.OfCaller.Arrived -> arrive(event, now)
-        is Event.OfCaller.Left -> leave(event, now)
-        is Event.OfBackend.Accepted -> accept(event, now)
-        is Event.OfBackend.Progressed -> progress(event, now)
-        is Event.OfBackend.Finished -> finish(event, now)
-        is Event.OfBackend.Failed -> fail(event, now)
-        is Event.OfBackend.LoadReported -> verdict(event.server, restartedSinceFailure(event), now)
-        is Event.OfBackend.LoadUnknown -> verdict(event.server, down = true, now = now)
+        is Event.OfCaller.Arrived -> onArrived(event, now)
+        is Event.OfCaller.Left -> onCallerLeft(event, now)
+        is Event.OfBackend.Accepted -> onAccepted(event, now)
+        is Event.OfBackend.Progressed -> onProgressed(event, now)
+        is Event.OfBackend.Finished -> onFinished(event, now)
+        is Event.OfBackend.Failed -> onFailed(event, now)
+        is Event.OfBackend.LoadReported -> resolveCrashChecks(event.server, restartedRecently(event), now)
+        is Event.OfBackend.LoadUnknown -> resolveCrashChecks(event.server, down = true, now = now)
         is Event.Tick -> expireAll(now)
         else -> unchanged()
     }
 
     /** Returns whether the backend server that reports has started lately, as one does that went down. */
-    private fun RouterState.restartedSinceFailure(event: Event.OfBackend.LoadReported): Boolean =
+    private fun RouterState.restartedRecently(event: Event.OfBackend.LoadReported): Boolean =
         event.upForMilliseconds < settings.limits.verdictMilliseconds
 
     /** A call that may not be repeated goes on without its caller, so that its outcome is recorded. */
-    private fun RouterState.leave(event: Event.OfCaller.Left, now: Timestamp): Step {
+    private fun RouterState.onCallerLeft(event: Event.OfCaller.Left, now: Timestamp): Step {
         val request = requests.active[event.request] ?: return unchanged()
         val phase = request.phase
         return when {
             phase is Phase.Settling -> put(request.copy(callerLeft = true))
             phase is Phase.Running && request.command != null -> put(request.copy(callerLeft = true))
             phase is Phase.Running ->
-                release(phase).drop(request).then { it.with(Effect.OfBackend.Cancel(phase.attempt)) }
-            else -> drop(request)
+                releaseAttempt(phase).discard(request).then { it.with(Effect.OfBackend.Cancel(phase.attempt)) }
+            else -> discard(request)
         }.then { it.report(now, "caller_left", "request" to event.request) }
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/RequestsState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/RequestsState.kt
@@ -21,7 +21,7 @@
     val waiting: PersistentSet<RequestId> = persistentSetOf(),
     val attempts: PersistentMap<AttemptId, RequestId> = persistentMapOf(),
     val attemptsMade: Long = 0,
-    val retryBudget: Double = LARGEST_RETRY_BUDGET,
+    val retryBudget: Double = MAX_RETRY_BUDGET,
 ) {
     fun byAttemptOrNull(attempt: AttemptId): ActiveRequest? = attempts[attempt]?.let { active[it] }
 
@@ -34,10 +34,10 @@
         copy(active = active.remove(request), waiting = waiting.remove(request))
 
     /** Returns the state with [retries] more allowed, or fewer where the number is negative. */
-    fun withBudget(retries: Double): RequestsState =
-        copy(retryBudget = (retryBudget + retries).coerceAtMost(LARGEST_RETRY_BUDGET))
+    fun addToRetryBudget(retries: Double): RequestsState =
+        copy(retryBudget = (retryBudget + retries).coerceAtMost(MAX_RETRY_BUDGET))
 
     private companion object {
-        const val LARGEST_RETRY_BUDGET = 20.0
+        const val MAX_RETRY_BUDGET = 20.0
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Versions.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Versions.kt
@@ -29,7 +29,7 @@
     val allowed = workspaces[call.workspace]?.allowed ?: return Err(
         RouterError(ErrorKind.UNKNOWN_WORKSPACE, "workspace '${call.workspace}' does not exist"),
     )
-    val named = named(call.target)
+    val named = versionsNamedBy(call.target)
     val usable = named.filter { !it.withdrawn && it.id in allowed }
     return when {
         named.isEmpty() -> Err(RouterError(ErrorKind.UNKNOWN_TARGET, "nothing serves ${call.target.describe()}"))
@@ -44,15 +44,15 @@
 }
 
 /** Returns the versions that [target] names, whoever may use them. */
-private fun Configuration.named(target: Target): List<Version> = when (target) {
-    is Target.Completion -> versions.values.filter { it.kind == VersionKind.ENGINE && target.names(it) }
+private fun Configuration.versionsNamedBy(target: Target): List<Version> = when (target) {
+    is Target.Completion -> versions.values.filter { it.kind == VersionKind.ENGINE && target.matches(it) }
     is Target.ServiceCall -> routeOrNull(target.path)?.let { route ->
         versions.values.filter { it.kind == VersionKind.SERVICE && it.model == route.model }
     }.orEmpty()
 }
 
 /** Returns whether [version] is one that the caller asked for. */
-internal fun Target.names(version: Version): Boolean = when (this) {
+internal fun Target.matches(version: Version): Boolean = when (this) {
     is Target.Completion -> model == Target.ANY_MODEL || model == version.model || model == version.id.value
     is Target.ServiceCall -> version.kind == VersionKind.SERVICE
 }
@@ -70,15 +70,15 @@
 internal fun RouterState.chooseVersion(call: CallerRequest, usable: List<Version>, subject: String): VersionId {
     val current = configuration.view.current
     val options = usable
-        .filterNot { current?.isLeftByRollout(it, usable, call.target, subject) == true }
-        .let { kept -> kept.filter { hasServer(it.id) }.ifEmpty { kept } }
+        .filterNot { current?.isExcludedByRollout(it, usable, call.target, subject) == true }
+        .let { kept -> kept.filter { hasServerInService(it.id) }.ifEmpty { kept } }
         .map { VersionOption(it, quality.estimateOf(RatingSubject(call.workspace, call.requestClass, it.id))) }
     val qualityTarget = current?.workspaces?.get(call.workspace)?.qualityTarget ?: 0.0
     return settings.policies.versionChoice.choose(options, qualityTarget, stableHash("version", subject)).id
 }
 
 /** Returns whether a roll-out keeps this request away from [version]. */
-private fun Configuration.isLeftByRollout(
+private fun Configuration.isExcludedByRollout(
     version: Version,
     usable: List<Version>,
     target: Target,
@@ -88,12 +88,12 @@
     val applies = usable.any { it.id == rollout.from } &&
         usable.any { it.id == rollout.to } &&
         (target as? Target.Completion)?.model != version.id.value
-    val takesNew = bucketOf("rollout:${rollout.to}:$subject", Rollout.FULL_SHARE_PERMILLE) < rollout.sharePermille
-    return applies && version.id == if (takesNew) rollout.from else rollout.to
+    val onNewVersion = bucketOf("rollout:${rollout.to}:$subject", Rollout.FULL_SHARE_PERMILLE) < rollout.sharePermille
+    return applies && version.id == if (onNewVersion) rollout.from else rollout.to
 }
 
 /** Returns whether any backend server in service that this VM may send to serves [version]. */
-private fun RouterState.hasServer(version: VersionId): Boolean {
+private fun RouterState.hasServerInService(version: VersionId): Boolean {
     val current = configuration.view.current ?: return false
     return backends.homes.keys.any { id ->
         val server = current.backendServers[id]
--- a/core/src/test/kotlin/org/quetzalloom/core/request/AnswersUnderFailureTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/request/AnswersUnderFailureTest.kt
@@ -68,7 +68,7 @@
         /** Forgets how much of an answer was delivered once its attempt has failed. */
         val forgetfulPosition = Part { state, _, _ ->
             val active = state.requests.active.mapValues { (_, request) ->
-                if (request.phase is Phase.Running || request.tries == 0) request else request.copy(delivered = 0)
+                if (request.phase is Phase.Running || request.attemptCount == 0) request else request.copy(deliveredTokens = 0)
             }
             val forgotten = active.values.fold(state.requests) { requests, request -> requests.put(request) }
             state.copy(requests = forgotten).unchanged()
