Document the request code in the terms of the field

The comments described only part of each rule or used private terms. They now say what each function returns or does, with its limits and error cases. In AnswersUnderFailureTest the texts of one assertion and two comments are reworded; what it checks is the same.

--- a/core/src/main/kotlin/org/quetzalloom/core/request/ActiveRequest.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/ActiveRequest.kt
@@ -12,20 +12,21 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * A request that has arrived and is not answered yet.
+ * A request that was admitted and whose answer is not complete yet.
  *
+ * @property arrivedAt the time at which this VM received it; its deadline counts from here.
  * @property version the version that it runs on.
- * @property pinned whether its session or its caller decided the version.
- * @property command the command that it is, or `null` where it may be repeated.
- * @property fencing the fencing number, once its intent has won.
- * @property tried the backend servers at which it failed.
- * @property tries the attempts made.
- * @property mayHaveRun whether any attempt may have run.
- * @property begun whether the caller was sent the beginning of the answer.
- * @property delivered the tokens that the caller was sent.
- * @property trialFrom the tokens that had been delivered when the request was suspected.
- * @property answer the answer so far, where it is needed later.
- * @property callerLeft whether nobody waits for the answer any more.
+ * @property pinned whether [version] is the version of its session; the answer then carries a session token.
+ * @property command the identity of a call that must not be repeated, or `null` where the request may be repeated.
+ * @property fencing the fencing number: the log offset of its intent, or `null` until the intent is read back.
+ * @property failedServers the backend servers at which an attempt failed; a retry avoids them if it can.
+ * @property attemptCount the number of attempts started, including one that is running.
+ * @property mayHaveRun whether any failed attempt may have been executed.
+ * @property answerStarted whether the start of the answer was sent to the caller.
+ * @property deliveredTokens the number of tokens sent to the caller; a retry resumes after them.
+ * @property tokensAtSuspicion the value of [deliveredTokens] when a backend server went down under this request.
+ * @property answer the text of the answer so far, or empty where neither an outcome nor a rating needs it.
+ * @property callerLeft whether the caller has disconnected, or was refused at the deadline; nothing more is sent to it.
  */
 internal data class ActiveRequest(
     val id: RequestId,
@@ -50,6 +51,9 @@
 
     val sessionKey: SessionKey? get() = call.session?.let { SessionKey(call.workspace, it) }
 
-    /** Names what is billed: the key where the caller gave one, so that re-sends are one request. */
+    /**
+     * The identity under which the request is billed. It is the idempotency key if there is one, so that a call that
+     * the caller sends again is billed once; otherwise it is the id of the request.
+     */
     val billIdentity: String get() = call.key?.let { "key:${call.workspace}/$it" } ?: "request:$id"
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Admission.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Admission.kt
@@ -14,7 +14,12 @@
 import org.quetzalloom.core.session.SessionToken
 import org.quetzalloom.core.time.Timestamp
 
-/** Returns what is known of a request that may be taken, or why it is refused. */
+/**
+ * Checks whether [call] may be served now, and resolves what it needs to go on.
+ *
+ * The checks run in a fixed order and the first that fails decides the error: readiness of this VM, workspace and
+ * target, idempotency key, session token, quarantine, and the limit on active requests.
+ */
 internal fun RouterState.admit(call: CallerRequest, now: Timestamp): Result<Admitted, RouterError> = binding {
     val current = readyConfiguration(now).bind()
     val versions = current.versionsFor(call).bind()
@@ -30,13 +35,17 @@
     return when {
         !takesNewWork(now) -> Err(RouterError(ErrorKind.SHUTTING_DOWN, "VM '${settings.vm}' is shutting down"))
         current == null || !isFresh(now) -> Err(
-            RouterError(ErrorKind.NOT_READY, "VM '${settings.vm}' has no configuration that is known to be in force"),
+            RouterError(ErrorKind.NOT_READY, "VM '${settings.vm}' has no configuration that is known to be current"),
         )
         else -> Ok(current)
     }
 }
 
-/** Returns the command that [call] is, or `null` where it may be repeated. */
+/**
+ * Returns the identity of [call] if its route declares its method as non-repeatable, or `null` if it may be repeated.
+ *
+ * Fails with [ErrorKind.KEY_MISSING] if such a call has no idempotency key.
+ */
 private fun Configuration.commandOf(call: CallerRequest): Result<CommandId?, RouterError> {
     val target = call.target as? Target.ServiceCall ?: return Ok(null)
     val repeatable = target.method !in routeOrNull(target.path)?.nonRepeatableMethods.orEmpty()
@@ -53,6 +62,7 @@
     }
 }
 
+/** Returns the session token of [call], or `null` if it has none. Checks the signature, workspace and session. */
 private fun RouterState.verifiedTokenOf(call: CallerRequest): Result<SessionToken?, RouterError> {
     val text = call.sessionToken ?: return Ok(null)
     val token = SessionToken.parseOrNull(text, settings.sessionSecret)
--- a/core/src/main/kotlin/org/quetzalloom/core/request/AdmissionPolicy.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/AdmissionPolicy.kt
@@ -1,12 +1,12 @@
 package org.quetzalloom.core.request
 
-/** Decides whether a request that arrives is taken at all. */
+/** Decides by priority and load whether a new request is admitted or refused as overload. */
 public fun interface AdmissionPolicy {
     /**
-     * Returns whether a request of [priority] is taken.
+     * Returns whether a request of [priority] is admitted.
      *
-     * @param active the requests not answered yet.
-     * @param limit the most requests at once.
+     * @param active the number of requests that are active at this VM, without the new one.
+     * @param limit the maximum number of active requests at this VM.
      */
     public fun admits(priority: Priority, active: Int, limit: Int): Boolean
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Answers.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Answers.kt
@@ -7,7 +7,11 @@
 import org.quetzalloom.core.router.with
 import org.quetzalloom.core.session.SessionToken
 
-/** Tells the caller of [request] that the answer begins, unless it was told before. */
+/**
+ * Sends the start of the answer to the caller of [request], unless that was done before.
+ *
+ * If the version of the session is settled, the start carries a signed session token.
+ */
 internal fun RouterState.beginAnswerOnce(request: ActiveRequest): Step {
     if (request.answerStarted) return unchanged()
     val token = request.call.session?.takeIf { request.pinned }
@@ -15,6 +19,6 @@
     return sendToCaller(request, Effect.OfCaller.Begin(request.id, request.version, token))
 }
 
-/** Returns the transition that hands [effect] to the caller of [request], unless that one has left. */
+/** Returns the transition that sends [effect] to the caller of [request], unless the caller has left. */
 internal fun RouterState.sendToCaller(request: ActiveRequest, effect: Effect.OfCaller): Step =
     if (request.callerLeft) unchanged() else with(effect)
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Arrival.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Arrival.kt
@@ -19,13 +19,14 @@
 import org.quetzalloom.core.session.sessionHome
 import org.quetzalloom.core.time.Timestamp
 
-/** Takes a request that arrives, or refuses it. */
+/** Admits a new request and starts to process it, or refuses it. */
 internal fun RouterState.onArrived(event: Event.OfCaller.Arrived, now: Timestamp): Step =
     admit(event.call, now).fold(
         success = { acceptArrival(event, it, now) },
         failure = { refuseArrival(event, it, now) },
     )
 
+/** Refuses a request that admission rejected; it never becomes an active request. */
 private fun RouterState.refuseArrival(event: Event.OfCaller.Arrived, error: RouterError, now: Timestamp): Step =
     with(Effect.OfCaller.Refuse(event.request, error)).then {
         it.report(
@@ -39,6 +40,7 @@
         )
     }
 
+/** Creates the active request, adds its share to the retry budget and moves it to its first phase. */
 private fun RouterState.acceptArrival(event: Event.OfCaller.Arrived, admitted: Admitted, now: Timestamp): Step {
     val fingerprint = Fingerprint.of(event.call)
     val subject = event.call.session?.let { SessionKey(event.call.workspace, it).toString() } ?: event.request.value
@@ -63,6 +65,10 @@
         .then { it.enterFirstPhase(request, admitted, now) }
 }
 
+/**
+ * Moves a new request to its first phase: a command waits for its intent, a suspected request for its trial, and a
+ * request of a session for the version of the session. All others are queued.
+ */
 private fun RouterState.enterFirstPhase(request: ActiveRequest, admitted: Admitted, now: Timestamp): Step {
     val key = request.sessionKey
     return when {
@@ -74,7 +80,14 @@
     }
 }
 
-/** Gives the request the version of its session: from its token, from memory, or from the session's home VM. */
+/**
+ * Finds the version of the session of [request].
+ *
+ * The version comes from the session token, else from the assignment known here, as long as it may be used. If there
+ * is none, the home VM of the session decides: this VM at once if it is the home, else the request waits for the answer
+ * of the home VM. If the version known is not among those that the request may run on, the request runs without the
+ * session on the version chosen for it.
+ */
 private fun RouterState.resolveSessionVersion(
     request: ActiveRequest,
     key: SessionKey,
@@ -94,5 +107,6 @@
     }
 }
 
+/** Returns the request bound to [version], the version of its session. */
 internal fun ActiveRequest.pinnedTo(version: VersionId): ActiveRequest =
     copy(version = version, pinned = true)
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Attempts.kt
@@ -11,14 +11,14 @@
 import org.quetzalloom.core.router.unchanged
 import org.quetzalloom.core.time.Timestamp
 
-/** Returns the transition of [step] if [attempt] is under way; events of attempts that were given up change nothing. */
+/** Runs [step] if [attempt] is still running; events of attempts that were cancelled or have ended change nothing. */
 internal fun RouterState.ifRunning(attempt: AttemptId, step: (ActiveRequest, Phase.Running) -> Step): Step {
     val request = requests.byAttemptOrNull(attempt)
     val phase = request?.phase as? Phase.Running
     return if (request == null || phase == null) unchanged() else step(request, phase)
 }
 
-/** Notes that a backend server has begun to answer. */
+/** Records that the backend server has begun to answer; this counts as progress. */
 internal fun RouterState.onAccepted(event: Event.OfBackend.Accepted, now: Timestamp): Step =
     ifRunning(event.attempt) { request, phase ->
         if (phase.accepted) {
@@ -29,7 +29,12 @@
         }
     }
 
-/** Passes tokens on to the caller if they are the next ones; what came before is dropped. */
+/**
+ * Forwards tokens to the caller if they follow those already delivered.
+ *
+ * Tokens that were all delivered before are dropped. Any other position, a gap or a partial overlap, makes the answer
+ * unusable: the attempt is cancelled and counts as failed.
+ */
 internal fun RouterState.onProgressed(event: Event.OfBackend.Progressed, now: Timestamp): Step =
     ifRunning(event.attempt) { request, phase ->
         when {
@@ -39,6 +44,7 @@
         }
     }
 
+/** Sends the tokens to the caller, and clears a suspected request that has run far enough past its crash. */
 private fun RouterState.deliver(
     request: ActiveRequest,
     phase: Phase.Running,
@@ -62,16 +68,17 @@
         }
 }
 
-/** Returns whether the text of the answer is needed after it was sent: for its outcome, or for a rating. */
+/** Returns whether the text of the answer is needed after it was sent: for the recorded outcome, or for a rating. */
 private fun RouterState.keepsAnswerText(request: ActiveRequest): Boolean = request.command != null || isSampled(request)
 
+/** Returns whether [request] is a completion whose answer is submitted for rating; a hash of the request id decides. */
 internal fun RouterState.isSampled(request: ActiveRequest): Boolean =
     request.call.target is Target.Completion &&
         bucketOf("sample:${request.id}", SAMPLE_BUCKETS) < settings.limits.sampleShare * SAMPLE_BUCKETS
 
 private const val SAMPLE_BUCKETS = 10_000
 
-/** Ends a request whose answer is whole; one that lacks tokens goes on elsewhere. */
+/** Completes a request if the caller was sent every token; otherwise the attempt is cancelled and counts as failed. */
 internal fun RouterState.onFinished(event: Event.OfBackend.Finished, now: Timestamp): Step =
     ifRunning(event.attempt) { request, phase ->
         if (event.tokens == request.deliveredTokens) {
@@ -81,6 +88,7 @@
         }
     }
 
+/** Releases the attempt, resets the failures of its backend server, and bills the request. */
 private fun RouterState.completeAttempt(
     request: ActiveRequest,
     phase: Phase.Running,
@@ -92,7 +100,7 @@
         .then { it.settle(request.copy(answerStarted = true), event, now) }
 }
 
-/** Returns the state in which the attempt of [phase] no longer counts. */
+/** Returns the state without the attempt of [phase], which no longer counts against its backend server. */
 internal fun RouterState.releaseAttempt(phase: Phase.Running): RouterState {
     val unconfirmed = if (phase.accepted) 0 else 1
     val freed = withHealth(phase.server) {
--- a/core/src/main/kotlin/org/quetzalloom/core/request/CallerRequest.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/CallerRequest.kt
@@ -6,13 +6,15 @@
 import org.quetzalloom.core.identity.WorkspaceId
 
 /**
- * A request as a caller made it, free of any encoding.
+ * A request as the caller sent it, independent of its encoding.
  *
+ * @property workspace the tenant that sends the request and is billed for it.
+ * @property timeoutMilliseconds the time from arrival to the deadline of the answer.
+ * @property body the body, forwarded unchanged.
+ * @property requestClass the kind of work, for which the quality of each version is estimated separately.
  * @property session the session that the request belongs to, or `null`.
- * @property sessionToken the token from an earlier answer of the same session, or `null`.
- * @property key the key under which the request runs at most once, or `null`.
- * @property timeoutMilliseconds the time from arrival until the caller no longer wants the answer.
- * @property body the body, passed on as it is.
+ * @property sessionToken the signed token from an earlier answer of the same session, or `null`.
+ * @property key the idempotency key, or `null`. A call that must not be repeated runs at most once per key.
  */
 public data class CallerRequest(
     public val workspace: WorkspaceId,
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Commands.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Commands.kt
@@ -11,7 +11,12 @@
 import org.quetzalloom.core.router.unchanged
 import org.quetzalloom.core.time.Timestamp
 
-/** Asks for the right to run the command of [request], unless it has been asked for already. */
+/**
+ * Proposes to run the command of [request]: appends an intent to the log and waits until it is read back.
+ *
+ * The first intent of a command in the log wins, and all VMs see the same one. Nothing is appended if an intent of the
+ * command is known already.
+ */
 internal fun RouterState.proposeIntent(request: ActiveRequest, now: Timestamp): Step {
     val command = requireNotNull(request.command) { "request ${request.id} is not a command" }
     if (command in ledger.entries) return copy(requests = requests.put(request)).advanceCommand(request, now)
@@ -20,7 +25,12 @@
         .then { it.report(now, "intent_proposed", "request" to request.id, "key" to command.key) }
 }
 
-/** Moves the command of [request] on by what the log says of it. */
+/**
+ * Advances the command of [request] by its entry in the ledger, which follows the log.
+ *
+ * A request whose own intent won is queued. One with another content under the same key is refused, and a re-send is
+ * answered with the recorded outcome or waits for it.
+ */
 internal fun RouterState.advanceCommand(request: ActiveRequest, now: Timestamp): Step {
     val command = request.command ?: return unchanged()
     val entry = ledger.entries[command]
@@ -34,6 +44,7 @@
     }
 }
 
+/** Queues [request] with the offset of its intent as fencing number. */
 private fun RouterState.onIntentWon(request: ActiveRequest, entry: CommandEntry, now: Timestamp): Step =
     put(request.copy(phase = Phase.Queued, fencing = entry.offset))
         .then { it.report(now, "intent_won", "request" to request.id, "fencing" to entry.offset) }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/CrashChecks.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/CrashChecks.kt
@@ -14,14 +14,19 @@
 import org.quetzalloom.core.router.unchanged
 import org.quetzalloom.core.time.Timestamp
 
-/** Asks whether the backend server went down, before the request is run anywhere else. */
+/** Requests a load report to learn whether the backend server went down, before [request] is run anywhere else. */
 internal fun RouterState.checkForCrash(request: ActiveRequest, id: BackendServerId, now: Timestamp): Step {
     val asked = put(request.copy(phase = Phase.AwaitingCrashCheck(id, now)))
     val server = configuration.view.current?.backendServers?.get(id) ?: return asked
     return asked.then { it.askLoad(server, now) }
 }
 
-/** Decides, once [server] was reached again or not, whether the requests that broke off there brought it down. */
+/**
+ * Resolves the crash checks of all requests whose connection to [server] broke.
+ *
+ * @param down whether [server] went down: it did not report, or reports a start of a moment ago. The requests then
+ *   become suspects; otherwise they are retried.
+ */
 internal fun RouterState.resolveCrashChecks(server: BackendServerId, down: Boolean, now: Timestamp): Step {
     val pending = requests.waiting.sorted().mapNotNull { requests.active[it] }
         .filter { (it.phase as? Phase.AwaitingCrashCheck)?.server == server }
@@ -30,7 +35,11 @@
     }
 }
 
-/** Holds it against [request] that [server] went down while it ran there. */
+/**
+ * Records that [server] went down while it ran [request], and announces it to the peers.
+ *
+ * The second crash refuses the request for good; after the first it is retried as a trial.
+ */
 internal fun RouterState.recordCrash(request: ActiveRequest, server: BackendServerId, now: Timestamp): Step {
     val known = suspected(request.fingerprint, server, now)
     val condemned = known.quarantine.suspicions[request.fingerprint]?.condemned == true
@@ -48,10 +57,15 @@
     }
 }
 
+/**
+ * Moves [request] to [phase] for one more attempt and takes one retry from the budget.
+ *
+ * Refuses it if it has used all its attempts or the retry budget is spent.
+ */
 internal fun RouterState.retry(request: ActiveRequest, now: Timestamp, phase: Phase = Phase.Queued): Step = when {
     request.attemptCount >= settings.limits.triesPerRequest ->
         refuse(request, ErrorKind.BACKEND_FAILED, "${request.attemptCount} attempts failed", now)
     requests.retryBudget < 1 ->
-        refuse(request, ErrorKind.BACKEND_FAILED, "an attempt failed and too many retries are under way", now)
+        refuse(request, ErrorKind.BACKEND_FAILED, "an attempt failed and the retry budget is used up", now)
     else -> copy(requests = requests.addToRetryBudget(-1.0)).put(request.copy(phase = phase))
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Deadlines.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Deadlines.kt
@@ -10,12 +10,18 @@
 import org.quetzalloom.core.router.with
 import org.quetzalloom.core.time.Timestamp
 
-/** Gives up attempts that went silent, and requests whose deadline has passed. */
+/** Cancels attempts that make no progress, and refuses requests whose deadline has passed. */
 internal fun RouterState.expireAll(now: Timestamp): Step =
     requests.active.keys.sorted().fold(unchanged()) { transition, id ->
         transition.then { state -> state.requests.active[id]?.let { state.expire(it, now) } ?: state.unchanged() }
     }
 
+/**
+ * Applies the timeouts to [request].
+ *
+ * A request that waits for its bill has its complete answer and does not expire. One whose caller has left has no
+ * deadline, but its attempt must still make progress.
+ */
 private fun RouterState.expire(request: ActiveRequest, now: Timestamp): Step {
     val phase = request.phase
     return when {
@@ -27,6 +33,7 @@
     }
 }
 
+/** Returns whether the attempt has made no progress for its timeout: of a service, the first token, or a token gap. */
 private fun RouterState.isStalled(request: ActiveRequest, phase: Phase.Running, now: Timestamp): Boolean {
     val timeout = when {
         request.call.target is Target.ServiceCall -> settings.limits.serviceSilenceMilliseconds
@@ -36,12 +43,13 @@
     return now - phase.progressAt >= timeout
 }
 
+/** Answers a running command that its outcome is unknown and lets it run on; cancels and refuses any other request. */
 private fun RouterState.expireRunning(request: ActiveRequest, phase: Phase.Running, now: Timestamp): Step =
     if (request.command != null) {
         put(request.copy(callerLeft = true)).then {
             val error = RouterError(
                 ErrorKind.OUTCOME_UNKNOWN,
-                "the call still runs at its deadline",
+                "the call was still running at its deadline",
             )
             it.with(Effect.OfCaller.Refuse(request.id, error))
         }
@@ -50,7 +58,7 @@
             .then { it.releaseAttempt(phase).refuse(request, ErrorKind.DEADLINE_EXCEEDED, "the deadline passed", now) }
     }
 
-/** Refuses [request], which does not run and whose deadline has passed. */
+/** Refuses [request], whose deadline has passed while no attempt was running, with the error for what it waited for. */
 internal fun RouterState.expireWaiting(request: ActiveRequest, now: Timestamp): Step = when {
     request.phase is Phase.AwaitingIntent ->
         refuse(request, ErrorKind.LOG_UNAVAILABLE, "the intent could not be recorded in time", now)
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Dispatch.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Dispatch.kt
@@ -17,7 +17,7 @@
 import org.quetzalloom.core.session.decide
 import org.quetzalloom.core.time.Timestamp
 
-/** Starts as many queued requests as there is room for, the most urgent and then the oldest first. */
+/** Starts as many queued requests as the backend servers have room for: by priority, then by time of arrival. */
 internal fun RouterState.dispatchAll(now: Timestamp): Step {
     val queued = requests.waiting.mapNotNull { requests.active[it] }.filter { it.phase == Phase.Queued }
     if (queued.isEmpty()) return unchanged()
@@ -25,6 +25,7 @@
     return ordered.fold(unchanged()) { transition, request -> transition.then { it.dispatch(request, now) } }
 }
 
+/** Starts an attempt of [request], or leaves it queued if no backend server has room. */
 private fun RouterState.dispatch(request: ActiveRequest, now: Timestamp): Step = when {
     now >= request.deadline -> expireWaiting(request, now)
     !mayUse(request.call.workspace, request.version) -> reassignVersion(request, now)
@@ -33,13 +34,17 @@
     else -> chooseServer(request, now)?.let { startAttempt(request, it, now) } ?: unchanged()
 }
 
-/** Finds another version for a request whose version may no longer be used. */
+/**
+ * Moves [request] to another version, because its own may no longer be used.
+ *
+ * Refuses it if part of the answer was delivered, since another version would not continue the same answer.
+ */
 private fun RouterState.reassignVersion(request: ActiveRequest, now: Timestamp): Step {
     val current = configuration.view.current
     return when {
         current == null -> unchanged()
         request.deliveredTokens > 0 ->
-            refuse(request, ErrorKind.BACKEND_FAILED, "version '${request.version}' was withdrawn half-way", now)
+            refuse(request, ErrorKind.BACKEND_FAILED, "version '${request.version}' was withdrawn mid-answer", now)
         else -> current.versionsFor(request.call).mapBoth(
             success = { reassignVersion(request, it, now) },
             failure = { refuse(request, it.kind, it.detail, now) },
@@ -47,6 +52,7 @@
     }
 }
 
+/** Moves [request] to one of [usable] and dispatches it again; the session of a pinned request moves along. */
 private fun RouterState.reassignVersion(request: ActiveRequest, usable: List<Version>, now: Timestamp): Step {
     val subject = request.sessionKey?.toString() ?: request.id.value
     val moved = request.copy(
@@ -58,6 +64,7 @@
     return decided.then { it.put(moved) }.then { it.dispatch(moved, now) }
 }
 
+/** Starts an attempt at [server], which resumes the answer after the tokens already delivered. */
 private fun RouterState.startAttempt(request: ActiveRequest, server: BackendServer, now: Timestamp): Step {
     val number = requests.attemptsMade + 1
     val attempt = AttemptId("${settings.vm}:${settings.incarnation}:$number")
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Failures.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Failures.kt
@@ -18,13 +18,13 @@
 import org.quetzalloom.core.router.with
 import org.quetzalloom.core.time.Timestamp
 
-/** Closes the connection of a request that makes no progress or no sense, and tries elsewhere. */
+/** Cancels an attempt that makes no progress or sent an unusable answer, and handles it as failed. */
 internal fun RouterState.cancelAndFail(request: ActiveRequest, phase: Phase.Running, now: Timestamp): Step =
     with(Effect.OfBackend.Cancel(phase.attempt))
         .then { it.onFailed(Event.OfBackend.Failed(phase.attempt, AttemptFailure.NO_PROGRESS), now) }
         .then { it.report(now, "attempt_cancelled", "request" to request.id, "attempt" to phase.attempt) }
 
-/** Decides what becomes of a request whose attempt failed. */
+/** Records the failure of an attempt and decides whether its request is retried or refused. */
 internal fun RouterState.onFailed(event: Event.OfBackend.Failed, now: Timestamp): Step =
     ifRunning(event.attempt) { request, phase -> failAttempt(request, phase, event.failure, now) }
 
@@ -57,6 +57,13 @@
 ): RouterState =
     withHealth(server) { if (failure == AttemptFailure.REFUSED) it.refusedWork(now) else it.failed(now) }
 
+/**
+ * Decides how [request] goes on after its attempt failed.
+ *
+ * A command that may have run is refused with an unknown outcome. An attempt that certainly did not run is queued again
+ * without using the retry budget. After a broken connection the backend server is checked for a crash first. All other
+ * failures are retried.
+ */
 private fun RouterState.onAttemptFailed(
     request: ActiveRequest,
     server: BackendServerId,
@@ -70,7 +77,7 @@
     else -> retry(request, now)
 }
 
-/** Records that a call that may not be repeated was sent and that nobody knows whether it ran. */
+/** Records in the log that the command was sent and may have run, and refuses [request]. */
 private fun RouterState.recordUnknownOutcome(request: ActiveRequest, now: Timestamp): Step {
     val command = requireNotNull(request.command) { "request ${request.id} is not a command" }
     return enqueue(LogRecord.Outcome(command, request.id, CommandResult.Unknown))
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Fingerprint.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Fingerprint.kt
@@ -3,9 +3,9 @@
 import net.openhft.hashing.LongHashFunction
 
 /**
- * Tells requests with the same content apart from others.
+ * Identifies the content of a request.
  *
- * @property value a hash of workspace, target and body.
+ * @property value a 64-bit hash of workspace, target and body.
  */
 @JvmInline
 public value class Fingerprint(public val value: Long) {
@@ -14,7 +14,7 @@
     public companion object {
         private const val HEXADECIMAL = 16
 
-        /** Returns the fingerprint of [call]. Sessions, keys, priorities and timeouts make no difference. */
+        /** Returns the fingerprint of [call], which ignores its session, key, request class, priority and timeout. */
         public fun of(call: CallerRequest): Fingerprint {
             val text = listOf(call.workspace.value, call.target.toString(), call.body).joinToString("\u0000")
             return Fingerprint(LongHashFunction.xx3().hashChars(text))
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Phase.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Phase.kt
@@ -5,34 +5,36 @@
 import org.quetzalloom.core.identity.BackendServerId
 import org.quetzalloom.core.time.Timestamp
 
-/** Where a request stands. */
+/** The state of an active request: what it waits for, or the attempt that it runs in. */
 internal sealed interface Phase {
     /** Waits for the home VM of its session to name the version. */
     data class AwaitingSession(val since: Timestamp) : Phase
 
-    /** Waits for its intent to be read back from the log. */
+    /** Waits until the intent of its command is read back from the log. */
     data object AwaitingIntent : Phase
 
-    /** Waits for the outcome of the same command, run for another request. */
+    /** Waits for the outcome of its command, which another request runs. */
     data object AwaitingOutcome : Phase
 
-    /** Waits until it is known whether [server] went down while it ran the request. */
+    /** Waits for a load report that shows whether [server] went down while it ran the request. */
     data class AwaitingCrashCheck(val server: BackendServerId, val since: Timestamp) : Phase
 
-    /** Waits until peers have noted that the request is run once more after it took down a backend server. */
+    /**
+     * Waits until the peers agree to its trial: it took down a backend server, and this VM wants to run it once more.
+     */
     data class AwaitingTrialConsent(val since: Timestamp) : Phase
 
-    /** Waits until another VM has run the same suspected request to an end. */
+    /** Waits until its trial may start: the same content is on trial elsewhere, or no backend server is free for it. */
     data object AwaitingTrial : Phase
 
-    /** Waits for a backend server. */
+    /** Waits for a backend server with room. */
     data object Queued : Phase
 
     /**
-     * Runs at a backend server.
+     * An attempt is running at [server].
      *
      * @property accepted whether the backend server has begun to answer.
-     * @property progressAt when it was last heard.
+     * @property progressAt the time of the last progress, from which the timeouts of the attempt count.
      */
     data class Running(
         val attempt: AttemptId,
@@ -41,6 +43,6 @@
         val progressAt: Timestamp,
     ) : Phase
 
-    /** Has its whole answer; its end waits until the bill is kept. */
+    /** The answer is complete; its end is sent once [bill] is in the log or copied to peers. */
     data class Settling(val bill: Bill, val tokens: Int, val status: Int, val since: Timestamp) : Phase
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Placement.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Placement.kt
@@ -7,7 +7,12 @@
 import org.quetzalloom.core.router.stableHash
 import org.quetzalloom.core.time.Timestamp
 
-/** Returns the backend server that takes [request] now, or `null` if none has room. */
+/**
+ * Returns the backend server for the next attempt of [request], or `null` if none has room.
+ *
+ * Backend servers at which it failed before are used only if no other has room. A command may go back to one of them,
+ * since it is queued again only if it did not run there. A trial runs at the backend server announced to the peers.
+ */
 internal fun RouterState.chooseServer(request: ActiveRequest, now: Timestamp): BackendServer? {
     val free = serversFor(request).filter { hasRoom(it, now) }
     val fresh = free.filter { it.id !in request.failedServers }
@@ -19,7 +24,7 @@
     }
 }
 
-/** Returns the backend servers in service that this VM may send [request] to, in a fixed order. */
+/** Returns the backend servers in service that serve the version of [request] and that this VM may use, by id. */
 internal fun RouterState.serversFor(request: ActiveRequest): List<BackendServer> {
     val current = configuration.view.current ?: return emptyList()
     return backends.homes.keys.mapNotNull { current.backendServers[it] }
@@ -34,6 +39,7 @@
     return candidates.first { it.id == chosen.server }
 }
 
+/** Returns the load as a share of capacity, from the last report or from the attempts of this VM if those are more. */
 private fun RouterState.load(server: BackendServer): Double {
     val health = backends.healthOf(server.id)
     return maxOf(health.reportedRunning, health.running).toDouble() / server.capacity
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Priority.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Priority.kt
@@ -1,19 +1,19 @@
 package org.quetzalloom.core.request
 
-/** How soon a request should be served when not all can be. Declared from the most to the least urgent. */
+/** The order in which requests are admitted and dispatched under load, from the most to the least urgent. */
 public enum class Priority {
-    /** Someone waits for it at this moment. */
+    /** Interactive: a user is waiting for the answer. */
     HIGH,
 
-    /** The usual case. */
+    /** The default. */
     NORMAL,
 
-    /** May wait. */
+    /** Background work that may be delayed. */
     LOW,
     ;
 
     public companion object {
-        /** Returns the priority named [text] in any case, or `null`. */
+        /** Returns the priority whose name is [text], ignoring case, or `null` if there is none. */
         public fun parseOrNull(
             text: String
         ): Priority? = entries.firstOrNull { it.name.equals(text, ignoreCase = true) }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/PriorityShares.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/PriorityShares.kt
@@ -1,6 +1,6 @@
 package org.quetzalloom.core.request
 
-/** Keeps a share of the places for the more urgent requests. */
+/** Reserves a share of the active requests for more urgent ones: each priority may fill only part of the limit. */
 public data object PriorityShares : AdmissionPolicy {
     private const val NORMAL_SHARE = 0.9
     private const val LOW_SHARE = 0.7
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Progress.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Progress.kt
@@ -9,10 +9,10 @@
 import org.quetzalloom.core.session.decide
 import org.quetzalloom.core.time.Timestamp
 
-/** Returns the transition that keeps [request] as it is now. */
+/** Returns the transition that stores [request], without effects. */
 internal fun RouterState.put(request: ActiveRequest): Step = copy(requests = requests.put(request)).unchanged()
 
-/** Moves every request on that waits for something which has come about. */
+/** Advances each waiting request whose condition is met or whose wait has timed out, in order of id. */
 internal fun RouterState.advanceAll(now: Timestamp): Step =
     requests.waiting.sorted().fold(unchanged()) { transition, id ->
         transition.then { state -> state.requests.active[id]?.let { state.advance(it, now) } ?: state.unchanged() }
@@ -38,6 +38,11 @@
     is Phase.Running -> unchanged()
 }
 
+/**
+ * Queues [request] with the version that the home VM assigned to its session.
+ *
+ * If no answer came within `sessionAnswerMilliseconds`, this VM assigns the version chosen for the request.
+ */
 private fun RouterState.advanceSession(request: ActiveRequest, phase: Phase.AwaitingSession, now: Timestamp): Step {
     val key = request.sessionKey ?: return put(request.copy(phase = Phase.Queued))
     val assigned = assignedOrNull(key)
@@ -52,6 +57,7 @@
     }
 }
 
+/** Returns whether the target of [request] includes [version]. */
 private fun RouterState.matchesTarget(
     request: ActiveRequest,
     version: VersionId,
--- a/core/src/main/kotlin/org/quetzalloom/core/request/RequestsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/RequestsPart.kt
@@ -11,7 +11,12 @@
 import org.quetzalloom.core.router.with
 import org.quetzalloom.core.time.Timestamp
 
-/** Leads each request from its arrival to one answer or one refusal. */
+/**
+ * Processes each request from its arrival to exactly one answer or one refusal.
+ *
+ * After each event, waiting requests are advanced and queued ones dispatched. This is skipped for tokens, the most
+ * frequent event, if they change nothing that a waiting request depends on.
+ */
 internal object RequestsPart : Part {
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step {
         val handled = state.handle(event, now)
@@ -34,11 +39,11 @@
         else -> unchanged()
     }
 
-    /** Returns whether the backend server that reports has started lately, as one does that went down. */
+    /** Returns whether the reported start is recent enough to explain the broken connection by a crash. */
     private fun RouterState.restartedRecently(event: Event.OfBackend.LoadReported): Boolean =
         event.upForMilliseconds < settings.limits.verdictMilliseconds
 
-    /** A call that may not be repeated goes on without its caller, so that its outcome is recorded. */
+    /** Cancels a request whose caller has left; a running command goes on, so that its outcome is recorded. */
     private fun RouterState.onCallerLeft(event: Event.OfCaller.Left, now: Timestamp): Step {
         val request = requests.active[event.request] ?: return unchanged()
         val phase = request.phase
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Target.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Target.kt
@@ -1,13 +1,13 @@
 package org.quetzalloom.core.request
 
-/** What a caller asks for. */
+/** What a request calls: a model or a service. */
 public sealed interface Target {
     /**
      * A completion by a model engine.
      *
      * @property model a model, a version such as `menu-large@3`, or [ANY_MODEL].
-     * @property maximumTokens the longest answer wanted, in tokens.
-     * @property streamed whether the caller reads the answer piece by piece.
+     * @property maximumTokens the maximum length of the answer, in tokens.
+     * @property streamed whether the caller reads the answer as a stream.
      */
     public data class Completion(
         public val model: String,
@@ -16,7 +16,7 @@
     ) : Target
 
     /**
-     * A call of a plain service.
+     * A call to a plain HTTP service.
      *
      * @property method the HTTP method, in upper case.
      * @property path the path with its query.
@@ -27,7 +27,7 @@
     ) : Target
 
     public companion object {
-        /** The model name that leaves the choice to the router. */
+        /** The model name for which the router chooses among all models. */
         public const val ANY_MODEL: String = "auto"
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Trials.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Trials.kt
@@ -16,10 +16,17 @@
 import org.quetzalloom.core.router.unchanged
 import org.quetzalloom.core.time.Timestamp
 
-/** The tokens after which a trial has gone on for longer than the run that a backend server went down in. */
+/**
+ * The tokens that a suspected request must deliver past the point of the crash to be cleared: the trial has then
+ * outlasted the run in which the backend server went down.
+ */
 internal const val CLEARING_TOKENS = 8
 
-/** Lets [request], which is suspected, run as a trial, or wait until it may. */
+/**
+ * Starts the trial of [request], which is suspected, or lets it wait until it may be tried.
+ *
+ * Queues it if it is no longer suspected, and refuses it if it has crashed two backend servers.
+ */
 internal fun RouterState.startTrialOrWait(request: ActiveRequest, now: Timestamp): Step {
     val suspicion = quarantine.suspicions[request.fingerprint]
     return when {
@@ -32,12 +39,16 @@
     }
 }
 
-/** Returns whether another request with the same content is tried here. */
+/** Returns whether another request with the same content is active at this VM and not waiting for its trial. */
 private fun RouterState.hasOtherActiveCopy(request: ActiveRequest): Boolean = requests.active.values.any {
     it.id != request.id && it.fingerprint == request.fingerprint && it.phase !is Phase.AwaitingTrial
 }
 
-/** Tells the peers at which backend server [request] is to be tried, once there is one. */
+/**
+ * Claims the trial of [request] for this VM and announces it to the peers, with its backend server if one is free.
+ *
+ * Without a free backend server, the claim is announced once and the request waits.
+ */
 private fun RouterState.announceTrial(request: ActiveRequest, now: Timestamp): Step {
     val suspicion = quarantine.suspicions.getValue(request.fingerprint)
     val server = trialServerOrNull(request, now)
@@ -50,6 +61,12 @@
         .then { it.put(request.copy(phase = phase)) }
 }
 
+/**
+ * Returns a backend server for the trial of [request], or `null` if none is free.
+ *
+ * It is neither one that went down under the request nor one at which another suspect is tried, so that a second crash
+ * has only one possible cause.
+ */
 private fun RouterState.trialServerOrNull(request: ActiveRequest, now: Timestamp): BackendServerId? {
     val crashed = quarantine.suspicions[request.fingerprint]?.servers.orEmpty()
     val taken = trialServers(request.fingerprint, now)
@@ -57,7 +74,11 @@
     return rendezvousOrNull(free, request.fingerprint)
 }
 
-/** Lets [request] run once its peers have agreed to the trial, or did not answer for a while. */
+/**
+ * Queues [request] for its trial once all live peers have agreed, or `verdictMilliseconds` have passed.
+ *
+ * Starts over if this VM has lost the trial or its backend server to a peer.
+ */
 internal fun RouterState.advanceTrialConsent(
     request: ActiveRequest,
     phase: Phase.AwaitingTrialConsent,
@@ -73,24 +94,24 @@
     }
 }
 
-/** Returns whether [request] is tried here after it was suspected. */
+/** Returns whether this VM owns the trial of [request], which is suspected. */
 internal fun RouterState.isOnTrialHere(request: ActiveRequest): Boolean =
     quarantine.suspicions[request.fingerprint]?.trialBy == settings.vm
 
-/** Returns whether [request] waits for a trial at a backend server that may no longer be used. */
+/** Returns whether this VM owns the trial of [request], but its backend server may no longer be used. */
 internal fun RouterState.hasLostTrialServer(request: ActiveRequest): Boolean {
     if (!isOnTrialHere(request)) return false
     val server = quarantine.suspicions[request.fingerprint]?.trialAt
     return serversFor(request).none { it.id == server }
 }
 
-/** Lets go of what was held against [request], which has run further than where it was suspected. */
+/** Drops the suspicion against [request], here and at the peers, since it has run past the point of the crash. */
 internal fun RouterState.clearSuspicion(request: ActiveRequest, now: Timestamp): Step {
     if (request.fingerprint !in quarantine.suspicions) return unchanged()
     return cleared(request.fingerprint).tellAll(livePeers(now), PeerMessage.Cleared(request.fingerprint))
 }
 
-/** Ends the trial of [request] without a verdict, so that another may be tried. */
+/** Gives up the trial of [request] without a result, so that another request with the same content may be tried. */
 internal fun RouterState.abandonTrial(request: ActiveRequest, now: Timestamp): Step {
     val suspicion = quarantine.suspicions[request.fingerprint]
     if (suspicion == null || suspicion.trialBy != settings.vm || hasOtherActiveCopy(request)) return unchanged()
--- a/core/src/test/kotlin/org/quetzalloom/core/request/AnswersUnderFailureTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/request/AnswersUnderFailureTest.kt
@@ -12,6 +12,7 @@
 import kotlin.test.Test
 import kotlin.test.assertTrue
 
+/** Broken, silent and restarted connections must not lose, repeat or mix up tokens of an answer. */
 class AnswersUnderFailureTest {
     @Test
     fun everyAnswerIsWholeAndItsOwnOrEndsWithAnError() = seeds(SEEDS).forEach { seed ->
@@ -31,7 +32,7 @@
         send(rig)
         rig.schedule.after(500) { rig.servers.values.forEach { it.breakConnections() } }
         rig.runFor(SETTLE_MILLISECONDS)
-        assertTrue(rig.callers.any { it.answered && !it.whole }, "the check must find what the position prevents")
+        assertTrue(rig.callers.any { it.answered && !it.whole }, "without the position some answers must be wrong")
     }
 
     @Test
@@ -65,10 +66,14 @@
         const val SETTLE_MILLISECONDS = 20_000L
         const val LEAST_WHOLE_PERCENT = 90
 
-        /** Forgets how much of an answer was delivered once its attempt has failed. */
+        /** Resets the number of delivered tokens once an attempt has failed, so that the retry repeats them. */
         val forgetfulPosition = Part { state, _, _ ->
             val active = state.requests.active.mapValues { (_, request) ->
-                if (request.phase is Phase.Running || request.attemptCount == 0) request else request.copy(deliveredTokens = 0)
+                if (request.phase is Phase.Running || request.attemptCount == 0) {
+                    request
+                } else {
+                    request.copy(deliveredTokens = 0)
+                }
             }
             val forgotten = active.values.fold(state.requests) { requests, request -> requests.put(request) }
             state.copy(requests = forgotten).unchanged()
--- a/core/src/test/kotlin/org/quetzalloom/core/request/RefusalsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/request/RefusalsTest.kt
@@ -8,6 +8,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
+/** Requests that are invalid or not permitted are refused with their own error before any backend server is called. */
 class RefusalsTest {
     private val rig: Rig = Fleet.rig(seed = 1)
 
@@ -45,6 +46,6 @@
         val caller = rig.send(Fleet.vms[0], call)
         rig.runFor(1_000)
         assertEquals(kind, caller.refusal)
-        assertTrue(rig.servers.values.all { it.books.isEmpty() }, "nothing may reach a backend server")
+        assertTrue(rig.servers.values.all { it.books.isEmpty() }, "no backend server may be called")
     }
 }
