Name the backend server code after what it does

Names such as homes, room, doubted and allowance hid that this is deterministic subsetting, capacity, restart detection and a limit on attempts in flight. Renames only.

--- a/core/src/main/kotlin/org/quetzalloom/core/backend/Room.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/AttemptLimits.kt
@@ -5,22 +5,22 @@
 import org.quetzalloom.core.time.Timestamp
 
 /** Returns the most attempts that this VM may have under way at [server] now. */
-internal fun RouterState.allowance(server: BackendServer, now: Timestamp): Int {
-    val homes = backends.homes[server.id] ?: return 0
+internal fun RouterState.attemptLimit(server: BackendServer, now: Timestamp): Int {
+    val vmCount = backends.subset[server.id] ?: return 0
     val health = backends.healthOf(server.id)
-    val limit = if (health.start == null || health.doubted) {
+    val limit = if (health.start == null || health.mayHaveRestarted) {
         server.coldCapacity
     } else {
         settings.policies.coldStartRamp.limit(server, now - health.startedAt)
     }
-    return if (limit >= server.capacity) (server.capacity + homes - 1) / homes else limit / homes
+    return if (limit >= server.capacity) (server.capacity + vmCount - 1) / vmCount else limit / vmCount
 }
 
 /** Returns whether this VM may start one more attempt at [server] now. */
-internal fun RouterState.hasRoom(server: BackendServer, now: Timestamp): Boolean {
+internal fun RouterState.hasCapacity(server: BackendServer, now: Timestamp): Boolean {
     val health = backends.healthOf(server.id)
-    val homes = backends.homes[server.id] ?: return false
+    val vmCount = backends.subset[server.id] ?: return false
     return now >= health.suspendedUntil &&
-        health.running < allowance(server, now) &&
-        health.unconfirmed < maxOf(1, server.coldCapacity / homes)
+        health.running < attemptLimit(server, now) &&
+        health.unaccepted < maxOf(1, server.coldCapacity / vmCount)
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/backend/BackendsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/BackendsPart.kt
@@ -19,57 +19,57 @@
 /** Watches backend servers: starts, load and failures, and which of them this VM may send to. */
 internal object BackendsPart : Part {
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step =
-        state.withHomes().handle(event, now)
+        state.withCurrentSubset().handle(event, now)
 
     private fun RouterState.handle(event: Event, now: Timestamp): Step = when (event) {
-        is Event.Tick -> askLoad(now)
-        is Event.OfBackend.Accepted -> accepted(event, now)
-        is Event.OfBackend.LoadReported -> reported(event, now)
-        is Event.OfBackend.LoadUnknown -> withHealth(event.server) { it.failed(now) }.unchanged()
-        is Event.PeerTold -> (event.message as? PeerMessage.Restarted)?.let { restarted(it, now) } ?: unchanged()
+        is Event.Tick -> requestDueLoads(now)
+        is Event.OfBackend.Accepted -> onAccepted(event, now)
+        is Event.OfBackend.LoadReported -> onLoadReported(event, now)
+        is Event.OfBackend.LoadUnknown -> withHealth(event.server) { it.afterFailure(now) }.unchanged()
+        is Event.PeerTold -> (event.message as? PeerMessage.Restarted)?.let { onPeerSawRestart(it, now) } ?: unchanged()
         else -> unchanged()
     }
 
-    private fun RouterState.withHomes(): RouterState {
+    private fun RouterState.withCurrentSubset(): RouterState {
         val current = configuration.view.current
         if (current == null || current.revision == backends.revision) return this
         return copy(
-            backends = backends.copy(revision = current.revision, homes = Homes.of(current, settings)),
+            backends = backends.copy(revision = current.revision, subset = DeterministicSubset.of(current, settings)),
         )
     }
 
-    private fun RouterState.askLoad(now: Timestamp): Step {
+    private fun RouterState.requestDueLoads(now: Timestamp): Step {
         val servers = configuration.view.current?.backendServers ?: return unchanged()
-        val due = backends.homes.keys.mapNotNull { servers[it] }.filter { isDue(it, now) }.sortedBy { it.id }
-        return due.fold(unchanged()) { reached, server -> reached.then { it.askLoad(server, now) } }
+        val due = backends.subset.keys.mapNotNull { servers[it] }.filter { isLoadReportDue(it, now) }.sortedBy { it.id }
+        return due.fold(unchanged()) { transition, server -> transition.then { it.requestLoad(server, now) } }
     }
 
-    private fun RouterState.isDue(server: BackendServer, now: Timestamp): Boolean {
-        val askedAt = backends.healthOf(server.id).askedAt
-        return askedAt == null || now - askedAt >= settings.limits.loadIntervalMilliseconds
+    private fun RouterState.isLoadReportDue(server: BackendServer, now: Timestamp): Boolean {
+        val loadRequestedAt = backends.healthOf(server.id).loadRequestedAt
+        return loadRequestedAt == null || now - loadRequestedAt >= settings.limits.loadIntervalMilliseconds
     }
 
-    private fun RouterState.accepted(event: Event.OfBackend.Accepted, now: Timestamp): Step {
+    private fun RouterState.onAccepted(event: Event.OfBackend.Accepted, now: Timestamp): Step {
         val running = requests.byAttemptOrNull(event.attempt)?.phase as? Phase.Running ?: return unchanged()
-        return sawStart(running.server, event.start, startedAt = now, now = now)
+        return observeStart(running.server, event.start, startedAt = now, now = now)
             .then {
                 it.withHealth(
                     running.server
                 ) { health ->
                     health.copy(
-                        doubted = health.doubted && health.start != event.start,
+                        mayHaveRestarted = health.mayHaveRestarted && health.start != event.start,
                         failures = 0
                     )
                 }.unchanged()
             }
     }
 
-    private fun RouterState.reported(event: Event.OfBackend.LoadReported, now: Timestamp): Step {
+    private fun RouterState.onLoadReported(event: Event.OfBackend.LoadReported, now: Timestamp): Step {
         val updated = withHealth(event.server) { it.copy(reportedRunning = event.running) }
-        return updated.sawStart(event.server, event.start, startedAt = now + -event.upForMilliseconds, now = now)
+        return updated.observeStart(event.server, event.start, startedAt = now + -event.upForMilliseconds, now = now)
     }
 
-    private fun RouterState.sawStart(
+    private fun RouterState.observeStart(
         server: BackendServerId,
         start: StartIdentity,
         startedAt: Timestamp,
@@ -81,19 +81,19 @@
             start == health.start -> withHealth(server) {
                 it.copy(startedAt = minOf(it.startedAt, startedAt))
             }.unchanged()
-            else -> newStart(server, start, startedAt, now)
+            else -> recordNewStart(server, start, startedAt, now)
         }
     }
 
-    private fun RouterState.newStart(
+    private fun RouterState.recordNewStart(
         server: BackendServerId,
         start: StartIdentity,
         startedAt: Timestamp,
         now: Timestamp,
     ): Step {
-        val known = backends.healthOf(server).start != null
-        val next = withHealth(server) { it.started(start, startedAt) }
-        val told = if (known) {
+        val wasKnown = backends.healthOf(server).start != null
+        val next = withHealth(server) { it.withStart(start, startedAt) }
+        val announced = if (wasKnown) {
             next.tellAll(
                 next.livePeers(now),
                 PeerMessage.Restarted(server, start)
@@ -101,11 +101,11 @@
         } else {
             next.unchanged()
         }
-        return told.then { it.report(now, "backend_server_started", "server" to server, "start" to start) }
+        return announced.then { it.report(now, "backend_server_started", "server" to server, "start" to start) }
     }
 
-    private fun RouterState.restarted(message: PeerMessage.Restarted, now: Timestamp): Step {
-        if (message.server !in backends.homes) return unchanged()
-        return sawStart(message.server, message.start, startedAt = now, now = now)
+    private fun RouterState.onPeerSawRestart(message: PeerMessage.Restarted, now: Timestamp): Step {
+        if (message.server !in backends.subset) return unchanged()
+        return observeStart(message.server, message.start, startedAt = now, now = now)
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/backend/BackendsState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/BackendsState.kt
@@ -7,13 +7,13 @@
 /**
  * The slice of [BackendsPart].
  *
- * @property revision the configuration revision that [homes] belongs to.
+ * @property revision the configuration revision that [subset] belongs to.
  * @property homes the backend servers that this VM may send to, each with the number of VMs that may.
  * @property health what is known of each of them.
  */
 internal data class BackendsState(
     val revision: Long = 0,
-    val homes: PersistentMap<BackendServerId, Int> = persistentMapOf(),
+    val subset: PersistentMap<BackendServerId, Int> = persistentMapOf(),
     val health: PersistentMap<BackendServerId, ServerHealth> = persistentMapOf(),
 ) {
     fun healthOf(server: BackendServerId): ServerHealth = health[server] ?: ServerHealth()
--- a/core/src/main/kotlin/org/quetzalloom/core/backend/Homes.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/DeterministicSubset.kt
@@ -14,24 +14,33 @@
  * A backend server has no more home VMs than requests that it bears when cold, so that each home may always
  * have one request under way. Backend servers of the same versions take the VMs in turn, which spreads both evenly.
  */
-internal object Homes {
+internal object DeterministicSubset {
     /** Returns the backend servers that the VM of [settings] may send to, each with the number of its homes. */
     fun of(configuration: Configuration, settings: RouterSettings): PersistentMap<BackendServerId, Int> {
         val vms = interleavedByZone(settings)
-        val turn = vms.indexOf(settings.vm)
+        val vmIndex = vms.indexOf(settings.vm)
         return pools(configuration)
-            .flatMap { pool -> pool.mapIndexedNotNull { place, server -> homeOrNull(server, place, turn, vms.size) } }
+            .flatMap { pool ->
+                pool.mapIndexedNotNull { serverIndex, server ->
+                    assignmentOrNull(server, serverIndex, vmIndex, vms.size)
+                }
+            }
             .toMap()
             .toPersistentMap()
     }
 
     /** Returns the number of VMs, of [fleetSize], that may send to [server]. */
-    fun count(server: BackendServer, fleetSize: Int): Int = server.coldCapacity.coerceIn(1, fleetSize)
+    fun vmCountOf(server: BackendServer, fleetSize: Int): Int = server.coldCapacity.coerceIn(1, fleetSize)
 
-    private fun homeOrNull(server: BackendServer, place: Int, turn: Int, fleetSize: Int): Pair<BackendServerId, Int>? {
-        val homes = count(server, fleetSize)
-        val distance = Math.floorMod(turn - place * homes, fleetSize)
-        return if (distance < homes) server.id to homes else null
+    private fun assignmentOrNull(
+        server: BackendServer,
+        serverIndex: Int,
+        vmIndex: Int,
+        fleetSize: Int,
+    ): Pair<BackendServerId, Int>? {
+        val vmCount = vmCountOf(server, fleetSize)
+        val distance = Math.floorMod(vmIndex - serverIndex * vmCount, fleetSize)
+        return if (distance < vmCount) server.id to vmCount else null
     }
 
     /** Backend servers that serve the same versions, in order. */
--- a/core/src/main/kotlin/org/quetzalloom/core/backend/TwoChoices.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/PowerOfTwoChoices.kt
@@ -6,7 +6,7 @@
  * @property otherZoneLoad the load, as a share of capacity, that a backend server in the VM's own availability
  *   zone may have more than one elsewhere and still be preferred.
  */
-public data class TwoChoices(public val otherZoneLoad: Double = 0.3) : ServerChoice {
+public data class PowerOfTwoChoices(public val crossZonePenalty: Double = 0.3) : ServerChoice {
     override fun choose(candidates: List<ServerCandidate>, seed: Long): ServerCandidate {
         val first = candidates[index(seed, candidates.size)]
         val others = candidates.filter { it.server != first.server }
@@ -15,7 +15,7 @@
         return listOf(first, second).minWith(compareBy({ it.score() }, { it.server }))
     }
 
-    private fun ServerCandidate.score(): Double = if (sameZone) load else load + otherZoneLoad
+    private fun ServerCandidate.score(): Double = if (sameZone) load else load + crossZonePenalty
 
     private fun index(seed: Long, size: Int): Int = Math.floorMod(seed, size.toLong()).toInt()
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/backend/ServerHealth.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/ServerHealth.kt
@@ -22,27 +22,27 @@
 internal data class ServerHealth(
     val start: StartIdentity? = null,
     val startedAt: Timestamp = Timestamp.EPOCH,
-    val doubted: Boolean = false,
+    val mayHaveRestarted: Boolean = false,
     val pastStarts: PersistentList<StartIdentity> = persistentListOf(),
     val reportedRunning: Int = 0,
     val running: Int = 0,
-    val unconfirmed: Int = 0,
+    val unaccepted: Int = 0,
     val failures: Int = 0,
     val suspendedUntil: Timestamp = Timestamp.EPOCH,
-    val askedAt: Timestamp? = null,
+    val loadRequestedAt: Timestamp? = null,
 ) {
     /** Returns the health after the backend server was seen to run since [seen]. */
-    fun started(seen: StartIdentity, at: Timestamp): ServerHealth = copy(
+    fun withStart(seen: StartIdentity, at: Timestamp): ServerHealth = copy(
         start = seen,
         startedAt = at,
-        doubted = false,
-        pastStarts = start?.let { pastStarts.add(it).takeLastStarts() } ?: pastStarts,
+        mayHaveRestarted = false,
+        pastStarts = start?.let { pastStarts.add(it).forgetOldest() } ?: pastStarts,
     )
 
-    private fun PersistentList<StartIdentity>.takeLastStarts(): PersistentList<StartIdentity> =
-        if (size > REMEMBERED_STARTS) removeAt(0) else this
+    private fun PersistentList<StartIdentity>.forgetOldest(): PersistentList<StartIdentity> =
+        if (size > MAX_PAST_STARTS) removeAt(0) else this
 
     private companion object {
-        const val REMEMBERED_STARTS = 8
+        const val MAX_PAST_STARTS = 8
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Attempts.kt
@@ -24,7 +24,7 @@
         if (phase.accepted) {
             unchanged()
         } else {
-            withHealth(phase.server) { it.copy(unconfirmed = it.unconfirmed - 1) }
+            withHealth(phase.server) { it.copy(unaccepted = it.unaccepted - 1) }
                 .put(request.copy(phase = phase.copy(accepted = true, progressAt = now)))
         }
     }
@@ -102,9 +102,9 @@
 
 /** Returns the state without the attempt of [phase], which no longer counts against its backend server. */
 internal fun RouterState.releaseAttempt(phase: Phase.Running): RouterState {
-    val unconfirmed = if (phase.accepted) 0 else 1
+    val unaccepted = if (phase.accepted) 0 else 1
     val freed = withHealth(phase.server) {
-        it.copy(running = it.running - 1, unconfirmed = it.unconfirmed - unconfirmed)
+        it.copy(running = it.running - 1, unaccepted = it.unaccepted - unaccepted)
     }
     return freed.copy(requests = freed.requests.copy(attempts = freed.requests.attempts.remove(phase.attempt)))
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/CrashChecks.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/CrashChecks.kt
@@ -1,6 +1,6 @@
 package org.quetzalloom.core.request
 
-import org.quetzalloom.core.backend.askLoad
+import org.quetzalloom.core.backend.requestLoad
 import org.quetzalloom.core.error.ErrorKind
 import org.quetzalloom.core.identity.BackendServerId
 import org.quetzalloom.core.membership.livePeers
@@ -18,7 +18,7 @@
 internal fun RouterState.checkForCrash(request: ActiveRequest, id: BackendServerId, now: Timestamp): Step {
     val asked = put(request.copy(phase = Phase.AwaitingCrashCheck(id, now)))
     val server = configuration.view.current?.backendServers?.get(id) ?: return asked
-    return asked.then { it.askLoad(server, now) }
+    return asked.then { it.requestLoad(server, now) }
 }
 
 /**
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Dispatch.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Dispatch.kt
@@ -104,7 +104,7 @@
     request: ActiveRequest,
 ): RouterState {
     val counted = backends.withHealth(server) {
-        it.copy(running = it.running + 1, unconfirmed = it.unconfirmed + 1)
+        it.copy(running = it.running + 1, unaccepted = it.unaccepted + 1)
     }
     val next = requests.put(request).copy(
         attempts = requests.attempts.put(attempt, request.id),
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Failures.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Failures.kt
@@ -1,8 +1,8 @@
 package org.quetzalloom.core.request
 
 import org.quetzalloom.core.backend.AttemptFailure
-import org.quetzalloom.core.backend.failed
-import org.quetzalloom.core.backend.refusedWork
+import org.quetzalloom.core.backend.afterFailure
+import org.quetzalloom.core.backend.afterRefusal
 import org.quetzalloom.core.backend.withHealth
 import org.quetzalloom.core.effect.Effect
 import org.quetzalloom.core.error.ErrorKind
@@ -55,7 +55,7 @@
     failure: AttemptFailure,
     now: Timestamp,
 ): RouterState =
-    withHealth(server) { if (failure == AttemptFailure.REFUSED) it.refusedWork(now) else it.failed(now) }
+    withHealth(server) { if (failure == AttemptFailure.REFUSED) it.afterRefusal(now) else it.afterFailure(now) }
 
 /**
  * Decides how [request] goes on after its attempt failed.
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Placement.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Placement.kt
@@ -1,7 +1,7 @@
 package org.quetzalloom.core.request
 
 import org.quetzalloom.core.backend.ServerCandidate
-import org.quetzalloom.core.backend.hasRoom
+import org.quetzalloom.core.backend.hasCapacity
 import org.quetzalloom.core.configuration.BackendServer
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.router.stableHash
@@ -14,7 +14,7 @@
  * since it is queued again only if it did not run there. A trial runs at the backend server announced to the peers.
  */
 internal fun RouterState.chooseServer(request: ActiveRequest, now: Timestamp): BackendServer? {
-    val free = serversFor(request).filter { hasRoom(it, now) }
+    val free = serversFor(request).filter { hasCapacity(it, now) }
     val fresh = free.filter { it.id !in request.failedServers }
     val candidates = if (request.command == null) fresh.ifEmpty { free } else free
     return when {
@@ -27,7 +27,7 @@
 /** Returns the backend servers in service that serve the version of [request] and that this VM may use, by id. */
 internal fun RouterState.serversFor(request: ActiveRequest): List<BackendServer> {
     val current = configuration.view.current ?: return emptyList()
-    return backends.homes.keys.mapNotNull { current.backendServers[it] }
+    return backends.subset.keys.mapNotNull { current.backendServers[it] }
         .filter { request.version in it.versions && current.isInService(it) }
         .sortedBy { it.id }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Versions.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Versions.kt
@@ -104,7 +104,7 @@
 /** Returns whether this VM may send to at least one backend server in service that serves [version]. */
 private fun RouterState.hasServerInService(version: VersionId): Boolean {
     val current = configuration.view.current ?: return false
-    return backends.homes.keys.any { id ->
+    return backends.subset.keys.any { id ->
         val server = current.backendServers[id]
         server != null && version in server.versions && current.isInService(server)
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/router/RouterStatus.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/router/RouterStatus.kt
@@ -49,5 +49,5 @@
     keptBills = billing.kept.size,
     commands = ledger.entries.size,
     livePeers = livePeers(now),
-    running = backends.homes.keys.associateWith { backends.healthOf(it).running }.toPersistentMap(),
+    running = backends.subset.keys.associateWith { backends.healthOf(it).running }.toPersistentMap(),
 )
