Document the backend server code in the terms of the field

The comments on subsetting, cold starts, suspension and the choice of a server used private words (homes, bears, room, doubt). They now name the mechanism and give the reasons for its limits. Three texts of assertions in ServersUnderFailureTest are reworded; what it checks is the same.

--- a/core/src/main/kotlin/org/quetzalloom/core/backend/AttemptFailure.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/AttemptFailure.kt
@@ -1,20 +1,20 @@
 package org.quetzalloom.core.backend
 
 /**
- * Why an attempt failed.
+ * The reason why an attempt failed.
  *
- * @property mayHaveRun whether some of the request may have reached the backend server and been run.
+ * @property mayHaveRun whether the request may have reached the backend server and been executed, even in part.
  */
 public enum class AttemptFailure(public val mayHaveRun: Boolean) {
-    /** No connection could be made, so no byte was sent. */
+    /** The connection could not be established, so no byte of the request was sent. */
     NOT_SENT(mayHaveRun = false),
 
-    /** The backend server said that it did not run the request. */
+    /** The backend server answered that it did not run the request. */
     REFUSED(mayHaveRun = false),
 
-    /** The connection broke, or the answer made no sense. */
+    /** The connection broke, or the answer could not be understood. */
     BROKEN(mayHaveRun = true),
 
-    /** Nothing came for too long. */
+    /** A timeout passed without progress, or the answer did not continue where it had to; the router cancelled it. */
     NO_PROGRESS(mayHaveRun = true),
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/backend/AttemptLimits.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/AttemptLimits.kt
@@ -4,7 +4,12 @@
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.time.Timestamp
 
-/** Returns the most attempts that this VM may have under way at [server] now. */
+/**
+ * Returns the maximum number of attempts that this VM may have in flight at [server] now: 0 if it may not send to it.
+ *
+ * The limit of the whole fleet is divided among the VMs that share the backend server: rounded up at full capacity, and
+ * down during warm-up. A backend server whose start is unknown or unconfirmed counts as cold.
+ */
 internal fun RouterState.attemptLimit(server: BackendServer, now: Timestamp): Int {
     val vmCount = backends.subset[server.id] ?: return 0
     val health = backends.healthOf(server.id)
@@ -16,7 +21,12 @@
     return if (limit >= server.capacity) (server.capacity + vmCount - 1) / vmCount else limit / vmCount
 }
 
-/** Returns whether this VM may start one more attempt at [server] now. */
+/**
+ * Returns whether this VM may start one more attempt at [server] now.
+ *
+ * Attempts that are not accepted yet are limited to this VM's share of the cold capacity, since the backend server may
+ * have restarted unnoticed.
+ */
 internal fun RouterState.hasCapacity(server: BackendServer, now: Timestamp): Boolean {
     val health = backends.healthOf(server.id)
     val vmCount = backends.subset[server.id] ?: return false
--- a/core/src/main/kotlin/org/quetzalloom/core/backend/AttemptOrder.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/AttemptOrder.kt
@@ -7,12 +7,12 @@
 import org.quetzalloom.core.request.Target
 
 /**
- * What a backend server is asked to do.
+ * A request to a backend server: one attempt to run the request of a caller.
  *
  * @property address host and port of the backend server.
- * @property resumeFrom the tokens of the answer that the caller already has.
- * @property fencing the fencing number, or `null` where the call may be repeated.
- * @property scope the command that [fencing] belongs to, or `null` where the call may be repeated.
+ * @property resumeFrom the number of tokens that the caller has received; the answer continues after them.
+ * @property fencing the fencing number of the command, or `null` where the request may be repeated.
+ * @property scope the command that [fencing] applies to, or `null` where the request may be repeated.
  */
 public data class AttemptOrder(
     public val attempt: AttemptId,
--- a/core/src/main/kotlin/org/quetzalloom/core/backend/BackendsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/BackendsPart.kt
@@ -16,7 +16,11 @@
 import org.quetzalloom.core.router.unchanged
 import org.quetzalloom.core.time.Timestamp
 
-/** Watches backend servers: starts, load and failures, and which of them this VM may send to. */
+/**
+ * Tracks the backend servers: their restarts, load and failures, and the subset that this VM may send to.
+ *
+ * Load reports serve as health checks: one that is missing counts as a failure.
+ */
 internal object BackendsPart : Part {
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step =
         state.withCurrentSubset().handle(event, now)
@@ -30,6 +34,7 @@
         else -> unchanged()
     }
 
+    /** Returns the state with the subset recomputed if the configuration has changed. */
     private fun RouterState.withCurrentSubset(): RouterState {
         val current = configuration.view.current
         if (current == null || current.revision == backends.revision) return this
@@ -38,6 +43,7 @@
         )
     }
 
+    /** Requests a load report from each backend server of the subset whose last one was requested long enough ago. */
     private fun RouterState.requestDueLoads(now: Timestamp): Step {
         val servers = configuration.view.current?.backendServers ?: return unchanged()
         val due = backends.subset.keys.mapNotNull { servers[it] }.filter { isLoadReportDue(it, now) }.sortedBy { it.id }
@@ -49,6 +55,7 @@
         return loadRequestedAt == null || now - loadRequestedAt >= settings.limits.loadIntervalMilliseconds
     }
 
+    /** Resets the failures of a backend server that has begun to answer, and records the start that it names. */
     private fun RouterState.onAccepted(event: Event.OfBackend.Accepted, now: Timestamp): Step {
         val running = requests.byAttemptOrNull(event.attempt)?.phase as? Phase.Running ?: return unchanged()
         return observeStart(running.server, event.start, startedAt = now, now = now)
@@ -69,6 +76,11 @@
         return updated.observeStart(event.server, event.start, startedAt = now + -event.upForMilliseconds, now = now)
     }
 
+    /**
+     * Records that [server] was seen running since [start].
+     *
+     * A late message about an earlier start is ignored. Of several times seen for the same start, the earliest is kept.
+     */
     private fun RouterState.observeStart(
         server: BackendServerId,
         start: StartIdentity,
@@ -85,6 +97,7 @@
         }
     }
 
+    /** Resets [server] to cold, and announces the restart to the peers unless this is the first start seen. */
     private fun RouterState.recordNewStart(
         server: BackendServerId,
         start: StartIdentity,
@@ -104,6 +117,7 @@
         return announced.then { it.report(now, "backend_server_started", "server" to server, "start" to start) }
     }
 
+    /** Records a restart that a peer has seen, if this VM may send to the backend server. */
     private fun RouterState.onPeerSawRestart(message: PeerMessage.Restarted, now: Timestamp): Step {
         if (message.server !in backends.subset) return unchanged()
         return observeStart(message.server, message.start, startedAt = now, now = now)
--- a/core/src/main/kotlin/org/quetzalloom/core/backend/DeterministicSubset.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/DeterministicSubset.kt
@@ -9,13 +9,18 @@
 import org.quetzalloom.core.router.RouterSettings
 
 /**
- * The deterministic subset: which VMs may send to which backend server.
+ * Deterministic subsetting: assigns to each VM the backend servers that it may send to.
  *
- * A backend server has no more home VMs than requests that it bears when cold, so that each home may always
- * have one request under way. Backend servers of the same versions take the VMs in turn, which spreads both evenly.
+ * A backend server is assigned to at most as many VMs as the requests that it can run when cold, so that each of them
+ * may always have one request in flight. Backend servers of the same versions are assigned to the VMs round-robin,
+ * which spreads both evenly.
  */
 internal object DeterministicSubset {
-    /** Returns the backend servers that the VM of [settings] may send to, each with the number of its homes. */
+    /**
+     * Returns the backend servers that the VM of [settings] may send to, each with the number of VMs that share it.
+     *
+     * Every VM computes the same assignment from the same configuration and fleet.
+     */
     fun of(configuration: Configuration, settings: RouterSettings): PersistentMap<BackendServerId, Int> {
         val vms = interleavedByZone(settings)
         val vmIndex = vms.indexOf(settings.vm)
@@ -29,9 +34,10 @@
             .toPersistentMap()
     }
 
-    /** Returns the number of VMs, of [fleetSize], that may send to [server]. */
+    /** Returns the number of VMs that may send to [server]: its cold capacity, within 1..[fleetSize]. */
     fun vmCountOf(server: BackendServer, fleetSize: Int): Int = server.coldCapacity.coerceIn(1, fleetSize)
 
+    /** Returns [server] and the number of VMs that share it, or `null` if the VM at [vmIndex] is not one of them. */
     private fun assignmentOrNull(
         server: BackendServer,
         serverIndex: Int,
@@ -43,11 +49,11 @@
         return if (distance < vmCount) server.id to vmCount else null
     }
 
-    /** Backend servers that serve the same versions, in order. */
+    /** Returns the backend servers grouped by the versions that they serve, ordered by id. */
     private fun pools(configuration: Configuration): Collection<List<BackendServer>> =
         configuration.backendServers.values.sortedBy { it.id }.groupBy { it.versions.sorted() }.values
 
-    /** All VMs, so that neighbours are in different availability zones as far as can be. */
+    /** Returns all VMs ordered so that neighbours are in different availability zones as far as possible. */
     private fun interleavedByZone(settings: RouterSettings): List<VmId> {
         val byZone = settings.fleet.entries.groupBy({ it.value }, { it.key })
         val ranked = byZone.entries.sortedBy { it.key }.flatMap { (zone, vms) ->
--- a/core/src/main/kotlin/org/quetzalloom/core/backend/LinearRamp.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/LinearRamp.kt
@@ -2,7 +2,7 @@
 
 import org.quetzalloom.core.configuration.BackendServer
 
-/** Rises in a straight line from the cold capacity to the whole capacity over the warm-up time. */
+/** Raises the limit linearly from the cold capacity to the full capacity over the warm-up time. */
 public data object LinearRamp : ColdStartRamp {
     override fun limit(server: BackendServer, sinceStartMilliseconds: Long): Int {
         val elapsed = sinceStartMilliseconds.coerceIn(0, server.warmUpMilliseconds)
--- a/core/src/main/kotlin/org/quetzalloom/core/backend/PowerOfTwoChoices.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/PowerOfTwoChoices.kt
@@ -1,10 +1,10 @@
 package org.quetzalloom.core.backend
 
 /**
- * Draws two candidates and takes the one with less load, where another availability zone counts as some load.
+ * Draws two candidates at random and chooses the one with the lower load, with a penalty for other availability zones.
  *
- * @property otherZoneLoad the load, as a share of capacity, that a backend server in the VM's own availability
- *   zone may have more than one elsewhere and still be preferred.
+ * @property crossZonePenalty the load, as a share of capacity, that is added to a candidate in another zone before
+ *   the two are compared.
  */
 public data class PowerOfTwoChoices(public val crossZonePenalty: Double = 0.3) : ServerChoice {
     override fun choose(candidates: List<ServerCandidate>, seed: Long): ServerCandidate {
--- a/core/src/main/kotlin/org/quetzalloom/core/backend/ServerCandidate.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/ServerCandidate.kt
@@ -3,9 +3,9 @@
 import org.quetzalloom.core.identity.BackendServerId
 
 /**
- * A backend server that may take a request now.
+ * A backend server that has room for a request now.
  *
- * @property load the requests that it is known to run, as a share of its capacity.
+ * @property load the number of requests that it is known to run, as a share of its capacity; 1.0 is fully loaded.
  * @property sameZone whether it is in the availability zone of this VM.
  */
 public data class ServerCandidate(
--- a/core/src/main/kotlin/org/quetzalloom/core/backend/ServerChoice.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/ServerChoice.kt
@@ -1,12 +1,12 @@
 package org.quetzalloom.core.backend
 
-/** Decides which backend server takes a request. */
+/** Decides which backend server runs an attempt. */
 public fun interface ServerChoice {
     /**
      * Returns one of [candidates].
      *
-     * @param candidates the backend servers that may take the request, in a fixed order; not empty.
-     * @param seed a number that differs between attempts and decides what is left to chance.
+     * @param candidates the backend servers that have room for the request, ordered by id; not empty.
+     * @param seed the source of all random decisions, different for each attempt.
      */
     public fun choose(candidates: List<ServerCandidate>, seed: Long): ServerCandidate
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/backend/ServerHealth.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/ServerHealth.kt
@@ -6,18 +6,18 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * What one VM knows of one backend server.
+ * What this VM knows about one backend server.
  *
- * @property start the start that it runs since, or `null` when unknown.
- * @property startedAt the latest time at which that start can have been.
- * @property doubted whether a connection broke since the start was last confirmed.
- * @property pastStarts earlier starts, newest last; late reports of them are ignored.
- * @property reportedRunning the requests that it ran by its last report.
- * @property running the attempts of this VM that it runs.
- * @property unconfirmed those of [running] that it has not begun to answer.
- * @property failures the failures since the last success.
- * @property suspendedUntil it receives no new work before this time.
- * @property askedAt when it was last asked for a report.
+ * @property start the identity of its current start, or `null` if unknown.
+ * @property startedAt the latest time at which that start can have happened; the warm-up counts from here.
+ * @property mayHaveRestarted whether a failure occurred since [start] was last confirmed by an accepted attempt.
+ * @property pastStarts earlier starts, newest last, kept so that late reports of them are ignored.
+ * @property reportedRunning the number of requests from the whole fleet that it ran by its last load report.
+ * @property running the number of attempts of this VM in flight there.
+ * @property unaccepted the number of those of [running] that it has not begun to answer.
+ * @property failures the number of failures since the last success.
+ * @property suspendedUntil the time before which it receives no new work.
+ * @property loadRequestedAt the time of the last load request, or `null` before the first.
  */
 internal data class ServerHealth(
     val start: StartIdentity? = null,
@@ -31,7 +31,7 @@
     val suspendedUntil: Timestamp = Timestamp.EPOCH,
     val loadRequestedAt: Timestamp? = null,
 ) {
-    /** Returns the health after the backend server was seen to run since [seen]. */
+    /** Returns the health after a new start was seen: [seen] is its identity and [at] its time. */
     fun withStart(seen: StartIdentity, at: Timestamp): ServerHealth = copy(
         start = seen,
         startedAt = at,
--- a/core/src/test/kotlin/org/quetzalloom/core/backend/ServersUnderFailureTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/backend/ServersUnderFailureTest.kt
@@ -13,6 +13,10 @@
 import kotlin.test.Test
 import kotlin.test.assertTrue
 
+/**
+ * Backend servers must not be overloaded while they warm up after a restart, and must receive no new work after they or
+ * their availability zone were taken out, even if the log goes down just after the change was accepted.
+ */
 class ServersUnderFailureTest {
     @Test
     fun aServerThatHasJustStartedIsNotOverloaded() = seeds(SEEDS).forEach { seed ->
@@ -24,7 +28,7 @@
     fun withoutTheRampColdServersAreOverloaded() {
         val policies = RouterPolicies(coldStartRamp = { server, _ -> server.capacity })
         val found = seeds(SEEDS).sumOf { overloads(load(it, policies)).size }
-        assertTrue(found > 0, "the check must find what the ramp prevents")
+        assertTrue(found > 0, "without the ramp some cold server must be overloaded")
     }
 
     @Test
@@ -39,7 +43,7 @@
         requireNoWork(seed, ConfigurationChange.SetLeaving(leaving, leaving = true)) { it.server.id == leaving }
     }
 
-    /** Accepts [change] and lets the log go down just after; the servers [concerned] must get no new work. */
+    /** Applies [change], takes the log down just after, and requires that the servers [concerned] get no new work. */
     private fun requireNoWork(
         seed: Long,
         change: ConfigurationChange,
@@ -56,7 +60,7 @@
         val late = rig.servers.values.filter(concerned).flatMap { it.books }
             .filter { it.at > acceptedAt + A_FEW_SECONDS_MILLISECONDS }
         requireNone(seed, rig, late.map { "${it.order.server} got work at ${it.at}" })
-        assertTrue(rig.callers.all { it.whole }, "running work must be finished, and the rest go elsewhere")
+        assertTrue(rig.callers.all { it.whole }, "running requests must finish there, and all others elsewhere")
     }
 
     private fun load(seed: Long, policies: RouterPolicies): Rig {
@@ -74,7 +78,7 @@
     }
 
     private fun overloads(rig: Rig): List<String> = rig.servers.values.filter { it.overloads > 0 }
-        .map { "${it.server.id} went down ${it.overloads} times under too much work" }
+        .map { "${it.server.id} was overloaded ${it.overloads} times and went down" }
 
     private companion object {
         const val SEEDS = 40
