--- a/core/src/main/kotlin/org/quetzalloom/core/request/Arrival.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Arrival.kt
@@ -19,14 +19,15 @@
 import org.quetzalloom.core.session.sessionHome
 import org.quetzalloom.core.time.Timestamp
 
-/** Takes a request that arrives, or refuses it. */
-internal fun RouterState.arrive(event: Event.OfCaller.Arrived, now: Timestamp): Step =
+/** Admits a new request and starts to process it, or refuses it. */
+internal fun RouterState.onArrived(event: Event.OfCaller.Arrived, now: Timestamp): Step =
     admit(event.call, now).fold(
-        success = { take(event, it, now) },
-        failure = { refuseAtOnce(event, it, now) },
+        success = { acceptArrival(event, it, now) },
+        failure = { refuseArrival(event, it, now) },
     )
 
-private fun RouterState.refuseAtOnce(event: Event.OfCaller.Arrived, error: RouterError, now: Timestamp): Step =
+/** Refuses a request that admission rejected; it never becomes an active request. */
+private fun RouterState.refuseArrival(event: Event.OfCaller.Arrived, error: RouterError, now: Timestamp): Step =
     with(Effect.OfCaller.Refuse(event.request, error)).then {
         it.report(
             now,
@@ -39,7 +40,8 @@
         )
     }
 
-private fun RouterState.take(event: Event.OfCaller.Arrived, admitted: Admitted, now: Timestamp): Step {
+/** Creates the active request, adds its share to the retry budget and moves it to its first phase. */
+private fun RouterState.acceptArrival(event: Event.OfCaller.Arrived, admitted: Admitted, now: Timestamp): Step {
     val fingerprint = Fingerprint.of(event.call)
     val subject = event.call.session?.let { SessionKey(event.call.workspace, it).toString() } ?: event.request.value
     val request = ActiveRequest(
@@ -51,7 +53,7 @@
         version = chooseVersion(event.call, admitted.versions, subject),
         command = admitted.command,
     )
-    return copy(requests = requests.withBudget(settings.limits.retryBudgetRatio))
+    return copy(requests = requests.addToRetryBudget(settings.limits.retryBudgetRatio))
         .report(
             now,
             "request_arrived",
@@ -60,31 +62,43 @@
             "session" to event.call.session,
             "key" to event.call.key,
         )
-        .then { it.begin(request, admitted, now) }
+        .then { it.enterFirstPhase(request, admitted, now) }
 }
 
-private fun RouterState.begin(request: ActiveRequest, admitted: Admitted, now: Timestamp): Step {
+/**
+ * Moves a new request to its first phase: a command waits for its intent, a suspected request for its trial, and a
+ * request of a session for the version of the session. All others are queued.
+ */
+private fun RouterState.enterFirstPhase(request: ActiveRequest, admitted: Admitted, now: Timestamp): Step {
     val key = request.sessionKey
     return when {
-        request.command != null -> propose(request, now)
-        quarantine.suspicions[request.fingerprint] != null && request.phase == Phase.Queued -> awaitTrial(request, now)
-        key != null -> joinSession(request, key, admitted, now)
+        request.command != null -> proposeIntent(request, now)
+        quarantine.suspicions[request.fingerprint] != null && request.phase == Phase.Queued ->
+            startTrialOrWait(request, now)
+        key != null -> resolveSessionVersion(request, key, admitted, now)
         else -> put(request)
     }
 }
 
-/** Gives the request the version of its session: from its token, from memory, or from the session's home VM. */
-private fun RouterState.joinSession(
+/**
+ * Finds the version of the session of [request].
+ *
+ * The version comes from the session token, else from the assignment known here, as long as it may be used. If there
+ * is none, the home VM of the session decides: this VM at once if it is the home, else the request waits for the answer
+ * of the home VM. If the version known is not among those that the request may run on, the request runs without the
+ * session on the version chosen for it.
+ */
+private fun RouterState.resolveSessionVersion(
     request: ActiveRequest,
     key: SessionKey,
     admitted: Admitted,
     now: Timestamp,
 ): Step {
-    val fits = admitted.versions.map { it.id }
-    val known = admitted.token?.version?.takeIf { it in fits } ?: assignedOrNull(key)
+    val usableIds = admitted.versions.map { it.id }
+    val known = admitted.token?.version?.takeIf { it in usableIds } ?: assignedOrNull(key)
     val home = sessionHome(key, now)
     return when {
-        known != null && known in fits -> decide(key, known, now).then { it.put(request.pinnedTo(known)) }
+        known != null && known in usableIds -> decide(key, known, now).then { it.put(request.pinnedTo(known)) }
         known != null -> put(request)
         home == settings.vm -> decide(key, request.version, now).then { it.put(request.pinnedTo(request.version)) }
         else -> put(request.copy(phase = Phase.AwaitingSession(now))).then {
@@ -93,5 +107,6 @@
     }
 }
 
+/** Returns the request bound to [version], the version of its session. */
 internal fun ActiveRequest.pinnedTo(version: VersionId): ActiveRequest =
     copy(version = version, pinned = true)
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/CrashChecks.kt
@@ -0,0 +1,71 @@
+package org.quetzalloom.core.request
+
+import org.quetzalloom.core.backend.requestLoad
+import org.quetzalloom.core.error.ErrorKind
+import org.quetzalloom.core.identity.BackendServerId
+import org.quetzalloom.core.membership.livePeers
+import org.quetzalloom.core.peer.PeerMessage
+import org.quetzalloom.core.quarantine.suspected
+import org.quetzalloom.core.quarantine.withTrial
+import org.quetzalloom.core.reducer.then
+import org.quetzalloom.core.router.RouterState
+import org.quetzalloom.core.router.Step
+import org.quetzalloom.core.router.sendToPeers
+import org.quetzalloom.core.router.unchanged
+import org.quetzalloom.core.time.Timestamp
+
+/** Requests a load report to learn whether the backend server went down, before [request] is run anywhere else. */
+internal fun RouterState.checkForCrash(request: ActiveRequest, id: BackendServerId, now: Timestamp): Step {
+    val asked = put(request.copy(phase = Phase.AwaitingCrashCheck(id, now)))
+    val server = configuration.view.current?.backendServers?.get(id) ?: return asked
+    return asked.then { it.requestLoad(server, now) }
+}
+
+/**
+ * Resolves the crash checks of all requests whose connection to [server] broke.
+ *
+ * @param down whether [server] went down: it did not report, or reports a start of a moment ago. The requests then
+ *   become suspects; otherwise they are retried.
+ */
+internal fun RouterState.resolveCrashChecks(server: BackendServerId, down: Boolean, now: Timestamp): Step {
+    val pending = requests.waiting.sorted().mapNotNull { requests.active[it] }
+        .filter { (it.phase as? Phase.AwaitingCrashCheck)?.server == server }
+    return pending.fold(unchanged()) { transition, request ->
+        transition.then { if (down) it.recordCrash(request, server, now) else it.retry(request, now) }
+    }
+}
+
+/**
+ * Records that [server] went down while it ran [request], and announces it to the peers.
+ *
+ * The second crash refuses the request for good; after the first it is retried as a trial.
+ */
+internal fun RouterState.recordCrash(request: ActiveRequest, server: BackendServerId, now: Timestamp): Step {
+    val known = suspected(request.fingerprint, server, now)
+    val condemned = known.quarantine.suspicions[request.fingerprint]?.condemned == true
+    val next = known.withTrial(request.fingerprint, by = settings.vm.takeUnless { condemned }, at = null, now = now)
+    val announced = next.sendToPeers(
+        next.livePeers(now),
+        PeerMessage.Suspect(request.fingerprint, server, trial = !condemned),
+    )
+    return announced.then {
+        if (condemned) {
+            it.refuse(request, ErrorKind.QUARANTINED, "the request took down two backend servers", now)
+        } else {
+            it.retry(request.copy(tokensAtSuspicion = request.deliveredTokens), now, Phase.AwaitingTrial)
+        }
+    }
+}
+
+/**
+ * Moves [request] to [phase] for one more attempt and takes one retry from the budget.
+ *
+ * Refuses it if it has used all its attempts or the retry budget is spent.
+ */
+internal fun RouterState.retry(request: ActiveRequest, now: Timestamp, phase: Phase = Phase.Queued): Step = when {
+    request.attemptCount >= settings.limits.triesPerRequest ->
+        refuse(request, ErrorKind.BACKEND_FAILED, "${request.attemptCount} attempts failed", now)
+    requests.retryBudget < 1 ->
+        refuse(request, ErrorKind.BACKEND_FAILED, "an attempt failed and the retry budget is used up", now)
+    else -> copy(requests = requests.addToRetryBudget(-1.0)).put(request.copy(phase = phase))
+}
