--- a/relay/src/main/kotlin/org/quetzalloom/relay/ExchangeTable.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/ExchangeTable.kt
@@ -5,8 +5,8 @@
 import org.quetzalloom.core.relay.exchange.ExchangeId
 import org.quetzalloom.core.relay.exchange.RelayRequest
 import org.quetzalloom.relay.backend.BackendCall
-import org.quetzalloom.relay.caller.AnswerWriter
 import org.quetzalloom.relay.caller.CallerExchange
+import org.quetzalloom.relay.caller.ResponseWriter
 
 /** The requests that have not been answered yet, with their bodies. Confined to the loop's thread. */
 internal class ExchangeTable {
@@ -14,8 +14,8 @@
     private var lastId = 0L
 
     /** Adds a request, whose [body] is released when it is removed. */
-    fun add(request: RelayRequest, head: HttpRequest, body: ByteBuf, answer: AnswerWriter): CallerExchange {
-        val exchange = CallerExchange(ExchangeId(++lastId), request, head, body, answer)
+    fun add(request: RelayRequest, head: HttpRequest, body: ByteBuf, response: ResponseWriter): CallerExchange {
+        val exchange = CallerExchange(ExchangeId(++lastId), request, head, body, response)
         exchanges[exchange.id] = exchange
         return exchange
     }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/Callers.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/ReducerRequestHandler.kt
@@ -11,9 +11,9 @@
 import org.quetzalloom.core.relay.RelayEffect
 import org.quetzalloom.core.relay.RelayEvent
 import org.quetzalloom.core.relay.exchange.RelayRequest
-import org.quetzalloom.relay.caller.AnswerWriter
 import org.quetzalloom.relay.caller.CallerExchange
-import org.quetzalloom.relay.caller.CallerHandler
+import org.quetzalloom.relay.caller.RequestHandler
+import org.quetzalloom.relay.caller.ResponseWriter
 import org.quetzalloom.relay.http.MessageCodec
 import org.quetzalloom.relay.report.Reporter
 
@@ -22,52 +22,52 @@
  *
  * @param post hands an event to the reducer.
  */
-internal class Callers(
+internal class ReducerRequestHandler(
     private val exchanges: ExchangeTable,
     private val codec: MessageCodec,
     private val reporter: Reporter,
     private val post: (RelayEvent) -> Unit,
-) : CallerHandler {
+) : RequestHandler {
     /** Answers the request of [effect], if it has not been answered yet. */
     fun refuse(effect: RelayEffect.Refuse) {
         val exchange = exchanges.remove(effect.exchange) ?: return
-        refuse(exchange.answer, effect.kind, effect.detail, effect.retryAfterMilliseconds)
+        refuse(exchange.response, effect.kind, effect.detail, effect.retryAfterMilliseconds)
     }
 
-    override fun arrived(head: HttpRequest, body: ByteBuf, answer: AnswerWriter): CallerExchange? =
+    override fun onRequest(head: HttpRequest, body: ByteBuf, response: ResponseWriter): CallerExchange? =
         codec.decodeRequest(head).fold(
-            success = { arrived(it, head, body, answer) },
+            success = { onRequest(it, head, body, response) },
             failure = { problem ->
                 body.release()
-                refuse(answer, ErrorKind.MALFORMED, problem, retryAfterMilliseconds = null)
+                refuse(response, ErrorKind.MALFORMED, problem, retryAfterMilliseconds = null)
                 null
             },
         )
 
-    override fun callerLeft(exchange: CallerExchange) {
+    override fun onCallerDisconnected(exchange: CallerExchange) {
         if (exchanges.getOrNull(exchange.id) == null) return
         post(RelayEvent.CallerLeft(exchange.id))
         exchange.call?.abandon()
         exchanges.remove(exchange.id)
     }
 
-    override fun refuse(answer: AnswerWriter, kind: ErrorKind, detail: String, retryAfterMilliseconds: Long?) {
+    override fun refuse(response: ResponseWriter, kind: ErrorKind, detail: String, retryAfterMilliseconds: Long?) {
         reporter.countRefusal(kind)
         val headers = DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8")
         retryAfterMilliseconds?.let { codec.encodeRetryAfter(headers, it) }
         val body = Unpooled.copiedBuffer("${kind.code}: $detail\n", Charsets.UTF_8)
-        answer.writeWhole(HttpResponseStatus.valueOf(kind.status), headers, body)
+        response.writeWhole(HttpResponseStatus.valueOf(kind.status), headers, body)
     }
 
     override fun reportProblem(name: String, cause: Throwable): Unit = reporter.problem(name, cause)
 
-    private fun arrived(
+    private fun onRequest(
         request: RelayRequest,
         head: HttpRequest,
         body: ByteBuf,
-        answer: AnswerWriter,
+        response: ResponseWriter,
     ): CallerExchange? {
-        val exchange = exchanges.add(request, head, body, answer)
+        val exchange = exchanges.add(request, head, body, response)
         post(RelayEvent.RequestArrived(exchange.id, request))
         return exchanges.getOrNull(exchange.id)
     }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
@@ -8,9 +8,9 @@
 import org.quetzalloom.core.relay.exchange.AttemptFailure
 import org.quetzalloom.core.time.Clock
 import org.quetzalloom.relay.backend.BackendCall
+import org.quetzalloom.relay.backend.BackendCallListener
 import org.quetzalloom.relay.backend.BackendPool
-import org.quetzalloom.relay.backend.CallEvents
-import org.quetzalloom.relay.caller.CallerFront
+import org.quetzalloom.relay.caller.CallerServer
 import org.quetzalloom.relay.http.Address
 import org.quetzalloom.relay.http.MessageCodec
 import org.quetzalloom.relay.report.Reporter
@@ -27,23 +27,23 @@
     reporter: Reporter,
     clock: Clock,
     private val post: (RelayEvent) -> Unit,
-) : CallEvents {
+) : BackendCallListener {
     private val exchanges = ExchangeTable()
-    private val callers = Callers(exchanges, codec, reporter, post)
-    private val front = CallerFront(callers)
+    private val requestHandler = ReducerRequestHandler(exchanges, codec, reporter, post)
+    private val callerServer = CallerServer(requestHandler)
     private val pool = BackendPool(group, codec, clock)
 
     /** Connections of callers that are open. */
-    val callerConnections: Int get() = front.size
+    val callerConnections: Int get() = callerServer.size
 
     /** Connections to backend servers that are open. */
     val backendConnections: Int get() = pool.size
 
     /** Connections to backend servers that were made. */
-    val backendConnectionsMade: Long get() = pool.made
+    val backendConnectionsOpened: Long get() = pool.connectionsOpened
 
     /** Listens for callers at [address]. */
-    fun listen(address: Address): Unit = front.listen(group, address)
+    fun listen(address: Address): Unit = callerServer.listen(group, address)
 
     /** Closes backend connections that have been idle for too long. */
     fun prune(): Unit = pool.prune()
@@ -52,25 +52,25 @@
     fun carryOut(effect: RelayEffect) {
         when (effect) {
             is RelayEffect.Send -> send(effect)
-            is RelayEffect.PassOn -> exchanges.callOrNull(effect.exchange, effect.attempt)?.passOn()
+            is RelayEffect.PassOn -> exchanges.callOrNull(effect.exchange, effect.attempt)?.forward()
             is RelayEffect.Abandon -> exchanges.callOrNull(effect.exchange, effect.attempt)?.abandon()
-            is RelayEffect.Refuse -> callers.refuse(effect)
-            is RelayEffect.CutOff -> exchanges.remove(effect.exchange)?.answer?.cutOff()
-            is RelayEffect.ApplyLimits -> front.limits = effect.limits
-            RelayEffect.CloseAfterAnswers -> front.stop(group, IDLE_CLOSE_MILLISECONDS)
+            is RelayEffect.Refuse -> requestHandler.refuse(effect)
+            is RelayEffect.CutOff -> exchanges.remove(effect.exchange)?.response?.abort()
+            is RelayEffect.ApplyLimits -> callerServer.limits = effect.limits
+            RelayEffect.CloseAfterAnswers -> callerServer.drain(group, IDLE_CLOSE_DELAY_MILLISECONDS)
             else -> Unit
         }
     }
 
-    override fun started(call: BackendCall, head: HttpResponse): Unit =
-        post(RelayEvent.AnswerStarted(call.exchange.id, call.number, codec.decodeAnswer(head)))
+    override fun responseStarted(call: BackendCall, head: HttpResponse): Unit =
+        post(RelayEvent.AnswerStarted(call.exchange.id, call.number, codec.decodeResponse(head)))
 
-    override fun finished(call: BackendCall) {
+    override fun responseForwarded(call: BackendCall) {
         post(RelayEvent.AnswerFinished(call.exchange.id, call.number))
         exchanges.remove(call.exchange.id)
     }
 
-    override fun broke(call: BackendCall, failure: AttemptFailure, lastEventId: String?): Unit =
+    override fun attemptFailed(call: BackendCall, failure: AttemptFailure, lastEventId: String?): Unit =
         post(RelayEvent.AttemptBroke(call.exchange.id, call.number, failure, lastEventId))
 
     private fun send(effect: RelayEffect.Send) {
@@ -82,6 +82,6 @@
 
     private companion object {
         /** Idle connections are closed this long after readiness is gone, when no more new ones come. */
-        const val IDLE_CLOSE_MILLISECONDS = 2_500L
+        const val IDLE_CLOSE_DELAY_MILLISECONDS = 2_500L
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/RelayLoop.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/RelayLoop.kt
@@ -20,7 +20,7 @@
     private val eventLoop: EventLoop,
     private val clock: Clock,
 ) {
-    private val waiting = ArrayDeque<E>()
+    private val pending = ArrayDeque<E>()
     private var reducing = false
 
     /** The state after the last reduction. Only for the loop's thread. */
@@ -32,19 +32,19 @@
 
     /** Reduces [event]. Only for the loop's thread. */
     fun post(event: E) {
-        waiting.add(event)
+        pending.add(event)
         if (reducing) return
         reducing = true
         try {
-            while (waiting.isNotEmpty()) reduce(waiting.removeFirst())
+            while (pending.isNotEmpty()) reduce(pending.removeFirst())
         } finally {
             reducing = false
         }
     }
 
-    /** Posts a tick every [TICK_MILLISECONDS] from now on. */
+    /** Posts a tick every [TICK_INTERVAL_MILLISECONDS] from now on. */
     fun startTicking() {
-        eventLoop.scheduleWithFixedDelay({ post(tick) }, 0, TICK_MILLISECONDS, TimeUnit.MILLISECONDS)
+        eventLoop.scheduleWithFixedDelay({ post(tick) }, 0, TICK_INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS)
     }
 
     private fun reduce(event: E) {
@@ -55,6 +55,6 @@
 
     private companion object {
         /** The precision of deadlines; the shortest that a caller sets is a tenth of a second. */
-        const val TICK_MILLISECONDS = 20L
+        const val TICK_INTERVAL_MILLISECONDS = 20L
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
@@ -51,14 +51,14 @@
     private val reporter = Reporter(metrics)
     private val relay = Relay(group, executor, codec, reporter, clock, loop::post)
     private val peers = PeerSocket(group, reporter, loop::post)
-    private val calls = CallClient(group)
-    private val storeInterpreter = store(calls, loop::post)
+    private val callClient = CallClient(group)
+    private val storeInterpreter = store(callClient, loop::post)
     private var ready = false
 
     /** Starts to listen, and to read the store. */
     public fun start() {
         loop.interpreter = Interpreter { carryOut(it) }
-        metrics.observe(relay)
+        metrics.registerConnectionGauges(relay)
         val status = StatusServer(group)
         status.listen(listeners.ready) { StatusServer.Page(ok = ready, text = if (ready) "ready\n" else "not ready\n") }
         listeners.metrics?.let { address ->
@@ -66,24 +66,29 @@
         }
         listeners.peers?.let { address ->
             peers.listen(address)
-            listeners.forwarding?.let { CallForwarder(group, calls, it).listen(address) }
+            listeners.forwarding?.let { CallForwarder(group, callClient, it).listen(address) }
         }
         relay.listen(listeners.callers)
         executor.execute { loop.startTicking() }
-        executor.scheduleWithFixedDelay(relay::prune, PRUNE_MILLISECONDS, PRUNE_MILLISECONDS, TimeUnit.MILLISECONDS)
+        executor.scheduleWithFixedDelay(
+            relay::prune,
+            PRUNE_INTERVAL_MILLISECONDS,
+            PRUNE_INTERVAL_MILLISECONDS,
+            TimeUnit.MILLISECONDS,
+        )
     }
 
     /** Tells the reducer of [event]. May be called from any thread. */
-    public fun tell(event: RelayEvent): Unit = executor.execute { loop.post(event) }
+    public fun post(event: RelayEvent): Unit = executor.execute { loop.post(event) }
 
     /** Waits until the relay has finished. */
-    public fun awaitEnd(): Unit = finished.await()
+    public fun awaitTermination(): Unit = finished.await()
 
     private fun carryOut(effect: RelayEffect) {
         when (effect) {
             is RelayEffect.Report -> reporter.report(effect.entry)
             is RelayEffect.DeclareReady -> ready = effect.ready
-            is RelayEffect.TellPeers -> peers.tell(effect)
+            is RelayEffect.TellPeers -> peers.send(effect)
             RelayEffect.Finish -> finished.countDown()
             else -> {
                 relay.carryOut(effect)
@@ -93,6 +98,6 @@
     }
 
     private companion object {
-        const val PRUNE_MILLISECONDS = 500L
+        const val PRUNE_INTERVAL_MILLISECONDS = 500L
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
@@ -6,7 +6,7 @@
 import org.quetzalloom.core.relay.exchange.AttemptFailure
 import org.quetzalloom.core.relay.exchange.SendOrder
 import org.quetzalloom.relay.caller.CallerExchange
-import org.quetzalloom.relay.http.Countdown
+import org.quetzalloom.relay.http.RestartableTimer
 
 /**
  * One attempt of a request at one backend server. Confined to the loop's thread.
@@ -20,18 +20,18 @@
     val exchange: CallerExchange,
     val number: Int,
     val order: SendOrder,
-    private val events: CallEvents,
+    private val listener: BackendCallListener,
     executor: EventExecutor,
 ) {
     private var connection: BackendConnection? = null
-    private var held: HeldAnswer? = null
-    private var whole = false
-    private var passing = false
-    private val silence = Countdown(executor)
+    private var buffered: BufferedResponse? = null
+    private var complete = false
+    private var forwarding = false
+    private val idleTimer = RestartableTimer(executor)
 
-    private val fallSilent: () -> Unit = {
+    private val onIdleTimeout: () -> Unit = {
         connection?.abandon()
-        takeFailure(AttemptFailure.SILENT)
+        onFailure(AttemptFailure.SILENT)
     }
 
     /** Whether the attempt has ended, with or without an answer. */
@@ -39,53 +39,53 @@
         private set
 
     /** Tells that the request is being sent on [connection]. */
-    fun sentOn(connection: BackendConnection) {
+    fun onSending(connection: BackendConnection) {
         this.connection = connection
-        silence.restart(order.firstSilenceMilliseconds, fallSilent)
+        idleTimer.restart(order.firstSilenceMilliseconds, onIdleTimeout)
     }
 
     /** Takes the head of the answer. */
-    fun takeHead(head: HttpResponse) {
-        val answer = HeldAnswer(head, mayStream = order.streaming)
-        held = answer
-        silence.restart(order.silenceMilliseconds, fallSilent)
-        if (answer.streams) events.started(this, head)
+    fun onHead(head: HttpResponse) {
+        val response = BufferedResponse(head, mayStream = order.streaming)
+        buffered = response
+        idleTimer.restart(order.silenceMilliseconds, onIdleTimeout)
+        if (response.isStream) listener.responseStarted(this, head)
     }
 
     /** Takes a piece of the answer. */
-    fun takeBody(bytes: ByteBuf) {
-        val answer = held
-        if (ended || answer == null) return
-        silence.restart(order.silenceMilliseconds, fallSilent)
-        answer.add(bytes)
-        if (passing) answer.passReady(exchange.answer)
+    fun onBody(bytes: ByteBuf) {
+        val response = buffered
+        if (ended || response == null) return
+        idleTimer.restart(order.silenceMilliseconds, onIdleTimeout)
+        response.add(bytes)
+        if (forwarding) response.forwardAvailable(exchange.response)
     }
 
     /** Takes that the answer is whole. */
-    fun takeEnd() {
-        val answer = held
-        if (ended || answer == null) return
-        whole = true
+    fun onEnd() {
+        val response = buffered
+        if (ended || response == null) return
+        complete = true
         connection = null
-        silence.cancel()
-        if (passing) finish(answer) else if (!answer.streams) events.started(this, answer.head)
+        idleTimer.cancel()
+        if (forwarding) finish(response) else if (!response.isStream) listener.responseStarted(this, response.head)
     }
 
     /** Takes that nothing more will come. */
-    fun takeFailure(failure: AttemptFailure) {
+    fun onFailure(failure: AttemptFailure) {
         if (ended) return
-        val lastEventId = held?.lastEventId
+        val lastEventId = buffered?.lastEventId
         end()
-        events.broke(this, failure, lastEventId)
+        listener.attemptFailed(this, failure, lastEventId)
     }
 
     /** Passes the answer on to the caller, from what is held. */
-    fun passOn() {
-        val answer = held
-        if (ended || answer == null) return
-        passing = true
-        if (answer.streams) answer.passReady(exchange.answer)
-        if (whole) finish(answer)
+    fun forward() {
+        val response = buffered
+        if (ended || response == null) return
+        forwarding = true
+        if (response.isStream) response.forwardAvailable(exchange.response)
+        if (complete) finish(response)
     }
 
     /** Gives up: closes the connection, as the backend server may still be at work. */
@@ -96,19 +96,19 @@
     }
 
     /** Stops reading from the backend server while the caller cannot take more. */
-    fun pause(paused: Boolean) {
-        connection?.paused = paused
+    fun pauseReading(readingPaused: Boolean) {
+        connection?.readingPaused = readingPaused
     }
 
-    private fun finish(answer: HeldAnswer) {
-        if (answer.streams) answer.passEnd(exchange.answer) else answer.passWhole(exchange.answer)
+    private fun finish(response: BufferedResponse) {
+        if (response.isStream) response.forwardEnd(exchange.response) else response.forwardWhole(exchange.response)
         end()
-        events.finished(this)
+        listener.responseForwarded(this)
     }
 
     private fun end() {
         ended = true
-        silence.cancel()
-        held?.release()
+        idleTimer.cancel()
+        buffered?.release()
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/CallEvents.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCallListener.kt
@@ -4,13 +4,13 @@
 import org.quetzalloom.core.relay.exchange.AttemptFailure
 
 /** What an attempt tells of its progress. */
-internal interface CallEvents {
+internal interface BackendCallListener {
     /** The answer has begun with [head]; unless it is a stream, it is whole. */
-    fun started(call: BackendCall, head: HttpResponse)
+    fun responseStarted(call: BackendCall, head: HttpResponse)
 
     /** The whole answer has been passed on. */
-    fun finished(call: BackendCall)
+    fun responseForwarded(call: BackendCall)
 
     /** No whole answer will come; the caller has the events up to [lastEventId]. */
-    fun broke(call: BackendCall, failure: AttemptFailure, lastEventId: String?)
+    fun attemptFailed(call: BackendCall, failure: AttemptFailure, lastEventId: String?)
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
@@ -10,8 +10,8 @@
 import io.netty.util.ReferenceCountUtil
 import org.quetzalloom.core.relay.exchange.AttemptFailure
 import org.quetzalloom.core.time.Timestamp
-import org.quetzalloom.relay.http.AnswerDecoder
 import org.quetzalloom.relay.http.MessageCodec
+import org.quetzalloom.relay.http.ResponseDecoder
 
 /**
  * One connection to a backend server, which serves one request at a time.
@@ -22,13 +22,13 @@
 internal class BackendConnection(
     private val pool: BackendPool,
     private val codec: MessageCodec,
-    private val decoder: AnswerDecoder,
+    private val decoder: ResponseDecoder,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var channel: Channel
-    private var reader: AnswerReader? = null
+    private var reader: ResponseReader? = null
     private var reusable = true
-    private var written = true
-    private var answered = false
+    private var requestWritten = true
+    private var responseComplete = false
 
     /** How long the backend server keeps the connection when it is idle, in milliseconds, or `null` if unknown. */
     var keepAliveMilliseconds: Long? = null
@@ -38,7 +38,7 @@
     var idleSince: Timestamp = Timestamp.EPOCH
 
     /** Whether nothing more is read for now. */
-    var paused: Boolean
+    var readingPaused: Boolean
         get() = !channel.config().isAutoRead
         set(value) {
             channel.config().isAutoRead = !value
@@ -53,8 +53,8 @@
 
     /** Sends the request of [call] with [headers]. */
     fun send(call: BackendCall, headers: HttpHeaders) {
-        reader = AnswerReader(codec, call)
-        call.sentOn(this)
+        reader = ResponseReader(codec, call)
+        call.onSending(this)
         val head = call.exchange.head
         val body = call.exchange.body.retainedDuplicate()
         val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(), body)
@@ -63,8 +63,8 @@
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
         }
         decoder.method = head.method()
-        written = false
-        channel.writeAndFlush(request).addListener { written = true }
+        requestWritten = false
+        channel.writeAndFlush(request).addListener { requestWritten = true }
     }
 
     /** Closes the connection; nothing more is told of it. */
@@ -75,12 +75,12 @@
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         val current = reader
-        val progress = current?.take(message) ?: AnswerReader.Progress.BAD
+        val progress = current?.read(message) ?: ResponseReader.Progress.INVALID
         ReferenceCountUtil.release(message)
         when (progress) {
-            AnswerReader.Progress.MORE -> Unit
-            AnswerReader.Progress.WHOLE -> current?.let { finish(it) }
-            AnswerReader.Progress.BAD -> {
+            ResponseReader.Progress.INCOMPLETE -> Unit
+            ResponseReader.Progress.COMPLETE -> current?.let { finish(it) }
+            ResponseReader.Progress.INVALID -> {
                 close()
                 fail(AttemptFailure.BAD_ANSWER)
             }
@@ -88,14 +88,14 @@
     }
 
     override fun channelReadComplete(context: ChannelHandlerContext) {
-        if (!answered) return
-        answered = false
-        if (open && written) pool.idle(this) else close()
+        if (!responseComplete) return
+        responseComplete = false
+        if (open && requestWritten) pool.release(this) else close()
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
         reusable = false
-        pool.closed(this)
+        pool.onClosed(this)
         fail(AttemptFailure.CONNECTION_LOST)
     }
 
@@ -106,13 +106,13 @@
         fail(AttemptFailure.CONNECTION_LOST)
     }
 
-    private fun finish(current: AnswerReader) {
+    private fun finish(current: ResponseReader) {
         if (reader !== current) return
         reader = null
-        answered = true
+        responseComplete = true
         reusable = reusable && current.reusable
         keepAliveMilliseconds = current.keepAliveMilliseconds
-        current.call.takeEnd()
+        current.call.onEnd()
     }
 
     private fun close() {
@@ -123,6 +123,6 @@
     private fun fail(failure: AttemptFailure) {
         val current = reader ?: return
         reader = null
-        current.call.takeFailure(failure)
+        current.call.onFailure(failure)
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
@@ -11,8 +11,8 @@
 import org.quetzalloom.core.time.Clock
 import org.quetzalloom.core.time.Timestamp
 import org.quetzalloom.relay.http.Address
-import org.quetzalloom.relay.http.AnswerDecoder
 import org.quetzalloom.relay.http.MessageCodec
+import org.quetzalloom.relay.http.ResponseDecoder
 import org.quetzalloom.relay.http.withRelayOptions
 
 /**
@@ -25,100 +25,104 @@
     private val codec: MessageCodec,
     private val clock: Clock,
 ) {
-    private class Peer {
+    private class Endpoint {
         val idle = ArrayDeque<BackendConnection>()
         val all = HashSet<BackendConnection>()
         var connecting = 0
     }
 
-    private val peers = HashMap<String, Peer>()
+    private val endpoints = HashMap<String, Endpoint>()
     private val addresses = HashMap<BackendConnection, String>()
 
     /** Connections that are open. */
     val size: Int get() = addresses.size
 
     /** Connections that were made. */
-    var made: Long = 0
+    var connectionsOpened: Long = 0
         private set
 
     /** Sends [call] on a connection that is kept, or on a new one. */
     fun send(call: BackendCall) {
-        val peer = peers.getOrPut(call.order.address) { Peer() }
-        val kept = takeKept(peer, call.order.mustBeSure)
+        val endpoint = endpoints.getOrPut(call.order.address) { Endpoint() }
+        val reused = takeIdle(endpoint, call.order.mustBeSure)
         when {
-            kept != null -> kept.send(call, codec.encodeRequest(call.exchange.head, call.order))
-            peer.all.size + peer.connecting >= call.order.maximumConnections ->
-                call.takeFailure(AttemptFailure.NO_CONNECTION_LEFT)
-            else -> connect(peer, call)
+            reused != null -> reused.send(call, codec.encodeRequest(call.exchange.head, call.order))
+            endpoint.all.size + endpoint.connecting >= call.order.maximumConnections ->
+                call.onFailure(AttemptFailure.NO_CONNECTION_LEFT)
+            else -> connect(endpoint, call)
         }
     }
 
     /** Keeps [connection], which has no request under way. */
-    fun idle(connection: BackendConnection) {
-        val peer = addresses[connection]?.let { peers[it] } ?: return
+    fun release(connection: BackendConnection) {
+        val endpoint = addresses[connection]?.let { endpoints[it] } ?: return
         connection.idleSince = clock.now()
-        peer.idle.addLast(connection)
+        endpoint.idle.addLast(connection)
     }
 
     /** Takes that [connection] has closed. */
-    fun closed(connection: BackendConnection) {
-        val peer = addresses.remove(connection)?.let { peers[it] } ?: return
-        peer.all.remove(connection)
-        peer.idle.remove(connection)
+    fun onClosed(connection: BackendConnection) {
+        val endpoint = addresses.remove(connection)?.let { endpoints[it] } ?: return
+        endpoint.all.remove(connection)
+        endpoint.idle.remove(connection)
     }
 
     /** Closes the connections that have been idle for too long. */
     fun prune() {
         val now = clock.now()
-        peers.values.forEach { peer ->
-            peer.idle.filter { !it.isFresh(now, KEPT_SHARE) }.forEach { it.abandon() }
+        endpoints.values.forEach { endpoint ->
+            endpoint.idle.filter { !it.isFresh(now, REUSE_SHARE) }.forEach { it.abandon() }
         }
-        peers.values.removeIf { it.all.isEmpty() && it.connecting == 0 }
+        endpoints.values.removeIf { it.all.isEmpty() && it.connecting == 0 }
     }
 
     /** The newest connection is the least likely to be closed by the other side; dead ones are dropped on the way. */
-    private fun takeKept(peer: Peer, mustBeSure: Boolean): BackendConnection? {
+    private fun takeIdle(endpoint: Endpoint, mustBeSure: Boolean): BackendConnection? {
         val now = clock.now()
-        val share = if (mustBeSure) SURE_SHARE else KEPT_SHARE
-        peer.idle.removeAll { !it.open }
-        val newest = peer.idle.lastOrNull()?.takeIf { it.isFresh(now, share) }
-        newest?.let { peer.idle.removeLast() }
+        val share = if (mustBeSure) SAFE_REUSE_SHARE else REUSE_SHARE
+        endpoint.idle.removeAll { !it.open }
+        val newest = endpoint.idle.lastOrNull()?.takeIf { it.isFresh(now, share) }
+        newest?.let { endpoint.idle.removeLast() }
         return newest
     }
 
     private fun BackendConnection.isFresh(now: Timestamp, share: Double): Boolean =
-        now - idleSince < (keepAliveMilliseconds ?: UNKNOWN_KEEP_ALIVE_MILLISECONDS) * share
+        now - idleSince < (keepAliveMilliseconds ?: DEFAULT_KEEP_ALIVE_MILLISECONDS) * share
 
-    private fun connect(peer: Peer, call: BackendCall) {
-        val address = Address.parseOrNull(call.order.address) ?: return call.takeFailure(AttemptFailure.NOT_CONNECTED)
-        peer.connecting++
-        made++
-        val decoder = AnswerDecoder()
+    private fun connect(endpoint: Endpoint, call: BackendCall) {
+        val address = Address.parseOrNull(call.order.address) ?: return call.onFailure(AttemptFailure.NOT_CONNECTED)
+        endpoint.connecting++
+        connectionsOpened++
+        val decoder = ResponseDecoder()
         val connection = BackendConnection(this, codec, decoder)
         val bootstrap = Bootstrap().group(group)
             .channel(NioSocketChannel::class.java)
             .withRelayOptions()
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLISECONDS)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
             .handler(Initializer(decoder, connection))
         bootstrap.connect(address.toSocketAddress()).addListener { future ->
-            peer.connecting--
-            if (future.isSuccess) connected(peer, connection, call) else call.takeFailure(AttemptFailure.NOT_CONNECTED)
+            endpoint.connecting--
+            if (future.isSuccess) {
+                connected(endpoint, connection, call)
+            } else {
+                call.onFailure(AttemptFailure.NOT_CONNECTED)
+            }
         }
     }
 
-    private fun connected(peer: Peer, connection: BackendConnection, call: BackendCall) {
-        peers[call.order.address] = peer
-        peer.all.add(connection)
+    private fun connected(endpoint: Endpoint, connection: BackendConnection, call: BackendCall) {
+        endpoints[call.order.address] = endpoint
+        endpoint.all.add(connection)
         addresses[connection] = call.order.address
         if (call.ended) {
-            idle(connection)
+            release(connection)
         } else {
             connection.send(call, codec.encodeRequest(call.exchange.head, call.order))
         }
     }
 
     private class Initializer(
-        private val decoder: AnswerDecoder,
+        private val decoder: ResponseDecoder,
         private val connection: BackendConnection,
     ) : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
@@ -128,15 +132,15 @@
 
     private companion object {
         /** Longer than a connection to another availability zone takes; the callers' shortest deadline is a second. */
-        const val CONNECT_MILLISECONDS = 400
+        const val CONNECT_TIMEOUT_MILLISECONDS = 400
 
         /** The share of the backend server's timeout for which an idle connection is kept. */
-        const val KEPT_SHARE = 0.7
+        const val REUSE_SHARE = 0.7
 
         /** The same where a request must not meet a connection that is being closed. */
-        const val SURE_SHARE = 0.4
+        const val SAFE_REUSE_SHARE = 0.4
 
         /** Taken for the timeout where a backend server names none; it gives whole seconds only. */
-        const val UNKNOWN_KEEP_ALIVE_MILLISECONDS = 500L
+        const val DEFAULT_KEEP_ALIVE_MILLISECONDS = 500L
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/EventSplitter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/EventSplitter.kt
@@ -10,18 +10,18 @@
         private set
 
     /** Takes all events from [bytes] that are whole; may be empty. What is left begins an event. */
-    fun takeWholeEvents(bytes: ByteBuf): ByteBuf {
-        val length = wholeLength(bytes)
+    fun takeCompleteEvents(bytes: ByteBuf): ByteBuf {
+        val length = completeLength(bytes)
         if (length == 0) return Unpooled.EMPTY_BUFFER
         val events = bytes.readBytes(length)
         lastEventId = lastIdOrNull(events) ?: lastEventId
         return events
     }
 
-    private fun wholeLength(bytes: ByteBuf): Int {
+    private fun completeLength(bytes: ByteBuf): Int {
         val text = bytes.toString(Charsets.ISO_8859_1)
-        val ends = EVENT_ENDS.map { text.lastIndexOf(it).let { at -> if (at < 0) 0 else at + it.length } }
-        return ends.max()
+        val positions = EVENT_DELIMITERS.map { text.lastIndexOf(it).let { at -> if (at < 0) 0 else at + it.length } }
+        return positions.max()
     }
 
     private fun lastIdOrNull(events: ByteBuf): String? = events.toString(Charsets.UTF_8).lineSequence()
@@ -31,6 +31,6 @@
 
     private companion object {
         const val ID_FIELD = "id:"
-        val EVENT_ENDS = listOf("\n\n", "\r\n\r\n")
+        val EVENT_DELIMITERS = listOf("\n\n", "\r\n\r\n")
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
@@ -9,75 +9,75 @@
  *
  * It goes on reading while a request is under way, and so notices at once that the caller has gone.
  */
-internal class CallerConnection(private val front: CallerFront) : ChannelInboundHandlerAdapter() {
+internal class CallerConnection(private val server: CallerServer) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
-    private val waiting = ArrayDeque<CallerMessage.Whole>()
+    private val pipelined = ArrayDeque<CallerMessage.Complete>()
     private var active: CallerExchange? = null
-    private var arriving = false
+    private var receiving = false
     private var rejected = false
 
     /** Closes this connection. */
-    lateinit var closer: GentleClose
+    lateinit var gracefulClose: GracefulClose
         private set
 
     /** Whether the connection ends with the answer that is under way. */
-    val closesAfterAnswer: Boolean get() = front.stopping || rejected
+    val closesAfterResponse: Boolean get() = server.draining || rejected
 
     override fun channelActive(context: ChannelHandlerContext) {
         this.context = context
-        closer = GentleClose(context.channel())
-        front.opened(this)
-        closer.closeAfter(front.limits.idleMilliseconds)
+        gracefulClose = GracefulClose(context.channel())
+        server.onOpened(this)
+        gracefulClose.closeAfter(server.limits.idleMilliseconds)
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
-        closer.closed()
-        front.closed(this)
-        waiting.forEach { it.body.release() }
-        active?.let { front.handler.callerLeft(it) }
+        gracefulClose.onClosed()
+        server.onClosed(this)
+        pipelined.forEach { it.body.release() }
+        active?.let { server.handler.onCallerDisconnected(it) }
         active = null
     }
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         when (message) {
-            is CallerMessage.Begun -> {
-                arriving = true
-                closer.cancel()
+            is CallerMessage.Started -> {
+                receiving = true
+                gracefulClose.cancel()
             }
-            is CallerMessage.Whole -> take(message)
+            is CallerMessage.Complete -> onRequest(message)
             is CallerMessage.Rejected -> reject(message)
         }
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
-        active?.call?.pause(!context.channel().isWritable)
+        active?.call?.pauseReading(!context.channel().isWritable)
     }
 
     @Deprecated("the supertype's method is")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        if (cause !is IOException) front.handler.reportProblem("caller_connection_failed", cause)
+        if (cause !is IOException) server.handler.reportProblem("caller_connection_failed", cause)
         context.close()
     }
 
     /** Tells that the answer to the request under way has been written. */
-    fun answered() {
+    fun onResponseWritten() {
         active = null
-        if (rejected || closer.closing) return
-        val next = waiting.removeFirstOrNull()
-        if (next != null) hand(next) else if (!arriving) closer.closeAfter(front.limits.idleMilliseconds)
+        if (rejected || gracefulClose.closing) return
+        val next = pipelined.removeFirstOrNull()
+        if (next != null) dispatch(next) else if (!receiving) gracefulClose.closeAfter(server.limits.idleMilliseconds)
     }
 
     /** Closes the connection if no request is being read or answered. */
     fun closeIfIdle() {
-        if (active == null && !arriving && waiting.isEmpty()) closer.close()
+        if (active == null && !receiving && pipelined.isEmpty()) gracefulClose.close()
     }
 
-    private fun take(request: CallerMessage.Whole) {
-        arriving = false
+    private fun onRequest(request: CallerMessage.Complete) {
+        receiving = false
         when {
-            closer.closing -> request.body.release()
-            active == null -> hand(request)
-            waiting.size < MOST_WAITING -> waiting.add(request)
+            gracefulClose.closing -> request.body.release()
+            active == null -> dispatch(request)
+            pipelined.size < MAXIMUM_PIPELINED_REQUESTS -> pipelined.add(request)
             else -> {
                 request.body.release()
                 context.close()
@@ -85,23 +85,23 @@
         }
     }
 
-    private fun hand(request: CallerMessage.Whole) {
-        val answer = AnswerWriter(this, context.channel(), request.head)
-        active = front.handler.arrived(request.head, request.body, answer)
+    private fun dispatch(request: CallerMessage.Complete) {
+        val response = ResponseWriter(this, context.channel(), request.head)
+        active = server.handler.onRequest(request.head, request.body, response)
     }
 
     /** An answer that is under way ends first, and the connection with it. */
     private fun reject(request: CallerMessage.Rejected) {
-        if (closer.closing) return
+        if (gracefulClose.closing) return
         rejected = true
         if (active == null) {
-            val answer = AnswerWriter(this, context.channel(), request.head)
-            front.handler.refuse(answer, request.kind, request.detail, retryAfterMilliseconds = null)
+            val response = ResponseWriter(this, context.channel(), request.head)
+            server.handler.refuse(response, request.kind, request.detail, retryAfterMilliseconds = null)
         }
     }
 
     private companion object {
         /** Requests that a caller may send ahead on one connection. */
-        const val MOST_WAITING = 4
+        const val MAXIMUM_PIPELINED_REQUESTS = 4
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerExchange.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerExchange.kt
@@ -16,7 +16,7 @@
     val request: RelayRequest,
     val head: HttpRequest,
     val body: ByteBuf,
-    val answer: AnswerWriter,
+    val response: ResponseWriter,
 ) {
     /** The attempt under way, or `null`. */
     var call: BackendCall? = null
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerMessage.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerMessage.kt
@@ -7,10 +7,10 @@
 /** What a [RequestReader] makes of the bytes of a caller. */
 internal sealed interface CallerMessage {
     /** A request has begun to arrive. */
-    data object Begun : CallerMessage
+    data object Started : CallerMessage
 
     /** A request has arrived whole; whoever takes it releases [body]. */
-    class Whole(val head: HttpRequest, val body: ByteBuf) : CallerMessage
+    class Complete(val head: HttpRequest, val body: ByteBuf) : CallerMessage
 
     /** A request cannot be taken, and nothing that follows it can be trusted. */
     class Rejected(val head: HttpRequest, val kind: ErrorKind, val detail: String) : CallerMessage
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerFront.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
@@ -18,7 +18,7 @@
  *
  * @property handler what is done with requests.
  */
-internal class CallerFront(val handler: CallerHandler) {
+internal class CallerServer(val handler: RequestHandler) {
     private val connections = LinkedHashSet<CallerConnection>()
     private var listener: Channel? = null
 
@@ -26,7 +26,7 @@
     var limits: CallerLimits = DEFAULT_LIMITS
 
     /** Whether connections end with their next answer. */
-    var stopping: Boolean = false
+    var draining: Boolean = false
         private set
 
     /** Connections that are open. */
@@ -42,8 +42,8 @@
     }
 
     /** Ends connections with their next answer, and idle ones after [idleAfterMilliseconds]. */
-    fun stop(group: EventLoopGroup, idleAfterMilliseconds: Long) {
-        stopping = true
+    fun drain(group: EventLoopGroup, idleAfterMilliseconds: Long) {
+        draining = true
         group.schedule(
             { connections.toList().forEach { it.closeIfIdle() } },
             idleAfterMilliseconds,
@@ -52,12 +52,12 @@
     }
 
     /** Takes a connection that was accepted. */
-    fun opened(connection: CallerConnection) {
+    fun onOpened(connection: CallerConnection) {
         connections.add(connection)
     }
 
     /** Takes that a connection has closed. */
-    fun closed(connection: CallerConnection) {
+    fun onClosed(connection: CallerConnection) {
         connections.remove(connection)
     }
 
@@ -66,10 +66,10 @@
             val reader = RequestReader { limits }
             channel.pipeline().addLast(
                 HttpResponseEncoder(),
-                ArrivalNotice(reader),
+                InboundBytesHandler(reader),
                 StrictRequestDecoder(limits.maximumHeaderBytes),
                 reader,
-                CallerConnection(this@CallerFront),
+                CallerConnection(this@CallerServer),
             )
         }
     }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/GentleClose.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/GracefulClose.kt
@@ -2,11 +2,11 @@
 
 import io.netty.channel.Channel
 import io.netty.channel.socket.SocketChannel
-import org.quetzalloom.relay.http.Countdown
+import org.quetzalloom.relay.http.RestartableTimer
 
 /** Closes the connection of [channel] so that nothing is lost that the caller has not read yet. */
-internal class GentleClose(private val channel: Channel) {
-    private val countdown = Countdown(channel.eventLoop())
+internal class GracefulClose(private val channel: Channel) {
+    private val timer = RestartableTimer(channel.eventLoop())
 
     /** Whether the connection is being closed. */
     var closing = false
@@ -14,12 +14,12 @@
 
     /** Closes the connection after [milliseconds], unless it is [cancel]led before. */
     fun closeAfter(milliseconds: Long) {
-        if (!closing) countdown.restart(milliseconds) { close() }
+        if (!closing) timer.restart(milliseconds) { close() }
     }
 
     /** Leaves the connection open, unless it is being closed already. */
     fun cancel() {
-        if (!closing) countdown.cancel()
+        if (!closing) timer.cancel()
     }
 
     /** Ends what is sent, and closes once the caller has closed too or has had time to. */
@@ -27,17 +27,17 @@
         if (closing) return
         closing = true
         (channel as SocketChannel).shutdownOutput()
-        countdown.restart(LINGER_MILLISECONDS) { channel.close() }
+        timer.restart(LINGER_TIMEOUT_MILLISECONDS) { channel.close() }
     }
 
     /** Takes that the connection has closed. */
-    fun closed() {
+    fun onClosed() {
         closing = true
-        countdown.cancel()
+        timer.cancel()
     }
 
     private companion object {
         /** The time that a caller has to close its side. */
-        const val LINGER_MILLISECONDS = 1_000L
+        const val LINGER_TIMEOUT_MILLISECONDS = 1_000L
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/ArrivalNotice.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/InboundBytesHandler.kt
@@ -4,9 +4,9 @@
 import io.netty.channel.ChannelInboundHandlerAdapter
 
 /** Tells [reader] of bytes before the decoder has made anything of them. */
-internal class ArrivalNotice(private val reader: RequestReader) : ChannelInboundHandlerAdapter() {
+internal class InboundBytesHandler(private val reader: RequestReader) : ChannelInboundHandlerAdapter() {
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
-        reader.bytesArrived()
+        reader.onBytesReceived()
         context.fireChannelRead(message)
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestReader.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestReader.kt
@@ -15,7 +15,7 @@
 import io.netty.util.ReferenceCountUtil
 import org.quetzalloom.core.error.ErrorKind
 import org.quetzalloom.core.relay.routing.CallerLimits
-import org.quetzalloom.relay.http.Countdown
+import org.quetzalloom.relay.http.RestartableTimer
 
 /**
  * Reads requests whole, within limits. Passes on [CallerMessage]s; after a rejection it reads nothing more.
@@ -27,61 +27,62 @@
         val body = Unpooled.buffer()
     }
 
-    private val check = RequestCheck(limits)
+    private val validator = RequestValidator(limits)
     private var reading: Reading? = null
     private var rejected = false
     private var betweenRequests = true
     private lateinit var context: ChannelHandlerContext
-    private lateinit var patience: Countdown
+    private lateinit var timeout: RestartableTimer
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
-        patience = Countdown(context.executor())
+        timeout = RestartableTimer(context.executor())
     }
 
     /** Takes that bytes have come, which the decoder has not read yet: the header's time begins with its first. */
-    fun bytesArrived() {
+    fun onBytesReceived() {
         if (!betweenRequests || rejected) return
         betweenRequests = false
-        patience.restart(limits().headerMilliseconds) {
-            reject(context, NO_HEAD, ErrorKind.TOO_SLOW, "the header did not arrive in time")
+        timeout.restart(limits().headerMilliseconds) {
+            reject(context, PLACEHOLDER_HEAD, ErrorKind.TOO_SLOW, "the header did not arrive in time")
         }
     }
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         try {
-            if (!rejected && message is HttpRequest) begin(context, message)
-            if (!rejected && message is HttpContent) reading?.let { add(context, it, message) }
+            if (!rejected && message is HttpRequest) onHead(context, message)
+            if (!rejected && message is HttpContent) reading?.let { onContent(context, it, message) }
         } finally {
             ReferenceCountUtil.release(message)
         }
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
-        drop()
+        discard()
         context.fireChannelInactive()
     }
 
-    private fun begin(context: ChannelHandlerContext, head: HttpRequest) {
-        context.fireChannelRead(CallerMessage.Begun)
+    private fun onHead(context: ChannelHandlerContext, head: HttpRequest) {
+        context.fireChannelRead(CallerMessage.Started)
         betweenRequests = false
-        val problem = check.problemOrNull(head)
+        val problem = validator.problemOrNull(head)
         if (problem != null) return reject(context, head, problem.first, problem.second)
         if (HttpUtil.is100ContinueExpected(head)) {
             context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
         }
         reading = Reading(head)
-        patience.restart(limits().idleMilliseconds) {
+        timeout.restart(limits().idleMilliseconds) {
             reject(context, head, ErrorKind.TOO_SLOW, "the body did not arrive in time")
         }
     }
 
-    private fun add(context: ChannelHandlerContext, current: Reading, content: HttpContent) {
+    private fun onContent(context: ChannelHandlerContext, current: Reading, content: HttpContent) {
         val size = current.body.readableBytes() + content.content().readableBytes()
         when {
             content.decoderResult().isFailure ->
                 reject(context, current.head, ErrorKind.MALFORMED, "the body is malformed")
-            size > limits().maximumBodyBytes -> reject(context, current.head, ErrorKind.TOO_LARGE, check.bodyTooLarge())
+            size > limits().maximumBodyBytes ->
+                reject(context, current.head, ErrorKind.TOO_LARGE, validator.bodyTooLarge())
             else -> {
                 current.body.writeBytes(content.content())
                 if (content is LastHttpContent) complete(context, current)
@@ -90,26 +91,26 @@
     }
 
     private fun complete(context: ChannelHandlerContext, request: Reading) {
-        patience.cancel()
+        timeout.cancel()
         betweenRequests = true
         reading = null
-        context.fireChannelRead(CallerMessage.Whole(request.head, request.body))
+        context.fireChannelRead(CallerMessage.Complete(request.head, request.body))
     }
 
     private fun reject(context: ChannelHandlerContext, head: HttpRequest, kind: ErrorKind, detail: String) {
-        drop()
+        discard()
         rejected = true
         context.fireChannelRead(CallerMessage.Rejected(head, kind, detail))
     }
 
-    private fun drop() {
-        patience.cancel()
+    private fun discard() {
+        timeout.cancel()
         reading?.body?.release()
         reading = null
     }
 
     private companion object {
         /** Stands for a head that has not arrived; the answer to it depends on nothing in it. */
-        val NO_HEAD = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/")
+        val PLACEHOLDER_HEAD = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/")
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestCheck.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestValidator.kt
@@ -9,7 +9,7 @@
 import org.quetzalloom.core.relay.routing.CallerLimits
 
 /** Finds heads that are malformed, ambiguous or over the limits that [limits] returns. */
-internal class RequestCheck(private val limits: () -> CallerLimits) {
+internal class RequestValidator(private val limits: () -> CallerLimits) {
     /** Returns what is wrong with [head], and how, or `null` if it can be taken. */
     fun problemOrNull(head: HttpRequest): Pair<ErrorKind, String>? {
         val failure = head.decoderResult().cause()
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/AnswerWriter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/ResponseWriter.kt
@@ -23,7 +23,7 @@
  * @param connection the connection on which the request came.
  * @param channel the channel of that connection.
  */
-internal class AnswerWriter(
+internal class ResponseWriter(
     private val connection: CallerConnection,
     private val channel: Channel,
     private val request: HttpRequest,
@@ -31,31 +31,31 @@
     private val keepAlive = HttpUtil.isKeepAlive(request)
 
     /** HTTP/1.0 knows no chunks: an answer without length then ends with the connection. */
-    private val takesChunks = request.protocolVersion().isKeepAliveDefault
+    private val supportsChunked = request.protocolVersion().isKeepAliveDefault
 
     /** Whether the head of an answer has been written. */
-    var begun = false
+    var headWritten = false
         private set
 
     /** Writes a whole answer. */
     fun writeWhole(status: HttpResponseStatus, headers: HttpHeaders, body: ByteBuf) {
-        begun = true
-        val answer = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
-        answer.headers().add(headers)
-        if (hasBody(status)) answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
-        end(answer)
+        headWritten = true
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
+        response.headers().add(headers)
+        if (hasBody(status)) response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+        end(response)
     }
 
     /** Writes the head of an answer whose length is not known. */
-    fun begin(status: HttpResponseStatus, headers: HttpHeaders) {
-        begun = true
-        val answer = DefaultHttpResponse(HttpVersion.HTTP_1_1, status)
-        answer.headers().add(headers)
-        if (takesChunks) {
-            answer.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+    fun writeHead(status: HttpResponseStatus, headers: HttpHeaders) {
+        headWritten = true
+        val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, status)
+        response.headers().add(headers)
+        if (supportsChunked) {
+            response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
         }
-        if (closes()) answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-        channel.write(answer)
+        if (closesConnection()) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        channel.write(response)
     }
 
     /** Writes a piece of the body; [bytes] are released. */
@@ -67,24 +67,24 @@
     fun finish(): Unit = end(LastHttpContent.EMPTY_LAST_CONTENT)
 
     /** Closes the connection without the end of the answer; resets it where that would look like the end. */
-    fun cutOff() {
-        if (!takesChunks) channel.config().setOption(ChannelOption.SO_LINGER, 0)
+    fun abort() {
+        if (!supportsChunked) channel.config().setOption(ChannelOption.SO_LINGER, 0)
         channel.close()
     }
 
     private fun end(last: LastHttpContent) {
-        if (last is DefaultFullHttpResponse && closes()) {
+        if (last is DefaultFullHttpResponse && closesConnection()) {
             last.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         }
-        val closing = closes()
+        val closeAfterwards = closesConnection()
         val written = channel.writeAndFlush(last)
-        if (closing) {
-            written.addListener(ChannelFutureListener { connection.closer.close() })
+        if (closeAfterwards) {
+            written.addListener(ChannelFutureListener { connection.gracefulClose.close() })
         }
-        connection.answered()
+        connection.onResponseWritten()
     }
 
-    private fun closes(): Boolean = !keepAlive || connection.closesAfterAnswer || !takesChunks
+    private fun closesConnection(): Boolean = !keepAlive || connection.closesAfterResponse || !supportsChunked
 
     private fun hasBody(status: HttpResponseStatus): Boolean =
         request.method() != HttpMethod.HEAD && status != HttpResponseStatus.NO_CONTENT &&
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/CallClient.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/CallClient.kt
@@ -33,10 +33,10 @@
      * The answer is released after [listener] returns. A call without an answer may have been carried out.
      */
     public fun call(address: Address, request: FullHttpRequest, timeoutMilliseconds: Long, listener: CallListener) {
-        val kept = takeIdle(address)
-        val connection = kept ?: Connection(address)
+        val reused = takeIdle(address)
+        val connection = reused ?: Connection(address)
         connection.begin(listener, timeoutMilliseconds)
-        if (kept != null) kept.send(request) else connect(connection, request)
+        if (reused != null) reused.send(request) else connect(connection, request)
     }
 
     private fun takeIdle(address: Address): Connection? {
@@ -49,34 +49,34 @@
         val bootstrap = Bootstrap().group(group)
             .channel(NioSocketChannel::class.java)
             .withRelayOptions()
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLISECONDS)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
             .handler(Initializer(connection))
         bootstrap.connect(connection.address.toSocketAddress()).addListener { future ->
             if (future.isSuccess) {
                 connection.send(request)
             } else {
                 request.release()
-                connection.end(Err("cannot connect: ${future.cause().message}"))
+                connection.complete(Err("cannot connect: ${future.cause().message}"))
             }
         }
     }
 
     private class Initializer(private val connection: Connection) : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
-            channel.pipeline().addLast(HttpClientCodec(), HttpObjectAggregator(MAXIMUM_BYTES), connection)
+            channel.pipeline().addLast(HttpClientCodec(), HttpObjectAggregator(MAXIMUM_RESPONSE_BYTES), connection)
         }
     }
 
     private inner class Connection(val address: Address) : SimpleChannelInboundHandler<FullHttpResponse>() {
         private var channel: Channel? = null
         private var listener: CallListener? = null
-        private val patience = Countdown(group.next())
+        private val timeout = RestartableTimer(group.next())
 
         val isOpen: Boolean get() = channel?.isActive ?: false
 
         fun begin(listener: CallListener, timeoutMilliseconds: Long) {
             this.listener = listener
-            patience.restart(timeoutMilliseconds) { timeOut() }
+            timeout.restart(timeoutMilliseconds) { timeOut() }
         }
 
         fun send(request: FullHttpRequest) {
@@ -89,48 +89,48 @@
             }
         }
 
-        fun end(result: Result<FullHttpResponse, String>) {
-            patience.cancel()
-            val waiting = listener ?: return
+        fun complete(result: Result<FullHttpResponse, String>) {
+            timeout.cancel()
+            val current = listener ?: return
             listener = null
-            waiting(result)
+            current(result)
         }
 
         override fun handlerAdded(context: ChannelHandlerContext) {
             channel = context.channel()
         }
 
-        override fun channelRead0(context: ChannelHandlerContext, answer: FullHttpResponse) {
-            if (listener == null || !HttpUtil.isKeepAlive(answer)) {
+        override fun channelRead0(context: ChannelHandlerContext, response: FullHttpResponse) {
+            if (listener == null || !HttpUtil.isKeepAlive(response)) {
                 context.close()
             } else {
                 idle.getOrPut(address) { ArrayDeque() }.addLast(this)
             }
-            end(Ok(answer))
+            complete(Ok(response))
         }
 
         override fun channelInactive(context: ChannelHandlerContext) {
             idle[address]?.remove(this)
-            end(Err("the connection was closed"))
+            complete(Err("the connection was closed"))
         }
 
         @Deprecated("the supertype's method is")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-            end(Err("the connection failed: ${cause.message}"))
+            complete(Err("the connection failed: ${cause.message}"))
             context.close()
         }
 
         private fun timeOut() {
-            end(Err("no answer in time"))
+            complete(Err("no answer in time"))
             channel?.close()
         }
     }
 
     private companion object {
         /** The store answers in a few milliseconds; a lost packet is sent again within this time. */
-        const val CONNECT_MILLISECONDS = 500
+        const val CONNECT_TIMEOUT_MILLISECONDS = 500
 
         /** More than any page of the store's newest records. */
-        const val MAXIMUM_BYTES = 8 * 1_024 * 1_024
+        const val MAXIMUM_RESPONSE_BYTES = 8 * 1_024 * 1_024
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/CallForwarder.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/CallForwarder.kt
@@ -38,20 +38,20 @@
 
     private inner class Initializer : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
-            channel.pipeline().addLast(HttpServerCodec(), HttpObjectAggregator(MAXIMUM_BYTES), Handler())
+            channel.pipeline().addLast(HttpServerCodec(), HttpObjectAggregator(MAXIMUM_REQUEST_BYTES), Handler())
         }
     }
 
     private inner class Handler : SimpleChannelInboundHandler<FullHttpRequest>() {
         override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
             if (request.uri().substringBefore('?') !in forwarding.paths) {
-                context.answer(HttpResponseStatus.NOT_FOUND, text("this path is not passed on"))
+                context.respond(HttpResponseStatus.NOT_FOUND, text("this path is not passed on"))
                 return
             }
-            client.call(forwarding.target, request.toTarget(), CALL_MILLISECONDS) { result ->
+            client.call(forwarding.target, request.toTarget(), CALL_TIMEOUT_MILLISECONDS) { result ->
                 result.fold(
-                    success = { context.answer(it.status(), it.content().retain()) },
-                    failure = { context.answer(HttpResponseStatus.BAD_GATEWAY, text(it)) },
+                    success = { context.respond(it.status(), it.content().retain()) },
+                    failure = { context.respond(HttpResponseStatus.BAD_GATEWAY, text(it)) },
                 )
             }
         }
@@ -69,7 +69,7 @@
         return request
     }
 
-    private fun ChannelHandlerContext.answer(status: HttpResponseStatus, body: ByteBuf) {
+    private fun ChannelHandlerContext.respond(status: HttpResponseStatus, body: ByteBuf) {
         val response: FullHttpResponse = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
         writeAndFlush(response)
@@ -79,9 +79,9 @@
 
     private companion object {
         /** A little longer than the longest call of a router, which waits a second and a half for a record. */
-        const val CALL_MILLISECONDS = 2_500L
+        const val CALL_TIMEOUT_MILLISECONDS = 2_500L
 
         /** Calls carry one record at most, of some hundred bytes. */
-        const val MAXIMUM_BYTES = 64 * 1_024
+        const val MAXIMUM_REQUEST_BYTES = 64 * 1_024
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/HopHeaders.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/HopHeaders.kt
@@ -4,7 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 
-private val CONNECTION_HEADERS = listOf(
+private val HOP_BY_HOP_HEADERS = listOf(
     "connection",
     "keep-alive",
     "proxy-authenticate",
@@ -18,9 +18,9 @@
 )
 
 /** Returns a copy without the headers that concern one connection only, and without the length of the body. */
-public fun HttpHeaders.withoutConnectionHeaders(): HttpHeaders {
+public fun HttpHeaders.withoutHopByHopHeaders(): HttpHeaders {
     val named = getAll(HttpHeaderNames.CONNECTION).flatMap { it.split(',') }.map { it.trim() }
-    val dropped = CONNECTION_HEADERS + named.filter { it.isNotEmpty() }
+    val dropped = HOP_BY_HOP_HEADERS + named.filter { it.isNotEmpty() }
     val copy = DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders().add(this)
     dropped.forEach { copy.remove(it) }
     copy.remove(HttpHeaderNames.CONTENT_LENGTH)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/MessageCodec.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/MessageCodec.kt
@@ -16,11 +16,11 @@
     /** Returns the headers to send a request with, without those of the connection and of the body's length. */
     public fun encodeRequest(head: HttpRequest, order: SendOrder): HttpHeaders
 
-    /** Returns whether [answer] is one to [request], and not to another request. */
-    public fun belongs(request: RelayRequest, answer: HttpResponse): Boolean
+    /** Returns whether [response] is one to [request], and not to another request. */
+    public fun isResponseTo(request: RelayRequest, response: HttpResponse): Boolean
 
-    /** Returns what [answer] says. */
-    public fun decodeAnswer(answer: HttpResponse): AnswerHead
+    /** Returns what [response] says. */
+    public fun decodeResponse(response: HttpResponse): AnswerHead
 
     /** Adds to [headers] what tells the caller to come back after [milliseconds]. */
     public fun encodeRetryAfter(headers: HttpHeaders, milliseconds: Long)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/AnswerDecoder.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/ResponseDecoder.kt
@@ -5,7 +5,7 @@
 import io.netty.handler.codec.http.HttpResponseDecoder
 
 /** Decodes answers; knows the method that was asked with, as an answer to `HEAD` has a length but no body. */
-internal class AnswerDecoder : HttpResponseDecoder() {
+internal class ResponseDecoder : HttpResponseDecoder() {
     /** The method of the request that is under way. */
     var method: HttpMethod = HttpMethod.GET
 
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/StatusServer.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/StatusServer.kt
@@ -39,15 +39,15 @@
 
     private class Initializer(private val page: () -> Page) : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
-            channel.pipeline().addLast(HttpServerCodec(), HttpObjectAggregator(MAXIMUM_BYTES), Handler(page))
+            channel.pipeline().addLast(HttpServerCodec(), HttpObjectAggregator(MAXIMUM_REQUEST_BYTES), Handler(page))
         }
     }
 
     private class Handler(private val page: () -> Page) : SimpleChannelInboundHandler<FullHttpRequest>() {
         override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
-            val answer = page()
-            val status = if (answer.ok) HttpResponseStatus.OK else HttpResponseStatus.SERVICE_UNAVAILABLE
-            val body = Unpooled.copiedBuffer(answer.text, Charsets.UTF_8)
+            val content = page()
+            val status = if (content.ok) HttpResponseStatus.OK else HttpResponseStatus.SERVICE_UNAVAILABLE
+            val body = Unpooled.copiedBuffer(content.text, Charsets.UTF_8)
             val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
             response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8")
@@ -63,6 +63,6 @@
 
     private companion object {
         /** Health checks and scrapes have no body to speak of. */
-        const val MAXIMUM_BYTES = 4_096
+        const val MAXIMUM_REQUEST_BYTES = 4_096
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/peer/PeerSocket.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/peer/PeerSocket.kt
@@ -32,7 +32,7 @@
     }
 
     /** Sends the beacon of [effect]. */
-    fun tell(effect: RelayEffect.TellPeers) {
+    fun send(effect: RelayEffect.TellPeers) {
         val open = channel ?: return
         val bytes = BeaconFormat.encode(effect.beacon).toByteArray()
         effect.addresses.mapNotNull { Address.parseOrNull(it) }.forEach { address ->
--- a/relay/src/main/kotlin/org/quetzalloom/relay/report/RelayMetrics.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/report/RelayMetrics.kt
@@ -20,7 +20,7 @@
     private val registry = PrometheusRegistry()
     private val events = counter("quetzalloom_relay_events_total", "Time line entries by name.", "name")
     private val refusals = counter("quetzalloom_relay_refusals_total", "Errors of the relay's own by kind.", "kind")
-    private val ended = counter("quetzalloom_relay_requests_total", "Requests by how they ended.", "outcome")
+    private val requests = counter("quetzalloom_relay_requests_total", "Requests by how they ended.", "outcome")
     private val failures = counter("quetzalloom_relay_attempt_failures_total", "Attempts lost, by cause.", "failure")
     private val dropped = Counter.builder().name("quetzalloom_relay_log_lines_dropped_total")
         .help("Log lines dropped because the queue was full.").register(registry)
@@ -29,7 +29,7 @@
         .help("Time from the end of a request to the end of its answer, by route.")
         .labelNames("route")
         .classicOnly()
-        .classicExponentialUpperBounds(FIRST_BOUND, BOUND_FACTOR, BOUNDS)
+        .classicExponentialUpperBounds(FIRST_BOUND_SECONDS, BOUND_FACTOR, BOUND_COUNT)
         .register(registry)
 
     init {
@@ -41,13 +41,13 @@
     }
 
     /** Adds the metrics of the connections of [relay]. */
-    fun observe(relay: Relay) {
+    fun registerConnectionGauges(relay: Relay) {
         gauge("quetzalloom_relay_caller_connections", "Connections of callers.") { relay.callerConnections.toDouble() }
         gauge("quetzalloom_relay_backend_connections", "Connections to backend servers.") {
             relay.backendConnections.toDouble()
         }
         gauge("quetzalloom_relay_backend_connections_made", "Connections made to backend servers.") {
-            relay.backendConnectionsMade.toDouble()
+            relay.backendConnectionsOpened.toDouble()
         }
     }
 
@@ -56,7 +56,7 @@
         events.labelValues(entry.name).inc()
         entry.fields["failure"]?.let { failures.labelValues(it).inc() }
         val outcome = entry.fields["outcome"] ?: return
-        ended.labelValues(outcome).inc()
+        requests.labelValues(outcome).inc()
         val milliseconds = entry.fields["after_ms"]?.toDoubleOrNull() ?: return
         latency.labelValues(entry.fields["route"].orEmpty()).observe(milliseconds / MILLISECONDS_PER_SECOND)
     }
@@ -85,8 +85,8 @@
         const val MILLISECONDS_PER_SECOND = 1_000.0
 
         /** Seconds; commands are to be answered in about a tenth, long streams in twenty. */
-        const val FIRST_BOUND = 0.01
+        const val FIRST_BOUND_SECONDS = 0.01
         const val BOUND_FACTOR = 2.0
-        const val BOUNDS = 12
+        const val BOUND_COUNT = 12
     }
 }
--- a/relay/src/test/kotlin/org/quetzalloom/relay/PlainCodec.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/PlainCodec.kt
@@ -10,7 +10,7 @@
 import org.quetzalloom.core.relay.exchange.RelayRequest
 import org.quetzalloom.core.relay.exchange.SendOrder
 import org.quetzalloom.relay.http.MessageCodec
-import org.quetzalloom.relay.http.withoutConnectionHeaders
+import org.quetzalloom.relay.http.withoutHopByHopHeaders
 
 /** Headers of a front end that is no platform's: an id that is echoed, and a time. */
 object PlainCodec : MessageCodec {
@@ -27,16 +27,16 @@
     }
 
     override fun encodeRequest(head: HttpRequest, order: SendOrder): HttpHeaders {
-        val headers = head.headers().withoutConnectionHeaders()
+        val headers = head.headers().withoutHopByHopHeaders()
         order.lastEventId?.let { headers.set("Last-Event-Id", it) }
         return headers
     }
 
-    override fun belongs(request: RelayRequest, answer: HttpResponse): Boolean =
-        answer.headers().get("Id") == request.callerId
+    override fun isResponseTo(request: RelayRequest, response: HttpResponse): Boolean =
+        response.headers().get("Id") == request.callerId
 
-    override fun decodeAnswer(answer: HttpResponse): AnswerHead =
-        AnswerHead(status = answer.status().code(), notRun = answer.headers().contains("Not-Run"))
+    override fun decodeResponse(response: HttpResponse): AnswerHead =
+        AnswerHead(status = response.status().code(), notRun = response.headers().contains("Not-Run"))
 
     override fun encodeRetryAfter(headers: HttpHeaders, milliseconds: Long) {
         headers.set("Retry-After", milliseconds)
--- a/relay/src/test/kotlin/org/quetzalloom/relay/RequestsTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/RequestsTest.kt
@@ -10,15 +10,15 @@
     private val echo: (ScriptedRequest) -> Unit =
         { it.answer("200 OK", mapOf("Id" to it.headers.getValue("id")), it.body.decodeToString()) }
 
-    private fun status(answer: String): String = answer.lineSequence().first().split(' ')[1]
+    private fun status(response: String): String = response.lineSequence().first().split(' ')[1]
 
     @Test
     fun `path, query and a body in chunks are passed on to the byte`() {
-        RelaySite(echo).use { site ->
+        TestRelay(echo).use { relay ->
             val head = "POST /book/a%2Fb?x=1&y=%20 HTTP/1.1\r\nHost: app\r\nId: a\r\nTransfer-Encoding: chunked\r\n"
-            val answer = site.exchange("${head}Connection: close\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
-            assertEquals("abcde", answer.substringAfter("\r\n\r\n"))
-            val request = site.servers[0].requests.single()
+            val response = relay.exchange("${head}Connection: close\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+            assertEquals("abcde", response.substringAfter("\r\n\r\n"))
+            val request = relay.servers[0].requests.single()
             assertEquals("POST /book/a%2Fb?x=1&y=%20 HTTP/1.1", request.line)
             assertEquals("5", request.headers["content-length"])
             assertEquals(null, request.headers["transfer-encoding"])
@@ -27,14 +27,14 @@
 
     @Test
     fun `one connection carries many requests, one after the other`() {
-        RelaySite(echo).use { site ->
-            site.connect().use { caller ->
+        TestRelay(echo).use { relay ->
+            relay.connect().use { caller ->
                 repeat(3) { number ->
                     val head = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a$number\r\nContent-Length: 2\r\n\r\n"
                     assertTrue(caller.send("${head}b$number").readUntil("b$number").startsWith("HTTP/1.1 200"))
                 }
             }
-            assertEquals(1, site.servers[0].accepted)
+            assertEquals(1, relay.servers[0].accepted)
         }
     }
 
@@ -52,48 +52,48 @@
             "GET /book/1 HTTP/1.1\r\nHost: app\r\n\r\n",
             "nonsense\r\n\r\n",
         )
-        RelaySite(echo).use { site ->
+        TestRelay(echo).use { relay ->
             bad.forEach { request ->
-                val answer = site.connect().use { it.send(request).readUntil("\r\n\r\n") }
-                assertEquals("400", status(answer), request)
+                val response = relay.connect().use { it.send(request).readUntil("\r\n\r\n") }
+                assertEquals("400", status(response), request)
             }
-            assertEquals(0, site.servers[0].requests.size)
+            assertEquals(0, relay.servers[0].requests.size)
         }
     }
 
     @Test
     fun `headers and bodies over the limits are refused`() {
-        RelaySite(echo).use { site ->
+        TestRelay(echo).use { relay ->
             val long = "GET /look/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nX: ${"x".repeat(3_000)}\r\n\r\n"
-            assertEquals("431", status(site.exchange(long)))
+            assertEquals("431", status(relay.exchange(long)))
             val big = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nContent-Length: 20000000\r\n\r\n"
-            assertEquals("413", status(site.exchange(big)))
-            assertEquals(0, site.servers[0].requests.size)
+            assertEquals("413", status(relay.exchange(big)))
+            assertEquals(0, relay.servers[0].requests.size)
         }
     }
 
     @Test
     fun `a header that does not arrive in time is answered 408, and its connection closed`() {
-        RelaySite(echo).use { site ->
-            site.connect().use { caller ->
+        TestRelay(echo).use { relay ->
+            relay.connect().use { caller ->
                 val known = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nContent-Length: 2\r\n\r\nok"
                 assertTrue(caller.send(known).readUntil("ok").contains("HTTP/1.1 200"))
                 Thread.sleep(1_200)
                 assertEquals("408", status(caller.send("POST /book/1 HTTP/1.1\r\nHost: a").readUntil("in time")))
             }
-            assertEquals(1, site.servers[0].requests.size)
+            assertEquals(1, relay.servers[0].requests.size)
         }
     }
 
     @Test
-    fun `a bad request that is sent ahead does not cut off the answer before it`() {
+    fun `a bad request that is sent ahead does not cut off the response before it`() {
         val slow: (ScriptedRequest) -> Unit = {
             Thread.sleep(300)
             echo(it)
         }
-        RelaySite(slow).use { site ->
+        TestRelay(slow).use { relay ->
             val known = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nContent-Length: 2\r\n\r\nok"
-            site.connect().use { caller ->
+            relay.connect().use { caller ->
                 assertTrue(caller.send(known + "nonsense\r\n\r\n").readUntil("ok").contains("HTTP/1.1 200"))
             }
         }
@@ -101,8 +101,8 @@
 
     @Test
     fun `a request without a route is answered 404 on the same connection`() {
-        RelaySite(echo).use { site ->
-            site.connect().use { caller ->
+        TestRelay(echo).use { relay ->
+            relay.connect().use { caller ->
                 val unknown = "GET /nowhere HTTP/1.1\r\nHost: app\r\nId: a\r\n\r\n"
                 assertEquals("404", status(caller.send(unknown).readUntil("unknown_target")))
                 val known = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nContent-Length: 2\r\n\r\nok"
--- /dev/null
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/ResponsesTest.kt
@@ -0,0 +1,175 @@
+package org.quetzalloom.relay
+
+import org.quetzalloom.standins.scripted.ScriptedRequest
+import java.util.concurrent.CompletableFuture
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** A caller gets the whole answer to its own request, whatever a backend server does. */
+class ResponsesTest {
+    private val get = "GET /look/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nConnection: close\r\n\r\n"
+    private val post = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi"
+    private val draft = "POST /draft/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nConnection: close\r\n\r\n"
+
+    private fun ScriptedRequest.respondWithOwnId(body: String = "mine") = answer("200 OK", mapOf("Id" to "a"), body)
+
+    private fun ScriptedRequest.startStream() =
+        write("HTTP/1.1 200 OK\r\nId: a\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+
+    private fun body(response: String): String = response.substringAfter("\r\n\r\n")
+
+    @Test
+    fun `an response to another request that comes first is dropped`() {
+        TestRelay({
+            it.answer("200 OK", mapOf("Id" to "foreign"), "theirs")
+            it.respondWithOwnId()
+        }).use { relay ->
+            assertEquals("mine", body(relay.exchange(post)))
+            assertEquals(1, relay.servers[0].requests.size)
+        }
+    }
+
+    @Test
+    fun `surplus bytes after an response never reach the next request`() {
+        TestRelay({
+            it.respondWithOwnId()
+            it.answer("200 OK", mapOf("Id" to "a"), "late")
+        }).use { relay ->
+            repeat(5) { assertEquals("mine", body(relay.exchange(get))) }
+        }
+    }
+
+    @Test
+    fun `an response without length that ends with its connection is whole`() {
+        TestRelay({
+            it.write("HTTP/1.1 200 OK\r\nId: a\r\n\r\nall of it")
+            it.close()
+        }).use { assertEquals("all of it", body(it.exchange(post))) }
+    }
+
+    @Test
+    fun `an response without length whose connection is reset is not passed on`() {
+        TestRelay({
+            it.write("HTTP/1.1 200 OK\r\nId: a\r\n\r\nhalf of")
+            Thread.sleep(50)
+            it.reset()
+        }).use { relay ->
+            val response = relay.exchange(post)
+            assertTrue(" 502 " in response.lineSequence().first(), response)
+            assertTrue("half of" !in response)
+            assertEquals(1, relay.servers[0].requests.size)
+        }
+    }
+
+    @Test
+    fun `a cut response to a read is asked for elsewhere, and one to a command is not`() {
+        val cut: (ScriptedRequest) -> Unit = {
+            it.write("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 10\r\n\r\nhalf")
+            it.close()
+        }
+        TestRelay(cut, cut).use { relay ->
+            assertTrue(" 502 " in relay.exchange(get).lineSequence().first())
+            assertEquals(2, relay.servers.sumOf { it.requests.size })
+            assertTrue(" 502 " in relay.exchange(post).lineSequence().first())
+            assertEquals(3, relay.servers.sumOf { it.requests.size })
+        }
+    }
+
+    @Test
+    fun `bytes that are no response are not passed on`() {
+        TestRelay({
+            it.write("garbage garbage\r\n\r\n")
+            it.close()
+        }).use { assertTrue(" 502 " in it.exchange(post).lineSequence().first()) }
+    }
+
+    @Test
+    fun `a stream that breaks in the middle of an event goes on elsewhere, each event once`() {
+        val script: (ScriptedRequest) -> Unit = { request ->
+            request.startStream()
+            if (request.headers["last-event-id"] == null) {
+                request.chunk("id: 1\ndata: one\n\nid: 2\ndata: tw")
+                Thread.sleep(50)
+                request.reset()
+            } else {
+                request.chunk("id: 2\ndata: two\n\nid: 3\ndata: three\n\n")
+                request.write("0\r\n\r\n")
+            }
+        }
+        TestRelay(script, script).use { relay ->
+            val events = body(relay.exchange(draft)).lineSequence().filter { it.startsWith("id:") }.toList()
+            assertEquals(listOf("id: 1", "id: 2", "id: 3"), events)
+            val positions = relay.servers.flatMap { it.requests }.map { it.headers["last-event-id"] }
+            assertEquals(listOf(null, "1"), positions.sortedBy { it.orEmpty() })
+        }
+    }
+
+    @Test
+    fun `a stream that may not go on elsewhere is cut off, and does not look whole`() {
+        TestRelay({
+            it.startStream()
+            it.chunk("id: 1\ndata: one\n\n")
+            Thread.sleep(50)
+            it.reset()
+        }).use { relay ->
+            val response = relay.exchange(draft.replace("/draft/", "/note/"))
+            assertTrue("data: one" in response)
+            assertTrue(!response.endsWith("0\r\n\r\n"))
+            assertEquals(1, relay.servers[0].requests.size)
+        }
+    }
+
+    @Test
+    fun `events are passed on as they come`() {
+        TestRelay({
+            it.startStream()
+            it.chunk("id: 1\ndata: one\n\n")
+            it.awaitClose(milliseconds = 3_000)
+        }).use { relay ->
+            relay.connect().use { it.send(draft).readUntil("data: one") }
+        }
+    }
+
+    @Test
+    fun `a backend server hears at once that the caller has gone`() {
+        val requestReceived = CompletableFuture<Unit>()
+        val connectionClosed = CompletableFuture<Boolean>()
+        TestRelay({
+            requestReceived.complete(Unit)
+            connectionClosed.complete(it.awaitClose(milliseconds = 500))
+        }).use { relay ->
+            val caller = relay.connect().send(get)
+            requestReceived.get()
+            caller.close()
+            assertTrue(connectionClosed.get())
+        }
+    }
+
+    @Test
+    fun `a long body is passed on whole`() {
+        TestRelay({ it.respondWithOwnId("${it.body.size} bytes") }).use { relay ->
+            val head = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nConnection: close\r\n"
+            assertEquals("9000 bytes", body(relay.exchange("${head}Content-Length: 9000\r\n\r\n" + "x".repeat(9_000))))
+        }
+    }
+
+    @Test
+    fun `after an response that comes before the body is read no request meets the rest of the body`() {
+        val respondEarly: (ScriptedRequest) -> Unit = {
+            it.answer("200 OK", mapOf("Id" to it.headers.getValue("id")), "for ${it.headers["id"]}")
+            Thread.sleep(300)
+        }
+        TestRelay(respondEarly, respondBeforeBody = true).use { relay ->
+            val length = TestRelay.MAXIMUM_BODY_BYTES
+            val head = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nContent-Length: $length\r\n\r\n"
+            relay.connect().use { caller ->
+                assertTrue(caller.send(head + "x".repeat(length)).readUntil("for a").startsWith("HTTP/1.1 200"))
+            }
+            val next = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: b\r\nContent-Length: 2\r\n\r\nok"
+            relay.connect().use { caller -> caller.send(next).readUntil("for b") }
+            assertEquals(listOf("a", "b"), relay.servers[0].requests.map { it.headers["id"] })
+            assertEquals(2, relay.servers[0].accepted)
+        }
+    }
+}
--- a/relay/src/test/kotlin/org/quetzalloom/relay/RelaySite.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
@@ -30,8 +30,8 @@
  *
  * @param early whether the servers answer before they read a body.
  */
-class RelaySite(vararg scripts: (ScriptedRequest) -> Unit, early: Boolean = false) : AutoCloseable {
-    val servers = scripts.map { ScriptedServer(early, it).start() }
+class TestRelay(vararg scripts: (ScriptedRequest) -> Unit, respondBeforeBody: Boolean = false) : AutoCloseable {
+    val servers = scripts.map { ScriptedServer(respondBeforeBody, it).start() }
     private val callers = Address("127.0.0.1", freePort())
     private val ready = Address("127.0.0.1", freePort())
     private val program = RelayProgram(
@@ -52,15 +52,15 @@
 
     init {
         program.start()
-        program.tell(RelayEvent.MembersListed(generation = 0, vms = mapOf(VmId("vm-1") to "")))
-        program.tell(RelayEvent.FeedRead(Feed.ORDERS, listOf(FeedEntry.Configuration(table)), 1, snapshot = true))
-        program.tell(RelayEvent.FeedRead(Feed.SERVERS, listings(), 1, snapshot = true))
+        program.post(RelayEvent.MembersListed(generation = 0, vms = mapOf(VmId("vm-1") to "")))
+        program.post(RelayEvent.FeedRead(Feed.ORDERS, listOf(FeedEntry.Configuration(table)), 1, snapshot = true))
+        program.post(RelayEvent.FeedRead(Feed.SERVERS, listings(), 1, snapshot = true))
         awaitReady()
     }
 
     private fun awaitReady() {
-        val given = System.nanoTime()
-        while (System.nanoTime() - given < READ_MILLISECONDS * NANOSECONDS) {
+        val waitStart = System.nanoTime()
+        while (System.nanoTime() - waitStart < READ_TIMEOUT_MILLISECONDS * NANOSECONDS_PER_MILLISECOND) {
             val answer = CallerSocket(Socket(ready.host, ready.port)).use {
                 it.send("GET / HTTP/1.1\r\nHost: app\r\nConnection: close\r\n\r\n").readAll()
             }
@@ -99,7 +99,7 @@
     /** A caller's connection. */
     class CallerSocket(private val socket: Socket) : AutoCloseable {
         init {
-            socket.soTimeout = READ_MILLISECONDS.toInt()
+            socket.soTimeout = READ_TIMEOUT_MILLISECONDS.toInt()
         }
 
         /** Writes [text] as it is. */
@@ -128,12 +128,12 @@
     companion object {
         /** More than the buffers of a loopback connection hold. */
         const val MAXIMUM_BODY_BYTES = 16_000_000
-        private const val READ_MILLISECONDS = 5_000L
-        private const val NANOSECONDS = 1_000_000L
+        private const val READ_TIMEOUT_MILLISECONDS = 5_000L
+        private const val NANOSECONDS_PER_MILLISECOND = 1_000_000L
         private val zone = AvailabilityZoneId("zone-a")
         private val service = ServiceName("ledger")
         private val splits = persistentListOf(Split(service, weight = 1))
-        private val once = Route(
+        private val bookRoute = Route(
             name = "book",
             host = "app",
             pathPrefix = "/book/",
@@ -145,9 +145,9 @@
         private val table = RoutingTable(
             version = 1,
             routes = persistentListOf(
-                once,
-                once.copy(name = "look", pathPrefix = "/look/", repeatable = true, maximumAttempts = 2),
-                once.copy(
+                bookRoute,
+                bookRoute.copy(name = "look", pathPrefix = "/look/", repeatable = true, maximumAttempts = 2),
+                bookRoute.copy(
                     name = "draft",
                     pathPrefix = "/draft/",
                     streaming = true,
@@ -155,7 +155,7 @@
                     maximumAttempts = 3,
                     gapMilliseconds = 1_000,
                 ),
-                once.copy(name = "note", pathPrefix = "/note/", streaming = true),
+                bookRoute.copy(name = "note", pathPrefix = "/note/", streaming = true),
             ),
             services = persistentMapOf(service to BackendService(service, maximumConnections = 20)),
             limits = CallerLimits(2_048, MAXIMUM_BODY_BYTES, headerMilliseconds = 1_000, idleMilliseconds = 5_000),
