--- a/relay/src/main/kotlin/org/quetzalloom/relay/Listeners.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/Listeners.kt
@@ -4,13 +4,14 @@
 import org.quetzalloom.relay.http.Forwarding
 
 /**
- * Where a relay listens.
+ * The addresses on which a relay listens.
  *
- * @property callers for the requests of callers.
- * @property ready for health checks.
- * @property peers for the beacons and calls of other routers, or `null` for nowhere.
- * @property metrics for metrics, or `null` for nowhere.
- * @property forwarding the calls that other routers may make at [peers], or `null` for none.
+ * @property callers accepts requests of callers.
+ * @property ready accepts health checks.
+ * @property peers accepts the beacons (UDP) and store calls (TCP) of other routers. With `null` it accepts neither and
+ *   sends no beacons.
+ * @property metrics serves the metrics, or `null` to serve none.
+ * @property forwarding the store calls that other routers may make through [peers], or `null` to accept none.
  */
 public data class Listeners(
     public val callers: Address,
--- a/relay/src/main/kotlin/org/quetzalloom/relay/ReducerRequestHandler.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/ReducerRequestHandler.kt
@@ -18,9 +18,9 @@
 import org.quetzalloom.relay.report.Reporter
 
 /**
- * Hands requests of callers to the reducer, and answers them with errors of the relay's own.
+ * Posts callers' requests and disconnections to the reducer, and writes the error responses that the relay generates.
  *
- * @param post hands an event to the reducer.
+ * @param post posts an event to the reducer.
  */
 internal class ReducerRequestHandler(
     private val exchanges: ExchangeTable,
@@ -28,7 +28,7 @@
     private val reporter: Reporter,
     private val post: (RelayEvent) -> Unit,
 ) : RequestHandler {
-    /** Answers the request of [effect], if it has not been answered yet. */
+    /** Writes the error response of [effect], unless its exchange has ended. */
     fun refuse(effect: RelayEffect.Refuse) {
         val exchange = exchanges.remove(effect.exchange) ?: return
         refuse(exchange.response, effect.kind, effect.detail, effect.retryAfterMilliseconds)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
@@ -16,9 +16,10 @@
 import org.quetzalloom.relay.report.Reporter
 
 /**
- * The connections of callers and to backend servers, between sockets and reducer. Confined to the loop's thread.
+ * Connects the sockets of callers and backend servers to the reducer: posts what happens on them as events, and carries
+ * out the effects on them. Confined to the event loop's thread.
  *
- * @param post hands an event to the reducer.
+ * @param post posts an event to the reducer.
  */
 internal class Relay(
     private val group: EventLoopGroup,
@@ -33,22 +34,22 @@
     private val callerServer = CallerServer(requestHandler)
     private val pool = BackendPool(group, codec, clock)
 
-    /** Connections of callers that are open. */
+    /** The number of open connections from callers. */
     val callerConnections: Int get() = callerServer.size
 
-    /** Connections to backend servers that are open. */
+    /** The number of open connections to backend servers. */
     val backendConnections: Int get() = pool.size
 
-    /** Connections to backend servers that were made. */
+    /** The number of connection attempts to backend servers since the start, including failed ones. */
     val backendConnectionsOpened: Long get() = pool.connectionsOpened
 
     /** Listens for callers at [address]. */
     fun listen(address: Address): Unit = callerServer.listen(group, address)
 
-    /** Closes backend connections that have been idle for too long. */
+    /** Closes backend connections whose idle time has run out. */
     fun prune(): Unit = pool.prune()
 
-    /** Carries out [effect], if it concerns requests or connections. */
+    /** Carries out [effect] if it concerns an exchange or callers' connections; ignores any other effect. */
     fun carryOut(effect: RelayEffect) {
         when (effect) {
             is RelayEffect.Send -> send(effect)
@@ -81,7 +82,7 @@
     }
 
     private companion object {
-        /** Idle connections are closed this long after readiness is gone, when no more new ones come. */
+        /** Idle connections are closed this long after readiness is withdrawn, when new ones have ceased to arrive. */
         const val IDLE_CLOSE_DELAY_MILLISECONDS = 2_500L
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/RelayLoop.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/RelayLoop.kt
@@ -7,11 +7,11 @@
 import java.util.concurrent.TimeUnit
 
 /**
- * Drives one reducer on the thread that selects the sockets, so that nothing is handed between threads.
+ * Runs one reducer on the thread that serves the sockets, so that events and effects never cross threads.
  *
- * An event that is posted while another is being reduced waits until the effects of that one have been carried out.
+ * An event that is posted while another is being processed is queued until the effects of that one are carried out.
  *
- * @param tick the event that tells of the passing of time.
+ * @param tick the event that is posted at a fixed interval, for everything that depends on time.
  */
 internal class RelayLoop<S : Any, E : Any, F : Any>(
     initial: S,
@@ -23,14 +23,14 @@
     private val pending = ArrayDeque<E>()
     private var reducing = false
 
-    /** The state after the last reduction. Only for the loop's thread. */
+    /** The state after the last reduction. Must be read on the event loop's thread. */
     var state: S = initial
         private set
 
-    /** What carries out the effects. */
+    /** Carries out the effects. Must be set before the first [post]. */
     lateinit var interpreter: Interpreter<F>
 
-    /** Reduces [event]. Only for the loop's thread. */
+    /** Reduces [event] and carries out its effects. Must be called on the event loop's thread. */
     fun post(event: E) {
         pending.add(event)
         if (reducing) return
@@ -42,7 +42,7 @@
         }
     }
 
-    /** Posts a tick every [TICK_INTERVAL_MILLISECONDS] from now on. */
+    /** Starts to post a tick every [TICK_INTERVAL_MILLISECONDS], the first one at once. */
     fun startTicking() {
         eventLoop.scheduleWithFixedDelay({ post(tick) }, 0, TICK_INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS)
     }
@@ -54,7 +54,7 @@
     }
 
     private companion object {
-        /** The precision of deadlines; the shortest that a caller sets is a tenth of a second. */
+        /** The precision of deadlines. The shortest deadline that callers set is 100 ms. */
         const val TICK_INTERVAL_MILLISECONDS = 20L
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
@@ -21,12 +21,13 @@
 import java.util.concurrent.TimeUnit
 
 /**
- * A relay as a process: one thread that selects sockets, reduces events and carries out effects.
+ * A relay with its listeners: one thread serves all sockets, reduces events and carries out effects.
  *
- * @param settings what the reducer is told.
- * @param listeners where the relay listens.
- * @param codec the meaning of headers.
- * @param store carries out the effects that concern the platform's store; made once the thread is there.
+ * @param settings the initial settings of the reducer.
+ * @param listeners the addresses on which the relay listens.
+ * @param codec encodes and decodes the headers of the front end.
+ * @param store creates the interpreter of the effects that concern the platform's store, from an HTTP client and a
+ *   function that posts events to the reducer.
  */
 public class RelayProgram(
     settings: RelaySettings,
@@ -55,7 +56,11 @@
     private val storeInterpreter = store(callClient, loop::post)
     private var ready = false
 
-    /** Starts to listen, and to read the store. */
+    /**
+     * Binds all listeners and starts the ticks, from which the reducer starts to read the store.
+     *
+     * Throws if an address cannot be bound.
+     */
     public fun start() {
         loop.interpreter = Interpreter { carryOut(it) }
         metrics.registerConnectionGauges(relay)
@@ -78,10 +83,10 @@
         )
     }
 
-    /** Tells the reducer of [event]. May be called from any thread. */
+    /** Posts [event] to the reducer. May be called from any thread. */
     public fun post(event: RelayEvent): Unit = executor.execute { loop.post(event) }
 
-    /** Waits until the relay has finished. */
+    /** Blocks until the reducer has ended the relay after a requested stop. */
     public fun awaitTermination(): Unit = finished.await()
 
     private fun carryOut(effect: RelayEffect) {
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
@@ -9,12 +9,12 @@
 import org.quetzalloom.relay.http.RestartableTimer
 
 /**
- * One attempt of a request at one backend server. Confined to the loop's thread.
+ * One attempt to serve a request at one backend server. Confined to the event loop's thread.
  *
- * An answer is held until it is passed on: the decision is asked for at the head of a stream that succeeds, and at the
- * end of any other answer.
+ * The response is buffered until [forward] is called. [listener] is asked for that decision when the head of a
+ * successful stream has arrived, and when any other response is complete.
  *
- * @property number the number of the attempt, from 1.
+ * @property number the number of the attempt within its exchange, starting at 1.
  */
 internal class BackendCall(
     val exchange: CallerExchange,
@@ -34,17 +34,17 @@
         onFailure(AttemptFailure.SILENT)
     }
 
-    /** Whether the attempt has ended, with or without an answer. */
+    /** Whether the attempt has ended: its response was forwarded, it failed or it was abandoned. */
     var ended = false
         private set
 
-    /** Tells that the request is being sent on [connection]. */
+    /** Handles the start of sending on [connection]. Starts the timeout for the first byte of the response. */
     fun onSending(connection: BackendConnection) {
         this.connection = connection
         idleTimer.restart(order.firstSilenceMilliseconds, onIdleTimeout)
     }
 
-    /** Takes the head of the answer. */
+    /** Handles the head of the response. Restarts the idle timeout. */
     fun onHead(head: HttpResponse) {
         val response = BufferedResponse(head, mayStream = order.streaming)
         buffered = response
@@ -52,7 +52,7 @@
         if (response.isStream) listener.responseStarted(this, head)
     }
 
-    /** Takes a piece of the answer. */
+    /** Handles [bytes] of the response body. Restarts the idle timeout. The caller keeps ownership of [bytes]. */
     fun onBody(bytes: ByteBuf) {
         val response = buffered
         if (ended || response == null) return
@@ -61,7 +61,7 @@
         if (forwarding) response.forwardAvailable(exchange.response)
     }
 
-    /** Takes that the answer is whole. */
+    /** Handles the end of the response. */
     fun onEnd() {
         val response = buffered
         if (ended || response == null) return
@@ -71,7 +71,7 @@
         if (forwarding) finish(response) else if (!response.isStream) listener.responseStarted(this, response.head)
     }
 
-    /** Takes that nothing more will come. */
+    /** Ends the attempt with [failure], unless it has ended already. */
     fun onFailure(failure: AttemptFailure) {
         if (ended) return
         val lastEventId = buffered?.lastEventId
@@ -79,7 +79,7 @@
         listener.attemptFailed(this, failure, lastEventId)
     }
 
-    /** Passes the answer on to the caller, from what is held. */
+    /** Forwards the response to the caller: what is buffered at once, and the rest of a stream as it arrives. */
     fun forward() {
         val response = buffered
         if (ended || response == null) return
@@ -88,14 +88,14 @@
         if (complete) finish(response)
     }
 
-    /** Gives up: closes the connection, as the backend server may still be at work. */
+    /** Abandons the attempt. Closes its connection, because the backend server may still be working on the request. */
     fun abandon() {
         if (ended) return
         end()
         connection?.abandon()
     }
 
-    /** Stops reading from the backend server while the caller cannot take more. */
+    /** Stops reading from the backend server while the caller's connection is not writable (backpressure). */
     fun pauseReading(readingPaused: Boolean) {
         connection?.readingPaused = readingPaused
     }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCallListener.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCallListener.kt
@@ -3,14 +3,14 @@
 import io.netty.handler.codec.http.HttpResponse
 import org.quetzalloom.core.relay.exchange.AttemptFailure
 
-/** What an attempt tells of its progress. */
+/** Receives the progress of an attempt. */
 internal interface BackendCallListener {
-    /** The answer has begun with [head]; unless it is a stream, it is whole. */
+    /** The head of a successful stream has arrived, or any other response is complete. */
     fun responseStarted(call: BackendCall, head: HttpResponse)
 
-    /** The whole answer has been passed on. */
+    /** The complete response has been written to the caller. */
     fun responseForwarded(call: BackendCall)
 
-    /** No whole answer will come; the caller has the events up to [lastEventId]. */
+    /** The attempt has failed. [lastEventId] is the id of the last event that the caller got, or `null`. */
     fun attemptFailed(call: BackendCall, failure: AttemptFailure, lastEventId: String?)
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
@@ -14,10 +14,11 @@
 import org.quetzalloom.relay.http.ResponseDecoder
 
 /**
- * One connection to a backend server, which serves one request at a time.
+ * One keep-alive connection to a backend server, which serves one request at a time.
  *
- * Bytes that come while no request is under way make it useless. It goes back to the pool only once all that has
- * arrived with the end of an answer has been read, so that surplus bytes never meet the next request.
+ * The connection is closed if bytes arrive while no request is in flight. It returns to the pool only after everything
+ * that was received together with the end of a response has been read, so that surplus bytes are never taken for the
+ * response to the next request.
  */
 internal class BackendConnection(
     private val pool: BackendPool,
@@ -30,28 +31,28 @@
     private var requestWritten = true
     private var responseComplete = false
 
-    /** How long the backend server keeps the connection when it is idle, in milliseconds, or `null` if unknown. */
+    /** The backend server's keep-alive timeout in milliseconds, or `null` if the last response did not give it. */
     var keepAliveMilliseconds: Long? = null
         private set
 
-    /** Since when no request is under way. */
+    /** The time of the last return to the pool. */
     var idleSince: Timestamp = Timestamp.EPOCH
 
-    /** Whether nothing more is read for now. */
+    /** Whether reading from the socket is paused. */
     var readingPaused: Boolean
         get() = !channel.config().isAutoRead
         set(value) {
             channel.config().isAutoRead = !value
         }
 
-    /** Whether the connection can be used. */
+    /** Whether the connection can take another request. */
     val open: Boolean get() = channel.isActive && reusable
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         channel = context.channel()
     }
 
-    /** Sends the request of [call] with [headers]. */
+    /** Sends the request of [call] with [headers], and passes the response to [call]. */
     fun send(call: BackendCall, headers: HttpHeaders) {
         reader = ResponseReader(codec, call)
         call.onSending(this)
@@ -67,7 +68,7 @@
         channel.writeAndFlush(request).addListener { requestWritten = true }
     }
 
-    /** Closes the connection; nothing more is told of it. */
+    /** Closes the connection without reporting a failure to the request in flight. */
     fun abandon() {
         reader = null
         close()
@@ -99,7 +100,10 @@
         fail(AttemptFailure.CONNECTION_LOST)
     }
 
-    /** A reset makes the answer incomplete, also one that has no length and ends with its connection. */
+    /**
+     * Closes the connection and fails the request in flight. After a reset even a response without a length, which ends
+     * with its connection, is incomplete.
+     */
     @Deprecated("the supertype's method is")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         close()
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
@@ -16,9 +16,9 @@
 import org.quetzalloom.relay.http.withRelayOptions
 
 /**
- * The connections to all backend servers, kept by address. Confined to the loop's thread.
+ * Pools the connections to all backend servers by address. Confined to the event loop's thread.
  *
- * A kept connection is used again only well before the backend server would close it.
+ * An idle connection is reused only well before the backend server's keep-alive timeout would close it.
  */
 internal class BackendPool(
     private val group: EventLoopGroup,
@@ -34,14 +34,19 @@
     private val endpoints = HashMap<String, Endpoint>()
     private val addresses = HashMap<BackendConnection, String>()
 
-    /** Connections that are open. */
+    /** The number of open connections, idle or in use. */
     val size: Int get() = addresses.size
 
-    /** Connections that were made. */
+    /** The number of connection attempts since the start, including failed ones. */
     var connectionsOpened: Long = 0
         private set
 
-    /** Sends [call] on a connection that is kept, or on a new one. */
+    /**
+     * Sends [call] on an idle connection, or else on a new one.
+     *
+     * The call fails with [AttemptFailure.NO_CONNECTION_LEFT] if its server's connection limit is reached, and with
+     * [AttemptFailure.NOT_CONNECTED] if no connection can be established.
+     */
     fun send(call: BackendCall) {
         val endpoint = endpoints.getOrPut(call.order.address) { Endpoint() }
         val reused = takeIdle(endpoint, call.order.mustBeSure)
@@ -53,21 +58,21 @@
         }
     }
 
-    /** Keeps [connection], which has no request under way. */
+    /** Returns [connection], which has no request in flight, to the pool. */
     fun release(connection: BackendConnection) {
         val endpoint = addresses[connection]?.let { endpoints[it] } ?: return
         connection.idleSince = clock.now()
         endpoint.idle.addLast(connection)
     }
 
-    /** Takes that [connection] has closed. */
+    /** Removes [connection], which has been closed. */
     fun onClosed(connection: BackendConnection) {
         val endpoint = addresses.remove(connection)?.let { endpoints[it] } ?: return
         endpoint.all.remove(connection)
         endpoint.idle.remove(connection)
     }
 
-    /** Closes the connections that have been idle for too long. */
+    /** Closes idle connections that are too close to the keep-alive timeout for reuse, and drops unused endpoints. */
     fun prune() {
         val now = clock.now()
         endpoints.values.forEach { endpoint ->
@@ -76,7 +81,10 @@
         endpoints.values.removeIf { it.all.isEmpty() && it.connecting == 0 }
     }
 
-    /** The newest connection is the least likely to be closed by the other side; dead ones are dropped on the way. */
+    /**
+     * Takes the most recently used idle connection, which the backend server is least likely to close, or returns
+     * `null` if even that one is too old. Drops closed connections.
+     */
     private fun takeIdle(endpoint: Endpoint, mustBeSure: Boolean): BackendConnection? {
         val now = clock.now()
         val share = if (mustBeSure) SAFE_REUSE_SHARE else REUSE_SHARE
@@ -131,16 +139,19 @@
     }
 
     private companion object {
-        /** Longer than a connection to another availability zone takes; the callers' shortest deadline is a second. */
+        /** Longer than connecting to another availability zone takes. Callers' shortest deadline is one second. */
         const val CONNECT_TIMEOUT_MILLISECONDS = 400
 
-        /** The share of the backend server's timeout for which an idle connection is kept. */
+        /** The share of the backend server's keep-alive timeout during which an idle connection is reused. */
         const val REUSE_SHARE = 0.7
 
-        /** The same where a request must not meet a connection that is being closed. */
+        /** The same share for requests that must not be sent on a connection that the backend server may be closing. */
         const val SAFE_REUSE_SHARE = 0.4
 
-        /** Taken for the timeout where a backend server names none; it gives whole seconds only. */
+        /**
+         * The keep-alive timeout that is assumed if a backend server announces none. The header holds whole seconds, so
+         * a timeout below one second cannot be announced.
+         */
         const val DEFAULT_KEEP_ALIVE_MILLISECONDS = 500L
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BufferedResponse.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BufferedResponse.kt
@@ -9,9 +9,9 @@
 import org.quetzalloom.relay.http.withoutHopByHopHeaders
 
 /**
- * What has been read of an answer and not been passed on.
+ * A response that is being read, with the part of its body that has not been forwarded.
  *
- * @param mayStream whether the answer is passed on as it comes, if it is a success.
+ * @param mayStream whether a successful response is forwarded as it arrives.
  */
 internal class BufferedResponse(val head: HttpResponse, mayStream: Boolean) {
     private val bytes: ByteBuf = Unpooled.buffer(INITIAL_CAPACITY_BYTES)
@@ -19,18 +19,21 @@
     private val isEventStream =
         head.headers().get(HttpHeaderNames.CONTENT_TYPE)?.startsWith("text/event-stream", ignoreCase = true) ?: false
 
-    /** Whether the answer is passed on as it comes; otherwise it is passed on whole. */
+    /** Whether the response is forwarded as it arrives; otherwise it is forwarded once it is complete. */
     val isStream: Boolean = mayStream && head.status().codeClass() == HttpStatusClass.SUCCESS
 
-    /** The id of the last event that was passed on, or `null`. */
+    /** The id of the last forwarded event that had one, or `null`. */
     val lastEventId: String? get() = splitter.lastEventId
 
-    /** Adds a piece of the body. */
+    /** Appends a copy of [content] to the buffered body. */
     fun add(content: ByteBuf) {
         bytes.writeBytes(content)
     }
 
-    /** Passes on the head, if [response] has none yet, and all events that are whole. */
+    /**
+     * Writes what can be forwarded now: the head, unless it has been written, and the buffered body. An event stream
+     * is forwarded up to its last complete event.
+     */
     fun forwardAvailable(response: ResponseWriter) {
         if (!response.headWritten) response.writeHead(head.status(), head.headers().withoutHopByHopHeaders())
         val available =
@@ -39,23 +42,23 @@
         bytes.discardSomeReadBytes()
     }
 
-    /** Passes on what is left, and the end. */
+    /** Writes the rest of the body, also an incomplete event, and ends the response. */
     fun forwardEnd(response: ResponseWriter) {
         if (bytes.isReadable) response.write(bytes.readBytes(bytes.readableBytes()))
         response.finish()
     }
 
-    /** Passes on the whole answer. */
+    /** Writes the complete response. */
     fun forwardWhole(response: ResponseWriter): Unit =
         response.writeWhole(head.status(), head.headers().withoutHopByHopHeaders(), bytes.copy())
 
-    /** Frees the bytes. */
+    /** Releases the buffered bytes. */
     fun release() {
         bytes.release()
     }
 
     private companion object {
-        /** Most plain answers and most events fit. */
+        /** Fits most responses that are not streams, and most events. */
         const val INITIAL_CAPACITY_BYTES = 1_024
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/EventSplitter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/EventSplitter.kt
@@ -3,13 +3,13 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 
-/** Splits a `text/event-stream` body into whole events, and knows the id of the last one that was taken. */
+/** Takes complete events from a `text/event-stream` body, and tracks the id of the last one. */
 internal class EventSplitter {
-    /** The id of the last event that was taken and had one, or `null`. */
+    /** The id of the last taken event that had one, or `null`. */
     var lastEventId: String? = null
         private set
 
-    /** Takes all events from [bytes] that are whole; may be empty. What is left begins an event. */
+    /** Removes all complete events from [bytes] and returns them; may be empty. The rest is the start of an event. */
     fun takeCompleteEvents(bytes: ByteBuf): ByteBuf {
         val length = completeLength(bytes)
         if (length == 0) return Unpooled.EMPTY_BUFFER
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/ResponseReader.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/ResponseReader.kt
@@ -9,37 +9,42 @@
 import io.netty.handler.codec.http.LastHttpContent
 import org.quetzalloom.relay.http.MessageCodec
 
-/** Reads the answer to [call], and drops interim answers and answers to other requests that come before it. */
+/**
+ * Reads the response to [call] from the messages of its connection.
+ *
+ * Skips interim (1xx) responses, and responses to other requests that arrive first. A response with a content encoding
+ * is invalid.
+ */
 internal class ResponseReader(private val codec: MessageCodec, val call: BackendCall) {
-    /** What is to be done after a message was taken. */
+    /** The state of the response after a message. */
     enum class Progress {
-        /** More is to come. */
+        /** More messages are expected. */
         INCOMPLETE,
 
-        /** The answer is whole. */
+        /** The response is complete. */
         COMPLETE,
 
-        /** The answer is of no use. */
+        /** The response cannot be used, and the connection has to be closed. */
         INVALID,
     }
 
     private var skipping = false
 
-    /** Whether the connection can be used again after this answer. */
+    /** Whether the connection can be reused after this response. */
     var reusable = true
         private set
 
-    /** How long the backend server keeps an idle connection, in milliseconds, or `null` if it did not say. */
+    /** The keep-alive timeout that the response gives, in milliseconds, or `null` if it gives none. */
     var keepAliveMilliseconds: Long? = null
         private set
 
-    /** Takes a message of the connection. */
+    /** Reads [message], the next one of the connection, and returns the state of the response after it. */
     fun read(message: Any): Progress {
         if (message is HttpResponse && !readHead(message)) return Progress.INVALID
         return if (message is HttpContent) readContent(message) else Progress.INCOMPLETE
     }
 
-    /** Takes the head of an answer; returns whether it is of use. */
+    /** Reads the head of a response. Returns whether it is valid. */
     private fun readHead(response: HttpResponse): Boolean {
         val interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
         val mismatched = !interim && !codec.isResponseTo(call.exchange.request, response)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
@@ -5,9 +5,9 @@
 import java.io.IOException
 
 /**
- * One connection of a caller. Hands on one request after the other, the next once the one before is answered.
+ * One connection from a caller. Dispatches its requests one at a time, in order; pipelined requests wait.
  *
- * It goes on reading while a request is under way, and so notices at once that the caller has gone.
+ * Reading continues while a request is in flight, so that a disconnected caller is noticed at once.
  */
 internal class CallerConnection(private val server: CallerServer) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
@@ -16,11 +16,11 @@
     private var receiving = false
     private var rejected = false
 
-    /** Closes this connection. */
+    /** Closes this connection gracefully, at once or after an idle timeout. */
     lateinit var gracefulClose: GracefulClose
         private set
 
-    /** Whether the connection ends with the answer that is under way. */
+    /** Whether the connection is to be closed after the current response. */
     val closesAfterResponse: Boolean get() = server.draining || rejected
 
     override fun channelActive(context: ChannelHandlerContext) {
@@ -59,7 +59,7 @@
         context.close()
     }
 
-    /** Tells that the answer to the request under way has been written. */
+    /** Handles the end of the current response: dispatches the next pipelined request, or starts the idle timeout. */
     fun onResponseWritten() {
         active = null
         if (rejected || gracefulClose.closing) return
@@ -67,7 +67,7 @@
         if (next != null) dispatch(next) else if (!receiving) gracefulClose.closeAfter(server.limits.idleMilliseconds)
     }
 
-    /** Closes the connection if no request is being read or answered. */
+    /** Closes the connection if it has no request, neither in flight nor waiting nor partly received. */
     fun closeIfIdle() {
         if (active == null && !receiving && pipelined.isEmpty()) gracefulClose.close()
     }
@@ -90,7 +90,10 @@
         active = server.handler.onRequest(request.head, request.body, response)
     }
 
-    /** An answer that is under way ends first, and the connection with it. */
+    /**
+     * Writes an error response, after which the connection is closed. If another response is in progress, that one is
+     * completed instead, and the error response is not sent.
+     */
     private fun reject(request: CallerMessage.Rejected) {
         if (gracefulClose.closing) return
         rejected = true
@@ -101,7 +104,7 @@
     }
 
     private companion object {
-        /** Requests that a caller may send ahead on one connection. */
+        /** More pipelined requests than this close the connection. */
         const val MAXIMUM_PIPELINED_REQUESTS = 4
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerExchange.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerExchange.kt
@@ -7,9 +7,9 @@
 import org.quetzalloom.relay.backend.BackendCall
 
 /**
- * A request that has been read whole, and what is under way for it. Confined to the loop's thread.
+ * A complete request with its response and its current attempt. Confined to the event loop's thread.
  *
- * @property body the whole body; released with the exchange.
+ * @property body the complete body; released when the exchange is removed from its table.
  */
 internal class CallerExchange(
     val id: ExchangeId,
@@ -18,6 +18,6 @@
     val body: ByteBuf,
     val response: ResponseWriter,
 ) {
-    /** The attempt under way, or `null`. */
+    /** The latest attempt, or `null` before the first. */
     var call: BackendCall? = null
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerMessage.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerMessage.kt
@@ -4,14 +4,14 @@
 import io.netty.handler.codec.http.HttpRequest
 import org.quetzalloom.core.error.ErrorKind
 
-/** What a [RequestReader] makes of the bytes of a caller. */
+/** What a [RequestReader] reads from a caller's connection. */
 internal sealed interface CallerMessage {
-    /** A request has begun to arrive. */
+    /** The head of a request has been received. */
     data object Started : CallerMessage
 
-    /** A request has arrived whole; whoever takes it releases [body]. */
+    /** A complete request. The receiver must release [body]. */
     class Complete(val head: HttpRequest, val body: ByteBuf) : CallerMessage
 
-    /** A request cannot be taken, and nothing that follows it can be trusted. */
+    /** An invalid request. Nothing after it on the connection can be trusted. */
     class Rejected(val head: HttpRequest, val kind: ErrorKind, val detail: String) : CallerMessage
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
@@ -14,22 +14,22 @@
 import java.util.concurrent.TimeUnit
 
 /**
- * The listener for callers, and all their connections. Confined to the loop's thread.
+ * Accepts connections from callers and tracks the open ones. Confined to the event loop's thread.
  *
- * @property handler what is done with requests.
+ * @property handler receives the requests.
  */
 internal class CallerServer(val handler: RequestHandler) {
     private val connections = LinkedHashSet<CallerConnection>()
     private var listener: Channel? = null
 
-    /** What callers may send. */
+    /** The limits on requests. The maximum header size applies to new connections only, the others at once. */
     var limits: CallerLimits = DEFAULT_LIMITS
 
-    /** Whether connections end with their next answer. */
+    /** Whether each connection is closed after its current or next response. */
     var draining: Boolean = false
         private set
 
-    /** Connections that are open. */
+    /** The number of open connections. */
     val size: Int get() = connections.size
 
     /** Listens at [address]. */
@@ -41,7 +41,7 @@
         listener = bootstrap.bind(address.toSocketAddress()).sync().channel()
     }
 
-    /** Ends connections with their next answer, and idle ones after [idleAfterMilliseconds]. */
+    /** Closes each connection after its current or next response, and idle ones after [idleAfterMilliseconds]. */
     fun drain(group: EventLoopGroup, idleAfterMilliseconds: Long) {
         draining = true
         group.schedule(
@@ -51,12 +51,12 @@
         )
     }
 
-    /** Takes a connection that was accepted. */
+    /** Adds [connection], which has been accepted. */
     fun onOpened(connection: CallerConnection) {
         connections.add(connection)
     }
 
-    /** Takes that a connection has closed. */
+    /** Removes [connection], which has been closed. */
     fun onClosed(connection: CallerConnection) {
         connections.remove(connection)
     }
@@ -75,7 +75,7 @@
     }
 
     private companion object {
-        /** In force until a configuration has been read; every request is refused until then. */
+        /** Applies until a configuration has been read; until then every request is refused. */
         val DEFAULT_LIMITS = CallerLimits(
             maximumHeaderBytes = 16_384,
             maximumBodyBytes = 1_048_576,
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/GracefulClose.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/GracefulClose.kt
@@ -4,7 +4,11 @@
 import io.netty.channel.socket.SocketChannel
 import org.quetzalloom.relay.http.RestartableTimer
 
-/** Closes the connection of [channel] so that nothing is lost that the caller has not read yet. */
+/**
+ * Closes the connection of [channel] without losing response bytes that the caller has not read yet.
+ *
+ * The connection is half-closed first: closing it with unread input would reset it, and a reset discards such bytes.
+ */
 internal class GracefulClose(private val channel: Channel) {
     private val timer = RestartableTimer(channel.eventLoop())
 
@@ -12,17 +16,17 @@
     var closing = false
         private set
 
-    /** Closes the connection after [milliseconds], unless it is [cancel]led before. */
+    /** Schedules [close] after [milliseconds], in place of any earlier schedule. */
     fun closeAfter(milliseconds: Long) {
         if (!closing) timer.restart(milliseconds) { close() }
     }
 
-    /** Leaves the connection open, unless it is being closed already. */
+    /** Cancels a scheduled [close]. Has no effect once closing has begun. */
     fun cancel() {
         if (!closing) timer.cancel()
     }
 
-    /** Ends what is sent, and closes once the caller has closed too or has had time to. */
+    /** Half-closes the connection, and closes it completely unless the caller does so within the linger timeout. */
     fun close() {
         if (closing) return
         closing = true
@@ -30,14 +34,14 @@
         timer.restart(LINGER_TIMEOUT_MILLISECONDS) { channel.close() }
     }
 
-    /** Takes that the connection has closed. */
+    /** Handles that the connection has been closed. */
     fun onClosed() {
         closing = true
         timer.cancel()
     }
 
     private companion object {
-        /** The time that a caller has to close its side. */
+        /** How long a half-closed connection waits for the caller to close its side. */
         const val LINGER_TIMEOUT_MILLISECONDS = 1_000L
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestHandler.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestHandler.kt
@@ -4,17 +4,17 @@
 import io.netty.handler.codec.http.HttpRequest
 import org.quetzalloom.core.error.ErrorKind
 
-/** What is done with the requests of callers. */
+/** Handles the requests of callers. */
 internal interface RequestHandler {
-    /** Takes a request that was read whole, and its [body]; returns `null` if it has been answered already. */
+    /** Handles a complete request; takes ownership of [body]. Returns `null` if it has been answered already. */
     fun onRequest(head: HttpRequest, body: ByteBuf, response: ResponseWriter): CallerExchange?
 
-    /** Takes that the caller of [exchange] has closed its connection. */
+    /** Handles that the caller of [exchange] has closed its connection. */
     fun onCallerDisconnected(exchange: CallerExchange)
 
-    /** Answers with an error of the relay's own. */
+    /** Writes an error response that the relay itself generates. */
     fun refuse(response: ResponseWriter, kind: ErrorKind, detail: String, retryAfterMilliseconds: Long?)
 
-    /** Logs a problem of a connection. */
+    /** Logs the event [name] for a problem on a caller's connection. */
     fun reportProblem(name: String, cause: Throwable)
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestReader.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestReader.kt
@@ -18,9 +18,11 @@
 import org.quetzalloom.relay.http.RestartableTimer
 
 /**
- * Reads requests whole, within limits. Passes on [CallerMessage]s; after a rejection it reads nothing more.
+ * Aggregates requests within the limits, and passes [CallerMessage]s to the next handler of the pipeline.
  *
- * @param limits returns the limits in force.
+ * After a rejection all further input is discarded.
+ *
+ * @param limits returns the current limits.
  */
 internal class RequestReader(private val limits: () -> CallerLimits) : ChannelInboundHandlerAdapter() {
     private class Reading(val head: HttpRequest) {
@@ -39,7 +41,7 @@
         timeout = RestartableTimer(context.executor())
     }
 
-    /** Takes that bytes have come, which the decoder has not read yet: the header's time begins with its first. */
+    /** Handles the arrival of undecoded bytes. The first byte of a request starts its header timeout. */
     fun onBytesReceived() {
         if (!betweenRequests || rejected) return
         betweenRequests = false
@@ -110,7 +112,7 @@
     }
 
     private companion object {
-        /** Stands for a head that has not arrived; the answer to it depends on nothing in it. */
+        /** Replaces a head that has not arrived in time; the error response does not depend on it. */
         val PLACEHOLDER_HEAD = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/")
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestValidator.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestValidator.kt
@@ -8,9 +8,9 @@
 import org.quetzalloom.core.error.ErrorKind
 import org.quetzalloom.core.relay.routing.CallerLimits
 
-/** Finds heads that are malformed, ambiguous or over the limits that [limits] returns. */
+/** Finds request heads that are malformed, ambiguous or over the current [limits]. */
 internal class RequestValidator(private val limits: () -> CallerLimits) {
-    /** Returns what is wrong with [head], and how, or `null` if it can be taken. */
+    /** Returns the error kind and a description of the problem with [head], or `null` if it is valid. */
     fun problemOrNull(head: HttpRequest): Pair<ErrorKind, String>? {
         val failure = head.decoderResult().cause()
         val framing = if (failure == null) framingProblemOrNull(head) else null
@@ -35,6 +35,6 @@
         else -> null
     }
 
-    /** Returns in words for the caller that its body is too large. */
+    /** Returns the error message for a body over the limit. */
     fun bodyTooLarge(): String = "the body is larger than ${limits().maximumBodyBytes} bytes"
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/ResponseWriter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/ResponseWriter.kt
@@ -18,9 +18,9 @@
 import io.netty.handler.codec.http.LastHttpContent
 
 /**
- * Writes the one answer to a request.
+ * Writes the response to a request: either [writeWhole] once, or [writeHead], any number of [write], and [finish].
  *
- * @param connection the connection on which the request came.
+ * @param connection the connection on which the request arrived.
  * @param channel the channel of that connection.
  */
 internal class ResponseWriter(
@@ -30,14 +30,14 @@
 ) {
     private val keepAlive = HttpUtil.isKeepAlive(request)
 
-    /** HTTP/1.0 knows no chunks: an answer without length then ends with the connection. */
+    /** HTTP/1.0 has no chunked encoding: there, a response without a length ends with the connection. */
     private val supportsChunked = request.protocolVersion().isKeepAliveDefault
 
-    /** Whether the head of an answer has been written. */
+    /** Whether the head of the response has been written. */
     var headWritten = false
         private set
 
-    /** Writes a whole answer. */
+    /** Writes a complete response. Takes ownership of [body]. */
     fun writeWhole(status: HttpResponseStatus, headers: HttpHeaders, body: ByteBuf) {
         headWritten = true
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
@@ -46,7 +46,7 @@
         end(response)
     }
 
-    /** Writes the head of an answer whose length is not known. */
+    /** Writes the head of a response of unknown length. */
     fun writeHead(status: HttpResponseStatus, headers: HttpHeaders) {
         headWritten = true
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, status)
@@ -58,15 +58,18 @@
         channel.write(response)
     }
 
-    /** Writes a piece of the body; [bytes] are released. */
+    /** Writes a part of the body. Takes ownership of [bytes]. */
     fun write(bytes: ByteBuf) {
         channel.writeAndFlush(DefaultHttpContent(bytes))
     }
 
-    /** Ends an answer that was begun. */
+    /** Ends a response that was begun with [writeHead]. */
     fun finish(): Unit = end(LastHttpContent.EMPTY_LAST_CONTENT)
 
-    /** Closes the connection without the end of the answer; resets it where that would look like the end. */
+    /**
+     * Closes the connection before the end of the response. A response that would end with its connection is reset, so
+     * that the caller does not take it for complete.
+     */
     fun abort() {
         if (!supportsChunked) channel.config().setOption(ChannelOption.SO_LINGER, 0)
         channel.close()
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/Address.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/Address.kt
@@ -3,9 +3,9 @@
 import java.net.InetSocketAddress
 
 /**
- * Where a process listens.
+ * A network address.
  *
- * @property host an IP number; names are not looked up.
+ * @property host an IP address; a host name would be resolved on the thread that uses the address.
  */
 public data class Address(public val host: String, public val port: Int) {
     init {
@@ -13,7 +13,7 @@
         require(port in PORTS) { "the port $port is not in $PORTS" }
     }
 
-    /** Returns the form that sockets take. */
+    /** Returns this address as a socket address. */
     internal fun toSocketAddress(): InetSocketAddress = InetSocketAddress(host, port)
 
     override fun toString(): String = "$host:$port"
@@ -21,7 +21,7 @@
     public companion object {
         private val PORTS = 1..65_535
 
-        /** Returns the address written as `host:port`, or `null` if [text] is none. */
+        /** Parses `host:port`. Returns `null` if the host is empty or the port is not in 1..65535. */
         public fun parseOrNull(text: String): Address? {
             val host = text.substringBeforeLast(':', missingDelimiterValue = "")
             val port = text.substringAfterLast(':').toIntOrNull()?.takeIf { it in PORTS }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/CallClient.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/CallClient.kt
@@ -17,20 +17,21 @@
 import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpUtil
 
-/** What the answer to a call, or why there is none, is handed to. */
+/** Receives the response to a call, or a description of why there is none. */
 public typealias CallListener = (Result<FullHttpResponse, String>) -> Unit
 
 /**
- * Makes calls whose answers are short and read whole. Keeps connections by address, and closes one whose call was not
- * answered in time. Confined to the loop's thread.
+ * An HTTP client for calls with short responses, which are aggregated. Confined to the event loop's thread.
+ *
+ * Keep-alive connections are pooled by address. A connection whose call times out is closed.
  */
 public class CallClient internal constructor(private val group: EventLoopGroup) {
     private val idle = HashMap<Address, ArrayDeque<Connection>>()
 
     /**
-     * Sends [request] to [address], and hands the answer to [listener] within [timeoutMilliseconds].
+     * Sends [request] to [address], and calls [listener] once, at the latest after [timeoutMilliseconds].
      *
-     * The answer is released after [listener] returns. A call without an answer may have been carried out.
+     * The response is released after [listener] returns. A call that failed may still have been carried out.
      */
     public fun call(address: Address, request: FullHttpRequest, timeoutMilliseconds: Long, listener: CallListener) {
         val reused = takeIdle(address)
@@ -121,16 +122,16 @@
         }
 
         private fun timeOut() {
-            complete(Err("no answer in time"))
+            complete(Err("no response in time"))
             channel?.close()
         }
     }
 
     private companion object {
-        /** The store answers in a few milliseconds; a lost packet is sent again within this time. */
+        /** The store answers within a few milliseconds, and a lost packet is retransmitted within this time. */
         const val CONNECT_TIMEOUT_MILLISECONDS = 500
 
-        /** More than any page of the store's newest records. */
+        /** Larger than any page of the store's newest records. */
         const val MAXIMUM_RESPONSE_BYTES = 8 * 1_024 * 1_024
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/CallForwarder.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/CallForwarder.kt
@@ -20,7 +20,7 @@
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpVersion
 
-/** Makes calls for other routers, and hands them the answers. Each call is made once. */
+/** Forwards calls of other routers to one target, and returns the responses. Calls are not retried. */
 internal class CallForwarder(
     private val group: EventLoopGroup,
     private val client: CallClient,
@@ -45,7 +45,7 @@
     private inner class Handler : SimpleChannelInboundHandler<FullHttpRequest>() {
         override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
             if (request.uri().substringBefore('?') !in forwarding.paths) {
-                context.respond(HttpResponseStatus.NOT_FOUND, text("this path is not passed on"))
+                context.respond(HttpResponseStatus.NOT_FOUND, text("this path is not forwarded"))
                 return
             }
             client.call(forwarding.target, request.toTarget(), CALL_TIMEOUT_MILLISECONDS) { result ->
@@ -78,10 +78,10 @@
     private fun text(problem: String): ByteBuf = Unpooled.copiedBuffer("$problem\n", Charsets.UTF_8)
 
     private companion object {
-        /** A little longer than the longest call of a router, which waits a second and a half for a record. */
+        /** Slightly longer than the longest call of a router, a read that waits 1.5 s for a record. */
         const val CALL_TIMEOUT_MILLISECONDS = 2_500L
 
-        /** Calls carry one record at most, of some hundred bytes. */
+        /** Calls carry at most one record, of a few hundred bytes. */
         const val MAXIMUM_REQUEST_BYTES = 64 * 1_024
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/Forwarding.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/Forwarding.kt
@@ -1,9 +1,9 @@
 package org.quetzalloom.relay.http
 
 /**
- * The calls that other routers may make through this one.
+ * Calls that this router forwards for other routers.
  *
- * @property target where they go.
- * @property paths what they may ask for; anything else is refused.
+ * @property target the server to which calls are forwarded.
+ * @property paths the allowed paths; a call to any other path is answered 404.
  */
 public data class Forwarding(public val target: Address, public val paths: Set<String>)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/HopHeaders.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/HopHeaders.kt
@@ -17,7 +17,10 @@
     "expect",
 )
 
-/** Returns a copy without the headers that concern one connection only, and without the length of the body. */
+/**
+ * Returns a copy without the hop-by-hop headers and those that `Connection` names, and without `Expect` and
+ * `Content-Length`, which the sender sets anew.
+ */
 public fun HttpHeaders.withoutHopByHopHeaders(): HttpHeaders {
     val named = getAll(HttpHeaderNames.CONNECTION).flatMap { it.split(',') }.map { it.trim() }
     val dropped = HOP_BY_HOP_HEADERS + named.filter { it.isNotEmpty() }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/MessageCodec.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/MessageCodec.kt
@@ -8,20 +8,20 @@
 import org.quetzalloom.core.relay.exchange.RelayRequest
 import org.quetzalloom.core.relay.exchange.SendOrder
 
-/** What the headers of requests and answers mean. Each front end brings its own. */
+/** Encodes and decodes the headers of requests and responses. Each front end has its own. */
 public interface MessageCodec {
-    /** Returns the request whose head is [head], or what is wrong with it in words for the caller. */
+    /** Decodes the head of a request. Returns a message for the caller if it is invalid. */
     public fun decodeRequest(head: HttpRequest): Result<RelayRequest, String>
 
-    /** Returns the headers to send a request with, without those of the connection and of the body's length. */
+    /** Returns the headers for sending [head] as [order] says, without hop-by-hop headers and `Content-Length`. */
     public fun encodeRequest(head: HttpRequest, order: SendOrder): HttpHeaders
 
-    /** Returns whether [response] is one to [request], and not to another request. */
+    /** Returns whether [response] belongs to [request], and not to another request on the same connection. */
     public fun isResponseTo(request: RelayRequest, response: HttpResponse): Boolean
 
-    /** Returns what [response] says. */
+    /** Decodes the head of a response. */
     public fun decodeResponse(response: HttpResponse): AnswerHead
 
-    /** Adds to [headers] what tells the caller to come back after [milliseconds]. */
+    /** Adds to [headers] that the caller should retry after [milliseconds]. */
     public fun encodeRetryAfter(headers: HttpHeaders, milliseconds: Long)
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/RestartableTimer.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/RestartableTimer.kt
@@ -4,17 +4,17 @@
 import io.netty.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 
-/** At most one action that is due at some time, on the thread of [executor]. */
+/** A one-shot timer that can be restarted and cancelled. Runs its action on the thread of [executor]. */
 internal class RestartableTimer(private val executor: EventExecutor) {
     private var scheduled: ScheduledFuture<*>? = null
 
-    /** Runs [action] after [milliseconds], in place of what was due before; nothing is due if that is `null`. */
+    /** Cancels a scheduled action, and schedules [action] after [milliseconds]; schedules nothing if that is `null`. */
     fun restart(milliseconds: Long?, action: () -> Unit) {
         cancel()
         scheduled = milliseconds?.let { executor.schedule(action, it, TimeUnit.MILLISECONDS) }
     }
 
-    /** Lets nothing be due. */
+    /** Cancels the scheduled action, if there is one. */
     fun cancel() {
         scheduled?.cancel(false)
         scheduled = null
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/SocketOptions.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/SocketOptions.kt
@@ -6,16 +6,16 @@
 import io.netty.channel.socket.nio.NioChannelOption
 import jdk.net.ExtendedSocketOptions
 
-/** Seconds of silence after which the peer of an open connection is asked whether it is still there. */
+/** Seconds without data after which the first TCP keep-alive probe is sent. */
 private const val KEEP_ALIVE_IDLE_SECONDS = 2
 
-/** Seconds between two such questions. */
+/** Seconds between two probes. */
 private const val KEEP_ALIVE_INTERVAL_SECONDS = 1
 
-/** Questions without an answer after which the connection is lost. */
+/** Unanswered probes after which the connection is dropped. */
 private const val KEEP_ALIVE_PROBES = 3
 
-/** Sets the options of connections that are accepted: no delay, and probes that notice a peer that has gone silent. */
+/** Sets the options of accepted connections: no delay, and keep-alive probes that detect a dead peer. */
 internal fun ServerBootstrap.withRelayOptions(): ServerBootstrap = apply {
     childOption(ChannelOption.TCP_NODELAY, true)
     childOption(ChannelOption.SO_KEEPALIVE, true)
@@ -24,7 +24,7 @@
     childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
 }
 
-/** Sets the same options for connections that are made. */
+/** Sets the same options for outgoing connections. */
 internal fun Bootstrap.withRelayOptions(): Bootstrap = apply {
     option(ChannelOption.TCP_NODELAY, true)
     option(ChannelOption.SO_KEEPALIVE, true)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/StatusServer.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/StatusServer.kt
@@ -18,16 +18,16 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 
-/** Serves one page a listener, whatever the path: the readiness of a process, or its metrics. */
+/** Serves one page per listener, whatever the path: the readiness of the process, or its metrics. */
 internal class StatusServer(private val group: EventLoopGroup) {
     /**
-     * An answer.
+     * The content of a response.
      *
      * @property ok whether the status is 200; otherwise it is 503.
      */
     class Page(val ok: Boolean, val text: String)
 
-    /** Listens at [address], and answers with what [page] returns. */
+    /** Listens at [address], and answers each request with the current result of [page]. */
     fun listen(address: Address, page: () -> Page) {
         ServerBootstrap().group(group)
             .channel(NioServerSocketChannel::class.java)
@@ -62,7 +62,7 @@
     }
 
     private companion object {
-        /** Health checks and scrapes have no body to speak of. */
+        /** Health checks and metric scrapes have no body, or a tiny one. */
         const val MAXIMUM_REQUEST_BYTES = 4_096
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/StrictRequestDecoder.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/StrictRequestDecoder.kt
@@ -4,7 +4,10 @@
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpRequestDecoder
 
-/** Decodes requests, and fails on a message that names both a length and an encoding, as its end is ambiguous. */
+/**
+ * Decodes requests. Rejects a request with both `Content-Length` and `Transfer-Encoding`, because it is ambiguous where
+ * its body ends.
+ */
 internal class StrictRequestDecoder(maximumHeaderBytes: Int) : HttpRequestDecoder(
     HttpDecoderConfig()
         .setMaxInitialLineLength(maximumHeaderBytes)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/peer/BeaconFormat.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/peer/BeaconFormat.kt
@@ -11,7 +11,7 @@
 import org.quetzalloom.core.relay.rollout.OutcomeSums
 import org.quetzalloom.core.relay.routing.ServiceName
 
-/** Beacons as JSON. */
+/** Encodes and decodes beacons as JSON. */
 internal object BeaconFormat {
     @Serializable
     private class Document(
@@ -46,7 +46,7 @@
         ),
     )
 
-    /** Returns the beacon in [text]. Throws [IllegalArgumentException] if it is none. */
+    /** Decodes the beacon in [text]; ignores unknown fields. Throws [IllegalArgumentException] if [text] is not one. */
     fun decode(text: String): PeerBeacon {
         val document = json.decodeFromString<Document>(text)
         return PeerBeacon(
--- a/relay/src/main/kotlin/org/quetzalloom/relay/peer/PeerSocket.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/peer/PeerSocket.kt
@@ -14,9 +14,11 @@
 import org.quetzalloom.relay.report.Reporter
 
 /**
- * Sends beacons to other routers, and receives theirs, as JSON in datagrams. One that is lost is followed by the next.
+ * Sends beacons to other routers and receives theirs, as JSON in UDP datagrams.
  *
- * @param post hands an event to the reducer.
+ * A lost beacon is not sent again; the next one replaces it.
+ *
+ * @param post posts an event to the reducer.
  */
 internal class PeerSocket(
     private val group: EventLoopGroup,
@@ -25,13 +27,13 @@
 ) {
     private var channel: Channel? = null
 
-    /** Receives beacons at [address]. */
+    /** Binds the socket to [address], and starts to receive beacons. */
     fun listen(address: Address) {
         val bootstrap = Bootstrap().group(group).channel(NioDatagramChannel::class.java).handler(Receiver())
         channel = bootstrap.bind(address.toSocketAddress()).sync().channel()
     }
 
-    /** Sends the beacon of [effect]. */
+    /** Sends the beacon of [effect]. Does nothing before [listen]; skips addresses that cannot be parsed. */
     fun send(effect: RelayEffect.TellPeers) {
         val open = channel ?: return
         val bytes = BeaconFormat.encode(effect.beacon).toByteArray()
--- a/relay/src/main/kotlin/org/quetzalloom/relay/report/RelayMetrics.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/report/RelayMetrics.kt
@@ -12,46 +12,46 @@
 import java.io.ByteArrayOutputStream
 
 /**
- * The metrics of one relay.
+ * The Prometheus metrics of one relay.
  *
- * @param state reads the state at the time of a scrape.
+ * @param state returns the state at the time of a scrape.
  */
 internal class RelayMetrics(private val state: () -> RelayState) {
     private val registry = PrometheusRegistry()
-    private val events = counter("quetzalloom_relay_events_total", "Time line entries by name.", "name")
-    private val refusals = counter("quetzalloom_relay_refusals_total", "Errors of the relay's own by kind.", "kind")
-    private val requests = counter("quetzalloom_relay_requests_total", "Requests by how they ended.", "outcome")
-    private val failures = counter("quetzalloom_relay_attempt_failures_total", "Attempts lost, by cause.", "failure")
+    private val events = counter("quetzalloom_relay_events_total", "Timeline entries by name.", "name")
+    private val refusals = counter("quetzalloom_relay_refusals_total", "Errors of the relay itself by kind.", "kind")
+    private val requests = counter("quetzalloom_relay_requests_total", "Finished requests by outcome.", "outcome")
+    private val failures = counter("quetzalloom_relay_attempt_failures_total", "Failed attempts by cause.", "failure")
     private val dropped = Counter.builder().name("quetzalloom_relay_log_lines_dropped_total")
         .help("Log lines dropped because the queue was full.").register(registry)
     private val latency = Histogram.builder()
         .name("quetzalloom_relay_request_seconds")
-        .help("Time from the end of a request to the end of its answer, by route.")
+        .help("Time from the end of a request to the end of its response, by route.")
         .labelNames("route")
         .classicOnly()
         .classicExponentialUpperBounds(FIRST_BOUND_SECONDS, BOUND_FACTOR, BOUND_COUNT)
         .register(registry)
 
     init {
-        gauge("quetzalloom_relay_active_requests", "Requests not answered yet.") { it.activeExchanges.toDouble() }
+        gauge("quetzalloom_relay_active_requests", "Requests in flight.") { it.activeExchanges.toDouble() }
         gauge("quetzalloom_relay_backend_servers", "Backend servers known.") { it.knownServers.toDouble() }
-        gauge("quetzalloom_relay_configuration_version", "Configuration in force, or -1.") {
+        gauge("quetzalloom_relay_configuration_version", "Version of the current configuration, or -1.") {
             it.configurationVersion?.toDouble() ?: -1.0
         }
     }
 
-    /** Adds the metrics of the connections of [relay]. */
+    /** Registers the connection gauges of [relay]. */
     fun registerConnectionGauges(relay: Relay) {
-        gauge("quetzalloom_relay_caller_connections", "Connections of callers.") { relay.callerConnections.toDouble() }
-        gauge("quetzalloom_relay_backend_connections", "Connections to backend servers.") {
+        gauge("quetzalloom_relay_caller_connections", "Open caller connections.") { relay.callerConnections.toDouble() }
+        gauge("quetzalloom_relay_backend_connections", "Open connections to backend servers.") {
             relay.backendConnections.toDouble()
         }
-        gauge("quetzalloom_relay_backend_connections_made", "Connections made to backend servers.") {
+        gauge("quetzalloom_relay_backend_connections_made", "Connection attempts to backend servers.") {
             relay.backendConnectionsOpened.toDouble()
         }
     }
 
-    /** Counts [entry], and what it says of a request. */
+    /** Counts [entry], the attempt failure or request outcome in its fields, and the request's duration. */
     fun count(entry: TimelineEntry) {
         events.labelValues(entry.name).inc()
         entry.fields["failure"]?.let { failures.labelValues(it).inc() }
@@ -61,10 +61,10 @@
         latency.labelValues(entry.fields["route"].orEmpty()).observe(milliseconds / MILLISECONDS_PER_SECOND)
     }
 
-    /** Counts an error of the relay's own. */
+    /** Counts an error response that the relay generated. */
     fun countRefusal(kind: ErrorKind): Unit = refusals.labelValues(kind.code).inc()
 
-    /** Counts a log line that was dropped. */
+    /** Counts a dropped log line. */
     fun countDroppedLine(): Unit = dropped.inc()
 
     /** Returns all metrics in the Prometheus text format. */
@@ -84,7 +84,7 @@
     private companion object {
         const val MILLISECONDS_PER_SECOND = 1_000.0
 
-        /** Seconds; commands are to be answered in about a tenth, long streams in twenty. */
+        /** The histogram covers 0.01 s to 20 s: short commands should take about 0.1 s, and long streams about 20 s. */
         const val FIRST_BOUND_SECONDS = 0.01
         const val BOUND_FACTOR = 2.0
         const val BOUND_COUNT = 12
--- a/relay/src/main/kotlin/org/quetzalloom/relay/report/Reporter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/report/Reporter.kt
@@ -7,24 +7,24 @@
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
 
-/** Writes time line entries to the log, and counts them. Never waits: lines are dropped while the queue is full. */
+/** Logs and counts timeline entries. Never blocks: the log appender drops lines while its queue is full. */
 internal class Reporter(private val metrics: RelayMetrics) {
     private val appender =
         (LoggerFactory.getLogger(Logger.ROOT_LOGGER_NAME) as? ch.qos.logback.classic.Logger)
             ?.getAppender("queue") as? AsyncAppender
 
-    /** Reports [entry]. */
+    /** Logs and counts [entry]. */
     fun report(entry: TimelineEntry) {
         metrics.count(entry)
         log { logger.info(entry.toLogLine()) }
     }
 
-    /** Reports a problem that concerns one connection only. */
+    /** Logs a problem that affects only one connection or datagram, as the event [name]. */
     fun problem(name: String, cause: Throwable) {
         log { logger.warn("event={} problem=\"{}\"", name, cause.toString().replace('"', '\'')) }
     }
 
-    /** Counts an error of the relay's own. */
+    /** Counts an error response that the relay generated. */
     fun countRefusal(kind: ErrorKind): Unit = metrics.countRefusal(kind)
 
     private fun log(write: () -> Unit) {
--- a/relay/src/test/kotlin/org/quetzalloom/relay/PlainCodec.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/PlainCodec.kt
@@ -12,7 +12,7 @@
 import org.quetzalloom.relay.http.MessageCodec
 import org.quetzalloom.relay.http.withoutHopByHopHeaders
 
-/** Headers of a front end that is no platform's: an id that is echoed, and a time. */
+/** A minimal codec for tests: a request carries an `Id` header, which backend servers echo. */
 object PlainCodec : MessageCodec {
     override fun decodeRequest(head: HttpRequest): Result<RelayRequest, String> {
         val id = head.headers().get("Id") ?: return Err("the header Id is missing")
--- a/relay/src/test/kotlin/org/quetzalloom/relay/RequestsTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/RequestsTest.kt
@@ -5,7 +5,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-/** Requests reach a backend server as they came, or not at all. */
+/** Tests that requests reach a backend server unchanged, or not at all. */
 class RequestsTest {
     private val echo: (ScriptedRequest) -> Unit =
         { it.answer("200 OK", mapOf("Id" to it.headers.getValue("id")), it.body.decodeToString()) }
@@ -13,7 +13,7 @@
     private fun status(response: String): String = response.lineSequence().first().split(' ')[1]
 
     @Test
-    fun `path, query and a body in chunks are passed on to the byte`() {
+    fun `path, query and a chunked body are forwarded byte for byte`() {
         TestRelay(echo).use { relay ->
             val head = "POST /book/a%2Fb?x=1&y=%20 HTTP/1.1\r\nHost: app\r\nId: a\r\nTransfer-Encoding: chunked\r\n"
             val response = relay.exchange("${head}Connection: close\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
@@ -39,7 +39,7 @@
     }
 
     @Test
-    fun `malformed requests are answered and never passed on`() {
+    fun `malformed requests are answered 400 and never forwarded`() {
         val post = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\n"
         val bad = listOf(
             "${post}Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
@@ -62,7 +62,7 @@
     }
 
     @Test
-    fun `headers and bodies over the limits are refused`() {
+    fun `headers and bodies over the limits are rejected`() {
         TestRelay(echo).use { relay ->
             val long = "GET /look/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nX: ${"x".repeat(3_000)}\r\n\r\n"
             assertEquals("431", status(relay.exchange(long)))
@@ -86,7 +86,7 @@
     }
 
     @Test
-    fun `a bad request that is sent ahead does not cut off the response before it`() {
+    fun `a malformed pipelined request does not cut off the response before it`() {
         val slow: (ScriptedRequest) -> Unit = {
             Thread.sleep(300)
             echo(it)
--- a/relay/src/test/kotlin/org/quetzalloom/relay/ResponsesTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/ResponsesTest.kt
@@ -6,7 +6,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-/** A caller gets the whole answer to its own request, whatever a backend server does. */
+/** Tests that a caller gets the complete response to its own request, whatever a backend server does. */
 class ResponsesTest {
     private val get = "GET /look/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nConnection: close\r\n\r\n"
     private val post = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi"
@@ -20,7 +20,7 @@
     private fun body(response: String): String = response.substringAfter("\r\n\r\n")
 
     @Test
-    fun `an response to another request that comes first is dropped`() {
+    fun `a response to another request that arrives first is skipped`() {
         TestRelay({
             it.answer("200 OK", mapOf("Id" to "foreign"), "theirs")
             it.respondWithOwnId()
@@ -31,7 +31,7 @@
     }
 
     @Test
-    fun `surplus bytes after an response never reach the next request`() {
+    fun `surplus bytes after a response never reach the next request`() {
         TestRelay({
             it.respondWithOwnId()
             it.answer("200 OK", mapOf("Id" to "a"), "late")
@@ -41,7 +41,7 @@
     }
 
     @Test
-    fun `an response without length that ends with its connection is whole`() {
+    fun `a response without a length that ends with its connection is complete`() {
         TestRelay({
             it.write("HTTP/1.1 200 OK\r\nId: a\r\n\r\nall of it")
             it.close()
@@ -49,7 +49,7 @@
     }
 
     @Test
-    fun `an response without length whose connection is reset is not passed on`() {
+    fun `a response without a length whose connection is reset is not forwarded`() {
         TestRelay({
             it.write("HTTP/1.1 200 OK\r\nId: a\r\n\r\nhalf of")
             Thread.sleep(50)
@@ -63,7 +63,7 @@
     }
 
     @Test
-    fun `a cut response to a read is asked for elsewhere, and one to a command is not`() {
+    fun `a truncated response to a repeatable request is retried, and one to another request is not`() {
         val cut: (ScriptedRequest) -> Unit = {
             it.write("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 10\r\n\r\nhalf")
             it.close()
@@ -77,7 +77,7 @@
     }
 
     @Test
-    fun `bytes that are no response are not passed on`() {
+    fun `bytes that are not an HTTP response are not forwarded`() {
         TestRelay({
             it.write("garbage garbage\r\n\r\n")
             it.close()
@@ -85,7 +85,7 @@
     }
 
     @Test
-    fun `a stream that breaks in the middle of an event goes on elsewhere, each event once`() {
+    fun `a stream that breaks in the middle of an event resumes on another server, each event once`() {
         val script: (ScriptedRequest) -> Unit = { request ->
             request.startStream()
             if (request.headers["last-event-id"] == null) {
@@ -106,7 +106,7 @@
     }
 
     @Test
-    fun `a stream that may not go on elsewhere is cut off, and does not look whole`() {
+    fun `a broken stream that is not resumable is cut off, and does not look complete`() {
         TestRelay({
             it.startStream()
             it.chunk("id: 1\ndata: one\n\n")
@@ -121,7 +121,7 @@
     }
 
     @Test
-    fun `events are passed on as they come`() {
+    fun `events are forwarded as they arrive`() {
         TestRelay({
             it.startStream()
             it.chunk("id: 1\ndata: one\n\n")
@@ -132,7 +132,7 @@
     }
 
     @Test
-    fun `a backend server hears at once that the caller has gone`() {
+    fun `the backend connection is closed as soon as the caller disconnects`() {
         val requestReceived = CompletableFuture<Unit>()
         val connectionClosed = CompletableFuture<Boolean>()
         TestRelay({
@@ -147,15 +147,16 @@
     }
 
     @Test
-    fun `a long body is passed on whole`() {
+    fun `a long request body is forwarded completely`() {
         TestRelay({ it.respondWithOwnId("${it.body.size} bytes") }).use { relay ->
             val head = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nConnection: close\r\n"
             assertEquals("9000 bytes", body(relay.exchange("${head}Content-Length: 9000\r\n\r\n" + "x".repeat(9_000))))
         }
     }
 
+    /** On the old connection, the unread rest of the body would be taken for the next request. */
     @Test
-    fun `after an response that comes before the body is read no request meets the rest of the body`() {
+    fun `a server that responds before it reads the body gets the next request on a new connection`() {
         val respondEarly: (ScriptedRequest) -> Unit = {
             it.answer("200 OK", mapOf("Id" to it.headers.getValue("id")), "for ${it.headers["id"]}")
             Thread.sleep(300)
--- a/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
@@ -26,9 +26,9 @@
 import kotlin.test.assertTrue
 
 /**
- * One relay on loopback, before backend servers that follow scripts.
+ * A relay on loopback in front of scripted backend servers, with one server for each of [scripts].
  *
- * @param early whether the servers answer before they read a body.
+ * @param respondBeforeBody whether the servers respond before they read the request body.
  */
 class TestRelay(vararg scripts: (ScriptedRequest) -> Unit, respondBeforeBody: Boolean = false) : AutoCloseable {
     val servers = scripts.map { ScriptedServer(respondBeforeBody, it).start() }
@@ -72,7 +72,7 @@
     /** Opens a connection as a caller. */
     fun connect(): CallerSocket = CallerSocket(Socket(callers.host, callers.port))
 
-    /** Sends [request] on a connection of its own, and returns all bytes until the relay closes it. */
+    /** Sends [request] on a new connection, and returns all input until the relay closes it. */
     fun exchange(request: String): String = connect().use { it.send(request).readAll() }
 
     override fun close() {
@@ -102,16 +102,16 @@
             socket.soTimeout = READ_TIMEOUT_MILLISECONDS.toInt()
         }
 
-        /** Writes [text] as it is. */
+        /** Writes [text] unchanged. */
         fun send(text: String): CallerSocket = apply {
             socket.getOutputStream().write(text.toByteArray(Charsets.ISO_8859_1))
             socket.getOutputStream().flush()
         }
 
-        /** Reads until the relay closes the connection. */
+        /** Reads until the relay closes the connection, and returns the input. */
         fun readAll(): String = socket.getInputStream().readAllBytes().toString(Charsets.ISO_8859_1)
 
-        /** Reads until what was read contains [text]. */
+        /** Reads until the input contains [text], and returns the input. */
         fun readUntil(text: String): String {
             val read = StringBuilder()
             while (text !in read) {
@@ -126,7 +126,7 @@
     }
 
     companion object {
-        /** More than the buffers of a loopback connection hold. */
+        /** Larger than the buffers of a loopback connection. */
         const val MAXIMUM_BODY_BYTES = 16_000_000
         private const val READ_TIMEOUT_MILLISECONDS = 5_000L
         private const val NANOSECONDS_PER_MILLISECOND = 1_000_000L
--- a/relay/src/test/kotlin/org/quetzalloom/relay/peer/BeaconFormatTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/peer/BeaconFormatTest.kt
@@ -12,7 +12,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
-/** Beacons are read as they were written. */
+/** Tests the JSON format of beacons. */
 class BeaconFormatTest {
     private val beacon = PeerBeacon(
         vm = VmId("vm-1"),
@@ -31,18 +31,18 @@
     )
 
     @Test
-    fun `a beacon is read as it was written`() {
+    fun `decoding returns the encoded beacon`() {
         assertEquals(beacon, BeaconFormat.decode(BeaconFormat.encode(beacon)))
     }
 
     @Test
-    fun `fields that are not known and lists that are absent do no harm`() {
+    fun `unknown fields are ignored, and an absent list is empty`() {
         val text = """{"vm":"vm-1","sequence":7,"work":{"s-1":1200},"later":true}"""
         assertEquals(beacon.copy(rollouts = persistentListOf()), BeaconFormat.decode(text))
     }
 
     @Test
-    fun `text that is no beacon is refused`() {
+    fun `decoding text that is not a beacon fails`() {
         assertThrows<IllegalArgumentException> { BeaconFormat.decode("nothing") }
         assertThrows<IllegalArgumentException> { BeaconFormat.decode("""{"vm":"vm-1"}""") }
     }
