Rename the counter of backend connections to what it counts

It counts connection attempts, failed ones too. The metric keeps its name.

rename: connectionsOpened -> connectionAttempts (declared in backend/BackendPool.kt; in: relay/src/main) rename: backendConnectionsOpened -> backendConnectionAttempts (declared in Relay.kt; in: relay/src/main)

--- a/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
@@ -41,7 +41,7 @@
     val backendConnections: Int get() = pool.size
 
     /** The number of connection attempts to backend servers since the start, including failed ones. */
-    val backendConnectionsOpened: Long get() = pool.connectionsOpened
+    val backendConnectionAttempts: Long get() = pool.connectionAttempts
 
     /** Listens for callers at [address]. */
     fun listen(address: Address): Unit = callerServer.listen(group, address)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
@@ -38,7 +38,7 @@
     val size: Int get() = addresses.size
 
     /** The number of connection attempts since the start, including failed ones. */
-    var connectionsOpened: Long = 0
+    var connectionAttempts: Long = 0
         private set
 
     /**
@@ -100,7 +100,7 @@
     private fun connect(endpoint: Endpoint, call: BackendCall) {
         val address = Address.parseOrNull(call.order.address) ?: return call.onFailure(AttemptFailure.NOT_CONNECTED)
         endpoint.connecting++
-        connectionsOpened++
+        connectionAttempts++
         val decoder = ResponseDecoder()
         val connection = BackendConnection(this, codec, decoder)
         val bootstrap = Bootstrap().group(group)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/report/RelayMetrics.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/report/RelayMetrics.kt
@@ -47,7 +47,7 @@
             relay.backendConnections.toDouble()
         }
         gauge("quetzalloom_relay_backend_connections_made", "Connection attempts to backend servers.") {
-            relay.backendConnectionsOpened.toDouble()
+            relay.backendConnectionAttempts.toDouble()
         }
     }
 
