--- a/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
@@ -21,12 +21,13 @@
 import java.util.concurrent.TimeUnit
 
 /**
- * A relay as a process: one thread that selects sockets, reduces events and carries out effects.
+ * A relay with its listeners: one thread serves all sockets, reduces events and carries out effects.
  *
- * @param settings what the reducer is told.
- * @param listeners where the relay listens.
- * @param codec the meaning of headers.
- * @param store carries out the effects that concern the platform's store; made once the thread is there.
+ * @param settings the initial settings of the reducer.
+ * @param listeners the addresses on which the relay listens.
+ * @param codec encodes and decodes the headers of the front end.
+ * @param store creates the interpreter of the effects that concern the platform's store, from an HTTP client and a
+ *   function that posts events to the reducer.
  */
 public class RelayProgram(
     settings: RelaySettings,
@@ -51,14 +52,18 @@
     private val reporter = Reporter(metrics)
     private val relay = Relay(group, executor, codec, reporter, clock, loop::post)
     private val peers = PeerSocket(group, reporter, loop::post)
-    private val calls = CallClient(group)
-    private val storeInterpreter = store(calls, loop::post)
+    private val callClient = CallClient(group)
+    private val storeInterpreter = store(callClient, loop::post)
     private var ready = false
 
-    /** Starts to listen, and to read the store. */
+    /**
+     * Binds all listeners and starts the ticks, from which the reducer starts to read the store.
+     *
+     * Throws if an address cannot be bound.
+     */
     public fun start() {
         loop.interpreter = Interpreter { carryOut(it) }
-        metrics.observe(relay)
+        metrics.registerConnectionGauges(relay)
         val status = StatusServer(group)
         status.listen(listeners.ready) { StatusServer.Page(ok = ready, text = if (ready) "ready\n" else "not ready\n") }
         listeners.metrics?.let { address ->
@@ -66,24 +71,29 @@
         }
         listeners.peers?.let { address ->
             peers.listen(address)
-            listeners.forwarding?.let { CallForwarder(group, calls, it).listen(address) }
+            listeners.forwarding?.let { CallForwarder(group, callClient, it).listen(address) }
         }
         relay.listen(listeners.callers)
         executor.execute { loop.startTicking() }
-        executor.scheduleWithFixedDelay(relay::prune, PRUNE_MILLISECONDS, PRUNE_MILLISECONDS, TimeUnit.MILLISECONDS)
+        executor.scheduleWithFixedDelay(
+            relay::prune,
+            PRUNE_INTERVAL_MILLISECONDS,
+            PRUNE_INTERVAL_MILLISECONDS,
+            TimeUnit.MILLISECONDS,
+        )
     }
 
-    /** Tells the reducer of [event]. May be called from any thread. */
-    public fun tell(event: RelayEvent): Unit = executor.execute { loop.post(event) }
+    /** Posts [event] to the reducer. May be called from any thread. */
+    public fun post(event: RelayEvent): Unit = executor.execute { loop.post(event) }
 
-    /** Waits until the relay has finished. */
-    public fun awaitEnd(): Unit = finished.await()
+    /** Blocks until the reducer has ended the relay after a requested stop. */
+    public fun awaitTermination(): Unit = finished.await()
 
     private fun carryOut(effect: RelayEffect) {
         when (effect) {
             is RelayEffect.Report -> reporter.report(effect.entry)
             is RelayEffect.DeclareReady -> ready = effect.ready
-            is RelayEffect.TellPeers -> peers.tell(effect)
+            is RelayEffect.TellPeers -> peers.send(effect)
             RelayEffect.Finish -> finished.countDown()
             else -> {
                 relay.carryOut(effect)
@@ -93,6 +103,6 @@
     }
 
     private companion object {
-        const val PRUNE_MILLISECONDS = 500L
+        const val PRUNE_INTERVAL_MILLISECONDS = 500L
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
@@ -10,51 +10,52 @@
 import io.netty.util.ReferenceCountUtil
 import org.quetzalloom.core.relay.exchange.AttemptFailure
 import org.quetzalloom.core.time.Timestamp
-import org.quetzalloom.relay.http.AnswerDecoder
 import org.quetzalloom.relay.http.MessageCodec
+import org.quetzalloom.relay.http.ResponseDecoder
 
 /**
- * One connection to a backend server, which serves one request at a time.
+ * One keep-alive connection to a backend server, which serves one request at a time.
  *
- * Bytes that come while no request is under way make it useless. It goes back to the pool only once all that has
- * arrived with the end of an answer has been read, so that surplus bytes never meet the next request.
+ * The connection is closed if bytes arrive while no request is in flight. It returns to the pool only after everything
+ * that was received together with the end of a response has been read, so that surplus bytes are never taken for the
+ * response to the next request.
  */
 internal class BackendConnection(
     private val pool: BackendPool,
     private val codec: MessageCodec,
-    private val decoder: AnswerDecoder,
+    private val decoder: ResponseDecoder,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var channel: Channel
-    private var reader: AnswerReader? = null
+    private var reader: ResponseReader? = null
     private var reusable = true
-    private var written = true
-    private var answered = false
+    private var requestWritten = true
+    private var responseComplete = false
 
-    /** How long the backend server keeps the connection when it is idle, in milliseconds, or `null` if unknown. */
+    /** The backend server's keep-alive timeout in milliseconds, or `null` if the last response did not give it. */
     var keepAliveMilliseconds: Long? = null
         private set
 
-    /** Since when no request is under way. */
+    /** The time of the last return to the pool. */
     var idleSince: Timestamp = Timestamp.EPOCH
 
-    /** Whether nothing more is read for now. */
-    var paused: Boolean
+    /** Whether reading from the socket is paused. */
+    var readingPaused: Boolean
         get() = !channel.config().isAutoRead
         set(value) {
             channel.config().isAutoRead = !value
         }
 
-    /** Whether the connection can be used. */
+    /** Whether the connection can take another request. */
     val open: Boolean get() = channel.isActive && reusable
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         channel = context.channel()
     }
 
-    /** Sends the request of [call] with [headers]. */
+    /** Sends the request of [call] with [headers], and passes the response to [call]. */
     fun send(call: BackendCall, headers: HttpHeaders) {
-        reader = AnswerReader(codec, call)
-        call.sentOn(this)
+        reader = ResponseReader(codec, call)
+        call.onSending(this)
         val head = call.exchange.head
         val body = call.exchange.body.retainedDuplicate()
         val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(), body)
@@ -63,11 +64,11 @@
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
         }
         decoder.method = head.method()
-        written = false
-        channel.writeAndFlush(request).addListener { written = true }
+        requestWritten = false
+        channel.writeAndFlush(request).addListener { requestWritten = true }
     }
 
-    /** Closes the connection; nothing more is told of it. */
+    /** Closes the connection without reporting a failure to the request in flight. */
     fun abandon() {
         reader = null
         close()
@@ -75,12 +76,12 @@
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         val current = reader
-        val progress = current?.take(message) ?: AnswerReader.Progress.BAD
+        val progress = current?.read(message) ?: ResponseReader.Progress.INVALID
         ReferenceCountUtil.release(message)
         when (progress) {
-            AnswerReader.Progress.MORE -> Unit
-            AnswerReader.Progress.WHOLE -> current?.let { finish(it) }
-            AnswerReader.Progress.BAD -> {
+            ResponseReader.Progress.INCOMPLETE -> Unit
+            ResponseReader.Progress.COMPLETE -> current?.let { finish(it) }
+            ResponseReader.Progress.INVALID -> {
                 close()
                 fail(AttemptFailure.BAD_ANSWER)
             }
@@ -88,31 +89,34 @@
     }
 
     override fun channelReadComplete(context: ChannelHandlerContext) {
-        if (!answered) return
-        answered = false
-        if (open && written) pool.idle(this) else close()
+        if (!responseComplete) return
+        responseComplete = false
+        if (open && requestWritten) pool.release(this) else close()
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
         reusable = false
-        pool.closed(this)
+        pool.onClosed(this)
         fail(AttemptFailure.CONNECTION_LOST)
     }
 
-    /** A reset makes the answer incomplete, also one that has no length and ends with its connection. */
+    /**
+     * Closes the connection and fails the request in flight. After a reset even a response without a length, which ends
+     * with its connection, is incomplete.
+     */
     @Deprecated("the supertype's method is")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         close()
         fail(AttemptFailure.CONNECTION_LOST)
     }
 
-    private fun finish(current: AnswerReader) {
+    private fun finish(current: ResponseReader) {
         if (reader !== current) return
         reader = null
-        answered = true
+        responseComplete = true
         reusable = reusable && current.reusable
         keepAliveMilliseconds = current.keepAliveMilliseconds
-        current.call.takeEnd()
+        current.call.onEnd()
     }
 
     private fun close() {
@@ -123,6 +127,6 @@
     private fun fail(failure: AttemptFailure) {
         val current = reader ?: return
         reader = null
-        current.call.takeFailure(failure)
+        current.call.onFailure(failure)
     }
 }
--- /dev/null
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/ResponseReader.kt
@@ -0,0 +1,81 @@
+package org.quetzalloom.relay.backend
+
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpStatusClass
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.LastHttpContent
+import org.quetzalloom.relay.http.MessageCodec
+
+/**
+ * Reads the response to [call] from the messages of its connection.
+ *
+ * Skips interim (1xx) responses, and responses to other requests that arrive first. A response with a content encoding
+ * is invalid.
+ */
+internal class ResponseReader(private val codec: MessageCodec, val call: BackendCall) {
+    /** The state of the response after a message. */
+    enum class Progress {
+        /** More messages are expected. */
+        INCOMPLETE,
+
+        /** The response is complete. */
+        COMPLETE,
+
+        /** The response cannot be used, and the connection has to be closed. */
+        INVALID,
+    }
+
+    private var skipping = false
+
+    /** Whether the connection can be reused after this response. */
+    var reusable = true
+        private set
+
+    /** The keep-alive timeout that the response gives, in milliseconds, or `null` if it gives none. */
+    var keepAliveMilliseconds: Long? = null
+        private set
+
+    /** Reads [message], the next one of the connection, and returns the state of the response after it. */
+    fun read(message: Any): Progress {
+        if (message is HttpResponse && !readHead(message)) return Progress.INVALID
+        return if (message is HttpContent) readContent(message) else Progress.INCOMPLETE
+    }
+
+    /** Reads the head of a response. Returns whether it is valid. */
+    private fun readHead(response: HttpResponse): Boolean {
+        val interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+        val mismatched = !interim && !codec.isResponseTo(call.exchange.request, response)
+        skipping = interim || mismatched
+        reusable = reusable && !mismatched
+        val valid =
+            !response.decoderResult().isFailure && !response.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
+        if (valid && !skipping) {
+            keepAliveMilliseconds = keepAliveMillisecondsOrNull(response.headers())
+            reusable = reusable && HttpUtil.isKeepAlive(response) && isFramed(response)
+            call.onHead(response)
+        }
+        return valid
+    }
+
+    private fun readContent(content: HttpContent): Progress {
+        if (content.decoderResult().isFailure) return Progress.INVALID
+        if (!skipping && content.content().isReadable) call.onBody(content.content())
+        return if (!skipping && content is LastHttpContent) Progress.COMPLETE else Progress.INCOMPLETE
+    }
+
+    private fun isFramed(response: HttpResponse): Boolean =
+        HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
+
+    private companion object {
+        const val MILLISECONDS_PER_SECOND = 1_000L
+        val KEEP_ALIVE_TIMEOUT = Regex("""timeout\s*=\s*(\d+)""")
+
+        fun keepAliveMillisecondsOrNull(headers: HttpHeaders): Long? = headers.get("Keep-Alive")
+            ?.let { KEEP_ALIVE_TIMEOUT.find(it) }
+            ?.let { it.groupValues[1].toLongOrNull() }
+            ?.let { it * MILLISECONDS_PER_SECOND }
+    }
+}
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerFront.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
@@ -14,22 +14,22 @@
 import java.util.concurrent.TimeUnit
 
 /**
- * The listener for callers, and all their connections. Confined to the loop's thread.
+ * Accepts connections from callers and tracks the open ones. Confined to the event loop's thread.
  *
- * @property handler what is done with requests.
+ * @property handler receives the requests.
  */
-internal class CallerFront(val handler: CallerHandler) {
+internal class CallerServer(val handler: RequestHandler) {
     private val connections = LinkedHashSet<CallerConnection>()
     private var listener: Channel? = null
 
-    /** What callers may send. */
+    /** The limits on requests. The maximum header size applies to new connections only, the others at once. */
     var limits: CallerLimits = DEFAULT_LIMITS
 
-    /** Whether connections end with their next answer. */
-    var stopping: Boolean = false
+    /** Whether each connection is closed after its current or next response. */
+    var draining: Boolean = false
         private set
 
-    /** Connections that are open. */
+    /** The number of open connections. */
     val size: Int get() = connections.size
 
     /** Listens at [address]. */
@@ -41,9 +41,9 @@
         listener = bootstrap.bind(address.toSocketAddress()).sync().channel()
     }
 
-    /** Ends connections with their next answer, and idle ones after [idleAfterMilliseconds]. */
-    fun stop(group: EventLoopGroup, idleAfterMilliseconds: Long) {
-        stopping = true
+    /** Closes each connection after its current or next response, and idle ones after [idleAfterMilliseconds]. */
+    fun drain(group: EventLoopGroup, idleAfterMilliseconds: Long) {
+        draining = true
         group.schedule(
             { connections.toList().forEach { it.closeIfIdle() } },
             idleAfterMilliseconds,
@@ -51,13 +51,13 @@
         )
     }
 
-    /** Takes a connection that was accepted. */
-    fun opened(connection: CallerConnection) {
+    /** Adds [connection], which has been accepted. */
+    fun onOpened(connection: CallerConnection) {
         connections.add(connection)
     }
 
-    /** Takes that a connection has closed. */
-    fun closed(connection: CallerConnection) {
+    /** Removes [connection], which has been closed. */
+    fun onClosed(connection: CallerConnection) {
         connections.remove(connection)
     }
 
@@ -66,16 +66,16 @@
             val reader = RequestReader { limits }
             channel.pipeline().addLast(
                 HttpResponseEncoder(),
-                ArrivalNotice(reader),
+                InboundBytesHandler(reader),
                 StrictRequestDecoder(limits.maximumHeaderBytes),
                 reader,
-                CallerConnection(this@CallerFront),
+                CallerConnection(this@CallerServer),
             )
         }
     }
 
     private companion object {
-        /** In force until a configuration has been read; every request is refused until then. */
+        /** Applies until a configuration has been read; until then every request is refused. */
         val DEFAULT_LIMITS = CallerLimits(
             maximumHeaderBytes = 16_384,
             maximumBodyBytes = 1_048_576,
--- /dev/null
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/GracefulClose.kt
@@ -0,0 +1,47 @@
+package org.quetzalloom.relay.caller
+
+import io.netty.channel.Channel
+import io.netty.channel.socket.SocketChannel
+import org.quetzalloom.relay.http.RestartableTimer
+
+/**
+ * Closes the connection of [channel] without losing response bytes that the caller has not read yet.
+ *
+ * The connection is half-closed first: closing it with unread input would reset it, and a reset discards such bytes.
+ */
+internal class GracefulClose(private val channel: Channel) {
+    private val timer = RestartableTimer(channel.eventLoop())
+
+    /** Whether the connection is being closed. */
+    var closing = false
+        private set
+
+    /** Schedules [close] after [milliseconds], in place of any earlier schedule. */
+    fun closeAfter(milliseconds: Long) {
+        if (!closing) timer.restart(milliseconds) { close() }
+    }
+
+    /** Cancels a scheduled [close]. Has no effect once closing has begun. */
+    fun cancel() {
+        if (!closing) timer.cancel()
+    }
+
+    /** Half-closes the connection, and closes it completely unless the caller does so within the linger timeout. */
+    fun close() {
+        if (closing) return
+        closing = true
+        (channel as SocketChannel).shutdownOutput()
+        timer.restart(LINGER_TIMEOUT_MILLISECONDS) { channel.close() }
+    }
+
+    /** Handles that the connection has been closed. */
+    fun onClosed() {
+        closing = true
+        timer.cancel()
+    }
+
+    private companion object {
+        /** How long a half-closed connection waits for the caller to close its side. */
+        const val LINGER_TIMEOUT_MILLISECONDS = 1_000L
+    }
+}
