Name the messages of wire after what they carry

Some names had to be looked up: a streamed completion arrives in chunks, not pieces, and 'entry' meant a log record here and a VM there. Local names that were adjectives or verbs without an object say what they hold. No JSON or TOML name changes: the classes are not polymorphic, and no property of a serializable class is renamed.

rename: ChatPiece -> ChatChunk (declared in CompletionMessages.kt) rename: PieceChoice -> ChunkChoice (declared in CompletionMessages.kt) rename: PieceDelta -> ChunkDelta (declared in CompletionMessages.kt) rename: EntryDocument -> LogEntryDocument (declared in LogMessages.kt) rename: SumDocument -> RatingSumDocument (declared in PeerDocument.kt) rename: times -> applyTimesTo (private in SiteSettings.kt, only there) rename: counts -> applyCountsTo (private in SiteSettings.kt, only there) rename: usual -> defaults (local in SiteSettings.kt, only there) rename: located -> locate (private in Site.kt, only there) rename: fleetProblems -> vmProblems (private in Site.kt, only there) rename: words -> messages (local in Site.kt, only there) rename: place -> location (local in Site.kt, only there) rename: repeated -> duplicates (local in Site.kt, only there) rename: misplaced -> inUnknownZone (local in Site.kt, only there) rename: broken -> fileProblems (local in Site.kt, only there) rename: countsOf -> withCountsOf (private in Overlay.kt, only there) rename: words -> singleLine (local in SiteFile.kt, only there) rename: coreVersions -> versionsById (local in ConfigurationMapping.kt, only there) rename: result -> toResult (the private function of RecordDocument.kt, only there) rename: problem -> problemsOf (private in SiteTest.kt, only there) rename: everyRecordComesBackAsItWas -> everyRecordRoundTrips (declared in RecordDocumentTest.kt) rename: everyPeerMessageComesBackAsItWas -> everyPeerMessageRoundTrips (declared in RecordDocumentTest.kt) rename: theOverlayGoesOnTopOfTheBase -> theOverlayOverridesTheBase (declared in SiteTest.kt) rename: theExamplesAreInOrder -> theExampleSettingsAreValid (declared in SiteTest.kt) rename: aVersionThatNobodyServesIsAnError -> aVersionWithoutABackendServerIsAnError (declared in SiteTest.kt)

--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/AnswerWriter.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/AnswerWriter.kt
@@ -15,12 +15,12 @@
 import org.quetzalloom.wire.WireFormat
 import org.quetzalloom.wire.caller.CallerHeaders
 import org.quetzalloom.wire.caller.ChatChoice
+import org.quetzalloom.wire.caller.ChatChunk
 import org.quetzalloom.wire.caller.ChatMessage
-import org.quetzalloom.wire.caller.ChatPiece
 import org.quetzalloom.wire.caller.ChatResponse
 import org.quetzalloom.wire.caller.ChatUsage
-import org.quetzalloom.wire.caller.PieceChoice
-import org.quetzalloom.wire.caller.PieceDelta
+import org.quetzalloom.wire.caller.ChunkChoice
+import org.quetzalloom.wire.caller.ChunkDelta
 
 /** Writes the answer of one request to its caller. */
 internal class AnswerWriter(
@@ -60,18 +60,18 @@
 
     private fun format(answer: Effect.OfCaller, begin: Effect.OfCaller.Begin): String = when (answer) {
         is Effect.OfCaller.Begin -> ""
-        is Effect.OfCaller.Piece -> event(piece(begin, PieceChoice(delta = PieceDelta(answer.text))))
+        is Effect.OfCaller.Piece -> event(piece(begin, ChunkChoice(delta = ChunkDelta(answer.text))))
         is Effect.OfCaller.End -> event(
-            piece(begin, PieceChoice(delta = PieceDelta(), finishReason = "stop"))
+            piece(begin, ChunkChoice(delta = ChunkDelta(), finishReason = "stop"))
                 .copy(usage = ChatUsage(answer.tokens, answer.costMicros)),
         ) + "data: [DONE]\n\n"
         is Effect.OfCaller.Refuse -> "event: error\ndata: ${ErrorWriter.format(answer.error)}\n\n"
     }
 
-    private fun piece(begin: Effect.OfCaller.Begin, choice: PieceChoice): ChatPiece =
-        ChatPiece(id = id.value, model = begin.version.value, choices = listOf(choice))
+    private fun piece(begin: Effect.OfCaller.Begin, choice: ChunkChoice): ChatChunk =
+        ChatChunk(id = id.value, model = begin.version.value, choices = listOf(choice))
 
-    private fun event(piece: ChatPiece): String = "data: ${WireFormat.encodeToString(piece)}\n\n"
+    private fun event(piece: ChatChunk): String = "data: ${WireFormat.encodeToString(piece)}\n\n"
 
     private suspend fun respondWhole(begin: Effect.OfCaller.Begin, answers: ReceiveChannel<Effect.OfCaller>) {
         val text = StringBuilder()
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/platform/PlatformClient.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/platform/PlatformClient.kt
@@ -22,7 +22,7 @@
 import org.quetzalloom.wire.log.toDocument
 import org.quetzalloom.wire.log.toRecord
 import org.quetzalloom.wire.platform.AppendRequest
-import org.quetzalloom.wire.platform.EntryDocument
+import org.quetzalloom.wire.platform.LogEntryDocument
 import org.quetzalloom.wire.platform.RatingDocument
 import org.quetzalloom.wire.platform.RatingsResponse
 import org.quetzalloom.wire.platform.ReadResponse
@@ -110,7 +110,7 @@
     private fun streamUrl(stream: LogStream): String = "http://${addresses.log}/streams/${stream.name.lowercase()}"
 }
 
-private fun EntryDocument.toEntry(): LogEntry = LogEntry(offset, stamp, record.toRecord())
+private fun LogEntryDocument.toEntry(): LogEntry = LogEntry(offset, stamp, record.toRecord())
 
 private fun RatingDocument.toRating(): Rating = Rating(
     subject = RatingSubject(WorkspaceId(workspace), RequestClass(requestClass), VersionId(version)),
--- a/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadCaller.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadCaller.kt
@@ -19,8 +19,8 @@
 import org.quetzalloom.wire.backend.GenerateEvent
 import org.quetzalloom.wire.backend.GenerateRequest
 import org.quetzalloom.wire.caller.CallerHeaders
+import org.quetzalloom.wire.caller.ChatChunk
 import org.quetzalloom.wire.caller.ChatMessage
-import org.quetzalloom.wire.caller.ChatPiece
 import org.quetzalloom.wire.caller.ChatRequest
 import org.quetzalloom.wire.caller.ErrorResponse
 
@@ -92,7 +92,7 @@
             val line = channel.readLine() ?: return null
             if (line == ERROR) return channel.readLine().orEmpty().removePrefix(DATA)
             if (line.startsWith(DATA) && line != DONE) {
-                val piece = WireFormat.decodeFromString<ChatPiece>(line.removePrefix(DATA))
+                val piece = WireFormat.decodeFromString<ChatChunk>(line.removePrefix(DATA))
                 answer.add(piece.choices.first().delta.content, ended = piece.usage != null, watch = watch)
             }
         }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/log/LogStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/log/LogStandIn.kt
@@ -20,13 +20,13 @@
 import org.quetzalloom.wire.WireFormat
 import org.quetzalloom.wire.platform.AppendRequest
 import org.quetzalloom.wire.platform.AppendResponse
-import org.quetzalloom.wire.platform.EntryDocument
+import org.quetzalloom.wire.platform.LogEntryDocument
 import org.quetzalloom.wire.platform.ReadResponse
 
 /** One stream: its records that are kept, the time of each, and the offset of the first of them. */
 data class StreamState(
     val earliest: Long = 0,
-    val entries: PersistentList<EntryDocument> = persistentListOf(),
+    val entries: PersistentList<LogEntryDocument> = persistentListOf(),
     val times: PersistentList<Timestamp> = persistentListOf(),
 ) {
     /** The offset after the last record. */
@@ -101,7 +101,9 @@
     }
 
     private fun StreamState.appended(request: AppendRequest, now: Timestamp): StreamState {
-        val added = request.records.mapIndexed { place, record -> EntryDocument(next + place, request.stamp, record) }
+        val added = request.records.mapIndexed { place, record ->
+            LogEntryDocument(next + place, request.stamp, record)
+        }
         return copy(entries = entries.addAll(added), times = times.addAll(added.map { now }))
     }
 
--- a/wire/src/main/kotlin/org/quetzalloom/wire/caller/CompletionMessages.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/caller/CompletionMessages.kt
@@ -81,27 +81,27 @@
 
 /** One server-sent event of a streamed chat completion. */
 @Serializable
-public data class ChatPiece(
+public data class ChatChunk(
     public val id: String,
     @SerialName("object")
     public val type: String = "chat.completion.chunk",
     public val model: String,
-    public val choices: List<PieceChoice>,
+    public val choices: List<ChunkChoice>,
     public val usage: ChatUsage? = null,
 )
 
-/** The choice within a [ChatPiece]. */
+/** The choice within a [ChatChunk]. */
 @Serializable
-public data class PieceChoice(
+public data class ChunkChoice(
     public val index: Int = 0,
-    public val delta: PieceDelta,
+    public val delta: ChunkDelta,
     @SerialName("finish_reason")
     public val finishReason: String? = null,
 )
 
-/** The text that a [ChatPiece] adds. */
+/** The text that a [ChatChunk] adds. */
 @Serializable
-public data class PieceDelta(public val content: String = "")
+public data class ChunkDelta(public val content: String = "")
 
 /** The body of every error. */
 @Serializable
--- a/wire/src/main/kotlin/org/quetzalloom/wire/configuration/ConfigurationMapping.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/configuration/ConfigurationMapping.kt
@@ -22,17 +22,17 @@
  * @throws IllegalArgumentException if a name is not an identifier or a kind does not exist.
  */
 public fun ConfigurationDocument.toConfiguration(): Configuration {
-    val coreVersions = versions.map { it.toVersion() }.associateBy { it.id }
+    val versionsById = versions.map { it.toVersion() }.associateBy { it.id }
     return Configuration(
         revision = revision,
         workspaces = workspaces.map { it.toWorkspace() }.associateBy { it.id }.toPersistentMap(),
-        versions = coreVersions.toPersistentMap(),
+        versions = versionsById.toPersistentMap(),
         backendServers = backendServers.map { it.toBackendServer() }.associateBy { it.id }.toPersistentMap(),
         zones = zones.map { AvailabilityZoneId(it.id) }.toPersistentSet(),
         zonesOut = zones.filterNot { it.inService }.map { AvailabilityZoneId(it.id) }.toPersistentSet(),
         services = services.map { it.toServiceRoute() }.toPersistentList(),
         rollouts = rollouts.map { it.toRollout() }
-            .associateBy { coreVersions[it.to]?.model ?: it.to.value }
+            .associateBy { versionsById[it.to]?.model ?: it.to.value }
             .toPersistentMap(),
     )
 }
--- a/wire/src/main/kotlin/org/quetzalloom/wire/log/RecordDocument.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/log/RecordDocument.kt
@@ -110,12 +110,12 @@
         LogRecord.OfConfiguration(ConfigurationRecord.Snapshot(configuration.toConfiguration()))
     is RecordDocument.Intent ->
         LogRecord.Intent(commandId(workspace, key), VmId(owner), RequestId(request), Fingerprint(fingerprint))
-    is RecordDocument.Outcome -> LogRecord.Outcome(commandId(workspace, key), RequestId(request), result())
+    is RecordDocument.Outcome -> LogRecord.Outcome(commandId(workspace, key), RequestId(request), toResult())
     is RecordDocument.Release -> LogRecord.Release(commandId(workspace, key), RequestId(request))
     is RecordDocument.OfBill -> LogRecord.OfBill(bill.toBill())
 }
 
-private fun RecordDocument.Outcome.result(): CommandResult =
+private fun RecordDocument.Outcome.toResult(): CommandResult =
     status?.let { CommandResult.Answered(it, body.orEmpty()) } ?: CommandResult.Unknown
 
 private fun commandId(workspace: String, key: String): CommandId =
--- a/wire/src/main/kotlin/org/quetzalloom/wire/peer/PeerDocument.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/peer/PeerDocument.kt
@@ -117,13 +117,13 @@
     public data class TellRatings(
         public val collector: String,
         public val period: Long,
-        public val sums: List<SumDocument>,
+        public val sums: List<RatingSumDocument>,
     ) : PeerDocument
 }
 
 /** The ratings of one subject. */
 @Serializable
-public data class SumDocument(
+public data class RatingSumDocument(
     public val workspace: String,
     public val requestClass: String,
     public val version: String,
@@ -152,7 +152,7 @@
     )
 }
 
-private fun QualityEstimate.toDocument(subject: RatingSubject): SumDocument = SumDocument(
+private fun QualityEstimate.toDocument(subject: RatingSubject): RatingSumDocument = RatingSumDocument(
     workspace = subject.workspace.value,
     requestClass = subject.requestClass.value,
     version = subject.version.value,
@@ -193,7 +193,7 @@
 private fun PeerDocument.SuspectNoted.toSuspectNoted(): PeerMessage.SuspectNoted =
     PeerMessage.SuspectNoted(Fingerprint(fingerprint), trialAt?.let { BackendServerId(it) }, agreed)
 
-private fun SumDocument.toSubject(): RatingSubject =
+private fun RatingSumDocument.toSubject(): RatingSubject =
     RatingSubject(WorkspaceId(workspace), RequestClass(requestClass), VersionId(version))
 
-private fun SumDocument.toEstimate(): QualityEstimate = QualityEstimate(good = good, rated = rated)
+private fun RatingSumDocument.toEstimate(): QualityEstimate = QualityEstimate(good = good, rated = rated)
--- a/wire/src/main/kotlin/org/quetzalloom/wire/platform/LogMessages.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/platform/LogMessages.kt
@@ -16,7 +16,7 @@
 
 /** One record as the log keeps it. */
 @Serializable
-public data class EntryDocument(
+public data class LogEntryDocument(
     public val offset: Long,
     public val stamp: Long,
     public val record: RecordDocument,
@@ -25,7 +25,7 @@
 /** The records from an offset on. `GET /streams/{stream}?from={offset}`. */
 @Serializable
 public data class ReadResponse(
-    public val entries: List<EntryDocument>,
+    public val entries: List<LogEntryDocument>,
     public val next: Long,
     public val earliest: Long,
 )
--- a/wire/src/main/kotlin/org/quetzalloom/wire/site/Overlay.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/Overlay.kt
@@ -23,7 +23,7 @@
 )
 
 private fun LimitsDocument.overlaidBy(top: LimitsDocument): LimitsDocument =
-    timesOverlaidBy(top).countsOf(base = this, top = top)
+    timesOverlaidBy(top).withCountsOf(base = this, top = top)
 
 private fun LimitsDocument.timesOverlaidBy(top: LimitsDocument): LimitsDocument = LimitsDocument(
     stalenessMilliseconds = top.stalenessMilliseconds ?: stalenessMilliseconds,
@@ -39,7 +39,7 @@
     drainGraceMilliseconds = top.drainGraceMilliseconds ?: drainGraceMilliseconds,
 )
 
-private fun LimitsDocument.countsOf(base: LimitsDocument, top: LimitsDocument): LimitsDocument = copy(
+private fun LimitsDocument.withCountsOf(base: LimitsDocument, top: LimitsDocument): LimitsDocument = copy(
     activeRequests = top.activeRequests ?: base.activeRequests,
     triesPerRequest = top.triesPerRequest ?: base.triesPerRequest,
     sampleShare = top.sampleShare ?: base.sampleShare,
--- a/wire/src/main/kotlin/org/quetzalloom/wire/site/Site.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/Site.kt
@@ -27,8 +27,8 @@
         /** Returns the site that [files] describe, later ones on top of earlier ones, or everything that is wrong. */
         public fun load(files: List<SiteFile>): Result<Site, NonEmptyList<SiteProblem>> {
             val parsed = files.map { it.parse() }
-            val broken = parsed.mapNotNull { it.getError() }.toNonEmptyListOrNull()
-            if (broken != null) return Err(broken)
+            val fileProblems = parsed.mapNotNull { it.getError() }.toNonEmptyListOrNull()
+            if (fileProblems != null) return Err(fileProblems)
             val document = parsed.mapNotNull { it.get() }.reduce { base, overlay -> base.overlaidBy(overlay) }
             return check(document, files)
         }
@@ -37,20 +37,20 @@
             val configuration = try {
                 document.toConfigurationDocument().toConfiguration()
             } catch (problem: IllegalArgumentException) {
-                return Err(nonEmptyListOf(located(problem.message.orEmpty(), files)))
+                return Err(nonEmptyListOf(locate(problem.message.orEmpty(), files)))
             }
-            val words = document.fleetProblems() + configuration.problems(document.vms.size.takeIf { it > 0 })
-            val problems = words.map { located(it, files) }.toNonEmptyListOrNull()
+            val messages = document.vmProblems() + configuration.problems(document.vms.size.takeIf { it > 0 })
+            val problems = messages.map { locate(it, files) }.toNonEmptyListOrNull()
             return if (problems == null) Ok(Site(document, configuration)) else Err(problems)
         }
 
         /** Finds the line that names what [message] quotes last, in the last file that has it. */
-        private fun located(message: String, files: List<SiteFile>): SiteProblem {
+        private fun locate(message: String, files: List<SiteFile>): SiteProblem {
             val quoted = QUOTED.findAll(message).map { it.groupValues[1] }.toList()
-            val place = quoted.reversed().firstNotNullOfOrNull { word ->
+            val location = quoted.reversed().firstNotNullOfOrNull { word ->
                 files.reversed().firstNotNullOfOrNull { file -> file.lineOfOrNull(word)?.let { file.name to it } }
             }
-            return SiteProblem(file = place?.first ?: files.last().name, line = place?.second, message = message)
+            return SiteProblem(file = location?.first ?: files.last().name, line = location?.second, message = message)
         }
 
         private val QUOTED = Regex("'([^']+)'")
@@ -66,10 +66,10 @@
     rollouts = rollouts,
 )
 
-private fun SiteDocument.fleetProblems(): List<String> {
+private fun SiteDocument.vmProblems(): List<String> {
     val zoneIds = zones.map { it.id }.toSet()
-    val repeated = vms.groupBy { it.id }.filterValues { it.size > 1 }.keys.map { "VM '$it' is listed twice" }
-    val misplaced = vms.filter { it.zone !in zoneIds }
+    val duplicates = vms.groupBy { it.id }.filterValues { it.size > 1 }.keys.map { "VM '$it' is listed twice" }
+    val inUnknownZone = vms.filter { it.zone !in zoneIds }
         .map { "VM '${it.id}' is in availability zone '${it.zone}', which does not exist" }
-    return repeated + misplaced
+    return duplicates + inUnknownZone
 }
--- a/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteFile.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteFile.kt
@@ -34,9 +34,9 @@
         text.lines().indexOfFirst { "\"$word\"" in it }.takeIf { it >= 0 }?.let { it + 1 }
 
     private fun problemOf(message: String?): SiteProblem {
-        val words = message.orEmpty().replace('\n', ' ').trim()
-        val line = LINE.find(words)?.groupValues?.get(1)?.toIntOrNull() ?: unknownKeyLineOrNull(words)
-        return SiteProblem(file = name, line = line, message = words.replaceFirst(LINE, "").trim())
+        val singleLine = message.orEmpty().replace('\n', ' ').trim()
+        val line = LINE.find(singleLine)?.groupValues?.get(1)?.toIntOrNull() ?: unknownKeyLineOrNull(singleLine)
+        return SiteProblem(file = name, line = line, message = singleLine.replaceFirst(LINE, "").trim())
     }
 
     private fun unknownKeyLineOrNull(message: String): Int? {
--- a/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteSettings.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteSettings.kt
@@ -20,26 +20,26 @@
     limits = (document.limits ?: LimitsDocument()).toLimits(),
 )
 
-private fun LimitsDocument.toLimits(): RouterLimits = counts(times(RouterLimits()))
+private fun LimitsDocument.toLimits(): RouterLimits = applyCountsTo(applyTimesTo(RouterLimits()))
 
-private fun LimitsDocument.times(usual: RouterLimits): RouterLimits {
-    return usual.copy(
-        stalenessMilliseconds = stalenessMilliseconds ?: usual.stalenessMilliseconds,
-        readIntervalMilliseconds = readIntervalMilliseconds ?: usual.readIntervalMilliseconds,
-        appendsPerSecond = appendsPerSecond ?: usual.appendsPerSecond,
-        gossipIntervalMilliseconds = gossipIntervalMilliseconds ?: usual.gossipIntervalMilliseconds,
-        loadIntervalMilliseconds = loadIntervalMilliseconds ?: usual.loadIntervalMilliseconds,
-        firstTokenMilliseconds = firstTokenMilliseconds ?: usual.firstTokenMilliseconds,
-        tokenGapMilliseconds = tokenGapMilliseconds ?: usual.tokenGapMilliseconds,
-        serviceSilenceMilliseconds = serviceSilenceMilliseconds ?: usual.serviceSilenceMilliseconds,
-        commandMemoryMilliseconds = commandMemoryMilliseconds ?: usual.commandMemoryMilliseconds,
-        snapshotIntervalMilliseconds = snapshotIntervalMilliseconds ?: usual.snapshotIntervalMilliseconds,
-        drainGraceMilliseconds = drainGraceMilliseconds ?: usual.drainGraceMilliseconds,
+private fun LimitsDocument.applyTimesTo(defaults: RouterLimits): RouterLimits {
+    return defaults.copy(
+        stalenessMilliseconds = stalenessMilliseconds ?: defaults.stalenessMilliseconds,
+        readIntervalMilliseconds = readIntervalMilliseconds ?: defaults.readIntervalMilliseconds,
+        appendsPerSecond = appendsPerSecond ?: defaults.appendsPerSecond,
+        gossipIntervalMilliseconds = gossipIntervalMilliseconds ?: defaults.gossipIntervalMilliseconds,
+        loadIntervalMilliseconds = loadIntervalMilliseconds ?: defaults.loadIntervalMilliseconds,
+        firstTokenMilliseconds = firstTokenMilliseconds ?: defaults.firstTokenMilliseconds,
+        tokenGapMilliseconds = tokenGapMilliseconds ?: defaults.tokenGapMilliseconds,
+        serviceSilenceMilliseconds = serviceSilenceMilliseconds ?: defaults.serviceSilenceMilliseconds,
+        commandMemoryMilliseconds = commandMemoryMilliseconds ?: defaults.commandMemoryMilliseconds,
+        snapshotIntervalMilliseconds = snapshotIntervalMilliseconds ?: defaults.snapshotIntervalMilliseconds,
+        drainGraceMilliseconds = drainGraceMilliseconds ?: defaults.drainGraceMilliseconds,
     )
 }
 
-private fun LimitsDocument.counts(usual: RouterLimits): RouterLimits = usual.copy(
-    activeRequests = activeRequests ?: usual.activeRequests,
-    triesPerRequest = triesPerRequest ?: usual.triesPerRequest,
-    sampleShare = sampleShare ?: usual.sampleShare,
+private fun LimitsDocument.applyCountsTo(defaults: RouterLimits): RouterLimits = defaults.copy(
+    activeRequests = activeRequests ?: defaults.activeRequests,
+    triesPerRequest = triesPerRequest ?: defaults.triesPerRequest,
+    sampleShare = sampleShare ?: defaults.sampleShare,
 )
--- a/wire/src/test/kotlin/org/quetzalloom/wire/log/RecordDocumentTest.kt
+++ b/wire/src/test/kotlin/org/quetzalloom/wire/log/RecordDocumentTest.kt
@@ -54,7 +54,7 @@
     )
 
     @Test
-    fun everyRecordComesBackAsItWas() {
+    fun everyRecordRoundTrips() {
         val records = listOf(
             LogRecord.OfConfiguration(ConfigurationRecord.Proposed(3, "a", ConfigurationChange.Publish(configuration))),
             LogRecord.OfConfiguration(ConfigurationRecord.Proposed(3, "a", ConfigurationChange.Withdraw(version))),
@@ -70,7 +70,7 @@
     }
 
     @Test
-    fun everyPeerMessageComesBackAsItWas() {
+    fun everyPeerMessageRoundTrips() {
         val server = BackendServerId("e")
         val subject = RatingSubject(workspace, RequestClass("plan"), version)
         val messages = listOf(
--- a/wire/src/test/kotlin/org/quetzalloom/wire/site/SiteTest.kt
+++ b/wire/src/test/kotlin/org/quetzalloom/wire/site/SiteTest.kt
@@ -51,12 +51,12 @@
         warm_up_milliseconds = 100
     """.trimIndent()
 
-    private fun problem(baseText: String = base, overlayText: String = overlay): String =
+    private fun problemsOf(baseText: String = base, overlayText: String = overlay): String =
         Site.load(listOf(SiteFile("base.toml", baseText), SiteFile("site.toml", overlayText))).getError()
             .orEmpty().joinToString("\n")
 
     @Test
-    fun theOverlayGoesOnTopOfTheBase() {
+    fun theOverlayOverridesTheBase() {
         val site = assertNotNull(Site.load(listOf(SiteFile("base.toml", base), SiteFile("site.toml", overlay))).get())
         val settings = site.routerSettings(VmId("vm-1"), incarnation = "i")
         assertEquals(7_000, settings.limits.stalenessMilliseconds)
@@ -66,38 +66,38 @@
 
     @Test
     fun anUnknownKeyIsAnErrorWithFileAndLine() {
-        val message = problem(overlayText = overlay.replace("staleness_milliseconds", "staleness"))
+        val message = problemsOf(overlayText = overlay.replace("staleness_milliseconds", "staleness"))
         assertContains(message, "site.toml:7:")
         assertContains(message, "staleness")
     }
 
     @Test
     fun aWrongTypeIsAnErrorWithFileAndLine() {
-        val message = problem(overlayText = overlay.replace("capacity = 4", "capacity = \"four\""))
+        val message = problemsOf(overlayText = overlay.replace("capacity = 4", "capacity = \"four\""))
         assertContains(message, "site.toml:")
     }
 
     @Test
     fun aVersionThatDoesNotExistIsAnErrorWithFileAndLine() {
-        val message = problem(baseText = base.replace("allowed = [\"m@1\"]", "allowed = [\"m@2\"]"))
+        val message = problemsOf(baseText = base.replace("allowed = [\"m@1\"]", "allowed = [\"m@2\"]"))
         assertContains(message, "base.toml:15: workspace 'w' allows version 'm@2', which does not exist")
     }
 
     @Test
-    fun aVersionThatNobodyServesIsAnError() {
-        val message = problem(overlayText = overlay.substringBefore("[[backend_servers]]"))
+    fun aVersionWithoutABackendServerIsAnError() {
+        val message = problemsOf(overlayText = overlay.substringBefore("[[backend_servers]]"))
         assertContains(message, "workspace 'w' allows version 'm@1', which no backend server serves")
     }
 
     @Test
     fun aColdCapacityBelowTheFleetIsAnError() {
         val second = "\n\n[[vms]]\nid = \"vm-2\"\nzone = \"zone-a\"\naddress = \"127.0.0.1:6\""
-        val message = problem(overlayText = overlay.replace("cold_capacity = 2", "cold_capacity = 1") + second)
+        val message = problemsOf(overlayText = overlay.replace("cold_capacity = 2", "cold_capacity = 1") + second)
         assertContains(message, "below the 2 entry VMs")
     }
 
     @Test
-    fun theExamplesAreInOrder() {
+    fun theExampleSettingsAreValid() {
         val root = generateSequence(File("").absoluteFile) { it.parentFile }.first { File(it, "examples").isDirectory }
         listOf("injera-hearth/addis", "magnolia-pointe/delta", "demo/local").forEach { name ->
             val files =
