Say in wire what each message and field holds

The comments of wire named many messages by one word ('A bill.', 'The session.', 'What was wrong.') and left units, defaults and directions to the reader. They now say which request or response body a class is, which header goes which way, and what a function throws. Comments only.

--- a/wire/src/main/kotlin/org/quetzalloom/wire/StatusDocument.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/StatusDocument.kt
@@ -4,7 +4,11 @@
 import org.quetzalloom.core.router.RouterStatus
 import org.quetzalloom.wire.configuration.ConfigurationDocument
 
-/** The text form of [RouterStatus]. `GET /admin/status`. */
+/**
+ * The JSON form of [RouterStatus], the response body of `GET /admin/status`.
+ *
+ * @property configuration the configuration in force, or `null` before the first.
+ */
 @Serializable
 public data class StatusDocument(
     public val vm: String,
@@ -21,7 +25,7 @@
     public val configuration: ConfigurationDocument? = null,
 )
 
-/** Returns the text form of this summary, with the [configuration] in force. */
+/** Returns the JSON form of this status, with the [configuration] in force. */
 public fun RouterStatus.toDocument(configuration: ConfigurationDocument?): StatusDocument = StatusDocument(
     vm = vm.value,
     revision = revision,
--- a/wire/src/main/kotlin/org/quetzalloom/wire/TimelineDocument.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/TimelineDocument.kt
@@ -7,7 +7,12 @@
 import org.quetzalloom.core.timeline.CausalStamp
 import org.quetzalloom.core.timeline.TimelineEntry
 
-/** The text form of a time line entry. */
+/**
+ * The JSON form of [TimelineEntry].
+ *
+ * @property stamp the counter of the causal stamp, by which entries of different VMs are ordered.
+ * @property at the time by the clock of [vm], in milliseconds since the epoch.
+ */
 @Serializable
 public data class TimelineDocument(
     public val stamp: Long,
@@ -17,11 +22,11 @@
     public val fields: Map<String, String> = emptyMap(),
 )
 
-/** Entries of the time line of one VM, oldest first. `GET /admin/timeline`. */
+/** The response body of `GET /admin/timeline`: the most recent time line entries of one VM, oldest first. */
 @Serializable
 public data class TimelineResponse(public val entries: List<TimelineDocument>)
 
-/** Returns the text form of this entry. */
+/** Returns the JSON form of this entry. */
 public fun TimelineEntry.toDocument(): TimelineDocument = TimelineDocument(
     stamp = stamp.counter,
     vm = stamp.vm.value,
@@ -30,7 +35,11 @@
     fields = fields,
 )
 
-/** Returns the entry that this document describes. */
+/**
+ * Returns the time line entry that this document describes.
+ *
+ * @throws IllegalArgumentException if [TimelineDocument.vm] is not a valid identifier.
+ */
 public fun TimelineDocument.toEntry(): TimelineEntry = TimelineEntry(
     stamp = CausalStamp(counter = stamp, vm = VmId(vm)),
     at = Timestamp(at),
--- a/wire/src/main/kotlin/org/quetzalloom/wire/WireFormat.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/WireFormat.kt
@@ -2,7 +2,12 @@
 
 import kotlinx.serialization.json.Json
 
-/** The JSON dialect of all messages: unknown fields are ignored, so that versions of the router can be mixed. */
+/**
+ * The JSON format of all messages between processes.
+ *
+ * Unknown fields are ignored, so that routers of different releases can exchange messages. Fields that are `null` or
+ * have their default value are not written.
+ */
 public val WireFormat: Json = Json {
     ignoreUnknownKeys = true
     encodeDefaults = false
--- a/wire/src/main/kotlin/org/quetzalloom/wire/backend/BackendMessages.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/backend/BackendMessages.kt
@@ -3,25 +3,35 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
-/** The names of HTTP headers that backend servers and the router exchange. */
+/** Names of the HTTP headers of requests to backend servers and of their responses. */
 public object BackendHeaders {
-    /** The start that the backend server runs since. In answers. */
+    /** Response header: an identity that the backend server draws anew at each start, so that restarts are noticed. */
     public const val START: String = "X-Start-Identity"
 
-    /** The fencing number of an order. In requests. */
+    /** Request header: the fencing number of a call that may run only once. */
     public const val FENCING: String = "X-Fencing-Number"
 
-    /** What the fencing number is compared within: orders of another scope do not count. In requests. */
+    /**
+     * Request header: the command that the fencing number belongs to. The backend server compares fencing numbers
+     * only within one scope.
+     */
     public const val FENCING_SCOPE: String = "X-Fencing-Scope"
 
-    /** Present if the backend server did not run the request. In answers. */
+    /** Response header: present, with any value, if the backend server did not run the request. */
     public const val NOT_RUN: String = "X-Not-Run"
 
-    /** The attempt. In requests, for the logs of the backend server. */
+    /** Request header: the identifier of the attempt, which the backend server may log. */
     public const val ATTEMPT: String = "X-Attempt"
 }
 
-/** Asks an engine to generate. `POST /generate`; the answer is a stream of server-sent events. */
+/**
+ * The request body of `POST /generate`. The engine responds with a stream of server-sent events, each a
+ * [GenerateEvent].
+ *
+ * @property priority the urgency of the request, from 0 for the most urgent; see
+ *   [org.quetzalloom.core.request.Priority].
+ * @property resumeFrom the number of tokens of the answer to skip, because the caller already has them.
+ */
 @Serializable
 public data class GenerateRequest(
     public val version: String,
@@ -33,7 +43,14 @@
     public val resumeFrom: Int = 0,
 )
 
-/** A server-sent event of an engine: tokens, or the end if [total] is present. */
+/**
+ * One server-sent event of an engine: either the next tokens, or the end of the answer if [total] is present.
+ *
+ * @property position the number of tokens of the answer before [text], those skipped by
+ *   [GenerateRequest.resumeFrom] included.
+ * @property tokens the number of tokens in [text].
+ * @property total the number of tokens of the whole answer.
+ */
 @Serializable
 public data class GenerateEvent(
     public val position: Int = 0,
@@ -42,7 +59,14 @@
     public val total: Int? = null,
 )
 
-/** The load of a backend server. `GET /load`. [running] lags; the rest is exact. */
+/**
+ * The response body of `GET /load` at a backend server.
+ *
+ * @property start the identity of the current start; see [BackendHeaders.START].
+ * @property running the number of requests that the backend server was running a short time ago; unlike the other
+ *   fields, it is not up to date.
+ * @property upForMilliseconds the time since the start.
+ */
 @Serializable
 public data class LoadResponse(
     public val start: String,
--- a/wire/src/main/kotlin/org/quetzalloom/wire/caller/CompletionMessages.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/caller/CompletionMessages.kt
@@ -3,37 +3,43 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
-/** The names of HTTP headers that callers and the router exchange. */
+/** Names of the HTTP headers of callers' requests and of the router's responses. */
 public object CallerHeaders {
-    /** The workspace that the request is made for. */
+    /** Request header: the workspace that the request is made for. Required. */
     public const val WORKSPACE: String = "X-Workspace"
 
-    /** The kind of request for which quality is estimated apart. */
+    /** Request header: the request class. The quality of answers is estimated for each class separately. */
     public const val CLASS: String = "X-Request-Class"
 
-    /** `high`, `normal` or `low`. */
+    /** Request header: `high`, `normal` (the default) or `low`. */
     public const val PRIORITY: String = "X-Priority"
 
-    /** The time for which the caller waits, in milliseconds. */
+    /** Request header: the time after which the caller no longer wants the answer, in milliseconds. */
     public const val TIMEOUT: String = "X-Timeout-Milliseconds"
 
-    /** The session. */
+    /** Request header: the session that the request belongs to. */
     public const val SESSION: String = "X-Session"
 
-    /** The session token of an earlier answer; also in answers. */
+    /** Response header: a token for later requests of the session. Request header: the token of an earlier response. */
     public const val SESSION_TOKEN: String = "X-Session-Token"
 
-    /** The key under which the request runs at most once. */
+    /** Request header: the idempotency key. Requests of a workspace with the same key run at most once. */
     public const val KEY: String = "Idempotency-Key"
 
-    /** The request, as the router names it. In answers. */
+    /** Response header: the identifier that the router gave to the request. */
     public const val REQUEST: String = "X-Request-Id"
 
-    /** The version that answered. In answers. */
+    /** Response header: the model or service version that answered. */
     public const val VERSION: String = "X-Version"
 }
 
-/** A chat completion as callers ask for it. */
+/**
+ * The request body of `POST /v1/chat/completions`.
+ *
+ * @property model a model, a version such as `menu-large@3`, or `auto` to let the router choose.
+ * @property stream whether to send the answer in chunks, as server-sent events.
+ * @property maximumTokens the maximum length of the answer, in tokens.
+ */
 @Serializable
 public data class ChatRequest(
     public val model: String,
@@ -43,14 +49,19 @@
     public val maximumTokens: Int = 256,
 )
 
-/** One message of a chat. */
+/** One message of a conversation, by the participant named by [role], such as `user` or `assistant`. */
 @Serializable
 public data class ChatMessage(
     public val role: String,
     public val content: String,
 )
 
-/** A whole chat completion. */
+/**
+ * The response body of a chat completion that is not streamed.
+ *
+ * @property id the identifier that the router gave to the request.
+ * @property model the version that answered.
+ */
 @Serializable
 public data class ChatResponse(
     public val id: String,
@@ -61,7 +72,7 @@
     public val usage: ChatUsage,
 )
 
-/** One answer of a whole chat completion. */
+/** The answer in a [ChatResponse]; there is always exactly one. */
 @Serializable
 public data class ChatChoice(
     public val index: Int = 0,
@@ -70,7 +81,12 @@
     public val finishReason: String = "stop",
 )
 
-/** What a completion used. [costMicros] is in millionths of the currency unit. */
+/**
+ * The usage that a chat completion is billed for.
+ *
+ * @property completionTokens the number of tokens generated.
+ * @property costMicros the price in millionths of the currency unit.
+ */
 @Serializable
 public data class ChatUsage(
     @SerialName("completion_tokens")
@@ -79,7 +95,13 @@
     public val costMicros: Long,
 )
 
-/** One server-sent event of a streamed chat completion. */
+/**
+ * One server-sent event of a streamed chat completion.
+ *
+ * @property id the identifier that the router gave to the request.
+ * @property model the version that answers.
+ * @property usage the usage of the whole completion in the last chunk, `null` in all others.
+ */
 @Serializable
 public data class ChatChunk(
     public val id: String,
@@ -90,7 +112,11 @@
     public val usage: ChatUsage? = null,
 )
 
-/** The choice within a [ChatChunk]. */
+/**
+ * The part of the answer in a [ChatChunk].
+ *
+ * @property finishReason `stop` in the last chunk, `null` in all others.
+ */
 @Serializable
 public data class ChunkChoice(
     public val index: Int = 0,
@@ -99,15 +125,22 @@
     public val finishReason: String? = null,
 )
 
-/** The text that a [ChatChunk] adds. */
+/** The text that a [ChatChunk] appends to the answer. */
 @Serializable
 public data class ChunkDelta(public val content: String = "")
 
-/** The body of every error. */
+/** The response body of every error. */
 @Serializable
 public data class ErrorResponse(public val error: ErrorBody)
 
-/** What was wrong. */
+/**
+ * A description of an error.
+ *
+ * @property code the stable name of the kind of error; see [org.quetzalloom.core.error.ErrorKind.code].
+ * @property message a description for people.
+ * @property notRun whether the request certainly was not run by any backend server.
+ * @property retryable whether the same request may succeed later.
+ */
 @Serializable
 public data class ErrorBody(
     public val code: String,
--- a/wire/src/main/kotlin/org/quetzalloom/wire/configuration/ChangeDocument.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/configuration/ChangeDocument.kt
@@ -7,7 +7,7 @@
 import org.quetzalloom.core.identity.BackendServerId
 import org.quetzalloom.core.identity.VersionId
 
-/** The text form of one change of the configuration. */
+/** The JSON form of [ConfigurationChange]. The field `type` holds the serial name of the subtype. */
 @Serializable
 public sealed interface ChangeDocument {
     /** See [ConfigurationChange.Publish]. */
@@ -41,7 +41,7 @@
     public data class EndRollout(public val model: String) : ChangeDocument
 }
 
-/** Returns the text form of this change. */
+/** Returns the JSON form of this change. */
 public fun ConfigurationChange.toDocument(): ChangeDocument = when (this) {
     is ConfigurationChange.Publish -> ChangeDocument.Publish(configuration.toDocument())
     is ConfigurationChange.SetZone -> ChangeDocument.SetZone(zone.value, inService)
@@ -51,7 +51,11 @@
     is ConfigurationChange.EndRollout -> ChangeDocument.EndRollout(model)
 }
 
-/** Returns the change that this document describes. */
+/**
+ * Returns the change that this document describes.
+ *
+ * @throws IllegalArgumentException if a name is not a valid identifier or a kind of version does not exist.
+ */
 public fun ChangeDocument.toChange(): ConfigurationChange = when (this) {
     is ChangeDocument.Publish -> ConfigurationChange.Publish(configuration.toConfiguration())
     is ChangeDocument.SetZone -> ConfigurationChange.SetZone(AvailabilityZoneId(zone), inService)
--- a/wire/src/main/kotlin/org/quetzalloom/wire/configuration/ConfigurationDocument.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/configuration/ConfigurationDocument.kt
@@ -3,7 +3,12 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
-/** The text form of a configuration, in TOML and JSON alike. */
+/**
+ * The JSON form of [org.quetzalloom.core.configuration.Configuration].
+ *
+ * All but [revision] is also the form of the configuration in TOML files; see
+ * [org.quetzalloom.wire.site.SiteDocument].
+ */
 @Serializable
 public data class ConfigurationDocument(
     public val revision: Long = 0,
@@ -16,7 +21,11 @@
     public val rollouts: List<RolloutDocument> = emptyList(),
 )
 
-/** One availability zone. */
+/**
+ * An availability zone.
+ *
+ * @property inService whether backend servers in this availability zone receive new work.
+ */
 @Serializable
 public data class ZoneDocument(
     public val id: String,
@@ -24,7 +33,13 @@
     public val inService: Boolean = true,
 )
 
-/** One version. Costs are in millionths of the currency unit for 1,000 tokens or calls. */
+/**
+ * The serialized form of [org.quetzalloom.core.configuration.Version].
+ *
+ * @property kind `engine` or `service`.
+ * @property costMicros the price of 1,000 generated tokens (engine) or 1,000 calls (service), in millionths of the
+ *   currency unit.
+ */
 @Serializable
 public data class VersionDocument(
     public val id: String,
@@ -37,7 +52,11 @@
     public val withdrawn: Boolean = false,
 )
 
-/** One workspace. */
+/**
+ * The serialized form of [org.quetzalloom.core.configuration.Workspace].
+ *
+ * @property allowed the versions that requests of this workspace may run on.
+ */
 @Serializable
 public data class WorkspaceDocument(
     public val id: String,
@@ -46,7 +65,7 @@
     public val qualityTarget: Double = 0.0,
 )
 
-/** One backend server. */
+/** The serialized form of [org.quetzalloom.core.configuration.BackendServer]. */
 @Serializable
 public data class BackendServerDocument(
     public val id: String,
@@ -63,7 +82,12 @@
     public val leaving: Boolean = false,
 )
 
-/** One route to a plain service. */
+/**
+ * The serialized form of [org.quetzalloom.core.configuration.ServiceRoute].
+ *
+ * @property nonRepeatableMethods the HTTP methods, in any case, whose calls run at most once and need an idempotency
+ *   key.
+ */
 @Serializable
 public data class ServiceDocument(
     @SerialName("path_prefix")
@@ -73,7 +97,7 @@
     public val nonRepeatableMethods: List<String> = emptyList(),
 )
 
-/** One roll-out under way. */
+/** The serialized form of [org.quetzalloom.core.configuration.Rollout]. */
 @Serializable
 public data class RolloutDocument(
     public val from: String,
--- a/wire/src/main/kotlin/org/quetzalloom/wire/configuration/ConfigurationFormat.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/configuration/ConfigurationFormat.kt
@@ -7,7 +7,10 @@
 import org.quetzalloom.core.configuration.Version
 import org.quetzalloom.core.configuration.Workspace
 
-/** Returns the text form of this configuration, in a fixed order. */
+/**
+ * Returns the serialized form of this configuration. Equal configurations give equal documents: services keep their
+ * order, roll-outs are sorted by the new version, and everything else is sorted by identifier.
+ */
 public fun Configuration.toDocument(): ConfigurationDocument = ConfigurationDocument(
     revision = revision,
     zones = zones.sorted().map { ZoneDocument(id = it.value, inService = it !in zonesOut) },
@@ -51,7 +54,7 @@
     nonRepeatableMethods = nonRepeatableMethods.sorted(),
 )
 
-/** Returns the text form of this roll-out. */
+/** Returns the serialized form of this roll-out. */
 public fun Rollout.toDocument(): RolloutDocument = RolloutDocument(
     from = from.value,
     to = to.value,
--- a/wire/src/main/kotlin/org/quetzalloom/wire/configuration/ConfigurationMapping.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/configuration/ConfigurationMapping.kt
@@ -16,10 +16,10 @@
 import org.quetzalloom.core.identity.WorkspaceId
 
 /**
- * Returns the configuration that this document describes. References are not checked;
- * see [org.quetzalloom.core.configuration.problems].
+ * Returns the configuration that this document describes. References between its parts are not checked; use
+ * [org.quetzalloom.core.configuration.problems] for that.
  *
- * @throws IllegalArgumentException if a name is not an identifier or a kind does not exist.
+ * @throws IllegalArgumentException if a name is not a valid identifier or a kind of version does not exist.
  */
 public fun ConfigurationDocument.toConfiguration(): Configuration {
     val versionsById = versions.map { it.toVersion() }.associateBy { it.id }
@@ -70,7 +70,11 @@
     nonRepeatableMethods = nonRepeatableMethods.map { it.uppercase() }.toPersistentSet(),
 )
 
-/** Returns the roll-out that this document describes. */
+/**
+ * Returns the roll-out that this document describes.
+ *
+ * @throws IllegalArgumentException if the name of a version is not a valid identifier.
+ */
 public fun RolloutDocument.toRollout(): Rollout = Rollout(
     from = VersionId(from),
     to = VersionId(to),
--- a/wire/src/main/kotlin/org/quetzalloom/wire/log/BillDocument.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/log/BillDocument.kt
@@ -5,7 +5,7 @@
 import org.quetzalloom.core.identity.VersionId
 import org.quetzalloom.core.identity.WorkspaceId
 
-/** The text form of a bill. */
+/** The JSON form of [Bill]. */
 @Serializable
 public data class BillDocument(
     public val identity: String,
@@ -15,7 +15,7 @@
     public val costMicros: Long,
 )
 
-/** Returns the text form of this bill. */
+/** Returns the JSON form of this bill. */
 public fun Bill.toDocument(): BillDocument = BillDocument(
     identity = identity,
     workspace = workspace.value,
@@ -24,7 +24,11 @@
     costMicros = costMicros,
 )
 
-/** Returns the bill that this document describes. */
+/**
+ * Returns the bill that this document describes.
+ *
+ * @throws IllegalArgumentException if the name of the workspace or the version is not a valid identifier.
+ */
 public fun BillDocument.toBill(): Bill = Bill(
     identity = identity,
     workspace = WorkspaceId(workspace),
--- a/wire/src/main/kotlin/org/quetzalloom/wire/log/RecordDocument.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/log/RecordDocument.kt
@@ -17,7 +17,7 @@
 import org.quetzalloom.wire.configuration.toConfiguration
 import org.quetzalloom.wire.configuration.toDocument
 
-/** The text form of one log record. */
+/** The JSON form of [LogRecord]. The field `type` holds the serial name of the subtype. */
 @Serializable
 public sealed interface RecordDocument {
     /** See [ConfigurationRecord.Proposed]. */
@@ -45,7 +45,7 @@
         public val fingerprint: Long,
     ) : RecordDocument
 
-    /** See [LogRecord.Outcome]. A result without a status is not known. */
+    /** See [LogRecord.Outcome]. Without a [status], the outcome is [CommandResult.Unknown]. */
     @Serializable
     @SerialName("outcome")
     public data class Outcome(
@@ -71,7 +71,7 @@
     public data class OfBill(public val bill: BillDocument) : RecordDocument
 }
 
-/** Returns the text form of this record. */
+/** Returns the JSON form of this record. */
 public fun LogRecord.toDocument(): RecordDocument = when (this) {
     is LogRecord.OfConfiguration -> record.toDocument()
     is LogRecord.Intent -> RecordDocument.Intent(
@@ -102,7 +102,11 @@
     )
 }
 
-/** Returns the record that this document describes. */
+/**
+ * Returns the log record that this document describes.
+ *
+ * @throws IllegalArgumentException if a name is not a valid identifier or a kind of version does not exist.
+ */
 public fun RecordDocument.toRecord(): LogRecord = when (this) {
     is RecordDocument.Proposed ->
         LogRecord.OfConfiguration(ConfigurationRecord.Proposed(base, author, change.toChange()))
--- a/wire/src/main/kotlin/org/quetzalloom/wire/peer/PeerDocument.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/peer/PeerDocument.kt
@@ -23,7 +23,12 @@
 import org.quetzalloom.wire.log.toBill
 import org.quetzalloom.wire.log.toDocument
 
-/** A message between VMs, with its sender. `POST /peers`. */
+/**
+ * The request body of `POST /peers`: a message from one router to another.
+ *
+ * @property from the VM that sends the message.
+ * @property stamp the counter of the sender's causal stamp.
+ */
 @Serializable
 public data class PeerEnvelope(
     public val from: String,
@@ -31,7 +36,11 @@
     public val message: PeerDocument,
 )
 
-/** The text form of [PeerMessage], whose subtypes describe the fields. */
+/**
+ * The JSON form of [PeerMessage], whose subtypes describe the fields.
+ *
+ * The field `type` holds the serial name of the subtype.
+ */
 @Serializable
 public sealed interface PeerDocument {
     /** See [PeerMessage.Digest]. */
@@ -121,7 +130,7 @@
     ) : PeerDocument
 }
 
-/** The ratings of one subject. */
+/** The serialized form of a [RatingSubject] with the sum of its ratings, a [QualityEstimate]. */
 @Serializable
 public data class RatingSumDocument(
     public val workspace: String,
@@ -131,7 +140,7 @@
     public val rated: Long,
 )
 
-/** Returns the text form of this message. */
+/** Returns the JSON form of this message. */
 public fun PeerMessage.toDocument(): PeerDocument = when (this) {
     is PeerMessage.Digest -> PeerDocument.Digest(revision)
     is PeerMessage.AskConfiguration -> PeerDocument.AskConfiguration
@@ -160,7 +169,12 @@
     rated = rated,
 )
 
-/** Returns the message that this document describes. */
+/**
+ * Returns the message that this document describes.
+ *
+ * @throws IllegalArgumentException if a name is not a valid identifier, a kind of version does not exist, or the
+ *   ratings of a subject count more good answers than rated ones.
+ */
 public fun PeerDocument.toMessage(): PeerMessage = when (this) {
     is PeerDocument.Digest -> PeerMessage.Digest(revision)
     is PeerDocument.AskConfiguration -> PeerMessage.AskConfiguration
--- a/wire/src/main/kotlin/org/quetzalloom/wire/platform/PlatformMessages.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/platform/PlatformMessages.kt
@@ -2,18 +2,26 @@
 
 import kotlinx.serialization.Serializable
 
-/** A line of the list of VMs. `GET /vms`. */
+/**
+ * An entry of the platform's list of VMs.
+ *
+ * @property leaving whether the platform is about to take the VM away.
+ */
 @Serializable
 public data class VmDocument(
     public val vm: String,
     public val leaving: Boolean = false,
 )
 
-/** The list of VMs. */
+/** The response body of `GET /vms`. */
 @Serializable
 public data class VmsResponse(public val vms: List<VmDocument>)
 
-/** An answer to be rated. `POST /samples`. */
+/**
+ * The request body of `POST /samples`: submits an answer to the rating service.
+ *
+ * @property submitter names one start of one VM, to which the rating will be delivered.
+ */
 @Serializable
 public data class SampleRequest(
     public val submitter: String,
@@ -24,7 +32,11 @@
     public val answer: String,
 )
 
-/** A verdict of the rating service. */
+/**
+ * The rating of one answer.
+ *
+ * @property good whether the answer was rated good.
+ */
 @Serializable
 public data class RatingDocument(
     public val workspace: String,
@@ -33,7 +45,11 @@
     public val good: Boolean,
 )
 
-/** The verdicts on a submitter's samples. `GET /ratings?submitter={name}&from={place}`. */
+/**
+ * The response body of `GET /ratings?submitter={name}&from={offset}`: the ratings of a submitter's answers.
+ *
+ * @property next the offset to read from next.
+ */
 @Serializable
 public data class RatingsResponse(
     public val ratings: List<RatingDocument>,
--- a/wire/src/main/kotlin/org/quetzalloom/wire/site/Overlay.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/Overlay.kt
@@ -1,6 +1,11 @@
 package org.quetzalloom.wire.site
 
-/** Returns this document with everything that [overlay] says in its place; list entries are matched by their name. */
+/**
+ * Returns this document with the values that [overlay] sets replaced by those of [overlay].
+ *
+ * An entry of a list is replaced as a whole by the overlay's entry of the same name: the identifier, the path prefix of
+ * a service, or the new version of a roll-out.
+ */
 public fun SiteDocument.overlaidBy(overlay: SiteDocument): SiteDocument = SiteDocument(
     platform = platform.overlaidBy(overlay.platform) { base, top ->
         PlatformDocument(log = top.log ?: base.log, vms = top.vms ?: base.vms, ratings = top.ratings ?: base.ratings)
@@ -48,7 +53,7 @@
 private fun <T : Any> T?.overlaidBy(top: T?, merge: (T, T) -> T): T? =
     if (this != null && top != null) merge(this, top) else top ?: this
 
-/** Entries of [top] stand in place of those with the same name; new ones come last. */
+/** Replaces entries by those of [top] with the same name, in place, and appends the others of [top]. */
 private fun <T : Any> List<T>.overlaidBy(top: List<T>, name: (T) -> String): List<T> {
     val replacements = top.associateBy(name)
     val names = map(name).toSet()
--- a/wire/src/main/kotlin/org/quetzalloom/wire/site/Site.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/Site.kt
@@ -14,17 +14,22 @@
 import org.quetzalloom.wire.configuration.toConfiguration
 
 /**
- * A base file with the overlay of a site, checked as a whole.
+ * The validated settings of one deployment: a base file merged with the overlay of the site.
  *
- * @property document both files together.
- * @property configuration the part of them that operators publish, at revision 0.
+ * @property document the merged settings.
+ * @property configuration the part of the settings that operators publish through the log, at revision 0.
  */
 public data class Site(
     public val document: SiteDocument,
     public val configuration: Configuration,
 ) {
     public companion object {
-        /** Returns the site that [files] describe, later ones on top of earlier ones, or everything that is wrong. */
+        /**
+         * Parses, merges and validates [files], each of which overrides the ones before it.
+         *
+         * Returns the problems of all files that cannot be parsed or, if there are none, the problems of the merged
+         * settings. Identifiers and kinds are checked first, and only the first that is not valid is reported.
+         */
         public fun load(files: List<SiteFile>): Result<Site, NonEmptyList<SiteProblem>> {
             val parsed = files.map { it.parse() }
             val fileProblems = parsed.mapNotNull { it.getError() }.toNonEmptyListOrNull()
@@ -44,7 +49,10 @@
             return if (problems == null) Ok(Site(document, configuration)) else Err(problems)
         }
 
-        /** Finds the line that names what [message] quotes last, in the last file that has it. */
+        /**
+         * Returns a problem with [message], located where the last of the names that it quotes is found: in the last
+         * file that contains it, at its first line there. Names that no file contains are passed over.
+         */
         private fun locate(message: String, files: List<SiteFile>): SiteProblem {
             val quoted = QUOTED.findAll(message).map { it.groupValues[1] }.toList()
             val location = quoted.reversed().firstNotNullOfOrNull { word ->
--- a/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteDocument.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteDocument.kt
@@ -10,10 +10,10 @@
 import org.quetzalloom.wire.configuration.ZoneDocument
 
 /**
- * The text form of one TOML file: the base file, or the overlay of a site.
+ * The contents of one TOML settings file: the base file, or the overlay of a site.
  *
- * The platform's addresses, the fleet and the limits are read by each process at its start. The rest is the
- * configuration, which operators publish through the platform's log.
+ * Each process reads [platform], [fleet], [limits] and [vms] at its start. The other tables are the configuration,
+ * which operators publish through the platform's log.
  */
 @Serializable
 public data class SiteDocument(
@@ -30,7 +30,13 @@
     public val rollouts: List<RolloutDocument> = emptyList(),
 )
 
-/** Host and port of each platform service. */
+/**
+ * Host and port of each platform service.
+ *
+ * @property log the log.
+ * @property vms the list of VMs.
+ * @property ratings the service that rates answers.
+ */
 @Serializable
 public data class PlatformDocument(
     public val log: String? = null,
@@ -38,7 +44,13 @@
     public val ratings: String? = null,
 )
 
-/** What all VMs share. */
+/**
+ * Settings that are the same on all entry VMs.
+ *
+ * @property sessionSecret the key that session tokens are signed with.
+ * @property largestBodyBytes the maximum size of the body of a caller's request.
+ * @property defaultTimeoutMilliseconds the timeout of requests whose caller sets none.
+ */
 @Serializable
 public data class FleetDocument(
     @SerialName("session_secret")
@@ -49,7 +61,12 @@
     public val defaultTimeoutMilliseconds: Long? = null,
 )
 
-/** One entry VM. */
+/**
+ * An entry VM, which runs a router.
+ *
+ * @property zone its availability zone.
+ * @property address host and port that its router listens on.
+ */
 @Serializable
 public data class VmEntryDocument(
     public val id: String,
@@ -57,7 +74,7 @@
     public val address: String,
 )
 
-/** Limits that differ from the defaults; see [org.quetzalloom.core.router.RouterLimits]. */
+/** The limits that override the defaults of [org.quetzalloom.core.router.RouterLimits]. */
 @Serializable
 public data class LimitsDocument(
     @SerialName("staleness_milliseconds")
--- a/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteFile.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteFile.kt
@@ -9,16 +9,16 @@
 import kotlinx.serialization.decodeFromString
 
 /**
- * A settings file by name and content.
+ * A settings file.
  *
- * @property name the path, for messages.
- * @property text the content, in TOML.
+ * @property name the path, for error messages.
+ * @property text the contents, in TOML.
  */
 public data class SiteFile(
     public val name: String,
     public val text: String,
 ) {
-    /** Returns the document in this file, or what is wrong with it. */
+    /** Parses this file; returns the first problem if it is not valid TOML or has unknown keys or wrong types. */
     public fun parse(): Result<SiteDocument, SiteProblem> = try {
         Ok(Toml.decodeFromString<SiteDocument>(text))
     } catch (problem: TomlDecodingException) {
@@ -29,7 +29,7 @@
         Err(problemOf(problem.message))
     }
 
-    /** Returns the number of the first line, from 1, that has [word] in quotes, or `null`. */
+    /** Returns the 1-based number of the first line that contains [word] in double quotes, or `null` if none does. */
     public fun lineOfOrNull(word: String): Int? =
         text.lines().indexOfFirst { "\"$word\"" in it }.takeIf { it >= 0 }?.let { it + 1 }
 
--- a/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteProblem.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteProblem.kt
@@ -1,9 +1,11 @@
 package org.quetzalloom.wire.site
 
 /**
- * Something that is wrong with a settings file.
+ * An error in a settings file.
  *
- * @property line the line, from 1, or `null` where it is not known.
+ * @property file the path of the file.
+ * @property line the 1-based number of the line, or `null` if it is not known.
+ * @property message a description for operators.
  */
 public data class SiteProblem(
     public val file: String,
--- a/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteSettings.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteSettings.kt
@@ -7,9 +7,9 @@
 import org.quetzalloom.core.router.RouterSettings
 
 /**
- * Returns the settings of the router on [vm].
+ * Returns the settings of the router on [vm]. Limits that the site does not set have their defaults.
  *
- * @param incarnation differs after each start.
+ * @param incarnation an identifier that is different after each start of the router.
  * @throws IllegalArgumentException if the site does not list [vm] or has no session secret.
  */
 public fun Site.routerSettings(vm: VmId, incarnation: String): RouterSettings = RouterSettings(
