Name the functions of the daemon after what they do

Several functions and local names were bare nouns or verbs ('client', 'begun', 'leave', 'attempt') or used a word that means something else in this code: an attempt is a try of a request at a backend server, and a call is one of a plain service. They say now what they parse, write or install. No text changes.

rename: CallParser -> RequestParser (declared in CallParser.kt) rename: MOST_CONNECTIONS -> MAX_CONNECTIONS (private in Daemon.kt, only there) rename: client -> installClient (the function in Daemon.kt, only there) rename: workers -> installWorkerScope (private in Daemon.kt, only there) rename: server -> installServer (the function in Daemon.kt, only there) rename: httpClient -> createHttpClient (private in Daemon.kt, only there) rename: interpreter -> createInterpreter (private in Daemon.kt, only there) rename: usual -> defaults (local in DaemonSettings.kt, only there) rename: SERVER_SHUTDOWN_HOOK -> KTOR_SHUTDOWN_HOOK (private in Main.kt, only there) rename: EXIT_FAILED -> EXIT_INTERNAL_ERROR (private in Main.kt, only there) rename: ended -> stopped (local in Main.kt, only there) rename: fail -> exitWithBadSettings (private in Main.kt, only there) rename: waiting -> pending (private in Exchanges.kt, only there) rename: forget -> remove (declared in Exchanges.kt, in daemon/caller only) rename: answers -> parts (parameters and locals of daemon/caller, only there) rename: answer -> part (locals of AnswerWriter.kt, only there) rename: begun -> writeAnswer (private in AnswerWriter.kt, only there) rename: stream -> writeStreamed (private in AnswerWriter.kt, only there) rename: respondWhole -> writeBuffered (private in AnswerWriter.kt, only there) rename: respondEnd -> respondComplete (private in AnswerWriter.kt, only there) rename: format -> formatPart (private in AnswerWriter.kt, only there; ErrorWriter.format stays) rename: piece -> chunk (private in AnswerWriter.kt, only there) rename: event -> formatEvent (private in AnswerWriter.kt, only there) rename: completion -> parseCompletion (declared in CallParser.kt, in daemon/caller only) rename: service -> parseServiceCall (declared in CallParser.kt, in daemon/caller only) rename: chat, prompt, call, timeout, priority, optional, identifier -> parseChat, promptOf, parseRequest, parseTimeout, parsePriority, parseOptional, parseIdentifier (private functions of CallParser.kt, only there) rename: LONGEST_TIMEOUT_MILLISECONDS -> MAX_TIMEOUT_MILLISECONDS (private in CallParser.kt, only there) rename: leave -> reportDisconnect (private in CallerRoutes.kt, only there) rename: last -> finalEvent (local in BackendClient.kt, only there) rename: askLoad -> requestLoad (private in BackendClient.kt, only there) rename: accepted -> acceptedOrNull (declared in EngineCall.kt, in daemon/backend only) rename: refusal -> failureOf (declared in EngineCall.kt, in daemon/backend only) rename: read -> readResponse (private in EngineCall.kt and ServiceCall.kt, only there) rename: request -> generateRequest (the function in EngineCall.kt, only there) rename: parse -> parseEvent (private in EngineCall.kt, only there) rename: DATA -> DATA_PREFIX (private in EngineCall.kt, only there) rename: attempt -> callOrElse (declared in PlatformHttp.kt, in daemon/platform only) rename: failed -> fallback (parameter in PlatformHttp.kt, in daemon/platform only) rename: successful -> requireSuccess (private in PlatformHttp.kt, only there) rename: submit -> submitSample (private in PlatformClient.kt, only there) rename: GENERATION_ENTRIES -> ENTRIES_PER_GENERATION (private in RecentEntries.kt, only there) rename: active -> isActive (private in DaemonProcessTest.kt, only there) rename: again -> resent (local in DaemonProcessTest.kt, only there) rename: aKilledVmLeavesNoCommandDoubled -> aKilledVmDuplicatesNoCommand (declared in DaemonProcessTest.kt) rename: aFrozenVmDoublesNothingWhenItGoesOn -> aFrozenVmDuplicatesNoCommandWhenItResumes (declared in DaemonProcessTest.kt) rename: requireError -> assertError (private in DaemonTest.kt, only there) rename: place -> index (local in TestSite.kt, only there) rename: until -> deadline (local in TestSite.kt, only there)

--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/Daemon.kt
@@ -20,9 +20,9 @@
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.router.status
 import org.quetzalloom.daemon.backend.BackendClient
-import org.quetzalloom.daemon.caller.CallParser
 import org.quetzalloom.daemon.caller.CallerRoutes
 import org.quetzalloom.daemon.caller.Exchanges
+import org.quetzalloom.daemon.caller.RequestParser
 import org.quetzalloom.daemon.peer.PeerClient
 import org.quetzalloom.daemon.peer.PeerRoutes
 import org.quetzalloom.daemon.platform.PlatformClient
@@ -54,25 +54,25 @@
 
     /** Runs until the router has stopped. */
     suspend fun run(): Unit = resourceScope {
-        val client = client()
-        val scope = workers()
-        loop.start(interpreter(client, scope))
-        server()
+        val client = installClient()
+        val scope = installWorkerScope()
+        loop.start(createInterpreter(client, scope))
+        installServer()
         stopped.await()
         loop.stop()
     }
 
-    private suspend fun ResourceScope.client(): HttpClient = install(
-        acquire = { httpClient() },
+    private suspend fun ResourceScope.installClient(): HttpClient = install(
+        acquire = { createHttpClient() },
         release = { client, _ -> client.close() },
     )
 
-    private suspend fun ResourceScope.workers(): CoroutineScope = install(
+    private suspend fun ResourceScope.installWorkerScope(): CoroutineScope = install(
         acquire = { CoroutineScope(SupervisorJob() + Dispatchers.Default) },
         release = { scope, _ -> scope.cancel() },
     )
 
-    private suspend fun ResourceScope.server(): EmbeddedServer<*, *> = install(
+    private suspend fun ResourceScope.installServer(): EmbeddedServer<*, *> = install(
         acquire = { startServer() },
         release = { server, _ -> server.stop(STOP_GRACE_MILLISECONDS, STOP_TIMEOUT_MILLISECONDS) },
     )
@@ -86,13 +86,13 @@
     }
 
     private fun installRoutes(routing: Route) {
-        val parser = CallParser(settings.defaultTimeoutMilliseconds)
+        val parser = RequestParser(settings.defaultTimeoutMilliseconds)
         AdminRoutes(loop, clock, reporter, metrics).install(routing)
         PeerRoutes(loop).install(routing)
         CallerRoutes(loop, exchanges, parser, settings.largestBodyBytes).install(routing)
     }
 
-    private fun interpreter(client: HttpClient, scope: CoroutineScope): EffectInterpreter {
+    private fun createInterpreter(client: HttpClient, scope: CoroutineScope): EffectInterpreter {
         val router = settings.router
         return EffectInterpreter(
             exchanges = exchanges,
@@ -110,12 +110,12 @@
         )
     }
 
-    private fun httpClient(): HttpClient = HttpClient(CIO) {
+    private fun createHttpClient(): HttpClient = HttpClient(CIO) {
         install(HttpTimeout) { connectTimeoutMillis = CONNECT_TIMEOUT_MILLISECONDS }
         engine {
             requestTimeout = 0
-            maxConnectionsCount = MOST_CONNECTIONS
-            endpoint { maxConnectionsPerRoute = MOST_CONNECTIONS }
+            maxConnectionsCount = MAX_CONNECTIONS
+            endpoint { maxConnectionsPerRoute = MAX_CONNECTIONS }
         }
     }
 
@@ -123,6 +123,6 @@
         const val STOP_GRACE_MILLISECONDS = 500L
         const val STOP_TIMEOUT_MILLISECONDS = 2_000L
         const val CONNECT_TIMEOUT_MILLISECONDS = 500L
-        const val MOST_CONNECTIONS = 10_000
+        const val MAX_CONNECTIONS = 10_000
     }
 }
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/DaemonSettings.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/DaemonSettings.kt
@@ -38,7 +38,7 @@
 
         private fun build(site: Site, vm: VmId, incarnation: String): DaemonSettings {
             val platform = requireNotNull(site.document.platform) { "the table [platform] is missing" }
-            val usual = DaemonSettings(
+            val defaults = DaemonSettings(
                 router = site.routerSettings(vm, incarnation),
                 addresses = site.document.vms.associate { VmId(it.id) to it.address }.toPersistentMap(),
                 platform = PlatformAddresses(
@@ -48,9 +48,9 @@
                 ),
             )
             val fleet = site.document.fleet
-            return usual.copy(
-                largestBodyBytes = fleet?.largestBodyBytes ?: usual.largestBodyBytes,
-                defaultTimeoutMilliseconds = fleet?.defaultTimeoutMilliseconds ?: usual.defaultTimeoutMilliseconds,
+            return defaults.copy(
+                largestBodyBytes = fleet?.largestBodyBytes ?: defaults.largestBodyBytes,
+                defaultTimeoutMilliseconds = fleet?.defaultTimeoutMilliseconds ?: defaults.defaultTimeoutMilliseconds,
             )
         }
     }
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/Main.kt
@@ -18,15 +18,15 @@
 import kotlin.system.exitProcess
 
 private const val EXIT_BAD_SETTINGS = 2
-private const val EXIT_FAILED = 70
+private const val EXIT_INTERNAL_ERROR = 70
 
 /** The property of the HTTP server that lets it close by itself on a signal, which would cut requests. */
-private const val SERVER_SHUTDOWN_HOOK = "io.ktor.server.engine.ShutdownHook"
+private const val KTOR_SHUTDOWN_HOOK = "io.ktor.server.engine.ShutdownHook"
 private val logger = LoggerFactory.getLogger("quetzalloomd")
 
 /** Runs the router: `quetzalloomd --settings base.toml --overlay site.toml --vm vm-1`. */
 public fun main(arguments: Array<String>) {
-    System.setProperty(SERVER_SHUTDOWN_HOOK, "false")
+    System.setProperty(KTOR_SHUTDOWN_HOOK, "false")
     val parser = ArgParser("quetzalloomd")
     val settings by parser.option(ArgType.String, description = "The base file").required()
     val overlay by parser.option(ArgType.String, description = "The overlay of the site")
@@ -34,7 +34,7 @@
     parser.parse(arguments)
     load(listOfNotNull(settings, overlay), vm).fold(
         success = { run(Daemon(it)) },
-        failure = { fail(it) },
+        failure = { exitWithBadSettings(it) },
     )
 }
 
@@ -50,22 +50,22 @@
 private fun run(daemon: Daemon) {
     Thread.setDefaultUncaughtExceptionHandler { thread, problem ->
         logger.error("event=thread_failed thread={}", thread.name, problem)
-        Runtime.getRuntime().halt(EXIT_FAILED)
+        Runtime.getRuntime().halt(EXIT_INTERNAL_ERROR)
     }
-    val ended = CountDownLatch(1)
+    val stopped = CountDownLatch(1)
     Runtime.getRuntime().addShutdownHook(
         Thread {
             daemon.requestShutdown()
-            ended.await()
+            stopped.await()
             Runtime.getRuntime().halt(0)
         },
     )
     runBlocking { daemon.run() }
-    ended.countDown()
+    stopped.countDown()
     exitProcess(0)
 }
 
-private fun fail(message: String) {
+private fun exitWithBadSettings(message: String) {
     System.err.println(message)
     exitProcess(EXIT_BAD_SETTINGS)
 }
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/BackendClient.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/BackendClient.kt
@@ -38,7 +38,7 @@
         when (effect) {
             is Effect.OfBackend.Start -> start(effect.order)
             is Effect.OfBackend.Cancel -> cancel(effect.attempt)
-            is Effect.OfBackend.AskLoad -> askLoad(effect)
+            is Effect.OfBackend.AskLoad -> requestLoad(effect)
         }
     }
 
@@ -57,7 +57,7 @@
             is Target.Completion -> EngineCall(client, order, loop)
             is Target.ServiceCall -> ServiceCall(client, order, loop)
         }
-        val last = try {
+        val finalEvent = try {
             call.run()
         } catch (cancelled: CancellationException) {
             throw cancelled
@@ -71,14 +71,14 @@
             logFailure(order, problem)
             Event.OfBackend.Failed(order.attempt, AttemptFailure.BROKEN)
         }
-        loop.post(last) { jobs = jobs.remove(order.attempt) }
+        loop.post(finalEvent) { jobs = jobs.remove(order.attempt) }
     }
 
     private fun logFailure(order: AttemptOrder, problem: Exception) {
         logger.debug("event=attempt_io_failed attempt={} problem=\"{}\"", order.attempt, problem.message)
     }
 
-    private fun askLoad(effect: Effect.OfBackend.AskLoad) {
+    private fun requestLoad(effect: Effect.OfBackend.AskLoad) {
         scope.launch {
             val event = try {
                 val text = client.get("http://${effect.address}/load") {
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/EngineCall.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/EngineCall.kt
@@ -32,10 +32,10 @@
     override suspend fun run(): Event.OfBackend = client.preparePost("http://${order.address}/generate") {
         contentType(ContentType.Application.Json)
         header(BackendHeaders.ATTEMPT, order.attempt.value)
-        setBody(WireFormat.encodeToString(request()))
-    }.execute { read(it) }
+        setBody(WireFormat.encodeToString(generateRequest()))
+    }.execute { readResponse(it) }
 
-    private fun request(): GenerateRequest {
+    private fun generateRequest(): GenerateRequest {
         val target = order.target as Target.Completion
         return GenerateRequest(
             version = order.version.value,
@@ -46,9 +46,9 @@
         )
     }
 
-    private suspend fun read(response: HttpResponse): Event.OfBackend {
-        if (!response.status.isSuccess()) return refusal(order, response)
-        accepted(order, response)?.let { loop.post(it) }
+    private suspend fun readResponse(response: HttpResponse): Event.OfBackend {
+        if (!response.status.isSuccess()) return failureOf(order, response)
+        acceptedOrNull(order, response)?.let { loop.post(it) }
         val total = readTokens(response.bodyAsChannel())
         return if (total == null) {
             Event.OfBackend.Failed(order.attempt, AttemptFailure.BROKEN)
@@ -61,7 +61,7 @@
     private suspend fun readTokens(channel: ByteReadChannel): Int? {
         while (true) {
             val line = channel.readLine() ?: return null
-            val event = line.takeIf { it.startsWith(DATA) }?.let { parse(it) }
+            val event = line.takeIf { it.startsWith(DATA_PREFIX) }?.let { parseEvent(it) }
             if (event?.total != null) return event.total
             if (event != null) {
                 loop.post(Event.OfBackend.Progressed(order.attempt, event.position, event.tokens, event.text))
@@ -69,19 +69,19 @@
         }
     }
 
-    private fun parse(line: String): GenerateEvent = WireFormat.decodeFromString(line.removePrefix(DATA))
+    private fun parseEvent(line: String): GenerateEvent = WireFormat.decodeFromString(line.removePrefix(DATA_PREFIX))
 
     private companion object {
-        const val DATA = "data: "
+        const val DATA_PREFIX = "data: "
     }
 }
 
 /** Returns the event that tells of the start named in [response], or `null` if it names none. */
-internal fun accepted(order: AttemptOrder, response: HttpResponse): Event.OfBackend.Accepted? =
+internal fun acceptedOrNull(order: AttemptOrder, response: HttpResponse): Event.OfBackend.Accepted? =
     response.headers[BackendHeaders.START]?.let { Event.OfBackend.Accepted(order.attempt, StartIdentity(it)) }
 
 /** Returns the failure that an unsuccessful [response] stands for. */
-internal fun refusal(order: AttemptOrder, response: HttpResponse): Event.OfBackend.Failed {
+internal fun failureOf(order: AttemptOrder, response: HttpResponse): Event.OfBackend.Failed {
     val notRun = response.headers[BackendHeaders.NOT_RUN] != null
     return Event.OfBackend.Failed(order.attempt, if (notRun) AttemptFailure.REFUSED else AttemptFailure.BROKEN)
 }
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/ServiceCall.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/ServiceCall.kt
@@ -30,12 +30,12 @@
             order.fencing?.let { header(BackendHeaders.FENCING, it) }
             order.scope?.let { header(BackendHeaders.FENCING_SCOPE, it) }
             if (order.body.isNotEmpty()) setBody(order.body)
-        }.execute { read(it) }
+        }.execute { readResponse(it) }
     }
 
-    private suspend fun read(response: HttpResponse): Event.OfBackend {
-        if (response.headers[BackendHeaders.NOT_RUN] != null) return refusal(order, response)
-        accepted(order, response)?.let { loop.post(it) }
+    private suspend fun readResponse(response: HttpResponse): Event.OfBackend {
+        if (response.headers[BackendHeaders.NOT_RUN] != null) return failureOf(order, response)
+        acceptedOrNull(order, response)?.let { loop.post(it) }
         loop.post(Event.OfBackend.Progressed(order.attempt, position = 0, tokens = 1, text = response.bodyAsText()))
         return Event.OfBackend.Finished(order.attempt, tokens = 1, status = response.status.value)
     }
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/AnswerWriter.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/AnswerWriter.kt
@@ -28,64 +28,64 @@
     private val id: RequestId,
     private val target: Target,
 ) {
-    /** Writes everything that comes from [answers]; returns when the answer has ended. */
-    suspend fun write(answers: ReceiveChannel<Effect.OfCaller>) {
-        when (val first = answers.receive()) {
+    /** Writes everything that comes from [parts]; returns when the answer has ended. */
+    suspend fun write(parts: ReceiveChannel<Effect.OfCaller>) {
+        when (val first = parts.receive()) {
             is Effect.OfCaller.Refuse -> ErrorWriter.write(call, first.error)
-            is Effect.OfCaller.Begin -> begun(first, answers)
+            is Effect.OfCaller.Begin -> writeAnswer(first, parts)
             is Effect.OfCaller.Piece, is Effect.OfCaller.End -> error("an answer must begin before it goes on")
         }
     }
 
-    private suspend fun begun(begin: Effect.OfCaller.Begin, answers: ReceiveChannel<Effect.OfCaller>) {
+    private suspend fun writeAnswer(begin: Effect.OfCaller.Begin, parts: ReceiveChannel<Effect.OfCaller>) {
         call.response.header(CallerHeaders.VERSION, begin.version.value)
         begin.sessionToken?.let { call.response.header(CallerHeaders.SESSION_TOKEN, it) }
         if ((target as? Target.Completion)?.streamed == true) {
-            call.respondBytesWriter(ContentType.Text.EventStream) { stream(this, begin, answers) }
+            call.respondBytesWriter(ContentType.Text.EventStream) { writeStreamed(this, begin, parts) }
         } else {
-            respondWhole(begin, answers)
+            writeBuffered(begin, parts)
         }
     }
 
-    private suspend fun stream(
+    private suspend fun writeStreamed(
         channel: ByteWriteChannel,
         begin: Effect.OfCaller.Begin,
-        answers: ReceiveChannel<Effect.OfCaller>,
+        parts: ReceiveChannel<Effect.OfCaller>,
     ) {
-        for (answer in answers) {
-            channel.writeStringUtf8(format(answer, begin))
+        for (part in parts) {
+            channel.writeStringUtf8(formatPart(part, begin))
             channel.flush()
         }
     }
 
-    private fun format(answer: Effect.OfCaller, begin: Effect.OfCaller.Begin): String = when (answer) {
+    private fun formatPart(part: Effect.OfCaller, begin: Effect.OfCaller.Begin): String = when (part) {
         is Effect.OfCaller.Begin -> ""
-        is Effect.OfCaller.Piece -> event(piece(begin, ChunkChoice(delta = ChunkDelta(answer.text))))
-        is Effect.OfCaller.End -> event(
-            piece(begin, ChunkChoice(delta = ChunkDelta(), finishReason = "stop"))
-                .copy(usage = ChatUsage(answer.tokens, answer.costMicros)),
+        is Effect.OfCaller.Piece -> formatEvent(chunk(begin, ChunkChoice(delta = ChunkDelta(part.text))))
+        is Effect.OfCaller.End -> formatEvent(
+            chunk(begin, ChunkChoice(delta = ChunkDelta(), finishReason = "stop"))
+                .copy(usage = ChatUsage(part.tokens, part.costMicros)),
         ) + "data: [DONE]\n\n"
-        is Effect.OfCaller.Refuse -> "event: error\ndata: ${ErrorWriter.format(answer.error)}\n\n"
+        is Effect.OfCaller.Refuse -> "event: error\ndata: ${ErrorWriter.format(part.error)}\n\n"
     }
 
-    private fun piece(begin: Effect.OfCaller.Begin, choice: ChunkChoice): ChatChunk =
+    private fun chunk(begin: Effect.OfCaller.Begin, choice: ChunkChoice): ChatChunk =
         ChatChunk(id = id.value, model = begin.version.value, choices = listOf(choice))
 
-    private fun event(piece: ChatChunk): String = "data: ${WireFormat.encodeToString(piece)}\n\n"
+    private fun formatEvent(chunk: ChatChunk): String = "data: ${WireFormat.encodeToString(chunk)}\n\n"
 
-    private suspend fun respondWhole(begin: Effect.OfCaller.Begin, answers: ReceiveChannel<Effect.OfCaller>) {
+    private suspend fun writeBuffered(begin: Effect.OfCaller.Begin, parts: ReceiveChannel<Effect.OfCaller>) {
         val text = StringBuilder()
-        for (answer in answers) {
-            when (answer) {
+        for (part in parts) {
+            when (part) {
                 is Effect.OfCaller.Begin -> Unit
-                is Effect.OfCaller.Piece -> text.append(answer.text)
-                is Effect.OfCaller.Refuse -> ErrorWriter.write(call, answer.error)
-                is Effect.OfCaller.End -> respondEnd(begin, text.toString(), answer)
+                is Effect.OfCaller.Piece -> text.append(part.text)
+                is Effect.OfCaller.Refuse -> ErrorWriter.write(call, part.error)
+                is Effect.OfCaller.End -> respondComplete(begin, text.toString(), part)
             }
         }
     }
 
-    private suspend fun respondEnd(begin: Effect.OfCaller.Begin, text: String, end: Effect.OfCaller.End) {
+    private suspend fun respondComplete(begin: Effect.OfCaller.Begin, text: String, end: Effect.OfCaller.End) {
         if (target is Target.ServiceCall) {
             call.respondText(text, ContentType.Application.Json, statusOf(end.status))
             return
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/CallerRoutes.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/CallerRoutes.kt
@@ -36,16 +36,16 @@
 internal class CallerRoutes(
     private val loop: RouterLoop,
     private val exchanges: Exchanges,
-    private val parser: CallParser,
+    private val parser: RequestParser,
     private val largestBodyBytes: Long,
 ) {
     /** Adds the routes of callers to [routing]. */
     fun install(routing: Route) {
-        routing.post("/v1/chat/completions") { handle(call) { body -> parser.completion(call::header, body) } }
+        routing.post("/v1/chat/completions") { handle(call) { body -> parser.parseCompletion(call::header, body) } }
         routing.route("{path...}") {
             handle {
                 val target = Target.ServiceCall(call.request.httpMethod.value.uppercase(), call.request.uri)
-                handle(call) { body -> parser.service(call::header, target, body) }
+                handle(call) { body -> parser.parseServiceCall(call::header, target, body) }
             }
         }
     }
@@ -66,20 +66,20 @@
 
     private suspend fun serve(call: ApplicationCall, request: CallerRequest) {
         val id = RequestId(UUID.randomUUID().toString())
-        val answers = Channel<Effect.OfCaller>(Channel.UNLIMITED)
-        loop.post(Event.OfCaller.Arrived(id, request)) { exchanges.register(id, answers) }
+        val parts = Channel<Effect.OfCaller>(Channel.UNLIMITED)
+        loop.post(Event.OfCaller.Arrived(id, request)) { exchanges.register(id, parts) }
         call.response.header(CallerHeaders.REQUEST, id.value)
         try {
-            AnswerWriter(call, id, request.target).write(answers)
+            AnswerWriter(call, id, request.target).write(parts)
         } catch (_: IOException) {
-            leave(id)
+            reportDisconnect(id)
         } catch (cancelled: CancellationException) {
-            leave(id)
+            reportDisconnect(id)
             throw cancelled
         }
     }
 
-    private fun leave(id: RequestId) = loop.post(Event.OfCaller.Left(id)) { exchanges.forget(id) }
+    private fun reportDisconnect(id: RequestId) = loop.post(Event.OfCaller.Left(id)) { exchanges.remove(id) }
 }
 
 private fun ApplicationCall.header(name: String): String? = request.header(name)
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/Exchanges.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/Exchanges.kt
@@ -7,25 +7,25 @@
 
 /** The callers that wait for an answer. Confined to the loop's thread. */
 internal class Exchanges {
-    private var waiting = persistentMapOf<RequestId, Channel<Effect.OfCaller>>()
+    private var pending = persistentMapOf<RequestId, Channel<Effect.OfCaller>>()
 
-    /** Adds a caller who waits at [answers]. */
-    fun register(request: RequestId, answers: Channel<Effect.OfCaller>) {
-        waiting = waiting.put(request, answers)
+    /** Adds a caller who waits at [parts]. */
+    fun register(request: RequestId, parts: Channel<Effect.OfCaller>) {
+        pending = pending.put(request, parts)
     }
 
     /** Forgets a caller who has left. */
-    fun forget(request: RequestId) {
-        waiting = waiting.remove(request)
+    fun remove(request: RequestId) {
+        pending = pending.remove(request)
     }
 
     /** Hands [effect] to the caller it is for, if that one still waits. */
     fun deliver(effect: Effect.OfCaller) {
-        val answers = waiting[effect.request] ?: return
-        answers.trySend(effect)
+        val parts = pending[effect.request] ?: return
+        parts.trySend(effect)
         if (effect is Effect.OfCaller.End || effect is Effect.OfCaller.Refuse) {
-            answers.close()
-            forget(effect.request)
+            parts.close()
+            remove(effect.request)
         }
     }
 }
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/CallParser.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/RequestParser.kt
@@ -25,31 +25,31 @@
  *
  * @property defaultTimeoutMilliseconds the timeout of a request whose caller names none.
  */
-internal class CallParser(private val defaultTimeoutMilliseconds: Long) {
+internal class RequestParser(private val defaultTimeoutMilliseconds: Long) {
     /** Returns the completion that [body] asks for. */
-    fun completion(headers: (String) -> String?, body: String): Result<CallerRequest, RouterError> = binding {
-        val chat = chat(body).bind()
+    fun parseCompletion(headers: (String) -> String?, body: String): Result<CallerRequest, RouterError> = binding {
+        val chat = parseChat(body).bind()
         val target = Target.Completion(chat.model, chat.maximumTokens, chat.stream)
-        call(headers, target, prompt(chat)).bind()
+        parseRequest(headers, target, promptOf(chat)).bind()
     }
 
     /** Returns the call of a plain service. */
-    fun service(
+    fun parseServiceCall(
         headers: (String) -> String?,
         target: Target.ServiceCall,
         body: String,
-    ): Result<CallerRequest, RouterError> = call(headers, target, body)
+    ): Result<CallerRequest, RouterError> = parseRequest(headers, target, body)
 
-    private fun chat(body: String): Result<ChatRequest, RouterError> = try {
+    private fun parseChat(body: String): Result<ChatRequest, RouterError> = try {
         val chat = WireFormat.decodeFromString<ChatRequest>(body)
         if (chat.maximumTokens > 0) Ok(chat) else Err(malformed("max_tokens must be above 0"))
     } catch (problem: SerializationException) {
         Err(malformed("the body is not a chat completion: ${problem.message.orEmpty().lineSequence().first()}"))
     }
 
-    private fun prompt(chat: ChatRequest): String = chat.messages.joinToString("\n") { "${it.role}: ${it.content}" }
+    private fun promptOf(chat: ChatRequest): String = chat.messages.joinToString("\n") { "${it.role}: ${it.content}" }
 
-    private fun call(
+    private fun parseRequest(
         headers: (String) -> String?,
         target: Target,
         body: String,
@@ -57,41 +57,41 @@
         val workspace = headers(CallerHeaders.WORKSPACE)
             ?: Err(malformed("the header ${CallerHeaders.WORKSPACE} is missing")).bind()
         CallerRequest(
-            workspace = identifier(workspace, ::WorkspaceId).bind(),
+            workspace = parseIdentifier(workspace, ::WorkspaceId).bind(),
             target = target,
-            timeoutMilliseconds = timeout(headers).bind(),
+            timeoutMilliseconds = parseTimeout(headers).bind(),
             body = body,
-            requestClass = optional(headers(CallerHeaders.CLASS), ::RequestClass).bind() ?: RequestClass.DEFAULT,
-            priority = priority(headers).bind(),
-            session = optional(headers(CallerHeaders.SESSION), ::SessionId).bind(),
+            requestClass = parseOptional(headers(CallerHeaders.CLASS), ::RequestClass).bind() ?: RequestClass.DEFAULT,
+            priority = parsePriority(headers).bind(),
+            session = parseOptional(headers(CallerHeaders.SESSION), ::SessionId).bind(),
             sessionToken = headers(CallerHeaders.SESSION_TOKEN),
-            key = optional(headers(CallerHeaders.KEY), ::IdempotencyKey).bind(),
+            key = parseOptional(headers(CallerHeaders.KEY), ::IdempotencyKey).bind(),
         )
     }
 
-    private fun timeout(headers: (String) -> String?): Result<Long, RouterError> {
+    private fun parseTimeout(headers: (String) -> String?): Result<Long, RouterError> {
         val text = headers(CallerHeaders.TIMEOUT) ?: return Ok(defaultTimeoutMilliseconds)
-        val milliseconds = text.toLongOrNull()?.takeIf { it in 1..LONGEST_TIMEOUT_MILLISECONDS }
+        val milliseconds = text.toLongOrNull()?.takeIf { it in 1..MAX_TIMEOUT_MILLISECONDS }
         return milliseconds?.let { Ok(it) } ?: Err(
-            malformed("${CallerHeaders.TIMEOUT} '$text' is not within 1 and $LONGEST_TIMEOUT_MILLISECONDS"),
+            malformed("${CallerHeaders.TIMEOUT} '$text' is not within 1 and $MAX_TIMEOUT_MILLISECONDS"),
         )
     }
 
-    private fun priority(headers: (String) -> String?): Result<Priority, RouterError> {
+    private fun parsePriority(headers: (String) -> String?): Result<Priority, RouterError> {
         val text = headers(CallerHeaders.PRIORITY) ?: return Ok(Priority.NORMAL)
         return Priority.parseOrNull(text)?.let { Ok(it) }
             ?: Err(malformed("${CallerHeaders.PRIORITY} '$text' is none of high, normal and low"))
     }
 
-    private fun <T> optional(text: String?, build: (String) -> T): Result<T?, RouterError> =
-        if (text == null) Ok(null) else identifier(text, build)
+    private fun <T> parseOptional(text: String?, build: (String) -> T): Result<T?, RouterError> =
+        if (text == null) Ok(null) else parseIdentifier(text, build)
 
-    private fun <T> identifier(text: String, build: (String) -> T): Result<T, RouterError> =
+    private fun <T> parseIdentifier(text: String, build: (String) -> T): Result<T, RouterError> =
         runCatching { build(text) }.mapError { malformed(it.message.orEmpty()) }
 
     private fun malformed(detail: String): RouterError = RouterError(ErrorKind.MALFORMED, detail)
 
     private companion object {
-        const val LONGEST_TIMEOUT_MILLISECONDS = 3_600_000L
+        const val MAX_TIMEOUT_MILLISECONDS = 3_600_000L
     }
 }
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/platform/PlatformClient.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/platform/PlatformClient.kt
@@ -49,14 +49,14 @@
                 is Effect.OfPlatform.Read -> read(effect)
                 is Effect.OfPlatform.ListVms -> listVms()
                 is Effect.OfPlatform.ReadRatings -> readRatings(effect)
-                is Effect.OfPlatform.SubmitForRating -> submit(effect)
+                is Effect.OfPlatform.SubmitForRating -> submitSample(effect)
             }
         }
     }
 
     private suspend fun append(effect: Effect.OfPlatform.Append) {
         val request = AppendRequest(effect.stamp, effect.records.map { it.toDocument() })
-        val event = http.attempt(failed = Event.OfPlatform.LogAppendFailed(effect.append)) {
+        val event = http.callOrElse(fallback = Event.OfPlatform.LogAppendFailed(effect.append)) {
             http.post(streamUrl(effect.stream), WireFormat.encodeToString(request))
             Event.OfPlatform.LogAppended(effect.append)
         }
@@ -64,7 +64,7 @@
     }
 
     private suspend fun read(effect: Effect.OfPlatform.Read) {
-        val event = http.attempt(failed = Event.OfPlatform.LogReadFailed(effect.stream)) {
+        val event = http.callOrElse(fallback = Event.OfPlatform.LogReadFailed(effect.stream)) {
             val response = WireFormat.decodeFromString<ReadResponse>(
                 http.get("${streamUrl(effect.stream)}?from=${effect.from}")
             )
@@ -75,7 +75,7 @@
     }
 
     private suspend fun listVms() {
-        val event = http.attempt(failed = Event.OfPlatform.PlatformReadFailed("vms")) {
+        val event = http.callOrElse(fallback = Event.OfPlatform.PlatformReadFailed("vms")) {
             val response = WireFormat.decodeFromString<VmsResponse>(http.get("http://${addresses.vms}/vms"))
             Event.OfPlatform.VmsListed(response.vms.map { VmListing(VmId(it.vm), it.leaving) }.toPersistentList())
         }
@@ -83,7 +83,7 @@
     }
 
     private suspend fun readRatings(effect: Effect.OfPlatform.ReadRatings) {
-        val event = http.attempt(failed = Event.OfPlatform.PlatformReadFailed("ratings")) {
+        val event = http.callOrElse(fallback = Event.OfPlatform.PlatformReadFailed("ratings")) {
             val url = "http://${addresses.ratings}/ratings?submitter=$submitter&from=${effect.from}"
             val response = WireFormat.decodeFromString<RatingsResponse>(http.get(url))
             Event.OfPlatform.RatingsRead(response.ratings.map { it.toRating() }.toPersistentList(), response.next)
@@ -91,7 +91,7 @@
         loop.post(event)
     }
 
-    private suspend fun submit(effect: Effect.OfPlatform.SubmitForRating) {
+    private suspend fun submitSample(effect: Effect.OfPlatform.SubmitForRating) {
         val sample = SampleRequest(
             submitter = submitter,
             request = effect.request.value,
@@ -100,7 +100,7 @@
             version = effect.subject.version.value,
             answer = effect.answer,
         )
-        val failure = http.attempt<Event?>(failed = Event.OfPlatform.PlatformReadFailed("samples")) {
+        val failure = http.callOrElse<Event?>(fallback = Event.OfPlatform.PlatformReadFailed("samples")) {
             http.post("http://${addresses.ratings}/samples", WireFormat.encodeToString(sample))
             null
         }
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/platform/PlatformHttp.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/platform/PlatformHttp.kt
@@ -17,25 +17,25 @@
     /** Returns the page at [url]. */
     suspend fun get(url: String): String = client.get(url) {
         timeout { requestTimeoutMillis = TIMEOUT_MILLISECONDS }
-    }.successful().bodyAsText()
+    }.requireSuccess().bodyAsText()
 
     /** Posts [body] to [url] and returns the answer. */
     suspend fun post(url: String, body: String): String = client.post(url) {
         timeout { requestTimeoutMillis = TIMEOUT_MILLISECONDS }
         contentType(ContentType.Application.Json)
         setBody(body)
-    }.successful().bodyAsText()
+    }.requireSuccess().bodyAsText()
 
-    private fun HttpResponse.successful(): HttpResponse =
+    private fun HttpResponse.requireSuccess(): HttpResponse =
         if (status.isSuccess()) this else throw IOException("the platform answered $status")
 
-    /** Returns what [call] returns, or [failed] if the platform cannot be reached or makes no sense. */
-    suspend fun <T> attempt(failed: T, call: suspend () -> T): T = try {
+    /** Returns what [call] returns, or [fallback] if the platform cannot be reached or makes no sense. */
+    suspend fun <T> callOrElse(fallback: T, call: suspend () -> T): T = try {
         call()
     } catch (_: IOException) {
-        failed
+        fallback
     } catch (_: IllegalArgumentException) {
-        failed
+        fallback
     }
 
     private companion object {
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/report/RecentEntries.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/report/RecentEntries.kt
@@ -4,13 +4,13 @@
 import kotlinx.collections.immutable.persistentListOf
 import org.quetzalloom.core.timeline.TimelineEntry
 
-/** The latest entries, at least [GENERATION_ENTRIES] and at most twice as many once there are enough. */
+/** The latest entries, at least [ENTRIES_PER_GENERATION] and at most twice as many once there are enough. */
 internal data class RecentEntries(
     private val older: PersistentList<TimelineEntry> = persistentListOf(),
     private val newer: PersistentList<TimelineEntry> = persistentListOf(),
 ) {
     fun add(entry: TimelineEntry): RecentEntries =
-        if (newer.size < GENERATION_ENTRIES) {
+        if (newer.size < ENTRIES_PER_GENERATION) {
             copy(newer = newer.add(entry))
         } else {
             RecentEntries(older = newer, newer = persistentListOf(entry))
@@ -19,6 +19,6 @@
     fun all(): PersistentList<TimelineEntry> = older.addAll(newer)
 
     private companion object {
-        const val GENERATION_ENTRIES = 10_000
+        const val ENTRIES_PER_GENERATION = 10_000
     }
 }
--- a/daemon/src/test/kotlin/org/quetzalloom/daemon/DaemonProcessTest.kt
+++ b/daemon/src/test/kotlin/org/quetzalloom/daemon/DaemonProcessTest.kt
@@ -78,14 +78,14 @@
             }
         }
 
-    private fun active(port: Int): Boolean =
+    private fun isActive(port: Int): Boolean =
         "\"active\":0" !in TestSite.get("http://127.0.0.1:$port/admin/status").body()
 
     @Test
     fun aGracefulStopCutsNoRequest() {
         val port = site.vmPorts[0]
         val requests = (1..20).map { complete(port, "long $it", tokens = 400) }
-        TestSite.await { active(port) }
+        TestSite.await { isActive(port) }
         signal("vm-1", "TERM")
         val answers = requests.map { it.get() }
         answers.forEachIndexed { index, answer ->
@@ -100,28 +100,28 @@
     }
 
     @Test
-    fun aKilledVmLeavesNoCommandDoubled() {
+    fun aKilledVmDuplicatesNoCommand() {
         val sent = (1..20).map { command(site.vmPorts[0], "k-$it") }
         TestSite.await { site.books().entries.isNotEmpty() }
         processes.getValue("vm-1").destroyForcibly().waitFor()
         sent.forEach { it.get() }
-        val again = (1..20).map { command(site.vmPorts[1], "k-$it") }.mapNotNull { it.get() }
-        assertEquals(20, again.size)
+        val resent = (1..20).map { command(site.vmPorts[1], "k-$it") }.mapNotNull { it.get() }
+        assertEquals(20, resent.size)
         val runs = site.books().entries.groupingBy { it.scope }.eachCount()
         assertTrue(runs.values.all { it == 1 }, "$runs")
-        again.filter { it.statusCode() != 200 }.forEach { assertContains(it.body(), "outcome_unknown") }
+        resent.filter { it.statusCode() != 200 }.forEach { assertContains(it.body(), "outcome_unknown") }
         assertEquals(200, command(site.vmPorts[1], "new").get()?.statusCode())
         assertEquals(1, site.books().entries.count { it.scope == "bakery/new" })
     }
 
     @Test
-    fun aFrozenVmDoublesNothingWhenItGoesOn() {
+    fun aFrozenVmDuplicatesNoCommandWhenItResumes() {
         val sent = (1..20).map { command(site.vmPorts[0], "k-$it") }
         signal("vm-1", "STOP")
-        val again = (1..20).map { command(site.vmPorts[1], "k-$it") }
+        val resent = (1..20).map { command(site.vmPorts[1], "k-$it") }
         TestSite.await { site.books().entries.size >= 1 }
         signal("vm-1", "CONT")
-        (sent + again).forEach { it.get() }
+        (sent + resent).forEach { it.get() }
         val runs = site.books().entries.groupingBy { it.scope }.eachCount()
         assertEquals(20, runs.size)
         assertTrue(runs.values.all { it == 1 }, "$runs")
--- a/daemon/src/test/kotlin/org/quetzalloom/daemon/DaemonTest.kt
+++ b/daemon/src/test/kotlin/org/quetzalloom/daemon/DaemonTest.kt
@@ -41,7 +41,7 @@
     private fun chat(body: String, vararg headers: Pair<String, String>): HttpResponse<String> =
         TestSite.post("http://127.0.0.1:$port/v1/chat/completions", body, *headers)
 
-    private fun requireError(response: HttpResponse<String>, kind: ErrorKind) {
+    private fun assertError(response: HttpResponse<String>, kind: ErrorKind) {
         val error = WireFormat.decodeFromString<ErrorResponse>(response.body()).error
         assertEquals(kind.code, error.code, response.body())
         assertEquals(kind.status, response.statusCode())
@@ -50,42 +50,42 @@
     }
 
     @Test
-    fun malformedJson() = requireError(chat("{", workspace), ErrorKind.MALFORMED)
+    fun malformedJson() = assertError(chat("{", workspace), ErrorKind.MALFORMED)
 
     @Test
-    fun missingWorkspace() = requireError(chat(REQUEST), ErrorKind.MALFORMED)
+    fun missingWorkspace() = assertError(chat(REQUEST), ErrorKind.MALFORMED)
 
     @Test
     fun unknownWorkspace() =
-        requireError(chat(REQUEST, CallerHeaders.WORKSPACE to "nobody"), ErrorKind.UNKNOWN_WORKSPACE)
+        assertError(chat(REQUEST, CallerHeaders.WORKSPACE to "nobody"), ErrorKind.UNKNOWN_WORKSPACE)
 
     @Test
-    fun unknownModel() = requireError(chat(REQUEST.replace("\"m\"", "\"x\""), workspace), ErrorKind.UNKNOWN_TARGET)
+    fun unknownModel() = assertError(chat(REQUEST.replace("\"m\"", "\"x\""), workspace), ErrorKind.UNKNOWN_TARGET)
 
     @Test
     fun versionNotAllowed() =
-        requireError(chat(REQUEST.replace("\"m\"", "\"secret@1\""), workspace), ErrorKind.NOT_ALLOWED)
+        assertError(chat(REQUEST.replace("\"m\"", "\"secret@1\""), workspace), ErrorKind.NOT_ALLOWED)
 
     @Test
     fun oversizedBody() =
-        requireError(chat(REQUEST.replace("hello", "x".repeat(5_000)), workspace), ErrorKind.TOO_LARGE)
+        assertError(chat(REQUEST.replace("hello", "x".repeat(5_000)), workspace), ErrorKind.TOO_LARGE)
 
     @Test
     fun wrongPriority() =
-        requireError(chat(REQUEST, workspace, CallerHeaders.PRIORITY to "urgent"), ErrorKind.MALFORMED)
+        assertError(chat(REQUEST, workspace, CallerHeaders.PRIORITY to "urgent"), ErrorKind.MALFORMED)
 
     @Test
-    fun wrongTimeout() = requireError(chat(REQUEST, workspace, CallerHeaders.TIMEOUT to "-1"), ErrorKind.MALFORMED)
+    fun wrongTimeout() = assertError(chat(REQUEST, workspace, CallerHeaders.TIMEOUT to "-1"), ErrorKind.MALFORMED)
 
     @Test
     fun commandWithoutAKey() {
         val response = TestSite.post("http://127.0.0.1:$port/ovens/start", "{}", workspace)
-        requireError(response, ErrorKind.KEY_MISSING)
+        assertError(response, ErrorKind.KEY_MISSING)
     }
 
     @Test
     fun unknownPath() =
-        requireError(TestSite.post("http://127.0.0.1:$port/fridges", "{}", workspace), ErrorKind.UNKNOWN_TARGET)
+        assertError(TestSite.post("http://127.0.0.1:$port/fridges", "{}", workspace), ErrorKind.UNKNOWN_TARGET)
 
     @Test
     fun commandsRunOnceAndResendsAreAnswered() {
--- a/daemon/src/test/kotlin/org/quetzalloom/daemon/TestSite.kt
+++ b/daemon/src/test/kotlin/org/quetzalloom/daemon/TestSite.kt
@@ -59,7 +59,7 @@
             [[zones]]
             id = "zone-a"
 
-            ${vmPorts.mapIndexed { place, port -> vm("vm-${place + 1}", port) }.joinToString("\n")}
+            ${vmPorts.mapIndexed { index, port -> vm("vm-${index + 1}", port) }.joinToString("\n")}
 
             [[versions]]
             id = "m@1"
@@ -156,9 +156,9 @@
 
         /** Waits until [condition] holds, and fails after a minute. */
         fun await(condition: () -> Boolean) {
-            val until = System.nanoTime() + Duration.ofSeconds(60).toNanos()
+            val deadline = System.nanoTime() + Duration.ofSeconds(60).toNanos()
             while (!holds(condition)) {
-                check(System.nanoTime() < until) { "the condition did not come about within a minute" }
+                check(System.nanoTime() < deadline) { "the condition did not come about within a minute" }
                 Thread.onSpinWait()
             }
         }
