Describe in the daemon what each part returns, throws and confines

The comments left out on which thread a class is used, what a function throws and what happens at the edges: a caller who is gone, a response of another status, an answer that fails within its stream. They say so now. Codes, headers, metrics and log lines are as they were.

--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/Daemon.kt
@@ -34,7 +34,10 @@
 import org.quetzalloom.runtime.LoopSettings
 import org.quetzalloom.runtime.SystemClock
 
-/** One router process: the loop, the front ends that post events to it, and the clients that carry out its effects. */
+/**
+ * A router process: the event loop, the HTTP server whose routes post events to the loop, and the clients that carry
+ * out the loop's effects.
+ */
 internal class Daemon(private val settings: DaemonSettings) {
     private val clock = SystemClock()
     private val loop: RouterLoop = EventLoop(
@@ -49,10 +52,13 @@
     private val reporter = Reporter(metrics.events)
     private val exchanges = Exchanges()
 
-    /** Asks the router to stop once nothing is left to do. */
+    /**
+     * Starts a graceful shutdown. [run] returns once all requests are answered and no record can be lost: commands are
+     * in the log, and bills are in the log or at live peers.
+     */
     fun requestShutdown(): Unit = loop.post(Event.ShutdownRequested)
 
-    /** Runs until the router has stopped. */
+    /** Runs the router; returns after a graceful shutdown. */
     suspend fun run(): Unit = resourceScope {
         val client = installClient()
         val scope = installWorkerScope()
@@ -113,7 +119,7 @@
     private fun createHttpClient(): HttpClient = HttpClient(CIO) {
         install(HttpTimeout) { connectTimeoutMillis = CONNECT_TIMEOUT_MILLISECONDS }
         engine {
-            requestTimeout = 0
+            requestTimeout = 0 // No timeout: the core ends attempts that make no progress.
             maxConnectionsCount = MAX_CONNECTIONS
             endpoint { maxConnectionsPerRoute = MAX_CONNECTIONS }
         }
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/DaemonSettings.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/DaemonSettings.kt
@@ -12,11 +12,13 @@
 import org.quetzalloom.wire.site.routerSettings
 
 /**
- * What one daemon is told at its start.
+ * Settings of one router process, which do not change while it runs.
  *
- * @property addresses host and port of every VM.
- * @property largestBodyBytes the longest body of a caller that is read.
- * @property defaultTimeoutMilliseconds the timeout of a request whose caller names none.
+ * @property router the settings of the core.
+ * @property addresses host and port of the router on each entry VM, this one included.
+ * @property platform host and port of the platform services.
+ * @property largestBodyBytes the maximum size of the body of a caller's request; longer ones are refused.
+ * @property defaultTimeoutMilliseconds the timeout of requests whose caller sets none.
  */
 internal data class DaemonSettings(
     val router: RouterSettings,
@@ -25,11 +27,16 @@
     val largestBodyBytes: Long = 1_048_576,
     val defaultTimeoutMilliseconds: Long = 60_000,
 ) {
-    /** Host and port that this daemon listens on. */
+    /** Host and port that this process listens on. */
     val ownAddress: String get() = addresses.getValue(router.vm)
 
     companion object {
-        /** Returns the settings of [vm] in [site], or what is missing. */
+        /**
+         * Returns the settings of the process on [vm] in [site], or a message for operators if [site] has no such VM
+         * or lacks a required setting.
+         *
+         * @param incarnation an identifier that is different after each start of the process.
+         */
         fun of(site: Site, vm: String, incarnation: String): Result<DaemonSettings, String> = try {
             Ok(build(site, VmId(vm), incarnation))
         } catch (problem: IllegalArgumentException) {
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/EffectInterpreter.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/EffectInterpreter.kt
@@ -8,7 +8,11 @@
 import org.quetzalloom.daemon.report.Reporter
 import org.quetzalloom.runtime.Interpreter
 
-/** Hands each effect to the adapter that carries it out. */
+/**
+ * Passes each effect to the component that carries it out.
+ *
+ * @param stop ends the process; called when a graceful shutdown is complete.
+ */
 internal class EffectInterpreter(
     private val exchanges: Exchanges,
     private val backends: BackendClient,
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/Main.kt
@@ -20,16 +20,24 @@
 private const val EXIT_BAD_SETTINGS = 2
 private const val EXIT_INTERNAL_ERROR = 70
 
-/** The property of the HTTP server that lets it close by itself on a signal, which would cut requests. */
+/**
+ * The system property that makes Ktor's server close on a signal. It has to be off, since requests in progress would be
+ * interrupted.
+ */
 private const val KTOR_SHUTDOWN_HOOK = "io.ktor.server.engine.ShutdownHook"
 private val logger = LoggerFactory.getLogger("quetzalloomd")
 
-/** Runs the router: `quetzalloomd --settings base.toml --overlay site.toml --vm vm-1`. */
+/**
+ * Runs the router: `quetzalloomd --settings base.toml --overlay site.toml --vm vm-1`.
+ *
+ * Exits with status 0 after a graceful shutdown, 2 if the settings are not valid, and 70 if a thread
+ * ends with an exception.
+ */
 public fun main(arguments: Array<String>) {
     System.setProperty(KTOR_SHUTDOWN_HOOK, "false")
     val parser = ArgParser("quetzalloomd")
-    val settings by parser.option(ArgType.String, description = "The base file").required()
-    val overlay by parser.option(ArgType.String, description = "The overlay of the site")
+    val settings by parser.option(ArgType.String, description = "The base settings file").required()
+    val overlay by parser.option(ArgType.String, description = "The settings file of the site")
     val vm by parser.option(ArgType.String, description = "The VM that this process runs on").required()
     parser.parse(arguments)
     load(listOfNotNull(settings, overlay), vm).fold(
@@ -46,7 +54,10 @@
         .andThen { DaemonSettings.of(it, vm, incarnation = UUID.randomUUID().toString()) }
 }
 
-/** Runs [daemon] until it has stopped, also on a signal. A failure of the loop ends the process at once. */
+/**
+ * Runs [daemon] and exits the process. A signal starts a graceful shutdown. An uncaught exception ends the process at
+ * once, without the shutdown hook: the hook would wait forever for a loop that no longer runs.
+ */
 private fun run(daemon: Daemon) {
     Thread.setDefaultUncaughtExceptionHandler { thread, problem ->
         logger.error("event=thread_failed thread={}", thread.name, problem)
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/BackendCall.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/BackendCall.kt
@@ -2,12 +2,13 @@
 
 import org.quetzalloom.core.event.Event
 
-/** One attempt at one backend server, over HTTP. */
+/** One attempt to run a request at a backend server, over HTTP. */
 internal fun interface BackendCall {
     /**
-     * Sends the order and posts what comes back; returns the last event, which is not posted.
+     * Sends the request and posts an event for each part of the response except the last event, which it returns.
      *
      * @throws kotlinx.io.IOException if the connection fails.
+     * @throws kotlinx.serialization.SerializationException if the response cannot be parsed.
      */
     suspend fun run(): Event.OfBackend
 }
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/BackendClient.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/BackendClient.kt
@@ -25,7 +25,11 @@
 import org.slf4j.LoggerFactory
 import java.net.ConnectException
 
-/** Carries out orders to backend servers. Its methods are called on the loop's thread. */
+/**
+ * Sends requests to backend servers and posts their results to the loop.
+ *
+ * Confined to the loop's thread: [carryOut] is called there, and the jobs of ended attempts are removed there.
+ */
 internal class BackendClient(
     private val client: HttpClient,
     private val scope: CoroutineScope,
@@ -33,7 +37,7 @@
 ) {
     private var jobs = persistentMapOf<AttemptId, Job>()
 
-    /** Carries out [effect]. */
+    /** Starts or cancels an attempt, or starts a load request. Does not wait for responses. */
     fun carryOut(effect: Effect.OfBackend) {
         when (effect) {
             is Effect.OfBackend.Start -> start(effect.order)
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/EngineCall.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/EngineCall.kt
@@ -23,7 +23,7 @@
 import org.quetzalloom.wire.backend.GenerateEvent
 import org.quetzalloom.wire.backend.GenerateRequest
 
-/** A completion by a model engine, streamed as server-sent events. */
+/** An attempt to run a completion at a model engine, which streams its answer as server-sent events. */
 internal class EngineCall(
     private val client: HttpClient,
     private val order: AttemptOrder,
@@ -57,7 +57,10 @@
         }
     }
 
-    /** Posts the tokens as they come; returns their number at the end of the answer, or `null` if it breaks off. */
+    /**
+     * Posts tokens as they arrive. Returns the number of tokens of the whole answer, or `null` if the stream ends
+     * before the engine has reported it.
+     */
     private suspend fun readTokens(channel: ByteReadChannel): Int? {
         while (true) {
             val line = channel.readLine() ?: return null
@@ -76,11 +79,19 @@
     }
 }
 
-/** Returns the event that tells of the start named in [response], or `null` if it names none. */
+/**
+ * Returns the event that [order] was accepted, with the start identity of the backend server in [response], or `null`
+ * if the response has none.
+ *
+ * @throws IllegalArgumentException if the start identity is not a valid identifier.
+ */
 internal fun acceptedOrNull(order: AttemptOrder, response: HttpResponse): Event.OfBackend.Accepted? =
     response.headers[BackendHeaders.START]?.let { Event.OfBackend.Accepted(order.attempt, StartIdentity(it)) }
 
-/** Returns the failure that an unsuccessful [response] stands for. */
+/**
+ * Returns the failure of [order] for an unsuccessful [response]: refused if the backend server states that it did not
+ * run the request, else broken.
+ */
 internal fun failureOf(order: AttemptOrder, response: HttpResponse): Event.OfBackend.Failed {
     val notRun = response.headers[BackendHeaders.NOT_RUN] != null
     return Event.OfBackend.Failed(order.attempt, if (notRun) AttemptFailure.REFUSED else AttemptFailure.BROKEN)
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/ServiceCall.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/ServiceCall.kt
@@ -15,7 +15,11 @@
 import org.quetzalloom.daemon.RouterLoop
 import org.quetzalloom.wire.backend.BackendHeaders
 
-/** A call of a plain service: one request, one response. */
+/**
+ * An attempt to call a plain service, which answers one HTTP request with one response.
+ *
+ * A response of any status is passed on as the answer, unless it states that the service did not run the call.
+ */
 internal class ServiceCall(
     private val client: HttpClient,
     private val order: AttemptOrder,
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/AnswerWriter.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/AnswerWriter.kt
@@ -22,18 +22,29 @@
 import org.quetzalloom.wire.caller.ChunkChoice
 import org.quetzalloom.wire.caller.ChunkDelta
 
-/** Writes the answer of one request to its caller. */
+/**
+ * Writes the answer of one request to its caller: as server-sent events if the caller asked for a stream, else as one
+ * response once the answer is complete.
+ */
 internal class AnswerWriter(
     private val call: ApplicationCall,
     private val id: RequestId,
     private val target: Target,
 ) {
-    /** Writes everything that comes from [parts]; returns when the answer has ended. */
+    /**
+     * Writes the answer that arrives from [parts]; returns when it has ended.
+     *
+     * A request that fails after the stream has begun gets an `error` event in the stream, since the HTTP status has
+     * been sent by then.
+     *
+     * @throws kotlinx.io.IOException if the caller has closed the connection.
+     * @throws IllegalStateException if the first part is neither [Effect.OfCaller.Begin] nor [Effect.OfCaller.Refuse].
+     */
     suspend fun write(parts: ReceiveChannel<Effect.OfCaller>) {
         when (val first = parts.receive()) {
             is Effect.OfCaller.Refuse -> ErrorWriter.write(call, first.error)
             is Effect.OfCaller.Begin -> writeAnswer(first, parts)
-            is Effect.OfCaller.Piece, is Effect.OfCaller.End -> error("an answer must begin before it goes on")
+            is Effect.OfCaller.Piece, is Effect.OfCaller.End -> error("an answer must start with Begin or Refuse")
         }
     }
 
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/CallerRoutes.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/CallerRoutes.kt
@@ -29,9 +29,9 @@
 import java.util.UUID
 
 /**
- * The HTTP front end of callers: parses requests, posts them to the loop and writes what comes back.
+ * The HTTP routes for callers: parses their requests, posts them to the loop and writes the answers.
  *
- * @property largestBodyBytes the longest body that is read.
+ * @property largestBodyBytes the maximum size of a request body; longer ones get [ErrorKind.TOO_LARGE].
  */
 internal class CallerRoutes(
     private val loop: RouterLoop,
@@ -39,7 +39,7 @@
     private val parser: RequestParser,
     private val largestBodyBytes: Long,
 ) {
-    /** Adds the routes of callers to [routing]. */
+    /** Adds the route of completions to [routing], and a route that treats every other path as a service call. */
     fun install(routing: Route) {
         routing.post("/v1/chat/completions") { handle(call) { body -> parser.parseCompletion(call::header, body) } }
         routing.route("{path...}") {
@@ -53,7 +53,7 @@
     private suspend fun handle(call: ApplicationCall, parse: (String) -> Result<CallerRequest, RouterError>) {
         val body = readBodyOrNull(call)
         if (body == null) {
-            ErrorWriter.write(call, RouterError(ErrorKind.TOO_LARGE, "the body is above $largestBodyBytes bytes"))
+            ErrorWriter.write(call, RouterError(ErrorKind.TOO_LARGE, "the body is larger than $largestBodyBytes bytes"))
         } else {
             parse(body).fold(success = { serve(call, it) }, failure = { ErrorWriter.write(call, it) })
         }
@@ -84,5 +84,5 @@
 
 private fun ApplicationCall.header(name: String): String? = request.header(name)
 
-/** Returns the status of an HTTP answer with [code]. */
+/** Returns the HTTP status with the number [code]. */
 internal fun statusOf(code: Int): HttpStatusCode = HttpStatusCode.fromValue(code)
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/ErrorWriter.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/ErrorWriter.kt
@@ -11,17 +11,17 @@
 import org.quetzalloom.wire.caller.ErrorBody
 import org.quetzalloom.wire.caller.ErrorResponse
 
-/** Writes errors to callers. */
+/** Writes error responses to callers. */
 internal object ErrorWriter {
     private const val RETRY_AFTER_SECONDS = "1"
 
-    /** Answers [call] with [error]. */
+    /** Responds to [call] with [error], and with a `Retry-After` header if the request may be retried. */
     suspend fun write(call: ApplicationCall, error: RouterError) {
         if (error.kind.retryable) call.response.header(HttpHeaders.RetryAfter, RETRY_AFTER_SECONDS)
         call.respondText(format(error), ContentType.Application.Json, statusOf(error.kind.status))
     }
 
-    /** Returns the body that tells of [error]. */
+    /** Returns the response body for [error], an [ErrorResponse] in JSON. */
     fun format(error: RouterError): String = WireFormat.encodeToString(
         ErrorResponse(
             ErrorBody(
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/Exchanges.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/Exchanges.kt
@@ -5,21 +5,32 @@
 import org.quetzalloom.core.effect.Effect
 import org.quetzalloom.core.identity.RequestId
 
-/** The callers that wait for an answer. Confined to the loop's thread. */
+/**
+ * The requests whose callers wait for an answer, each with the channel that its answer is sent to.
+ *
+ * Confined to the loop's thread.
+ */
 internal class Exchanges {
     private var pending = persistentMapOf<RequestId, Channel<Effect.OfCaller>>()
 
-    /** Adds a caller who waits at [parts]. */
+    /**
+     * Adds a request whose answer is to be sent to [parts].
+     *
+     * Must run before the loop handles the arrival of the request, so that no part of the answer is missed.
+     */
     fun register(request: RequestId, parts: Channel<Effect.OfCaller>) {
         pending = pending.put(request, parts)
     }
 
-    /** Forgets a caller who has left. */
+    /** Removes a request whose caller has disconnected. */
     fun remove(request: RequestId) {
         pending = pending.remove(request)
     }
 
-    /** Hands [effect] to the caller it is for, if that one still waits. */
+    /**
+     * Sends [effect] to the caller of its request, and removes the request if it is the last part of the answer.
+     * Does nothing if the caller has disconnected.
+     */
     fun deliver(effect: Effect.OfCaller) {
         val parts = pending[effect.request] ?: return
         parts.trySend(effect)
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/RequestParser.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/RequestParser.kt
@@ -21,19 +21,27 @@
 import org.quetzalloom.wire.caller.ChatRequest
 
 /**
- * Turns HTTP requests into requests of the core.
+ * Parses HTTP requests of callers into requests of the core.
  *
- * @property defaultTimeoutMilliseconds the timeout of a request whose caller names none.
+ * @property defaultTimeoutMilliseconds the timeout of requests whose caller sets none.
  */
 internal class RequestParser(private val defaultTimeoutMilliseconds: Long) {
-    /** Returns the completion that [body] asks for. */
+    /**
+     * Returns the completion that [body], a [ChatRequest], asks for, or [ErrorKind.MALFORMED].
+     *
+     * @param headers returns the value of a header, or `null` if the request does not have it.
+     */
     fun parseCompletion(headers: (String) -> String?, body: String): Result<CallerRequest, RouterError> = binding {
         val chat = parseChat(body).bind()
         val target = Target.Completion(chat.model, chat.maximumTokens, chat.stream)
         parseRequest(headers, target, promptOf(chat)).bind()
     }
 
-    /** Returns the call of a plain service. */
+    /**
+     * Returns the call of a plain service, or [ErrorKind.MALFORMED] if a header is not valid.
+     *
+     * @param headers returns the value of a header, or `null` if the request does not have it.
+     */
     fun parseServiceCall(
         headers: (String) -> String?,
         target: Target.ServiceCall,
@@ -73,14 +81,14 @@
         val text = headers(CallerHeaders.TIMEOUT) ?: return Ok(defaultTimeoutMilliseconds)
         val milliseconds = text.toLongOrNull()?.takeIf { it in 1..MAX_TIMEOUT_MILLISECONDS }
         return milliseconds?.let { Ok(it) } ?: Err(
-            malformed("${CallerHeaders.TIMEOUT} '$text' is not within 1 and $MAX_TIMEOUT_MILLISECONDS"),
+            malformed("${CallerHeaders.TIMEOUT} '$text' is not between 1 and $MAX_TIMEOUT_MILLISECONDS"),
         )
     }
 
     private fun parsePriority(headers: (String) -> String?): Result<Priority, RouterError> {
         val text = headers(CallerHeaders.PRIORITY) ?: return Ok(Priority.NORMAL)
         return Priority.parseOrNull(text)?.let { Ok(it) }
-            ?: Err(malformed("${CallerHeaders.PRIORITY} '$text' is none of high, normal and low"))
+            ?: Err(malformed("${CallerHeaders.PRIORITY} '$text' is not one of high, normal and low"))
     }
 
     private fun <T> parseOptional(text: String?, build: (String) -> T): Result<T?, RouterError> =
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/peer/PeerClient.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/peer/PeerClient.kt
@@ -19,14 +19,14 @@
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
 
-/** Sends messages to peers. A message that cannot be delivered is lost, as the core expects. */
+/** Sends messages to peers. A message that cannot be delivered is dropped; the core tolerates lost messages. */
 internal class PeerClient(
     private val client: HttpClient,
     private val scope: CoroutineScope,
     private val self: VmId,
     private val addresses: PersistentMap<VmId, String>,
 ) {
-    /** Starts to send the message of [effect]. */
+    /** Starts to send the message of [effect], or does nothing if the address of the peer is not known. */
     fun carryOut(effect: Effect.Tell) {
         val address = addresses[effect.to] ?: return
         val envelope = PeerEnvelope(self.value, effect.stamp, effect.message.toDocument())
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/peer/PeerRoutes.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/peer/PeerRoutes.kt
@@ -13,14 +13,14 @@
 import org.quetzalloom.wire.peer.PeerEnvelope
 import org.quetzalloom.wire.peer.toMessage
 
-/** Takes messages from peers. */
+/** The HTTP route for messages from peers. */
 internal class PeerRoutes(private val loop: RouterLoop) {
-    /** Adds the route of peers to [routing]. */
+    /** Adds `POST /peers` to [routing], which posts each message to the loop. */
     fun install(routing: Route) {
         routing.post("/peers") {
             val event = parseOrNull(call.receiveText())
             if (event == null) {
-                call.respondText("the message makes no sense", status = HttpStatusCode.BadRequest)
+                call.respondText("the message cannot be parsed", status = HttpStatusCode.BadRequest)
             } else {
                 loop.post(event)
                 call.respond(HttpStatusCode.NoContent)
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/platform/PlatformClient.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/platform/PlatformClient.kt
@@ -30,9 +30,9 @@
 import org.quetzalloom.wire.platform.VmsResponse
 
 /**
- * Calls the platform's services.
+ * Calls the platform's services and posts their responses, or that a call failed, to the loop.
  *
- * @property submitter names this VM start at the rating service.
+ * @property submitter identifies this start of this VM to the rating service.
  */
 internal class PlatformClient(
     private val http: PlatformHttp,
@@ -41,7 +41,7 @@
     private val addresses: PlatformAddresses,
     private val submitter: String,
 ) {
-    /** Starts to carry out [effect]. */
+    /** Starts the call for [effect]. Does not wait for the response. */
     fun carryOut(effect: Effect.OfPlatform) {
         scope.launch {
             when (effect) {
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/platform/PlatformHttp.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/platform/PlatformHttp.kt
@@ -12,14 +12,22 @@
 import io.ktor.http.isSuccess
 import kotlinx.io.IOException
 
-/** Reads from and posts to the platform, with a time limit. */
+/** An HTTP client for the platform's services; each call has a timeout. */
 internal class PlatformHttp(private val client: HttpClient) {
-    /** Returns the page at [url]. */
+    /**
+     * Returns the response body of a GET request to [url].
+     *
+     * @throws IOException if the call fails, times out or gets an unsuccessful status.
+     */
     suspend fun get(url: String): String = client.get(url) {
         timeout { requestTimeoutMillis = TIMEOUT_MILLISECONDS }
     }.requireSuccess().bodyAsText()
 
-    /** Posts [body] to [url] and returns the answer. */
+    /**
+     * Posts the JSON text [body] to [url] and returns the response body.
+     *
+     * @throws IOException if the call fails, times out or gets an unsuccessful status.
+     */
     suspend fun post(url: String, body: String): String = client.post(url) {
         timeout { requestTimeoutMillis = TIMEOUT_MILLISECONDS }
         contentType(ContentType.Application.Json)
@@ -27,9 +35,9 @@
     }.requireSuccess().bodyAsText()
 
     private fun HttpResponse.requireSuccess(): HttpResponse =
-        if (status.isSuccess()) this else throw IOException("the platform answered $status")
+        if (status.isSuccess()) this else throw IOException("the platform responded with status $status")
 
-    /** Returns what [call] returns, or [fallback] if the platform cannot be reached or makes no sense. */
+    /** Returns the result of [call], or [fallback] if the call fails or its response cannot be parsed. */
     suspend fun <T> callOrElse(fallback: T, call: suspend () -> T): T = try {
         call()
     } catch (_: IOException) {
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/report/AdminRoutes.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/report/AdminRoutes.kt
@@ -17,14 +17,14 @@
 import org.quetzalloom.wire.configuration.toDocument
 import org.quetzalloom.wire.toDocument
 
-/** Health, readiness, metrics, and what operators ask one VM. */
+/** The HTTP routes for operators and load balancers: health, readiness, metrics, status, time line and drain. */
 internal class AdminRoutes(
     private val loop: RouterLoop,
     private val clock: Clock,
     private val reporter: Reporter,
     private val metrics: Metrics,
 ) {
-    /** Adds the routes of operators to [routing]. */
+    /** Adds the routes to [routing]. */
     fun install(routing: Route) {
         routing.get("/healthz") { call.respondText("ok\n") }
         routing.get("/readyz") {
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/report/Metrics.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/report/Metrics.kt
@@ -8,14 +8,14 @@
 import java.io.ByteArrayOutputStream
 
 /**
- * The metrics of one router.
+ * The Prometheus metrics of one router.
  *
- * @param status reads the state of the router at the time of a scrape.
+ * @param status returns the current status of the router; called on each scrape.
  */
 internal class Metrics(private val status: () -> RouterStatus) {
     private val registry = PrometheusRegistry()
 
-    /** Counts time line entries by name. */
+    /** The number of time line entries, by name. */
     val events: Counter = Counter.builder()
         .name("quetzalloom_events_total")
         .help("Time line entries by name.")
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/report/Reporter.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/report/Reporter.kt
@@ -8,14 +8,14 @@
 import org.slf4j.LoggerFactory
 import java.util.concurrent.atomic.AtomicReference
 
-/** Writes time line entries to the log, keeps the latest for operators, and counts them. */
+/** Logs time line entries, counts them, and keeps the most recent ones for operators. */
 internal class Reporter(private val events: Counter) {
     private val recent = AtomicReference(RecentEntries())
 
-    /** The latest entries, oldest first. */
+    /** Returns the most recent entries, oldest first. May be called from any thread. */
     fun recent(): PersistentList<TimelineEntry> = recent.get().all()
 
-    /** Reports [entry]. Called on the loop's thread. */
+    /** Logs and counts [entry] and keeps it. Must be called on the loop's thread. */
     fun report(entry: TimelineEntry) {
         recent.set(recent.get().add(entry))
         events.labelValues(entry.name).inc()
--- a/daemon/src/test/kotlin/org/quetzalloom/daemon/DaemonProcessTest.kt
+++ b/daemon/src/test/kotlin/org/quetzalloom/daemon/DaemonProcessTest.kt
@@ -20,7 +20,10 @@
 import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
 
-/** Two real router processes: stopped, killed and frozen while they work. */
+/**
+ * Starts two router processes and stops, kills or freezes one of them while it handles requests: a stop must not
+ * interrupt answers, and no command may run twice when it is sent again to the other VM.
+ */
 class DaemonProcessTest {
     private val site = TestSite()
     private val directory = createTempDirectory().toFile()
--- a/daemon/src/test/kotlin/org/quetzalloom/daemon/DaemonTest.kt
+++ b/daemon/src/test/kotlin/org/quetzalloom/daemon/DaemonTest.kt
@@ -16,6 +16,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertNotNull
 
+/** Sends requests to one router, which runs in the test's process. */
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
 class DaemonTest {
     private val testSite = TestSite()
@@ -41,6 +42,7 @@
     private fun chat(body: String, vararg headers: Pair<String, String>): HttpResponse<String> =
         TestSite.post("http://127.0.0.1:$port/v1/chat/completions", body, *headers)
 
+    /** Checks that [response] reports an error of [kind], and that the engine has generated nothing. */
     private fun assertError(response: HttpResponse<String>, kind: ErrorKind) {
         val error = WireFormat.decodeFromString<ErrorResponse>(response.body()).error
         assertEquals(kind.code, error.code, response.body())
--- a/daemon/src/test/kotlin/org/quetzalloom/daemon/TestSite.kt
+++ b/daemon/src/test/kotlin/org/quetzalloom/daemon/TestSite.kt
@@ -29,7 +29,10 @@
 import java.net.http.HttpResponse
 import java.time.Duration
 
-/** Stand-ins on free ports within the test's process, and the settings of two VMs that use them. */
+/**
+ * The stand-ins of the platform, an engine and a service, which run in the test's process on free ports, and the
+ * settings of two entry VMs that use them.
+ */
 class TestSite {
     private val ports = freePorts(7)
     val vmPorts = ports.take(2)
@@ -111,7 +114,7 @@
 
     private fun <S : Any> serve(standIn: StandIn<S>, port: Int) = StandInServer(Faulty(standIn), port).start()
 
-    /** Puts the configuration of the site in force. */
+    /** Publishes [configuration], the first one, by appending it to the log. */
     fun publish(configuration: Configuration) {
         val change = ConfigurationChange.Publish(configuration)
         val record = LogRecord.OfConfiguration(ConfigurationRecord.Proposed(0, "test", change))
@@ -119,6 +122,7 @@
         post("http://127.0.0.1:$logPort/streams/configuration", WireFormat.encodeToString(request))
     }
 
+    /** Injects the faults that [json] describes into the log. */
     fun faults(json: String) = post("http://127.0.0.1:$logPort/faults", json)
 
     fun books(): Books = WireFormat.decodeFromString(get("http://127.0.0.1:$servicePort/books").body())
@@ -154,11 +158,15 @@
         private fun send(builder: HttpRequest.Builder): HttpResponse<String> =
             client.send(builder.timeout(Duration.ofSeconds(60)).build(), HttpResponse.BodyHandlers.ofString())
 
-        /** Waits until [condition] holds, and fails after a minute. */
+        /**
+         * Waits until [condition] holds. A condition that throws an [IOException] does not hold yet.
+         *
+         * @throws IllegalStateException if it does not hold within a minute.
+         */
         fun await(condition: () -> Boolean) {
             val deadline = System.nanoTime() + Duration.ofSeconds(60).toNanos()
             while (!holds(condition)) {
-                check(System.nanoTime() < deadline) { "the condition did not come about within a minute" }
+                check(System.nanoTime() < deadline) { "the condition did not hold within a minute" }
                 Thread.onSpinWait()
             }
         }
