--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/AnswerWriter.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/AnswerWriter.kt
@@ -15,77 +15,88 @@
 import org.quetzalloom.wire.WireFormat
 import org.quetzalloom.wire.caller.CallerHeaders
 import org.quetzalloom.wire.caller.ChatChoice
+import org.quetzalloom.wire.caller.ChatChunk
 import org.quetzalloom.wire.caller.ChatMessage
-import org.quetzalloom.wire.caller.ChatPiece
 import org.quetzalloom.wire.caller.ChatResponse
 import org.quetzalloom.wire.caller.ChatUsage
-import org.quetzalloom.wire.caller.PieceChoice
-import org.quetzalloom.wire.caller.PieceDelta
+import org.quetzalloom.wire.caller.ChunkChoice
+import org.quetzalloom.wire.caller.ChunkDelta
 
-/** Writes the answer of one request to its caller. */
+/**
+ * Writes the answer of one request to its caller: as server-sent events if the caller asked for a stream, else as one
+ * response once the answer is complete.
+ */
 internal class AnswerWriter(
     private val call: ApplicationCall,
     private val id: RequestId,
     private val target: Target,
 ) {
-    /** Writes everything that comes from [answers]; returns when the answer has ended. */
-    suspend fun write(answers: ReceiveChannel<Effect.OfCaller>) {
-        when (val first = answers.receive()) {
+    /**
+     * Writes the answer that arrives from [parts]; returns when it has ended.
+     *
+     * A request that fails after the stream has begun gets an `error` event in the stream, since the HTTP status has
+     * been sent by then.
+     *
+     * @throws kotlinx.io.IOException if the caller has closed the connection.
+     * @throws IllegalStateException if the first part is neither [Effect.OfCaller.Begin] nor [Effect.OfCaller.Refuse].
+     */
+    suspend fun write(parts: ReceiveChannel<Effect.OfCaller>) {
+        when (val first = parts.receive()) {
             is Effect.OfCaller.Refuse -> ErrorWriter.write(call, first.error)
-            is Effect.OfCaller.Begin -> begun(first, answers)
-            is Effect.OfCaller.Chunk, is Effect.OfCaller.End -> error("an answer must begin before it goes on")
+            is Effect.OfCaller.Begin -> writeAnswer(first, parts)
+            is Effect.OfCaller.Chunk, is Effect.OfCaller.End -> error("an answer must start with Begin or Refuse")
         }
     }
 
-    private suspend fun begun(begin: Effect.OfCaller.Begin, answers: ReceiveChannel<Effect.OfCaller>) {
+    private suspend fun writeAnswer(begin: Effect.OfCaller.Begin, parts: ReceiveChannel<Effect.OfCaller>) {
         call.response.header(CallerHeaders.VERSION, begin.version.value)
         begin.sessionToken?.let { call.response.header(CallerHeaders.SESSION_TOKEN, it) }
         if ((target as? Target.Completion)?.streamed == true) {
-            call.respondBytesWriter(ContentType.Text.EventStream) { stream(this, begin, answers) }
+            call.respondBytesWriter(ContentType.Text.EventStream) { writeStreamed(this, begin, parts) }
         } else {
-            respondWhole(begin, answers)
+            writeBuffered(begin, parts)
         }
     }
 
-    private suspend fun stream(
+    private suspend fun writeStreamed(
         channel: ByteWriteChannel,
         begin: Effect.OfCaller.Begin,
-        answers: ReceiveChannel<Effect.OfCaller>,
+        parts: ReceiveChannel<Effect.OfCaller>,
     ) {
-        for (answer in answers) {
-            channel.writeStringUtf8(format(answer, begin))
+        for (part in parts) {
+            channel.writeStringUtf8(formatPart(part, begin))
             channel.flush()
         }
     }
 
-    private fun format(answer: Effect.OfCaller, begin: Effect.OfCaller.Begin): String = when (answer) {
+    private fun formatPart(part: Effect.OfCaller, begin: Effect.OfCaller.Begin): String = when (part) {
         is Effect.OfCaller.Begin -> ""
-        is Effect.OfCaller.Chunk -> event(piece(begin, PieceChoice(delta = PieceDelta(answer.text))))
-        is Effect.OfCaller.End -> event(
-            piece(begin, PieceChoice(delta = PieceDelta(), finishReason = "stop"))
-                .copy(usage = ChatUsage(answer.tokens, answer.costMicros)),
+        is Effect.OfCaller.Chunk -> formatEvent(chunk(begin, ChunkChoice(delta = ChunkDelta(part.text))))
+        is Effect.OfCaller.End -> formatEvent(
+            chunk(begin, ChunkChoice(delta = ChunkDelta(), finishReason = "stop"))
+                .copy(usage = ChatUsage(part.tokens, part.costMicros)),
         ) + "data: [DONE]\n\n"
-        is Effect.OfCaller.Refuse -> "event: error\ndata: ${ErrorWriter.format(answer.error)}\n\n"
+        is Effect.OfCaller.Refuse -> "event: error\ndata: ${ErrorWriter.format(part.error)}\n\n"
     }
 
-    private fun piece(begin: Effect.OfCaller.Begin, choice: PieceChoice): ChatPiece =
-        ChatPiece(id = id.value, model = begin.version.value, choices = listOf(choice))
+    private fun chunk(begin: Effect.OfCaller.Begin, choice: ChunkChoice): ChatChunk =
+        ChatChunk(id = id.value, model = begin.version.value, choices = listOf(choice))
 
-    private fun event(piece: ChatPiece): String = "data: ${WireFormat.encodeToString(piece)}\n\n"
+    private fun formatEvent(chunk: ChatChunk): String = "data: ${WireFormat.encodeToString(chunk)}\n\n"
 
-    private suspend fun respondWhole(begin: Effect.OfCaller.Begin, answers: ReceiveChannel<Effect.OfCaller>) {
+    private suspend fun writeBuffered(begin: Effect.OfCaller.Begin, parts: ReceiveChannel<Effect.OfCaller>) {
         val text = StringBuilder()
-        for (answer in answers) {
-            when (answer) {
+        for (part in parts) {
+            when (part) {
                 is Effect.OfCaller.Begin -> Unit
-                is Effect.OfCaller.Chunk -> text.append(answer.text)
-                is Effect.OfCaller.Refuse -> ErrorWriter.write(call, answer.error)
-                is Effect.OfCaller.End -> respondEnd(begin, text.toString(), answer)
+                is Effect.OfCaller.Chunk -> text.append(part.text)
+                is Effect.OfCaller.Refuse -> ErrorWriter.write(call, part.error)
+                is Effect.OfCaller.End -> respondComplete(begin, text.toString(), part)
             }
         }
     }
 
-    private suspend fun respondEnd(begin: Effect.OfCaller.Begin, text: String, end: Effect.OfCaller.End) {
+    private suspend fun respondComplete(begin: Effect.OfCaller.Begin, text: String, end: Effect.OfCaller.End) {
         if (target is Target.ServiceCall) {
             call.respondText(text, ContentType.Application.Json, statusOf(end.status))
             return
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/platform/PlatformHttp.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/platform/PlatformHttp.kt
@@ -12,30 +12,38 @@
 import io.ktor.http.isSuccess
 import kotlinx.io.IOException
 
-/** Reads from and posts to the platform, with a time limit. */
+/** An HTTP client for the platform's services; each call has a timeout. */
 internal class PlatformHttp(private val client: HttpClient) {
-    /** Returns the page at [url]. */
+    /**
+     * Returns the response body of a GET request to [url].
+     *
+     * @throws IOException if the call fails, times out or gets an unsuccessful status.
+     */
     suspend fun get(url: String): String = client.get(url) {
         timeout { requestTimeoutMillis = TIMEOUT_MILLISECONDS }
-    }.successful().bodyAsText()
+    }.requireSuccess().bodyAsText()
 
-    /** Posts [body] to [url] and returns the answer. */
+    /**
+     * Posts the JSON text [body] to [url] and returns the response body.
+     *
+     * @throws IOException if the call fails, times out or gets an unsuccessful status.
+     */
     suspend fun post(url: String, body: String): String = client.post(url) {
         timeout { requestTimeoutMillis = TIMEOUT_MILLISECONDS }
         contentType(ContentType.Application.Json)
         setBody(body)
-    }.successful().bodyAsText()
+    }.requireSuccess().bodyAsText()
 
-    private fun HttpResponse.successful(): HttpResponse =
-        if (status.isSuccess()) this else throw IOException("the platform answered $status")
+    private fun HttpResponse.requireSuccess(): HttpResponse =
+        if (status.isSuccess()) this else throw IOException("the platform responded with status $status")
 
-    /** Returns what [call] returns, or [failed] if the platform cannot be reached or makes no sense. */
-    suspend fun <T> attempt(failed: T, call: suspend () -> T): T = try {
+    /** Returns the result of [call], or [fallback] if the call fails or its response cannot be parsed. */
+    suspend fun <T> callOrElse(fallback: T, call: suspend () -> T): T = try {
         call()
     } catch (_: IOException) {
-        failed
+        fallback
     } catch (_: IllegalArgumentException) {
-        failed
+        fallback
     }
 
     private companion object {
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
@@ -41,14 +41,14 @@
     /** Handles the start of sending on [connection]. Starts the timeout for the first byte of the response. */
     fun onSending(connection: BackendConnection) {
         this.connection = connection
-        idleTimer.restart(order.firstSilenceMilliseconds, onIdleTimeout)
+        idleTimer.restart(order.startTimeoutMilliseconds, onIdleTimeout)
     }
 
     /** Handles the head of the response. Restarts the idle timeout. */
     fun onHead(head: HttpResponse) {
         val response = BufferedResponse(head, mayStream = order.streaming)
         buffered = response
-        idleTimer.restart(order.silenceMilliseconds, onIdleTimeout)
+        idleTimer.restart(order.idleTimeoutMilliseconds, onIdleTimeout)
         if (response.isStream) listener.responseStarted(this, head)
     }
 
@@ -56,7 +56,7 @@
     fun onBody(bytes: ByteBuf) {
         val response = buffered
         if (ended || response == null) return
-        idleTimer.restart(order.silenceMilliseconds, onIdleTimeout)
+        idleTimer.restart(order.idleTimeoutMilliseconds, onIdleTimeout)
         response.add(bytes)
         if (forwarding) response.forwardAvailable(exchange.response)
     }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
@@ -49,7 +49,7 @@
      */
     fun send(call: BackendCall) {
         val endpoint = endpoints.getOrPut(call.order.address) { Endpoint() }
-        val reused = takeIdle(endpoint, call.order.mustBeSure)
+        val reused = takeIdle(endpoint, call.order.requiresLiveConnection)
         when {
             reused != null -> reused.send(call, codec.encodeRequest(call.exchange.head, call.order))
             endpoint.all.size + endpoint.connecting >= call.order.maximumConnections ->
@@ -85,9 +85,9 @@
      * Takes the most recently used idle connection, which the backend server is least likely to close, or returns
      * `null` if even that one is too old. Drops closed connections.
      */
-    private fun takeIdle(endpoint: Endpoint, mustBeSure: Boolean): BackendConnection? {
+    private fun takeIdle(endpoint: Endpoint, requiresLiveConnection: Boolean): BackendConnection? {
         val now = clock.now()
-        val share = if (mustBeSure) SAFE_REUSE_SHARE else REUSE_SHARE
+        val share = if (requiresLiveConnection) SAFE_REUSE_SHARE else REUSE_SHARE
         endpoint.idle.removeAll { !it.open }
         val newest = endpoint.idle.lastOrNull()?.takeIf { it.isFresh(now, share) }
         newest?.let { endpoint.idle.removeLast() }
--- a/wire/src/main/kotlin/org/quetzalloom/wire/configuration/ConfigurationMapping.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/configuration/ConfigurationMapping.kt
@@ -16,23 +16,23 @@
 import org.quetzalloom.core.identity.WorkspaceId
 
 /**
- * Returns the configuration that this document describes. References are not checked;
- * see [org.quetzalloom.core.configuration.problems].
+ * Returns the configuration that this document describes. References between its parts are not checked; use
+ * [org.quetzalloom.core.configuration.problems] for that.
  *
- * @throws IllegalArgumentException if a name is not an identifier or a kind does not exist.
+ * @throws IllegalArgumentException if a name is not a valid identifier or a kind of version does not exist.
  */
 public fun ConfigurationDocument.toConfiguration(): Configuration {
-    val coreVersions = versions.map { it.toVersion() }.associateBy { it.id }
+    val versionsById = versions.map { it.toVersion() }.associateBy { it.id }
     return Configuration(
         revision = revision,
         workspaces = workspaces.map { it.toWorkspace() }.associateBy { it.id }.toPersistentMap(),
-        versions = coreVersions.toPersistentMap(),
+        versions = versionsById.toPersistentMap(),
         backendServers = backendServers.map { it.toBackendServer() }.associateBy { it.id }.toPersistentMap(),
         zones = zones.map { AvailabilityZoneId(it.id) }.toPersistentSet(),
         zonesOutOfService = zones.filterNot { it.inService }.map { AvailabilityZoneId(it.id) }.toPersistentSet(),
         services = services.map { it.toServiceRoute() }.toPersistentList(),
         rollouts = rollouts.map { it.toRollout() }
-            .associateBy { coreVersions[it.to]?.model ?: it.to.value }
+            .associateBy { versionsById[it.to]?.model ?: it.to.value }
             .toPersistentMap(),
     )
 }
@@ -70,7 +70,11 @@
     nonRepeatableMethods = nonRepeatableMethods.map { it.uppercase() }.toPersistentSet(),
 )
 
-/** Returns the roll-out that this document describes. */
+/**
+ * Returns the roll-out that this document describes.
+ *
+ * @throws IllegalArgumentException if the name of a version is not a valid identifier.
+ */
 public fun RolloutDocument.toRollout(): Rollout = Rollout(
     from = VersionId(from),
     to = VersionId(to),
