Give gossip its usual name back and say that an append is completed

Renames only.

rename: recordAppend -> completeAppend (declared in log/LogPart.kt, only in: core/src/main/kotlin/org/quetzalloom/core/log) rename: sendDigest -> gossip (declared in membership/MembershipPart.kt, only in: core/src/main/kotlin/org/quetzalloom/core/membership)

--- a/core/src/main/kotlin/org/quetzalloom/core/log/LogPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/log/LogPart.kt
@@ -27,7 +27,7 @@
     private fun RouterState.handle(event: Event, now: Timestamp): Step = when (event) {
         is Event.OfPlatform.LogRead -> read(event, now)
         is Event.OfPlatform.LogReadFailed -> retryRead(event.stream, now).unchanged()
-        is Event.OfPlatform.LogAppended -> recordAppend(event.append, now).unchanged()
+        is Event.OfPlatform.LogAppended -> completeAppend(event.append, now).unchanged()
         is Event.OfPlatform.LogAppendFailed -> retryAppend(event.append, now)
         else -> unchanged()
     }
@@ -46,7 +46,7 @@
     }
 
     /** Completes an append and reads its stream at once, as requests may be waiting for the records. */
-    private fun RouterState.recordAppend(append: Long, now: Timestamp): RouterState {
+    private fun RouterState.completeAppend(append: Long, now: Timestamp): RouterState {
         val (stream, writer) = writerOfOrNull(append) ?: return this
         val next = withWriter(stream, writer.copy(append = null, inFlight = persistentListOf()))
         val reader = next.log.readerOf(stream)
--- a/core/src/main/kotlin/org/quetzalloom/core/membership/MembershipPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/membership/MembershipPart.kt
@@ -23,7 +23,7 @@
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
         is Event.FromPeer -> state.recordMessage(event.from, now).unchanged()
         is Event.OfPlatform.VmsListed -> state.recordListing(event).unchanged()
-        is Event.Tick -> state.sendDigest(now).then { it.listVms(now) }
+        is Event.Tick -> state.gossip(now).then { it.listVms(now) }
         else -> state.unchanged()
     }
 
@@ -35,7 +35,7 @@
         return copy(membership = membership.copy(leaving = leaving))
     }
 
-    private fun RouterState.sendDigest(now: Timestamp): Step {
+    private fun RouterState.gossip(now: Timestamp): Step {
         val last = membership.digestSentAt
         val due = last == null || now - last >= settings.limits.gossipIntervalMilliseconds
         val peers = if (due) peers() else emptyList()
