Give the reason for the place of the log among the parts, and say what an incomplete answer is

Cause: the order of the parts was said to be fixed without the reason, and the event that ends an answer was described as if the answer were always complete. Comments only.

--- a/core/src/main/kotlin/org/quetzalloom/core/event/Event.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/event/Event.kt
@@ -50,7 +50,7 @@
         ) : OfBackend
 
         /**
-         * The answer is complete.
+         * The backend server ended the answer. If chunks are missing, the attempt counts as failed.
          *
          * @property tokens the number of tokens of the whole answer.
          * @property status the HTTP status of the response.
--- a/core/src/main/kotlin/org/quetzalloom/core/router/RouterReducer.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/router/RouterReducer.kt
@@ -26,6 +26,8 @@
  * The reducer of a router over all its events.
  *
  * Each part is given every event, in a fixed order, and starts from the state that the parts before it returned.
+ * [LogPart] comes last: it appends what the other parts have queued, and removes the records of a completed append,
+ * which [BillingPart] reads before.
  */
 public object RouterReducer : Reducer<RouterState, Event, Effect> {
     internal val parts: PersistentList<Part> = persistentListOf(
