Name the failure of a platform call after both reads and submissions

Cause: the event is also posted when a submission for rating fails. Renames only.

rename: PlatformReadFailed -> PlatformCallFailed (declared in event/Event.kt)

--- a/core/src/main/kotlin/org/quetzalloom/core/event/Event.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/event/Event.kt
@@ -117,7 +117,7 @@
          *
          * @property source what was read or submitted: `vms`, `ratings` or `samples`.
          */
-        public data class PlatformReadFailed(public val source: String) : OfPlatform
+        public data class PlatformCallFailed(public val source: String) : OfPlatform
     }
 
     /** The peer [from] sent [message]. [stamp] is the counter of its causal stamp at that time. */
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/platform/PlatformClient.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/platform/PlatformClient.kt
@@ -75,7 +75,7 @@
     }
 
     private suspend fun listVms() {
-        val event = http.attempt(failed = Event.OfPlatform.PlatformReadFailed("vms")) {
+        val event = http.attempt(failed = Event.OfPlatform.PlatformCallFailed("vms")) {
             val response = WireFormat.decodeFromString<VmsResponse>(http.get("http://${addresses.vms}/vms"))
             Event.OfPlatform.VmsListed(response.vms.map { VmListing(VmId(it.vm), it.leaving) }.toPersistentList())
         }
@@ -83,7 +83,7 @@
     }
 
     private suspend fun readRatings(effect: Effect.OfPlatform.ReadRatings) {
-        val event = http.attempt(failed = Event.OfPlatform.PlatformReadFailed("ratings")) {
+        val event = http.attempt(failed = Event.OfPlatform.PlatformCallFailed("ratings")) {
             val url = "http://${addresses.ratings}/ratings?submitter=$submitter&from=${effect.from}"
             val response = WireFormat.decodeFromString<RatingsResponse>(http.get(url))
             Event.OfPlatform.RatingsRead(response.ratings.map { it.toRating() }.toPersistentList(), response.next)
@@ -100,7 +100,7 @@
             version = effect.subject.version.value,
             answer = effect.answer,
         )
-        val failure = http.attempt<Event?>(failed = Event.OfPlatform.PlatformReadFailed("samples")) {
+        val failure = http.attempt<Event?>(failed = Event.OfPlatform.PlatformCallFailed("samples")) {
             http.post("http://${addresses.ratings}/samples", WireFormat.encodeToString(sample))
             null
         }
