--- a/core/src/main/kotlin/org/quetzalloom/core/error/ErrorKind.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/error/ErrorKind.kt
@@ -56,7 +56,7 @@
     /** This VM is shutting down. */
     SHUTTING_DOWN("shutting_down", status = 503, notRun = true, retryable = true),
 
-    /** The requests that are active leave no room for one of this priority. */
+    /** Too many requests are active to admit one of this priority. */
     OVERLOADED("overloaded", status = 503, notRun = true, retryable = true),
 
     /** No backend server could take the request in time. */
