Name the parts of the operators' tool after what they do

'Ask' also stood for a POST that drains a VM, 'Orders' were the decisions on configuration changes, 'Make' and 'Nothing' said neither what is made nor that nothing changes (and the latter hid Kotlin's Nothing), and 'complain' is an error message. The state's next is an offset, which next.next did not show. The command names, exit codes and printed texts are as before.

--- a/tool/src/main/kotlin/org/quetzalloom/tool/ToolProcess.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/ToolProcess.kt
@@ -48,7 +48,7 @@
  */
 internal class ToolProcess(
     private val logAddress: String,
-    private val vms: Map<String, String>,
+    private val vmAddresses: Map<String, String>,
     private val format: (String) -> String = { it },
 ) : Interpreter<ToolEffect> {
     private val client = HttpClient(CIO) {
@@ -61,16 +61,16 @@
 
     /** Runs [operation] to its end. */
     fun run(operation: Operation): ExitCode {
-        val started: EventLoop<ToolState, ToolEvent, ToolEffect> = EventLoop(
+        val newLoop: EventLoop<ToolState, ToolEvent, ToolEffect> = EventLoop(
             initial = ToolState(operation, author),
             reducer = ToolReducer,
             tick = ToolEvent.Tick,
             settings = LoopSettings(name = "tool-loop"),
         )
-        loop = started
-        started.start(this)
+        loop = newLoop
+        newLoop.start(this)
         val code = runBlocking { exit.await() }
-        started.stop()
+        newLoop.stop()
         return code
     }
 
@@ -80,7 +80,7 @@
             is ToolEffect.Append -> scope.launch { post(append(effect)) }
             is ToolEffect.Call -> scope.launch { post(call(effect)) }
             is ToolEffect.Print -> println(format(effect.text))
-            is ToolEffect.Complain -> System.err.println(format(effect.text))
+            is ToolEffect.PrintError -> System.err.println(format(effect.text))
             is ToolEffect.Exit -> exit.complete(effect.code)
         }
     }
@@ -90,12 +90,12 @@
     private suspend fun readLog(effect: ToolEffect.ReadLog): ToolEvent {
         val text = bodyOrNull { client.get("http://$logAddress/streams/configuration?from=${effect.from}") }
         if (text == null) {
-            delay(PAUSE_MILLISECONDS)
+            delay(POLL_INTERVAL_MILLISECONDS)
             return ToolEvent.LogReadFailed
         }
         val response = WireFormat.decodeFromString<ReadResponse>(text)
         val entries = response.entries.map { LogEntry(it.offset, it.stamp, it.record.toRecord()) }
-        if (entries.isEmpty()) delay(PAUSE_MILLISECONDS)
+        if (entries.isEmpty()) delay(POLL_INTERVAL_MILLISECONDS)
         return ToolEvent.LogRead(entries.toPersistentList(), response.next)
     }
 
@@ -112,11 +112,11 @@
 
     private suspend fun call(effect: ToolEffect.Call): ToolEvent {
         val text = bodyOrNull {
-            client.request("http://${vms.getValue(effect.vm)}${effect.path}") {
+            client.request("http://${vmAddresses.getValue(effect.vm)}${effect.path}") {
                 method = HttpMethod.parse(effect.method)
             }
         }
-        return ToolEvent.Answered(effect.vm, text)
+        return ToolEvent.VmAnswered(effect.vm, text)
     }
 
     private suspend fun bodyOrNull(call: suspend () -> HttpResponse): String? = try {
@@ -128,6 +128,6 @@
 
     private companion object {
         const val TIMEOUT_MILLISECONDS = 2_000L
-        const val PAUSE_MILLISECONDS = 20L
+        const val POLL_INTERVAL_MILLISECONDS = 20L
     }
 }
--- a/tool/src/main/kotlin/org/quetzalloom/tool/command/OrderCommands.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/command/ChangeCommands.kt
@@ -9,8 +9,8 @@
 import org.quetzalloom.core.identity.BackendServerId
 import org.quetzalloom.core.identity.VersionId
 import org.quetzalloom.tool.ExitCode
+import org.quetzalloom.tool.operation.ChangeDecisions
 import org.quetzalloom.tool.operation.Operation
-import org.quetzalloom.tool.operation.Orders
 import org.quetzalloom.wire.site.Site
 
 private const val FIRST_SHARE_PERMILLE = 10
@@ -23,7 +23,7 @@
 
     override fun run(site: Site): ExitCode {
         val change = ConfigurationChange.SetZone(AvailabilityZoneId(zone), inService = direction == "in")
-        return run(site, Operation.Change(decide = Orders.simple(change, "availability zone '$zone' $direction")))
+        return run(site, Operation.Change(decide = ChangeDecisions.of(change, "availability zone '$zone' $direction")))
     }
 }
 
@@ -34,7 +34,7 @@
 
     override fun run(site: Site): ExitCode {
         val change = ConfigurationChange.Withdraw(VersionId(version))
-        return run(site, Operation.Change(decide = Orders.simple(change, "version '$version' withdrawn")))
+        return run(site, Operation.Change(decide = ChangeDecisions.of(change, "version '$version' withdrawn")))
     }
 }
 
@@ -49,12 +49,12 @@
 
     private fun drainServer(site: Site): ExitCode {
         val change = ConfigurationChange.SetLeaving(BackendServerId(subject), leaving = !undo)
-        return run(site, Operation.Change(decide = Orders.simple(change, "backend server '$subject'")))
+        return run(site, Operation.Change(decide = ChangeDecisions.of(change, "backend server '$subject'")))
     }
 
     private fun drainVm(site: Site): ExitCode {
         if (site.document.vms.none { it.id == subject }) exit(ExitCode.BAD_USAGE, "VM '$subject' does not exist")
-        return run(site, Operation.Ask(listOf(subject), "POST", "/admin/drain") { "draining $subject" })
+        return run(site, Operation.CallVms(listOf(subject), "POST", "/admin/drain") { "draining $subject" })
     }
 }
 
@@ -75,10 +75,10 @@
     override fun run(site: Site): ExitCode = run(site, Operation.Change(decide = decision()))
 
     private fun decision() = when (action) {
-        "start" -> Orders.startRollout(VersionId(subject), VersionId(newVersion()), share)
-        "pause" -> Orders.pauseRollout(subject, paused = true)
-        "resume" -> Orders.pauseRollout(subject, paused = false)
-        else -> Orders.simple(ConfigurationChange.EndRollout(subject), "the roll-out of '$subject'")
+        "start" -> ChangeDecisions.startRollout(VersionId(subject), VersionId(newVersion()), share)
+        "pause" -> ChangeDecisions.pauseRollout(subject, paused = true)
+        "resume" -> ChangeDecisions.pauseRollout(subject, paused = false)
+        else -> ChangeDecisions.of(ConfigurationChange.EndRollout(subject), "the roll-out of '$subject'")
     }
 
     private fun newVersion(): String = target ?: exit(ExitCode.BAD_USAGE, "rollout start needs two versions")
--- a/tool/src/main/kotlin/org/quetzalloom/tool/command/ConfigurationCommands.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/command/ConfigurationCommands.kt
@@ -4,8 +4,8 @@
 import kotlinx.cli.ExperimentalCli
 import kotlinx.serialization.encodeToString
 import org.quetzalloom.tool.ExitCode
+import org.quetzalloom.tool.operation.ChangeDecisions
 import org.quetzalloom.tool.operation.Operation
-import org.quetzalloom.tool.operation.Orders
 import org.quetzalloom.wire.WireFormat
 import org.quetzalloom.wire.configuration.toDocument
 import org.quetzalloom.wire.site.Site
@@ -37,8 +37,8 @@
     override fun run(site: Site): ExitCode {
         val change = Operation.Change(
             base = base?.toLong(),
-            repeats = false,
-            decide = Orders.publish(site.configuration),
+            retries = false,
+            decide = ChangeDecisions.publish(site.configuration),
         )
         return run(site, change)
     }
--- a/tool/src/main/kotlin/org/quetzalloom/tool/command/QuestionCommands.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/command/QueryCommands.kt
@@ -13,7 +13,7 @@
 internal class StatusCommand : ToolCommand("status", "Show the state of every VM") {
     override fun run(site: Site): ExitCode {
         val format: (Map<String, String?>) -> String = if (json) StatusTable::json else StatusTable::text
-        return run(site, Operation.Ask(site.document.vms.map { it.id }, "GET", "/admin/status", format))
+        return run(site, Operation.CallVms(site.document.vms.map { it.id }, "GET", "/admin/status", format))
     }
 }
 
@@ -32,6 +32,6 @@
         val format: (Map<String, String?>) -> String = { answers ->
             if (json) TimelineTable.json(answers, filter) else TimelineTable.text(answers, filter)
         }
-        return run(site, Operation.Ask(site.document.vms.map { it.id }, "GET", "/admin/timeline", format))
+        return run(site, Operation.CallVms(site.document.vms.map { it.id }, "GET", "/admin/timeline", format))
     }
 }
--- a/tool/src/main/kotlin/org/quetzalloom/tool/command/ToolCommand.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/command/ToolCommand.kt
@@ -42,8 +42,8 @@
     /** Runs [operation] against the fleet of [site]. */
     protected fun run(site: Site, operation: Operation): ExitCode {
         val log = site.document.platform?.log ?: exit(ExitCode.BAD_USAGE, "the key platform.log is missing")
-        val wraps = json && operation !is Operation.Ask
-        val format: (String) -> String = if (wraps) ::message else { text -> text }
+        val wrapsInJson = json && operation !is Operation.CallVms
+        val format: (String) -> String = if (wrapsInJson) ::message else { text -> text }
         return ToolProcess(log, site.document.vms.associate { it.id to it.address }, format).run(operation)
     }
 
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/ChangeSteps.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/ChangeSteps.kt
@@ -11,10 +11,12 @@
 internal object ChangeSteps {
     /** Takes in what the log gave; once nothing more comes, the operation goes on. */
     fun read(state: ToolState, event: ToolEvent.LogRead): ToolStep {
-        val next = event.entries.fold(state) { reached, entry -> reached.read(entry) }.copy(next = event.next)
+        val next = event.entries.fold(
+            state
+        ) { current, entry -> current.withEntry(entry) }.copy(nextOffset = event.nextOffset)
         return when {
             next.ended -> next.end(ExitCode.DONE, ToolEffect.Print("accepted as revision ${next.view.revision}"))
-            event.entries.isNotEmpty() -> next.with(ToolEffect.ReadLog(next.next))
+            event.entries.isNotEmpty() -> next.with(ToolEffect.ReadLog(next.nextOffset))
             next.operation is Operation.Diff -> diff(next, next.operation)
             next.operation is Operation.Change -> change(next, next.operation)
             else -> Transition(next)
@@ -22,12 +24,12 @@
     }
 
     /** Marks the state as ended if [entry] is the own proposal and has come first. */
-    private fun ToolState.read(entry: LogEntry): ToolState {
+    private fun ToolState.withEntry(entry: LogEntry): ToolState {
         val record = (entry.record as? LogRecord.OfConfiguration)?.record
         if (record == null || ended) return this
-        val moved = view.read(record)
-        val own = record is ConfigurationRecord.Proposed && record.author == author
-        return copy(view = moved, ended = own && moved.revision > view.revision)
+        val updatedView = view.read(record)
+        val isOwnProposal = record is ConfigurationRecord.Proposed && record.author == author
+        return copy(view = updatedView, ended = isOwnProposal && updatedView.revision > view.revision)
     }
 
     private fun diff(state: ToolState, operation: Operation.Diff): ToolStep {
@@ -38,28 +40,28 @@
     private fun change(state: ToolState, operation: Operation.Change): ToolStep {
         val base = operation.base ?: state.view.revision
         return when {
-            state.proposedOn != null && !state.appended -> state.with(ToolEffect.ReadLog(state.next))
-            base != state.view.revision -> lost(state, base)
-            state.appended && !operation.repeats -> lost(state, base)
+            state.proposalBase != null && !state.appended -> state.with(ToolEffect.ReadLog(state.nextOffset))
+            base != state.view.revision -> loseRace(state, base)
+            state.appended && !operation.retries -> loseRace(state, base)
             else -> decide(state, operation)
         }
     }
 
-    private fun lost(state: ToolState, base: Long): ToolStep = state.end(
+    private fun loseRace(state: ToolState, base: Long): ToolStep = state.end(
         ExitCode.LOST_RACE,
-        ToolEffect.Complain("another change came first: the revision is ${state.view.revision}, not $base"),
+        ToolEffect.PrintError("another change came first: the revision is ${state.view.revision}, not $base"),
     )
 
     private fun decide(state: ToolState, operation: Operation.Change): ToolStep =
         when (val decision = operation.decide(state.view.current)) {
-            is ChangeDecision.Refuse -> state.end(ExitCode.REFUSED, ToolEffect.Complain(decision.reason))
-            is ChangeDecision.Nothing -> state.end(ExitCode.DONE, ToolEffect.Print(decision.reason))
-            is ChangeDecision.Make -> propose(state, decision.change)
+            is ChangeDecision.Refuse -> state.end(ExitCode.REFUSED, ToolEffect.PrintError(decision.reason))
+            is ChangeDecision.NoChange -> state.end(ExitCode.DONE, ToolEffect.Print(decision.reason))
+            is ChangeDecision.Propose -> propose(state, decision.change)
         }
 
     private fun propose(state: ToolState, change: ConfigurationChange): ToolStep {
         val base = state.view.revision
         val record = LogRecord.OfConfiguration(ConfigurationRecord.Proposed(base, state.author, change))
-        return state.copy(proposedOn = base, appended = false).with(ToolEffect.Append(record))
+        return state.copy(proposalBase = base, appended = false).with(ToolEffect.Append(record))
     }
 }
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/ConfigurationDiff.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/ConfigurationDiff.kt
@@ -7,11 +7,11 @@
     /** Returns a line for each entry that [new] adds, removes or changes; [old] may be `null` for nothing. */
     fun lines(old: Configuration?, new: Configuration): List<String> {
         val before = old ?: Configuration()
-        return section("zone", before.zones.associateWith { it !in before.zonesOut }, zones(new, before)) +
-            section("version", before.versions, new.versions) +
-            section("workspace", before.workspaces, new.workspaces) +
-            section("backend server", before.backendServers, new.backendServers) +
-            section("service", services(before), services(new))
+        return diffOf("zone", before.zones.associateWith { it !in before.zonesOut }, zones(new, before)) +
+            diffOf("version", before.versions, new.versions) +
+            diffOf("workspace", before.workspaces, new.workspaces) +
+            diffOf("backend server", before.backendServers, new.backendServers) +
+            diffOf("service", services(before), services(new))
     }
 
     private fun services(configuration: Configuration) = configuration.services.associateBy { it.pathPrefix }
@@ -20,7 +20,7 @@
     private fun zones(new: Configuration, before: Configuration) =
         new.zones.associateWith { it !in new.zonesOut && it !in before.zonesOut }
 
-    private fun <K : Any, V : Any> section(name: String, old: Map<K, V>, new: Map<K, V>): List<String> {
+    private fun <K : Any, V : Any> diffOf(name: String, old: Map<K, V>, new: Map<K, V>): List<String> {
         val names = (old.keys + new.keys).sortedBy { it.toString() }
         return names.mapNotNull { key ->
             val before = old[key]
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/Operation.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/Operation.kt
@@ -14,7 +14,7 @@
      */
     data class Change(
         val base: Long? = null,
-        val repeats: Boolean = true,
+        val retries: Boolean = true,
         val decide: (Configuration?) -> ChangeDecision,
     ) : Operation
 
@@ -26,7 +26,7 @@
      *
      * @property format returns what to print of the answers, by VM; `null` where there was none.
      */
-    data class Ask(
+    data class CallVms(
         val vms: List<String>,
         val method: String,
         val path: String,
@@ -37,10 +37,10 @@
 /** Whether and how an order changes the configuration. */
 internal sealed interface ChangeDecision {
     /** The order is [change]. */
-    data class Make(val change: ConfigurationChange) : ChangeDecision
+    data class Propose(val change: ConfigurationChange) : ChangeDecision
 
     /** Everything is as the order wants it. */
-    data class Nothing(val reason: String) : ChangeDecision
+    data class NoChange(val reason: String) : ChangeDecision
 
     /** The order makes no sense. */
     data class Refuse(val reason: String) : ChangeDecision
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/ToolEffect.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/ToolEffect.kt
@@ -18,7 +18,7 @@
     data class Print(val text: String) : ToolEffect
 
     /** Print [text] as an error. */
-    data class Complain(val text: String) : ToolEffect
+    data class PrintError(val text: String) : ToolEffect
 
     /** End the process. */
     data class Exit(val code: ExitCode) : ToolEffect
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/ToolEvent.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/ToolEvent.kt
@@ -8,8 +8,8 @@
     /** Time has passed; the first one begins the operation. */
     data object Tick : ToolEvent
 
-    /** The configuration stream gave [entries]; [next] is the offset to read from next. */
-    data class LogRead(val entries: PersistentList<LogEntry>, val next: Long) : ToolEvent
+    /** The configuration stream gave [entries]; [nextOffset] is the offset to read from next. */
+    data class LogRead(val entries: PersistentList<LogEntry>, val nextOffset: Long) : ToolEvent
 
     /** The log could not be read. */
     data object LogReadFailed : ToolEvent
@@ -21,5 +21,5 @@
     data object AppendFailed : ToolEvent
 
     /** [vm] answered with [body], or not at all. */
-    data class Answered(val vm: String, val body: String?) : ToolEvent
+    data class VmAnswered(val vm: String, val body: String?) : ToolEvent
 }
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/ToolState.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/ToolState.kt
@@ -10,7 +10,7 @@
  *
  * @property author names this run in the log.
  * @property begunAt when the operation began, or `null` before.
- * @property next the offset to read the configuration stream from.
+ * @property nextOffset the offset to read the configuration stream from.
  * @property proposedOn the revision that the change was proposed on, or `null` before.
  * @property appended whether the append is known to have succeeded.
  * @property answers the answers of VMs.
@@ -18,10 +18,10 @@
 internal data class ToolState(
     val operation: Operation,
     val author: String,
-    val begunAt: Timestamp? = null,
+    val startedAt: Timestamp? = null,
     val view: ConfigurationView = ConfigurationView(),
-    val next: Long = 0,
-    val proposedOn: Long? = null,
+    val nextOffset: Long = 0,
+    val proposalBase: Long? = null,
     val appended: Boolean = false,
     val answers: PersistentMap<String, String?> = persistentMapOf(),
     val ended: Boolean = false,
--- a/tool/src/test/kotlin/org/quetzalloom/tool/operation/ToolReducerTest.kt
+++ b/tool/src/test/kotlin/org/quetzalloom/tool/operation/ToolReducerTest.kt
@@ -23,36 +23,39 @@
     private val published =
         proposed(0, "first", ConfigurationChange.Publish(Configuration(zones = persistentSetOf(zone))))
     private val zoneOut = Operation.Change(
-        decide = Orders.simple(ConfigurationChange.SetZone(zone, inService = false), "availability zone 'a' out"),
+        decide = ChangeDecisions.of(ConfigurationChange.SetZone(zone, inService = false), "availability zone 'a' out"),
     )
 
     private fun proposed(base: Long, author: String, change: ConfigurationChange) =
         LogRecord.OfConfiguration(ConfigurationRecord.Proposed(base, author, change))
 
-    /** A log in memory; [interfere] may append what another operator does before each append. */
-    private class Log(val loseAnswers: Boolean = false, val interfere: (MutableList<LogRecord>) -> Unit = {}) {
+    /** A log in memory; [beforeAppend] may append what another operator does before each append. */
+    private class FakeLog(
+        val losesResponses: Boolean = false,
+        val beforeAppend: (MutableList<LogRecord>) -> Unit = {}
+    ) {
         val records = mutableListOf<LogRecord>()
 
         fun answer(effect: ToolEffect): ToolEvent? = when (effect) {
             is ToolEffect.ReadLog -> {
                 val entries = records.drop(effect.from.toInt())
-                    .mapIndexed { place, record -> LogEntry(effect.from + place, 0, record) }
+                    .mapIndexed { index, record -> LogEntry(effect.from + index, 0, record) }
                 ToolEvent.LogRead(entries.toPersistentList(), effect.from + entries.size)
             }
             is ToolEffect.Append -> {
-                interfere(records)
+                beforeAppend(records)
                 records.add(effect.record)
-                if (loseAnswers) ToolEvent.AppendFailed else ToolEvent.Appended
+                if (losesResponses) ToolEvent.AppendFailed else ToolEvent.Appended
             }
             else -> null
         }
     }
 
-    private fun run(operation: Operation, log: Log): ExitCode? {
+    private fun run(operation: Operation, log: FakeLog): ExitCode? {
         val events = ArrayDeque<ToolEvent>(listOf(ToolEvent.Tick))
         var state = ToolState(operation, author = "me")
         var code: ExitCode? = null
-        repeat(MOST_STEPS) {
+        repeat(MAX_STEPS) {
             val event = events.removeFirstOrNull() ?: return code
             val step = ToolReducer.reduce(state, event, Timestamp(0))
             state = step.state
@@ -65,58 +68,58 @@
     }
 
     @Test
-    fun anOrderIsAccepted() {
-        val log = Log().apply { records.add(published) }
+    fun aChangeIsAccepted() {
+        val log = FakeLog().apply { records.add(published) }
         assertEquals(ExitCode.DONE, run(zoneOut, log))
         assertEquals(2, log.records.size)
     }
 
     @Test
-    fun anOrderWhoseAnswerIsLostIsFoundInTheLog() {
-        val log = Log(loseAnswers = true).apply { records.add(published) }
+    fun aChangeWhoseResponseIsLostIsFoundInTheLog() {
+        val log = FakeLog(losesResponses = true).apply { records.add(published) }
         assertEquals(ExitCode.DONE, run(zoneOut, log))
         assertEquals(2, log.records.size)
     }
 
     @Test
-    fun anOrderThatLosesARaceIsMadeAgain() {
+    fun aChangeThatLosesARaceIsRepeated() {
         val other = AvailabilityZoneId("b")
         val both = Configuration(zones = persistentSetOf(zone, other))
         val change = proposed(1, "other", ConfigurationChange.SetZone(other, inService = false))
-        val log = Log { if (it.size == 1) it.add(change) }
+        val log = FakeLog { if (it.size == 1) it.add(change) }
             .apply { records.add(proposed(0, "first", ConfigurationChange.Publish(both))) }
         assertEquals(ExitCode.DONE, run(zoneOut, log))
         assertEquals(4, log.records.size)
     }
 
     @Test
-    fun aPublishThatLosesARaceIsTold() {
+    fun aPublishThatLosesARaceIsNotRepeated() {
         val change = proposed(1, "other", ConfigurationChange.SetZone(zone, inService = false))
-        val log = Log { if (it.size == 1) it.add(change) }.apply { records.add(published) }
+        val log = FakeLog { if (it.size == 1) it.add(change) }.apply { records.add(published) }
         val publish = Operation.Change(
-            repeats = false,
-            decide = Orders.publish(Configuration(zones = persistentSetOf(zone, AvailabilityZoneId("b")))),
+            retries = false,
+            decide = ChangeDecisions.publish(Configuration(zones = persistentSetOf(zone, AvailabilityZoneId("b")))),
         )
         assertEquals(ExitCode.LOST_RACE, run(publish, log))
     }
 
     @Test
-    fun anOrderForAnUnknownZoneIsRefused() {
+    fun aChangeOfAnUnknownZoneIsRefused() {
         val unknown = ConfigurationChange.SetZone(AvailabilityZoneId("nowhere"), inService = false)
-        val log = Log().apply { records.add(published) }
-        assertEquals(ExitCode.REFUSED, run(Operation.Change(decide = Orders.simple(unknown, "it")), log))
+        val log = FakeLog().apply { records.add(published) }
+        assertEquals(ExitCode.REFUSED, run(Operation.Change(decide = ChangeDecisions.of(unknown, "it")), log))
         assertEquals(1, log.records.size)
     }
 
     @Test
-    fun withoutAnswersTheOutcomeIsNotKnown() {
-        val state = ToolState(zoneOut, author = "me", begunAt = Timestamp(0), proposedOn = 1)
+    fun aTimeoutAfterTheProposalIsReportedAsUnknown() {
+        val state = ToolState(zoneOut, author = "me", startedAt = Timestamp(0), proposalBase = 1)
         val step = ToolReducer.reduce(state, ToolEvent.Tick, Timestamp(60_000))
         assertEquals(ToolEffect.Exit(ExitCode.UNKNOWN), step.effects.last())
     }
 
     @Test
-    fun theTimeLineReadsRightWhenClocksDiffer() {
+    fun theTimeLineIsInCausalOrderWhenClocksDiffer() {
         fun entry(counter: Long, vm: String, at: Long, name: String, request: String) = TimelineEntry(
             stamp = CausalStamp(counter, VmId(vm)),
             at = Timestamp(at),
@@ -133,6 +136,6 @@
     }
 
     private companion object {
-        const val MOST_STEPS = 200
+        const val MAX_STEPS = 200
     }
 }
