Describe the operators' tool in the terms of its commands

The comments now say how a change is proposed, when it is retried, and what each filter admits.

Exit codes, the tables, 'no answer', 'accepted as revision', 'no difference' and 'another change came first' are as they were. Ran: ToolReducerTest (7 tests, all pass), detekt on tool.

--- a/tool/src/main/kotlin/org/quetzalloom/tool/ExitCode.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/ExitCode.kt
@@ -1,23 +1,26 @@
 package org.quetzalloom.tool
 
-/** What the exit status of the tool means; the order is that of the numbers, from 0. */
+/** The exit statuses of the tool, in the order of their numbers, starting with 0. */
 internal enum class ExitCode {
-    /** Done. */
+    /** The command succeeded. */
     DONE,
 
-    /** The order makes no sense in the state that the fleet is in, or some VM could not be reached. */
+    /**
+     * The command is not possible in the current state of the fleet, some VM could not be reached, or the platform's
+     * log could not be read before anything was changed.
+     */
     REFUSED,
 
-    /** The arguments or the settings are wrong. */
+    /** The arguments or the settings are not valid. */
     BAD_USAGE,
 
-    /** Another operator's change came first. */
+    /** Another change was accepted first, so this one was not. */
     LOST_RACE,
 
-    /** The platform's log could not be reached, and whether the change was accepted is not known. */
+    /** No response from the platform's log arrived in time, so it is not known whether the change was accepted. */
     UNKNOWN,
     ;
 
-    /** The number that the shell sees. */
+    /** The exit status of the process. */
     val status: Int get() = ordinal
 }
--- a/tool/src/main/kotlin/org/quetzalloom/tool/Main.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/Main.kt
@@ -12,7 +12,7 @@
 import org.quetzalloom.tool.command.WithdrawCommand
 import org.quetzalloom.tool.command.ZoneCommand
 
-/** Runs one command of the operator: `quetzalloom zone out az-1 --settings base.toml`. */
+/** Runs one command of an operator, such as `quetzalloom zone out az-1 --settings base.toml`. */
 @OptIn(ExperimentalCli::class)
 public fun main(arguments: Array<String>) {
     val parser = ArgParser("quetzalloom")
--- a/tool/src/main/kotlin/org/quetzalloom/tool/ToolProcess.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/ToolProcess.kt
@@ -40,11 +40,11 @@
 import java.util.UUID
 
 /**
- * Runs one operation on a loop.
+ * Runs one operation on an event loop and carries out its effects.
  *
  * @property logAddress host and port of the platform's log.
- * @property vms host and port of each VM, by its name.
- * @property format returns what is printed in place of a text.
+ * @property vmAddresses host and port of the router on each entry VM, by the name of the VM.
+ * @property format converts each text before it is printed.
  */
 internal class ToolProcess(
     private val logAddress: String,
@@ -59,7 +59,7 @@
     private val author = "operator:${UUID.randomUUID()}"
     private var loop: EventLoop<ToolState, ToolEvent, ToolEffect>? = null
 
-    /** Runs [operation] to its end. */
+    /** Runs [operation] until it ends, and returns its exit code. Must be called only once. */
     fun run(operation: Operation): ExitCode {
         val newLoop: EventLoop<ToolState, ToolEvent, ToolEffect> = EventLoop(
             initial = ToolState(operation, author),
--- a/tool/src/main/kotlin/org/quetzalloom/tool/command/ChangeCommands.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/command/ChangeCommands.kt
@@ -23,27 +23,30 @@
 
     override fun run(site: Site): ExitCode {
         val change = ConfigurationChange.SetZone(AvailabilityZoneId(zone), inService = direction == "in")
-        return run(site, Operation.Change(decide = ChangeDecisions.of(change, "availability zone '$zone' $direction")))
+        return run(site, Operation.Change(decide = ChangeDecisions.of(change, "availability zone '$zone'")))
     }
 }
 
-/** `withdraw`: withdraws a version for good. */
+/** `withdraw`: withdraws a version, which cannot be undone. */
 @OptIn(ExperimentalCli::class)
 internal class WithdrawCommand : ToolCommand("withdraw", "Withdraw a version; it receives no new work") {
     private val version by argument(ArgType.String, description = "The version")
 
     override fun run(site: Site): ExitCode {
         val change = ConfigurationChange.Withdraw(VersionId(version))
-        return run(site, Operation.Change(decide = ChangeDecisions.of(change, "version '$version' withdrawn")))
+        return run(site, Operation.Change(decide = ChangeDecisions.of(change, "version '$version'")))
     }
 }
 
-/** `drain`: sends no new work to a backend server, or stops an entry VM once its requests are answered. */
+/**
+ * `drain server|vm`: lets a backend server receive no new work, or shuts down the router of an entry VM once its
+ * requests are answered.
+ */
 @OptIn(ExperimentalCli::class)
 internal class DrainCommand : ToolCommand("drain", "Send no new work to a backend server, or stop an entry VM") {
     private val kind by argument(ArgType.Choice(listOf("server", "vm"), { it }), description = "server or vm")
     private val subject by argument(ArgType.String, description = "The backend server or the VM")
-    private val undo by option(ArgType.Boolean, description = "Let a backend server take work again").default(false)
+    private val undo by option(ArgType.Boolean, description = "Send work to the backend server again").default(false)
 
     override fun run(site: Site): ExitCode = if (kind == "server") drainServer(site) else drainVm(site)
 
@@ -58,7 +61,10 @@
     }
 }
 
-/** `rollout start|pause|resume|abort`. */
+/**
+ * `rollout start|pause|resume|abort`: replaces a version by another of the same model step by step, pauses or resumes
+ * this, or ends it so that the old version gets all requests again.
+ */
 @OptIn(ExperimentalCli::class)
 internal class RolloutCommand : ToolCommand("rollout", "Replace a version by another, step by step") {
     private val action by argument(
@@ -69,7 +75,7 @@
     private val target by argument(ArgType.String, description = "The new version (start)").optional()
     private val share by option(
         ArgType.Int,
-        description = "The first share, in requests per thousand"
+        description = "The initial share of the new version, in requests per thousand"
     ).default(FIRST_SHARE_PERMILLE)
 
     override fun run(site: Site): ExitCode = run(site, Operation.Change(decide = decision()))
--- a/tool/src/main/kotlin/org/quetzalloom/tool/command/ConfigurationCommands.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/command/ConfigurationCommands.kt
@@ -10,7 +10,7 @@
 import org.quetzalloom.wire.configuration.toDocument
 import org.quetzalloom.wire.site.Site
 
-/** `check`: reads the settings and says what is wrong with them. */
+/** `check`: validates the settings, and prints a summary of them or, as JSON, their configuration. */
 internal class CheckCommand : ToolCommand("check", "Check the settings and the configuration") {
     override fun run(site: Site): ExitCode {
         println(if (json) WireFormat.encodeToString(site.configuration.toDocument()) else summary(site))
@@ -24,15 +24,19 @@
         "${site.configuration.backendServers.size} backend servers"
 }
 
-/** `diff`: compares the settings with the configuration in force. */
-internal class DiffCommand : ToolCommand("diff", "Compare the files with the configuration in force") {
+/** `diff`: compares the configuration in the settings with the one in force. */
+internal class DiffCommand : ToolCommand("diff", "Compare the settings files with the configuration in force") {
     override fun run(site: Site): ExitCode = run(site, Operation.Diff(site.configuration))
 }
 
-/** `publish`: puts the configuration of the settings in force. */
+/**
+ * `publish`: makes the configuration in the settings the one in force.
+ *
+ * Unlike other changes, it is not retried if another change comes first, but ends with [ExitCode.LOST_RACE].
+ */
 @OptIn(ExperimentalCli::class)
-internal class PublishCommand : ToolCommand("publish", "Put the configuration of the files in force") {
-    private val base by option(ArgType.Int, description = "The revision that the files were made for")
+internal class PublishCommand : ToolCommand("publish", "Publish the configuration in the settings files") {
+    private val base by option(ArgType.Int, description = "The revision that the files are based on")
 
     override fun run(site: Site): ExitCode {
         val change = Operation.Change(
--- a/tool/src/main/kotlin/org/quetzalloom/tool/command/QueryCommands.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/command/QueryCommands.kt
@@ -9,7 +9,7 @@
 import org.quetzalloom.tool.operation.TimelineTable
 import org.quetzalloom.wire.site.Site
 
-/** `status`: shows the state of every VM. */
+/** `status`: prints the status of every entry VM. */
 internal class StatusCommand : ToolCommand("status", "Show the state of every VM") {
     override fun run(site: Site): ExitCode {
         val format: (Map<String, String?>) -> String = if (json) StatusTable::json else StatusTable::text
@@ -17,9 +17,9 @@
     }
 }
 
-/** `timeline`: shows what happened over all VMs, in the order of cause and effect. */
+/** `timeline`: prints the merged time line of all entry VMs, in causal order. */
 @OptIn(ExperimentalCli::class)
-internal class TimelineCommand : ToolCommand("timeline", "Show what happened, over all VMs") {
+internal class TimelineCommand : ToolCommand("timeline", "Show the time line of all VMs") {
     private val request by option(ArgType.String, description = "Only this request")
     private val session by option(ArgType.String, description = "Only requests of this session")
     private val key by option(ArgType.String, description = "Only requests with this idempotency key")
--- a/tool/src/main/kotlin/org/quetzalloom/tool/command/ToolCommand.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/command/ToolCommand.kt
@@ -16,16 +16,21 @@
 import java.io.File
 import kotlin.system.exitProcess
 
-/** A command of the tool: it reads the settings, and then asks the fleet or changes its configuration. */
+/**
+ * A command of the tool.
+ *
+ * Loads the settings, runs the command on them and exits the process; settings that are not valid end it with
+ * [ExitCode.BAD_USAGE].
+ */
 @OptIn(ExperimentalCli::class)
 internal abstract class ToolCommand(name: String, description: String) : Subcommand(name, description) {
-    private val settings by option(ArgType.String, description = "The base file").required()
-    private val overlay by option(ArgType.String, description = "The overlay of the site")
+    private val settings by option(ArgType.String, description = "The base settings file").required()
+    private val overlay by option(ArgType.String, description = "The settings file of the site")
 
-    /** Whether to print JSON. */
+    /** Whether to print JSON instead of text. */
     protected val json: Boolean by option(ArgType.Boolean, description = "Print JSON").default(false)
 
-    /** Carries the command out at [site]; returns how it ended. */
+    /** Runs the command with the settings in [site]. */
     protected abstract fun run(site: Site): ExitCode
 
     final override fun execute() {
@@ -39,7 +44,7 @@
         )
     }
 
-    /** Runs [operation] against the fleet of [site]. */
+    /** Runs [operation] against the fleet of [site]; exits the process if the address of the log is not set. */
     protected fun run(site: Site, operation: Operation): ExitCode {
         val log = site.document.platform?.log ?: exit(ExitCode.BAD_USAGE, "the key platform.log is missing")
         val wrapsInJson = json && operation !is Operation.CallVms
@@ -49,7 +54,7 @@
 
     private fun message(text: String): String = WireFormat.encodeToString(mapOf("message" to text))
 
-    /** Ends the process with [message] as an error. */
+    /** Prints [message] as an error and exits the process. */
     protected fun exit(code: ExitCode, message: String): Nothing {
         System.err.println(message)
         exitProcess(code.status)
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/ChangeSteps.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/ChangeSteps.kt
@@ -7,13 +7,13 @@
 import org.quetzalloom.core.reducer.Transition
 import org.quetzalloom.tool.ExitCode
 
-/** Leads a change of the configuration, or a comparison with it, to its end. */
+/** Handles what the log returns to an [Operation.Change] or an [Operation.Diff]. */
 internal object ChangeSteps {
-    /** Takes in what the log gave; once nothing more comes, the operation goes on. */
+    /** Adds the entries read to the state. Reads on until there are no more, and then continues the operation. */
     fun read(state: ToolState, event: ToolEvent.LogRead): ToolStep {
-        val next = event.entries.fold(
-            state
-        ) { current, entry -> current.withEntry(entry) }.copy(nextOffset = event.nextOffset)
+        val next = event.entries
+            .fold(state) { current, entry -> current.withEntry(entry) }
+            .copy(nextOffset = event.nextOffset)
         return when {
             next.ended -> next.end(ExitCode.DONE, ToolEffect.Print("accepted as revision ${next.view.revision}"))
             event.entries.isNotEmpty() -> next.with(ToolEffect.ReadLog(next.nextOffset))
@@ -23,7 +23,10 @@
         }
     }
 
-    /** Marks the state as ended if [entry] is the own proposal and has come first. */
+    /**
+     * Returns the state after [entry]. It has ended if the entry is the proposal of this run and is accepted, that is,
+     * no other change on the same revision came first.
+     */
     private fun ToolState.withEntry(entry: LogEntry): ToolState {
         val record = (entry.record as? LogRecord.OfConfiguration)?.record
         if (record == null || ended) return this
@@ -37,6 +40,13 @@
         return state.end(ExitCode.DONE, ToolEffect.Print(lines.joinToString("\n").ifEmpty { "no difference" }))
     }
 
+    /**
+     * Continues a change once the whole log has been read.
+     *
+     * While it is not known whether the last append succeeded, reads on, as the proposal may still appear in the log.
+     * A proposal that is known to be in the log but was not accepted has lost against another change; it is decided and
+     * proposed again on the new revision if the operation retries and has no fixed base.
+     */
     private fun change(state: ToolState, operation: Operation.Change): ToolStep {
         val base = operation.base ?: state.view.revision
         return when {
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/ConfigurationDiff.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/ConfigurationDiff.kt
@@ -2,9 +2,12 @@
 
 import org.quetzalloom.core.configuration.Configuration
 
-/** Compares two configurations for a reader. */
+/** Formats the differences between two configurations for operators. */
 internal object ConfigurationDiff {
-    /** Returns a line for each entry that [new] adds, removes or changes; [old] may be `null` for nothing. */
+    /**
+     * Returns a text for each entry that [new] adds (`+`), removes (`-`) or changes (`~`, with both values on lines of
+     * their own). Without an [old] configuration, all entries are added. Roll-outs are not compared.
+     */
     fun lines(old: Configuration?, new: Configuration): List<String> {
         val before = old ?: Configuration()
         return diffOf("zone", before.zones.associateWith { it !in before.zonesOut }, zones(new, before)) +
@@ -16,7 +19,10 @@
 
     private fun services(configuration: Configuration) = configuration.services.associateBy { it.pathPrefix }
 
-    /** Publishing leaves availability zones in or out of service as they are. */
+    /**
+     * Returns whether each availability zone of [new] would be in service: publishing does not bring one back that is
+     * out of service [before].
+     */
     private fun zones(new: Configuration, before: Configuration) =
         new.zones.associateWith { it !in new.zonesOut && it !in before.zonesOut }
 
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/Operation.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/Operation.kt
@@ -3,14 +3,14 @@
 import org.quetzalloom.core.configuration.Configuration
 import org.quetzalloom.core.configuration.ConfigurationChange
 
-/** What an operator asked for. */
+/** What the tool does for one command of an operator. */
 internal sealed interface Operation {
     /**
-     * Change the configuration.
+     * Changes the configuration.
      *
-     * @property base the revision to build on, or `null` for the newest.
-     * @property repeats whether to try again on a newer revision if another change came first.
-     * @property decide returns the change in sight of a configuration, or why there is none.
+     * @property base the revision that the change is based on; it fails if another one is in force. `null` for any.
+     * @property retries whether to decide and propose again on the new revision if another change came first.
+     * @property decide returns the decision for the configuration in force, which is `null` before the first.
      */
     data class Change(
         val base: Long? = null,
@@ -18,13 +18,13 @@
         val decide: (Configuration?) -> ChangeDecision,
     ) : Operation
 
-    /** Compare [wanted] with the configuration in the log. */
+    /** Prints the differences between the configuration in force and [wanted]. */
     data class Diff(val wanted: Configuration) : Operation
 
     /**
-     * Call each of [vms].
+     * Sends one HTTP request to the router on each of [vms] and prints the responses.
      *
-     * @property format returns what to print of the answers, by VM; `null` where there was none.
+     * @property format converts the response bodies, by VM, to the text to print; a body is `null` if the call failed.
      */
     data class CallVms(
         val vms: List<String>,
@@ -34,14 +34,14 @@
     ) : Operation
 }
 
-/** Whether and how an order changes the configuration. */
+/** Whether and how a command changes the configuration. */
 internal sealed interface ChangeDecision {
-    /** The order is [change]. */
+    /** The command requires [change]. */
     data class Propose(val change: ConfigurationChange) : ChangeDecision
 
-    /** Everything is as the order wants it. */
+    /** The configuration already is as the command requires; [reason] tells the operator so. */
     data class NoChange(val reason: String) : ChangeDecision
 
-    /** The order makes no sense. */
+    /** The command is not possible with this configuration, for [reason]. */
     data class Refuse(val reason: String) : ChangeDecision
 }
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/StatusTable.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/StatusTable.kt
@@ -6,16 +6,16 @@
 import org.quetzalloom.wire.StatusDocument
 import org.quetzalloom.wire.WireFormat
 
-/** Shows the states of VMs. */
+/** Formats the statuses of VMs. */
 internal object StatusTable {
-    /** Returns a line for each VM. */
+    /** Returns a header line and, for each VM, a line with tab-separated columns. */
     fun text(answers: Map<String, String?>): String = (
         listOf(HEADER) + answers.toSortedMap().map { (vm, body) ->
             body?.let { line(WireFormat.decodeFromString<StatusDocument>(it)) } ?: "$vm\tno answer"
         }
         ).joinToString("\n")
 
-    /** Returns one JSON object with the answer of each VM. */
+    /** Returns a JSON object with the response of each VM, or `null` for a VM that did not respond. */
     fun json(answers: Map<String, String?>): String = WireFormat.encodeToString(
         answers.toSortedMap().mapValues { (_, body) ->
             body?.let { WireFormat.decodeFromString<JsonElement>(it) } ?: JsonNull
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/TimelineTable.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/TimelineTable.kt
@@ -7,13 +7,13 @@
 import org.quetzalloom.wire.toDocument
 import org.quetzalloom.wire.toEntry
 
-/** Shows the time line over all VMs. */
+/** Formats the merged time line of all VMs. VMs that did not respond are left out. */
 internal object TimelineTable {
-    /** Returns a line for each entry. */
+    /** Returns a line for each entry: stamp, VM, time, name and fields, separated by tabs. */
     fun text(answers: Map<String, String?>, filter: TimelineFilter): String =
         filter.select(merge(answers)).joinToString("\n") { line(it) }
 
-    /** Returns the entries as one JSON object. */
+    /** Returns the entries as a JSON object, a [TimelineResponse]. */
     fun json(answers: Map<String, String?>, filter: TimelineFilter): String =
         WireFormat.encodeToString(TimelineResponse(filter.select(merge(answers)).map { it.toDocument() }))
 
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/ToolEffect.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/ToolEffect.kt
@@ -3,23 +3,23 @@
 import org.quetzalloom.core.log.LogRecord
 import org.quetzalloom.tool.ExitCode
 
-/** Everything that the tool can do. */
+/** The side effects that [ToolReducer] requests. */
 internal sealed interface ToolEffect {
-    /** Read the configuration stream from the offset [from]. */
+    /** Reads the configuration stream from the offset [from]. */
     data class ReadLog(val from: Long) : ToolEffect
 
-    /** Append [record] to the configuration stream. */
+    /** Appends [record] to the configuration stream. */
     data class Append(val record: LogRecord) : ToolEffect
 
-    /** Call [path] of [vm] with [method]. */
+    /** Sends an HTTP request to the router on [vm]. */
     data class Call(val vm: String, val method: String, val path: String) : ToolEffect
 
-    /** Print [text] as one or more lines. */
+    /** Prints [text], which may have several lines, to the standard output. */
     data class Print(val text: String) : ToolEffect
 
-    /** Print [text] as an error. */
+    /** Prints [text] to the standard error. */
     data class PrintError(val text: String) : ToolEffect
 
-    /** End the process. */
+    /** Ends the process. */
     data class Exit(val code: ExitCode) : ToolEffect
 }
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/ToolEvent.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/ToolEvent.kt
@@ -3,23 +3,23 @@
 import kotlinx.collections.immutable.PersistentList
 import org.quetzalloom.core.log.LogEntry
 
-/** Everything that can happen to the tool. */
+/** The events that [ToolReducer] handles. */
 internal sealed interface ToolEvent {
-    /** Time has passed; the first one begins the operation. */
+    /** Time has passed. The first tick starts the operation. */
     data object Tick : ToolEvent
 
-    /** The configuration stream gave [entries]; [nextOffset] is the offset to read from next. */
+    /** [entries] were read from the configuration stream; the next read starts at [nextOffset]. */
     data class LogRead(val entries: PersistentList<LogEntry>, val nextOffset: Long) : ToolEvent
 
-    /** The log could not be read. */
+    /** The configuration stream could not be read. */
     data object LogReadFailed : ToolEvent
 
-    /** The change is in the log. */
+    /** The proposal was appended to the log. */
     data object Appended : ToolEvent
 
-    /** The append failed, or its answer was lost. */
+    /** The append failed, or its response was lost after it had succeeded. */
     data object AppendFailed : ToolEvent
 
-    /** [vm] answered with [body], or not at all. */
+    /** [vm] responded with [body]; `null` if the call failed. */
     data class VmAnswered(val vm: String, val body: String?) : ToolEvent
 }
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/ToolReducer.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/ToolReducer.kt
@@ -6,7 +6,12 @@
 import org.quetzalloom.core.time.Timestamp
 import org.quetzalloom.tool.ExitCode
 
-/** Leads one operation of the tool to its end. */
+/**
+ * Runs one operation of the tool. What the log returns to a change or a comparison is handled by [ChangeSteps].
+ *
+ * An operation that does not complete in time fails: with [ExitCode.UNKNOWN] if a change has been proposed by then,
+ * since it may still be accepted, else with [ExitCode.REFUSED].
+ */
 internal object ToolReducer : Reducer<ToolState, ToolEvent, ToolEffect> {
     private const val TIMEOUT_MILLISECONDS = 10_000L
 
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/ToolState.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/ToolState.kt
@@ -6,14 +6,16 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * How far an operation is.
+ * The progress of one operation.
  *
- * @property author names this run in the log.
- * @property begunAt when the operation began, or `null` before.
+ * @property author identifies this run of the tool in the log.
+ * @property startedAt when the operation was started, or `null` before.
+ * @property view the configuration as far as the stream has been read.
  * @property nextOffset the offset to read the configuration stream from.
- * @property proposedOn the revision that the change was proposed on, or `null` before.
- * @property appended whether the append is known to have succeeded.
- * @property answers the answers of VMs.
+ * @property proposalBase the revision that the latest proposal is based on, or `null` before the first.
+ * @property appended whether the append of the latest proposal is known to have succeeded.
+ * @property answers the response bodies of the VMs called so far; `null` where the call failed.
+ * @property ended whether the operation is over; later events are ignored.
  */
 internal data class ToolState(
     val operation: Operation,
--- a/tool/src/test/kotlin/org/quetzalloom/tool/operation/ToolReducerTest.kt
+++ b/tool/src/test/kotlin/org/quetzalloom/tool/operation/ToolReducerTest.kt
@@ -23,13 +23,18 @@
     private val published =
         proposed(0, "first", ConfigurationChange.Publish(Configuration(zones = persistentSetOf(zone))))
     private val zoneOut = Operation.Change(
-        decide = ChangeDecisions.of(ConfigurationChange.SetZone(zone, inService = false), "availability zone 'a' out"),
+        decide = ChangeDecisions.of(ConfigurationChange.SetZone(zone, inService = false), "availability zone 'a'"),
     )
 
     private fun proposed(base: Long, author: String, change: ConfigurationChange) =
         LogRecord.OfConfiguration(ConfigurationRecord.Proposed(base, author, change))
 
-    /** A log in memory; [beforeAppend] may append what another operator does before each append. */
+    /**
+     * A log in memory.
+     *
+     * @property losesResponses whether appends succeed but are reported as failed.
+     * @property beforeAppend is called with the records before each append, and may add those of another operator.
+     */
     private class FakeLog(
         val losesResponses: Boolean = false,
         val beforeAppend: (MutableList<LogRecord>) -> Unit = {}
@@ -51,6 +56,7 @@
         }
     }
 
+    /** Runs [operation] against [log]; returns the exit code, or `null` if it has not ended after [MAX_STEPS]. */
     private fun run(operation: Operation, log: FakeLog): ExitCode? {
         val events = ArrayDeque<ToolEvent>(listOf(ToolEvent.Tick))
         var state = ToolState(operation, author = "me")
