Name the quarantine code after what it does

Names such as trialAt (a server, beside times named At), at, told and condemned were easily misread. The fields of PeerMessage and the reports keep their names. Renames only.

--- a/core/src/main/kotlin/org/quetzalloom/core/quarantine/QuarantinePart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/quarantine/QuarantinePart.kt
@@ -23,58 +23,65 @@
  */
 internal object QuarantinePart : Part {
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
-        is Event.PeerTold -> state.told(event, now)
-        is Event.Tick -> state.forgetOld(now).unchanged()
+        is Event.PeerTold -> state.onPeerMessage(event, now)
+        is Event.Tick -> state.removeExpired(now).unchanged()
         else -> state.unchanged()
     }
 
-    private fun RouterState.told(event: Event.PeerTold, now: Timestamp): Step = when (val message = event.message) {
-        is PeerMessage.Suspect -> suspect(event, message, now)
-        is PeerMessage.SuspectNoted -> noted(event.from, message).unchanged()
-        is PeerMessage.Cleared -> cleared(message.fingerprint).unchanged()
+    private fun RouterState.onPeerMessage(
+        event: Event.PeerTold,
+        now: Timestamp,
+    ): Step = when (val message = event.message) {
+        is PeerMessage.Suspect -> onSuspect(event, message, now)
+        is PeerMessage.SuspectNoted -> onSuspectNoted(event.from, message).unchanged()
+        is PeerMessage.Cleared -> withoutSuspicion(message.fingerprint).unchanged()
         else -> unchanged()
     }
 
-    private fun RouterState.suspect(event: Event.PeerTold, message: PeerMessage.Suspect, now: Timestamp): Step {
+    private fun RouterState.onSuspect(event: Event.PeerTold, message: PeerMessage.Suspect, now: Timestamp): Step {
         val from = event.from
-        val rivals = ownTrials().filterValues { it.trialAt != null && it.trialAt == message.trialAt }.keys
+        val competing = ownTrials()
+            .filterValues { it.trialServer != null && it.trialServer == message.trialAt }.keys
             .filter { it != message.fingerprint }
         val keepsOwn = message.trial && keepsOwnTrial(message.fingerprint, from)
-        val agreed = !keepsOwn && rivals.none { it.value < message.fingerprint.value || hasBegun(it) }
-        val yielded = if (agreed) rivals.fold(this) { state, rival -> state.withoutTrialServer(rival) } else this
-        val noted = yielded.suspected(message.fingerprint, message.server, now)
-        val by = from.takeIf { message.trial }
-        val next = if (keepsOwn) noted else noted.withTrial(message.fingerprint, by, message.trialAt, now, event.stamp)
+        val agreed = !keepsOwn && competing.none { it.value < message.fingerprint.value || hasStarted(it) }
+        val yielded = if (agreed) competing.fold(this) { state, trial -> state.withoutTrialServer(trial) } else this
+        val known = yielded.withCrash(message.fingerprint, message.server, now)
+        val trialVm = from.takeIf { message.trial }
+        val next =
+            if (keepsOwn) known else known.withTrial(message.fingerprint, trialVm, message.trialAt, now, event.stamp)
         return next.tell(from, PeerMessage.SuspectNoted(message.fingerprint, message.trialAt, agreed))
             .then { it.report(now, "request_suspected", "fingerprint" to message.fingerprint, "by" to from) }
     }
 
-    private fun RouterState.ownTrials() = quarantine.suspicions.filterValues { it.trialBy == settings.vm }
+    private fun RouterState.ownTrials() = quarantine.suspicions.filterValues { it.trialVm == settings.vm }
 
     /** Returns whether this VM goes on with its own trial of the request that [other] wants to try. */
     private fun RouterState.keepsOwnTrial(fingerprint: Fingerprint, other: VmId): Boolean =
-        fingerprint in ownTrials() && (hasBegun(fingerprint) || settings.vm < other)
+        fingerprint in ownTrials() && (hasStarted(fingerprint) || settings.vm < other)
 
-    private fun RouterState.hasBegun(fingerprint: Fingerprint): Boolean =
+    private fun RouterState.hasStarted(fingerprint: Fingerprint): Boolean =
         requests.active.values.any {
             it.fingerprint == fingerprint && (it.phase is Phase.Queued || it.phase is Phase.Running)
         }
 
     private fun RouterState.withoutTrialServer(fingerprint: Fingerprint): RouterState {
         val known = quarantine.suspicions[fingerprint] ?: return this
-        return withSuspicion(fingerprint, known.copy(trialAt = null))
+        return withSuspicion(fingerprint, known.copy(trialServer = null))
     }
 
-    private fun RouterState.noted(by: VmId, message: PeerMessage.SuspectNoted): RouterState {
+    private fun RouterState.onSuspectNoted(peer: VmId, message: PeerMessage.SuspectNoted): RouterState {
         val known = quarantine.suspicions[message.fingerprint]
-            ?.takeIf { it.trialBy == settings.vm && it.trialAt == message.trialAt }
+            ?.takeIf { it.trialVm == settings.vm && it.trialServer == message.trialAt }
             ?: return this
-        val next = if (message.agreed) known.copy(notedBy = known.notedBy.add(by)) else known.copy(trialAt = null)
+        val next =
+            if (message.agreed) known.copy(agreedBy = known.agreedBy.add(peer)) else known.copy(trialServer = null)
         return withSuspicion(message.fingerprint, next)
     }
 
-    private fun RouterState.forgetOld(now: Timestamp): RouterState {
-        val old = quarantine.suspicions.filterValues { now - it.at > settings.limits.suspicionMilliseconds }.keys
-        return old.fold(this) { state, fingerprint -> state.cleared(fingerprint) }
+    private fun RouterState.removeExpired(now: Timestamp): RouterState {
+        val expired = quarantine.suspicions
+            .filterValues { now - it.suspectedAt > settings.limits.suspicionMilliseconds }.keys
+        return expired.fold(this) { state, fingerprint -> state.withoutSuspicion(fingerprint) }
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/quarantine/Suspicion.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/quarantine/Suspicion.kt
@@ -18,17 +18,17 @@
  */
 internal data class Suspicion(
     val servers: PersistentSet<BackendServerId>,
-    val at: Timestamp,
-    val trialBy: VmId? = null,
-    val trialAt: BackendServerId? = null,
-    val trialSince: Timestamp = at,
+    val suspectedAt: Timestamp,
+    val trialVm: VmId? = null,
+    val trialServer: BackendServerId? = null,
+    val trialSince: Timestamp = suspectedAt,
     val trialStamp: Long = 0,
-    val notedBy: PersistentSet<VmId> = persistentSetOf(),
+    val agreedBy: PersistentSet<VmId> = persistentSetOf(),
 ) {
     /** Whether the request is refused. */
-    val condemned: Boolean get() = servers.size >= TOLERATED_CRASHES
+    val quarantined: Boolean get() = servers.size >= CRASHES_TO_QUARANTINE
 
     private companion object {
-        const val TOLERATED_CRASHES = 2
+        const val CRASHES_TO_QUARANTINE = 2
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Admission.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Admission.kt
@@ -74,7 +74,7 @@
 }
 
 private fun RouterState.checkQuarantine(call: CallerRequest): Result<Unit, RouterError> =
-    if (quarantine.suspicions[Fingerprint.of(call)]?.condemned == true) {
+    if (quarantine.suspicions[Fingerprint.of(call)]?.quarantined == true) {
         Err(RouterError(ErrorKind.QUARANTINED, "the request took down two backend servers"))
     } else {
         Ok(Unit)
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Arrival.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Arrival.kt
@@ -6,7 +6,7 @@
 import org.quetzalloom.core.event.Event
 import org.quetzalloom.core.identity.VersionId
 import org.quetzalloom.core.peer.PeerMessage
-import org.quetzalloom.core.quarantine.isTriedElsewhere
+import org.quetzalloom.core.quarantine.isOnTrialElsewhere
 import org.quetzalloom.core.reducer.then
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.router.Step
@@ -49,7 +49,7 @@
         call = event.call,
         fingerprint = fingerprint,
         arrivedAt = now,
-        phase = if (isTriedElsewhere(fingerprint, now)) Phase.AwaitingTrial else Phase.Queued,
+        phase = if (isOnTrialElsewhere(fingerprint, now)) Phase.AwaitingTrial else Phase.Queued,
         version = chooseVersion(event.call, admitted.versions, subject),
         command = admitted.command,
     )
--- a/core/src/main/kotlin/org/quetzalloom/core/request/CrashChecks.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/CrashChecks.kt
@@ -5,7 +5,7 @@
 import org.quetzalloom.core.identity.BackendServerId
 import org.quetzalloom.core.membership.livePeers
 import org.quetzalloom.core.peer.PeerMessage
-import org.quetzalloom.core.quarantine.suspected
+import org.quetzalloom.core.quarantine.withCrash
 import org.quetzalloom.core.quarantine.withTrial
 import org.quetzalloom.core.reducer.then
 import org.quetzalloom.core.router.RouterState
@@ -41,15 +41,20 @@
  * The second crash refuses the request for good; after the first it is retried as a trial.
  */
 internal fun RouterState.recordCrash(request: ActiveRequest, server: BackendServerId, now: Timestamp): Step {
-    val known = suspected(request.fingerprint, server, now)
-    val condemned = known.quarantine.suspicions[request.fingerprint]?.condemned == true
-    val next = known.withTrial(request.fingerprint, by = settings.vm.takeUnless { condemned }, at = null, now = now)
+    val known = withCrash(request.fingerprint, server, now)
+    val quarantined = known.quarantine.suspicions[request.fingerprint]?.quarantined == true
+    val next = known.withTrial(
+        request.fingerprint,
+        vm = settings.vm.takeUnless { quarantined },
+        trialServer = null,
+        now = now,
+    )
     val announced = next.tellAll(
         next.livePeers(now),
-        PeerMessage.Suspect(request.fingerprint, server, trial = !condemned),
+        PeerMessage.Suspect(request.fingerprint, server, trial = !quarantined),
     )
     return announced.then {
-        if (condemned) {
+        if (quarantined) {
             it.refuse(request, ErrorKind.QUARANTINED, "the request took down two backend servers", now)
         } else {
             it.retry(request.copy(tokensAtSuspicion = request.deliveredTokens), now, Phase.AwaitingTrial)
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Placement.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Placement.kt
@@ -18,7 +18,7 @@
     val fresh = free.filter { it.id !in request.failedServers }
     val candidates = if (request.command == null) fresh.ifEmpty { free } else free
     return when {
-        isOnTrialHere(request) -> free.firstOrNull { it.id == quarantine.suspicions[request.fingerprint]?.trialAt }
+        isOnTrialHere(request) -> free.firstOrNull { it.id == quarantine.suspicions[request.fingerprint]?.trialServer }
         candidates.isEmpty() -> null
         else -> chooseByLoad(request, candidates)
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Trials.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Trials.kt
@@ -4,10 +4,10 @@
 import org.quetzalloom.core.identity.BackendServerId
 import org.quetzalloom.core.membership.livePeers
 import org.quetzalloom.core.peer.PeerMessage
-import org.quetzalloom.core.quarantine.cleared
-import org.quetzalloom.core.quarantine.isTriedElsewhere
-import org.quetzalloom.core.quarantine.trialServers
+import org.quetzalloom.core.quarantine.isOnTrialElsewhere
+import org.quetzalloom.core.quarantine.otherTrialServers
 import org.quetzalloom.core.quarantine.withTrial
+import org.quetzalloom.core.quarantine.withoutSuspicion
 import org.quetzalloom.core.reducer.then
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.router.Step
@@ -31,9 +31,9 @@
     val suspicion = quarantine.suspicions[request.fingerprint]
     return when {
         suspicion == null -> put(request.copy(phase = Phase.Queued))
-        suspicion.condemned ->
+        suspicion.quarantined ->
             refuse(request, ErrorKind.QUARANTINED, "the request took down two backend servers", now)
-        isTriedElsewhere(request.fingerprint, now) || hasOtherActiveCopy(request) ->
+        isOnTrialElsewhere(request.fingerprint, now) || hasOtherActiveCopy(request) ->
             put(request.copy(phase = Phase.AwaitingTrial))
         else -> announceTrial(request, now)
     }
@@ -52,11 +52,11 @@
 private fun RouterState.announceTrial(request: ActiveRequest, now: Timestamp): Step {
     val suspicion = quarantine.suspicions.getValue(request.fingerprint)
     val server = trialServerOrNull(request, now)
-    val waits = suspicion.trialBy == settings.vm && server == null
+    val waits = suspicion.trialVm == settings.vm && server == null
     if (waits) return put(request.copy(phase = Phase.AwaitingTrial))
     val crashed = suspicion.servers.min()
     val phase = if (server == null) Phase.AwaitingTrial else Phase.AwaitingTrialConsent(now)
-    return withTrial(request.fingerprint, by = settings.vm, at = server, now = now)
+    return withTrial(request.fingerprint, vm = settings.vm, trialServer = server, now = now)
         .tellAll(livePeers(now), PeerMessage.Suspect(request.fingerprint, crashed, trial = true, trialAt = server))
         .then { it.put(request.copy(phase = phase)) }
 }
@@ -69,7 +69,7 @@
  */
 private fun RouterState.trialServerOrNull(request: ActiveRequest, now: Timestamp): BackendServerId? {
     val crashed = quarantine.suspicions[request.fingerprint]?.servers.orEmpty()
-    val taken = trialServers(request.fingerprint, now)
+    val taken = otherTrialServers(request.fingerprint, now)
     val free = serversFor(request).map { it.id }.filter { it !in crashed && it !in taken }
     return rendezvousOrNull(free, request.fingerprint)
 }
@@ -85,10 +85,10 @@
     now: Timestamp,
 ): Step {
     val suspicion = quarantine.suspicions[request.fingerprint]
-    val agreed = suspicion?.notedBy.orEmpty().containsAll(livePeers(now))
+    val agreed = suspicion?.agreedBy.orEmpty().containsAll(livePeers(now))
     val waited = now - phase.since >= settings.limits.verdictMilliseconds
     return when {
-        suspicion?.trialBy != settings.vm || suspicion.trialAt == null -> startTrialOrWait(request, now)
+        suspicion?.trialVm != settings.vm || suspicion.trialServer == null -> startTrialOrWait(request, now)
         agreed || waited -> put(request.copy(phase = Phase.Queued))
         else -> unchanged()
     }
@@ -96,26 +96,26 @@
 
 /** Returns whether this VM owns the trial of [request], which is suspected. */
 internal fun RouterState.isOnTrialHere(request: ActiveRequest): Boolean =
-    quarantine.suspicions[request.fingerprint]?.trialBy == settings.vm
+    quarantine.suspicions[request.fingerprint]?.trialVm == settings.vm
 
 /** Returns whether this VM owns the trial of [request], but its backend server may no longer be used. */
 internal fun RouterState.hasLostTrialServer(request: ActiveRequest): Boolean {
     if (!isOnTrialHere(request)) return false
-    val server = quarantine.suspicions[request.fingerprint]?.trialAt
+    val server = quarantine.suspicions[request.fingerprint]?.trialServer
     return serversFor(request).none { it.id == server }
 }
 
 /** Drops the suspicion against [request], here and at the peers, since it has run past the point of the crash. */
 internal fun RouterState.clearSuspicion(request: ActiveRequest, now: Timestamp): Step {
     if (request.fingerprint !in quarantine.suspicions) return unchanged()
-    return cleared(request.fingerprint).tellAll(livePeers(now), PeerMessage.Cleared(request.fingerprint))
+    return withoutSuspicion(request.fingerprint).tellAll(livePeers(now), PeerMessage.Cleared(request.fingerprint))
 }
 
 /** Gives up the trial of [request] without a result, so that another request with the same content may be tried. */
 internal fun RouterState.abandonTrial(request: ActiveRequest, now: Timestamp): Step {
     val suspicion = quarantine.suspicions[request.fingerprint]
-    if (suspicion == null || suspicion.trialBy != settings.vm || hasOtherActiveCopy(request)) return unchanged()
+    if (suspicion == null || suspicion.trialVm != settings.vm || hasOtherActiveCopy(request)) return unchanged()
     val crashed = suspicion.servers.min()
-    return withTrial(request.fingerprint, by = null, at = null, now = now)
+    return withTrial(request.fingerprint, vm = null, trialServer = null, now = now)
         .tellAll(livePeers(now), PeerMessage.Suspect(request.fingerprint, crashed, trial = false))
 }
