Document the quarantine in the terms of the field

The comments left out when a peer agrees to a trial, who wins between two trials, and which messages are ignored. Its comment on sendBad said that the request is sent again when it has failed; it is sent again every 2 s.

--- a/core/src/main/kotlin/org/quetzalloom/core/quarantine/QuarantinePart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/quarantine/QuarantinePart.kt
@@ -15,11 +15,11 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * Remembers requests that took down backend servers, and shares what it knows with peers.
+ * Quarantines requests that crash backend servers, and shares the suspicions with the peers.
  *
- * Such a request is tried once more, by one VM and at a backend server where no other suspect is tried, so that a
- * second crash says for certain which request brought it about. VMs that want the same backend server settle it by
- * the smaller fingerprint, unless a trial already runs.
+ * A request under which a backend server went down is suspected. It is run once more as a trial, by one VM and at a
+ * backend server where no other suspect is on trial, so that a second crash has only one possible cause. If VMs claim
+ * the same backend server for different requests, the smaller fingerprint wins, unless a trial has already started.
  */
 internal object QuarantinePart : Part {
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
@@ -38,6 +38,12 @@
         else -> unchanged()
     }
 
+    /**
+     * Records the suspicion that a peer announced, and answers whether this VM agrees to the trial of the peer.
+     *
+     * It does not agree if its own trial of the same request goes on, or if one of its trials holds the same backend
+     * server and takes precedence. If it agrees, its own competing trials give up that backend server.
+     */
     private fun RouterState.onSuspect(event: Event.PeerTold, message: PeerMessage.Suspect, now: Timestamp): Step {
         val from = event.from
         val competing = ownTrials()
@@ -56,20 +62,27 @@
 
     private fun RouterState.ownTrials() = quarantine.suspicions.filterValues { it.trialVm == settings.vm }
 
-    /** Returns whether this VM goes on with its own trial of the request that [other] wants to try. */
+    /**
+     * Returns whether this VM keeps its own trial of the request that [other] wants to try.
+     *
+     * It does if the trial has started, or if this VM has the smaller id.
+     */
     private fun RouterState.keepsOwnTrial(fingerprint: Fingerprint, other: VmId): Boolean =
         fingerprint in ownTrials() && (hasStarted(fingerprint) || settings.vm < other)
 
+    /** Returns whether a request of [fingerprint] is queued or running at this VM, past the wait for its trial. */
     private fun RouterState.hasStarted(fingerprint: Fingerprint): Boolean =
         requests.active.values.any {
             it.fingerprint == fingerprint && (it.phase is Phase.Queued || it.phase is Phase.Running)
         }
 
+    /** Returns the state in which the trial of [fingerprint] has no backend server, so that it must choose another. */
     private fun RouterState.withoutTrialServer(fingerprint: Fingerprint): RouterState {
         val known = quarantine.suspicions[fingerprint] ?: return this
         return withSuspicion(fingerprint, known.copy(trialServer = null))
     }
 
+    /** Records that [peer] agrees to the trial, or gives up the backend server of the trial if it does not. */
     private fun RouterState.onSuspectNoted(peer: VmId, message: PeerMessage.SuspectNoted): RouterState {
         val known = quarantine.suspicions[message.fingerprint]
             ?.takeIf { it.trialVm == settings.vm && it.trialServer == message.trialAt }
@@ -79,6 +92,7 @@
         return withSuspicion(message.fingerprint, next)
     }
 
+    /** Removes suspicions whose last crash was longer ago than `suspicionMilliseconds`. */
     private fun RouterState.removeExpired(now: Timestamp): RouterState {
         val expired = quarantine.suspicions
             .filterValues { now - it.suspectedAt > settings.limits.suspicionMilliseconds }.keys
--- a/core/src/main/kotlin/org/quetzalloom/core/quarantine/Suspicion.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/quarantine/Suspicion.kt
@@ -7,14 +7,16 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * What is held against one request.
+ * The suspicion that requests with a certain content crash backend servers, and their trial.
  *
- * @property servers the backend servers that went down while they ran it.
- * @property trialBy the VM that runs it once more, or `null`.
- * @property trialAt the backend server that it runs at then, or `null` while that is not chosen.
- * @property trialSince when that was heard.
- * @property trialStamp the causal stamp of that news; what was said before it does not count.
- * @property notedBy the peers that agree to it.
+ * @property servers the backend servers that went down while they ran such a request.
+ * @property suspectedAt the time at which this VM last learned of a crash.
+ * @property trialVm the VM that runs the request once more, or `null` without a trial.
+ * @property trialServer the backend server of the trial, or `null` while none is chosen.
+ * @property trialSince the time at which this VM learned of the trial; the trial expires some time after it.
+ * @property trialStamp the causal stamp of the message that announced the trial; messages with an earlier stamp are
+ *   ignored.
+ * @property agreedBy the peers that agree to the trial.
  */
 internal data class Suspicion(
     val servers: PersistentSet<BackendServerId>,
@@ -25,7 +27,7 @@
     val trialStamp: Long = 0,
     val agreedBy: PersistentSet<VmId> = persistentSetOf(),
 ) {
-    /** Whether the request is refused. */
+    /** Whether such requests are refused, since they have crashed too many backend servers. */
     val quarantined: Boolean get() = servers.size >= CRASHES_TO_QUARANTINE
 
     private companion object {
--- a/core/src/test/kotlin/org/quetzalloom/core/quarantine/QuarantineTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/quarantine/QuarantineTest.kt
@@ -14,6 +14,7 @@
 import kotlin.test.Test
 import kotlin.test.assertTrue
 
+/** A request that crashes every backend server that runs it must be stopped after two crashes, wherever it is sent. */
 class QuarantineTest {
     @Test
     fun aRequestThatCrashesServersTakesDownTwoAtMost() = seeds(SEEDS).forEach { seed ->
@@ -32,7 +33,7 @@
             }
         )
         val found = seeds(SEEDS).sumOf { findings(load(it, parts)).size }
-        assertTrue(found > 0, "the check must find what the quarantine prevents")
+        assertTrue(found > 0, "without shared suspicions some run must fail the check")
     }
 
     private fun load(seed: Long, parts: PersistentList<Part>): Rig {
@@ -47,7 +48,7 @@
         return rig
     }
 
-    /** Sends the request that crashes servers, and again to another VM each time it has failed. */
+    /** Sends the request that crashes servers, then sends it again every 2 s, each time to a random VM. */
     private fun sendBad(rig: Rig, vm: VmId, left: Int) {
         rig.send(vm, Fleet.completion("${FakeServer.CRASH_MARK} a bread with many tokens"))
         if (left > 0) rig.schedule.after(2_000) { sendBad(rig, Fleet.vms.random(rig.random), left - 1) }
@@ -56,7 +57,7 @@
     private fun findings(rig: Rig): List<String> {
         val crashes = rig.servers.values.sumOf { it.crashes }
         val innocent = rig.callers.filter { FakeServer.CRASH_MARK !in it.call.body && !it.whole }
-            .map { "${it.request} beside it got ${it.refusal}" }
+            .map { "innocent request ${it.request} got ${it.refusal}" }
         return innocent + if (crashes > 2) listOf("$crashes servers went down") else emptyList()
     }
 
