Name the session code after what it does

Names such as decide, assigned, heir and memory did not say that a version is assigned to a session, with a copy at a backup VM and a time to live. Renames only.

rename: FIELDS -> FIELD_COUNT (declared in SessionToken.kt), only in: core/src/main/kotlin/org/quetzalloom/core/session rename: MEMORY_MILLISECONDS -> ASSIGNMENT_TTL_MILLISECONDS (declared in SessionsPart.kt), only in: core/src/main/kotlin/org/quetzalloom/core/session rename: answer -> onAskSession (declared in SessionsPart.kt), only in: core/src/main/kotlin/org/quetzalloom/core/session rename: assigned -> withAssignment (declared in SessionsPart.kt), only in: core/src/main/kotlin/org/quetzalloom/core/session rename: assignedOrNull -> assignedVersionOrNull (declared in SessionsPart.kt) rename: decide -> assignVersion (declared in SessionsPart.kt), only in: core/src/main/kotlin/org/quetzalloom/core/session core/src/main/kotlin/org/quetzalloom/core/request rename: decided -> assigned (declared in Dispatch.kt), only in: core/src/main/kotlin/org/quetzalloom/core/request/Dispatch.kt rename: heir -> backup (declared in SessionsPart.kt), only in: core/src/main/kotlin/org/quetzalloom/core/session rename: known -> alreadyAssigned (declared in SessionsPart.kt), only in: core/src/main/kotlin/org/quetzalloom/core/session rename: old -> expired (declared in SessionsPart.kt), only in: core/src/main/kotlin/org/quetzalloom/core/session rename: told -> onPeerMessage (declared in SessionsPart.kt), only in: core/src/main/kotlin/org/quetzalloom/core/session

--- a/core/src/main/kotlin/org/quetzalloom/core/request/Arrival.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Arrival.kt
@@ -14,8 +14,8 @@
 import org.quetzalloom.core.router.tell
 import org.quetzalloom.core.router.with
 import org.quetzalloom.core.session.SessionKey
-import org.quetzalloom.core.session.assignedOrNull
-import org.quetzalloom.core.session.decide
+import org.quetzalloom.core.session.assignVersion
+import org.quetzalloom.core.session.assignedVersionOrNull
 import org.quetzalloom.core.session.sessionHome
 import org.quetzalloom.core.time.Timestamp
 
@@ -95,12 +95,13 @@
     now: Timestamp,
 ): Step {
     val usableIds = admitted.versions.map { it.id }
-    val known = admitted.token?.version?.takeIf { it in usableIds } ?: assignedOrNull(key)
+    val known = admitted.token?.version?.takeIf { it in usableIds } ?: assignedVersionOrNull(key)
     val home = sessionHome(key, now)
     return when {
-        known != null && known in usableIds -> decide(key, known, now).then { it.put(request.pinnedTo(known)) }
+        known != null && known in usableIds -> assignVersion(key, known, now).then { it.put(request.pinnedTo(known)) }
         known != null -> put(request)
-        home == settings.vm -> decide(key, request.version, now).then { it.put(request.pinnedTo(request.version)) }
+        home == settings.vm ->
+            assignVersion(key, request.version, now).then { it.put(request.pinnedTo(request.version)) }
         else -> put(request.copy(phase = Phase.AwaitingSession(now))).then {
             it.tell(home, PeerMessage.AskSession(key.workspace, key.session, request.version))
         }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Dispatch.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Dispatch.kt
@@ -14,7 +14,7 @@
 import org.quetzalloom.core.router.report
 import org.quetzalloom.core.router.unchanged
 import org.quetzalloom.core.router.with
-import org.quetzalloom.core.session.decide
+import org.quetzalloom.core.session.assignVersion
 import org.quetzalloom.core.time.Timestamp
 
 /** Starts as many queued requests as the backend servers have room for: by priority, then by time of arrival. */
@@ -60,8 +60,8 @@
         failedServers = request.failedServers.clear(),
     )
     val session = request.sessionKey?.takeIf { request.pinned }
-    val decided = session?.let { decide(it, moved.version, now) } ?: unchanged()
-    return decided.then { it.put(moved) }.then { it.dispatch(moved, now) }
+    val assigned = session?.let { assignVersion(it, moved.version, now) } ?: unchanged()
+    return assigned.then { it.put(moved) }.then { it.dispatch(moved, now) }
 }
 
 /** Starts an attempt at [server], which resumes the answer after the tokens already delivered. */
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Progress.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Progress.kt
@@ -5,8 +5,8 @@
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.router.Step
 import org.quetzalloom.core.router.unchanged
-import org.quetzalloom.core.session.assignedOrNull
-import org.quetzalloom.core.session.decide
+import org.quetzalloom.core.session.assignVersion
+import org.quetzalloom.core.session.assignedVersionOrNull
 import org.quetzalloom.core.time.Timestamp
 
 /** Returns the transition that stores [request], without effects. */
@@ -45,13 +45,13 @@
  */
 private fun RouterState.advanceSession(request: ActiveRequest, phase: Phase.AwaitingSession, now: Timestamp): Step {
     val key = request.sessionKey ?: return put(request.copy(phase = Phase.Queued))
-    val assigned = assignedOrNull(key)
+    val assigned = assignedVersionOrNull(key)
     return when {
         assigned != null && matchesTarget(request, assigned) ->
             put(request.pinnedTo(assigned).copy(phase = Phase.Queued))
         assigned != null -> put(request.copy(phase = Phase.Queued))
         now - phase.since < settings.limits.sessionAnswerMilliseconds -> unchanged()
-        else -> decide(key, request.version, now).then {
+        else -> assignVersion(key, request.version, now).then {
             it.put(request.pinnedTo(request.version).copy(phase = Phase.Queued))
         }
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/session/SessionToken.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/session/SessionToken.kt
@@ -28,7 +28,7 @@
     public companion object {
         private const val SEPARATOR = "\n"
         private const val ALGORITHM = "HmacSHA256"
-        private const val FIELDS = 3
+        private const val FIELD_COUNT = 3
 
         /** Returns the token whose text form signed with [secret] is [text], or `null` if it is none. */
         public fun parseOrNull(text: String, secret: String): SessionToken? {
@@ -36,7 +36,7 @@
             val signature = decodeOrNull(text.substringAfter('.', missingDelimiterValue = ""))
             val fields = content.split(SEPARATOR)
             val valid = MessageDigest.isEqual(signature, sign(content, secret)) &&
-                fields.size == FIELDS &&
+                fields.size == FIELD_COUNT &&
                 fields.all { isIdentifier(it) }
             return if (valid) SessionToken(WorkspaceId(fields[0]), SessionId(fields[1]), VersionId(fields[2])) else null
         }
--- a/core/src/main/kotlin/org/quetzalloom/core/session/SessionsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/session/SessionsPart.kt
@@ -19,43 +19,46 @@
  */
 internal object SessionsPart : Part {
     private const val SWEEP_INTERVAL_MILLISECONDS = 60_000L
-    private const val MEMORY_MILLISECONDS = 3_600_000L
+    private const val ASSIGNMENT_TTL_MILLISECONDS = 3_600_000L
 
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
-        is Event.PeerTold -> state.told(event, now)
+        is Event.PeerTold -> state.onPeerMessage(event, now)
         is Event.Tick -> state.sweep(now).unchanged()
         else -> state.unchanged()
     }
 
-    private fun RouterState.told(event: Event.PeerTold, now: Timestamp): Step = when (val message = event.message) {
-        is PeerMessage.AskSession -> answer(event, message, now)
+    private fun RouterState.onPeerMessage(
+        event: Event.PeerTold,
+        now: Timestamp,
+    ): Step = when (val message = event.message) {
+        is PeerMessage.AskSession -> onAskSession(event, message, now)
         is PeerMessage.TellSession ->
-            assigned(SessionKey(message.workspace, message.session), message.version, now).unchanged()
+            withAssignment(SessionKey(message.workspace, message.session), message.version, now).unchanged()
         else -> unchanged()
     }
 
-    private fun RouterState.answer(event: Event.PeerTold, message: PeerMessage.AskSession, now: Timestamp): Step {
+    private fun RouterState.onAskSession(event: Event.PeerTold, message: PeerMessage.AskSession, now: Timestamp): Step {
         val key = SessionKey(message.workspace, message.session)
-        val version = assignedOrNull(key) ?: message.proposed
-        return decide(key, version, now)
+        val version = assignedVersionOrNull(key) ?: message.proposed
+        return assignVersion(key, version, now)
             .then { it.tell(event.from, PeerMessage.TellSession(key.workspace, key.session, version)) }
     }
 
     private fun RouterState.sweep(now: Timestamp): RouterState {
         val last = sessions.sweptAt
         if (last != null && now - last < SWEEP_INTERVAL_MILLISECONDS) return this
-        val old = sessions.assignments.filterValues { now - it.usedAt > MEMORY_MILLISECONDS }.keys
-        val kept = old.fold(sessions.assignments) { assignments, key -> assignments.remove(key) }
+        val expired = sessions.assignments.filterValues { now - it.usedAt > ASSIGNMENT_TTL_MILLISECONDS }.keys
+        val kept = expired.fold(sessions.assignments) { assignments, key -> assignments.remove(key) }
         return copy(sessions = sessions.copy(assignments = kept, sweptAt = now))
     }
 }
 
 /** Returns the version that the session of [key] has here, if it may still be used, or `null`. */
-internal fun RouterState.assignedOrNull(key: SessionKey): VersionId? =
+internal fun RouterState.assignedVersionOrNull(key: SessionKey): VersionId? =
     sessions.assignments[key]?.version?.takeIf { mayUse(key.workspace, it) }
 
 /** Returns the state in which the session of [key] has [version]. */
-internal fun RouterState.assigned(key: SessionKey, version: VersionId, now: Timestamp): RouterState =
+internal fun RouterState.withAssignment(key: SessionKey, version: VersionId, now: Timestamp): RouterState =
     copy(sessions = sessions.copy(assignments = sessions.assignments.put(key, SessionAssignment(version, now))))
 
 /** Returns the VM that decides the version of the session of [key]. */
@@ -63,10 +66,10 @@
     rendezvousOrNull(livePeers(now) + settings.vm, key) ?: settings.vm
 
 /** Returns the transition that assigns [version] and hands a copy to the VM that would be home without this one. */
-internal fun RouterState.decide(key: SessionKey, version: VersionId, now: Timestamp): Step {
-    val known = assignedOrNull(key) == version
-    val next = assigned(key, version, now)
-    val heir = rendezvousOrNull(livePeers(now), key)
-    if (known || heir == null) return next.unchanged()
-    return next.tell(heir, PeerMessage.TellSession(key.workspace, key.session, version))
+internal fun RouterState.assignVersion(key: SessionKey, version: VersionId, now: Timestamp): Step {
+    val alreadyAssigned = assignedVersionOrNull(key) == version
+    val next = withAssignment(key, version, now)
+    val backup = rendezvousOrNull(livePeers(now), key)
+    if (alreadyAssigned || backup == null) return next.unchanged()
+    return next.tell(backup, PeerMessage.TellSession(key.workspace, key.session, version))
 }
