Document the sessions in the terms of the field

The comments now say which VM assigns the version of a session, which one keeps the copy, and when an assignment expires. In VersionsUnderFailureTest two texts of assertions are reworded; what it checks is the same. The comment on movedSessions spoke of an order of answers that the code does not look at; it now says what is compared.

--- a/core/src/main/kotlin/org/quetzalloom/core/session/SessionKey.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/session/SessionKey.kt
@@ -3,7 +3,7 @@
 import org.quetzalloom.core.identity.SessionId
 import org.quetzalloom.core.identity.WorkspaceId
 
-/** Names one session of the fleet. */
+/** Identifies a session across the fleet; session ids are unique only within their workspace. */
 internal data class SessionKey(
     val workspace: WorkspaceId,
     val session: SessionId,
--- a/core/src/main/kotlin/org/quetzalloom/core/session/SessionToken.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/session/SessionToken.kt
@@ -10,16 +10,16 @@
 import javax.crypto.spec.SecretKeySpec
 
 /**
- * Proves to any VM of the fleet which version a session has.
+ * Carries the version of a session with the requests of its caller, signed so that any VM of the fleet can trust it.
  *
- * @property version the version that the session keeps.
+ * @property version the version that the session is assigned to.
  */
 public data class SessionToken(
     public val workspace: WorkspaceId,
     public val session: SessionId,
     public val version: VersionId,
 ) {
-    /** Returns the text form, signed with [secret]. */
+    /** Returns the encoded token, signed with [secret]. */
     public fun format(secret: String): String {
         val content = listOf(workspace.value, session.value, version.value).joinToString(SEPARATOR)
         return encode(content.toByteArray()) + "." + encode(sign(content, secret))
@@ -30,7 +30,11 @@
         private const val ALGORITHM = "HmacSHA256"
         private const val FIELD_COUNT = 3
 
-        /** Returns the token whose text form signed with [secret] is [text], or `null` if it is none. */
+        /**
+         * Returns the token encoded in [text], or `null` if [text] is malformed or was not signed with [secret].
+         *
+         * The signatures are compared in constant time.
+         */
         public fun parseOrNull(text: String, secret: String): SessionToken? {
             val content = decodeOrNull(text.substringBefore('.'))?.decodeToString() ?: return null
             val signature = decodeOrNull(text.substringAfter('.', missingDelimiterValue = ""))
--- a/core/src/main/kotlin/org/quetzalloom/core/session/SessionsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/session/SessionsPart.kt
@@ -15,7 +15,10 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * Remembers the versions of sessions. The home VM of a session decides, and the next in rank keeps a copy.
+ * Keeps each session on one version (session affinity).
+ *
+ * The home VM of a session, chosen by rendezvous hashing, assigns its version. The VM that ranks next keeps a copy and
+ * becomes the home if the first is gone. Assignments that were not used for [ASSIGNMENT_TTL_MILLISECONDS] are removed.
  */
 internal object SessionsPart : Part {
     private const val SWEEP_INTERVAL_MILLISECONDS = 60_000L
@@ -37,6 +40,7 @@
         else -> unchanged()
     }
 
+    /** Answers a peer with the version of a session; if it has none yet, assigns the one that the peer proposes. */
     private fun RouterState.onAskSession(event: Event.PeerTold, message: PeerMessage.AskSession, now: Timestamp): Step {
         val key = SessionKey(message.workspace, message.session)
         val version = assignedVersionOrNull(key) ?: message.proposed
@@ -44,6 +48,7 @@
             .then { it.tell(event.from, PeerMessage.TellSession(key.workspace, key.session, version)) }
     }
 
+    /** Removes expired assignments, once per [SWEEP_INTERVAL_MILLISECONDS]. */
     private fun RouterState.sweep(now: Timestamp): RouterState {
         val last = sessions.sweptAt
         if (last != null && now - last < SWEEP_INTERVAL_MILLISECONDS) return this
@@ -53,19 +58,23 @@
     }
 }
 
-/** Returns the version that the session of [key] has here, if it may still be used, or `null`. */
+/** Returns the version assigned to the session of [key] as known at this VM, or `null` if none may still be used. */
 internal fun RouterState.assignedVersionOrNull(key: SessionKey): VersionId? =
     sessions.assignments[key]?.version?.takeIf { mayUse(key.workspace, it) }
 
-/** Returns the state in which the session of [key] has [version]. */
+/** Returns the state in which the session of [key] is assigned to [version]. */
 internal fun RouterState.withAssignment(key: SessionKey, version: VersionId, now: Timestamp): RouterState =
     copy(sessions = sessions.copy(assignments = sessions.assignments.put(key, SessionAssignment(version, now))))
 
-/** Returns the VM that decides the version of the session of [key]. */
+/** Returns the home VM of the session of [key]: the one that ranks highest for it among the live VMs. */
 internal fun RouterState.sessionHome(key: SessionKey, now: Timestamp) =
     rendezvousOrNull(livePeers(now) + settings.vm, key) ?: settings.vm
 
-/** Returns the transition that assigns [version] and hands a copy to the VM that would be home without this one. */
+/**
+ * Returns the transition that assigns [version] to the session of [key].
+ *
+ * A change is copied to the live peer that ranks highest for the session: the home VM if this VM is gone.
+ */
 internal fun RouterState.assignVersion(key: SessionKey, version: VersionId, now: Timestamp): Step {
     val alreadyAssigned = assignedVersionOrNull(key) == version
     val next = withAssignment(key, version, now)
--- a/core/src/main/kotlin/org/quetzalloom/core/session/SessionsState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/session/SessionsState.kt
@@ -5,10 +5,10 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * The slice of [SessionsPart].
+ * The state owned by [SessionsPart].
  *
- * @property assignments the versions of the sessions known here.
- * @property sweptAt when old assignments were last forgotten.
+ * @property assignments the versions assigned to the sessions that this VM knows.
+ * @property sweptAt the time when expired assignments were last removed, or `null` before the first time.
  */
 internal data class SessionsState(
     val assignments: PersistentMap<SessionKey, SessionAssignment> = persistentMapOf(),
--- a/core/src/test/kotlin/org/quetzalloom/core/session/VersionsUnderFailureTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/session/VersionsUnderFailureTest.kt
@@ -19,6 +19,10 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
+/**
+ * Requests must run only on versions that their workspace may use, and a session must stay on its version, while a
+ * roll-out proceeds and VMs, the log and connections fail.
+ */
 class VersionsUnderFailureTest {
     @Test
     fun onlyAllowedVersionsRunAndSessionsKeepTheirs() = seeds(SEEDS).forEach { seed ->
@@ -30,7 +34,7 @@
     fun withoutSessionMemoryARolloutMovesSessions() {
         val parts = RouterReducer.parts.add(0, forgetfulSessions)
         val found = seeds(SEEDS).sumOf { movedSessions(load(it, parts, tokens = false)).size }
-        assertTrue(found > 0, "the check must find what the memory of sessions prevents")
+        assertTrue(found > 0, "without assignments some session must change its version")
     }
 
     @Test
@@ -46,7 +50,7 @@
         rig.runFor(SETTLE_MILLISECONDS)
         val late = runs(rig).filter { (at, version) -> version == Fleet.old && at > bound }
         requireNone(seed, rig, late.map { "withdrawn version ran at ${it.first}" })
-        assertTrue(rig.callers.any { it.version == Fleet.new.value }, "sessions must move on")
+        assertTrue(rig.callers.any { it.version == Fleet.new.value }, "sessions must move to the other version")
     }
 
     @Test
@@ -87,7 +91,7 @@
         rig.change(base, ConfigurationChange.SetRollout(Rollout(Fleet.old, Fleet.new, share, paused = true)))
     }
 
-    /** Each of several sessions sends one request after another; with [tokens], it gives back the last token it got. */
+    /** Sends requests of several sessions, one after another in each; with [tokens], each carries the latest token. */
     private fun send(
         rig: Rig,
         tokens: Boolean
@@ -112,7 +116,7 @@
     private fun forbiddenRuns(rig: Rig): List<String> =
         runs(rig).filter { it.second == Fleet.forbidden }.map { "forbidden version ran at ${it.first}" }
 
-    /** Sessions that were answered by another version after the answer that gave them a token was complete. */
+    /** Returns the sessions whose answers came from more than one version. */
     private fun movedSessions(rig: Rig): List<String> = rig.callers.filter { it.answered }
         .groupBy { it.call.session }
         .mapNotNull { (session, answers) ->
@@ -127,7 +131,7 @@
         const val SETTLE_MILLISECONDS = 20_000L
         val faults = listOf(Fault.KILL_VM, Fault.LOG_DOWN, Fault.CUT_FROM_LOG, Fault.BREAK_CONNECTIONS)
 
-        /** Forgets all sessions before every event. */
+        /** Clears all session assignments before every event. */
         val forgetfulSessions = Part { state, _, _ -> state.copy(sessions = SessionsState()).unchanged() }
     }
 }
