--- a/core/src/main/kotlin/org/quetzalloom/core/quarantine/Suspicions.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/quarantine/Suspicions.kt
@@ -7,53 +7,63 @@
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.time.Timestamp
 
-/** Returns the state after the request of [fingerprint] took down [server]. */
-internal fun RouterState.suspected(fingerprint: Fingerprint, server: BackendServerId, now: Timestamp): RouterState {
-    val known = quarantine.suspicions[fingerprint] ?: Suspicion(servers = persistentSetOf(), at = now)
-    return withSuspicion(fingerprint, known.copy(servers = known.servers.add(server), at = now))
+/** Returns the state with the crash of [server] added to the suspicion against [fingerprint]. */
+internal fun RouterState.withCrash(fingerprint: Fingerprint, server: BackendServerId, now: Timestamp): RouterState {
+    val known = quarantine.suspicions[fingerprint] ?: Suspicion(servers = persistentSetOf(), suspectedAt = now)
+    return withSuspicion(fingerprint, known.copy(servers = known.servers.add(server), suspectedAt = now))
 }
 
-/** Returns the state in which [by] tries the request of [fingerprint] once more, at the backend server [at]. */
+/**
+ * Returns the state in which [vm] runs the trial of [fingerprint] at [trialServer].
+ *
+ * It is unchanged if there is no suspicion, or if [newStamp] is older than the stamp of the trial known.
+ *
+ * @param vm the VM, or `null` to end the trial.
+ * @param trialServer the backend server, or `null` while none is chosen.
+ * @param newStamp the causal stamp of the message that announced the trial; by default that of this VM.
+ */
 internal fun RouterState.withTrial(
     fingerprint: Fingerprint,
-    by: VmId?,
-    at: BackendServerId?,
+    vm: VmId?,
+    trialServer: BackendServerId?,
     now: Timestamp,
-    stampOfNews: Long = stamp,
+    newStamp: Long = stamp,
 ): RouterState {
     val known = quarantine.suspicions[fingerprint]
-    if (known == null || stampOfNews < known.trialStamp) return this
+    if (known == null || newStamp < known.trialStamp) return this
     val next = known.copy(
-        trialBy = by,
-        trialAt = at,
+        trialVm = vm,
+        trialServer = trialServer,
         trialSince = now,
-        trialStamp = stampOfNews,
-        notedBy = persistentSetOf(),
+        trialStamp = newStamp,
+        agreedBy = persistentSetOf(),
     )
     return withSuspicion(fingerprint, next)
 }
 
-/** Returns the state in which nothing is held against the request of [fingerprint]. */
-internal fun RouterState.cleared(fingerprint: Fingerprint): RouterState =
+/** Returns the state without a suspicion against [fingerprint]. */
+internal fun RouterState.withoutSuspicion(fingerprint: Fingerprint): RouterState =
     copy(quarantine = quarantine.copy(suspicions = quarantine.suspicions.remove(fingerprint)))
 
+/** Returns the state with [suspicion] as the one against [fingerprint]. */
 internal fun RouterState.withSuspicion(fingerprint: Fingerprint, suspicion: Suspicion): RouterState =
     copy(quarantine = quarantine.copy(suspicions = quarantine.suspicions.put(fingerprint, suspicion)))
 
-/** Returns whether another VM tries the suspected request of [fingerprint] at this time. */
-internal fun RouterState.isTriedElsewhere(fingerprint: Fingerprint, now: Timestamp): Boolean {
+/** Returns whether another VM has [fingerprint] on trial at [now]. */
+internal fun RouterState.isOnTrialElsewhere(fingerprint: Fingerprint, now: Timestamp): Boolean {
     val suspicion = quarantine.suspicions[fingerprint]
-    return suspicion != null && isUnderTrial(suspicion, now) && suspicion.trialBy != settings.vm
+    return suspicion != null && isOnTrial(suspicion, now) && suspicion.trialVm != settings.vm
 }
 
-/** Returns the backend servers at which any VM tries a suspected request other than that of [fingerprint]. */
-internal fun RouterState.trialServers(fingerprint: Fingerprint, now: Timestamp): Set<BackendServerId> =
+/** Returns the backend servers at which any VM has a request other than that of [fingerprint] on trial. */
+internal fun RouterState.otherTrialServers(fingerprint: Fingerprint, now: Timestamp): Set<BackendServerId> =
     quarantine.suspicions.filterKeys { it != fingerprint }.values
-        .filter { isUnderTrial(it, now) }
-        .mapNotNull { it.trialAt }
+        .filter { isOnTrial(it, now) }
+        .mapNotNull { it.trialServer }
         .toSet()
 
-private fun RouterState.isUnderTrial(suspicion: Suspicion, now: Timestamp): Boolean =
-    suspicion.trialBy != null &&
-        !suspicion.condemned &&
+/** Returns whether the trial of [suspicion] is in progress, neither decided nor older than `trialTimeoutMilliseconds`. */
+private fun RouterState.isOnTrial(suspicion: Suspicion, now: Timestamp): Boolean =
+    suspicion.trialVm != null &&
+        !suspicion.quarantined &&
         now - suspicion.trialSince < settings.limits.trialTimeoutMilliseconds
