--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/SteppedExposure.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/SteppedExposure.kt
@@ -8,7 +8,7 @@
  * together give the new version two thirds of the limit; the rest allows for a burst of requests at the end.
  */
 public object SteppedExposure : ExposurePolicy {
-    /** The share of requests in the first step, as a part of the limit. Some dozen requests expose most bad versions. */
+    /** The first step's share of requests, as a part of the limit. Some dozen requests expose most bad versions. */
     private const val FIRST_STEP_SHARE_OF_LIMIT = 0.2
 
     /** The last step's share of the roll-out's duration, as a part of the limit. */
