Rename the relay's events, effects and settings after the terms of the field

ReachStore, TellPeers, PassOn, holdsDuty and the like had to be looked up; the settings say retry where the platform's file does. Only names change, and line breaks and one local value in RetriesTest where a longer name needs room. Ran: compilation of all modules.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
@@ -21,10 +21,10 @@
     ) : RelayEffect
 
     /** Passes the answer of [attempt] to the caller: its head, if none was passed yet, and its body as it comes. */
-    public data class PassOn(public val exchange: ExchangeId, public val attempt: Int) : RelayEffect
+    public data class ForwardAnswer(public val exchange: ExchangeId, public val attempt: Int) : RelayEffect
 
     /** Gives up [attempt] by closing its connection. */
-    public data class Abandon(public val exchange: ExchangeId, public val attempt: Int) : RelayEffect
+    public data class CancelAttempt(public val exchange: ExchangeId, public val attempt: Int) : RelayEffect
 
     /** Answers the caller with an error of the relay's own. */
     public data class Refuse(
@@ -37,8 +37,8 @@
     /** Closes the caller's connection in a way that an answer that was begun does not look whole. */
     public data class CutOff(public val exchange: ExchangeId) : RelayEffect
 
-    /** Makes all further calls to the platform's store through the router at [through], or directly if it is `null`. */
-    public data class ReachStore(public val through: String?) : RelayEffect
+    /** Makes all further calls to the platform's store through the router at [viaRouter]; directly if it is `null`. */
+    public data class SetStorePath(public val viaRouter: String?) : RelayEffect
 
     /**
      * Reads [feed] from offset [from], or the newest records of all keys if it is `null`.
@@ -58,7 +58,7 @@
     public data class ListMembers(public val generation: Long) : RelayEffect
 
     /** Sends [beacon] to the routers at [addresses], each a `host:port`. */
-    public data class TellPeers(
+    public data class SendBeacon(
         public val addresses: PersistentList<String>,
         public val beacon: PeerBeacon,
     ) : RelayEffect
@@ -72,13 +72,13 @@
     ) : RelayEffect
 
     /** Tells health checks whether new connections are wanted. */
-    public data class DeclareReady(public val ready: Boolean) : RelayEffect
+    public data class SetReady(public val ready: Boolean) : RelayEffect
 
     /** Applies [limits] to what callers send from now on. */
     public data class ApplyLimits(public val limits: CallerLimits) : RelayEffect
 
     /** Closes each caller's connection after the answer that is under way, and idle ones a little later. */
-    public data object CloseAfterAnswers : RelayEffect
+    public data object DrainConnections : RelayEffect
 
     /** Writes a line to the log. */
     public data class Report(public val entry: TimelineEntry) : RelayEffect
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
@@ -48,7 +48,7 @@
      *
      * @property lastEventId the id of the last event of the stream that the caller has, or `null`.
      */
-    public data class AttemptBroke(
+    public data class AttemptFailed(
         public val exchange: ExchangeId,
         public val attempt: Int,
         public val failure: AttemptFailure,
@@ -76,7 +76,7 @@
     ) : RelayEvent
 
     /** The group has confirmed this router. */
-    public data class GroupJoined(public val generation: Long, public val holdsDuty: Boolean) : RelayEvent
+    public data class GroupJoined(public val generation: Long, public val isLeader: Boolean) : RelayEvent
 
     /** The group could not be joined or listed. */
     public data class GroupFailed(public val detail: String) : RelayEvent
@@ -89,10 +89,10 @@
     public data class MembersListed(public val generation: Long, public val vms: Map<VmId, String>) : RelayEvent
 
     /** Another router has told of its work. */
-    public data class PeerHeard(public val beacon: PeerBeacon) : RelayEvent
+    public data class BeaconReceived(public val beacon: PeerBeacon) : RelayEvent
 
     /** A status was written, or was not because of [detail]. */
-    public data class StatusWritten(
+    public data class StatusWriteFinished(
         public val service: ServiceName,
         public val phase: RolloutPhase,
         public val accepted: Boolean,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayPart.kt
@@ -21,7 +21,7 @@
 
 /** Returns the transition that reports what happened, with the next causal stamp. */
 internal fun RelayState.report(now: Timestamp, name: String, vararg fields: Pair<String, Any?>): RelayStep {
-    val next = copy(stamp = stamp + 1)
-    val entry = TimelineEntry.of(CausalStamp(counter = next.stamp, vm = settings.vm), now, name, fields)
+    val next = copy(stampCounter = stampCounter + 1)
+    val entry = TimelineEntry.of(CausalStamp(counter = next.stampCounter, vm = settings.vm), now, name, fields)
     return next.with(RelayEffect.Report(entry))
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayPolicies.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayPolicies.kt
@@ -13,6 +13,6 @@
 public data class RelayPolicies(
     public val modelChoice: ModelChoice = ConfidenceCascade(),
     public val placement: Placement = AffinityPlacement(),
-    public val work: WorkEstimate = PromptWork(),
+    public val workEstimate: WorkEstimate = PromptWork(),
     public val exposure: ExposurePolicy = SteppedExposure,
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
@@ -21,7 +21,7 @@
 public data class RelayState internal constructor(
     public val settings: RelaySettings,
     public val policies: RelayPolicies,
-    internal val stamp: Long = 0,
+    internal val stampCounter: Long = 0,
     internal val routing: RoutingTable? = null,
     internal val access: AccessState = AccessState(),
     internal val feeds: FeedsState = FeedsState(),
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/AccessPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/AccessPart.kt
@@ -41,7 +41,7 @@
     private fun RelayState.failed(now: Timestamp): RelayStep {
         val counted = copy(access = access.copy(failures = access.failures + 1))
         val helper = helperOrNull(access.turns)
-        val directAt = if (access.through == null) now + DETOUR_MILLISECONDS else access.directAt
+        val directAt = if (access.viaRouter == null) now + DETOUR_MILLISECONDS else access.directAt
         return if (counted.access.failures < FAILURES_BEFORE_DETOUR || helper == null) {
             counted.unchanged()
         } else {
@@ -56,13 +56,13 @@
         ?.value
 
     private fun RelayState.returnIfDue(now: Timestamp): RelayStep =
-        if (access.through == null || now < access.directAt) unchanged() else reach(null, directAt = now, now)
+        if (access.viaRouter == null || now < access.directAt) unchanged() else reach(null, directAt = now, now)
 
-    private fun RelayState.reach(through: String?, directAt: Timestamp, now: Timestamp): RelayStep {
-        val next = copy(access = AccessState(through = through, turns = access.turns + 1, directAt = directAt))
-        if (through == access.through) return next.unchanged()
-        return next.with(RelayEffect.ReachStore(through)).then {
-            it.report(now, "store_path", "through" to (through ?: "direct"), "failures" to access.failures)
+    private fun RelayState.reach(viaRouter: String?, directAt: Timestamp, now: Timestamp): RelayStep {
+        val next = copy(access = AccessState(viaRouter = viaRouter, turns = access.turns + 1, directAt = directAt))
+        if (viaRouter == access.viaRouter) return next.unchanged()
+        return next.with(RelayEffect.SetStorePath(viaRouter)).then {
+            it.report(now, "store_path", "through" to (viaRouter ?: "direct"), "failures" to access.failures)
         }
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/AccessState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/AccessState.kt
@@ -11,7 +11,7 @@
  * @property directAt when the store is called directly again.
  */
 internal data class AccessState(
-    val through: String? = null,
+    val viaRouter: String? = null,
     val failures: Int = 0,
     val turns: Int = 0,
     val directAt: Timestamp = Timestamp.EPOCH,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Answers.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Answers.kt
@@ -46,7 +46,7 @@
 
 private fun RelayState.forwardAnswer(exchange: Exchange, attempt: Attempt): RelayStep =
     copy(exchanges = exchanges.with(exchange.copy(headForwarded = true, mayHaveRun = true)))
-        .with(RelayEffect.PassOn(exchange.id, attempt.number))
+        .with(RelayEffect.ForwardAnswer(exchange.id, attempt.number))
 
 /** Resumes a broken stream with the answer of another backend server, or tries one more if that is not a success. */
 private fun RelayState.resumeStream(exchange: Exchange, attempt: Attempt, head: AnswerHead, now: Timestamp): RelayStep =
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
@@ -28,7 +28,7 @@
 
 private fun RelayState.placementRequest(exchange: Exchange): PlacementRequest = PlacementRequest(
     sharedPart = exchange.request.sharedPartOrNull,
-    work = policies.work.of(exchange.request, exchange.modelIndex),
+    work = policies.workEstimate.of(exchange.request, exchange.modelIndex),
     seed = (exchange.request.callerId ?: exchange.request.path) + exchange.attempts,
     zone = settings.zone,
 )
@@ -40,7 +40,7 @@
 }
 
 private fun RelayState.send(exchange: Exchange, view: ServerView, now: Timestamp): RelayStep {
-    val work = policies.work.of(exchange.request, exchange.modelIndex)
+    val work = policies.workEstimate.of(exchange.request, exchange.modelIndex)
     val attempt = Attempt(
         number = exchange.attempts + 1,
         server = view.listing.id,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Endings.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Endings.kt
@@ -19,7 +19,7 @@
     val attempt = exchange.attempt ?: return unchanged()
     return release(attempt)
         .copy(exchanges = exchanges.with(exchange.copy(attempt = null)))
-        .with(RelayEffect.Abandon(exchange.id, attempt.number))
+        .with(RelayEffect.CancelAttempt(exchange.id, attempt.number))
 }
 
 /** Returns the state in which [attempt] no longer counts as in flight at its backend server. */
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ExchangesPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ExchangesPart.kt
@@ -15,7 +15,7 @@
         is RelayEvent.RequestArrived -> state.admitOrRefuse(event, now)
         is RelayEvent.AnswerStarted -> state.answerStarted(event, now)
         is RelayEvent.AnswerFinished -> state.answerFinished(event, now)
-        is RelayEvent.AttemptBroke -> state.attemptFailed(event, now)
+        is RelayEvent.AttemptFailed -> state.attemptFailed(event, now)
         is RelayEvent.CallerLeft -> state.callerLeft(event, now)
         is RelayEvent.SettingsChanged -> state.copy(settings = event.settings).report(now, "settings_changed")
         RelayEvent.Tick -> state.checkDeadlines(now)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
@@ -18,7 +18,7 @@
  * Returns the transition that handles a failed attempt: resumes the stream, retries the request, or ends the exchange.
  * Events of attempts that are no longer current change nothing.
  */
-internal fun RelayState.attemptFailed(event: RelayEvent.AttemptBroke, now: Timestamp): RelayStep {
+internal fun RelayState.attemptFailed(event: RelayEvent.AttemptFailed, now: Timestamp): RelayStep {
     val (exchange, attempt) = exchanges.currentOrNull(event.exchange, event.attempt) ?: return unchanged()
     val failure = event.failure
     val known = copy(servers = servers.update(attempt.server) { it.afterFailure(failure, now) }).release(attempt)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Outlooks.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Outlooks.kt
@@ -31,7 +31,7 @@
         elapsedMilliseconds = now - exchange.arrivedAt,
         queueMilliseconds = wait(least),
         waitsMilliseconds = exchange.route.models.indices
-            .map { wait(least + policies.work.of(exchange.request, it)) }
+            .map { wait(least + policies.workEstimate.of(exchange.request, it)) }
             .toPersistentList(),
     )
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
@@ -36,12 +36,12 @@
         val wanted = feed != Feed.STATUS || rollouts.active.isNotEmpty()
         if (cursor.reading || now < cursor.dueAt || !wanted) return unchanged()
         return copy(feeds = feeds.with(feed, cursor.copy(reading = true)))
-            .with(RelayEffect.ReadFeed(feed, from = cursor.next, waitMilliseconds = settings.wait(feed)))
+            .with(RelayEffect.ReadFeed(feed, from = cursor.next, waitMilliseconds = settings.readWait(feed)))
     }
 
     private fun RelayState.read(event: RelayEvent.FeedRead, now: Timestamp): RelayStep {
         val cursor = feeds.of(event.feed)
-        val next = FeedCursor(next = event.next, dueAt = now + settings.pause(event.feed), readAt = now)
+        val next = FeedCursor(next = event.next, dueAt = now + settings.readInterval(event.feed), readAt = now)
         val unreadable = event.entries.filterIsInstance<FeedEntry.Unreadable>()
         return copy(feeds = feeds.with(event.feed, next)).unchanged()
             .then { if (cursor.failures > 0) it.reportRegained(event.feed, cursor, now) else it.unchanged() }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersPart.kt
@@ -45,27 +45,27 @@
 
     private fun RelayState.dropDutyIfLate(now: Timestamp): RelayStep {
         val late = members.joinedAt?.let { now - it > DUTY_MILLISECONDS } ?: true
-        if (!members.holdsDuty || !late) return unchanged()
-        return copy(members = members.copy(holdsDuty = false)).report(now, "duty_lost", "reason" to "not_confirmed")
+        if (!members.isLeader || !late) return unchanged()
+        return copy(members = members.copy(isLeader = false)).report(now, "duty_lost", "reason" to "not_confirmed")
     }
 
     private fun RelayState.joined(event: RelayEvent.GroupJoined, now: Timestamp): RelayStep {
         val next = copy(
             members = members.copy(
                 generation = event.generation,
-                holdsDuty = event.holdsDuty,
+                isLeader = event.isLeader,
                 joinedAt = now,
                 joinDueAt = now + JOIN_INTERVAL_MILLISECONDS,
                 joining = false,
                 failures = 0,
             ),
         )
-        val changed = event.holdsDuty != members.holdsDuty || members.joinedAt == null
+        val changed = event.isLeader != members.isLeader || members.joinedAt == null
         return if (changed) next.reportDuty(event, now) else next.unchanged()
     }
 
     private fun RelayState.reportDuty(event: RelayEvent.GroupJoined, now: Timestamp): RelayStep =
-        report(now, "group_joined", "generation" to event.generation, "duty" to event.holdsDuty)
+        report(now, "group_joined", "generation" to event.generation, "duty" to event.isLeader)
 
     private fun RelayState.failed(event: RelayEvent.GroupFailed, now: Timestamp): RelayStep {
         val next = copy(
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersState.kt
@@ -25,7 +25,7 @@
     val vms: PersistentMap<VmId, String> = persistentMapOf(),
     val ordered: PersistentList<VmId> = persistentListOf(),
     val listedGeneration: Long = 0,
-    val holdsDuty: Boolean = false,
+    val isLeader: Boolean = false,
     val joinedAt: Timestamp? = null,
     val joinDueAt: Timestamp = Timestamp.EPOCH,
     val joining: Boolean = false,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersPart.kt
@@ -25,7 +25,7 @@
     private const val MOST_SERVERS = 24
 
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
-        is RelayEvent.PeerHeard -> state.hear(event.beacon, now)
+        is RelayEvent.BeaconReceived -> state.hear(event.beacon, now)
         RelayEvent.Tick -> state.tellIfDue(now)
         else -> state.unchanged()
     }
@@ -40,7 +40,7 @@
         if (now < peers.tellAt) return unchanged()
         val next = copy(peers = peers.copy(tellAt = now + INTERVAL_MILLISECONDS, sequence = peers.sequence + 1))
         val addresses = receivers(next.peers.sequence)
-        val told = RelayEffect.TellPeers(addresses.toPersistentList(), beacon(next.peers.sequence, now))
+        val told = RelayEffect.SendBeacon(addresses.toPersistentList(), beacon(next.peers.sequence, now))
         return if (addresses.isEmpty()) next.unchanged() else next.with(told)
     }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutDecisions.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutDecisions.kt
@@ -10,7 +10,7 @@
  */
 internal fun RelayState.targetPhase(progress: RolloutProgress, now: Timestamp): RolloutPhase? = when {
     progress.condemned -> RolloutPhase.REVERTED
-    !members.holdsDuty -> null
+    !members.isLeader -> null
     mayComplete(progress, now) -> RolloutPhase.COMPLETED
     else -> RolloutPhase.IN_PROGRESS
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutsPart.kt
@@ -27,8 +27,8 @@
 
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
         is RelayEvent.FeedRead -> state.feedRead(event, now)
-        is RelayEvent.StatusWritten -> state.statusWritten(event, now)
-        is RelayEvent.PeerHeard -> state.unchanged().thenEach(event.beacon.rollouts) { current, received ->
+        is RelayEvent.StatusWriteFinished -> state.statusWriteFinished(event, now)
+        is RelayEvent.BeaconReceived -> state.unchanged().thenEach(event.beacon.rollouts) { current, received ->
             current.applyReport(event.beacon.vm, received, now)
         }
         RelayEvent.Tick -> state.unchanged().thenEach(
@@ -85,7 +85,7 @@
             .then { it.report(now, "rollout_status_proposed", "service" to order.service, "phase" to phase) }
     }
 
-    private fun RelayState.statusWritten(event: RelayEvent.StatusWritten, now: Timestamp): RelayStep {
+    private fun RelayState.statusWriteFinished(event: RelayEvent.StatusWriteFinished, now: Timestamp): RelayStep {
         val progress = rollouts.byService[event.service] ?: return unchanged()
         val next = progress.copy(
             writing = false,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/stop/StopPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/stop/StopPart.kt
@@ -26,7 +26,7 @@
 
     private fun RelayState.request(now: Timestamp): RelayStep {
         if (stop.requestedAt != null) return unchanged()
-        return copy(stop = stop.copy(requestedAt = now)).with(RelayEffect.CloseAfterAnswers)
+        return copy(stop = stop.copy(requestedAt = now)).with(RelayEffect.DrainConnections)
             .then { it.report(now, "stop_requested", "active" to exchanges.byId.size) }
             .then { it.declare(now) }
     }
@@ -34,7 +34,7 @@
     private fun RelayState.declare(now: Timestamp): RelayStep {
         val ready = stop.requestedAt == null && routing != null && servers.listReadAt != null
         if (ready == stop.ready) return unchanged()
-        return copy(stop = stop.copy(ready = ready)).with(RelayEffect.DeclareReady(ready))
+        return copy(stop = stop.copy(ready = ready)).with(RelayEffect.SetReady(ready))
             .then { it.report(now, "readiness", "ready" to ready, "version" to routing?.version) }
     }
 
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/AccessTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/AccessTest.kt
@@ -13,45 +13,45 @@
     private fun RelayRig.fail(problem: FeedProblem = FeedProblem.UNAVAILABLE): List<RelayEffect> =
         on(RelayEvent.FeedFailed(Feed.SERVERS, problem, "status 503"))
 
-    private fun List<RelayEffect>.path(): RelayEffect.ReachStore = only()
+    private fun List<RelayEffect>.path(): RelayEffect.SetStorePath = only()
 
     @Test
     fun `one failed call changes nothing, two in a row lead through another router`() {
         val rig = RelayRig().start(members = 3)
-        assertTrue(rig.fail().none<RelayEffect.ReachStore>())
+        assertTrue(rig.fail().none<RelayEffect.SetStorePath>())
         rig.read(Feed.SERVERS)
-        assertTrue(rig.fail().none<RelayEffect.ReachStore>())
-        assertTrue(rig.fail().path().through in setOf("10.0.0.2:70", "10.0.0.3:70"))
+        assertTrue(rig.fail().none<RelayEffect.SetStorePath>())
+        assertTrue(rig.fail().path().viaRouter in setOf("10.0.0.2:70", "10.0.0.3:70"))
     }
 
     @Test
     fun `the store itself is tried again after a while`() {
         val rig = RelayRig().start(members = 3)
         rig.fail()
-        assertNotNull(rig.fail().path().through)
-        assertTrue(rig.pass(2_400).none<RelayEffect.ReachStore>())
-        assertEquals(null, rig.pass(200).path().through)
+        assertNotNull(rig.fail().path().viaRouter)
+        assertTrue(rig.pass(2_400).none<RelayEffect.SetStorePath>())
+        assertEquals(null, rig.pass(200).path().viaRouter)
     }
 
     @Test
     fun `routers that fail as well take turns`() {
         val rig = RelayRig().start(members = 40)
         rig.fail()
-        val first = rig.fail().path().through
-        assertTrue(rig.fail().none<RelayEffect.ReachStore>())
-        assertNotEquals(first, rig.fail().path().through)
+        val first = rig.fail().path().viaRouter
+        assertTrue(rig.fail().none<RelayEffect.SetStorePath>())
+        assertNotEquals(first, rig.fail().path().viaRouter)
     }
 
     @Test
     fun `a router that knows no other goes on alone`() {
         val rig = RelayRig().start(members = 1)
-        assertTrue((rig.fail() + rig.fail() + rig.fail()).none<RelayEffect.ReachStore>())
+        assertTrue((rig.fail() + rig.fail() + rig.fail()).none<RelayEffect.SetStorePath>())
     }
 
     @Test
     fun `records that have expired are no reason for a detour`() {
         val rig = RelayRig().start(members = 3)
         val effects = rig.fail(FeedProblem.EXPIRED) + rig.fail(FeedProblem.EXPIRED) + rig.fail(FeedProblem.EXPIRED)
-        assertTrue(effects.none<RelayEffect.ReachStore>())
+        assertTrue(effects.none<RelayEffect.SetStorePath>())
     }
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/AtMostOnceTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/AtMostOnceTest.kt
@@ -20,7 +20,7 @@
         AttemptFailure.entries.filter { it.mayHaveArrived }.forEach { failure ->
             val rig = RelayRig().start()
             val send = rig.arrive(RelayRig.command).second.only<RelayEffect.Send>()
-            val effects = rig.lose(send, failure)
+            val effects = rig.failAttempt(send, failure)
             assertTrue(effects.none<RelayEffect.Send>(), "$failure")
             assertEquals(ErrorKind.BACKEND_FAILED, effects.only<RelayEffect.Refuse>().kind)
             assertTrue(rig.pass(2_000).none<RelayEffect.Send>())
@@ -32,7 +32,7 @@
         AttemptFailure.entries.filter { !it.mayHaveArrived }.forEach { failure ->
             val rig = RelayRig().start()
             val first = rig.arrive(RelayRig.command).second.only<RelayEffect.Send>()
-            val second = rig.lose(first, failure).only<RelayEffect.Send>()
+            val second = rig.failAttempt(first, failure).only<RelayEffect.Send>()
             assertNotEquals(first.order.server, second.order.server)
         }
     }
@@ -62,7 +62,7 @@
         val rig = RelayRig().start()
         val send = rig.arrive(RelayRig.command).second.only<RelayEffect.Send>()
         val effects = rig.answer(send, AnswerHead(status = 500))
-        assertEquals(send.attempt, effects.only<RelayEffect.PassOn>().attempt)
+        assertEquals(send.attempt, effects.only<RelayEffect.ForwardAnswer>().attempt)
         assertTrue(effects.none<RelayEffect.Send>())
     }
 
@@ -72,7 +72,7 @@
         rig.arrive(RelayRig.command)
         val effects = rig.pass(1_100)
         assertEquals(ErrorKind.DEADLINE_EXCEEDED, effects.only<RelayEffect.Refuse>().kind)
-        assertEquals(1, effects.filterIsInstance<RelayEffect.Abandon>().size)
+        assertEquals(1, effects.filterIsInstance<RelayEffect.CancelAttempt>().size)
     }
 
     @Test
@@ -80,7 +80,7 @@
         val rig = RelayRig().start()
         val send = rig.arrive(RelayRig.command).second.only<RelayEffect.Send>()
         val effects = rig.answer(send, AnswerHead(status = 200, signed = false))
-        assertTrue(effects.none<RelayEffect.PassOn>())
+        assertTrue(effects.none<RelayEffect.ForwardAnswer>())
         assertEquals(ErrorKind.BACKEND_FAILED, effects.only<RelayEffect.Refuse>().kind)
     }
 
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/AttemptTimeoutsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/AttemptTimeoutsTest.kt
@@ -45,7 +45,7 @@
         val rested = listOf(AttemptFailure.CONNECTION_LOST, AttemptFailure.SILENT).map { failure ->
             val rig = RelayRig().start(RelayRig.plainServers.take(1))
             val send = rig.arrive(RelayRig.read).second.only<RelayEffect.Send>()
-            rig.lose(send, failure)
+            rig.failAttempt(send, failure)
             rig.on(RelayEvent.CallerLeft(send.exchange))
             rig.pass(400)
             rig.arrive(RelayRig.read.copy(callerId = "next")).second.none<RelayEffect.Send>()
@@ -57,7 +57,7 @@
     fun `a request that timed out at one server is retried at another`() {
         val rig = RelayRig().start()
         val first = rig.arrive(RelayRig.read).second.only<RelayEffect.Send>()
-        val second = rig.lose(first, AttemptFailure.SILENT).only<RelayEffect.Send>()
+        val second = rig.failAttempt(first, AttemptFailure.SILENT).only<RelayEffect.Send>()
         assertTrue(first.order.server != second.order.server)
     }
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/CascadeTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/CascadeTest.kt
@@ -48,7 +48,7 @@
     fun `a doubtful answer is kept when the largest model would be late`() {
         val effects = RelayRig().start(RelayRig.engineServers).learnPace(milliseconds = 400).askDoubtful()
         assertTrue(effects.none<RelayEffect.Send>())
-        assertEquals(1, effects.filterIsInstance<RelayEffect.PassOn>().size)
+        assertEquals(1, effects.filterIsInstance<RelayEffect.ForwardAnswer>().size)
     }
 
     @Test
@@ -72,7 +72,7 @@
         val rig = RelayRig().start(RelayRig.engineServers.take(1)).learnPace(milliseconds = 20)
         val first = rig.arrive(prompt).second.only<RelayEffect.Send>()
         rig.read(Feed.SERVERS, FeedEntry.ServerRemoved(first.order.server))
-        assertTrue(rig.answer(first, doubtful).none<RelayEffect.Abandon>())
+        assertTrue(rig.answer(first, doubtful).none<RelayEffect.CancelAttempt>())
     }
 
     @Test
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/ConfigurationTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/ConfigurationTest.kt
@@ -93,7 +93,7 @@
     fun `a caller that leaves has its attempt given up, and its waiting request is never sent`() {
         val rig = RelayRig().start()
         val send = rig.arrive(RelayRig.read).second.only<RelayEffect.Send>()
-        assertEquals(1, rig.on(RelayEvent.CallerLeft(send.exchange)).filterIsInstance<RelayEffect.Abandon>().size)
+        assertEquals(1, rig.on(RelayEvent.CallerLeft(send.exchange)).filterIsInstance<RelayEffect.CancelAttempt>().size)
         rig.read(Feed.SERVERS, snapshot = true)
         val (waiting, effects) = rig.arrive(RelayRig.read)
         assertTrue(effects.none<RelayEffect.Send>())
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/PeersTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/PeersTest.kt
@@ -29,27 +29,27 @@
     fun `work is told while prompts are read, and no longer once the answer has begun`() {
         val rig = RelayRig().start(RelayRig.engineServers, members = 3)
         val send = rig.arrive(prompt).second.only<RelayEffect.Send>()
-        val told = rig.pass(100).only<RelayEffect.TellPeers>()
+        val told = rig.pass(100).only<RelayEffect.SendBeacon>()
         assertEquals(listOf("10.0.0.2:70", "10.0.0.3:70"), told.addresses.sorted())
         assertEquals(mapOf(send.order.server to 1_000L), told.beacon.work)
         rig.answer(send, AnswerHead(200, confidence = 90))
-        assertTrue(rig.pass(100).only<RelayEffect.TellPeers>().beacon.work.isEmpty())
+        assertTrue(rig.pass(100).only<RelayEffect.SendBeacon>().beacon.work.isEmpty())
     }
 
     @Test
     fun `servers where other routers have work get requests last`() {
         val rig = RelayRig().start(RelayRig.engineServers, members = 2)
-        rig.on(RelayEvent.PeerHeard(beacon(sequence = 1, "e-1" to 9_000, "e-2" to 9_000)))
+        rig.on(RelayEvent.BeaconReceived(beacon(sequence = 1, "e-1" to 9_000, "e-2" to 9_000)))
         assertEquals(setOf("e-3"), (1..20).map { rig.chosen(it) }.toSet())
     }
 
     @Test
     fun `beacons that are old or out of order say nothing`() {
         val rig = RelayRig().start(RelayRig.engineServers, members = 2)
-        rig.on(RelayEvent.PeerHeard(beacon(sequence = 2)))
-        rig.on(RelayEvent.PeerHeard(beacon(sequence = 1, "e-1" to 9_000, "e-2" to 9_000)))
+        rig.on(RelayEvent.BeaconReceived(beacon(sequence = 2)))
+        rig.on(RelayEvent.BeaconReceived(beacon(sequence = 1, "e-1" to 9_000, "e-2" to 9_000)))
         assertEquals(3, (1..40).map { rig.chosen(it) }.toSet().size)
-        rig.on(RelayEvent.PeerHeard(beacon(sequence = 3, "e-1" to 9_000, "e-2" to 9_000)))
+        rig.on(RelayEvent.BeaconReceived(beacon(sequence = 3, "e-1" to 9_000, "e-2" to 9_000)))
         rig.pass(1_000)
         assertEquals(3, (41..80).map { rig.chosen(it) }.toSet().size)
     }
@@ -57,15 +57,15 @@
     @Test
     fun `a router that has just started is heard, though its numbers begin anew`() {
         val rig = RelayRig().start(RelayRig.engineServers, members = 2)
-        rig.on(RelayEvent.PeerHeard(beacon(sequence = 90)))
+        rig.on(RelayEvent.BeaconReceived(beacon(sequence = 90)))
         rig.pass(1_000)
-        rig.on(RelayEvent.PeerHeard(beacon(sequence = 1, "e-1" to 9_000, "e-2" to 9_000)))
+        rig.on(RelayEvent.BeaconReceived(beacon(sequence = 1, "e-1" to 9_000, "e-2" to 9_000)))
         assertEquals(setOf("e-3"), (1..20).map { rig.chosen(it) }.toSet())
     }
 
     @Test
     fun `the traffic of a router does not grow with the fleet`() {
         val rig = RelayRig().start(RelayRig.engineServers, members = 400)
-        assertEquals(8, rig.pass(100).only<RelayEffect.TellPeers>().addresses.size)
+        assertEquals(8, rig.pass(100).only<RelayEffect.SendBeacon>().addresses.size)
     }
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RelayRig.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RelayRig.kt
@@ -42,7 +42,7 @@
         now += TICK
         val effects = on(RelayEvent.Tick)
         val confirmed = joined && effects.any { it is RelayEffect.JoinGroup }
-        if (confirmed) effects + on(RelayEvent.GroupJoined(generation = 1, holdsDuty = true)) else effects
+        if (confirmed) effects + on(RelayEvent.GroupJoined(generation = 1, isLeader = true)) else effects
     }
 
     /** Reads [entries] of [feed]. */
@@ -61,7 +61,7 @@
     fun join(members: Int): List<RelayEffect> {
         joined = true
         val vms = (1..members).associate { VmId("vm-$it") to "10.0.0.$it:70" }
-        return on(RelayEvent.GroupJoined(generation = 1, holdsDuty = true)) +
+        return on(RelayEvent.GroupJoined(generation = 1, isLeader = true)) +
             on(RelayEvent.MembersListed(generation = 1, vms = vms))
     }
 
@@ -72,8 +72,8 @@
     }
 
     /** Lets the attempt of [send] end with [failure]. */
-    fun lose(send: RelayEffect.Send, failure: AttemptFailure, lastEventId: String? = null): List<RelayEffect> =
-        on(RelayEvent.AttemptBroke(send.exchange, send.attempt, failure, lastEventId))
+    fun failAttempt(send: RelayEffect.Send, failure: AttemptFailure, lastEventId: String? = null): List<RelayEffect> =
+        on(RelayEvent.AttemptFailed(send.exchange, send.attempt, failure, lastEventId))
 
     /** Lets the attempt of [send] be answered with [head]. */
     fun answer(send: RelayEffect.Send, head: AnswerHead): List<RelayEffect> =
@@ -142,9 +142,9 @@
             vm = VmId(vm),
             zone = zones[0],
             graceMilliseconds = 8_000,
-            repeatRatio = 0.9,
-            repeatWindowMilliseconds = 10_000,
-            repeatSlack = 54.0,
+            retryRatio = 0.9,
+            retryWindowMilliseconds = 10_000,
+            retrySlack = 54.0,
             exposureLimit = 0.15,
             sessionMilliseconds = 5_000,
         )
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RetriesTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RetriesTest.kt
@@ -20,9 +20,9 @@
     fun `a read is retried at another server, but at no more servers than its route allows`() {
         val rig = RelayRig().start()
         val first = rig.arrive(RelayRig.read).second.only<RelayEffect.Send>()
-        val second = rig.lose(first, AttemptFailure.CONNECTION_LOST).only<RelayEffect.Send>()
+        val second = rig.failAttempt(first, AttemptFailure.CONNECTION_LOST).only<RelayEffect.Send>()
         assertNotEquals(first.order.server, second.order.server)
-        val effects = rig.lose(second, AttemptFailure.CONNECTION_LOST)
+        val effects = rig.failAttempt(second, AttemptFailure.CONNECTION_LOST)
         assertTrue(effects.none<RelayEffect.Send>())
         assertEquals(ErrorKind.BACKEND_FAILED, effects.only<RelayEffect.Refuse>().kind)
     }
@@ -31,10 +31,11 @@
     fun `a broken stream is resumed after the last event that the caller has`() {
         val rig = RelayRig().start(RelayRig.engineServers)
         val first = rig.arrive(RelayRig.prompt).second.only<RelayEffect.Send>()
-        assertEquals(1, rig.answer(first, AnswerHead(200, confidence = 90)).filterIsInstance<RelayEffect.PassOn>().size)
-        val second = rig.lose(first, AttemptFailure.CONNECTION_LOST, lastEventId = "12").only<RelayEffect.Send>()
+        val forwarded = rig.answer(first, AnswerHead(200, confidence = 90)).filterIsInstance<RelayEffect.ForwardAnswer>()
+        assertEquals(1, forwarded.size)
+        val second = rig.failAttempt(first, AttemptFailure.CONNECTION_LOST, lastEventId = "12").only<RelayEffect.Send>()
         assertEquals("12", second.order.lastEventId)
-        assertEquals(second.attempt, rig.answer(second, AnswerHead(200)).only<RelayEffect.PassOn>().attempt)
+        assertEquals(second.attempt, rig.answer(second, AnswerHead(200)).only<RelayEffect.ForwardAnswer>().attempt)
     }
 
     @Test
@@ -42,7 +43,7 @@
         val rig = RelayRig().start(RelayRig.engineServers.take(1))
         val first = rig.arrive(RelayRig.prompt).second.only<RelayEffect.Send>()
         rig.answer(first, AnswerHead(200, confidence = 90))
-        val effects = rig.lose(first, AttemptFailure.CONNECTION_LOST, lastEventId = "12") + rig.pass(20_100)
+        val effects = rig.failAttempt(first, AttemptFailure.CONNECTION_LOST, lastEventId = "12") + rig.pass(20_100)
         assertEquals(1, effects.filterIsInstance<RelayEffect.CutOff>().size)
         assertTrue(effects.none<RelayEffect.Refuse>())
     }
@@ -53,7 +54,7 @@
         val first = rig.arrive(RelayRig.prompt).second.only<RelayEffect.Send>()
         assertEquals("small", first.order.model)
         val effects = rig.answer(first, AnswerHead(200, confidence = 20))
-        assertEquals(first.attempt, effects.only<RelayEffect.Abandon>().attempt)
+        assertEquals(first.attempt, effects.only<RelayEffect.CancelAttempt>().attempt)
         val second = effects.only<RelayEffect.Send>()
         assertEquals("large", second.order.model)
         assertTrue(rig.answer(second, AnswerHead(200, confidence = 20)).none<RelayEffect.Send>())
@@ -86,8 +87,8 @@
             }
         }
         for (start in 0L..30_000L step 250) {
-            val window = start until start + settings.repeatWindowMilliseconds
-            val bound = settings.repeatRatio * firsts.count { it in window } + settings.repeatSlack
+            val window = start until start + settings.retryWindowMilliseconds
+            val bound = settings.retryRatio * firsts.count { it in window } + settings.retrySlack
             assertTrue(retries.count { it in window } <= bound, "window from $start")
         }
     }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RolloutsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RolloutsTest.kt
@@ -44,7 +44,7 @@
         flatMap { it.second }.filterIsInstance<RelayEffect.WriteRolloutStatus>().map { it.phase }
 
     private fun RelayRig.accept(phase: RolloutPhase) =
-        on(RelayEvent.StatusWritten(RelayRig.plain, phase, accepted = true))
+        on(RelayEvent.StatusWriteFinished(RelayRig.plain, phase, accepted = true))
 
     /** Operators limit the exposure to a share of all requests from the order to the end of its duration. */
     @Test
@@ -80,7 +80,7 @@
     }
 
     private fun RelayRig.receive(vm: String, peerReport: RolloutReport) =
-        on(RelayEvent.PeerHeard(PeerBeacon(VmId(vm), 1, persistentMapOf(), persistentListOf(peerReport))))
+        on(RelayEvent.BeaconReceived(PeerBeacon(VmId(vm), 1, persistentMapOf(), persistentListOf(peerReport))))
 
     private fun peerReport(age: Long = 100, failures: Int = 0, condemned: Boolean = false) = RolloutReport(
         service = RelayRig.plain,
@@ -132,11 +132,11 @@
     fun `outcomes and age are reported to other routers while a roll-out is in progress`() {
         val rig = begun()
         rig.join(members = 2)
-        val before = rig.load(2_000).flatMap { it.second }.filterIsInstance<RelayEffect.TellPeers>().last().beacon
+        val before = rig.load(2_000).flatMap { it.second }.filterIsInstance<RelayEffect.SendBeacon>().last().beacon
         assertTrue(before.rollouts.single().ageMilliseconds in 1_800..2_000)
         assertTrue(before.rollouts.single().let { it.old.answers + it.new.answers } > 80)
         rig.read(Feed.STATUS, FeedEntry.RolloutStatus(RelayRig.plain, "v2", RolloutPhase.COMPLETED))
-        val after = rig.load(200).flatMap { it.second }.filterIsInstance<RelayEffect.TellPeers>().last().beacon
+        val after = rig.load(200).flatMap { it.second }.filterIsInstance<RelayEffect.SendBeacon>().last().beacon
         assertTrue(after.rollouts.isEmpty())
     }
 
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/ServersTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/ServersTest.kt
@@ -78,7 +78,7 @@
         val rig = RelayRig().start(listOf(one))
         repeat(2) {
             val send = rig.arrive(RelayRig.read).second.only<RelayEffect.Send>()
-            rig.lose(send, AttemptFailure.NOT_CONNECTED)
+            rig.failAttempt(send, AttemptFailure.NOT_CONNECTED)
             rig.on(RelayEvent.CallerLeft(send.exchange))
             assertTrue(!rig.mayUse("s-1"))
             rig.pass(300)
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/StopTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/StopTest.kt
@@ -16,10 +16,10 @@
     @Test
     fun `readiness is declared once a configuration and the servers are known, and ends with the stop`() {
         val rig = RelayRig()
-        assertTrue(!rig.pass(20).only<RelayEffect.DeclareReady>().ready)
+        assertTrue(!rig.pass(20).only<RelayEffect.SetReady>().ready)
         rig.start()
-        assertTrue(rig.pass(20).only<RelayEffect.DeclareReady>().ready)
-        assertTrue(!rig.on(RelayEvent.StopRequested).only<RelayEffect.DeclareReady>().ready)
+        assertTrue(rig.pass(20).only<RelayEffect.SetReady>().ready)
+        assertTrue(!rig.on(RelayEvent.StopRequested).only<RelayEffect.SetReady>().ready)
     }
 
     @Test
--- a/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
@@ -52,12 +52,12 @@
     fun carryOut(effect: RelayEffect) {
         when (effect) {
             is RelayEffect.Send -> send(effect)
-            is RelayEffect.PassOn -> exchanges.callOrNull(effect.exchange, effect.attempt)?.passOn()
-            is RelayEffect.Abandon -> exchanges.callOrNull(effect.exchange, effect.attempt)?.abandon()
+            is RelayEffect.ForwardAnswer -> exchanges.callOrNull(effect.exchange, effect.attempt)?.passOn()
+            is RelayEffect.CancelAttempt -> exchanges.callOrNull(effect.exchange, effect.attempt)?.abandon()
             is RelayEffect.Refuse -> callers.refuse(effect)
             is RelayEffect.CutOff -> exchanges.remove(effect.exchange)?.answer?.cutOff()
             is RelayEffect.ApplyLimits -> front.limits = effect.limits
-            RelayEffect.CloseAfterAnswers -> front.stop(group, IDLE_CLOSE_MILLISECONDS)
+            RelayEffect.DrainConnections -> front.stop(group, IDLE_CLOSE_MILLISECONDS)
             else -> Unit
         }
     }
@@ -71,7 +71,7 @@
     }
 
     override fun broke(call: BackendCall, failure: AttemptFailure, lastEventId: String?): Unit =
-        post(RelayEvent.AttemptBroke(call.exchange.id, call.number, failure, lastEventId))
+        post(RelayEvent.AttemptFailed(call.exchange.id, call.number, failure, lastEventId))
 
     private fun send(effect: RelayEffect.Send) {
         val exchange = exchanges.getOrNull(effect.exchange) ?: return
--- a/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
@@ -82,8 +82,8 @@
     private fun carryOut(effect: RelayEffect) {
         when (effect) {
             is RelayEffect.Report -> reporter.report(effect.entry)
-            is RelayEffect.DeclareReady -> ready = effect.ready
-            is RelayEffect.TellPeers -> peers.tell(effect)
+            is RelayEffect.SetReady -> ready = effect.ready
+            is RelayEffect.SendBeacon -> peers.tell(effect)
             RelayEffect.Finish -> finished.countDown()
             else -> {
                 relay.carryOut(effect)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/peer/PeerSocket.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/peer/PeerSocket.kt
@@ -32,7 +32,7 @@
     }
 
     /** Sends the beacon of [effect]. */
-    fun tell(effect: RelayEffect.TellPeers) {
+    fun tell(effect: RelayEffect.SendBeacon) {
         val open = channel ?: return
         val bytes = BeaconFormat.encode(effect.beacon).toByteArray()
         effect.addresses.mapNotNull { Address.parseOrNull(it) }.forEach { address ->
@@ -43,7 +43,7 @@
 
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
         override fun channelRead0(context: ChannelHandlerContext, packet: DatagramPacket) {
-            post(RelayEvent.PeerHeard(BeaconFormat.decode(packet.content().toString(Charsets.UTF_8))))
+            post(RelayEvent.BeaconReceived(BeaconFormat.decode(packet.content().toString(Charsets.UTF_8))))
         }
 
         @Deprecated("the supertype's method is")
