Say plainly what the relay's events, effects and settings mean

Comments said that a relay is told things and that answers are whole. They now give units, ranges, what null means and when an event occurs: AnswerStarted comes with the head of a stream that succeeds, and with any other answer once it is complete.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
@@ -12,25 +12,26 @@
 import org.quetzalloom.core.relay.rollout.RolloutPhase
 import org.quetzalloom.core.relay.routing.ServiceName
 
-/** Everything that can happen to a relay. */
+/** The input of a relay's reducer: everything that a router learns. */
 public sealed interface RelayEvent {
-    /** Time has passed. */
+    /** Time has passed. Occurs at short, regular intervals; everything that becomes due is checked on it. */
     public data object Tick : RelayEvent
 
-    /** The process was asked to stop. */
+    /** The process was asked to shut down gracefully. */
     public data object StopRequested : RelayEvent
 
     /** The settings have changed. */
     public data class SettingsChanged(public val settings: RelaySettings) : RelayEvent
 
-    /** A request has been read whole. */
+    /** A request has been read completely. */
     public data class RequestArrived(public val exchange: ExchangeId, public val request: RelayRequest) : RelayEvent
 
     /** The caller has closed its connection. */
     public data class CallerLeft(public val exchange: ExchangeId) : RelayEvent
 
     /**
-     * The head of an answer has arrived.
+     * The answer of an attempt can be decided upon: the head of a stream that succeeds has arrived, or any other answer
+     * completely.
      *
      * @property attempt the number of the attempt, from 1.
      */
@@ -40,13 +41,14 @@
         public val head: AnswerHead,
     ) : RelayEvent
 
-    /** The answer of an attempt is whole. */
+    /** The answer of an attempt has been forwarded completely. */
     public data class AnswerFinished(public val exchange: ExchangeId, public val attempt: Int) : RelayEvent
 
     /**
-     * An attempt has ended without a whole answer.
+     * An attempt has ended without a complete answer.
      *
-     * @property lastEventId the id of the last event of the stream that the caller has, or `null`.
+     * @property lastEventId the id of the last event that this attempt forwarded to the caller, or `null` if there is
+     *   none.
      */
     public data class AttemptFailed(
         public val exchange: ExchangeId,
@@ -58,8 +60,8 @@
     /**
      * Records of a feed have been read, in order.
      *
-     * @property next the offset after the last of them.
-     * @property snapshot whether they are the newest records of all keys.
+     * @property next the offset from which to read on.
+     * @property snapshot whether the records are the newest of each key, rather than those from an offset.
      */
     public data class FeedRead(
         public val feed: Feed,
@@ -75,23 +77,34 @@
         public val detail: String,
     ) : RelayEvent
 
-    /** The group has confirmed this router. */
+    /**
+     * The group has confirmed this router's membership.
+     *
+     * @property generation the generation of the group, which changes with its members.
+     * @property isLeader whether this router is the leader of the group.
+     */
     public data class GroupJoined(public val generation: Long, public val isLeader: Boolean) : RelayEvent
 
     /** The group could not be joined or listed. */
     public data class GroupFailed(public val detail: String) : RelayEvent
 
     /**
-     * The members of the group, asked for when [generation] was the last one heard.
+     * The members of the group have been listed.
      *
-     * @property vms the `host:port` at which each member receives beacons; empty where it is not known.
+     * @property generation the last known generation of the group when they were asked for.
+     * @property vms the `host:port` at which each member receives beacons; empty if it is not known.
      */
     public data class MembersListed(public val generation: Long, public val vms: Map<VmId, String>) : RelayEvent
 
-    /** Another router has told of its work. */
+    /** Another router has sent a beacon. */
     public data class BeaconReceived(public val beacon: PeerBeacon) : RelayEvent
 
-    /** A status was written, or was not because of [detail]. */
+    /**
+     * A write of a roll-out's phase has ended.
+     *
+     * @property accepted whether the phase was written.
+     * @property detail why the phase was not written, or `null` if it was.
+     */
     public data class StatusWriteFinished(
         public val service: ServiceName,
         public val phase: RolloutPhase,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayPart.kt
@@ -10,7 +10,7 @@
 /** The transitions of a relay. */
 internal typealias RelayStep = Transition<RelayState, RelayEffect>
 
-/** A part of the relay's reducer: it reads the whole state and decides over its own slice. */
+/** A part of the relay's reducer. It may read the whole state, and is responsible for its own slice. */
 internal fun interface RelayPart : Reducer<RelayState, RelayEvent, RelayEffect>
 
 /** Returns the transition that changes nothing. */
@@ -19,7 +19,7 @@
 /** Returns the transition to this state with [effects]. */
 internal fun RelayState.with(vararg effects: RelayEffect): RelayStep = Transition(this, persistentListOf(*effects))
 
-/** Returns the transition that reports what happened, with the next causal stamp. */
+/** Returns the transition that logs the event [name] with [fields], under the next causal stamp. */
 internal fun RelayState.report(now: Timestamp, name: String, vararg fields: Pair<String, Any?>): RelayStep {
     val next = copy(stampCounter = stampCounter + 1)
     val entry = TimelineEntry.of(CausalStamp(counter = next.stampCounter, vm = settings.vm), now, name, fields)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayPolicies.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayPolicies.kt
@@ -9,7 +9,7 @@
 import org.quetzalloom.core.relay.server.AffinityPlacement
 import org.quetzalloom.core.relay.server.Placement
 
-/** The decisions of a relay that can be exchanged, each with the one used by default. */
+/** The replaceable decision rules of a relay, with their defaults. */
 public data class RelayPolicies(
     public val modelChoice: ModelChoice = ConfidenceCascade(),
     public val placement: Placement = AffinityPlacement(),
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
@@ -20,9 +20,9 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * The one reducer of a relay, over all its events.
+ * The reducer of a relay for all its events.
  *
- * Each part sees every event, in a fixed order, with the state that the parts before it have left.
+ * Each part sees every event, in a fixed order, with the state that the parts before it have produced.
  */
 public object RelayReducer : Reducer<RelayState, RelayEvent, RelayEffect> {
     internal val parts: PersistentList<RelayPart> = persistentListOf(
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelaySettings.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelaySettings.kt
@@ -5,14 +5,18 @@
 import org.quetzalloom.core.relay.feed.Feed
 
 /**
- * What a relay is told at its start.
+ * The settings of a relay, which can change while it runs.
  *
- * @property graceMilliseconds the time between the request to stop and the kill.
- * @property retryRatio the repeats that a service may get for each request, in any [retryWindowMilliseconds].
- * @property retrySlack the repeats that a service may get besides, from all routers together.
- * @property exposureLimit the largest share of a service's requests in the time of a roll-out that a version may get
- *   which turns out to be bad.
- * @property sessionMilliseconds requests of a session that follow each other within this time belong together.
+ * @property vm the VM of this router.
+ * @property zone the availability zone of this router.
+ * @property graceMilliseconds the time from the request to stop until the process is killed.
+ * @property retryRatio the maximum number of retries per request that a service may get, in any window of
+ *   [retryWindowMilliseconds].
+ * @property retrySlack the number of retries that a service may get in such a window beyond the ratio, from all routers
+ *   together.
+ * @property exposureLimit the maximum share of a service's requests, from 0 to 1, during a roll-out that a version that
+ *   turns out to be bad may get.
+ * @property sessionMilliseconds the idle time after which a session ends, and with it its version affinity.
  * @property serversReadIntervalMilliseconds the time between two reads of the list of backend servers.
  */
 public data class RelaySettings(
@@ -26,24 +30,26 @@
     public val sessionMilliseconds: Long,
     public val serversReadIntervalMilliseconds: Long = SERVERS_READ_INTERVAL_MILLISECONDS,
 ) {
-    /** Returns the time between two reads of [feed]. A waiting read needs none. */
+    /** Returns the time between two reads of [feed], in milliseconds; 0 for a feed whose reads wait for records. */
     internal fun readInterval(feed: Feed): Long = when (feed) {
         Feed.ORDERS -> 0
         Feed.SERVERS -> serversReadIntervalMilliseconds
         Feed.STATUS -> STATUS_READ_INTERVAL_MILLISECONDS
     }
 
-    /** Returns how long a read of [feed] waits for a record. */
+    /** Returns how long a read of [feed] waits for a record, in milliseconds. */
     internal fun readWait(feed: Feed): Long = if (feed == Feed.ORDERS) ORDERS_READ_WAIT_MILLISECONDS else 0
 
     private companion object {
-        /** Short enough to notice a connection that has gone silent. */
+        /** Short enough to notice a dead connection. */
         const val ORDERS_READ_WAIT_MILLISECONDS = 1_500L
 
-        /** A leaving server must get nothing 2 s after the store knows; this leaves room for a failed read. */
+        /**
+         * A draining server must get no requests from 2 s after the store knows of it; this allows for a failed read.
+         */
         const val SERVERS_READ_INTERVAL_MILLISECONDS = 1_000L
 
-        /** A reverted version must get nothing within seconds. */
+        /** A reverted version must get no more requests within seconds. */
         const val STATUS_READ_INTERVAL_MILLISECONDS = 1_000L
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
@@ -12,10 +12,13 @@
 import org.quetzalloom.core.relay.stop.StopState
 
 /**
- * Everything that one relay knows. Immutable; a slice for each part of the reducer.
+ * Everything that a relay, the deciding part of one router, knows. Immutable, with a slice for each part of the
+ * reducer.
  *
- * @property settings what the relay was told at its start, or at the last change of its settings.
- * @property policies the decisions that can be exchanged.
+ * @property settings the settings as of their last change.
+ * @property policies the replaceable decision rules.
+ * @property stampCounter the counter of the last causal stamp of a log line.
+ * @property routing the configuration in force, or `null` before the first.
  */
 @ConsistentCopyVisibility
 public data class RelayState internal constructor(
@@ -33,13 +36,13 @@
     internal val exchanges: ExchangesState = ExchangesState(),
     internal val stop: StopState = StopState(),
 ) {
-    /** Requests that have not been answered yet. */
+    /** The number of requests that have not been answered completely. */
     public val activeExchanges: Int get() = exchanges.byId.size
 
-    /** Backend servers that are known, whether usable or not. */
+    /** The number of known backend servers, usable or not. */
     public val knownServers: Int get() = servers.views.size
 
-    /** The version of the configuration in force, or `null` before the first. */
+    /** The version of the configuration in force, or `null` before the first one. */
     public val configurationVersion: Long? get() = routing?.version
 
     public companion object {
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RelayRig.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RelayRig.kt
@@ -21,7 +21,7 @@
 import org.quetzalloom.core.relay.server.ServerListing
 import org.quetzalloom.core.time.Timestamp
 
-/** Drives one relay's reducer on virtual time, without sockets. */
+/** Drives the reducer of one relay in virtual time, without sockets. */
 class RelayRig(vm: String = "vm-1", policies: RelayPolicies = RelayPolicies()) {
     var now = Timestamp(1_000_000)
         private set
@@ -30,14 +30,14 @@
     private var lastId = 0L
     private var joined = false
 
-    /** Reduces [event] now; returns the effects. */
+    /** Reduces [event] at the current time; returns the effects. */
     fun on(event: RelayEvent): List<RelayEffect> {
         val transition = RelayReducer.reduce(state, event, now)
         state = transition.state
         return transition.effects
     }
 
-    /** Lets [milliseconds] pass, with ticks, while the group confirms its members; returns all effects. */
+    /** Lets [milliseconds] pass with ticks, confirming this router's joins of the group; returns all effects. */
     fun pass(milliseconds: Long): List<RelayEffect> = (1..milliseconds / TICK).flatMap {
         now += TICK
         val effects = on(RelayEvent.Tick)
@@ -45,11 +45,11 @@
         if (confirmed) effects + on(RelayEvent.GroupJoined(generation = 1, isLeader = true)) else effects
     }
 
-    /** Reads [entries] of [feed]. */
+    /** Delivers [entries] of [feed]; returns the effects. */
     fun read(feed: Feed, vararg entries: FeedEntry, snapshot: Boolean = false): List<RelayEffect> =
         on(RelayEvent.FeedRead(feed, entries.toList(), next = 1, snapshot = snapshot))
 
-    /** Reads the usual configuration and [servers], and learns that [members] routers are alive. */
+    /** Delivers the usual configuration, [servers], and a group of [members] routers. */
     fun start(servers: List<ServerListing> = plainServers, members: Int = 1): RelayRig {
         read(Feed.ORDERS, FeedEntry.Configuration(table), snapshot = true)
         read(Feed.SERVERS, *servers.map { FeedEntry.Server(it) }.toTypedArray(), snapshot = true)
@@ -57,7 +57,7 @@
         return this
     }
 
-    /** Learns that [members] routers are alive. */
+    /** Delivers a group of [members] routers, led by this one; returns the effects. */
     fun join(members: Int): List<RelayEffect> {
         joined = true
         val vms = (1..members).associate { VmId("vm-$it") to "10.0.0.$it:70" }
@@ -65,17 +65,17 @@
             on(RelayEvent.MembersListed(generation = 1, vms = vms))
     }
 
-    /** Lets [request] arrive; returns its id and the effects. */
+    /** Delivers [request]; returns its exchange's id and the effects. */
     fun arrive(request: RelayRequest): Pair<ExchangeId, List<RelayEffect>> {
         val id = ExchangeId(++lastId)
         return id to on(RelayEvent.RequestArrived(id, request))
     }
 
-    /** Lets the attempt of [send] end with [failure]. */
+    /** Ends the attempt of [send] with [failure]; returns the effects. */
     fun failAttempt(send: RelayEffect.Send, failure: AttemptFailure, lastEventId: String? = null): List<RelayEffect> =
         on(RelayEvent.AttemptFailed(send.exchange, send.attempt, failure, lastEventId))
 
-    /** Lets the attempt of [send] be answered with [head]. */
+    /** Answers the attempt of [send] with [head]; returns the effects. */
     fun answer(send: RelayEffect.Send, head: AnswerHead): List<RelayEffect> =
         on(RelayEvent.AnswerStarted(send.exchange, send.attempt, head))
 
@@ -161,7 +161,7 @@
     }
 }
 
-/** Returns the one effect of type [T]. */
+/** Returns the single effect of type [T]; fails if there is none or more than one. */
 inline fun <reified T : RelayEffect> List<RelayEffect>.only(): T = filterIsInstance<T>().single()
 
 /** Returns whether there is no effect of type [T]. */
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RetriesTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RetriesTest.kt
@@ -31,8 +31,8 @@
     fun `a broken stream is resumed after the last event that the caller has`() {
         val rig = RelayRig().start(RelayRig.engineServers)
         val first = rig.arrive(RelayRig.prompt).second.only<RelayEffect.Send>()
-        val forwarded = rig.answer(first, AnswerHead(200, confidence = 90)).filterIsInstance<RelayEffect.ForwardAnswer>()
-        assertEquals(1, forwarded.size)
+        val effects = rig.answer(first, AnswerHead(200, confidence = 90))
+        assertEquals(1, effects.filterIsInstance<RelayEffect.ForwardAnswer>().size)
         val second = rig.failAttempt(first, AttemptFailure.CONNECTION_LOST, lastEventId = "12").only<RelayEffect.Send>()
         assertEquals("12", second.order.lastEventId)
         assertEquals(second.attempt, rig.answer(second, AnswerHead(200)).only<RelayEffect.ForwardAnswer>().attempt)
