Rename the relay's membership after leaders and addresses

Duty, shareholders, late and vms (a map of addresses) had to be looked up. Only names change, and line breaks where a longer name needs one.

rename: DUTY_MILLISECONDS -> LEADERSHIP_LEASE_MILLISECONDS (declared in core/relay/member/MembersPart.kt) rename: dropDutyIfLate -> endLeadershipIfUnconfirmed (declared in core/relay/member/MembersPart.kt) rename: late -> unconfirmed (declared in core/relay/member/MembersPart.kt; only in core/relay/member/MembersPart.kt) rename: joined -> groupJoined (declared in core/relay/member/MembersPart.kt; only in core/relay/member/MembersPart.kt) rename: failed -> groupFailed (declared in core/relay/member/MembersPart.kt; only in core/relay/member/MembersPart.kt) rename: listed -> membersListed (declared in core/relay/member/MembersPart.kt; only in core/relay/member/MembersPart.kt) rename: reportDuty -> reportJoined (declared in core/relay/member/MembersPart.kt) rename: shareholders -> routerCount (declared in core/relay/member/MembersState.kt) rename: UNKNOWN_FLEET_SIZE -> ASSUMED_ROUTER_COUNT (declared in core/relay/member/MembersState.kt) rename: ordered -> sortedMembers (declared in core/relay/member/MembersState.kt; only in core/relay/member core/relay/server/ColdShares.kt) rename: vms -> memberAddresses (declared in core/relay/RelayEvent.kt) rename: vms -> addresses (declared in core/relay/member/MembersState.kt)

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
@@ -92,9 +92,12 @@
      * The members of the group have been listed.
      *
      * @property generation the last known generation of the group when they were asked for.
-     * @property vms the `host:port` at which each member receives beacons; empty if it is not known.
+     * @property memberAddresses the `host:port` at which each member receives beacons; empty if it is not known.
      */
-    public data class MembersListed(public val generation: Long, public val vms: Map<VmId, String>) : RelayEvent
+    public data class MembersListed(
+        public val generation: Long,
+        public val memberAddresses: Map<VmId, String>,
+    ) : RelayEvent
 
     /** Another router has sent a beacon. */
     public data class BeaconReceived(public val beacon: PeerBeacon) : RelayEvent
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/AccessPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/AccessPart.kt
@@ -50,7 +50,7 @@
     }
 
     /** Other routers take turns, so that one that is turned away itself is soon left. */
-    private fun RelayState.helperOrNull(turn: Int): String? = members.vms.entries
+    private fun RelayState.helperOrNull(turn: Int): String? = members.addresses.entries
         .filter { it.key != settings.vm && it.value.isNotEmpty() }
         .minByOrNull { stableHash(it.key, turn) }
         ?.value
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
@@ -104,7 +104,7 @@
 
 /** Returns whether the retry budget of the service of [exchange] allows one more retry. */
 internal fun RelayState.budgetLeft(exchange: Exchange, now: Timestamp): Boolean =
-    exchanges.budgets[exchange.service]?.mayRetry(settings, members.shareholders, now) ?: false
+    exchanges.budgets[exchange.service]?.mayRetry(settings, members.routerCount, now) ?: false
 
 /**
  * Returns the transition that ends the exchanges whose deadline has passed, and places the waiting ones again, in the
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/RetryBudget.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/RetryBudget.kt
@@ -28,14 +28,14 @@
      * Returns whether this router may send one more retry at [now].
      *
      * The limit is [RelaySettings.retryRatio] of this router's requests in the window plus an equal share, among
-     * [shareholders] routers, of [RelaySettings.retrySlack].
+     * [routerCount] routers, of [RelaySettings.retrySlack].
      */
-    fun mayRetry(settings: RelaySettings, shareholders: Int, now: Timestamp): Boolean {
+    fun mayRetry(settings: RelaySettings, routerCount: Int, now: Timestamp): Boolean {
         val second = now.second
         val span = settings.retryWindowMilliseconds / MILLISECONDS_PER_SECOND
         val requests = firstAttempts.entries.sumOf { (at, count) -> if (at > second - span) count else 0 }
         val made = retries.entries.sumOf { (at, count) -> if (at >= second - span) count else 0 }
-        val allowed = settings.retryRatio * requests * USED_SHARE + Math.floor(settings.retrySlack / shareholders)
+        val allowed = settings.retryRatio * requests * USED_SHARE + Math.floor(settings.retrySlack / routerCount)
         return made + 1 <= allowed
     }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersPart.kt
@@ -19,16 +19,16 @@
     private const val JOIN_INTERVAL_MILLISECONDS = 1_000L
 
     /** After this time without a confirmation the duty has passed to another router. */
-    private const val DUTY_MILLISECONDS = 2_000L
+    private const val LEADERSHIP_LEASE_MILLISECONDS = 2_000L
 
     /** The time after a failed call before the next. */
     private const val PAUSE_MILLISECONDS = 500L
 
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
-        RelayEvent.Tick -> state.joinIfDue(now).then { it.listIfDue(now) }.then { it.dropDutyIfLate(now) }
-        is RelayEvent.GroupJoined -> state.joined(event, now)
-        is RelayEvent.GroupFailed -> state.failed(event, now)
-        is RelayEvent.MembersListed -> state.listed(event, now)
+        RelayEvent.Tick -> state.joinIfDue(now).then { it.listIfDue(now) }.then { it.endLeadershipIfUnconfirmed(now) }
+        is RelayEvent.GroupJoined -> state.groupJoined(event, now)
+        is RelayEvent.GroupFailed -> state.groupFailed(event, now)
+        is RelayEvent.MembersListed -> state.membersListed(event, now)
         else -> state.unchanged()
     }
 
@@ -43,13 +43,13 @@
         return copy(members = members.copy(listing = true)).with(RelayEffect.ListMembers(members.generation))
     }
 
-    private fun RelayState.dropDutyIfLate(now: Timestamp): RelayStep {
-        val late = members.joinedAt?.let { now - it > DUTY_MILLISECONDS } ?: true
-        if (!members.isLeader || !late) return unchanged()
+    private fun RelayState.endLeadershipIfUnconfirmed(now: Timestamp): RelayStep {
+        val unconfirmed = members.joinedAt?.let { now - it > LEADERSHIP_LEASE_MILLISECONDS } ?: true
+        if (!members.isLeader || !unconfirmed) return unchanged()
         return copy(members = members.copy(isLeader = false)).report(now, "duty_lost", "reason" to "not_confirmed")
     }
 
-    private fun RelayState.joined(event: RelayEvent.GroupJoined, now: Timestamp): RelayStep {
+    private fun RelayState.groupJoined(event: RelayEvent.GroupJoined, now: Timestamp): RelayStep {
         val next = copy(
             members = members.copy(
                 generation = event.generation,
@@ -61,13 +61,13 @@
             ),
         )
         val changed = event.isLeader != members.isLeader || members.joinedAt == null
-        return if (changed) next.reportDuty(event, now) else next.unchanged()
+        return if (changed) next.reportJoined(event, now) else next.unchanged()
     }
 
-    private fun RelayState.reportDuty(event: RelayEvent.GroupJoined, now: Timestamp): RelayStep =
+    private fun RelayState.reportJoined(event: RelayEvent.GroupJoined, now: Timestamp): RelayStep =
         report(now, "group_joined", "generation" to event.generation, "duty" to event.isLeader)
 
-    private fun RelayState.failed(event: RelayEvent.GroupFailed, now: Timestamp): RelayStep {
+    private fun RelayState.groupFailed(event: RelayEvent.GroupFailed, now: Timestamp): RelayStep {
         val next = copy(
             members = members.copy(
                 joining = false,
@@ -80,23 +80,23 @@
         return if (members.failures == 0) next.report(now, "group_lost", "detail" to event.detail) else next.unchanged()
     }
 
-    private fun RelayState.listed(event: RelayEvent.MembersListed, now: Timestamp): RelayStep {
-        val vms = event.vms.toPersistentMap().put(settings.vm, "")
+    private fun RelayState.membersListed(event: RelayEvent.MembersListed, now: Timestamp): RelayStep {
+        val addresses = event.memberAddresses.toPersistentMap().put(settings.vm, "")
         val next = members.copy(
-            vms = vms,
-            ordered = vms.keys.sorted().toPersistentList(),
+            addresses = addresses,
+            sortedMembers = addresses.keys.sorted().toPersistentList(),
             listedGeneration = event.generation,
             listing = false,
             listDueAt = now + PAUSE_MILLISECONDS,
         )
         val changed = copy(members = next)
-        return if (next.vms == members.vms) changed.unchanged() else changed.reportMembers(now)
+        return if (next.addresses == members.addresses) changed.unchanged() else changed.reportMembers(now)
     }
 
     private fun RelayState.reportMembers(now: Timestamp): RelayStep = report(
         now,
         "members_changed",
         "generation" to members.listedGeneration,
-        "members" to members.vms.size,
+        "members" to members.addresses.size,
     )
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersState.kt
@@ -11,8 +11,8 @@
  * Who else routes.
  *
  * @property generation the generation of the group that was last heard; 0 before the first.
- * @property vms the members, and where each receives beacons; empty before they were first read.
- * @property ordered the members in the order of their names, which is the same at each of them.
+ * @property addresses the members, and where each receives beacons; empty before they were first read.
+ * @property sortedMembers the members in the order of their names, which is the same at each of them.
  * @property listedGeneration the generation when they were read.
  * @property holdsDuty whether this router performs what only one of them may.
  * @property joinedAt when the group last confirmed this router.
@@ -22,8 +22,8 @@
  */
 internal data class MembersState(
     val generation: Long = 0,
-    val vms: PersistentMap<VmId, String> = persistentMapOf(),
-    val ordered: PersistentList<VmId> = persistentListOf(),
+    val addresses: PersistentMap<VmId, String> = persistentMapOf(),
+    val sortedMembers: PersistentList<VmId> = persistentListOf(),
     val listedGeneration: Long = 0,
     val isLeader: Boolean = false,
     val joinedAt: Timestamp? = null,
@@ -34,10 +34,10 @@
     val failures: Int = 0,
 ) {
     /** The routers that share fleet-wide limits: those known, or many where none are known yet. */
-    val shareholders: Int get() = if (vms.isEmpty()) UNKNOWN_FLEET_SIZE else vms.size
+    val routerCount: Int get() = if (addresses.isEmpty()) ASSUMED_ROUTER_COUNT else addresses.size
 
     private companion object {
         /** Routers; the size designed for, so that a router that knows nothing takes nearly nothing. */
-        const val UNKNOWN_FLEET_SIZE = 400
+        const val ASSUMED_ROUTER_COUNT = 400
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersPart.kt
@@ -44,7 +44,7 @@
         return if (addresses.isEmpty()) next.unchanged() else next.with(told)
     }
 
-    private fun RelayState.receivers(sequence: Long): List<String> = members.vms.entries
+    private fun RelayState.receivers(sequence: Long): List<String> = members.addresses.entries
         .filter { it.key != settings.vm && it.value.isNotEmpty() }
         .let { others ->
             if (others.size <= MOST_TOLD) others else others.sortedBy { stableHash(it.key, sequence) }.take(MOST_TOLD)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/Candidates.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/Candidates.kt
@@ -33,7 +33,7 @@
  */
 internal fun RelayState.connectionShare(service: ServiceName): Int {
     val connections = routing?.services?.get(service)?.maximumConnections ?: Int.MAX_VALUE
-    return (connections / members.shareholders).coerceAtLeast(1)
+    return (connections / members.routerCount).coerceAtLeast(1)
 }
 
 private fun List<ServerView>.withoutReverted(state: RelayState, exchange: Exchange): List<ServerView> {
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ColdShares.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ColdShares.kt
@@ -21,7 +21,7 @@
 
 /** Returns this router's share, in requests a second, of the [coldLimit] of a cold backend server. */
 private fun RelayState.coldShare(view: ServerView, coldLimit: Double): Int {
-    val equalShare = Math.floor(coldLimit / members.shareholders).toInt()
+    val equalShare = Math.floor(coldLimit / members.routerCount).toInt()
     return if (equalShare > 0) equalShare else rotatedShare(view, coldLimit.toInt())
 }
 
@@ -30,10 +30,10 @@
  * request a second each, and a hash of the server's id decides which, so that they differ from server to server.
  */
 private fun RelayState.rotatedShare(view: ServerView, coldLimit: Int): Int {
-    val position = members.ordered.indexOf(settings.vm)
+    val position = members.sortedMembers.indexOf(settings.vm)
     if (position < 0) return 0
-    val first = bucketOf(view.listing.id.value, members.ordered.size)
-    return if (Math.floorMod(position - first, members.ordered.size) < coldLimit) 1 else 0
+    val first = bucketOf(view.listing.id.value, members.sortedMembers.size)
+    return if (Math.floorMod(position - first, members.sortedMembers.size) < coldLimit) 1 else 0
 }
 
 /** Returns the view after an attempt with [work] to read was sent at [now]. */
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RelayRig.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RelayRig.kt
@@ -60,9 +60,9 @@
     /** Delivers a group of [members] routers, led by this one; returns the effects. */
     fun join(members: Int): List<RelayEffect> {
         joined = true
-        val vms = (1..members).associate { VmId("vm-$it") to "10.0.0.$it:70" }
+        val memberAddresses = (1..members).associate { VmId("vm-$it") to "10.0.0.$it:70" }
         return on(RelayEvent.GroupJoined(generation = 1, isLeader = true)) +
-            on(RelayEvent.MembersListed(generation = 1, vms = vms))
+            on(RelayEvent.MembersListed(generation = 1, memberAddresses = memberAddresses))
     }
 
     /** Delivers [request]; returns its exchange's id and the effects. */
--- a/relay/src/test/kotlin/org/quetzalloom/relay/RelaySite.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/RelaySite.kt
@@ -52,7 +52,7 @@
 
     init {
         program.start()
-        program.tell(RelayEvent.MembersListed(generation = 0, vms = mapOf(VmId("vm-1") to "")))
+        program.tell(RelayEvent.MembersListed(generation = 0, memberAddresses = mapOf(VmId("vm-1") to "")))
         program.tell(RelayEvent.FeedRead(Feed.ORDERS, listOf(FeedEntry.Configuration(table)), 1, snapshot = true))
         program.tell(RelayEvent.FeedRead(Feed.SERVERS, listings(), 1, snapshot = true))
         awaitReady()
