Say plainly how a router stays in the group of routers

Comments of the folder member spoke of duties and of those who else route. They now name heartbeats, the leader and its lease, the addresses of members and what holds before they are known.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersPart.kt
@@ -13,15 +13,15 @@
 import org.quetzalloom.core.relay.with
 import org.quetzalloom.core.time.Timestamp
 
-/** Keeps this router in the group of routers, and knows the others. */
+/** Keeps this router a member of the group of routers, and tracks the other members and the leadership. */
 internal object MembersPart : RelayPart {
-    /** The time between two joins; a third of the time to live of a member. */
+    /** The time between two heartbeats, which join the group again; a third of a member's time to live. */
     private const val JOIN_INTERVAL_MILLISECONDS = 1_000L
 
-    /** After this time without a confirmation the duty has passed to another router. */
+    /** How long the leadership lasts without a confirmation; after that, another router may be the leader. */
     private const val LEADERSHIP_LEASE_MILLISECONDS = 2_000L
 
-    /** The time after a failed call before the next. */
+    /** The pause before the next call after a failed one, and between two listings of the members. */
     private const val PAUSE_MILLISECONDS = 500L
 
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersState.kt
@@ -8,17 +8,20 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * Who else routes.
+ * What this router knows of the group of routers.
  *
- * @property generation the generation of the group that was last heard; 0 before the first.
- * @property addresses the members, and where each receives beacons; empty before they were first read.
- * @property sortedMembers the members in the order of their names, which is the same at each of them.
- * @property listedGeneration the generation when they were read.
- * @property holdsDuty whether this router performs what only one of them may.
- * @property joinedAt when the group last confirmed this router.
- * @property joinDueAt when it joins again.
+ * @property generation the last known generation of the group; 0 before the first.
+ * @property addresses the members, this router included, with the `host:port` at which each receives beacons; the
+ *   address is empty if it is not known, and for this router. Empty before the members were first listed.
+ * @property sortedMembers the members sorted by id, so that all routers agree on their order.
+ * @property listedGeneration the generation of the group when the members were last listed.
+ * @property isLeader whether this router is the leader, which alone completes roll-outs.
+ * @property joinedAt when the group last confirmed this router's membership, or `null` before the first time.
+ * @property joinDueAt the earliest time of the next call to join.
  * @property joining whether a call to join is under way.
  * @property listing whether a call to list the members is under way.
+ * @property listDueAt the earliest time of the next call to list the members.
+ * @property failures the number of failed calls since the last successful join.
  */
 internal data class MembersState(
     val generation: Long = 0,
@@ -33,11 +36,11 @@
     val listDueAt: Timestamp = Timestamp.EPOCH,
     val failures: Int = 0,
 ) {
-    /** The routers that share fleet-wide limits: those known, or many where none are known yet. */
+    /** The number of routers that share fleet-wide limits. Before the members are known, a large number is assumed. */
     val routerCount: Int get() = if (addresses.isEmpty()) ASSUMED_ROUTER_COUNT else addresses.size
 
     private companion object {
-        /** Routers; the size designed for, so that a router that knows nothing takes nearly nothing. */
+        /** The largest fleet designed for, so that a router that knows no other uses next to nothing of the limits. */
         const val ASSUMED_ROUTER_COUNT = 400
     }
 }
