--- a/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
@@ -39,9 +39,9 @@
             vm = VmId("vm-1"),
             zone = zone,
             graceMilliseconds = 8_000,
-            repeatRatio = 0.9,
-            repeatWindowMilliseconds = 10_000,
-            repeatSlack = 54.0,
+            retryRatio = 0.9,
+            retryWindowMilliseconds = 10_000,
+            retrySlack = 54.0,
             exposureLimit = 0.15,
             sessionMilliseconds = 5_000,
         ),
@@ -52,7 +52,7 @@
 
     init {
         program.start()
-        program.post(RelayEvent.MembersListed(generation = 0, vms = mapOf(VmId("vm-1") to "")))
+        program.post(RelayEvent.MembersListed(generation = 0, memberAddresses = mapOf(VmId("vm-1") to "")))
         program.post(RelayEvent.FeedRead(Feed.ORDERS, listOf(FeedEntry.Configuration(table)), 1, snapshot = true))
         program.post(RelayEvent.FeedRead(Feed.SERVERS, listings(), 1, snapshot = true))
         awaitReady()
