Say that pauseReading also resumes reading

The comment said only that it pauses. Its parameter is called paused again.

rename: readingPaused -> paused (parameter of pauseReading, declared in backend/BackendCall.kt)

--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
@@ -95,9 +95,9 @@
         connection?.abandon()
     }
 
-    /** Stops reading from the backend server while the caller's connection is not writable (backpressure). */
-    fun pauseReading(readingPaused: Boolean) {
-        connection?.readingPaused = readingPaused
+    /** Pauses or resumes reading the response, so that it is read no faster than the caller reads it (backpressure). */
+    fun pauseReading(paused: Boolean) {
+        connection?.readingPaused = paused
     }
 
     private fun finish(response: BufferedResponse) {
