--- a/core/src/main/kotlin/org/quetzalloom/core/backend/HealthChanges.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/HealthChanges.kt
@@ -14,7 +14,9 @@
 
 /** Returns the transition that requests a load report from [server]. */
 internal fun RouterState.requestLoad(server: BackendServer, now: Timestamp): Step =
-    withHealth(server.id) { it.copy(loadRequestedAt = now) }.with(Effect.OfBackend.RequestLoadReport(server.id, server.address))
+    withHealth(
+        server.id
+    ) { it.copy(loadRequestedAt = now) }.with(Effect.OfBackend.RequestLoadReport(server.id, server.address))
 
 /**
  * Returns the health after a failure: the backend server is suspended with exponential backoff.
