--- a/core/src/main/kotlin/org/quetzalloom/core/quarantine/Suspicions.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/quarantine/Suspicions.kt
@@ -62,7 +62,7 @@
         .mapNotNull { it.trialServer }
         .toSet()
 
-/** Returns whether the trial of [suspicion] is in progress, neither decided nor older than `trialTimeoutMilliseconds`. */
+/** Returns whether the trial of [suspicion] is in progress: undecided, and younger than `trialTimeoutMilliseconds`. */
 private fun RouterState.isOnTrial(suspicion: Suspicion, now: Timestamp): Boolean =
     suspicion.trialVm != null &&
         !suspicion.quarantined &&
