Name the billing code after what it does

Bills that are late in the log are replicated to backup peers; the names keeper, hold, asked and take over told little of that. Renames only.

--- a/core/src/main/kotlin/org/quetzalloom/core/billing/Keepers.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/billing/BillBackups.kt
@@ -6,9 +6,9 @@
 import org.quetzalloom.core.router.stableHash
 import org.quetzalloom.core.time.Timestamp
 
-private const val COPIES = 2
+private const val BACKUP_COUNT = 2
 
 /** Returns the peers that keep this VM's bills: other availability zones first, always the same while they live. */
-internal fun RouterState.billKeepers(now: Timestamp): List<VmId> = livePeers(now)
+internal fun RouterState.billBackups(now: Timestamp): List<VmId> = livePeers(now)
     .sortedWith(compareBy({ settings.fleet[it] == settings.zone }, { stableHash("bills", settings.vm, it) }))
-    .take(COPIES)
+    .take(BACKUP_COUNT)
--- a/core/src/main/kotlin/org/quetzalloom/core/billing/BillingPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/billing/BillingPart.kt
@@ -23,54 +23,57 @@
  */
 internal object BillingPart : Part {
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
-        is Event.OfPlatform.LogAppended -> state.appended(event.append)
-        is Event.PeerTold -> state.told(event, now)
-        is Event.Tick -> state.takeOver(now).copyOverdue(now)
+        is Event.OfPlatform.LogAppended -> state.onAppended(event.append)
+        is Event.PeerTold -> state.onPeerMessage(event, now)
+        is Event.Tick -> state.appendOrphaned(now).replicateOverdue(now)
         else -> state.unchanged()
     }
 
-    private fun RouterState.appended(append: Long): Step {
+    private fun RouterState.onAppended(append: Long): Step {
         val durable = log.recordsOf(append).filterIsInstance<LogRecord.OfBill>().map { it.bill.identity }
         val copies = durable.flatMap { identity ->
-            billing.unsettled[identity]?.sentTo.orEmpty().map { keeper -> keeper to identity }
+            billing.unsettled[identity]?.sentTo.orEmpty().map { backup -> backup to identity }
         }
-        val settled = durable.fold(billing) { reached, identity ->
-            reached.copy(unsettled = reached.unsettled.remove(identity), kept = reached.kept.remove(identity))
+        val settled = durable.fold(billing) { slice, identity ->
+            slice.copy(unsettled = slice.unsettled.remove(identity), kept = slice.kept.remove(identity))
         }
-        val byKeeper = copies.groupBy({ it.first }, { it.second }).toSortedMap()
-        return copy(billing = settled).unchanged().thenEach(byKeeper.entries) { state, (keeper, identities) ->
-            state.tell(keeper, PeerMessage.DropBills(identities.toPersistentList()))
+        val byBackup = copies.groupBy({ it.first }, { it.second }).toSortedMap()
+        return copy(billing = settled).unchanged().thenEach(byBackup.entries) { state, (backup, identities) ->
+            state.tell(backup, PeerMessage.DropBills(identities.toPersistentList()))
         }
     }
 
-    private fun RouterState.told(event: Event.PeerTold, now: Timestamp): Step = when (val message = event.message) {
-        is PeerMessage.HoldBills -> hold(event.from, message.bills, now)
-        is PeerMessage.BillsHeld -> held(event.from, message.identities).unchanged()
-        is PeerMessage.DropBills -> dropped(message.identities).unchanged()
+    private fun RouterState.onPeerMessage(
+        event: Event.PeerTold,
+        now: Timestamp,
+    ): Step = when (val message = event.message) {
+        is PeerMessage.HoldBills -> onHoldBills(event.from, message.bills, now)
+        is PeerMessage.BillsHeld -> onBillsHeld(event.from, message.identities).unchanged()
+        is PeerMessage.DropBills -> onDropBills(message.identities).unchanged()
         else -> unchanged()
     }
 
-    private fun RouterState.hold(owner: VmId, bills: PersistentList<Bill>, now: Timestamp): Step {
+    private fun RouterState.onHoldBills(owner: VmId, bills: PersistentList<Bill>, now: Timestamp): Step {
         val kept = bills.filter { it.identity !in billing.kept }
-            .fold(billing.kept) { reached, bill -> reached.put(bill.identity, KeptBill(bill, now)) }
+            .fold(billing.kept) { kept, bill -> kept.put(bill.identity, KeptBill(bill, now)) }
         val identities = bills.map { it.identity }.toPersistentList()
         return copy(billing = billing.copy(kept = kept)).tell(owner, PeerMessage.BillsHeld(identities))
     }
 
-    private fun RouterState.held(keeper: VmId, identities: PersistentList<String>): RouterState {
-        val unsettled = identities.fold(billing.unsettled) { reached, identity ->
-            reached[identity]?.let { reached.put(identity, it.copy(keptBy = it.keptBy.add(keeper))) } ?: reached
+    private fun RouterState.onBillsHeld(backup: VmId, identities: PersistentList<String>): RouterState {
+        val unsettled = identities.fold(billing.unsettled) { bills, identity ->
+            bills[identity]?.let { bills.put(identity, it.copy(confirmedBy = it.confirmedBy.add(backup))) } ?: bills
         }
         return copy(billing = billing.copy(unsettled = unsettled))
     }
 
-    private fun RouterState.dropped(identities: PersistentList<String>): RouterState {
-        val kept = identities.fold(billing.kept) { reached, identity -> reached.remove(identity) }
+    private fun RouterState.onDropBills(identities: PersistentList<String>): RouterState {
+        val kept = identities.fold(billing.kept) { bills, identity -> bills.remove(identity) }
         return copy(billing = billing.copy(kept = kept))
     }
 
     /** Appends bills that were kept for too long, as their owner may be gone. */
-    private fun RouterState.takeOver(now: Timestamp): RouterState {
+    private fun RouterState.appendOrphaned(now: Timestamp): RouterState {
         val due = billing.kept.values.filter {
             !it.appended && now - it.since >= settings.limits.billTakeoverMilliseconds
         }
@@ -81,35 +84,37 @@
     }
 
     /** Asks peers to keep the bills that are not in the log in time, and asks again where that was not confirmed. */
-    private fun RouterState.copyOverdue(now: Timestamp): Step {
+    private fun RouterState.replicateOverdue(now: Timestamp): Step {
         val due = billing.unsettled.values.filter { isOverdue(it, now) }.sortedBy { it.bill.identity }
-        val keepers = if (due.isEmpty()) emptyList() else billKeepers(now)
-        if (keepers.isEmpty()) return unchanged()
-        val sent = due.fold(billing.unsettled) { reached, each ->
-            reached.put(each.bill.identity, each.copy(sentTo = each.sentTo.clear().addAll(keepers), sentAt = now))
+        val backups = if (due.isEmpty()) emptyList() else billBackups(now)
+        if (backups.isEmpty()) return unchanged()
+        val sent = due.fold(billing.unsettled) { bills, each ->
+            bills.put(each.bill.identity, each.copy(sentTo = each.sentTo.clear().addAll(backups), sentAt = now))
         }
         val message = PeerMessage.HoldBills(settings.vm, due.map { it.bill }.toPersistentList())
         return copy(billing = billing.copy(unsettled = sent)).unchanged()
-            .thenEach(keepers) { state, keeper -> state.tell(keeper, message) }
+            .thenEach(backups) { state, backup -> state.tell(backup, message) }
     }
 
     private fun RouterState.isOverdue(bill: UnsettledBill, now: Timestamp): Boolean {
-        val hold = settings.limits.billHoldMilliseconds
-        val asked = bill.sentTo.isNotEmpty()
-        return now - bill.since >= hold && !bill.isKept && (!asked || now - bill.sentAt >= hold * RESEND_HOLDS)
+        val holdMilliseconds = settings.limits.billHoldMilliseconds
+        val sentBefore = bill.sentTo.isNotEmpty()
+        return now - bill.since >= holdMilliseconds &&
+            !bill.isReplicated &&
+            (!sentBefore || now - bill.sentAt >= holdMilliseconds * RESEND_AFTER_HOLDS)
     }
 
-    private const val RESEND_HOLDS = 4
+    private const val RESEND_AFTER_HOLDS = 4
 }
 
 /** Returns the state with [bill] on its way into the log. */
-internal fun RouterState.issue(bill: Bill, now: Timestamp): RouterState {
+internal fun RouterState.issueBill(bill: Bill, now: Timestamp): RouterState {
     val unsettled = billing.unsettled.put(bill.identity, UnsettledBill(bill, since = now))
     return copy(billing = billing.copy(unsettled = unsettled)).enqueue(LogRecord.OfBill(bill))
 }
 
 /** Returns whether [bill] is in the log. */
-internal fun RouterState.isInLog(bill: Bill): Boolean = bill.identity !in billing.unsettled
+internal fun RouterState.isBillInLog(bill: Bill): Boolean = bill.identity !in billing.unsettled
 
 /** Returns whether peers keep copies of [bill]. */
-internal fun RouterState.isKept(bill: Bill): Boolean = billing.unsettled[bill.identity]?.isKept == true
+internal fun RouterState.isReplicated(bill: Bill): Boolean = billing.unsettled[bill.identity]?.isReplicated == true
--- a/core/src/main/kotlin/org/quetzalloom/core/billing/UnsettledBill.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/billing/UnsettledBill.kt
@@ -17,8 +17,8 @@
     val since: Timestamp,
     val sentTo: PersistentSet<VmId> = persistentSetOf(),
     val sentAt: Timestamp = since,
-    val keptBy: PersistentSet<VmId> = persistentSetOf(),
+    val confirmedBy: PersistentSet<VmId> = persistentSetOf(),
 ) {
     /** Whether every peer that was asked keeps a copy. */
-    val isKept: Boolean get() = sentTo.isNotEmpty() && keptBy.containsAll(sentTo)
+    val isReplicated: Boolean get() = sentTo.isNotEmpty() && confirmedBy.containsAll(sentTo)
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/drain/DrainPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/drain/DrainPart.kt
@@ -35,7 +35,7 @@
     /** Returns whether nothing is lost when this VM goes: all is in the log, or a live peer keeps the rest. */
     private fun RouterState.isRecorded(now: Timestamp): Boolean {
         val live = livePeers(now)
-        val ownBillsSafe = billing.unsettled.values.all { bill -> bill.keptBy.any { it in live } }
+        val ownBillsSafe = billing.unsettled.values.all { bill -> bill.confirmedBy.any { it in live } }
         val billsSafe = ownBillsSafe && billing.kept.isEmpty()
         val commandsSafe = log.writerOf(LogStream.COMMANDS).idle
         return commandsSafe && (billsSafe || log.writerOf(LogStream.BILLS).idle)
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Completion.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Completion.kt
@@ -1,9 +1,9 @@
 package org.quetzalloom.core.request
 
 import org.quetzalloom.core.billing.Bill
-import org.quetzalloom.core.billing.isInLog
-import org.quetzalloom.core.billing.isKept
-import org.quetzalloom.core.billing.issue
+import org.quetzalloom.core.billing.isBillInLog
+import org.quetzalloom.core.billing.isReplicated
+import org.quetzalloom.core.billing.issueBill
 import org.quetzalloom.core.configuration.VersionKind
 import org.quetzalloom.core.effect.Effect
 import org.quetzalloom.core.error.ErrorKind
@@ -32,7 +32,7 @@
 internal fun RouterState.settle(request: ActiveRequest, event: Event.OfBackend.Finished, now: Timestamp): Step {
     val bill = billFor(request, event.tokens)
     return recordOutcome(request, event).clearSuspicion(request, now)
-        .then { it.issue(bill, now).unchanged() }
+        .then { it.issueBill(bill, now).unchanged() }
         .then { it.submitSample(request) }
         .then {
             val phase = Phase.Settling(bill, event.tokens, event.status, since = now)
@@ -74,8 +74,8 @@
  */
 internal fun RouterState.advanceSettling(request: ActiveRequest, phase: Phase.Settling, now: Timestamp): Step {
     val waited = now - phase.since
-    val safe = isInLog(phase.bill) ||
-        (waited >= settings.limits.billHoldMilliseconds && isKept(phase.bill)) ||
+    val safe = isBillInLog(phase.bill) ||
+        (waited >= settings.limits.billHoldMilliseconds && isReplicated(phase.bill)) ||
         waited >= settings.limits.billPatienceMilliseconds
     if (!safe) return unchanged()
     val end = Effect.OfCaller.End(request.id, phase.tokens, phase.bill.costMicros, phase.status)
