Document the billing in the terms of the field

The comments on copies of bills spoke of keepers that hold and are asked; they now say when a bill is replicated, confirmed, taken over and dropped. One text of an assertion in BillingUnderFailureTest is reworded; what it checks is the same.

--- a/core/src/main/kotlin/org/quetzalloom/core/billing/BillBackups.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/billing/BillBackups.kt
@@ -8,7 +8,12 @@
 
 private const val BACKUP_COUNT = 2
 
-/** Returns the peers that keep this VM's bills: other availability zones first, always the same while they live. */
+/**
+ * Returns the peers that hold copies of this VM's bills, at most [BACKUP_COUNT] of them.
+ *
+ * Peers in other availability zones come first. The order among equals is a stable hash, so the peers stay the same as
+ * long as they are live.
+ */
 internal fun RouterState.billBackups(now: Timestamp): List<VmId> = livePeers(now)
     .sortedWith(compareBy({ settings.fleet[it] == settings.zone }, { stableHash("bills", settings.vm, it) }))
     .take(BACKUP_COUNT)
--- a/core/src/main/kotlin/org/quetzalloom/core/billing/BillingPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/billing/BillingPart.kt
@@ -16,10 +16,11 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * Brings each bill into the log. A bill that is not there soon is copied to peers, who keep it until it is.
+ * Appends each bill to the log. A bill that takes longer is replicated to backup peers until it is in the log.
  *
- * Only what is not yet in the log is copied, and dropped once it is, as in delayed parity generation with active
- * data replication (Chandy, "Parity Redundancy Strategies in a Large Scale Distributed Storage System").
+ * Replication is temporary: only bills that are not in the log yet are copied, and the copies are dropped as soon as
+ * they are. This follows delayed parity generation with active data replication (Chandy, "Parity Redundancy Strategies
+ * in a Large Scale Distributed Storage System").
  */
 internal object BillingPart : Part {
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
@@ -29,6 +30,7 @@
         else -> state.unchanged()
     }
 
+    /** Removes the bills of a completed append, and tells the peers that hold copies of them to drop these. */
     private fun RouterState.onAppended(append: Long): Step {
         val durable = log.recordsOf(append).filterIsInstance<LogRecord.OfBill>().map { it.bill.identity }
         val copies = durable.flatMap { identity ->
@@ -53,6 +55,7 @@
         else -> unchanged()
     }
 
+    /** Keeps copies of the bills of [owner] and confirms them; copies that are kept already are confirmed again. */
     private fun RouterState.onHoldBills(owner: VmId, bills: PersistentList<Bill>, now: Timestamp): Step {
         val kept = bills.filter { it.identity !in billing.kept }
             .fold(billing.kept) { kept, bill -> kept.put(bill.identity, KeptBill(bill, now)) }
@@ -60,6 +63,7 @@
         return copy(billing = billing.copy(kept = kept)).tell(owner, PeerMessage.BillsHeld(identities))
     }
 
+    /** Records that [backup] holds copies of the bills named, as far as they are not in the log yet. */
     private fun RouterState.onBillsHeld(backup: VmId, identities: PersistentList<String>): RouterState {
         val unsettled = identities.fold(billing.unsettled) { bills, identity ->
             bills[identity]?.let { bills.put(identity, it.copy(confirmedBy = it.confirmedBy.add(backup))) } ?: bills
@@ -67,12 +71,17 @@
         return copy(billing = billing.copy(unsettled = unsettled))
     }
 
+    /** Drops copies whose bills are in the log. */
     private fun RouterState.onDropBills(identities: PersistentList<String>): RouterState {
         val kept = identities.fold(billing.kept) { bills, identity -> bills.remove(identity) }
         return copy(billing = billing.copy(kept = kept))
     }
 
-    /** Appends bills that were kept for too long, as their owner may be gone. */
+    /**
+     * Appends the bills of peers that were kept for `billTakeoverMilliseconds`, because their owner may be gone.
+     *
+     * If the owner appends such a bill as well, the second one is a duplicate and does not count.
+     */
     private fun RouterState.appendOrphaned(now: Timestamp): RouterState {
         val due = billing.kept.values.filter {
             !it.appended && now - it.since >= settings.limits.billTakeoverMilliseconds
@@ -83,7 +92,7 @@
         }
     }
 
-    /** Asks peers to keep the bills that are not in the log in time, and asks again where that was not confirmed. */
+    /** Sends the bills that are overdue in the log to the backup peers, and again if not all peers confirmed them. */
     private fun RouterState.replicateOverdue(now: Timestamp): Step {
         val due = billing.unsettled.values.filter { isOverdue(it, now) }.sortedBy { it.bill.identity }
         val backups = if (due.isEmpty()) emptyList() else billBackups(now)
@@ -96,6 +105,10 @@
             .thenEach(backups) { state, backup -> state.tell(backup, message) }
     }
 
+    /**
+     * Returns whether [bill] must be sent to backup peers: it is not in the log after `billHoldMilliseconds` and not
+     * replicated, and was not sent within the last [RESEND_AFTER_HOLDS] times this duration.
+     */
     private fun RouterState.isOverdue(bill: UnsettledBill, now: Timestamp): Boolean {
         val holdMilliseconds = settings.limits.billHoldMilliseconds
         val sentBefore = bill.sentTo.isNotEmpty()
@@ -107,14 +120,14 @@
     private const val RESEND_AFTER_HOLDS = 4
 }
 
-/** Returns the state with [bill] on its way into the log. */
+/** Returns the state with [bill] queued for the log; it is unsettled until its append completes. */
 internal fun RouterState.issueBill(bill: Bill, now: Timestamp): RouterState {
     val unsettled = billing.unsettled.put(bill.identity, UnsettledBill(bill, since = now))
     return copy(billing = billing.copy(unsettled = unsettled)).enqueue(LogRecord.OfBill(bill))
 }
 
-/** Returns whether [bill] is in the log. */
+/** Returns whether [bill], a bill of this VM, is known to be in the log. */
 internal fun RouterState.isBillInLog(bill: Bill): Boolean = bill.identity !in billing.unsettled
 
-/** Returns whether peers keep copies of [bill]. */
+/** Returns whether all backup peers that [bill] was sent to hold a copy; `false` once it is in the log. */
 internal fun RouterState.isReplicated(bill: Bill): Boolean = billing.unsettled[bill.identity]?.isReplicated == true
--- a/core/src/main/kotlin/org/quetzalloom/core/billing/BillingState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/billing/BillingState.kt
@@ -4,10 +4,10 @@
 import kotlinx.collections.immutable.persistentMapOf
 
 /**
- * The slice of [BillingPart].
+ * The state owned by [BillingPart].
  *
- * @property unsettled bills of this VM that are not known to be in the log, by identity.
- * @property kept bills that this VM keeps for peers, by identity.
+ * @property unsettled the bills of this VM that are not known to be in the log, by identity.
+ * @property kept the copies of bills that this VM holds for peers, by identity.
  */
 internal data class BillingState(
     val unsettled: PersistentMap<String, UnsettledBill> = persistentMapOf(),
--- a/core/src/main/kotlin/org/quetzalloom/core/billing/KeptBill.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/billing/KeptBill.kt
@@ -2,7 +2,12 @@
 
 import org.quetzalloom.core.time.Timestamp
 
-/** A bill of a peer that is kept here since [since], until it is known to be in the log. */
+/**
+ * The copy of a peer's bill, held until the bill is known to be in the log.
+ *
+ * @property since the time at which this VM received it.
+ * @property appended whether this VM has queued it for the log, in place of its owner.
+ */
 internal data class KeptBill(
     val bill: Bill,
     val since: Timestamp,
--- a/core/src/main/kotlin/org/quetzalloom/core/billing/UnsettledBill.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/billing/UnsettledBill.kt
@@ -8,9 +8,10 @@
 /**
  * A bill of this VM that is not known to be in the log.
  *
- * @property sentTo the peers that were last asked to keep a copy.
- * @property sentAt when that was.
- * @property keptBy the peers that keep one.
+ * @property since the time at which the bill was issued.
+ * @property sentTo the backup peers that it was last sent to; empty before the first time.
+ * @property sentAt the time at which it was last sent to them.
+ * @property confirmedBy the peers that have confirmed that they hold a copy.
  */
 internal data class UnsettledBill(
     val bill: Bill,
@@ -19,6 +20,6 @@
     val sentAt: Timestamp = since,
     val confirmedBy: PersistentSet<VmId> = persistentSetOf(),
 ) {
-    /** Whether every peer that was asked keeps a copy. */
+    /** Whether the bill was sent to backup peers and each of them has confirmed it. */
     val isReplicated: Boolean get() = sentTo.isNotEmpty() && confirmedBy.containsAll(sentTo)
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/billing/BillingUnderFailureTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/billing/BillingUnderFailureTest.kt
@@ -13,6 +13,7 @@
 import kotlin.test.Test
 import kotlin.test.assertTrue
 
+/** Each complete answer must be billed, and duplicate bills must be equal, even if VMs die while the log is down. */
 class BillingUnderFailureTest {
     @Test
     fun everyWholeAnswerIsBilledOnce() = seeds(SEEDS).forEach { seed ->
@@ -26,7 +27,7 @@
             val rig = load(seed, losesMessage = { it is PeerMessage.HoldBills })
             findings(rig).size
         }
-        assertTrue(lost > 0, "the check must find what the copy prevents")
+        assertTrue(lost > 0, "without copies at peers some run must lose a bill")
     }
 
     private fun load(seed: Long, losesMessage: (PeerMessage) -> Boolean = { false }): Rig {
@@ -61,7 +62,7 @@
         const val SEEDS = 60
         const val REQUESTS = 200
 
-        /** The VMs that may die during one outage: as many as keep copies beside the owner. */
+        /** The number of VMs killed during an outage of the log: as many as hold copies of a bill besides its owner. */
         const val KILLS = 2
         const val OUTAGE_MILLISECONDS = 5_000L
         const val SETTLE_MILLISECONDS = 20_000L
