Name the ledger code after what it does

Four functions were all named read, and abandoned did not say of what. Renames only.

rename: LedgerPart.read(event, now), read(entry, now) -> onLogRead, applyEntry; the lambda parameter reached -> state rename: LedgerState.read(intent, ...), read(outcome), read(release) -> withIntent, withOutcome, withRelease (declared in LedgerState.kt, used in LedgerPart.kt and CommandsUnderFailureTest.kt) rename: abandoned -> abandonedIntents (declared in LedgerState.kt), only in: core/src/main/kotlin/org/quetzalloom/core/ledger core/src/main/kotlin/org/quetzalloom/core/request/Completion.kt rename: noted -> next (declared in LedgerPart.kt), only in: core/src/main/kotlin/org/quetzalloom/core/ledger rename: old -> expired (declared in LedgerPart.kt), only in: core/src/main/kotlin/org/quetzalloom/core/ledger

--- a/core/src/main/kotlin/org/quetzalloom/core/ledger/LedgerPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/ledger/LedgerPart.kt
@@ -16,36 +16,39 @@
     private const val SWEEP_INTERVAL_MILLISECONDS = 60_000L
 
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
-        is Event.OfPlatform.LogRead -> state.read(event, now).unchanged()
+        is Event.OfPlatform.LogRead -> state.onLogRead(event, now).unchanged()
         is Event.Tick -> state.sweep(now).unchanged()
         else -> state.unchanged()
     }
 
-    private fun RouterState.read(event: Event.OfPlatform.LogRead, now: Timestamp): RouterState {
+    private fun RouterState.onLogRead(event: Event.OfPlatform.LogRead, now: Timestamp): RouterState {
         if (event.stream != LogStream.COMMANDS) return this
-        return event.entries.fold(this) { reached, entry -> reached.read(entry, now) }
+        return event.entries.fold(this) { state, entry -> state.applyEntry(entry, now) }
     }
 
-    private fun RouterState.read(entry: LogEntry, now: Timestamp): RouterState = when (val record = entry.record) {
-        is LogRecord.Intent -> copy(ledger = ledger.read(record, entry.offset, now)).releaseAbandoned(record)
-        is LogRecord.Outcome -> copy(ledger = ledger.read(record))
-        is LogRecord.Release -> copy(ledger = ledger.read(record))
+    private fun RouterState.applyEntry(
+        entry: LogEntry,
+        now: Timestamp,
+    ): RouterState = when (val record = entry.record) {
+        is LogRecord.Intent -> copy(ledger = ledger.withIntent(record, entry.offset, now)).releaseAbandoned(record)
+        is LogRecord.Outcome -> copy(ledger = ledger.withOutcome(record))
+        is LogRecord.Release -> copy(ledger = ledger.withRelease(record))
         else -> this
     }
 
     /** Gives back an intent whose request was refused while nobody knew whether the intent was in the log. */
     private fun RouterState.releaseAbandoned(intent: LogRecord.Intent): RouterState {
         val won = ledger.entries[intent.command]?.request == intent.request
-        if (intent.request !in ledger.abandoned) return this
-        val noted = copy(ledger = ledger.copy(abandoned = ledger.abandoned.remove(intent.request)))
-        return if (won) noted.enqueue(LogRecord.Release(intent.command, intent.request)) else noted
+        if (intent.request !in ledger.abandonedIntents) return this
+        val next = copy(ledger = ledger.copy(abandonedIntents = ledger.abandonedIntents.remove(intent.request)))
+        return if (won) next.enqueue(LogRecord.Release(intent.command, intent.request)) else next
     }
 
     private fun RouterState.sweep(now: Timestamp): RouterState {
         val last = ledger.sweptAt
         if (last != null && now - last < SWEEP_INTERVAL_MILLISECONDS) return this
-        val old = ledger.entries.filterValues { now - it.readAt > settings.limits.commandMemoryMilliseconds }.keys
-        val kept = old.fold(ledger.entries) { entries, command -> entries.remove(command) }
+        val expired = ledger.entries.filterValues { now - it.readAt > settings.limits.commandMemoryMilliseconds }.keys
+        val kept = expired.fold(ledger.entries) { entries, command -> entries.remove(command) }
         return copy(ledger = ledger.copy(entries = kept, sweptAt = now))
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/ledger/LedgerState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/ledger/LedgerState.kt
@@ -17,11 +17,11 @@
  */
 internal data class LedgerState(
     val entries: PersistentMap<CommandId, CommandEntry> = persistentMapOf(),
-    val abandoned: PersistentSet<RequestId> = persistentSetOf(),
+    val abandonedIntents: PersistentSet<RequestId> = persistentSetOf(),
     val sweptAt: Timestamp? = null,
 ) {
     /** Returns the state after the intent at [offset]; only the first of a command counts. */
-    fun read(intent: LogRecord.Intent, offset: Long, now: Timestamp): LedgerState {
+    fun withIntent(intent: LogRecord.Intent, offset: Long, now: Timestamp): LedgerState {
         if (intent.command in entries) return this
         val entry = CommandEntry(
             request = intent.request,
@@ -34,7 +34,7 @@
     }
 
     /** Returns the state after [outcome]; one that does not belong to the winning intent is ignored. */
-    fun read(outcome: LogRecord.Outcome): LedgerState {
+    fun withOutcome(outcome: LogRecord.Outcome): LedgerState {
         val entry = entries[outcome.command]?.takeIf { it.request == outcome.request && it.result == null }
         return if (entry == null) {
             this
@@ -44,7 +44,7 @@
     }
 
     /** Returns the state after [release]; one that does not belong to the winning intent is ignored. */
-    fun read(release: LogRecord.Release): LedgerState {
+    fun withRelease(release: LogRecord.Release): LedgerState {
         val entry = entries[release.command]?.takeIf { it.request == release.request && it.result == null }
         return if (entry == null) this else copy(entries = entries.remove(release.command))
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Completion.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Completion.kt
@@ -138,7 +138,7 @@
     val command = request.command ?: return this
     return when {
         request.phase is Phase.AwaitingIntent -> copy(
-            ledger = ledger.copy(abandoned = ledger.abandoned.add(request.id))
+            ledger = ledger.copy(abandonedIntents = ledger.abandonedIntents.add(request.id))
         )
         request.fencing != null && !request.mayHaveRun && request.phase !is Phase.Running ->
             enqueue(LogRecord.Release(command, request.id))
--- a/core/src/test/kotlin/org/quetzalloom/core/ledger/CommandsUnderFailureTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/ledger/CommandsUnderFailureTest.kt
@@ -141,7 +141,7 @@
                     request.id,
                     request.fingerprint,
                 )
-                ledger.read(intent, offset = 0, now = now)
+                ledger.withIntent(intent, offset = 0, now = now)
             }
             state.copy(ledger = won).unchanged()
         }
