Document the ledger in the terms of the field

The comments left out the fields of an entry, the release of an intent that was given up, and when a record is ignored. Three texts in CommandsUnderFailureTest are reworded; what it checks is the same. Its comment on send said that commands go to another VM after a refusal; they go to a random one if not answered.

--- a/core/src/main/kotlin/org/quetzalloom/core/ledger/CommandId.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/ledger/CommandId.kt
@@ -3,7 +3,7 @@
 import org.quetzalloom.core.identity.IdempotencyKey
 import org.quetzalloom.core.identity.WorkspaceId
 
-/** Names one call that may not be repeated, over all its re-sends. */
+/** Identifies a call that must not be repeated, across all its re-sends. */
 public data class CommandId(
     public val workspace: WorkspaceId,
     public val key: IdempotencyKey,
--- a/core/src/main/kotlin/org/quetzalloom/core/ledger/CommandResult.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/ledger/CommandResult.kt
@@ -1,10 +1,10 @@
 package org.quetzalloom.core.ledger
 
-/** How a call that may not be repeated ended. */
+/** The outcome of a call that must not be repeated. */
 public sealed interface CommandResult {
-    /** The service answered with [status] and [body]. */
+    /** The service answered with the HTTP status [status] and the text [body]. */
     public data class Answered(public val status: Int, public val body: String) : CommandResult
 
-    /** The call was sent, and whether it ran is not known. */
+    /** The call was sent, but it is not known whether it ran. */
     public data object Unknown : CommandResult
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/ledger/LedgerPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/ledger/LedgerPart.kt
@@ -11,7 +11,11 @@
 import org.quetzalloom.core.router.unchanged
 import org.quetzalloom.core.time.Timestamp
 
-/** Follows the commands stream, and forgets commands that are older than the log keeps them. */
+/**
+ * Applies the stream of commands in the log, which decides for all VMs which request runs a command.
+ *
+ * Commands are removed after `commandMemoryMilliseconds`, which is no longer than the log retains its records.
+ */
 internal object LedgerPart : Part {
     private const val SWEEP_INTERVAL_MILLISECONDS = 60_000L
 
@@ -21,6 +25,7 @@
         else -> state.unchanged()
     }
 
+    /** Applies the entries read from the commands stream, in order of their offsets. */
     private fun RouterState.onLogRead(event: Event.OfPlatform.LogRead, now: Timestamp): RouterState {
         if (event.stream != LogStream.COMMANDS) return this
         return event.entries.fold(this) { state, entry -> state.applyEntry(entry, now) }
@@ -36,7 +41,11 @@
         else -> this
     }
 
-    /** Gives back an intent whose request was refused while nobody knew whether the intent was in the log. */
+    /**
+     * Releases [intent] if its request was refused before the intent was read back, and it has won.
+     *
+     * At the refusal it was not known whether the intent was in the log.
+     */
     private fun RouterState.releaseAbandoned(intent: LogRecord.Intent): RouterState {
         val won = ledger.entries[intent.command]?.request == intent.request
         if (intent.request !in ledger.abandonedIntents) return this
@@ -44,6 +53,7 @@
         return if (won) next.enqueue(LogRecord.Release(intent.command, intent.request)) else next
     }
 
+    /** Removes expired commands, once per [SWEEP_INTERVAL_MILLISECONDS]. */
     private fun RouterState.sweep(now: Timestamp): RouterState {
         val last = ledger.sweptAt
         if (last != null && now - last < SWEEP_INTERVAL_MILLISECONDS) return this
--- a/core/src/test/kotlin/org/quetzalloom/core/ledger/CommandsUnderFailureTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/ledger/CommandsUnderFailureTest.kt
@@ -19,6 +19,10 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
+/**
+ * A call that must not be repeated runs at most once per key, however VMs, the log, peers and connections fail, and a
+ * refusal that claims that the call did not run is true.
+ */
 class CommandsUnderFailureTest {
     @Test
     fun commandsRunAtMostOnceAndRefusalsAreTrue() = seeds(SEEDS).forEach { seed ->
@@ -43,7 +47,7 @@
     fun withoutWaitingForTheLogCommandsRunTwice() {
         val parts = RouterReducer.parts.add(RouterReducer.parts.indexOf(LedgerPart) + 1, impatientLedger)
         val found = seeds(SEEDS).sumOf { findings(load(it, parts, Fault.ofPlatform)).size }
-        assertTrue(found > 0, "the check must find what the log prevents")
+        assertTrue(found > 0, "without arbitration by the log some run must fail the check")
     }
 
     @Test
@@ -91,7 +95,7 @@
         return rig
     }
 
-    /** Sends commands, some to two VMs at once, and again to another VM after each refusal. */
+    /** Sends commands, every fourth one to two VMs at once, and re-sends those not answered to a random VM. */
     private fun send(rig: Rig) = repeat(COMMANDS) { number ->
         rig.schedule.after(number * 100L) {
             val first = rig.up.randomOrNull(rig.random) ?: return@after
@@ -117,8 +121,8 @@
         val answeredNotRun = rig.callers.filter { it.answered && "bakery/${it.call.key}" !in runs }
         val wrong = rig.callers.filter { it.answered && it.answer != "ran ${it.call.body}" }
         val doubled = rig.callers.filter { it.ends > 1 }
-        return twice + falselyRefused.describe("was refused as not run, and ran") +
-            answeredNotRun.describe("was answered, and did not run") +
+        return twice + falselyRefused.describe("was refused as not run, but ran") +
+            answeredNotRun.describe("was answered, but did not run") +
             wrong.describe("has a wrong answer") + doubled.describe("was answered twice")
     }
 
@@ -130,7 +134,7 @@
         const val RESEND_MILLISECONDS = 3_500L
         const val SETTLE_MILLISECONDS = 25_000L
 
-        /** Takes each proposed intent for won at once, as a router without the log's arbitration would. */
+        /** Treats each proposed intent as won at once, as a router without arbitration by the log would. */
         val impatientLedger = Part { state, _, now ->
             val proposed = state.requests.active.values.filter { it.phase is Phase.AwaitingIntent }
             val won = proposed.fold(state.ledger) { ledger, request ->
