Name the drain code after what it does

Names such as takesNewWork and isRecorded did not say what is checked. Renames only. The whole tree compiles (mvn test-compile).

rename: begin -> onShutdownRequested (declared in DrainPart.kt), only in: core/src/main/kotlin/org/quetzalloom/core/drain rename: isRecorded -> isSafeToStop (declared in DrainPart.kt) rename: ownBillsSafe -> ownBillsReplicated (declared in DrainPart.kt) rename: stopIfDone -> stopIfDrained (declared in DrainPart.kt) rename: takesNewWork -> acceptsRequests (declared in DrainPart.kt)

--- a/core/src/main/kotlin/org/quetzalloom/core/drain/DrainPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/drain/DrainPart.kt
@@ -16,34 +16,34 @@
 /** Leads the VM to a stop that cuts no request: readiness off, no new work, the rest finished, bills in the log. */
 internal object DrainPart : Part {
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
-        is Event.ShutdownRequested -> state.begin(now)
-        is Event.Tick -> state.stopIfDone(now)
+        is Event.ShutdownRequested -> state.onShutdownRequested(now)
+        is Event.Tick -> state.stopIfDrained(now)
         else -> state.unchanged()
     }
 
-    private fun RouterState.begin(now: Timestamp): Step {
+    private fun RouterState.onShutdownRequested(now: Timestamp): Step {
         if (drain.since != null) return unchanged()
         return copy(drain = drain.copy(since = now)).report(now, "shutdown_requested", "active" to requests.active.size)
     }
 
-    private fun RouterState.stopIfDone(now: Timestamp): Step {
-        val idle = requests.active.isEmpty() && !takesNewWork(now)
-        if (drain.stopped || !idle || !isRecorded(now)) return unchanged()
+    private fun RouterState.stopIfDrained(now: Timestamp): Step {
+        val idle = requests.active.isEmpty() && !acceptsRequests(now)
+        if (drain.stopped || !idle || !isSafeToStop(now)) return unchanged()
         return copy(drain = drain.copy(stopped = true)).report(now, "shutdown_completed").then { it.with(Effect.Stop) }
     }
 
     /** Returns whether nothing is lost when this VM goes: all is in the log, or a live peer keeps the rest. */
-    private fun RouterState.isRecorded(now: Timestamp): Boolean {
+    private fun RouterState.isSafeToStop(now: Timestamp): Boolean {
         val live = livePeers(now)
-        val ownBillsSafe = billing.unsettled.values.all { bill -> bill.confirmedBy.any { it in live } }
-        val billsSafe = ownBillsSafe && billing.kept.isEmpty()
+        val ownBillsReplicated = billing.unsettled.values.all { bill -> bill.confirmedBy.any { it in live } }
+        val billsSafe = ownBillsReplicated && billing.kept.isEmpty()
         val commandsSafe = log.writerOf(LogStream.COMMANDS).idle
         return commandsSafe && (billsSafe || log.writerOf(LogStream.BILLS).idle)
     }
 }
 
 /** Returns whether requests that arrive are still taken. */
-internal fun RouterState.takesNewWork(now: Timestamp): Boolean {
+internal fun RouterState.acceptsRequests(now: Timestamp): Boolean {
     val since = drain.since ?: return true
     return now - since < settings.limits.drainGraceMilliseconds
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Admission.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Admission.kt
@@ -6,7 +6,7 @@
 import com.github.michaelbull.result.binding
 import org.quetzalloom.core.configuration.Configuration
 import org.quetzalloom.core.configuration.isFresh
-import org.quetzalloom.core.drain.takesNewWork
+import org.quetzalloom.core.drain.acceptsRequests
 import org.quetzalloom.core.error.ErrorKind
 import org.quetzalloom.core.error.RouterError
 import org.quetzalloom.core.ledger.CommandId
@@ -33,7 +33,7 @@
 private fun RouterState.readyConfiguration(now: Timestamp): Result<Configuration, RouterError> {
     val current = configuration.view.current
     return when {
-        !takesNewWork(now) -> Err(RouterError(ErrorKind.SHUTTING_DOWN, "VM '${settings.vm}' is shutting down"))
+        !acceptsRequests(now) -> Err(RouterError(ErrorKind.SHUTTING_DOWN, "VM '${settings.vm}' is shutting down"))
         current == null || !isFresh(now) -> Err(
             RouterError(ErrorKind.NOT_READY, "VM '${settings.vm}' has no configuration that is known to be current"),
         )
--- a/core/src/main/kotlin/org/quetzalloom/core/router/RouterStatus.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/router/RouterStatus.kt
@@ -3,7 +3,7 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.toPersistentMap
 import org.quetzalloom.core.configuration.isFresh
-import org.quetzalloom.core.drain.takesNewWork
+import org.quetzalloom.core.drain.acceptsRequests
 import org.quetzalloom.core.identity.BackendServerId
 import org.quetzalloom.core.identity.VmId
 import org.quetzalloom.core.membership.livePeers
@@ -41,7 +41,7 @@
 public fun RouterState.status(now: Timestamp): RouterStatus = RouterStatus(
     vm = settings.vm,
     revision = configuration.view.revision,
-    ready = drain.since == null && isFresh(now) && takesNewWork(now),
+    ready = drain.since == null && isFresh(now) && acceptsRequests(now),
     draining = drain.since != null,
     active = requests.active.size,
     waiting = requests.waiting.size,
