Document the drain in the terms of the field

The comments now state the steps of a graceful shutdown and what must be safe before the process stops. One text of an assertion in DrainTest is reworded; what it checks is the same.

--- a/core/src/main/kotlin/org/quetzalloom/core/drain/DrainPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/drain/DrainPart.kt
@@ -13,7 +13,12 @@
 import org.quetzalloom.core.router.with
 import org.quetzalloom.core.time.Timestamp
 
-/** Leads the VM to a stop that cuts no request: readiness off, no new work, the rest finished, bills in the log. */
+/**
+ * Shuts the VM down gracefully, without cutting off a request.
+ *
+ * Readiness is turned off first. Requests that still arrive are accepted for `drainGraceMilliseconds` and then refused.
+ * The process stops when all requests are finished and their records are safe.
+ */
 internal object DrainPart : Part {
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
         is Event.ShutdownRequested -> state.onShutdownRequested(now)
@@ -21,18 +26,25 @@
         else -> state.unchanged()
     }
 
+    /** Starts the drain; further requests to shut down change nothing. */
     private fun RouterState.onShutdownRequested(now: Timestamp): Step {
         if (drain.since != null) return unchanged()
         return copy(drain = drain.copy(since = now)).report(now, "shutdown_requested", "active" to requests.active.size)
     }
 
+    /** Stops the process, once, when the drain is complete. */
     private fun RouterState.stopIfDrained(now: Timestamp): Step {
         val idle = requests.active.isEmpty() && !acceptsRequests(now)
         if (drain.stopped || !idle || !isSafeToStop(now)) return unchanged()
         return copy(drain = drain.copy(stopped = true)).report(now, "shutdown_completed").then { it.with(Effect.Stop) }
     }
 
-    /** Returns whether nothing is lost when this VM goes: all is in the log, or a live peer keeps the rest. */
+    /**
+     * Returns whether nothing is lost when this VM stops.
+     *
+     * All records of commands must be in the log. So must all bills, unless a live peer holds a copy of each pending
+     * bill of this VM, and this VM holds none for its peers.
+     */
     private fun RouterState.isSafeToStop(now: Timestamp): Boolean {
         val live = livePeers(now)
         val ownBillsReplicated = billing.unsettled.values.all { bill -> bill.confirmedBy.any { it in live } }
@@ -42,7 +54,7 @@
     }
 }
 
-/** Returns whether requests that arrive are still taken. */
+/** Returns whether this VM accepts new requests: before a drain, and for `drainGraceMilliseconds` after it started. */
 internal fun RouterState.acceptsRequests(now: Timestamp): Boolean {
     val since = drain.since ?: return true
     return now - since < settings.limits.drainGraceMilliseconds
--- a/core/src/main/kotlin/org/quetzalloom/core/drain/DrainState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/drain/DrainState.kt
@@ -3,10 +3,10 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * The slice of [DrainPart].
+ * The state owned by [DrainPart].
  *
- * @property since when the VM was asked to stop, or `null`.
- * @property stopped whether the stop was reported.
+ * @property since the time at which the drain started, or `null` if the VM was not asked to shut down.
+ * @property stopped whether the drain is complete and the process was told to stop.
  */
 internal data class DrainState(
     val since: Timestamp? = null,
--- a/core/src/test/kotlin/org/quetzalloom/core/drain/DrainTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/drain/DrainTest.kt
@@ -10,6 +10,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
+/** A graceful shutdown under load must finish and bill each request that was accepted, even if the log goes down. */
 class DrainTest {
     @Test
     fun aGracefulStopCutsNoRequest() = seeds(SEEDS).forEach { seed ->
@@ -45,7 +46,7 @@
         assertEquals(false, rig.state(Fleet.vms[0]).status(rig.schedule.timestamp).ready)
         val caller = rig.send(Fleet.vms[0], Fleet.completion("bread"))
         rig.runFor(3_000)
-        assertTrue(caller.whole, "work that the balancer still sends is taken for a while")
+        assertTrue(caller.whole, "requests that the load balancer still sends must be accepted for a while")
     }
 
     private companion object {
