Name the test rig code after what it does

The rig injects faults and checks answers; inflict, books, whole, lasting and note did not say that. In test folders; test functions with unclear names are renamed too. Renames only.

--- a/core/src/test/kotlin/org/quetzalloom/core/backend/ServersUnderFailureTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/backend/ServersUnderFailureTest.kt
@@ -6,8 +6,8 @@
 import org.quetzalloom.core.rig.Fault
 import org.quetzalloom.core.rig.Fleet
 import org.quetzalloom.core.rig.Rig
-import org.quetzalloom.core.rig.inflictWithin
-import org.quetzalloom.core.rig.requireNone
+import org.quetzalloom.core.rig.assertNoFindings
+import org.quetzalloom.core.rig.injectWithin
 import org.quetzalloom.core.rig.seeds
 import org.quetzalloom.core.router.RouterPolicies
 import kotlin.test.Test
@@ -21,7 +21,7 @@
     @Test
     fun aServerThatHasJustStartedIsNotOverloaded() = seeds(SEEDS).forEach { seed ->
         val rig = load(seed, RouterPolicies())
-        requireNone(seed, rig, overloads(rig))
+        assertNoFindings(seed, rig, overloads(rig))
     }
 
     @Test
@@ -34,20 +34,20 @@
     @Test
     fun aZoneTakenOutReceivesNoNewWork() = seeds(SEEDS).forEach { seed ->
         val change = ConfigurationChange.SetZone(Fleet.zones[1], inService = false)
-        requireNoWork(seed, change) { it.server.zone == Fleet.zones[1] }
+        assertNoNewWork(seed, change) { it.server.zone == Fleet.zones[1] }
     }
 
     @Test
     fun aLeavingServerReceivesNoNewWork() = seeds(SEEDS).forEach { seed ->
         val leaving = BackendServerId("engine-2")
-        requireNoWork(seed, ConfigurationChange.SetLeaving(leaving, leaving = true)) { it.server.id == leaving }
+        assertNoNewWork(seed, ConfigurationChange.SetLeaving(leaving, leaving = true)) { it.server.id == leaving }
     }
 
-    /** Applies [change], takes the log down just after, and requires that the servers [concerned] get no new work. */
-    private fun requireNoWork(
+    /** Applies [change], takes the log down just after, and requires that the servers [affected] get no new work. */
+    private fun assertNoNewWork(
         seed: Long,
         change: ConfigurationChange,
-        concerned: (FakeServer) -> Boolean,
+        affected: (FakeServer) -> Boolean,
     ) {
         val rig = Fleet.rig(seed)
         send(rig)
@@ -57,16 +57,16 @@
         val acceptedAt = rig.schedule.now
         rig.schedule.after(rig.random.nextLong(400, 1_000)) { rig.log.down = true }
         rig.runFor(SETTLE_MILLISECONDS)
-        val late = rig.servers.values.filter(concerned).flatMap { it.books }
-            .filter { it.at > acceptedAt + A_FEW_SECONDS_MILLISECONDS }
-        requireNone(seed, rig, late.map { "${it.order.server} got work at ${it.at}" })
-        assertTrue(rig.callers.all { it.whole }, "running requests must finish there, and all others elsewhere")
+        val late = rig.servers.values.filter(affected).flatMap { it.runs }
+            .filter { it.at > acceptedAt + PROPAGATION_MILLISECONDS }
+        assertNoFindings(seed, rig, late.map { "${it.order.server} got work at ${it.at}" })
+        assertTrue(rig.callers.all { it.correct }, "running requests must finish there, and all others elsewhere")
     }
 
     private fun load(seed: Long, policies: RouterPolicies): Rig {
         val rig = Fleet.rig(seed, policies = policies)
         send(rig)
-        rig.inflictWithin(milliseconds = 5_000, count = 8, faults = listOf(Fault.RESTART_SERVER, Fault.KILL_VM))
+        rig.injectWithin(milliseconds = 5_000, count = 8, faults = listOf(Fault.RESTART_SERVER, Fault.KILL_VM))
         rig.runFor(SETTLE_MILLISECONDS)
         return rig
     }
@@ -84,6 +84,6 @@
         const val SEEDS = 40
         const val REQUESTS = 600
         const val SETTLE_MILLISECONDS = 20_000L
-        const val A_FEW_SECONDS_MILLISECONDS = 3_000L
+        const val PROPAGATION_MILLISECONDS = 3_000L
     }
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/configuration/ConfigurationUnderFailureTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/configuration/ConfigurationUnderFailureTest.kt
@@ -7,8 +7,8 @@
 import org.quetzalloom.core.rig.Fault
 import org.quetzalloom.core.rig.Fleet
 import org.quetzalloom.core.rig.Rig
-import org.quetzalloom.core.rig.inflictWithin
-import org.quetzalloom.core.rig.requireNone
+import org.quetzalloom.core.rig.assertNoFindings
+import org.quetzalloom.core.rig.injectWithin
 import org.quetzalloom.core.rig.seeds
 import org.quetzalloom.core.router.Part
 import org.quetzalloom.core.router.RouterReducer
@@ -24,9 +24,9 @@
         val rig = Fleet.rig(seed)
         val findings = watch(rig)
         raceOperators(rig)
-        rig.inflictWithin(milliseconds = 5_000, count = 4, faults = Fault.ofPlatform)
+        rig.injectWithin(milliseconds = 5_000, count = 4, faults = Fault.ofPlatform)
         rig.runFor(SETTLE_MILLISECONDS)
-        requireNone(seed, rig, findings + differences(rig))
+        assertNoFindings(seed, rig, findings + differences(rig))
     }
 
     @Test
@@ -36,7 +36,7 @@
             val rig = Fleet.rig(seed, parts)
             val findings = watch(rig)
             raceOperators(rig)
-            rig.inflictWithin(milliseconds = 5_000, count = 4, faults = Fault.ofPlatform)
+            rig.injectWithin(milliseconds = 5_000, count = 4, faults = Fault.ofPlatform)
             rig.runFor(SETTLE_MILLISECONDS)
             (findings + differences(rig)).size
         }
@@ -76,7 +76,7 @@
         val later = rig.send(cut, Fleet.completion("bread"))
         rig.runFor(3_000)
         assertEquals(true, early.refusal?.notRun ?: true)
-        assertTrue(later.whole, rig.trace.joinToString("\n"))
+        assertTrue(later.correct, rig.trace.joinToString("\n"))
     }
 
     @Test
--- a/core/src/test/kotlin/org/quetzalloom/core/drain/DrainTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/drain/DrainTest.kt
@@ -3,7 +3,7 @@
 import org.quetzalloom.core.log.LogRecord
 import org.quetzalloom.core.log.LogStream
 import org.quetzalloom.core.rig.Fleet
-import org.quetzalloom.core.rig.requireNone
+import org.quetzalloom.core.rig.assertNoFindings
 import org.quetzalloom.core.rig.seeds
 import org.quetzalloom.core.router.status
 import kotlin.test.Test
@@ -35,7 +35,7 @@
         val unbilled = rig.callers.filter { it.answered }
             .filter { it.call.key == null && "request:${it.request}" !in billed }
             .map { "${it.request} was not billed" }
-        requireNone(seed, rig, cut + falselyRefused + unbilled)
+        assertNoFindings(seed, rig, cut + falselyRefused + unbilled)
         assertTrue(leaving !in rig.up, "the VM must stop")
     }
 
@@ -46,7 +46,7 @@
         assertEquals(false, rig.state(Fleet.vms[0]).status(rig.schedule.timestamp).ready)
         val caller = rig.send(Fleet.vms[0], Fleet.completion("bread"))
         rig.runFor(3_000)
-        assertTrue(caller.whole, "requests that the load balancer still sends must be accepted for a while")
+        assertTrue(caller.correct, "requests that the load balancer still sends must be accepted for a while")
     }
 
     private companion object {
--- a/core/src/test/kotlin/org/quetzalloom/core/ledger/CommandsUnderFailureTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/ledger/CommandsUnderFailureTest.kt
@@ -8,9 +8,9 @@
 import org.quetzalloom.core.rig.Fault
 import org.quetzalloom.core.rig.Fleet
 import org.quetzalloom.core.rig.Rig
-import org.quetzalloom.core.rig.inflict
-import org.quetzalloom.core.rig.inflictWithin
-import org.quetzalloom.core.rig.requireNone
+import org.quetzalloom.core.rig.assertNoFindings
+import org.quetzalloom.core.rig.inject
+import org.quetzalloom.core.rig.injectWithin
 import org.quetzalloom.core.rig.seeds
 import org.quetzalloom.core.router.Part
 import org.quetzalloom.core.router.RouterReducer
@@ -27,31 +27,31 @@
     @Test
     fun commandsRunAtMostOnceAndRefusalsAreTrue() = seeds(SEEDS).forEach { seed ->
         val rig = load(seed, RouterReducer.parts, Fault.ofPlatform + Fault.BREAK_CONNECTIONS)
-        requireNone(seed, rig, findings(rig))
+        assertNoFindings(seed, rig, findings(rig))
     }
 
     @Test
-    fun pairsOfFailuresAndOneTwiceInARow() = Fault.ofPlatform.forEach { first ->
+    fun commandsRunAtMostOnceUnderPairsOfFailures() = Fault.ofPlatform.forEach { first ->
         Fault.ofPlatform.forEach { second ->
             val seed = (first.ordinal * Fault.entries.size + second.ordinal).toLong()
             val rig = Fleet.rig(seed)
             send(rig)
-            rig.schedule.after(1_000) { rig.inflict(first) }
-            rig.schedule.after(1_000 + rig.random.nextLong(300)) { rig.inflict(second) }
+            rig.schedule.after(1_000) { rig.inject(first) }
+            rig.schedule.after(1_000 + rig.random.nextLong(300)) { rig.inject(second) }
             rig.runFor(SETTLE_MILLISECONDS)
-            requireNone(seed, rig, findings(rig))
+            assertNoFindings(seed, rig, findings(rig))
         }
     }
 
     @Test
     fun withoutWaitingForTheLogCommandsRunTwice() {
-        val parts = RouterReducer.parts.add(RouterReducer.parts.indexOf(LedgerPart) + 1, impatientLedger)
+        val parts = RouterReducer.parts.add(RouterReducer.parts.indexOf(LedgerPart) + 1, ledgerWithoutLog)
         val found = seeds(SEEDS).sumOf { findings(load(it, parts, Fault.ofPlatform)).size }
         assertTrue(found > 0, "without arbitration by the log some run must fail the check")
     }
 
     @Test
-    fun aCommandWhoseAnswerOfTheAppendIsLostRunsOnce() {
+    fun aCommandWhoseAppendAnswerIsLostRunsOnce() {
         val rig = Fleet.rig(seed = 1)
         rig.log.lostAnswers = 1
         val caller = rig.send(Fleet.vms[0], Fleet.command("k"))
@@ -90,7 +90,7 @@
     private fun load(seed: Long, parts: PersistentList<Part>, faults: List<Fault>): Rig {
         val rig = Fleet.rig(seed, parts)
         send(rig)
-        rig.inflictWithin(milliseconds = 5_000, count = 4, faults = faults)
+        rig.injectWithin(milliseconds = 5_000, count = 4, faults = faults)
         rig.runFor(SETTLE_MILLISECONDS)
         return rig
     }
@@ -120,10 +120,10 @@
         val falselyRefused = rig.callers.filter { it.refusal?.notRun == true && it.request.value in ran }
         val answeredNotRun = rig.callers.filter { it.answered && "bakery/${it.call.key}" !in runs }
         val wrong = rig.callers.filter { it.answered && it.answer != "ran ${it.call.body}" }
-        val doubled = rig.callers.filter { it.ends > 1 }
+        val duplicated = rig.callers.filter { it.endCount > 1 }
         return twice + falselyRefused.describe("was refused as not run, but ran") +
             answeredNotRun.describe("was answered, but did not run") +
-            wrong.describe("has a wrong answer") + doubled.describe("was answered twice")
+            wrong.describe("has a wrong answer") + duplicated.describe("was answered twice")
     }
 
     private fun List<FakeCaller>.describe(what: String): List<String> = map { "${it.request} ${it.call.key} $what" }
@@ -135,7 +135,7 @@
         const val SETTLE_MILLISECONDS = 25_000L
 
         /** Treats each proposed intent as won at once, as a router without arbitration by the log would. */
-        val impatientLedger = Part { state, _, now ->
+        val ledgerWithoutLog = Part { state, _, now ->
             val proposed = state.requests.active.values.filter { it.phase is Phase.AwaitingIntent }
             val won = proposed.fold(state.ledger) { ledger, request ->
                 val command = requireNotNull(request.command)
--- a/core/src/test/kotlin/org/quetzalloom/core/quarantine/QuarantineTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/quarantine/QuarantineTest.kt
@@ -6,7 +6,7 @@
 import org.quetzalloom.core.rig.FakeServer
 import org.quetzalloom.core.rig.Fleet
 import org.quetzalloom.core.rig.Rig
-import org.quetzalloom.core.rig.requireNone
+import org.quetzalloom.core.rig.assertNoFindings
 import org.quetzalloom.core.rig.seeds
 import org.quetzalloom.core.router.Part
 import org.quetzalloom.core.router.RouterReducer
@@ -19,7 +19,7 @@
     @Test
     fun aRequestThatCrashesServersTakesDownTwoAtMost() = seeds(SEEDS).forEach { seed ->
         val rig = load(seed, RouterReducer.parts)
-        requireNone(seed, rig, findings(rig))
+        assertNoFindings(seed, rig, findings(rig))
         val last = rig.callers.last { FakeServer.CRASH_MARK in it.call.body }
         assertTrue(last.refusal == ErrorKind.QUARANTINED, "seed $seed: the last send was ${last.refusal}")
     }
@@ -43,20 +43,20 @@
                 number * 20L
             ) { rig.send(Fleet.vms.random(rig.random), Fleet.completion("bread $number")) }
         }
-        rig.schedule.after(500) { sendBad(rig, Fleet.vms.random(rig.random), left = 5) }
+        rig.schedule.after(500) { sendCrashing(rig, Fleet.vms.random(rig.random), left = 5) }
         rig.runFor(20_000)
         return rig
     }
 
     /** Sends the request that crashes servers, then sends it again every 2 s, each time to a random VM. */
-    private fun sendBad(rig: Rig, vm: VmId, left: Int) {
+    private fun sendCrashing(rig: Rig, vm: VmId, left: Int) {
         rig.send(vm, Fleet.completion("${FakeServer.CRASH_MARK} a bread with many tokens"))
-        if (left > 0) rig.schedule.after(2_000) { sendBad(rig, Fleet.vms.random(rig.random), left - 1) }
+        if (left > 0) rig.schedule.after(2_000) { sendCrashing(rig, Fleet.vms.random(rig.random), left - 1) }
     }
 
     private fun findings(rig: Rig): List<String> {
         val crashes = rig.servers.values.sumOf { it.crashes }
-        val innocent = rig.callers.filter { FakeServer.CRASH_MARK !in it.call.body && !it.whole }
+        val innocent = rig.callers.filter { FakeServer.CRASH_MARK !in it.call.body && !it.correct }
             .map { "innocent request ${it.request} got ${it.refusal}" }
         return innocent + if (crashes > 2) listOf("$crashes servers went down") else emptyList()
     }
--- a/core/src/test/kotlin/org/quetzalloom/core/request/AnswersUnderFailureTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/request/AnswersUnderFailureTest.kt
@@ -3,8 +3,8 @@
 import org.quetzalloom.core.rig.Fault
 import org.quetzalloom.core.rig.Fleet
 import org.quetzalloom.core.rig.Rig
-import org.quetzalloom.core.rig.inflictWithin
-import org.quetzalloom.core.rig.requireNone
+import org.quetzalloom.core.rig.assertNoFindings
+import org.quetzalloom.core.rig.injectWithin
 import org.quetzalloom.core.rig.seeds
 import org.quetzalloom.core.router.Part
 import org.quetzalloom.core.router.RouterReducer
@@ -15,24 +15,24 @@
 /** Broken, silent and restarted connections must not lose, repeat or mix up tokens of an answer. */
 class AnswersUnderFailureTest {
     @Test
-    fun everyAnswerIsWholeAndItsOwnOrEndsWithAnError() = seeds(SEEDS).forEach { seed ->
+    fun everyAnswerIsCompleteAndCorrectOrEndsWithAnError() = seeds(SEEDS).forEach { seed ->
         val rig = load(seed)
-        val wrong = rig.callers.filter { it.answered && !it.whole }.map { "${it.request} got '${it.answer}'" }
+        val wrong = rig.callers.filter { it.answered && !it.correct }.map { "${it.request} got '${it.answer}'" }
         val open = rig.callers.filter { it.pending }.map { "${it.request} was never ended" }
-        val doubled = rig.callers.filter { it.ends > 1 }.map { "${it.request} was ended ${it.ends} times" }
-        requireNone(seed, rig, wrong + open + doubled)
-        val whole = rig.callers.count { it.whole }
-        assertTrue(whole >= rig.callers.size * LEAST_WHOLE_PERCENT / 100, "seed $seed: only $whole were whole")
+        val duplicated = rig.callers.filter { it.endCount > 1 }.map { "${it.request} was ended ${it.endCount} times" }
+        assertNoFindings(seed, rig, wrong + open + duplicated)
+        val correct = rig.callers.count { it.correct }
+        assertTrue(correct >= rig.callers.size * MIN_CORRECT_PERCENT / 100, "seed $seed: only $correct were whole")
     }
 
     @Test
     fun withoutResumingFromThePositionAnswersAreWrong() {
-        val parts = RouterReducer.parts.add(RouterReducer.parts.indexOf(RequestsPart), forgetfulPosition)
+        val parts = RouterReducer.parts.add(RouterReducer.parts.indexOf(RequestsPart), resettingPosition)
         val rig = Fleet.rig(seed = 1, parts = parts)
         send(rig)
         rig.schedule.after(500) { rig.servers.values.forEach { it.breakConnections() } }
         rig.runFor(SETTLE_MILLISECONDS)
-        assertTrue(rig.callers.any { it.answered && !it.whole }, "without the position some answers must be wrong")
+        assertTrue(rig.callers.any { it.answered && !it.correct }, "without the position some answers must be wrong")
     }
 
     @Test
@@ -42,14 +42,14 @@
         rig.runFor(30)
         rig.servers.values.forEach { it.silence() }
         rig.runFor(4_000)
-        assertTrue(caller.whole, rig.trace.joinToString("\n"))
+        assertTrue(caller.correct, rig.trace.joinToString("\n"))
     }
 
     private fun load(seed: Long): Rig {
         val rig = Fleet.rig(seed)
         send(rig)
         val faults = listOf(Fault.BREAK_CONNECTIONS, Fault.SILENCE_CONNECTIONS, Fault.RESTART_SERVER)
-        rig.inflictWithin(milliseconds = 4_000, count = 6, faults = faults)
+        rig.injectWithin(milliseconds = 4_000, count = 6, faults = faults)
         rig.runFor(SETTLE_MILLISECONDS)
         return rig
     }
@@ -64,10 +64,10 @@
         const val SEEDS = 60
         const val REQUESTS = 200
         const val SETTLE_MILLISECONDS = 20_000L
-        const val LEAST_WHOLE_PERCENT = 90
+        const val MIN_CORRECT_PERCENT = 90
 
         /** Resets the number of delivered tokens once an attempt has failed, so that the retry repeats them. */
-        val forgetfulPosition = Part { state, _, _ ->
+        val resettingPosition = Part { state, _, _ ->
             val active = state.requests.active.mapValues { (_, request) ->
                 if (request.phase is Phase.Running || request.attemptCount == 0) {
                     request
--- a/core/src/test/kotlin/org/quetzalloom/core/request/RefusalsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/request/RefusalsTest.kt
@@ -46,6 +46,6 @@
         val caller = rig.send(Fleet.vms[0], call)
         rig.runFor(1_000)
         assertEquals(kind, caller.refusal)
-        assertTrue(rig.servers.values.all { it.books.isEmpty() }, "no backend server may be called")
+        assertTrue(rig.servers.values.all { it.runs.isEmpty() }, "no backend server may be called")
     }
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/rig/FakeCaller.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/rig/FakeCaller.kt
@@ -17,7 +17,7 @@
         private set
     var refusal: ErrorKind? = null
         private set
-    var ends = 0
+    var endCount = 0
         private set
 
     val answer: String get() = text.toString()
@@ -25,7 +25,7 @@
     val pending: Boolean get() = endedAt == null
 
     /** Whether the answer is complete and the right one. */
-    val whole: Boolean get() = answered && answer == FakeServer.answer(version.orEmpty(), call.body)
+    val correct: Boolean get() = answered && answer == FakeServer.answer(version.orEmpty(), call.body)
 
     fun receive(effect: Effect.OfCaller, now: Long) {
         when (effect) {
@@ -43,7 +43,7 @@
     }
 
     private fun end(now: Long) {
-        ends += 1
+        endCount += 1
         endedAt = now
     }
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/rig/FakeServer.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/rig/FakeServer.kt
@@ -25,7 +25,7 @@
     private var startedAt = schedule.now - server.warmUpMilliseconds
     private var downUntil = 0L
 
-    val books = mutableListOf<Run>()
+    val runs = mutableListOf<Run>()
     var overloads = 0
         private set
     var crashes = 0
@@ -41,16 +41,16 @@
         Event.OfBackend.LoadReported(server.id, start, work.size, schedule.now - startedAt)
     }
 
-    fun take(order: AttemptOrder, reply: (Event) -> Unit) {
+    fun handle(order: AttemptOrder, reply: (Event) -> Unit) {
         if (isDown) {
             reply(Event.OfBackend.Failed(order.attempt, AttemptFailure.NOT_SENT))
             return
         }
-        books.add(Run(schedule.now, order))
+        runs.add(Run(schedule.now, order))
         work[order.attempt] = Work(order, reply)
         if (work.size > LinearRamp.limit(server, schedule.now - startedAt)) {
             overloads += 1
-            goDown()
+            restart()
             return
         }
         reply(Event.OfBackend.Accepted(order.attempt, start))
@@ -58,7 +58,7 @@
     }
 
     /** Breaks off all work; the server is cold when it is up again. */
-    fun goDown(milliseconds: Long = 300) {
+    fun restart(milliseconds: Long = 300) {
         val broken = work.values.filterNot { it.silent }
         work.clear()
         starts += 1
@@ -94,7 +94,7 @@
         when {
             CRASH_MARK in order.body && position >= 1 -> {
                 crashes += 1
-                goDown()
+                restart()
             }
             position < total -> {
                 current.reply(
--- a/core/src/test/kotlin/org/quetzalloom/core/rig/Fault.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/rig/Fault.kt
@@ -24,40 +24,40 @@
 }
 
 /** Lets [fault] happen at once; it is over after some time drawn from the rig's seed. */
-fun Rig.inflict(fault: Fault) {
-    val lasting = random.nextLong(50, 2_500)
+fun Rig.inject(fault: Fault) {
+    val duration = random.nextLong(50, 2_500)
     val vm = Fleet.vms.random(random)
     val server = servers.values.sortedBy { it.server.id }.random(random)
-    trace.add("${schedule.now} fault $fault on $vm or ${server.server.id} for $lasting ms")
+    trace.add("${schedule.now} fault $fault on $vm or ${server.server.id} for $duration ms")
     when (fault) {
         Fault.KILL_VM -> {
             kill(vm)
-            schedule.after(lasting) { if (vm !in up) start(vm) }
+            schedule.after(duration) { if (vm !in up) start(vm) }
         }
         Fault.FREEZE_VM -> {
             freeze(vm)
-            schedule.after(lasting) { thaw(vm) }
+            schedule.after(duration) { unfreeze(vm) }
         }
         Fault.LOG_DOWN -> {
             log.down = true
-            schedule.after(lasting) { log.down = false }
+            schedule.after(duration) { log.down = false }
         }
         Fault.LOSE_APPEND_ANSWERS -> log.lostAnswers += random.nextInt(1, 4)
         Fault.CUT_FROM_LOG -> {
             cutFromLog.add(vm)
-            schedule.after(lasting) { cutFromLog.remove(vm) }
+            schedule.after(duration) { cutFromLog.remove(vm) }
         }
         Fault.CUT_FROM_PEERS -> {
             cutFromPeers.add(vm)
-            schedule.after(lasting) { cutFromPeers.remove(vm) }
+            schedule.after(duration) { cutFromPeers.remove(vm) }
         }
         Fault.BREAK_CONNECTIONS -> server.breakConnections()
         Fault.SILENCE_CONNECTIONS -> server.silence()
-        Fault.RESTART_SERVER -> server.goDown()
+        Fault.RESTART_SERVER -> server.restart()
     }
 }
 
 /** Lets [count] of [faults] happen at random times within the next [milliseconds]. */
-fun Rig.inflictWithin(milliseconds: Long, count: Int, faults: List<Fault>) = repeat(count) {
-    schedule.after(random.nextLong(milliseconds)) { inflict(faults.random(random)) }
+fun Rig.injectWithin(milliseconds: Long, count: Int, faults: List<Fault>) = repeat(count) {
+    schedule.after(random.nextLong(milliseconds)) { inject(faults.random(random)) }
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/rig/Replay.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/rig/Replay.kt
@@ -6,7 +6,7 @@
 fun seeds(count: Int): List<Long> = System.getProperty("seed")?.let { listOf(it.toLong()) } ?: (1L..count).toList()
 
 /** Fails with the time line of [rig] if [findings] has any. */
-fun requireNone(seed: Long, rig: Rig, findings: List<String>) {
+fun assertNoFindings(seed: Long, rig: Rig, findings: List<String>) {
     if (findings.isEmpty()) return
     fail("seed $seed (replay with -Dseed=$seed): ${findings.joinToString("; ")}\n${rig.trace.joinToString("\n")}")
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/rig/Rig.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/rig/Rig.kt
@@ -57,7 +57,7 @@
     val cutFromPeers = mutableSetOf<VmId>()
 
     /** Peer messages that are lost. */
-    var losesMessage: (PeerMessage) -> Boolean = { false }
+    var dropsMessage: (PeerMessage) -> Boolean = { false }
 
     init {
         vms.forEach { start(it) }
@@ -72,26 +72,26 @@
         val incarnation = (incarnations[vm] ?: 0) + 1
         incarnations[vm] = incarnation
         nodes[vm] = Node(incarnation, RouterState.initial(settingsOf(vm, "i$incarnation")))
-        note(vm, "started")
+        addToTrace(vm, "started")
         tick(vm, incarnation)
     }
 
     fun kill(vm: VmId) {
         nodes.remove(vm)
-        note(vm, "killed")
+        addToTrace(vm, "killed")
         callers.filter { it.pending && it.request.value.startsWith("$vm/") }
-            .forEach { note(vm, "lost ${it.request}") }
+            .forEach { addToTrace(vm, "lost ${it.request}") }
     }
 
     fun freeze(vm: VmId) {
         nodes[vm]?.frozen = true
-        note(vm, "frozen")
+        addToTrace(vm, "frozen")
     }
 
-    fun thaw(vm: VmId) {
+    fun unfreeze(vm: VmId) {
         val node = nodes[vm] ?: return
         node.frozen = false
-        note(vm, "thawed")
+        addToTrace(vm, "thawed")
         val waiting = node.backlog.toList()
         node.backlog.clear()
         waiting.forEach { deliver(vm, node.incarnation, it) }
@@ -117,7 +117,7 @@
     fun runFor(milliseconds: Long) = schedule.runFor(milliseconds)
 
     /** The runs of commands, by their scope. */
-    fun commandRuns(): Map<String, List<Run>> = servers.values.flatMap { it.books }
+    fun commandRuns(): Map<String, List<Run>> = servers.values.flatMap { it.runs }
         .filter { it.order.scope != null }
         .groupBy { it.order.scope.orEmpty() }
 
@@ -139,39 +139,39 @@
         }
         val transition = reducer.reduce(node.state, event, schedule.timestamp)
         node.state = transition.state
-        transition.effects.forEach { carryOut(vm, incarnation, it) }
+        transition.effects.forEach { execute(vm, incarnation, it) }
     }
 
-    private fun carryOut(vm: VmId, incarnation: Int, effect: Effect) {
+    private fun execute(vm: VmId, incarnation: Int, effect: Effect) {
         when (effect) {
             is Effect.OfCaller -> callers.first { it.request == effect.request }.receive(effect, schedule.now)
-            is Effect.OfBackend -> carryOut(vm, effect)
-            is Effect.OfPlatform -> carryOut(vm, effect)
+            is Effect.OfBackend -> execute(vm, effect)
+            is Effect.OfPlatform -> execute(vm, effect)
             is Effect.Tell -> tell(vm, effect)
             is Effect.Report -> report(vm, effect)
             is Effect.Stop -> schedule.after(0) {
                 if (nodes[vm]?.incarnation == incarnation) {
                     nodes.remove(vm)
-                    note(vm, "stopped")
+                    addToTrace(vm, "stopped")
                 }
             }
         }
     }
 
     private fun report(vm: VmId, effect: Effect.Report) {
-        note(vm, "${effect.entry.name} ${effect.entry.fields.toSortedMap()}")
+        addToTrace(vm, "${effect.entry.name} ${effect.entry.fields.toSortedMap()}")
         if (effect.entry.name == "attempt_started") {
             requestsByAttempt[effect.entry.fields.getValue("attempt")] = effect.entry.fields.getValue("request")
         }
     }
 
-    private fun carryOut(vm: VmId, effect: Effect.OfBackend) {
+    private fun execute(vm: VmId, effect: Effect.OfBackend) {
         when (effect) {
             is Effect.OfBackend.Start -> {
                 val connection = Connection(vm)
                 schedule.after(
                     latency()
-                ) { servers.getValue(effect.order.server).take(effect.order, connection::reply) }
+                ) { servers.getValue(effect.order.server).handle(effect.order, connection::reply) }
             }
             is Effect.OfBackend.Cancel -> schedule.after(latency()) {
                 servers.values.forEach { it.cancel(effect.attempt) }
@@ -193,7 +193,7 @@
         }
     }
 
-    private fun carryOut(vm: VmId, effect: Effect.OfPlatform) {
+    private fun execute(vm: VmId, effect: Effect.OfPlatform) {
         val cut = vm in cutFromLog
         when (effect) {
             is Effect.OfPlatform.Append -> schedule.after(latency()) {
@@ -209,11 +209,11 @@
     }
 
     private fun tell(vm: VmId, effect: Effect.Tell) {
-        val cut = vm in cutFromPeers || effect.to in cutFromPeers || losesMessage(effect.message)
+        val cut = vm in cutFromPeers || effect.to in cutFromPeers || dropsMessage(effect.message)
         if (!cut) post(effect.to, Event.PeerTold(vm, effect.stamp, effect.message), latency())
     }
 
-    private fun note(vm: VmId, text: String) {
+    private fun addToTrace(vm: VmId, text: String) {
         trace.add("${schedule.now} $vm $text")
     }
 
--- a/core/src/test/kotlin/org/quetzalloom/core/rig/Schedule.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/rig/Schedule.kt
@@ -8,7 +8,7 @@
     private data class Due(val at: Long, val number: Long, val action: () -> Unit)
 
     private val queue = PriorityQueue<Due>(compareBy<Due> { it.at }.thenBy { it.number })
-    private var entered = 0L
+    private var nextNumber = 0L
 
     /** The current time, in milliseconds. */
     var now: Long = START_MILLISECONDS
@@ -17,7 +17,7 @@
     val timestamp: Timestamp get() = Timestamp(now)
 
     fun after(milliseconds: Long, action: () -> Unit) {
-        queue.add(Due(now + milliseconds.coerceAtLeast(0), entered++, action))
+        queue.add(Due(now + milliseconds.coerceAtLeast(0), nextNumber++, action))
     }
 
     fun runFor(milliseconds: Long) {
--- a/core/src/test/kotlin/org/quetzalloom/core/session/VersionsUnderFailureTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/session/VersionsUnderFailureTest.kt
@@ -9,8 +9,8 @@
 import org.quetzalloom.core.rig.Fault
 import org.quetzalloom.core.rig.Fleet
 import org.quetzalloom.core.rig.Rig
-import org.quetzalloom.core.rig.inflictWithin
-import org.quetzalloom.core.rig.requireNone
+import org.quetzalloom.core.rig.assertNoFindings
+import org.quetzalloom.core.rig.injectWithin
 import org.quetzalloom.core.rig.seeds
 import org.quetzalloom.core.router.Part
 import org.quetzalloom.core.router.RouterReducer
@@ -27,12 +27,12 @@
     @Test
     fun onlyAllowedVersionsRunAndSessionsKeepTheirs() = seeds(SEEDS).forEach { seed ->
         val rig = load(seed, RouterReducer.parts)
-        requireNone(seed, rig, forbiddenRuns(rig) + movedSessions(rig))
+        assertNoFindings(seed, rig, forbiddenRuns(rig) + movedSessions(rig))
     }
 
     @Test
     fun withoutSessionMemoryARolloutMovesSessions() {
-        val parts = RouterReducer.parts.add(0, forgetfulSessions)
+        val parts = RouterReducer.parts.add(0, clearingSessions)
         val found = seeds(SEEDS).sumOf { movedSessions(load(it, parts, tokens = false)).size }
         assertTrue(found > 0, "without assignments some session must change its version")
     }
@@ -41,15 +41,15 @@
     fun aWithdrawnVersionReceivesNoNewWork() = seeds(SEEDS).forEach { seed ->
         val rig = Fleet.rig(seed)
         send(rig, tokens = true)
-        rig.inflictWithin(milliseconds = 4_000, count = 4, faults = faults)
+        rig.injectWithin(milliseconds = 4_000, count = 4, faults = faults)
         rig.runFor(2_000)
         val revision = rig.up.maxOf { rig.state(it).configurationOrNull?.revision ?: 0 }
         rig.log.down = false
         rig.change(revision, ConfigurationChange.Withdraw(Fleet.old))
-        val bound = rig.schedule.now + Fleet.limits.stalenessMilliseconds + READ_MILLISECONDS
+        val bound = rig.schedule.now + Fleet.limits.stalenessMilliseconds + LOG_READ_MILLISECONDS
         rig.runFor(SETTLE_MILLISECONDS)
         val late = runs(rig).filter { (at, version) -> version == Fleet.old && at > bound }
-        requireNone(seed, rig, late.map { "withdrawn version ran at ${it.first}" })
+        assertNoFindings(seed, rig, late.map { "withdrawn version ran at ${it.first}" })
         assertTrue(rig.callers.any { it.version == Fleet.new.value }, "sessions must move to the other version")
     }
 
@@ -71,7 +71,7 @@
         val token = SessionToken(Fleet.workspace, SessionId("s"), Fleet.forbidden)
         val caller = rig.send(Fleet.vms[0], Fleet.completion("b", session = "s", token = token.format("secret")))
         rig.runFor(2_000)
-        assertTrue(caller.whole)
+        assertTrue(caller.correct)
         assertTrue(caller.version != Fleet.forbidden.value)
     }
 
@@ -81,7 +81,7 @@
         listOf(50, 200, 500, 800, 1_000).forEachIndexed { step, share ->
             rig.schedule.after(300 + step * 700L) { rollOut(rig, share) }
         }
-        rig.inflictWithin(milliseconds = 4_000, count = 3, faults = faults)
+        rig.injectWithin(milliseconds = 4_000, count = 3, faults = faults)
         rig.runFor(SETTLE_MILLISECONDS)
         return rig
     }
@@ -111,7 +111,7 @@
     }
 
     private fun runs(rig: Rig): List<Pair<Long, VersionId>> =
-        rig.servers.values.flatMap { it.books }.map { it.at to it.order.version }
+        rig.servers.values.flatMap { it.runs }.map { it.at to it.order.version }
 
     private fun forbiddenRuns(rig: Rig): List<String> =
         runs(rig).filter { it.second == Fleet.forbidden }.map { "forbidden version ran at ${it.first}" }
@@ -127,11 +127,11 @@
     private companion object {
         const val SEEDS = 60
         const val SESSIONS = 8
-        const val READ_MILLISECONDS = 1_000L
+        const val LOG_READ_MILLISECONDS = 1_000L
         const val SETTLE_MILLISECONDS = 20_000L
         val faults = listOf(Fault.KILL_VM, Fault.LOG_DOWN, Fault.CUT_FROM_LOG, Fault.BREAK_CONNECTIONS)
 
         /** Clears all session assignments before every event. */
-        val forgetfulSessions = Part { state, _, _ -> state.copy(sessions = SessionsState()).unchanged() }
+        val clearingSessions = Part { state, _, _ -> state.copy(sessions = SessionsState()).unchanged() }
     }
 }
