Document the test rig in the terms of the field

The comments of the rig now say what each fake does, when it fails and what a test may read from it. One text of an assertion in AnswersUnderFailureTest and one line of the trace are reworded; what the tests check is the same.

--- a/core/src/test/kotlin/org/quetzalloom/core/ledger/CommandsUnderFailureTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/ledger/CommandsUnderFailureTest.kt
@@ -30,6 +30,7 @@
         assertNoFindings(seed, rig, findings(rig))
     }
 
+    /** Injects each pair of faults of the platform within 300 ms of each other, including the same fault twice. */
     @Test
     fun commandsRunAtMostOnceUnderPairsOfFailures() = Fault.ofPlatform.forEach { first ->
         Fault.ofPlatform.forEach { second ->
--- a/core/src/test/kotlin/org/quetzalloom/core/request/AnswersUnderFailureTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/request/AnswersUnderFailureTest.kt
@@ -22,7 +22,7 @@
         val duplicated = rig.callers.filter { it.endCount > 1 }.map { "${it.request} was ended ${it.endCount} times" }
         assertNoFindings(seed, rig, wrong + open + duplicated)
         val correct = rig.callers.count { it.correct }
-        assertTrue(correct >= rig.callers.size * MIN_CORRECT_PERCENT / 100, "seed $seed: only $correct were whole")
+        assertTrue(correct >= rig.callers.size * MIN_CORRECT_PERCENT / 100, "seed $seed: only $correct were correct")
     }
 
     @Test
--- a/core/src/test/kotlin/org/quetzalloom/core/rig/FakeCaller.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/rig/FakeCaller.kt
@@ -5,7 +5,14 @@
 import org.quetzalloom.core.identity.RequestId
 import org.quetzalloom.core.request.CallerRequest
 
-/** One request as its caller sees it. */
+/**
+ * A caller that sends one request and records its answer.
+ *
+ * @property sentAt the virtual time at which the request was sent, in milliseconds.
+ * @property version the version named at the start of the answer, or `null` before that.
+ * @property endedAt the virtual time of the end or refusal, or `null` before that.
+ * @property endCount how often the answer was ended or refused; more than once is a fault.
+ */
 class FakeCaller(val request: RequestId, val call: CallerRequest, val sentAt: Long) {
     private val text = StringBuilder()
 
@@ -24,7 +31,7 @@
     val answered: Boolean get() = endedAt != null && refusal == null
     val pending: Boolean get() = endedAt == null
 
-    /** Whether the answer is complete and the right one. */
+    /** Whether the answer is complete and the one that the version gives to this request. */
     val correct: Boolean get() = answered && answer == FakeServer.answer(version.orEmpty(), call.body)
 
     fun receive(effect: Effect.OfCaller, now: Long) {
--- a/core/src/test/kotlin/org/quetzalloom/core/rig/FakeLog.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/rig/FakeLog.kt
@@ -7,18 +7,18 @@
 import org.quetzalloom.core.log.LogRecord
 import org.quetzalloom.core.log.LogStream
 
-/** The platform's log: its records are the books that the tests read. */
+/** An in-memory log of the platform. Tests read its records to check what the routers recorded. */
 class FakeLog {
     private val streams = LogStream.entries.associateWith { mutableListOf<LogEntry>() }
     private val earliest = LogStream.entries.associateWith { 0L }.toMutableMap()
 
-    /** Whether nothing can be read or appended. */
+    /** Whether all reads and appends fail. */
     var down = false
 
-    /** The number of appends whose answer is lost after they took effect. */
+    /** The number of next appends that take effect but are answered as failed. */
     var lostAnswers = 0
 
-    /** Appends so far. */
+    /** The number of appends that took effect. */
     var appends = 0
         private set
 
@@ -49,7 +49,7 @@
         return Event.OfPlatform.LogRead(effect.stream, given, from + given.size, first)
     }
 
-    /** Forgets all records of [stream] but the last [kept]. */
+    /** Expires all records of [stream] but the last [kept]. */
     fun expire(stream: LogStream, kept: Int) {
         earliest[stream] = (streams.getValue(stream).size - kept).toLong().coerceAtLeast(earliest.getValue(stream))
     }
--- a/core/src/test/kotlin/org/quetzalloom/core/rig/FakeServer.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/rig/FakeServer.kt
@@ -9,10 +9,18 @@
 import org.quetzalloom.core.identity.StartIdentity
 import org.quetzalloom.core.request.Target
 
-/** What a backend server was asked to run: its books. */
+/** An attempt that reached a backend server, and the virtual time of its arrival in milliseconds. */
 data class Run(val at: Long, val order: AttemptOrder)
 
-/** A backend server. [reply] sends an event to the VM that made an attempt. */
+/**
+ * A backend server: an engine that generates one token at a time, or a service that answers in one piece.
+ *
+ * It goes down when it is given more concurrent requests than it can run since its last start.
+ *
+ * @property runs all attempts that reached it, in order of arrival.
+ * @property overloads how often it went down under too many requests.
+ * @property crashes how often a request with [CRASH_MARK] took it down.
+ */
 class FakeServer(
     val server: BackendServer,
     private val schedule: Schedule,
@@ -35,12 +43,14 @@
     private val start: StartIdentity get() = StartIdentity("${server.id}-$starts")
     private val isDown: Boolean get() = schedule.now < downUntil
 
+    /** Returns the answer to a load request: a report, or `LoadUnknown` while it is down. */
     fun load(): Event = if (isDown) {
         Event.OfBackend.LoadUnknown(server.id)
     } else {
         Event.OfBackend.LoadReported(server.id, start, work.size, schedule.now - startedAt)
     }
 
+    /** Runs [order]; [reply] sends its events to the VM that made the attempt. */
     fun handle(order: AttemptOrder, reply: (Event) -> Unit) {
         if (isDown) {
             reply(Event.OfBackend.Failed(order.attempt, AttemptFailure.NOT_SENT))
@@ -57,7 +67,7 @@
         if (order.target is Target.Completion) generate(order, order.resumeFrom) else serve(order)
     }
 
-    /** Breaks off all work; the server is cold when it is up again. */
+    /** Breaks all connections and goes down for [milliseconds]; the server is cold when it is up again. */
     fun restart(milliseconds: Long = 300) {
         val broken = work.values.filterNot { it.silent }
         work.clear()
@@ -67,10 +77,10 @@
         broken.forEach { it.reply(Event.OfBackend.Failed(it.order.attempt, AttemptFailure.BROKEN)) }
     }
 
-    /** Lets every open connection go silent for good. */
+    /** Makes every open connection silent: it stays open, but sends nothing more. */
     fun silence() = work.values.forEach { it.silent = true }
 
-    /** Breaks every connection; the work behind them ends, but the server stays up. */
+    /** Breaks every connection and ends its work; the server stays up. */
     fun breakConnections() {
         val broken = work.values.toList()
         work.clear()
@@ -119,16 +129,17 @@
     }
 
     companion object {
-        /** A body with this in it takes the server down. */
+        /** A request whose body contains this text crashes the server after its first token. */
         const val CRASH_MARK = "crash"
         private const val SERVICE_MILLISECONDS = 10L
         private const val LONGEST_ANSWER_TOKENS = 20
 
+        /** Returns the number of tokens in the answer to [body]. */
         fun tokensOf(body: String): Int = 1 + Math.floorMod(body.hashCode(), LONGEST_ANSWER_TOKENS)
 
         fun token(version: String, position: Int): String = "$version#$position "
 
-        /** The whole answer of [version] to [body]. */
+        /** Returns the complete answer of [version] to [body]. */
         fun answer(version: String, body: String): String =
             (0 until tokensOf(body)).joinToString("") { token(version, it) }
     }
--- a/core/src/test/kotlin/org/quetzalloom/core/rig/Fault.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/rig/Fault.kt
@@ -3,7 +3,7 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 
-/** Kinds of failure that a test can let happen at random times. */
+/** The kinds of fault that a test can inject. */
 enum class Fault {
     KILL_VM,
     FREEZE_VM,
@@ -17,13 +17,13 @@
     ;
 
     companion object {
-        /** What a platform and its VMs suffer. */
+        /** The faults of VMs, of the log and of the network between them, without those of backend servers. */
         val ofPlatform: PersistentList<Fault> =
             persistentListOf(KILL_VM, FREEZE_VM, LOG_DOWN, LOSE_APPEND_ANSWERS, CUT_FROM_LOG, CUT_FROM_PEERS)
     }
 }
 
-/** Lets [fault] happen at once; it is over after some time drawn from the rig's seed. */
+/** Injects [fault] now, at a random VM or backend server and for a random time, both drawn from the rig's seed. */
 fun Rig.inject(fault: Fault) {
     val duration = random.nextLong(50, 2_500)
     val vm = Fleet.vms.random(random)
@@ -57,7 +57,7 @@
     }
 }
 
-/** Lets [count] of [faults] happen at random times within the next [milliseconds]. */
+/** Injects [count] faults, drawn from [faults], at random times within the next [milliseconds]. */
 fun Rig.injectWithin(milliseconds: Long, count: Int, faults: List<Fault>) = repeat(count) {
     schedule.after(random.nextLong(milliseconds)) { inject(faults.random(random)) }
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/rig/Fleet.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/rig/Fleet.kt
@@ -29,7 +29,7 @@
 import org.quetzalloom.core.router.RouterReducer
 import org.quetzalloom.core.router.RouterSettings
 
-/** A small fleet for the tests: three VMs and availability zones, four engines, two services, one workspace. */
+/** A small fleet for the tests: three VMs in three availability zones, four engines, two services, one workspace. */
 object Fleet {
     val workspace = WorkspaceId("bakery")
     val vms = listOf("vm-1", "vm-2", "vm-3").map { VmId(it) }
@@ -83,7 +83,7 @@
         policies = policies,
     )
 
-    /** A rig whose routers have the configuration in force. */
+    /** Returns a rig whose routers have applied the configuration of the fleet. */
     internal fun rig(
         seed: Long,
         parts: PersistentList<Part> = RouterReducer.parts,
@@ -96,6 +96,7 @@
         return rig
     }
 
+    /** Returns a streamed completion, which may be repeated. */
     fun completion(
         body: String,
         model: String = "composer",
@@ -111,6 +112,7 @@
         sessionToken = token,
     )
 
+    /** Returns a call to a service that must not be repeated, with the idempotency key [key]. */
     fun command(key: String, timeoutMilliseconds: Long = 3_000) = CallerRequest(
         workspace = workspace,
         target = Target.ServiceCall("POST", "/ovens/start"),
--- a/core/src/test/kotlin/org/quetzalloom/core/rig/Rig.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/rig/Rig.kt
@@ -18,10 +18,11 @@
 import kotlin.random.Random
 
 /**
- * Moves effects to events between a few routers and the fakes, in virtual time, under a seed.
+ * A deterministic simulation of a fleet: runs the reducers of several routers against fake backend servers, a fake log
+ * and fake callers. Time is virtual, and all delays and faults are drawn from one seed.
  *
- * @param settingsOf the settings of each VM, by its incarnation.
- * @param reducer the reducer under test; a test that takes a mechanism out passes another.
+ * @param settingsOf returns the settings of a VM for its incarnation.
+ * @param reducer the reducer under test; a test that disables a mechanism passes a modified one.
  */
 class Rig(
     seed: Long,
@@ -44,10 +45,10 @@
     val servers = mutableMapOf<BackendServerId, FakeServer>()
     val callers = mutableListOf<FakeCaller>()
 
-    /** What happened, a line each. */
+    /** The trace of the run, one line for each report of a router, start, stop and fault. */
     val trace = mutableListOf<String>()
 
-    /** The request of each attempt. */
+    /** The id of the request of each attempt, by the id of the attempt. */
     val requestsByAttempt = mutableMapOf<String, String>()
 
     /** VMs that cannot reach the log. */
@@ -56,18 +57,19 @@
     /** VMs that cannot reach any peer. */
     val cutFromPeers = mutableSetOf<VmId>()
 
-    /** Peer messages that are lost. */
+    /** Decides which peer messages are lost. */
     var dropsMessage: (PeerMessage) -> Boolean = { false }
 
     init {
         vms.forEach { start(it) }
     }
 
+    /** The VMs that run, including frozen ones, in order of id. */
     val up: List<VmId> get() = nodes.keys.sorted()
 
     fun state(vm: VmId): RouterState = nodes.getValue(vm).state
 
-    /** Starts [vm], with nothing but its settings. */
+    /** Starts a new incarnation of [vm] with an empty state. */
     fun start(vm: VmId) {
         val incarnation = (incarnations[vm] ?: 0) + 1
         incarnations[vm] = incarnation
@@ -76,6 +78,7 @@
         tick(vm, incarnation)
     }
 
+    /** Kills [vm]: its state and its connections to callers are lost. */
     fun kill(vm: VmId) {
         nodes.remove(vm)
         addToTrace(vm, "killed")
@@ -83,6 +86,7 @@
             .forEach { addToTrace(vm, "lost ${it.request}") }
     }
 
+    /** Freezes [vm]: it does not run; ticks are skipped, and other events queue up until [unfreeze]. */
     fun freeze(vm: VmId) {
         nodes[vm]?.frozen = true
         addToTrace(vm, "frozen")
@@ -91,7 +95,7 @@
     fun unfreeze(vm: VmId) {
         val node = nodes[vm] ?: return
         node.frozen = false
-        addToTrace(vm, "thawed")
+        addToTrace(vm, "unfrozen")
         val waiting = node.backlog.toList()
         node.backlog.clear()
         waiting.forEach { deliver(vm, node.incarnation, it) }
@@ -99,7 +103,7 @@
 
     fun shutDown(vm: VmId) = nodes[vm]?.let { deliver(vm, it.incarnation, Event.ShutdownRequested) }
 
-    /** Lets a caller send [call] to [vm]. */
+    /** Sends [call] to [vm] and returns its caller. */
     fun send(vm: VmId, call: CallerRequest): FakeCaller {
         sent += 1
         val caller = FakeCaller(RequestId("$vm/$sent"), call, schedule.now)
@@ -108,7 +112,7 @@
         return caller
     }
 
-    /** Appends a change of an operator on top of [base]. */
+    /** Appends [change], proposed by [author] on the revision [base]; returns whether the append was confirmed. */
     fun change(base: Long, change: ConfigurationChange, author: String = "operator"): Boolean {
         val record = LogRecord.OfConfiguration(ConfigurationRecord.Proposed(base, author, change))
         return log.append(LogStream.CONFIGURATION, stamp = 0, records = listOf(record))
@@ -116,7 +120,7 @@
 
     fun runFor(milliseconds: Long) = schedule.runFor(milliseconds)
 
-    /** The runs of commands, by their scope. */
+    /** Returns the runs of commands at all backend servers, by command. */
     fun commandRuns(): Map<String, List<Run>> = servers.values.flatMap { it.runs }
         .filter { it.order.scope != null }
         .groupBy { it.order.scope.orEmpty() }
@@ -182,7 +186,7 @@
         }
     }
 
-    /** Delivers in order, as one connection does. */
+    /** Delivers the events of one attempt in the order in which they were sent, each with a random latency. */
     private inner class Connection(private val vm: VmId) {
         private val incarnation = nodes[vm]?.incarnation ?: 0
         private var lastAt = 0L
