Correct comments of the request code

Four comments left out a case: a crash check without a report, a trial that waits for a request of the same VM, tokens that let a request wait, and a session whose version the request may not use. The units of a price have a comment.

Comments only.

--- a/core/src/main/kotlin/org/quetzalloom/core/request/Arrival.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Arrival.kt
@@ -85,8 +85,8 @@
  *
  * The version comes from the session token, else from the assignment known here, as long as it may be used. If there
  * is none, the home VM of the session decides: this VM at once if it is the home, else the request waits for the answer
- * of the home VM. If the version known is not among those that the request may run on, the request runs without the
- * session on the version chosen for it.
+ * of the home VM. If the assigned version is not one that the request may run on, the request runs on the version
+ * chosen for it, and the session keeps its own.
  */
 private fun RouterState.resolveSessionVersion(
     request: ActiveRequest,
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Completion.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Completion.kt
@@ -21,6 +21,7 @@
 import org.quetzalloom.core.selection.RatingSubject
 import org.quetzalloom.core.time.Timestamp
 
+/** The number of tokens or calls that `Version.costMicros` is the price of. */
 private const val UNITS_PER_PRICE = 1_000
 private const val MAX_RECORDED_BODY_CHARACTERS = 65_536
 
--- a/core/src/main/kotlin/org/quetzalloom/core/request/CrashChecks.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/CrashChecks.kt
@@ -14,7 +14,11 @@
 import org.quetzalloom.core.router.unchanged
 import org.quetzalloom.core.time.Timestamp
 
-/** Requests a load report to learn whether the backend server went down, before [request] is run anywhere else. */
+/**
+ * Requests a load report to learn whether the backend server went down, before [request] is run anywhere else.
+ *
+ * Without a report within `verdictMilliseconds`, the backend server counts as down.
+ */
 internal fun RouterState.checkForCrash(request: ActiveRequest, id: BackendServerId, now: Timestamp): Step {
     val asked = put(request.copy(phase = Phase.AwaitingCrashCheck(id, now)))
     val server = configuration.view.current?.backendServers?.get(id) ?: return asked
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Phase.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Phase.kt
@@ -24,7 +24,7 @@
      */
     data class AwaitingTrialConsent(val since: Timestamp) : Phase
 
-    /** Waits until its trial may start: the same content is on trial elsewhere, or no backend server is free for it. */
+    /** Waits until its trial may start: another request with its content is on trial, or no backend server is free. */
     data object AwaitingTrial : Phase
 
     /** Waits for a backend server with room. */
--- a/core/src/main/kotlin/org/quetzalloom/core/request/RequestsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/RequestsPart.kt
@@ -14,8 +14,8 @@
 /**
  * Processes each request from its arrival to exactly one answer or one refusal.
  *
- * After each event, waiting requests are advanced and queued ones dispatched. This is skipped for tokens, the most
- * frequent event, if they change nothing that a waiting request depends on.
+ * After each event, waiting requests are advanced and queued ones dispatched. This is skipped if none waits, and for
+ * tokens that leave the set of waiting requests as it was.
  */
 internal object RequestsPart : Part {
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step {
