--- a/core/src/main/kotlin/org/quetzalloom/core/billing/UnsettledBill.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/billing/UnsettledBill.kt
@@ -8,17 +8,18 @@
 /**
  * A bill of this VM that is not known to be in the log.
  *
- * @property sentTo the peers that were last asked to keep a copy.
- * @property sentAt when that was.
- * @property keptBy the peers that keep one.
+ * @property since the time at which the bill was issued.
+ * @property sentTo the backup peers that it was last sent to; empty before the first time.
+ * @property sentAt the time at which it was last sent to them.
+ * @property confirmedBy the peers that have confirmed that they hold a copy.
  */
 internal data class UnsettledBill(
     val bill: Bill,
     val since: Timestamp,
     val sentTo: PersistentSet<VmId> = persistentSetOf(),
     val sentAt: Timestamp = since,
-    val keptBy: PersistentSet<VmId> = persistentSetOf(),
+    val confirmedBy: PersistentSet<VmId> = persistentSetOf(),
 ) {
-    /** Whether every peer that was asked keeps a copy. */
-    val isKept: Boolean get() = sentTo.isNotEmpty() && keptBy.containsAll(sentTo)
+    /** Whether the bill was sent to backup peers and each of them has confirmed it. */
+    val isReplicated: Boolean get() = sentTo.isNotEmpty() && confirmedBy.containsAll(sentTo)
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/ledger/CommandsUnderFailureTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/ledger/CommandsUnderFailureTest.kt
@@ -8,9 +8,9 @@
 import org.quetzalloom.core.rig.Fault
 import org.quetzalloom.core.rig.Fleet
 import org.quetzalloom.core.rig.Rig
-import org.quetzalloom.core.rig.inflict
-import org.quetzalloom.core.rig.inflictWithin
-import org.quetzalloom.core.rig.requireNone
+import org.quetzalloom.core.rig.assertNoFindings
+import org.quetzalloom.core.rig.inject
+import org.quetzalloom.core.rig.injectWithin
 import org.quetzalloom.core.rig.seeds
 import org.quetzalloom.core.router.Part
 import org.quetzalloom.core.router.RouterReducer
@@ -19,35 +19,40 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
+/**
+ * A call that must not be repeated runs at most once per key, however VMs, the log, peers and connections fail, and a
+ * refusal that claims that the call did not run is true.
+ */
 class CommandsUnderFailureTest {
     @Test
     fun commandsRunAtMostOnceAndRefusalsAreTrue() = seeds(SEEDS).forEach { seed ->
         val rig = load(seed, RouterReducer.parts, Fault.ofPlatform + Fault.BREAK_CONNECTIONS)
-        requireNone(seed, rig, findings(rig))
+        assertNoFindings(seed, rig, findings(rig))
     }
 
+    /** Injects each pair of faults of the platform within 300 ms of each other, including the same fault twice. */
     @Test
-    fun pairsOfFailuresAndOneTwiceInARow() = Fault.ofPlatform.forEach { first ->
+    fun commandsRunAtMostOnceUnderPairsOfFailures() = Fault.ofPlatform.forEach { first ->
         Fault.ofPlatform.forEach { second ->
             val seed = (first.ordinal * Fault.entries.size + second.ordinal).toLong()
             val rig = Fleet.rig(seed)
             send(rig)
-            rig.schedule.after(1_000) { rig.inflict(first) }
-            rig.schedule.after(1_000 + rig.random.nextLong(300)) { rig.inflict(second) }
+            rig.schedule.after(1_000) { rig.inject(first) }
+            rig.schedule.after(1_000 + rig.random.nextLong(300)) { rig.inject(second) }
             rig.runFor(SETTLE_MILLISECONDS)
-            requireNone(seed, rig, findings(rig))
+            assertNoFindings(seed, rig, findings(rig))
         }
     }
 
     @Test
     fun withoutWaitingForTheLogCommandsRunTwice() {
-        val parts = RouterReducer.parts.add(RouterReducer.parts.indexOf(LedgerPart) + 1, impatientLedger)
+        val parts = RouterReducer.parts.add(RouterReducer.parts.indexOf(LedgerPart) + 1, ledgerWithoutLog)
         val found = seeds(SEEDS).sumOf { findings(load(it, parts, Fault.ofPlatform)).size }
-        assertTrue(found > 0, "the check must find what the log prevents")
+        assertTrue(found > 0, "without arbitration by the log some run must fail the check")
     }
 
     @Test
-    fun aCommandWhoseAnswerOfTheAppendIsLostRunsOnce() {
+    fun aCommandWhoseAppendAnswerIsLostRunsOnce() {
         val rig = Fleet.rig(seed = 1)
         rig.log.lostAnswers = 1
         val caller = rig.send(Fleet.vms[0], Fleet.command("k"))
@@ -86,12 +91,12 @@
     private fun load(seed: Long, parts: PersistentList<Part>, faults: List<Fault>): Rig {
         val rig = Fleet.rig(seed, parts)
         send(rig)
-        rig.inflictWithin(milliseconds = 5_000, count = 4, faults = faults)
+        rig.injectWithin(milliseconds = 5_000, count = 4, faults = faults)
         rig.runFor(SETTLE_MILLISECONDS)
         return rig
     }
 
-    /** Sends commands, some to two VMs at once, and again to another VM after each refusal. */
+    /** Sends commands, every fourth one to two VMs at once, and re-sends those not answered to a random VM. */
     private fun send(rig: Rig) = repeat(COMMANDS) { number ->
         rig.schedule.after(number * 100L) {
             val first = rig.up.randomOrNull(rig.random) ?: return@after
@@ -116,10 +121,10 @@
         val falselyRefused = rig.callers.filter { it.refusal?.notRun == true && it.request.value in ran }
         val answeredNotRun = rig.callers.filter { it.answered && "bakery/${it.call.key}" !in runs }
         val wrong = rig.callers.filter { it.answered && it.answer != "ran ${it.call.body}" }
-        val doubled = rig.callers.filter { it.ends > 1 }
-        return twice + falselyRefused.describe("was refused as not run, and ran") +
-            answeredNotRun.describe("was answered, and did not run") +
-            wrong.describe("has a wrong answer") + doubled.describe("was answered twice")
+        val duplicated = rig.callers.filter { it.endCount > 1 }
+        return twice + falselyRefused.describe("was refused as not run, but ran") +
+            answeredNotRun.describe("was answered, but did not run") +
+            wrong.describe("has a wrong answer") + duplicated.describe("was answered twice")
     }
 
     private fun List<FakeCaller>.describe(what: String): List<String> = map { "${it.request} ${it.call.key} $what" }
@@ -130,8 +135,8 @@
         const val RESEND_MILLISECONDS = 3_500L
         const val SETTLE_MILLISECONDS = 25_000L
 
-        /** Takes each proposed intent for won at once, as a router without the log's arbitration would. */
-        val impatientLedger = Part { state, _, now ->
+        /** Treats each proposed intent as won at once, as a router without arbitration by the log would. */
+        val ledgerWithoutLog = Part { state, _, now ->
             val proposed = state.requests.active.values.filter { it.phase is Phase.AwaitingIntent }
             val won = proposed.fold(state.ledger) { ledger, request ->
                 val command = requireNotNull(request.command)
@@ -141,7 +146,7 @@
                     request.id,
                     request.fingerprint,
                 )
-                ledger.read(intent, offset = 0, now = now)
+                ledger.withIntent(intent, offset = 0, now = now)
             }
             state.copy(ledger = won).unchanged()
         }
--- a/core/src/test/kotlin/org/quetzalloom/core/rig/Rig.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/rig/Rig.kt
@@ -18,10 +18,11 @@
 import kotlin.random.Random
 
 /**
- * Moves effects to events between a few routers and the fakes, in virtual time, under a seed.
+ * A deterministic simulation of a fleet: runs the reducers of several routers against fake backend servers, a fake log
+ * and fake callers. Time is virtual, and all delays and faults are drawn from one seed.
  *
- * @param settingsOf the settings of each VM, by its incarnation.
- * @param reducer the reducer under test; a test that takes a mechanism out passes another.
+ * @param settingsOf returns the settings of a VM for its incarnation.
+ * @param reducer the reducer under test; a test that disables a mechanism passes a modified one.
  */
 class Rig(
     seed: Long,
@@ -44,10 +45,10 @@
     val servers = mutableMapOf<BackendServerId, FakeServer>()
     val callers = mutableListOf<FakeCaller>()
 
-    /** What happened, a line each. */
+    /** The trace of the run, one line for each report of a router, start, stop and fault. */
     val trace = mutableListOf<String>()
 
-    /** The request of each attempt. */
+    /** The id of the request of each attempt, by the id of the attempt. */
     val requestsByAttempt = mutableMapOf<String, String>()
 
     /** VMs that cannot reach the log. */
@@ -56,42 +57,45 @@
     /** VMs that cannot reach any peer. */
     val cutFromPeers = mutableSetOf<VmId>()
 
-    /** Peer messages that are lost. */
-    var losesMessage: (PeerMessage) -> Boolean = { false }
+    /** Decides which peer messages are lost. */
+    var dropsMessage: (PeerMessage) -> Boolean = { false }
 
     init {
         vms.forEach { start(it) }
     }
 
+    /** The VMs that run, including frozen ones, in order of id. */
     val up: List<VmId> get() = nodes.keys.sorted()
 
     fun state(vm: VmId): RouterState = nodes.getValue(vm).state
 
-    /** Starts [vm], with nothing but its settings. */
+    /** Starts a new incarnation of [vm] with an empty state. */
     fun start(vm: VmId) {
         val incarnation = (incarnations[vm] ?: 0) + 1
         incarnations[vm] = incarnation
         nodes[vm] = Node(incarnation, RouterState.initial(settingsOf(vm, "i$incarnation")))
-        note(vm, "started")
+        addToTrace(vm, "started")
         tick(vm, incarnation)
     }
 
+    /** Kills [vm]: its state and its connections to callers are lost. */
     fun kill(vm: VmId) {
         nodes.remove(vm)
-        note(vm, "killed")
+        addToTrace(vm, "killed")
         callers.filter { it.pending && it.request.value.startsWith("$vm/") }
-            .forEach { note(vm, "lost ${it.request}") }
+            .forEach { addToTrace(vm, "lost ${it.request}") }
     }
 
+    /** Freezes [vm]: it does not run; ticks are skipped, and other events queue up until [unfreeze]. */
     fun freeze(vm: VmId) {
         nodes[vm]?.frozen = true
-        note(vm, "frozen")
+        addToTrace(vm, "frozen")
     }
 
-    fun thaw(vm: VmId) {
+    fun unfreeze(vm: VmId) {
         val node = nodes[vm] ?: return
         node.frozen = false
-        note(vm, "thawed")
+        addToTrace(vm, "unfrozen")
         val waiting = node.backlog.toList()
         node.backlog.clear()
         waiting.forEach { deliver(vm, node.incarnation, it) }
@@ -99,7 +103,7 @@
 
     fun shutDown(vm: VmId) = nodes[vm]?.let { deliver(vm, it.incarnation, Event.ShutdownRequested) }
 
-    /** Lets a caller send [call] to [vm]. */
+    /** Sends [call] to [vm] and returns its caller. */
     fun send(vm: VmId, call: CallerRequest): FakeCaller {
         sent += 1
         val caller = FakeCaller(RequestId("$vm/$sent"), call, schedule.now)
@@ -108,7 +112,7 @@
         return caller
     }
 
-    /** Appends a change of an operator on top of [base]. */
+    /** Appends [change], proposed by [author] on the revision [base]; returns whether the append was confirmed. */
     fun change(base: Long, change: ConfigurationChange, author: String = "operator"): Boolean {
         val record = LogRecord.OfConfiguration(ConfigurationRecord.Proposed(base, author, change))
         return log.append(LogStream.CONFIGURATION, stamp = 0, records = listOf(record))
@@ -116,8 +120,8 @@
 
     fun runFor(milliseconds: Long) = schedule.runFor(milliseconds)
 
-    /** The runs of commands, by their scope. */
-    fun commandRuns(): Map<String, List<Run>> = servers.values.flatMap { it.books }
+    /** Returns the runs of commands at all backend servers, by command. */
+    fun commandRuns(): Map<String, List<Run>> = servers.values.flatMap { it.runs }
         .filter { it.order.scope != null }
         .groupBy { it.order.scope.orEmpty() }
 
@@ -139,39 +143,39 @@
         }
         val transition = reducer.reduce(node.state, event, schedule.timestamp)
         node.state = transition.state
-        transition.effects.forEach { carryOut(vm, incarnation, it) }
+        transition.effects.forEach { execute(vm, incarnation, it) }
     }
 
-    private fun carryOut(vm: VmId, incarnation: Int, effect: Effect) {
+    private fun execute(vm: VmId, incarnation: Int, effect: Effect) {
         when (effect) {
             is Effect.OfCaller -> callers.first { it.request == effect.request }.receive(effect, schedule.now)
-            is Effect.OfBackend -> carryOut(vm, effect)
-            is Effect.OfPlatform -> carryOut(vm, effect)
+            is Effect.OfBackend -> execute(vm, effect)
+            is Effect.OfPlatform -> execute(vm, effect)
             is Effect.SendToPeer -> tell(vm, effect)
             is Effect.Report -> report(vm, effect)
             is Effect.Stop -> schedule.after(0) {
                 if (nodes[vm]?.incarnation == incarnation) {
                     nodes.remove(vm)
-                    note(vm, "stopped")
+                    addToTrace(vm, "stopped")
                 }
             }
         }
     }
 
     private fun report(vm: VmId, effect: Effect.Report) {
-        note(vm, "${effect.entry.name} ${effect.entry.fields.toSortedMap()}")
+        addToTrace(vm, "${effect.entry.name} ${effect.entry.fields.toSortedMap()}")
         if (effect.entry.name == "attempt_started") {
             requestsByAttempt[effect.entry.fields.getValue("attempt")] = effect.entry.fields.getValue("request")
         }
     }
 
-    private fun carryOut(vm: VmId, effect: Effect.OfBackend) {
+    private fun execute(vm: VmId, effect: Effect.OfBackend) {
         when (effect) {
             is Effect.OfBackend.Start -> {
                 val connection = Connection(vm)
                 schedule.after(
                     latency()
-                ) { servers.getValue(effect.order.server).take(effect.order, connection::reply) }
+                ) { servers.getValue(effect.order.server).handle(effect.order, connection::reply) }
             }
             is Effect.OfBackend.Cancel -> schedule.after(latency()) {
                 servers.values.forEach { it.cancel(effect.attempt) }
@@ -182,7 +186,7 @@
         }
     }
 
-    /** Delivers in order, as one connection does. */
+    /** Delivers the events of one attempt in the order in which they were sent, each with a random latency. */
     private inner class Connection(private val vm: VmId) {
         private val incarnation = nodes[vm]?.incarnation ?: 0
         private var lastAt = 0L
@@ -193,7 +197,7 @@
         }
     }
 
-    private fun carryOut(vm: VmId, effect: Effect.OfPlatform) {
+    private fun execute(vm: VmId, effect: Effect.OfPlatform) {
         val cut = vm in cutFromLog
         when (effect) {
             is Effect.OfPlatform.Append -> schedule.after(latency()) {
@@ -209,11 +213,11 @@
     }
 
     private fun tell(vm: VmId, effect: Effect.SendToPeer) {
-        val cut = vm in cutFromPeers || effect.to in cutFromPeers || losesMessage(effect.message)
+        val cut = vm in cutFromPeers || effect.to in cutFromPeers || dropsMessage(effect.message)
         if (!cut) post(effect.to, Event.FromPeer(vm, effect.stamp, effect.message), latency())
     }
 
-    private fun note(vm: VmId, text: String) {
+    private fun addToTrace(vm: VmId, text: String) {
         trace.add("${schedule.now} $vm $text")
     }
 
