--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/AccessPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/AccessPart.kt
@@ -31,7 +31,7 @@
         is RelayEvent.FeedFailed ->
             if (event.problem == FeedProblem.UNAVAILABLE) state.failed(now) else state.unchanged()
         is RelayEvent.GroupFailed -> state.failed(now)
-        RelayEvent.Tick -> state.returnIfDue(now)
+        RelayEvent.Tick -> state.retryDirectIfDue(now)
         else -> state.unchanged()
     }
 
@@ -40,26 +40,36 @@
 
     private fun RelayState.failed(now: Timestamp): RelayStep {
         val counted = copy(access = access.copy(failures = access.failures + 1))
-        val helper = helperOrNull(access.turns)
-        val directAt = if (access.viaRouter == null) now + DETOUR_MILLISECONDS else access.directAt
-        return if (counted.access.failures < FAILURES_BEFORE_DETOUR || helper == null) {
+        val proxyRouter = proxyRouterOrNull(access.pathChanges)
+        val directRetryAt = if (access.viaRouter == null) now + DETOUR_MILLISECONDS else access.directRetryAt
+        return if (counted.access.failures < FAILURES_BEFORE_DETOUR || proxyRouter == null) {
             counted.unchanged()
         } else {
-            counted.reach(helper, directAt, now)
+            counted.setPath(proxyRouter, directRetryAt, now)
         }
     }
 
     /** Other routers take turns, so that one that is turned away itself is soon left. */
-    private fun RelayState.helperOrNull(turn: Int): String? = members.addresses.entries
+    private fun RelayState.proxyRouterOrNull(seed: Int): String? = members.addresses.entries
         .filter { it.key != settings.vm && it.value.isNotEmpty() }
-        .minByOrNull { stableHash(it.key, turn) }
+        .minByOrNull { stableHash(it.key, seed) }
         ?.value
 
-    private fun RelayState.returnIfDue(now: Timestamp): RelayStep =
-        if (access.viaRouter == null || now < access.directAt) unchanged() else reach(null, directAt = now, now)
+    private fun RelayState.retryDirectIfDue(now: Timestamp): RelayStep =
+        if (access.viaRouter == null || now < access.directRetryAt) {
+            unchanged()
+        } else {
+            setPath(null, directRetryAt = now, now)
+        }
 
-    private fun RelayState.reach(viaRouter: String?, directAt: Timestamp, now: Timestamp): RelayStep {
-        val next = copy(access = AccessState(viaRouter = viaRouter, turns = access.turns + 1, directAt = directAt))
+    private fun RelayState.setPath(viaRouter: String?, directRetryAt: Timestamp, now: Timestamp): RelayStep {
+        val next = copy(
+            access = AccessState(
+                viaRouter = viaRouter,
+                pathChanges = access.pathChanges + 1,
+                directRetryAt = directRetryAt,
+            ),
+        )
         if (viaRouter == access.viaRouter) return next.unchanged()
         return next.with(RelayEffect.SetStorePath(viaRouter)).then {
             it.report(now, "store_path", "through" to (viaRouter ?: "direct"), "failures" to access.failures)
