Rename the beacons between routers after sending and receiving

Tell, hear and late left open what they meant. Only names change, line breaks and one local value where a longer name needs room.

rename: INTERVAL_MILLISECONDS -> BEACON_INTERVAL_MILLISECONDS (declared in core/relay/peer/PeersPart.kt; only in core/relay/peer) rename: MOST_TOLD -> MAXIMUM_RECEIVERS (declared in core/relay/peer/PeersPart.kt) rename: MOST_SERVERS -> MAXIMUM_SERVERS (declared in core/relay/peer/PeersPart.kt; only in core/relay/peer) rename: hear -> receive (declared in core/relay/peer/PeersPart.kt; only in core/relay/peer) rename: late -> outdated (declared in core/relay/peer/PeersPart.kt; only in core/relay/peer/PeersPart.kt) rename: tellIfDue -> sendIfDue (declared in core/relay/peer/PeersPart.kt) rename: told -> send (declared in core/relay/peer/PeersPart.kt; only in core/relay/peer/PeersPart.kt) rename: tellAt -> sendDueAt (declared in core/relay/peer/PeersState.kt) rename: heard -> lastBeacons (declared in core/relay/peer/PeersState.kt; only in core/relay/peer) rename: HeardBeacon -> ReceivedBeacon (declared in core/relay/peer/PeersState.kt) rename: VALID_MILLISECONDS -> VALIDITY_MILLISECONDS (declared in core/relay/peer/PeersState.kt; only in core/relay/peer) rename: at -> receivedAt (declared in core/relay/peer/PeersState.kt; only in core/relay/peer/PeersState.kt)

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersPart.kt
@@ -16,38 +16,47 @@
 /** Tells other routers of this router's work, and hears of theirs. */
 internal object PeersPart : RelayPart {
     /** A prompt of usual length is read in about this time. */
-    private const val INTERVAL_MILLISECONDS = 100L
+    private const val BEACON_INTERVAL_MILLISECONDS = 100L
 
     /** Routers told with each beacon; in a larger fleet others each time, so that the traffic stays bounded. */
-    private const val MOST_TOLD = 8
+    private const val MAXIMUM_RECEIVERS = 8
 
     /** Backend servers told of, those with the most work first; a beacon must fit into one datagram. */
-    private const val MOST_SERVERS = 24
+    private const val MAXIMUM_SERVERS = 24
 
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
-        is RelayEvent.BeaconReceived -> state.hear(event.beacon, now)
-        RelayEvent.Tick -> state.tellIfDue(now)
+        is RelayEvent.BeaconReceived -> state.receive(event.beacon, now)
+        RelayEvent.Tick -> state.sendIfDue(now)
         else -> state.unchanged()
     }
 
-    private fun RelayState.hear(beacon: PeerBeacon, now: Timestamp): RelayStep {
-        val late = peers.heard[beacon.vm]?.takeIf { it.isFresh(now) }?.let { it.beacon.sequence >= beacon.sequence }
-        if (beacon.vm == settings.vm || late == true) return unchanged()
-        return copy(peers = peers.copy(heard = peers.heard.put(beacon.vm, HeardBeacon(beacon, now)))).unchanged()
+    private fun RelayState.receive(beacon: PeerBeacon, now: Timestamp): RelayStep {
+        val outdated = peers.lastBeacons[beacon.vm]
+            ?.takeIf { it.isFresh(now) }
+            ?.let { it.beacon.sequence >= beacon.sequence }
+        if (beacon.vm == settings.vm || outdated == true) return unchanged()
+        val beacons = peers.lastBeacons.put(beacon.vm, ReceivedBeacon(beacon, now))
+        return copy(peers = peers.copy(lastBeacons = beacons)).unchanged()
     }
 
-    private fun RelayState.tellIfDue(now: Timestamp): RelayStep {
-        if (now < peers.tellAt) return unchanged()
-        val next = copy(peers = peers.copy(tellAt = now + INTERVAL_MILLISECONDS, sequence = peers.sequence + 1))
+    private fun RelayState.sendIfDue(now: Timestamp): RelayStep {
+        if (now < peers.sendDueAt) return unchanged()
+        val next = copy(
+            peers = peers.copy(sendDueAt = now + BEACON_INTERVAL_MILLISECONDS, sequence = peers.sequence + 1),
+        )
         val addresses = receivers(next.peers.sequence)
-        val told = RelayEffect.SendBeacon(addresses.toPersistentList(), beacon(next.peers.sequence, now))
-        return if (addresses.isEmpty()) next.unchanged() else next.with(told)
+        val send = RelayEffect.SendBeacon(addresses.toPersistentList(), beacon(next.peers.sequence, now))
+        return if (addresses.isEmpty()) next.unchanged() else next.with(send)
     }
 
     private fun RelayState.receivers(sequence: Long): List<String> = members.addresses.entries
         .filter { it.key != settings.vm && it.value.isNotEmpty() }
         .let { others ->
-            if (others.size <= MOST_TOLD) others else others.sortedBy { stableHash(it.key, sequence) }.take(MOST_TOLD)
+            if (others.size <= MAXIMUM_RECEIVERS) {
+                others
+            } else {
+                others.sortedBy { stableHash(it.key, sequence) }.take(MAXIMUM_RECEIVERS)
+            }
         }
         .map { it.value }
 
@@ -56,7 +65,7 @@
         sequence = sequence,
         work = servers.views.values.filter { it.pendingWork > 0 }
             .sortedByDescending { it.pendingWork }
-            .take(MOST_SERVERS)
+            .take(MAXIMUM_SERVERS)
             .associate { it.listing.id to it.pendingWork }.toPersistentMap(),
         rollouts = rolloutReports(now).toPersistentList(),
     )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersState.kt
@@ -9,27 +9,27 @@
 /**
  * What the other routers have told.
  *
- * @property heard the last beacon of each, and when it came.
- * @property tellAt when the next beacon is due.
+ * @property lastBeacons the last beacon of each, and when it came.
+ * @property sendDueAt when the next beacon is due.
  * @property sequence the number of the last own beacon.
  */
 internal data class PeersState(
-    val heard: PersistentMap<VmId, HeardBeacon> = persistentMapOf(),
-    val tellAt: Timestamp = Timestamp.EPOCH,
+    val lastBeacons: PersistentMap<VmId, ReceivedBeacon> = persistentMapOf(),
+    val sendDueAt: Timestamp = Timestamp.EPOCH,
     val sequence: Long = 0,
 ) {
     /** Returns the work that other routers have at [server], as far as they have told of late. */
     fun workAt(server: BackendServerId, now: Timestamp): Long =
-        heard.values.sumOf { if (it.isFresh(now)) it.beacon.work[server] ?: 0 else 0 }
+        lastBeacons.values.sumOf { if (it.isFresh(now)) it.beacon.work[server] ?: 0 else 0 }
 }
 
 /** A beacon, and when it came. */
-internal data class HeardBeacon(val beacon: PeerBeacon, val at: Timestamp) {
+internal data class ReceivedBeacon(val beacon: PeerBeacon, val receivedAt: Timestamp) {
     /** Returns whether it still says something of the load at [now]. */
-    fun isFresh(now: Timestamp): Boolean = now - at <= VALID_MILLISECONDS
+    fun isFresh(now: Timestamp): Boolean = now - receivedAt <= VALIDITY_MILLISECONDS
 
     private companion object {
         /** A few beacons may be lost; most prompts are read in less. */
-        const val VALID_MILLISECONDS = 500L
+        const val VALIDITY_MILLISECONDS = 500L
     }
 }
