Rename the relay's feeds after offsets and backoff

Next meant an offset in a cursor and a state elsewhere; pauses after failures are a backoff. Only names change, and line breaks where a longer name needs one.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
@@ -60,13 +60,13 @@
     /**
      * Records of a feed have been read, in order.
      *
-     * @property next the offset from which to read on.
+     * @property nextOffset the offset from which to read on.
      * @property snapshot whether the records are the newest of each key, rather than those from an offset.
      */
     public data class FeedRead(
         public val feed: Feed,
         public val entries: List<FeedEntry>,
-        public val next: Long,
+        public val nextOffset: Long,
         public val snapshot: Boolean,
     ) : RelayEvent
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
@@ -18,16 +18,16 @@
  * One read of a feed is under way at a time. A feed whose records have expired starts again from a snapshot.
  */
 internal object FeedsPart : RelayPart {
-    /** The first pause after a failed read; it doubles up to [LONGEST_PAUSE_MILLISECONDS]. */
-    private const val FIRST_PAUSE_MILLISECONDS = 100L
+    /** The first pause after a failed read; it doubles up to [MAXIMUM_BACKOFF_MILLISECONDS]. */
+    private const val FIRST_BACKOFF_MILLISECONDS = 100L
 
     /** Short enough to read the list again well within a second of the store's return. */
-    private const val LONGEST_PAUSE_MILLISECONDS = 500L
+    private const val MAXIMUM_BACKOFF_MILLISECONDS = 500L
 
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
-        RelayEvent.Tick -> state.unchanged().thenEach(Feed.entries) { reached, feed -> reached.readIfDue(feed, now) }
-        is RelayEvent.FeedRead -> state.read(event, now)
-        is RelayEvent.FeedFailed -> state.failed(event, now)
+        RelayEvent.Tick -> state.unchanged().thenEach(Feed.entries) { current, feed -> current.readIfDue(feed, now) }
+        is RelayEvent.FeedRead -> state.feedRead(event, now)
+        is RelayEvent.FeedFailed -> state.feedFailed(event, now)
         else -> state.unchanged()
     }
 
@@ -36,25 +36,29 @@
         val wanted = feed != Feed.STATUS || rollouts.active.isNotEmpty()
         if (cursor.reading || now < cursor.dueAt || !wanted) return unchanged()
         return copy(feeds = feeds.with(feed, cursor.copy(reading = true)))
-            .with(RelayEffect.ReadFeed(feed, from = cursor.next, waitMilliseconds = settings.readWait(feed)))
+            .with(RelayEffect.ReadFeed(feed, from = cursor.nextOffset, waitMilliseconds = settings.readWait(feed)))
     }
 
-    private fun RelayState.read(event: RelayEvent.FeedRead, now: Timestamp): RelayStep {
+    private fun RelayState.feedRead(event: RelayEvent.FeedRead, now: Timestamp): RelayStep {
         val cursor = feeds.of(event.feed)
-        val next = FeedCursor(next = event.next, dueAt = now + settings.readInterval(event.feed), readAt = now)
+        val next = FeedCursor(
+            nextOffset = event.nextOffset,
+            dueAt = now + settings.readInterval(event.feed),
+            readAt = now,
+        )
         val unreadable = event.entries.filterIsInstance<FeedEntry.Unreadable>()
         return copy(feeds = feeds.with(event.feed, next)).unchanged()
             .then { if (cursor.failures > 0) it.reportRegained(event.feed, cursor, now) else it.unchanged() }
-            .thenEach(unreadable) { reached, entry -> reached.reportUnreadable(event.feed, entry, now) }
+            .thenEach(unreadable) { current, entry -> current.reportUnreadable(event.feed, entry, now) }
     }
 
-    private fun RelayState.failed(event: RelayEvent.FeedFailed, now: Timestamp): RelayStep {
+    private fun RelayState.feedFailed(event: RelayEvent.FeedFailed, now: Timestamp): RelayStep {
         val cursor = feeds.of(event.feed)
-        val pause = if (event.problem == FeedProblem.EXPIRED) 0 else pauseAfter(cursor.failures)
+        val backoff = if (event.problem == FeedProblem.EXPIRED) 0 else backoffAfter(cursor.failures)
         val next = cursor.copy(
             reading = false,
-            next = cursor.next.takeUnless { event.problem == FeedProblem.EXPIRED },
-            dueAt = now + pause,
+            nextOffset = cursor.nextOffset.takeUnless { event.problem == FeedProblem.EXPIRED },
+            dueAt = now + backoff,
             failures = cursor.failures + 1,
         )
         return copy(feeds = feeds.with(event.feed, next)).unchanged().then {
@@ -62,8 +66,9 @@
         }
     }
 
-    private fun pauseAfter(failures: Int): Long =
-        (FIRST_PAUSE_MILLISECONDS shl failures.coerceAtMost(Byte.SIZE_BITS)).coerceAtMost(LONGEST_PAUSE_MILLISECONDS)
+    private fun backoffAfter(failures: Int): Long =
+        (FIRST_BACKOFF_MILLISECONDS shl failures.coerceAtMost(Byte.SIZE_BITS))
+            .coerceAtMost(MAXIMUM_BACKOFF_MILLISECONDS)
 
     private fun RelayState.reportLost(event: RelayEvent.FeedFailed, now: Timestamp): RelayStep = report(
         now,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutsPart.kt
@@ -77,7 +77,7 @@
 
     private fun RelayState.advance(progress: RolloutProgress, now: Timestamp): RelayStep {
         val phase = targetPhase(progress, now)?.takeIf { it != progress.phase && progress.mayWrite(now) }
-        val statusEnd = feeds.of(Feed.STATUS).next
+        val statusEnd = feeds.of(Feed.STATUS).nextOffset
         if (phase == null || statusEnd == null) return unchanged()
         val order = progress.order
         return copy(rollouts = rollouts.with(progress.copy(writing = true)))
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RelayRig.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RelayRig.kt
@@ -47,7 +47,7 @@
 
     /** Delivers [entries] of [feed]; returns the effects. */
     fun read(feed: Feed, vararg entries: FeedEntry, snapshot: Boolean = false): List<RelayEffect> =
-        on(RelayEvent.FeedRead(feed, entries.toList(), next = 1, snapshot = snapshot))
+        on(RelayEvent.FeedRead(feed, entries.toList(), nextOffset = 1, snapshot = snapshot))
 
     /** Delivers the usual configuration, [servers], and a group of [members] routers. */
     fun start(servers: List<ServerListing> = plainServers, members: Int = 1): RelayRig {
