--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/AccessPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/AccessPart.kt
@@ -14,16 +14,16 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * Calls the store through another router while the store does not answer this one.
+ * Calls the platform's store through another router while the store does not answer this one.
  *
- * The store may turn away some routers and serve the others and the operators. Nothing tells that apart from an outage,
- * so other routers are tried in turn, and the store itself again every few seconds.
+ * The store may refuse some routers while it serves the others and the operators. A router cannot tell this from an
+ * outage, so it tries other routers in turn as proxies, and calls the store directly again every few seconds.
  */
 internal object AccessPart : RelayPart {
-    /** One failure may be one lost answer. */
+    /** The failures in a row before the path changes. A single failure may be a lost answer. */
     private const val FAILURES_BEFORE_DETOUR = 2
 
-    /** The time on a detour; a direct call that is not answered costs about a second. */
+    /** How long calls go through other routers; a direct call that is not answered costs about a second. */
     private const val DETOUR_MILLISECONDS = 2_500L
 
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
@@ -49,7 +49,10 @@
         }
     }
 
-    /** Other routers take turns, so that one that is turned away itself is soon left. */
+    /**
+     * Returns the address of another router, or `null` if none is known. The choice varies with [seed], so that a
+     * router that the store refuses as well is not used for long.
+     */
     private fun RelayState.proxyRouterOrNull(seed: Int): String? = members.addresses.entries
         .filter { it.key != settings.vm && it.value.isNotEmpty() }
         .minByOrNull { stableHash(it.key, seed) }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/AccessState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/AccessState.kt
@@ -3,12 +3,13 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * How this router reaches the platform's store.
+ * The path by which this router reaches the platform's store.
  *
- * @property viaRouter the `host:port` of the router that passes calls on, or `null` while the store is called directly.
- * @property failures calls that failed in a row since the path was last changed.
- * @property pathChanges how often the path was changed.
- * @property directRetryAt when the store is called directly again.
+ * @property viaRouter the `host:port` of the router that forwards the calls, or `null` while the store is called
+ *   directly.
+ * @property failures the number of failed calls in a row since the last change of the path.
+ * @property pathChanges the number of changes of the path.
+ * @property directRetryAt when the store is to be called directly again.
  */
 internal data class AccessState(
     val viaRouter: String? = null,
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/AccessTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/AccessTest.kt
@@ -8,7 +8,7 @@
 import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
 
-/** A router that the store turns away calls it through others. */
+/** A router that the store refuses calls it through other routers. */
 class AccessTest {
     private fun RelayRig.fail(problem: FeedProblem = FeedProblem.UNAVAILABLE): List<RelayEffect> =
         on(RelayEvent.FeedFailed(Feed.SERVERS, problem, "status 503"))
@@ -16,7 +16,7 @@
     private fun List<RelayEffect>.path(): RelayEffect.SetStorePath = only()
 
     @Test
-    fun `one failed call changes nothing, two in a row lead through another router`() {
+    fun `one failed call changes nothing, two in a row set the path through another router`() {
         val rig = RelayRig().start(members = 3)
         assertTrue(rig.fail().none<RelayEffect.SetStorePath>())
         rig.read(Feed.SERVERS)
@@ -25,7 +25,7 @@
     }
 
     @Test
-    fun `the store itself is tried again after a while`() {
+    fun `the store is called directly again after a while`() {
         val rig = RelayRig().start(members = 3)
         rig.fail()
         assertNotNull(rig.fail().path().viaRouter)
@@ -34,7 +34,7 @@
     }
 
     @Test
-    fun `routers that fail as well take turns`() {
+    fun `another router is tried when calls through the first one fail as well`() {
         val rig = RelayRig().start(members = 40)
         rig.fail()
         val first = rig.fail().path().viaRouter
@@ -43,13 +43,13 @@
     }
 
     @Test
-    fun `a router that knows no other goes on alone`() {
+    fun `a router that knows no other keeps calling the store directly`() {
         val rig = RelayRig().start(members = 1)
         assertTrue((rig.fail() + rig.fail() + rig.fail()).none<RelayEffect.SetStorePath>())
     }
 
     @Test
-    fun `records that have expired are no reason for a detour`() {
+    fun `records that have expired do not change the path`() {
         val rig = RelayRig().start(members = 3)
         val effects = rig.fail(FeedProblem.EXPIRED) + rig.fail(FeedProblem.EXPIRED) + rig.fail(FeedProblem.EXPIRED)
         assertTrue(effects.none<RelayEffect.SetStorePath>())
