Say plainly what routers report to each other

Comments of the folder peer spoke of telling and hearing. They now name beacons, their sender and receivers, units and what is left out of a beacon. Test names follow.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeerBeacon.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeerBeacon.kt
@@ -7,11 +7,13 @@
 import org.quetzalloom.core.identity.VmId
 
 /**
- * What a router tells the others now and then.
+ * The message that a router sends to the other routers at short intervals.
  *
- * @property sequence rises with each beacon of one start of a router.
- * @property work the prompts that servers have still to read for [vm], weighed by model; only those that are not 0.
- * @property rollouts the roll-outs that [vm] knows and that have not ended.
+ * @property vm the VM of the sender.
+ * @property sequence the number of the beacon, which rises within one run of the sender.
+ * @property work the prompts that servers have still to read for [vm], in tokens weighted by model size; servers
+ *   without such work are left out, and those with little work if there are too many for one beacon.
+ * @property rollouts the reports of the roll-outs that [vm] knows to be in progress.
  */
 public data class PeerBeacon(
     public val vm: VmId,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersPart.kt
@@ -13,15 +13,17 @@
 import org.quetzalloom.core.router.stableHash
 import org.quetzalloom.core.time.Timestamp
 
-/** Tells other routers of this router's work, and hears of theirs. */
+/** Sends beacons about this router's work to other routers, and keeps the beacons received from them. */
 internal object PeersPart : RelayPart {
-    /** A prompt of usual length is read in about this time. */
+    /** The time between two beacons. A server reads a prompt of usual length in about this time. */
     private const val BEACON_INTERVAL_MILLISECONDS = 100L
 
-    /** Routers told with each beacon; in a larger fleet others each time, so that the traffic stays bounded. */
+    /**
+     * The receivers of each beacon. In a larger fleet they vary from beacon to beacon, so that the traffic is bounded.
+     */
     private const val MAXIMUM_RECEIVERS = 8
 
-    /** Backend servers told of, those with the most work first; a beacon must fit into one datagram. */
+    /** The backend servers in a beacon, which must fit into one datagram. Those with the most work are included. */
     private const val MAXIMUM_SERVERS = 24
 
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersState.kt
@@ -7,10 +7,10 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * What the other routers have told.
+ * The exchange of beacons with the other routers.
  *
- * @property lastBeacons the last beacon of each, and when it came.
- * @property sendDueAt when the next beacon is due.
+ * @property lastBeacons the last beacon received from each router.
+ * @property sendDueAt when the next own beacon is due.
  * @property sequence the number of the last own beacon.
  */
 internal data class PeersState(
@@ -18,18 +18,18 @@
     val sendDueAt: Timestamp = Timestamp.EPOCH,
     val sequence: Long = 0,
 ) {
-    /** Returns the work that other routers have at [server], as far as they have told of late. */
+    /** Returns the work of other routers at [server], as far as beacons that are still fresh at [now] tell. */
     fun workAt(server: BackendServerId, now: Timestamp): Long =
         lastBeacons.values.sumOf { if (it.isFresh(now)) it.beacon.work[server] ?: 0 else 0 }
 }
 
-/** A beacon, and when it came. */
+/** A beacon, and when this router received it. */
 internal data class ReceivedBeacon(val beacon: PeerBeacon, val receivedAt: Timestamp) {
-    /** Returns whether it still says something of the load at [now]. */
+    /** Returns whether the beacon is recent enough to describe the load at [now]. */
     fun isFresh(now: Timestamp): Boolean = now - receivedAt <= VALIDITY_MILLISECONDS
 
     private companion object {
-        /** A few beacons may be lost; most prompts are read in less. */
+        /** Allows for a few lost beacons. Most prompts are read in less time. */
         const val VALIDITY_MILLISECONDS = 500L
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/peer/RolloutReport.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/peer/RolloutReport.kt
@@ -4,13 +4,13 @@
 import org.quetzalloom.core.relay.routing.ServiceName
 
 /**
- * What a router tells the others of a roll-out that has not ended.
+ * A router's report to the other routers about a roll-out in progress.
  *
  * @property version the version that the service's traffic moves to.
- * @property ageMilliseconds the time since the order was first seen by the teller, or by a router that told it.
- * @property old the teller's own outcomes of the versions before.
- * @property new the teller's own outcomes of the new version.
- * @property condemned whether the teller has found the new version bad.
+ * @property ageMilliseconds the time since the order was first read, as far as the sender knows.
+ * @property old the outcomes of the old versions at the sender.
+ * @property new the outcomes of the new version at the sender.
+ * @property condemned whether the sender knows the new version to be bad.
  */
 public data class RolloutReport(
     public val service: ServiceName,
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/PeersTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/PeersTest.kt
@@ -9,7 +9,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-/** Routers tell each other of the prompts that servers have still to read, and place requests by that. */
+/** Routers report to each other the prompts that servers have still to read, and place requests accordingly. */
 class PeersTest {
     private val prompt = RelayRig.prompt.copy(promptTokens = 1_000)
 
@@ -26,7 +26,7 @@
     }
 
     @Test
-    fun `work is told while prompts are read, and no longer once the answer has begun`() {
+    fun `work is reported while prompts are read, and no longer once the answer has begun`() {
         val rig = RelayRig().start(RelayRig.engineServers, members = 3)
         val send = rig.arrive(prompt).second.only<RelayEffect.Send>()
         val told = rig.pass(100).only<RelayEffect.SendBeacon>()
@@ -37,14 +37,14 @@
     }
 
     @Test
-    fun `servers where other routers have work get requests last`() {
+    fun `servers at which other routers have work are chosen last`() {
         val rig = RelayRig().start(RelayRig.engineServers, members = 2)
         rig.on(RelayEvent.BeaconReceived(beacon(sequence = 1, "e-1" to 9_000, "e-2" to 9_000)))
         assertEquals(setOf("e-3"), (1..20).map { rig.chosen(it) }.toSet())
     }
 
     @Test
-    fun `beacons that are old or out of order say nothing`() {
+    fun `beacons that are stale or out of order are ignored`() {
         val rig = RelayRig().start(RelayRig.engineServers, members = 2)
         rig.on(RelayEvent.BeaconReceived(beacon(sequence = 2)))
         rig.on(RelayEvent.BeaconReceived(beacon(sequence = 1, "e-1" to 9_000, "e-2" to 9_000)))
@@ -55,7 +55,7 @@
     }
 
     @Test
-    fun `a router that has just started is heard, though its numbers begin anew`() {
+    fun `beacons of a restarted router are accepted, though their sequence starts again`() {
         val rig = RelayRig().start(RelayRig.engineServers, members = 2)
         rig.on(RelayEvent.BeaconReceived(beacon(sequence = 90)))
         rig.pass(1_000)
@@ -64,7 +64,7 @@
     }
 
     @Test
-    fun `the traffic of a router does not grow with the fleet`() {
+    fun `the number of receivers of a beacon does not grow with the fleet`() {
         val rig = RelayRig().start(RelayRig.engineServers, members = 400)
         assertEquals(8, rig.pass(100).only<RelayEffect.SendBeacon>().addresses.size)
     }
