--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/Feed.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/Feed.kt
@@ -1,13 +1,13 @@
 package org.quetzalloom.core.relay.feed
 
-/** A series of records in the platform's store that routers follow. */
+/** A log of records in the platform's store that routers follow. */
 public enum class Feed {
-    /** Configurations, evacuations and roll-outs, written by operators. */
+    /** Configurations, evacuations and roll-out orders, written by operators. */
     ORDERS,
 
-    /** The entries of backend servers, written by themselves. */
+    /** The entries of backend servers, each written by the server itself. */
     SERVERS,
 
-    /** The states of roll-outs, written by routers. */
+    /** The phases of roll-outs, written by routers. */
     STATUS,
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedEntry.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedEntry.kt
@@ -8,33 +8,33 @@
 import org.quetzalloom.core.relay.routing.ServiceName
 import org.quetzalloom.core.relay.server.ServerListing
 
-/** One record of a feed. */
+/** A decoded record of a feed. */
 public sealed interface FeedEntry {
-    /** A configuration, whole. */
+    /** A complete configuration. */
     public data class Configuration(public val table: RoutingTable) : FeedEntry
 
-    /** Whether the servers of an availability zone get nothing. */
+    /** The evacuation of an availability zone, whose servers get no requests while it is [active]. */
     public data class Evacuation(public val zone: AvailabilityZoneId, public val active: Boolean) : FeedEntry
 
-    /** The traffic of a service is to move to a new version. */
+    /** An order to move the traffic of a service to a new version. */
     public data class Rollout(public val order: RolloutOrder) : FeedEntry
 
-    /** The order of a roll-out has been taken back. */
+    /** The removal of the roll-out order of [service]. */
     public data class RolloutRemoved(public val service: ServiceName) : FeedEntry
 
-    /** How far the roll-out of [service] to [version] is. */
+    /** The phase of the roll-out of [service] to [version]. */
     public data class RolloutStatus(
         public val service: ServiceName,
         public val version: String,
         public val phase: RolloutPhase,
     ) : FeedEntry
 
-    /** The entry of a backend server. */
+    /** A backend server's entry in the list of backend servers. */
     public data class Server(public val listing: ServerListing) : FeedEntry
 
-    /** The entry of a backend server has been removed. */
+    /** The removal of the entry of the backend server [id]. */
     public data class ServerRemoved(public val id: BackendServerId) : FeedEntry
 
-    /** A record that could not be understood; it changes nothing. */
+    /** A record that could not be decoded because of [problem]; it is skipped. */
     public data class Unreadable(public val key: String, public val problem: String) : FeedEntry
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
@@ -13,15 +13,16 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * Decides when each feed is read, and from where.
+ * Decides when each feed is read, and from which offset.
  *
- * One read of a feed is under way at a time. A feed whose records have expired starts again from a snapshot.
+ * At most one read of each feed is under way at a time. A feed whose records have expired is read again from a
+ * snapshot. The status feed is read only while a roll-out is in progress.
  */
 internal object FeedsPart : RelayPart {
-    /** The first pause after a failed read; it doubles up to [MAXIMUM_BACKOFF_MILLISECONDS]. */
+    /** The backoff after the first failed read; it doubles with each further one. */
     private const val FIRST_BACKOFF_MILLISECONDS = 100L
 
-    /** Short enough to read the list again well within a second of the store's return. */
+    /** The maximum backoff, short enough to read the list of servers well within a second of the store's return. */
     private const val MAXIMUM_BACKOFF_MILLISECONDS = 500L
 
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsState.kt
@@ -3,7 +3,7 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.toPersistentMap
 
-/** How far this router has read each feed. */
+/** The cursor of each feed. */
 internal data class FeedsState(
     val cursors: PersistentMap<Feed, FeedCursor> = Feed.entries.associateWith { FeedCursor() }.toPersistentMap(),
 ) {
