Rename limits and targets of routes after what they bound

Header and idle times are timeouts, as in the platform's file; repeatable is idempotent there; a gap and a cold rate left open of what. Only names change, and line breaks and the names of arguments where a longer name needs room.

rename: repeatable -> idempotent (declared in core/relay/routing/Route.kt; not in core/request/Admission.kt, which has its own) rename: coldPerSecond -> coldRequestsPerSecond (declared in core/relay/routing/BackendService.kt) rename: headerMilliseconds -> headerTimeoutMilliseconds (declared in core/relay/routing/CallerLimits.kt) rename: idleMilliseconds -> idleTimeoutMilliseconds (declared in core/relay/routing/CallerLimits.kt) rename: gapMilliseconds -> targetGapMilliseconds (declared in core/relay/routing/Route.kt)

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/AttemptTimeouts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/AttemptTimeouts.kt
@@ -46,4 +46,4 @@
  * for no limit, if the route is not resumable or has no target for pauses.
  */
 internal fun idleTimeoutOrNull(route: Route): Long? =
-    (route.gapMilliseconds * IDLE_TIMEOUT_GAPS).toLong().takeIf { route.resumable && it > 0 }
+    (route.targetGapMilliseconds * IDLE_TIMEOUT_GAPS).toLong().takeIf { route.resumable && it > 0 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ColdShares.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ColdShares.kt
@@ -10,10 +10,11 @@
 
 /**
  * Returns whether this router may send one more request to the server of [view]. While a server is cold, all routers
- * together may send it only [org.quetzalloom.core.relay.routing.BackendService.coldPerSecond] requests a second.
+ * together may send it only
+ * [coldRequestsPerSecond][org.quetzalloom.core.relay.routing.BackendService.coldRequestsPerSecond].
  */
 internal fun RelayState.withinColdLimit(view: ServerView, now: Timestamp): Boolean {
-    val coldLimit = routing?.services?.get(view.listing.service)?.coldPerSecond ?: 0.0
+    val coldLimit = routing?.services?.get(view.listing.service)?.coldRequestsPerSecond ?: 0.0
     if (now >= view.coldUntil || coldLimit <= 0.0) return true
     val recent = view.coldSends.count { now - it < COLD_WINDOW_MILLISECONDS }
     return recent < coldShare(view, coldLimit)
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RelayRig.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RelayRig.kt
@@ -100,24 +100,29 @@
             version = 7,
             routes = persistentListOf(
                 route("/book/").copy(maximumAttempts = 1),
-                route("/look/").copy(repeatable = true, maximumAttempts = 2),
-                route("/look/open/").copy(repeatable = true, public = true),
+                route("/look/").copy(idempotent = true, maximumAttempts = 2),
+                route("/look/open/").copy(idempotent = true, public = true),
                 route("/draft/").copy(
                     splits = persistentListOf(Split(engines, weight = 1)),
                     streaming = true,
                     resumable = true,
                     timeoutMilliseconds = 20_000,
                     targetMilliseconds = 2_000,
-                    gapMilliseconds = 1_000,
+                    targetGapMilliseconds = 1_000,
                     models = persistentListOf("small", "middle", "large"),
                     maximumAttempts = 3,
                 ),
             ),
             services = persistentMapOf(
                 plain to BackendService(plain, maximumConnections = 100),
-                engines to BackendService(engines, 360, coldMilliseconds = 3_000, coldPerSecond = 16.0),
+                engines to BackendService(engines, 360, coldMilliseconds = 3_000, coldRequestsPerSecond = 16.0),
+            ),
+            limits = CallerLimits(
+                maximumHeaderBytes = 16_384,
+                maximumBodyBytes = 1_048_576,
+                headerTimeoutMilliseconds = 3_000,
+                idleTimeoutMilliseconds = 15_000,
             ),
-            limits = CallerLimits(16_384, 1_048_576, headerMilliseconds = 3_000, idleMilliseconds = 15_000),
             workspacesByKey = persistentMapOf("key-1" to WorkspaceId("bakery")),
         )
 
@@ -154,7 +159,7 @@
             host = "app.example",
             pathPrefix = prefix,
             splits = persistentListOf(Split(plain, weight = 1)),
-            repeatable = false,
+            idempotent = false,
             timeoutMilliseconds = 1_000,
             targetMilliseconds = 100,
         )
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
@@ -27,7 +27,7 @@
         this.context = context
         closer = GentleClose(context.channel())
         front.opened(this)
-        closer.closeAfter(front.limits.idleMilliseconds)
+        closer.closeAfter(front.limits.idleTimeoutMilliseconds)
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
@@ -64,7 +64,7 @@
         active = null
         if (rejected || closer.closing) return
         val next = waiting.removeFirstOrNull()
-        if (next != null) hand(next) else if (!arriving) closer.closeAfter(front.limits.idleMilliseconds)
+        if (next != null) hand(next) else if (!arriving) closer.closeAfter(front.limits.idleTimeoutMilliseconds)
     }
 
     /** Closes the connection if no request is being read or answered. */
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerFront.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerFront.kt
@@ -79,8 +79,8 @@
         val DEFAULT_LIMITS = CallerLimits(
             maximumHeaderBytes = 16_384,
             maximumBodyBytes = 1_048_576,
-            headerMilliseconds = 3_000,
-            idleMilliseconds = 15_000,
+            headerTimeoutMilliseconds = 3_000,
+            idleTimeoutMilliseconds = 15_000,
         )
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestReader.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestReader.kt
@@ -43,7 +43,7 @@
     fun bytesArrived() {
         if (!betweenRequests || rejected) return
         betweenRequests = false
-        patience.restart(limits().headerMilliseconds) {
+        patience.restart(limits().headerTimeoutMilliseconds) {
             reject(context, NO_HEAD, ErrorKind.TOO_SLOW, "the header did not arrive in time")
         }
     }
@@ -71,7 +71,7 @@
             context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
         }
         reading = Reading(head)
-        patience.restart(limits().idleMilliseconds) {
+        patience.restart(limits().idleTimeoutMilliseconds) {
             reject(context, head, ErrorKind.TOO_SLOW, "the body did not arrive in time")
         }
     }
--- a/relay/src/test/kotlin/org/quetzalloom/relay/RelaySite.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/RelaySite.kt
@@ -138,7 +138,7 @@
             host = "app",
             pathPrefix = "/book/",
             splits = splits,
-            repeatable = false,
+            idempotent = false,
             timeoutMilliseconds = 2_000,
             targetMilliseconds = 400,
         )
@@ -146,19 +146,24 @@
             version = 1,
             routes = persistentListOf(
                 once,
-                once.copy(name = "look", pathPrefix = "/look/", repeatable = true, maximumAttempts = 2),
+                once.copy(name = "look", pathPrefix = "/look/", idempotent = true, maximumAttempts = 2),
                 once.copy(
                     name = "draft",
                     pathPrefix = "/draft/",
                     streaming = true,
                     resumable = true,
                     maximumAttempts = 3,
-                    gapMilliseconds = 1_000,
+                    targetGapMilliseconds = 1_000,
                 ),
                 once.copy(name = "note", pathPrefix = "/note/", streaming = true),
             ),
             services = persistentMapOf(service to BackendService(service, maximumConnections = 20)),
-            limits = CallerLimits(2_048, MAXIMUM_BODY_BYTES, headerMilliseconds = 1_000, idleMilliseconds = 5_000),
+            limits = CallerLimits(
+                maximumHeaderBytes = 2_048,
+                maximumBodyBytes = MAXIMUM_BODY_BYTES,
+                headerTimeoutMilliseconds = 1_000,
+                idleTimeoutMilliseconds = 5_000,
+            ),
         )
 
         private fun freePort(): Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
