--- a/core/src/main/kotlin/org/quetzalloom/core/relay/routing/BackendService.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/routing/BackendService.kt
@@ -1,12 +1,12 @@
 package org.quetzalloom.core.relay.routing
 
 /**
- * What holds for all backend servers of a service.
+ * The settings that all backend servers of a service share.
  *
- * @property maximumConnections the connections that one backend server accepts from all routers together.
- * @property coldMilliseconds how long a backend server is cold after it has started.
- * @property coldRequestsPerSecond the requests that a cold backend server bears in a second, from all routers together;
- *   0 if it need not be spared.
+ * @property maximumConnections the number of connections that a backend server accepts from all routers together.
+ * @property coldMilliseconds how long a backend server is cold after its start.
+ * @property coldRequestsPerSecond the number of requests a second that a cold backend server may get from all routers
+ *   together; 0 for no limit.
  */
 public data class BackendService(
     public val name: ServiceName,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/routing/Route.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/routing/Route.kt
@@ -4,21 +4,23 @@
 import kotlinx.collections.immutable.persistentListOf
 
 /**
- * Requests of one host and path prefix, and how they are served.
+ * How requests with a certain host and path prefix are served.
  *
- * @property pathPrefix begins and ends with a slash.
+ * @property pathPrefix the prefix of the path; begins and ends with a slash.
  * @property splits the services that serve the route, each with its weight; never empty.
  * @property idempotent whether a request may run more than once.
- * @property streaming whether answers are series of events.
- * @property resumable whether a broken stream may go on elsewhere after the last event that was passed on.
- * @property timeoutMilliseconds the longest time that a caller is kept waiting for the whole answer.
- * @property targetMilliseconds the time within which an answer, or its first event, is worth most.
- * @property targetGapMilliseconds the longest pause between two events for which a stream is on time; 0 if not
- *   streaming.
- * @property priority 0 is the most urgent.
- * @property models the models that may answer, smallest first; empty where the caller names the model.
- * @property maximumAttempts the most backend servers that one request may be sent to.
- * @property public whether the route needs no key.
+ * @property streaming whether answers are streams of events.
+ * @property resumable whether another backend server may resume a broken stream after the last event that was
+ *   forwarded.
+ * @property timeoutMilliseconds the maximum time until the caller has the complete answer.
+ * @property targetMilliseconds the target time to the answer, or to the first event of a stream; a later one is worth
+ *   less.
+ * @property targetGapMilliseconds the maximum pause between two events for which a stream counts as on time; 0 if the
+ *   route is not streaming.
+ * @property priority the priority of waiting requests; 0 is the most urgent.
+ * @property models the models that may answer, from the smallest to the largest; empty if the caller names the model.
+ * @property maximumAttempts the maximum number of backend servers that may run a request.
+ * @property public whether requests need no API key.
  */
 public data class Route(
     public val name: String,
@@ -36,6 +38,6 @@
     public val maximumAttempts: Int = 1,
     public val public: Boolean = false,
 ) {
-    /** Whether a request that may have run may be sent once more. */
+    /** Whether a request that may have run may be sent to a backend server again. */
     public val mayRunAgain: Boolean get() = idempotent || resumable
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/routing/RoutingPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/routing/RoutingPart.kt
@@ -12,7 +12,7 @@
 import org.quetzalloom.core.relay.with
 import org.quetzalloom.core.time.Timestamp
 
-/** Keeps the newest configuration. A lower version never replaces a higher one. */
+/** Keeps the newest configuration in force. A lower version never replaces a higher one. */
 internal object RoutingPart : RelayPart {
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep {
         val newest = (event as? RelayEvent.FeedRead)?.entries
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/routing/RoutingTable.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/routing/RoutingTable.kt
@@ -7,10 +7,11 @@
 import org.quetzalloom.core.identity.WorkspaceId
 
 /**
- * The configuration of the relay, whole, as operators wrote it.
+ * A complete configuration of the routers, as operators wrote it.
  *
- * @property version rises with each change, in uneven steps.
- * @property workspacesByKey the workspace that each key belongs to; `null` where no keys are needed at all.
+ * @property version the number of the configuration, which rises with each change, in uneven steps.
+ * @property limits the limits on callers' requests.
+ * @property workspacesByKey the workspace that each API key belongs to; `null` if requests need no key at all.
  */
 public data class RoutingTable(
     public val version: Long,
@@ -22,7 +23,10 @@
     private val routesByHost = routes.groupBy { it.host.lowercase() }
         .mapValues { (_, sameHost) -> sameHost.sortedByDescending { it.pathPrefix.length } }
 
-    /** Returns the route of [host] with the longest prefix of [path], or `null`. */
+    /**
+     * Returns the route of [host] with the longest prefix of [path], or `null` if there is none. The case of the host
+     * does not matter.
+     */
     public fun routeOrNull(host: String, path: String): Route? =
         routesByHost[host.lowercase()]?.firstOrNull { path.startsWith(it.pathPrefix) }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/routing/ServiceName.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/routing/ServiceName.kt
@@ -1,6 +1,6 @@
 package org.quetzalloom.core.relay.routing
 
-/** Names a group of backend servers that serve the same requests. */
+/** The name of a service, a group of backend servers that serve the same requests; not empty. */
 @JvmInline
 public value class ServiceName(public val value: String) : Comparable<ServiceName> {
     init {
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/ConfigurationTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/ConfigurationTest.kt
@@ -9,7 +9,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-/** The configuration in force, and what it allows. */
+/** Which configuration is in force, how feeds are read, and which requests the configuration admits. */
 class ConfigurationTest {
     private fun RelayRig.refusal(request: RelayRequest): ErrorKind? =
         arrive(request).second.filterIsInstance<RelayEffect.Refuse>().singleOrNull()?.kind
@@ -22,7 +22,7 @@
     }
 
     @Test
-    fun `callers come back later while the store is away`() {
+    fun `the retry-after time is longer while the store does not answer`() {
         val rig = RelayRig()
         val soon = rig.arrive(RelayRig.command).second.only<RelayEffect.Refuse>().retryAfterMilliseconds
         rig.on(RelayEvent.FeedFailed(Feed.ORDERS, FeedProblem.UNAVAILABLE, "status 503"))
@@ -31,7 +31,7 @@
     }
 
     @Test
-    fun `routes and keys that are not there are refused, and public routes need no key`() {
+    fun `requests with an unknown route or key are refused, and public routes need no key`() {
         val rig = RelayRig().start()
         assertEquals(ErrorKind.UNKNOWN_TARGET, rig.refusal(RelayRig.read.copy(path = "/lookout/1")))
         assertEquals(ErrorKind.UNKNOWN_TARGET, rig.refusal(RelayRig.read.copy(host = "other.example")))
@@ -41,7 +41,7 @@
     }
 
     @Test
-    fun `the longest prefix counts`() {
+    fun `the route with the longest prefix of the path applies`() {
         val rig = RelayRig().start()
         val effects = rig.arrive(RelayRig.read.copy(path = "/look/open/1")).second
         assertEquals("bakery", effects.only<RelayEffect.Send>().order.workspace?.value)
@@ -60,7 +60,7 @@
     }
 
     @Test
-    fun `a feed whose records have expired is read anew, and one that fails is read on`() {
+    fun `a feed whose records have expired is read from a snapshot, and one that failed from the same offset`() {
         val rig = RelayRig()
         rig.on(RelayEvent.Tick)
         rig.read(Feed.ORDERS, snapshot = true)
@@ -73,7 +73,7 @@
     }
 
     @Test
-    fun `one read of a feed is under way at a time`() {
+    fun `at most one read of a feed is under way at a time`() {
         val rig = RelayRig()
         val reads = rig.pass(5_000).filterIsInstance<RelayEffect.ReadFeed>()
         assertEquals(setOf(Feed.ORDERS, Feed.SERVERS), reads.map { it.feed }.toSet())
@@ -82,7 +82,7 @@
     }
 
     @Test
-    fun `an answer comes at the route's timeout, also where the caller would wait longer`() {
+    fun `a request is answered at the timeout of its route, even if the caller would wait longer`() {
         val rig = RelayRig().start()
         rig.arrive(RelayRig.command.copy(timeLeftMilliseconds = 60_000))
         assertTrue(rig.pass(980).none<RelayEffect.Refuse>())
@@ -90,7 +90,7 @@
     }
 
     @Test
-    fun `a caller that leaves has its attempt given up, and its waiting request is never sent`() {
+    fun `the attempt of a caller that disconnects is cancelled, and its waiting request is never sent`() {
         val rig = RelayRig().start()
         val send = rig.arrive(RelayRig.read).second.only<RelayEffect.Send>()
         assertEquals(1, rig.on(RelayEvent.CallerLeft(send.exchange)).filterIsInstance<RelayEffect.CancelAttempt>().size)
