Rename the choice of a model after latencies, penalties and maxima

Outlook, lean, patience and a model that is an index left open what they meant. Only names change, and line breaks where a longer name needs one. Ran: compilation of all modules.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Answers.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Answers.kt
@@ -94,10 +94,10 @@
  */
 private fun RelayState.escalationOrNull(exchange: Exchange, head: AnswerHead, now: Timestamp): EscalationDecision? {
     val confidence = head.confidence?.takeIf { exchange.request.routerChoosesModel } ?: return null
-    val outlook = if (mayRunOnceMore(exchange, now)) outlookOrNull(exchange, now) else null
+    val latencies = if (mayRunOnceMore(exchange, now)) latencyEstimateOrNull(exchange, now) else null
     val answer = ModelAnswer(exchange.modelIndex, confidence)
-    val next = outlook?.let { policies.modelChoice.nextOrNull(exchange.route, exchange.request, answer, it) }
-    return EscalationDecision(confidence, outlook?.startOf(exchange.route.models.lastIndex), next)
+    val next = latencies?.let { policies.modelChoice.nextOrNull(exchange.route, exchange.request, answer, it) }
+    return EscalationDecision(confidence, latencies?.startMilliseconds(exchange.route.models.lastIndex), next)
 }
 
 /**
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
@@ -116,7 +116,7 @@
         arrivedAt = now,
         deadlineAt = now + time,
         waitUntil = now + time / QUEUE_TIME_DIVISOR,
-        modelIndex = if (request.routerChoosesModel) policies.modelChoice.first(route, request) else 0,
+        modelIndex = if (request.routerChoosesModel) policies.modelChoice.firstModel(route, request) else 0,
         lastEventId = request.lastEventId,
     )
     val budget = (exchanges.budgets[exchange.service] ?: RetryBudget()).countFirst(now)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Outlooks.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/LatencyEstimates.kt
@@ -2,7 +2,7 @@
 
 import kotlinx.collections.immutable.toPersistentList
 import org.quetzalloom.core.relay.RelayState
-import org.quetzalloom.core.relay.model.ModelOutlook
+import org.quetzalloom.core.relay.model.ModelLatencyEstimate
 import org.quetzalloom.core.relay.server.PrefillPace
 import org.quetzalloom.core.relay.server.ServerView
 import org.quetzalloom.core.relay.server.eligibleServers
@@ -23,11 +23,11 @@
  * Estimates how soon each model of the route could begin to answer [exchange]. Returns `null` if no backend server can
  * take it now. While the reading pace of the service is unknown, prompts count as read in no time.
  */
-internal fun RelayState.outlookOrNull(exchange: Exchange, now: Timestamp): ModelOutlook? {
+internal fun RelayState.latencyEstimateOrNull(exchange: Exchange, now: Timestamp): ModelLatencyEstimate? {
     val least = untriedServers(exchange, now).minOfOrNull { workUntilAnswer(it, work = 0, now) } ?: return null
     val pace = servers.prefillPaces[exchange.service] ?: PrefillPace()
     fun wait(ahead: Long): Long = pace.estimateOrNull(ahead) ?: 0
-    return ModelOutlook(
+    return ModelLatencyEstimate(
         elapsedMilliseconds = now - exchange.arrivedAt,
         queueMilliseconds = wait(least),
         waitsMilliseconds = exchange.route.models.indices
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/model/ConfidenceCascade.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/model/ConfidenceCascade.kt
@@ -10,44 +10,44 @@
  * Where backend servers are busy, a second answer would come late and make all others late as well; the first is kept
  * then. A request that may not run twice goes to the largest model at once.
  *
- * @property lean how much the threshold differs between a request that is all answer and one that is all prompt, as
- *   reading a long prompt again costs more.
- * @property patience how many times the route's target an answer may take to begin.
- * @property queueShare the share of the route's target that may pass with the prompts of others. A queue at the least
- *   busy backend server means that all are busy, and that each second answer delays first ones.
+ * @property promptPenalty how much the threshold differs between a request that is all answer and one that is all
+ *   prompt, as reading a long prompt again costs more.
+ * @property maximumStartTargets how many times the route's target an answer may take to begin.
+ * @property maximumQueueShare the share of the route's target that may pass with the prompts of others. A queue at the
+ *   least busy backend server means that all are busy, and that each second answer delays first ones.
  */
 public data class ConfidenceCascade(
     public val threshold: Int = 50,
-    public val lean: Double = 20.0,
-    public val patience: Double = 1.0,
-    public val queueShare: Double = 0.05,
+    public val promptPenalty: Double = 20.0,
+    public val maximumStartTargets: Double = 1.0,
+    public val maximumQueueShare: Double = 0.05,
 ) : ModelChoice {
-    override fun first(route: Route, request: RelayRequest): Int =
+    override fun firstModel(route: Route, request: RelayRequest): Int =
         if (route.mayRunAgain && route.maximumAttempts > 1) 0 else route.models.lastIndex
 
     override fun nextOrNull(
         route: Route,
         request: RelayRequest,
         answer: ModelAnswer,
-        outlook: ModelOutlook,
+        latencies: ModelLatencyEstimate,
     ): Int? = route.models.lastIndex.takeIf {
-        answer.model < it && answer.confidence < thresholdOf(request) && route.allows(it, outlook)
+        answer.modelIndex < it && answer.confidence < confidenceThreshold(request) && route.allows(it, latencies)
     }
 
-    private fun thresholdOf(request: RelayRequest): Double {
+    private fun confidenceThreshold(request: RelayRequest): Double {
         val prompt = request.promptTokens.toDouble()
-        val whole = prompt + ANSWER_WEIGHT * request.outputTokens
+        val whole = prompt + ANSWER_TOKEN_WEIGHT * request.outputTokens
         val promptShare = if (whole > 0) prompt / whole else USUAL_PROMPT_SHARE
-        return threshold + lean * (USUAL_PROMPT_SHARE - promptShare)
+        return threshold + promptPenalty * (USUAL_PROMPT_SHARE - promptShare)
     }
 
-    private fun Route.allows(model: Int, outlook: ModelOutlook): Boolean =
-        outlook.queueMilliseconds <= queueShare * targetMilliseconds &&
-            outlook.startOf(model) <= patience * targetMilliseconds
+    private fun Route.allows(model: Int, latencies: ModelLatencyEstimate): Boolean =
+        latencies.queueMilliseconds <= maximumQueueShare * targetMilliseconds &&
+            latencies.startMilliseconds(model) <= maximumStartTargets * targetMilliseconds
 
     private companion object {
         /** A token of the answer takes as long as this many of the prompt. */
-        const val ANSWER_WEIGHT = 10
+        const val ANSWER_TOKEN_WEIGHT = 10
 
         /** The share of the prompt for which the threshold is [threshold]. */
         const val USUAL_PROMPT_SHARE = 0.7
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/model/ModelAnswer.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/model/ModelAnswer.kt
@@ -3,7 +3,7 @@
 /**
  * What is known of a model's answer when it begins.
  *
- * @property model the place of the model in its route.
+ * @property modelIndex the place of the model in its route.
  * @property confidence the model's own opinion of the answer, from 0 to 100.
  */
-public data class ModelAnswer(public val model: Int, public val confidence: Int)
+public data class ModelAnswer(public val modelIndex: Int, public val confidence: Int)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/model/ModelOutlook.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/model/ModelLatencyEstimate.kt
@@ -11,11 +11,11 @@
  * @property waitsMilliseconds how long each model would take from now on until its answer begins, at the backend server
  *   that would be soonest, smallest model first; empty while nothing is known.
  */
-public data class ModelOutlook(
+public data class ModelLatencyEstimate(
     public val elapsedMilliseconds: Long = 0,
     public val queueMilliseconds: Long = 0,
     public val waitsMilliseconds: PersistentList<Long> = persistentListOf(),
 ) {
     /** Returns when the answer of [model] would begin, in milliseconds after the request arrived. */
-    public fun startOf(model: Int): Long = elapsedMilliseconds + waitsMilliseconds.getOrElse(model) { 0 }
+    public fun startMilliseconds(model: Int): Long = elapsedMilliseconds + waitsMilliseconds.getOrElse(model) { 0 }
 }
