Say plainly how the relay chooses a model

Comments of the folder model spoke of opinions, places and patience. They now name the threshold, the penalty for long prompts, and what each time is measured from. Test names follow.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/model/ModelChoice.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/model/ModelChoice.kt
@@ -3,13 +3,18 @@
 import org.quetzalloom.core.relay.exchange.RelayRequest
 import org.quetzalloom.core.relay.routing.Route
 
-/** Decides which model of a route answers a request. Models are named by their place in the route, smallest first. */
+/**
+ * Decides which model of a route answers a request. A model is identified by its index in the route, where models are
+ * listed from the smallest to the largest.
+ */
 public interface ModelChoice {
-    /** Returns the model that is asked first. */
+    /** Returns the index of the model to ask first. */
     public fun firstModel(route: Route, request: RelayRequest): Int
 
     /**
-     * Returns the model that is asked after another has given [answer], or `null` if that answer is kept.
+     * Returns the index of the model to ask after another one has given [answer], or `null` to keep that answer.
+     *
+     * @param latencies how soon each model could answer the request now.
      */
     public fun nextOrNull(
         route: Route,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/model/WorkEstimate.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/model/WorkEstimate.kt
@@ -2,8 +2,11 @@
 
 import org.quetzalloom.core.relay.exchange.RelayRequest
 
-/** Estimates how long a backend server is busy with a prompt before the answer begins. */
+/** Estimates the work of reading a prompt (prefill), which a backend server does before the answer begins. */
 public fun interface WorkEstimate {
-    /** Returns the work of [request] with [model], the place of the model in its route; 0 if it is not for a model. */
+    /**
+     * Returns the work of [request] for the model with the index [model] in its route, in tokens weighted by model
+     * size; 0 if the request is not for a model.
+     */
     public fun of(request: RelayRequest, model: Int): Long
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/CascadeTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/CascadeTest.kt
@@ -13,15 +13,15 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-/** Doubtful answers are asked of a larger model while that can answer in time. */
+/** After an answer of low confidence, the largest model is asked if it can answer in time and servers are not busy. */
 class CascadeTest {
     private val prompt = RelayRig.prompt.copy(promptTokens = 10_000)
     private val doubtful = AnswerHead(200, confidence = 20)
 
-    /** Asks always, as if nobody else needed the servers. */
+    /** Asks the largest model even if its answer would be late. */
     private object WithoutTimeLimit : ModelChoice by ConfidenceCascade(maximumStartTargets = 1_000.0)
 
-    /** Lets the rig learn that 10,000 tokens take [milliseconds] to read with the smallest model. */
+    /** Serves prompts so that the service's pace is 10,000 tokens in [milliseconds] with the smallest model. */
     private fun RelayRig.recordPace(milliseconds: Long): RelayRig {
         repeat(100) {
             val (_, effects) = arrive(prompt.copy(callerId = "learn-$it"))
@@ -39,27 +39,27 @@
     }
 
     @Test
-    fun `a doubtful answer is dropped while the largest model can answer in time`() {
+    fun `an answer of low confidence is dropped if the largest model can answer in time`() {
         val effects = RelayRig().start(RelayRig.engineServers).recordPace(milliseconds = 100).answerDoubtfully()
         assertEquals("large", effects.only<RelayEffect.Send>().order.model)
     }
 
     @Test
-    fun `a doubtful answer is kept when the largest model would be late`() {
+    fun `an answer of low confidence is kept if the largest model would be late`() {
         val effects = RelayRig().start(RelayRig.engineServers).recordPace(milliseconds = 400).answerDoubtfully()
         assertTrue(effects.none<RelayEffect.Send>())
         assertEquals(1, effects.filterIsInstance<RelayEffect.ForwardAnswer>().size)
     }
 
     @Test
-    fun `without patience a late answer would be asked for`() {
+    fun `without the time limit the largest model is asked even if it would be late`() {
         val rig = RelayRig(policies = RelayPolicies(modelChoice = WithoutTimeLimit)).start(RelayRig.engineServers)
         val effects = rig.recordPace(milliseconds = 400).answerDoubtfully()
         assertEquals("large", effects.only<RelayEffect.Send>().order.model)
     }
 
     @Test
-    fun `the verdict is in the log line of the end`() {
+    fun `the log line of the end of a request shows what the escalation decision was based on`() {
         val rig = RelayRig().start(RelayRig.engineServers).recordPace(milliseconds = 400)
         val first = rig.arrive(prompt).second.only<RelayEffect.Send>()
         rig.answer(first, doubtful)
@@ -77,7 +77,7 @@
     }
 
     @Test
-    fun `what is in time depends on the route's target`() {
+    fun `whether an answer would be in time depends on the target of the route`() {
         val route = RelayRig.table.routes.last()
         val latencies = ModelLatencyEstimate(
             elapsedMilliseconds = 100,
@@ -89,7 +89,7 @@
     }
 
     @Test
-    fun `where all servers are busy a doubtful answer is kept, though the largest model would be in time`() {
+    fun `while all servers are busy an answer of low confidence is kept, though the largest model would be in time`() {
         val route = RelayRig.table.routes.last().copy(targetMilliseconds = 2_000)
         val latencies = ModelLatencyEstimate(waitsMilliseconds = persistentListOf(10, 30, 900))
         val cascade = ConfidenceCascade()
@@ -99,7 +99,7 @@
     }
 
     @Test
-    fun `a second answer is asked for sooner where the prompt is short against the answer`() {
+    fun `the confidence threshold is higher where the prompt is short compared with the answer`() {
         val route = RelayRig.table.routes.last()
         val short = RelayRig.prompt.copy(promptTokens = 800, outputTokens = 300)
         val long = RelayRig.prompt.copy(promptTokens = 12_000, outputTokens = 100)
