Rename the use of session pins after what it does

Only names change. Ran: compilation of all modules.

rename: use -> touch (declared in core/relay/session/PinsPart.kt, core/relay/session/PinsState.kt; only in core/relay/session) rename: lifeMilliseconds -> timeToLiveMilliseconds (; only in core/relay/session) rename: PRUNE_MILLISECONDS -> PRUNE_INTERVAL_MILLISECONDS (declared in core/relay/session/PinsState.kt; only in core/relay/session) rename: number -> attemptNumber (; only in core/relay/session/PinsPart.kt)

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/session/PinsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/session/PinsPart.kt
@@ -12,13 +12,13 @@
 /** Keeps the pins of sessions that are in use, and drops the others. */
 internal object PinsPart : RelayPart {
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
-        is RelayEvent.AnswerFinished -> state.use(event.exchange, event.attempt, now)
+        is RelayEvent.AnswerFinished -> state.touch(event.exchange, event.attempt, now)
         RelayEvent.Tick -> state.copy(pins = state.pins.prune(state.settings.sessionMilliseconds, now)).unchanged()
         else -> state.unchanged()
     }
 
-    private fun RelayState.use(id: ExchangeId, number: Int, now: Timestamp): RelayStep {
-        val (exchange, attempt) = exchanges.currentOrNull(id, number) ?: return unchanged()
+    private fun RelayState.touch(id: ExchangeId, attemptNumber: Int, now: Timestamp): RelayStep {
+        val (exchange, attempt) = exchanges.currentOrNull(id, attemptNumber) ?: return unchanged()
         return pin(exchange, attempt.version, now).unchanged()
     }
 }
@@ -26,5 +26,5 @@
 /** Returns the state in which the session of [exchange] is at [version]. */
 internal fun RelayState.pin(exchange: Exchange, version: String, now: Timestamp): RelayState {
     val session = exchange.request.session ?: return this
-    return copy(pins = pins.use(session, version, now))
+    return copy(pins = pins.touch(session, version, now))
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/session/PinsState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/session/PinsState.kt
@@ -10,21 +10,21 @@
     val prunedAt: Timestamp = Timestamp.EPOCH,
 ) {
     /** Returns the state after a request of [session] at [version]. */
-    fun use(session: String, version: String, now: Timestamp): PinsState =
+    fun touch(session: String, version: String, now: Timestamp): PinsState =
         copy(bySession = bySession.put(session, VersionPin(version, now)))
 
-    /** Returns the pin of [session] if it was used in the last [lifeMilliseconds], or `null`. */
-    fun pinOrNull(session: String, lifeMilliseconds: Long, now: Timestamp): VersionPin? =
-        bySession[session]?.takeIf { now - it.usedAt <= lifeMilliseconds }
+    /** Returns the pin of [session] if it was used in the last [timeToLiveMilliseconds], or `null`. */
+    fun pinOrNull(session: String, timeToLiveMilliseconds: Long, now: Timestamp): VersionPin? =
+        bySession[session]?.takeIf { now - it.usedAt <= timeToLiveMilliseconds }
 
-    /** Returns the state without the pins that have not been used in the last [lifeMilliseconds]. */
-    fun prune(lifeMilliseconds: Long, now: Timestamp): PinsState {
-        if (now - prunedAt < PRUNE_MILLISECONDS) return this
-        val old = bySession.filterValues { now - it.usedAt > lifeMilliseconds }.keys
+    /** Returns the state without the pins that have not been used in the last [timeToLiveMilliseconds]. */
+    fun prune(timeToLiveMilliseconds: Long, now: Timestamp): PinsState {
+        if (now - prunedAt < PRUNE_INTERVAL_MILLISECONDS) return this
+        val old = bySession.filterValues { now - it.usedAt > timeToLiveMilliseconds }.keys
         return PinsState(old.fold(bySession) { pins, session -> pins.remove(session) }, prunedAt = now)
     }
 
     private companion object {
-        const val PRUNE_MILLISECONDS = 1_000L
+        const val PRUNE_INTERVAL_MILLISECONDS = 1_000L
     }
 }
