Rename the graceful stop after what its times allow

Request, declare and reserve left open of what. Only names change.

rename: request -> requestStop (declared in core/relay/stop/StopPart.kt; only in core/relay/stop/StopPart.kt) rename: declare -> updateReadiness (declared in core/relay/stop/StopPart.kt; only in core/relay/stop/StopPart.kt) rename: endsInTime -> finishesBeforeStop (declared in core/relay/stop/StopPart.kt) rename: LAST_CONNECTIONS_MILLISECONDS -> LATE_CONNECTIONS_MILLISECONDS (declared in core/relay/stop/StopPart.kt; only in core/relay/stop) rename: RESERVE_MILLISECONDS -> EXIT_MARGIN_MILLISECONDS (declared in core/relay/stop/StopPart.kt; only in core/relay/stop) rename: LAST_REQUESTS_MILLISECONDS -> LATE_REQUESTS_MILLISECONDS (declared in core/relay/stop/StopPart.kt; only in core/relay/stop) rename: held -> inFlight (declared in core/relay/StopTest.kt; only in core/relay/StopTest.kt)

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
@@ -18,7 +18,7 @@
 import org.quetzalloom.core.relay.routing.Route
 import org.quetzalloom.core.relay.routing.RoutingTable
 import org.quetzalloom.core.relay.routing.ServiceName
-import org.quetzalloom.core.relay.stop.endsInTime
+import org.quetzalloom.core.relay.stop.finishesBeforeStop
 import org.quetzalloom.core.relay.with
 import org.quetzalloom.core.router.bucketOf
 import org.quetzalloom.core.time.Timestamp
@@ -59,7 +59,7 @@
             table.authenticate(request, route).map { Admission(route, it) }
         }
     }.andThen { admission ->
-        if (endsInTime(request, admission.route, now)) Ok(admission) else Err(SHUTTING_DOWN)
+        if (finishesBeforeStop(request, admission.route, now)) Ok(admission) else Err(SHUTTING_DOWN)
     }
 
 private fun RelayState.routingOrError(): Result<RoutingTable, RouterError> =
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/stop/StopPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/stop/StopPart.kt
@@ -16,22 +16,22 @@
 /** Declares readiness, and ends the process once a graceful stop has nothing left to do. */
 internal object StopPart : RelayPart {
     /** New connections may come for this time after readiness is gone: two health checks, and a reserve. */
-    private const val LAST_CONNECTIONS_MILLISECONDS = 3_000L
+    private const val LATE_CONNECTIONS_MILLISECONDS = 3_000L
 
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
-        RelayEvent.StopRequested -> state.request(now)
-        RelayEvent.Tick -> state.declare(now).then { it.finishIfDone(now) }
+        RelayEvent.StopRequested -> state.requestStop(now)
+        RelayEvent.Tick -> state.updateReadiness(now).then { it.finishIfDone(now) }
         else -> state.unchanged()
     }
 
-    private fun RelayState.request(now: Timestamp): RelayStep {
+    private fun RelayState.requestStop(now: Timestamp): RelayStep {
         if (stop.requestedAt != null) return unchanged()
         return copy(stop = stop.copy(requestedAt = now)).with(RelayEffect.DrainConnections)
             .then { it.report(now, "stop_requested", "active" to exchanges.byId.size) }
-            .then { it.declare(now) }
+            .then { it.updateReadiness(now) }
     }
 
-    private fun RelayState.declare(now: Timestamp): RelayStep {
+    private fun RelayState.updateReadiness(now: Timestamp): RelayStep {
         val ready = stop.requestedAt == null && routing != null && servers.listReadAt != null
         if (ready == stop.ready) return unchanged()
         return copy(stop = stop.copy(ready = ready)).with(RelayEffect.SetReady(ready))
@@ -47,21 +47,21 @@
     }
 
     private fun RelayState.mayFinish(elapsed: Long): Boolean {
-        val done = exchanges.byId.isEmpty() && elapsed >= LAST_CONNECTIONS_MILLISECONDS
-        return done || elapsed >= settings.graceMilliseconds - RESERVE_MILLISECONDS
+        val done = exchanges.byId.isEmpty() && elapsed >= LATE_CONNECTIONS_MILLISECONDS
+        return done || elapsed >= settings.graceMilliseconds - EXIT_MARGIN_MILLISECONDS
     }
 }
 
 /** The process ends this long before it would be killed, in milliseconds. */
-private const val RESERVE_MILLISECONDS = 300L
+private const val EXIT_MARGIN_MILLISECONDS = 300L
 
 /** Requests may come this long after the stop was asked for, in milliseconds, however long they take. */
-private const val LAST_REQUESTS_MILLISECONDS = 2_500L
+private const val LATE_REQUESTS_MILLISECONDS = 2_500L
 
 /** Returns whether a request that arrives at [now] may be taken, as far as a stop goes. */
-internal fun RelayState.endsInTime(request: RelayRequest, route: Route, now: Timestamp): Boolean {
+internal fun RelayState.finishesBeforeStop(request: RelayRequest, route: Route, now: Timestamp): Boolean {
     val requestedAt = stop.requestedAt ?: return true
     val time = minOf(request.timeLeftMilliseconds ?: Long.MAX_VALUE, route.timeoutMilliseconds)
-    val left = settings.graceMilliseconds - RESERVE_MILLISECONDS - (now - requestedAt)
-    return now - requestedAt <= LAST_REQUESTS_MILLISECONDS || time <= left
+    val left = settings.graceMilliseconds - EXIT_MARGIN_MILLISECONDS - (now - requestedAt)
+    return now - requestedAt <= LATE_REQUESTS_MILLISECONDS || time <= left
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/StopTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/StopTest.kt
@@ -36,13 +36,13 @@
     @Test
     fun `a request that could not end in time is refused as not run`() {
         val rig = stopping()
-        val held = rig.arrive(RelayRig.prompt).second.only<RelayEffect.Send>()
+        val inFlight = rig.arrive(RelayRig.prompt).second.only<RelayEffect.Send>()
         rig.pass(5_000)
         val refusal = rig.arrive(RelayRig.prompt.copy(callerId = "p-2")).second.only<RelayEffect.Refuse>()
         assertEquals(ErrorKind.SHUTTING_DOWN, refusal.kind)
         assertTrue(refusal.kind.notRun && (refusal.retryAfterMilliseconds ?: 0) > 0)
         assertEquals(1, rig.arrive(RelayRig.command).second.filterIsInstance<RelayEffect.Send>().size)
-        rig.on(RelayEvent.CallerLeft(held.exchange))
+        rig.on(RelayEvent.CallerLeft(inFlight.exchange))
     }
 
     @Test
