--- a/core/src/main/kotlin/org/quetzalloom/core/relay/session/PinsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/session/PinsPart.kt
@@ -9,7 +9,7 @@
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.time.Timestamp
 
-/** Keeps the pins of sessions that are in use, and drops the others. */
+/** Keeps the version pins of sessions (session affinity) while they are in use, and drops them afterwards. */
 internal object PinsPart : RelayPart {
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
         is RelayEvent.AnswerFinished -> state.touch(event.exchange, event.attempt, now)
@@ -23,7 +23,10 @@
     }
 }
 
-/** Returns the state in which the session of [exchange] is at [version]. */
+/**
+ * Returns the state in which the session of [exchange] is pinned to [version] as of [now]; the same state if the
+ * request belongs to no session.
+ */
 internal fun RelayState.pin(exchange: Exchange, version: String, now: Timestamp): RelayState {
     val session = exchange.request.session ?: return this
     return copy(pins = pins.touch(session, version, now))
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/session/VersionPin.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/session/VersionPin.kt
@@ -3,8 +3,8 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * The version that the latest request of a session ran on.
+ * The version that the latest request of a session was sent to.
  *
- * @property usedAt when the latest request of the session was sent or answered.
+ * @property usedAt when the latest request of the session was sent, or its answer ended.
  */
 internal data class VersionPin(val version: String, val usedAt: Timestamp)
