Say plainly how a router stops

Comments of the folder stop now say which requests are still admitted and when the process ends. Test names follow.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/stop/StopPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/stop/StopPart.kt
@@ -13,9 +13,11 @@
 import org.quetzalloom.core.relay.with
 import org.quetzalloom.core.time.Timestamp
 
-/** Declares readiness, and ends the process once a graceful stop has nothing left to do. */
+/**
+ * Sets the readiness of the router, and ends the process once a graceful stop is complete or its grace time is over.
+ */
 internal object StopPart : RelayPart {
-    /** New connections may come for this time after readiness is gone: two health checks, and a reserve. */
+    /** New connections may arrive for this time after the readiness ends: two health checks, and a margin. */
     private const val LATE_CONNECTIONS_MILLISECONDS = 3_000L
 
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
@@ -52,13 +54,16 @@
     }
 }
 
-/** The process ends this long before it would be killed, in milliseconds. */
+/** The process ends this long before it would be killed. */
 private const val EXIT_MARGIN_MILLISECONDS = 300L
 
-/** Requests may come this long after the stop was asked for, in milliseconds, however long they take. */
+/** Requests are admitted for this time after the request to stop, however long they may take. */
 private const val LATE_REQUESTS_MILLISECONDS = 2_500L
 
-/** Returns whether a request that arrives at [now] may be taken, as far as a stop goes. */
+/**
+ * Returns whether [request] may be admitted at [now]: no stop was requested, the stop was requested only recently, or
+ * the time limit of the request ends before the process does.
+ */
 internal fun RelayState.finishesBeforeStop(request: RelayRequest, route: Route, now: Timestamp): Boolean {
     val requestedAt = stop.requestedAt ?: return true
     val time = minOf(request.timeLeftMilliseconds ?: Long.MAX_VALUE, route.timeoutMilliseconds)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/stop/StopState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/stop/StopState.kt
@@ -3,11 +3,11 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * How far the graceful stop is.
+ * The progress of a graceful stop, and the readiness for new connections.
  *
- * @property requestedAt when it was asked for, or `null`.
- * @property ready whether new connections are wanted, as last declared; `null` before the first time.
- * @property finished whether the process has been told to end.
+ * @property requestedAt when the stop was requested, or `null` if it was not.
+ * @property ready the readiness that was last set, or `null` before the first time.
+ * @property finished whether the process has been asked to end.
  */
 internal data class StopState(
     val requestedAt: Timestamp? = null,
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/StopTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/StopTest.kt
@@ -6,7 +6,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-/** A graceful stop cuts nothing that it has taken. */
+/** A graceful stop does not cut off requests that were admitted, and ends before the process would be killed. */
 class StopTest {
     private fun stopping(): RelayRig = RelayRig().start(RelayRig.engineServers + RelayRig.plainServers).apply {
         pass(20)
@@ -14,7 +14,7 @@
     }
 
     @Test
-    fun `readiness is declared once a configuration and the servers are known, and ends with the stop`() {
+    fun `the router is ready once a configuration and the servers are known, until the stop is requested`() {
         val rig = RelayRig()
         assertTrue(!rig.pass(20).only<RelayEffect.SetReady>().ready)
         rig.start()
@@ -23,7 +23,7 @@
     }
 
     @Test
-    fun `requests are taken while they come, and the process ends once all are answered`() {
+    fun `late requests are admitted, and the process ends once all are answered`() {
         val rig = stopping()
         rig.pass(1_000)
         val send = rig.arrive(RelayRig.prompt).second.only<RelayEffect.Send>()
@@ -34,7 +34,7 @@
     }
 
     @Test
-    fun `a request that could not end in time is refused as not run`() {
+    fun `a request that might not end before the process is refused as not run`() {
         val rig = stopping()
         val inFlight = rig.arrive(RelayRig.prompt).second.only<RelayEffect.Send>()
         rig.pass(5_000)
