--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/AccessPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/AccessPart.kt
@@ -14,16 +14,16 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * Calls the store through another router while the store does not answer this one.
+ * Calls the platform's store through another router while the store does not answer this one.
  *
- * The store may turn away some routers and serve the others and the operators. Nothing tells that apart from an outage,
- * so other routers are tried in turn, and the store itself again every few seconds.
+ * The store may refuse some routers while it serves the others and the operators. A router cannot tell this from an
+ * outage, so it tries other routers in turn as proxies, and calls the store directly again every few seconds.
  */
 internal object AccessPart : RelayPart {
-    /** One failure may be one lost answer. */
+    /** The failures in a row before the path changes. A single failure may be a lost answer. */
     private const val FAILURES_BEFORE_DETOUR = 2
 
-    /** The time on a detour; a direct call that is not answered costs about a second. */
+    /** How long calls go through other routers; a direct call that is not answered costs about a second. */
     private const val DETOUR_MILLISECONDS = 2_500L
 
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
@@ -31,7 +31,7 @@
         is RelayEvent.FeedFailed ->
             if (event.problem == FeedProblem.UNAVAILABLE) state.failed(now) else state.unchanged()
         is RelayEvent.GroupFailed -> state.failed(now)
-        RelayEvent.Tick -> state.returnIfDue(now)
+        RelayEvent.Tick -> state.retryDirectIfDue(now)
         else -> state.unchanged()
     }
 
@@ -40,26 +40,39 @@
 
     private fun RelayState.failed(now: Timestamp): RelayStep {
         val counted = copy(access = access.copy(failures = access.failures + 1))
-        val helper = helperOrNull(access.turns)
-        val directAt = if (access.viaRouter == null) now + DETOUR_MILLISECONDS else access.directAt
-        return if (counted.access.failures < FAILURES_BEFORE_DETOUR || helper == null) {
+        val proxyRouter = proxyRouterOrNull(access.pathChanges)
+        val directRetryAt = if (access.viaRouter == null) now + DETOUR_MILLISECONDS else access.directRetryAt
+        return if (counted.access.failures < FAILURES_BEFORE_DETOUR || proxyRouter == null) {
             counted.unchanged()
         } else {
-            counted.reach(helper, directAt, now)
+            counted.setPath(proxyRouter, directRetryAt, now)
         }
     }
 
-    /** Other routers take turns, so that one that is turned away itself is soon left. */
-    private fun RelayState.helperOrNull(turn: Int): String? = members.addresses.entries
+    /**
+     * Returns the address of another router, or `null` if none is known. The choice varies with [seed], so that a
+     * router that the store refuses as well is not used for long.
+     */
+    private fun RelayState.proxyRouterOrNull(seed: Int): String? = members.addresses.entries
         .filter { it.key != settings.vm && it.value.isNotEmpty() }
-        .minByOrNull { stableHash(it.key, turn) }
+        .minByOrNull { stableHash(it.key, seed) }
         ?.value
 
-    private fun RelayState.returnIfDue(now: Timestamp): RelayStep =
-        if (access.viaRouter == null || now < access.directAt) unchanged() else reach(null, directAt = now, now)
+    private fun RelayState.retryDirectIfDue(now: Timestamp): RelayStep =
+        if (access.viaRouter == null || now < access.directRetryAt) {
+            unchanged()
+        } else {
+            setPath(null, directRetryAt = now, now)
+        }
 
-    private fun RelayState.reach(viaRouter: String?, directAt: Timestamp, now: Timestamp): RelayStep {
-        val next = copy(access = AccessState(viaRouter = viaRouter, turns = access.turns + 1, directAt = directAt))
+    private fun RelayState.setPath(viaRouter: String?, directRetryAt: Timestamp, now: Timestamp): RelayStep {
+        val next = copy(
+            access = AccessState(
+                viaRouter = viaRouter,
+                pathChanges = access.pathChanges + 1,
+                directRetryAt = directRetryAt,
+            ),
+        )
         if (viaRouter == access.viaRouter) return next.unchanged()
         return next.with(RelayEffect.SetStorePath(viaRouter)).then {
             it.report(now, "store_path", "through" to (viaRouter ?: "direct"), "failures" to access.failures)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/model/ConfidenceCascade.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/model/ConfidenceCascade.kt
@@ -4,52 +4,55 @@
 import org.quetzalloom.core.relay.routing.Route
 
 /**
- * Asks the smallest model first, and the largest if the answer's confidence is below [threshold] and the largest could
- * still answer in time.
+ * Asks the smallest model first, and the largest one if the confidence of the answer is below a threshold and the
+ * largest could still answer in time.
  *
- * Where backend servers are busy, a second answer would come late and make all others late as well; the first is kept
- * then. A request that may not run twice goes to the largest model at once.
+ * While backend servers are busy, a second answer would be late and would delay all others as well, so the first answer
+ * is kept. A request that may not run twice goes to the largest model at once.
  *
- * @property lean how much the threshold differs between a request that is all answer and one that is all prompt, as
- *   reading a long prompt again costs more.
- * @property patience how many times the route's target an answer may take to begin.
- * @property queueShare the share of the route's target that may pass with the prompts of others. A queue at the least
- *   busy backend server means that all are busy, and that each second answer delays first ones.
+ * @property threshold the confidence below which an answer is dropped, for a request whose prompt has the usual share
+ *   of the work.
+ * @property promptPenalty how much the threshold differs between a request that is all answer and one that is all
+ *   prompt. It is lower for long prompts, as reading them again costs more.
+ * @property maximumStartTargets the maximum time until the second answer begins, in targets of the route.
+ * @property maximumQueueShare the maximum time that the prompts ahead may take to read, as a share of the route's
+ *   target. A queue at the least busy backend server means that all are busy, and that each second answer delays first
+ *   ones.
  */
 public data class ConfidenceCascade(
     public val threshold: Int = 50,
-    public val lean: Double = 20.0,
-    public val patience: Double = 1.0,
-    public val queueShare: Double = 0.05,
+    public val promptPenalty: Double = 20.0,
+    public val maximumStartTargets: Double = 1.0,
+    public val maximumQueueShare: Double = 0.05,
 ) : ModelChoice {
-    override fun first(route: Route, request: RelayRequest): Int =
+    override fun firstModel(route: Route, request: RelayRequest): Int =
         if (route.mayRunAgain && route.maximumAttempts > 1) 0 else route.models.lastIndex
 
     override fun nextOrNull(
         route: Route,
         request: RelayRequest,
         answer: ModelAnswer,
-        outlook: ModelOutlook,
+        latencies: ModelLatencyEstimate,
     ): Int? = route.models.lastIndex.takeIf {
-        answer.model < it && answer.confidence < thresholdOf(request) && route.allows(it, outlook)
+        answer.modelIndex < it && answer.confidence < confidenceThreshold(request) && route.allows(it, latencies)
     }
 
-    private fun thresholdOf(request: RelayRequest): Double {
+    private fun confidenceThreshold(request: RelayRequest): Double {
         val prompt = request.promptTokens.toDouble()
-        val whole = prompt + ANSWER_WEIGHT * request.outputTokens
+        val whole = prompt + ANSWER_TOKEN_WEIGHT * request.outputTokens
         val promptShare = if (whole > 0) prompt / whole else USUAL_PROMPT_SHARE
-        return threshold + lean * (USUAL_PROMPT_SHARE - promptShare)
+        return threshold + promptPenalty * (USUAL_PROMPT_SHARE - promptShare)
     }
 
-    private fun Route.allows(model: Int, outlook: ModelOutlook): Boolean =
-        outlook.queueMilliseconds <= queueShare * targetMilliseconds &&
-            outlook.startOf(model) <= patience * targetMilliseconds
+    private fun Route.allows(model: Int, latencies: ModelLatencyEstimate): Boolean =
+        latencies.queueMilliseconds <= maximumQueueShare * targetMilliseconds &&
+            latencies.startMilliseconds(model) <= maximumStartTargets * targetMilliseconds
 
     private companion object {
-        /** A token of the answer takes as long as this many of the prompt. */
-        const val ANSWER_WEIGHT = 10
+        /** A token of the answer takes as long as this many tokens of the prompt. */
+        const val ANSWER_TOKEN_WEIGHT = 10
 
-        /** The share of the prompt for which the threshold is [threshold]. */
+        /** The share of the prompt in a request's work for which the threshold is [threshold]. */
         const val USUAL_PROMPT_SHARE = 0.7
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/session/PinsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/session/PinsPart.kt
@@ -9,22 +9,25 @@
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.time.Timestamp
 
-/** Keeps the pins of sessions that are in use, and drops the others. */
+/** Keeps the version pins of sessions (session affinity) while they are in use, and drops them afterwards. */
 internal object PinsPart : RelayPart {
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
-        is RelayEvent.AnswerFinished -> state.use(event.exchange, event.attempt, now)
+        is RelayEvent.AnswerFinished -> state.touch(event.exchange, event.attempt, now)
         RelayEvent.Tick -> state.copy(pins = state.pins.prune(state.settings.sessionMilliseconds, now)).unchanged()
         else -> state.unchanged()
     }
 
-    private fun RelayState.use(id: ExchangeId, number: Int, now: Timestamp): RelayStep {
-        val (exchange, attempt) = exchanges.currentOrNull(id, number) ?: return unchanged()
+    private fun RelayState.touch(id: ExchangeId, attemptNumber: Int, now: Timestamp): RelayStep {
+        val (exchange, attempt) = exchanges.currentOrNull(id, attemptNumber) ?: return unchanged()
         return pin(exchange, attempt.version, now).unchanged()
     }
 }
 
-/** Returns the state in which the session of [exchange] is at [version]. */
+/**
+ * Returns the state in which the session of [exchange] is pinned to [version] as of [now]; the same state if the
+ * request belongs to no session.
+ */
 internal fun RelayState.pin(exchange: Exchange, version: String, now: Timestamp): RelayState {
     val session = exchange.request.session ?: return this
-    return copy(pins = pins.use(session, version, now))
+    return copy(pins = pins.touch(session, version, now))
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
@@ -27,7 +27,7 @@
         this.context = context
         gracefulClose = GracefulClose(context.channel())
         server.onOpened(this)
-        gracefulClose.closeAfter(server.limits.idleMilliseconds)
+        gracefulClose.closeAfter(server.limits.idleTimeoutMilliseconds)
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
@@ -64,7 +64,7 @@
         active = null
         if (rejected || gracefulClose.closing) return
         val next = pipelined.removeFirstOrNull()
-        if (next != null) dispatch(next) else if (!receiving) gracefulClose.closeAfter(server.limits.idleMilliseconds)
+        if (next != null) dispatch(next) else if (!receiving) gracefulClose.closeAfter(server.limits.idleTimeoutMilliseconds)
     }
 
     /** Closes the connection if it has no request, neither in flight nor waiting nor partly received. */
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestReader.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestReader.kt
@@ -45,7 +45,7 @@
     fun onBytesReceived() {
         if (!betweenRequests || rejected) return
         betweenRequests = false
-        timeout.restart(limits().headerMilliseconds) {
+        timeout.restart(limits().headerTimeoutMilliseconds) {
             reject(context, PLACEHOLDER_HEAD, ErrorKind.TOO_SLOW, "the header did not arrive in time")
         }
     }
@@ -73,7 +73,7 @@
             context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
         }
         reading = Reading(head)
-        timeout.restart(limits().idleMilliseconds) {
+        timeout.restart(limits().idleTimeoutMilliseconds) {
             reject(context, head, ErrorKind.TOO_SLOW, "the body did not arrive in time")
         }
     }
--- a/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
@@ -138,7 +138,7 @@
             host = "app",
             pathPrefix = "/book/",
             splits = splits,
-            repeatable = false,
+            idempotent = false,
             timeoutMilliseconds = 2_000,
             targetMilliseconds = 400,
         )
@@ -146,19 +146,19 @@
             version = 1,
             routes = persistentListOf(
                 bookRoute,
-                bookRoute.copy(name = "look", pathPrefix = "/look/", repeatable = true, maximumAttempts = 2),
+                bookRoute.copy(name = "look", pathPrefix = "/look/", idempotent = true, maximumAttempts = 2),
                 bookRoute.copy(
                     name = "draft",
                     pathPrefix = "/draft/",
                     streaming = true,
                     resumable = true,
                     maximumAttempts = 3,
-                    gapMilliseconds = 1_000,
+                    targetGapMilliseconds = 1_000,
                 ),
                 bookRoute.copy(name = "note", pathPrefix = "/note/", streaming = true),
             ),
             services = persistentMapOf(service to BackendService(service, maximumConnections = 20)),
-            limits = CallerLimits(2_048, MAXIMUM_BODY_BYTES, headerMilliseconds = 1_000, idleMilliseconds = 5_000),
+            limits = CallerLimits(2_048, MAXIMUM_BODY_BYTES, headerTimeoutMilliseconds = 1_000, idleTimeoutMilliseconds = 5_000),
         )
 
         private fun freePort(): Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
