--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
@@ -64,7 +64,11 @@
         active = null
         if (rejected || gracefulClose.closing) return
         val next = pipelined.removeFirstOrNull()
-        if (next != null) dispatch(next) else if (!receiving) gracefulClose.closeAfter(server.limits.idleTimeoutMilliseconds)
+        if (next != null) {
+            dispatch(next)
+        } else if (!receiving) {
+            gracefulClose.closeAfter(server.limits.idleTimeoutMilliseconds)
+        }
     }
 
     /** Closes the connection if it has no request, neither in flight nor waiting nor partly received. */
--- a/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
@@ -158,7 +158,12 @@
                 bookRoute.copy(name = "note", pathPrefix = "/note/", streaming = true),
             ),
             services = persistentMapOf(service to BackendService(service, maximumConnections = 20)),
-            limits = CallerLimits(2_048, MAXIMUM_BODY_BYTES, headerTimeoutMilliseconds = 1_000, idleTimeoutMilliseconds = 5_000),
+            limits = CallerLimits(
+                2_048,
+                MAXIMUM_BODY_BYTES,
+                headerTimeoutMilliseconds = 1_000,
+                idleTimeoutMilliseconds = 5_000,
+            ),
         )
 
         private fun freePort(): Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
