--- a/daemon/src/test/kotlin/org/quetzalloom/daemon/TestSite.kt
+++ b/daemon/src/test/kotlin/org/quetzalloom/daemon/TestSite.kt
@@ -7,12 +7,12 @@
 import org.quetzalloom.core.log.LogRecord
 import org.quetzalloom.standins.engine.EngineSettings
 import org.quetzalloom.standins.engine.EngineStandIn
-import org.quetzalloom.standins.fault.Faulty
+import org.quetzalloom.standins.fault.FaultInjectingStandIn
 import org.quetzalloom.standins.http.StandIn
 import org.quetzalloom.standins.http.StandInServer
 import org.quetzalloom.standins.log.LogStandIn
-import org.quetzalloom.standins.ratings.RaterStandIn
-import org.quetzalloom.standins.service.Books
+import org.quetzalloom.standins.ratings.RatingServiceStandIn
+import org.quetzalloom.standins.service.ExecutedCalls
 import org.quetzalloom.standins.service.ServiceStandIn
 import org.quetzalloom.standins.vms.VmListStandIn
 import org.quetzalloom.wire.WireFormat
@@ -42,9 +42,9 @@
     private val servers = listOf(
         serve(LogStandIn(), logPort),
         serve(VmListStandIn(), ports[3]),
-        serve(RaterStandIn(), ports[4]),
+        serve(RatingServiceStandIn(), ports[4]),
         serve(EngineStandIn(EngineSettings("engine", coldCapacity = 32, tokenMilliseconds = 5)), enginePort),
-        serve(ServiceStandIn(start = "service"), servicePort),
+        serve(ServiceStandIn(startIdentity = "service"), servicePort),
     )
 
     val file = SiteFile(
@@ -112,7 +112,8 @@
         warm_up_milliseconds = 100
     """
 
-    private fun <S : Any> serve(standIn: StandIn<S>, port: Int) = StandInServer(Faulty(standIn), port).start()
+    private fun <S : Any> serve(standIn: StandIn<S>, port: Int) =
+        StandInServer(FaultInjectingStandIn(standIn), port).start()
 
     /** Publishes [configuration], the first one, by appending it to the log. */
     fun publish(configuration: Configuration) {
@@ -125,7 +126,7 @@
     /** Injects the faults that [json] describes into the log. */
     fun faults(json: String) = post("http://127.0.0.1:$logPort/faults", json)
 
-    fun books(): Books = WireFormat.decodeFromString(get("http://127.0.0.1:$servicePort/books").body())
+    fun books(): ExecutedCalls = WireFormat.decodeFromString(get("http://127.0.0.1:$servicePort/books").body())
 
     fun engineBooks(): String = get("http://127.0.0.1:$enginePort/books").body()
 
--- a/relay/src/test/kotlin/org/quetzalloom/relay/RequestsTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/RequestsTest.kt
@@ -8,7 +8,7 @@
 /** Tests that requests reach a backend server unchanged, or not at all. */
 class RequestsTest {
     private val echo: (ScriptedRequest) -> Unit =
-        { it.answer("200 OK", mapOf("Id" to it.headers.getValue("id")), it.body.decodeToString()) }
+        { it.respond("200 OK", mapOf("Id" to it.headers.getValue("id")), it.body.decodeToString()) }
 
     private fun status(response: String): String = response.lineSequence().first().split(' ')[1]
 
@@ -19,7 +19,7 @@
             val response = relay.exchange("${head}Connection: close\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
             assertEquals("abcde", response.substringAfter("\r\n\r\n"))
             val request = relay.servers[0].requests.single()
-            assertEquals("POST /book/a%2Fb?x=1&y=%20 HTTP/1.1", request.line)
+            assertEquals("POST /book/a%2Fb?x=1&y=%20 HTTP/1.1", request.requestLine)
             assertEquals("5", request.headers["content-length"])
             assertEquals(null, request.headers["transfer-encoding"])
         }
@@ -34,7 +34,7 @@
                     assertTrue(caller.send("${head}b$number").readUntil("b$number").startsWith("HTTP/1.1 200"))
                 }
             }
-            assertEquals(1, relay.servers[0].accepted)
+            assertEquals(1, relay.servers[0].acceptedConnections)
         }
     }
 
--- a/relay/src/test/kotlin/org/quetzalloom/relay/ResponsesTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/ResponsesTest.kt
@@ -12,7 +12,7 @@
     private val post = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi"
     private val draft = "POST /draft/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nConnection: close\r\n\r\n"
 
-    private fun ScriptedRequest.respondWithOwnId(body: String = "mine") = answer("200 OK", mapOf("Id" to "a"), body)
+    private fun ScriptedRequest.respondWithOwnId(body: String = "mine") = respond("200 OK", mapOf("Id" to "a"), body)
 
     private fun ScriptedRequest.startStream() =
         write("HTTP/1.1 200 OK\r\nId: a\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
@@ -22,7 +22,7 @@
     @Test
     fun `a response to another request that arrives first is skipped`() {
         TestRelay({
-            it.answer("200 OK", mapOf("Id" to "foreign"), "theirs")
+            it.respond("200 OK", mapOf("Id" to "foreign"), "theirs")
             it.respondWithOwnId()
         }).use { relay ->
             assertEquals("mine", body(relay.exchange(post)))
@@ -34,7 +34,7 @@
     fun `surplus bytes after a response never reach the next request`() {
         TestRelay({
             it.respondWithOwnId()
-            it.answer("200 OK", mapOf("Id" to "a"), "late")
+            it.respond("200 OK", mapOf("Id" to "a"), "late")
         }).use { relay ->
             repeat(5) { assertEquals("mine", body(relay.exchange(get))) }
         }
@@ -89,11 +89,11 @@
         val script: (ScriptedRequest) -> Unit = { request ->
             request.startStream()
             if (request.headers["last-event-id"] == null) {
-                request.chunk("id: 1\ndata: one\n\nid: 2\ndata: tw")
+                request.writeChunk("id: 1\ndata: one\n\nid: 2\ndata: tw")
                 Thread.sleep(50)
                 request.reset()
             } else {
-                request.chunk("id: 2\ndata: two\n\nid: 3\ndata: three\n\n")
+                request.writeChunk("id: 2\ndata: two\n\nid: 3\ndata: three\n\n")
                 request.write("0\r\n\r\n")
             }
         }
@@ -109,7 +109,7 @@
     fun `a broken stream that is not resumable is cut off, and does not look complete`() {
         TestRelay({
             it.startStream()
-            it.chunk("id: 1\ndata: one\n\n")
+            it.writeChunk("id: 1\ndata: one\n\n")
             Thread.sleep(50)
             it.reset()
         }).use { relay ->
@@ -124,7 +124,7 @@
     fun `events are forwarded as they arrive`() {
         TestRelay({
             it.startStream()
-            it.chunk("id: 1\ndata: one\n\n")
+            it.writeChunk("id: 1\ndata: one\n\n")
             it.awaitClose(milliseconds = 3_000)
         }).use { relay ->
             relay.connect().use { it.send(draft).readUntil("data: one") }
@@ -158,7 +158,7 @@
     @Test
     fun `a server that responds before it reads the body gets the next request on a new connection`() {
         val respondEarly: (ScriptedRequest) -> Unit = {
-            it.answer("200 OK", mapOf("Id" to it.headers.getValue("id")), "for ${it.headers["id"]}")
+            it.respond("200 OK", mapOf("Id" to it.headers.getValue("id")), "for ${it.headers["id"]}")
             Thread.sleep(300)
         }
         TestRelay(respondEarly, respondBeforeBody = true).use { relay ->
@@ -170,7 +170,7 @@
             val next = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: b\r\nContent-Length: 2\r\n\r\nok"
             relay.connect().use { caller -> caller.send(next).readUntil("for b") }
             assertEquals(listOf("a", "b"), relay.servers[0].requests.map { it.headers["id"] })
-            assertEquals(2, relay.servers[0].accepted)
+            assertEquals(2, relay.servers[0].acceptedConnections)
         }
     }
 }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/Main.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/Main.kt
@@ -11,12 +11,12 @@
 import org.quetzalloom.standins.audit.WorkCommand
 import org.quetzalloom.standins.engine.EngineSettings
 import org.quetzalloom.standins.engine.EngineStandIn
-import org.quetzalloom.standins.fault.Faulty
+import org.quetzalloom.standins.fault.FaultInjectingStandIn
 import org.quetzalloom.standins.http.StandIn
 import org.quetzalloom.standins.http.StandInServer
 import org.quetzalloom.standins.load.LoadCommand
 import org.quetzalloom.standins.log.LogStandIn
-import org.quetzalloom.standins.ratings.RaterStandIn
+import org.quetzalloom.standins.ratings.RatingServiceStandIn
 import org.quetzalloom.standins.service.ServiceStandIn
 import org.quetzalloom.standins.vms.VmListStandIn
 import org.quetzalloom.standins.weights.WeightStoreStandIn
@@ -24,11 +24,11 @@
 
 private const val APPENDS_PER_SECOND = 500
 private const val RETENTION_MILLISECONDS = 86_400_000
-private const val LIST_LAG_MILLISECONDS = 2_000
+private const val VM_LIST_LAG_MILLISECONDS = 2_000
 private const val RATING_LAG_MILLISECONDS = 1_000
 private const val DOWNLOAD_INTERVAL_MILLISECONDS = 1_000
 private const val WORK_MILLISECONDS = 20
-private val usualEngine = EngineSettings(name = "engine")
+private val defaultEngine = EngineSettings(name = "engine")
 
 /** Runs one stand-in, or the load tool: `standin log --port 7001`. */
 @OptIn(ExperimentalCli::class)
@@ -61,7 +61,7 @@
     }
 
     private fun <S : Any> start(standIn: StandIn<S>) {
-        StandInServer(Faulty(standIn), port).start()
+        StandInServer(FaultInjectingStandIn(standIn), port).start()
     }
 }
 
@@ -76,7 +76,7 @@
 
 private class VmListCommand : StandInCommand("vms", "The platform's list of VMs") {
     private val lag by option(ArgType.Int, "lag-milliseconds", description = "The time until a change is shown")
-        .default(LIST_LAG_MILLISECONDS)
+        .default(VM_LIST_LAG_MILLISECONDS)
 
     override fun standIn(): StandIn<*> = VmListStandIn(lag.toLong())
 }
@@ -85,7 +85,7 @@
     private val lag by option(ArgType.Int, "lag-milliseconds", description = "The time until a verdict is shown")
         .default(RATING_LAG_MILLISECONDS)
 
-    override fun standIn(): StandIn<*> = RaterStandIn(lag.toLong())
+    override fun standIn(): StandIn<*> = RatingServiceStandIn(lag.toLong())
 }
 
 private class WeightStoreCommand : StandInCommand("weights", "The rate-limited weight store") {
@@ -100,16 +100,16 @@
     private val capacity by option(
         ArgType.Int,
         description = "Generations at once when warm"
-    ).default(usualEngine.capacity)
+    ).default(defaultEngine.capacity)
     private val coldCapacity by option(ArgType.Int, "cold-capacity", description = "Generations at once when cold")
-        .default(usualEngine.coldCapacity)
+        .default(defaultEngine.coldCapacity)
     private val warmUp by option(ArgType.Int, "warm-up-milliseconds", description = "The time until it is warm")
-        .default(usualEngine.warmUpMilliseconds.toInt())
+        .default(defaultEngine.warmUpMilliseconds.toInt())
     private val token by option(
         ArgType.Int,
         "token-milliseconds",
         description = "The time between tokens"
-    ).default(usualEngine.tokenMilliseconds.toInt())
+    ).default(defaultEngine.tokenMilliseconds.toInt())
 
     override fun standIn(): StandIn<*> = EngineStandIn(
         EngineSettings(
@@ -133,7 +133,7 @@
 
     override fun standIn(): StandIn<*> =
         ServiceStandIn(
-            start = UUID.randomUUID().toString(),
+            startIdentity = UUID.randomUUID().toString(),
             checksFencing = checksFencing,
             workMilliseconds = work.toLong()
         )
--- a/standins/src/main/kotlin/org/quetzalloom/standins/audit/AuditCommand.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/audit/AuditCommand.kt
@@ -6,7 +6,7 @@
 import kotlinx.cli.required
 import kotlinx.serialization.encodeToString
 import org.quetzalloom.standins.load.LoadReport
-import org.quetzalloom.standins.service.Books
+import org.quetzalloom.standins.service.ExecutedCalls
 import org.quetzalloom.wire.WireFormat
 import org.quetzalloom.wire.log.RecordDocument
 import org.quetzalloom.wire.platform.ReadResponse
@@ -22,18 +22,17 @@
 
     override fun execute() {
         val findings = AuditFindings.of(
-            samples = reports.split(
-                ','
-            ).flatMap { WireFormat.decodeFromString<LoadReport>(File(it).readText()).samples },
-            books = services.split(',').flatMap { books(it) },
+            samples = reports.split(',')
+                .flatMap { WireFormat.decodeFromString<LoadReport>(File(it).readText()).samples },
+            executedCalls = services.split(',').flatMap { executedCalls(it) },
             bills = bills(),
         )
         println(WireFormat.encodeToString(findings))
-        exitProcess(if (findings.clean) 0 else 1)
+        exitProcess(if (findings.isClean) 0 else 1)
     }
 
-    private fun books(address: String) =
-        WireFormat.decodeFromString<Books>(HttpReader.read("http://$address/books")).entries
+    private fun executedCalls(address: String) =
+        WireFormat.decodeFromString<ExecutedCalls>(HttpReader.read("http://$address/books")).entries
 
     private fun bills(): List<RecordDocument.OfBill> {
         val pages = generateSequence(page(0)) { last -> page(last.next) }.takeWhile { it.entries.isNotEmpty() }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/audit/AuditFindings.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/audit/AuditFindings.kt
@@ -2,7 +2,7 @@
 
 import kotlinx.serialization.Serializable
 import org.quetzalloom.standins.load.LoadSample
-import org.quetzalloom.standins.service.BookEntry
+import org.quetzalloom.standins.service.ExecutedCall
 import org.quetzalloom.wire.log.RecordDocument
 
 /**
@@ -29,13 +29,20 @@
     val answeredButNotRun: List<String> = emptyList(),
 ) {
     /** Whether every answer is billed and no command ran twice, was refused falsely, or was lost. */
-    val clean: Boolean
+    val isClean: Boolean
         get() = answersWithoutBill == 0 && ranTwice.isEmpty() && falselyNotRun.isEmpty() && answeredButNotRun.isEmpty()
 
     companion object {
-        /** Compares [samples] of callers with [books] of services and [bills] of the log. */
-        fun of(samples: List<LoadSample>, books: List<BookEntry>, bills: List<RecordDocument.OfBill>): AuditFindings {
-            val runs = books.mapNotNull { it.scope }.groupingBy { it.substringAfter('/') }.eachCount()
+        /** Compares [samples] of callers with [executedCalls] of services and [bills] of the log. */
+        fun of(
+            samples: List<LoadSample>,
+            executedCalls: List<ExecutedCall>,
+            bills: List<RecordDocument.OfBill>,
+        ): AuditFindings {
+            val executionCounts = executedCalls
+                .mapNotNull { it.scope }
+                .groupingBy { it.substringAfter('/') }
+                .eachCount()
             val whole = samples.filter { it.result == "whole" }
             val billed = bills.map { it.bill.identity }.toSet()
             val commands = samples.filter { it.key != null }
@@ -44,10 +51,11 @@
                 billed = billed.size,
                 bills = bills.size,
                 answersWithoutBill = (whole.size - billed.size).coerceAtLeast(0),
-                ran = runs.size,
-                ranTwice = runs.filterValues { it > 1 }.keys.sorted(),
-                falselyNotRun = commands.filter { it.notRun && it.key in runs }.mapNotNull { it.key },
-                answeredButNotRun = commands.filter { it.result == "whole" && it.key !in runs }.mapNotNull { it.key },
+                ran = executionCounts.size,
+                ranTwice = executionCounts.filterValues { it > 1 }.keys.sorted(),
+                falselyNotRun = commands.filter { it.notRun && it.key in executionCounts }.mapNotNull { it.key },
+                answeredButNotRun = commands.filter { it.result == "whole" && it.key !in executionCounts }
+                    .mapNotNull { it.key },
             )
         }
     }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/audit/FetchCommand.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/audit/FetchCommand.kt
@@ -15,27 +15,28 @@
     private val post by option(ArgType.String, description = "What to post")
     private val contains by option(ArgType.String, description = "What the answer must contain").default("")
     private val lacks by option(ArgType.String, description = "What the answer must not contain")
-    private val patience by option(ArgType.Int, "patience-milliseconds", description = "How long to try").default(0)
+    private val timeoutMilliseconds by option(ArgType.Int, "patience-milliseconds", description = "How long to try")
+        .default(0)
 
     override fun execute() {
-        val until = System.nanoTime() + patience * NANOSECONDS_PER_MILLISECOND
+        val deadline = System.nanoTime() + timeoutMilliseconds * NANOSECONDS_PER_MILLISECOND
         while (true) {
-            val answer = answerOrNull()
-            if (answer != null && isExpected(answer)) {
-                println(answer)
+            val body = fetchOrNull()
+            if (body != null && isExpected(body)) {
+                println(body)
                 exitProcess(0)
             }
-            if (System.nanoTime() >= until) {
+            if (System.nanoTime() >= deadline) {
                 System.err.println("$url did not answer as expected")
                 exitProcess(1)
             }
-            Thread.sleep(PAUSE_MILLISECONDS)
+            Thread.sleep(RETRY_INTERVAL_MILLISECONDS)
         }
     }
 
-    private fun isExpected(answer: String): Boolean = contains in answer && lacks?.let { it in answer } != true
+    private fun isExpected(body: String): Boolean = contains in body && lacks?.let { it in body } != true
 
-    private fun answerOrNull(): String? = try {
+    private fun fetchOrNull(): String? = try {
         post?.let { HttpReader.post(url, it) } ?: HttpReader.read(url)
     } catch (_: IOException) {
         null
@@ -43,6 +44,6 @@
 
     private companion object {
         const val NANOSECONDS_PER_MILLISECOND = 1_000_000L
-        const val PAUSE_MILLISECONDS = 50L
+        const val RETRY_INTERVAL_MILLISECONDS = 50L
     }
 }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/audit/WorkCommand.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/audit/WorkCommand.kt
@@ -5,7 +5,7 @@
 import kotlinx.cli.Subcommand
 import kotlinx.cli.default
 import kotlinx.cli.required
-import org.quetzalloom.standins.engine.EngineBooks
+import org.quetzalloom.standins.engine.EngineStatistics
 import org.quetzalloom.wire.WireFormat
 import kotlin.system.exitProcess
 
@@ -21,11 +21,11 @@
     override fun execute() {
         val limit = since.toLong()
         val latest = engines.split(',').flatMap { address ->
-            val books = WireFormat.decodeFromString<EngineBooks>(HttpReader.read("http://$address/books"))
-            books.lastBegunAt.filterKeys { version == null || it == version }.values
+            val statistics = WireFormat.decodeFromString<EngineStatistics>(HttpReader.read("http://$address/books"))
+            statistics.lastBegunAt.filterKeys { version == null || it == version }.values
         }.maxOrNull()
-        val some = latest != null && latest > limit
+        val hasNewWork = latest != null && latest > limit
         println("last work began ${latest?.let { it - limit }} milliseconds after the time given")
-        exitProcess(if (some == (expect == "some")) 0 else 1)
+        exitProcess(if (hasNewWork == (expect == "some")) 0 else 1)
     }
 }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineStandIn.kt
@@ -10,10 +10,10 @@
 import org.quetzalloom.standins.http.HttpEffect
 import org.quetzalloom.standins.http.HttpEvent
 import org.quetzalloom.standins.http.StandIn
+import org.quetzalloom.standins.http.badRequest
 import org.quetzalloom.standins.http.notFound
 import org.quetzalloom.standins.http.parseOrNull
 import org.quetzalloom.standins.http.unchanged
-import org.quetzalloom.standins.http.unreadable
 import org.quetzalloom.standins.http.with
 import org.quetzalloom.wire.WireFormat
 import org.quetzalloom.wire.backend.BackendHeaders
@@ -23,7 +23,7 @@
 /**
  * Stands in for a model engine. Beside `POST /generate` and `GET /load` it has switches of its own:
  * `POST /restart` lets it go down and start cold, `POST /silence` lets its open connections go silent for good.
- * A prompt with [CRASH_MARK] in it takes it down.
+ * A prompt with [CRASH_MARKER] in it takes it down.
  */
 class EngineStandIn(private val settings: EngineSettings) : StandIn<EngineState> {
     private val work = EngineWork(settings)
@@ -34,20 +34,21 @@
     override fun reduce(state: EngineState, event: HttpEvent, now: Timestamp): Transition<EngineState, HttpEffect> {
         val started = if (state.starts == 0) state.copy(starts = 1, startedAt = now) else state
         return when (event) {
-            is HttpEvent.Called -> call(started, event.call, now)
-            is HttpEvent.Left -> left(started, event.exchange).unchanged()
-            is HttpEvent.Tick -> tokens.generate(started, now)
+            is HttpEvent.RequestReceived -> call(started, event.call, now)
+            is HttpEvent.ClientDisconnected -> withoutExchange(started, event.exchangeId).unchanged()
+            is HttpEvent.Tick -> tokens.sendDueTokens(started, now)
         }
     }
 
     private fun call(state: EngineState, call: HttpCall, now: Timestamp): Transition<EngineState, HttpEffect> = when {
         call.matches("GET", "/books") ->
-            state.with(HttpEffect.Respond(call.exchange, body = WireFormat.encodeToString(state.books)))
-        now < state.startedAt -> state.with(HttpEffect.Abort(call.exchange))
+            state.with(HttpEffect.Respond(call.exchangeId, body = WireFormat.encodeToString(state.statistics)))
+        now < state.startedAt -> state.with(HttpEffect.Abort(call.exchangeId))
         call.matches("POST", "/generate") -> accept(state, call, now)
         call.matches("GET", "/load") -> state.with(load(state, call, now))
-        call.matches("POST", "/restart") -> work.goDown(state, now).then { it.with(HttpEffect.Respond(call.exchange)) }
-        call.matches("POST", "/silence") -> silence(state).with(HttpEffect.Respond(call.exchange))
+        call.matches("POST", "/restart") ->
+            work.restart(state, now).then { it.with(HttpEffect.Respond(call.exchangeId)) }
+        call.matches("POST", "/silence") -> stallStreams(state).with(HttpEffect.Respond(call.exchangeId))
         else -> state.with(call.notFound())
     }
 
@@ -55,34 +56,34 @@
         val limit = now + -settings.loadLagMilliseconds
         val running = state.samples.lastOrNull { it.at <= limit }?.running ?: 0
         val response = LoadResponse(work.identity(state), running, upForMilliseconds = now - state.startedAt)
-        return HttpEffect.Respond(call.exchange, body = WireFormat.encodeToString(response))
+        return HttpEffect.Respond(call.exchangeId, body = WireFormat.encodeToString(response))
     }
 
     private fun accept(state: EngineState, call: HttpCall, now: Timestamp): Transition<EngineState, HttpEffect> {
         val request = call.parseOrNull<GenerateRequest>()
         return when {
-            request == null -> state.with(call.unreadable())
-            state.queue.size >= settings.capacity -> state.with(busy(call))
-            else -> work.begin(state, call.exchange, request, now)
+            request == null -> state.with(call.badRequest())
+            state.queue.size >= settings.capacity -> state.with(rejection(call))
+            else -> work.start(state, call.exchangeId, request, now)
         }
     }
 
-    private fun busy(call: HttpCall): HttpEffect = HttpEffect.Respond(
-        exchange = call.exchange,
+    private fun rejection(call: HttpCall): HttpEffect = HttpEffect.Respond(
+        exchangeId = call.exchangeId,
         status = 503,
         headers = persistentMapOf(BackendHeaders.NOT_RUN to "true"),
     )
 
-    private fun silence(state: EngineState): EngineState =
-        state.copy(running = state.running.map { it.copy(silent = true) }.toPersistentList())
+    private fun stallStreams(state: EngineState): EngineState =
+        state.copy(running = state.running.map { it.copy(isStalled = true) }.toPersistentList())
 
-    private fun left(state: EngineState, exchange: String): EngineState = state.copy(
-        running = state.running.filter { it.exchange != exchange }.toPersistentList(),
-        queue = state.queue.filter { it.exchange != exchange }.toPersistentList(),
+    private fun withoutExchange(state: EngineState, exchangeId: String): EngineState = state.copy(
+        running = state.running.filter { it.exchangeId != exchangeId }.toPersistentList(),
+        queue = state.queue.filter { it.exchangeId != exchangeId }.toPersistentList(),
     )
 
     companion object {
         /** A prompt that contains this takes the engine down. */
-        const val CRASH_MARK: String = EngineTokens.CRASH_MARK
+        const val CRASH_MARKER: String = EngineTokens.CRASH_MARKER
     }
 }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineState.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineState.kt
@@ -5,7 +5,7 @@
 import org.quetzalloom.core.time.Timestamp
 
 /** The generations that ran at one time. */
-data class LoadSample(val at: Timestamp, val running: Int)
+data class RunningSample(val at: Timestamp, val running: Int)
 
 /**
  * What an engine does.
@@ -18,6 +18,6 @@
     val startedAt: Timestamp = Timestamp.EPOCH,
     val running: PersistentList<Generation> = persistentListOf(),
     val queue: PersistentList<Generation> = persistentListOf(),
-    val samples: PersistentList<LoadSample> = persistentListOf(),
-    val books: EngineBooks = EngineBooks(),
+    val samples: PersistentList<RunningSample> = persistentListOf(),
+    val statistics: EngineStatistics = EngineStatistics(),
 )
--- a/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineBooks.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineStatistics.kt
@@ -12,7 +12,7 @@
  * @property peak the most generations at once.
  */
 @Serializable
-data class EngineBooks(
+data class EngineStatistics(
     val overloads: Int = 0,
     val crashes: Int = 0,
     val generations: Map<String, Int> = emptyMap(),
--- a/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineTokens.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineTokens.kt
@@ -11,64 +11,78 @@
 
 /** Generates the tokens of the answers under way. */
 internal class EngineTokens(private val settings: EngineSettings, private val work: EngineWork) {
-    private fun EngineState.sampled(now: Timestamp): EngineState {
+    private fun EngineState.withRunningSample(now: Timestamp): EngineState {
         val limit = now + -settings.loadLagMilliseconds * 2
-        val kept = if (samples.size < LARGEST_SAMPLES) samples else samples.filter { it.at >= limit }.toPersistentList()
-        return copy(samples = kept.add(LoadSample(now, running.size)))
+        val kept = if (samples.size < MAXIMUM_SAMPLES) samples else samples.filter { it.at >= limit }.toPersistentList()
+        return copy(samples = kept.add(RunningSample(now, running.size)))
     }
 
     /** Sends the tokens that are due. */
-    fun generate(before: EngineState, now: Timestamp): Transition<EngineState, HttpEffect> {
-        val state = before.sampled(now)
-        val crashing = state.running.any { CRASH_MARK in it.prompt && it.position >= CRASH_POSITION }
-        if (crashing) return work.goDown(state.copy(books = state.books.copy(crashes = state.books.crashes + 1)), now)
+    fun sendDueTokens(previous: EngineState, now: Timestamp): Transition<EngineState, HttpEffect> {
+        val state = previous.withRunningSample(now)
+        val isCrashing = state.running.any { CRASH_MARKER in it.prompt && it.position >= CRASH_POSITION }
+        if (isCrashing) {
+            return work.restart(
+                state.copy(statistics = state.statistics.copy(crashes = state.statistics.crashes + 1)),
+                now,
+            )
+        }
         val steps = state.running.map { step(it, now) }
         val effects = steps.flatMap { it.effects }
-        val next = state.copy(running = steps.mapNotNull { it.rest }.toPersistentList())
-        return Transition(fill(next, now), effects.toPersistentList())
+        val next = state.copy(running = steps.mapNotNull { it.remaining }.toPersistentList())
+        return Transition(startQueued(next, now), effects.toPersistentList())
     }
 
     /** What one generation sends at one tick, and what is left of it. */
-    private data class GenerationStep(val rest: Generation?, val effects: List<HttpEffect> = emptyList())
+    private data class GenerationStep(val remaining: Generation?, val effects: List<HttpEffect> = emptyList())
 
     private fun step(generation: Generation, now: Timestamp): GenerationStep {
-        if (generation.silent || now < generation.dueAt) return GenerationStep(generation)
+        if (generation.isStalled || now < generation.dueAt) return GenerationStep(generation)
         val due = 1 + ((now - generation.dueAt) / settings.tokenMilliseconds.coerceAtLeast(1)).toInt()
-        val count = minOf(due, generation.total - generation.position)
+        val count = minOf(due, generation.totalTokens - generation.position)
         val next = generation.copy(
             position = generation.position + count,
             dueAt = generation.dueAt + due * settings.tokenMilliseconds,
         )
-        val piece = if (count > 0) listOf(piece(generation, count)) else emptyList()
-        return if (next.position < next.total) GenerationStep(next, piece) else GenerationStep(null, piece + end(next))
+        val effects = if (count > 0) listOf(tokensEvent(generation, count)) else emptyList()
+        return if (next.position < next.totalTokens) {
+            GenerationStep(next, effects)
+        } else {
+            GenerationStep(null, effects + endOfStream(next))
+        }
     }
 
-    private fun piece(generation: Generation, count: Int): HttpEffect {
+    private fun tokensEvent(generation: Generation, count: Int): HttpEffect {
         val text = AnswerText.tokens(generation.version, generation.prompt, generation.position, count)
         val event = GenerateEvent(position = generation.position, tokens = count, text = text)
-        return HttpEffect.Send(generation.exchange, WireFormat.encodeToString(event))
+        return HttpEffect.Send(generation.exchangeId, WireFormat.encodeToString(event))
     }
 
-    private fun end(generation: Generation): List<HttpEffect> = listOf(
-        HttpEffect.Send(generation.exchange, WireFormat.encodeToString(GenerateEvent(total = generation.total))),
-        HttpEffect.Close(generation.exchange),
+    private fun endOfStream(generation: Generation): List<HttpEffect> = listOf(
+        HttpEffect.Send(
+            generation.exchangeId,
+            WireFormat.encodeToString(GenerateEvent(total = generation.totalTokens)),
+        ),
+        HttpEffect.Close(generation.exchangeId),
     )
 
     /** Lets the most urgent queued generations run. */
-    private fun fill(state: EngineState, now: Timestamp): EngineState {
+    private fun startQueued(state: EngineState, now: Timestamp): EngineState {
         val free = settings.capacity - state.running.size
         if (free <= 0 || state.queue.isEmpty()) return state
         val chosen = state.queue.sortedBy { it.priority }.take(free)
-        val begun = chosen.map { it.copy(dueAt = now + settings.tokenMilliseconds) }
-        val next = state.copy(running = state.running.addAll(begun), queue = state.queue.removeAll(chosen))
-        return begun.fold(next) { reached, generation -> with(work) { reached.counted(generation, now) } }
+        val started = chosen.map { it.copy(dueAt = now + settings.tokenMilliseconds) }
+        val next = state.copy(running = state.running.addAll(started), queue = state.queue.removeAll(chosen))
+        return started.fold(next) { current, generation ->
+            with(work) { current.withGenerationCounted(generation, now) }
+        }
     }
 
     companion object {
         /** A prompt that contains this takes the engine down. */
-        const val CRASH_MARK: String = "crash-the-engine"
+        const val CRASH_MARKER: String = "crash-the-engine"
 
         private const val CRASH_POSITION = 2
-        private const val LARGEST_SAMPLES = 1_000
+        private const val MAXIMUM_SAMPLES = 1_000
     }
 }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/engine/Generation.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/engine/Generation.kt
@@ -4,12 +4,12 @@
 
 /** One answer that an engine generates. The token at [position] is due at [dueAt]. */
 data class Generation(
-    val exchange: String,
+    val exchangeId: String,
     val version: String,
     val prompt: String,
     val priority: Int,
     val position: Int,
-    val total: Int,
+    val totalTokens: Int,
     val dueAt: Timestamp,
-    val silent: Boolean = false,
+    val isStalled: Boolean = false,
 )
--- a/standins/src/main/kotlin/org/quetzalloom/standins/fault/FaultyState.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/fault/FaultInjectionState.kt
@@ -6,11 +6,11 @@
 import org.quetzalloom.standins.http.HttpEffect
 
 /** The state of a stand-in with its fault switches, and the answers that are held back. */
-data class FaultyState<S : Any>(
+data class FaultInjectionState<S : Any>(
     val inner: S,
     val faults: Faults = Faults(),
-    val held: PersistentList<HeldEffect> = persistentListOf(),
+    val delayed: PersistentList<DelayedEffect> = persistentListOf(),
 )
 
 /** An effect that is carried out at [dueAt]. */
-data class HeldEffect(val dueAt: Timestamp, val effect: HttpEffect)
+data class DelayedEffect(val dueAt: Timestamp, val effect: HttpEffect)
--- a/standins/src/main/kotlin/org/quetzalloom/standins/http/HttpCall.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/http/HttpCall.kt
@@ -11,7 +11,7 @@
  * @property headers the headers, by name in lower case.
  */
 data class HttpCall(
-    val exchange: String,
+    val exchangeId: String,
     val method: String,
     val path: String,
     val query: PersistentMap<String, String> = persistentMapOf(),
@@ -33,4 +33,4 @@
 }
 
 /** Returns the answer to a body that makes no sense. */
-internal fun HttpCall.unreadable(): HttpEffect = HttpEffect.Respond(exchange, status = 400, body = "unreadable body")
+internal fun HttpCall.badRequest(): HttpEffect = HttpEffect.Respond(exchangeId, status = 400, body = "unreadable body")
--- a/standins/src/main/kotlin/org/quetzalloom/standins/http/HttpEvent.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/http/HttpEvent.kt
@@ -6,8 +6,8 @@
     data object Tick : HttpEvent
 
     /** A request arrived. */
-    data class Called(val call: HttpCall) : HttpEvent
+    data class RequestReceived(val call: HttpCall) : HttpEvent
 
-    /** The other end closed the connection of [exchange] before the answer was whole. */
-    data class Left(val exchange: String) : HttpEvent
+    /** The other end closed the connection of [exchangeId] before the answer was whole. */
+    data class ClientDisconnected(val exchangeId: String) : HttpEvent
 }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/http/StandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/http/StandIn.kt
@@ -10,7 +10,7 @@
     val initial: S
 
     /** Whether bodies are bytes; they are then shown as text with one character a byte. */
-    val binary: Boolean get() = false
+    val hasBinaryBodies: Boolean get() = false
 }
 
 /** Returns the transition to this state that changes nothing else. */
@@ -22,4 +22,4 @@
 
 /** Returns the answer to a request that the stand-in does not know. */
 internal fun HttpCall.notFound(): HttpEffect =
-    HttpEffect.Respond(exchange, status = 404, body = "$method $path is not served here")
+    HttpEffect.Respond(exchangeId, status = 404, body = "$method $path is not served here")
--- a/standins/src/main/kotlin/org/quetzalloom/standins/http/StandInServer.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/http/StandInServer.kt
@@ -47,68 +47,73 @@
 
     /** Runs on the loop's thread. */
     private fun carryOut(effect: HttpEffect) {
-        val answers = exchanges[effect.exchange] ?: return
-        answers.trySend(effect)
+        val effects = exchanges[effect.exchangeId] ?: return
+        effects.trySend(effect)
         if (effect is HttpEffect.Respond || effect is HttpEffect.Close || effect is HttpEffect.Abort) {
-            answers.close()
-            exchanges = exchanges.remove(effect.exchange)
+            effects.close()
+            exchanges = exchanges.remove(effect.exchangeId)
         }
     }
 
     private suspend fun serve(call: ApplicationCall) {
-        val exchange = UUID.randomUUID().toString()
-        val answers = Channel<HttpEffect>(Channel.UNLIMITED)
-        loop.post(HttpEvent.Called(parse(call, exchange))) { exchanges = exchanges.put(exchange, answers) }
+        val exchangeId = UUID.randomUUID().toString()
+        val effects = Channel<HttpEffect>(Channel.UNLIMITED)
+        loop.post(HttpEvent.RequestReceived(parse(call, exchangeId))) { exchanges = exchanges.put(exchangeId, effects) }
         try {
-            write(call, answers)
+            write(call, effects)
         } catch (_: IOException) {
-            leave(exchange)
+            disconnect(exchangeId)
         } catch (cancelled: CancellationException) {
-            leave(exchange)
+            disconnect(exchangeId)
             throw cancelled
         }
     }
 
-    private fun leave(exchange: String) =
-        loop.post(HttpEvent.Left(exchange)) { exchanges = exchanges.remove(exchange) }
+    private fun disconnect(exchangeId: String) =
+        loop.post(HttpEvent.ClientDisconnected(exchangeId)) { exchanges = exchanges.remove(exchangeId) }
 
-    private suspend fun parse(call: ApplicationCall, exchange: String): HttpCall = HttpCall(
-        exchange = exchange,
+    private suspend fun parse(call: ApplicationCall, exchangeId: String): HttpCall = HttpCall(
+        exchangeId = exchangeId,
         method = call.request.httpMethod.value,
         path = call.request.path(),
         query = call.request.queryParameters.entries().associate { it.key to it.value.first() }.toPersistentMap(),
         headers = call.request.headers.entries()
             .associate { it.key.lowercase() to it.value.first() }
             .toPersistentMap(),
-        body = if (standIn.binary) call.receive<ByteArray>().toString(Charsets.ISO_8859_1) else call.receiveText(),
+        body = if (standIn.hasBinaryBodies) {
+            call.receive<ByteArray>().toString(Charsets.ISO_8859_1)
+        } else {
+            call.receiveText()
+        },
     )
 
-    private suspend fun write(call: ApplicationCall, answers: ReceiveChannel<HttpEffect>) {
-        when (val first = answers.receive()) {
+    private suspend fun write(call: ApplicationCall, effects: ReceiveChannel<HttpEffect>) {
+        when (val first = effects.receive()) {
             is HttpEffect.Respond -> respond(call, first)
-            is HttpEffect.Open -> stream(call, first, answers)
+            is HttpEffect.Open -> stream(call, first, effects)
             is HttpEffect.Abort -> abort(call)
             is HttpEffect.Send, is HttpEffect.Close -> error("a stream must be opened first")
         }
     }
 
-    private suspend fun respond(call: ApplicationCall, answer: HttpEffect.Respond) {
-        answer.headers.forEach { (name, value) -> call.response.header(name, value) }
-        val status = HttpStatusCode.fromValue(answer.status)
-        if (standIn.binary) {
-            call.respondBytes(answer.body.toByteArray(Charsets.ISO_8859_1), ContentType.Application.OctetStream, status)
+    private suspend fun respond(call: ApplicationCall, response: HttpEffect.Respond) {
+        response.headers.forEach { (name, value) -> call.response.header(name, value) }
+        val status = HttpStatusCode.fromValue(response.status)
+        if (standIn.hasBinaryBodies) {
+            val body = response.body.toByteArray(Charsets.ISO_8859_1)
+            call.respondBytes(body, ContentType.Application.OctetStream, status)
         } else {
-            call.respondText(answer.body, ContentType.Application.Json, status)
+            call.respondText(response.body, ContentType.Application.Json, status)
         }
     }
 
-    private suspend fun stream(call: ApplicationCall, open: HttpEffect.Open, answers: ReceiveChannel<HttpEffect>) {
+    private suspend fun stream(call: ApplicationCall, open: HttpEffect.Open, effects: ReceiveChannel<HttpEffect>) {
         open.headers.forEach { (name, value) -> call.response.header(name, value) }
         call.respondBytesWriter(ContentType.Text.EventStream) {
             flush()
-            for (answer in answers) {
-                when (answer) {
-                    is HttpEffect.Send -> writeStringUtf8("data: ${answer.data}\n\n")
+            for (effect in effects) {
+                when (effect) {
+                    is HttpEffect.Send -> writeStringUtf8("data: ${effect.data}\n\n")
                     is HttpEffect.Abort -> throw AbortedException()
                     else -> Unit
                 }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadCaller.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadClient.kt
@@ -25,43 +25,43 @@
 import org.quetzalloom.wire.caller.ErrorResponse
 
 /** Sends one request, reads its answer, and holds it against the answer that it must be. */
-class LoadCaller(private val client: HttpClient, private val settings: LoadSettings) {
+class LoadClient(private val client: HttpClient, private val settings: LoadSettings) {
     /** Sends [effect] and returns how it ended. */
-    suspend fun complete(effect: LoadEffect.Complete): LoadSample {
-        val watch = Stopwatch()
+    suspend fun sendCompletion(effect: LoadEffect.SendCompletion): LoadSample {
+        val stopwatch = Stopwatch()
         return try {
-            if (settings.direct) generate(effect, watch) else chat(effect, watch)
+            if (settings.direct) callEngine(effect, stopwatch) else callRouter(effect, stopwatch)
         } catch (_: IOException) {
-            LoadSample(kind = COMPLETION, result = "cut", wholeMicroseconds = watch.elapsedMicroseconds())
+            LoadSample(kind = COMPLETION, result = "cut", wholeMicroseconds = stopwatch.elapsedMicroseconds())
         }
     }
 
     /** Sends [effect] and returns how it ended. */
-    suspend fun command(effect: LoadEffect.Command): LoadSample {
-        val watch = Stopwatch()
+    suspend fun sendCommand(effect: LoadEffect.SendCommand): LoadSample {
+        val stopwatch = Stopwatch()
         return try {
             client.preparePost("http://${effect.target}${settings.commandPath}") {
                 contentType(ContentType.Application.Json)
                 header(CallerHeaders.WORKSPACE, settings.workspace)
                 header(CallerHeaders.KEY, effect.key)
                 setBody("{\"key\":\"${effect.key}\"}")
-            }.execute { response -> commandSample(effect, response, watch) }
+            }.execute { response -> commandSample(effect, response, stopwatch) }
         } catch (_: IOException) {
-            LoadSample(COMMAND, "cut", key = effect.key, wholeMicroseconds = watch.elapsedMicroseconds())
+            LoadSample(COMMAND, "cut", key = effect.key, wholeMicroseconds = stopwatch.elapsedMicroseconds())
         }
     }
 
     private suspend fun commandSample(
-        effect: LoadEffect.Command,
+        effect: LoadEffect.SendCommand,
         response: HttpResponse,
-        watch: Stopwatch,
+        stopwatch: Stopwatch,
     ): LoadSample {
         val body = response.bodyAsText()
-        val ended = LoadSample(COMMAND, "whole", key = effect.key, wholeMicroseconds = watch.elapsedMicroseconds())
-        return if (response.status.isSuccess()) ended else ended.refused(body)
+        val sample = LoadSample(COMMAND, "whole", key = effect.key, wholeMicroseconds = stopwatch.elapsedMicroseconds())
+        return if (response.status.isSuccess()) sample else sample.withError(body)
     }
 
-    private suspend fun chat(effect: LoadEffect.Complete, watch: Stopwatch): LoadSample {
+    private suspend fun callRouter(effect: LoadEffect.SendCompletion, stopwatch: Stopwatch): LoadSample {
         val request = ChatRequest(
             model = settings.model,
             messages = listOf(ChatMessage(role = ROLE, content = effect.prompt)),
@@ -73,32 +73,36 @@
             header(CallerHeaders.WORKSPACE, settings.workspace)
             effect.session?.let { header(CallerHeaders.SESSION, it) }
             setBody(WireFormat.encodeToString(request))
-        }.execute { response -> readChat(effect, response, watch) }
+        }.execute { response -> readRouterResponse(effect, response, stopwatch) }
     }
 
-    private suspend fun readChat(effect: LoadEffect.Complete, response: HttpResponse, watch: Stopwatch): LoadSample {
-        val answer = Answer(version = response.headers[CallerHeaders.VERSION].orEmpty())
+    private suspend fun readRouterResponse(
+        effect: LoadEffect.SendCompletion,
+        response: HttpResponse,
+        stopwatch: Stopwatch,
+    ): LoadSample {
+        val answer = AnswerReader(version = response.headers[CallerHeaders.VERSION].orEmpty())
         if (!response.status.isSuccess()) {
-            return answer.sample(effect, watch, prompt = "").refused(response.bodyAsText())
+            return answer.sample(effect, stopwatch, prompt = "").withError(response.bodyAsText())
         }
-        val error = readPieces(response.bodyAsChannel(), answer, watch)
-        val sample = answer.sample(effect, watch, prompt = "$ROLE: ${effect.prompt}")
-        return if (error == null) sample else sample.refused(error)
+        val error = readChunks(response.bodyAsChannel(), answer, stopwatch)
+        val sample = answer.sample(effect, stopwatch, prompt = "$ROLE: ${effect.prompt}")
+        return if (error == null) sample else sample.withError(error)
     }
 
     /** Adds all pieces to [answer]; returns the error that ended it, or `null`. */
-    private suspend fun readPieces(channel: ByteReadChannel, answer: Answer, watch: Stopwatch): String? {
+    private suspend fun readChunks(channel: ByteReadChannel, answer: AnswerReader, stopwatch: Stopwatch): String? {
         while (true) {
             val line = channel.readLine() ?: return null
             if (line == ERROR) return channel.readLine().orEmpty().removePrefix(DATA)
             if (line.startsWith(DATA) && line != DONE) {
-                val piece = WireFormat.decodeFromString<ChatChunk>(line.removePrefix(DATA))
-                answer.add(piece.choices.first().delta.content, ended = piece.usage != null, watch = watch)
+                val chunk = WireFormat.decodeFromString<ChatChunk>(line.removePrefix(DATA))
+                answer.add(chunk.choices.first().delta.content, isComplete = chunk.usage != null, stopwatch = stopwatch)
             }
         }
     }
 
-    private suspend fun generate(effect: LoadEffect.Complete, watch: Stopwatch): LoadSample {
+    private suspend fun callEngine(effect: LoadEffect.SendCompletion, stopwatch: Stopwatch): LoadSample {
         val request = GenerateRequest(
             version = settings.version.orEmpty(),
             prompt = effect.prompt,
@@ -108,49 +112,49 @@
         return client.preparePost("http://${effect.target}/generate") {
             contentType(ContentType.Application.Json)
             setBody(WireFormat.encodeToString(request))
-        }.execute { response -> readGenerated(effect, response, watch) }
+        }.execute { response -> readEngineResponse(effect, response, stopwatch) }
     }
 
-    private suspend fun readGenerated(
-        effect: LoadEffect.Complete,
+    private suspend fun readEngineResponse(
+        effect: LoadEffect.SendCompletion,
         response: HttpResponse,
-        watch: Stopwatch,
+        stopwatch: Stopwatch,
     ): LoadSample {
-        val answer = Answer(version = settings.version.orEmpty())
+        val answer = AnswerReader(version = settings.version.orEmpty())
         val channel = response.bodyAsChannel()
         while (true) {
             val line = channel.readLine() ?: break
             if (line.startsWith(DATA)) {
                 val event = WireFormat.decodeFromString<GenerateEvent>(line.removePrefix(DATA))
-                answer.add(event.text, ended = event.total != null, watch = watch)
+                answer.add(event.text, isComplete = event.total != null, stopwatch = stopwatch)
             }
         }
-        return answer.sample(effect, watch, prompt = effect.prompt)
+        return answer.sample(effect, stopwatch, prompt = effect.prompt)
     }
 
     /** An answer as far as it was read. */
-    private inner class Answer(val version: String) {
+    private inner class AnswerReader(val version: String) {
         private val text = StringBuilder()
         private var firstMicroseconds: Long? = null
-        private var ended = false
+        private var isComplete = false
 
-        fun add(piece: String, ended: Boolean, watch: Stopwatch) {
-            if (firstMicroseconds == null) firstMicroseconds = watch.elapsedMicroseconds()
-            text.append(piece)
-            this.ended = this.ended || ended
+        fun add(chunk: String, isComplete: Boolean, stopwatch: Stopwatch) {
+            if (firstMicroseconds == null) firstMicroseconds = stopwatch.elapsedMicroseconds()
+            text.append(chunk)
+            this.isComplete = this.isComplete || isComplete
         }
 
-        fun sample(effect: LoadEffect.Complete, watch: Stopwatch, prompt: String): LoadSample = LoadSample(
+        fun sample(effect: LoadEffect.SendCompletion, stopwatch: Stopwatch, prompt: String): LoadSample = LoadSample(
             kind = COMPLETION,
             result = result(prompt),
             version = version,
             session = effect.session,
             firstMicroseconds = firstMicroseconds,
-            wholeMicroseconds = watch.elapsedMicroseconds(),
+            wholeMicroseconds = stopwatch.elapsedMicroseconds(),
         )
 
         private fun result(prompt: String): String = when {
-            !ended -> "cut"
+            !isComplete -> "cut"
             text.toString() == expected(prompt) -> "whole"
             else -> "wrong"
         }
@@ -170,7 +174,7 @@
 }
 
 /** Returns the sample of a request that was answered with the error in [body]. */
-private fun LoadSample.refused(body: String): LoadSample = try {
+private fun LoadSample.withError(body: String): LoadSample = try {
     val error = WireFormat.decodeFromString<ErrorResponse>(body).error
     copy(result = error.code, notRun = error.notRun)
 } catch (_: IllegalArgumentException) {
--- a/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadCommand.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadCommand.kt
@@ -21,16 +21,16 @@
 import java.io.File
 import kotlin.system.exitProcess
 
-private val usual = LoadSettings(targets = emptyList())
+private val defaults = LoadSettings(targets = emptyList())
 
 /** Sends requests at a fixed rate and reports latencies, answers and refusals. */
 @OptIn(ExperimentalCli::class)
 class LoadCommand : Subcommand("load", "Send requests at a fixed rate and report what came of them") {
     private val targets by option(ArgType.String, description = "Host and port of each router, by comma").required()
     private val direct by option(ArgType.Boolean, description = "The targets are engines").default(false)
-    private val rate by option(ArgType.Int, description = "Requests a second").default(usual.requestsPerSecond)
+    private val rate by option(ArgType.Int, description = "Requests a second").default(defaults.requestsPerSecond)
     private val duration by option(ArgType.Int, "duration-milliseconds", description = "How long requests start")
-        .default(usual.durationMilliseconds.toInt())
+        .default(defaults.durationMilliseconds.toInt())
     private val workspace by option(ArgType.String, description = "The workspace").default("")
     private val model by option(ArgType.String, description = "The model").default("auto")
     private val version by option(ArgType.String, description = "The version, for engines")
@@ -38,7 +38,7 @@
         ArgType.Int,
         "max-tokens",
         description = "The longest answer"
-    ).default(usual.maximumTokens)
+    ).default(defaults.maximumTokens)
     private val commandPercent by option(ArgType.Int, "command-percent", description = "The share of commands")
         .default(0)
     private val commandPath by option(ArgType.String, "command-path", description = "The path of commands").default("")
@@ -72,7 +72,7 @@
     )
 
     private fun run(settings: LoadSettings): LoadReport {
-        val caller = LoadCaller(client(), settings)
+        val client = LoadClient(client(), settings)
         val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
         val report = CompletableDeferred<LoadReport>()
         val loop: EventLoop<LoadState, LoadEvent, LoadEffect> = EventLoop(
@@ -83,8 +83,10 @@
         )
         loop.start { effect ->
             when (effect) {
-                is LoadEffect.Complete -> scope.launch { loop.post(LoadEvent.Ended(caller.complete(effect))) }
-                is LoadEffect.Command -> scope.launch { loop.post(LoadEvent.Ended(caller.command(effect))) }
+                is LoadEffect.SendCompletion ->
+                    scope.launch { loop.post(LoadEvent.RequestEnded(client.sendCompletion(effect))) }
+                is LoadEffect.SendCommand ->
+                    scope.launch { loop.post(LoadEvent.RequestEnded(client.sendCommand(effect))) }
                 is LoadEffect.Report -> report.complete(LoadReport.of(effect.samples))
             }
         }
@@ -94,12 +96,12 @@
     private fun client(): HttpClient = HttpClient(CIO) {
         engine {
             requestTimeout = 0
-            maxConnectionsCount = MOST_CONNECTIONS
-            endpoint { maxConnectionsPerRoute = MOST_CONNECTIONS }
+            maxConnectionsCount = MAXIMUM_CONNECTIONS
+            endpoint { maxConnectionsPerRoute = MAXIMUM_CONNECTIONS }
         }
     }
 
     private companion object {
-        const val MOST_CONNECTIONS = 10_000
+        const val MAXIMUM_CONNECTIONS = 10_000
     }
 }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadEvent.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadEvent.kt
@@ -6,5 +6,5 @@
     data object Tick : LoadEvent
 
     /** A request has ended. */
-    data class Ended(val sample: LoadSample) : LoadEvent
+    data class RequestEnded(val sample: LoadSample) : LoadEvent
 }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadReducer.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadReducer.kt
@@ -12,30 +12,30 @@
     override fun reduce(state: LoadState, event: LoadEvent, now: Timestamp): Transition<LoadState, LoadEffect> =
         when (event) {
             is LoadEvent.Tick -> send(state.copy(startedAt = state.startedAt ?: now), now)
-            is LoadEvent.Ended -> Transition(state.copy(samples = state.samples.add(event.sample)))
+            is LoadEvent.RequestEnded -> Transition(state.copy(samples = state.samples.add(event.sample)))
         }
 
     private fun send(state: LoadState, now: Timestamp): Transition<LoadState, LoadEffect> {
         val elapsed = (now - (state.startedAt ?: now)).coerceAtMost(settings.durationMilliseconds)
         val due = elapsed * settings.requestsPerSecond / MILLISECONDS_PER_SECOND
-        val effects = (state.sent until due).map { effect(it) }.toPersistentList()
-        val next = state.copy(sent = maxOf(state.sent, due))
-        val over = elapsed == settings.durationMilliseconds && next.samples.size.toLong() == next.sent
-        if (!over || state.reported) return Transition(next, effects)
-        return Transition(next.copy(reported = true), persistentListOf(LoadEffect.Report(next.samples)))
+        val effects = (state.sentCount until due).map { request(it) }.toPersistentList()
+        val next = state.copy(sentCount = maxOf(state.sentCount, due))
+        val isFinished = elapsed == settings.durationMilliseconds && next.samples.size.toLong() == next.sentCount
+        if (!isFinished || state.isReported) return Transition(next, effects)
+        return Transition(next.copy(isReported = true), persistentListOf(LoadEffect.Report(next.samples)))
     }
 
-    private fun effect(number: Long): LoadEffect {
+    private fun request(number: Long): LoadEffect {
         val target = settings.targets[(number % settings.targets.size).toInt()]
-        val unique = "${settings.seed}-$number"
-        return if (chance(number) < settings.commandPercent) {
-            LoadEffect.Command(number, target, key = "command-$unique")
+        val suffix = "${settings.seed}-$number"
+        return if (percentile(number) < settings.commandPercent) {
+            LoadEffect.SendCommand(number, target, key = "command-$suffix")
         } else {
-            LoadEffect.Complete(number, target, prompt = "prompt $unique", session = session(number))
+            LoadEffect.SendCompletion(number, target, prompt = "prompt $suffix", session = session(number))
         }
     }
 
-    private fun chance(number: Long): Long = Math.floorMod(hash(number), PERCENT)
+    private fun percentile(number: Long): Long = Math.floorMod(hash(number), PERCENT)
 
     private fun session(number: Long): String? =
         if (settings.sessions == 0) {
--- a/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadReport.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadReport.kt
@@ -13,21 +13,21 @@
     val max: Long,
 ) {
     companion object {
-        private const val LARGEST_MICROSECONDS = 3_600_000_000L
+        private const val HIGHEST_TRACKABLE_MICROSECONDS = 3_600_000_000L
         private const val SIGNIFICANT_DIGITS = 3
-        private const val MEDIAN = 50.0
-        private const val NEARLY_ALL = 95.0
-        private const val ALL_BUT_FEW = 99.0
+        private const val P50 = 50.0
+        private const val P95 = 95.0
+        private const val P99 = 99.0
 
         /** Returns the percentiles of [microseconds]. */
         fun of(microseconds: List<Long>): Percentiles {
-            val histogram = Histogram(LARGEST_MICROSECONDS, SIGNIFICANT_DIGITS)
+            val histogram = Histogram(HIGHEST_TRACKABLE_MICROSECONDS, SIGNIFICANT_DIGITS)
             microseconds.forEach { histogram.recordValue(it) }
             return Percentiles(
                 count = histogram.totalCount,
-                p50 = histogram.getValueAtPercentile(MEDIAN),
-                p95 = histogram.getValueAtPercentile(NEARLY_ALL),
-                p99 = histogram.getValueAtPercentile(ALL_BUT_FEW),
+                p50 = histogram.getValueAtPercentile(P50),
+                p95 = histogram.getValueAtPercentile(P95),
+                p99 = histogram.getValueAtPercentile(P99),
                 max = histogram.maxValue,
             )
         }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadState.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadState.kt
@@ -7,7 +7,7 @@
 /** How far the load tool is. */
 data class LoadState(
     val startedAt: Timestamp? = null,
-    val sent: Long = 0,
+    val sentCount: Long = 0,
     val samples: PersistentList<LoadSample> = persistentListOf(),
-    val reported: Boolean = false,
+    val isReported: Boolean = false,
 )
--- a/standins/src/main/kotlin/org/quetzalloom/standins/log/LogStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/log/LogStandIn.kt
@@ -12,10 +12,10 @@
 import org.quetzalloom.standins.http.HttpEffect
 import org.quetzalloom.standins.http.HttpEvent
 import org.quetzalloom.standins.http.StandIn
+import org.quetzalloom.standins.http.badRequest
 import org.quetzalloom.standins.http.notFound
 import org.quetzalloom.standins.http.parseOrNull
 import org.quetzalloom.standins.http.unchanged
-import org.quetzalloom.standins.http.unreadable
 import org.quetzalloom.standins.http.with
 import org.quetzalloom.wire.WireFormat
 import org.quetzalloom.wire.platform.AppendRequest
@@ -27,7 +27,7 @@
 data class StreamState(
     val earliest: Long = 0,
     val entries: PersistentList<LogEntryDocument> = persistentListOf(),
-    val times: PersistentList<Timestamp> = persistentListOf(),
+    val appendTimes: PersistentList<Timestamp> = persistentListOf(),
 ) {
     /** The offset after the last record. */
     val next: Long get() = earliest + entries.size
@@ -36,7 +36,7 @@
 /** The streams, and the appends of the current second. */
 data class LogState(
     val streams: PersistentMap<String, StreamState> = persistentMapOf(),
-    val second: Long = 0,
+    val currentSecond: Long = 0,
     val appendsInSecond: Int = 0,
 )
 
@@ -54,9 +54,9 @@
 
     override fun reduce(state: LogState, event: HttpEvent, now: Timestamp): Transition<LogState, HttpEffect> =
         when (event) {
-            is HttpEvent.Called -> call(state, event.call, now)
+            is HttpEvent.RequestReceived -> call(state, event.call, now)
             is HttpEvent.Tick -> expire(state, now).unchanged()
-            is HttpEvent.Left -> state.unchanged()
+            is HttpEvent.ClientDisconnected -> state.unchanged()
         }
 
     private fun call(state: LogState, call: HttpCall, now: Timestamp): Transition<LogState, HttpEffect> {
@@ -75,13 +75,13 @@
         call: HttpCall,
         now: Timestamp,
     ): Transition<LogState, HttpEffect> {
-        val second = now.epochMilliseconds / MILLISECONDS_PER_SECOND
-        val earlier = if (second == state.second) state.appendsInSecond else 0
+        val currentSecond = now.epochMilliseconds / MILLISECONDS_PER_SECOND
+        val earlierAppends = if (currentSecond == state.currentSecond) state.appendsInSecond else 0
         val request = call.parseOrNull<AppendRequest>()
-        val counted = state.copy(second = second, appendsInSecond = earlier + 1)
+        val counted = state.copy(currentSecond = currentSecond, appendsInSecond = earlierAppends + 1)
         return when {
-            earlier >= appendsPerSecond -> state.with(HttpEffect.Respond(call.exchange, status = 429))
-            request == null -> state.with(call.unreadable())
+            earlierAppends >= appendsPerSecond -> state.with(HttpEffect.Respond(call.exchangeId, status = 429))
+            request == null -> state.with(call.badRequest())
             else -> append(counted, stream, call, request, now)
         }
     }
@@ -93,52 +93,52 @@
         request: AppendRequest,
         now: Timestamp,
     ): Transition<LogState, HttpEffect> {
-        val old = state.streams[stream] ?: StreamState()
-        val response = WireFormat.encodeToString(AppendResponse(old.next))
+        val stored = state.streams[stream] ?: StreamState()
+        val response = WireFormat.encodeToString(AppendResponse(stored.next))
         return state.copy(
-            streams = state.streams.put(stream, old.appended(request, now))
-        ).with(HttpEffect.Respond(call.exchange, body = response))
+            streams = state.streams.put(stream, stored.withRecords(request, now))
+        ).with(HttpEffect.Respond(call.exchangeId, body = response))
     }
 
-    private fun StreamState.appended(request: AppendRequest, now: Timestamp): StreamState {
-        val added = request.records.mapIndexed { place, record ->
-            LogEntryDocument(next + place, request.stamp, record)
+    private fun StreamState.withRecords(request: AppendRequest, now: Timestamp): StreamState {
+        val added = request.records.mapIndexed { index, record ->
+            LogEntryDocument(next + index, request.stamp, record)
         }
-        return copy(entries = entries.addAll(added), times = times.addAll(added.map { now }))
+        return copy(entries = entries.addAll(added), appendTimes = appendTimes.addAll(added.map { now }))
     }
 
     private fun read(state: LogState, stream: String, call: HttpCall): HttpEffect {
-        val kept = state.streams[stream] ?: StreamState()
-        val from = (call.query["from"]?.toLongOrNull() ?: 0).coerceIn(kept.earliest, kept.next)
-        val start = (from - kept.earliest).toInt()
-        val end = minOf(start + LARGEST_READ_RECORDS, kept.entries.size)
+        val stored = state.streams[stream] ?: StreamState()
+        val from = (call.query["from"]?.toLongOrNull() ?: 0).coerceIn(stored.earliest, stored.next)
+        val start = (from - stored.earliest).toInt()
+        val end = minOf(start + MAXIMUM_RECORDS_PER_READ, stored.entries.size)
         val response = ReadResponse(
-            entries = kept.entries.subList(start, end),
-            next = kept.earliest + end,
-            earliest = kept.earliest,
+            entries = stored.entries.subList(start, end),
+            next = stored.earliest + end,
+            earliest = stored.earliest,
         )
-        return HttpEffect.Respond(call.exchange, body = WireFormat.encodeToString(response))
+        return HttpEffect.Respond(call.exchangeId, body = WireFormat.encodeToString(response))
     }
 
     private fun expire(state: LogState, now: Timestamp): LogState {
         val limit = now + -retentionMilliseconds
-        val expiring = state.streams.filterValues { it.times.isNotEmpty() && it.times.first() < limit }
-        return expiring.entries.fold(state) { reached, (name, stream) ->
-            reached.copy(streams = reached.streams.put(name, stream.since(limit)))
+        val expiring = state.streams.filterValues { it.appendTimes.isNotEmpty() && it.appendTimes.first() < limit }
+        return expiring.entries.fold(state) { current, (name, stream) ->
+            current.copy(streams = current.streams.put(name, stream.withoutRecordsBefore(limit)))
         }
     }
 
-    private fun StreamState.since(limit: Timestamp): StreamState {
-        val expired = times.takeWhile { it < limit }.size
+    private fun StreamState.withoutRecordsBefore(limit: Timestamp): StreamState {
+        val expired = appendTimes.takeWhile { it < limit }.size
         return StreamState(
             earliest = earliest + expired,
             entries = entries.drop(expired).toPersistentList(),
-            times = times.drop(expired).toPersistentList(),
+            appendTimes = appendTimes.drop(expired).toPersistentList(),
         )
     }
 
     private companion object {
         const val MILLISECONDS_PER_SECOND = 1_000L
-        const val LARGEST_READ_RECORDS = 1_000
+        const val MAXIMUM_RECORDS_PER_READ = 1_000
     }
 }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/ratings/RaterStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/ratings/RatingServiceStandIn.kt
@@ -12,10 +12,10 @@
 import org.quetzalloom.standins.http.HttpEffect
 import org.quetzalloom.standins.http.HttpEvent
 import org.quetzalloom.standins.http.StandIn
+import org.quetzalloom.standins.http.badRequest
 import org.quetzalloom.standins.http.notFound
 import org.quetzalloom.standins.http.parseOrNull
 import org.quetzalloom.standins.http.unchanged
-import org.quetzalloom.standins.http.unreadable
 import org.quetzalloom.standins.http.with
 import org.quetzalloom.wire.WireFormat
 import org.quetzalloom.wire.platform.RatingDocument
@@ -23,16 +23,16 @@
 import org.quetzalloom.wire.platform.SampleRequest
 
 /** A verdict and the time from which it is shown. */
-data class DueRating(val dueAt: Timestamp, val rating: RatingDocument)
+data class PendingRating(val dueAt: Timestamp, val rating: RatingDocument)
 
 /**
  * The true quality of versions, and the verdicts by submitter.
  *
  * @property qualities the share of good answers by version; 1.0 where none is named.
  */
-data class RaterState(
+data class RatingServiceState(
     val qualities: PersistentMap<String, Double> = persistentMapOf(),
-    val ratings: PersistentMap<String, PersistentList<DueRating>> = persistentMapOf(),
+    val ratings: PersistentMap<String, PersistentList<PendingRating>> = persistentMapOf(),
 )
 
 /**
@@ -41,67 +41,78 @@
  * @property lagMilliseconds the time from a sample to its verdict.
  * @property missingPercent the share of samples that are never rated.
  */
-class RaterStandIn(
+class RatingServiceStandIn(
     private val lagMilliseconds: Long = 1_000,
     private val missingPercent: Int = 10,
-) : StandIn<RaterState> {
-    override val initial: RaterState = RaterState()
+) : StandIn<RatingServiceState> {
+    override val initial: RatingServiceState = RatingServiceState()
 
-    override fun reduce(state: RaterState, event: HttpEvent, now: Timestamp): Transition<RaterState, HttpEffect> =
-        when (event) {
-            is HttpEvent.Called -> call(state, event.call, now)
-            is HttpEvent.Tick, is HttpEvent.Left -> state.unchanged()
-        }
+    override fun reduce(
+        state: RatingServiceState,
+        event: HttpEvent,
+        now: Timestamp,
+    ): Transition<RatingServiceState, HttpEffect> = when (event) {
+        is HttpEvent.RequestReceived -> call(state, event.call, now)
+        is HttpEvent.Tick, is HttpEvent.ClientDisconnected -> state.unchanged()
+    }
 
-    private fun call(state: RaterState, call: HttpCall, now: Timestamp): Transition<RaterState, HttpEffect> = when {
+    private fun call(
+        state: RatingServiceState,
+        call: HttpCall,
+        now: Timestamp,
+    ): Transition<RatingServiceState, HttpEffect> = when {
         call.matches("POST", "/samples") -> sample(state, call, now)
         call.matches("GET", "/ratings") -> state.with(ratings(state, call, now))
         call.method == "PUT" && call.path.startsWith(QUALITIES) -> setQuality(state, call)
         else -> state.with(call.notFound())
     }
 
-    private fun sample(state: RaterState, call: HttpCall, now: Timestamp): Transition<RaterState, HttpEffect> {
+    private fun sample(
+        state: RatingServiceState,
+        call: HttpCall,
+        now: Timestamp,
+    ): Transition<RatingServiceState, HttpEffect> {
         val sample = call.parseOrNull<SampleRequest>()
-        return if (sample == null) state.with(call.unreadable()) else sample(state, sample, call, now)
+        return if (sample == null) state.with(call.badRequest()) else sample(state, sample, call, now)
     }
 
     private fun sample(
-        state: RaterState,
+        state: RatingServiceState,
         sample: SampleRequest,
         call: HttpCall,
         now: Timestamp,
-    ): Transition<RaterState, HttpEffect> {
-        val answered = HttpEffect.Respond(call.exchange)
-        if (chance(sample.request, "missing") * PERCENT < missingPercent) return state.with(answered)
-        val good = chance(sample.request, sample.version) < (state.qualities[sample.version] ?: 1.0)
+    ): Transition<RatingServiceState, HttpEffect> {
+        val response = HttpEffect.Respond(call.exchangeId)
+        if (hashFraction(sample.request, "missing") * PERCENT < missingPercent) return state.with(response)
+        val good = hashFraction(sample.request, sample.version) < (state.qualities[sample.version] ?: 1.0)
         val rating = RatingDocument(sample.workspace, sample.requestClass, sample.version, good)
-        val earlier = state.ratings[sample.submitter] ?: persistentListOf()
-        val later = earlier.add(DueRating(now + lagMilliseconds, rating))
-        return state.copy(ratings = state.ratings.put(sample.submitter, later)).with(answered)
+        val existing = state.ratings[sample.submitter] ?: persistentListOf()
+        val updated = existing.add(PendingRating(now + lagMilliseconds, rating))
+        return state.copy(ratings = state.ratings.put(sample.submitter, updated)).with(response)
     }
 
-    private fun ratings(state: RaterState, call: HttpCall, now: Timestamp): HttpEffect {
+    private fun ratings(state: RatingServiceState, call: HttpCall, now: Timestamp): HttpEffect {
         val all = state.ratings[call.query["submitter"].orEmpty()] ?: persistentListOf()
         val from = call.query["from"]?.toIntOrNull()?.coerceIn(0, all.size) ?: 0
         val due = all.drop(from).takeWhile { it.dueAt <= now }
         val response = RatingsResponse(due.map { it.rating }, next = (from + due.size).toLong())
-        return HttpEffect.Respond(call.exchange, body = WireFormat.encodeToString(response))
+        return HttpEffect.Respond(call.exchangeId, body = WireFormat.encodeToString(response))
     }
 
-    private fun setQuality(state: RaterState, call: HttpCall): Transition<RaterState, HttpEffect> {
+    private fun setQuality(state: RatingServiceState, call: HttpCall): Transition<RatingServiceState, HttpEffect> {
         val quality = call.body.trim().toDoubleOrNull()?.takeIf { it in 0.0..1.0 }
-            ?: return state.with(HttpEffect.Respond(call.exchange, status = 400, body = "not within 0.0 and 1.0"))
+            ?: return state.with(HttpEffect.Respond(call.exchangeId, status = 400, body = "not within 0.0 and 1.0"))
         val version = call.path.removePrefix(QUALITIES)
-        return state.copy(qualities = state.qualities.put(version, quality)).with(HttpEffect.Respond(call.exchange))
+        return state.copy(qualities = state.qualities.put(version, quality)).with(HttpEffect.Respond(call.exchangeId))
     }
 
     /** Returns a number from 0.0 until 1.0 that is the same for the same request and [purpose]. */
-    private fun chance(request: String, purpose: String): Double =
-        Math.floorMod(LongHashFunction.xx3().hashChars("$purpose:$request"), CHANCES) / CHANCES.toDouble()
+    private fun hashFraction(request: String, purpose: String): Double =
+        Math.floorMod(LongHashFunction.xx3().hashChars("$purpose:$request"), FRACTION_STEPS) / FRACTION_STEPS.toDouble()
 
     private companion object {
         const val QUALITIES = "/qualities/"
         const val PERCENT = 100
-        const val CHANCES = 1_000_000L
+        const val FRACTION_STEPS = 1_000_000L
     }
 }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/scripted/ScriptedRequest.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/scripted/ScriptedRequest.kt
@@ -13,13 +13,13 @@
  * @property body the body, by the length in the header.
  */
 class ScriptedRequest private constructor(
-    val line: String,
+    val requestLine: String,
     val headers: Map<String, String>,
     val body: ByteArray,
     private val socket: Socket,
 ) {
     /** The length of the body, as the header says. */
-    val bodyLength: Long get() = headers["content-length"]?.toLong() ?: 0
+    val contentLength: Long get() = headers["content-length"]?.toLong() ?: 0
 
     /** Writes [text] as it is. */
     fun write(text: String) {
@@ -28,13 +28,13 @@
     }
 
     /** Writes a whole answer with [headers] and its length. */
-    fun answer(status: String, headers: Map<String, String>, body: String) {
+    fun respond(status: String, headers: Map<String, String>, body: String) {
         val lines = headers.entries.joinToString("") { "${it.key}: ${it.value}\r\n" }
         write("HTTP/1.1 $status\r\n${lines}Content-Length: ${body.length}\r\n\r\n$body")
     }
 
     /** Writes one chunk of a body. */
-    fun chunk(text: String): Unit = write("${text.length.toString(HEXADECIMAL)}\r\n$text\r\n")
+    fun writeChunk(text: String): Unit = write("${text.length.toString(HEXADECIMAL)}\r\n$text\r\n")
 
     /** Closes the connection in order. */
     fun close(): Unit = socket.close()
@@ -58,13 +58,13 @@
     internal companion object {
         private const val HEXADECIMAL = 16
 
-        /** Returns the next request, without its body if it is [headOnly], or `null` at the end of the connection. */
-        fun readOrNull(input: InputStream, socket: Socket, headOnly: Boolean): ScriptedRequest? {
-            val line = readLineOrNull(input) ?: return null
+        /** Returns the next request, without its body if [withoutBody], or `null` at the end of the connection. */
+        fun readOrNull(input: InputStream, socket: Socket, withoutBody: Boolean): ScriptedRequest? {
+            val requestLine = readLineOrNull(input) ?: return null
             val headers = generateSequence { readLineOrNull(input)?.takeIf { it.isNotEmpty() } }
                 .associate { it.substringBefore(':').trim().lowercase() to it.substringAfter(':').trim() }
-            val body = input.readNBytes(headers["content-length"]?.toInt()?.takeUnless { headOnly } ?: 0)
-            return ScriptedRequest(line, headers, body, socket)
+            val body = input.readNBytes(headers["content-length"]?.toInt()?.takeUnless { withoutBody } ?: 0)
+            return ScriptedRequest(requestLine, headers, body, socket)
         }
 
         private fun readLineOrNull(input: InputStream): String? {
--- a/standins/src/main/kotlin/org/quetzalloom/standins/scripted/ScriptedServer.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/scripted/ScriptedServer.kt
@@ -15,7 +15,7 @@
  * @param early whether a request is answered before its body is read; the body is read afterwards.
  */
 class ScriptedServer(
-    private val early: Boolean = false,
+    private val respondBeforeBody: Boolean = false,
     private val script: (ScriptedRequest) -> Unit,
 ) : AutoCloseable {
     private val listener = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
@@ -28,17 +28,17 @@
     val port: Int get() = listener.localPort
 
     /** Connections that were accepted. */
-    val accepted: Int get() = sockets.size
+    val acceptedConnections: Int get() = sockets.size
 
     /** Starts to accept connections. */
-    fun start(): ScriptedServer = apply { thread(isDaemon = true) { accept() } }
+    fun start(): ScriptedServer = apply { thread(isDaemon = true) { acceptConnections() } }
 
     override fun close() {
         listener.close()
         sockets.forEach { it.close() }
     }
 
-    private fun accept() {
+    private fun acceptConnections() {
         while (!listener.isClosed) {
             val socket = acceptOrNull() ?: return
             sockets += socket
@@ -56,10 +56,10 @@
         val input = BufferedInputStream(socket.getInputStream())
         try {
             while (true) {
-                val request = ScriptedRequest.readOrNull(input, socket, early) ?: return
+                val request = ScriptedRequest.readOrNull(input, socket, respondBeforeBody) ?: return
                 requests += request
                 script(request)
-                if (early) input.skipNBytes(request.bodyLength)
+                if (respondBeforeBody) input.skipNBytes(request.contentLength)
             }
         } catch (_: IOException) {
             socket.close()
--- a/standins/src/main/kotlin/org/quetzalloom/standins/service/ServiceStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/service/ServiceStandIn.kt
@@ -21,7 +21,7 @@
 
 /** One call that the service ran. [scope] names the command, where it was one. */
 @Serializable
-data class BookEntry(
+data class ExecutedCall(
     val method: String,
     val path: String,
     val scope: String? = null,
@@ -30,7 +30,7 @@
 
 /** Everything that the service ran, in order. */
 @Serializable
-data class Books(val entries: List<BookEntry>)
+data class ExecutedCalls(val entries: List<ExecutedCall>)
 
 /** A call that runs until [dueAt]. */
 data class RunningCall(val call: HttpCall, val dueAt: Timestamp)
@@ -38,9 +38,9 @@
 /** What the service has run and runs, and the highest fencing number of each scope. */
 data class ServiceState(
     val startedAt: Timestamp? = null,
-    val books: PersistentList<BookEntry> = persistentListOf(),
+    val executedCalls: PersistentList<ExecutedCall> = persistentListOf(),
     val running: PersistentList<RunningCall> = persistentListOf(),
-    val fences: PersistentMap<String, Long> = persistentMapOf(),
+    val highestFencingNumbers: PersistentMap<String, Long> = persistentMapOf(),
 )
 
 /**
@@ -51,7 +51,7 @@
  * @property workMilliseconds the time that a call takes.
  */
 class ServiceStandIn(
-    private val start: String,
+    private val startIdentity: String,
     private val checksFencing: Boolean = false,
     private val workMilliseconds: Long = 20,
 ) : StandIn<ServiceState> {
@@ -60,61 +60,67 @@
     override fun reduce(state: ServiceState, event: HttpEvent, now: Timestamp): Transition<ServiceState, HttpEffect> {
         val started = if (state.startedAt == null) state.copy(startedAt = now) else state
         return when (event) {
-            is HttpEvent.Called -> call(started, event.call, now)
-            is HttpEvent.Tick -> finish(started, now)
-            is HttpEvent.Left -> started.unchanged()
+            is HttpEvent.RequestReceived -> call(started, event.call, now)
+            is HttpEvent.Tick -> finishCalls(started, now)
+            is HttpEvent.ClientDisconnected -> started.unchanged()
         }
     }
 
     private fun call(state: ServiceState, call: HttpCall, now: Timestamp): Transition<ServiceState, HttpEffect> = when {
         call.matches("GET", "/load") -> state.with(load(state, call, now))
-        call.matches("GET", "/books") ->
-            state.with(HttpEffect.Respond(call.exchange, body = WireFormat.encodeToString(Books(state.books))))
-        isFenced(state, call) -> state.with(refusal(call))
-        else -> run(state, call, now).unchanged()
+        call.matches("GET", "/books") -> {
+            val body = WireFormat.encodeToString(ExecutedCalls(state.executedCalls))
+            state.with(HttpEffect.Respond(call.exchangeId, body = body))
+        }
+        hasStaleFencingNumber(state, call) -> state.with(rejection(call))
+        else -> startCall(state, call, now).unchanged()
     }
 
     private fun load(state: ServiceState, call: HttpCall, now: Timestamp): HttpEffect {
-        val upFor = now - (state.startedAt ?: now)
-        val response = LoadResponse(start, running = state.running.size, upForMilliseconds = upFor)
-        return HttpEffect.Respond(call.exchange, body = WireFormat.encodeToString(response))
+        val upForMilliseconds = now - (state.startedAt ?: now)
+        val response = LoadResponse(startIdentity, running = state.running.size, upForMilliseconds = upForMilliseconds)
+        return HttpEffect.Respond(call.exchangeId, body = WireFormat.encodeToString(response))
     }
 
-    private fun isFenced(state: ServiceState, call: HttpCall): Boolean {
-        val number = call.fencing
-        val highest = state.fences[call.scope.orEmpty()]
+    private fun hasStaleFencingNumber(state: ServiceState, call: HttpCall): Boolean {
+        val number = call.fencingNumber
+        val highest = state.highestFencingNumbers[call.scope.orEmpty()]
         return checksFencing && number != null && highest != null && number < highest
     }
 
-    private fun refusal(call: HttpCall): HttpEffect = HttpEffect.Respond(
-        exchange = call.exchange,
+    private fun rejection(call: HttpCall): HttpEffect = HttpEffect.Respond(
+        exchangeId = call.exchangeId,
         status = 409,
         headers = persistentMapOf(BackendHeaders.NOT_RUN to "true"),
     )
 
-    private fun run(state: ServiceState, call: HttpCall, now: Timestamp): ServiceState {
-        val number = call.fencing
+    private fun startCall(state: ServiceState, call: HttpCall, now: Timestamp): ServiceState {
+        val number = call.fencingNumber
         return state.copy(
-            books = state.books.add(BookEntry(call.method, call.path, call.scope, number)),
+            executedCalls = state.executedCalls.add(ExecutedCall(call.method, call.path, call.scope, number)),
             running = state.running.add(RunningCall(call, now + workMilliseconds)),
-            fences = if (number == null) state.fences else state.fences.put(call.scope.orEmpty(), number),
+            highestFencingNumbers = if (number == null) {
+                state.highestFencingNumbers
+            } else {
+                state.highestFencingNumbers.put(call.scope.orEmpty(), number)
+            },
         )
     }
 
-    private fun finish(state: ServiceState, now: Timestamp): Transition<ServiceState, HttpEffect> {
-        val done = state.running.filter { it.dueAt <= now }
-        if (done.isEmpty()) return state.unchanged()
-        val next = state.copy(running = state.running.removeAll(done))
-        return Transition(next, done.map { answer(it.call) }.toPersistentList())
+    private fun finishCalls(state: ServiceState, now: Timestamp): Transition<ServiceState, HttpEffect> {
+        val finished = state.running.filter { it.dueAt <= now }
+        if (finished.isEmpty()) return state.unchanged()
+        val next = state.copy(running = state.running.removeAll(finished))
+        return Transition(next, finished.map { response(it.call) }.toPersistentList())
     }
 
-    private fun answer(call: HttpCall): HttpEffect = HttpEffect.Respond(
-        exchange = call.exchange,
-        body = WireFormat.encodeToString(BookEntry(call.method, call.path, call.scope, call.fencing)),
-        headers = persistentMapOf(BackendHeaders.START to start),
+    private fun response(call: HttpCall): HttpEffect = HttpEffect.Respond(
+        exchangeId = call.exchangeId,
+        body = WireFormat.encodeToString(ExecutedCall(call.method, call.path, call.scope, call.fencingNumber)),
+        headers = persistentMapOf(BackendHeaders.START to startIdentity),
     )
 
     private val HttpCall.scope: String? get() = header(BackendHeaders.FENCING_SCOPE)
 
-    private val HttpCall.fencing: Long? get() = header(BackendHeaders.FENCING)?.toLongOrNull()
+    private val HttpCall.fencingNumber: Long? get() = header(BackendHeaders.FENCING)?.toLongOrNull()
 }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreGroup.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreGroup.kt
@@ -17,23 +17,23 @@
     fun join(state: StoreState, call: HttpCall): StoreStep {
         val member = WireFormat.decodeFromString<JsonObject>(call.body).getValue("member_id").jsonPrimitive.content
         val next = if (member in state.members) state else state.add(member)
-        val held = next.rows().filter { it.last().jsonPrimitive.content == member }
-        return next.with(HttpEffect.Respond(call.exchange, body = reply(next, held)))
+        val owned = next.ownerRows().filter { it.last().jsonPrimitive.content == member }
+        return next.with(HttpEffect.Respond(call.exchangeId, body = responseBody(next, owned)))
     }
 
     /** Lists all members. */
     fun owners(state: StoreState, call: HttpCall): StoreStep =
-        state.with(HttpEffect.Respond(call.exchange, body = reply(state, state.rows())))
+        state.with(HttpEffect.Respond(call.exchangeId, body = responseBody(state, state.ownerRows())))
 
     private fun StoreState.add(member: String): StoreState =
         copy(members = members.add(member), generation = generation + 1)
 
-    private fun StoreState.rows(): List<JsonArray> = members.mapIndexed { index, member ->
+    private fun StoreState.ownerRows(): List<JsonArray> = members.mapIndexed { index, member ->
         JsonArray(listOf(JsonPrimitive("routers-0"), JsonPrimitive(index), JsonPrimitive(member)))
     }
 
-    private fun reply(state: StoreState, rows: List<JsonArray>): String = buildJsonObject {
+    private fun responseBody(state: StoreState, ownerRows: List<JsonArray>): String = buildJsonObject {
         put("generation", state.generation)
-        put("parts", JsonArray(rows))
+        put("parts", JsonArray(ownerRows))
     }.toString()
 }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreLog.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreLog.kt
@@ -20,29 +20,34 @@
     private const val GONE = 410
 
     /** Drops the history of a topic, but for the newest record of each key. */
-    fun forget(state: StoreState, call: HttpCall): StoreStep {
+    fun discardHistory(state: StoreState, call: HttpCall): StoreStep {
         val topic = state.topic(call)
-        val forgotten = topic.copy(records = topic.records.clear(), first = topic.end)
-        return state.with(call, forgotten).with(HttpEffect.Respond(call.exchange))
+        val emptied = topic.copy(records = topic.records.clear(), firstOffset = topic.endOffset)
+        return state.with(call, emptied).with(HttpEffect.Respond(call.exchangeId))
     }
 
     /** Appends the record in the body, unless the topic no longer ends where the call says. */
     fun append(state: StoreState, call: HttpCall): StoreStep {
         val topic = state.topic(call)
         val at = call.query["at"]?.toLong()
-        if (at != null && at != topic.end) return state.with(HttpEffect.Respond(call.exchange, status = CONFLICT))
-        val record = StoreRecords.decode(call.body, topic.end)
+        if (at != null && at != topic.endOffset) {
+            return state.with(HttpEffect.Respond(call.exchangeId, status = CONFLICT))
+        }
+        val record = StoreRecords.decode(call.body, topic.endOffset)
         val next = topic.copy(
             records = topic.records.add(record),
-            end = topic.end + 1,
-            newest = topic.newest.put(record.key, record),
+            endOffset = topic.endOffset + 1,
+            newestByKey = topic.newestByKey.put(record.key, record),
         )
-        val reply = buildJsonObject {
-            put("offset", topic.end)
-            put("end_offset", next.end)
+        val body = buildJsonObject {
+            put("offset", topic.endOffset)
+            put("end_offset", next.endOffset)
         }
-        return state.with(call, next).with(HttpEffect.Respond(call.exchange, body = reply.toString()))
-            .then { reached -> answer(reached, reached.waiting.filter { it.offset < reached.topic(it.topic).end }) }
+        return state.with(call, next).with(HttpEffect.Respond(call.exchangeId, body = body.toString()))
+            .then { current ->
+                val due = current.waitingReads.filter { it.offset < current.topic(it.topic).endOffset }
+                completeReads(current, due)
+            }
     }
 
     /** Answers with the records from an offset on, at once or as soon as there is one. */
@@ -51,20 +56,20 @@
         val offset = call.query.getValue("source").toLong()
         val wait = call.query["wait_ms"]?.toLong() ?: 0
         return when {
-            offset < topic.first -> state.with(HttpEffect.Respond(call.exchange, status = GONE))
-            offset < topic.end || wait == 0L -> state.with(reply(topic, call.exchange, offset))
+            offset < topic.firstOffset -> state.with(HttpEffect.Respond(call.exchangeId, status = GONE))
+            offset < topic.endOffset || wait == 0L -> state.with(recordsResponse(topic, call.exchangeId, offset))
             else -> {
-                val read = WaitingRead(call.exchange, call.query.getValue("topic"), offset, now + wait)
-                state.copy(waiting = state.waiting.add(read)).unchanged()
+                val read = WaitingRead(call.exchangeId, call.query.getValue("topic"), offset, now + wait)
+                state.copy(waitingReads = state.waitingReads.add(read)).unchanged()
             }
         }
     }
 
     /** Answers [reads], which were waiting. */
-    fun answer(state: StoreState, reads: List<WaitingRead>): StoreStep {
-        val left = state.copy(waiting = state.waiting.filter { it !in reads }.toPersistentList())
-        return left.unchanged().thenEach(reads) { reached, read ->
-            reached.with(reply(reached.topic(read.topic), read.exchange, read.offset))
+    fun completeReads(state: StoreState, reads: List<WaitingRead>): StoreStep {
+        val answered = state.copy(waitingReads = state.waitingReads.filter { it !in reads }.toPersistentList())
+        return answered.unchanged().thenEach(reads) { current, read ->
+            current.with(recordsResponse(current.topic(read.topic), read.exchangeId, read.offset))
         }
     }
 
@@ -72,18 +77,18 @@
     fun newest(state: StoreState, call: HttpCall): StoreStep {
         val topic = state.topic(call)
         val entries = buildJsonArray {
-            topic.newest.values.filter { it.value != null }.sortedBy { it.key }.forEach { add(entry(it)) }
+            topic.newestByKey.values.filter { it.value != null }.sortedBy { it.key }.forEach { add(entry(it)) }
         }
-        val reply = buildJsonObject {
+        val body = buildJsonObject {
             put("entries", entries)
             put("has_more", false)
-            put("end_offset", topic.end)
+            put("end_offset", topic.endOffset)
         }
-        return state.with(HttpEffect.Respond(call.exchange, body = reply.toString()))
+        return state.with(HttpEffect.Respond(call.exchangeId, body = body.toString()))
     }
 
-    private fun reply(topic: StoredTopic, exchange: String, offset: Long): HttpEffect =
-        HttpEffect.Respond(exchange, body = StoreRecords.encode(topic, offset))
+    private fun recordsResponse(topic: StoredTopic, exchangeId: String, offset: Long): HttpEffect =
+        HttpEffect.Respond(exchangeId, body = StoreRecords.encode(topic, offset))
 
     private fun entry(record: StoredRecord): JsonObject = buildJsonObject {
         put("key", record.key)
--- a/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreRecords.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreRecords.kt
@@ -17,8 +17,8 @@
     fun encode(topic: StoredTopic, offset: Long): String {
         val bytes = ByteArrayOutputStream()
         val out = DataOutputStream(bytes)
-        out.writeLong(topic.end)
-        out.writeLong(topic.first)
+        out.writeLong(topic.endOffset)
+        out.writeLong(topic.firstOffset)
         topic.records.filter { it.offset >= offset }.forEach { record ->
             val key = record.key.toByteArray(Charsets.ISO_8859_1)
             val value = record.value.orEmpty().toByteArray(Charsets.ISO_8859_1)
--- a/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreStandIn.kt
@@ -21,24 +21,25 @@
  */
 class StoreStandIn : StandIn<StoreState> {
     override val initial: StoreState = StoreState()
-    override val binary: Boolean get() = true
+    override val hasBinaryBodies: Boolean get() = true
 
     override fun reduce(state: StoreState, event: HttpEvent, now: Timestamp): StoreStep = when (event) {
-        is HttpEvent.Called -> call(state, event.call, now)
-        is HttpEvent.Left -> state.copy(waiting = state.waiting.removeAll { it.exchange == event.exchange }).unchanged()
-        HttpEvent.Tick -> StoreLog.answer(state, state.waiting.filter { it.dueAt <= now })
+        is HttpEvent.RequestReceived -> call(state, event.call, now)
+        is HttpEvent.ClientDisconnected ->
+            state.copy(waitingReads = state.waitingReads.removeAll { it.exchangeId == event.exchangeId }).unchanged()
+        HttpEvent.Tick -> StoreLog.completeReads(state, state.waitingReads.filter { it.dueAt <= now })
     }
 
     private fun call(state: StoreState, call: HttpCall, now: Timestamp): StoreStep = when {
         call.matches("PUT", "/fault") -> {
             val fault = StoreFault.valueOf(call.query.getValue("mode"))
-            state.copy(fault = fault).with(HttpEffect.Respond(call.exchange))
+            state.copy(fault = fault).with(HttpEffect.Respond(call.exchangeId))
         }
-        call.matches("PUT", "/forget") -> StoreLog.forget(state, call)
-        state.fault == StoreFault.REFUSES -> state.with(HttpEffect.Respond(call.exchange, status = UNAVAILABLE))
+        call.matches("PUT", "/forget") -> StoreLog.discardHistory(state, call)
+        state.fault == StoreFault.REFUSES -> state.with(HttpEffect.Respond(call.exchangeId, status = UNAVAILABLE))
         state.fault == StoreFault.LOSES_ANSWERS -> {
-            val done = serve(state, call, now).state
-            done.copy(waiting = state.waiting).with(HttpEffect.Abort(call.exchange))
+            val served = serve(state, call, now).state
+            served.copy(waitingReads = state.waitingReads).with(HttpEffect.Abort(call.exchangeId))
         }
         else -> serve(state, call, now)
     }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreState.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreState.kt
@@ -21,13 +21,13 @@
  */
 data class StoredTopic(
     val records: PersistentList<StoredRecord> = persistentListOf(),
-    val first: Long = 0,
-    val end: Long = 0,
-    val newest: PersistentMap<String, StoredRecord> = persistentMapOf(),
+    val firstOffset: Long = 0,
+    val endOffset: Long = 0,
+    val newestByKey: PersistentMap<String, StoredRecord> = persistentMapOf(),
 )
 
 /** A read that waits for a record until [dueAt]. */
-data class WaitingRead(val exchange: String, val topic: String, val offset: Long, val dueAt: Timestamp)
+data class WaitingRead(val exchangeId: String, val topic: String, val offset: Long, val dueAt: Timestamp)
 
 /** How the store behaves. */
 enum class StoreFault {
@@ -44,7 +44,7 @@
 /** All that the store keeps. */
 data class StoreState(
     val topics: PersistentMap<String, StoredTopic> = persistentMapOf(),
-    val waiting: PersistentList<WaitingRead> = persistentListOf(),
+    val waitingReads: PersistentList<WaitingRead> = persistentListOf(),
     val members: PersistentList<String> = persistentListOf(),
     val generation: Long = 0,
     val fault: StoreFault = StoreFault.NONE,
--- a/standins/src/main/kotlin/org/quetzalloom/standins/vms/VmListStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/vms/VmListStandIn.kt
@@ -10,21 +10,21 @@
 import org.quetzalloom.standins.http.HttpEffect
 import org.quetzalloom.standins.http.HttpEvent
 import org.quetzalloom.standins.http.StandIn
+import org.quetzalloom.standins.http.badRequest
 import org.quetzalloom.standins.http.notFound
 import org.quetzalloom.standins.http.parseOrNull
 import org.quetzalloom.standins.http.unchanged
-import org.quetzalloom.standins.http.unreadable
 import org.quetzalloom.standins.http.with
 import org.quetzalloom.wire.WireFormat
 import org.quetzalloom.wire.platform.VmsResponse
 
 /** A list of VMs and the time from which it is shown. */
-data class ShownList(val shownAt: Timestamp, val list: VmsResponse)
+data class ScheduledVmList(val visibleAt: Timestamp, val vms: VmsResponse)
 
 /** The list shown, and later ones that are not shown yet. */
 data class VmListState(
-    val shown: VmsResponse = VmsResponse(emptyList()),
-    val upcoming: PersistentList<ShownList> = persistentListOf(),
+    val visible: VmsResponse = VmsResponse(emptyList()),
+    val upcoming: PersistentList<ScheduledVmList> = persistentListOf(),
 )
 
 /**
@@ -37,26 +37,26 @@
 
     override fun reduce(state: VmListState, event: HttpEvent, now: Timestamp): Transition<VmListState, HttpEffect> =
         when (event) {
-            is HttpEvent.Called -> call(caughtUp(state, now), event.call, now)
-            is HttpEvent.Tick, is HttpEvent.Left -> state.unchanged()
+            is HttpEvent.RequestReceived -> call(withDueChanges(state, now), event.call, now)
+            is HttpEvent.Tick, is HttpEvent.ClientDisconnected -> state.unchanged()
         }
 
     private fun call(state: VmListState, call: HttpCall, now: Timestamp): Transition<VmListState, HttpEffect> = when {
         call.matches("GET", "/vms") ->
-            state.with(HttpEffect.Respond(call.exchange, body = WireFormat.encodeToString(state.shown)))
+            state.with(HttpEffect.Respond(call.exchangeId, body = WireFormat.encodeToString(state.visible)))
         call.matches("PUT", "/vms") -> replace(state, call, now)
         else -> state.with(call.notFound())
     }
 
     private fun replace(state: VmListState, call: HttpCall, now: Timestamp): Transition<VmListState, HttpEffect> =
         call.parseOrNull<VmsResponse>()?.let {
-            state.copy(upcoming = state.upcoming.add(ShownList(now + lagMilliseconds, it)))
-                .with(HttpEffect.Respond(call.exchange))
-        } ?: state.with(call.unreadable())
+            state.copy(upcoming = state.upcoming.add(ScheduledVmList(now + lagMilliseconds, it)))
+                .with(HttpEffect.Respond(call.exchangeId))
+        } ?: state.with(call.badRequest())
 
-    private fun caughtUp(state: VmListState, now: Timestamp): VmListState {
-        val due = state.upcoming.takeWhile { it.shownAt <= now }
+    private fun withDueChanges(state: VmListState, now: Timestamp): VmListState {
+        val due = state.upcoming.takeWhile { it.visibleAt <= now }
         if (due.isEmpty()) return state
-        return VmListState(shown = due.last().list, upcoming = state.upcoming.drop(due.size).toPersistentList())
+        return VmListState(visible = due.last().vms, upcoming = state.upcoming.drop(due.size).toPersistentList())
     }
 }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/weights/WeightStoreStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/weights/WeightStoreStandIn.kt
@@ -12,7 +12,7 @@
 import org.quetzalloom.standins.http.with
 
 /** When the next download may begin. */
-data class WeightStoreState(val freeAt: Timestamp = Timestamp.EPOCH)
+data class WeightStoreState(val nextDownloadAt: Timestamp = Timestamp.EPOCH)
 
 /**
  * Stands in for the rate-limited weight store: `GET /weights/{version}`.
@@ -27,8 +27,8 @@
         event: HttpEvent,
         now: Timestamp,
     ): Transition<WeightStoreState, HttpEffect> = when (event) {
-        is HttpEvent.Called -> call(state, event.call, now)
-        is HttpEvent.Tick, is HttpEvent.Left -> state.unchanged()
+        is HttpEvent.RequestReceived -> call(state, event.call, now)
+        is HttpEvent.Tick, is HttpEvent.ClientDisconnected -> state.unchanged()
     }
 
     private fun call(
@@ -37,13 +37,13 @@
         now: Timestamp,
     ): Transition<WeightStoreState, HttpEffect> = when {
         call.method != "GET" || !call.path.startsWith(WEIGHTS) -> state.with(call.notFound())
-        now < state.freeAt -> state.with(refusal(call, state.freeAt - now))
-        else -> WeightStoreState(freeAt = now + intervalMilliseconds)
-            .with(HttpEffect.Respond(call.exchange, body = "weights of ${call.path.removePrefix(WEIGHTS)}"))
+        now < state.nextDownloadAt -> state.with(rejection(call, state.nextDownloadAt - now))
+        else -> WeightStoreState(nextDownloadAt = now + intervalMilliseconds)
+            .with(HttpEffect.Respond(call.exchangeId, body = "weights of ${call.path.removePrefix(WEIGHTS)}"))
     }
 
-    private fun refusal(call: HttpCall, waitMilliseconds: Long): HttpEffect = HttpEffect.Respond(
-        exchange = call.exchange,
+    private fun rejection(call: HttpCall, waitMilliseconds: Long): HttpEffect = HttpEffect.Respond(
+        exchangeId = call.exchangeId,
         status = 429,
         headers = persistentMapOf("X-Wait-Milliseconds" to waitMilliseconds.toString()),
     )
