--- a/standins/src/main/kotlin/org/quetzalloom/standins/Main.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/Main.kt
@@ -30,7 +30,11 @@
 private const val WORK_MILLISECONDS = 20
 private val defaultEngine = EngineSettings(name = "engine")
 
-/** Runs one stand-in, or the load tool: `standin log --port 7001`. */
+/**
+ * Runs a stand-in, the load tool or a checking tool, by the subcommand in [arguments]: `standin log --port 7001`.
+ *
+ * The process listens on the loopback address only.
+ */
 @OptIn(ExperimentalCli::class)
 fun main(arguments: Array<String>) {
     val parser = ArgParser("standin")
@@ -49,10 +53,10 @@
     parser.parse(arguments)
 }
 
-/** A command that runs a stand-in until the process is ended. */
+/** A subcommand that runs a stand-in until the process is killed. */
 @OptIn(ExperimentalCli::class)
 private abstract class StandInCommand(name: String, description: String) : Subcommand(name, description) {
-    private val port by option(ArgType.Int, description = "The port on this machine").required()
+    private val port by option(ArgType.Int, description = "The port to listen on, on the loopback address").required()
 
     abstract fun standIn(): StandIn<*>
 
@@ -66,49 +70,67 @@
 }
 
 private class LogCommand : StandInCommand("log", "The platform's append-only log") {
-    private val appendsPerSecond by option(ArgType.Int, "appends-per-second", description = "The rate limit")
-        .default(APPENDS_PER_SECOND)
-    private val retention by option(ArgType.Int, "retention-milliseconds", description = "How long records are kept")
-        .default(RETENTION_MILLISECONDS)
+    private val appendsPerSecond by option(
+        ArgType.Int,
+        "appends-per-second",
+        description = "Appends accepted per second",
+    ).default(APPENDS_PER_SECOND)
+    private val retention by option(
+        ArgType.Int,
+        "retention-milliseconds",
+        description = "How long records are retained",
+    ).default(RETENTION_MILLISECONDS)
 
     override fun standIn(): StandIn<*> = LogStandIn(appendsPerSecond, retention.toLong())
 }
 
-private class VmListCommand : StandInCommand("vms", "The platform's list of VMs") {
-    private val lag by option(ArgType.Int, "lag-milliseconds", description = "The time until a change is shown")
+private class VmListCommand : StandInCommand("vms", "The platform's VM list") {
+    private val lag by option(ArgType.Int, "lag-milliseconds", description = "The time until a change is visible")
         .default(VM_LIST_LAG_MILLISECONDS)
 
     override fun standIn(): StandIn<*> = VmListStandIn(lag.toLong())
 }
 
 private class RaterCommand : StandInCommand("ratings", "The service that rates answers") {
-    private val lag by option(ArgType.Int, "lag-milliseconds", description = "The time until a verdict is shown")
-        .default(RATING_LAG_MILLISECONDS)
+    private val lag by option(
+        ArgType.Int,
+        "lag-milliseconds",
+        description = "The time from a sample until its rating is visible",
+    ).default(RATING_LAG_MILLISECONDS)
 
     override fun standIn(): StandIn<*> = RatingServiceStandIn(lag.toLong())
 }
 
 private class WeightStoreCommand : StandInCommand("weights", "The rate-limited weight store") {
-    private val interval by option(ArgType.Int, "interval-milliseconds", description = "The time between downloads")
-        .default(DOWNLOAD_INTERVAL_MILLISECONDS)
+    private val interval by option(
+        ArgType.Int,
+        "interval-milliseconds",
+        description = "The minimum time between downloads",
+    ).default(DOWNLOAD_INTERVAL_MILLISECONDS)
 
     override fun standIn(): StandIn<*> = WeightStoreStandIn(interval.toLong())
 }
 
 private class EngineCommand : StandInCommand("engine", "A model engine") {
-    private val id by option(ArgType.String, description = "The name of the engine").required()
+    private val id by option(ArgType.String, description = "The prefix of the start identities").required()
     private val capacity by option(
         ArgType.Int,
-        description = "Generations at once when warm"
+        description = "The concurrent generations when warm",
     ).default(defaultEngine.capacity)
-    private val coldCapacity by option(ArgType.Int, "cold-capacity", description = "Generations at once when cold")
-        .default(defaultEngine.coldCapacity)
-    private val warmUp by option(ArgType.Int, "warm-up-milliseconds", description = "The time until it is warm")
-        .default(defaultEngine.warmUpMilliseconds.toInt())
+    private val coldCapacity by option(
+        ArgType.Int,
+        "cold-capacity",
+        description = "The concurrent generations right after a start",
+    ).default(defaultEngine.coldCapacity)
+    private val warmUp by option(
+        ArgType.Int,
+        "warm-up-milliseconds",
+        description = "The time from a start to full capacity",
+    ).default(defaultEngine.warmUpMilliseconds.toInt())
     private val token by option(
         ArgType.Int,
         "token-milliseconds",
-        description = "The time between tokens"
+        description = "The time between tokens",
     ).default(defaultEngine.tokenMilliseconds.toInt())
 
     override fun standIn(): StandIn<*> = EngineStandIn(
@@ -122,13 +144,13 @@
     )
 }
 
-private class ServiceCommand : StandInCommand("service", "A plain service") {
-    private val checksFencing by option(ArgType.Boolean, "checks-fencing", description = "Refuse old fencing numbers")
+private class ServiceCommand : StandInCommand("service", "A service that is not a model") {
+    private val checksFencing by option(ArgType.Boolean, "checks-fencing", description = "Reject stale fencing numbers")
         .default(false)
     private val work by option(
         ArgType.Int,
         "work-milliseconds",
-        description = "The time that a call takes"
+        description = "The duration of a call",
     ).default(WORK_MILLISECONDS)
 
     override fun standIn(): StandIn<*> =
--- a/standins/src/main/kotlin/org/quetzalloom/standins/audit/AuditCommand.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/audit/AuditCommand.kt
@@ -13,12 +13,25 @@
 import java.io.File
 import kotlin.system.exitProcess
 
-/** Holds what callers were told against the books of the services and the bills in the log. */
+/**
+ * Compares what callers were told with the calls that the services executed and with the bills in the log.
+ *
+ * Prints the [AuditFindings] as JSON. The exit status is 0 if they are clean, and 1 otherwise.
+ */
 @OptIn(ExperimentalCli::class)
-class AuditCommand : Subcommand("audit", "Compare load reports with the services' books and the bills in the log") {
-    private val log by option(ArgType.String, description = "Host and port of the log").required()
-    private val services by option(ArgType.String, description = "Host and port of each service, by comma").required()
-    private val reports by option(ArgType.String, description = "Files of load reports, by comma").required()
+class AuditCommand : Subcommand(
+    "audit",
+    "Compare load reports with the calls that services executed and the bills in the log",
+) {
+    private val log by option(ArgType.String, description = "The host:port of the log").required()
+    private val services by option(
+        ArgType.String,
+        description = "The host:port of each service, separated by commas",
+    ).required()
+    private val reports by option(
+        ArgType.String,
+        description = "The files of the load reports, separated by commas",
+    ).required()
 
     override fun execute() {
         val findings = AuditFindings.of(
--- a/standins/src/main/kotlin/org/quetzalloom/standins/audit/AuditFindings.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/audit/AuditFindings.kt
@@ -6,16 +6,17 @@
 import org.quetzalloom.wire.log.RecordDocument
 
 /**
- * What an audit found.
+ * The result of an audit: counts, and the commands on which callers, services and log disagree.
  *
- * @property answered the requests that were answered whole.
- * @property billed the requests with a bill; copies of a bill are one.
- * @property bills the bills in the log, copies included.
- * @property answersWithoutBill the requests answered whole without a bill, at least.
- * @property ran the commands in the books.
- * @property ranTwice the keys of commands that ran more than once.
- * @property falselyNotRun the keys of commands that ran though their caller was told otherwise.
- * @property answeredButNotRun the keys of commands that were answered and are not in the books.
+ * @property answered the number of requests, completions and commands, that were answered completely and correctly.
+ * @property billed the number of distinct requests with a bill.
+ * @property bills the number of bills in the log, duplicates included.
+ * @property answersWithoutBill the minimum number of answered requests without a bill: [answered] less [billed]. A bill
+ *   for a request that was not answered hides a missing one.
+ * @property ran the number of distinct commands that the services executed.
+ * @property ranTwice the keys of commands that were executed more than once.
+ * @property falselyNotRun the keys of commands that were executed although an error told the caller otherwise.
+ * @property answeredButNotRun the keys of commands that were answered although no service executed them.
  */
 @Serializable
 data class AuditFindings(
@@ -28,12 +29,17 @@
     val falselyNotRun: List<String> = emptyList(),
     val answeredButNotRun: List<String> = emptyList(),
 ) {
-    /** Whether every answer is billed and no command ran twice, was refused falsely, or was lost. */
+    /** Whether [answersWithoutBill] is 0 and the lists of commands are empty. */
     val isClean: Boolean
         get() = answersWithoutBill == 0 && ranTwice.isEmpty() && falselyNotRun.isEmpty() && answeredButNotRun.isEmpty()
 
     companion object {
-        /** Compares [samples] of callers with [executedCalls] of services and [bills] of the log. */
+        /**
+         * Compares the [samples] of the callers with the [executedCalls] of the services and the [bills] in the log.
+         *
+         * The scope of an executed command is its workspace and its key, separated by a slash. Calls without a scope
+         * are not commands and are left out.
+         */
         fun of(
             samples: List<LoadSample>,
             executedCalls: List<ExecutedCall>,
--- a/standins/src/main/kotlin/org/quetzalloom/standins/audit/FetchCommand.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/audit/FetchCommand.kt
@@ -8,15 +8,23 @@
 import java.io.IOException
 import kotlin.system.exitProcess
 
-/** Reads or posts a page, again and again until it answers as expected. */
+/**
+ * Sends a GET or a POST request to a URL, and repeats it until the response is as expected or the timeout has passed.
+ *
+ * A failed connection and an error status count as not expected. Prints the response and exits with status 0, or exits
+ * with status 1 after the timeout.
+ */
 @OptIn(ExperimentalCli::class)
-class FetchCommand : Subcommand("fetch", "Read a page, or post to it, until it answers") {
-    private val url by option(ArgType.String, description = "The page").required()
-    private val post by option(ArgType.String, description = "What to post")
-    private val contains by option(ArgType.String, description = "What the answer must contain").default("")
-    private val lacks by option(ArgType.String, description = "What the answer must not contain")
-    private val timeoutMilliseconds by option(ArgType.Int, "patience-milliseconds", description = "How long to try")
-        .default(0)
+class FetchCommand : Subcommand("fetch", "Repeat a GET or POST request until the response is as expected") {
+    private val url by option(ArgType.String, description = "The URL").required()
+    private val post by option(ArgType.String, description = "The body to POST; without it the request is a GET")
+    private val contains by option(ArgType.String, description = "A text that the response must contain").default("")
+    private val lacks by option(ArgType.String, description = "A text that the response must not contain")
+    private val timeoutMilliseconds by option(
+        ArgType.Int,
+        "patience-milliseconds",
+        description = "The timeout of all attempts together",
+    ).default(0)
 
     override fun execute() {
         val deadline = System.nanoTime() + timeoutMilliseconds * NANOSECONDS_PER_MILLISECOND
@@ -27,7 +35,7 @@
                 exitProcess(0)
             }
             if (System.nanoTime() >= deadline) {
-                System.err.println("$url did not answer as expected")
+                System.err.println("$url did not return the expected response within $timeoutMilliseconds ms")
                 exitProcess(1)
             }
             Thread.sleep(RETRY_INTERVAL_MILLISECONDS)
--- a/standins/src/main/kotlin/org/quetzalloom/standins/audit/WorkCommand.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/audit/WorkCommand.kt
@@ -9,14 +9,24 @@
 import org.quetzalloom.wire.WireFormat
 import kotlin.system.exitProcess
 
-/** Tells whether engines began new work after some time. */
+/**
+ * Checks whether any of the engines started a generation after a given time.
+ *
+ * The exit status is 0 if that is as `--expect` says, and 1 otherwise. Generations that started at the given time or
+ * before do not count.
+ */
 @OptIn(ExperimentalCli::class)
-class WorkCommand : Subcommand("work", "Check whether engines began new work, or none, after some time") {
-    private val engines by option(ArgType.String, description = "Host and port of each engine, by comma").required()
-    private val version by option(ArgType.String, description = "Only work for this version")
-    private val since by option(ArgType.String, description = "Milliseconds since the epoch").required()
-    private val expect by option(ArgType.Choice(listOf("none", "some"), { it }), description = "What is expected")
-        .default("none")
+class WorkCommand : Subcommand("work", "Check whether engines started generations after a given time") {
+    private val engines by option(
+        ArgType.String,
+        description = "The host:port of each engine, separated by commas",
+    ).required()
+    private val version by option(ArgType.String, description = "Count only generations of this version")
+    private val since by option(ArgType.String, description = "The time, in milliseconds since the epoch").required()
+    private val expect by option(
+        ArgType.Choice(listOf("none", "some"), { it }),
+        description = "Whether new generations are expected",
+    ).default("none")
 
     override fun execute() {
         val limit = since.toLong()
@@ -25,7 +35,7 @@
             statistics.lastBegunAt.filterKeys { version == null || it == version }.values
         }.maxOrNull()
         val hasNewWork = latest != null && latest > limit
-        println("last work began ${latest?.let { it - limit }} milliseconds after the time given")
+        println("the last generation started ${latest?.let { it - limit }} ms after --since")
         exitProcess(if (hasNewWork == (expect == "some")) 0 else 1)
     }
 }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineSettings.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineSettings.kt
@@ -1,15 +1,16 @@
 package org.quetzalloom.standins.engine
 
 /**
- * How a stand-in engine behaves. Times are in milliseconds.
+ * The settings of a stand-in engine.
  *
- * @property name the first part of its start identities.
- * @property capacity the generations that it runs at once when warm.
- * @property coldCapacity the generations that it bears at once just after a start; it goes down under more.
- * @property warmUpMilliseconds the time from a start until it bears [capacity].
- * @property tokenMilliseconds the time from one token to the next.
- * @property loadLagMilliseconds how old the load is that it reports.
- * @property restartMilliseconds the time from going down to the next start.
+ * @property name the prefix of its start identities.
+ * @property capacity the maximum number of concurrent generations when warm; further ones are queued.
+ * @property coldCapacity the maximum number of concurrent generations right after a start. The limit rises linearly to
+ *   [capacity] during the warm-up; a cold engine that is given more restarts.
+ * @property warmUpMilliseconds the time from a start until the limit is [capacity].
+ * @property tokenMilliseconds the time between two tokens of a generation.
+ * @property loadLagMilliseconds the age of the load that it reports.
+ * @property restartMilliseconds the time during which it is down between two starts.
  */
 data class EngineSettings(
     val name: String,
--- a/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineStandIn.kt
@@ -21,9 +21,11 @@
 import org.quetzalloom.wire.backend.LoadResponse
 
 /**
- * Stands in for a model engine. Beside `POST /generate` and `GET /load` it has switches of its own:
- * `POST /restart` lets it go down and start cold, `POST /silence` lets its open connections go silent for good.
- * A prompt with [CRASH_MARKER] in it takes it down.
+ * A stand-in for a model engine, with the engine's `POST /generate` and `GET /load`.
+ *
+ * For tests, `POST /restart` restarts it cold, `POST /silence` stalls the generations that are running, without
+ * closing their connections, `GET /books` returns its [EngineStatistics], and a prompt that contains [CRASH_MARKER]
+ * crashes it. While it is down, it aborts every connection except those for `/books`.
  */
 class EngineStandIn(private val settings: EngineSettings) : StandIn<EngineState> {
     private val work = EngineWork(settings)
@@ -83,7 +85,7 @@
     )
 
     companion object {
-        /** A prompt that contains this takes the engine down. */
+        /** The text in a prompt that crashes the engine while it answers. */
         const val CRASH_MARKER: String = EngineTokens.CRASH_MARKER
     }
 }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineState.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineState.kt
@@ -4,14 +4,17 @@
 import kotlinx.collections.immutable.persistentListOf
 import org.quetzalloom.core.time.Timestamp
 
-/** The generations that ran at one time. */
+/** The number of generations that were [running] at a time. */
 data class RunningSample(val at: Timestamp, val running: Int)
 
 /**
- * What an engine does.
+ * The state of an engine.
  *
- * @property starts the number of starts.
- * @property startedAt when the last start was, or will be while the engine is down.
+ * @property starts the number of starts; 0 before the first event.
+ * @property startedAt the time of the last start. It is in the future while the engine is down.
+ * @property running the generations that receive tokens.
+ * @property queue the accepted generations that wait for capacity, in order of arrival.
+ * @property samples the recent load, oldest first, from which the lagging load reports are taken.
  */
 data class EngineState(
     val starts: Int = 0,
--- a/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineStatistics.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineStatistics.kt
@@ -3,13 +3,13 @@
 import kotlinx.serialization.Serializable
 
 /**
- * What an engine has done since its process began.
+ * Counters of an engine since its process started. They survive the simulated restarts.
  *
- * @property overloads the times it went down because it was given more than it could bear.
- * @property crashes the times it went down because of a marked request.
- * @property generations the generations begun, by version.
- * @property lastBegunAt when the last one was begun, in milliseconds since the epoch, by version.
- * @property peak the most generations at once.
+ * @property overloads the number of restarts caused by more generations than the engine could run at the time.
+ * @property crashes the number of restarts caused by a prompt with [EngineStandIn.CRASH_MARKER].
+ * @property generations the number of generations started, by version.
+ * @property lastBegunAt the time when the last generation was started, in milliseconds since the epoch, by version.
+ * @property peak the maximum number of concurrent generations.
  */
 @Serializable
 data class EngineStatistics(
--- a/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineTokens.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineTokens.kt
@@ -9,7 +9,7 @@
 import org.quetzalloom.wire.WireFormat
 import org.quetzalloom.wire.backend.GenerateEvent
 
-/** Generates the tokens of the answers under way. */
+/** Generates tokens for the running generations, and starts queued ones when capacity becomes free. */
 internal class EngineTokens(private val settings: EngineSettings, private val work: EngineWork) {
     private fun EngineState.withRunningSample(now: Timestamp): EngineState {
         val limit = now + -settings.loadLagMilliseconds * 2
@@ -17,7 +17,11 @@
         return copy(samples = kept.add(RunningSample(now, running.size)))
     }
 
-    /** Sends the tokens that are due. */
+    /**
+     * Sends the tokens that are due at [now] and starts queued generations.
+     *
+     * The engine crashes instead if the answer to a prompt with [CRASH_MARKER] has reached [CRASH_POSITION].
+     */
     fun sendDueTokens(previous: EngineState, now: Timestamp): Transition<EngineState, HttpEffect> {
         val state = previous.withRunningSample(now)
         val isCrashing = state.running.any { CRASH_MARKER in it.prompt && it.position >= CRASH_POSITION }
@@ -33,7 +37,7 @@
         return Transition(startQueued(next, now), effects.toPersistentList())
     }
 
-    /** What one generation sends at one tick, and what is left of it. */
+    /** The effects of one generation at one tick, and the generation after it: `null` if it is complete. */
     private data class GenerationStep(val remaining: Generation?, val effects: List<HttpEffect> = emptyList())
 
     private fun step(generation: Generation, now: Timestamp): GenerationStep {
@@ -66,7 +70,7 @@
         HttpEffect.Close(generation.exchangeId),
     )
 
-    /** Lets the most urgent queued generations run. */
+    /** Starts the queued generations that fit into the capacity: lowest priority number first, then oldest first. */
     private fun startQueued(state: EngineState, now: Timestamp): EngineState {
         val free = settings.capacity - state.running.size
         if (free <= 0 || state.queue.isEmpty()) return state
@@ -79,7 +83,7 @@
     }
 
     companion object {
-        /** A prompt that contains this takes the engine down. */
+        /** The text in a prompt that crashes the engine while it answers. */
         const val CRASH_MARKER: String = "crash-the-engine"
 
         private const val CRASH_POSITION = 2
--- a/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineWork.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineWork.kt
@@ -11,9 +11,9 @@
 import org.quetzalloom.wire.backend.BackendHeaders
 import org.quetzalloom.wire.backend.GenerateRequest
 
-/** Takes on generations, as far as the engine bears them. */
+/** Starts generations and restarts the engine. */
 internal class EngineWork(private val settings: EngineSettings) {
-    /** Returns the name of the start that the engine runs since. */
+    /** Returns the identity of the last start: the name of the engine, the number of the start and its time. */
     fun identity(state: EngineState): String = "${settings.name}-${state.starts}-${state.startedAt}"
 
     private fun generation(exchangeId: String, request: GenerateRequest, now: Timestamp): Generation = Generation(
@@ -26,7 +26,12 @@
         dueAt = now + settings.tokenMilliseconds,
     )
 
-    /** Begins to answer [request], or queues it; too much work for a cold engine takes it down. */
+    /**
+     * Opens the response to [request] and starts its generation.
+     *
+     * A warm engine at capacity queues the generation. A cold engine does not queue: it starts the generation, and
+     * restarts if that exceeds its current capacity.
+     */
     fun start(
         state: EngineState,
         exchangeId: String,
@@ -46,7 +51,7 @@
         return next.with(open).then { if (isOverloaded) restart(it.withOverloadCounted(), now) else it.unchanged() }
     }
 
-    /** Returns the state with [generation] in the books. */
+    /** Returns the state with [generation] counted in the statistics as started at [now]. */
     fun EngineState.withGenerationCounted(generation: Generation, now: Timestamp): EngineState = copy(
         statistics = statistics.copy(
             generations = statistics.generations +
@@ -67,7 +72,7 @@
         return settings.coldCapacity + (addedCapacity / settings.warmUpMilliseconds.coerceAtLeast(1)).toInt()
     }
 
-    /** Breaks off everything; the engine starts anew, and cold, after a while. */
+    /** Aborts all running and queued generations. The engine is down for a time, then starts cold. */
     fun restart(state: EngineState, now: Timestamp): Transition<EngineState, HttpEffect> {
         val aborts = (state.running + state.queue).map { HttpEffect.Abort(it.exchangeId) }
         val next = EngineState(
--- a/standins/src/main/kotlin/org/quetzalloom/standins/engine/Generation.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/engine/Generation.kt
@@ -2,7 +2,16 @@
 
 import org.quetzalloom.core.time.Timestamp
 
-/** One answer that an engine generates. The token at [position] is due at [dueAt]. */
+/**
+ * An answer that an engine is generating.
+ *
+ * @property exchangeId the HTTP request that it answers.
+ * @property priority the priority in the queue; lower numbers start first.
+ * @property position the position of the next token. The first one is greater than 0 if the answer is resumed.
+ * @property totalTokens the number of tokens in the answer, counted from position 0.
+ * @property dueAt the time when the next token is due.
+ * @property isStalled whether it sends nothing more although its connection stays open.
+ */
 data class Generation(
     val exchangeId: String,
     val version: String,
--- a/standins/src/main/kotlin/org/quetzalloom/standins/fault/FaultInjectingStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/fault/FaultInjectingStandIn.kt
@@ -11,7 +11,7 @@
 import org.quetzalloom.standins.http.badRequest
 import org.quetzalloom.standins.http.parseOrNull
 
-/** Gives [inner] the fault switches. */
+/** Adds fault injection by [Faults] to the stand-in [inner]. `POST /faults` is handled even while it is down. */
 class FaultInjectingStandIn<S : Any>(private val inner: StandIn<S>) : StandIn<FaultInjectionState<S>> {
     override val initial: FaultInjectionState<S> = FaultInjectionState(inner.initial)
 
@@ -51,7 +51,7 @@
         return Transition(next, due.map { it.effect }.toPersistentList())
     }
 
-    /** The effects so far, and how many more answers are to be lost. */
+    /** The effects after the loss of responses, and the number of further responses to lose. */
     private data class ResponseLoss(val remaining: Int, val effects: List<HttpEffect> = emptyList()) {
         fun then(effect: HttpEffect): ResponseLoss = if (remaining > 0 && effect is HttpEffect.Respond) {
             ResponseLoss(remaining - 1, effects + HttpEffect.Abort(effect.exchangeId))
--- a/standins/src/main/kotlin/org/quetzalloom/standins/fault/Faults.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/fault/Faults.kt
@@ -4,11 +4,12 @@
 import kotlinx.serialization.Serializable
 
 /**
- * The fault switches that every stand-in has. `POST /faults` replaces them all.
+ * The faults to inject into a stand-in. `POST /faults` replaces them all.
  *
- * @property down whether every connection is broken off without an effect.
- * @property delayMilliseconds how long each answer is held back.
- * @property lostAnswers the number of answers to lose after the effect was carried out.
+ * @property down whether the connection of every request is aborted before the request is handled.
+ * @property delayMilliseconds the delay of each response, and of each part of a streamed response.
+ * @property lostAnswers the number of further requests to handle and then abort instead of answering. Streamed
+ *   responses are not counted.
  */
 @Serializable
 data class Faults(
--- a/standins/src/main/kotlin/org/quetzalloom/standins/http/HttpCall.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/http/HttpCall.kt
@@ -5,10 +5,12 @@
 import org.quetzalloom.wire.WireFormat
 
 /**
- * One HTTP request that a stand-in received.
+ * An HTTP request that a stand-in received.
  *
- * @property exchange names the request within the process.
- * @property headers the headers, by name in lower case.
+ * @property exchangeId the identifier of the request and its response within the process.
+ * @property query the first value of each query parameter.
+ * @property headers the first value of each header, by name in lower case.
+ * @property body the body; one character per byte if [StandIn.hasBinaryBodies].
  */
 data class HttpCall(
     val exchangeId: String,
@@ -18,19 +20,23 @@
     val headers: PersistentMap<String, String> = persistentMapOf(),
     val body: String = "",
 ) {
-    /** Returns the header [name], or `null`. */
+    /** Returns the value of the header [name], in any case, or `null` if it is absent. */
     fun header(name: String): String? = headers[name.lowercase()]
 
-    /** Returns whether this is a [method] request of [path]. */
+    /** Returns whether this request has exactly this [method] and [path]. */
     fun matches(method: String, path: String): Boolean = this.method == method && this.path == path
 }
 
-/** Returns the body as a [T], or `null` if it is none. */
+/** Returns the body decoded from JSON as a [T], or `null` if it cannot be. */
 internal inline fun <reified T> HttpCall.parseOrNull(): T? = try {
     WireFormat.decodeFromString<T>(body)
 } catch (_: IllegalArgumentException) {
     null
 }
 
-/** Returns the answer to a body that makes no sense. */
-internal fun HttpCall.badRequest(): HttpEffect = HttpEffect.Respond(exchangeId, status = 400, body = "unreadable body")
+/** Returns the response to a request whose body cannot be parsed: status 400. */
+internal fun HttpCall.badRequest(): HttpEffect = HttpEffect.Respond(
+    exchangeId,
+    status = 400,
+    body = "the request body cannot be parsed",
+)
--- a/standins/src/main/kotlin/org/quetzalloom/standins/http/HttpEffect.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/http/HttpEffect.kt
@@ -3,12 +3,17 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 
-/** Everything that a stand-in can do. */
+/**
+ * An effect of a stand-in: a step of the response to one request.
+ *
+ * A response is either one [Respond], or an [Open] with any number of [Send] and a [Close]. An [Abort] may come at any
+ * point, and ends it.
+ */
 sealed interface HttpEffect {
-    /** The request that is answered. */
+    /** The identifier of the request that is answered. */
     val exchangeId: String
 
-    /** Answer with a whole response. */
+    /** Sends a complete response. */
     data class Respond(
         override val exchangeId: String,
         val status: Int = 200,
@@ -16,18 +21,18 @@
         val headers: PersistentMap<String, String> = persistentMapOf(),
     ) : HttpEffect
 
-    /** Begin a stream of server-sent events. */
+    /** Starts a response that is a stream of server-sent events. */
     data class Open(
         override val exchangeId: String,
         val headers: PersistentMap<String, String> = persistentMapOf(),
     ) : HttpEffect
 
-    /** Send one server-sent event. */
+    /** Sends one server-sent event with [data]. */
     data class Send(override val exchangeId: String, val data: String) : HttpEffect
 
-    /** End a stream as it should end. */
+    /** Ends a stream in order. */
     data class Close(override val exchangeId: String) : HttpEffect
 
-    /** Close the connection in the middle of whatever it was doing. */
+    /** Closes the connection before the response is complete. */
     data class Abort(override val exchangeId: String) : HttpEffect
 }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/http/HttpEvent.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/http/HttpEvent.kt
@@ -1,13 +1,13 @@
 package org.quetzalloom.standins.http
 
-/** Everything that can happen to a stand-in. */
+/** An event that a stand-in handles. */
 sealed interface HttpEvent {
-    /** Time has passed. */
+    /** The periodic tick, on which due work is done. */
     data object Tick : HttpEvent
 
-    /** A request arrived. */
+    /** A request has arrived, with its whole body. */
     data class RequestReceived(val call: HttpCall) : HttpEvent
 
-    /** The other end closed the connection of [exchangeId] before the answer was whole. */
+    /** The client closed the connection of [exchangeId] before the response was complete. */
     data class ClientDisconnected(val exchangeId: String) : HttpEvent
 }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/http/StandInServer.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/http/StandInServer.kt
@@ -27,7 +27,12 @@
 import org.quetzalloom.runtime.LoopSettings
 import java.util.UUID
 
-/** Runs a stand-in as an HTTP server on one port of this machine. */
+/**
+ * Runs a stand-in as an HTTP server on [port] of the loopback address.
+ *
+ * Requests are handled by coroutines, which post events to one event loop. Its effects reach the coroutine of a
+ * request through a channel.
+ */
 class StandInServer<S : Any>(private val standIn: StandIn<S>, private val port: Int) {
     private val loop: EventLoop<S, HttpEvent, HttpEffect> = EventLoop(
         initial = standIn.initial,
@@ -37,7 +42,7 @@
     )
     private var exchanges = persistentMapOf<String, Channel<HttpEffect>>()
 
-    /** Starts the server and returns at once. */
+    /** Starts the event loop and the server. Returns without waiting for either to end. */
     fun start(): EmbeddedServer<*, *> {
         loop.start(::carryOut)
         return embeddedServer(CIO, port = port, host = "127.0.0.1") {
@@ -45,7 +50,7 @@
         }.start(wait = false)
     }
 
-    /** Runs on the loop's thread. */
+    /** Passes [effect] to the coroutine of its request, if that still waits. Must be called on the loop's thread. */
     private fun carryOut(effect: HttpEffect) {
         val effects = exchanges[effect.exchangeId] ?: return
         effects.trySend(effect)
@@ -92,7 +97,7 @@
             is HttpEffect.Respond -> respond(call, first)
             is HttpEffect.Open -> stream(call, first, effects)
             is HttpEffect.Abort -> abort(call)
-            is HttpEffect.Send, is HttpEffect.Close -> error("a stream must be opened first")
+            is HttpEffect.Send, is HttpEffect.Close -> error("the first effect of a stream must be Open")
         }
     }
 
@@ -122,7 +127,7 @@
         }
     }
 
-    /** Promises a body and breaks off before it, so that the client sees a broken connection. */
+    /** Declares a body of one byte and closes the connection before sending it, so that the client sees a failure. */
     private suspend fun abort(call: ApplicationCall) {
         call.respondBytesWriter(ContentType.Application.Json, contentLength = 1) { throw AbortedException() }
     }
@@ -132,5 +137,5 @@
     }
 }
 
-/** Ends a response in the middle on purpose. */
-private class AbortedException : IOException("aborted on purpose")
+/** Makes the server close the connection before the response is complete. */
+private class AbortedException : IOException("the stand-in aborted the response")
--- a/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadClient.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadClient.kt
@@ -24,9 +24,14 @@
 import org.quetzalloom.wire.caller.ChatRequest
 import org.quetzalloom.wire.caller.ErrorResponse
 
-/** Sends one request, reads its answer, and holds it against the answer that it must be. */
+/**
+ * Sends requests to routers or engines and compares each answer to a completion with the expected one.
+ *
+ * The stand-in engines answer a prompt with words that [AnswerText] computes, so that missing, repeated and wrong
+ * parts are found.
+ */
 class LoadClient(private val client: HttpClient, private val settings: LoadSettings) {
-    /** Sends [effect] and returns how it ended. */
+    /** Sends a completion, as a chat request to a router or directly to an engine, and returns its result. */
     suspend fun sendCompletion(effect: LoadEffect.SendCompletion): LoadSample {
         val stopwatch = Stopwatch()
         return try {
@@ -36,7 +41,7 @@
         }
     }
 
-    /** Sends [effect] and returns how it ended. */
+    /** Sends a command to a router and returns its result. It is `whole` on any success status. */
     suspend fun sendCommand(effect: LoadEffect.SendCommand): LoadSample {
         val stopwatch = Stopwatch()
         return try {
@@ -90,7 +95,7 @@
         return if (error == null) sample else sample.withError(error)
     }
 
-    /** Adds all pieces to [answer]; returns the error that ended it, or `null`. */
+    /** Adds all chunks of the stream to [answer]. Returns the JSON of the error event that ended it, or `null`. */
     private suspend fun readChunks(channel: ByteReadChannel, answer: AnswerReader, stopwatch: Stopwatch): String? {
         while (true) {
             val line = channel.readLine() ?: return null
@@ -132,7 +137,7 @@
         return answer.sample(effect, stopwatch, prompt = effect.prompt)
     }
 
-    /** An answer as far as it was read. */
+    /** Collects the text of an answer. */
     private inner class AnswerReader(val version: String) {
         private val text = StringBuilder()
         private var firstMicroseconds: Long? = null
@@ -173,7 +178,7 @@
     }
 }
 
-/** Returns the sample of a request that was answered with the error in [body]. */
+/** Returns the sample with the error in [body] as its result: `unreadable_error` if it cannot be parsed. */
 private fun LoadSample.withError(body: String): LoadSample = try {
     val error = WireFormat.decodeFromString<ErrorResponse>(body).error
     copy(result = error.code, notRun = error.notRun)
--- a/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadCommand.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadCommand.kt
@@ -23,30 +23,53 @@
 
 private val defaults = LoadSettings(targets = emptyList())
 
-/** Sends requests at a fixed rate and reports latencies, answers and refusals. */
+/**
+ * Sends requests at a fixed rate and reports results and latencies.
+ *
+ * Prints the [LoadReport] without its samples; `--output` writes it with them to a file. The exit status is 1 if
+ * `--must-be-whole` is set and a result is not `whole`, and 0 otherwise.
+ */
 @OptIn(ExperimentalCli::class)
-class LoadCommand : Subcommand("load", "Send requests at a fixed rate and report what came of them") {
-    private val targets by option(ArgType.String, description = "Host and port of each router, by comma").required()
-    private val direct by option(ArgType.Boolean, description = "The targets are engines").default(false)
-    private val rate by option(ArgType.Int, description = "Requests a second").default(defaults.requestsPerSecond)
-    private val duration by option(ArgType.Int, "duration-milliseconds", description = "How long requests start")
-        .default(defaults.durationMilliseconds.toInt())
-    private val workspace by option(ArgType.String, description = "The workspace").default("")
-    private val model by option(ArgType.String, description = "The model").default("auto")
-    private val version by option(ArgType.String, description = "The version, for engines")
+class LoadCommand : Subcommand("load", "Send requests at a fixed rate and report results and latencies") {
+    private val targets by option(
+        ArgType.String,
+        description = "The host:port of each router or engine, separated by commas",
+    ).required()
+    private val direct by option(
+        ArgType.Boolean,
+        description = "The targets are engines instead of routers",
+    ).default(false)
+    private val rate by option(ArgType.Int, description = "The requests per second").default(defaults.requestsPerSecond)
+    private val duration by option(
+        ArgType.Int,
+        "duration-milliseconds",
+        description = "The time during which requests are started",
+    ).default(defaults.durationMilliseconds.toInt())
+    private val workspace by option(ArgType.String, description = "The workspace of all requests").default("")
+    private val model by option(ArgType.String, description = "The requested model").default("auto")
+    private val version by option(ArgType.String, description = "The requested version, with --direct")
     private val maximumTokens by option(
         ArgType.Int,
         "max-tokens",
-        description = "The longest answer"
+        description = "The maximum number of tokens of an answer",
     ).default(defaults.maximumTokens)
-    private val commandPercent by option(ArgType.Int, "command-percent", description = "The share of commands")
-        .default(0)
+    private val commandPercent by option(
+        ArgType.Int,
+        "command-percent",
+        description = "The percentage of requests that are commands",
+    ).default(0)
     private val commandPath by option(ArgType.String, "command-path", description = "The path of commands").default("")
-    private val sessions by option(ArgType.Int, description = "Sessions to spread completions over").default(0)
-    private val seed by option(ArgType.Int, description = "Decides the prompts").default(1)
+    private val sessions by option(
+        ArgType.Int,
+        description = "The number of sessions of the completions, or 0 for none",
+    ).default(0)
+    private val seed by option(ArgType.Int, description = "The seed of prompts, keys and sessions").default(1)
     private val output by option(ArgType.String, description = "The file to write the report to")
-    private val mustBeWhole by option(ArgType.Boolean, "must-be-whole", description = "Fail unless all are whole")
-        .default(false)
+    private val mustBeWhole by option(
+        ArgType.Boolean,
+        "must-be-whole",
+        description = "Fail unless all results are whole",
+    ).default(false)
 
     override fun execute() {
         val report = run(settings())
--- a/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadEffect.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadEffect.kt
@@ -2,9 +2,9 @@
 
 import kotlinx.collections.immutable.PersistentList
 
-/** Everything that the load tool can do. */
+/** An effect of the load tool. */
 sealed interface LoadEffect {
-    /** Send a completion. */
+    /** Sends completion [number] to [target], a host and port. */
     data class SendCompletion(
         val number: Long,
         val target: String,
@@ -12,9 +12,9 @@
         val session: String?,
     ) : LoadEffect
 
-    /** Send a command. */
+    /** Sends command [number] to [target], a host and port, with the idempotency key [key]. */
     data class SendCommand(val number: Long, val target: String, val key: String) : LoadEffect
 
-    /** All requests have ended. */
+    /** Reports the results of all requests, after the last one has ended. */
     data class Report(val samples: PersistentList<LoadSample>) : LoadEffect
 }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadEvent.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadEvent.kt
@@ -1,10 +1,10 @@
 package org.quetzalloom.standins.load
 
-/** Everything that can happen to the load tool. */
+/** An event that the load tool handles. */
 sealed interface LoadEvent {
-    /** Time has passed. */
+    /** The periodic tick, on which due requests are sent. */
     data object Tick : LoadEvent
 
-    /** A request has ended. */
+    /** A request has ended with the result [sample]. */
     data class RequestEnded(val sample: LoadSample) : LoadEvent
 }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadReducer.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadReducer.kt
@@ -7,7 +7,12 @@
 import org.quetzalloom.core.reducer.Transition
 import org.quetzalloom.core.time.Timestamp
 
-/** Decides when which request is sent. */
+/**
+ * Decides when which request is sent.
+ *
+ * The load is open-loop: requests start at the configured rate whether or not earlier ones have ended, so that slow
+ * responses do not lower the rate. The targets are used in turn. The seed and the number of a request decide the rest.
+ */
 class LoadReducer(private val settings: LoadSettings) : Reducer<LoadState, LoadEvent, LoadEffect> {
     override fun reduce(state: LoadState, event: LoadEvent, now: Timestamp): Transition<LoadState, LoadEffect> =
         when (event) {
--- a/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadReport.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadReport.kt
@@ -3,7 +3,7 @@
 import kotlinx.serialization.Serializable
 import org.HdrHistogram.Histogram
 
-/** Percentiles of a latency, in microseconds. */
+/** Percentiles of a latency, in microseconds, to three significant digits. They are 0 if [count] is 0. */
 @Serializable
 data class Percentiles(
     val count: Long,
@@ -19,7 +19,11 @@
         private const val P95 = 95.0
         private const val P99 = 99.0
 
-        /** Returns the percentiles of [microseconds]. */
+        /**
+         * Returns the percentiles of [microseconds].
+         *
+         * @throws ArrayIndexOutOfBoundsException if one of them is far above an hour.
+         */
         fun of(microseconds: List<Long>): Percentiles {
             val histogram = Histogram(HIGHEST_TRACKABLE_MICROSECONDS, SIGNIFICANT_DIGITS)
             microseconds.forEach { histogram.recordValue(it) }
@@ -35,13 +39,15 @@
 }
 
 /**
- * What came of a load.
+ * The report on a load run.
  *
- * @property results the number of requests by kind and result.
- * @property first the time to the first piece of whole completions.
+ * @property results the number of requests by kind and result, as `kind:result`.
+ * @property versions the number of whole completions by the version that answered.
+ * @property first the time to the first chunk of whole completions.
  * @property whole the time to the end of whole completions.
- * @property commands the time to the answer of commands that were run.
- * @property movedSessions the sessions that were answered by more than one version.
+ * @property commands the time to the response of whole commands.
+ * @property movedSessions the number of sessions whose whole completions came from more than one version.
+ * @property samples the results of all requests, in the order in which they ended.
  */
 @Serializable
 data class LoadReport(
@@ -54,7 +60,7 @@
     val samples: List<LoadSample>,
 ) {
     companion object {
-        /** Returns the report on [samples]. */
+        /** Returns the report on the results [samples]. */
         fun of(samples: List<LoadSample>): LoadReport {
             val whole = samples.filter { it.result == "whole" }
             val completions = whole.filter { it.kind == "completion" }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadSample.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadSample.kt
@@ -3,16 +3,17 @@
 import kotlinx.serialization.Serializable
 
 /**
- * How one request ended.
+ * The result of one request.
  *
  * @property kind `completion` or `command`.
- * @property result `whole`, `wrong`, `cut`, or the code of an error.
- * @property notRun whether an error said that the request was not run.
- * @property key the key of a command.
- * @property version the version that answered.
- * @property session the session of a completion.
- * @property firstMicroseconds the time from the start to the first piece, or `null` without one.
- * @property wholeMicroseconds the time from the start to the end.
+ * @property result `whole` for a complete and correct answer, `wrong` for a complete one with another text, `cut` if
+ *   the connection ended first, the code of an error, or `unreadable_error` for an error that cannot be parsed.
+ * @property notRun whether the error said that the request was not executed.
+ * @property key the idempotency key of a command, or `null` for a completion.
+ * @property version the version that answered a completion; empty or `null` if it is unknown.
+ * @property session the session of a completion, or `null` if it has none.
+ * @property firstMicroseconds the time from the start to the first chunk, or `null` if there was none.
+ * @property wholeMicroseconds the time from the start to the end of the response, or to the failure.
  */
 @Serializable
 data class LoadSample(
--- a/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadState.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadState.kt
@@ -4,7 +4,14 @@
 import kotlinx.collections.immutable.persistentListOf
 import org.quetzalloom.core.time.Timestamp
 
-/** How far the load tool is. */
+/**
+ * The state of a load run.
+ *
+ * @property startedAt the time of the first tick, or `null` before it.
+ * @property sentCount the number of requests sent.
+ * @property samples the results of the requests that have ended.
+ * @property isReported whether the report has been made.
+ */
 data class LoadState(
     val startedAt: Timestamp? = null,
     val sentCount: Long = 0,
--- a/standins/src/main/kotlin/org/quetzalloom/standins/log/LogStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/log/LogStandIn.kt
@@ -23,17 +23,29 @@
 import org.quetzalloom.wire.platform.LogEntryDocument
 import org.quetzalloom.wire.platform.ReadResponse
 
-/** One stream: its records that are kept, the time of each, and the offset of the first of them. */
+/**
+ * A stream of the log.
+ *
+ * @property earliest the offset of the oldest record that is retained, or of the next record if none is.
+ * @property entries the retained records, oldest first.
+ * @property appendTimes the time when each of [entries] was appended.
+ */
 data class StreamState(
     val earliest: Long = 0,
     val entries: PersistentList<LogEntryDocument> = persistentListOf(),
     val appendTimes: PersistentList<Timestamp> = persistentListOf(),
 ) {
-    /** The offset after the last record. */
+    /** The offset of the next record. */
     val next: Long get() = earliest + entries.size
 }
 
-/** The streams, and the appends of the current second. */
+/**
+ * The state of the log.
+ *
+ * @property streams the streams, by name.
+ * @property currentSecond the second of the last counted append, since the epoch.
+ * @property appendsInSecond the number of appends to all streams in [currentSecond].
+ */
 data class LogState(
     val streams: PersistentMap<String, StreamState> = persistentMapOf(),
     val currentSecond: Long = 0,
@@ -41,10 +53,12 @@
 )
 
 /**
- * Stands in for the platform's append-only log.
+ * A stand-in for the platform's append-only log: `POST /streams/{name}` appends, `GET /streams/{name}?from=` reads.
+ *
+ * A read returns at most 1,000 records. It starts at the offset `from`, or at the nearest offset that exists.
  *
- * @property appendsPerSecond the appends taken in one second; more are refused with status 429.
- * @property retentionMilliseconds how long records are kept.
+ * @property appendsPerSecond the maximum number of append requests in a second; further ones get status 429.
+ * @property retentionMilliseconds the time after which records expire.
  */
 class LogStandIn(
     private val appendsPerSecond: Int = 500,
--- a/standins/src/main/kotlin/org/quetzalloom/standins/ratings/RatingServiceStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/ratings/RatingServiceStandIn.kt
@@ -22,13 +22,14 @@
 import org.quetzalloom.wire.platform.RatingsResponse
 import org.quetzalloom.wire.platform.SampleRequest
 
-/** A verdict and the time from which it is shown. */
+/** A rating, visible from [dueAt] on. */
 data class PendingRating(val dueAt: Timestamp, val rating: RatingDocument)
 
 /**
- * The true quality of versions, and the verdicts by submitter.
+ * The state of the rating service.
  *
- * @property qualities the share of good answers by version; 1.0 where none is named.
+ * @property qualities the share of good answers, by version; 1.0 for a version that is absent.
+ * @property ratings the ratings of each submitter's samples, in the order of the samples.
  */
 data class RatingServiceState(
     val qualities: PersistentMap<String, Double> = persistentMapOf(),
@@ -36,10 +37,12 @@
 )
 
 /**
- * Stands in for the service that rates answers. `PUT /qualities/{version}` with a number sets a true quality.
+ * A stand-in for the service that rates answers: `POST /samples` submits one, `GET /ratings` returns ratings.
  *
- * @property lagMilliseconds the time from a sample to its verdict.
- * @property missingPercent the share of samples that are never rated.
+ * For tests, `PUT /qualities/{version}` with a number from 0.0 to 1.0 sets the share of answers that are rated good.
+ *
+ * @property lagMilliseconds the time from a sample until its rating is visible.
+ * @property missingPercent the percentage of samples that are never rated.
  */
 class RatingServiceStandIn(
     private val lagMilliseconds: Long = 1_000,
@@ -101,12 +104,14 @@
 
     private fun setQuality(state: RatingServiceState, call: HttpCall): Transition<RatingServiceState, HttpEffect> {
         val quality = call.body.trim().toDoubleOrNull()?.takeIf { it in 0.0..1.0 }
-            ?: return state.with(HttpEffect.Respond(call.exchangeId, status = 400, body = "not within 0.0 and 1.0"))
+            ?: return state.with(
+                HttpEffect.Respond(call.exchangeId, status = 400, body = "the quality must be from 0.0 to 1.0"),
+            )
         val version = call.path.removePrefix(QUALITIES)
         return state.copy(qualities = state.qualities.put(version, quality)).with(HttpEffect.Respond(call.exchangeId))
     }
 
-    /** Returns a number from 0.0 until 1.0 that is the same for the same request and [purpose]. */
+    /** Returns a number from 0.0 to 1.0, exclusive, that depends on [request] and [purpose] only. */
     private fun hashFraction(request: String, purpose: String): Double =
         Math.floorMod(LongHashFunction.xx3().hashChars("$purpose:$request"), FRACTION_STEPS) / FRACTION_STEPS.toDouble()
 
--- a/standins/src/main/kotlin/org/quetzalloom/standins/scripted/ScriptedRequest.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/scripted/ScriptedRequest.kt
@@ -6,11 +6,12 @@
 import java.net.SocketTimeoutException
 
 /**
- * One request that a [ScriptedServer] has read, and the socket to answer it on.
+ * A request that a [ScriptedServer] has read, with the connection to answer it on.
  *
- * @property line the request line.
- * @property headers the headers, by name in lower case.
- * @property body the body, by the length in the header.
+ * @property requestLine the first line of the request, without its line end.
+ * @property headers the headers, by name in lower case. Of several with one name the last is kept.
+ * @property body the body, as long as `Content-Length` says; empty if the server responds before the body. Chunked
+ *   bodies are not supported.
  */
 class ScriptedRequest private constructor(
     val requestLine: String,
@@ -18,34 +19,42 @@
     val body: ByteArray,
     private val socket: Socket,
 ) {
-    /** The length of the body, as the header says. */
+    /** The value of the header `Content-Length`, or 0 without one. */
     val contentLength: Long get() = headers["content-length"]?.toLong() ?: 0
 
-    /** Writes [text] as it is. */
+    /** Writes [text] unchanged, one byte per character (ISO 8859-1). */
     fun write(text: String) {
         socket.getOutputStream().write(text.toByteArray(Charsets.ISO_8859_1))
         socket.getOutputStream().flush()
     }
 
-    /** Writes a whole answer with [headers] and its length. */
+    /**
+     * Writes a complete response with [headers], `Content-Length` and [body].
+     *
+     * @param status the status code and the reason phrase.
+     */
     fun respond(status: String, headers: Map<String, String>, body: String) {
         val lines = headers.entries.joinToString("") { "${it.key}: ${it.value}\r\n" }
         write("HTTP/1.1 $status\r\n${lines}Content-Length: ${body.length}\r\n\r\n$body")
     }
 
-    /** Writes one chunk of a body. */
+    /** Writes one chunk of a response with chunked transfer encoding. */
     fun writeChunk(text: String): Unit = write("${text.length.toString(HEXADECIMAL)}\r\n$text\r\n")
 
-    /** Closes the connection in order. */
+    /** Closes the connection normally, with a FIN. */
     fun close(): Unit = socket.close()
 
-    /** Resets the connection. */
+    /** Closes the connection with a reset (RST). */
     fun reset() {
         socket.setSoLinger(true, 0)
         socket.close()
     }
 
-    /** Waits until the other side closes; returns whether it does within [milliseconds]. */
+    /**
+     * Waits until the client closes or resets the connection. Returns whether it does so within [milliseconds].
+     *
+     * Returns `false` at once if the client sends another byte, which is then lost.
+     */
     fun awaitClose(milliseconds: Int): Boolean = try {
         socket.soTimeout = milliseconds
         socket.getInputStream().read() < 0
@@ -58,7 +67,11 @@
     internal companion object {
         private const val HEXADECIMAL = 16
 
-        /** Returns the next request, without its body if [withoutBody], or `null` at the end of the connection. */
+        /**
+         * Reads the next request from [input]. Returns `null` at the end of the connection.
+         *
+         * @param withoutBody whether the body is left unread.
+         */
         fun readOrNull(input: InputStream, socket: Socket, withoutBody: Boolean): ScriptedRequest? {
             val requestLine = readLineOrNull(input) ?: return null
             val headers = generateSequence { readLineOrNull(input)?.takeIf { it.isNotEmpty() } }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/scripted/ScriptedServer.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/scripted/ScriptedServer.kt
@@ -9,10 +9,11 @@
 import kotlin.concurrent.thread
 
 /**
- * Stands in for a backend server that may misbehave in any way that bytes can: each request is answered by [script],
- * which writes what it likes.
+ * A backend server for tests that can break the protocol in any way: [script] answers each request by writing bytes.
  *
- * @param early whether a request is answered before its body is read; the body is read afterwards.
+ * It listens on a free port of the loopback address. Each connection has a thread of its own, on which [script] runs.
+ *
+ * @param respondBeforeBody whether [script] runs before the body is read. The body is then skipped.
  */
 class ScriptedServer(
     private val respondBeforeBody: Boolean = false,
@@ -21,16 +22,16 @@
     private val listener = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
     private val sockets = CopyOnWriteArrayList<Socket>()
 
-    /** The requests that were read, in order. */
+    /** The requests of all connections, in the order in which they were read. */
     val requests: CopyOnWriteArrayList<ScriptedRequest> = CopyOnWriteArrayList()
 
-    /** The port on the loopback address. */
+    /** The port that it listens on. */
     val port: Int get() = listener.localPort
 
-    /** Connections that were accepted. */
+    /** The number of connections accepted so far, closed ones included. */
     val acceptedConnections: Int get() = sockets.size
 
-    /** Starts to accept connections. */
+    /** Starts to accept connections. Returns this server. */
     fun start(): ScriptedServer = apply { thread(isDaemon = true) { acceptConnections() } }
 
     override fun close() {
--- a/standins/src/main/kotlin/org/quetzalloom/standins/service/ServiceStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/service/ServiceStandIn.kt
@@ -19,7 +19,12 @@
 import org.quetzalloom.wire.backend.BackendHeaders
 import org.quetzalloom.wire.backend.LoadResponse
 
-/** One call that the service ran. [scope] names the command, where it was one. */
+/**
+ * A call that the service executed.
+ *
+ * @property scope the fencing scope, which identifies the command, or `null` if the call was not a command.
+ * @property fencing the fencing number, or `null` if the call had none.
+ */
 @Serializable
 data class ExecutedCall(
     val method: String,
@@ -28,14 +33,21 @@
     val fencing: Long? = null,
 )
 
-/** Everything that the service ran, in order. */
+/** All calls that the service executed, in the order of their start. */
 @Serializable
 data class ExecutedCalls(val entries: List<ExecutedCall>)
 
-/** A call that runs until [dueAt]. */
+/** A call that is answered at [dueAt]. */
 data class RunningCall(val call: HttpCall, val dueAt: Timestamp)
 
-/** What the service has run and runs, and the highest fencing number of each scope. */
+/**
+ * The state of the service.
+ *
+ * @property startedAt the time of the first event, or `null` before it.
+ * @property executedCalls the calls executed, in the order of their start.
+ * @property running the calls that are not yet answered.
+ * @property highestFencingNumbers the highest fencing number of each scope. Without fencing checks it is the last one.
+ */
 data class ServiceState(
     val startedAt: Timestamp? = null,
     val executedCalls: PersistentList<ExecutedCall> = persistentListOf(),
@@ -44,11 +56,15 @@
 )
 
 /**
- * Stands in for a plain service: every call is entered into the books, `GET /books` shows them.
+ * A stand-in for a service that is not a model: it records every call and answers it after a fixed time.
+ *
+ * A call counts as executed as soon as it has started, even if the client disconnects. `GET /load` returns the load,
+ * and `GET /books` the [ExecutedCalls], for tests and the audit.
  *
- * @property start names this start.
- * @property checksFencing whether it refuses fencing numbers below one that it has seen.
- * @property workMilliseconds the time that a call takes.
+ * @property startIdentity the identity of this start of the service.
+ * @property checksFencing whether a call is rejected with status 409, unexecuted, if its fencing number is lower than
+ *   one that was seen in its scope.
+ * @property workMilliseconds the time from a call to its response.
  */
 class ServiceStandIn(
     private val startIdentity: String,
--- a/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreGroup.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreGroup.kt
@@ -11,9 +11,16 @@
 import org.quetzalloom.standins.http.with
 import org.quetzalloom.wire.WireFormat
 
-/** The one group of the store; each member holds the partition whose number is its place. */
+/**
+ * The only consumer group of the store. Each member owns one partition: the one whose number is the member's index in
+ * the order of joining. Members never leave.
+ */
 internal object StoreGroup {
-    /** Adds the member that the body names, or keeps it. */
+    /**
+     * Adds the member named in the body, unless it has joined before.
+     *
+     * Responds with the generation of the group and the member's partition.
+     */
     fun join(state: StoreState, call: HttpCall): StoreStep {
         val member = WireFormat.decodeFromString<JsonObject>(call.body).getValue("member_id").jsonPrimitive.content
         val next = if (member in state.members) state else state.add(member)
@@ -21,7 +28,7 @@
         return next.with(HttpEffect.Respond(call.exchangeId, body = responseBody(next, owned)))
     }
 
-    /** Lists all members. */
+    /** Responds with the generation of the group and the owner of each partition. */
     fun owners(state: StoreState, call: HttpCall): StoreStep =
         state.with(HttpEffect.Respond(call.exchangeId, body = responseBody(state, state.ownerRows())))
 
--- a/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreLog.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreLog.kt
@@ -14,19 +14,23 @@
 import org.quetzalloom.standins.http.with
 import java.util.Base64
 
-/** The topics of the store. */
+/** The operations on the topics of the store. */
 internal object StoreLog {
     private const val CONFLICT = 412
     private const val GONE = 410
 
-    /** Drops the history of a topic, but for the newest record of each key. */
+    /** Makes the records of a topic unreadable by offset. The newest record of each key remains. */
     fun discardHistory(state: StoreState, call: HttpCall): StoreStep {
         val topic = state.topic(call)
         val emptied = topic.copy(records = topic.records.clear(), firstOffset = topic.endOffset)
         return state.with(call, emptied).with(HttpEffect.Respond(call.exchangeId))
     }
 
-    /** Appends the record in the body, unless the topic no longer ends where the call says. */
+    /**
+     * Appends the record in the body and completes the reads that wait for it.
+     *
+     * The append is conditional if the call has the parameter `at`: the status is 412 unless that is the end offset.
+     */
     fun append(state: StoreState, call: HttpCall): StoreStep {
         val topic = state.topic(call)
         val at = call.query["at"]?.toLong()
@@ -50,7 +54,12 @@
             }
     }
 
-    /** Answers with the records from an offset on, at once or as soon as there is one. */
+    /**
+     * Responds with the records from the offset `source` on.
+     *
+     * If there is none yet, it waits for one for at most `wait_ms` and then responds without records. The status is
+     * 410 if the offset is no longer readable.
+     */
     fun read(state: StoreState, call: HttpCall, now: Timestamp): StoreStep {
         val topic = state.topic(call)
         val offset = call.query.getValue("source").toLong()
@@ -65,7 +74,7 @@
         }
     }
 
-    /** Answers [reads], which were waiting. */
+    /** Responds to [reads] with the records that exist, and removes them from the waiting reads. */
     fun completeReads(state: StoreState, reads: List<WaitingRead>): StoreStep {
         val answered = state.copy(waitingReads = state.waitingReads.filter { it !in reads }.toPersistentList())
         return answered.unchanged().thenEach(reads) { current, read ->
@@ -73,7 +82,7 @@
         }
     }
 
-    /** Answers with the newest record of each key. */
+    /** Responds with the newest record of each key that has a value, ordered by key. */
     fun newest(state: StoreState, call: HttpCall): StoreStep {
         val topic = state.topic(call)
         val entries = buildJsonArray {
--- a/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreRecords.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreRecords.kt
@@ -3,9 +3,14 @@
 import java.io.ByteArrayOutputStream
 import java.io.DataOutputStream
 
-/** Records of keyed topics in bytes, shown as text with one character a byte. */
+/**
+ * Encodes and decodes the records of keyed topics.
+ *
+ * A record is its length without these four bytes (4 bytes), the length of the key (1 byte), the key and the value. An
+ * empty value removes the key. Bytes are represented by strings with one character per byte (ISO 8859-1).
+ */
 internal object StoreRecords {
-    /** Returns the one record in [body], at [offset]. */
+    /** Returns the only record in [body], with [offset] as its offset. */
     fun decode(body: String, offset: Long): StoredRecord {
         val keyLength = body[Int.SIZE_BYTES].code
         val key = body.substring(Int.SIZE_BYTES + 1, Int.SIZE_BYTES + 1 + keyLength)
@@ -13,7 +18,7 @@
         return StoredRecord(offset, key, value.takeIf { it.isNotEmpty() })
     }
 
-    /** Returns the records of [topic] from [offset] on, after its end and its first offset. */
+    /** Returns the end offset and the first offset of [topic] (8 bytes each) and its records from [offset] on. */
     fun encode(topic: StoredTopic, offset: Long): String {
         val bytes = ByteArrayOutputStream()
         val out = DataOutputStream(bytes)
--- a/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreStandIn.kt
@@ -13,11 +13,11 @@
 internal typealias StoreStep = Transition<StoreState, HttpEffect>
 
 /**
- * Stands in for the platform's metadata store, as far as routers use it: keyed topics with one partition, and one
- * group.
+ * A stand-in for the platform's metadata store, limited to what routers use: keyed topics with one partition, and one
+ * consumer group.
  *
- * `PUT /fault?mode=MODE` sets a [StoreFault]; `PUT /forget?topic=NAME` drops the history of a topic, and keeps the
- * newest record of each key.
+ * For tests, `PUT /fault?mode=MODE` sets a [StoreFault], and `PUT /forget?topic=NAME` discards the history of a topic
+ * except for the newest record of each key. Both work during a fault.
  */
 class StoreStandIn : StandIn<StoreState> {
     override val initial: StoreState = StoreState()
--- a/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreState.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreState.kt
@@ -9,15 +9,17 @@
 /**
  * A record of a keyed topic.
  *
- * @property value one character a byte; `null` where the key has been removed.
+ * @property value the value, with one character per byte; `null` if the record removes the key.
  */
 data class StoredRecord(val offset: Long, val key: String, val value: String?)
 
 /**
  * A topic with one partition.
  *
- * @property first the offset of the oldest record that can still be read.
- * @property newest the newest record of each key; kept for good.
+ * @property records the records that can be read by offset, oldest first.
+ * @property firstOffset the lowest offset that can be read; equal to [endOffset] if there are no records.
+ * @property endOffset the offset of the next record.
+ * @property newestByKey the newest record of each key. These are never discarded.
  */
 data class StoredTopic(
     val records: PersistentList<StoredRecord> = persistentListOf(),
@@ -26,22 +28,29 @@
     val newestByKey: PersistentMap<String, StoredRecord> = persistentMapOf(),
 )
 
-/** A read that waits for a record until [dueAt]. */
+/** A read of [topic] that waits until [dueAt] for the record at [offset]. */
 data class WaitingRead(val exchangeId: String, val topic: String, val offset: Long, val dueAt: Timestamp)
 
-/** How the store behaves. */
+/** The fault to simulate. */
 enum class StoreFault {
-    /** It answers. */
+    /** No fault. */
     NONE,
 
-    /** It refuses each call with 503. */
+    /** The store rejects each call with status 503, without executing it. */
     REFUSES,
 
-    /** It closes the connection of each call; what was asked for is done all the same. */
+    /** The store executes each call, then closes the connection without responding. */
     LOSES_ANSWERS,
 }
 
-/** All that the store keeps. */
+/**
+ * The state of the store.
+ *
+ * @property topics the topics, by name. A topic comes into existence with its first record.
+ * @property waitingReads the reads that wait for a record.
+ * @property members the members of the group, in the order of joining.
+ * @property generation the number of times that the group has changed.
+ */
 data class StoreState(
     val topics: PersistentMap<String, StoredTopic> = persistentMapOf(),
     val waitingReads: PersistentList<WaitingRead> = persistentListOf(),
--- a/standins/src/main/kotlin/org/quetzalloom/standins/vms/VmListStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/vms/VmListStandIn.kt
@@ -18,19 +18,21 @@
 import org.quetzalloom.wire.WireFormat
 import org.quetzalloom.wire.platform.VmsResponse
 
-/** A list of VMs and the time from which it is shown. */
+/** A VM list, visible from [visibleAt] on. */
 data class ScheduledVmList(val visibleAt: Timestamp, val vms: VmsResponse)
 
-/** The list shown, and later ones that are not shown yet. */
+/** The [visible] list, and the [upcoming] ones that will replace it, in order. */
 data class VmListState(
     val visible: VmsResponse = VmsResponse(emptyList()),
     val upcoming: PersistentList<ScheduledVmList> = persistentListOf(),
 )
 
 /**
- * Stands in for the platform's list of live and leaving VMs. `PUT /vms` replaces the list.
+ * A stand-in for the platform's list of live and leaving VMs: `GET /vms` returns it.
  *
- * @property lagMilliseconds the time until a change is shown.
+ * For tests, `PUT /vms` replaces the list.
+ *
+ * @property lagMilliseconds the time until a new list is visible.
  */
 class VmListStandIn(private val lagMilliseconds: Long = 2_000) : StandIn<VmListState> {
     override val initial: VmListState = VmListState()
--- a/standins/src/main/kotlin/org/quetzalloom/standins/weights/WeightStoreStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/weights/WeightStoreStandIn.kt
@@ -11,13 +11,14 @@
 import org.quetzalloom.standins.http.unchanged
 import org.quetzalloom.standins.http.with
 
-/** When the next download may begin. */
+/** The time from which the next download is allowed. */
 data class WeightStoreState(val nextDownloadAt: Timestamp = Timestamp.EPOCH)
 
 /**
- * Stands in for the rate-limited weight store: `GET /weights/{version}`.
+ * A stand-in for the rate-limited weight store: `GET /weights/{version}` downloads the weights of a version.
  *
- * @property intervalMilliseconds the least time between two downloads; an earlier one is refused with status 429.
+ * @property intervalMilliseconds the minimum time between two downloads. An earlier one is rejected with status 429 and
+ *   the remaining time in `X-Wait-Milliseconds`.
  */
 class WeightStoreStandIn(private val intervalMilliseconds: Long = 1_000) : StandIn<WeightStoreState> {
     override val initial: WeightStoreState = WeightStoreState()
