Finish the renames in the stand-ins

RaterCommand was the last name of the rating service that said rater.

rename: RaterCommand -> RatingServiceCommand (declared in Main.kt) rename: answer -> response (local, declared in FaultInjectingStandIn.kt) rename: chosen -> selected (local, declared in EngineTokens.kt)

--- a/standins/src/main/kotlin/org/quetzalloom/standins/Main.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/Main.kt
@@ -41,7 +41,7 @@
     parser.subcommands(
         LogCommand(),
         VmListCommand(),
-        RaterCommand(),
+        RatingServiceCommand(),
         WeightStoreCommand(),
         EngineCommand(),
         ServiceCommand(),
@@ -91,7 +91,7 @@
     override fun standIn(): StandIn<*> = VmListStandIn(lag.toLong())
 }
 
-private class RaterCommand : StandInCommand("ratings", "The service that rates answers") {
+private class RatingServiceCommand : StandInCommand("ratings", "The service that rates answers") {
     private val lag by option(
         ArgType.Int,
         "lag-milliseconds",
--- a/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineTokens.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineTokens.kt
@@ -74,9 +74,9 @@
     private fun startQueued(state: EngineState, now: Timestamp): EngineState {
         val free = settings.capacity - state.running.size
         if (free <= 0 || state.queue.isEmpty()) return state
-        val chosen = state.queue.sortedBy { it.priority }.take(free)
-        val started = chosen.map { it.copy(dueAt = now + settings.tokenMilliseconds) }
-        val next = state.copy(running = state.running.addAll(started), queue = state.queue.removeAll(chosen))
+        val selected = state.queue.sortedBy { it.priority }.take(free)
+        val started = selected.map { it.copy(dueAt = now + settings.tokenMilliseconds) }
+        val next = state.copy(running = state.running.addAll(started), queue = state.queue.removeAll(selected))
         return started.fold(next) { current, generation ->
             with(work) { current.withGenerationCounted(generation, now) }
         }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/fault/FaultInjectingStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/fault/FaultInjectingStandIn.kt
@@ -31,8 +31,8 @@
         call: HttpCall,
     ): Transition<FaultInjectionState<S>, HttpEffect> {
         val faults = call.parseOrNull<Faults>()
-        val answer = if (faults == null) call.badRequest() else HttpEffect.Respond(call.exchangeId)
-        return Transition(state.copy(faults = faults ?: state.faults), persistentListOf(answer))
+        val response = if (faults == null) call.badRequest() else HttpEffect.Respond(call.exchangeId)
+        return Transition(state.copy(faults = faults ?: state.faults), persistentListOf(response))
     }
 
     private fun forward(
