--- a/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineState.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineState.kt
@@ -4,7 +4,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import org.quetzalloom.core.time.Timestamp
 
-/** The number of generations that were [running] at a time. */
+/** The number of generations [running] at the time [at]. */
 data class RunningSample(val at: Timestamp, val running: Int)
 
 /**
@@ -12,7 +12,7 @@
  *
  * @property starts the number of starts; 0 before the first event.
  * @property startedAt the time of the last start. It is in the future while the engine is down.
- * @property running the generations that receive tokens.
+ * @property running the generations whose tokens are being sent, and the stalled ones.
  * @property queue the accepted generations that wait for capacity, in order of arrival.
  * @property samples the recent load, oldest first, from which the lagging load reports are taken.
  */
--- a/standins/src/main/kotlin/org/quetzalloom/standins/http/HttpEffect.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/http/HttpEffect.kt
@@ -30,7 +30,7 @@
     /** Sends one server-sent event with [data]. */
     data class Send(override val exchangeId: String, val data: String) : HttpEffect
 
-    /** Ends a stream in order. */
+    /** Ends a stream normally. */
     data class Close(override val exchangeId: String) : HttpEffect
 
     /** Closes the connection before the response is complete. */
--- a/standins/src/main/kotlin/org/quetzalloom/standins/scripted/ScriptedServer.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/scripted/ScriptedServer.kt
@@ -13,7 +13,7 @@
  *
  * It listens on a free port of the loopback address. Each connection has a thread of its own, on which [script] runs.
  *
- * @param respondBeforeBody whether [script] runs before the body is read. The body is then skipped.
+ * @param respondBeforeBody whether [script] runs before the body is read; the body is read and discarded afterwards.
  */
 class ScriptedServer(
     private val respondBeforeBody: Boolean = false,
