--- a/standins/src/main/kotlin/org/quetzalloom/standins/audit/AuditCommand.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/audit/AuditCommand.kt
@@ -6,34 +6,46 @@
 import kotlinx.cli.required
 import kotlinx.serialization.encodeToString
 import org.quetzalloom.standins.load.LoadReport
-import org.quetzalloom.standins.service.Books
+import org.quetzalloom.standins.service.ExecutedCalls
 import org.quetzalloom.wire.WireFormat
 import org.quetzalloom.wire.log.RecordDocument
 import org.quetzalloom.wire.platform.ReadResponse
 import java.io.File
 import kotlin.system.exitProcess
 
-/** Holds what callers were told against the books of the services and the bills in the log. */
+/**
+ * Compares what callers were told with the calls that the services executed and with the bills in the log.
+ *
+ * Prints the [AuditFindings] as JSON. The exit status is 0 if they are clean, and 1 otherwise.
+ */
 @OptIn(ExperimentalCli::class)
-class AuditCommand : Subcommand("audit", "Compare load reports with the services' books and the bills in the log") {
-    private val log by option(ArgType.String, description = "Host and port of the log").required()
-    private val services by option(ArgType.String, description = "Host and port of each service, by comma").required()
-    private val reports by option(ArgType.String, description = "Files of load reports, by comma").required()
+class AuditCommand : Subcommand(
+    "audit",
+    "Compare load reports with the calls that services executed and the bills in the log",
+) {
+    private val log by option(ArgType.String, description = "The host:port of the log").required()
+    private val services by option(
+        ArgType.String,
+        description = "The host:port of each service, separated by commas",
+    ).required()
+    private val reports by option(
+        ArgType.String,
+        description = "The files of the load reports, separated by commas",
+    ).required()
 
     override fun execute() {
         val findings = AuditFindings.of(
-            samples = reports.split(
-                ','
-            ).flatMap { WireFormat.decodeFromString<LoadReport>(File(it).readText()).samples },
-            books = services.split(',').flatMap { books(it) },
+            samples = reports.split(',')
+                .flatMap { WireFormat.decodeFromString<LoadReport>(File(it).readText()).samples },
+            executedCalls = services.split(',').flatMap { executedCalls(it) },
             bills = bills(),
         )
         println(WireFormat.encodeToString(findings))
-        exitProcess(if (findings.clean) 0 else 1)
+        exitProcess(if (findings.isClean) 0 else 1)
     }
 
-    private fun books(address: String) =
-        WireFormat.decodeFromString<Books>(HttpReader.read("http://$address/books")).entries
+    private fun executedCalls(address: String) =
+        WireFormat.decodeFromString<ExecutedCalls>(HttpReader.read("http://$address/books")).entries
 
     private fun bills(): List<RecordDocument.OfBill> {
         val pages = generateSequence(page(0)) { last -> page(last.next) }.takeWhile { it.entries.isNotEmpty() }
