--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
@@ -18,7 +18,7 @@
  * Returns the transition that handles a failed attempt: resumes the stream, retries the request, or ends the exchange.
  * Events of attempts that are no longer current change nothing.
  */
-internal fun RelayState.attemptFailed(event: RelayEvent.AttemptBroke, now: Timestamp): RelayStep {
+internal fun RelayState.attemptFailed(event: RelayEvent.AttemptFailed, now: Timestamp): RelayStep {
     val (exchange, attempt) = exchanges.currentOrNull(event.exchange, event.attempt) ?: return unchanged()
     val failure = event.failure
     val known = copy(servers = servers.update(attempt.server) { it.afterFailure(failure, now) }).release(attempt)
@@ -104,7 +104,7 @@
 
 /** Returns whether the retry budget of the service of [exchange] allows one more retry. */
 internal fun RelayState.budgetLeft(exchange: Exchange, now: Timestamp): Boolean =
-    exchanges.budgets[exchange.service]?.mayRetry(settings, members.shareholders, now) ?: false
+    exchanges.budgets[exchange.service]?.mayRetry(settings, members.routerCount, now) ?: false
 
 /**
  * Returns the transition that ends the exchanges whose deadline has passed, and places the waiting ones again, in the
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Arrival.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Arrival.kt
@@ -6,7 +6,7 @@
 import org.quetzalloom.core.event.Event
 import org.quetzalloom.core.identity.VersionId
 import org.quetzalloom.core.peer.PeerMessage
-import org.quetzalloom.core.quarantine.isTriedElsewhere
+import org.quetzalloom.core.quarantine.isOnTrialElsewhere
 import org.quetzalloom.core.reducer.then
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.router.Step
@@ -14,8 +14,8 @@
 import org.quetzalloom.core.router.sendToPeer
 import org.quetzalloom.core.router.with
 import org.quetzalloom.core.session.SessionKey
-import org.quetzalloom.core.session.assignedOrNull
-import org.quetzalloom.core.session.decide
+import org.quetzalloom.core.session.assignVersion
+import org.quetzalloom.core.session.assignedVersionOrNull
 import org.quetzalloom.core.session.sessionHome
 import org.quetzalloom.core.time.Timestamp
 
@@ -49,7 +49,7 @@
         call = event.call,
         fingerprint = fingerprint,
         arrivedAt = now,
-        phase = if (isTriedElsewhere(fingerprint, now)) Phase.AwaitingTrial else Phase.Queued,
+        phase = if (isOnTrialElsewhere(fingerprint, now)) Phase.AwaitingTrial else Phase.Queued,
         version = chooseVersion(event.call, admitted.versions, subject),
         command = admitted.command,
     )
@@ -95,12 +95,13 @@
     now: Timestamp,
 ): Step {
     val usableIds = admitted.versions.map { it.id }
-    val known = admitted.token?.version?.takeIf { it in usableIds } ?: assignedOrNull(key)
+    val known = admitted.token?.version?.takeIf { it in usableIds } ?: assignedVersionOrNull(key)
     val home = sessionHome(key, now)
     return when {
-        known != null && known in usableIds -> decide(key, known, now).then { it.put(request.pinnedTo(known)) }
+        known != null && known in usableIds -> assignVersion(key, known, now).then { it.put(request.pinnedTo(known)) }
         known != null -> put(request)
-        home == settings.vm -> decide(key, request.version, now).then { it.put(request.pinnedTo(request.version)) }
+        home == settings.vm ->
+            assignVersion(key, request.version, now).then { it.put(request.pinnedTo(request.version)) }
         else -> put(request.copy(phase = Phase.AwaitingSession(now))).then {
             it.sendToPeer(home, PeerMessage.AskSession(key.workspace, key.session, request.version))
         }
--- a/core/src/main/kotlin/org/quetzalloom/core/session/SessionsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/session/SessionsPart.kt
@@ -15,58 +15,70 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * Remembers the versions of sessions. The home VM of a session decides, and the next in rank keeps a copy.
+ * Keeps each session on one version (session affinity).
+ *
+ * The home VM of a session, chosen by rendezvous hashing, assigns its version. The VM that ranks next keeps a copy and
+ * becomes the home if the first is gone. Assignments that were not used for [ASSIGNMENT_TTL_MILLISECONDS] are removed.
  */
 internal object SessionsPart : Part {
     private const val SWEEP_INTERVAL_MILLISECONDS = 60_000L
-    private const val MEMORY_MILLISECONDS = 3_600_000L
+    private const val ASSIGNMENT_TTL_MILLISECONDS = 3_600_000L
 
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
-        is Event.FromPeer -> state.told(event, now)
+        is Event.FromPeer -> state.onPeerMessage(event, now)
         is Event.Tick -> state.sweep(now).unchanged()
         else -> state.unchanged()
     }
 
-    private fun RouterState.told(event: Event.FromPeer, now: Timestamp): Step = when (val message = event.message) {
-        is PeerMessage.AskSession -> answer(event, message, now)
+    private fun RouterState.onPeerMessage(
+        event: Event.FromPeer,
+        now: Timestamp,
+    ): Step = when (val message = event.message) {
+        is PeerMessage.AskSession -> onAskSession(event, message, now)
         is PeerMessage.TellSession ->
-            assigned(SessionKey(message.workspace, message.session), message.version, now).unchanged()
+            withAssignment(SessionKey(message.workspace, message.session), message.version, now).unchanged()
         else -> unchanged()
     }
 
-    private fun RouterState.answer(event: Event.FromPeer, message: PeerMessage.AskSession, now: Timestamp): Step {
+    /** Answers a peer with the version of a session; if it has none yet, assigns the one that the peer proposes. */
+    private fun RouterState.onAskSession(event: Event.FromPeer, message: PeerMessage.AskSession, now: Timestamp): Step {
         val key = SessionKey(message.workspace, message.session)
-        val version = assignedOrNull(key) ?: message.proposed
-        return decide(key, version, now)
+        val version = assignedVersionOrNull(key) ?: message.proposed
+        return assignVersion(key, version, now)
             .then { it.sendToPeer(event.from, PeerMessage.TellSession(key.workspace, key.session, version)) }
     }
 
+    /** Removes expired assignments, once per [SWEEP_INTERVAL_MILLISECONDS]. */
     private fun RouterState.sweep(now: Timestamp): RouterState {
         val last = sessions.sweptAt
         if (last != null && now - last < SWEEP_INTERVAL_MILLISECONDS) return this
-        val old = sessions.assignments.filterValues { now - it.usedAt > MEMORY_MILLISECONDS }.keys
-        val kept = old.fold(sessions.assignments) { assignments, key -> assignments.remove(key) }
+        val expired = sessions.assignments.filterValues { now - it.usedAt > ASSIGNMENT_TTL_MILLISECONDS }.keys
+        val kept = expired.fold(sessions.assignments) { assignments, key -> assignments.remove(key) }
         return copy(sessions = sessions.copy(assignments = kept, sweptAt = now))
     }
 }
 
-/** Returns the version that the session of [key] has here, if it may still be used, or `null`. */
-internal fun RouterState.assignedOrNull(key: SessionKey): VersionId? =
+/** Returns the version assigned to the session of [key] as known at this VM, or `null` if none may still be used. */
+internal fun RouterState.assignedVersionOrNull(key: SessionKey): VersionId? =
     sessions.assignments[key]?.version?.takeIf { mayUse(key.workspace, it) }
 
-/** Returns the state in which the session of [key] has [version]. */
-internal fun RouterState.assigned(key: SessionKey, version: VersionId, now: Timestamp): RouterState =
+/** Returns the state in which the session of [key] is assigned to [version]. */
+internal fun RouterState.withAssignment(key: SessionKey, version: VersionId, now: Timestamp): RouterState =
     copy(sessions = sessions.copy(assignments = sessions.assignments.put(key, SessionAssignment(version, now))))
 
-/** Returns the VM that decides the version of the session of [key]. */
+/** Returns the home VM of the session of [key]: the one that ranks highest for it among the live VMs. */
 internal fun RouterState.sessionHome(key: SessionKey, now: Timestamp) =
     rendezvousOrNull(livePeers(now) + settings.vm, key) ?: settings.vm
 
-/** Returns the transition that assigns [version] and hands a copy to the VM that would be home without this one. */
-internal fun RouterState.decide(key: SessionKey, version: VersionId, now: Timestamp): Step {
-    val known = assignedOrNull(key) == version
-    val next = assigned(key, version, now)
-    val heir = rendezvousOrNull(livePeers(now), key)
-    if (known || heir == null) return next.unchanged()
-    return next.sendToPeer(heir, PeerMessage.TellSession(key.workspace, key.session, version))
+/**
+ * Returns the transition that assigns [version] to the session of [key].
+ *
+ * A change is copied to the live peer that ranks highest for the session: the home VM if this VM is gone.
+ */
+internal fun RouterState.assignVersion(key: SessionKey, version: VersionId, now: Timestamp): Step {
+    val alreadyAssigned = assignedVersionOrNull(key) == version
+    val next = withAssignment(key, version, now)
+    val backup = rendezvousOrNull(livePeers(now), key)
+    if (alreadyAssigned || backup == null) return next.unchanged()
+    return next.sendToPeer(backup, PeerMessage.TellSession(key.workspace, key.session, version))
 }
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/platform/PlatformClient.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/platform/PlatformClient.kt
@@ -75,7 +75,7 @@
     }
 
     private suspend fun listVms() {
-        val event = http.callOrElse(fallback = Event.OfPlatform.PlatformReadFailed("vms")) {
+        val event = http.callOrElse(fallback = Event.OfPlatform.PlatformCallFailed("vms")) {
             val response = WireFormat.decodeFromString<VmsResponse>(http.get("http://${addresses.vms}/vms"))
             Event.OfPlatform.VmsListed(response.vms.map { VmListing(VmId(it.vm), it.leaving) }.toPersistentList())
         }
@@ -83,7 +83,7 @@
     }
 
     private suspend fun readRatings(effect: Effect.OfPlatform.ReadRatings) {
-        val event = http.callOrElse(fallback = Event.OfPlatform.PlatformReadFailed("ratings")) {
+        val event = http.callOrElse(fallback = Event.OfPlatform.PlatformCallFailed("ratings")) {
             val url = "http://${addresses.ratings}/ratings?submitter=$submitter&from=${effect.from}"
             val response = WireFormat.decodeFromString<RatingsResponse>(http.get(url))
             Event.OfPlatform.RatingsRead(response.ratings.map { it.toRating() }.toPersistentList(), response.next)
@@ -100,7 +100,7 @@
             version = effect.subject.version.value,
             answer = effect.answer,
         )
-        val failure = http.callOrElse<Event?>(fallback = Event.OfPlatform.PlatformReadFailed("samples")) {
+        val failure = http.callOrElse<Event?>(fallback = Event.OfPlatform.PlatformCallFailed("samples")) {
             http.post("http://${addresses.ratings}/samples", WireFormat.encodeToString(sample))
             null
         }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
@@ -53,12 +53,12 @@
     fun carryOut(effect: RelayEffect) {
         when (effect) {
             is RelayEffect.Send -> send(effect)
-            is RelayEffect.PassOn -> exchanges.callOrNull(effect.exchange, effect.attempt)?.forward()
-            is RelayEffect.Abandon -> exchanges.callOrNull(effect.exchange, effect.attempt)?.abandon()
+            is RelayEffect.ForwardAnswer -> exchanges.callOrNull(effect.exchange, effect.attempt)?.forward()
+            is RelayEffect.CancelAttempt -> exchanges.callOrNull(effect.exchange, effect.attempt)?.abandon()
             is RelayEffect.Refuse -> requestHandler.refuse(effect)
             is RelayEffect.CutOff -> exchanges.remove(effect.exchange)?.response?.abort()
             is RelayEffect.ApplyLimits -> callerServer.limits = effect.limits
-            RelayEffect.CloseAfterAnswers -> callerServer.drain(group, IDLE_CLOSE_DELAY_MILLISECONDS)
+            RelayEffect.DrainConnections -> callerServer.drain(group, IDLE_CLOSE_DELAY_MILLISECONDS)
             else -> Unit
         }
     }
@@ -72,7 +72,7 @@
     }
 
     override fun attemptFailed(call: BackendCall, failure: AttemptFailure, lastEventId: String?): Unit =
-        post(RelayEvent.AttemptBroke(call.exchange.id, call.number, failure, lastEventId))
+        post(RelayEvent.AttemptFailed(call.exchange.id, call.number, failure, lastEventId))
 
     private fun send(effect: RelayEffect.Send) {
         val exchange = exchanges.getOrNull(effect.exchange) ?: return
