Rename the path to the store and the admission while stopping

Access read like access control; the part keeps the path to the platform's store, as its log event says. A request that is admitted while the router stops need not finish before it. Only names change.

rename: finishesBeforeStop -> mayAdmitWhileStopping (declared in core/relay/stop/StopPart.kt) rename: asked -> previous (; only in core/relay/exchange/Answers.kt) rename: pending -> sent (; only in core/relay/exchange/Answers.kt) rename: reached -> current (; only in core/relay/exchange/Failures.kt) rename: AccessPart -> StorePathPart (declared in core/relay/access/AccessPart.kt) rename: AccessState -> StorePathState (declared in core/relay/access/AccessState.kt) rename: AccessTest -> StorePathTest (declared in core/relay/AccessTest.kt) rename: access -> storePath (declared in core/relay/RelayState.kt; only in core/relay/RelayState.kt core/relay/access core/relay/exchange/Arrivals.kt) rename: whole -> total (declared in core/relay/model/ConfidenceCascade.kt; only in core/relay/model/ConfidenceCascade.kt)

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
@@ -5,7 +5,7 @@
 import org.quetzalloom.core.reducer.PartsReducer
 import org.quetzalloom.core.reducer.Reducer
 import org.quetzalloom.core.reducer.Transition
-import org.quetzalloom.core.relay.access.AccessPart
+import org.quetzalloom.core.relay.access.StorePathPart
 import org.quetzalloom.core.relay.exchange.ExchangesPart
 import org.quetzalloom.core.relay.feed.FeedsPart
 import org.quetzalloom.core.relay.member.MembersPart
@@ -26,7 +26,7 @@
  */
 public object RelayReducer : Reducer<RelayState, RelayEvent, RelayEffect> {
     internal val parts: PersistentList<RelayPart> = persistentListOf(
-        AccessPart,
+        StorePathPart,
         FeedsPart,
         RoutingPart,
         ServersPart,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
@@ -1,6 +1,6 @@
 package org.quetzalloom.core.relay
 
-import org.quetzalloom.core.relay.access.AccessState
+import org.quetzalloom.core.relay.access.StorePathState
 import org.quetzalloom.core.relay.exchange.ExchangesState
 import org.quetzalloom.core.relay.feed.FeedsState
 import org.quetzalloom.core.relay.member.MembersState
@@ -26,7 +26,7 @@
     public val policies: RelayPolicies,
     internal val stampCounter: Long = 0,
     internal val routing: RoutingTable? = null,
-    internal val access: AccessState = AccessState(),
+    internal val storePath: StorePathState = StorePathState(),
     internal val feeds: FeedsState = FeedsState(),
     internal val servers: ServersState = ServersState(),
     internal val members: MembersState = MembersState(),
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/AccessPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/StorePathPart.kt
@@ -19,7 +19,7 @@
  * The store may refuse some routers while it serves the others and the operators. A router cannot tell this from an
  * outage, so it tries other routers in turn as proxies, and calls the store directly again every few seconds.
  */
-internal object AccessPart : RelayPart {
+internal object StorePathPart : RelayPart {
     /** The failures in a row before the path changes. A single failure may be a lost answer. */
     private const val FAILURES_BEFORE_DETOUR = 2
 
@@ -36,13 +36,13 @@
     }
 
     private fun RelayState.succeeded(): RelayStep =
-        if (access.failures == 0) unchanged() else copy(access = access.copy(failures = 0)).unchanged()
+        if (storePath.failures == 0) unchanged() else copy(storePath = storePath.copy(failures = 0)).unchanged()
 
     private fun RelayState.failed(now: Timestamp): RelayStep {
-        val counted = copy(access = access.copy(failures = access.failures + 1))
-        val proxyRouter = proxyRouterOrNull(access.pathChanges)
-        val directRetryAt = if (access.viaRouter == null) now + DETOUR_MILLISECONDS else access.directRetryAt
-        return if (counted.access.failures < FAILURES_BEFORE_DETOUR || proxyRouter == null) {
+        val counted = copy(storePath = storePath.copy(failures = storePath.failures + 1))
+        val proxyRouter = proxyRouterOrNull(storePath.pathChanges)
+        val directRetryAt = if (storePath.viaRouter == null) now + DETOUR_MILLISECONDS else storePath.directRetryAt
+        return if (counted.storePath.failures < FAILURES_BEFORE_DETOUR || proxyRouter == null) {
             counted.unchanged()
         } else {
             counted.setPath(proxyRouter, directRetryAt, now)
@@ -59,7 +59,7 @@
         ?.value
 
     private fun RelayState.retryDirectIfDue(now: Timestamp): RelayStep =
-        if (access.viaRouter == null || now < access.directRetryAt) {
+        if (storePath.viaRouter == null || now < storePath.directRetryAt) {
             unchanged()
         } else {
             setPath(null, directRetryAt = now, now)
@@ -67,15 +67,15 @@
 
     private fun RelayState.setPath(viaRouter: String?, directRetryAt: Timestamp, now: Timestamp): RelayStep {
         val next = copy(
-            access = AccessState(
+            storePath = StorePathState(
                 viaRouter = viaRouter,
-                pathChanges = access.pathChanges + 1,
+                pathChanges = storePath.pathChanges + 1,
                 directRetryAt = directRetryAt,
             ),
         )
-        if (viaRouter == access.viaRouter) return next.unchanged()
+        if (viaRouter == storePath.viaRouter) return next.unchanged()
         return next.with(RelayEffect.SetStorePath(viaRouter)).then {
-            it.report(now, "store_path", "through" to (viaRouter ?: "direct"), "failures" to access.failures)
+            it.report(now, "store_path", "through" to (viaRouter ?: "direct"), "failures" to storePath.failures)
         }
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/AccessState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/StorePathState.kt
@@ -11,7 +11,7 @@
  * @property pathChanges the number of changes of the path.
  * @property directRetryAt when the store is to be called directly again.
  */
-internal data class AccessState(
+internal data class StorePathState(
     val viaRouter: String? = null,
     val failures: Int = 0,
     val pathChanges: Int = 0,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Answers.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Answers.kt
@@ -18,14 +18,14 @@
  * another backend server. Events of attempts that are no longer current change nothing.
  */
 internal fun RelayState.answerStarted(event: RelayEvent.AnswerStarted, now: Timestamp): RelayStep {
-    val (asked, pending) = exchanges.currentOrNull(event.exchange, event.attempt) ?: return unchanged()
-    val attempt = pending.copy(pendingWork = 0)
-    val exchange = asked.copy(attempt = attempt)
+    val (previous, sent) = exchanges.currentOrNull(event.exchange, event.attempt) ?: return unchanged()
+    val attempt = sent.copy(pendingWork = 0)
+    val exchange = previous.copy(attempt = attempt)
     val updated = copy(
         exchanges = exchanges.with(exchange),
         servers = servers
-            .update(attempt.server) { it.afterAnswerHead(event.head, now).afterPromptRead(pending.pendingWork) }
-            .let { if (event.head.isSuccess) it.recordAnswerStart(pending, asked.service, now) else it },
+            .update(attempt.server) { it.afterAnswerHead(event.head, now).afterPromptRead(sent.pendingWork) }
+            .let { if (event.head.isSuccess) it.recordAnswerStart(sent, previous.service, now) else it },
     )
     return when {
         event.head.notRun -> updated.handleNotRun(exchange, attempt, event.head, now)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
@@ -18,7 +18,7 @@
 import org.quetzalloom.core.relay.routing.Route
 import org.quetzalloom.core.relay.routing.RoutingTable
 import org.quetzalloom.core.relay.routing.ServiceName
-import org.quetzalloom.core.relay.stop.finishesBeforeStop
+import org.quetzalloom.core.relay.stop.mayAdmitWhileStopping
 import org.quetzalloom.core.relay.with
 import org.quetzalloom.core.router.bucketOf
 import org.quetzalloom.core.time.Timestamp
@@ -59,7 +59,7 @@
             table.authenticate(request, route).map { Admission(route, it) }
         }
     }.andThen { admission ->
-        if (finishesBeforeStop(request, admission.route, now)) Ok(admission) else Err(SHUTTING_DOWN)
+        if (mayAdmitWhileStopping(request, admission.route, now)) Ok(admission) else Err(SHUTTING_DOWN)
     }
 
 private fun RelayState.routingOrError(): Result<RoutingTable, RouterError> =
@@ -82,7 +82,7 @@
 private fun RelayState.refuseArrival(event: RelayEvent.RequestArrived, error: RouterError, now: Timestamp): RelayStep {
     val retryAfter = when (error.kind) {
         ErrorKind.NOT_READY ->
-            if (access.failures > 0) STORE_UNAVAILABLE_RETRY_MILLISECONDS else NOT_READY_RETRY_MILLISECONDS
+            if (storePath.failures > 0) STORE_UNAVAILABLE_RETRY_MILLISECONDS else NOT_READY_RETRY_MILLISECONDS
         ErrorKind.SHUTTING_DOWN -> SHUTTING_DOWN_RETRY_MILLISECONDS
         else -> null
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
@@ -113,8 +113,8 @@
 internal fun RelayState.checkDeadlines(now: Timestamp): RelayStep {
     val (due, inTime) = exchanges.byId.values.partition { now >= it.deadlineAt }
     val waiting = inTime.filter { it.attempt == null }.sortedBy { it.urgency }
-    return unchanged().thenEach(due) { reached, exchange -> reached.expire(exchange, now) }
-        .thenEach(waiting) { reached, exchange -> reached.placeWaiting(exchange, now) }
+    return unchanged().thenEach(due) { current, exchange -> current.expire(exchange, now) }
+        .thenEach(waiting) { current, exchange -> current.placeWaiting(exchange, now) }
 }
 
 /** Checks the retry budget again before a waiting retry is placed, as others may have used it up in the meantime. */
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/model/ConfidenceCascade.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/model/ConfidenceCascade.kt
@@ -39,8 +39,8 @@
 
     private fun confidenceThreshold(request: RelayRequest): Double {
         val prompt = request.promptTokens.toDouble()
-        val whole = prompt + ANSWER_TOKEN_WEIGHT * request.outputTokens
-        val promptShare = if (whole > 0) prompt / whole else USUAL_PROMPT_SHARE
+        val total = prompt + ANSWER_TOKEN_WEIGHT * request.outputTokens
+        val promptShare = if (total > 0) prompt / total else USUAL_PROMPT_SHARE
         return threshold + promptPenalty * (USUAL_PROMPT_SHARE - promptShare)
     }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/stop/StopPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/stop/StopPart.kt
@@ -64,7 +64,7 @@
  * Returns whether [request] may be admitted at [now]: no stop was requested, the stop was requested only recently, or
  * the time limit of the request ends before the process does.
  */
-internal fun RelayState.finishesBeforeStop(request: RelayRequest, route: Route, now: Timestamp): Boolean {
+internal fun RelayState.mayAdmitWhileStopping(request: RelayRequest, route: Route, now: Timestamp): Boolean {
     val requestedAt = stop.requestedAt ?: return true
     val time = minOf(request.timeLeftMilliseconds ?: Long.MAX_VALUE, route.timeoutMilliseconds)
     val left = settings.graceMilliseconds - EXIT_MARGIN_MILLISECONDS - (now - requestedAt)
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/AccessTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/StorePathTest.kt
@@ -9,7 +9,7 @@
 import kotlin.test.assertTrue
 
 /** A router that the store refuses calls it through other routers. */
-class AccessTest {
+class StorePathTest {
     private fun RelayRig.fail(problem: FeedProblem = FeedProblem.UNAVAILABLE): List<RelayEffect> =
         on(RelayEvent.FeedFailed(Feed.SERVERS, problem, "status 503"))
 
