--- a/core/src/test/kotlin/org/quetzalloom/core/relay/CascadeTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/CascadeTest.kt
@@ -16,7 +16,7 @@
 /** After an answer of low confidence, the largest model is asked if it can answer in time and servers are not busy. */
 class CascadeTest {
     private val prompt = RelayRig.prompt.copy(promptTokens = 10_000)
-    private val doubtful = AnswerHead(200, confidence = 20)
+    private val lowConfidence = AnswerHead(200, confidence = 20)
 
     /** Asks the largest model even if its answer would be late. */
     private object WithoutTimeLimit : ModelChoice by ConfidenceCascade(maximumStartTargets = 1_000.0)
@@ -33,20 +33,20 @@
         return this
     }
 
-    private fun RelayRig.answerDoubtfully(): List<RelayEffect> {
+    private fun RelayRig.answerWithLowConfidence(): List<RelayEffect> {
         val first = arrive(prompt).second.only<RelayEffect.Send>()
-        return answer(first, doubtful)
+        return answer(first, lowConfidence)
     }
 
     @Test
     fun `an answer of low confidence is dropped if the largest model can answer in time`() {
-        val effects = RelayRig().start(RelayRig.engineServers).recordPace(milliseconds = 100).answerDoubtfully()
+        val effects = RelayRig().start(RelayRig.engineServers).recordPace(milliseconds = 100).answerWithLowConfidence()
         assertEquals("large", effects.only<RelayEffect.Send>().order.model)
     }
 
     @Test
     fun `an answer of low confidence is kept if the largest model would be late`() {
-        val effects = RelayRig().start(RelayRig.engineServers).recordPace(milliseconds = 400).answerDoubtfully()
+        val effects = RelayRig().start(RelayRig.engineServers).recordPace(milliseconds = 400).answerWithLowConfidence()
         assertTrue(effects.none<RelayEffect.Send>())
         assertEquals(1, effects.filterIsInstance<RelayEffect.ForwardAnswer>().size)
     }
@@ -54,7 +54,7 @@
     @Test
     fun `without the time limit the largest model is asked even if it would be late`() {
         val rig = RelayRig(policies = RelayPolicies(modelChoice = WithoutTimeLimit)).start(RelayRig.engineServers)
-        val effects = rig.recordPace(milliseconds = 400).answerDoubtfully()
+        val effects = rig.recordPace(milliseconds = 400).answerWithLowConfidence()
         assertEquals("large", effects.only<RelayEffect.Send>().order.model)
     }
 
@@ -62,7 +62,7 @@
     fun `the log line of the end of a request shows what the escalation decision was based on`() {
         val rig = RelayRig().start(RelayRig.engineServers).recordPace(milliseconds = 400)
         val first = rig.arrive(prompt).second.only<RelayEffect.Send>()
-        rig.answer(first, doubtful)
+        rig.answer(first, lowConfidence)
         val end = rig.on(RelayEvent.AnswerFinished(first.exchange, first.attempt)).only<RelayEffect.Report>().entry
         assertEquals("20", end.fields["confidence"])
         assertTrue(end.fields.getValue("largest_after_ms").toLong() > 3_000)
@@ -73,7 +73,7 @@
         val rig = RelayRig().start(RelayRig.engineServers.take(1)).recordPace(milliseconds = 20)
         val first = rig.arrive(prompt).second.only<RelayEffect.Send>()
         rig.read(Feed.SERVERS, FeedEntry.ServerRemoved(first.order.server))
-        assertTrue(rig.answer(first, doubtful).none<RelayEffect.CancelAttempt>())
+        assertTrue(rig.answer(first, lowConfidence).none<RelayEffect.CancelAttempt>())
     }
 
     @Test
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/PeersTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/PeersTest.kt
@@ -29,9 +29,9 @@
     fun `work is reported while prompts are read, and no longer once the answer has begun`() {
         val rig = RelayRig().start(RelayRig.engineServers, members = 3)
         val send = rig.arrive(prompt).second.only<RelayEffect.Send>()
-        val told = rig.pass(100).only<RelayEffect.SendBeacon>()
-        assertEquals(listOf("10.0.0.2:70", "10.0.0.3:70"), told.addresses.sorted())
-        assertEquals(mapOf(send.order.server to 1_000L), told.beacon.work)
+        val sentBeacon = rig.pass(100).only<RelayEffect.SendBeacon>()
+        assertEquals(listOf("10.0.0.2:70", "10.0.0.3:70"), sentBeacon.addresses.sorted())
+        assertEquals(mapOf(send.order.server to 1_000L), sentBeacon.beacon.work)
         rig.answer(send, AnswerHead(200, confidence = 90))
         assertTrue(rig.pass(100).only<RelayEffect.SendBeacon>().beacon.work.isEmpty())
     }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RolloutsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RolloutsTest.kt
@@ -21,7 +21,7 @@
     private val new = RelayRig.server("s-9", RelayRig.plain, version = "v2")
     private var sent = 0
 
-    private fun begun(): RelayRig = RelayRig().start(RelayRig.plainServers + new).apply {
+    private fun startedRollout(): RelayRig = RelayRig().start(RelayRig.plainServers + new).apply {
         read(Feed.ORDERS, FeedEntry.Rollout(order))
         read(Feed.STATUS, snapshot = true)
     }
@@ -49,7 +49,7 @@
     /** Operators limit the exposure to a share of all requests from the order to the end of its duration. */
     @Test
     fun `a version that never fails is completed in time, within the limit for bad ones`() {
-        val rig = begun()
+        val rig = startedRollout()
         assertEquals(listOf(RolloutPhase.IN_PROGRESS), rig.load(100).written())
         rig.accept(RolloutPhase.IN_PROGRESS)
         val load = rig.load(23_900)
@@ -62,7 +62,7 @@
 
     @Test
     fun `a bad version is reverted after few requests, and gets no more`() {
-        val rig = begun()
+        val rig = startedRollout()
         rig.load(100)
         rig.accept(RolloutPhase.IN_PROGRESS)
         val load = rig.load(12_000, newStatus = 500)
@@ -74,7 +74,7 @@
 
     @Test
     fun `a reverted status that another router wrote ends the exposure at this router too`() {
-        val rig = begun()
+        val rig = startedRollout()
         rig.read(Feed.STATUS, FeedEntry.RolloutStatus(RelayRig.plain, "v2", RolloutPhase.REVERTED))
         assertTrue(rig.load(24_000).none { it.first == "v2" })
     }
@@ -93,7 +93,7 @@
 
     @Test
     fun `single failures at several routers together condemn a version`() {
-        val rig = begun()
+        val rig = startedRollout()
         rig.receive("vm-2", peerReport(failures = 1))
         rig.receive("vm-3", peerReport(failures = 1))
         assertTrue(rig.receive("vm-3", peerReport(failures = 1)).none<RelayEffect.Report>())
@@ -104,7 +104,7 @@
 
     @Test
     fun `a version that another router has condemned gets no more requests from this router`() {
-        val rig = begun()
+        val rig = startedRollout()
         rig.receive("vm-2", peerReport(condemned = true))
         val load = rig.load(12_000)
         assertTrue(load.none { it.first == "v2" })
@@ -113,16 +113,16 @@
 
     @Test
     fun `a report of another version changes nothing`() {
-        val rig = begun()
+        val rig = startedRollout()
         rig.receive("vm-2", peerReport(condemned = true).copy(version = "v3"))
         assertTrue(rig.load(12_000).any { it.first == "v2" })
     }
 
     @Test
     fun `a router that has just started completes a roll-out in time, by the age that others report`() {
-        val alone = begun()
+        val alone = startedRollout()
         assertTrue(alone.load(4_000).written().none { it == RolloutPhase.COMPLETED })
-        val informed = begun()
+        val informed = startedRollout()
         informed.receive("vm-2", peerReport(age = 23_000))
         informed.accept(RolloutPhase.IN_PROGRESS)
         assertEquals(RolloutPhase.COMPLETED, informed.load(1_000).written().first())
@@ -130,7 +130,7 @@
 
     @Test
     fun `outcomes and age are reported to other routers while a roll-out is in progress`() {
-        val rig = begun()
+        val rig = startedRollout()
         rig.join(members = 2)
         val before = rig.load(2_000).flatMap { it.second }.filterIsInstance<RelayEffect.SendBeacon>().last().beacon
         assertTrue(before.rollouts.single().ageMilliseconds in 1_800..2_000)
