--- a/core/src/main/kotlin/org/quetzalloom/core/backend/BackendsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/BackendsPart.kt
@@ -12,64 +12,76 @@
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.router.Step
 import org.quetzalloom.core.router.report
-import org.quetzalloom.core.router.tellAll
+import org.quetzalloom.core.router.sendToPeers
 import org.quetzalloom.core.router.unchanged
 import org.quetzalloom.core.time.Timestamp
 
-/** Watches backend servers: starts, load and failures, and which of them this VM may send to. */
+/**
+ * Tracks the backend servers: their restarts, load and failures, and the subset that this VM may send to.
+ *
+ * Load reports serve as health checks: one that is missing counts as a failure.
+ */
 internal object BackendsPart : Part {
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step =
-        state.withHomes().handle(event, now)
+        state.withCurrentSubset().handle(event, now)
 
     private fun RouterState.handle(event: Event, now: Timestamp): Step = when (event) {
-        is Event.Tick -> askLoad(now)
-        is Event.OfBackend.Accepted -> accepted(event, now)
-        is Event.OfBackend.LoadReported -> reported(event, now)
-        is Event.OfBackend.LoadUnknown -> withHealth(event.server) { it.failed(now) }.unchanged()
-        is Event.PeerTold -> (event.message as? PeerMessage.Restarted)?.let { restarted(it, now) } ?: unchanged()
+        is Event.Tick -> requestDueLoads(now)
+        is Event.OfBackend.Accepted -> onAccepted(event, now)
+        is Event.OfBackend.LoadReported -> onLoadReported(event, now)
+        is Event.OfBackend.LoadReportFailed -> withHealth(event.server) { it.afterFailure(now) }.unchanged()
+        is Event.FromPeer -> (event.message as? PeerMessage.Restarted)?.let { onPeerSawRestart(it, now) } ?: unchanged()
         else -> unchanged()
     }
 
-    private fun RouterState.withHomes(): RouterState {
+    /** Returns the state with the subset recomputed if the configuration has changed. */
+    private fun RouterState.withCurrentSubset(): RouterState {
         val current = configuration.view.current
         if (current == null || current.revision == backends.revision) return this
         return copy(
-            backends = backends.copy(revision = current.revision, homes = Homes.of(current, settings)),
+            backends = backends.copy(revision = current.revision, subset = DeterministicSubset.of(current, settings)),
         )
     }
 
-    private fun RouterState.askLoad(now: Timestamp): Step {
+    /** Requests a load report from each backend server of the subset whose last one was requested long enough ago. */
+    private fun RouterState.requestDueLoads(now: Timestamp): Step {
         val servers = configuration.view.current?.backendServers ?: return unchanged()
-        val due = backends.homes.keys.mapNotNull { servers[it] }.filter { isDue(it, now) }.sortedBy { it.id }
-        return due.fold(unchanged()) { reached, server -> reached.then { it.askLoad(server, now) } }
+        val due = backends.subset.keys.mapNotNull { servers[it] }.filter { isLoadReportDue(it, now) }.sortedBy { it.id }
+        return due.fold(unchanged()) { transition, server -> transition.then { it.requestLoad(server, now) } }
     }
 
-    private fun RouterState.isDue(server: BackendServer, now: Timestamp): Boolean {
-        val askedAt = backends.healthOf(server.id).askedAt
-        return askedAt == null || now - askedAt >= settings.limits.loadIntervalMilliseconds
+    private fun RouterState.isLoadReportDue(server: BackendServer, now: Timestamp): Boolean {
+        val loadRequestedAt = backends.healthOf(server.id).loadRequestedAt
+        return loadRequestedAt == null || now - loadRequestedAt >= settings.limits.loadIntervalMilliseconds
     }
 
-    private fun RouterState.accepted(event: Event.OfBackend.Accepted, now: Timestamp): Step {
+    /** Resets the failures of a backend server that has begun to answer, and records the start that it names. */
+    private fun RouterState.onAccepted(event: Event.OfBackend.Accepted, now: Timestamp): Step {
         val running = requests.byAttemptOrNull(event.attempt)?.phase as? Phase.Running ?: return unchanged()
-        return sawStart(running.server, event.start, startedAt = now, now = now)
+        return observeStart(running.server, event.start, startedAt = now, now = now)
             .then {
                 it.withHealth(
                     running.server
                 ) { health ->
                     health.copy(
-                        doubted = health.doubted && health.start != event.start,
+                        mayHaveRestarted = health.mayHaveRestarted && health.start != event.start,
                         failures = 0
                     )
                 }.unchanged()
             }
     }
 
-    private fun RouterState.reported(event: Event.OfBackend.LoadReported, now: Timestamp): Step {
+    private fun RouterState.onLoadReported(event: Event.OfBackend.LoadReported, now: Timestamp): Step {
         val updated = withHealth(event.server) { it.copy(reportedRunning = event.running) }
-        return updated.sawStart(event.server, event.start, startedAt = now + -event.upForMilliseconds, now = now)
+        return updated.observeStart(event.server, event.start, startedAt = now + -event.upForMilliseconds, now = now)
     }
 
-    private fun RouterState.sawStart(
+    /**
+     * Records that [server] was seen running since [start].
+     *
+     * A late message about an earlier start is ignored. Of several times seen for the same start, the earliest is kept.
+     */
+    private fun RouterState.observeStart(
         server: BackendServerId,
         start: StartIdentity,
         startedAt: Timestamp,
@@ -81,31 +93,33 @@
             start == health.start -> withHealth(server) {
                 it.copy(startedAt = minOf(it.startedAt, startedAt))
             }.unchanged()
-            else -> newStart(server, start, startedAt, now)
+            else -> recordNewStart(server, start, startedAt, now)
         }
     }
 
-    private fun RouterState.newStart(
+    /** Resets [server] to cold, and announces the restart to the peers unless this is the first start seen. */
+    private fun RouterState.recordNewStart(
         server: BackendServerId,
         start: StartIdentity,
         startedAt: Timestamp,
         now: Timestamp,
     ): Step {
-        val known = backends.healthOf(server).start != null
-        val next = withHealth(server) { it.started(start, startedAt) }
-        val told = if (known) {
-            next.tellAll(
+        val wasKnown = backends.healthOf(server).start != null
+        val next = withHealth(server) { it.withStart(start, startedAt) }
+        val announced = if (wasKnown) {
+            next.sendToPeers(
                 next.livePeers(now),
                 PeerMessage.Restarted(server, start)
             )
         } else {
             next.unchanged()
         }
-        return told.then { it.report(now, "backend_server_started", "server" to server, "start" to start) }
+        return announced.then { it.report(now, "backend_server_started", "server" to server, "start" to start) }
     }
 
-    private fun RouterState.restarted(message: PeerMessage.Restarted, now: Timestamp): Step {
-        if (message.server !in backends.homes) return unchanged()
-        return sawStart(message.server, message.start, startedAt = now, now = now)
+    /** Records a restart that a peer has seen, if this VM may send to the backend server. */
+    private fun RouterState.onPeerSawRestart(message: PeerMessage.Restarted, now: Timestamp): Step {
+        if (message.server !in backends.subset) return unchanged()
+        return observeStart(message.server, message.start, startedAt = now, now = now)
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/backend/TwoChoices.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/PowerOfTwoChoices.kt
@@ -1,12 +1,12 @@
 package org.quetzalloom.core.backend
 
 /**
- * Draws two candidates and takes the one with less load, where another availability zone counts as some load.
+ * Draws two candidates at random and chooses the one with the lower load, with a penalty for other availability zones.
  *
- * @property otherZoneLoad the load, as a share of capacity, that a backend server in the VM's own availability
- *   zone may have more than one elsewhere and still be preferred.
+ * @property crossZonePenalty the load, as a share of capacity, that is added to a candidate in another zone before
+ *   the two are compared.
  */
-public data class TwoChoices(public val otherZoneLoad: Double = 0.3) : ServerChoice {
+public data class PowerOfTwoChoices(public val crossZonePenalty: Double = 0.3) : ServerChoice {
     override fun choose(candidates: List<ServerCandidate>, seed: Long): ServerCandidate {
         val first = candidates[index(seed, candidates.size)]
         val others = candidates.filter { it.server != first.server }
@@ -15,7 +15,7 @@
         return listOf(first, second).minWith(compareBy({ it.score() }, { it.server }))
     }
 
-    private fun ServerCandidate.score(): Double = if (sameZone) load else load + otherZoneLoad
+    private fun ServerCandidate.score(): Double = if (sameZone) load else load + crossZonePenalty
 
     private fun index(seed: Long, size: Int): Int = Math.floorMod(seed, size.toLong()).toInt()
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/membership/MembershipState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/membership/MembershipState.kt
@@ -6,18 +6,18 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * The slice of [MembershipPart].
+ * The state of [MembershipPart].
  *
- * @property heardAt when each peer was last heard.
- * @property leaving the VMs that the platform lists, and whether each is leaving.
- * @property gossipAt when the last digest was sent.
- * @property gossipTurn the number of digests sent.
- * @property listedAt when the list of VMs was last asked for.
+ * @property lastMessageAt when the last message of each peer was received.
+ * @property leaving whether each VM is leaving, for the VMs that the platform lists.
+ * @property digestSentAt when the last digest was sent, or `null` before the first.
+ * @property digestsSent the number of digests sent since the start; determines the next receiver.
+ * @property listRequestedAt when the list of VMs was last requested, or `null` before the first time.
  */
 internal data class MembershipState(
-    val heardAt: PersistentMap<VmId, Timestamp> = persistentMapOf(),
+    val lastMessageAt: PersistentMap<VmId, Timestamp> = persistentMapOf(),
     val leaving: PersistentMap<VmId, Boolean> = persistentMapOf(),
-    val gossipAt: Timestamp? = null,
-    val gossipTurn: Long = 0,
-    val listedAt: Timestamp? = null,
+    val digestSentAt: Timestamp? = null,
+    val digestsSent: Long = 0,
+    val listRequestedAt: Timestamp? = null,
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/quarantine/QuarantinePart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/quarantine/QuarantinePart.kt
@@ -10,71 +10,92 @@
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.router.Step
 import org.quetzalloom.core.router.report
-import org.quetzalloom.core.router.tell
+import org.quetzalloom.core.router.sendToPeer
 import org.quetzalloom.core.router.unchanged
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * Remembers requests that took down backend servers, and shares what it knows with peers.
+ * Quarantines requests that crash backend servers, and shares the suspicions with the peers.
  *
- * Such a request is tried once more, by one VM and at a backend server where no other suspect is tried, so that a
- * second crash says for certain which request brought it about. VMs that want the same backend server settle it by
- * the smaller fingerprint, unless a trial already runs.
+ * A request under which a backend server went down is suspected. It is run once more as a trial, by one VM and at a
+ * backend server where no other suspect is on trial, so that a second crash has only one possible cause. If VMs claim
+ * the same backend server for different requests, the smaller fingerprint wins, unless a trial has already started.
  */
 internal object QuarantinePart : Part {
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
-        is Event.PeerTold -> state.told(event, now)
-        is Event.Tick -> state.forgetOld(now).unchanged()
+        is Event.FromPeer -> state.onPeerMessage(event, now)
+        is Event.Tick -> state.removeExpired(now).unchanged()
         else -> state.unchanged()
     }
 
-    private fun RouterState.told(event: Event.PeerTold, now: Timestamp): Step = when (val message = event.message) {
-        is PeerMessage.Suspect -> suspect(event, message, now)
-        is PeerMessage.SuspectNoted -> noted(event.from, message).unchanged()
-        is PeerMessage.Cleared -> cleared(message.fingerprint).unchanged()
+    private fun RouterState.onPeerMessage(
+        event: Event.FromPeer,
+        now: Timestamp,
+    ): Step = when (val message = event.message) {
+        is PeerMessage.Suspect -> onSuspect(event, message, now)
+        is PeerMessage.SuspectNoted -> onSuspectNoted(event.from, message).unchanged()
+        is PeerMessage.Cleared -> withoutSuspicion(message.fingerprint).unchanged()
         else -> unchanged()
     }
 
-    private fun RouterState.suspect(event: Event.PeerTold, message: PeerMessage.Suspect, now: Timestamp): Step {
+    /**
+     * Records the suspicion that a peer announced, and answers whether this VM agrees to the trial of the peer.
+     *
+     * It does not agree if its own trial of the same request goes on, or if one of its trials holds the same backend
+     * server and takes precedence. If it agrees, its own competing trials give up that backend server.
+     */
+    private fun RouterState.onSuspect(event: Event.FromPeer, message: PeerMessage.Suspect, now: Timestamp): Step {
         val from = event.from
-        val rivals = ownTrials().filterValues { it.trialAt != null && it.trialAt == message.trialAt }.keys
+        val competing = ownTrials()
+            .filterValues { it.trialServer != null && it.trialServer == message.trialAt }.keys
             .filter { it != message.fingerprint }
         val keepsOwn = message.trial && keepsOwnTrial(message.fingerprint, from)
-        val agreed = !keepsOwn && rivals.none { it.value < message.fingerprint.value || hasBegun(it) }
-        val yielded = if (agreed) rivals.fold(this) { state, rival -> state.withoutTrialServer(rival) } else this
-        val noted = yielded.suspected(message.fingerprint, message.server, now)
-        val by = from.takeIf { message.trial }
-        val next = if (keepsOwn) noted else noted.withTrial(message.fingerprint, by, message.trialAt, now, event.stamp)
-        return next.tell(from, PeerMessage.SuspectNoted(message.fingerprint, message.trialAt, agreed))
+        val agreed = !keepsOwn && competing.none { it.value < message.fingerprint.value || hasStarted(it) }
+        val yielded = if (agreed) competing.fold(this) { state, trial -> state.withoutTrialServer(trial) } else this
+        val known = yielded.withCrash(message.fingerprint, message.server, now)
+        val trialVm = from.takeIf { message.trial }
+        val next =
+            if (keepsOwn) known else known.withTrial(message.fingerprint, trialVm, message.trialAt, now, event.stamp)
+        return next.sendToPeer(from, PeerMessage.SuspectNoted(message.fingerprint, message.trialAt, agreed))
             .then { it.report(now, "request_suspected", "fingerprint" to message.fingerprint, "by" to from) }
     }
 
-    private fun RouterState.ownTrials() = quarantine.suspicions.filterValues { it.trialBy == settings.vm }
+    private fun RouterState.ownTrials() = quarantine.suspicions.filterValues { it.trialVm == settings.vm }
 
-    /** Returns whether this VM goes on with its own trial of the request that [other] wants to try. */
+    /**
+     * Returns whether this VM keeps its own trial of the request that [other] wants to try.
+     *
+     * It does if the trial has started, or if this VM has the smaller id.
+     */
     private fun RouterState.keepsOwnTrial(fingerprint: Fingerprint, other: VmId): Boolean =
-        fingerprint in ownTrials() && (hasBegun(fingerprint) || settings.vm < other)
+        fingerprint in ownTrials() && (hasStarted(fingerprint) || settings.vm < other)
 
-    private fun RouterState.hasBegun(fingerprint: Fingerprint): Boolean =
+    /** Returns whether a request of [fingerprint] is queued or running at this VM, past the wait for its trial. */
+    private fun RouterState.hasStarted(fingerprint: Fingerprint): Boolean =
         requests.active.values.any {
             it.fingerprint == fingerprint && (it.phase is Phase.Queued || it.phase is Phase.Running)
         }
 
+    /** Returns the state in which the trial of [fingerprint] has no backend server, so that it must choose another. */
     private fun RouterState.withoutTrialServer(fingerprint: Fingerprint): RouterState {
         val known = quarantine.suspicions[fingerprint] ?: return this
-        return withSuspicion(fingerprint, known.copy(trialAt = null))
+        return withSuspicion(fingerprint, known.copy(trialServer = null))
     }
 
-    private fun RouterState.noted(by: VmId, message: PeerMessage.SuspectNoted): RouterState {
+    /** Records that [peer] agrees to the trial, or gives up the backend server of the trial if it does not. */
+    private fun RouterState.onSuspectNoted(peer: VmId, message: PeerMessage.SuspectNoted): RouterState {
         val known = quarantine.suspicions[message.fingerprint]
-            ?.takeIf { it.trialBy == settings.vm && it.trialAt == message.trialAt }
+            ?.takeIf { it.trialVm == settings.vm && it.trialServer == message.trialAt }
             ?: return this
-        val next = if (message.agreed) known.copy(notedBy = known.notedBy.add(by)) else known.copy(trialAt = null)
+        val next =
+            if (message.agreed) known.copy(agreedBy = known.agreedBy.add(peer)) else known.copy(trialServer = null)
         return withSuspicion(message.fingerprint, next)
     }
 
-    private fun RouterState.forgetOld(now: Timestamp): RouterState {
-        val old = quarantine.suspicions.filterValues { now - it.at > settings.limits.suspicionMilliseconds }.keys
-        return old.fold(this) { state, fingerprint -> state.cleared(fingerprint) }
+    /** Removes suspicions whose last crash was longer ago than `suspicionRetentionMilliseconds`. */
+    private fun RouterState.removeExpired(now: Timestamp): RouterState {
+        val expired = quarantine.suspicions
+            .filterValues { now - it.suspectedAt > settings.limits.suspicionRetentionMilliseconds }.keys
+        return expired.fold(this) { state, fingerprint -> state.withoutSuspicion(fingerprint) }
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/RequestsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/RequestsPart.kt
@@ -11,43 +11,48 @@
 import org.quetzalloom.core.router.with
 import org.quetzalloom.core.time.Timestamp
 
-/** Leads each request from its arrival to one answer or one refusal. */
+/**
+ * Processes each request from its arrival to exactly one answer or one refusal.
+ *
+ * After each event, waiting requests are advanced and queued ones dispatched. This is skipped for tokens, the most
+ * frequent event, if they change nothing that a waiting request depends on.
+ */
 internal object RequestsPart : Part {
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step {
         val handled = state.handle(event, now)
         val waiting = handled.state.requests.waiting
-        val onlyTokens = event is Event.OfBackend.Progressed && waiting === state.requests.waiting
+        val onlyTokens = event is Event.OfBackend.ChunkReceived && waiting === state.requests.waiting
         if (waiting.isEmpty() || onlyTokens) return handled
         return handled.then { it.advanceAll(now) }.then { it.dispatchAll(now) }
     }
 
     private fun RouterState.handle(event: Event, now: Timestamp): Step = when (event) {
-        is Event.OfCaller.Arrived -> arrive(event, now)
-        is Event.OfCaller.Left -> leave(event, now)
-        is Event.OfBackend.Accepted -> accept(event, now)
-        is Event.OfBackend.Progressed -> progress(event, now)
-        is Event.OfBackend.Finished -> finish(event, now)
-        is Event.OfBackend.Failed -> fail(event, now)
-        is Event.OfBackend.LoadReported -> verdict(event.server, restartedSinceFailure(event), now)
-        is Event.OfBackend.LoadUnknown -> verdict(event.server, down = true, now = now)
+        is Event.OfCaller.Arrived -> onArrived(event, now)
+        is Event.OfCaller.Disconnected -> onCallerLeft(event, now)
+        is Event.OfBackend.Accepted -> onAccepted(event, now)
+        is Event.OfBackend.ChunkReceived -> onProgressed(event, now)
+        is Event.OfBackend.Finished -> onFinished(event, now)
+        is Event.OfBackend.Failed -> onFailed(event, now)
+        is Event.OfBackend.LoadReported -> resolveCrashChecks(event.server, restartedRecently(event), now)
+        is Event.OfBackend.LoadReportFailed -> resolveCrashChecks(event.server, down = true, now = now)
         is Event.Tick -> expireAll(now)
         else -> unchanged()
     }
 
-    /** Returns whether the backend server that reports has started lately, as one does that went down. */
-    private fun RouterState.restartedSinceFailure(event: Event.OfBackend.LoadReported): Boolean =
-        event.upForMilliseconds < settings.limits.verdictMilliseconds
+    /** Returns whether the reported start is recent enough to explain the broken connection by a crash. */
+    private fun RouterState.restartedRecently(event: Event.OfBackend.LoadReported): Boolean =
+        event.upForMilliseconds < settings.limits.crashCheckTimeoutMilliseconds
 
-    /** A call that may not be repeated goes on without its caller, so that its outcome is recorded. */
-    private fun RouterState.leave(event: Event.OfCaller.Left, now: Timestamp): Step {
+    /** Cancels a request whose caller has left; a running command goes on, so that its outcome is recorded. */
+    private fun RouterState.onCallerLeft(event: Event.OfCaller.Disconnected, now: Timestamp): Step {
         val request = requests.active[event.request] ?: return unchanged()
         val phase = request.phase
         return when {
             phase is Phase.Settling -> put(request.copy(callerLeft = true))
             phase is Phase.Running && request.command != null -> put(request.copy(callerLeft = true))
             phase is Phase.Running ->
-                release(phase).drop(request).then { it.with(Effect.OfBackend.Cancel(phase.attempt)) }
-            else -> drop(request)
+                releaseAttempt(phase).discard(request).then { it.with(Effect.OfBackend.Cancel(phase.attempt)) }
+            else -> discard(request)
         }.then { it.report(now, "caller_left", "request" to event.request) }
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/selection/CheapestConfident.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/selection/CheapestConfident.kt
@@ -3,34 +3,39 @@
 import org.quetzalloom.core.configuration.Version
 
 /**
- * Takes the cheapest version whose quality is above the target with confidence, or the best one where none is.
+ * Chooses the cheapest version whose quality is confidently at or above the target. If there is none, chooses the
+ * version with the highest lower confidence bound.
  *
- * A small share of requests tries a cheaper version that may be good enough for all that is known, so that a version
- * about which little was expected gets its ratings.
+ * A small share of requests explores: it runs on a cheaper version whose upper confidence bound reaches the target.
+ * Otherwise a version with a low expected quality would never be rated.
  *
- * @property deviations the width of the confidence interval, in standard deviations each way.
- * @property exploredPermille the requests per thousand that try such a version.
+ * @property deviations the half-width of the confidence interval, in standard errors.
+ * @property explorationPermille the requests per thousand that explore.
  */
 public data class CheapestConfident(
     public val deviations: Double = 1.0,
-    public val exploredPermille: Int = 100,
+    public val explorationPermille: Int = 100,
 ) : VersionChoice {
     override fun choose(options: List<VersionOption>, qualityTarget: Double, seed: Long): Version {
-        val known = known(options, qualityTarget)
-        val explores = Math.floorMod(seed, PERMILLE) < exploredPermille
-        return if (explores) promising(options, known, qualityTarget) ?: known else known
+        val preferred = preferred(options, qualityTarget)
+        val explores = Math.floorMod(seed, PERMILLE) < explorationPermille
+        return if (explores) explorationCandidateOrNull(options, preferred, qualityTarget) ?: preferred else preferred
     }
 
-    private fun known(options: List<VersionOption>, qualityTarget: Double): Version {
+    private fun preferred(options: List<VersionOption>, qualityTarget: Double): Version {
         val confident = options.filter { it.lowerBound() >= qualityTarget }
         val chosen = confident.minWithOrNull(compareBy({ it.version.costMicros }, { it.version.id }))
             ?: options.maxWith(compareBy<VersionOption> { it.lowerBound() }.thenByDescending { it.version.id })
         return chosen.version
     }
 
-    /** Returns the least rated of the cheaper versions that may be above the target. */
-    private fun promising(options: List<VersionOption>, known: Version, qualityTarget: Double): Version? = options
-        .filter { it.version.costMicros < known.costMicros && it.upperBound() >= qualityTarget }
+    /** Returns the version with the fewest ratings among those that are cheaper and may reach the target, or `null`. */
+    private fun explorationCandidateOrNull(
+        options: List<VersionOption>,
+        preferred: Version,
+        qualityTarget: Double,
+    ): Version? = options
+        .filter { it.version.costMicros < preferred.costMicros && it.upperBound() >= qualityTarget }
         .minWithOrNull(compareBy({ it.estimate.rated }, { it.version.id }))
         ?.version
 
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/Main.kt
@@ -18,23 +18,31 @@
 import kotlin.system.exitProcess
 
 private const val EXIT_BAD_SETTINGS = 2
-private const val EXIT_FAILED = 70
+private const val EXIT_INTERNAL_ERROR = 70
 
-/** The property of the HTTP server that lets it close by itself on a signal, which would cut requests. */
-private const val SERVER_SHUTDOWN_HOOK = "io.ktor.server.engine.ShutdownHook"
+/**
+ * The system property that makes Ktor's server close on a signal. It has to be off, since requests in progress would be
+ * interrupted.
+ */
+private const val KTOR_SHUTDOWN_HOOK = "io.ktor.server.engine.ShutdownHook"
 private val logger = LoggerFactory.getLogger("quetzalloomd")
 
-/** Runs the router: `quetzalloomd --settings base.toml --overlay site.toml --vm vm-1`. */
+/**
+ * Runs the router: `quetzalloomd --settings base.toml --overlay site.toml --vm vm-1`.
+ *
+ * Exits with status 0 after a graceful shutdown, 2 if the settings are not valid, and 70 if a thread
+ * ends with an exception.
+ */
 public fun main(arguments: Array<String>) {
-    System.setProperty(SERVER_SHUTDOWN_HOOK, "false")
+    System.setProperty(KTOR_SHUTDOWN_HOOK, "false")
     val parser = ArgParser("quetzalloomd")
-    val settings by parser.option(ArgType.String, description = "The base file").required()
-    val overlay by parser.option(ArgType.String, description = "The overlay of the site")
+    val settings by parser.option(ArgType.String, description = "The base settings file").required()
+    val overlay by parser.option(ArgType.String, description = "The settings file of the site")
     val vm by parser.option(ArgType.String, description = "The VM that this process runs on").required()
     parser.parse(arguments)
     load(listOfNotNull(settings, overlay), vm).fold(
         success = { run(Daemon(it)) },
-        failure = { fail(it) },
+        failure = { exitWithBadSettings(it) },
     )
 }
 
@@ -46,26 +54,29 @@
         .andThen { DaemonSettings.of(it, vm, incarnation = UUID.randomUUID().toString()) }
 }
 
-/** Runs [daemon] until it has stopped, also on a signal. A failure of the loop ends the process at once. */
+/**
+ * Runs [daemon] and exits the process. A signal starts a graceful shutdown. An uncaught exception ends the process at
+ * once, without the shutdown hook: the hook would wait forever for a loop that no longer runs.
+ */
 private fun run(daemon: Daemon) {
     Thread.setDefaultUncaughtExceptionHandler { thread, problem ->
         logger.error("event=thread_failed thread={}", thread.name, problem)
-        Runtime.getRuntime().halt(EXIT_FAILED)
+        Runtime.getRuntime().halt(EXIT_INTERNAL_ERROR)
     }
-    val ended = CountDownLatch(1)
+    val stopped = CountDownLatch(1)
     Runtime.getRuntime().addShutdownHook(
         Thread {
             daemon.requestShutdown()
-            ended.await()
+            stopped.await()
             Runtime.getRuntime().halt(0)
         },
     )
     runBlocking { daemon.run() }
-    ended.countDown()
+    stopped.countDown()
     exitProcess(0)
 }
 
-private fun fail(message: String) {
+private fun exitWithBadSettings(message: String) {
     System.err.println(message)
     exitProcess(EXIT_BAD_SETTINGS)
 }
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/BackendClient.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/BackendClient.kt
@@ -25,7 +25,11 @@
 import org.slf4j.LoggerFactory
 import java.net.ConnectException
 
-/** Carries out orders to backend servers. Its methods are called on the loop's thread. */
+/**
+ * Sends requests to backend servers and posts their results to the loop.
+ *
+ * Confined to the loop's thread: [carryOut] is called there, and the jobs of ended attempts are removed there.
+ */
 internal class BackendClient(
     private val client: HttpClient,
     private val scope: CoroutineScope,
@@ -33,12 +37,12 @@
 ) {
     private var jobs = persistentMapOf<AttemptId, Job>()
 
-    /** Carries out [effect]. */
+    /** Starts or cancels an attempt, or starts a load request. Does not wait for responses. */
     fun carryOut(effect: Effect.OfBackend) {
         when (effect) {
             is Effect.OfBackend.Start -> start(effect.order)
             is Effect.OfBackend.Cancel -> cancel(effect.attempt)
-            is Effect.OfBackend.AskLoad -> askLoad(effect)
+            is Effect.OfBackend.RequestLoadReport -> requestLoad(effect)
         }
     }
 
@@ -57,7 +61,7 @@
             is Target.Completion -> EngineCall(client, order, loop)
             is Target.ServiceCall -> ServiceCall(client, order, loop)
         }
-        val last = try {
+        val finalEvent = try {
             call.run()
         } catch (cancelled: CancellationException) {
             throw cancelled
@@ -71,14 +75,14 @@
             logFailure(order, problem)
             Event.OfBackend.Failed(order.attempt, AttemptFailure.BROKEN)
         }
-        loop.post(last) { jobs = jobs.remove(order.attempt) }
+        loop.post(finalEvent) { jobs = jobs.remove(order.attempt) }
     }
 
     private fun logFailure(order: AttemptOrder, problem: Exception) {
         logger.debug("event=attempt_io_failed attempt={} problem=\"{}\"", order.attempt, problem.message)
     }
 
-    private fun askLoad(effect: Effect.OfBackend.AskLoad) {
+    private fun requestLoad(effect: Effect.OfBackend.RequestLoadReport) {
         scope.launch {
             val event = try {
                 val text = client.get("http://${effect.address}/load") {
@@ -92,9 +96,9 @@
                     load.upForMilliseconds,
                 )
             } catch (_: IOException) {
-                Event.OfBackend.LoadUnknown(effect.server)
+                Event.OfBackend.LoadReportFailed(effect.server)
             } catch (_: IllegalArgumentException) {
-                Event.OfBackend.LoadUnknown(effect.server)
+                Event.OfBackend.LoadReportFailed(effect.server)
             }
             loop.post(event)
         }
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/ServiceCall.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/ServiceCall.kt
@@ -15,7 +15,11 @@
 import org.quetzalloom.daemon.RouterLoop
 import org.quetzalloom.wire.backend.BackendHeaders
 
-/** A call of a plain service: one request, one response. */
+/**
+ * An attempt to call a plain service, which answers one HTTP request with one response.
+ *
+ * A response of any status is passed on as the answer, unless it states that the service did not run the call.
+ */
 internal class ServiceCall(
     private val client: HttpClient,
     private val order: AttemptOrder,
@@ -30,13 +34,13 @@
             order.fencing?.let { header(BackendHeaders.FENCING, it) }
             order.scope?.let { header(BackendHeaders.FENCING_SCOPE, it) }
             if (order.body.isNotEmpty()) setBody(order.body)
-        }.execute { read(it) }
+        }.execute { readResponse(it) }
     }
 
-    private suspend fun read(response: HttpResponse): Event.OfBackend {
-        if (response.headers[BackendHeaders.NOT_RUN] != null) return refusal(order, response)
-        accepted(order, response)?.let { loop.post(it) }
-        loop.post(Event.OfBackend.Progressed(order.attempt, position = 0, tokens = 1, text = response.bodyAsText()))
+    private suspend fun readResponse(response: HttpResponse): Event.OfBackend {
+        if (response.headers[BackendHeaders.NOT_RUN] != null) return failureOf(order, response)
+        acceptedOrNull(order, response)?.let { loop.post(it) }
+        loop.post(Event.OfBackend.ChunkReceived(order.attempt, position = 0, tokens = 1, text = response.bodyAsText()))
         return Event.OfBackend.Finished(order.attempt, tokens = 1, status = response.status.value)
     }
 }
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/CallerRoutes.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/CallerRoutes.kt
@@ -29,23 +29,23 @@
 import java.util.UUID
 
 /**
- * The HTTP front end of callers: parses requests, posts them to the loop and writes what comes back.
+ * The HTTP routes for callers: parses their requests, posts them to the loop and writes the answers.
  *
- * @property largestBodyBytes the longest body that is read.
+ * @property largestBodyBytes the maximum size of a request body; longer ones get [ErrorKind.TOO_LARGE].
  */
 internal class CallerRoutes(
     private val loop: RouterLoop,
     private val exchanges: Exchanges,
-    private val parser: CallParser,
+    private val parser: RequestParser,
     private val largestBodyBytes: Long,
 ) {
-    /** Adds the routes of callers to [routing]. */
+    /** Adds the route of completions to [routing], and a route that treats every other path as a service call. */
     fun install(routing: Route) {
-        routing.post("/v1/chat/completions") { handle(call) { body -> parser.completion(call::header, body) } }
+        routing.post("/v1/chat/completions") { handle(call) { body -> parser.parseCompletion(call::header, body) } }
         routing.route("{path...}") {
             handle {
                 val target = Target.ServiceCall(call.request.httpMethod.value.uppercase(), call.request.uri)
-                handle(call) { body -> parser.service(call::header, target, body) }
+                handle(call) { body -> parser.parseServiceCall(call::header, target, body) }
             }
         }
     }
@@ -53,7 +53,7 @@
     private suspend fun handle(call: ApplicationCall, parse: (String) -> Result<CallerRequest, RouterError>) {
         val body = readBodyOrNull(call)
         if (body == null) {
-            ErrorWriter.write(call, RouterError(ErrorKind.TOO_LARGE, "the body is above $largestBodyBytes bytes"))
+            ErrorWriter.write(call, RouterError(ErrorKind.TOO_LARGE, "the body is larger than $largestBodyBytes bytes"))
         } else {
             parse(body).fold(success = { serve(call, it) }, failure = { ErrorWriter.write(call, it) })
         }
@@ -66,23 +66,23 @@
 
     private suspend fun serve(call: ApplicationCall, request: CallerRequest) {
         val id = RequestId(UUID.randomUUID().toString())
-        val answers = Channel<Effect.OfCaller>(Channel.UNLIMITED)
-        loop.post(Event.OfCaller.Arrived(id, request)) { exchanges.register(id, answers) }
+        val parts = Channel<Effect.OfCaller>(Channel.UNLIMITED)
+        loop.post(Event.OfCaller.Arrived(id, request)) { exchanges.register(id, parts) }
         call.response.header(CallerHeaders.REQUEST, id.value)
         try {
-            AnswerWriter(call, id, request.target).write(answers)
+            AnswerWriter(call, id, request.target).write(parts)
         } catch (_: IOException) {
-            leave(id)
+            reportDisconnect(id)
         } catch (cancelled: CancellationException) {
-            leave(id)
+            reportDisconnect(id)
             throw cancelled
         }
     }
 
-    private fun leave(id: RequestId) = loop.post(Event.OfCaller.Left(id)) { exchanges.forget(id) }
+    private fun reportDisconnect(id: RequestId) = loop.post(Event.OfCaller.Disconnected(id)) { exchanges.remove(id) }
 }
 
 private fun ApplicationCall.header(name: String): String? = request.header(name)
 
-/** Returns the status of an HTTP answer with [code]. */
+/** Returns the HTTP status with the number [code]. */
 internal fun statusOf(code: Int): HttpStatusCode = HttpStatusCode.fromValue(code)
--- /dev/null
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCallListener.kt
@@ -0,0 +1,16 @@
+package org.quetzalloom.relay.backend
+
+import io.netty.handler.codec.http.HttpResponse
+import org.quetzalloom.core.relay.exchange.AttemptFailure
+
+/** Receives the progress of an attempt. */
+internal interface BackendCallListener {
+    /** The head of a successful stream has arrived, or any other response is complete. */
+    fun responseStarted(call: BackendCall, head: HttpResponse)
+
+    /** The complete response has been written to the caller. */
+    fun responseForwarded(call: BackendCall)
+
+    /** The attempt has failed. [lastEventId] is the id of the last event that the caller got, or `null`. */
+    fun attemptFailed(call: BackendCall, failure: AttemptFailure, lastEventId: String?)
+}
--- /dev/null
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BufferedResponse.kt
@@ -0,0 +1,64 @@
+package org.quetzalloom.relay.backend
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpStatusClass
+import org.quetzalloom.relay.caller.ResponseWriter
+import org.quetzalloom.relay.http.withoutHopByHopHeaders
+
+/**
+ * A response that is being read, with the part of its body that has not been forwarded.
+ *
+ * @param mayStream whether a successful response is forwarded as it arrives.
+ */
+internal class BufferedResponse(val head: HttpResponse, mayStream: Boolean) {
+    private val bytes: ByteBuf = Unpooled.buffer(INITIAL_CAPACITY_BYTES)
+    private val splitter = EventSplitter()
+    private val isEventStream =
+        head.headers().get(HttpHeaderNames.CONTENT_TYPE)?.startsWith("text/event-stream", ignoreCase = true) ?: false
+
+    /** Whether the response is forwarded as it arrives; otherwise it is forwarded once it is complete. */
+    val isStream: Boolean = mayStream && head.status().codeClass() == HttpStatusClass.SUCCESS
+
+    /** The id of the last forwarded event that had one, or `null`. */
+    val lastEventId: String? get() = splitter.lastEventId
+
+    /** Appends a copy of [content] to the buffered body. */
+    fun add(content: ByteBuf) {
+        bytes.writeBytes(content)
+    }
+
+    /**
+     * Writes what can be forwarded now: the head, unless it has been written, and the buffered body. An event stream
+     * is forwarded up to its last complete event.
+     */
+    fun forwardAvailable(response: ResponseWriter) {
+        if (!response.headWritten) response.writeHead(head.status(), head.headers().withoutHopByHopHeaders())
+        val available =
+            if (isEventStream) splitter.takeCompleteEvents(bytes) else bytes.readBytes(bytes.readableBytes())
+        if (available.isReadable) response.write(available) else available.release()
+        bytes.discardSomeReadBytes()
+    }
+
+    /** Writes the rest of the body, also an incomplete event, and ends the response. */
+    fun forwardEnd(response: ResponseWriter) {
+        if (bytes.isReadable) response.write(bytes.readBytes(bytes.readableBytes()))
+        response.finish()
+    }
+
+    /** Writes the complete response. */
+    fun forwardWhole(response: ResponseWriter): Unit =
+        response.writeWhole(head.status(), head.headers().withoutHopByHopHeaders(), bytes.copy())
+
+    /** Releases the buffered bytes. */
+    fun release() {
+        bytes.release()
+    }
+
+    private companion object {
+        /** Fits most responses that are not streams, and most events. */
+        const val INITIAL_CAPACITY_BYTES = 1_024
+    }
+}
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/CallForwarder.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/CallForwarder.kt
@@ -20,7 +20,7 @@
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpVersion
 
-/** Makes calls for other routers, and hands them the answers. Each call is made once. */
+/** Forwards calls of other routers to one target, and returns the responses. Calls are not retried. */
 internal class CallForwarder(
     private val group: EventLoopGroup,
     private val client: CallClient,
@@ -38,20 +38,20 @@
 
     private inner class Initializer : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
-            channel.pipeline().addLast(HttpServerCodec(), HttpObjectAggregator(MAXIMUM_BYTES), Handler())
+            channel.pipeline().addLast(HttpServerCodec(), HttpObjectAggregator(MAXIMUM_REQUEST_BYTES), Handler())
         }
     }
 
     private inner class Handler : SimpleChannelInboundHandler<FullHttpRequest>() {
         override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
             if (request.uri().substringBefore('?') !in forwarding.paths) {
-                context.answer(HttpResponseStatus.NOT_FOUND, text("this path is not passed on"))
+                context.respond(HttpResponseStatus.NOT_FOUND, text("this path is not forwarded"))
                 return
             }
-            client.call(forwarding.target, request.toTarget(), CALL_MILLISECONDS) { result ->
+            client.call(forwarding.target, request.toTarget(), CALL_TIMEOUT_MILLISECONDS) { result ->
                 result.fold(
-                    success = { context.answer(it.status(), it.content().retain()) },
-                    failure = { context.answer(HttpResponseStatus.BAD_GATEWAY, text(it)) },
+                    success = { context.respond(it.status(), it.content().retain()) },
+                    failure = { context.respond(HttpResponseStatus.BAD_GATEWAY, text(it)) },
                 )
             }
         }
@@ -69,7 +69,7 @@
         return request
     }
 
-    private fun ChannelHandlerContext.answer(status: HttpResponseStatus, body: ByteBuf) {
+    private fun ChannelHandlerContext.respond(status: HttpResponseStatus, body: ByteBuf) {
         val response: FullHttpResponse = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
         writeAndFlush(response)
@@ -78,10 +78,10 @@
     private fun text(problem: String): ByteBuf = Unpooled.copiedBuffer("$problem\n", Charsets.UTF_8)
 
     private companion object {
-        /** A little longer than the longest call of a router, which waits a second and a half for a record. */
-        const val CALL_MILLISECONDS = 2_500L
+        /** Slightly longer than the longest call of a router, a read that waits 1.5 s for a record. */
+        const val CALL_TIMEOUT_MILLISECONDS = 2_500L
 
-        /** Calls carry one record at most, of some hundred bytes. */
-        const val MAXIMUM_BYTES = 64 * 1_024
+        /** Calls carry at most one record, of a few hundred bytes. */
+        const val MAXIMUM_REQUEST_BYTES = 64 * 1_024
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/StatusServer.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/StatusServer.kt
@@ -18,16 +18,16 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 
-/** Serves one page a listener, whatever the path: the readiness of a process, or its metrics. */
+/** Serves one page per listener, whatever the path: the readiness of the process, or its metrics. */
 internal class StatusServer(private val group: EventLoopGroup) {
     /**
-     * An answer.
+     * The content of a response.
      *
      * @property ok whether the status is 200; otherwise it is 503.
      */
     class Page(val ok: Boolean, val text: String)
 
-    /** Listens at [address], and answers with what [page] returns. */
+    /** Listens at [address], and answers each request with the current result of [page]. */
     fun listen(address: Address, page: () -> Page) {
         ServerBootstrap().group(group)
             .channel(NioServerSocketChannel::class.java)
@@ -39,15 +39,15 @@
 
     private class Initializer(private val page: () -> Page) : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
-            channel.pipeline().addLast(HttpServerCodec(), HttpObjectAggregator(MAXIMUM_BYTES), Handler(page))
+            channel.pipeline().addLast(HttpServerCodec(), HttpObjectAggregator(MAXIMUM_REQUEST_BYTES), Handler(page))
         }
     }
 
     private class Handler(private val page: () -> Page) : SimpleChannelInboundHandler<FullHttpRequest>() {
         override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
-            val answer = page()
-            val status = if (answer.ok) HttpResponseStatus.OK else HttpResponseStatus.SERVICE_UNAVAILABLE
-            val body = Unpooled.copiedBuffer(answer.text, Charsets.UTF_8)
+            val content = page()
+            val status = if (content.ok) HttpResponseStatus.OK else HttpResponseStatus.SERVICE_UNAVAILABLE
+            val body = Unpooled.copiedBuffer(content.text, Charsets.UTF_8)
             val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
             response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8")
@@ -62,7 +62,7 @@
     }
 
     private companion object {
-        /** Health checks and scrapes have no body to speak of. */
-        const val MAXIMUM_BYTES = 4_096
+        /** Health checks and metric scrapes have no body, or a tiny one. */
+        const val MAXIMUM_REQUEST_BYTES = 4_096
     }
 }
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/ConfigurationDiff.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/ConfigurationDiff.kt
@@ -2,25 +2,31 @@
 
 import org.quetzalloom.core.configuration.Configuration
 
-/** Compares two configurations for a reader. */
+/** Formats the differences between two configurations for operators. */
 internal object ConfigurationDiff {
-    /** Returns a line for each entry that [new] adds, removes or changes; [old] may be `null` for nothing. */
+    /**
+     * Returns a text for each entry that [new] adds (`+`), removes (`-`) or changes (`~`, with both values on lines of
+     * their own). Without an [old] configuration, all entries are added. Roll-outs are not compared.
+     */
     fun lines(old: Configuration?, new: Configuration): List<String> {
         val before = old ?: Configuration()
-        return section("zone", before.zones.associateWith { it !in before.zonesOut }, zones(new, before)) +
-            section("version", before.versions, new.versions) +
-            section("workspace", before.workspaces, new.workspaces) +
-            section("backend server", before.backendServers, new.backendServers) +
-            section("service", services(before), services(new))
+        return diffOf("zone", before.zones.associateWith { it !in before.zonesOutOfService }, zones(new, before)) +
+            diffOf("version", before.versions, new.versions) +
+            diffOf("workspace", before.workspaces, new.workspaces) +
+            diffOf("backend server", before.backendServers, new.backendServers) +
+            diffOf("service", services(before), services(new))
     }
 
     private fun services(configuration: Configuration) = configuration.services.associateBy { it.pathPrefix }
 
-    /** Publishing leaves availability zones in or out of service as they are. */
+    /**
+     * Returns whether each availability zone of [new] would be in service: publishing does not bring one back that is
+     * out of service [before].
+     */
     private fun zones(new: Configuration, before: Configuration) =
-        new.zones.associateWith { it !in new.zonesOut && it !in before.zonesOut }
+        new.zones.associateWith { it !in new.zonesOutOfService && it !in before.zonesOutOfService }
 
-    private fun <K : Any, V : Any> section(name: String, old: Map<K, V>, new: Map<K, V>): List<String> {
+    private fun <K : Any, V : Any> diffOf(name: String, old: Map<K, V>, new: Map<K, V>): List<String> {
         val names = (old.keys + new.keys).sortedBy { it.toString() }
         return names.mapNotNull { key ->
             val before = old[key]
--- a/wire/src/main/kotlin/org/quetzalloom/wire/site/Overlay.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/Overlay.kt
@@ -1,6 +1,11 @@
 package org.quetzalloom.wire.site
 
-/** Returns this document with everything that [overlay] says in its place; list entries are matched by their name. */
+/**
+ * Returns this document with the values that [overlay] sets replaced by those of [overlay].
+ *
+ * An entry of a list is replaced as a whole by the overlay's entry of the same name: the identifier, the path prefix of
+ * a service, or the new version of a roll-out.
+ */
 public fun SiteDocument.overlaidBy(overlay: SiteDocument): SiteDocument = SiteDocument(
     platform = platform.overlaidBy(overlay.platform) { base, top ->
         PlatformDocument(log = top.log ?: base.log, vms = top.vms ?: base.vms, ratings = top.ratings ?: base.ratings)
@@ -23,7 +28,7 @@
 )
 
 private fun LimitsDocument.overlaidBy(top: LimitsDocument): LimitsDocument =
-    timesOverlaidBy(top).countsOf(base = this, top = top)
+    timesOverlaidBy(top).withCountsOf(base = this, top = top)
 
 private fun LimitsDocument.timesOverlaidBy(top: LimitsDocument): LimitsDocument = LimitsDocument(
     stalenessMilliseconds = top.stalenessMilliseconds ?: stalenessMilliseconds,
@@ -39,7 +44,7 @@
     drainGraceMilliseconds = top.drainGraceMilliseconds ?: drainGraceMilliseconds,
 )
 
-private fun LimitsDocument.countsOf(base: LimitsDocument, top: LimitsDocument): LimitsDocument = copy(
+private fun LimitsDocument.withCountsOf(base: LimitsDocument, top: LimitsDocument): LimitsDocument = copy(
     activeRequests = top.activeRequests ?: base.activeRequests,
     triesPerRequest = top.triesPerRequest ?: base.triesPerRequest,
     sampleShare = top.sampleShare ?: base.sampleShare,
@@ -48,7 +53,7 @@
 private fun <T : Any> T?.overlaidBy(top: T?, merge: (T, T) -> T): T? =
     if (this != null && top != null) merge(this, top) else top ?: this
 
-/** Entries of [top] stand in place of those with the same name; new ones come last. */
+/** Replaces entries by those of [top] with the same name, in place, and appends the others of [top]. */
 private fun <T : Any> List<T>.overlaidBy(top: List<T>, name: (T) -> String): List<T> {
     val replacements = top.associateBy(name)
     val names = map(name).toSet()
--- a/wire/src/test/kotlin/org/quetzalloom/wire/log/RecordDocumentTest.kt
+++ b/wire/src/test/kotlin/org/quetzalloom/wire/log/RecordDocumentTest.kt
@@ -48,13 +48,13 @@
         workspaces = persistentMapOf(workspace to Workspace(workspace, persistentSetOf(version), 0.9)),
         versions = persistentMapOf(version to Version(version, "m", VersionKind.SERVICE, 5, 0.8, withdrawn = true)),
         zones = persistentSetOf(AvailabilityZoneId("a"), AvailabilityZoneId("b")),
-        zonesOut = persistentSetOf(AvailabilityZoneId("b")),
+        zonesOutOfService = persistentSetOf(AvailabilityZoneId("b")),
         services = persistentListOf(ServiceRoute("/p/", "m", persistentSetOf("POST"))),
         rollouts = persistentMapOf("m" to Rollout(VersionId("m@0"), version, 50)),
     )
 
     @Test
-    fun everyRecordComesBackAsItWas() {
+    fun everyRecordRoundTrips() {
         val records = listOf(
             LogRecord.OfConfiguration(ConfigurationRecord.Proposed(3, "a", ConfigurationChange.Publish(configuration))),
             LogRecord.OfConfiguration(ConfigurationRecord.Proposed(3, "a", ConfigurationChange.Withdraw(version))),
@@ -70,7 +70,7 @@
     }
 
     @Test
-    fun everyPeerMessageComesBackAsItWas() {
+    fun everyPeerMessageRoundTrips() {
         val server = BackendServerId("e")
         val subject = RatingSubject(workspace, RequestClass("plan"), version)
         val messages = listOf(
