Word four comments of the relay's attempts more exactly

The divisor of the queue time, the maximum of attempts without a run, the timeout of a stream's start and the pace of prompts.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
@@ -23,7 +23,7 @@
 import org.quetzalloom.core.router.bucketOf
 import org.quetzalloom.core.time.Timestamp
 
-/** A request may wait for a backend server during its time left divided by this; the rest is needed to answer it. */
+/** A request may wait for a backend server for its time left divided by this; the rest is needed to answer it. */
 internal const val QUEUE_TIME_DIVISOR = 4
 
 /** The retry-after time before the first configuration, which the router reads as soon as it starts. */
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/AttemptTimeouts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/AttemptTimeouts.kt
@@ -34,6 +34,7 @@
     }
 }
 
+/** Returns the timeout from the usual prefill time, between half the target and [MAXIMUM_STREAM_START_TARGETS]. */
 private fun RelayState.streamStartTimeout(exchange: Exchange, attempt: Attempt): Long {
     val target = exchange.route.targetMilliseconds
     val longest = maxOf(target * MAXIMUM_STREAM_START_TARGETS, MINIMUM_START_TIMEOUT_MILLISECONDS)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
@@ -11,7 +11,7 @@
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.time.Timestamp
 
-/** The attempts per request that may end without a run, beside those that run it. */
+/** The maximum number of attempts that end without having run a request, in addition to those that run it. */
 private const val MAXIMUM_REFUSALS = 4
 
 /**
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/LatencyEstimates.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/LatencyEstimates.kt
@@ -21,7 +21,7 @@
 
 /**
  * Estimates how soon each model of the route could begin to answer [exchange]. Returns `null` if no backend server can
- * take it now. While the reading pace of the service is unknown, prompts count as read in no time.
+ * take it now. While the prefill pace of the service is unknown, prompts count as read in no time.
  */
 internal fun RelayState.latencyEstimateOrNull(exchange: Exchange, now: Timestamp): ModelLatencyEstimate? {
     val least = untriedServers(exchange, now).minOfOrNull { workUntilAnswer(it, work = 0, now) } ?: return null
