Call the relay's responses so, as its connections do

The modules relay and platform speak of responses since their wording changed; core spoke of answers. The outcomes' property answers, the failure BAD_ANSWER and the log texts stay. Only names change, and line breaks where a longer name needs one. Ran: compilation of all modules.

rename: AnswerHead -> ResponseHead (declared in core/relay/exchange/AnswerHead.kt) rename: AnswerStarted -> ResponseStarted (declared in core/relay/RelayEvent.kt) rename: AnswerFinished -> ResponseFinished (declared in core/relay/RelayEvent.kt) rename: ForwardAnswer -> ForwardResponse (declared in core/relay/RelayEffect.kt) rename: forwardAnswer -> forwardResponse (declared in core/relay/exchange/Answers.kt; only in core/relay) rename: answerStarted -> responseStarted (declared in core/relay/exchange/Answers.kt; only in core/relay) rename: answerFinished -> responseFinished (declared in core/relay/exchange/Answers.kt; only in core/relay) rename: afterAnswerHead -> afterResponseHead (declared in core/relay/server/ServerOutcomes.kt; only in core/relay) rename: recordAnswerStart -> recordResponseStart (declared in core/relay/server/ServersState.kt; only in core/relay) rename: workUntilAnswer -> workUntilResponse (declared in core/relay/exchange/Attempt.kt, core/relay/exchange/LatencyEstimates.kt; only in core/relay) rename: ModelAnswer -> ModelResponse (declared in core/relay/model/ModelAnswer.kt) rename: answer -> response (declared in core/relay/exchange/Answers.kt; only in core/relay/model core/relay/exchange) rename: answerWithLowConfidence -> respondWithLowConfidence (declared in core/relay/CascadeTest.kt; only in core/relay) rename: answer -> respond (declared in core/relay/AtMostOnceTest.kt, core/relay/CascadeTest.kt, core/relay/RelayRig.kt; only in core/relay/RelayRig.kt core/relay/AtMostOnceTest.kt core/relay/AttemptTimeoutsTest.kt core/relay/CascadeTest.kt core/relay/PeersTest.kt core/relay/RetriesTest.kt core/relay/RolloutsTest.kt core/relay/ServersTest.kt core/relay/SlownessTest.kt core/relay/StopTest.kt) rename: file core/relay/exchange/Answers.kt -> core/relay/exchange/Responses.kt

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
@@ -24,7 +24,7 @@
      * Forwards the answer of [attempt] to the caller: its head, unless one was forwarded before, and its body as it
      * arrives.
      */
-    public data class ForwardAnswer(public val exchange: ExchangeId, public val attempt: Int) : RelayEffect
+    public data class ForwardResponse(public val exchange: ExchangeId, public val attempt: Int) : RelayEffect
 
     /** Cancels [attempt] by closing its connection. */
     public data class CancelAttempt(public val exchange: ExchangeId, public val attempt: Int) : RelayEffect
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
@@ -1,10 +1,10 @@
 package org.quetzalloom.core.relay
 
 import org.quetzalloom.core.identity.VmId
-import org.quetzalloom.core.relay.exchange.AnswerHead
 import org.quetzalloom.core.relay.exchange.AttemptFailure
 import org.quetzalloom.core.relay.exchange.ExchangeId
 import org.quetzalloom.core.relay.exchange.RelayRequest
+import org.quetzalloom.core.relay.exchange.ResponseHead
 import org.quetzalloom.core.relay.feed.Feed
 import org.quetzalloom.core.relay.feed.FeedEntry
 import org.quetzalloom.core.relay.feed.FeedProblem
@@ -35,14 +35,14 @@
      *
      * @property attempt the number of the attempt, from 1.
      */
-    public data class AnswerStarted(
+    public data class ResponseStarted(
         public val exchange: ExchangeId,
         public val attempt: Int,
-        public val head: AnswerHead,
+        public val head: ResponseHead,
     ) : RelayEvent
 
     /** The answer of an attempt has been forwarded completely. */
-    public data class AnswerFinished(public val exchange: ExchangeId, public val attempt: Int) : RelayEvent
+    public data class ResponseFinished(public val exchange: ExchangeId, public val attempt: Int) : RelayEvent
 
     /**
      * An attempt has ended without a complete answer.
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempt.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempt.kt
@@ -9,7 +9,7 @@
  * @property number the number of the attempt within its exchange, from 1.
  * @property version the version of the backend server's software.
  * @property modelIndex the index of the model among those of the route.
- * @property workUntilAnswer the work ahead of the answer when the attempt was sent: the prompts that the backend server
+ * @property workUntilResponse the work ahead of the answer when the attempt was sent: the prompts that the backend server
  *   had still to read, this attempt's own included. The unit is that of [pendingWork].
  * @property pendingWork the part of this attempt's prompt that the backend server has still to read, in tokens weighted
  *   by model size; 0 once its answer has begun.
@@ -20,6 +20,6 @@
     val version: String,
     val modelIndex: Int,
     val sentAt: Timestamp,
-    val workUntilAnswer: Long = 0,
+    val workUntilResponse: Long = 0,
     val pendingWork: Long = 0,
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
@@ -20,7 +20,7 @@
  * server can take it, the exchange waits, or ends once it has waited for too long.
  */
 internal fun RelayState.placeOrWait(exchange: Exchange, now: Timestamp): RelayStep {
-    val candidates = untriedServers(exchange, now).map { it.toCandidate(workUntilAnswer(it, work = 0, now), now) }
+    val candidates = untriedServers(exchange, now).map { it.toCandidate(workUntilResponse(it, work = 0, now), now) }
     val chosen = policies.placement.chooseOrNull(candidates, placementRequest(exchange))
     val view = chosen?.let { servers.views[it.server] }
     return if (view == null) waitOrGiveUp(exchange, now) else send(exchange, view, now)
@@ -47,7 +47,7 @@
         version = view.listing.version,
         modelIndex = exchange.modelIndex,
         sentAt = now,
-        workUntilAnswer = workUntilAnswer(view, work, now),
+        workUntilResponse = workUntilResponse(view, work, now),
         pendingWork = work,
     )
     val sent = exchange.copy(attempt = attempt, attempts = attempt.number)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ExchangesPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ExchangesPart.kt
@@ -13,8 +13,8 @@
 internal object ExchangesPart : RelayPart {
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
         is RelayEvent.RequestArrived -> state.admitOrRefuse(event, now)
-        is RelayEvent.AnswerStarted -> state.answerStarted(event, now)
-        is RelayEvent.AnswerFinished -> state.answerFinished(event, now)
+        is RelayEvent.ResponseStarted -> state.responseStarted(event, now)
+        is RelayEvent.ResponseFinished -> state.responseFinished(event, now)
         is RelayEvent.AttemptFailed -> state.attemptFailed(event, now)
         is RelayEvent.CallerLeft -> state.callerLeft(event, now)
         is RelayEvent.SettingsChanged -> state.copy(settings = event.settings).report(now, "settings_changed")
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
@@ -82,7 +82,7 @@
 internal fun RelayState.handleNotRun(
     exchange: Exchange,
     attempt: Attempt,
-    head: AnswerHead,
+    head: ResponseHead,
     now: Timestamp,
 ): RelayStep = cancelAttempt(exchange).then {
     it.report(
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/LatencyEstimates.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/LatencyEstimates.kt
@@ -16,7 +16,7 @@
  * Returns the work at the server of [view] before an attempt with [work] of its own would be answered: the prompts to
  * be read for this router and, as far as they have reported, for the others, plus [work].
  */
-internal fun RelayState.workUntilAnswer(view: ServerView, work: Long, now: Timestamp): Long =
+internal fun RelayState.workUntilResponse(view: ServerView, work: Long, now: Timestamp): Long =
     view.pendingWork + peers.workAt(view.listing.id, now) + work
 
 /**
@@ -24,7 +24,7 @@
  * take it now. While the prefill pace of the service is unknown, prompts count as read in no time.
  */
 internal fun RelayState.latencyEstimateOrNull(exchange: Exchange, now: Timestamp): ModelLatencyEstimate? {
-    val least = untriedServers(exchange, now).minOfOrNull { workUntilAnswer(it, work = 0, now) } ?: return null
+    val least = untriedServers(exchange, now).minOfOrNull { workUntilResponse(it, work = 0, now) } ?: return null
     val pace = servers.prefillPaces[exchange.service] ?: PrefillPace()
     fun wait(ahead: Long): Long = pace.estimateOrNull(ahead) ?: 0
     return ModelLatencyEstimate(
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/AnswerHead.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ResponseHead.kt
@@ -12,7 +12,7 @@
  * @property load the backend server's load, or `null` if it reported none.
  * @property coldMilliseconds the rest of the backend server's warm-up, or `null` if it reported none.
  */
-public data class AnswerHead(
+public data class ResponseHead(
     public val status: Int,
     public val notRun: Boolean = false,
     public val misdirected: Boolean = false,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Answers.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Responses.kt
@@ -5,10 +5,10 @@
 import org.quetzalloom.core.relay.RelayEvent
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.RelayStep
-import org.quetzalloom.core.relay.model.ModelAnswer
+import org.quetzalloom.core.relay.model.ModelResponse
 import org.quetzalloom.core.relay.report
-import org.quetzalloom.core.relay.server.afterAnswerHead
 import org.quetzalloom.core.relay.server.afterPromptRead
+import org.quetzalloom.core.relay.server.afterResponseHead
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.relay.with
 import org.quetzalloom.core.time.Timestamp
@@ -17,15 +17,15 @@
  * Returns the transition that handles the head of an answer: forwards the answer to the caller, or drops it and tries
  * another backend server. Events of attempts that are no longer current change nothing.
  */
-internal fun RelayState.answerStarted(event: RelayEvent.AnswerStarted, now: Timestamp): RelayStep {
+internal fun RelayState.responseStarted(event: RelayEvent.ResponseStarted, now: Timestamp): RelayStep {
     val (previous, sent) = exchanges.currentOrNull(event.exchange, event.attempt) ?: return unchanged()
     val attempt = sent.copy(pendingWork = 0)
     val exchange = previous.copy(attempt = attempt)
     val updated = copy(
         exchanges = exchanges.with(exchange),
         servers = servers
-            .update(attempt.server) { it.afterAnswerHead(event.head, now).afterPromptRead(sent.pendingWork) }
-            .let { if (event.head.isSuccess) it.recordAnswerStart(sent, previous.service, now) else it },
+            .update(attempt.server) { it.afterResponseHead(event.head, now).afterPromptRead(sent.pendingWork) }
+            .let { if (event.head.isSuccess) it.recordResponseStart(sent, previous.service, now) else it },
     )
     return when {
         event.head.notRun -> updated.handleNotRun(exchange, attempt, event.head, now)
@@ -33,25 +33,30 @@
         event.head.isServerFailure -> updated.handleServerError(exchange, attempt, event.head, now)
         event.head.isSuccess && !event.head.signed -> updated.retryElsewhere(exchange, attempt, "unsigned", now)
         event.head.isSuccess -> updated.handleSuccess(exchange, attempt, event.head, now)
-        else -> updated.forwardAnswer(exchange, attempt)
+        else -> updated.forwardResponse(exchange, attempt)
     }
 }
 
 /** Returns the transition that ends an exchange whose answer has been forwarded completely. */
-internal fun RelayState.answerFinished(event: RelayEvent.AnswerFinished, now: Timestamp): RelayStep {
+internal fun RelayState.responseFinished(event: RelayEvent.ResponseFinished, now: Timestamp): RelayStep {
     val (exchange, attempt) = exchanges.currentOrNull(event.exchange, event.attempt) ?: return unchanged()
     return release(attempt).copy(exchanges = exchanges.without(exchange.id))
         .reportEnd(exchange, "answered", now)
 }
 
-private fun RelayState.forwardAnswer(exchange: Exchange, attempt: Attempt): RelayStep =
+private fun RelayState.forwardResponse(exchange: Exchange, attempt: Attempt): RelayStep =
     copy(exchanges = exchanges.with(exchange.copy(headForwarded = true, mayHaveRun = true)))
-        .with(RelayEffect.ForwardAnswer(exchange.id, attempt.number))
+        .with(RelayEffect.ForwardResponse(exchange.id, attempt.number))
 
 /** Resumes a broken stream with the answer of another backend server, or tries one more if that is not a success. */
-private fun RelayState.resumeStream(exchange: Exchange, attempt: Attempt, head: AnswerHead, now: Timestamp): RelayStep =
+private fun RelayState.resumeStream(
+    exchange: Exchange,
+    attempt: Attempt,
+    head: ResponseHead,
+    now: Timestamp,
+): RelayStep =
     if (head.isSuccess) {
-        forwardAnswer(exchange, attempt)
+        forwardResponse(exchange, attempt)
     } else {
         retryElsewhere(exchange, attempt, "resumption_failed", now)
     }
@@ -59,13 +64,13 @@
 private fun RelayState.handleSuccess(
     exchange: Exchange,
     attempt: Attempt,
-    head: AnswerHead,
+    head: ResponseHead,
     now: Timestamp,
 ): RelayStep {
     val escalation = escalationOrNull(exchange, head, now)
     val judged = exchange.copy(escalation = escalation)
     return if (escalation?.nextModelIndex == null) {
-        forwardAnswer(judged, attempt)
+        forwardResponse(judged, attempt)
     } else {
         escalate(judged, escalation.nextModelIndex, now)
     }
@@ -92,11 +97,11 @@
  * Decides whether the answer with [head] is kept or a larger model is asked. Returns `null` if there is nothing to
  * decide: the caller named the model, or the answer reports no confidence.
  */
-private fun RelayState.escalationOrNull(exchange: Exchange, head: AnswerHead, now: Timestamp): EscalationDecision? {
+private fun RelayState.escalationOrNull(exchange: Exchange, head: ResponseHead, now: Timestamp): EscalationDecision? {
     val confidence = head.confidence?.takeIf { exchange.request.routerChoosesModel } ?: return null
     val latencies = if (mayRunOnceMore(exchange, now)) latencyEstimateOrNull(exchange, now) else null
-    val answer = ModelAnswer(exchange.modelIndex, confidence)
-    val next = latencies?.let { policies.modelChoice.nextOrNull(exchange.route, exchange.request, answer, it) }
+    val response = ModelResponse(exchange.modelIndex, confidence)
+    val next = latencies?.let { policies.modelChoice.nextOrNull(exchange.route, exchange.request, response, it) }
     return EscalationDecision(confidence, latencies?.startMilliseconds(exchange.route.models.lastIndex), next)
 }
 
@@ -110,11 +115,11 @@
 private fun RelayState.handleServerError(
     exchange: Exchange,
     attempt: Attempt,
-    head: AnswerHead,
+    head: ResponseHead,
     now: Timestamp,
 ): RelayStep =
     if (mayRunOnceMore(exchange, now)) {
         retryElsewhere(exchange, attempt, "status_${head.status}", now)
     } else {
-        forwardAnswer(exchange, attempt)
+        forwardResponse(exchange, attempt)
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/model/ConfidenceCascade.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/model/ConfidenceCascade.kt
@@ -31,10 +31,10 @@
     override fun nextOrNull(
         route: Route,
         request: RelayRequest,
-        answer: ModelAnswer,
+        response: ModelResponse,
         latencies: ModelLatencyEstimate,
     ): Int? = route.models.lastIndex.takeIf {
-        answer.modelIndex < it && answer.confidence < confidenceThreshold(request) && route.allows(it, latencies)
+        response.modelIndex < it && response.confidence < confidenceThreshold(request) && route.allows(it, latencies)
     }
 
     private fun confidenceThreshold(request: RelayRequest): Double {
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/model/ModelChoice.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/model/ModelChoice.kt
@@ -12,14 +12,14 @@
     public fun firstModel(route: Route, request: RelayRequest): Int
 
     /**
-     * Returns the index of the model to ask after another one has given [answer], or `null` to keep that answer.
+     * Returns the index of the model to ask after another one has given [response], or `null` to keep that answer.
      *
      * @param latencies how soon each model could answer the request now.
      */
     public fun nextOrNull(
         route: Route,
         request: RelayRequest,
-        answer: ModelAnswer,
+        response: ModelResponse,
         latencies: ModelLatencyEstimate,
     ): Int?
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/model/ModelAnswer.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/model/ModelResponse.kt
@@ -6,4 +6,4 @@
  * @property modelIndex the index of the model among those of the route.
  * @property confidence the model's confidence in the answer, from 0 to 100.
  */
-public data class ModelAnswer(public val modelIndex: Int, public val confidence: Int)
+public data class ModelResponse(public val modelIndex: Int, public val confidence: Int)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/OutcomesPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/OutcomesPart.kt
@@ -11,7 +11,7 @@
 /** Counts the answers of the old and the new version during a roll-out, and condemns a new version that is bad. */
 internal object OutcomesPart : RelayPart {
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep {
-        val current = (event as? RelayEvent.AnswerStarted)?.takeUnless { it.head.notRun }
+        val current = (event as? RelayEvent.ResponseStarted)?.takeUnless { it.head.notRun }
             ?.let { state.exchanges.currentOrNull(it.exchange, it.attempt) }
         return if (current == null) state.unchanged() else state.recordOutcome(current, event.head.isServerFailure, now)
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/PrefillPace.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/PrefillPace.kt
@@ -7,16 +7,16 @@
  * @property milliseconds the sum of the times that these answers took to begin.
  */
 internal data class PrefillPace(val work: Double = 0.0, val milliseconds: Double = 0.0) {
-    /** Returns the pace after an answer that took [elapsed] milliseconds to begin with [workUntilAnswer] ahead. */
-    fun record(workUntilAnswer: Long, elapsed: Long): PrefillPace {
-        if (workUntilAnswer < MINIMUM_SAMPLE_WORK) return this
+    /** Returns the pace after an answer that took [elapsed] milliseconds to begin with [workUntilResponse] ahead. */
+    fun record(workUntilResponse: Long, elapsed: Long): PrefillPace {
+        if (workUntilResponse < MINIMUM_SAMPLE_WORK) return this
         val kept = if (work > MAXIMUM_WORK) HALF else 1.0
-        return PrefillPace(work = work * kept + workUntilAnswer, milliseconds = milliseconds * kept + elapsed)
+        return PrefillPace(work = work * kept + workUntilResponse, milliseconds = milliseconds * kept + elapsed)
     }
 
-    /** Estimates how many milliseconds [workUntilAnswer] takes to read; `null` while too little was measured. */
-    fun estimateOrNull(workUntilAnswer: Long): Long? =
-        (workUntilAnswer * milliseconds / work).toLong().takeIf { work >= MAXIMUM_WORK * HALF }
+    /** Estimates how many milliseconds [workUntilResponse] takes to read; `null` while too little was measured. */
+    fun estimateOrNull(workUntilResponse: Long): Long? =
+        (workUntilResponse * milliseconds / work).toLong().takeIf { work >= MAXIMUM_WORK * HALF }
 
     private companion object {
         /** Less work is not recorded: the time until its answer says more about the network than about reading. */
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerOutcomes.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerOutcomes.kt
@@ -1,7 +1,7 @@
 package org.quetzalloom.core.relay.server
 
-import org.quetzalloom.core.relay.exchange.AnswerHead
 import org.quetzalloom.core.relay.exchange.AttemptFailure
+import org.quetzalloom.core.relay.exchange.ResponseHead
 import org.quetzalloom.core.time.Timestamp
 
 /** The weight of the latest attempt in the failure rate. */
@@ -22,7 +22,7 @@
  * Returns the view after the head of an answer. A server that refused the request is suspended, and one that is not the
  * server addressed is dropped.
  */
-internal fun ServerView.afterAnswerHead(head: AnswerHead, now: Timestamp): ServerView {
+internal fun ServerView.afterResponseHead(head: ResponseHead, now: Timestamp): ServerView {
     val failed = head.isServerFailure
     val updated = withOutcome(failed, now).copy(
         consecutiveFailures = 0,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
@@ -38,12 +38,12 @@
      * Returns the state after the answer of [attempt] at [service] has begun at [now]: updates the pace of the service
      * and, against the pace before, the slowness of the server.
      */
-    fun recordAnswerStart(attempt: Attempt, service: ServiceName, now: Timestamp): ServersState {
+    fun recordResponseStart(attempt: Attempt, service: ServiceName, now: Timestamp): ServersState {
         val elapsed = now - attempt.sentAt
         val pace = prefillPaces[service] ?: PrefillPace()
-        val usual = pace.estimateOrNull(attempt.workUntilAnswer)
-        val counted = copy(prefillPaces = prefillPaces.put(service, pace.record(attempt.workUntilAnswer, elapsed)))
-        return if (usual == null || attempt.workUntilAnswer == 0L) {
+        val usual = pace.estimateOrNull(attempt.workUntilResponse)
+        val counted = copy(prefillPaces = prefillPaces.put(service, pace.record(attempt.workUntilResponse, elapsed)))
+        return if (usual == null || attempt.workUntilResponse == 0L) {
             counted
         } else {
             counted.update(attempt.server) { it.copy(slowness = it.slowness.record(elapsed, usual, now)) }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/session/PinsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/session/PinsPart.kt
@@ -12,7 +12,7 @@
 /** Keeps the version pins of sessions (session affinity) while they are in use, and drops them afterwards. */
 internal object PinsPart : RelayPart {
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
-        is RelayEvent.AnswerFinished -> state.touch(event.exchange, event.attempt, now)
+        is RelayEvent.ResponseFinished -> state.touch(event.exchange, event.attempt, now)
         RelayEvent.Tick -> state.copy(pins = state.pins.prune(state.settings.sessionMilliseconds, now)).unchanged()
         else -> state.unchanged()
     }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/AtMostOnceTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/AtMostOnceTest.kt
@@ -1,8 +1,8 @@
 package org.quetzalloom.core.relay
 
 import org.quetzalloom.core.error.ErrorKind
-import org.quetzalloom.core.relay.exchange.AnswerHead
 import org.quetzalloom.core.relay.exchange.AttemptFailure
+import org.quetzalloom.core.relay.exchange.ResponseHead
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNotEquals
@@ -13,7 +13,7 @@
  * that a request has not run when it may have.
  */
 class AtMostOnceTest {
-    private val refusal = AnswerHead(status = 503, notRun = true, signed = false)
+    private val refusal = ResponseHead(status = 503, notRun = true, signed = false)
 
     @Test
     fun `a command whose connection was lost is not sent again, and its error does not claim that it has not run`() {
@@ -41,7 +41,7 @@
     fun `a command that a server refused goes to another server`() {
         val rig = RelayRig().start()
         val first = rig.arrive(RelayRig.command).second.only<RelayEffect.Send>()
-        val second = rig.answer(first, refusal).only<RelayEffect.Send>()
+        val second = rig.respond(first, refusal).only<RelayEffect.Send>()
         assertNotEquals(first.order.server, second.order.server)
     }
 
@@ -49,20 +49,20 @@
     fun `a command that all servers refused is answered as not run, with a retry-after time`() {
         val rig = RelayRig().start()
         var send = rig.arrive(RelayRig.command).second.only<RelayEffect.Send>()
-        repeat(2) { send = rig.answer(send, refusal).only() }
-        val effects = rig.answer(send, refusal) + rig.pass(500)
-        val answer = effects.only<RelayEffect.Refuse>()
-        assertEquals(ErrorKind.NO_CAPACITY, answer.kind)
-        assertTrue(answer.kind.notRun)
-        assertTrue((answer.retryAfterMilliseconds ?: 0) > 0)
+        repeat(2) { send = rig.respond(send, refusal).only() }
+        val effects = rig.respond(send, refusal) + rig.pass(500)
+        val respond = effects.only<RelayEffect.Refuse>()
+        assertEquals(ErrorKind.NO_CAPACITY, respond.kind)
+        assertTrue(respond.kind.notRun)
+        assertTrue((respond.retryAfterMilliseconds ?: 0) > 0)
     }
 
     @Test
-    fun `the answer of a server that failed while running a command is forwarded unchanged`() {
+    fun `the response of a server that failed while running a command is forwarded unchanged`() {
         val rig = RelayRig().start()
         val send = rig.arrive(RelayRig.command).second.only<RelayEffect.Send>()
-        val effects = rig.answer(send, AnswerHead(status = 500))
-        assertEquals(send.attempt, effects.only<RelayEffect.ForwardAnswer>().attempt)
+        val effects = rig.respond(send, ResponseHead(status = 500))
+        assertEquals(send.attempt, effects.only<RelayEffect.ForwardResponse>().attempt)
         assertTrue(effects.none<RelayEffect.Send>())
     }
 
@@ -79,8 +79,8 @@
     fun `a success without a signature is not forwarded`() {
         val rig = RelayRig().start()
         val send = rig.arrive(RelayRig.command).second.only<RelayEffect.Send>()
-        val effects = rig.answer(send, AnswerHead(status = 200, signed = false))
-        assertTrue(effects.none<RelayEffect.ForwardAnswer>())
+        val effects = rig.respond(send, ResponseHead(status = 200, signed = false))
+        assertTrue(effects.none<RelayEffect.ForwardResponse>())
         assertEquals(ErrorKind.BACKEND_FAILED, effects.only<RelayEffect.Refuse>().kind)
     }
 
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/AttemptTimeoutsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/AttemptTimeoutsTest.kt
@@ -1,7 +1,7 @@
 package org.quetzalloom.core.relay
 
-import org.quetzalloom.core.relay.exchange.AnswerHead
 import org.quetzalloom.core.relay.exchange.AttemptFailure
+import org.quetzalloom.core.relay.exchange.ResponseHead
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -13,8 +13,8 @@
     private fun RelayRig.serve(number: Int, milliseconds: Long) {
         val send = arrive(prompt.copy(callerId = "p-$number")).second.only<RelayEffect.Send>()
         pass(milliseconds)
-        answer(send, AnswerHead(200, confidence = 90))
-        on(RelayEvent.AnswerFinished(send.exchange, send.attempt))
+        respond(send, ResponseHead(200, confidence = 90))
+        on(RelayEvent.ResponseFinished(send.exchange, send.attempt))
     }
 
     private fun RelayRig.startTimeout(): Long? =
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/CascadeTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/CascadeTest.kt
@@ -1,13 +1,13 @@
 package org.quetzalloom.core.relay
 
 import kotlinx.collections.immutable.persistentListOf
-import org.quetzalloom.core.relay.exchange.AnswerHead
+import org.quetzalloom.core.relay.exchange.ResponseHead
 import org.quetzalloom.core.relay.feed.Feed
 import org.quetzalloom.core.relay.feed.FeedEntry
 import org.quetzalloom.core.relay.model.ConfidenceCascade
-import org.quetzalloom.core.relay.model.ModelAnswer
 import org.quetzalloom.core.relay.model.ModelChoice
 import org.quetzalloom.core.relay.model.ModelLatencyEstimate
+import org.quetzalloom.core.relay.model.ModelResponse
 import org.quetzalloom.core.relay.routing.Route
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -16,7 +16,7 @@
 /** After an answer of low confidence, the largest model is asked if it can answer in time and servers are not busy. */
 class CascadeTest {
     private val prompt = RelayRig.prompt.copy(promptTokens = 10_000)
-    private val lowConfidence = AnswerHead(200, confidence = 20)
+    private val lowConfidence = ResponseHead(200, confidence = 20)
 
     /** Asks the largest model even if its answer would be late. */
     private object WithoutTimeLimit : ModelChoice by ConfidenceCascade(maximumStartTargets = 1_000.0)
@@ -27,34 +27,34 @@
             val (_, effects) = arrive(prompt.copy(callerId = "learn-$it"))
             val send = effects.only<RelayEffect.Send>()
             pass(milliseconds)
-            answer(send, AnswerHead(200, confidence = 90))
-            on(RelayEvent.AnswerFinished(send.exchange, send.attempt))
+            respond(send, ResponseHead(200, confidence = 90))
+            on(RelayEvent.ResponseFinished(send.exchange, send.attempt))
         }
         return this
     }
 
-    private fun RelayRig.answerWithLowConfidence(): List<RelayEffect> {
+    private fun RelayRig.respondWithLowConfidence(): List<RelayEffect> {
         val first = arrive(prompt).second.only<RelayEffect.Send>()
-        return answer(first, lowConfidence)
+        return respond(first, lowConfidence)
     }
 
     @Test
-    fun `an answer of low confidence is dropped if the largest model can answer in time`() {
-        val effects = RelayRig().start(RelayRig.engineServers).recordPace(milliseconds = 100).answerWithLowConfidence()
+    fun `a response of low confidence is dropped if the largest model can respond in time`() {
+        val effects = RelayRig().start(RelayRig.engineServers).recordPace(milliseconds = 100).respondWithLowConfidence()
         assertEquals("large", effects.only<RelayEffect.Send>().order.model)
     }
 
     @Test
-    fun `an answer of low confidence is kept if the largest model would be late`() {
-        val effects = RelayRig().start(RelayRig.engineServers).recordPace(milliseconds = 400).answerWithLowConfidence()
+    fun `a response of low confidence is kept if the largest model would be late`() {
+        val effects = RelayRig().start(RelayRig.engineServers).recordPace(milliseconds = 400).respondWithLowConfidence()
         assertTrue(effects.none<RelayEffect.Send>())
-        assertEquals(1, effects.filterIsInstance<RelayEffect.ForwardAnswer>().size)
+        assertEquals(1, effects.filterIsInstance<RelayEffect.ForwardResponse>().size)
     }
 
     @Test
     fun `without the time limit the largest model is asked even if it would be late`() {
         val rig = RelayRig(policies = RelayPolicies(modelChoice = WithoutTimeLimit)).start(RelayRig.engineServers)
-        val effects = rig.recordPace(milliseconds = 400).answerWithLowConfidence()
+        val effects = rig.recordPace(milliseconds = 400).respondWithLowConfidence()
         assertEquals("large", effects.only<RelayEffect.Send>().order.model)
     }
 
@@ -62,22 +62,22 @@
     fun `the log line of the end of a request shows what the escalation decision was based on`() {
         val rig = RelayRig().start(RelayRig.engineServers).recordPace(milliseconds = 400)
         val first = rig.arrive(prompt).second.only<RelayEffect.Send>()
-        rig.answer(first, lowConfidence)
-        val end = rig.on(RelayEvent.AnswerFinished(first.exchange, first.attempt)).only<RelayEffect.Report>().entry
+        rig.respond(first, lowConfidence)
+        val end = rig.on(RelayEvent.ResponseFinished(first.exchange, first.attempt)).only<RelayEffect.Report>().entry
         assertEquals("20", end.fields["confidence"])
         assertTrue(end.fields.getValue("largest_after_ms").toLong() > 3_000)
     }
 
     @Test
-    fun `an answer is never dropped when no server could take the request again`() {
+    fun `a response is never dropped when no server could take the request again`() {
         val rig = RelayRig().start(RelayRig.engineServers.take(1)).recordPace(milliseconds = 20)
         val first = rig.arrive(prompt).second.only<RelayEffect.Send>()
         rig.read(Feed.SERVERS, FeedEntry.ServerRemoved(first.order.server))
-        assertTrue(rig.answer(first, lowConfidence).none<RelayEffect.CancelAttempt>())
+        assertTrue(rig.respond(first, lowConfidence).none<RelayEffect.CancelAttempt>())
     }
 
     @Test
-    fun `whether an answer would be in time depends on the target of the route`() {
+    fun `whether a response would be in time depends on the target of the route`() {
         val route = RelayRig.table.routes.last()
         val latencies = ModelLatencyEstimate(
             elapsedMilliseconds = 100,
@@ -89,7 +89,7 @@
     }
 
     @Test
-    fun `while all servers are busy an answer of low confidence is kept, though the largest model would be in time`() {
+    fun `while all servers are busy a response of low confidence is kept, though the largest model would be in time`() {
         val route = RelayRig.table.routes.last().copy(targetMilliseconds = 2_000)
         val latencies = ModelLatencyEstimate(waitsMilliseconds = persistentListOf(10, 30, 900))
         val cascade = ConfidenceCascade()
@@ -99,15 +99,15 @@
     }
 
     @Test
-    fun `the confidence threshold is higher where the prompt is short compared with the answer`() {
+    fun `the confidence threshold is higher where the prompt is short compared with the response`() {
         val route = RelayRig.table.routes.last()
         val short = RelayRig.prompt.copy(promptTokens = 800, outputTokens = 300)
         val long = RelayRig.prompt.copy(promptTokens = 12_000, outputTokens = 100)
-        val answer = ModelAnswer(modelIndex = 0, confidence = 55)
-        assertEquals(2, ConfidenceCascade().nextOrNull(route, short, answer, ModelLatencyEstimate()))
-        assertEquals(null, ConfidenceCascade().nextOrNull(route, long, answer, ModelLatencyEstimate()))
+        val respond = ModelResponse(modelIndex = 0, confidence = 55)
+        assertEquals(2, ConfidenceCascade().nextOrNull(route, short, respond, ModelLatencyEstimate()))
+        assertEquals(null, ConfidenceCascade().nextOrNull(route, long, respond, ModelLatencyEstimate()))
     }
 
     private fun ModelChoice.after(route: Route, latencies: ModelLatencyEstimate): Int? =
-        nextOrNull(route, RelayRig.prompt, ModelAnswer(modelIndex = 0, confidence = 20), latencies)
+        nextOrNull(route, RelayRig.prompt, ModelResponse(modelIndex = 0, confidence = 20), latencies)
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/PeersTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/PeersTest.kt
@@ -3,7 +3,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import org.quetzalloom.core.identity.BackendServerId
 import org.quetzalloom.core.identity.VmId
-import org.quetzalloom.core.relay.exchange.AnswerHead
+import org.quetzalloom.core.relay.exchange.ResponseHead
 import org.quetzalloom.core.relay.peer.PeerBeacon
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -26,13 +26,13 @@
     }
 
     @Test
-    fun `work is reported while prompts are read, and no longer once the answer has begun`() {
+    fun `work is reported while prompts are read, and no longer once the response has begun`() {
         val rig = RelayRig().start(RelayRig.engineServers, members = 3)
         val send = rig.arrive(prompt).second.only<RelayEffect.Send>()
         val sentBeacon = rig.pass(100).only<RelayEffect.SendBeacon>()
         assertEquals(listOf("10.0.0.2:70", "10.0.0.3:70"), sentBeacon.addresses.sorted())
         assertEquals(mapOf(send.order.server to 1_000L), sentBeacon.beacon.work)
-        rig.answer(send, AnswerHead(200, confidence = 90))
+        rig.respond(send, ResponseHead(200, confidence = 90))
         assertTrue(rig.pass(100).only<RelayEffect.SendBeacon>().beacon.work.isEmpty())
     }
 
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RelayRig.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RelayRig.kt
@@ -6,10 +6,10 @@
 import org.quetzalloom.core.identity.BackendServerId
 import org.quetzalloom.core.identity.VmId
 import org.quetzalloom.core.identity.WorkspaceId
-import org.quetzalloom.core.relay.exchange.AnswerHead
 import org.quetzalloom.core.relay.exchange.AttemptFailure
 import org.quetzalloom.core.relay.exchange.ExchangeId
 import org.quetzalloom.core.relay.exchange.RelayRequest
+import org.quetzalloom.core.relay.exchange.ResponseHead
 import org.quetzalloom.core.relay.feed.Feed
 import org.quetzalloom.core.relay.feed.FeedEntry
 import org.quetzalloom.core.relay.routing.BackendService
@@ -76,8 +76,8 @@
         on(RelayEvent.AttemptFailed(send.exchange, send.attempt, failure, lastEventId))
 
     /** Answers the attempt of [send] with [head]; returns the effects. */
-    fun answer(send: RelayEffect.Send, head: AnswerHead): List<RelayEffect> =
-        on(RelayEvent.AnswerStarted(send.exchange, send.attempt, head))
+    fun respond(send: RelayEffect.Send, head: ResponseHead): List<RelayEffect> =
+        on(RelayEvent.ResponseStarted(send.exchange, send.attempt, head))
 
     companion object {
         const val TICK = 20L
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RetriesTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RetriesTest.kt
@@ -4,8 +4,8 @@
 import net.jqwik.api.Property
 import net.jqwik.api.constraints.IntRange
 import org.quetzalloom.core.error.ErrorKind
-import org.quetzalloom.core.relay.exchange.AnswerHead
 import org.quetzalloom.core.relay.exchange.AttemptFailure
+import org.quetzalloom.core.relay.exchange.ResponseHead
 import org.quetzalloom.core.relay.exchange.RetryBudget
 import org.quetzalloom.core.time.Timestamp
 import kotlin.random.Random
@@ -31,33 +31,33 @@
     fun `a broken stream is resumed after the last event that the caller has`() {
         val rig = RelayRig().start(RelayRig.engineServers)
         val first = rig.arrive(RelayRig.prompt).second.only<RelayEffect.Send>()
-        val effects = rig.answer(first, AnswerHead(200, confidence = 90))
-        assertEquals(1, effects.filterIsInstance<RelayEffect.ForwardAnswer>().size)
+        val effects = rig.respond(first, ResponseHead(200, confidence = 90))
+        assertEquals(1, effects.filterIsInstance<RelayEffect.ForwardResponse>().size)
         val second = rig.failAttempt(first, AttemptFailure.CONNECTION_LOST, lastEventId = "12").only<RelayEffect.Send>()
         assertEquals("12", second.order.lastEventId)
-        assertEquals(second.attempt, rig.answer(second, AnswerHead(200)).only<RelayEffect.ForwardAnswer>().attempt)
+        assertEquals(second.attempt, rig.respond(second, ResponseHead(200)).only<RelayEffect.ForwardResponse>().attempt)
     }
 
     @Test
     fun `a stream that cannot be resumed is cut off`() {
         val rig = RelayRig().start(RelayRig.engineServers.take(1))
         val first = rig.arrive(RelayRig.prompt).second.only<RelayEffect.Send>()
-        rig.answer(first, AnswerHead(200, confidence = 90))
+        rig.respond(first, ResponseHead(200, confidence = 90))
         val effects = rig.failAttempt(first, AttemptFailure.CONNECTION_LOST, lastEventId = "12") + rig.pass(20_100)
         assertEquals(1, effects.filterIsInstance<RelayEffect.CutOff>().size)
         assertTrue(effects.none<RelayEffect.Refuse>())
     }
 
     @Test
-    fun `an answer of low confidence is dropped and the largest model is asked, once`() {
+    fun `a response of low confidence is dropped and the largest model is asked, once`() {
         val rig = RelayRig().start(RelayRig.engineServers)
         val first = rig.arrive(RelayRig.prompt).second.only<RelayEffect.Send>()
         assertEquals("small", first.order.model)
-        val effects = rig.answer(first, AnswerHead(200, confidence = 20))
+        val effects = rig.respond(first, ResponseHead(200, confidence = 20))
         assertEquals(first.attempt, effects.only<RelayEffect.CancelAttempt>().attempt)
         val second = effects.only<RelayEffect.Send>()
         assertEquals("large", second.order.model)
-        assertTrue(rig.answer(second, AnswerHead(200, confidence = 20)).none<RelayEffect.Send>())
+        assertTrue(rig.respond(second, ResponseHead(200, confidence = 20)).none<RelayEffect.Send>())
     }
 
     /** Operators bound the retries of all routers in any window: the ratio of the requests, plus the slack. */
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RolloutsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RolloutsTest.kt
@@ -3,7 +3,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import org.quetzalloom.core.identity.VmId
-import org.quetzalloom.core.relay.exchange.AnswerHead
+import org.quetzalloom.core.relay.exchange.ResponseHead
 import org.quetzalloom.core.relay.feed.Feed
 import org.quetzalloom.core.relay.feed.FeedEntry
 import org.quetzalloom.core.relay.peer.PeerBeacon
@@ -35,7 +35,7 @@
         val (id, effects) = arrive(RelayRig.read.copy(callerId = "l-${++sent}", session = session))
         val send = effects.only<RelayEffect.Send>()
         val isNew = send.order.server == new.id
-        val after = answer(send, AnswerHead(status = if (isNew) newStatus else 200)) + pass(RelayRig.TICK)
+        val after = respond(send, ResponseHead(status = if (isNew) newStatus else 200)) + pass(RelayRig.TICK)
         on(RelayEvent.CallerLeft(id))
         (if (isNew) "v2" else "v1") to after
     }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/ServersTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/ServersTest.kt
@@ -3,8 +3,8 @@
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
 import net.jqwik.api.constraints.IntRange
-import org.quetzalloom.core.relay.exchange.AnswerHead
 import org.quetzalloom.core.relay.exchange.AttemptFailure
+import org.quetzalloom.core.relay.exchange.ResponseHead
 import org.quetzalloom.core.relay.feed.Feed
 import org.quetzalloom.core.relay.feed.FeedEntry
 import org.quetzalloom.core.relay.feed.FeedProblem
@@ -69,7 +69,7 @@
     fun `a server is dropped when another one answers at its address`() {
         val rig = RelayRig().start(listOf(one))
         val send = rig.arrive(RelayRig.read).second.only<RelayEffect.Send>()
-        rig.answer(send, AnswerHead(status = 421, notRun = true, misdirected = true))
+        rig.respond(send, ResponseHead(status = 421, notRun = true, misdirected = true))
         assertTrue(!rig.mayUse("s-1"))
     }
 
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/SlownessTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/SlownessTest.kt
@@ -1,6 +1,6 @@
 package org.quetzalloom.core.relay
 
-import org.quetzalloom.core.relay.exchange.AnswerHead
+import org.quetzalloom.core.relay.exchange.ResponseHead
 import org.quetzalloom.core.relay.server.AffinityPlacement
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -16,8 +16,8 @@
         val send = arrive(prompt.copy(callerId = "p-${++sent}")).second.only<RelayEffect.Send>()
         val server = send.order.server.value
         pass(if (server == slow) 500 else 100)
-        answer(send, AnswerHead(200, confidence = 90))
-        on(RelayEvent.AnswerFinished(send.exchange, send.attempt))
+        respond(send, ResponseHead(200, confidence = 90))
+        on(RelayEvent.ResponseFinished(send.exchange, send.attempt))
         server
     }
 
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/StopTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/StopTest.kt
@@ -1,7 +1,7 @@
 package org.quetzalloom.core.relay
 
 import org.quetzalloom.core.error.ErrorKind
-import org.quetzalloom.core.relay.exchange.AnswerHead
+import org.quetzalloom.core.relay.exchange.ResponseHead
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -27,9 +27,9 @@
         val rig = stopping()
         rig.pass(1_000)
         val send = rig.arrive(RelayRig.prompt).second.only<RelayEffect.Send>()
-        rig.answer(send, AnswerHead(200, confidence = 90))
+        rig.respond(send, ResponseHead(200, confidence = 90))
         assertTrue(rig.pass(4_000).none<RelayEffect.Finish>())
-        rig.on(RelayEvent.AnswerFinished(send.exchange, send.attempt))
+        rig.on(RelayEvent.ResponseFinished(send.exchange, send.attempt))
         assertEquals(1, rig.pass(20).filterIsInstance<RelayEffect.Finish>().size)
     }
 
--- a/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
@@ -53,7 +53,7 @@
     fun carryOut(effect: RelayEffect) {
         when (effect) {
             is RelayEffect.Send -> send(effect)
-            is RelayEffect.ForwardAnswer -> exchanges.callOrNull(effect.exchange, effect.attempt)?.forward()
+            is RelayEffect.ForwardResponse -> exchanges.callOrNull(effect.exchange, effect.attempt)?.forward()
             is RelayEffect.CancelAttempt -> exchanges.callOrNull(effect.exchange, effect.attempt)?.abandon()
             is RelayEffect.Refuse -> requestHandler.refuse(effect)
             is RelayEffect.CutOff -> exchanges.remove(effect.exchange)?.response?.abort()
@@ -64,10 +64,10 @@
     }
 
     override fun responseStarted(call: BackendCall, head: HttpResponse): Unit =
-        post(RelayEvent.AnswerStarted(call.exchange.id, call.number, codec.decodeResponse(head)))
+        post(RelayEvent.ResponseStarted(call.exchange.id, call.number, codec.decodeResponse(head)))
 
     override fun responseForwarded(call: BackendCall) {
-        post(RelayEvent.AnswerFinished(call.exchange.id, call.number))
+        post(RelayEvent.ResponseFinished(call.exchange.id, call.number))
         exchanges.remove(call.exchange.id)
     }
 
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/MessageCodec.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/MessageCodec.kt
@@ -4,8 +4,8 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
-import org.quetzalloom.core.relay.exchange.AnswerHead
 import org.quetzalloom.core.relay.exchange.RelayRequest
+import org.quetzalloom.core.relay.exchange.ResponseHead
 import org.quetzalloom.core.relay.exchange.SendOrder
 
 /** Encodes and decodes the headers of requests and responses. Each front end has its own. */
@@ -20,7 +20,7 @@
     public fun isResponseTo(request: RelayRequest, response: HttpResponse): Boolean
 
     /** Decodes the head of a response. */
-    public fun decodeResponse(response: HttpResponse): AnswerHead
+    public fun decodeResponse(response: HttpResponse): ResponseHead
 
     /** Adds to [headers] that the caller should retry after [milliseconds]. */
     public fun encodeRetryAfter(headers: HttpHeaders, milliseconds: Long)
--- a/relay/src/test/kotlin/org/quetzalloom/relay/PlainCodec.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/PlainCodec.kt
@@ -6,8 +6,8 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
-import org.quetzalloom.core.relay.exchange.AnswerHead
 import org.quetzalloom.core.relay.exchange.RelayRequest
+import org.quetzalloom.core.relay.exchange.ResponseHead
 import org.quetzalloom.core.relay.exchange.SendOrder
 import org.quetzalloom.relay.http.MessageCodec
 import org.quetzalloom.relay.http.withoutHopByHopHeaders
@@ -35,8 +35,8 @@
     override fun isResponseTo(request: RelayRequest, response: HttpResponse): Boolean =
         response.headers().get("Id") == request.callerId
 
-    override fun decodeResponse(response: HttpResponse): AnswerHead =
-        AnswerHead(status = response.status().code(), notRun = response.headers().contains("Not-Run"))
+    override fun decodeResponse(response: HttpResponse): ResponseHead =
+        ResponseHead(status = response.status().code(), notRun = response.headers().contains("Not-Run"))
 
     override fun encodeRetryAfter(headers: HttpHeaders, milliseconds: Long) {
         headers.set("Retry-After", milliseconds)
