--- a/core/src/main/kotlin/org/quetzalloom/core/drain/DrainPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/drain/DrainPart.kt
@@ -13,37 +13,49 @@
 import org.quetzalloom.core.router.with
 import org.quetzalloom.core.time.Timestamp
 
-/** Leads the VM to a stop that cuts no request: readiness off, no new work, the rest finished, bills in the log. */
+/**
+ * Shuts the VM down gracefully, without cutting off a request.
+ *
+ * Readiness is turned off first. Requests that still arrive are accepted for `drainGraceMilliseconds` and then refused.
+ * The process stops when all requests are finished and their records are safe.
+ */
 internal object DrainPart : Part {
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
-        is Event.ShutdownRequested -> state.begin(now)
-        is Event.Tick -> state.stopIfDone(now)
+        is Event.ShutdownRequested -> state.onShutdownRequested(now)
+        is Event.Tick -> state.stopIfDrained(now)
         else -> state.unchanged()
     }
 
-    private fun RouterState.begin(now: Timestamp): Step {
+    /** Starts the drain; further requests to shut down change nothing. */
+    private fun RouterState.onShutdownRequested(now: Timestamp): Step {
         if (drain.since != null) return unchanged()
         return copy(drain = drain.copy(since = now)).report(now, "shutdown_requested", "active" to requests.active.size)
     }
 
-    private fun RouterState.stopIfDone(now: Timestamp): Step {
-        val idle = requests.active.isEmpty() && !takesNewWork(now)
-        if (drain.stopped || !idle || !isRecorded(now)) return unchanged()
+    /** Stops the process, once, when the drain is complete. */
+    private fun RouterState.stopIfDrained(now: Timestamp): Step {
+        val idle = requests.active.isEmpty() && !acceptsRequests(now)
+        if (drain.stopped || !idle || !isSafeToStop(now)) return unchanged()
         return copy(drain = drain.copy(stopped = true)).report(now, "shutdown_completed").then { it.with(Effect.Stop) }
     }
 
-    /** Returns whether nothing is lost when this VM goes: all is in the log, or a live peer keeps the rest. */
-    private fun RouterState.isRecorded(now: Timestamp): Boolean {
+    /**
+     * Returns whether nothing is lost when this VM stops.
+     *
+     * All records of commands must be in the log. So must all bills, unless a live peer holds a copy of each pending
+     * bill of this VM, and this VM holds none for its peers.
+     */
+    private fun RouterState.isSafeToStop(now: Timestamp): Boolean {
         val live = livePeers(now)
-        val ownBillsSafe = billing.unsettled.values.all { bill -> bill.keptBy.any { it in live } }
-        val billsSafe = ownBillsSafe && billing.kept.isEmpty()
+        val ownBillsReplicated = billing.unsettled.values.all { bill -> bill.confirmedBy.any { it in live } }
+        val billsSafe = ownBillsReplicated && billing.kept.isEmpty()
         val commandsSafe = log.writerOf(LogStream.COMMANDS).idle
         return commandsSafe && (billsSafe || log.writerOf(LogStream.BILLS).idle)
     }
 }
 
-/** Returns whether requests that arrive are still taken. */
-internal fun RouterState.takesNewWork(now: Timestamp): Boolean {
+/** Returns whether this VM accepts new requests: before a drain, and for `drainGraceMilliseconds` after it started. */
+internal fun RouterState.acceptsRequests(now: Timestamp): Boolean {
     val since = drain.since ?: return true
     return now - since < settings.limits.drainGraceMilliseconds
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Completion.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Completion.kt
@@ -1,9 +1,9 @@
 package org.quetzalloom.core.request
 
 import org.quetzalloom.core.billing.Bill
-import org.quetzalloom.core.billing.isInLog
-import org.quetzalloom.core.billing.isKept
-import org.quetzalloom.core.billing.issue
+import org.quetzalloom.core.billing.isBillInLog
+import org.quetzalloom.core.billing.isReplicated
+import org.quetzalloom.core.billing.issueBill
 import org.quetzalloom.core.configuration.VersionKind
 import org.quetzalloom.core.effect.Effect
 import org.quetzalloom.core.error.ErrorKind
@@ -21,6 +21,7 @@
 import org.quetzalloom.core.selection.RatingSubject
 import org.quetzalloom.core.time.Timestamp
 
+/** The number of tokens or calls that `Version.costMicros` is the price of. */
 private const val UNITS_PER_PRICE = 1_000
 private const val MAX_RECORDED_BODY_CHARACTERS = 65_536
 
@@ -32,7 +33,7 @@
 internal fun RouterState.settle(request: ActiveRequest, event: Event.OfBackend.Finished, now: Timestamp): Step {
     val bill = billFor(request, event.tokens)
     return recordOutcome(request, event).clearSuspicion(request, now)
-        .then { it.issue(bill, now).unchanged() }
+        .then { it.issueBill(bill, now).unchanged() }
         .then { it.submitSample(request) }
         .then {
             val phase = Phase.Settling(bill, event.tokens, event.status, since = now)
@@ -68,14 +69,14 @@
 }
 
 /**
- * Sends the end of the answer once its bill is safe: in the log, or, after `billHoldMilliseconds`, copied to peers.
+ * Sends the end of the answer once its bill is safe: in the log, or, after `billLogWaitMilliseconds`, copied to peers.
  *
- * After `billPatienceMilliseconds` the end is sent in any case.
+ * After `billMaximumWaitMilliseconds` the end is sent in any case.
  */
 internal fun RouterState.advanceSettling(request: ActiveRequest, phase: Phase.Settling, now: Timestamp): Step {
     val waited = now - phase.since
-    val safe = isInLog(phase.bill) ||
-        (waited >= settings.limits.billLogWaitMilliseconds && isKept(phase.bill)) ||
+    val safe = isBillInLog(phase.bill) ||
+        (waited >= settings.limits.billLogWaitMilliseconds && isReplicated(phase.bill)) ||
         waited >= settings.limits.billMaximumWaitMilliseconds
     if (!safe) return unchanged()
     val end = Effect.OfCaller.End(request.id, phase.tokens, phase.bill.costMicros, phase.status)
@@ -138,7 +139,7 @@
     val command = request.command ?: return this
     return when {
         request.phase is Phase.AwaitingIntent -> copy(
-            ledger = ledger.copy(abandoned = ledger.abandoned.add(request.id))
+            ledger = ledger.copy(abandonedIntents = ledger.abandonedIntents.add(request.id))
         )
         request.fencing != null && !request.mayHaveRun && request.phase !is Phase.Running ->
             enqueue(LogRecord.Release(command, request.id))
--- a/core/src/test/kotlin/org/quetzalloom/core/configuration/ConfigurationUnderFailureTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/configuration/ConfigurationUnderFailureTest.kt
@@ -7,8 +7,8 @@
 import org.quetzalloom.core.rig.Fault
 import org.quetzalloom.core.rig.Fleet
 import org.quetzalloom.core.rig.Rig
-import org.quetzalloom.core.rig.inflictWithin
-import org.quetzalloom.core.rig.requireNone
+import org.quetzalloom.core.rig.assertNoFindings
+import org.quetzalloom.core.rig.injectWithin
 import org.quetzalloom.core.rig.seeds
 import org.quetzalloom.core.router.Part
 import org.quetzalloom.core.router.RouterReducer
@@ -28,9 +28,9 @@
         val rig = Fleet.rig(seed)
         val findings = watchRevisions(rig)
         raceOperators(rig)
-        rig.inflictWithin(milliseconds = 5_000, count = 4, faults = Fault.ofPlatform)
+        rig.injectWithin(milliseconds = 5_000, count = 4, faults = Fault.ofPlatform)
         rig.runFor(SETTLE_MILLISECONDS)
-        requireNone(seed, rig, findings + differences(rig))
+        assertNoFindings(seed, rig, findings + differences(rig))
     }
 
     @Test
@@ -40,7 +40,7 @@
             val rig = Fleet.rig(seed, parts)
             val findings = watchRevisions(rig)
             raceOperators(rig)
-            rig.inflictWithin(milliseconds = 5_000, count = 4, faults = Fault.ofPlatform)
+            rig.injectWithin(milliseconds = 5_000, count = 4, faults = Fault.ofPlatform)
             rig.runFor(SETTLE_MILLISECONDS)
             (findings + differences(rig)).size
         }
@@ -80,7 +80,7 @@
         val later = rig.send(thirdVm, Fleet.completion("bread"))
         rig.runFor(3_000)
         assertEquals(true, early.refusal?.notRun ?: true)
-        assertTrue(later.whole, rig.trace.joinToString("\n"))
+        assertTrue(later.correct, rig.trace.joinToString("\n"))
     }
 
     @Test
--- a/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
@@ -159,8 +159,8 @@
             ),
             services = persistentMapOf(service to BackendService(service, maximumConnections = 20)),
             limits = CallerLimits(
-                maximumHeaderBytes = 2_048,
-                maximumBodyBytes = MAXIMUM_BODY_BYTES,
+                2_048,
+                MAXIMUM_BODY_BYTES,
                 headerTimeoutMilliseconds = 1_000,
                 idleTimeoutMilliseconds = 5_000,
             ),
--- a/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadEffect.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadEffect.kt
@@ -2,14 +2,19 @@
 
 import kotlinx.collections.immutable.PersistentList
 
-/** Everything that the load tool can do. */
+/** An effect of the load tool. */
 sealed interface LoadEffect {
-    /** Send a completion. */
-    data class Complete(val number: Long, val target: String, val prompt: String, val session: String?) : LoadEffect
+    /** Sends completion [number] to [target], a host and port. */
+    data class SendCompletion(
+        val number: Long,
+        val target: String,
+        val prompt: String,
+        val session: String?,
+    ) : LoadEffect
 
-    /** Send a command. */
-    data class Command(val number: Long, val target: String, val key: String) : LoadEffect
+    /** Sends command [number] to [target], a host and port, with the idempotency key [key]. */
+    data class SendCommand(val number: Long, val target: String, val key: String) : LoadEffect
 
-    /** All requests have ended. */
+    /** Reports the results of all requests, after the last one has ended. */
     data class Report(val samples: PersistentList<LoadSample>) : LoadEffect
 }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadReport.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadReport.kt
@@ -3,7 +3,7 @@
 import kotlinx.serialization.Serializable
 import org.HdrHistogram.Histogram
 
-/** Percentiles of a latency, in microseconds. */
+/** Percentiles of a latency, in microseconds, to three significant digits. They are 0 if [count] is 0. */
 @Serializable
 data class Percentiles(
     val count: Long,
@@ -13,21 +13,25 @@
     val max: Long,
 ) {
     companion object {
-        private const val LARGEST_MICROSECONDS = 3_600_000_000L
+        private const val HIGHEST_TRACKABLE_MICROSECONDS = 3_600_000_000L
         private const val SIGNIFICANT_DIGITS = 3
-        private const val MEDIAN = 50.0
-        private const val NEARLY_ALL = 95.0
-        private const val ALL_BUT_FEW = 99.0
+        private const val P50 = 50.0
+        private const val P95 = 95.0
+        private const val P99 = 99.0
 
-        /** Returns the percentiles of [microseconds]. */
+        /**
+         * Returns the percentiles of [microseconds].
+         *
+         * @throws ArrayIndexOutOfBoundsException if one of them is far above an hour.
+         */
         fun of(microseconds: List<Long>): Percentiles {
-            val histogram = Histogram(LARGEST_MICROSECONDS, SIGNIFICANT_DIGITS)
+            val histogram = Histogram(HIGHEST_TRACKABLE_MICROSECONDS, SIGNIFICANT_DIGITS)
             microseconds.forEach { histogram.recordValue(it) }
             return Percentiles(
                 count = histogram.totalCount,
-                p50 = histogram.getValueAtPercentile(MEDIAN),
-                p95 = histogram.getValueAtPercentile(NEARLY_ALL),
-                p99 = histogram.getValueAtPercentile(ALL_BUT_FEW),
+                p50 = histogram.getValueAtPercentile(P50),
+                p95 = histogram.getValueAtPercentile(P95),
+                p99 = histogram.getValueAtPercentile(P99),
                 max = histogram.maxValue,
             )
         }
@@ -35,13 +39,15 @@
 }
 
 /**
- * What came of a load.
+ * The report on a load run.
  *
- * @property results the number of requests by kind and result.
- * @property first the time to the first piece of whole completions.
+ * @property results the number of requests by kind and result, as `kind:result`.
+ * @property versions the number of whole completions by the version that answered.
+ * @property first the time to the first chunk of whole completions.
  * @property whole the time to the end of whole completions.
- * @property commands the time to the answer of commands that were run.
- * @property movedSessions the sessions that were answered by more than one version.
+ * @property commands the time to the response of whole commands.
+ * @property movedSessions the number of sessions whose whole completions came from more than one version.
+ * @property samples the results of all requests, in the order in which they ended.
  */
 @Serializable
 data class LoadReport(
@@ -54,7 +60,7 @@
     val samples: List<LoadSample>,
 ) {
     companion object {
-        /** Returns the report on [samples]. */
+        /** Returns the report on the results [samples]. */
         fun of(samples: List<LoadSample>): LoadReport {
             val whole = samples.filter { it.result == "whole" }
             val completions = whole.filter { it.kind == "completion" }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/scripted/ScriptedServer.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/scripted/ScriptedServer.kt
@@ -9,36 +9,37 @@
 import kotlin.concurrent.thread
 
 /**
- * Stands in for a backend server that may misbehave in any way that bytes can: each request is answered by [script],
- * which writes what it likes.
+ * A backend server for tests that can break the protocol in any way: [script] answers each request by writing bytes.
  *
- * @param early whether a request is answered before its body is read; the body is read afterwards.
+ * It listens on a free port of the loopback address. Each connection has a thread of its own, on which [script] runs.
+ *
+ * @param respondBeforeBody whether [script] runs before the body is read; the body is read and discarded afterwards.
  */
 class ScriptedServer(
-    private val early: Boolean = false,
+    private val respondBeforeBody: Boolean = false,
     private val script: (ScriptedRequest) -> Unit,
 ) : AutoCloseable {
     private val listener = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
     private val sockets = CopyOnWriteArrayList<Socket>()
 
-    /** The requests that were read, in order. */
+    /** The requests of all connections, in the order in which they were read. */
     val requests: CopyOnWriteArrayList<ScriptedRequest> = CopyOnWriteArrayList()
 
-    /** The port on the loopback address. */
+    /** The port that it listens on. */
     val port: Int get() = listener.localPort
 
-    /** Connections that were accepted. */
-    val accepted: Int get() = sockets.size
+    /** The number of connections accepted so far, closed ones included. */
+    val acceptedConnections: Int get() = sockets.size
 
-    /** Starts to accept connections. */
-    fun start(): ScriptedServer = apply { thread(isDaemon = true) { accept() } }
+    /** Starts to accept connections. Returns this server. */
+    fun start(): ScriptedServer = apply { thread(isDaemon = true) { acceptConnections() } }
 
     override fun close() {
         listener.close()
         sockets.forEach { it.close() }
     }
 
-    private fun accept() {
+    private fun acceptConnections() {
         while (!listener.isClosed) {
             val socket = acceptOrNull() ?: return
             sockets += socket
@@ -56,10 +57,10 @@
         val input = BufferedInputStream(socket.getInputStream())
         try {
             while (true) {
-                val request = ScriptedRequest.readOrNull(input, socket, early) ?: return
+                val request = ScriptedRequest.readOrNull(input, socket, respondBeforeBody) ?: return
                 requests += request
                 script(request)
-                if (early) input.skipNBytes(request.bodyLength)
+                if (respondBeforeBody) input.skipNBytes(request.contentLength)
             }
         } catch (_: IOException) {
             socket.close()
--- a/standins/src/main/kotlin/org/quetzalloom/standins/weights/WeightStoreStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/weights/WeightStoreStandIn.kt
@@ -11,13 +11,14 @@
 import org.quetzalloom.standins.http.unchanged
 import org.quetzalloom.standins.http.with
 
-/** When the next download may begin. */
-data class WeightStoreState(val freeAt: Timestamp = Timestamp.EPOCH)
+/** The time from which the next download is allowed. */
+data class WeightStoreState(val nextDownloadAt: Timestamp = Timestamp.EPOCH)
 
 /**
- * Stands in for the rate-limited weight store: `GET /weights/{version}`.
+ * A stand-in for the rate-limited weight store: `GET /weights/{version}` downloads the weights of a version.
  *
- * @property intervalMilliseconds the least time between two downloads; an earlier one is refused with status 429.
+ * @property intervalMilliseconds the minimum time between two downloads. An earlier one is rejected with status 429 and
+ *   the remaining time in `X-Wait-Milliseconds`.
  */
 class WeightStoreStandIn(private val intervalMilliseconds: Long = 1_000) : StandIn<WeightStoreState> {
     override val initial: WeightStoreState = WeightStoreState()
@@ -27,8 +28,8 @@
         event: HttpEvent,
         now: Timestamp,
     ): Transition<WeightStoreState, HttpEffect> = when (event) {
-        is HttpEvent.Called -> call(state, event.call, now)
-        is HttpEvent.Tick, is HttpEvent.Left -> state.unchanged()
+        is HttpEvent.RequestReceived -> call(state, event.call, now)
+        is HttpEvent.Tick, is HttpEvent.ClientDisconnected -> state.unchanged()
     }
 
     private fun call(
@@ -37,13 +38,13 @@
         now: Timestamp,
     ): Transition<WeightStoreState, HttpEffect> = when {
         call.method != "GET" || !call.path.startsWith(WEIGHTS) -> state.with(call.notFound())
-        now < state.freeAt -> state.with(refusal(call, state.freeAt - now))
-        else -> WeightStoreState(freeAt = now + intervalMilliseconds)
-            .with(HttpEffect.Respond(call.exchange, body = "weights of ${call.path.removePrefix(WEIGHTS)}"))
+        now < state.nextDownloadAt -> state.with(rejection(call, state.nextDownloadAt - now))
+        else -> WeightStoreState(nextDownloadAt = now + intervalMilliseconds)
+            .with(HttpEffect.Respond(call.exchangeId, body = "weights of ${call.path.removePrefix(WEIGHTS)}"))
     }
 
-    private fun refusal(call: HttpCall, waitMilliseconds: Long): HttpEffect = HttpEffect.Respond(
-        exchange = call.exchange,
+    private fun rejection(call: HttpCall, waitMilliseconds: Long): HttpEffect = HttpEffect.Respond(
+        exchangeId = call.exchangeId,
         status = 429,
         headers = persistentMapOf("X-Wait-Milliseconds" to waitMilliseconds.toString()),
     )
