--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/AttemptTimeouts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/AttemptTimeouts.kt
@@ -15,14 +15,14 @@
 /** The idle timeout of a resumable stream, in multiples of the longest pause that still counts as on time. */
 private const val IDLE_TIMEOUT_GAPS = 1.5
 
-/** The start timeout of an answer that is not a stream, in targets of its route. */
+/** The start timeout of a response that is not a stream, in targets of its route. */
 private const val PLAIN_START_TARGETS = 1.5
 
-/** The minimum start timeout. Many answers take longer than a short target, so less says nothing about the server. */
+/** The minimum start timeout. Many responses take longer than a short target, so less says nothing about the server. */
 private const val MINIMUM_START_TIMEOUT_MILLISECONDS = 200L
 
 /**
- * Returns how long the answer of [attempt] may take to begin before another backend server is tried, in milliseconds;
+ * Returns how long the response of [attempt] may take to begin before another backend server is tried, in milliseconds;
  * `null`, for no limit, if the request may not run again.
  */
 internal fun RelayState.startTimeoutOrNull(exchange: Exchange, attempt: Attempt): Long? {
@@ -34,15 +34,16 @@
     }
 }
 
+/** Returns the timeout from the usual prefill time, between half the target and [MAXIMUM_STREAM_START_TARGETS]. */
 private fun RelayState.streamStartTimeout(exchange: Exchange, attempt: Attempt): Long {
     val target = exchange.route.targetMilliseconds
     val longest = maxOf(target * MAXIMUM_STREAM_START_TARGETS, MINIMUM_START_TIMEOUT_MILLISECONDS)
-    val usual = servers.prefillPaces[exchange.service]?.estimateOrNull(attempt.workUntilAnswer) ?: return longest
+    val usual = servers.prefillPaces[exchange.service]?.estimateOrNull(attempt.workUntilResponse) ?: return longest
     return maxOf(target / 2, usual * STREAM_START_FACTOR + STREAM_START_ALLOWANCE_MILLISECONDS).coerceAtMost(longest)
 }
 
 /**
- * Returns the maximum pause in an answer of [route] before another backend server resumes it, in milliseconds; `null`,
+ * Returns the maximum pause in a response of [route] before another backend server resumes it, in milliseconds; `null`,
  * for no limit, if the route is not resumable or has no target for pauses.
  */
 internal fun idleTimeoutOrNull(route: Route): Long? =
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ExchangesPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ExchangesPart.kt
@@ -9,12 +9,12 @@
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.time.Timestamp
 
-/** Handles the life cycle of each request, from its arrival through its attempts to its single answer. */
+/** Handles the life cycle of each request, from its arrival through its attempts to its single response. */
 internal object ExchangesPart : RelayPart {
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
         is RelayEvent.RequestArrived -> state.admitOrRefuse(event, now)
-        is RelayEvent.AnswerStarted -> state.answerStarted(event, now)
-        is RelayEvent.AnswerFinished -> state.answerFinished(event, now)
+        is RelayEvent.ResponseStarted -> state.responseStarted(event, now)
+        is RelayEvent.ResponseFinished -> state.responseFinished(event, now)
         is RelayEvent.AttemptFailed -> state.attemptFailed(event, now)
         is RelayEvent.CallerLeft -> state.callerLeft(event, now)
         is RelayEvent.SettingsChanged -> state.copy(settings = event.settings).report(now, "settings_changed")
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
@@ -11,7 +11,7 @@
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.time.Timestamp
 
-/** The attempts per request that may end without a run, beside those that run it. */
+/** The maximum number of attempts that end without having run a request, in addition to those that run it. */
 private const val MAXIMUM_REFUSALS = 4
 
 /**
@@ -78,11 +78,11 @@
 }.then { it.cancelAttempt(exchange) }
     .then { it.retryOrGiveUp(exchange.copy(attempt = null), attempt, now) }
 
-/** Returns the transition that handles an answer which guarantees that the request has not run. */
+/** Returns the transition that handles a response which guarantees that the request has not run. */
 internal fun RelayState.handleNotRun(
     exchange: Exchange,
     attempt: Attempt,
-    head: AnswerHead,
+    head: ResponseHead,
     now: Timestamp,
 ): RelayStep = cancelAttempt(exchange).then {
     it.report(
@@ -113,8 +113,8 @@
 internal fun RelayState.checkDeadlines(now: Timestamp): RelayStep {
     val (due, inTime) = exchanges.byId.values.partition { now >= it.deadlineAt }
     val waiting = inTime.filter { it.attempt == null }.sortedBy { it.urgency }
-    return unchanged().thenEach(due) { reached, exchange -> reached.expire(exchange, now) }
-        .thenEach(waiting) { reached, exchange -> reached.placeWaiting(exchange, now) }
+    return unchanged().thenEach(due) { current, exchange -> current.expire(exchange, now) }
+        .thenEach(waiting) { current, exchange -> current.placeWaiting(exchange, now) }
 }
 
 /** Checks the retry budget again before a waiting retry is placed, as others may have used it up in the meantime. */
