Name the relay's retry budget, aborted responses and send parameters for what they hold

Renames and the line breaks that they need, nothing else. An "order" is a roll-out order in the relay, so the parameters of a send are not one; the retry budget counts requests rather than first attempts; a lower sort key was called a higher urgency.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
@@ -3,7 +3,7 @@
 import kotlinx.collections.immutable.PersistentList
 import org.quetzalloom.core.error.ErrorKind
 import org.quetzalloom.core.relay.exchange.ExchangeId
-import org.quetzalloom.core.relay.exchange.SendOrder
+import org.quetzalloom.core.relay.exchange.SendParameters
 import org.quetzalloom.core.relay.feed.Feed
 import org.quetzalloom.core.relay.peer.PeerBeacon
 import org.quetzalloom.core.relay.rollout.RolloutPhase
@@ -17,7 +17,7 @@
     public data class Send(
         public val exchange: ExchangeId,
         public val attempt: Int,
-        public val order: SendOrder,
+        public val parameters: SendParameters,
     ) : RelayEffect
 
     /**
@@ -42,7 +42,7 @@
     ) : RelayEffect
 
     /** Closes the caller's connection in such a way that the response begun on it does not look complete. */
-    public data class CutOff(public val exchange: ExchangeId) : RelayEffect
+    public data class AbortResponse(public val exchange: ExchangeId) : RelayEffect
 
     /**
      * Sets the path for all further calls to the platform's store.
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/StorePathPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/StorePathPart.kt
@@ -39,13 +39,13 @@
         if (storePath.failures == 0) unchanged() else copy(storePath = storePath.copy(failures = 0)).unchanged()
 
     private fun RelayState.failed(now: Timestamp): RelayStep {
-        val counted = copy(storePath = storePath.copy(failures = storePath.failures + 1))
+        val withFailure = copy(storePath = storePath.copy(failures = storePath.failures + 1))
         val proxyRouter = proxyRouterOrNull(storePath.pathChanges)
         val directRetryAt = if (storePath.viaRouter == null) now + DETOUR_MILLISECONDS else storePath.directRetryAt
-        return if (counted.storePath.failures < FAILURES_BEFORE_DETOUR || proxyRouter == null) {
-            counted.unchanged()
+        return if (withFailure.storePath.failures < FAILURES_BEFORE_DETOUR || proxyRouter == null) {
+            withFailure.unchanged()
         } else {
-            counted.setPath(proxyRouter, directRetryAt, now)
+            withFailure.setPath(proxyRouter, directRetryAt, now)
         }
     }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
@@ -106,7 +106,7 @@
 ): RelayStep {
     val request = event.request
     val route = admission.route
-    val time = minOf(request.timeLeftMilliseconds ?: Long.MAX_VALUE, route.timeoutMilliseconds)
+    val timeLimit = minOf(request.timeLeftMilliseconds ?: Long.MAX_VALUE, route.timeoutMilliseconds)
     val exchange = Exchange(
         id = event.exchange,
         request = request,
@@ -114,12 +114,12 @@
         service = route.pickService(request),
         workspace = admission.workspace,
         arrivedAt = now,
-        deadlineAt = now + time,
-        waitUntil = now + time / QUEUE_TIME_DIVISOR,
+        deadlineAt = now + timeLimit,
+        waitUntil = now + timeLimit / QUEUE_TIME_DIVISOR,
         modelIndex = if (request.routerChoosesModel) policies.modelChoice.firstModel(route, request) else 0,
         lastEventId = request.lastEventId,
     )
-    val budget = (exchanges.budgets[exchange.service] ?: RetryBudget()).countFirst(now)
+    val budget = (exchanges.budgets[exchange.service] ?: RetryBudget()).countRequest(now)
     val counted = exchanges.copy(budgets = exchanges.budgets.put(exchange.service, budget))
     return copy(exchanges = counted.with(exchange)).placeOrWait(exchange, now)
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
@@ -55,7 +55,7 @@
         exchanges = countRetry(exchange, now).with(sent),
         servers = servers.update(view.listing.id) { it.afterSend(attempt.pendingWork, now) },
     )
-    return next.with(RelayEffect.Send(exchange.id, attempt.number, sendOrder(exchange, view, attempt, now)))
+    return next.with(RelayEffect.Send(exchange.id, attempt.number, sendParameters(exchange, view, attempt, now)))
         .then { it.reportSend(sent, view, now) }
 }
 
@@ -82,9 +82,14 @@
     "last_event_id" to exchange.lastEventId,
 )
 
-private fun RelayState.sendOrder(exchange: Exchange, view: ServerView, attempt: Attempt, now: Timestamp): SendOrder {
+private fun RelayState.sendParameters(
+    exchange: Exchange,
+    view: ServerView,
+    attempt: Attempt,
+    now: Timestamp,
+): SendParameters {
     val route = exchange.route
-    return SendOrder(
+    return SendParameters(
         server = view.listing.id,
         address = view.listing.address,
         maximumConnections = connectionShare(exchange.service),
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Endings.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Endings.kt
@@ -54,7 +54,7 @@
  * response off if the caller already has a part of it.
  */
 internal fun RelayState.giveUp(exchange: Exchange, now: Timestamp): RelayStep = when {
-    exchange.headForwarded -> cutOff(exchange, "no_server", now)
+    exchange.headForwarded -> abortResponse(exchange, "no_server", now)
     exchange.mayHaveRun ->
         failExchange(exchange, ErrorKind.BACKEND_FAILED, "no backend server gave a complete response", now)
     else -> failExchange(exchange, ErrorKind.NO_CAPACITY, "no backend server could take the request", now)
@@ -69,7 +69,7 @@
 }
 
 /** Returns the transition that cuts off the response of [exchange], of which the caller already has a part. */
-internal fun RelayState.cutOff(exchange: Exchange, reason: String, now: Timestamp): RelayStep =
+internal fun RelayState.abortResponse(exchange: Exchange, reason: String, now: Timestamp): RelayStep =
     copy(exchanges = exchanges.without(exchange.id))
-        .with(RelayEffect.CutOff(exchange.id))
+        .with(RelayEffect.AbortResponse(exchange.id))
         .then { it.reportEnd(exchange, "cut_off", now, "reason" to reason) }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ExchangesPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ExchangesPart.kt
@@ -18,7 +18,7 @@
         is RelayEvent.AttemptFailed -> state.attemptFailed(event, now)
         is RelayEvent.CallerLeft -> state.callerLeft(event, now)
         is RelayEvent.SettingsChanged -> state.copy(settings = event.settings).report(now, "settings_changed")
-        RelayEvent.Tick -> state.checkDeadlines(now)
+        RelayEvent.Tick -> state.expireAndPlace(now)
         else -> state.unchanged()
     }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
@@ -12,7 +12,7 @@
 import org.quetzalloom.core.time.Timestamp
 
 /** The maximum number of attempts that end without having run a request, in addition to those that run it. */
-private const val MAXIMUM_REFUSALS = 4
+private const val MAXIMUM_NOT_RUN_ATTEMPTS = 4
 
 /**
  * Returns the transition that handles a failed attempt: resumes the stream, retries the request, or ends the exchange.
@@ -21,9 +21,9 @@
 internal fun RelayState.attemptFailed(event: RelayEvent.AttemptFailed, now: Timestamp): RelayStep {
     val (exchange, attempt) = exchanges.currentOrNull(event.exchange, event.attempt) ?: return unchanged()
     val failure = event.failure
-    val known = copy(servers = servers.update(attempt.server) { it.afterFailure(failure, now) }).release(attempt)
-    val broken = exchange.copy(attempt = null, lastEventId = event.lastEventId ?: exchange.lastEventId)
-    return known.report(
+    val updated = copy(servers = servers.update(attempt.server) { it.afterFailure(failure, now) }).release(attempt)
+    val withoutAttempt = exchange.copy(attempt = null, lastEventId = event.lastEventId ?: exchange.lastEventId)
+    return updated.report(
         now,
         "attempt_failed",
         "request" to exchange.request.callerId,
@@ -32,22 +32,22 @@
         "failure" to failure,
         "after_ms" to (now - attempt.sentAt),
         "passing" to exchange.headForwarded,
-        "last_event_id" to broken.lastEventId,
+        "last_event_id" to withoutAttempt.lastEventId,
     ).then {
         if (failure.mayHaveArrived) {
-            it.retryOrGiveUp(broken, attempt, now)
+            it.retryOrGiveUp(withoutAttempt, attempt, now)
         } else {
-            it.retryNotRun(broken.copy(tried = broken.tried.add(attempt.server)), now)
+            it.retryNotRun(withoutAttempt.copy(tried = withoutAttempt.tried.add(attempt.server)), now)
         }
     }
 }
 
 private fun RelayState.retryOrGiveUp(exchange: Exchange, attempt: Attempt, now: Timestamp): RelayStep {
-    val ran = exchange.copy(mayHaveRun = true)
+    val possiblyRun = exchange.copy(mayHaveRun = true)
     return when {
-        !mayRunOnceMore(ran, now) -> giveUp(ran, now)
-        ran.headForwarded && !ran.route.resumable -> giveUp(ran, now)
-        else -> placeOrWait(ran.afterRun(attempt, now), now)
+        !mayRunOnceMore(possiblyRun, now) -> giveUp(possiblyRun, now)
+        possiblyRun.headForwarded && !possiblyRun.route.resumable -> giveUp(possiblyRun, now)
+        else -> placeOrWait(possiblyRun.afterRun(attempt, now), now)
     }
 }
 
@@ -97,31 +97,36 @@
 }.then { it.retryNotRun(exchange.copy(attempt = null, tried = exchange.tried.add(attempt.server)), now) }
 
 private fun RelayState.retryNotRun(exchange: Exchange, now: Timestamp): RelayStep {
-    val refusals = exchange.attempts - exchange.runs
-    val allowed = refusals < MAXIMUM_REFUSALS && budgetLeft(exchange, now)
+    val notRunAttempts = exchange.attempts - exchange.runs
+    val allowed = notRunAttempts < MAXIMUM_NOT_RUN_ATTEMPTS && hasRetryBudget(exchange, now)
     return if (allowed) placeOrWait(exchange, now) else giveUp(exchange, now)
 }
 
 /** Returns whether the retry budget of the service of [exchange] allows one more retry. */
-internal fun RelayState.budgetLeft(exchange: Exchange, now: Timestamp): Boolean =
+internal fun RelayState.hasRetryBudget(exchange: Exchange, now: Timestamp): Boolean =
     exchanges.budgets[exchange.service]?.mayRetry(settings, members.routerCount, now) ?: false
 
 /**
  * Returns the transition that ends the exchanges whose deadline has passed, and places the waiting ones again, in the
  * order of their priority and deadline.
  */
-internal fun RelayState.checkDeadlines(now: Timestamp): RelayStep {
+internal fun RelayState.expireAndPlace(now: Timestamp): RelayStep {
     val (due, inTime) = exchanges.byId.values.partition { now >= it.deadlineAt }
-    val waiting = inTime.filter { it.attempt == null }.sortedBy { it.urgency }
+    val waiting = inTime.filter { it.attempt == null }.sortedBy { it.queueRank }
     return unchanged().thenEach(due) { current, exchange -> current.expire(exchange, now) }
         .thenEach(waiting) { current, exchange -> current.placeWaiting(exchange, now) }
 }
 
 /** Checks the retry budget again before a waiting retry is placed, as others may have used it up in the meantime. */
 private fun RelayState.placeWaiting(exchange: Exchange, now: Timestamp): RelayStep =
-    if (exchange.attempts == 0 || budgetLeft(exchange, now)) placeOrWait(exchange, now) else waitOrGiveUp(exchange, now)
+    if (exchange.attempts == 0 || hasRetryBudget(exchange, now)) {
+        placeOrWait(exchange, now)
+    } else {
+        waitOrGiveUp(exchange, now)
+    }
 
-private val Exchange.urgency: Long get() = route.priority * PRIORITY_STEP + deadlineAt.epochMilliseconds % PRIORITY_STEP
+private val Exchange.queueRank: Long
+    get() = route.priority * PRIORITY_STEP + deadlineAt.epochMilliseconds % PRIORITY_STEP
 
 /** More milliseconds than any deadline since the Unix epoch, so that the priority outweighs the deadline. */
 private const val PRIORITY_STEP = 1_000_000_000_000_000L
@@ -129,7 +134,7 @@
 private fun RelayState.expire(exchange: Exchange, now: Timestamp): RelayStep = cancelAttempt(exchange).then {
     val sent = exchange.mayHaveRun || exchange.attempt != null
     when {
-        exchange.headForwarded -> it.cutOff(exchange, "deadline", now)
+        exchange.headForwarded -> it.abortResponse(exchange, "deadline", now)
         sent -> it.failExchange(exchange, ErrorKind.DEADLINE_EXCEEDED, "the deadline passed while the request ran", now)
         else -> it.giveUp(exchange, now)
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/LatencyEstimates.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/LatencyEstimates.kt
@@ -24,14 +24,14 @@
  * take it now. While the prefill pace of the service is unknown, prompts count as read in no time.
  */
 internal fun RelayState.latencyEstimateOrNull(exchange: Exchange, now: Timestamp): ModelLatencyEstimate? {
-    val least = untriedServers(exchange, now).minOfOrNull { workUntilResponse(it, work = 0, now) } ?: return null
+    val leastWork = untriedServers(exchange, now).minOfOrNull { workUntilResponse(it, work = 0, now) } ?: return null
     val pace = servers.prefillPaces[exchange.service] ?: PrefillPace()
-    fun wait(ahead: Long): Long = pace.estimateOrNull(ahead) ?: 0
+    fun readingTime(ahead: Long): Long = pace.estimateOrNull(ahead) ?: 0
     return ModelLatencyEstimate(
         elapsedMilliseconds = now - exchange.arrivedAt,
-        queueMilliseconds = wait(least),
+        queueMilliseconds = readingTime(leastWork),
         waitsMilliseconds = exchange.route.models.indices
-            .map { wait(least + policies.workEstimate.of(exchange.request, it)) }
+            .map { readingTime(leastWork + policies.workEstimate.of(exchange.request, it)) }
             .toPersistentList(),
     )
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Responses.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Responses.kt
@@ -68,11 +68,11 @@
     now: Timestamp,
 ): RelayStep {
     val escalation = escalationOrNull(exchange, head, now)
-    val judged = exchange.copy(escalation = escalation)
+    val withDecision = exchange.copy(escalation = escalation)
     return if (escalation?.nextModelIndex == null) {
-        forwardResponse(judged, attempt)
+        forwardResponse(withDecision, attempt)
     } else {
-        escalate(judged, escalation.nextModelIndex, now)
+        escalate(withDecision, escalation.nextModelIndex, now)
     }
 }
 
@@ -110,7 +110,7 @@
  * budget of its service allow it.
  */
 internal fun RelayState.mayRunOnceMore(exchange: Exchange, now: Timestamp): Boolean =
-    exchange.route.mayRunAgain && exchange.runs + 1 < exchange.route.maximumAttempts && budgetLeft(exchange, now)
+    exchange.route.mayRunAgain && exchange.runs + 1 < exchange.route.maximumAttempts && hasRetryBudget(exchange, now)
 
 private fun RelayState.handleServerError(
     exchange: Exchange,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/RetryBudget.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/RetryBudget.kt
@@ -11,15 +11,15 @@
  * Counts are kept per second. The window is rounded up to whole seconds for retries and down for requests, so that the
  * limit holds for every window.
  *
- * @property firstAttempts the number of requests, by the second in which they arrived.
+ * @property requests the number of requests, by the second in which they arrived.
  * @property retries the number of further attempts, by the second in which they were sent.
  */
 internal data class RetryBudget(
-    val firstAttempts: PersistentMap<Long, Int> = persistentMapOf(),
+    val requests: PersistentMap<Long, Int> = persistentMapOf(),
     val retries: PersistentMap<Long, Int> = persistentMapOf(),
 ) {
     /** Returns the budget after a request has arrived at [now]. */
-    fun countFirst(now: Timestamp): RetryBudget = copy(firstAttempts = firstAttempts.increment(now))
+    fun countRequest(now: Timestamp): RetryBudget = copy(requests = requests.increment(now))
 
     /** Returns the budget after a retry at [now]. */
     fun countRetry(now: Timestamp): RetryBudget = copy(retries = retries.increment(now))
@@ -33,15 +33,17 @@
     fun mayRetry(settings: RelaySettings, routerCount: Int, now: Timestamp): Boolean {
         val second = now.second
         val span = settings.retryWindowMilliseconds / MILLISECONDS_PER_SECOND
-        val requests = firstAttempts.entries.sumOf { (at, count) -> if (at > second - span) count else 0 }
-        val made = retries.entries.sumOf { (at, count) -> if (at >= second - span) count else 0 }
-        val allowed = settings.retryRatio * requests * USED_SHARE + Math.floor(settings.retrySlack / routerCount)
-        return made + 1 <= allowed
+        val requestsInWindow = requests.entries.sumOf { (at, count) -> if (at > second - span) count else 0 }
+        val retriesInWindow = retries.entries.sumOf { (at, count) -> if (at >= second - span) count else 0 }
+        val allowed =
+            settings.retryRatio * requestsInWindow * RATIO_SAFETY_FACTOR + Math.floor(settings.retrySlack / routerCount)
+        return retriesInWindow + 1 <= allowed
     }
 
     private fun PersistentMap<Long, Int>.increment(now: Timestamp): PersistentMap<Long, Int> {
         val second = now.second
-        val kept = keys.filter { it < second - LONGEST_WINDOW_SECONDS }.fold(this) { counts, old -> counts.remove(old) }
+        val kept = keys.filter { it < second - COUNT_RETENTION_SECONDS }
+            .fold(this) { counts, old -> counts.remove(old) }
         return kept.put(second, (kept[second] ?: 0) + 1)
     }
 
@@ -49,9 +51,9 @@
 
     private companion object {
         const val MILLISECONDS_PER_SECOND = 1_000L
-        const val LONGEST_WINDOW_SECONDS = 60L
+        const val COUNT_RETENTION_SECONDS = 60L
 
         /** The share of the limit that is used; the rest covers attempts that arrive later than they were sent. */
-        const val USED_SHARE = 0.9
+        const val RATIO_SAFETY_FACTOR = 0.9
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/SendOrder.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/SendParameters.kt
@@ -17,7 +17,7 @@
  * @property idleTimeoutMilliseconds the maximum pause within the response, or `null` for no limit.
  * @property requiresLiveConnection whether only a new connection, or one that is known to be alive, may be used.
  */
-public data class SendOrder(
+public data class SendParameters(
     public val server: BackendServerId,
     public val address: String,
     public val maximumConnections: Int,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersPart.kt
@@ -89,8 +89,8 @@
             listing = false,
             listDueAt = now + PAUSE_MILLISECONDS,
         )
-        val changed = copy(members = next)
-        return if (next.addresses == members.addresses) changed.unchanged() else changed.reportMembers(now)
+        val updated = copy(members = next)
+        return if (next.addresses == members.addresses) updated.unchanged() else updated.reportMembers(now)
     }
 
     private fun RelayState.reportMembers(now: Timestamp): RelayStep = report(
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutsPart.kt
@@ -33,7 +33,7 @@
         }
         RelayEvent.Tick -> state.unchanged().thenEach(
             state.rollouts.active
-        ) { current, each -> current.advance(each, now) }
+        ) { current, progress -> current.advance(progress, now) }
         else -> state.unchanged()
     }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/EvacuationsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/EvacuationsPart.kt
@@ -26,8 +26,8 @@
     }
 
     private fun RelayState.evacuate(entry: FeedEntry.Evacuation, now: Timestamp): RelayStep {
-        val known = entry.zone in servers.evacuated
-        if (known == entry.active) return unchanged()
+        val isEvacuated = entry.zone in servers.evacuated
+        if (isEvacuated == entry.active) return unchanged()
         val next = if (entry.active) {
             servers.copy(evacuated = servers.evacuated.put(entry.zone, now))
         } else {
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersPart.kt
@@ -31,20 +31,20 @@
         val listed = event.entries.filterIsInstance<FeedEntry.Server>().associateBy { it.listing.id }
         val removed = event.entries.filterIsInstance<FeedEntry.ServerRemoved>().map { it.id }
         val absent = if (event.feed == Feed.SERVERS && event.snapshot) servers.views.keys - listed.keys else emptySet()
-        val known = if (event.feed == Feed.SERVERS) copy(servers = servers.copy(listReadAt = now)) else this
-        return known.unchanged()
+        val updated = if (event.feed == Feed.SERVERS) copy(servers = servers.copy(listReadAt = now)) else this
+        return updated.unchanged()
             .thenEach(listed.values) { current, entry -> current.updateListing(entry.listing, now) }
             .thenEach(removed + absent) { current, id -> current.markRemoved(id, now) }
     }
 
     private fun RelayState.updateListing(listing: ServerListing, now: Timestamp): RelayStep {
-        val known = servers.views[listing.id]
-        val view = known?.withListing(listing, now) ?: ServerView(
+        val previous = servers.views[listing.id]
+        val view = previous?.withListing(listing, now) ?: ServerView(
             listing = listing,
             coldUntil = now + listing.coldMilliseconds,
         )
         val next = copy(servers = servers.copy(views = servers.views.put(listing.id, view)))
-        val changed = known == null || known.dropAt != null || known.listing.differsFrom(listing)
+        val changed = previous == null || previous.dropAt != null || previous.listing.differsFrom(listing)
         return if (changed) next.reportListed(view, now) else next.unchanged()
     }
 
@@ -83,8 +83,8 @@
         val removable = servers.views.values
             .filter { view -> view.inFlight == 0 && view.dropAt?.let { it <= now } ?: false }
         if (removable.isEmpty()) return unchanged()
-        val left = removable.fold(servers.views) { views, view -> views.remove(view.listing.id) }
-        return copy(servers = servers.copy(views = left)).unchanged()
+        val remaining = removable.fold(servers.views) { views, view -> views.remove(view.listing.id) }
+        return copy(servers = servers.copy(views = remaining)).unchanged()
     }
 
     private fun RelayState.listFailed(event: RelayEvent.FeedFailed, now: Timestamp): RelayStep =
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
@@ -42,11 +42,11 @@
         val elapsed = now - attempt.sentAt
         val pace = prefillPaces[service] ?: PrefillPace()
         val usual = pace.estimateOrNull(attempt.workUntilResponse)
-        val counted = copy(prefillPaces = prefillPaces.put(service, pace.record(attempt.workUntilResponse, elapsed)))
+        val withPace = copy(prefillPaces = prefillPaces.put(service, pace.record(attempt.workUntilResponse, elapsed)))
         return if (usual == null || attempt.workUntilResponse == 0L) {
-            counted
+            withPace
         } else {
-            counted.update(attempt.server) { it.copy(slowness = it.slowness.record(elapsed, usual, now)) }
+            withPace.update(attempt.server) { it.copy(slowness = it.slowness.record(elapsed, usual, now)) }
         }
     }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/stop/StopPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/stop/StopPart.kt
@@ -49,8 +49,8 @@
     }
 
     private fun RelayState.mayFinish(elapsed: Long): Boolean {
-        val done = exchanges.byId.isEmpty() && elapsed >= LATE_CONNECTIONS_MILLISECONDS
-        return done || elapsed >= settings.graceMilliseconds - EXIT_MARGIN_MILLISECONDS
+        val drained = exchanges.byId.isEmpty() && elapsed >= LATE_CONNECTIONS_MILLISECONDS
+        return drained || elapsed >= settings.graceMilliseconds - EXIT_MARGIN_MILLISECONDS
     }
 }
 
@@ -66,7 +66,7 @@
  */
 internal fun RelayState.mayAdmitWhileStopping(request: RelayRequest, route: Route, now: Timestamp): Boolean {
     val requestedAt = stop.requestedAt ?: return true
-    val time = minOf(request.timeLeftMilliseconds ?: Long.MAX_VALUE, route.timeoutMilliseconds)
-    val left = settings.graceMilliseconds - EXIT_MARGIN_MILLISECONDS - (now - requestedAt)
-    return now - requestedAt <= LATE_REQUESTS_MILLISECONDS || time <= left
+    val timeLimit = minOf(request.timeLeftMilliseconds ?: Long.MAX_VALUE, route.timeoutMilliseconds)
+    val timeUntilExit = settings.graceMilliseconds - EXIT_MARGIN_MILLISECONDS - (now - requestedAt)
+    return now - requestedAt <= LATE_REQUESTS_MILLISECONDS || timeLimit <= timeUntilExit
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/AtMostOnceTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/AtMostOnceTest.kt
@@ -33,7 +33,7 @@
             val rig = RelayRig().start()
             val first = rig.arrive(RelayRig.command).second.only<RelayEffect.Send>()
             val second = rig.failAttempt(first, failure).only<RelayEffect.Send>()
-            assertNotEquals(first.order.server, second.order.server)
+            assertNotEquals(first.parameters.server, second.parameters.server)
         }
     }
 
@@ -42,7 +42,7 @@
         val rig = RelayRig().start()
         val first = rig.arrive(RelayRig.command).second.only<RelayEffect.Send>()
         val second = rig.respond(first, refusal).only<RelayEffect.Send>()
-        assertNotEquals(first.order.server, second.order.server)
+        assertNotEquals(first.parameters.server, second.parameters.server)
     }
 
     @Test
@@ -51,10 +51,10 @@
         var send = rig.arrive(RelayRig.command).second.only<RelayEffect.Send>()
         repeat(2) { send = rig.respond(send, refusal).only() }
         val effects = rig.respond(send, refusal) + rig.pass(500)
-        val respond = effects.only<RelayEffect.Refuse>()
-        assertEquals(ErrorKind.NO_CAPACITY, respond.kind)
-        assertTrue(respond.kind.notRun)
-        assertTrue((respond.retryAfterMilliseconds ?: 0) > 0)
+        val error = effects.only<RelayEffect.Refuse>()
+        assertEquals(ErrorKind.NO_CAPACITY, error.kind)
+        assertTrue(error.kind.notRun)
+        assertTrue((error.retryAfterMilliseconds ?: 0) > 0)
     }
 
     @Test
@@ -87,7 +87,7 @@
     @Test
     fun `a command requires a connection that is known to be alive, a read does not`() {
         val rig = RelayRig().start()
-        assertTrue(rig.arrive(RelayRig.command).second.only<RelayEffect.Send>().order.requiresLiveConnection)
-        assertTrue(!rig.arrive(RelayRig.read).second.only<RelayEffect.Send>().order.requiresLiveConnection)
+        assertTrue(rig.arrive(RelayRig.command).second.only<RelayEffect.Send>().parameters.requiresLiveConnection)
+        assertTrue(!rig.arrive(RelayRig.read).second.only<RelayEffect.Send>().parameters.requiresLiveConnection)
     }
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/AttemptTimeoutsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/AttemptTimeoutsTest.kt
@@ -18,7 +18,7 @@
     }
 
     private fun RelayRig.startTimeout(): Long? =
-        arrive(prompt).second.only<RelayEffect.Send>().order.startTimeoutMilliseconds
+        arrive(prompt).second.only<RelayEffect.Send>().parameters.startTimeoutMilliseconds
 
     @Test
     fun `a stream may take several targets to begin while the pace of its servers is unknown`() {
@@ -36,13 +36,13 @@
     @Test
     fun `a request that may run only once has no timeouts before its deadline`() {
         val send = RelayRig().start().arrive(RelayRig.command).second.only<RelayEffect.Send>()
-        assertEquals(null, send.order.startTimeoutMilliseconds)
-        assertEquals(null, send.order.idleTimeoutMilliseconds)
+        assertEquals(null, send.parameters.startTimeoutMilliseconds)
+        assertEquals(null, send.parameters.idleTimeoutMilliseconds)
     }
 
     @Test
     fun `a server that timed out is suspended for longer than one that closed a connection`() {
-        val rested = listOf(AttemptFailure.CONNECTION_LOST, AttemptFailure.SILENT).map { failure ->
+        val stillSuspended = listOf(AttemptFailure.CONNECTION_LOST, AttemptFailure.SILENT).map { failure ->
             val rig = RelayRig().start(RelayRig.plainServers.take(1))
             val send = rig.arrive(RelayRig.read).second.only<RelayEffect.Send>()
             rig.failAttempt(send, failure)
@@ -50,7 +50,7 @@
             rig.pass(400)
             rig.arrive(RelayRig.read.copy(callerId = "next")).second.none<RelayEffect.Send>()
         }
-        assertEquals(listOf(false, true), rested)
+        assertEquals(listOf(false, true), stillSuspended)
     }
 
     @Test
@@ -58,6 +58,6 @@
         val rig = RelayRig().start()
         val first = rig.arrive(RelayRig.read).second.only<RelayEffect.Send>()
         val second = rig.failAttempt(first, AttemptFailure.SILENT).only<RelayEffect.Send>()
-        assertTrue(first.order.server != second.order.server)
+        assertTrue(first.parameters.server != second.parameters.server)
     }
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/CascadeTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/CascadeTest.kt
@@ -41,7 +41,7 @@
     @Test
     fun `a response of low confidence is dropped if the largest model can respond in time`() {
         val effects = RelayRig().start(RelayRig.engineServers).recordPace(milliseconds = 100).respondWithLowConfidence()
-        assertEquals("large", effects.only<RelayEffect.Send>().order.model)
+        assertEquals("large", effects.only<RelayEffect.Send>().parameters.model)
     }
 
     @Test
@@ -55,7 +55,7 @@
     fun `without the time limit the largest model is asked even if it would be late`() {
         val rig = RelayRig(policies = RelayPolicies(modelChoice = WithoutTimeLimit)).start(RelayRig.engineServers)
         val effects = rig.recordPace(milliseconds = 400).respondWithLowConfidence()
-        assertEquals("large", effects.only<RelayEffect.Send>().order.model)
+        assertEquals("large", effects.only<RelayEffect.Send>().parameters.model)
     }
 
     @Test
@@ -72,7 +72,7 @@
     fun `a response is never dropped when no server could take the request again`() {
         val rig = RelayRig().start(RelayRig.engineServers.take(1)).recordPace(milliseconds = 20)
         val first = rig.arrive(prompt).second.only<RelayEffect.Send>()
-        rig.read(Feed.SERVERS, FeedEntry.ServerRemoved(first.order.server))
+        rig.read(Feed.SERVERS, FeedEntry.ServerRemoved(first.parameters.server))
         assertTrue(rig.respond(first, lowConfidence).none<RelayEffect.CancelAttempt>())
     }
 
@@ -103,9 +103,9 @@
         val route = RelayRig.table.routes.last()
         val short = RelayRig.prompt.copy(promptTokens = 800, outputTokens = 300)
         val long = RelayRig.prompt.copy(promptTokens = 12_000, outputTokens = 100)
-        val respond = ModelResponse(modelIndex = 0, confidence = 55)
-        assertEquals(2, ConfidenceCascade().nextOrNull(route, short, respond, ModelLatencyEstimate()))
-        assertEquals(null, ConfidenceCascade().nextOrNull(route, long, respond, ModelLatencyEstimate()))
+        val response = ModelResponse(modelIndex = 0, confidence = 55)
+        assertEquals(2, ConfidenceCascade().nextOrNull(route, short, response, ModelLatencyEstimate()))
+        assertEquals(null, ConfidenceCascade().nextOrNull(route, long, response, ModelLatencyEstimate()))
     }
 
     private fun ModelChoice.after(route: Route, latencies: ModelLatencyEstimate): Int? =
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/ConfigurationTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/ConfigurationTest.kt
@@ -44,7 +44,7 @@
     fun `the route with the longest prefix of the path applies`() {
         val rig = RelayRig().start()
         val effects = rig.arrive(RelayRig.read.copy(path = "/look/open/1")).second
-        assertEquals("bakery", effects.only<RelayEffect.Send>().order.workspace?.value)
+        assertEquals("bakery", effects.only<RelayEffect.Send>().parameters.workspace?.value)
         assertEquals("/look/open/", RelayRig.table.routeOrNull("APP.example", "/look/open/1")?.pathPrefix)
         assertEquals("/look/", RelayRig.table.routeOrNull("app.example", "/look/openly")?.pathPrefix)
     }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RetriesTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RetriesTest.kt
@@ -21,7 +21,7 @@
         val rig = RelayRig().start()
         val first = rig.arrive(RelayRig.read).second.only<RelayEffect.Send>()
         val second = rig.failAttempt(first, AttemptFailure.CONNECTION_LOST).only<RelayEffect.Send>()
-        assertNotEquals(first.order.server, second.order.server)
+        assertNotEquals(first.parameters.server, second.parameters.server)
         val effects = rig.failAttempt(second, AttemptFailure.CONNECTION_LOST)
         assertTrue(effects.none<RelayEffect.Send>())
         assertEquals(ErrorKind.BACKEND_FAILED, effects.only<RelayEffect.Refuse>().kind)
@@ -34,7 +34,7 @@
         val effects = rig.respond(first, ResponseHead(200, confidence = 90))
         assertEquals(1, effects.filterIsInstance<RelayEffect.ForwardResponse>().size)
         val second = rig.failAttempt(first, AttemptFailure.CONNECTION_LOST, lastEventId = "12").only<RelayEffect.Send>()
-        assertEquals("12", second.order.lastEventId)
+        assertEquals("12", second.parameters.lastEventId)
         assertEquals(second.attempt, rig.respond(second, ResponseHead(200)).only<RelayEffect.ForwardResponse>().attempt)
     }
 
@@ -44,7 +44,7 @@
         val first = rig.arrive(RelayRig.prompt).second.only<RelayEffect.Send>()
         rig.respond(first, ResponseHead(200, confidence = 90))
         val effects = rig.failAttempt(first, AttemptFailure.CONNECTION_LOST, lastEventId = "12") + rig.pass(20_100)
-        assertEquals(1, effects.filterIsInstance<RelayEffect.CutOff>().size)
+        assertEquals(1, effects.filterIsInstance<RelayEffect.AbortResponse>().size)
         assertTrue(effects.none<RelayEffect.Refuse>())
     }
 
@@ -52,11 +52,11 @@
     fun `a response of low confidence is dropped and the largest model is asked, once`() {
         val rig = RelayRig().start(RelayRig.engineServers)
         val first = rig.arrive(RelayRig.prompt).second.only<RelayEffect.Send>()
-        assertEquals("small", first.order.model)
+        assertEquals("small", first.parameters.model)
         val effects = rig.respond(first, ResponseHead(200, confidence = 20))
         assertEquals(first.attempt, effects.only<RelayEffect.CancelAttempt>().attempt)
         val second = effects.only<RelayEffect.Send>()
-        assertEquals("large", second.order.model)
+        assertEquals("large", second.parameters.model)
         assertTrue(rig.respond(second, ResponseHead(200, confidence = 20)).none<RelayEffect.Send>())
     }
 
@@ -76,7 +76,7 @@
             val gap = random.nextLong(5, 400)
             while (at < 40_000) {
                 val now = Timestamp(at)
-                budget = budget.countFirst(now).also { firsts += at }
+                budget = budget.countRequest(now).also { firsts += at }
                 repeat(3) {
                     if (budget.mayRetry(settings, routers, now)) {
                         budget = budget.countRetry(now)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
@@ -56,7 +56,7 @@
             is RelayEffect.ForwardResponse -> exchanges.callOrNull(effect.exchange, effect.attempt)?.forward()
             is RelayEffect.CancelAttempt -> exchanges.callOrNull(effect.exchange, effect.attempt)?.abandon()
             is RelayEffect.Refuse -> requestHandler.refuse(effect)
-            is RelayEffect.CutOff -> exchanges.remove(effect.exchange)?.response?.abort()
+            is RelayEffect.AbortResponse -> exchanges.remove(effect.exchange)?.response?.abort()
             is RelayEffect.ApplyLimits -> callerServer.limits = effect.limits
             RelayEffect.DrainConnections -> callerServer.drain(group, IDLE_CLOSE_DELAY_MILLISECONDS)
             else -> Unit
@@ -76,7 +76,7 @@
 
     private fun send(effect: RelayEffect.Send) {
         val exchange = exchanges.getOrNull(effect.exchange) ?: return
-        val call = BackendCall(exchange, effect.attempt, effect.order, this, executor)
+        val call = BackendCall(exchange, effect.attempt, effect.parameters, this, executor)
         exchange.call = call
         pool.send(call)
     }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
@@ -4,7 +4,7 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.util.concurrent.EventExecutor
 import org.quetzalloom.core.relay.exchange.AttemptFailure
-import org.quetzalloom.core.relay.exchange.SendOrder
+import org.quetzalloom.core.relay.exchange.SendParameters
 import org.quetzalloom.relay.caller.CallerExchange
 import org.quetzalloom.relay.http.RestartableTimer
 
@@ -19,7 +19,7 @@
 internal class BackendCall(
     val exchange: CallerExchange,
     val number: Int,
-    val order: SendOrder,
+    val parameters: SendParameters,
     private val listener: BackendCallListener,
     executor: EventExecutor,
 ) {
@@ -41,14 +41,14 @@
     /** Handles the start of sending on [connection]. Starts the timeout for the first byte of the response. */
     fun onSending(connection: BackendConnection) {
         this.connection = connection
-        idleTimer.restart(order.startTimeoutMilliseconds, onIdleTimeout)
+        idleTimer.restart(parameters.startTimeoutMilliseconds, onIdleTimeout)
     }
 
     /** Handles the head of the response. Restarts the idle timeout. */
     fun onHead(head: HttpResponse) {
-        val response = BufferedResponse(head, mayStream = order.streaming)
+        val response = BufferedResponse(head, mayStream = parameters.streaming)
         buffered = response
-        idleTimer.restart(order.idleTimeoutMilliseconds, onIdleTimeout)
+        idleTimer.restart(parameters.idleTimeoutMilliseconds, onIdleTimeout)
         if (response.isStream) listener.responseStarted(this, head)
     }
 
@@ -56,7 +56,7 @@
     fun onBody(bytes: ByteBuf) {
         val response = buffered
         if (ended || response == null) return
-        idleTimer.restart(order.idleTimeoutMilliseconds, onIdleTimeout)
+        idleTimer.restart(parameters.idleTimeoutMilliseconds, onIdleTimeout)
         response.add(bytes)
         if (forwarding) response.forwardAvailable(exchange.response)
     }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
@@ -48,11 +48,11 @@
      * [AttemptFailure.NOT_CONNECTED] if no connection can be established.
      */
     fun send(call: BackendCall) {
-        val endpoint = endpoints.getOrPut(call.order.address) { Endpoint() }
-        val reused = takeIdle(endpoint, call.order.requiresLiveConnection)
+        val endpoint = endpoints.getOrPut(call.parameters.address) { Endpoint() }
+        val reused = takeIdle(endpoint, call.parameters.requiresLiveConnection)
         when {
-            reused != null -> reused.send(call, codec.encodeRequest(call.exchange.head, call.order))
-            endpoint.all.size + endpoint.connecting >= call.order.maximumConnections ->
+            reused != null -> reused.send(call, codec.encodeRequest(call.exchange.head, call.parameters))
+            endpoint.all.size + endpoint.connecting >= call.parameters.maximumConnections ->
                 call.onFailure(AttemptFailure.NO_CONNECTION_LEFT)
             else -> connect(endpoint, call)
         }
@@ -98,7 +98,8 @@
         now - idleSince < (keepAliveMilliseconds ?: DEFAULT_KEEP_ALIVE_MILLISECONDS) * share
 
     private fun connect(endpoint: Endpoint, call: BackendCall) {
-        val address = Address.parseOrNull(call.order.address) ?: return call.onFailure(AttemptFailure.NOT_CONNECTED)
+        val address = Address.parseOrNull(call.parameters.address)
+            ?: return call.onFailure(AttemptFailure.NOT_CONNECTED)
         endpoint.connecting++
         connectionAttempts++
         val decoder = ResponseDecoder()
@@ -119,13 +120,13 @@
     }
 
     private fun connected(endpoint: Endpoint, connection: BackendConnection, call: BackendCall) {
-        endpoints[call.order.address] = endpoint
+        endpoints[call.parameters.address] = endpoint
         endpoint.all.add(connection)
-        addresses[connection] = call.order.address
+        addresses[connection] = call.parameters.address
         if (call.ended) {
             release(connection)
         } else {
-            connection.send(call, codec.encodeRequest(call.exchange.head, call.order))
+            connection.send(call, codec.encodeRequest(call.exchange.head, call.parameters))
         }
     }
 
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/MessageCodec.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/MessageCodec.kt
@@ -6,15 +6,15 @@
 import io.netty.handler.codec.http.HttpResponse
 import org.quetzalloom.core.relay.exchange.RelayRequest
 import org.quetzalloom.core.relay.exchange.ResponseHead
-import org.quetzalloom.core.relay.exchange.SendOrder
+import org.quetzalloom.core.relay.exchange.SendParameters
 
 /** Encodes and decodes the headers of requests and responses. Each front end has its own. */
 public interface MessageCodec {
     /** Decodes the head of a request. Returns a message for the caller if it is invalid. */
     public fun decodeRequest(head: HttpRequest): Result<RelayRequest, String>
 
-    /** Returns the headers for sending [head] as [order] says, without hop-by-hop headers and `Content-Length`. */
-    public fun encodeRequest(head: HttpRequest, order: SendOrder): HttpHeaders
+    /** Returns the headers for sending [head] as [parameters] says, without hop-by-hop headers and `Content-Length`. */
+    public fun encodeRequest(head: HttpRequest, parameters: SendParameters): HttpHeaders
 
     /** Returns whether [response] belongs to [request], and not to another request on the same connection. */
     public fun isResponseTo(request: RelayRequest, response: HttpResponse): Boolean
--- a/relay/src/test/kotlin/org/quetzalloom/relay/PlainCodec.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/PlainCodec.kt
@@ -8,7 +8,7 @@
 import io.netty.handler.codec.http.HttpResponse
 import org.quetzalloom.core.relay.exchange.RelayRequest
 import org.quetzalloom.core.relay.exchange.ResponseHead
-import org.quetzalloom.core.relay.exchange.SendOrder
+import org.quetzalloom.core.relay.exchange.SendParameters
 import org.quetzalloom.relay.http.MessageCodec
 import org.quetzalloom.relay.http.withoutHopByHopHeaders
 
@@ -26,9 +26,9 @@
         )
     }
 
-    override fun encodeRequest(head: HttpRequest, order: SendOrder): HttpHeaders {
+    override fun encodeRequest(head: HttpRequest, parameters: SendParameters): HttpHeaders {
         val headers = head.headers().withoutHopByHopHeaders()
-        order.lastEventId?.let { headers.set("Last-Event-Id", it) }
+        parameters.lastEventId?.let { headers.set("Last-Event-Id", it) }
         return headers
     }
 
