Name the relay's evacuated zones, tried servers and session timeout in full

Renames and the line breaks that they need, nothing else.

rename: tried -> triedServers (declared in core/.../relay/exchange/Exchange.kt; only in core/.../relay/exchange) rename: evacuated -> evacuatedZones (declared in core/.../relay/server/ServersState.kt; only in core/.../relay/server) rename: sessionMilliseconds -> sessionIdleTimeoutMilliseconds (declared in core/.../relay/RelaySettings.kt) rename: firsts -> requests (local in core/src/test/.../core/relay/RetriesTest.kt)

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelaySettings.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelaySettings.kt
@@ -16,7 +16,7 @@
  *   together.
  * @property exposureLimit the maximum share, from 0 to 1, of a service's requests during a roll-out that the new
  *   version may get if it turns out to be bad.
- * @property sessionMilliseconds the idle time after which a session ends, and with it its version affinity.
+ * @property sessionIdleTimeoutMilliseconds the idle time after which a session ends, and with it its version affinity.
  * @property serversReadIntervalMilliseconds the time between two reads of the list of backend servers.
  */
 public data class RelaySettings(
@@ -27,7 +27,7 @@
     public val retryWindowMilliseconds: Long,
     public val retrySlack: Double,
     public val exposureLimit: Double,
-    public val sessionMilliseconds: Long,
+    public val sessionIdleTimeoutMilliseconds: Long,
     public val serversReadIntervalMilliseconds: Long = SERVERS_READ_INTERVAL_MILLISECONDS,
 ) {
     /** Returns the time between two reads of [feed], in milliseconds; 0 for a feed whose reads wait for records. */
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Exchange.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Exchange.kt
@@ -18,7 +18,7 @@
  * @property attempt the attempt in flight, or `null` while the request waits for a backend server.
  * @property attempts the number of attempts made.
  * @property runs the number of attempts that have ended and may have run the request.
- * @property tried the backend servers that failed or refused the request; it is not sent to them again.
+ * @property triedServers the backend servers that failed or refused the request; it is not sent to them again.
  * @property mayHaveRun whether a backend server may have run the request.
  * @property headForwarded whether the caller has got the head of a response.
  * @property lastEventId the id of the last event that the caller has, or `null` before the first.
@@ -37,7 +37,7 @@
     val attempt: Attempt? = null,
     val attempts: Int = 0,
     val runs: Int = 0,
-    val tried: PersistentSet<BackendServerId> = persistentSetOf(),
+    val triedServers: PersistentSet<BackendServerId> = persistentSetOf(),
     val mayHaveRun: Boolean = false,
     val headForwarded: Boolean = false,
     val lastEventId: String? = null,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
@@ -37,7 +37,7 @@
         if (failure.mayHaveArrived) {
             it.retryOrGiveUp(withoutAttempt, attempt, now)
         } else {
-            it.retryNotRun(withoutAttempt.copy(tried = withoutAttempt.tried.add(attempt.server)), now)
+            it.retryNotRun(withoutAttempt.copy(triedServers = withoutAttempt.triedServers.add(attempt.server)), now)
         }
     }
 }
@@ -57,7 +57,7 @@
  */
 private fun Exchange.afterRun(attempt: Attempt, now: Timestamp): Exchange = copy(
     runs = runs + 1,
-    tried = tried.add(attempt.server),
+    triedServers = triedServers.add(attempt.server),
     waitUntil = maxOf(waitUntil, now + (deadlineAt - now) / QUEUE_TIME_DIVISOR),
 )
 
@@ -98,7 +98,7 @@
         "status" to head.status,
         "misdirected" to head.misdirected,
     )
-}.then { it.retryNotRun(exchange.copy(attempt = null, tried = exchange.tried.add(attempt.server)), now) }
+}.then { it.retryNotRun(exchange.copy(attempt = null, triedServers = exchange.triedServers.add(attempt.server)), now) }
 
 /**
  * Places [exchange], whose last attempt has not run it, at another backend server, or ends it if too many attempts have
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/LatencyEstimates.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/LatencyEstimates.kt
@@ -10,7 +10,7 @@
 
 /** Returns the eligible backend servers that have neither failed nor refused [exchange]. */
 internal fun RelayState.untriedServers(exchange: Exchange, now: Timestamp): List<ServerView> =
-    eligibleServers(exchange, now).filter { it.listing.id !in exchange.tried }
+    eligibleServers(exchange, now).filter { it.listing.id !in exchange.triedServers }
 
 /**
  * Returns the work at the server of [view] before an attempt with [work] of its own would be answered: the prompts to
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/Candidates.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/Candidates.kt
@@ -74,7 +74,7 @@
 private fun RolloutProgress.samplesNewVersion(state: RelayState, exchange: Exchange, now: Timestamp): Boolean {
     val exposure = state.policies.exposure
     val session = exchange.request.session
-    val pin = session?.let { state.pins.pinOrNull(it, state.settings.sessionMilliseconds, now) }
+    val pin = session?.let { state.pins.pinOrNull(it, state.settings.sessionIdleTimeoutMilliseconds, now) }
     val elapsed = elapsedShare(this, now)
     return when {
         pin?.version == order.version -> true
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/EvacuationsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/EvacuationsPart.kt
@@ -19,19 +19,19 @@
     private fun RelayState.feedRead(event: RelayEvent.FeedRead, now: Timestamp): RelayStep {
         val entries = event.entries.filterIsInstance<FeedEntry.Evacuation>()
         val named = entries.map { it.zone }.toSet()
-        val ended = if (event.snapshot) servers.evacuated.keys - named else emptySet()
+        val ended = if (event.snapshot) servers.evacuatedZones.keys - named else emptySet()
         return unchanged()
             .thenEach(entries) { current, entry -> current.evacuate(entry, now) }
             .thenEach(ended) { current, zone -> current.evacuate(FeedEntry.Evacuation(zone, active = false), now) }
     }
 
     private fun RelayState.evacuate(entry: FeedEntry.Evacuation, now: Timestamp): RelayStep {
-        val isEvacuated = entry.zone in servers.evacuated
+        val isEvacuated = entry.zone in servers.evacuatedZones
         if (isEvacuated == entry.active) return unchanged()
         val next = if (entry.active) {
-            servers.copy(evacuated = servers.evacuated.put(entry.zone, now))
+            servers.copy(evacuatedZones = servers.evacuatedZones.put(entry.zone, now))
         } else {
-            servers.copy(evacuated = servers.evacuated.remove(entry.zone)).treatAsCold(entry, this, now)
+            servers.copy(evacuatedZones = servers.evacuatedZones.remove(entry.zone)).treatAsCold(entry, this, now)
         }
         return copy(servers = next).report(now, "zone_evacuated", "zone" to entry.zone, "active" to entry.active)
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
@@ -12,14 +12,14 @@
  * The backend servers that this router knows.
  *
  * @property views what is known of each server, listed or about to be dropped.
- * @property evacuated the evacuated availability zones, whose servers get no requests, and when each was evacuated.
+ * @property evacuatedZones the availability zones whose servers get no requests, and when each was evacuated.
  * @property listFailedAt when the list last could not be read, or `null` if that never happened.
  * @property listReadAt when the list was last read, or `null` before the first time.
  * @property prefillPaces how fast the servers of each service read prompts.
  */
 internal data class ServersState(
     val views: PersistentMap<BackendServerId, ServerView> = persistentMapOf(),
-    val evacuated: PersistentMap<AvailabilityZoneId, Timestamp> = persistentMapOf(),
+    val evacuatedZones: PersistentMap<AvailabilityZoneId, Timestamp> = persistentMapOf(),
     val listFailedAt: Timestamp? = null,
     val listReadAt: Timestamp? = null,
     val prefillPaces: PersistentMap<ServiceName, PrefillPace> = persistentMapOf(),
@@ -51,5 +51,5 @@
     }
 
     private fun ServerView.isUsable(now: Timestamp): Boolean =
-        !listing.draining && dropAt == null && now >= suspendedUntil && listing.zone !in evacuated
+        !listing.draining && dropAt == null && now >= suspendedUntil && listing.zone !in evacuatedZones
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/session/PinsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/session/PinsPart.kt
@@ -16,7 +16,8 @@
 internal object PinsPart : RelayPart {
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
         is RelayEvent.ResponseFinished -> state.touch(event.exchange, event.attempt, now)
-        RelayEvent.Tick -> state.copy(pins = state.pins.prune(state.settings.sessionMilliseconds, now)).unchanged()
+        RelayEvent.Tick ->
+            state.copy(pins = state.pins.prune(state.settings.sessionIdleTimeoutMilliseconds, now)).unchanged()
         else -> state.unchanged()
     }
 
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RelayRig.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RelayRig.kt
@@ -151,7 +151,7 @@
             retryWindowMilliseconds = 10_000,
             retrySlack = 54.0,
             exposureLimit = 0.15,
-            sessionMilliseconds = 5_000,
+            sessionIdleTimeoutMilliseconds = 5_000,
         )
 
         private fun route(prefix: String) = Route(
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RetriesTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RetriesTest.kt
@@ -68,7 +68,7 @@
     ) {
         val settings = RelayRig.settings("vm-1")
         val random = Random(seed)
-        val firsts = mutableListOf<Long>()
+        val requests = mutableListOf<Long>()
         val retries = mutableListOf<Long>()
         repeat(routers) {
             var budget = RetryBudget()
@@ -76,7 +76,7 @@
             val gap = random.nextLong(5, 400)
             while (at < 40_000) {
                 val now = Timestamp(at)
-                budget = budget.countRequest(now).also { firsts += at }
+                budget = budget.countRequest(now).also { requests += at }
                 repeat(3) {
                     if (budget.mayRetry(settings, routers, now)) {
                         budget = budget.countRetry(now)
@@ -88,7 +88,7 @@
         }
         for (start in 0L..30_000L step 250) {
             val window = start until start + settings.retryWindowMilliseconds
-            val bound = settings.retryRatio * firsts.count { it in window } + settings.retrySlack
+            val bound = settings.retryRatio * requests.count { it in window } + settings.retrySlack
             assertTrue(retries.count { it in window } <= bound, "window from $start")
         }
     }
--- a/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
@@ -43,7 +43,7 @@
             retryWindowMilliseconds = 10_000,
             retrySlack = 54.0,
             exposureLimit = 0.15,
-            sessionMilliseconds = 5_000,
+            sessionIdleTimeoutMilliseconds = 5_000,
         ),
         listeners = Listeners(callers, ready),
         codec = PlainCodec,
