--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
@@ -3,7 +3,7 @@
 import kotlinx.collections.immutable.PersistentList
 import org.quetzalloom.core.error.ErrorKind
 import org.quetzalloom.core.relay.exchange.ExchangeId
-import org.quetzalloom.core.relay.exchange.SendOrder
+import org.quetzalloom.core.relay.exchange.SendParameters
 import org.quetzalloom.core.relay.feed.Feed
 import org.quetzalloom.core.relay.peer.PeerBeacon
 import org.quetzalloom.core.relay.rollout.RolloutPhase
@@ -11,13 +11,20 @@
 import org.quetzalloom.core.relay.routing.ServiceName
 import org.quetzalloom.core.timeline.TimelineEntry
 
-/** What the reducer of a relay, which decides for one router, asks the router's process to do. */
+/**
+ * What [RelayReducer] asks the process of a router on the users' platform to do. The router with its own interface has
+ * [org.quetzalloom.core.effect.Effect].
+ */
 public sealed interface RelayEffect {
-    /** Sends the request of [exchange] to a backend server. */
+    /**
+     * Sends the request of [exchange] to a backend server.
+     *
+     * @property attempt the number of the attempt, from 1.
+     */
     public data class Send(
         public val exchange: ExchangeId,
         public val attempt: Int,
-        public val order: SendOrder,
+        public val parameters: SendParameters,
     ) : RelayEffect
 
     /**
@@ -42,7 +49,7 @@
     ) : RelayEffect
 
     /** Closes the caller's connection in such a way that the response begun on it does not look complete. */
-    public data class CutOff(public val exchange: ExchangeId) : RelayEffect
+    public data class AbortResponse(public val exchange: ExchangeId) : RelayEffect
 
     /**
      * Sets the path for all further calls to the platform's store.
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelaySettings.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelaySettings.kt
@@ -14,9 +14,9 @@
  *   [retryWindowMilliseconds].
  * @property retrySlack the number of retries that a service may get in such a window beyond the ratio, from all routers
  *   together.
- * @property exposureLimit the maximum share of a service's requests, from 0 to 1, during a roll-out that a version that
- *   turns out to be bad may get.
- * @property sessionMilliseconds the idle time after which a session ends, and with it its version affinity.
+ * @property exposureLimit the maximum share, from 0 to 1, of a service's requests during a roll-out that the new
+ *   version may get if it turns out to be bad.
+ * @property sessionIdleTimeoutMilliseconds the idle time after which a session ends, and with it its version affinity.
  * @property serversReadIntervalMilliseconds the time between two reads of the list of backend servers.
  */
 public data class RelaySettings(
@@ -27,7 +27,7 @@
     public val retryWindowMilliseconds: Long,
     public val retrySlack: Double,
     public val exposureLimit: Double,
-    public val sessionMilliseconds: Long,
+    public val sessionIdleTimeoutMilliseconds: Long,
     public val serversReadIntervalMilliseconds: Long = SERVERS_READ_INTERVAL_MILLISECONDS,
 ) {
     /** Returns the time between two reads of [feed], in milliseconds; 0 for a feed whose reads wait for records. */
@@ -41,11 +41,11 @@
     internal fun readWait(feed: Feed): Long = if (feed == Feed.ORDERS) ORDERS_READ_WAIT_MILLISECONDS else 0
 
     private companion object {
-        /** Short enough to notice a dead connection. */
+        /** Short enough to notice a dead connection soon. */
         const val ORDERS_READ_WAIT_MILLISECONDS = 1_500L
 
         /**
-         * A draining server must get no requests from 2 s after the store knows of it; this allows for a failed read.
+         * A server must get no more requests 2 s after the store knows that it drains; this allows for a failed read.
          */
         const val SERVERS_READ_INTERVAL_MILLISECONDS = 1_000L
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/StorePathPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/StorePathPart.kt
@@ -23,7 +23,7 @@
     /** The failures in a row before the path changes. A single failure may be a lost response. */
     private const val FAILURES_BEFORE_DETOUR = 2
 
-    /** How long calls go through other routers; a direct call that is not answered costs about a second. */
+    /** How long calls go through other routers. It is not shorter, as a failed direct call costs about a second. */
     private const val DETOUR_MILLISECONDS = 2_500L
 
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
@@ -39,13 +39,13 @@
         if (storePath.failures == 0) unchanged() else copy(storePath = storePath.copy(failures = 0)).unchanged()
 
     private fun RelayState.failed(now: Timestamp): RelayStep {
-        val counted = copy(storePath = storePath.copy(failures = storePath.failures + 1))
+        val withFailure = copy(storePath = storePath.copy(failures = storePath.failures + 1))
         val proxyRouter = proxyRouterOrNull(storePath.pathChanges)
         val directRetryAt = if (storePath.viaRouter == null) now + DETOUR_MILLISECONDS else storePath.directRetryAt
-        return if (counted.storePath.failures < FAILURES_BEFORE_DETOUR || proxyRouter == null) {
-            counted.unchanged()
+        return if (withFailure.storePath.failures < FAILURES_BEFORE_DETOUR || proxyRouter == null) {
+            withFailure.unchanged()
         } else {
-            counted.setPath(proxyRouter, directRetryAt, now)
+            withFailure.setPath(proxyRouter, directRetryAt, now)
         }
     }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
@@ -18,8 +18,11 @@
 /**
  * Returns the transition that sends [exchange] to the backend server that the placement policy chooses. If no backend
  * server can take it, the exchange waits, or ends once it has waited for too long.
+ *
+ * Every attempt after the first counts against the retry budget, which is not checked here.
  */
 internal fun RelayState.placeOrWait(exchange: Exchange, now: Timestamp): RelayStep {
+    // The work of the exchange itself is left out, as it is the same at each candidate.
     val candidates = untriedServers(exchange, now).map { it.toCandidate(workUntilResponse(it, work = 0, now), now) }
     val chosen = policies.placement.chooseOrNull(candidates, placementRequest(exchange))
     val view = chosen?.let { servers.views[it.server] }
@@ -55,7 +58,7 @@
         exchanges = countRetry(exchange, now).with(sent),
         servers = servers.update(view.listing.id) { it.afterSend(attempt.pendingWork, now) },
     )
-    return next.with(RelayEffect.Send(exchange.id, attempt.number, sendOrder(exchange, view, attempt, now)))
+    return next.with(RelayEffect.Send(exchange.id, attempt.number, sendParameters(exchange, view, attempt, now)))
         .then { it.reportSend(sent, view, now) }
 }
 
@@ -82,9 +85,14 @@
     "last_event_id" to exchange.lastEventId,
 )
 
-private fun RelayState.sendOrder(exchange: Exchange, view: ServerView, attempt: Attempt, now: Timestamp): SendOrder {
+private fun RelayState.sendParameters(
+    exchange: Exchange,
+    view: ServerView,
+    attempt: Attempt,
+    now: Timestamp,
+): SendParameters {
     val route = exchange.route
-    return SendOrder(
+    return SendParameters(
         server = view.listing.id,
         address = view.listing.address,
         maximumConnections = connectionShare(exchange.service),
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
@@ -11,8 +11,8 @@
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.time.Timestamp
 
-/** The maximum number of attempts that end without having run a request, in addition to those that run it. */
-private const val MAXIMUM_REFUSALS = 4
+/** The maximum number of attempts of a request that end without having run it: refusals and failed connections. */
+private const val MAXIMUM_NOT_RUN_ATTEMPTS = 4
 
 /**
  * Returns the transition that handles a failed attempt: resumes the stream, retries the request, or ends the exchange.
@@ -21,9 +21,9 @@
 internal fun RelayState.attemptFailed(event: RelayEvent.AttemptFailed, now: Timestamp): RelayStep {
     val (exchange, attempt) = exchanges.currentOrNull(event.exchange, event.attempt) ?: return unchanged()
     val failure = event.failure
-    val known = copy(servers = servers.update(attempt.server) { it.afterFailure(failure, now) }).release(attempt)
-    val broken = exchange.copy(attempt = null, lastEventId = event.lastEventId ?: exchange.lastEventId)
-    return known.report(
+    val updated = copy(servers = servers.update(attempt.server) { it.afterFailure(failure, now) }).release(attempt)
+    val withoutAttempt = exchange.copy(attempt = null, lastEventId = event.lastEventId ?: exchange.lastEventId)
+    return updated.report(
         now,
         "attempt_failed",
         "request" to exchange.request.callerId,
@@ -32,34 +32,38 @@
         "failure" to failure,
         "after_ms" to (now - attempt.sentAt),
         "passing" to exchange.headForwarded,
-        "last_event_id" to broken.lastEventId,
+        "last_event_id" to withoutAttempt.lastEventId,
     ).then {
         if (failure.mayHaveArrived) {
-            it.retryOrGiveUp(broken, attempt, now)
+            it.retryOrGiveUp(withoutAttempt, attempt, now)
         } else {
-            it.retryNotRun(broken.copy(tried = broken.tried.add(attempt.server)), now)
+            it.retryNotRun(withoutAttempt.copy(triedServers = withoutAttempt.triedServers.add(attempt.server)), now)
         }
     }
 }
 
 private fun RelayState.retryOrGiveUp(exchange: Exchange, attempt: Attempt, now: Timestamp): RelayStep {
-    val ran = exchange.copy(mayHaveRun = true)
+    val possiblyRun = exchange.copy(mayHaveRun = true)
     return when {
-        !mayRunOnceMore(ran, now) -> giveUp(ran, now)
-        ran.headForwarded && !ran.route.resumable -> giveUp(ran, now)
-        else -> placeOrWait(ran.afterRun(attempt, now), now)
+        !mayRunOnceMore(possiblyRun, now) -> giveUp(possiblyRun, now)
+        possiblyRun.headForwarded && !possiblyRun.route.resumable -> giveUp(possiblyRun, now)
+        else -> placeOrWait(possiblyRun.afterRun(attempt, now), now)
     }
 }
 
+/**
+ * Returns the exchange after [attempt], which may have run. It may wait for a backend server once more, for a share of
+ * the time left.
+ */
 private fun Exchange.afterRun(attempt: Attempt, now: Timestamp): Exchange = copy(
     runs = runs + 1,
-    tried = tried.add(attempt.server),
+    triedServers = triedServers.add(attempt.server),
     waitUntil = maxOf(waitUntil, now + (deadlineAt - now) / QUEUE_TIME_DIVISOR),
 )
 
 /**
- * Returns the transition that cancels [attempt], whose backend server has run the request, and retries [exchange] at
- * another one, or ends it if it may not run again.
+ * Returns the transition that cancels [attempt], which may have run the request, and retries [exchange] at another
+ * backend server, or ends it if it may not run again. [reason] is logged in either case.
  */
 internal fun RelayState.retryElsewhere(
     exchange: Exchange,
@@ -78,7 +82,7 @@
 }.then { it.cancelAttempt(exchange) }
     .then { it.retryOrGiveUp(exchange.copy(attempt = null), attempt, now) }
 
-/** Returns the transition that handles a response which guarantees that the request has not run. */
+/** Returns the transition that handles a response that guarantees that the request has not run. */
 internal fun RelayState.handleNotRun(
     exchange: Exchange,
     attempt: Attempt,
@@ -94,42 +98,59 @@
         "status" to head.status,
         "misdirected" to head.misdirected,
     )
-}.then { it.retryNotRun(exchange.copy(attempt = null, tried = exchange.tried.add(attempt.server)), now) }
+}.then { it.retryNotRun(exchange.copy(attempt = null, triedServers = exchange.triedServers.add(attempt.server)), now) }
 
+/**
+ * Places [exchange], whose last attempt has not run it, at another backend server, or ends it if too many attempts have
+ * not run it or the retry budget of its service is used up.
+ */
 private fun RelayState.retryNotRun(exchange: Exchange, now: Timestamp): RelayStep {
-    val refusals = exchange.attempts - exchange.runs
-    val allowed = refusals < MAXIMUM_REFUSALS && budgetLeft(exchange, now)
+    val notRunAttempts = exchange.attempts - exchange.runs
+    val allowed = notRunAttempts < MAXIMUM_NOT_RUN_ATTEMPTS && hasRetryBudget(exchange, now)
     return if (allowed) placeOrWait(exchange, now) else giveUp(exchange, now)
 }
 
 /** Returns whether the retry budget of the service of [exchange] allows one more retry. */
-internal fun RelayState.budgetLeft(exchange: Exchange, now: Timestamp): Boolean =
+internal fun RelayState.hasRetryBudget(exchange: Exchange, now: Timestamp): Boolean =
     exchanges.budgets[exchange.service]?.mayRetry(settings, members.routerCount, now) ?: false
 
 /**
  * Returns the transition that ends the exchanges whose deadline has passed, and places the waiting ones again, in the
  * order of their priority and deadline.
  */
-internal fun RelayState.checkDeadlines(now: Timestamp): RelayStep {
+internal fun RelayState.expireAndPlace(now: Timestamp): RelayStep {
     val (due, inTime) = exchanges.byId.values.partition { now >= it.deadlineAt }
-    val waiting = inTime.filter { it.attempt == null }.sortedBy { it.urgency }
+    val waiting = inTime.filter { it.attempt == null }.sortedBy { it.queueRank }
     return unchanged().thenEach(due) { current, exchange -> current.expire(exchange, now) }
         .thenEach(waiting) { current, exchange -> current.placeWaiting(exchange, now) }
 }
 
-/** Checks the retry budget again before a waiting retry is placed, as others may have used it up in the meantime. */
+/**
+ * Places [exchange], which waits for a backend server. For a retry, checks the retry budget again, as other requests
+ * may have used it up in the meantime.
+ */
 private fun RelayState.placeWaiting(exchange: Exchange, now: Timestamp): RelayStep =
-    if (exchange.attempts == 0 || budgetLeft(exchange, now)) placeOrWait(exchange, now) else waitOrGiveUp(exchange, now)
+    if (exchange.attempts == 0 || hasRetryBudget(exchange, now)) {
+        placeOrWait(exchange, now)
+    } else {
+        waitOrGiveUp(exchange, now)
+    }
 
-private val Exchange.urgency: Long get() = route.priority * PRIORITY_STEP + deadlineAt.epochMilliseconds % PRIORITY_STEP
+/** The sort key of waiting requests, lowest first: by priority, of which 0 is the most urgent, then by deadline. */
+private val Exchange.queueRank: Long
+    get() = route.priority * PRIORITY_STEP + deadlineAt.epochMilliseconds % PRIORITY_STEP
 
-/** More milliseconds than any deadline since the Unix epoch, so that the priority outweighs the deadline. */
+/** Larger than any deadline in milliseconds since the Unix epoch, so that the priority outweighs the deadline. */
 private const val PRIORITY_STEP = 1_000_000_000_000_000L
 
+/**
+ * Ends [exchange], whose deadline has passed. The error says that the request has not run only if no attempt was in
+ * flight and none before it may have run the request.
+ */
 private fun RelayState.expire(exchange: Exchange, now: Timestamp): RelayStep = cancelAttempt(exchange).then {
     val sent = exchange.mayHaveRun || exchange.attempt != null
     when {
-        exchange.headForwarded -> it.cutOff(exchange, "deadline", now)
+        exchange.headForwarded -> it.abortResponse(exchange, "deadline", now)
         sent -> it.failExchange(exchange, ErrorKind.DEADLINE_EXCEEDED, "the deadline passed while the request ran", now)
         else -> it.giveUp(exchange, now)
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/LatencyEstimates.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/LatencyEstimates.kt
@@ -10,7 +10,7 @@
 
 /** Returns the eligible backend servers that have neither failed nor refused [exchange]. */
 internal fun RelayState.untriedServers(exchange: Exchange, now: Timestamp): List<ServerView> =
-    eligibleServers(exchange, now).filter { it.listing.id !in exchange.tried }
+    eligibleServers(exchange, now).filter { it.listing.id !in exchange.triedServers }
 
 /**
  * Returns the work at the server of [view] before an attempt with [work] of its own would be answered: the prompts to
@@ -24,14 +24,14 @@
  * take it now. While the prefill pace of the service is unknown, prompts count as read in no time.
  */
 internal fun RelayState.latencyEstimateOrNull(exchange: Exchange, now: Timestamp): ModelLatencyEstimate? {
-    val least = untriedServers(exchange, now).minOfOrNull { workUntilResponse(it, work = 0, now) } ?: return null
+    val leastWork = untriedServers(exchange, now).minOfOrNull { workUntilResponse(it, work = 0, now) } ?: return null
     val pace = servers.prefillPaces[exchange.service] ?: PrefillPace()
-    fun wait(ahead: Long): Long = pace.estimateOrNull(ahead) ?: 0
+    fun readingTime(ahead: Long): Long = pace.estimateOrNull(ahead) ?: 0
     return ModelLatencyEstimate(
         elapsedMilliseconds = now - exchange.arrivedAt,
-        queueMilliseconds = wait(least),
+        queueMilliseconds = readingTime(leastWork),
         waitsMilliseconds = exchange.route.models.indices
-            .map { wait(least + policies.workEstimate.of(exchange.request, it)) }
+            .map { readingTime(leastWork + policies.workEstimate.of(exchange.request, it)) }
             .toPersistentList(),
     )
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Responses.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Responses.kt
@@ -14,8 +14,9 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * Returns the transition that handles the head of a response: forwards the response to the caller, or drops it and
- * tries another backend server. Events of attempts that are no longer current change nothing.
+ * Returns the transition that handles the head of a response: forwards the response to the caller, drops it and tries
+ * another backend server or a larger model, or ends the exchange with an error. Events of attempts that are no longer
+ * current change nothing.
  */
 internal fun RelayState.responseStarted(event: RelayEvent.ResponseStarted, now: Timestamp): RelayStep {
     val (previous, sent) = exchanges.currentOrNull(event.exchange, event.attempt) ?: return unchanged()
@@ -48,7 +49,10 @@
     copy(exchanges = exchanges.with(exchange.copy(headForwarded = true, mayHaveRun = true)))
         .with(RelayEffect.ForwardResponse(exchange.id, attempt.number))
 
-/** Resumes a broken stream with the response of another backend server, or tries one more if that is not a success. */
+/**
+ * Resumes a broken stream with the response of another backend server, or tries one more if that is not a success. Does
+ * not check whether the response is signed.
+ */
 private fun RelayState.resumeStream(
     exchange: Exchange,
     attempt: Attempt,
@@ -68,11 +72,11 @@
     now: Timestamp,
 ): RelayStep {
     val escalation = escalationOrNull(exchange, head, now)
-    val judged = exchange.copy(escalation = escalation)
+    val withDecision = exchange.copy(escalation = escalation)
     return if (escalation?.nextModelIndex == null) {
-        forwardResponse(judged, attempt)
+        forwardResponse(withDecision, attempt)
     } else {
-        escalate(judged, escalation.nextModelIndex, now)
+        escalate(withDecision, escalation.nextModelIndex, now)
     }
 }
 
@@ -110,7 +114,7 @@
  * budget of its service allow it.
  */
 internal fun RelayState.mayRunOnceMore(exchange: Exchange, now: Timestamp): Boolean =
-    exchange.route.mayRunAgain && exchange.runs + 1 < exchange.route.maximumAttempts && budgetLeft(exchange, now)
+    exchange.route.mayRunAgain && exchange.runs + 1 < exchange.route.maximumAttempts && hasRetryBudget(exchange, now)
 
 private fun RelayState.handleServerError(
     exchange: Exchange,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/Candidates.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/Candidates.kt
@@ -14,6 +14,9 @@
 /**
  * Returns the backend servers that may get [exchange] at [now]: those that are usable, run the version chosen for the
  * exchange, and have a connection and, while cold, a request left in this router's share.
+ *
+ * If all usable servers run one version, it is chosen unless its roll-out was reverted or is to be. If they run
+ * several, there may be none of the version chosen, and the exchange waits.
  */
 internal fun RelayState.eligibleServers(exchange: Exchange, now: Timestamp): List<ServerView> {
     val usable = servers.usable(exchange.service, now)
@@ -71,7 +74,7 @@
 private fun RolloutProgress.samplesNewVersion(state: RelayState, exchange: Exchange, now: Timestamp): Boolean {
     val exposure = state.policies.exposure
     val session = exchange.request.session
-    val pin = session?.let { state.pins.pinOrNull(it, state.settings.sessionMilliseconds, now) }
+    val pin = session?.let { state.pins.pinOrNull(it, state.settings.sessionIdleTimeoutMilliseconds, now) }
     val elapsed = elapsedShare(this, now)
     return when {
         pin?.version == order.version -> true
