Name phases, bills and health counts by what they hold

Several names said less than their siblings: a phase called Settling among phases that name what they await, a count of consecutive failures called failures, two functions called reassignVersion. Renames only, with the line breaks and @property tags that follow from them.

rename: Phase.Settling -> Phase.AwaitingBill (declared in core/request/Phase.kt; only in core/src/main/kotlin/org/quetzalloom/core/request) rename: advanceSettling -> advanceBill (declared in core/request/Completion.kt; only in core/src/main/kotlin/org/quetzalloom/core/request) rename: settle -> onAnswerComplete (declared in core/request/Completion.kt; only in core/src/main/kotlin/org/quetzalloom/core/request) rename: onProgressed -> onChunkReceived (declared in core/request/Attempts.kt; only in core/src/main/kotlin/org/quetzalloom/core/request) rename: file core/request/Completion.kt -> core/request/RequestEnd.kt rename: reassignVersion (with the usable versions) -> moveToOneOf (declared in core/request/Dispatch.kt; only there) rename: LoadReported.upForMilliseconds -> uptimeMilliseconds (declared in core/event/Event.kt; only in core/event, core/request, core/backend of core/src/main; the class of wire keeps its name) rename: PlatformCallFailed.source -> endpoint (declared in core/event/Event.kt; only there) rename: ServerHealth.failures -> consecutiveFailures (declared in core/backend/ServerHealth.kt; only there, in HealthChanges.kt, BackendsPart.kt and request/Attempts.kt) rename: forgetOldest -> dropOldestOverLimit (declared in core/backend/ServerHealth.kt; only there) rename: KeptBill.since -> receivedAt (declared in core/billing/KeptBill.kt; only in core/billing) rename: UnsettledBill.since -> issuedAt (declared in core/billing/UnsettledBill.kt; only in core/billing) rename: isOverdue -> needsReplication, replicateOverdue -> replicateDue, RESEND_AFTER_HOLDS -> RESEND_INTERVAL_FACTOR (declared in core/billing/BillingPart.kt; only there)

Local variables and parameters only: Trials.kt, CrashChecks.kt, Arrival.kt, RequestEnd.kt, BillingPart.kt, ServerHealth.kt, QuarantinePart.kt, Suspicions.kt, QualityPart.kt, ConfigurationChange.kt and three tests.

--- a/core/src/main/kotlin/org/quetzalloom/core/backend/BackendsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/BackendsPart.kt
@@ -65,7 +65,7 @@
                 ) { health ->
                     health.copy(
                         mayHaveRestarted = health.mayHaveRestarted && health.start != event.start,
-                        failures = 0
+                        consecutiveFailures = 0
                     )
                 }.unchanged()
             }
@@ -73,7 +73,7 @@
 
     private fun RouterState.onLoadReported(event: Event.OfBackend.LoadReported, now: Timestamp): Step {
         val updated = withHealth(event.server) { it.copy(reportedRunning = event.running) }
-        return updated.observeStart(event.server, event.start, startedAt = now + -event.upForMilliseconds, now = now)
+        return updated.observeStart(event.server, event.start, startedAt = now + -event.uptimeMilliseconds, now = now)
     }
 
     /**
--- a/core/src/main/kotlin/org/quetzalloom/core/backend/HealthChanges.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/HealthChanges.kt
@@ -25,8 +25,8 @@
  * crash, the backend server counts as cold until its start is confirmed.
  */
 internal fun ServerHealth.afterFailure(now: Timestamp): ServerHealth {
-    val backoff = (FIRST_BACKOFF_MILLISECONDS shl failures.coerceAtMost(MAX_BACKOFF_DOUBLINGS))
-    return copy(failures = failures + 1, suspendedUntil = now + backoff, mayHaveRestarted = true)
+    val backoff = (FIRST_BACKOFF_MILLISECONDS shl consecutiveFailures.coerceAtMost(MAX_BACKOFF_DOUBLINGS))
+    return copy(consecutiveFailures = consecutiveFailures + 1, suspendedUntil = now + backoff, mayHaveRestarted = true)
 }
 
 /** Returns the health after a refusal: briefly suspended, so that the backend server is not asked in a tight loop. */
--- a/core/src/main/kotlin/org/quetzalloom/core/backend/ServerHealth.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/ServerHealth.kt
@@ -15,7 +15,7 @@
  * @property reportedRunning the number of requests from the whole fleet that it ran by its last load report.
  * @property running the number of attempts of this VM in flight there.
  * @property unaccepted the number of those of [running] that it has not begun to answer.
- * @property failures the number of failures since the last success.
+ * @property consecutiveFailures the number of failures since the last success.
  * @property suspendedUntil the time before which it receives no new work.
  * @property loadRequestedAt the time of the last load request, or `null` before the first.
  */
@@ -27,19 +27,19 @@
     val reportedRunning: Int = 0,
     val running: Int = 0,
     val unaccepted: Int = 0,
-    val failures: Int = 0,
+    val consecutiveFailures: Int = 0,
     val suspendedUntil: Timestamp = Timestamp.EPOCH,
     val loadRequestedAt: Timestamp? = null,
 ) {
-    /** Returns the health after a new start was seen: [seen] is its identity and [at] its time. */
-    fun withStart(seen: StartIdentity, at: Timestamp): ServerHealth = copy(
-        start = seen,
-        startedAt = at,
+    /** Returns the health after a new start was seen: [newStart] is its identity and [startedAt] its time. */
+    fun withStart(newStart: StartIdentity, startedAt: Timestamp): ServerHealth = copy(
+        start = newStart,
+        startedAt = startedAt,
         mayHaveRestarted = false,
-        pastStarts = start?.let { pastStarts.add(it).forgetOldest() } ?: pastStarts,
+        pastStarts = start?.let { pastStarts.add(it).dropOldestOverLimit() } ?: pastStarts,
     )
 
-    private fun PersistentList<StartIdentity>.forgetOldest(): PersistentList<StartIdentity> =
+    private fun PersistentList<StartIdentity>.dropOldestOverLimit(): PersistentList<StartIdentity> =
         if (size > MAX_PAST_STARTS) removeAt(0) else this
 
     private companion object {
--- a/core/src/main/kotlin/org/quetzalloom/core/billing/BillingPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/billing/BillingPart.kt
@@ -26,7 +26,7 @@
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
         is Event.OfPlatform.LogAppended -> state.onAppended(event.append)
         is Event.FromPeer -> state.onPeerMessage(event, now)
-        is Event.Tick -> state.appendOrphaned(now).replicateOverdue(now)
+        is Event.Tick -> state.appendOrphaned(now).replicateDue(now)
         else -> state.unchanged()
     }
 
@@ -36,11 +36,11 @@
         val copies = durable.flatMap { identity ->
             billing.unsettled[identity]?.sentTo.orEmpty().map { backup -> backup to identity }
         }
-        val settled = durable.fold(billing) { slice, identity ->
-            slice.copy(unsettled = slice.unsettled.remove(identity), kept = slice.kept.remove(identity))
+        val remaining = durable.fold(billing) { updated, identity ->
+            updated.copy(unsettled = updated.unsettled.remove(identity), kept = updated.kept.remove(identity))
         }
         val byBackup = copies.groupBy({ it.first }, { it.second }).toSortedMap()
-        return copy(billing = settled).unchanged().thenEach(byBackup.entries) { state, (backup, identities) ->
+        return copy(billing = remaining).unchanged().thenEach(byBackup.entries) { state, (backup, identities) ->
             state.sendToPeer(backup, PeerMessage.DropBills(identities.toPersistentList()))
         }
     }
@@ -84,7 +84,7 @@
      */
     private fun RouterState.appendOrphaned(now: Timestamp): RouterState {
         val due = billing.kept.values.filter {
-            !it.appended && now - it.since >= settings.limits.billTakeoverMilliseconds
+            !it.appended && now - it.receivedAt >= settings.limits.billTakeoverMilliseconds
         }
         return due.sortedBy { it.bill.identity }.fold(this) { state, kept ->
             val marked = state.billing.kept.put(kept.bill.identity, kept.copy(appended = true))
@@ -93,8 +93,8 @@
     }
 
     /** Sends the bills that are overdue in the log to the backup peers, and again if not all peers confirmed them. */
-    private fun RouterState.replicateOverdue(now: Timestamp): Step {
-        val due = billing.unsettled.values.filter { isOverdue(it, now) }.sortedBy { it.bill.identity }
+    private fun RouterState.replicateDue(now: Timestamp): Step {
+        val due = billing.unsettled.values.filter { needsReplication(it, now) }.sortedBy { it.bill.identity }
         val backups = if (due.isEmpty()) emptyList() else billBackups(now)
         if (backups.isEmpty()) return unchanged()
         val sent = due.fold(billing.unsettled) { bills, each ->
@@ -107,22 +107,22 @@
 
     /**
      * Returns whether [bill] must be sent to backup peers: it is not in the log after `billLogWaitMilliseconds` and not
-     * replicated, and was not sent within the last [RESEND_AFTER_HOLDS] times this duration.
+     * replicated, and was not sent within the last [RESEND_INTERVAL_FACTOR] times this duration.
      */
-    private fun RouterState.isOverdue(bill: UnsettledBill, now: Timestamp): Boolean {
-        val holdMilliseconds = settings.limits.billLogWaitMilliseconds
+    private fun RouterState.needsReplication(bill: UnsettledBill, now: Timestamp): Boolean {
+        val logWaitMilliseconds = settings.limits.billLogWaitMilliseconds
         val sentBefore = bill.sentTo.isNotEmpty()
-        return now - bill.since >= holdMilliseconds &&
+        return now - bill.issuedAt >= logWaitMilliseconds &&
             !bill.isReplicated &&
-            (!sentBefore || now - bill.sentAt >= holdMilliseconds * RESEND_AFTER_HOLDS)
+            (!sentBefore || now - bill.sentAt >= logWaitMilliseconds * RESEND_INTERVAL_FACTOR)
     }
 
-    private const val RESEND_AFTER_HOLDS = 4
+    private const val RESEND_INTERVAL_FACTOR = 4
 }
 
 /** Returns the state with [bill] queued for the log; it is unsettled until its append completes. */
 internal fun RouterState.issueBill(bill: Bill, now: Timestamp): RouterState {
-    val unsettled = billing.unsettled.put(bill.identity, UnsettledBill(bill, since = now))
+    val unsettled = billing.unsettled.put(bill.identity, UnsettledBill(bill, issuedAt = now))
     return copy(billing = billing.copy(unsettled = unsettled)).enqueue(LogRecord.OfBill(bill))
 }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/billing/KeptBill.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/billing/KeptBill.kt
@@ -5,11 +5,11 @@
 /**
  * The copy of a peer's bill, held until the bill is known to be in the log.
  *
- * @property since the time at which this VM received it.
+ * @property receivedAt the time at which this VM received it.
  * @property appended whether this VM has queued it for the log, in place of its owner.
  */
 internal data class KeptBill(
     val bill: Bill,
-    val since: Timestamp,
+    val receivedAt: Timestamp,
     val appended: Boolean = false,
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/billing/UnsettledBill.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/billing/UnsettledBill.kt
@@ -8,16 +8,16 @@
 /**
  * A bill of this VM that is not known to be in the log.
  *
- * @property since the time at which the bill was issued.
+ * @property issuedAt the time at which the bill was issued.
  * @property sentTo the backup peers that it was last sent to; empty before the first time.
  * @property sentAt the time at which it was last sent to them.
  * @property confirmedBy the peers that have confirmed that they hold a copy.
  */
 internal data class UnsettledBill(
     val bill: Bill,
-    val since: Timestamp,
+    val issuedAt: Timestamp,
     val sentTo: PersistentSet<VmId> = persistentSetOf(),
-    val sentAt: Timestamp = since,
+    val sentAt: Timestamp = issuedAt,
     val confirmedBy: PersistentSet<VmId> = persistentSetOf(),
 ) {
     /** Whether the bill was sent to backup peers and each of them has confirmed it. */
--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationChange.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationChange.kt
@@ -61,11 +61,11 @@
         zonesOutOfService = zonesOutOfService.addAll(old.zonesOutOfService.filter { it in zones }),
         versions = versions.mutate { all ->
             old.versions.values.filter { it.withdrawn }
-                .forEach { gone -> all.computeIfPresent(gone.id) { _, new -> new.copy(withdrawn = true) } }
+                .forEach { withdrawn -> all.computeIfPresent(withdrawn.id) { _, new -> new.copy(withdrawn = true) } }
         },
         backendServers = backendServers.mutate { all ->
             old.backendServers.values.filter { it.leaving }
-                .forEach { gone -> all.computeIfPresent(gone.id) { _, new -> new.copy(leaving = true) } }
+                .forEach { leaving -> all.computeIfPresent(leaving.id) { _, new -> new.copy(leaving = true) } }
         },
     )
     return old.rollouts.values.fold(merged) { updated, rollout -> updated.withRolloutOrNull(rollout) ?: updated }
--- a/core/src/main/kotlin/org/quetzalloom/core/event/Event.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/event/Event.kt
@@ -69,13 +69,13 @@
          *
          * @property start identifies the current process of the backend server.
          * @property running the number of requests that it runs, from all VMs.
-         * @property upForMilliseconds the time since its start.
+         * @property uptimeMilliseconds the time since its start.
          */
         public data class LoadReported(
             public val server: BackendServerId,
             public val start: StartIdentity,
             public val running: Int,
-            public val upForMilliseconds: Long,
+            public val uptimeMilliseconds: Long,
         ) : OfBackend
 
         /** A load report of [server] was requested and could not be read. */
@@ -115,9 +115,9 @@
         /**
          * A read of the VM list or of the ratings, or a submission for rating, failed.
          *
-         * @property source what was read or submitted: `vms`, `ratings` or `samples`.
+         * @property endpoint what was read or submitted: `vms`, `ratings` or `samples`.
          */
-        public data class PlatformCallFailed(public val source: String) : OfPlatform
+        public data class PlatformCallFailed(public val endpoint: String) : OfPlatform
     }
 
     /** The peer [from] sent [message]. [stamp] is the counter of its causal stamp at that time. */
--- a/core/src/main/kotlin/org/quetzalloom/core/quarantine/QuarantinePart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/quarantine/QuarantinePart.kt
@@ -52,10 +52,13 @@
         val keepsOwn = message.trial && keepsOwnTrial(message.fingerprint, from)
         val agreed = !keepsOwn && competing.none { it.value < message.fingerprint.value || hasStarted(it) }
         val yielded = if (agreed) competing.fold(this) { state, trial -> state.withoutTrialServer(trial) } else this
-        val known = yielded.withCrash(message.fingerprint, message.server, now)
+        val recorded = yielded.withCrash(message.fingerprint, message.server, now)
         val trialVm = from.takeIf { message.trial }
-        val next =
-            if (keepsOwn) known else known.withTrial(message.fingerprint, trialVm, message.trialAt, now, event.stamp)
+        val next = if (keepsOwn) {
+            recorded
+        } else {
+            recorded.withTrial(message.fingerprint, trialVm, message.trialAt, now, event.stamp)
+        }
         return next.sendToPeer(from, PeerMessage.SuspectNoted(message.fingerprint, message.trialAt, agreed))
             .then { it.report(now, "request_suspected", "fingerprint" to message.fingerprint, "by" to from) }
     }
@@ -78,17 +81,20 @@
 
     /** Returns the state in which the trial of [fingerprint] has no backend server, so that it must choose another. */
     private fun RouterState.withoutTrialServer(fingerprint: Fingerprint): RouterState {
-        val known = quarantine.suspicions[fingerprint] ?: return this
-        return withSuspicion(fingerprint, known.copy(trialServer = null))
+        val suspicion = quarantine.suspicions[fingerprint] ?: return this
+        return withSuspicion(fingerprint, suspicion.copy(trialServer = null))
     }
 
     /** Records that [peer] agrees to the trial, or gives up the backend server of the trial if it does not. */
     private fun RouterState.onSuspectNoted(peer: VmId, message: PeerMessage.SuspectNoted): RouterState {
-        val known = quarantine.suspicions[message.fingerprint]
+        val suspicion = quarantine.suspicions[message.fingerprint]
             ?.takeIf { it.trialVm == settings.vm && it.trialServer == message.trialAt }
             ?: return this
-        val next =
-            if (message.agreed) known.copy(agreedBy = known.agreedBy.add(peer)) else known.copy(trialServer = null)
+        val next = if (message.agreed) {
+            suspicion.copy(agreedBy = suspicion.agreedBy.add(peer))
+        } else {
+            suspicion.copy(trialServer = null)
+        }
         return withSuspicion(message.fingerprint, next)
     }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/quarantine/Suspicions.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/quarantine/Suspicions.kt
@@ -9,8 +9,8 @@
 
 /** Returns the state with the crash of [server] added to the suspicion against [fingerprint]. */
 internal fun RouterState.withCrash(fingerprint: Fingerprint, server: BackendServerId, now: Timestamp): RouterState {
-    val known = quarantine.suspicions[fingerprint] ?: Suspicion(servers = persistentSetOf(), suspectedAt = now)
-    return withSuspicion(fingerprint, known.copy(servers = known.servers.add(server), suspectedAt = now))
+    val previous = quarantine.suspicions[fingerprint] ?: Suspicion(servers = persistentSetOf(), suspectedAt = now)
+    return withSuspicion(fingerprint, previous.copy(servers = previous.servers.add(server), suspectedAt = now))
 }
 
 /**
@@ -29,9 +29,9 @@
     now: Timestamp,
     newStamp: Long = stamp,
 ): RouterState {
-    val known = quarantine.suspicions[fingerprint]
-    if (known == null || newStamp < known.trialStamp) return this
-    val next = known.copy(
+    val suspicion = quarantine.suspicions[fingerprint]
+    if (suspicion == null || newStamp < suspicion.trialStamp) return this
+    val next = suspicion.copy(
         trialVm = vm,
         trialServer = trialServer,
         trialSince = now,
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Arrival.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Arrival.kt
@@ -95,11 +95,12 @@
     now: Timestamp,
 ): Step {
     val usableIds = admitted.versions.map { it.id }
-    val known = admitted.token?.version?.takeIf { it in usableIds } ?: assignedVersionOrNull(key)
+    val assigned = admitted.token?.version?.takeIf { it in usableIds } ?: assignedVersionOrNull(key)
     val home = sessionHome(key, now)
     return when {
-        known != null && known in usableIds -> assignVersion(key, known, now).then { it.put(request.pinnedTo(known)) }
-        known != null -> put(request)
+        assigned != null && assigned in usableIds ->
+            assignVersion(key, assigned, now).then { it.put(request.pinnedTo(assigned)) }
+        assigned != null -> put(request)
         home == settings.vm ->
             assignVersion(key, request.version, now).then { it.put(request.pinnedTo(request.version)) }
         else -> put(request.copy(phase = Phase.AwaitingSession(now))).then {
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Attempts.kt
@@ -35,7 +35,7 @@
  * Tokens that were all delivered before are dropped. Any other position, a gap or a partial overlap, makes the answer
  * unusable: the attempt is cancelled and counts as failed.
  */
-internal fun RouterState.onProgressed(event: Event.OfBackend.ChunkReceived, now: Timestamp): Step =
+internal fun RouterState.onChunkReceived(event: Event.OfBackend.ChunkReceived, now: Timestamp): Step =
     ifRunning(event.attempt) { request, phase ->
         when {
             event.position + event.tokens <= request.deliveredTokens -> unchanged()
@@ -96,8 +96,8 @@
     now: Timestamp,
 ): Step {
     return beginAnswerOnce(request).then { it.releaseAttempt(phase).unchanged() }
-        .then { it.withHealth(phase.server) { health -> health.copy(failures = 0) }.unchanged() }
-        .then { it.settle(request.copy(answerStarted = true), event, now) }
+        .then { it.withHealth(phase.server) { health -> health.copy(consecutiveFailures = 0) }.unchanged() }
+        .then { it.onAnswerComplete(request.copy(answerStarted = true), event, now) }
 }
 
 /** Returns the state without the attempt of [phase], which no longer counts against its backend server. */
--- a/core/src/main/kotlin/org/quetzalloom/core/request/CrashChecks.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/CrashChecks.kt
@@ -20,9 +20,9 @@
  * Without a report within `verdictMilliseconds`, the backend server counts as down.
  */
 internal fun RouterState.checkForCrash(request: ActiveRequest, id: BackendServerId, now: Timestamp): Step {
-    val asked = put(request.copy(phase = Phase.AwaitingCrashCheck(id, now)))
-    val server = configuration.view.current?.backendServers?.get(id) ?: return asked
-    return asked.then { it.requestLoad(server, now) }
+    val awaiting = put(request.copy(phase = Phase.AwaitingCrashCheck(id, now)))
+    val server = configuration.view.current?.backendServers?.get(id) ?: return awaiting
+    return awaiting.then { it.requestLoad(server, now) }
 }
 
 /**
@@ -45,9 +45,9 @@
  * The second crash refuses the request for good; after the first it is retried as a trial.
  */
 internal fun RouterState.recordCrash(request: ActiveRequest, server: BackendServerId, now: Timestamp): Step {
-    val known = withCrash(request.fingerprint, server, now)
-    val quarantined = known.quarantine.suspicions[request.fingerprint]?.quarantined == true
-    val next = known.withTrial(
+    val recorded = withCrash(request.fingerprint, server, now)
+    val quarantined = recorded.quarantine.suspicions[request.fingerprint]?.quarantined == true
+    val next = recorded.withTrial(
         request.fingerprint,
         vm = settings.vm.takeUnless { quarantined },
         trialServer = null,
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Deadlines.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Deadlines.kt
@@ -25,7 +25,7 @@
 private fun RouterState.expire(request: ActiveRequest, now: Timestamp): Step {
     val phase = request.phase
     return when {
-        phase is Phase.Settling -> unchanged()
+        phase is Phase.AwaitingBill -> unchanged()
         phase is Phase.Running && isStalled(request, phase, now) -> cancelAndFail(request, phase, now)
         now < request.deadline || request.callerLeft -> unchanged()
         phase is Phase.Running -> expireRunning(request, phase, now)
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Dispatch.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Dispatch.kt
@@ -46,14 +46,14 @@
         request.deliveredTokens > 0 ->
             refuse(request, ErrorKind.BACKEND_FAILED, "version '${request.version}' was withdrawn mid-answer", now)
         else -> current.versionsFor(request.call).mapBoth(
-            success = { reassignVersion(request, it, now) },
+            success = { moveToOneOf(request, it, now) },
             failure = { refuse(request, it.kind, it.detail, now) },
         )
     }
 }
 
 /** Moves [request] to one of [usable] and dispatches it again; the session of a pinned request moves along. */
-private fun RouterState.reassignVersion(request: ActiveRequest, usable: List<Version>, now: Timestamp): Step {
+private fun RouterState.moveToOneOf(request: ActiveRequest, usable: List<Version>, now: Timestamp): Step {
     val subject = request.sessionKey?.toString() ?: request.id.value
     val moved = request.copy(
         version = chooseVersion(request.call, usable, subject),
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Phase.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Phase.kt
@@ -44,5 +44,5 @@
     ) : Phase
 
     /** The answer is complete; its end is sent once [bill] is in the log or copied to peers. */
-    data class Settling(val bill: Bill, val tokens: Int, val status: Int, val since: Timestamp) : Phase
+    data class AwaitingBill(val bill: Bill, val tokens: Int, val status: Int, val since: Timestamp) : Phase
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Progress.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Progress.kt
@@ -33,7 +33,7 @@
         }
     is Phase.AwaitingTrialConsent -> advanceTrialConsent(request, phase, now)
     is Phase.AwaitingTrial -> startTrialOrWait(request, now)
-    is Phase.Settling -> advanceSettling(request, phase, now)
+    is Phase.AwaitingBill -> advanceBill(request, phase, now)
     is Phase.Queued -> if (hasLostTrialServer(request)) startTrialOrWait(request, now) else unchanged()
     is Phase.Running -> unchanged()
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Completion.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/RequestEnd.kt
@@ -28,15 +28,19 @@
 /**
  * Bills a request whose answer is complete, records the outcome of a command, and submits a sampled answer for rating.
  *
- * The end of the answer is sent later, by [advanceSettling].
+ * The end of the answer is sent later, by [advanceBill].
  */
-internal fun RouterState.settle(request: ActiveRequest, event: Event.OfBackend.Finished, now: Timestamp): Step {
+internal fun RouterState.onAnswerComplete(
+    request: ActiveRequest,
+    event: Event.OfBackend.Finished,
+    now: Timestamp,
+): Step {
     val bill = billFor(request, event.tokens)
     return recordOutcome(request, event).clearSuspicion(request, now)
         .then { it.issueBill(bill, now).unchanged() }
         .then { it.submitSample(request) }
         .then {
-            val phase = Phase.Settling(bill, event.tokens, event.status, since = now)
+            val phase = Phase.AwaitingBill(bill, event.tokens, event.status, since = now)
             it.put(request.copy(phase = phase, answer = request.answer.clear()))
         }
 }
@@ -73,11 +77,11 @@
  *
  * After `billMaximumWaitMilliseconds` the end is sent in any case.
  */
-internal fun RouterState.advanceSettling(request: ActiveRequest, phase: Phase.Settling, now: Timestamp): Step {
-    val waited = now - phase.since
+internal fun RouterState.advanceBill(request: ActiveRequest, phase: Phase.AwaitingBill, now: Timestamp): Step {
+    val waitedMilliseconds = now - phase.since
     val safe = isBillInLog(phase.bill) ||
-        (waited >= settings.limits.billLogWaitMilliseconds && isReplicated(phase.bill)) ||
-        waited >= settings.limits.billMaximumWaitMilliseconds
+        (waitedMilliseconds >= settings.limits.billLogWaitMilliseconds && isReplicated(phase.bill)) ||
+        waitedMilliseconds >= settings.limits.billMaximumWaitMilliseconds
     if (!safe) return unchanged()
     val end = Effect.OfCaller.End(request.id, phase.tokens, phase.bill.costMicros, phase.status)
     return copy(requests = requests.remove(request.id)).sendToCaller(request, end).then {
--- a/core/src/main/kotlin/org/quetzalloom/core/request/RequestsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/RequestsPart.kt
@@ -30,7 +30,7 @@
         is Event.OfCaller.Arrived -> onArrived(event, now)
         is Event.OfCaller.Disconnected -> onCallerLeft(event, now)
         is Event.OfBackend.Accepted -> onAccepted(event, now)
-        is Event.OfBackend.ChunkReceived -> onProgressed(event, now)
+        is Event.OfBackend.ChunkReceived -> onChunkReceived(event, now)
         is Event.OfBackend.Finished -> onFinished(event, now)
         is Event.OfBackend.Failed -> onFailed(event, now)
         is Event.OfBackend.LoadReported -> resolveCrashChecks(event.server, restartedRecently(event), now)
@@ -41,14 +41,14 @@
 
     /** Returns whether the reported start is recent enough to explain the broken connection by a crash. */
     private fun RouterState.restartedRecently(event: Event.OfBackend.LoadReported): Boolean =
-        event.upForMilliseconds < settings.limits.crashCheckTimeoutMilliseconds
+        event.uptimeMilliseconds < settings.limits.crashCheckTimeoutMilliseconds
 
     /** Cancels a request whose caller has left; a running command goes on, so that its outcome is recorded. */
     private fun RouterState.onCallerLeft(event: Event.OfCaller.Disconnected, now: Timestamp): Step {
         val request = requests.active[event.request] ?: return unchanged()
         val phase = request.phase
         return when {
-            phase is Phase.Settling -> put(request.copy(callerLeft = true))
+            phase is Phase.AwaitingBill -> put(request.copy(callerLeft = true))
             phase is Phase.Running && request.command != null -> put(request.copy(callerLeft = true))
             phase is Phase.Running ->
                 releaseAttempt(phase).discard(request).then { it.with(Effect.OfBackend.Cancel(phase.attempt)) }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Trials.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Trials.kt
@@ -52,12 +52,15 @@
 private fun RouterState.announceTrial(request: ActiveRequest, now: Timestamp): Step {
     val suspicion = quarantine.suspicions.getValue(request.fingerprint)
     val server = trialServerOrNull(request, now)
-    val waits = suspicion.trialVm == settings.vm && server == null
-    if (waits) return put(request.copy(phase = Phase.AwaitingTrial))
-    val crashed = suspicion.servers.min()
+    val alreadyAnnounced = suspicion.trialVm == settings.vm && server == null
+    if (alreadyAnnounced) return put(request.copy(phase = Phase.AwaitingTrial))
+    val crashedServer = suspicion.servers.min()
     val phase = if (server == null) Phase.AwaitingTrial else Phase.AwaitingTrialConsent(now)
     return withTrial(request.fingerprint, vm = settings.vm, trialServer = server, now = now)
-        .sendToPeers(livePeers(now), PeerMessage.Suspect(request.fingerprint, crashed, trial = true, trialAt = server))
+        .sendToPeers(
+            livePeers(now),
+            PeerMessage.Suspect(request.fingerprint, crashedServer, trial = true, trialAt = server),
+        )
         .then { it.put(request.copy(phase = phase)) }
 }
 
@@ -68,9 +71,9 @@
  * has only one possible cause.
  */
 private fun RouterState.trialServerOrNull(request: ActiveRequest, now: Timestamp): BackendServerId? {
-    val crashed = quarantine.suspicions[request.fingerprint]?.servers.orEmpty()
+    val crashedServers = quarantine.suspicions[request.fingerprint]?.servers.orEmpty()
     val taken = otherTrialServers(request.fingerprint, now)
-    val free = serversFor(request).map { it.id }.filter { it !in crashed && it !in taken }
+    val free = serversFor(request).map { it.id }.filter { it !in crashedServers && it !in taken }
     return rendezvousOrNull(free, request.fingerprint)
 }
 
@@ -86,10 +89,10 @@
 ): Step {
     val suspicion = quarantine.suspicions[request.fingerprint]
     val agreed = suspicion?.agreedBy.orEmpty().containsAll(livePeers(now))
-    val waited = now - phase.since >= settings.limits.crashCheckTimeoutMilliseconds
+    val timedOut = now - phase.since >= settings.limits.crashCheckTimeoutMilliseconds
     return when {
         suspicion?.trialVm != settings.vm || suspicion.trialServer == null -> startTrialOrWait(request, now)
-        agreed || waited -> put(request.copy(phase = Phase.Queued))
+        agreed || timedOut -> put(request.copy(phase = Phase.Queued))
         else -> unchanged()
     }
 }
@@ -115,7 +118,7 @@
 internal fun RouterState.abandonTrial(request: ActiveRequest, now: Timestamp): Step {
     val suspicion = quarantine.suspicions[request.fingerprint]
     if (suspicion == null || suspicion.trialVm != settings.vm || hasOtherActiveCopy(request)) return unchanged()
-    val crashed = suspicion.servers.min()
+    val crashedServer = suspicion.servers.min()
     return withTrial(request.fingerprint, vm = null, trialServer = null, now = now)
-        .sendToPeers(livePeers(now), PeerMessage.Suspect(request.fingerprint, crashed, trial = false))
+        .sendToPeers(livePeers(now), PeerMessage.Suspect(request.fingerprint, crashedServer, trial = false))
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/selection/QualityPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/selection/QualityPart.kt
@@ -66,8 +66,8 @@
         sum: QualityEstimate,
     ): QualityState {
         val byOrigin = sums[subject] ?: persistentMapOf()
-        val known = byOrigin[origin]
-        if (known != null && known.rated >= sum.rated) return this
+        val previousSum = byOrigin[origin]
+        if (previousSum != null && previousSum.rated >= sum.rated) return this
         return copy(sums = sums.put(subject, byOrigin.put(origin, sum)))
     }
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/ledger/CommandsUnderFailureTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/ledger/CommandsUnderFailureTest.kt
@@ -117,8 +117,8 @@
     private fun findings(rig: Rig): List<String> {
         val runs = rig.commandRuns()
         val twice = runs.filterValues { it.size > 1 }.map { "${it.key} ran ${it.value.size} times" }
-        val ran = runs.values.flatten().map { rig.requestsByAttempt[it.order.attempt.value] }.toSet()
-        val falselyRefused = rig.callers.filter { it.refusal?.notRun == true && it.request.value in ran }
+        val requestsRun = runs.values.flatten().map { rig.requestsByAttempt[it.order.attempt.value] }.toSet()
+        val falselyRefused = rig.callers.filter { it.refusal?.notRun == true && it.request.value in requestsRun }
         val answeredNotRun = rig.callers.filter { it.answered && "bakery/${it.call.key}" !in runs }
         val wrong = rig.callers.filter { it.answered && it.answer != "ran ${it.call.body}" }
         val duplicated = rig.callers.filter { it.endCount > 1 }
--- a/core/src/test/kotlin/org/quetzalloom/core/request/AnswersUnderFailureTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/request/AnswersUnderFailureTest.kt
@@ -75,8 +75,8 @@
                     request.copy(deliveredTokens = 0)
                 }
             }
-            val forgotten = active.values.fold(state.requests) { requests, request -> requests.put(request) }
-            state.copy(requests = forgotten).unchanged()
+            val resetRequests = active.values.fold(state.requests) { requests, request -> requests.put(request) }
+            state.copy(requests = resetRequests).unchanged()
         }
     }
 }
--- a/runtime/src/test/kotlin/org/quetzalloom/runtime/EventLoopTest.kt
+++ b/runtime/src/test/kotlin/org/quetzalloom/runtime/EventLoopTest.kt
@@ -40,14 +40,14 @@
     fun effectsAndCallbacksRunOnTheLoopThread() {
         val loop = loop()
         val threads = AtomicReference(emptyList<String>())
-        val done = CountDownLatch(1)
+        val effectReceived = CountDownLatch(1)
         fun recordThread() = threads.updateAndGet { it + Thread.currentThread().name }
         loop.start {
             recordThread()
-            done.countDown()
+            effectReceived.countDown()
         }
         loop.post(1) { recordThread() }
-        assertTrue(done.await(60, TimeUnit.SECONDS))
+        assertTrue(effectReceived.await(60, TimeUnit.SECONDS))
         loop.stop()
         assertEquals(listOf("test-loop", "test-loop"), threads.get())
     }
