Say in the router's KDoc what the code does in every branch

Several comments left out the surprising branch (what dispatch refuses, what abandonTrial and discard leave alone, which failures count), quoted limits that have been renamed, or no longer held: an ended roll-out returns its two versions to the choice by cost and quality, it does not send every request to the old one.

Ran: mvn -o test-compile (whole tree); verify of core and runtime with RefusalsTest, QuarantineTest and DrainTest: passed, with detekt.

--- a/core/src/main/kotlin/org/quetzalloom/core/backend/AttemptOrder.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/AttemptOrder.kt
@@ -7,7 +7,7 @@
 import org.quetzalloom.core.request.Target
 
 /**
- * A request to a backend server: one attempt to run the request of a caller.
+ * What the router sends to a backend server for one attempt to run the request of a caller.
  *
  * @property address host and port of the backend server.
  * @property resumeFrom the number of tokens that the caller has received; the answer continues after them.
--- a/core/src/main/kotlin/org/quetzalloom/core/backend/ServerHealth.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/ServerHealth.kt
@@ -10,12 +10,14 @@
  *
  * @property start the identity of its current start, or `null` if unknown.
  * @property startedAt the latest time at which that start can have happened; the warm-up counts from here.
- * @property mayHaveRestarted whether a failure occurred since [start] was last confirmed by an accepted attempt.
- * @property pastStarts earlier starts, newest last, kept so that late reports of them are ignored.
- * @property reportedRunning the number of requests from the whole fleet that it ran by its last load report.
+ * @property mayHaveRestarted whether a failure occurred since [start] was first seen, or last confirmed by an accepted
+ *   attempt. The backend server then counts as cold.
+ * @property pastStarts earlier starts, newest last, at most [MAX_PAST_STARTS]; late reports of them are ignored.
+ * @property reportedRunning the number of requests of all VMs that it was running, according to its last load report.
  * @property running the number of attempts of this VM in flight there.
  * @property unaccepted the number of those of [running] that it has not begun to answer.
- * @property consecutiveFailures the number of failures since the last success.
+ * @property consecutiveFailures the number of failed attempts and load reports, without refusals, since an attempt
+ *   was last accepted or completed.
  * @property suspendedUntil the time before which it receives no new work.
  * @property loadRequestedAt the time of the last load request, or `null` before the first.
  */
@@ -31,7 +33,7 @@
     val suspendedUntil: Timestamp = Timestamp.EPOCH,
     val loadRequestedAt: Timestamp? = null,
 ) {
-    /** Returns the health after a new start was seen: [newStart] is its identity and [startedAt] its time. */
+    /** Returns the health after the new start [newStart], which happened at [startedAt] or earlier, was seen. */
     fun withStart(newStart: StartIdentity, startedAt: Timestamp): ServerHealth = copy(
         start = newStart,
         startedAt = startedAt,
--- a/core/src/main/kotlin/org/quetzalloom/core/billing/BillingPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/billing/BillingPart.kt
@@ -16,7 +16,8 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * Appends each bill to the log. A bill that takes longer is replicated to backup peers until it is in the log.
+ * Appends each bill to the log. A bill that is not in the log after `billLogWaitMilliseconds` is replicated to backup
+ * peers.
  *
  * Replication is temporary: only bills that are not in the log yet are copied, and the copies are dropped as soon as
  * they are. This follows delayed parity generation with active data replication (Chandy, "Parity Redundancy Strategies
@@ -30,7 +31,7 @@
         else -> state.unchanged()
     }
 
-    /** Removes the bills of a completed append, and tells the peers that hold copies of them to drop these. */
+    /** Removes the bills whose append has completed, and tells the peers to which they were last sent to drop them. */
     private fun RouterState.onAppended(append: Long): Step {
         val durable = log.recordsInFlight(append).filterIsInstance<LogRecord.OfBill>().map { it.bill.identity }
         val copies = durable.flatMap { identity ->
@@ -63,7 +64,7 @@
         return copy(billing = billing.copy(kept = kept)).sendToPeer(owner, PeerMessage.BillsHeld(identities))
     }
 
-    /** Records that [backup] holds copies of the bills named, as far as they are not in the log yet. */
+    /** Records that [backup] holds copies of the bills [identities]; bills that are in the log already are skipped. */
     private fun RouterState.onBillsHeld(backup: VmId, identities: PersistentList<String>): RouterState {
         val unsettled = identities.fold(billing.unsettled) { bills, identity ->
             bills[identity]?.let { bills.put(identity, it.copy(confirmedBy = it.confirmedBy.add(backup))) } ?: bills
@@ -92,7 +93,7 @@
         }
     }
 
-    /** Sends the bills that are overdue in the log to the backup peers, and again if not all peers confirmed them. */
+    /** Sends the bills that need replication to the backup peers; again if not all of these confirm them in time. */
     private fun RouterState.replicateDue(now: Timestamp): Step {
         val due = billing.unsettled.values.filter { needsReplication(it, now) }.sortedBy { it.bill.identity }
         val backups = if (due.isEmpty()) emptyList() else billBackups(now)
@@ -106,8 +107,9 @@
     }
 
     /**
-     * Returns whether [bill] must be sent to backup peers: it is not in the log after `billLogWaitMilliseconds` and not
-     * replicated, and was not sent within the last [RESEND_INTERVAL_FACTOR] times this duration.
+     * Returns whether [bill], which is not in the log, must be sent to backup peers now: it was issued at least
+     * `billLogWaitMilliseconds` ago, is not replicated, and was not sent within the last [RESEND_INTERVAL_FACTOR] times
+     * this duration.
      */
     private fun RouterState.needsReplication(bill: UnsettledBill, now: Timestamp): Boolean {
         val logWaitMilliseconds = settings.limits.billLogWaitMilliseconds
--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationChange.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationChange.kt
@@ -27,7 +27,7 @@
     /** Starts [rollout] or replaces the current roll-out of the same model. */
     public data class SetRollout(public val rollout: Rollout) : ConfigurationChange
 
-    /** Ends the roll-out of [model], so that every request goes to the old version again. */
+    /** Ends the roll-out of [model]: its two versions are again chosen by cost and quality alone. */
     public data class EndRollout(public val model: String) : ConfigurationChange
 }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/Problems.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/Problems.kt
@@ -5,8 +5,8 @@
 /**
  * Returns a message for the operator about each problem of this configuration; empty if it is valid.
  *
- * @param fleetSize the number of entry VMs, or `null` if it is not known. The capacity for the fleet is then not
- *   checked.
+ * @param fleetSize the number of entry VMs (VMs that run a router), or `null` if it is not known; the combined cold
+ *   capacity is then not checked.
  */
 public fun Configuration.problems(fleetSize: Int? = null): List<String> =
     workspaceProblems() + serverProblems() + serviceProblems() + rolloutProblems() + fleetProblems(fleetSize)
@@ -58,8 +58,9 @@
 }
 
 /**
- * Checks that the backend servers of each set of versions together take one request per VM when cold. Otherwise some VM
- * would have none to send to, as a backend server is given at most as many VMs as its cold capacity.
+ * Checks, for each group of backend servers that serve the same versions, that their cold capacities add up to at least
+ * one request per VM. A backend server is assigned to at most as many VMs as its cold capacity, so otherwise some VM
+ * would have no backend server of the group.
  */
 private fun Configuration.fleetProblems(fleetSize: Int?): List<String> {
     if (fleetSize == null) return emptyList()
--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/Rollout.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/Rollout.kt
@@ -7,7 +7,8 @@
  *
  * @property from the old version.
  * @property to the new version.
- * @property sharePermille the requests per thousand that go to [to] instead of [from].
+ * @property sharePermille the requests per thousand, of those that may run on both versions and name neither, that go
+ *   to [to] instead of [from].
  * @property paused whether the share is kept until an operator resumes the roll-out.
  */
 public data class Rollout(
--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/ServiceRoute.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/ServiceRoute.kt
@@ -6,7 +6,7 @@
  * A route from a path prefix to a plain service.
  *
  * @property pathPrefix the prefix of the paths that are routed, such as `/ovens/`.
- * @property model the name of the service, which its versions carry as their model.
+ * @property model the name of the service; the `model` of each of its versions.
  * @property nonRepeatableMethods the HTTP methods, in upper case, whose calls run at most once and require an
  *   idempotency key.
  */
--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/Workspace.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/Workspace.kt
@@ -5,10 +5,11 @@
 import org.quetzalloom.core.identity.WorkspaceId
 
 /**
- * A customer of the router, with the versions that its requests may use.
+ * A customer of the router.
  *
  * @property allowed the versions that its requests may run on.
- * @property qualityTarget the share of answers that must be rated good, 0.0 to 1.0.
+ * @property qualityTarget the share of answers, 0.0 to 1.0, that should be rated good; the choice of versions aims at
+ *   it.
  */
 public data class Workspace(
     public val id: WorkspaceId,
--- a/core/src/main/kotlin/org/quetzalloom/core/drain/DrainPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/drain/DrainPart.kt
@@ -17,7 +17,7 @@
  * Shuts the VM down gracefully, without cutting off a request.
  *
  * Readiness is turned off first. Requests that still arrive are accepted for `drainGraceMilliseconds` and then refused.
- * The process stops when all requests are finished and their records are safe.
+ * After that time, the process stops as soon as all requests are finished and their records are safe.
  */
 internal object DrainPart : Part {
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
@@ -42,8 +42,8 @@
     /**
      * Returns whether nothing is lost when this VM stops.
      *
-     * All records of commands must be in the log. So must all bills, unless a live peer holds a copy of each pending
-     * bill of this VM, and this VM holds none for its peers.
+     * All records of commands that this VM has queued must be in the log. So must all bills that it has queued, unless
+     * a live peer has confirmed a copy of each pending bill of this VM, and this VM holds no copies for its peers.
      */
     private fun RouterState.isSafeToStop(now: Timestamp): Boolean {
         val live = livePeers(now)
--- a/core/src/main/kotlin/org/quetzalloom/core/effect/Effect.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/effect/Effect.kt
@@ -14,7 +14,11 @@
 import org.quetzalloom.core.selection.RatingSubject
 import org.quetzalloom.core.timeline.TimelineEntry
 
-/** An output of the router's reducer, which the process that drives it carries out. */
+/**
+ * An output of [org.quetzalloom.core.router.RouterReducer], which the process that drives it carries out.
+ *
+ * The router in `core.relay` has [org.quetzalloom.core.relay.RelayEffect].
+ */
 public sealed interface Effect {
     /**
      * Answers to callers. A request is answered by [Begin], any number of [Chunk]s and [End], or by [Refuse], which may
--- a/core/src/main/kotlin/org/quetzalloom/core/event/Event.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/event/Event.kt
@@ -14,12 +14,16 @@
 import org.quetzalloom.core.request.CallerRequest
 import org.quetzalloom.core.selection.Rating
 
-/** An input of the router's reducer. */
+/**
+ * An input of [org.quetzalloom.core.router.RouterReducer], the reducer of the router in the `daemon` module.
+ *
+ * The router in `core.relay` has [org.quetzalloom.core.relay.RelayEvent].
+ */
 public sealed interface Event {
     /** Time has passed. Must come several times a second, as timeouts and intervals are checked on ticks. */
     public data object Tick : Event
 
-    /** The operator or the platform requests a graceful shutdown of the VM. */
+    /** The operator or the platform requests a graceful shutdown of the router. */
     public data object ShutdownRequested : Event
 
     /** Events of callers. */
@@ -33,11 +37,14 @@
 
     /** Events of backend servers. */
     public sealed interface OfBackend : Event {
-        /** The backend server began to answer. [start] identifies its current process. */
+        /**
+         * The backend server began to answer, and named its current process [start]. There is no such event for a
+         * response that does not name it.
+         */
         public data class Accepted(public val attempt: AttemptId, public val start: StartIdentity) : OfBackend
 
         /**
-         * A chunk of the answer arrived. A plain service sends its whole body as one chunk of one token.
+         * A chunk of the answer arrived. The response body of a plain service counts as one chunk of one token.
          *
          * @property position the number of tokens of the answer before this chunk.
          * @property tokens the number of tokens in [text].
@@ -115,12 +122,14 @@
         /**
          * A read of the VM list or of the ratings, or a submission for rating, failed.
          *
-         * @property endpoint what was read or submitted: `vms`, `ratings` or `samples`.
+         * The reducer ignores it: reads are repeated at fixed intervals, and a lost sample is not submitted again.
+         *
+         * @property endpoint the endpoint that was called: `vms`, `ratings` or `samples`.
          */
         public data class PlatformCallFailed(public val endpoint: String) : OfPlatform
     }
 
-    /** The peer [from] sent [message]. [stamp] is the counter of its causal stamp at that time. */
+    /** The peer [from] sent [message]. [stamp] is the counter of the peer's causal stamp when it sent the message. */
     public data class FromPeer(
         public val from: VmId,
         public val stamp: Long,
--- a/core/src/main/kotlin/org/quetzalloom/core/log/LogState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/log/LogState.kt
@@ -10,7 +10,7 @@
  *
  * @property readers the reader of each stream that was read.
  * @property writers the writer of each stream that was written.
- * @property appendsStarted the number of appends since the start; the last one has it as its number.
+ * @property appendsStarted the number of appends that this process has started, which is the number of the last one.
  */
 internal data class LogState(
     val readers: PersistentMap<LogStream, StreamReader> = persistentMapOf(),
--- a/core/src/main/kotlin/org/quetzalloom/core/membership/MembershipPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/membership/MembershipPart.kt
@@ -60,7 +60,7 @@
 /** Returns the other VMs of the fleet in the order of their identifiers. */
 internal fun RouterState.peers(): List<VmId> = settings.fleet.keys.filter { it != settings.vm }.sorted()
 
-/** Returns the peers that were heard from within the peer timeout and are not listed as leaving, in order. */
+/** Returns the peers that were heard from within the peer timeout and are not listed as leaving, by id. */
 internal fun RouterState.livePeers(now: Timestamp): List<VmId> = peers().filter { peer ->
     val lastMessageAt = membership.lastMessageAt[peer]
     lastMessageAt != null &&
--- a/core/src/main/kotlin/org/quetzalloom/core/quarantine/Suspicion.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/quarantine/Suspicion.kt
@@ -14,8 +14,8 @@
  * @property trialVm the VM that runs the request once more, or `null` without a trial.
  * @property trialServer the backend server of the trial, or `null` while none is chosen.
  * @property trialSince the time at which this VM learned of the trial; the trial expires some time after it.
- * @property trialStamp the causal stamp of the message that announced the trial; messages with an earlier stamp are
- *   ignored.
+ * @property trialStamp the causal stamp at which the trial was last announced or ended; messages with an earlier stamp
+ *   do not change it.
  * @property agreedBy the peers that agree to the trial.
  */
 internal data class Suspicion(
@@ -27,7 +27,7 @@
     val trialStamp: Long = 0,
     val agreedBy: PersistentSet<VmId> = persistentSetOf(),
 ) {
-    /** Whether such requests are refused, since they have crashed too many backend servers. */
+    /** Whether such requests are refused, since [CRASHES_TO_QUARANTINE] different backend servers have gone down. */
     val quarantined: Boolean get() = servers.size >= CRASHES_TO_QUARANTINE
 
     private companion object {
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Answers.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Answers.kt
@@ -10,7 +10,7 @@
 /**
  * Sends the start of the answer to the caller of [request], unless that was done before.
  *
- * If the version of the session is settled, the start carries a signed session token.
+ * If [request] is pinned to the version of its session, the start carries a signed session token.
  */
 internal fun RouterState.beginAnswerOnce(request: ActiveRequest): Step {
     if (request.answerStarted) return unchanged()
--- a/core/src/main/kotlin/org/quetzalloom/core/request/CrashChecks.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/CrashChecks.kt
@@ -17,7 +17,7 @@
 /**
  * Requests a load report to learn whether the backend server went down, before [request] is run anywhere else.
  *
- * Without a report within `verdictMilliseconds`, the backend server counts as down.
+ * Without a report within `crashCheckTimeoutMilliseconds`, the backend server counts as down.
  */
 internal fun RouterState.checkForCrash(request: ActiveRequest, id: BackendServerId, now: Timestamp): Step {
     val awaiting = put(request.copy(phase = Phase.AwaitingCrashCheck(id, now)))
@@ -42,7 +42,8 @@
 /**
  * Records that [server] went down while it ran [request], and announces it to the peers.
  *
- * The second crash refuses the request for good; after the first it is retried as a trial.
+ * After the first crash, [request] is retried as a trial. The crash of a second backend server, under this request or
+ * another one with the same content, quarantines the content, and [request] is refused.
  */
 internal fun RouterState.recordCrash(request: ActiveRequest, server: BackendServerId, now: Timestamp): Step {
     val recorded = withCrash(request.fingerprint, server, now)
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Deadlines.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Deadlines.kt
@@ -33,7 +33,7 @@
     }
 }
 
-/** Returns whether the attempt has made no progress for its timeout: of a service, the first token, or a token gap. */
+/** Returns whether the attempt is silent for too long: a service, an engine before its first token, or between two. */
 private fun RouterState.isStalled(request: ActiveRequest, phase: Phase.Running, now: Timestamp): Boolean {
     val timeout = when {
         request.call.target is Target.ServiceCall -> settings.limits.serviceSilenceMilliseconds
@@ -43,7 +43,7 @@
     return now - phase.progressAt >= timeout
 }
 
-/** Answers a running command that its outcome is unknown and lets it run on; cancels and refuses any other request. */
+/** Refuses a running command with an unknown outcome and lets it run on; cancels and refuses any other request. */
 private fun RouterState.expireRunning(request: ActiveRequest, phase: Phase.Running, now: Timestamp): Step =
     if (request.command != null) {
         put(request.copy(callerLeft = true)).then {
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Dispatch.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Dispatch.kt
@@ -17,7 +17,10 @@
 import org.quetzalloom.core.session.assignVersion
 import org.quetzalloom.core.time.Timestamp
 
-/** Starts as many queued requests as the backend servers have room for: by priority, then by time of arrival. */
+/**
+ * Dispatches the queued requests in order of priority, then of arrival. Those for which no backend server has room stay
+ * queued.
+ */
 internal fun RouterState.dispatchAll(now: Timestamp): Step {
     val queued = requests.waiting.mapNotNull { requests.active[it] }.filter { it.phase == Phase.Queued }
     if (queued.isEmpty()) return unchanged()
@@ -25,7 +28,12 @@
     return ordered.fold(unchanged()) { transition, request -> transition.then { it.dispatch(request, now) } }
 }
 
-/** Starts an attempt of [request], or leaves it queued if no backend server has room. */
+/**
+ * Starts an attempt of [request], or leaves it queued if no backend server has room.
+ *
+ * Refuses it if its deadline has passed, or if its attempts are used up and one of them may have run. Moves it to
+ * another version if it may no longer use its own.
+ */
 private fun RouterState.dispatch(request: ActiveRequest, now: Timestamp): Step = when {
     now >= request.deadline -> expireWaiting(request, now)
     !mayUse(request.call.workspace, request.version) -> reassignVersion(request, now)
@@ -43,8 +51,10 @@
     val current = configuration.view.current
     return when {
         current == null -> unchanged()
-        request.deliveredTokens > 0 ->
-            refuse(request, ErrorKind.BACKEND_FAILED, "version '${request.version}' was withdrawn mid-answer", now)
+        request.deliveredTokens > 0 -> {
+            val detail = "version '${request.version}' may no longer be used, and part of its answer has been sent"
+            refuse(request, ErrorKind.BACKEND_FAILED, detail, now)
+        }
         else -> current.versionsFor(request.call).mapBoth(
             success = { moveToOneOf(request, it, now) },
             failure = { refuse(request, it.kind, it.detail, now) },
@@ -52,7 +62,10 @@
     }
 }
 
-/** Moves [request] to one of [usable] and dispatches it again; the session of a pinned request moves along. */
+/**
+ * Moves [request] to one of the [usable] versions and dispatches it again. If the request is pinned, the new version is
+ * assigned to its session too.
+ */
 private fun RouterState.moveToOneOf(request: ActiveRequest, usable: List<Version>, now: Timestamp): Step {
     val subject = request.sessionKey?.toString() ?: request.id.value
     val moved = request.copy(
@@ -64,7 +77,7 @@
     return assigned.then { it.put(moved) }.then { it.dispatch(moved, now) }
 }
 
-/** Starts an attempt at [server], which resumes the answer after the tokens already delivered. */
+/** Starts an attempt of [request] at [server]. The attempt resumes the answer after the tokens already delivered. */
 private fun RouterState.startAttempt(request: ActiveRequest, server: BackendServer, now: Timestamp): Step {
     val number = requests.attemptsMade + 1
     val attempt = AttemptId("${settings.vm}:${settings.incarnation}:$number")
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Failures.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Failures.kt
@@ -60,9 +60,9 @@
 /**
  * Decides how [request] goes on after its attempt failed.
  *
- * A command that may have run is refused with an unknown outcome. An attempt that certainly did not run is queued again
- * without using the retry budget. After a broken connection the backend server is checked for a crash first. All other
- * failures are retried.
+ * If the caller has left, [request] is discarded unless it is a command. A command that may have run is refused with an
+ * unknown outcome. A request whose attempt certainly did not run is queued again without using the retry budget. After
+ * a broken connection the backend server is checked for a crash first. All other failures are retried.
  */
 private fun RouterState.onAttemptFailed(
     request: ActiveRequest,
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Phase.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Phase.kt
@@ -33,7 +33,7 @@
     /**
      * An attempt is running at [server].
      *
-     * @property accepted whether the backend server has begun to answer.
+     * @property accepted whether the backend server has begun to answer and has named its start.
      * @property progressAt the time of the last progress, from which the timeouts of the attempt count.
      */
     data class Running(
@@ -43,6 +43,9 @@
         val progressAt: Timestamp,
     ) : Phase
 
-    /** The answer is complete; its end is sent once [bill] is in the log or copied to peers. */
+    /**
+     * The answer is complete; its end is sent once [bill] is in the log or copied to peers, or after
+     * `billMaximumWaitMilliseconds`.
+     */
     data class AwaitingBill(val bill: Bill, val tokens: Int, val status: Int, val since: Timestamp) : Phase
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Progress.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Progress.kt
@@ -25,11 +25,7 @@
         if (now - phase.since < settings.limits.crashCheckTimeoutMilliseconds) {
             unchanged()
         } else {
-            recordCrash(
-                request,
-                phase.server,
-                now
-            )
+            recordCrash(request, phase.server, now)
         }
     is Phase.AwaitingTrialConsent -> advanceTrialConsent(request, phase, now)
     is Phase.AwaitingTrial -> startTrialOrWait(request, now)
@@ -39,9 +35,11 @@
 }
 
 /**
- * Queues [request] with the version that the home VM assigned to its session.
+ * Queues [request] once the version of its session is known, as assigned by the session's home VM: the VM that
+ * rendezvous hashing picks for the session.
  *
- * If no answer came within `sessionAnswerTimeoutMilliseconds`, this VM assigns the version chosen for the request.
+ * The request runs on that version if its target selects it, else on the version chosen for the request. If no answer
+ * comes within `sessionAnswerTimeoutMilliseconds`, this VM assigns the version chosen for the request to the session.
  */
 private fun RouterState.advanceSession(request: ActiveRequest, phase: Phase.AwaitingSession, now: Timestamp): Step {
     val key = request.sessionKey ?: return put(request.copy(phase = Phase.Queued))
@@ -57,7 +55,7 @@
     }
 }
 
-/** Returns whether the target of [request] includes [version]. */
+/** Returns whether the target of [request] selects [version]. */
 private fun RouterState.matchesTarget(
     request: ActiveRequest,
     version: VersionId,
--- a/core/src/main/kotlin/org/quetzalloom/core/request/RequestEnd.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/RequestEnd.kt
@@ -21,14 +21,15 @@
 import org.quetzalloom.core.selection.RatingSubject
 import org.quetzalloom.core.time.Timestamp
 
-/** The number of tokens or calls that `Version.costMicros` is the price of. */
+/** The number of tokens or calls whose price is `Version.costMicros`. */
 private const val UNITS_PER_PRICE = 1_000
 private const val MAX_RECORDED_BODY_CHARACTERS = 65_536
 
 /**
- * Bills a request whose answer is complete, records the outcome of a command, and submits a sampled answer for rating.
+ * Handles a complete answer: bills [request], records the outcome of a command, clears the suspicion against the
+ * request, and submits a sampled answer for rating.
  *
- * The end of the answer is sent later, by [advanceBill].
+ * The end of the answer is sent once the bill is safe, by [advanceBill].
  */
 internal fun RouterState.onAnswerComplete(
     request: ActiveRequest,
@@ -58,7 +59,7 @@
     )
 }
 
-/** Appends the outcome of a command to the log; the recorded body is cut at [MAX_RECORDED_BODY_CHARACTERS]. */
+/** Appends the outcome of a command to the log; the recorded body is truncated to [MAX_RECORDED_BODY_CHARACTERS]. */
 private fun RouterState.recordOutcome(request: ActiveRequest, event: Event.OfBackend.Finished): RouterState {
     val command = request.command ?: return this
     val body = request.answer.joinToString(separator = "").take(MAX_RECORDED_BODY_CHARACTERS)
@@ -96,7 +97,7 @@
     }
 }
 
-/** Answers a command that was sent again with the outcome recorded for it, without running it. */
+/** Answers a command that the caller has sent again: with the recorded outcome, and without running it again. */
 internal fun RouterState.replayOutcome(
     request: ActiveRequest,
     result: CommandResult,
@@ -116,7 +117,7 @@
 /**
  * Answers [request] with an error and removes it.
  *
- * An intent that was not used is released, and a trial that this request was running is ended.
+ * An intent that was not used is released, and a trial that this request owns is abandoned.
  */
 internal fun RouterState.refuse(request: ActiveRequest, kind: ErrorKind, detail: String, now: Timestamp): Step {
     val answered = sendToCaller(request, Effect.OfCaller.Refuse(request.id, RouterError(kind, detail)))
@@ -151,6 +152,10 @@
     }
 }
 
-/** Removes [request] without an answer, because its caller has left. */
+/**
+ * Removes [request] without an answer, because its caller has left. An intent that was not used is released.
+ *
+ * A trial of the request is not abandoned: the other VMs wait until `trialTimeoutMilliseconds` have passed.
+ */
 internal fun RouterState.discard(request: ActiveRequest): Step =
     copy(requests = requests.remove(request.id)).releaseIntent(request).unchanged()
--- a/core/src/main/kotlin/org/quetzalloom/core/request/RequestsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/RequestsPart.kt
@@ -12,7 +12,7 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * Processes each request from its arrival to exactly one answer or one refusal.
+ * Processes each request from its arrival to exactly one answer or one refusal, unless its caller leaves first.
  *
  * After each event, waiting requests are advanced and queued ones dispatched. This is skipped if none waits, and for
  * tokens that leave the set of waiting requests as it was.
@@ -43,7 +43,11 @@
     private fun RouterState.restartedRecently(event: Event.OfBackend.LoadReported): Boolean =
         event.uptimeMilliseconds < settings.limits.crashCheckTimeoutMilliseconds
 
-    /** Cancels a request whose caller has left; a running command goes on, so that its outcome is recorded. */
+    /**
+     * Cancels a request whose caller has left.
+     *
+     * A running command goes on, so that its outcome is recorded, and so does a request that only waits for its bill.
+     */
     private fun RouterState.onCallerLeft(event: Event.OfCaller.Disconnected, now: Timestamp): Step {
         val request = requests.active[event.request] ?: return unchanged()
         val phase = request.phase
--- a/core/src/main/kotlin/org/quetzalloom/core/request/RequestsState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/RequestsState.kt
@@ -14,7 +14,8 @@
  * @property waiting the ids of those of [active] that have no running attempt.
  * @property attempts the request of each running attempt.
  * @property attemptsMade the number of attempts since this VM started; numbers the next attempt.
- * @property retryBudget the number of retries that may be made now. Each new request adds `retryShare` to it.
+ * @property retryBudget the number of retries that may be made now. It starts at its maximum, and each new request adds
+ *   `retryBudgetRatio` to it.
  */
 internal data class RequestsState(
     val active: PersistentMap<RequestId, ActiveRequest> = persistentMapOf(),
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Trials.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Trials.kt
@@ -17,15 +17,16 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * The tokens that a suspected request must deliver past the point of the crash to be cleared: the trial has then
- * outlasted the run in which the backend server went down.
+ * A suspected request is cleared once an attempt has delivered this many tokens more than were delivered before the
+ * crash. It then has passed the point at which the backend server went down.
  */
 internal const val CLEARING_TOKENS = 8
 
 /**
- * Starts the trial of [request], which is suspected, or lets it wait until it may be tried.
+ * Claims the trial of [request], or leaves it waiting while a request with the same content is on trial elsewhere or
+ * active here, or while no backend server is free.
  *
- * Queues it if it is no longer suspected, and refuses it if it has crashed two backend servers.
+ * A request that is no longer suspected is queued; one that has taken down two backend servers is refused.
  */
 internal fun RouterState.startTrialOrWait(request: ActiveRequest, now: Timestamp): Step {
     val suspicion = quarantine.suspicions[request.fingerprint]
@@ -54,6 +55,7 @@
     val server = trialServerOrNull(request, now)
     val alreadyAnnounced = suspicion.trialVm == settings.vm && server == null
     if (alreadyAnnounced) return put(request.copy(phase = Phase.AwaitingTrial))
+    // A suspicion that is not quarantined has exactly one server.
     val crashedServer = suspicion.servers.min()
     val phase = if (server == null) Phase.AwaitingTrial else Phase.AwaitingTrialConsent(now)
     return withTrial(request.fingerprint, vm = settings.vm, trialServer = server, now = now)
@@ -97,7 +99,7 @@
     }
 }
 
-/** Returns whether this VM owns the trial of [request], which is suspected. */
+/** Returns whether [request] is suspected and this VM owns its trial. */
 internal fun RouterState.isOnTrialHere(request: ActiveRequest): Boolean =
     quarantine.suspicions[request.fingerprint]?.trialVm == settings.vm
 
@@ -114,10 +116,16 @@
     return withoutSuspicion(request.fingerprint).sendToPeers(livePeers(now), PeerMessage.Cleared(request.fingerprint))
 }
 
-/** Gives up the trial of [request] without a result, so that another request with the same content may be tried. */
+/**
+ * Gives up the trial of [request] without a result, so that another request with the same content may be tried.
+ *
+ * Does nothing if [request] is not suspected, if this VM does not own the trial, or if another request with the same
+ * content is active here and not waiting for its trial.
+ */
 internal fun RouterState.abandonTrial(request: ActiveRequest, now: Timestamp): Step {
     val suspicion = quarantine.suspicions[request.fingerprint]
     if (suspicion == null || suspicion.trialVm != settings.vm || hasOtherActiveCopy(request)) return unchanged()
+    // The message names one server. If there is another, the peers learn of it from its own announcement.
     val crashedServer = suspicion.servers.min()
     return withTrial(request.fingerprint, vm = null, trialServer = null, now = now)
         .sendToPeers(livePeers(now), PeerMessage.Suspect(request.fingerprint, crashedServer, trial = false))
--- a/core/src/main/kotlin/org/quetzalloom/core/rollout/RolloutDecision.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/rollout/RolloutDecision.kt
@@ -8,6 +8,6 @@
     /** Changes the share of the new version to [sharePermille] requests per thousand. */
     public data class Share(public val sharePermille: Int) : RolloutDecision
 
-    /** Ends the roll-out; every request goes to the old version again. */
+    /** Ends the roll-out: the two versions are again chosen by cost and quality alone. */
     public data object Abort : RolloutDecision
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/router/RouterReducer.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/router/RouterReducer.kt
@@ -23,7 +23,15 @@
 import org.quetzalloom.core.timeline.StampPart
 
 /**
- * The reducer of a router over all its events.
+ * The reducer of the router in the `daemon` module, over all its events.
+ *
+ * Two routers share this source tree. This one has an interface of its own: callers and operators use the API of
+ * `daemon`, configuration, commands and bills are records of the platform's log, and sessions and quarantine are shared
+ * between VMs by messages. The packages of `core` outside `core.relay` belong to it.
+ *
+ * The other one, in `core.relay` with the modules `relay` and `platform`, is the router on the users' platform. Its
+ * reducer is [org.quetzalloom.core.relay.RelayReducer]. Of the other packages of `core` it uses only identifiers, time,
+ * errors, the time line, the reducer's types and the hashes.
  *
  * Each part is given every event, in a fixed order, and starts from the state that the parts before it returned.
  * [LogPart] comes last: it appends what the other parts have queued, and removes the records of a completed append,
--- a/core/src/main/kotlin/org/quetzalloom/core/router/RouterSettings.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/router/RouterSettings.kt
@@ -7,9 +7,9 @@
 /**
  * The settings of one router, which are fixed for the life of its process.
  *
- * @property vm the fleet slot of this VM.
+ * @property vm the identifier of this VM.
  * @property incarnation an identifier of this process, different after each start.
- * @property fleet every VM slot, this one included, with its availability zone.
+ * @property fleet the availability zone of every VM of the fleet, this one included.
  * @property sessionSecret the key that signs session tokens; the same on all VMs.
  * @property limits timeouts, intervals and size limits.
  * @property policies the replaceable policies.
--- a/core/src/main/kotlin/org/quetzalloom/core/session/SessionToken.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/session/SessionToken.kt
@@ -10,7 +10,8 @@
 import javax.crypto.spec.SecretKeySpec
 
 /**
- * Carries the version of a session with the requests of its caller, signed so that any VM of the fleet can trust it.
+ * A token that the caller sends with each request of a session, and that tells any VM of the fleet the version of the
+ * session. Its text form is signed, so that a caller cannot forge it.
  *
  * @property version the version that the session is assigned to.
  */
@@ -19,13 +20,19 @@
     public val session: SessionId,
     public val version: VersionId,
 ) {
-    /** Returns the encoded token, signed with [secret]. */
+    /**
+     * Returns the text form: the content and its HMAC-SHA256 under [secret], each in base64url without padding,
+     * separated by a dot.
+     *
+     * @throws IllegalArgumentException if [secret] is empty.
+     */
     public fun format(secret: String): String {
         val content = listOf(workspace.value, session.value, version.value).joinToString(SEPARATOR)
         return encode(content.toByteArray()) + "." + encode(sign(content, secret))
     }
 
     public companion object {
+        /** Separates the fields; occurs in no identifier. */
         private const val SEPARATOR = "\n"
         private const val ALGORITHM = "HmacSHA256"
         private const val FIELD_COUNT = 3
@@ -33,7 +40,7 @@
         /**
          * Returns the token encoded in [text], or `null` if [text] is malformed or was not signed with [secret].
          *
-         * The signatures are compared in constant time.
+         * The signatures are compared in constant time. [secret] must not be empty.
          */
         public fun parseOrNull(text: String, secret: String): SessionToken? {
             val content = decodeOrNull(text.substringBefore('.'))?.decodeToString() ?: return null
--- a/core/src/test/kotlin/org/quetzalloom/core/rig/FakeLog.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/rig/FakeLog.kt
@@ -15,7 +15,7 @@
     /** Whether all reads and appends fail. */
     var down = false
 
-    /** The number of next appends that take effect but are answered as failed. */
+    /** How many of the next appends take effect but are answered as failed. */
     var lostAnswers = 0
 
     /** The number of appends that took effect. */
--- a/core/src/test/kotlin/org/quetzalloom/core/rig/FakeServer.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/rig/FakeServer.kt
@@ -43,7 +43,7 @@
     private val start: StartIdentity get() = StartIdentity("${server.id}-$starts")
     private val isDown: Boolean get() = schedule.now < downUntil
 
-    /** Returns the answer to a load request: a report, or `LoadUnknown` while it is down. */
+    /** Returns the answer to a load request: a report, or [Event.OfBackend.LoadReportFailed] while it is down. */
     fun load(): Event = if (isDown) {
         Event.OfBackend.LoadReportFailed(server.id)
     } else {
--- a/runtime/src/main/kotlin/org/quetzalloom/runtime/EventLoop.kt
+++ b/runtime/src/main/kotlin/org/quetzalloom/runtime/EventLoop.kt
@@ -10,6 +10,8 @@
 /**
  * Drives a reducer on one thread: takes events from an inbox, reduces them in order and carries out their effects.
  *
+ * An exception of the reducer or the interpreter ends the loop.
+ *
  * Only the loop's thread changes the state. Other threads read it through [snapshot], which is immutable.
  *
  * @param initial the state before the first event.
--- a/runtime/src/main/kotlin/org/quetzalloom/runtime/LogLine.kt
+++ b/runtime/src/main/kotlin/org/quetzalloom/runtime/LogLine.kt
@@ -7,7 +7,7 @@
 /**
  * Returns this entry as one line of `key=value` pairs: the event, the VM, the causal stamp and then the fields by key.
  *
- * Values that are empty or have white space, quotes or equals signs are quoted, and quotes, backslashes and line breaks
+ * Values that are empty or have white space, quotes or equals signs are quoted, and quotes, backslashes and line feeds
  * in them are escaped.
  */
 public fun TimelineEntry.toLogLine(): String {
