Tell the overloads of read apart in the log and configuration parts

Each part had two functions called read, one for a log read that has completed and one for a single entry or for the next read. Renames only, with the line breaks that follow.

rename: read (event) -> onLogRead, read (stream) -> readIfDue (declared in core/log/LogPart.kt; only there, private) rename: append (stream) -> appendIfDue (declared in core/log/Appends.kt; only there, private) rename: read (event) -> onLogRead, read (entry) -> applyEntry, handle -> onPeerMessage (declared in core/configuration/ConfigurationPart.kt; only there, private) rename: QualityState.next -> nextOffset (declared in core/selection/QualityState.kt; only in core/selection)

--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationPart.kt
@@ -26,8 +26,8 @@
  */
 internal object ConfigurationPart : Part {
     override fun reduce(state: RouterState, event: Event, now: Timestamp): Step = when (event) {
-        is Event.OfPlatform.LogRead -> state.recordContact(now).read(event, now)
-        is Event.FromPeer -> state.recordContact(now).handle(event, now)
+        is Event.OfPlatform.LogRead -> state.recordContact(now).onLogRead(event, now)
+        is Event.FromPeer -> state.recordContact(now).onPeerMessage(event, now)
         is Event.Tick -> state.writeSnapshotIfDue(now)
         else -> state.unchanged()
     }
@@ -35,19 +35,22 @@
     private fun RouterState.recordContact(now: Timestamp): RouterState =
         copy(configuration = configuration.copy(lastContactAt = now))
 
-    private fun RouterState.read(event: Event.OfPlatform.LogRead, now: Timestamp): Step {
+    private fun RouterState.onLogRead(event: Event.OfPlatform.LogRead, now: Timestamp): Step {
         if (event.stream != LogStream.CONFIGURATION) return unchanged()
-        return event.entries.fold(unchanged()) { transition, entry -> transition.then { it.read(entry, now) } }
+        return event.entries.fold(unchanged()) { transition, entry -> transition.then { it.applyEntry(entry, now) } }
     }
 
-    private fun RouterState.read(entry: LogEntry, now: Timestamp): Step {
+    private fun RouterState.applyEntry(entry: LogEntry, now: Timestamp): Step {
         val record = (entry.record as? LogRecord.OfConfiguration)?.record ?: return unchanged()
         val snapshotAt = if (record is ConfigurationRecord.Snapshot) now else configuration.snapshotAt
         return copy(configuration = configuration.copy(snapshotAt = snapshotAt))
             .withView(configuration.view.read(record), "log", now)
     }
 
-    private fun RouterState.handle(event: Event.FromPeer, now: Timestamp): Step = when (val message = event.message) {
+    private fun RouterState.onPeerMessage(
+        event: Event.FromPeer,
+        now: Timestamp,
+    ): Step = when (val message = event.message) {
         is PeerMessage.Digest -> answerDigest(event.from, message)
         is PeerMessage.AskConfiguration -> sendConfiguration(event.from)
         is PeerMessage.TellConfiguration ->
--- a/core/src/main/kotlin/org/quetzalloom/core/log/Appends.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/log/Appends.kt
@@ -12,9 +12,11 @@
 
 /** Starts an append to each stream that has queued records, no append in flight and whose next append is due. */
 internal fun RouterState.appendAll(now: Timestamp): Step =
-    log.writers.keys.sorted().fold(unchanged()) { transition, stream -> transition.then { it.append(stream, now) } }
+    log.writers.keys.sorted().fold(unchanged()) { transition, stream ->
+        transition.then { it.appendIfDue(stream, now) }
+    }
 
-private fun RouterState.append(stream: LogStream, now: Timestamp): Step {
+private fun RouterState.appendIfDue(stream: LogStream, now: Timestamp): Step {
     val writer = log.writerOf(stream)
     if (writer.append != null || writer.queue.isEmpty() || now < writer.dueAt) return unchanged()
     val number = log.appendsStarted + 1
--- a/core/src/main/kotlin/org/quetzalloom/core/log/LogPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/log/LogPart.kt
@@ -25,14 +25,14 @@
         state.handle(event, now).then { it.appendAll(now) }.then { it.readAll(now) }
 
     private fun RouterState.handle(event: Event, now: Timestamp): Step = when (event) {
-        is Event.OfPlatform.LogRead -> read(event, now)
+        is Event.OfPlatform.LogRead -> onLogRead(event, now)
         is Event.OfPlatform.LogReadFailed -> retryRead(event.stream, now).unchanged()
         is Event.OfPlatform.LogAppended -> completeAppend(event.append, now).unchanged()
         is Event.OfPlatform.LogAppendFailed -> retryAppend(event.append, now)
         else -> unchanged()
     }
 
-    private fun RouterState.read(event: Event.OfPlatform.LogRead, now: Timestamp): Step {
+    private fun RouterState.onLogRead(event: Event.OfPlatform.LogRead, now: Timestamp): Step {
         val reader = log.readerOf(event.stream)
         val wait = if (event.entries.isEmpty() && !reader.readAgain) settings.limits.readIntervalMilliseconds else 0
         val next = withReader(event.stream, StreamReader(nextOffset = event.next, dueAt = now + wait))
@@ -69,9 +69,9 @@
         log.writers.entries.firstOrNull { it.value.append == append }?.let { it.key to it.value }
 
     private fun RouterState.readAll(now: Timestamp): Step =
-        followed.fold(unchanged()) { transition, stream -> transition.then { it.read(stream, now) } }
+        followed.fold(unchanged()) { transition, stream -> transition.then { it.readIfDue(stream, now) } }
 
-    private fun RouterState.read(stream: LogStream, now: Timestamp): Step {
+    private fun RouterState.readIfDue(stream: LogStream, now: Timestamp): Step {
         val reader = log.readerOf(stream)
         if (reader.reading || now < reader.dueAt) return unchanged()
         return withReader(stream, reader.copy(reading = true)).with(Effect.OfPlatform.Read(stream, reader.nextOffset))
--- a/core/src/main/kotlin/org/quetzalloom/core/selection/QualityPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/selection/QualityPart.kt
@@ -32,15 +32,15 @@
         if (last != null && now - last < RATINGS_INTERVAL_MILLISECONDS) return unchanged()
         val firstPeriod = settings.ratingPeriod(now) - settings.limits.ratingPeriods + 1
         return copy(quality = quality.withoutPeriodsBefore(firstPeriod).copy(readAt = now))
-            .with(Effect.OfPlatform.ReadRatings(quality.next))
+            .with(Effect.OfPlatform.ReadRatings(quality.nextOffset))
     }
 
     /** Returns the state with the ratings of [event] added, unless they were already added by an earlier read. */
     private fun RouterState.withRatings(event: Event.OfPlatform.RatingsRead, now: Timestamp): RouterState {
-        if (event.next <= quality.next) return this
+        if (event.next <= quality.nextOffset) return this
         val origin = RatingOrigin(settings.collector, settings.ratingPeriod(now))
         val counted = event.ratings.fold(quality) { updated, rating -> updated.plus(rating, origin) }
-        return copy(quality = counted.copy(next = event.next))
+        return copy(quality = counted.copy(nextOffset = event.next))
     }
 
     private fun QualityState.plus(rating: Rating, origin: RatingOrigin): QualityState {
--- a/core/src/main/kotlin/org/quetzalloom/core/selection/QualityState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/selection/QualityState.kt
@@ -8,12 +8,12 @@
  * The state of [QualityPart].
  *
  * @property sums the sums of the ratings of the latest periods, by subject and origin.
- * @property next the offset from which to read the ratings of this VM's samples next.
+ * @property nextOffset the offset from which to read the ratings of this VM's samples next.
  * @property readAt when the last read of ratings began, or `null` before the first.
  */
 internal data class QualityState(
     val sums: PersistentMap<RatingSubject, PersistentMap<RatingOrigin, QualityEstimate>> = persistentMapOf(),
-    val next: Long = 0,
+    val nextOffset: Long = 0,
     val readAt: Timestamp? = null,
 ) {
     /** Returns the estimate for [subject] from the ratings of all origins. */
