State the limits of attempts, trials and identifiers as the code has them

triesPerRequest does not bound attempts that certainly did not run, a suspected request of a session does not ask for the session's version, and a suspended backend server has no capacity: the KDoc left these out.

--- a/core/src/main/kotlin/org/quetzalloom/core/backend/AttemptLimits.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/backend/AttemptLimits.kt
@@ -22,7 +22,7 @@
 }
 
 /**
- * Returns whether this VM may start one more attempt at [server] now.
+ * Returns whether this VM may start one more attempt at [server] now. It may not while the backend server is suspended.
  *
  * Attempts that are not accepted yet are limited to this VM's share of the cold capacity, since the backend server may
  * have restarted unnoticed.
--- a/core/src/main/kotlin/org/quetzalloom/core/error/ErrorKind.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/error/ErrorKind.kt
@@ -65,7 +65,10 @@
     /** The intent of a call that may run at most once could not be logged in time, so the call was not sent. */
     LOG_UNAVAILABLE("log_unavailable", status = 503, notRun = true, retryable = true),
 
-    /** The attempts failed, and no more may be made for the request or within the retry budget. */
+    /**
+     * The attempts failed, and no more may be made for the request or within the retry budget. Or its version may no
+     * longer be used, and part of the answer has been sent.
+     */
     BACKEND_FAILED("backend_failed", status = 502, notRun = false, retryable = true),
 
     /** The deadline passed while the request was running, or between two attempts. */
--- a/core/src/main/kotlin/org/quetzalloom/core/identity/AttemptId.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/identity/AttemptId.kt
@@ -9,7 +9,7 @@
 @JvmInline
 public value class AttemptId(public val value: String) : Comparable<AttemptId> {
     init {
-        requireIdentifier(kind = "attempt id", value = value)
+        requireIdentifier(kind = "attempt", value = value)
     }
 
     override fun compareTo(other: AttemptId): Int = value.compareTo(other.value)
--- a/core/src/main/kotlin/org/quetzalloom/core/identity/AvailabilityZoneId.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/identity/AvailabilityZoneId.kt
@@ -9,7 +9,7 @@
 @JvmInline
 public value class AvailabilityZoneId(public val value: String) : Comparable<AvailabilityZoneId> {
     init {
-        requireIdentifier(kind = "availability zone id", value = value)
+        requireIdentifier(kind = "availability zone", value = value)
     }
 
     override fun compareTo(other: AvailabilityZoneId): Int = value.compareTo(other.value)
--- a/core/src/main/kotlin/org/quetzalloom/core/identity/BackendServerId.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/identity/BackendServerId.kt
@@ -9,7 +9,7 @@
 @JvmInline
 public value class BackendServerId(public val value: String) : Comparable<BackendServerId> {
     init {
-        requireIdentifier(kind = "backend server id", value = value)
+        requireIdentifier(kind = "backend server", value = value)
     }
 
     override fun compareTo(other: BackendServerId): Int = value.compareTo(other.value)
--- a/core/src/main/kotlin/org/quetzalloom/core/identity/Identifiers.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/identity/Identifiers.kt
@@ -17,7 +17,7 @@
  */
 internal fun requireIdentifier(kind: String, value: String) {
     require(isIdentifier(value)) {
-        "$kind '${value.take(MAXIMUM_IDENTIFIER_LENGTH)}' must consist of 1 to $MAXIMUM_IDENTIFIER_LENGTH " +
-            "ASCII letters, digits and . _ - : @ / + ="
+        "the identifier '${value.take(MAXIMUM_IDENTIFIER_LENGTH)}' ($kind) must consist of " +
+            "1 to $MAXIMUM_IDENTIFIER_LENGTH ASCII letters, digits and . _ - : @ / + ="
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/identity/RequestId.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/identity/RequestId.kt
@@ -9,7 +9,7 @@
 @JvmInline
 public value class RequestId(public val value: String) : Comparable<RequestId> {
     init {
-        requireIdentifier(kind = "request id", value = value)
+        requireIdentifier(kind = "request", value = value)
     }
 
     override fun compareTo(other: RequestId): Int = value.compareTo(other.value)
--- a/core/src/main/kotlin/org/quetzalloom/core/identity/SessionId.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/identity/SessionId.kt
@@ -9,7 +9,7 @@
 @JvmInline
 public value class SessionId(public val value: String) : Comparable<SessionId> {
     init {
-        requireIdentifier(kind = "session id", value = value)
+        requireIdentifier(kind = "session", value = value)
     }
 
     override fun compareTo(other: SessionId): Int = value.compareTo(other.value)
--- a/core/src/main/kotlin/org/quetzalloom/core/identity/VersionId.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/identity/VersionId.kt
@@ -9,7 +9,7 @@
 @JvmInline
 public value class VersionId(public val value: String) : Comparable<VersionId> {
     init {
-        requireIdentifier(kind = "version id", value = value)
+        requireIdentifier(kind = "version", value = value)
     }
 
     override fun compareTo(other: VersionId): Int = value.compareTo(other.value)
--- a/core/src/main/kotlin/org/quetzalloom/core/identity/VmId.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/identity/VmId.kt
@@ -9,7 +9,7 @@
 @JvmInline
 public value class VmId(public val value: String) : Comparable<VmId> {
     init {
-        requireIdentifier(kind = "VM id", value = value)
+        requireIdentifier(kind = "VM", value = value)
     }
 
     override fun compareTo(other: VmId): Int = value.compareTo(other.value)
--- a/core/src/main/kotlin/org/quetzalloom/core/identity/WorkspaceId.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/identity/WorkspaceId.kt
@@ -9,7 +9,7 @@
 @JvmInline
 public value class WorkspaceId(public val value: String) : Comparable<WorkspaceId> {
     init {
-        requireIdentifier(kind = "workspace id", value = value)
+        requireIdentifier(kind = "workspace", value = value)
     }
 
     override fun compareTo(other: WorkspaceId): Int = value.compareTo(other.value)
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Arrival.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Arrival.kt
@@ -68,6 +68,10 @@
 /**
  * Moves a new request to its first phase: a command waits for its intent, a suspected request for its trial, and a
  * request of a session for the version of the session. All others are queued.
+ *
+ * A suspected request of a session does not ask for the version of the session; it is tried on the version chosen for
+ * it. A request whose content is on trial at another VM waits for that trial, unless it must ask the home VM for the
+ * version of its session: it is then queued as soon as that is known.
  */
 private fun RouterState.enterFirstPhase(request: ActiveRequest, admitted: Admitted, now: Timestamp): Step {
     val key = request.sessionKey
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Dispatch.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Dispatch.kt
@@ -51,10 +51,12 @@
     val current = configuration.view.current
     return when {
         current == null -> unchanged()
-        request.deliveredTokens > 0 -> {
-            val detail = "version '${request.version}' may no longer be used, and part of its answer has been sent"
-            refuse(request, ErrorKind.BACKEND_FAILED, detail, now)
-        }
+        request.deliveredTokens > 0 -> refuse(
+            request,
+            ErrorKind.BACKEND_FAILED,
+            "version '${request.version}' may no longer be used, and part of its answer has been sent",
+            now,
+        )
         else -> current.versionsFor(request.call).mapBoth(
             success = { moveToOneOf(request, it, now) },
             failure = { refuse(request, it.kind, it.detail, now) },
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Fingerprint.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Fingerprint.kt
@@ -5,7 +5,8 @@
 /**
  * Identifies the content of a request.
  *
- * @property value a 64-bit hash of workspace, target and body.
+ * @property value a 64-bit hash of workspace, target and body. It depends on `toString()` of the [Target], and all VMs
+ *   must compute the same.
  */
 @JvmInline
 public value class Fingerprint(public val value: Long) {
--- a/core/src/main/kotlin/org/quetzalloom/core/router/RouterLimits.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/router/RouterLimits.kt
@@ -39,7 +39,8 @@
  * @property drainGraceMilliseconds how long new requests are still accepted after shutdown was requested and readiness
  *   turned off.
  * @property activeRequests the maximum number of unanswered requests at once.
- * @property triesPerRequest the maximum number of attempts per request.
+ * @property triesPerRequest the maximum number of attempts per request once one of them may have run. Attempts that
+ *   certainly did not run are repeated until the deadline.
  * @property retryBudgetRatio the retries that each arriving request adds to the retry budget.
  * @property ratingPeriodMilliseconds the length of a rating period.
  * @property ratingPeriods the number of latest rating periods that quality estimates are computed from.
