--- a/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationChange.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/configuration/ConfigurationChange.kt
@@ -27,7 +27,7 @@
     /** Starts [rollout] or replaces the current roll-out of the same model. */
     public data class SetRollout(public val rollout: Rollout) : ConfigurationChange
 
-    /** Ends the roll-out of [model], so that every request goes to the old version again. */
+    /** Ends the roll-out of [model]: its two versions are again chosen by cost and quality alone. */
     public data class EndRollout(public val model: String) : ConfigurationChange
 }
 
@@ -61,11 +61,11 @@
         zonesOutOfService = zonesOutOfService.addAll(old.zonesOutOfService.filter { it in zones }),
         versions = versions.mutate { all ->
             old.versions.values.filter { it.withdrawn }
-                .forEach { gone -> all.computeIfPresent(gone.id) { _, new -> new.copy(withdrawn = true) } }
+                .forEach { withdrawn -> all.computeIfPresent(withdrawn.id) { _, new -> new.copy(withdrawn = true) } }
         },
         backendServers = backendServers.mutate { all ->
             old.backendServers.values.filter { it.leaving }
-                .forEach { gone -> all.computeIfPresent(gone.id) { _, new -> new.copy(leaving = true) } }
+                .forEach { leaving -> all.computeIfPresent(leaving.id) { _, new -> new.copy(leaving = true) } }
         },
     )
     return old.rollouts.values.fold(merged) { updated, rollout -> updated.withRolloutOrNull(rollout) ?: updated }
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Arrival.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Arrival.kt
@@ -68,6 +68,10 @@
 /**
  * Moves a new request to its first phase: a command waits for its intent, a suspected request for its trial, and a
  * request of a session for the version of the session. All others are queued.
+ *
+ * A suspected request of a session does not ask for the version of the session; it is tried on the version chosen for
+ * it. A request whose content is on trial at another VM waits for that trial, unless it must ask the home VM for the
+ * version of its session: it is then queued as soon as that is known.
  */
 private fun RouterState.enterFirstPhase(request: ActiveRequest, admitted: Admitted, now: Timestamp): Step {
     val key = request.sessionKey
@@ -95,11 +99,12 @@
     now: Timestamp,
 ): Step {
     val usableIds = admitted.versions.map { it.id }
-    val known = admitted.token?.version?.takeIf { it in usableIds } ?: assignedVersionOrNull(key)
+    val assigned = admitted.token?.version?.takeIf { it in usableIds } ?: assignedVersionOrNull(key)
     val home = sessionHome(key, now)
     return when {
-        known != null && known in usableIds -> assignVersion(key, known, now).then { it.put(request.pinnedTo(known)) }
-        known != null -> put(request)
+        assigned != null && assigned in usableIds ->
+            assignVersion(key, assigned, now).then { it.put(request.pinnedTo(assigned)) }
+        assigned != null -> put(request)
         home == settings.vm ->
             assignVersion(key, request.version, now).then { it.put(request.pinnedTo(request.version)) }
         else -> put(request.copy(phase = Phase.AwaitingSession(now))).then {
--- a/core/src/main/kotlin/org/quetzalloom/core/request/CrashChecks.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/CrashChecks.kt
@@ -17,12 +17,12 @@
 /**
  * Requests a load report to learn whether the backend server went down, before [request] is run anywhere else.
  *
- * Without a report within `verdictMilliseconds`, the backend server counts as down.
+ * Without a report within `crashCheckTimeoutMilliseconds`, the backend server counts as down.
  */
 internal fun RouterState.checkForCrash(request: ActiveRequest, id: BackendServerId, now: Timestamp): Step {
-    val asked = put(request.copy(phase = Phase.AwaitingCrashCheck(id, now)))
-    val server = configuration.view.current?.backendServers?.get(id) ?: return asked
-    return asked.then { it.requestLoad(server, now) }
+    val awaiting = put(request.copy(phase = Phase.AwaitingCrashCheck(id, now)))
+    val server = configuration.view.current?.backendServers?.get(id) ?: return awaiting
+    return awaiting.then { it.requestLoad(server, now) }
 }
 
 /**
@@ -42,12 +42,13 @@
 /**
  * Records that [server] went down while it ran [request], and announces it to the peers.
  *
- * The second crash refuses the request for good; after the first it is retried as a trial.
+ * After the first crash, [request] is retried as a trial. The crash of a second backend server, under this request or
+ * another one with the same content, quarantines the content, and [request] is refused.
  */
 internal fun RouterState.recordCrash(request: ActiveRequest, server: BackendServerId, now: Timestamp): Step {
-    val known = withCrash(request.fingerprint, server, now)
-    val quarantined = known.quarantine.suspicions[request.fingerprint]?.quarantined == true
-    val next = known.withTrial(
+    val recorded = withCrash(request.fingerprint, server, now)
+    val quarantined = recorded.quarantine.suspicions[request.fingerprint]?.quarantined == true
+    val next = recorded.withTrial(
         request.fingerprint,
         vm = settings.vm.takeUnless { quarantined },
         trialServer = null,
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Completion.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/RequestEnd.kt
@@ -21,22 +21,27 @@
 import org.quetzalloom.core.selection.RatingSubject
 import org.quetzalloom.core.time.Timestamp
 
-/** The number of tokens or calls that `Version.costMicros` is the price of. */
+/** The number of tokens or calls whose price is `Version.costMicros`. */
 private const val UNITS_PER_PRICE = 1_000
 private const val MAX_RECORDED_BODY_CHARACTERS = 65_536
 
 /**
- * Bills a request whose answer is complete, records the outcome of a command, and submits a sampled answer for rating.
+ * Handles a complete answer: bills [request], records the outcome of a command, clears the suspicion against the
+ * request, and submits a sampled answer for rating.
  *
- * The end of the answer is sent later, by [advanceSettling].
+ * The end of the answer is sent once the bill is safe, by [advanceBill].
  */
-internal fun RouterState.settle(request: ActiveRequest, event: Event.OfBackend.Finished, now: Timestamp): Step {
+internal fun RouterState.onAnswerComplete(
+    request: ActiveRequest,
+    event: Event.OfBackend.Finished,
+    now: Timestamp,
+): Step {
     val bill = billFor(request, event.tokens)
     return recordOutcome(request, event).clearSuspicion(request, now)
         .then { it.issueBill(bill, now).unchanged() }
         .then { it.submitSample(request) }
         .then {
-            val phase = Phase.Settling(bill, event.tokens, event.status, since = now)
+            val phase = Phase.AwaitingBill(bill, event.tokens, event.status, since = now)
             it.put(request.copy(phase = phase, answer = request.answer.clear()))
         }
 }
@@ -54,7 +59,7 @@
     )
 }
 
-/** Appends the outcome of a command to the log; the recorded body is cut at [MAX_RECORDED_BODY_CHARACTERS]. */
+/** Appends the outcome of a command to the log; the recorded body is truncated to [MAX_RECORDED_BODY_CHARACTERS]. */
 private fun RouterState.recordOutcome(request: ActiveRequest, event: Event.OfBackend.Finished): RouterState {
     val command = request.command ?: return this
     val body = request.answer.joinToString(separator = "").take(MAX_RECORDED_BODY_CHARACTERS)
@@ -73,11 +78,11 @@
  *
  * After `billMaximumWaitMilliseconds` the end is sent in any case.
  */
-internal fun RouterState.advanceSettling(request: ActiveRequest, phase: Phase.Settling, now: Timestamp): Step {
-    val waited = now - phase.since
+internal fun RouterState.advanceBill(request: ActiveRequest, phase: Phase.AwaitingBill, now: Timestamp): Step {
+    val waitedMilliseconds = now - phase.since
     val safe = isBillInLog(phase.bill) ||
-        (waited >= settings.limits.billLogWaitMilliseconds && isReplicated(phase.bill)) ||
-        waited >= settings.limits.billMaximumWaitMilliseconds
+        (waitedMilliseconds >= settings.limits.billLogWaitMilliseconds && isReplicated(phase.bill)) ||
+        waitedMilliseconds >= settings.limits.billMaximumWaitMilliseconds
     if (!safe) return unchanged()
     val end = Effect.OfCaller.End(request.id, phase.tokens, phase.bill.costMicros, phase.status)
     return copy(requests = requests.remove(request.id)).sendToCaller(request, end).then {
@@ -92,7 +97,7 @@
     }
 }
 
-/** Answers a command that was sent again with the outcome recorded for it, without running it. */
+/** Answers a command that the caller has sent again: with the recorded outcome, and without running it again. */
 internal fun RouterState.replayOutcome(
     request: ActiveRequest,
     result: CommandResult,
@@ -112,7 +117,7 @@
 /**
  * Answers [request] with an error and removes it.
  *
- * An intent that was not used is released, and a trial that this request was running is ended.
+ * An intent that was not used is released, and a trial that this request owns is abandoned.
  */
 internal fun RouterState.refuse(request: ActiveRequest, kind: ErrorKind, detail: String, now: Timestamp): Step {
     val answered = sendToCaller(request, Effect.OfCaller.Refuse(request.id, RouterError(kind, detail)))
@@ -147,6 +152,10 @@
     }
 }
 
-/** Removes [request] without an answer, because its caller has left. */
+/**
+ * Removes [request] without an answer, because its caller has left. An intent that was not used is released.
+ *
+ * A trial of the request is not abandoned: the other VMs wait until `trialTimeoutMilliseconds` have passed.
+ */
 internal fun RouterState.discard(request: ActiveRequest): Step =
     copy(requests = requests.remove(request.id)).releaseIntent(request).unchanged()
