Say in comments of daemon, tool, standins and bench what surprising branches do

Text to callers: "the body is not a chat completion: ..." -> "the body is not a valid chat completion request: ...".

--- a/bench/src/main/kotlin/org/quetzalloom/bench/FleetSize.kt
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/FleetSize.kt
@@ -1,7 +1,7 @@
 package org.quetzalloom.bench
 
 /**
- * The size of a fleet to measure.
+ * The size of a synthetic fleet.
  *
  * @property vms the number of VMs with a router.
  * @property replicas the number of backend servers.
--- a/bench/src/main/kotlin/org/quetzalloom/bench/ReducerHarness.kt
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/ReducerHarness.kt
@@ -8,7 +8,8 @@
 import java.lang.management.ManagementFactory
 
 /**
- * Runs the router's reducer without effects or a clock, and measures its CPU time.
+ * Runs [RouterReducer], the reducer of the router in the `daemon` module, without carrying out effects and with a clock
+ * that is set by hand, and measures its CPU time.
  *
  * @property state the state after the last event.
  */
--- a/bench/src/main/kotlin/org/quetzalloom/bench/SimulatedVm.kt
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/SimulatedVm.kt
@@ -35,7 +35,10 @@
     /** Runs the reducer on the state of this VM. */
     val harness = ReducerHarness(RouterState.initial(fleet.settings()))
 
-    /** Applies the configuration, then receives a digest from each peer and a load report from each backend server. */
+    /**
+     * Applies the configuration, then receives a digest from each peer and a load report from each backend server that
+     * this VM may send requests to.
+     */
     fun initialize() {
         val snapshot = ConfigurationRecord.Snapshot(fleet.configuration())
         receiveRecord(LogStream.CONFIGURATION, LogRecord.OfConfiguration(snapshot))
--- a/bench/src/main/kotlin/org/quetzalloom/bench/SyntheticFleet.kt
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/SyntheticFleet.kt
@@ -28,7 +28,7 @@
     /** The VM that is simulated and measured. */
     val vm = VmId("vm-1")
 
-    /** The availability zone of each VM slot. */
+    /** The availability zone of each VM. */
     val zonesOfVms: PersistentMap<VmId, AvailabilityZoneId> =
         (1..size.vms).associate { VmId("vm-$it") to zones[it % ZONES] }.toPersistentMap()
 
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/Daemon.kt
@@ -35,8 +35,9 @@
 import org.quetzalloom.runtime.SystemClock
 
 /**
- * A router process: the event loop, the HTTP server whose routes post events to the loop, and the clients that carry
- * out the loop's effects.
+ * A process of the router with its own interface: the event loop around [RouterReducer], the HTTP server whose routes
+ * post events to the loop, and the clients that carry out the loop's effects. The modules `relay` and `platform` hold
+ * the other router, which runs on the users' platform.
  */
 internal class Daemon(private val settings: DaemonSettings) {
     private val clock = SystemClock()
@@ -58,7 +59,7 @@
      */
     fun requestShutdown(): Unit = loop.post(Event.ShutdownRequested)
 
-    /** Runs the router; returns after a graceful shutdown. */
+    /** Runs the router until a graceful shutdown is complete. */
     suspend fun run(): Unit = resourceScope {
         val client = installClient()
         val scope = installWorkerScope()
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/EffectInterpreter.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/EffectInterpreter.kt
@@ -9,7 +9,7 @@
 import org.quetzalloom.runtime.Interpreter
 
 /**
- * Passes each effect to the component that carries it out.
+ * Passes each effect of [Daemon]'s loop to the component that carries it out.
  *
  * @param stop ends the process; called when a graceful shutdown is complete.
  */
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/Main.kt
@@ -21,14 +21,14 @@
 private const val EXIT_INTERNAL_ERROR = 70
 
 /**
- * The system property that makes Ktor's server close on a signal. It has to be off, since requests in progress would be
- * interrupted.
+ * The system property that makes Ktor's server close on a signal. It has to be `false`, because requests in progress
+ * would be interrupted.
  */
 private const val KTOR_SHUTDOWN_HOOK = "io.ktor.server.engine.ShutdownHook"
 private val logger = LoggerFactory.getLogger("quetzalloomd")
 
 /**
- * Runs the router: `quetzalloomd --settings base.toml --overlay site.toml --vm vm-1`.
+ * Runs the router with its own interface: `quetzalloomd --settings base.toml --overlay site.toml --vm vm-1`.
  *
  * Exits with status 0 after a graceful shutdown, 2 if the settings are not valid, and 70 if a thread
  * ends with an exception.
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/BackendCall.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/BackendCall.kt
@@ -9,6 +9,7 @@
      *
      * @throws kotlinx.io.IOException if the connection fails.
      * @throws kotlinx.serialization.SerializationException if the response cannot be parsed.
+     * @throws IllegalArgumentException if the response names a start identity that is not a valid identifier.
      */
     suspend fun run(): Event.OfBackend
 }
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/BackendClient.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/BackendClient.kt
@@ -26,7 +26,7 @@
 import java.net.ConnectException
 
 /**
- * Sends requests to backend servers and posts their results to the loop.
+ * Sends requests to backend servers, reads their load reports, and posts the results to the loop.
  *
  * Confined to the loop's thread: [carryOut] is called there, and the jobs of ended attempts are removed there.
  */
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/EngineCall.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/EngineCall.kt
@@ -23,7 +23,11 @@
 import org.quetzalloom.wire.backend.GenerateEvent
 import org.quetzalloom.wire.backend.GenerateRequest
 
-/** An attempt to run a completion at a model engine, which streams its answer as server-sent events. */
+/**
+ * An attempt to run a completion at a model engine, which streams its answer as server-sent events.
+ *
+ * A response with an error status fails the attempt, see [failureOf].
+ */
 internal class EngineCall(
     private val client: HttpClient,
     private val order: AttemptOrder,
@@ -89,8 +93,8 @@
     response.headers[BackendHeaders.START]?.let { Event.OfBackend.Accepted(order.attempt, StartIdentity(it)) }
 
 /**
- * Returns the failure of [order] for an unsuccessful [response]: refused if the backend server states that it did not
- * run the request, else broken.
+ * Returns the failure of [order] for [response]: [AttemptFailure.REFUSED] if the backend server states that it did not
+ * run the request, else [AttemptFailure.BROKEN].
  */
 internal fun failureOf(order: AttemptOrder, response: HttpResponse): Event.OfBackend.Failed {
     val notRun = response.headers[BackendHeaders.NOT_RUN] != null
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/AnswerWriter.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/AnswerWriter.kt
@@ -34,8 +34,8 @@
     /**
      * Writes the answer that arrives from [parts]; returns when it has ended.
      *
-     * A request that fails after the stream has begun gets an `error` event in the stream, since the HTTP status has
-     * been sent by then.
+     * If the request fails after [Effect.OfCaller.Begin], a streamed answer ends with an `error` event, since the HTTP
+     * status has been sent by then. Any other answer is replaced by the error.
      *
      * @throws kotlinx.io.IOException if the caller has closed the connection.
      * @throws IllegalStateException if the first part is neither [Effect.OfCaller.Begin] nor [Effect.OfCaller.Refuse].
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/CallerRoutes.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/CallerRoutes.kt
@@ -29,7 +29,7 @@
 import java.util.UUID
 
 /**
- * The HTTP routes for callers: parses their requests, posts them to the loop and writes the answers.
+ * The HTTP routes for callers, which parse their requests, post them to the loop and write the answers.
  *
  * @property largestBodyBytes the maximum size of a request body; longer ones get [ErrorKind.TOO_LARGE].
  */
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/PendingAnswers.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/PendingAnswers.kt
@@ -6,7 +6,7 @@
 import org.quetzalloom.core.identity.RequestId
 
 /**
- * The requests whose callers wait for an answer, each with the channel that its answer is sent to.
+ * The channels to the callers that wait for an answer, by request. [AnswerWriter] writes what is sent to a channel.
  *
  * Confined to the loop's thread.
  */
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/RequestParser.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/RequestParser.kt
@@ -27,7 +27,8 @@
  */
 internal class RequestParser(private val defaultTimeoutMilliseconds: Long) {
     /**
-     * Returns the completion that [body], a [ChatRequest], asks for, or [ErrorKind.MALFORMED].
+     * Parses [body], a [ChatRequest] in JSON, into a request for a completion. Fails with [ErrorKind.MALFORMED] if the
+     * body or a header is not valid.
      *
      * @param headers returns the value of a header, or `null` if the request does not have it.
      */
@@ -38,7 +39,8 @@
     }
 
     /**
-     * Returns the call of a plain service, or [ErrorKind.MALFORMED] if a header is not valid.
+     * Returns a request to call the plain service [target] with [body], which is not parsed. Fails with
+     * [ErrorKind.MALFORMED] if a header is not valid.
      *
      * @param headers returns the value of a header, or `null` if the request does not have it.
      */
@@ -52,7 +54,11 @@
         val chat = WireFormat.decodeFromString<ChatRequest>(body)
         if (chat.maximumTokens > 0) Ok(chat) else Err(malformed("max_tokens must be above 0"))
     } catch (problem: SerializationException) {
-        Err(malformed("the body is not a chat completion: ${problem.message.orEmpty().lineSequence().first()}"))
+        Err(
+            malformed(
+                "the body is not a valid chat completion request: ${problem.message.orEmpty().lineSequence().first()}",
+            ),
+        )
     }
 
     private fun promptOf(chat: ChatRequest): String = chat.messages.joinToString("\n") { "${it.role}: ${it.content}" }
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/peer/PeerRoutes.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/peer/PeerRoutes.kt
@@ -15,7 +15,7 @@
 
 /** The HTTP route for messages from peers. */
 internal class PeerRoutes(private val loop: RouterLoop) {
-    /** Adds `POST /peers` to [routing], which posts each message to the loop. */
+    /** Adds `POST /peers` to [routing], which posts each message to the loop; status 400 if it cannot be parsed. */
     fun install(routing: Route) {
         routing.post("/peers") {
             val event = parseOrNull(call.receiveText())
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/platform/PlatformClient.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/platform/PlatformClient.kt
@@ -30,7 +30,8 @@
 import org.quetzalloom.wire.platform.VmsResponse
 
 /**
- * Calls the platform's services and posts their responses, or that a call failed, to the loop.
+ * Calls the platform's services and posts their responses, or that a call failed, to the loop. A submission for rating
+ * that succeeds posts nothing.
  *
  * @property submitter identifies this start of this VM to the rating service.
  */
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/report/AdminRoutes.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/report/AdminRoutes.kt
@@ -17,7 +17,11 @@
 import org.quetzalloom.wire.configuration.toDocument
 import org.quetzalloom.wire.toDocument
 
-/** The HTTP routes for operators and load balancers: health, readiness, metrics, status, time line and drain. */
+/**
+ * The HTTP routes for operators and load balancers: health, readiness, metrics, status, time line and drain.
+ *
+ * `POST /admin/drain` only starts a graceful shutdown of the router; the response does not wait for its end.
+ */
 internal class AdminRoutes(
     private val loop: RouterLoop,
     private val clock: Clock,
--- a/daemon/src/test/kotlin/org/quetzalloom/daemon/DaemonTest.kt
+++ b/daemon/src/test/kotlin/org/quetzalloom/daemon/DaemonTest.kt
@@ -16,7 +16,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertNotNull
 
-/** Sends requests to one router, which runs in the test's process. */
+/** Sends requests to one router, which runs in the test's process with stand-ins for everything around it. */
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
 class DaemonTest {
     private val testSite = TestSite()
--- a/daemon/src/test/kotlin/org/quetzalloom/daemon/TestSite.kt
+++ b/daemon/src/test/kotlin/org/quetzalloom/daemon/TestSite.kt
@@ -115,7 +115,7 @@
     private fun <S : Any> serve(standIn: StandIn<S>, port: Int) =
         StandInServer(FaultInjectingStandIn(standIn), port).start()
 
-    /** Publishes [configuration], the first one, by appending it to the log. */
+    /** Publishes [configuration] as the first revision by appending it to the log. */
     fun publish(configuration: Configuration) {
         val change = ConfigurationChange.Publish(configuration)
         val record = LogRecord.OfConfiguration(ConfigurationRecord.Proposed(0, "test", change))
@@ -126,10 +126,13 @@
     /** Injects the faults that [json] describes into the log. */
     fun faults(json: String) = post("http://127.0.0.1:$logPort/faults", json)
 
+    /** Returns the calls that the service executed. */
     fun executedCalls(): ExecutedCalls = WireFormat.decodeFromString(get("http://127.0.0.1:$servicePort/books").body())
 
+    /** Returns the statistics of the engine, as JSON. */
     fun engineStatistics(): String = get("http://127.0.0.1:$enginePort/books").body()
 
+    /** Returns the identity of each bill in the log, duplicates included. */
     fun bills(): List<String> {
         val body = get("http://127.0.0.1:$logPort/streams/bills").body()
         return WireFormat.decodeFromString<ReadResponse>(body).entries
--- a/standins/src/main/kotlin/org/quetzalloom/standins/Main.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/Main.kt
@@ -33,7 +33,7 @@
 /**
  * Runs a stand-in, the load tool or a checking tool, by the subcommand in [arguments]: `standin log --port 7001`.
  *
- * The process listens on the loopback address only.
+ * A stand-in listens on the loopback address only.
  */
 @OptIn(ExperimentalCli::class)
 fun main(arguments: Array<String>) {
--- a/standins/src/main/kotlin/org/quetzalloom/standins/audit/AuditFindings.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/audit/AuditFindings.kt
@@ -38,7 +38,8 @@
          * Compares the [samples] of the callers with the [executedCalls] of the services and the [bills] in the log.
          *
          * The scope of an executed command is its workspace and its key, separated by a slash. Calls without a scope
-         * are not commands and are left out.
+         * are not commands and are left out. Commands are compared by key alone, so that keys must be unique across
+         * workspaces, and the name of a workspace must not contain a slash.
          */
         fun of(
             samples: List<LoadSample>,
--- a/standins/src/main/kotlin/org/quetzalloom/standins/audit/WorkCommand.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/audit/WorkCommand.kt
@@ -13,7 +13,7 @@
  * Checks whether any of the engines started a generation after a given time.
  *
  * The exit status is 0 if that is as `--expect` says, and 1 otherwise. Generations that started at the given time or
- * before do not count.
+ * before do not count. Prints the time of the latest one relative to the given time, or `null` if there was none.
  */
 @OptIn(ExperimentalCli::class)
 class WorkCommand : Subcommand("work", "Check whether engines started generations after a given time") {
--- a/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineStandIn.kt
@@ -25,7 +25,7 @@
  *
  * For tests, `POST /restart` restarts it cold, `POST /silence` stalls the generations that are running, without
  * closing their connections, `GET /books` returns its [EngineStatistics], and a prompt that contains [CRASH_MARKER]
- * crashes it. While it is down, it aborts every connection except those for `/books`.
+ * crashes it. While it is down after a restart or a crash, it aborts every connection except those for `/books`.
  */
 class EngineStandIn(private val settings: EngineSettings) : StandIn<EngineState> {
     private val work = EngineWork(settings)
--- a/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadClient.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadClient.kt
@@ -25,7 +25,7 @@
 import org.quetzalloom.wire.caller.ErrorResponse
 
 /**
- * Sends requests to routers or engines and compares each answer to a completion with the expected one.
+ * Sends completion requests and commands to routers or engines, and checks the text of each completion.
  *
  * The stand-in engines answer a prompt with words that [AnswerText] computes, so that missing, repeated and wrong
  * parts are found.
@@ -41,7 +41,10 @@
         }
     }
 
-    /** Sends a command to a router and returns its result. It is `whole` on any success status. */
+    /**
+     * Sends a command to a router and returns its result, which is `whole` for any success status; the body is not
+     * checked.
+     */
     suspend fun sendCommand(effect: LoadEffect.SendCommand): LoadSample {
         val stopwatch = Stopwatch()
         return try {
@@ -88,9 +91,11 @@
     ): LoadSample {
         val answer = AnswerCollector(version = response.headers[CallerHeaders.VERSION].orEmpty())
         if (!response.status.isSuccess()) {
+            // The error replaces the result, so no text is compared.
             return answer.sample(effect, stopwatch, prompt = "").withError(response.bodyAsText())
         }
         val error = readChunks(response.bodyAsChannel(), answer, stopwatch)
+        // The router sends the engine each chat message as `role: content`.
         val sample = answer.sample(effect, stopwatch, prompt = "$ROLE: ${effect.prompt}")
         return if (error == null) sample else sample.withError(error)
     }
@@ -120,6 +125,10 @@
         }.execute { response -> readEngineResponse(effect, response, stopwatch) }
     }
 
+    /**
+     * Reads the stream of an engine. The status is not checked: an error response, which contains no events, is counted
+     * as `cut`.
+     */
     private suspend fun readEngineResponse(
         effect: LoadEffect.SendCompletion,
         response: HttpResponse,
@@ -137,7 +146,7 @@
         return answer.sample(effect, stopwatch, prompt = effect.prompt)
     }
 
-    /** Collects the text of an answer. */
+    /** Collects the text of a completion, which [version] generates, and compares it with the expected one. */
     private inner class AnswerCollector(val version: String) {
         private val text = StringBuilder()
         private var firstMicroseconds: Long? = null
--- a/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadCommand.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadCommand.kt
@@ -27,7 +27,7 @@
  * Sends requests at a fixed rate and reports results and latencies.
  *
  * Prints the [LoadReport] without its samples; `--output` writes it with them to a file. The exit status is 1 if
- * `--must-be-whole` is set and a result is not `whole`, and 0 otherwise.
+ * `--must-be-whole` is set and a result is not `whole`, and 0 otherwise. [LoadSample.result] lists the results.
  */
 @OptIn(ExperimentalCli::class)
 class LoadCommand : Subcommand("load", "Send requests at a fixed rate and report results and latencies") {
--- a/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadSample.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadSample.kt
@@ -7,7 +7,8 @@
  *
  * @property kind `completion` or `command`.
  * @property result `whole` for a complete and correct answer, `wrong` for a complete one with another text, `cut` if
- *   the connection ended first, the code of an error, or `unreadable_error` for an error that cannot be parsed.
+ *   the response ended first or is an error response of an engine, the code of an error of a router, or
+ *   `unreadable_error` if that cannot be parsed. The body of a command's answer is not checked.
  * @property notRun whether the error said that the request was not executed.
  * @property key the idempotency key of a command, or `null` for a completion.
  * @property version the version that answered a completion; empty or `null` if it is unknown.
--- a/standins/src/main/kotlin/org/quetzalloom/standins/log/LogStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/log/LogStandIn.kt
@@ -57,7 +57,8 @@
  *
  * A read returns at most 1,000 records. It starts at the offset `from`, or at the nearest offset that exists.
  *
- * @property appendsPerSecond the maximum number of append requests in a second; further ones get status 429.
+ * @property appendsPerSecond the maximum number of append requests to all streams in a second; further ones get status
+ *   429. Requests that are rejected or cannot be parsed do not count.
  * @property retentionMilliseconds the time after which records expire.
  */
 class LogStandIn(
--- a/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreLog.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreLog.kt
@@ -82,7 +82,10 @@
         }
     }
 
-    /** Responds with the newest record of each key that has a value, ordered by key. */
+    /**
+     * Responds with the newest record of each key that has a value, ordered by key. All are on one page: the parameter
+     * `after`, which the store's clients send, is ignored.
+     */
     fun readNewest(state: StoreState, call: HttpCall): StoreStep {
         val topic = state.topic(call)
         val entries = buildJsonArray {
--- a/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreStandIn.kt
@@ -10,14 +10,16 @@
 import org.quetzalloom.standins.http.unchanged
 import org.quetzalloom.standins.http.with
 
+/** The result of reducing one event of the store. */
 internal typealias StoreStep = Transition<StoreState, HttpEffect>
 
 /**
  * A stand-in for the platform's metadata store, limited to what routers use: keyed topics with one partition, and one
  * consumer group.
  *
- * For tests, `PUT /fault?mode=MODE` sets a [StoreFault], and `PUT /forget?topic=NAME` discards the history of a topic
- * except for the newest record of each key. Both work during a fault.
+ * Only tests run it; there is no subcommand for it. `PUT /fault?mode=MODE` sets a [StoreFault], and
+ * `PUT /forget?topic=NAME` discards the history of a topic except for the newest record of each key. Both work during a
+ * fault.
  */
 class StoreStandIn : StandIn<StoreState> {
     override val initial: StoreState = StoreState()
--- a/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreState.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreState.kt
@@ -39,7 +39,7 @@
     /** The store rejects each call with status 503, without executing it. */
     REFUSES,
 
-    /** The store executes each call, then closes the connection without responding. */
+    /** The store executes each call, then closes the connection without responding. Reads do not wait for a record. */
     LOSES_ANSWERS,
 }
 
--- a/standins/src/main/kotlin/org/quetzalloom/standins/vms/VmListStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/vms/VmListStandIn.kt
@@ -32,7 +32,7 @@
  *
  * For tests, `PUT /vms` replaces the list.
  *
- * @property lagMilliseconds the time until a new list is visible.
+ * @property lagMilliseconds the time from the `PUT` of a list until `GET` returns it.
  */
 class VmListStandIn(private val lagMilliseconds: Long = 2_000) : StandIn<VmListState> {
     override val initial: VmListState = VmListState()
@@ -60,6 +60,7 @@
                 .with(HttpEffect.Respond(call.exchangeId))
         } ?: state.with(call.badRequest())
 
+    /** Returns the state after the lists that are due by [now] have become visible. */
     private fun withDueChanges(state: VmListState, now: Timestamp): VmListState {
         val due = state.upcoming.takeWhile { it.visibleAt <= now }
         if (due.isEmpty()) return state
--- a/tool/src/main/kotlin/org/quetzalloom/tool/ExitCode.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/ExitCode.kt
@@ -6,8 +6,8 @@
     DONE,
 
     /**
-     * The command is not possible in the current state of the fleet, some VM could not be reached, or the platform's
-     * log could not be read before anything was changed.
+     * The command is not possible in the current state of the fleet, the platform's log could not be read before
+     * anything was changed, or some VM did not respond. That VM may have handled the call nevertheless.
      */
     REFUSED,
 
@@ -17,7 +17,7 @@
     /** Another change was accepted first, so this one was not. */
     LOST_RACE,
 
-    /** No response from the platform's log arrived in time, so it is not known whether the change was accepted. */
+    /** A change was proposed, and the platform's log did not show in time whether it was accepted. */
     UNKNOWN,
     ;
 
--- a/tool/src/main/kotlin/org/quetzalloom/tool/ToolProcess.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/ToolProcess.kt
@@ -119,6 +119,7 @@
         return ToolEvent.VmAnswered(effect.vm, text)
     }
 
+    /** Returns the response body of [call], or `null` if it fails, times out or gets an unsuccessful status. */
     private suspend fun bodyOrNull(call: suspend () -> HttpResponse): String? = try {
         val response = call()
         if (response.status.isSuccess()) response.bodyAsText() else null
--- a/tool/src/main/kotlin/org/quetzalloom/tool/command/ChangeCommands.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/command/ChangeCommands.kt
@@ -41,6 +41,8 @@
 /**
  * `drain server|vm`: lets a backend server receive no new work, or shuts down the router of an entry VM once its
  * requests are answered.
+ *
+ * `--undo` applies to backend servers only: `drain vm` ignores it, and shuts down the router all the same.
  */
 @OptIn(ExperimentalCli::class)
 internal class DrainCommand : ToolCommand("drain", "Send no new work to a backend server, or stop an entry VM") {
--- a/tool/src/main/kotlin/org/quetzalloom/tool/command/QueryCommands.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/command/QueryCommands.kt
@@ -17,7 +17,11 @@
     }
 }
 
-/** `timeline`: prints the merged time line of all entry VMs, in causal order. */
+/**
+ * `timeline`: prints the merged time line of all entry VMs, in causal order.
+ *
+ * A time that is not a whole number of milliseconds is ignored.
+ */
 @OptIn(ExperimentalCli::class)
 internal class TimelineCommand : ToolCommand("timeline", "Show the time line of all VMs") {
     private val request by option(ArgType.String, description = "Only this request")
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/ChangeDecisions.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/ChangeDecisions.kt
@@ -11,7 +11,12 @@
  * command changes it.
  */
 internal object ChangeDecisions {
-    /** Decides to publish [wanted], unless that leaves the configuration as it is. */
+    /**
+     * Decides to publish [wanted], unless that leaves the configuration as it is.
+     *
+     * Publishing [wanted] keeps what operators have changed: zones out of service, withdrawn versions, leaving backend
+     * servers and roll-outs, as far as [wanted] still has these zones, versions and backend servers.
+     */
     fun publish(wanted: Configuration): (Configuration?) -> ChangeDecision = { current ->
         val change = ConfigurationChange.Publish(wanted)
         val base = current ?: Configuration()
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/ChangeSteps.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/ChangeSteps.kt
@@ -9,7 +9,10 @@
 
 /** Handles what the log returns to an [Operation.Change] or an [Operation.Diff]. */
 internal object ChangeSteps {
-    /** Adds the entries read to the state. Reads on until there are no more, and then continues the operation. */
+    /**
+     * Adds the entries read to the state. Ends the operation if they show that its proposal was accepted; else reads on
+     * until there are no more, and then continues the operation.
+     */
     fun read(state: ToolState, event: ToolEvent.LogRead): ToolStep {
         val next = event.entries
             .fold(state) { current, entry -> current.withEntry(entry) }
@@ -57,6 +60,7 @@
         }
     }
 
+    /** Ends the operation because a change of another operator made a newer revision than [base]. */
     private fun loseRace(state: ToolState, base: Long): ToolStep = state.end(
         ExitCode.LOST_RACE,
         ToolEffect.PrintError("another change came first: the revision is ${state.view.revision}, not $base"),
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/ConfigurationDiff.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/ConfigurationDiff.kt
@@ -7,6 +7,9 @@
     /**
      * Returns a text for each entry that [new] adds (`+`), removes (`-`) or changes (`~`, with both values on lines of
      * their own). Without an [old] configuration, all entries are added. Roll-outs are not compared.
+     *
+     * A version that operators have withdrawn, or a backend server that they have drained, is shown as changed if the
+     * [new] configuration does not say so, although publishing keeps it withdrawn or drained.
      */
     fun lines(old: Configuration?, new: Configuration): List<String> {
         val before = old ?: Configuration()
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/Operation.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/Operation.kt
@@ -8,7 +8,8 @@
     /**
      * Changes the configuration.
      *
-     * @property base the revision that the change is based on; it fails if another one is in force. `null` for any.
+     * @property base the revision that the change is based on, or `null` for any. The operation ends with
+     *   [org.quetzalloom.tool.ExitCode.LOST_RACE] if another revision is in force.
      * @property retries whether to decide and propose again on the new revision if another change came first.
      * @property decide returns the decision for the configuration in force, which is `null` before the first.
      */
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/StatusTable.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/StatusTable.kt
@@ -6,7 +6,7 @@
 import org.quetzalloom.wire.StatusDocument
 import org.quetzalloom.wire.WireFormat
 
-/** Formats the statuses of VMs. */
+/** Formats the statuses of VMs. The parameter `answers` holds the response body of each, `null` if the call failed. */
 internal object StatusTable {
     /** Returns a header line and, for each VM, a line with tab-separated columns. */
     fun text(answers: Map<String, String?>): String = (
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/TimelineTable.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/TimelineTable.kt
@@ -7,7 +7,10 @@
 import org.quetzalloom.wire.toDocument
 import org.quetzalloom.wire.toEntry
 
-/** Formats the merged time line of all VMs. VMs that did not respond are left out. */
+/**
+ * Formats the merged time line of all VMs. The parameter `answers` holds the response body of each; VMs that did not
+ * respond are left out.
+ */
 internal object TimelineTable {
     /** Returns a line for each entry: stamp, VM, time, name and fields, separated by tabs. */
     fun text(answers: Map<String, String?>, filter: TimelineFilter): String =
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/ToolEvent.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/ToolEvent.kt
@@ -14,12 +14,12 @@
     /** The configuration stream could not be read. */
     data object LogReadFailed : ToolEvent
 
-    /** The proposal was appended to the log. */
+    /** The record was appended to the configuration stream. Whether the proposal is accepted is read from there. */
     data object Appended : ToolEvent
 
     /** The append failed, or its response was lost after it had succeeded. */
     data object AppendFailed : ToolEvent
 
-    /** [vm] responded with [body]; `null` if the call failed. */
+    /** The router on [vm] responded with [body]; `null` if the call failed or the response had an error status. */
     data class VmAnswered(val vm: String, val body: String?) : ToolEvent
 }
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/ToolState.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/ToolState.kt
@@ -10,11 +10,11 @@
  *
  * @property author identifies this run of the tool in the log.
  * @property startedAt when the operation was started, or `null` before.
- * @property view the configuration as far as the stream has been read.
+ * @property view the configuration in force according to the part of the stream that has been read.
  * @property nextOffset the offset to read the configuration stream from.
  * @property proposalBase the revision that the latest proposal is based on, or `null` before the first.
  * @property appended whether the append of the latest proposal is known to have succeeded.
- * @property answers the response bodies of the VMs called so far; `null` where the call failed.
+ * @property answers the response body of each VM whose call has ended; `null` where the call failed.
  * @property ended whether the operation is over; later events are ignored.
  */
 internal data class ToolState(
--- a/tool/src/test/kotlin/org/quetzalloom/tool/operation/ToolReducerTest.kt
+++ b/tool/src/test/kotlin/org/quetzalloom/tool/operation/ToolReducerTest.kt
@@ -18,6 +18,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
+/** Runs changes against a log in memory, with lost responses and with changes of other operators in between. */
 class ToolReducerTest {
     private val zone = AvailabilityZoneId("a")
     private val published =
