--- a/standins/src/main/kotlin/org/quetzalloom/standins/audit/WorkCommand.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/audit/WorkCommand.kt
@@ -13,7 +13,7 @@
  * Checks whether any of the engines started a generation after a given time.
  *
  * The exit status is 0 if that is as `--expect` says, and 1 otherwise. Generations that started at the given time or
- * before do not count.
+ * before do not count. Prints the time of the latest one relative to the given time, or `null` if there was none.
  */
 @OptIn(ExperimentalCli::class)
 class WorkCommand : Subcommand("work", "Check whether engines started generations after a given time") {
@@ -31,7 +31,8 @@
     override fun execute() {
         val limit = since.toLong()
         val latest = engines.split(',').flatMap { address ->
-            val statistics = WireFormat.decodeFromString<EngineStatistics>(HttpReader.read("http://$address/books"))
+            val statistics =
+                WireFormat.decodeFromString<EngineStatistics>(BlockingHttpClient.get("http://$address/books"))
             statistics.lastBegunAt.filterKeys { version == null || it == version }.values
         }.maxOrNull()
         val hasNewWork = latest != null && latest > limit
--- a/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadClient.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadClient.kt
@@ -25,7 +25,7 @@
 import org.quetzalloom.wire.caller.ErrorResponse
 
 /**
- * Sends requests to routers or engines and compares each answer to a completion with the expected one.
+ * Sends completion requests and commands to routers or engines, and checks the text of each completion.
  *
  * The stand-in engines answer a prompt with words that [AnswerText] computes, so that missing, repeated and wrong
  * parts are found.
@@ -41,7 +41,10 @@
         }
     }
 
-    /** Sends a command to a router and returns its result. It is `whole` on any success status. */
+    /**
+     * Sends a command to a router and returns its result, which is `whole` for any success status; the body is not
+     * checked.
+     */
     suspend fun sendCommand(effect: LoadEffect.SendCommand): LoadSample {
         val stopwatch = Stopwatch()
         return try {
@@ -86,22 +89,24 @@
         response: HttpResponse,
         stopwatch: Stopwatch,
     ): LoadSample {
-        val answer = AnswerReader(version = response.headers[CallerHeaders.VERSION].orEmpty())
+        val answer = AnswerCollector(version = response.headers[CallerHeaders.VERSION].orEmpty())
         if (!response.status.isSuccess()) {
+            // The error replaces the result, so no text is compared.
             return answer.sample(effect, stopwatch, prompt = "").withError(response.bodyAsText())
         }
         val error = readChunks(response.bodyAsChannel(), answer, stopwatch)
+        // The router sends the engine each chat message as `role: content`.
         val sample = answer.sample(effect, stopwatch, prompt = "$ROLE: ${effect.prompt}")
         return if (error == null) sample else sample.withError(error)
     }
 
     /** Adds all chunks of the stream to [answer]. Returns the JSON of the error event that ended it, or `null`. */
-    private suspend fun readChunks(channel: ByteReadChannel, answer: AnswerReader, stopwatch: Stopwatch): String? {
+    private suspend fun readChunks(channel: ByteReadChannel, answer: AnswerCollector, stopwatch: Stopwatch): String? {
         while (true) {
             val line = channel.readLine() ?: return null
-            if (line == ERROR) return channel.readLine().orEmpty().removePrefix(DATA)
-            if (line.startsWith(DATA) && line != DONE) {
-                val chunk = WireFormat.decodeFromString<ChatChunk>(line.removePrefix(DATA))
+            if (line == ERROR_EVENT_LINE) return channel.readLine().orEmpty().removePrefix(DATA_PREFIX)
+            if (line.startsWith(DATA_PREFIX) && line != DONE_LINE) {
+                val chunk = WireFormat.decodeFromString<ChatChunk>(line.removePrefix(DATA_PREFIX))
                 answer.add(chunk.choices.first().delta.content, isComplete = chunk.usage != null, stopwatch = stopwatch)
             }
         }
@@ -120,25 +125,29 @@
         }.execute { response -> readEngineResponse(effect, response, stopwatch) }
     }
 
+    /**
+     * Reads the stream of an engine. The status is not checked: an error response, which contains no events, is counted
+     * as `cut`.
+     */
     private suspend fun readEngineResponse(
         effect: LoadEffect.SendCompletion,
         response: HttpResponse,
         stopwatch: Stopwatch,
     ): LoadSample {
-        val answer = AnswerReader(version = settings.version.orEmpty())
+        val answer = AnswerCollector(version = settings.version.orEmpty())
         val channel = response.bodyAsChannel()
         while (true) {
             val line = channel.readLine() ?: break
-            if (line.startsWith(DATA)) {
-                val event = WireFormat.decodeFromString<GenerateEvent>(line.removePrefix(DATA))
+            if (line.startsWith(DATA_PREFIX)) {
+                val event = WireFormat.decodeFromString<GenerateEvent>(line.removePrefix(DATA_PREFIX))
                 answer.add(event.text, isComplete = event.total != null, stopwatch = stopwatch)
             }
         }
         return answer.sample(effect, stopwatch, prompt = effect.prompt)
     }
 
-    /** Collects the text of an answer. */
-    private inner class AnswerReader(val version: String) {
+    /** Collects the text of a completion, which [version] generates, and compares it with the expected one. */
+    private inner class AnswerCollector(val version: String) {
         private val text = StringBuilder()
         private var firstMicroseconds: Long? = null
         private var isComplete = false
@@ -172,9 +181,9 @@
         const val COMPLETION = "completion"
         const val COMMAND = "command"
         const val ROLE = "user"
-        const val DATA = "data: "
-        const val ERROR = "event: error"
-        const val DONE = "data: [DONE]"
+        const val DATA_PREFIX = "data: "
+        const val ERROR_EVENT_LINE = "event: error"
+        const val DONE_LINE = "data: [DONE]"
     }
 }
 
--- a/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreStandIn.kt
@@ -10,27 +10,29 @@
 import org.quetzalloom.standins.http.unchanged
 import org.quetzalloom.standins.http.with
 
+/** The result of reducing one event of the store. */
 internal typealias StoreStep = Transition<StoreState, HttpEffect>
 
 /**
  * A stand-in for the platform's metadata store, limited to what routers use: keyed topics with one partition, and one
  * consumer group.
  *
- * For tests, `PUT /fault?mode=MODE` sets a [StoreFault], and `PUT /forget?topic=NAME` discards the history of a topic
- * except for the newest record of each key. Both work during a fault.
+ * Only tests run it; there is no subcommand for it. `PUT /fault?mode=MODE` sets a [StoreFault], and
+ * `PUT /forget?topic=NAME` discards the history of a topic except for the newest record of each key. Both work during a
+ * fault.
  */
 class StoreStandIn : StandIn<StoreState> {
     override val initial: StoreState = StoreState()
     override val hasBinaryBodies: Boolean get() = true
 
     override fun reduce(state: StoreState, event: HttpEvent, now: Timestamp): StoreStep = when (event) {
-        is HttpEvent.RequestReceived -> call(state, event.call, now)
+        is HttpEvent.RequestReceived -> handleRequest(state, event.call, now)
         is HttpEvent.ClientDisconnected ->
             state.copy(waitingReads = state.waitingReads.removeAll { it.exchangeId == event.exchangeId }).unchanged()
         HttpEvent.Tick -> StoreLog.completeReads(state, state.waitingReads.filter { it.dueAt <= now })
     }
 
-    private fun call(state: StoreState, call: HttpCall, now: Timestamp): StoreStep = when {
+    private fun handleRequest(state: StoreState, call: HttpCall, now: Timestamp): StoreStep = when {
         call.matches("PUT", "/fault") -> {
             val fault = StoreFault.valueOf(call.query.getValue("mode"))
             state.copy(fault = fault).with(HttpEffect.Respond(call.exchangeId))
@@ -47,9 +49,9 @@
     private fun serve(state: StoreState, call: HttpCall, now: Timestamp): StoreStep = when (call.path) {
         "/-/log-append" -> StoreLog.append(state, call)
         "/-/log-read" -> StoreLog.read(state, call, now)
-        "/-/log-newest" -> StoreLog.newest(state, call)
+        "/-/log-newest" -> StoreLog.readNewest(state, call)
         "/-/log-join" -> StoreGroup.join(state, call)
-        "/-/log-owners" -> StoreGroup.owners(state, call)
+        "/-/log-owners" -> StoreGroup.listOwners(state, call)
         else -> state.with(call.notFound())
     }
 
--- a/standins/src/main/kotlin/org/quetzalloom/standins/vms/VmListStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/vms/VmListStandIn.kt
@@ -32,18 +32,22 @@
  *
  * For tests, `PUT /vms` replaces the list.
  *
- * @property lagMilliseconds the time until a new list is visible.
+ * @property lagMilliseconds the time from the `PUT` of a list until `GET` returns it.
  */
 class VmListStandIn(private val lagMilliseconds: Long = 2_000) : StandIn<VmListState> {
     override val initial: VmListState = VmListState()
 
     override fun reduce(state: VmListState, event: HttpEvent, now: Timestamp): Transition<VmListState, HttpEffect> =
         when (event) {
-            is HttpEvent.RequestReceived -> call(withDueChanges(state, now), event.call, now)
+            is HttpEvent.RequestReceived -> handleRequest(withDueChanges(state, now), event.call, now)
             is HttpEvent.Tick, is HttpEvent.ClientDisconnected -> state.unchanged()
         }
 
-    private fun call(state: VmListState, call: HttpCall, now: Timestamp): Transition<VmListState, HttpEffect> = when {
+    private fun handleRequest(
+        state: VmListState,
+        call: HttpCall,
+        now: Timestamp,
+    ): Transition<VmListState, HttpEffect> = when {
         call.matches("GET", "/vms") ->
             state.with(HttpEffect.Respond(call.exchangeId, body = WireFormat.encodeToString(state.visible)))
         call.matches("PUT", "/vms") -> replace(state, call, now)
@@ -56,6 +60,7 @@
                 .with(HttpEffect.Respond(call.exchangeId))
         } ?: state.with(call.badRequest())
 
+    /** Returns the state after the lists that are due by [now] have become visible. */
     private fun withDueChanges(state: VmListState, now: Timestamp): VmListState {
         val due = state.upcoming.takeWhile { it.visibleAt <= now }
         if (due.isEmpty()) return state
--- a/tool/src/main/kotlin/org/quetzalloom/tool/ToolProcess.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/ToolProcess.kt
@@ -52,7 +52,7 @@
     private val format: (String) -> String = { it },
 ) : Interpreter<ToolEffect> {
     private val client = HttpClient(CIO) {
-        install(HttpTimeout) { requestTimeoutMillis = TIMEOUT_MILLISECONDS }
+        install(HttpTimeout) { requestTimeoutMillis = CALL_TIMEOUT_MILLISECONDS }
     }
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val exit = CompletableDeferred<ExitCode>()
@@ -119,6 +119,7 @@
         return ToolEvent.VmAnswered(effect.vm, text)
     }
 
+    /** Returns the response body of [call], or `null` if it fails, times out or gets an unsuccessful status. */
     private suspend fun bodyOrNull(call: suspend () -> HttpResponse): String? = try {
         val response = call()
         if (response.status.isSuccess()) response.bodyAsText() else null
@@ -127,7 +128,7 @@
     }
 
     private companion object {
-        const val TIMEOUT_MILLISECONDS = 2_000L
+        const val CALL_TIMEOUT_MILLISECONDS = 2_000L
         const val POLL_INTERVAL_MILLISECONDS = 20L
     }
 }
