Say which timeout an attempt that resumes an answer has

The first silence of such an attempt is bounded by tokenGapMilliseconds, since tokens were delivered before it.

--- a/core/src/main/kotlin/org/quetzalloom/core/request/Deadlines.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Deadlines.kt
@@ -33,7 +33,10 @@
     }
 }
 
-/** Returns whether the attempt is silent for too long: a service, an engine before its first token, or between two. */
+/**
+ * Returns whether the attempt has been silent for its timeout, which differs for a service, for the first token of an
+ * engine's answer and for later tokens. An attempt that resumes an answer has the timeout for later tokens at once.
+ */
 private fun RouterState.isStalled(request: ActiveRequest, phase: Phase.Running, now: Timestamp): Boolean {
     val timeout = when {
         request.call.target is Target.ServiceCall -> settings.limits.serviceSilenceMilliseconds
