Say which router BackendCall and Reporter belong to, and what a service gets of a request

Also describes the decoding of a request's body, the queue of the stand-in engine and what the tool's test checks.

--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/BackendCall.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/BackendCall.kt
@@ -2,7 +2,7 @@
 
 import org.quetzalloom.core.event.Event
 
-/** One attempt to run a request at a backend server, over HTTP. */
+/** One attempt to run a request at a backend server, over HTTP, in the router that `Daemon` runs. */
 internal fun interface BackendCall {
     /**
      * Sends the request and posts an event for each part of the response except the last event, which it returns.
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/ServiceCall.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/ServiceCall.kt
@@ -18,6 +18,7 @@
 /**
  * An attempt to call a plain service, which answers one HTTP request with one response.
  *
+ * Of the caller's request, the service gets the method, the path with its query, and the body, as JSON, but no headers.
  * A response of any status is passed on as the answer, unless it states that the service did not run the call.
  */
 internal class ServiceCall(
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/CallerRoutes.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/CallerRoutes.kt
@@ -59,6 +59,7 @@
         }
     }
 
+    /** Returns the body, with bytes that are not valid UTF-8 replaced, or `null` if it is too large. */
     private suspend fun readBodyOrNull(call: ApplicationCall): String? {
         val bytes = call.receiveChannel().readRemaining(largestBodyBytes + 1).readByteArray()
         return if (bytes.size > largestBodyBytes) null else bytes.decodeToString()
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/report/Reporter.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/report/Reporter.kt
@@ -8,7 +8,7 @@
 import org.slf4j.LoggerFactory
 import java.util.concurrent.atomic.AtomicReference
 
-/** Logs time line entries, counts them, and keeps the most recent ones for operators. */
+/** Logs the time line entries of the router that `Daemon` runs, counts them, and keeps the latest for operators. */
 internal class Reporter(private val events: Counter) {
     private val recent = AtomicReference(RecentEntries())
 
--- a/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineSettings.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineSettings.kt
@@ -4,7 +4,8 @@
  * The settings of a stand-in engine.
  *
  * @property name the prefix of its start identities.
- * @property capacity the maximum number of concurrent generations when warm; further ones are queued.
+ * @property capacity the maximum number of concurrent generations when warm. A warm engine queues as many further ones,
+ *   and rejects the rest with status 503.
  * @property coldCapacity the maximum number of concurrent generations right after a start. The limit rises linearly to
  *   [capacity] during the warm-up; a cold engine that is given more restarts.
  * @property warmUpMilliseconds the time from a start until the limit is [capacity].
--- a/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadReducer.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadReducer.kt
@@ -40,6 +40,7 @@
         }
     }
 
+    /** Returns a number from 0 to 99 that depends on the seed and [number] only. */
     private fun hashPercent(number: Long): Long = Math.floorMod(hash(number), PERCENT)
 
     private fun session(number: Long): String? =
--- a/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadReport.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadReport.kt
@@ -39,7 +39,7 @@
 }
 
 /**
- * The report on a load run.
+ * The report of the load tool on one run.
  *
  * @property results the number of requests by kind and result, as `kind:result`.
  * @property versions the number of whole completions by the version that answered.
--- a/tool/src/test/kotlin/org/quetzalloom/tool/operation/ToolReducerTest.kt
+++ b/tool/src/test/kotlin/org/quetzalloom/tool/operation/ToolReducerTest.kt
@@ -18,7 +18,10 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
-/** Runs changes against a log in memory, with lost responses and with changes of other operators in between. */
+/**
+ * Runs changes against a log in memory, with lost responses and with changes of other operators in between, and checks
+ * the order of the time line.
+ */
 class ToolReducerTest {
     private val zone = AvailabilityZoneId("a")
     private val published =
