--- a/relay/src/main/kotlin/org/quetzalloom/relay/ReducerRequestHandler.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/ReducerRequestHandler.kt
@@ -59,7 +59,7 @@
         response.writeWhole(HttpResponseStatus.valueOf(kind.status), headers, body)
     }
 
-    override fun reportProblem(name: String, cause: Throwable): Unit = reporter.problem(name, cause)
+    override fun reportProblem(name: String, cause: Throwable): Unit = reporter.reportProblem(name, cause)
 
     private fun onRequest(
         request: RelayRequest,
--- a/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
@@ -35,10 +35,10 @@
     private val pool = BackendPool(group, codec, clock)
 
     /** The number of open connections from callers. */
-    val callerConnections: Int get() = callerServer.size
+    val callerConnections: Int get() = callerServer.connectionCount
 
     /** The number of open connections to backend servers. */
-    val backendConnections: Int get() = pool.size
+    val backendConnections: Int get() = pool.connectionCount
 
     /** The number of connection attempts to backend servers since the start, including failed ones. */
     val backendConnectionAttempts: Long get() = pool.connectionAttempts
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
@@ -96,7 +96,7 @@
     }
 
     /** Pauses or resumes reading the response, so that it is read no faster than the caller reads it (backpressure). */
-    fun pauseReading(paused: Boolean) {
+    fun setReadingPaused(paused: Boolean) {
         connection?.readingPaused = paused
     }
 
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
@@ -28,14 +28,14 @@
     private class Endpoint {
         val idle = ArrayDeque<BackendConnection>()
         val all = HashSet<BackendConnection>()
-        var connecting = 0
+        var connectingCount = 0
     }
 
     private val endpoints = HashMap<String, Endpoint>()
     private val addresses = HashMap<BackendConnection, String>()
 
     /** The number of open connections, idle or in use. */
-    val size: Int get() = addresses.size
+    val connectionCount: Int get() = addresses.size
 
     /** The number of connection attempts since the start, including failed ones. */
     var connectionAttempts: Long = 0
@@ -52,7 +52,7 @@
         val reused = takeIdle(endpoint, call.order.requiresLiveConnection)
         when {
             reused != null -> reused.send(call, codec.encodeRequest(call.exchange.head, call.order))
-            endpoint.all.size + endpoint.connecting >= call.order.maximumConnections ->
+            endpoint.all.size + endpoint.connectingCount >= call.order.maximumConnections ->
                 call.onFailure(AttemptFailure.NO_CONNECTION_LEFT)
             else -> connect(endpoint, call)
         }
@@ -78,7 +78,7 @@
         endpoints.values.forEach { endpoint ->
             endpoint.idle.filter { !it.isFresh(now, REUSE_SHARE) }.forEach { it.abandon() }
         }
-        endpoints.values.removeIf { it.all.isEmpty() && it.connecting == 0 }
+        endpoints.values.removeIf { it.all.isEmpty() && it.connectingCount == 0 }
     }
 
     /**
@@ -99,7 +99,7 @@
 
     private fun connect(endpoint: Endpoint, call: BackendCall) {
         val address = Address.parseOrNull(call.order.address) ?: return call.onFailure(AttemptFailure.NOT_CONNECTED)
-        endpoint.connecting++
+        endpoint.connectingCount++
         connectionAttempts++
         val decoder = ResponseDecoder()
         val connection = BackendConnection(this, codec, decoder)
@@ -109,7 +109,7 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
             .handler(Initializer(decoder, connection))
         bootstrap.connect(address.toSocketAddress()).addListener { future ->
-            endpoint.connecting--
+            endpoint.connectingCount--
             if (future.isSuccess) {
                 connected(endpoint, connection, call)
             } else {
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
@@ -50,7 +50,7 @@
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
-        active?.call?.pauseReading(!context.channel().isWritable)
+        active?.call?.setReadingPaused(!context.channel().isWritable)
     }
 
     @Deprecated("the supertype's method is")
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
@@ -23,14 +23,14 @@
     private var listener: Channel? = null
 
     /** The limits on requests. The maximum header size applies to new connections only, the others at once. */
-    var limits: CallerLimits = DEFAULT_LIMITS
+    var limits: CallerLimits = INITIAL_LIMITS
 
     /** Whether each connection is closed after its current or next response. */
     var draining: Boolean = false
         private set
 
     /** The number of open connections. */
-    val size: Int get() = connections.size
+    val connectionCount: Int get() = connections.size
 
     /** Listens at [address]. */
     fun listen(group: EventLoopGroup, address: Address) {
@@ -41,12 +41,12 @@
         listener = bootstrap.bind(address.toSocketAddress()).sync().channel()
     }
 
-    /** Closes each connection after its current or next response, and idle ones after [idleAfterMilliseconds]. */
-    fun drain(group: EventLoopGroup, idleAfterMilliseconds: Long) {
+    /** Closes each connection after its current or next response, and idle ones after [idleCloseDelayMilliseconds]. */
+    fun drain(group: EventLoopGroup, idleCloseDelayMilliseconds: Long) {
         draining = true
         group.schedule(
             { connections.toList().forEach { it.closeIfIdle() } },
-            idleAfterMilliseconds,
+            idleCloseDelayMilliseconds,
             TimeUnit.MILLISECONDS,
         )
     }
@@ -76,7 +76,7 @@
 
     private companion object {
         /** Applies until a configuration has been read; until then every request is refused. */
-        val DEFAULT_LIMITS = CallerLimits(
+        val INITIAL_LIMITS = CallerLimits(
             maximumHeaderBytes = 16_384,
             maximumBodyBytes = 1_048_576,
             headerTimeoutMilliseconds = 3_000,
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestReader.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestReader.kt
@@ -25,12 +25,12 @@
  * @param limits returns the current limits.
  */
 internal class RequestReader(private val limits: () -> CallerLimits) : ChannelInboundHandlerAdapter() {
-    private class Reading(val head: HttpRequest) {
+    private class PartialRequest(val head: HttpRequest) {
         val body = Unpooled.buffer()
     }
 
     private val validator = RequestValidator(limits)
-    private var reading: Reading? = null
+    private var partialRequest: PartialRequest? = null
     private var rejected = false
     private var betweenRequests = true
     private lateinit var context: ChannelHandlerContext
@@ -53,7 +53,7 @@
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         try {
             if (!rejected && message is HttpRequest) onHead(context, message)
-            if (!rejected && message is HttpContent) reading?.let { onContent(context, it, message) }
+            if (!rejected && message is HttpContent) partialRequest?.let { onContent(context, it, message) }
         } finally {
             ReferenceCountUtil.release(message)
         }
@@ -72,13 +72,13 @@
         if (HttpUtil.is100ContinueExpected(head)) {
             context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
         }
-        reading = Reading(head)
+        partialRequest = PartialRequest(head)
         timeout.restart(limits().idleTimeoutMilliseconds) {
             reject(context, head, ErrorKind.TOO_SLOW, "the body did not arrive in time")
         }
     }
 
-    private fun onContent(context: ChannelHandlerContext, current: Reading, content: HttpContent) {
+    private fun onContent(context: ChannelHandlerContext, current: PartialRequest, content: HttpContent) {
         val size = current.body.readableBytes() + content.content().readableBytes()
         when {
             content.decoderResult().isFailure ->
@@ -92,10 +92,10 @@
         }
     }
 
-    private fun complete(context: ChannelHandlerContext, request: Reading) {
+    private fun complete(context: ChannelHandlerContext, request: PartialRequest) {
         timeout.cancel()
         betweenRequests = true
-        reading = null
+        partialRequest = null
         context.fireChannelRead(CallerMessage.Complete(request.head, request.body))
     }
 
@@ -107,8 +107,8 @@
 
     private fun discard() {
         timeout.cancel()
-        reading?.body?.release()
-        reading = null
+        partialRequest?.body?.release()
+        partialRequest = null
     }
 
     private companion object {
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/CallForwarder.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/CallForwarder.kt
@@ -48,7 +48,7 @@
                 context.respond(HttpResponseStatus.NOT_FOUND, text("this path is not forwarded"))
                 return
             }
-            client.call(forwarding.target, request.toTarget(), CALL_TIMEOUT_MILLISECONDS) { result ->
+            client.call(forwarding.target, request.copyForTarget(), CALL_TIMEOUT_MILLISECONDS) { result ->
                 result.fold(
                     success = { context.respond(it.status(), it.content().retain()) },
                     failure = { context.respond(HttpResponseStatus.BAD_GATEWAY, text(it)) },
@@ -62,7 +62,7 @@
         }
     }
 
-    private fun FullHttpRequest.toTarget(): FullHttpRequest {
+    private fun FullHttpRequest.copyForTarget(): FullHttpRequest {
         val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method(), uri(), content().retain())
         request.headers().set(HttpHeaderNames.HOST, forwarding.target.toString())
         request.headers().set(HttpHeaderNames.CONTENT_LENGTH, content().readableBytes())
--- a/relay/src/main/kotlin/org/quetzalloom/relay/peer/PeerSocket.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/peer/PeerSocket.kt
@@ -50,6 +50,6 @@
 
         @Deprecated("the supertype's method is")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable): Unit =
-            reporter.problem("beacon_dropped", cause)
+            reporter.reportProblem("beacon_dropped", cause)
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/report/Reporter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/report/Reporter.kt
@@ -20,7 +20,7 @@
     }
 
     /** Logs a problem that affects only one connection or datagram, as the event [name]. */
-    fun problem(name: String, cause: Throwable) {
+    fun reportProblem(name: String, cause: Throwable) {
         log { logger.warn("event={} problem=\"{}\"", name, cause.toString().replace('"', '\'')) }
     }
 
--- a/relay/src/test/kotlin/org/quetzalloom/relay/RequestsTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/RequestsTest.kt
@@ -41,7 +41,7 @@
     @Test
     fun `malformed requests are answered 400 and never forwarded`() {
         val post = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\n"
-        val bad = listOf(
+        val malformedRequests = listOf(
             "${post}Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
             "${post}Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
             "${post}Transfer-Encoding: gzip\r\n\r\n",
@@ -53,7 +53,7 @@
             "nonsense\r\n\r\n",
         )
         TestRelay(echo).use { relay ->
-            bad.forEach { request ->
+            malformedRequests.forEach { request ->
                 val response = relay.connect().use { it.send(request).readUntil("\r\n\r\n") }
                 assertEquals("400", status(response), request)
             }
@@ -76,8 +76,8 @@
     fun `a header that does not arrive in time is answered 408, and its connection closed`() {
         TestRelay(echo).use { relay ->
             relay.connect().use { caller ->
-                val known = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nContent-Length: 2\r\n\r\nok"
-                assertTrue(caller.send(known).readUntil("ok").contains("HTTP/1.1 200"))
+                val validRequest = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nContent-Length: 2\r\n\r\nok"
+                assertTrue(caller.send(validRequest).readUntil("ok").contains("HTTP/1.1 200"))
                 Thread.sleep(1_200)
                 assertEquals("408", status(caller.send("POST /book/1 HTTP/1.1\r\nHost: a").readUntil("in time")))
             }
@@ -92,9 +92,9 @@
             echo(it)
         }
         TestRelay(slow).use { relay ->
-            val known = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nContent-Length: 2\r\n\r\nok"
+            val validRequest = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nContent-Length: 2\r\n\r\nok"
             relay.connect().use { caller ->
-                assertTrue(caller.send(known + "nonsense\r\n\r\n").readUntil("ok").contains("HTTP/1.1 200"))
+                assertTrue(caller.send(validRequest + "nonsense\r\n\r\n").readUntil("ok").contains("HTTP/1.1 200"))
             }
         }
     }
@@ -105,8 +105,8 @@
             relay.connect().use { caller ->
                 val unknown = "GET /nowhere HTTP/1.1\r\nHost: app\r\nId: a\r\n\r\n"
                 assertEquals("404", status(caller.send(unknown).readUntil("unknown_target")))
-                val known = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nContent-Length: 2\r\n\r\nok"
-                assertTrue(caller.send(known).readUntil("ok").contains("HTTP/1.1 200"))
+                val validRequest = "POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nContent-Length: 2\r\n\r\nok"
+                assertTrue(caller.send(validRequest).readUntil("ok").contains("HTTP/1.1 200"))
             }
         }
     }
--- a/relay/src/test/kotlin/org/quetzalloom/relay/ResponsesTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/ResponsesTest.kt
@@ -64,11 +64,11 @@
 
     @Test
     fun `a truncated response to a idempotent request is retried, and one to another request is not`() {
-        val cut: (ScriptedRequest) -> Unit = {
+        val truncate: (ScriptedRequest) -> Unit = {
             it.write("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 10\r\n\r\nhalf")
             it.close()
         }
-        TestRelay(cut, cut).use { relay ->
+        TestRelay(truncate, truncate).use { relay ->
             assertTrue(" 502 " in relay.exchange(get).lineSequence().first())
             assertEquals(2, relay.servers.sumOf { it.requests.size })
             assertTrue(" 502 " in relay.exchange(post).lineSequence().first())
--- a/wire/src/main/kotlin/org/quetzalloom/wire/site/Overlay.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/Overlay.kt
@@ -28,7 +28,7 @@
 )
 
 private fun LimitsDocument.overlaidBy(top: LimitsDocument): LimitsDocument =
-    timesOverlaidBy(top).withCountsOf(base = this, top = top)
+    timesOverlaidBy(top).withCountsAndRatesOf(base = this, top = top)
 
 private fun LimitsDocument.timesOverlaidBy(top: LimitsDocument): LimitsDocument = LimitsDocument(
     stalenessMilliseconds = top.stalenessMilliseconds ?: stalenessMilliseconds,
@@ -44,7 +44,7 @@
     drainGraceMilliseconds = top.drainGraceMilliseconds ?: drainGraceMilliseconds,
 )
 
-private fun LimitsDocument.withCountsOf(base: LimitsDocument, top: LimitsDocument): LimitsDocument = copy(
+private fun LimitsDocument.withCountsAndRatesOf(base: LimitsDocument, top: LimitsDocument): LimitsDocument = copy(
     activeRequests = top.activeRequests ?: base.activeRequests,
     triesPerRequest = top.triesPerRequest ?: base.triesPerRequest,
     sampleShare = top.sampleShare ?: base.sampleShare,
--- a/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteSettings.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteSettings.kt
@@ -20,9 +20,9 @@
     limits = (document.limits ?: LimitsDocument()).toLimits(),
 )
 
-private fun LimitsDocument.toLimits(): RouterLimits = applyCountsTo(applyTimesTo(RouterLimits()))
+private fun LimitsDocument.toLimits(): RouterLimits = overrideCountsAndRates(overrideTimes(RouterLimits()))
 
-private fun LimitsDocument.applyTimesTo(defaults: RouterLimits): RouterLimits {
+private fun LimitsDocument.overrideTimes(defaults: RouterLimits): RouterLimits {
     return defaults.copy(
         stalenessMilliseconds = stalenessMilliseconds ?: defaults.stalenessMilliseconds,
         readIntervalMilliseconds = readIntervalMilliseconds ?: defaults.readIntervalMilliseconds,
@@ -38,7 +38,7 @@
     )
 }
 
-private fun LimitsDocument.applyCountsTo(defaults: RouterLimits): RouterLimits = defaults.copy(
+private fun LimitsDocument.overrideCountsAndRates(defaults: RouterLimits): RouterLimits = defaults.copy(
     activeRequests = activeRequests ?: defaults.activeRequests,
     triesPerRequest = triesPerRequest ?: defaults.triesPerRequest,
     sampleShare = sampleShare ?: defaults.sampleShare,
