Group the append rate with the counts, and name the content type

`appendsPerSecond` was set by the functions for times. It is now set by those for counts and rates; both read constants only, so the merged settings are the same. The content type of the status pages becomes a named constant with the same value.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/StatusServer.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/StatusServer.kt
@@ -27,7 +27,11 @@
      */
     class Page(val ok: Boolean, val text: String)
 
-    /** Listens at [address], and answers each request with the current result of [page]. */
+    /**
+     * Listens at [address], and answers each request with the current result of [page].
+     *
+     * Blocks until the address is bound, and throws if it cannot be.
+     */
     fun listen(address: Address, page: () -> Page) {
         ServerBootstrap().group(group)
             .channel(NioServerSocketChannel::class.java)
@@ -50,18 +54,21 @@
             val body = Unpooled.copiedBuffer(content.text, Charsets.UTF_8)
             val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
-            response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8")
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, CONTENT_TYPE)
             val written = context.writeAndFlush(response)
             if (!HttpUtil.isKeepAlive(request)) written.addListener(ChannelFutureListener.CLOSE)
         }
 
-        @Deprecated("the supertype's method is")
+        @Deprecated("Overrides a deprecated method.")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
             context.close()
         }
     }
 
     private companion object {
+        /** The content type of the Prometheus text format; health checks ignore it. */
+        const val CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
         /** Health checks and metric scrapes have no body, or a tiny one. */
         const val MAXIMUM_REQUEST_BYTES = 4_096
     }
--- a/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteSettings.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteSettings.kt
@@ -7,7 +7,7 @@
 import org.quetzalloom.core.router.RouterSettings
 
 /**
- * Returns the settings of the router on [vm]. Limits that the site does not set have their defaults.
+ * Returns the settings of the router on [vm]. Limits that the site does not set have the defaults of [RouterLimits].
  *
  * @param incarnation an identifier that is different after each start of the router.
  * @throws IllegalArgumentException if the site does not list [vm] or has no session secret.
@@ -22,11 +22,11 @@
 
 private fun LimitsDocument.toLimits(): RouterLimits = overrideCountsAndRates(overrideTimes(RouterLimits()))
 
+/** Returns [defaults] with the times that this document sets. */
 private fun LimitsDocument.overrideTimes(defaults: RouterLimits): RouterLimits {
     return defaults.copy(
         stalenessMilliseconds = stalenessMilliseconds ?: defaults.stalenessMilliseconds,
         readIntervalMilliseconds = readIntervalMilliseconds ?: defaults.readIntervalMilliseconds,
-        appendsPerSecond = appendsPerSecond ?: defaults.appendsPerSecond,
         gossipIntervalMilliseconds = gossipIntervalMilliseconds ?: defaults.gossipIntervalMilliseconds,
         loadIntervalMilliseconds = loadIntervalMilliseconds ?: defaults.loadIntervalMilliseconds,
         firstTokenMilliseconds = firstTokenMilliseconds ?: defaults.firstTokenMilliseconds,
@@ -38,7 +38,9 @@
     )
 }
 
+/** Returns [defaults] with the counts, rates and shares that this document sets. */
 private fun LimitsDocument.overrideCountsAndRates(defaults: RouterLimits): RouterLimits = defaults.copy(
+    appendsPerSecond = appendsPerSecond ?: defaults.appendsPerSecond,
     activeRequests = activeRequests ?: defaults.activeRequests,
     triesPerRequest = triesPerRequest ?: defaults.triesPerRequest,
     sampleShare = sampleShare ?: defaults.sampleShare,
