--- a/relay/src/test/kotlin/org/quetzalloom/relay/ResponsesTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/ResponsesTest.kt
@@ -63,7 +63,7 @@
     }
 
     @Test
-    fun `a truncated response to a idempotent request is retried, and one to another request is not`() {
+    fun `a truncated response to an idempotent request is retried, and one to another request is not`() {
         val truncate: (ScriptedRequest) -> Unit = {
             it.write("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 10\r\n\r\nhalf")
             it.close()
--- a/wire/src/test/kotlin/org/quetzalloom/wire/log/RecordDocumentTest.kt
+++ b/wire/src/test/kotlin/org/quetzalloom/wire/log/RecordDocumentTest.kt
@@ -38,6 +38,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
+/** Tests that log records and peer messages do not change when they are written as JSON and read again. */
 class RecordDocumentTest {
     private val version = VersionId("m@1")
     private val workspace = WorkspaceId("w")
--- a/wire/src/test/kotlin/org/quetzalloom/wire/site/SiteTest.kt
+++ b/wire/src/test/kotlin/org/quetzalloom/wire/site/SiteTest.kt
@@ -9,6 +9,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertNotNull
 
+/** Tests how settings files are merged, and that an error in them is reported with its place. */
 class SiteTest {
     private val base = """
         [fleet]
