Complete the comments of relay, platform and wire

The timeout of forwarded calls is explained with its true sum. Comments name the router that a type belongs to where both have a like one.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/ExchangeTable.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/ExchangeTable.kt
@@ -27,7 +27,10 @@
     /** Returns the exchange [id], or `null` if it has been removed. */
     fun getOrNull(id: ExchangeId): CallerExchange? = exchanges[id]
 
-    /** Returns the latest attempt of the exchange [id], or `null` if its number is not [attempt]. */
+    /**
+     * Returns the attempt number [attempt] of the exchange [id], or `null` if it is not the latest one or the exchange
+     * has been removed.
+     */
     fun callOrNull(id: ExchangeId, attempt: Int): BackendCall? = exchanges[id]?.call?.takeIf { it.number == attempt }
 
     /** Removes the exchange [id] and releases its body. Returns it, or `null` if it had been removed before. */
--- a/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
@@ -23,6 +23,9 @@
 /**
  * A relay with its listeners: one thread serves all sockets, reduces events and carries out effects.
  *
+ * The `platform` module runs it as the router on the users' platform. The router with its own interface, in the
+ * `daemon` module, does not use it.
+ *
  * @param settings the initial settings of the reducer.
  * @param listeners the addresses on which the relay listens.
  * @param codec encodes and decodes the headers of the front end.
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCallListener.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCallListener.kt
@@ -11,6 +11,6 @@
     /** The complete response has been written to the caller. */
     fun responseForwarded(call: BackendCall)
 
-    /** The attempt has failed. [lastEventId] is the id of the last event that the caller got, or `null`. */
+    /** The attempt has failed. [lastEventId] is the id of the last event that it forwarded, or `null` if none. */
     fun attemptFailed(call: BackendCall, failure: AttemptFailure, lastEventId: String?)
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
@@ -104,7 +104,7 @@
      * Closes the connection and fails the request in flight. After a reset even a response without a length, which ends
      * with its connection, is incomplete.
      */
-    @Deprecated("the supertype's method is")
+    @Deprecated("Overrides a deprecated method.")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         close()
         fail(AttemptFailure.CONNECTION_LOST)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
@@ -122,6 +122,7 @@
         endpoints[call.order.address] = endpoint
         endpoint.all.add(connection)
         addresses[connection] = call.order.address
+        // The call may have been abandoned while the connection was being established.
         if (call.ended) {
             release(connection)
         } else {
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/ResponseReader.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/ResponseReader.kt
@@ -44,7 +44,7 @@
         return if (message is HttpContent) readContent(message) else Progress.INCOMPLETE
     }
 
-    /** Reads the head of a response. Returns whether it is valid. */
+    /** Reads the head of a response, and passes it to [call] unless it is skipped. Returns whether it is valid. */
     private fun readHead(response: HttpResponse): Boolean {
         val interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
         val mismatched = !interim && !codec.isResponseTo(call.exchange.request, response)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
@@ -53,8 +53,9 @@
         active?.call?.setReadingPaused(!context.channel().isWritable)
     }
 
-    @Deprecated("the supertype's method is")
+    @Deprecated("Overrides a deprecated method.")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        // I/O errors such as a connection reset are ordinary, and are not reported.
         if (cause !is IOException) server.handler.reportProblem("caller_connection_failed", cause)
         context.close()
     }
@@ -108,7 +109,7 @@
     }
 
     private companion object {
-        /** More pipelined requests than this close the connection. */
+        /** The maximum number of requests that wait behind the one in flight. A further one closes the connection. */
         const val MAXIMUM_PIPELINED_REQUESTS = 4
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
@@ -14,7 +14,7 @@
 import java.util.concurrent.TimeUnit
 
 /**
- * Accepts connections from callers and tracks the open ones. Confined to the event loop's thread.
+ * Accepts connections from callers and tracks the open ones. Confined to the event loop's thread, except for [listen].
  *
  * @property handler receives the requests.
  */
@@ -22,7 +22,12 @@
     private val connections = LinkedHashSet<CallerConnection>()
     private var listener: Channel? = null
 
-    /** The limits on requests. The maximum header size applies to new connections only, the others at once. */
+    /**
+     * The limits on requests.
+     *
+     * A new maximum header size applies to new connections, new timeouts apply to timers that are started afterwards,
+     * and a new maximum body size applies at once.
+     */
     var limits: CallerLimits = INITIAL_LIMITS
 
     /** Whether each connection is closed after its current or next response. */
@@ -32,7 +37,12 @@
     /** The number of open connections. */
     val connectionCount: Int get() = connections.size
 
-    /** Listens at [address]. */
+    /**
+     * Listens at [address].
+     *
+     * Blocks until the address is bound, so it must not be called on the event loop's thread. Throws if the address
+     * cannot be bound.
+     */
     fun listen(group: EventLoopGroup, address: Address) {
         val bootstrap = ServerBootstrap().group(group)
             .channel(NioServerSocketChannel::class.java)
@@ -41,7 +51,10 @@
         listener = bootstrap.bind(address.toSocketAddress()).sync().channel()
     }
 
-    /** Closes each connection after its current or next response, and idle ones after [idleCloseDelayMilliseconds]. */
+    /**
+     * Closes each connection after its current or next response from now on, and once, after
+     * [idleCloseDelayMilliseconds], those that are idle at that time. New connections are still accepted.
+     */
     fun drain(group: EventLoopGroup, idleCloseDelayMilliseconds: Long) {
         draining = true
         group.schedule(
@@ -75,7 +88,7 @@
     }
 
     private companion object {
-        /** Applies until a configuration has been read; until then every request is refused. */
+        /** The limits until a configuration has been read; until then every request is refused. */
         val INITIAL_LIMITS = CallerLimits(
             maximumHeaderBytes = 16_384,
             maximumBodyBytes = 1_048_576,
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestHandler.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestHandler.kt
@@ -6,7 +6,7 @@
 
 /** Handles the requests of callers. */
 internal interface RequestHandler {
-    /** Handles a complete request; takes ownership of [body]. Returns `null` if it has been answered already. */
+    /** Handles a complete request; takes ownership of [body]. Returns its exchange, or `null` if it has ended. */
     fun onRequest(head: HttpRequest, body: ByteBuf, response: ResponseWriter): CallerExchange?
 
     /** Handles that the caller of [exchange] has closed its connection. */
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestReader.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestReader.kt
@@ -20,6 +20,7 @@
 /**
  * Aggregates requests within the limits, and passes [CallerMessage]s to the next handler of the pipeline.
  *
+ * The head of a request must arrive within the header timeout, and then its whole body within the idle timeout.
  * After a rejection all further input is discarded.
  *
  * @param limits returns the current limits.
@@ -41,7 +42,10 @@
         timeout = RestartableTimer(context.executor())
     }
 
-    /** Handles the arrival of undecoded bytes. The first byte of a request starts its header timeout. */
+    /**
+     * Handles the arrival of undecoded bytes. The first byte of a request starts its header timeout, unless it arrives
+     * together with the end of the request before; the next bytes start the timeout then.
+     */
     fun onBytesReceived() {
         if (!betweenRequests || rejected) return
         betweenRequests = false
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/ResponseWriter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/ResponseWriter.kt
@@ -30,7 +30,7 @@
 ) {
     private val keepAlive = HttpUtil.isKeepAlive(request)
 
-    /** HTTP/1.0 has no chunked encoding: there, a response without a length ends with the connection. */
+    /** HTTP/1.0 has no chunked encoding. Its connections are closed after each response, which ends the body. */
     private val supportsChunked = request.protocolVersion().isKeepAliveDefault
 
     /** Whether the head of the response has been written. */
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/CallClient.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/CallClient.kt
@@ -17,7 +17,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpUtil
 
-/** Receives the response to a call, or a description of why there is none. */
+/** Receives the response to a call, whatever its status, or a description of why there is none. */
 public typealias CallListener = (Result<FullHttpResponse, String>) -> Unit
 
 /**
@@ -31,7 +31,8 @@
     /**
      * Sends [request] to [address], and calls [listener] once, at the latest after [timeoutMilliseconds].
      *
-     * The response is released after [listener] returns. A call that failed may still have been carried out.
+     * Takes ownership of [request]. The response is released after [listener] returns. A call that failed may still
+     * have been carried out.
      */
     public fun call(address: Address, request: FullHttpRequest, timeoutMilliseconds: Long, listener: CallListener) {
         val reused = takeIdle(address)
@@ -115,7 +116,7 @@
             complete(Err("the connection was closed"))
         }
 
-        @Deprecated("the supertype's method is")
+        @Deprecated("Overrides a deprecated method.")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
             complete(Err("the connection failed: ${cause.message}"))
             context.close()
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/CallForwarder.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/CallForwarder.kt
@@ -20,13 +20,19 @@
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpVersion
 
-/** Forwards calls of other routers to one target, and returns the responses. Calls are not retried. */
+/**
+ * Forwards calls of other routers to one target, without their headers, and returns the status and body of the
+ * response.
+ *
+ * A path that is not in [Forwarding.paths] is answered 404, and a call that fails or times out 502. Calls are not
+ * retried.
+ */
 internal class CallForwarder(
     private val group: EventLoopGroup,
     private val client: CallClient,
     private val forwarding: Forwarding,
 ) {
-    /** Listens for calls at [address]. */
+    /** Listens for calls at [address]. Blocks until the address is bound, and throws if it cannot be. */
     fun listen(address: Address) {
         ServerBootstrap().group(group)
             .channel(NioServerSocketChannel::class.java)
@@ -56,12 +62,13 @@
             }
         }
 
-        @Deprecated("the supertype's method is")
+        @Deprecated("Overrides a deprecated method.")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
             context.close()
         }
     }
 
+    /** Returns a copy of this request for the target, without the headers of the original. */
     private fun FullHttpRequest.copyForTarget(): FullHttpRequest {
         val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method(), uri(), content().retain())
         request.headers().set(HttpHeaderNames.HOST, forwarding.target.toString())
@@ -78,7 +85,7 @@
     private fun text(problem: String): ByteBuf = Unpooled.copiedBuffer("$problem\n", Charsets.UTF_8)
 
     private companion object {
-        /** Slightly longer than the longest call of a router, a read that waits 1.5 s for a record. */
+        /** Slightly longer than a router's longest timeout: a read waits 1.5 s for a record, plus 0.9 s. */
         const val CALL_TIMEOUT_MILLISECONDS = 2_500L
 
         /** Calls carry at most one record, of a few hundred bytes. */
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/MessageCodec.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/MessageCodec.kt
@@ -13,7 +13,10 @@
     /** Decodes the head of a request. Returns a message for the caller if it is invalid. */
     public fun decodeRequest(head: HttpRequest): Result<RelayRequest, String>
 
-    /** Returns the headers for sending [head] as [order] says, without hop-by-hop headers and `Content-Length`. */
+    /**
+     * Returns the headers of an attempt: those of the caller's request [head], changed as [order] requires, without
+     * hop-by-hop headers and `Content-Length`.
+     */
     public fun encodeRequest(head: HttpRequest, order: SendOrder): HttpHeaders
 
     /** Returns whether [response] belongs to [request], and not to another request on the same connection. */
@@ -22,6 +25,6 @@
     /** Decodes the head of a response. */
     public fun decodeResponse(response: HttpResponse): AnswerHead
 
-    /** Adds to [headers] that the caller should retry after [milliseconds]. */
+    /** Adds a header to [headers] that asks the caller to retry after [milliseconds]. */
     public fun encodeRetryAfter(headers: HttpHeaders, milliseconds: Long)
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/SocketOptions.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/SocketOptions.kt
@@ -24,7 +24,7 @@
     childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
 }
 
-/** Sets the same options for outgoing connections. */
+/** Sets the options of outgoing connections, which are the same as those of accepted ones. */
 internal fun Bootstrap.withRelayOptions(): Bootstrap = apply {
     option(ChannelOption.TCP_NODELAY, true)
     option(ChannelOption.SO_KEEPALIVE, true)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/peer/PeerSocket.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/peer/PeerSocket.kt
@@ -27,7 +27,11 @@
 ) {
     private var channel: Channel? = null
 
-    /** Binds the socket to [address], and starts to receive beacons. */
+    /**
+     * Binds the socket to [address], and starts to receive beacons.
+     *
+     * Blocks until the address is bound, and throws if it cannot be.
+     */
     fun listen(address: Address) {
         val bootstrap = Bootstrap().group(group).channel(NioDatagramChannel::class.java).handler(Receiver())
         channel = bootstrap.bind(address.toSocketAddress()).sync().channel()
@@ -48,7 +52,7 @@
             post(RelayEvent.BeaconReceived(BeaconFormat.decode(packet.content().toString(Charsets.UTF_8))))
         }
 
-        @Deprecated("the supertype's method is")
+        @Deprecated("Overrides a deprecated method.")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable): Unit =
             reporter.reportProblem("beacon_dropped", cause)
     }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/report/Reporter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/report/Reporter.kt
@@ -7,7 +7,7 @@
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
 
-/** Logs and counts timeline entries. Never blocks: the log appender drops lines while its queue is full. */
+/** Logs and counts a relay's timeline entries. Never blocks: the log appender drops lines while its queue is full. */
 internal class Reporter(private val metrics: RelayMetrics) {
     private val appender =
         (LoggerFactory.getLogger(Logger.ROOT_LOGGER_NAME) as? ch.qos.logback.classic.Logger)
--- a/wire/src/main/kotlin/org/quetzalloom/wire/TimelineDocument.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/TimelineDocument.kt
@@ -22,7 +22,7 @@
     public val fields: Map<String, String> = emptyMap(),
 )
 
-/** The response body of `GET /admin/timeline`: the most recent time line entries of one VM, oldest first. */
+/** The response body of `GET /admin/timeline`: the most recent timeline entries of one VM, oldest first. */
 @Serializable
 public data class TimelineResponse(public val entries: List<TimelineDocument>)
 
@@ -36,7 +36,7 @@
 )
 
 /**
- * Returns the time line entry that this document describes.
+ * Returns the timeline entry that this document describes.
  *
  * @throws IllegalArgumentException if [TimelineDocument.vm] is not a valid identifier.
  */
--- a/wire/src/main/kotlin/org/quetzalloom/wire/caller/CompletionMessages.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/caller/CompletionMessages.kt
@@ -23,7 +23,7 @@
     /** Response header: a token for later requests of the session. Request header: the token of an earlier response. */
     public const val SESSION_TOKEN: String = "X-Session-Token"
 
-    /** Request header: the idempotency key. Requests of a workspace with the same key run at most once. */
+    /** Request header: the idempotency key. Of the requests of a workspace with the same key, at most one is run. */
     public const val KEY: String = "Idempotency-Key"
 
     /** Response header: the identifier that the router gave to the request. */
--- a/wire/src/main/kotlin/org/quetzalloom/wire/platform/PlatformMessages.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/platform/PlatformMessages.kt
@@ -3,7 +3,7 @@
 import kotlinx.serialization.Serializable
 
 /**
- * An entry of the platform's list of VMs.
+ * An entry of the list of VMs, which a platform service of the router in the `daemon` module serves.
  *
  * @property leaving whether the platform is about to take the VM away.
  */
--- a/wire/src/main/kotlin/org/quetzalloom/wire/site/Site.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/Site.kt
@@ -14,7 +14,8 @@
 import org.quetzalloom.wire.configuration.toConfiguration
 
 /**
- * The validated settings of one deployment: a base file merged with the overlay of the site.
+ * The validated settings of one deployment of the router in the `daemon` module: a base file merged with the overlay of
+ * the site.
  *
  * @property document the merged settings.
  * @property configuration the part of the settings that operators publish through the log, at revision 0.
@@ -25,7 +26,7 @@
 ) {
     public companion object {
         /**
-         * Parses, merges and validates [files], each of which overrides the ones before it.
+         * Parses, merges and validates [files], at least one, each of which overrides the ones before it.
          *
          * Returns the problems of all files that cannot be parsed or, if there are none, the problems of the merged
          * settings. Identifiers and kinds are checked first, and only the first that is not valid is reported.
--- a/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteFile.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteFile.kt
@@ -9,7 +9,7 @@
 import kotlinx.serialization.decodeFromString
 
 /**
- * A settings file.
+ * A settings file of the router in the `daemon` module.
  *
  * @property name the path, for error messages.
  * @property text the contents, in TOML.
@@ -39,6 +39,7 @@
         return SiteProblem(file = name, line = line, message = singleLine.replaceFirst(LINE, "").trim())
     }
 
+    /** Returns the number of the first line that starts with the name that [message] quotes, such as an unknown key. */
     private fun unknownKeyLineOrNull(message: String): Int? {
         val key = QUOTED.find(message)?.groupValues?.get(1) ?: return null
         return text.lines().indexOfFirst { it.trim().startsWith(key) }.takeIf { it >= 0 }?.let { it + 1 }
