--- a/wire/src/main/kotlin/org/quetzalloom/wire/site/Overlay.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/Overlay.kt
@@ -33,6 +33,7 @@
 private fun LimitsDocument.timesOverlaidBy(top: LimitsDocument): LimitsDocument = LimitsDocument(
     stalenessMilliseconds = top.stalenessMilliseconds ?: stalenessMilliseconds,
     readIntervalMilliseconds = top.readIntervalMilliseconds ?: readIntervalMilliseconds,
+    appendsPerSecond = top.appendsPerSecond ?: appendsPerSecond,
     gossipIntervalMilliseconds = top.gossipIntervalMilliseconds ?: gossipIntervalMilliseconds,
     loadIntervalMilliseconds = top.loadIntervalMilliseconds ?: loadIntervalMilliseconds,
     firstTokenMilliseconds = top.firstTokenMilliseconds ?: firstTokenMilliseconds,
@@ -44,7 +45,6 @@
 )
 
 private fun LimitsDocument.withCountsAndRatesOf(base: LimitsDocument, top: LimitsDocument): LimitsDocument = copy(
-    appendsPerSecond = top.appendsPerSecond ?: base.appendsPerSecond,
     activeRequests = top.activeRequests ?: base.activeRequests,
     triesPerRequest = top.triesPerRequest ?: base.triesPerRequest,
     sampleShare = top.sampleShare ?: base.sampleShare,
--- a/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteSettings.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteSettings.kt
@@ -22,11 +22,12 @@
 
 private fun LimitsDocument.toLimits(): RouterLimits = overrideCountsAndRates(overrideTimes(RouterLimits()))
 
-/** Returns [defaults] with the times that this document sets. */
+/** Returns [defaults] with the times and rates that this document sets. */
 private fun LimitsDocument.overrideTimes(defaults: RouterLimits): RouterLimits {
     return defaults.copy(
         stalenessMilliseconds = stalenessMilliseconds ?: defaults.stalenessMilliseconds,
         readIntervalMilliseconds = readIntervalMilliseconds ?: defaults.readIntervalMilliseconds,
+        appendsPerSecond = appendsPerSecond ?: defaults.appendsPerSecond,
         gossipIntervalMilliseconds = gossipIntervalMilliseconds ?: defaults.gossipIntervalMilliseconds,
         loadIntervalMilliseconds = loadIntervalMilliseconds ?: defaults.loadIntervalMilliseconds,
         firstTokenMilliseconds = firstTokenMilliseconds ?: defaults.firstTokenMilliseconds,
@@ -38,9 +39,8 @@
     )
 }
 
-/** Returns [defaults] with the counts, rates and shares that this document sets. */
+/** Returns [defaults] with the counts and shares that this document sets. */
 private fun LimitsDocument.overrideCountsAndRates(defaults: RouterLimits): RouterLimits = defaults.copy(
-    appendsPerSecond = appendsPerSecond ?: defaults.appendsPerSecond,
     activeRequests = activeRequests ?: defaults.activeRequests,
     triesPerRequest = triesPerRequest ?: defaults.triesPerRequest,
     sampleShare = sampleShare ?: defaults.sampleShare,
