--- a/wire/src/main/kotlin/org/quetzalloom/wire/site/Overlay.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/Overlay.kt
@@ -28,9 +28,9 @@
 )
 
 private fun LimitsDocument.overlaidBy(top: LimitsDocument): LimitsDocument =
-    timesOverlaidBy(top).withCountsAndRatesOf(base = this, top = top)
+    timesAndRatesOverlaidBy(top).withCountsAndSharesOf(base = this, top = top)
 
-private fun LimitsDocument.timesOverlaidBy(top: LimitsDocument): LimitsDocument = LimitsDocument(
+private fun LimitsDocument.timesAndRatesOverlaidBy(top: LimitsDocument): LimitsDocument = LimitsDocument(
     stalenessMilliseconds = top.stalenessMilliseconds ?: stalenessMilliseconds,
     readIntervalMilliseconds = top.readIntervalMilliseconds ?: readIntervalMilliseconds,
     appendsPerSecond = top.appendsPerSecond ?: appendsPerSecond,
@@ -44,7 +44,7 @@
     drainGraceMilliseconds = top.drainGraceMilliseconds ?: drainGraceMilliseconds,
 )
 
-private fun LimitsDocument.withCountsAndRatesOf(base: LimitsDocument, top: LimitsDocument): LimitsDocument = copy(
+private fun LimitsDocument.withCountsAndSharesOf(base: LimitsDocument, top: LimitsDocument): LimitsDocument = copy(
     activeRequests = top.activeRequests ?: base.activeRequests,
     triesPerRequest = top.triesPerRequest ?: base.triesPerRequest,
     sampleShare = top.sampleShare ?: base.sampleShare,
--- a/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteSettings.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteSettings.kt
@@ -20,10 +20,10 @@
     limits = (document.limits ?: LimitsDocument()).toLimits(),
 )
 
-private fun LimitsDocument.toLimits(): RouterLimits = overrideCountsAndRates(overrideTimes(RouterLimits()))
+private fun LimitsDocument.toLimits(): RouterLimits = overrideCountsAndShares(overrideTimesAndRates(RouterLimits()))
 
 /** Returns [defaults] with the times and rates that this document sets. */
-private fun LimitsDocument.overrideTimes(defaults: RouterLimits): RouterLimits {
+private fun LimitsDocument.overrideTimesAndRates(defaults: RouterLimits): RouterLimits {
     return defaults.copy(
         stalenessMilliseconds = stalenessMilliseconds ?: defaults.stalenessMilliseconds,
         readIntervalMilliseconds = readIntervalMilliseconds ?: defaults.readIntervalMilliseconds,
@@ -40,7 +40,7 @@
 }
 
 /** Returns [defaults] with the counts and shares that this document sets. */
-private fun LimitsDocument.overrideCountsAndRates(defaults: RouterLimits): RouterLimits = defaults.copy(
+private fun LimitsDocument.overrideCountsAndShares(defaults: RouterLimits): RouterLimits = defaults.copy(
     activeRequests = activeRequests ?: defaults.activeRequests,
     triesPerRequest = triesPerRequest ?: defaults.triesPerRequest,
     sampleShare = sampleShare ?: defaults.sampleShare,
