--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
@@ -25,6 +25,7 @@
     private val codec: MessageCodec,
     private val clock: Clock,
 ) {
+    /** The connections to one address; [connectingCount] are still being established. */
     private class Endpoint {
         val idle = ArrayDeque<BackendConnection>()
         val all = HashSet<BackendConnection>()
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestReader.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestReader.kt
@@ -26,6 +26,7 @@
  * @param limits returns the current limits.
  */
 internal class RequestReader(private val limits: () -> CallerLimits) : ChannelInboundHandlerAdapter() {
+    /** A request whose head is valid, with the part of its body that has been received. */
     private class PartialRequest(val head: HttpRequest) {
         val body = Unpooled.buffer()
     }
--- a/wire/src/main/kotlin/org/quetzalloom/wire/configuration/ConfigurationMapping.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/configuration/ConfigurationMapping.kt
@@ -16,8 +16,10 @@
 import org.quetzalloom.core.identity.WorkspaceId
 
 /**
- * Returns the configuration that this document describes. References between its parts are not checked; use
- * [org.quetzalloom.core.configuration.problems] for that.
+ * Returns the configuration that this document describes. Of entries with the same identifier the last one counts.
+ *
+ * References between the parts are not checked; use [org.quetzalloom.core.configuration.problems] for that. A roll-out
+ * is keyed by the model of its new version, or by the name of that version if it does not exist.
  *
  * @throws IllegalArgumentException if a name is not a valid identifier or a kind of version does not exist.
  */
