--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
@@ -25,17 +25,18 @@
     private val codec: MessageCodec,
     private val clock: Clock,
 ) {
+    /** The connections to one address; [connectingCount] are still being established. */
     private class Endpoint {
         val idle = ArrayDeque<BackendConnection>()
         val all = HashSet<BackendConnection>()
-        var connecting = 0
+        var connectingCount = 0
     }
 
     private val endpoints = HashMap<String, Endpoint>()
     private val addresses = HashMap<BackendConnection, String>()
 
     /** The number of open connections, idle or in use. */
-    val size: Int get() = addresses.size
+    val connectionCount: Int get() = addresses.size
 
     /** The number of connection attempts since the start, including failed ones. */
     var connectionAttempts: Long = 0
@@ -52,7 +53,7 @@
         val reused = takeIdle(endpoint, call.parameters.requiresLiveConnection)
         when {
             reused != null -> reused.send(call, codec.encodeRequest(call.exchange.head, call.parameters))
-            endpoint.all.size + endpoint.connecting >= call.parameters.maximumConnections ->
+            endpoint.all.size + endpoint.connectingCount >= call.parameters.maximumConnections ->
                 call.onFailure(AttemptFailure.NO_CONNECTION_LEFT)
             else -> connect(endpoint, call)
         }
@@ -78,7 +79,7 @@
         endpoints.values.forEach { endpoint ->
             endpoint.idle.filter { !it.isFresh(now, REUSE_SHARE) }.forEach { it.abandon() }
         }
-        endpoints.values.removeIf { it.all.isEmpty() && it.connecting == 0 }
+        endpoints.values.removeIf { it.all.isEmpty() && it.connectingCount == 0 }
     }
 
     /**
@@ -98,9 +99,8 @@
         now - idleSince < (keepAliveMilliseconds ?: DEFAULT_KEEP_ALIVE_MILLISECONDS) * share
 
     private fun connect(endpoint: Endpoint, call: BackendCall) {
-        val address = Address.parseOrNull(call.parameters.address)
-            ?: return call.onFailure(AttemptFailure.NOT_CONNECTED)
-        endpoint.connecting++
+        val address = Address.parseOrNull(call.parameters.address) ?: return call.onFailure(AttemptFailure.NOT_CONNECTED)
+        endpoint.connectingCount++
         connectionAttempts++
         val decoder = ResponseDecoder()
         val connection = BackendConnection(this, codec, decoder)
@@ -110,7 +110,7 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
             .handler(Initializer(decoder, connection))
         bootstrap.connect(address.toSocketAddress()).addListener { future ->
-            endpoint.connecting--
+            endpoint.connectingCount--
             if (future.isSuccess) {
                 connected(endpoint, connection, call)
             } else {
@@ -123,6 +123,7 @@
         endpoints[call.parameters.address] = endpoint
         endpoint.all.add(connection)
         addresses[connection] = call.parameters.address
+        // The call may have been abandoned while the connection was being established.
         if (call.ended) {
             release(connection)
         } else {
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestReader.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestReader.kt
@@ -20,17 +20,19 @@
 /**
  * Aggregates requests within the limits, and passes [CallerMessage]s to the next handler of the pipeline.
  *
+ * The head of a request must arrive within the header timeout, and then its whole body within the idle timeout.
  * After a rejection all further input is discarded.
  *
  * @param limits returns the current limits.
  */
 internal class RequestReader(private val limits: () -> CallerLimits) : ChannelInboundHandlerAdapter() {
-    private class Reading(val head: HttpRequest) {
+    /** A request whose head is valid, with the part of its body that has been received. */
+    private class PartialRequest(val head: HttpRequest) {
         val body = Unpooled.buffer()
     }
 
     private val validator = RequestValidator(limits)
-    private var reading: Reading? = null
+    private var partialRequest: PartialRequest? = null
     private var rejected = false
     private var betweenRequests = true
     private lateinit var context: ChannelHandlerContext
@@ -41,7 +43,10 @@
         timeout = RestartableTimer(context.executor())
     }
 
-    /** Handles the arrival of undecoded bytes. The first byte of a request starts its header timeout. */
+    /**
+     * Handles the arrival of undecoded bytes. The first byte of a request starts its header timeout, unless it arrives
+     * together with the end of the request before; the next bytes start the timeout then.
+     */
     fun onBytesReceived() {
         if (!betweenRequests || rejected) return
         betweenRequests = false
@@ -53,7 +58,7 @@
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         try {
             if (!rejected && message is HttpRequest) onHead(context, message)
-            if (!rejected && message is HttpContent) reading?.let { onContent(context, it, message) }
+            if (!rejected && message is HttpContent) partialRequest?.let { onContent(context, it, message) }
         } finally {
             ReferenceCountUtil.release(message)
         }
@@ -72,13 +77,13 @@
         if (HttpUtil.is100ContinueExpected(head)) {
             context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
         }
-        reading = Reading(head)
+        partialRequest = PartialRequest(head)
         timeout.restart(limits().idleTimeoutMilliseconds) {
             reject(context, head, ErrorKind.TOO_SLOW, "the body did not arrive in time")
         }
     }
 
-    private fun onContent(context: ChannelHandlerContext, current: Reading, content: HttpContent) {
+    private fun onContent(context: ChannelHandlerContext, current: PartialRequest, content: HttpContent) {
         val size = current.body.readableBytes() + content.content().readableBytes()
         when {
             content.decoderResult().isFailure ->
@@ -92,10 +97,10 @@
         }
     }
 
-    private fun complete(context: ChannelHandlerContext, request: Reading) {
+    private fun complete(context: ChannelHandlerContext, request: PartialRequest) {
         timeout.cancel()
         betweenRequests = true
-        reading = null
+        partialRequest = null
         context.fireChannelRead(CallerMessage.Complete(request.head, request.body))
     }
 
@@ -107,8 +112,8 @@
 
     private fun discard() {
         timeout.cancel()
-        reading?.body?.release()
-        reading = null
+        partialRequest?.body?.release()
+        partialRequest = null
     }
 
     private companion object {
--- a/relay/src/main/kotlin/org/quetzalloom/relay/report/Reporter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/report/Reporter.kt
@@ -7,7 +7,7 @@
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
 
-/** Logs and counts timeline entries. Never blocks: the log appender drops lines while its queue is full. */
+/** Logs and counts a relay's timeline entries. Never blocks: the log appender drops lines while its queue is full. */
 internal class Reporter(private val metrics: RelayMetrics) {
     private val appender =
         (LoggerFactory.getLogger(Logger.ROOT_LOGGER_NAME) as? ch.qos.logback.classic.Logger)
@@ -20,7 +20,7 @@
     }
 
     /** Logs a problem that affects only one connection or datagram, as the event [name]. */
-    fun problem(name: String, cause: Throwable) {
+    fun reportProblem(name: String, cause: Throwable) {
         log { logger.warn("event={} problem=\"{}\"", name, cause.toString().replace('"', '\'')) }
     }
 
--- a/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteSettings.kt
+++ b/wire/src/main/kotlin/org/quetzalloom/wire/site/SiteSettings.kt
@@ -7,7 +7,7 @@
 import org.quetzalloom.core.router.RouterSettings
 
 /**
- * Returns the settings of the router on [vm]. Limits that the site does not set have their defaults.
+ * Returns the settings of the router on [vm]. Limits that the site does not set have the defaults of [RouterLimits].
  *
  * @param incarnation an identifier that is different after each start of the router.
  * @throws IllegalArgumentException if the site does not list [vm] or has no session secret.
@@ -20,9 +20,10 @@
     limits = (document.limits ?: LimitsDocument()).toLimits(),
 )
 
-private fun LimitsDocument.toLimits(): RouterLimits = applyCountsTo(applyTimesTo(RouterLimits()))
+private fun LimitsDocument.toLimits(): RouterLimits = overrideCountsAndShares(overrideTimesAndRates(RouterLimits()))
 
-private fun LimitsDocument.applyTimesTo(defaults: RouterLimits): RouterLimits {
+/** Returns [defaults] with the times and rates that this document sets. */
+private fun LimitsDocument.overrideTimesAndRates(defaults: RouterLimits): RouterLimits {
     return defaults.copy(
         stalenessMilliseconds = stalenessMilliseconds ?: defaults.stalenessMilliseconds,
         readIntervalMilliseconds = readIntervalMilliseconds ?: defaults.readIntervalMilliseconds,
@@ -38,7 +39,8 @@
     )
 }
 
-private fun LimitsDocument.applyCountsTo(defaults: RouterLimits): RouterLimits = defaults.copy(
+/** Returns [defaults] with the counts and shares that this document sets. */
+private fun LimitsDocument.overrideCountsAndShares(defaults: RouterLimits): RouterLimits = defaults.copy(
     activeRequests = activeRequests ?: defaults.activeRequests,
     triesPerRequest = triesPerRequest ?: defaults.triesPerRequest,
     sampleShare = sampleShare ?: defaults.sampleShare,
