--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
@@ -99,7 +99,8 @@
         now - idleSince < (keepAliveMilliseconds ?: DEFAULT_KEEP_ALIVE_MILLISECONDS) * share
 
     private fun connect(endpoint: Endpoint, call: BackendCall) {
-        val address = Address.parseOrNull(call.parameters.address) ?: return call.onFailure(AttemptFailure.NOT_CONNECTED)
+        val address = Address.parseOrNull(call.parameters.address)
+            ?: return call.onFailure(AttemptFailure.NOT_CONNECTED)
         endpoint.connectingCount++
         connectionAttempts++
         val decoder = ResponseDecoder()
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/CallClient.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/CallClient.kt
@@ -123,7 +123,7 @@
         }
 
         private fun timeOut() {
-            complete(Err("no response in time"))
+            complete(Err("no answer in time"))
             channel?.close()
         }
     }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/MessageCodec.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/MessageCodec.kt
@@ -4,8 +4,8 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
-import org.quetzalloom.core.relay.exchange.ResponseHead
 import org.quetzalloom.core.relay.exchange.RelayRequest
+import org.quetzalloom.core.relay.exchange.ResponseHead
 import org.quetzalloom.core.relay.exchange.SendParameters
 
 /** Encodes and decodes the headers of requests and responses. Each front end has its own. */
@@ -14,7 +14,7 @@
     public fun decodeRequest(head: HttpRequest): Result<RelayRequest, String>
 
     /**
-     * Returns the headers of an attempt: those of the caller's request [head], changed as [parameters] requires, without
+     * Returns the headers of an attempt: those of the caller's request [head], changed as [parameters] require, without
      * hop-by-hop headers and `Content-Length`.
      */
     public fun encodeRequest(head: HttpRequest, parameters: SendParameters): HttpHeaders
