--- a/bench/src/main/kotlin/org/quetzalloom/bench/Slope.kt
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/FleetCosts.kt
@@ -23,7 +23,7 @@
  * @property commandStateBytes one remembered command in memory.
  */
 @Serializable
-internal data class Slope(
+internal data class FleetCosts(
     val vms: Int,
     val replicas: Int,
     val homes: Int,
--- a/bench/src/main/kotlin/org/quetzalloom/bench/Main.kt
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/Main.kt
@@ -19,11 +19,11 @@
         .default("10:27,10:270,100:270,400:270,100:2700,400:2700")
     val policies by parser.option(ArgType.Boolean, description = "Compare policies instead").default(false)
     parser.parse(arguments)
-    if (policies) printPolicies() else printSlopes(sizes)
+    if (policies) printPolicyResults() else printFleetCosts(sizes)
 }
 
-private fun printSlopes(sizes: String) {
-    sizes.split(',').map { parse(it) }.forEach { println(WireFormat.encodeToString(SlopeMeter(it).measure())) }
+private fun printFleetCosts(sizes: String) {
+    sizes.split(',').map { parse(it) }.forEach { println(WireFormat.encodeToString(FleetBenchmark(it).measure())) }
 }
 
 private fun parse(text: String): FleetSize {
--- a/bench/src/main/kotlin/org/quetzalloom/bench/Policies.kt
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/Policies.kt
@@ -12,9 +12,9 @@
 
 /** What is expected of the cheap and the middle version is wrong on purpose, each in another direction. */
 private val versions = listOf(
-    TrueVersion.of("large@1", costMicros = 9_000, expectedQuality = 0.97, quality = 0.97),
-    TrueVersion.of("middle@1", costMicros = 3_000, expectedQuality = 0.85, quality = 0.93),
-    TrueVersion.of("small@1", costMicros = 900, expectedQuality = 0.92, quality = 0.83),
+    SimulatedVersion.of("large@1", costMicros = 9_000, expectedQuality = 0.97, quality = 0.97),
+    SimulatedVersion.of("middle@1", costMicros = 3_000, expectedQuality = 0.85, quality = 0.93),
+    SimulatedVersion.of("small@1", costMicros = 900, expectedQuality = 0.92, quality = 0.83),
 )
 
 private val policies: Map<String, VersionChoice> = mapOf(
@@ -28,10 +28,10 @@
 )
 
 /** Prints what each policy comes to for each quality target and seed, on the same input. */
-internal fun printPolicies() = listOf(HIGH_TARGET, MIDDLE_TARGET, LOW_TARGET).forEach { target ->
+internal fun printPolicyResults() = listOf(HIGH_TARGET, MIDDLE_TARGET, LOW_TARGET).forEach { target ->
     policies.forEach { (name, policy) ->
         for (seed in 1L..SEEDS) {
-            println(WireFormat.encodeToString(SelectionTrial(versions, target, seed).run(name, policy)))
+            println(WireFormat.encodeToString(PolicySimulation(versions, target, seed).run(name, policy)))
         }
     }
 }
--- a/bench/src/main/kotlin/org/quetzalloom/bench/SelectionTrial.kt
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/PolicySimulation.kt
@@ -10,10 +10,10 @@
 import kotlin.random.Random
 
 /** A version with the quality that nobody is told. */
-internal data class TrueVersion(val version: Version, val quality: Double) {
+internal data class SimulatedVersion(val version: Version, val quality: Double) {
     companion object {
         /** Returns a version named [name] that costs [costMicros]. */
-        fun of(name: String, costMicros: Long, expectedQuality: Double, quality: Double) = TrueVersion(
+        fun of(name: String, costMicros: Long, expectedQuality: Double, quality: Double) = SimulatedVersion(
             Version(VersionId(name), name.substringBefore('@'), VersionKind.ENGINE, costMicros, expectedQuality),
             quality,
         )
@@ -28,7 +28,7 @@
  * @property exposed the share of requests that ran on a version below the target.
  */
 @Serializable
-internal data class SelectionResult(
+internal data class PolicyResult(
     val policy: String,
     val qualityTarget: Double,
     val good: Double,
@@ -40,19 +40,19 @@
  * Runs one workspace's requests through a policy: one answer in ten is sampled, one sample in ten is never rated, and
  * ratings come late.
  */
-internal class SelectionTrial(
-    private val versions: List<TrueVersion>,
+internal class PolicySimulation(
+    private val versions: List<SimulatedVersion>,
     private val qualityTarget: Double,
     private val seed: Long,
 ) {
-    private data class Rated(val at: Int, val version: VersionId, val good: Boolean)
+    private data class PendingRating(val at: Int, val version: VersionId, val good: Boolean)
 
     /** Returns what [policy] came to. */
-    fun run(name: String, policy: VersionChoice): SelectionResult {
+    fun run(name: String, policy: VersionChoice): PolicyResult {
         val random = Random(seed)
         var estimates = versions.associate { it.version.id to QualityEstimate() }
-        var pending = emptyList<Rated>()
-        val served = (0 until REQUESTS).map { number ->
+        var pending = emptyList<PendingRating>()
+        val answers = (0 until REQUESTS).map { number ->
             val due = pending.takeWhile { it.at <= number }
             pending = pending.drop(due.size)
             estimates = due.fold(estimates) { known, rated -> known + (rated.version to known.after(rated)) }
@@ -60,31 +60,31 @@
             val chosen = policy.choose(options, qualityTarget, random.nextLong())
             val truth = versions.first { it.version.id == chosen.id }
             val good = random.nextDouble() < truth.quality
-            val rated = random.nextDouble() < SAMPLED * (1 - MISSING)
-            if (rated) pending = pending + Rated(number + LAG_REQUESTS, chosen.id, good)
+            val rated = random.nextDouble() < SAMPLE_SHARE * (1 - MISSING_SHARE)
+            if (rated) pending = pending + PendingRating(number + LAG_REQUESTS, chosen.id, good)
             truth to good
         }
-        return summary(name, served.drop(REQUESTS / 2))
+        return result(name, answers.drop(REQUESTS / 2))
     }
 
-    private fun Map<VersionId, QualityEstimate>.after(rated: Rated): QualityEstimate =
+    private fun Map<VersionId, QualityEstimate>.after(rated: PendingRating): QualityEstimate =
         getValue(rated.version) + QualityEstimate(good = if (rated.good) 1 else 0, rated = 1)
 
-    private fun summary(name: String, served: List<Pair<TrueVersion, Boolean>>): SelectionResult {
-        val best = versions.filter { it.quality >= qualityTarget }.minOf { it.version.costMicros }
-        return SelectionResult(
+    private fun result(name: String, answers: List<Pair<SimulatedVersion, Boolean>>): PolicyResult {
+        val cheapestCost = versions.filter { it.quality >= qualityTarget }.minOf { it.version.costMicros }
+        return PolicyResult(
             policy = name,
             qualityTarget = qualityTarget,
-            good = served.count { it.second }.toDouble() / served.size,
-            cost = served.sumOf { it.first.version.costMicros }.toDouble() / (best * served.size),
-            exposed = served.count { it.first.quality < qualityTarget }.toDouble() / served.size,
+            good = answers.count { it.second }.toDouble() / answers.size,
+            cost = answers.sumOf { it.first.version.costMicros }.toDouble() / (cheapestCost * answers.size),
+            exposed = answers.count { it.first.quality < qualityTarget }.toDouble() / answers.size,
         )
     }
 
     private companion object {
         const val REQUESTS = 44_000
-        const val SAMPLED = 0.1
-        const val MISSING = 0.1
+        const val SAMPLE_SHARE = 0.1
+        const val MISSING_SHARE = 0.1
         const val LAG_REQUESTS = 200
     }
 }
--- a/bench/src/main/kotlin/org/quetzalloom/bench/Drive.kt
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/ReducerHarness.kt
@@ -8,7 +8,7 @@
 import java.lang.management.ManagementFactory
 
 /** Drives the reducer from one state to the next, and measures the processor time that this takes. */
-internal class Drive(var state: RouterState) {
+internal class ReducerHarness(var state: RouterState) {
     private val threads = ManagementFactory.getThreadMXBean()
 
     /** The current time, in milliseconds. */
@@ -22,7 +22,7 @@
     }
 
     /** Returns the processor time of one run of [action] in nanoseconds, on average over [runs] after a warm-up. */
-    fun nanoseconds(runs: Int, action: (Int) -> Unit): Long {
+    fun averageCpuNanoseconds(runs: Int, action: (Int) -> Unit): Long {
         repeat(runs) { action(it) }
         val before = threads.currentThreadCpuTime
         repeat(runs) { action(runs + it) }
--- a/bench/src/main/kotlin/org/quetzalloom/bench/SyntheticFleet.kt
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/SyntheticFleet.kt
@@ -26,30 +26,30 @@
     val vm = VmId("vm-1")
 
     /** All VM slots. */
-    val fleet: PersistentMap<VmId, AvailabilityZoneId> =
+    val zonesOfVms: PersistentMap<VmId, AvailabilityZoneId> =
         (1..size.vms).associate { VmId("vm-$it") to zones[it % ZONES] }.toPersistentMap()
 
     /** A workspace that exists. */
     val workspace = WorkspaceId("workspace-1")
 
-    fun settings() = RouterSettings(vm = vm, incarnation = "bench", fleet = fleet, sessionSecret = "secret")
+    fun settings() = RouterSettings(vm = vm, incarnation = "bench", fleet = zonesOfVms, sessionSecret = "secret")
 
     fun configuration() = Configuration(
         revision = 1,
         workspaces = (1..size.workspaces).map { WorkspaceId("workspace-$it") }
             .associateWith { Workspace(it, versionIds.toPersistentSet(), QUALITY_TARGET) }
             .toPersistentMap(),
-        versions = versionIds.mapIndexed { place, id -> version(id, place) }.associateBy { it.id }.toPersistentMap(),
+        versions = versionIds.mapIndexed { index, id -> version(id, index) }.associateBy { it.id }.toPersistentMap(),
         backendServers = (1..size.replicas).map { server(it) }.associateBy { it.id }.toPersistentMap(),
         zones = zones.toPersistentSet(),
         services = persistentListOf<ServiceRoute>(),
     )
 
-    private fun version(id: VersionId, place: Int) = Version(
+    private fun version(id: VersionId, index: Int) = Version(
         id = id,
         model = id.value.substringBefore('@'),
         kind = VersionKind.ENGINE,
-        costMicros = 1_000L + place,
+        costMicros = 1_000L + index,
         expectedQuality = EXPECTED_QUALITY,
     )
 
