--- a/bench/src/main/kotlin/org/quetzalloom/bench/FleetBenchmark.kt
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/FleetBenchmark.kt
@@ -7,14 +7,14 @@
 import org.quetzalloom.core.router.status
 import org.quetzalloom.core.time.Timestamp
 
-/** Measures one VM's reducer in a fleet of some [size]. */
+/** Measures what the reducer of one VM costs in a fleet of [size]. */
 internal class FleetBenchmark(private val size: FleetSize) {
     private val fleet = SyntheticFleet(size)
     private val vm = SimulatedVm(size, fleet)
     private val harness = vm.harness
     private val wire = WireSizes(fleet)
 
-    /** Returns what was measured. */
+    /** Runs the benchmark and returns the costs. Each measurement continues on the state that the one before left. */
     fun measure(): FleetCosts {
         vm.initialize()
         val stateBytes = sizeInMemory(harness.state)
--- a/bench/src/main/kotlin/org/quetzalloom/bench/FleetCosts.kt
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/FleetCosts.kt
@@ -3,24 +3,26 @@
 import kotlinx.serialization.Serializable
 
 /**
- * What was measured at one size. Times are processor time in nanoseconds.
+ * The costs of one VM's reducer at one fleet size. Times are CPU time in nanoseconds.
  *
- * @property homes the replicas that one VM may send to.
- * @property tickNanoseconds one tick while nothing is under way.
- * @property digestNanoseconds one digest of a peer that tells nothing new.
- * @property loadNanoseconds one load report.
- * @property changeNanoseconds one configuration change read from the log, with the replicas assigned anew.
- * @property requestNanoseconds one request from its arrival to its end, without its tokens.
- * @property tokenNanoseconds one piece of an answer.
- * @property commandNanoseconds one command of another VM read from the log: intent and outcome.
- * @property digestBytes one digest between VMs, as JSON.
- * @property changeBytes one change of a zone in the log, as JSON.
- * @property configurationBytes the whole configuration, as JSON.
- * @property billBytes one bill in the log, as JSON.
- * @property commandBytes intent and outcome of one command in the log, as JSON.
- * @property stateBytes the state in memory while nothing is under way.
- * @property requestBytes one request under way in memory.
- * @property commandStateBytes one remembered command in memory.
+ * @property homes the number of backend servers that one VM may send requests to.
+ * @property tickNanoseconds the time of one tick without requests in flight.
+ * @property digestNanoseconds the time of one digest from a peer that brings nothing new.
+ * @property loadNanoseconds the time of one load report.
+ * @property changeNanoseconds the time of one configuration change read from the log, including the reassignment of
+ *   backend servers to VMs.
+ * @property requestNanoseconds the time of one request from its arrival to its end, without chunks of its answer, and
+ *   of one tick.
+ * @property tokenNanoseconds the time of one chunk of an answer.
+ * @property commandNanoseconds the time of the intent and the outcome of another VM's command, read from the log.
+ * @property digestBytes the size of one digest between VMs, as JSON.
+ * @property changeBytes the size of one zone change in the log, as JSON.
+ * @property configurationBytes the size of the whole configuration, as JSON.
+ * @property billBytes the size of one bill in the log, as JSON.
+ * @property commandBytes the size of the intent and the outcome of one command in the log, as JSON.
+ * @property stateBytes the size of the state in memory without requests in flight.
+ * @property requestBytes the size of one request in flight in memory.
+ * @property commandStateBytes the size of one remembered command in memory.
  */
 @Serializable
 internal data class FleetCosts(
--- a/bench/src/main/kotlin/org/quetzalloom/bench/FleetSize.kt
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/FleetSize.kt
@@ -1,6 +1,11 @@
 package org.quetzalloom.bench
 
-/** A size to measure at. */
+/**
+ * The size of a fleet to measure.
+ *
+ * @property vms the number of VMs with a router.
+ * @property replicas the number of backend servers.
+ */
 internal data class FleetSize(
     val vms: Int,
     val replicas: Int,
--- a/bench/src/main/kotlin/org/quetzalloom/bench/Policies.kt
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/Policies.kt
@@ -10,7 +10,10 @@
 private const val MIDDLE_TARGET = 0.9
 private const val LOW_TARGET = 0.8
 
-/** What is expected of the cheap and the middle version is wrong on purpose, each in another direction. */
+/**
+ * The expected quality of the cheapest version is too high on purpose and that of the middle one too low, so that a
+ * policy has to correct both from ratings.
+ */
 private val versions = listOf(
     SimulatedVersion.of("large@1", costMicros = 9_000, expectedQuality = 0.97, quality = 0.97),
     SimulatedVersion.of("middle@1", costMicros = 3_000, expectedQuality = 0.85, quality = 0.93),
@@ -27,7 +30,7 @@
     },
 )
 
-/** Prints what each policy comes to for each quality target and seed, on the same input. */
+/** Prints the result of each policy for each quality target and seed, on the same input, as one line of JSON each. */
 internal fun printPolicyResults() = listOf(HIGH_TARGET, MIDDLE_TARGET, LOW_TARGET).forEach { target ->
     policies.forEach { (name, policy) ->
         for (seed in 1L..SEEDS) {
--- a/bench/src/main/kotlin/org/quetzalloom/bench/PolicySimulation.kt
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/PolicySimulation.kt
@@ -9,10 +9,10 @@
 import org.quetzalloom.core.selection.VersionOption
 import kotlin.random.Random
 
-/** A version with the quality that nobody is told. */
+/** A version with its true [quality], the share of good answers, which policies do not see. */
 internal data class SimulatedVersion(val version: Version, val quality: Double) {
     companion object {
-        /** Returns a version named [name] that costs [costMicros]. */
+        /** Returns a version with the ID [name], of the form `model@number`. */
         fun of(name: String, costMicros: Long, expectedQuality: Double, quality: Double) = SimulatedVersion(
             Version(VersionId(name), name.substringBefore('@'), VersionKind.ENGINE, costMicros, expectedQuality),
             quality,
@@ -21,11 +21,11 @@
 }
 
 /**
- * What a policy came to, over the second half of the requests.
+ * The result of a policy over the second half of the requests; the first half is for learning.
  *
  * @property good the share of answers that were good.
- * @property cost the cost, as a multiple of that of the cheapest version which is good enough.
- * @property exposed the share of requests that ran on a version below the target.
+ * @property cost the cost, relative to that of the cheapest version whose true quality meets the target.
+ * @property exposed the share of requests that ran on a version whose true quality is below the target.
  */
 @Serializable
 internal data class PolicyResult(
@@ -37,8 +37,10 @@
 )
 
 /**
- * Runs one workspace's requests through a policy: one answer in ten is sampled, one sample in ten is never rated, and
- * ratings come late.
+ * Simulates the requests of one workspace, with versions chosen by a policy.
+ *
+ * One answer in ten is sampled, one sample in ten is never rated, and a rating arrives 200 requests after its sample.
+ * Every request draws the same number of random numbers, so that policies with the same [seed] see the same input.
  */
 internal class PolicySimulation(
     private val versions: List<SimulatedVersion>,
@@ -47,7 +49,7 @@
 ) {
     private data class PendingRating(val at: Int, val version: VersionId, val good: Boolean)
 
-    /** Returns what [policy] came to. */
+    /** Returns the result of [policy], which is called [name] in it. */
     fun run(name: String, policy: VersionChoice): PolicyResult {
         val random = Random(seed)
         var estimates = versions.associate { it.version.id to QualityEstimate() }
--- a/bench/src/main/kotlin/org/quetzalloom/bench/ReducerHarness.kt
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/ReducerHarness.kt
@@ -7,11 +7,15 @@
 import org.quetzalloom.core.time.Timestamp
 import java.lang.management.ManagementFactory
 
-/** Drives the reducer from one state to the next, and measures the processor time that this takes. */
+/**
+ * Runs the router's reducer without effects or a clock, and measures its CPU time.
+ *
+ * @property state the state after the last event.
+ */
 internal class ReducerHarness(var state: RouterState) {
     private val threads = ManagementFactory.getThreadMXBean()
 
-    /** The current time, in milliseconds. */
+    /** The time of the next event, in milliseconds since the epoch. */
     var now: Long = START_MILLISECONDS
 
     /** Reduces [event] and returns the effects. */
@@ -21,7 +25,12 @@
         return transition.effects
     }
 
-    /** Returns the processor time of one run of [action] in nanoseconds, on average over [runs] after a warm-up. */
+    /**
+     * Returns the mean CPU time of one run of [action] on this thread, in nanoseconds.
+     *
+     * Measures [runs] runs, after as many that are not measured and warm up the JVM. The argument of [action] is the
+     * number of the run, which goes on counting from the warm-up.
+     */
     fun averageCpuNanoseconds(runs: Int, action: (Int) -> Unit): Long {
         repeat(runs) { action(it) }
         val before = threads.currentThreadCpuTime
--- a/bench/src/main/kotlin/org/quetzalloom/bench/SimulatedVm.kt
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/SimulatedVm.kt
@@ -23,16 +23,19 @@
 import org.quetzalloom.core.router.status
 import org.quetzalloom.core.time.Timestamp
 
-/** One VM of a fleet of some [size], with the events that it meets. */
+/**
+ * The router of one VM in a fleet of [size], and the events that it receives from callers, peers, backend servers and
+ * the log.
+ */
 internal class SimulatedVm(private val size: FleetSize, private val fleet: SyntheticFleet) {
     private var revision = 1L
     private var offset = 0L
     private var peer = 0
 
-    /** The reducer and the state of the VM. */
+    /** Runs the reducer on the state of this VM. */
     val harness = ReducerHarness(RouterState.initial(fleet.settings()))
 
-    /** Puts the configuration in force, and lets all peers and backend servers be heard. */
+    /** Applies the configuration, then receives a digest from each peer and a load report from each backend server. */
     fun initialize() {
         val snapshot = ConfigurationRecord.Snapshot(fleet.configuration())
         receiveRecord(LogStream.CONFIGURATION, LogRecord.OfConfiguration(snapshot))
@@ -43,13 +46,18 @@
         }
     }
 
-    /** Lets time pass. */
+    /** Advances the time by one tick. */
     fun tick() {
         harness.now += TICK_MILLISECONDS
         process(Event.Tick)
     }
 
-    /** Reduces [event], and answers reads and appends at once, so that the router goes on as it would. */
+    /**
+     * Reduces [event] and returns its effects.
+     *
+     * Log reads and appends are not returned. They succeed at once, reads without records, so that the router does not
+     * wait for them; the effects that this leads to are returned instead.
+     */
     fun process(event: Event): List<Effect> = harness.reduce(event).flatMap { effect ->
         when (effect) {
             is Effect.OfPlatform.Read ->
@@ -59,18 +67,18 @@
         }
     }
 
-    /** Lets the next peer tell its revision. */
+    /** Receives a digest with the current configuration revision from the next peer in turn. */
     fun receiveDigest() {
         peer = peer % (size.vms - 1) + 1
         process(Event.FromPeer(VmId("vm-${peer + 1}"), stamp = 1, message = PeerMessage.Digest(revision)))
     }
 
-    /** Lets [server] report its load. */
+    /** Receives a load report from [server]. */
     fun receiveLoadReport(server: BackendServerId) {
         process(Event.OfBackend.LoadReported(server, StartIdentity("$server-1"), 1, WARM_MILLISECONDS))
     }
 
-    /** Lets an operator change the configuration. */
+    /** Reads a configuration change from the log: it puts the first zone into service if [number] is odd, else out. */
     fun receiveConfigurationChange(number: Int) {
         val zone = fleet.configuration().zones.first()
         val change = ConfigurationChange.SetZone(zone, inService = number % 2 == 1)
@@ -79,7 +87,7 @@
         receiveRecord(LogStream.CONFIGURATION, LogRecord.OfConfiguration(record))
     }
 
-    /** Lets another VM run a command. */
+    /** Reads the intent and the outcome of a command that another VM ran from the log. */
     fun receiveCommand(key: String) {
         val command = CommandId(fleet.workspace, IdempotencyKey(key))
         val request = RequestId(key)
@@ -92,7 +100,7 @@
         process(Event.OfPlatform.LogRead(stream, persistentListOf(LogEntry(offset, 1, record)), offset + 1, 0))
     }
 
-    /** Leads one request through all its events. */
+    /** Runs one streamed request from its arrival to its end, with [chunks] chunks in the answer, and one tick. */
     fun runRequest(name: String, chunks: Int) {
         val started = receiveRequest(name) ?: error("request $name was not started")
         val attempt = started.order.attempt
@@ -102,7 +110,7 @@
         tick()
     }
 
-    /** Lets a request arrive; returns the order that it leads to. */
+    /** Receives a request. Returns the effect that starts its attempt, or `null` if none was started. */
     fun receiveRequest(name: String): Effect.OfBackend.Start? {
         val call = CallerRequest(
             workspace = fleet.workspace,
@@ -116,11 +124,13 @@
     }
 
     companion object {
-        /** The pieces of a long answer. */
+        /** The number of chunks of a long answer, and the maximum number of tokens that requests ask for. */
         const val CHUNKS = 200
 
         private const val STATUS = 200
         private const val TICK_MILLISECONDS = 20L
+
+        /** The uptime of backend servers, long enough to be warm; also the timeout of requests. */
         private const val WARM_MILLISECONDS = 600_000L
     }
 }
--- a/bench/src/main/kotlin/org/quetzalloom/bench/SyntheticFleet.kt
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/SyntheticFleet.kt
@@ -17,19 +17,22 @@
 import org.quetzalloom.core.identity.WorkspaceId
 import org.quetzalloom.core.router.RouterSettings
 
-/** A fleet of some [size], made up so that everything is spread evenly. */
+/**
+ * A generated fleet of [size] with its configuration. VMs and backend servers are spread evenly over the zones, and
+ * versions over the backend servers.
+ */
 internal class SyntheticFleet(private val size: FleetSize) {
     private val zones = (1..ZONES).map { AvailabilityZoneId("zone-$it") }
     private val versionIds = (1..size.versions).map { VersionId("model-${(it + 1) / 2}@$it") }
 
-    /** The VM that is measured. */
+    /** The VM that is simulated and measured. */
     val vm = VmId("vm-1")
 
-    /** All VM slots. */
+    /** The availability zone of each VM slot. */
     val zonesOfVms: PersistentMap<VmId, AvailabilityZoneId> =
         (1..size.vms).associate { VmId("vm-$it") to zones[it % ZONES] }.toPersistentMap()
 
-    /** A workspace that exists. */
+    /** A workspace of the configuration. */
     val workspace = WorkspaceId("workspace-1")
 
     fun settings() = RouterSettings(vm = vm, incarnation = "bench", fleet = zonesOfVms, sessionSecret = "secret")
@@ -53,7 +56,7 @@
         expectedQuality = EXPECTED_QUALITY,
     )
 
-    /** Each replica serves two versions, as during a roll-out. */
+    /** Returns a backend server that serves two versions of one model, as during a roll-out. */
     private fun server(number: Int): BackendServer {
         val pair = 2 * (number % (size.versions / 2))
         return BackendServer(
--- a/bench/src/main/kotlin/org/quetzalloom/bench/WireSizes.kt
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/WireSizes.kt
@@ -19,7 +19,11 @@
 import org.quetzalloom.wire.peer.toDocument
 import java.util.UUID
 
-/** The lengths of messages of [fleet], in bytes. */
+/**
+ * The sizes of messages and log records of [fleet], as JSON.
+ *
+ * They are counted in characters, which are bytes because the contents are ASCII.
+ */
 internal class WireSizes(private val fleet: SyntheticFleet) {
     private val identity = UUID(0, 0).toString()
 
