--- a/bench/src/main/kotlin/org/quetzalloom/bench/FleetBenchmark.kt
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/FleetBenchmark.kt
@@ -18,16 +18,16 @@
     fun measure(): FleetCosts {
         vm.initialize()
         val stateBytes = sizeInMemory(harness.state)
-        val homes = harness.state.status(Timestamp(harness.now)).running.keys.sorted()
+        val servers = harness.state.status(Timestamp(harness.now)).running.keys.sorted()
         val request = harness.averageCpuNanoseconds(RUNS) { vm.runRequest("request-$it", chunks = 0) }
         val longRequest = harness.averageCpuNanoseconds(RUNS) { vm.runRequest("long-$it", chunks = SimulatedVm.CHUNKS) }
         return FleetCosts(
             vms = size.vms,
             replicas = size.replicas,
-            homes = homes.size,
+            homes = servers.size,
             tickNanoseconds = harness.averageCpuNanoseconds(RUNS) { vm.tick() },
             digestNanoseconds = harness.averageCpuNanoseconds(RUNS) { vm.receiveDigest() },
-            loadNanoseconds = harness.averageCpuNanoseconds(RUNS) { vm.receiveLoadReport(homes.first()) },
+            loadNanoseconds = harness.averageCpuNanoseconds(RUNS) { vm.receiveLoadReport(servers.first()) },
             changeNanoseconds = harness.averageCpuNanoseconds(CHANGES) { vm.receiveConfigurationChange(it) },
             requestNanoseconds = request,
             tokenNanoseconds = (longRequest - request) / SimulatedVm.CHUNKS,
