--- a/bench/src/main/kotlin/org/quetzalloom/bench/FleetBenchmark.kt
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/FleetBenchmark.kt
@@ -45,17 +45,17 @@
 
     private fun bytesPerRequest(): Long {
         val before = sizeInMemory(harness.state)
-        val started = (1..IN_FLIGHT).mapNotNull { vm.receiveRequest("under-way-$it") }
+        val started = (1..REQUESTS_IN_FLIGHT).mapNotNull { vm.receiveRequest("under-way-$it") }
         started.forEach {
             vm.process(Event.OfBackend.Accepted(it.order.attempt, StartIdentity("${it.order.server}-1")))
         }
-        return (sizeInMemory(harness.state) - before) / IN_FLIGHT
+        return (sizeInMemory(harness.state) - before) / REQUESTS_IN_FLIGHT
     }
 
     private fun bytesPerCommand(): Long {
         val before = sizeInMemory(harness.state)
-        repeat(REMEMBERED) { vm.receiveCommand("remembered-$it") }
-        return (sizeInMemory(harness.state) - before) / REMEMBERED
+        repeat(REMEMBERED_COMMANDS) { vm.receiveCommand("remembered-$it") }
+        return (sizeInMemory(harness.state) - before) / REMEMBERED_COMMANDS
     }
 
     private fun sizeInMemory(state: RouterState): Long = GraphLayout.parseInstance(state).totalSize()
@@ -63,7 +63,7 @@
     private companion object {
         const val RUNS = 3_000
         const val CHANGES = 100
-        const val IN_FLIGHT = 20
-        const val REMEMBERED = 1_000
+        const val REQUESTS_IN_FLIGHT = 20
+        const val REMEMBERED_COMMANDS = 1_000
     }
 }
--- a/bench/src/main/kotlin/org/quetzalloom/bench/PolicySimulation.kt
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/PolicySimulation.kt
@@ -47,7 +47,7 @@
     private val qualityTarget: Double,
     private val seed: Long,
 ) {
-    private data class PendingRating(val at: Int, val version: VersionId, val good: Boolean)
+    private data class PendingRating(val dueAt: Int, val version: VersionId, val good: Boolean)
 
     /** Returns the result of [policy], which is called [name] in it. */
     fun run(name: String, policy: VersionChoice): PolicyResult {
@@ -55,21 +55,23 @@
         var estimates = versions.associate { it.version.id to QualityEstimate() }
         var pending = emptyList<PendingRating>()
         val answers = (0 until REQUESTS).map { number ->
-            val due = pending.takeWhile { it.at <= number }
+            val due = pending.takeWhile { it.dueAt <= number }
             pending = pending.drop(due.size)
-            estimates = due.fold(estimates) { known, rated -> known + (rated.version to known.after(rated)) }
+            estimates = due.fold(estimates) { current, rated ->
+                current + (rated.version to current.updatedEstimate(rated))
+            }
             val options = versions.map { VersionOption(it.version, estimates.getValue(it.version.id)) }
             val chosen = policy.choose(options, qualityTarget, random.nextLong())
-            val truth = versions.first { it.version.id == chosen.id }
-            val good = random.nextDouble() < truth.quality
-            val rated = random.nextDouble() < SAMPLE_SHARE * (1 - MISSING_SHARE)
-            if (rated) pending = pending + PendingRating(number + LAG_REQUESTS, chosen.id, good)
-            truth to good
+            val simulatedVersion = versions.first { it.version.id == chosen.id }
+            val good = random.nextDouble() < simulatedVersion.quality
+            val isRated = random.nextDouble() < SAMPLE_SHARE * (1 - MISSING_SHARE)
+            if (isRated) pending = pending + PendingRating(number + LAG_REQUESTS, chosen.id, good)
+            simulatedVersion to good
         }
         return result(name, answers.drop(REQUESTS / 2))
     }
 
-    private fun Map<VersionId, QualityEstimate>.after(rated: PendingRating): QualityEstimate =
+    private fun Map<VersionId, QualityEstimate>.updatedEstimate(rated: PendingRating): QualityEstimate =
         getValue(rated.version) + QualityEstimate(good = if (rated.good) 1 else 0, rated = 1)
 
     private fun result(name: String, answers: List<Pair<SimulatedVersion, Boolean>>): PolicyResult {
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/Daemon.kt
@@ -21,7 +21,7 @@
 import org.quetzalloom.core.router.status
 import org.quetzalloom.daemon.backend.BackendClient
 import org.quetzalloom.daemon.caller.CallerRoutes
-import org.quetzalloom.daemon.caller.Exchanges
+import org.quetzalloom.daemon.caller.PendingAnswers
 import org.quetzalloom.daemon.caller.RequestParser
 import org.quetzalloom.daemon.peer.PeerClient
 import org.quetzalloom.daemon.peer.PeerRoutes
@@ -50,7 +50,7 @@
     private val stopped = CompletableDeferred<Unit>()
     private val metrics = Metrics { loop.snapshot().status(clock.now()) }
     private val reporter = Reporter(metrics.events)
-    private val exchanges = Exchanges()
+    private val pendingAnswers = PendingAnswers()
 
     /**
      * Starts a graceful shutdown. [run] returns once all requests are answered and no record can be lost: commands are
@@ -95,13 +95,13 @@
         val parser = RequestParser(settings.defaultTimeoutMilliseconds)
         AdminRoutes(loop, clock, reporter, metrics).install(routing)
         PeerRoutes(loop).install(routing)
-        CallerRoutes(loop, exchanges, parser, settings.largestBodyBytes).install(routing)
+        CallerRoutes(loop, pendingAnswers, parser, settings.largestBodyBytes).install(routing)
     }
 
     private fun createInterpreter(client: HttpClient, scope: CoroutineScope): EffectInterpreter {
         val router = settings.router
         return EffectInterpreter(
-            exchanges = exchanges,
+            pendingAnswers = pendingAnswers,
             backends = BackendClient(client, scope, loop),
             platform = PlatformClient(
                 PlatformHttp(client),
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/EffectInterpreter.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/EffectInterpreter.kt
@@ -2,7 +2,7 @@
 
 import org.quetzalloom.core.effect.Effect
 import org.quetzalloom.daemon.backend.BackendClient
-import org.quetzalloom.daemon.caller.Exchanges
+import org.quetzalloom.daemon.caller.PendingAnswers
 import org.quetzalloom.daemon.peer.PeerClient
 import org.quetzalloom.daemon.platform.PlatformClient
 import org.quetzalloom.daemon.report.Reporter
@@ -14,7 +14,7 @@
  * @param stop ends the process; called when a graceful shutdown is complete.
  */
 internal class EffectInterpreter(
-    private val exchanges: Exchanges,
+    private val pendingAnswers: PendingAnswers,
     private val backends: BackendClient,
     private val platform: PlatformClient,
     private val peers: PeerClient,
@@ -23,7 +23,7 @@
 ) : Interpreter<Effect> {
     override fun carryOut(effect: Effect) {
         when (effect) {
-            is Effect.OfCaller -> exchanges.deliver(effect)
+            is Effect.OfCaller -> pendingAnswers.deliver(effect)
             is Effect.OfBackend -> backends.carryOut(effect)
             is Effect.OfPlatform -> platform.carryOut(effect)
             is Effect.SendToPeer -> peers.carryOut(effect)
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/CallerRoutes.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/CallerRoutes.kt
@@ -35,7 +35,7 @@
  */
 internal class CallerRoutes(
     private val loop: RouterLoop,
-    private val exchanges: Exchanges,
+    private val pendingAnswers: PendingAnswers,
     private val parser: RequestParser,
     private val largestBodyBytes: Long,
 ) {
@@ -67,7 +67,7 @@
     private suspend fun serve(call: ApplicationCall, request: CallerRequest) {
         val id = RequestId(UUID.randomUUID().toString())
         val parts = Channel<Effect.OfCaller>(Channel.UNLIMITED)
-        loop.post(Event.OfCaller.Arrived(id, request)) { exchanges.register(id, parts) }
+        loop.post(Event.OfCaller.Arrived(id, request)) { pendingAnswers.register(id, parts) }
         call.response.header(CallerHeaders.REQUEST, id.value)
         try {
             AnswerWriter(call, id, request.target).write(parts)
@@ -79,7 +79,8 @@
         }
     }
 
-    private fun reportDisconnect(id: RequestId) = loop.post(Event.OfCaller.Disconnected(id)) { exchanges.remove(id) }
+    private fun reportDisconnect(id: RequestId) =
+        loop.post(Event.OfCaller.Disconnected(id)) { pendingAnswers.remove(id) }
 }
 
 private fun ApplicationCall.header(name: String): String? = request.header(name)
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/Exchanges.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/PendingAnswers.kt
@@ -10,7 +10,7 @@
  *
  * Confined to the loop's thread.
  */
-internal class Exchanges {
+internal class PendingAnswers {
     private var pending = persistentMapOf<RequestId, Channel<Effect.OfCaller>>()
 
     /**
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/RequestParser.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/caller/RequestParser.kt
@@ -31,10 +31,10 @@
      *
      * @param headers returns the value of a header, or `null` if the request does not have it.
      */
-    fun parseCompletion(headers: (String) -> String?, body: String): Result<CallerRequest, RouterError> = binding {
+    fun parseCompletion(header: (String) -> String?, body: String): Result<CallerRequest, RouterError> = binding {
         val chat = parseChat(body).bind()
         val target = Target.Completion(chat.model, chat.maximumTokens, chat.stream)
-        parseRequest(headers, target, promptOf(chat)).bind()
+        parseRequest(header, target, promptOf(chat)).bind()
     }
 
     /**
@@ -43,10 +43,10 @@
      * @param headers returns the value of a header, or `null` if the request does not have it.
      */
     fun parseServiceCall(
-        headers: (String) -> String?,
+        header: (String) -> String?,
         target: Target.ServiceCall,
         body: String,
-    ): Result<CallerRequest, RouterError> = parseRequest(headers, target, body)
+    ): Result<CallerRequest, RouterError> = parseRequest(header, target, body)
 
     private fun parseChat(body: String): Result<ChatRequest, RouterError> = try {
         val chat = WireFormat.decodeFromString<ChatRequest>(body)
@@ -58,35 +58,35 @@
     private fun promptOf(chat: ChatRequest): String = chat.messages.joinToString("\n") { "${it.role}: ${it.content}" }
 
     private fun parseRequest(
-        headers: (String) -> String?,
+        header: (String) -> String?,
         target: Target,
         body: String,
     ): Result<CallerRequest, RouterError> = binding {
-        val workspace = headers(CallerHeaders.WORKSPACE)
+        val workspace = header(CallerHeaders.WORKSPACE)
             ?: Err(malformed("the header ${CallerHeaders.WORKSPACE} is missing")).bind()
         CallerRequest(
             workspace = parseIdentifier(workspace, ::WorkspaceId).bind(),
             target = target,
-            timeoutMilliseconds = parseTimeout(headers).bind(),
+            timeoutMilliseconds = parseTimeout(header).bind(),
             body = body,
-            requestClass = parseOptional(headers(CallerHeaders.CLASS), ::RequestClass).bind() ?: RequestClass.DEFAULT,
-            priority = parsePriority(headers).bind(),
-            session = parseOptional(headers(CallerHeaders.SESSION), ::SessionId).bind(),
-            sessionToken = headers(CallerHeaders.SESSION_TOKEN),
-            key = parseOptional(headers(CallerHeaders.KEY), ::IdempotencyKey).bind(),
+            requestClass = parseOptional(header(CallerHeaders.CLASS), ::RequestClass).bind() ?: RequestClass.DEFAULT,
+            priority = parsePriority(header).bind(),
+            session = parseOptional(header(CallerHeaders.SESSION), ::SessionId).bind(),
+            sessionToken = header(CallerHeaders.SESSION_TOKEN),
+            key = parseOptional(header(CallerHeaders.KEY), ::IdempotencyKey).bind(),
         )
     }
 
-    private fun parseTimeout(headers: (String) -> String?): Result<Long, RouterError> {
-        val text = headers(CallerHeaders.TIMEOUT) ?: return Ok(defaultTimeoutMilliseconds)
+    private fun parseTimeout(header: (String) -> String?): Result<Long, RouterError> {
+        val text = header(CallerHeaders.TIMEOUT) ?: return Ok(defaultTimeoutMilliseconds)
         val milliseconds = text.toLongOrNull()?.takeIf { it in 1..MAX_TIMEOUT_MILLISECONDS }
         return milliseconds?.let { Ok(it) } ?: Err(
             malformed("${CallerHeaders.TIMEOUT} '$text' is not between 1 and $MAX_TIMEOUT_MILLISECONDS"),
         )
     }
 
-    private fun parsePriority(headers: (String) -> String?): Result<Priority, RouterError> {
-        val text = headers(CallerHeaders.PRIORITY) ?: return Ok(Priority.NORMAL)
+    private fun parsePriority(header: (String) -> String?): Result<Priority, RouterError> {
+        val text = header(CallerHeaders.PRIORITY) ?: return Ok(Priority.NORMAL)
         return Priority.parseOrNull(text)?.let { Ok(it) }
             ?: Err(malformed("${CallerHeaders.PRIORITY} '$text' is not one of high, normal and low"))
     }
--- a/daemon/src/test/kotlin/org/quetzalloom/daemon/DaemonProcessTest.kt
+++ b/daemon/src/test/kotlin/org/quetzalloom/daemon/DaemonProcessTest.kt
@@ -68,13 +68,13 @@
     private fun complete(port: Int, prompt: String, tokens: Int): CompletableFuture<HttpResponse<String>> =
         CompletableFuture.supplyAsync {
             val body = """{"model":"m","messages":[{"role":"user","content":"$prompt"}],"max_tokens":$tokens}"""
-            TestSite.post("http://127.0.0.1:$port/v1/chat/completions", body, workspace)
+            TestSite.post("http://127.0.0.1:$port/v1/chat/completions", body, workspaceHeader)
         }
 
     private fun command(port: Int, key: String): CompletableFuture<HttpResponse<String>?> =
         CompletableFuture.supplyAsync {
             try {
-                val headers = arrayOf(workspace, CallerHeaders.KEY to key, CallerHeaders.TIMEOUT to "5000")
+                val headers = arrayOf(workspaceHeader, CallerHeaders.KEY to key, CallerHeaders.TIMEOUT to "5000")
                 TestSite.post("http://127.0.0.1:$port/ovens/start", "{}", *headers)
             } catch (_: IOException) {
                 null
@@ -105,16 +105,16 @@
     @Test
     fun aKilledVmDuplicatesNoCommand() {
         val sent = (1..20).map { command(site.vmPorts[0], "k-$it") }
-        TestSite.await { site.books().entries.isNotEmpty() }
+        TestSite.await { site.executedCalls().entries.isNotEmpty() }
         processes.getValue("vm-1").destroyForcibly().waitFor()
         sent.forEach { it.get() }
         val resent = (1..20).map { command(site.vmPorts[1], "k-$it") }.mapNotNull { it.get() }
         assertEquals(20, resent.size)
-        val runs = site.books().entries.groupingBy { it.scope }.eachCount()
+        val runs = site.executedCalls().entries.groupingBy { it.scope }.eachCount()
         assertTrue(runs.values.all { it == 1 }, "$runs")
         resent.filter { it.statusCode() != 200 }.forEach { assertContains(it.body(), "outcome_unknown") }
         assertEquals(200, command(site.vmPorts[1], "new").get()?.statusCode())
-        assertEquals(1, site.books().entries.count { it.scope == "bakery/new" })
+        assertEquals(1, site.executedCalls().entries.count { it.scope == "bakery/new" })
     }
 
     @Test
@@ -122,15 +122,15 @@
         val sent = (1..20).map { command(site.vmPorts[0], "k-$it") }
         signal("vm-1", "STOP")
         val resent = (1..20).map { command(site.vmPorts[1], "k-$it") }
-        TestSite.await { site.books().entries.size >= 1 }
+        TestSite.await { site.executedCalls().entries.size >= 1 }
         signal("vm-1", "CONT")
         (sent + resent).forEach { it.get() }
-        val runs = site.books().entries.groupingBy { it.scope }.eachCount()
+        val runs = site.executedCalls().entries.groupingBy { it.scope }.eachCount()
         assertEquals(20, runs.size)
         assertTrue(runs.values.all { it == 1 }, "$runs")
     }
 
     private companion object {
-        val workspace = CallerHeaders.WORKSPACE to "bakery"
+        val workspaceHeader = CallerHeaders.WORKSPACE to "bakery"
     }
 }
--- a/daemon/src/test/kotlin/org/quetzalloom/daemon/DaemonTest.kt
+++ b/daemon/src/test/kotlin/org/quetzalloom/daemon/DaemonTest.kt
@@ -48,11 +48,14 @@
         assertEquals(kind.code, error.code, response.body())
         assertEquals(kind.status, response.statusCode())
         assertEquals(kind.notRun, error.notRun)
-        assertEquals("{}", testSite.engineBooks().substringAfter("\"generations\":", "{}").substringBefore("}") + "}")
+        assertEquals(
+            "{}",
+            testSite.engineStatistics().substringAfter("\"generations\":", "{}").substringBefore("}") + "}",
+        )
     }
 
     @Test
-    fun malformedJson() = assertError(chat("{", workspace), ErrorKind.MALFORMED)
+    fun malformedJson() = assertError(chat("{", workspaceHeader), ErrorKind.MALFORMED)
 
     @Test
     fun missingWorkspace() = assertError(chat(REQUEST), ErrorKind.MALFORMED)
@@ -62,39 +65,40 @@
         assertError(chat(REQUEST, CallerHeaders.WORKSPACE to "nobody"), ErrorKind.UNKNOWN_WORKSPACE)
 
     @Test
-    fun unknownModel() = assertError(chat(REQUEST.replace("\"m\"", "\"x\""), workspace), ErrorKind.UNKNOWN_TARGET)
+    fun unknownModel() = assertError(chat(REQUEST.replace("\"m\"", "\"x\""), workspaceHeader), ErrorKind.UNKNOWN_TARGET)
 
     @Test
     fun versionNotAllowed() =
-        assertError(chat(REQUEST.replace("\"m\"", "\"secret@1\""), workspace), ErrorKind.NOT_ALLOWED)
+        assertError(chat(REQUEST.replace("\"m\"", "\"secret@1\""), workspaceHeader), ErrorKind.NOT_ALLOWED)
 
     @Test
     fun oversizedBody() =
-        assertError(chat(REQUEST.replace("hello", "x".repeat(5_000)), workspace), ErrorKind.TOO_LARGE)
+        assertError(chat(REQUEST.replace("hello", "x".repeat(5_000)), workspaceHeader), ErrorKind.TOO_LARGE)
 
     @Test
     fun wrongPriority() =
-        assertError(chat(REQUEST, workspace, CallerHeaders.PRIORITY to "urgent"), ErrorKind.MALFORMED)
+        assertError(chat(REQUEST, workspaceHeader, CallerHeaders.PRIORITY to "urgent"), ErrorKind.MALFORMED)
 
     @Test
-    fun wrongTimeout() = assertError(chat(REQUEST, workspace, CallerHeaders.TIMEOUT to "-1"), ErrorKind.MALFORMED)
+    fun wrongTimeout() = assertError(chat(REQUEST, workspaceHeader, CallerHeaders.TIMEOUT to "-1"), ErrorKind.MALFORMED)
 
     @Test
     fun commandWithoutAKey() {
-        val response = TestSite.post("http://127.0.0.1:$port/ovens/start", "{}", workspace)
+        val response = TestSite.post("http://127.0.0.1:$port/ovens/start", "{}", workspaceHeader)
         assertError(response, ErrorKind.KEY_MISSING)
     }
 
     @Test
     fun unknownPath() =
-        assertError(TestSite.post("http://127.0.0.1:$port/fridges", "{}", workspace), ErrorKind.UNKNOWN_TARGET)
+        assertError(TestSite.post("http://127.0.0.1:$port/fridges", "{}", workspaceHeader), ErrorKind.UNKNOWN_TARGET)
 
     @Test
     fun commandsRunOnceAndResendsAreAnswered() {
-        fun send() = TestSite.post("http://127.0.0.1:$port/ovens/start", "{}", workspace, CallerHeaders.KEY to "k-1")
+        fun send() =
+            TestSite.post("http://127.0.0.1:$port/ovens/start", "{}", workspaceHeader, CallerHeaders.KEY to "k-1")
         val answers = listOf(send(), send(), send()).map { it.body() }
         assertEquals(1, answers.toSet().size)
-        assertEquals(1, testSite.books().entries.count { it.scope == "bakery/k-1" })
+        assertEquals(1, testSite.executedCalls().entries.count { it.scope == "bakery/k-1" })
     }
 
     @Test
@@ -106,7 +110,7 @@
     }
 
     private companion object {
-        val workspace = CallerHeaders.WORKSPACE to "bakery"
+        val workspaceHeader = CallerHeaders.WORKSPACE to "bakery"
         const val REQUEST = """{"model":"m","messages":[{"role":"user","content":"hello"}],"max_tokens":12}"""
     }
 }
--- a/daemon/src/test/kotlin/org/quetzalloom/daemon/TestSite.kt
+++ b/daemon/src/test/kotlin/org/quetzalloom/daemon/TestSite.kt
@@ -126,9 +126,9 @@
     /** Injects the faults that [json] describes into the log. */
     fun faults(json: String) = post("http://127.0.0.1:$logPort/faults", json)
 
-    fun books(): ExecutedCalls = WireFormat.decodeFromString(get("http://127.0.0.1:$servicePort/books").body())
+    fun executedCalls(): ExecutedCalls = WireFormat.decodeFromString(get("http://127.0.0.1:$servicePort/books").body())
 
-    fun engineBooks(): String = get("http://127.0.0.1:$enginePort/books").body()
+    fun engineStatistics(): String = get("http://127.0.0.1:$enginePort/books").body()
 
     fun bills(): List<String> {
         val body = get("http://127.0.0.1:$logPort/streams/bills").body()
--- a/standins/src/main/kotlin/org/quetzalloom/standins/audit/AuditCommand.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/audit/AuditCommand.kt
@@ -45,7 +45,7 @@
     }
 
     private fun executedCalls(address: String) =
-        WireFormat.decodeFromString<ExecutedCalls>(HttpReader.read("http://$address/books")).entries
+        WireFormat.decodeFromString<ExecutedCalls>(BlockingHttpClient.get("http://$address/books")).entries
 
     private fun bills(): List<RecordDocument.OfBill> {
         val pages = generateSequence(page(0)) { last -> page(last.next) }.takeWhile { it.entries.isNotEmpty() }
@@ -53,5 +53,5 @@
     }
 
     private fun page(from: Long): ReadResponse =
-        WireFormat.decodeFromString(HttpReader.read("http://$log/streams/bills?from=$from"))
+        WireFormat.decodeFromString(BlockingHttpClient.get("http://$log/streams/bills?from=$from"))
 }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/audit/HttpReader.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/audit/BlockingHttpClient.kt
@@ -8,12 +8,12 @@
 import java.time.Duration
 
 /** A blocking HTTP client. Its functions throw [IOException] on a timeout, a failed connection or an error status. */
-internal object HttpReader {
+internal object BlockingHttpClient {
     private const val TIMEOUT_SECONDS = 5L
     private val client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
 
     /** Sends a GET request to [url] and returns the body of the response. */
-    fun read(url: String): String = send(HttpRequest.newBuilder(URI(url)).GET())
+    fun get(url: String): String = send(HttpRequest.newBuilder(URI(url)).GET())
 
     /** Sends [body] to [url] in a POST request and returns the body of the response. */
     fun post(url: String, body: String): String =
--- a/standins/src/main/kotlin/org/quetzalloom/standins/audit/FetchCommand.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/audit/FetchCommand.kt
@@ -45,7 +45,7 @@
     private fun isExpected(body: String): Boolean = contains in body && lacks?.let { it in body } != true
 
     private fun fetchOrNull(): String? = try {
-        post?.let { HttpReader.post(url, it) } ?: HttpReader.read(url)
+        post?.let { BlockingHttpClient.post(url, it) } ?: BlockingHttpClient.get(url)
     } catch (_: IOException) {
         null
     }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/audit/WorkCommand.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/audit/WorkCommand.kt
@@ -31,7 +31,8 @@
     override fun execute() {
         val limit = since.toLong()
         val latest = engines.split(',').flatMap { address ->
-            val statistics = WireFormat.decodeFromString<EngineStatistics>(HttpReader.read("http://$address/books"))
+            val statistics =
+                WireFormat.decodeFromString<EngineStatistics>(BlockingHttpClient.get("http://$address/books"))
             statistics.lastBegunAt.filterKeys { version == null || it == version }.values
         }.maxOrNull()
         val hasNewWork = latest != null && latest > limit
--- a/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineStandIn.kt
@@ -36,13 +36,17 @@
     override fun reduce(state: EngineState, event: HttpEvent, now: Timestamp): Transition<EngineState, HttpEffect> {
         val started = if (state.starts == 0) state.copy(starts = 1, startedAt = now) else state
         return when (event) {
-            is HttpEvent.RequestReceived -> call(started, event.call, now)
+            is HttpEvent.RequestReceived -> handleRequest(started, event.call, now)
             is HttpEvent.ClientDisconnected -> withoutExchange(started, event.exchangeId).unchanged()
             is HttpEvent.Tick -> tokens.sendDueTokens(started, now)
         }
     }
 
-    private fun call(state: EngineState, call: HttpCall, now: Timestamp): Transition<EngineState, HttpEffect> = when {
+    private fun handleRequest(
+        state: EngineState,
+        call: HttpCall,
+        now: Timestamp,
+    ): Transition<EngineState, HttpEffect> = when {
         call.matches("GET", "/books") ->
             state.with(HttpEffect.Respond(call.exchangeId, body = WireFormat.encodeToString(state.statistics)))
         now < state.startedAt -> state.with(HttpEffect.Abort(call.exchangeId))
--- a/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadClient.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadClient.kt
@@ -86,7 +86,7 @@
         response: HttpResponse,
         stopwatch: Stopwatch,
     ): LoadSample {
-        val answer = AnswerReader(version = response.headers[CallerHeaders.VERSION].orEmpty())
+        val answer = AnswerCollector(version = response.headers[CallerHeaders.VERSION].orEmpty())
         if (!response.status.isSuccess()) {
             return answer.sample(effect, stopwatch, prompt = "").withError(response.bodyAsText())
         }
@@ -96,12 +96,12 @@
     }
 
     /** Adds all chunks of the stream to [answer]. Returns the JSON of the error event that ended it, or `null`. */
-    private suspend fun readChunks(channel: ByteReadChannel, answer: AnswerReader, stopwatch: Stopwatch): String? {
+    private suspend fun readChunks(channel: ByteReadChannel, answer: AnswerCollector, stopwatch: Stopwatch): String? {
         while (true) {
             val line = channel.readLine() ?: return null
-            if (line == ERROR) return channel.readLine().orEmpty().removePrefix(DATA)
-            if (line.startsWith(DATA) && line != DONE) {
-                val chunk = WireFormat.decodeFromString<ChatChunk>(line.removePrefix(DATA))
+            if (line == ERROR_EVENT_LINE) return channel.readLine().orEmpty().removePrefix(DATA_PREFIX)
+            if (line.startsWith(DATA_PREFIX) && line != DONE_LINE) {
+                val chunk = WireFormat.decodeFromString<ChatChunk>(line.removePrefix(DATA_PREFIX))
                 answer.add(chunk.choices.first().delta.content, isComplete = chunk.usage != null, stopwatch = stopwatch)
             }
         }
@@ -125,12 +125,12 @@
         response: HttpResponse,
         stopwatch: Stopwatch,
     ): LoadSample {
-        val answer = AnswerReader(version = settings.version.orEmpty())
+        val answer = AnswerCollector(version = settings.version.orEmpty())
         val channel = response.bodyAsChannel()
         while (true) {
             val line = channel.readLine() ?: break
-            if (line.startsWith(DATA)) {
-                val event = WireFormat.decodeFromString<GenerateEvent>(line.removePrefix(DATA))
+            if (line.startsWith(DATA_PREFIX)) {
+                val event = WireFormat.decodeFromString<GenerateEvent>(line.removePrefix(DATA_PREFIX))
                 answer.add(event.text, isComplete = event.total != null, stopwatch = stopwatch)
             }
         }
@@ -138,7 +138,7 @@
     }
 
     /** Collects the text of an answer. */
-    private inner class AnswerReader(val version: String) {
+    private inner class AnswerCollector(val version: String) {
         private val text = StringBuilder()
         private var firstMicroseconds: Long? = null
         private var isComplete = false
@@ -172,9 +172,9 @@
         const val COMPLETION = "completion"
         const val COMMAND = "command"
         const val ROLE = "user"
-        const val DATA = "data: "
-        const val ERROR = "event: error"
-        const val DONE = "data: [DONE]"
+        const val DATA_PREFIX = "data: "
+        const val ERROR_EVENT_LINE = "event: error"
+        const val DONE_LINE = "data: [DONE]"
     }
 }
 
--- a/standins/src/main/kotlin/org/quetzalloom/standins/log/LogStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/log/LogStandIn.kt
@@ -68,12 +68,12 @@
 
     override fun reduce(state: LogState, event: HttpEvent, now: Timestamp): Transition<LogState, HttpEffect> =
         when (event) {
-            is HttpEvent.RequestReceived -> call(state, event.call, now)
+            is HttpEvent.RequestReceived -> handleRequest(state, event.call, now)
             is HttpEvent.Tick -> expire(state, now).unchanged()
             is HttpEvent.ClientDisconnected -> state.unchanged()
         }
 
-    private fun call(state: LogState, call: HttpCall, now: Timestamp): Transition<LogState, HttpEffect> {
+    private fun handleRequest(state: LogState, call: HttpCall, now: Timestamp): Transition<LogState, HttpEffect> {
         val stream = call.path.removePrefix("/streams/")
         return when {
             stream == call.path || stream.isEmpty() -> state.with(call.notFound())
@@ -96,11 +96,11 @@
         return when {
             earlierAppends >= appendsPerSecond -> state.with(HttpEffect.Respond(call.exchangeId, status = 429))
             request == null -> state.with(call.badRequest())
-            else -> append(counted, stream, call, request, now)
+            else -> appendRecords(counted, stream, call, request, now)
         }
     }
 
-    private fun append(
+    private fun appendRecords(
         state: LogState,
         stream: String,
         call: HttpCall,
--- a/standins/src/main/kotlin/org/quetzalloom/standins/ratings/RatingServiceStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/ratings/RatingServiceStandIn.kt
@@ -55,31 +55,31 @@
         event: HttpEvent,
         now: Timestamp,
     ): Transition<RatingServiceState, HttpEffect> = when (event) {
-        is HttpEvent.RequestReceived -> call(state, event.call, now)
+        is HttpEvent.RequestReceived -> handleRequest(state, event.call, now)
         is HttpEvent.Tick, is HttpEvent.ClientDisconnected -> state.unchanged()
     }
 
-    private fun call(
+    private fun handleRequest(
         state: RatingServiceState,
         call: HttpCall,
         now: Timestamp,
     ): Transition<RatingServiceState, HttpEffect> = when {
-        call.matches("POST", "/samples") -> sample(state, call, now)
+        call.matches("POST", "/samples") -> submitSample(state, call, now)
         call.matches("GET", "/ratings") -> state.with(ratings(state, call, now))
         call.method == "PUT" && call.path.startsWith(QUALITIES) -> setQuality(state, call)
         else -> state.with(call.notFound())
     }
 
-    private fun sample(
+    private fun submitSample(
         state: RatingServiceState,
         call: HttpCall,
         now: Timestamp,
     ): Transition<RatingServiceState, HttpEffect> {
         val sample = call.parseOrNull<SampleRequest>()
-        return if (sample == null) state.with(call.badRequest()) else sample(state, sample, call, now)
+        return if (sample == null) state.with(call.badRequest()) else addRating(state, sample, call, now)
     }
 
-    private fun sample(
+    private fun addRating(
         state: RatingServiceState,
         sample: SampleRequest,
         call: HttpCall,
--- a/standins/src/main/kotlin/org/quetzalloom/standins/service/ServiceStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/service/ServiceStandIn.kt
@@ -76,13 +76,17 @@
     override fun reduce(state: ServiceState, event: HttpEvent, now: Timestamp): Transition<ServiceState, HttpEffect> {
         val started = if (state.startedAt == null) state.copy(startedAt = now) else state
         return when (event) {
-            is HttpEvent.RequestReceived -> call(started, event.call, now)
+            is HttpEvent.RequestReceived -> handleRequest(started, event.call, now)
             is HttpEvent.Tick -> finishCalls(started, now)
             is HttpEvent.ClientDisconnected -> started.unchanged()
         }
     }
 
-    private fun call(state: ServiceState, call: HttpCall, now: Timestamp): Transition<ServiceState, HttpEffect> = when {
+    private fun handleRequest(
+        state: ServiceState,
+        call: HttpCall,
+        now: Timestamp,
+    ): Transition<ServiceState, HttpEffect> = when {
         call.matches("GET", "/load") -> state.with(load(state, call, now))
         call.matches("GET", "/books") -> {
             val body = WireFormat.encodeToString(ExecutedCalls(state.executedCalls))
--- a/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreGroup.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreGroup.kt
@@ -29,7 +29,7 @@
     }
 
     /** Responds with the generation of the group and the owner of each partition. */
-    fun owners(state: StoreState, call: HttpCall): StoreStep =
+    fun listOwners(state: StoreState, call: HttpCall): StoreStep =
         state.with(HttpEffect.Respond(call.exchangeId, body = responseBody(state, state.ownerRows())))
 
     private fun StoreState.add(member: String): StoreState =
--- a/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreLog.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreLog.kt
@@ -83,7 +83,7 @@
     }
 
     /** Responds with the newest record of each key that has a value, ordered by key. */
-    fun newest(state: StoreState, call: HttpCall): StoreStep {
+    fun readNewest(state: StoreState, call: HttpCall): StoreStep {
         val topic = state.topic(call)
         val entries = buildJsonArray {
             topic.newestByKey.values.filter { it.value != null }.sortedBy { it.key }.forEach { add(entry(it)) }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreStandIn.kt
@@ -24,13 +24,13 @@
     override val hasBinaryBodies: Boolean get() = true
 
     override fun reduce(state: StoreState, event: HttpEvent, now: Timestamp): StoreStep = when (event) {
-        is HttpEvent.RequestReceived -> call(state, event.call, now)
+        is HttpEvent.RequestReceived -> handleRequest(state, event.call, now)
         is HttpEvent.ClientDisconnected ->
             state.copy(waitingReads = state.waitingReads.removeAll { it.exchangeId == event.exchangeId }).unchanged()
         HttpEvent.Tick -> StoreLog.completeReads(state, state.waitingReads.filter { it.dueAt <= now })
     }
 
-    private fun call(state: StoreState, call: HttpCall, now: Timestamp): StoreStep = when {
+    private fun handleRequest(state: StoreState, call: HttpCall, now: Timestamp): StoreStep = when {
         call.matches("PUT", "/fault") -> {
             val fault = StoreFault.valueOf(call.query.getValue("mode"))
             state.copy(fault = fault).with(HttpEffect.Respond(call.exchangeId))
@@ -47,9 +47,9 @@
     private fun serve(state: StoreState, call: HttpCall, now: Timestamp): StoreStep = when (call.path) {
         "/-/log-append" -> StoreLog.append(state, call)
         "/-/log-read" -> StoreLog.read(state, call, now)
-        "/-/log-newest" -> StoreLog.newest(state, call)
+        "/-/log-newest" -> StoreLog.readNewest(state, call)
         "/-/log-join" -> StoreGroup.join(state, call)
-        "/-/log-owners" -> StoreGroup.owners(state, call)
+        "/-/log-owners" -> StoreGroup.listOwners(state, call)
         else -> state.with(call.notFound())
     }
 
--- a/standins/src/main/kotlin/org/quetzalloom/standins/vms/VmListStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/vms/VmListStandIn.kt
@@ -39,11 +39,15 @@
 
     override fun reduce(state: VmListState, event: HttpEvent, now: Timestamp): Transition<VmListState, HttpEffect> =
         when (event) {
-            is HttpEvent.RequestReceived -> call(withDueChanges(state, now), event.call, now)
+            is HttpEvent.RequestReceived -> handleRequest(withDueChanges(state, now), event.call, now)
             is HttpEvent.Tick, is HttpEvent.ClientDisconnected -> state.unchanged()
         }
 
-    private fun call(state: VmListState, call: HttpCall, now: Timestamp): Transition<VmListState, HttpEffect> = when {
+    private fun handleRequest(
+        state: VmListState,
+        call: HttpCall,
+        now: Timestamp,
+    ): Transition<VmListState, HttpEffect> = when {
         call.matches("GET", "/vms") ->
             state.with(HttpEffect.Respond(call.exchangeId, body = WireFormat.encodeToString(state.visible)))
         call.matches("PUT", "/vms") -> replace(state, call, now)
--- a/standins/src/main/kotlin/org/quetzalloom/standins/weights/WeightStoreStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/weights/WeightStoreStandIn.kt
@@ -28,11 +28,11 @@
         event: HttpEvent,
         now: Timestamp,
     ): Transition<WeightStoreState, HttpEffect> = when (event) {
-        is HttpEvent.RequestReceived -> call(state, event.call, now)
+        is HttpEvent.RequestReceived -> handleRequest(state, event.call, now)
         is HttpEvent.Tick, is HttpEvent.ClientDisconnected -> state.unchanged()
     }
 
-    private fun call(
+    private fun handleRequest(
         state: WeightStoreState,
         call: HttpCall,
         now: Timestamp,
--- a/tool/src/main/kotlin/org/quetzalloom/tool/ToolProcess.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/ToolProcess.kt
@@ -52,7 +52,7 @@
     private val format: (String) -> String = { it },
 ) : Interpreter<ToolEffect> {
     private val client = HttpClient(CIO) {
-        install(HttpTimeout) { requestTimeoutMillis = TIMEOUT_MILLISECONDS }
+        install(HttpTimeout) { requestTimeoutMillis = CALL_TIMEOUT_MILLISECONDS }
     }
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val exit = CompletableDeferred<ExitCode>()
@@ -127,7 +127,7 @@
     }
 
     private companion object {
-        const val TIMEOUT_MILLISECONDS = 2_000L
+        const val CALL_TIMEOUT_MILLISECONDS = 2_000L
         const val POLL_INTERVAL_MILLISECONDS = 20L
     }
 }
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/ToolReducer.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/ToolReducer.kt
@@ -13,7 +13,7 @@
  * since it may still be accepted, else with [ExitCode.REFUSED].
  */
 internal object ToolReducer : Reducer<ToolState, ToolEvent, ToolEffect> {
-    private const val TIMEOUT_MILLISECONDS = 10_000L
+    private const val OPERATION_TIMEOUT_MILLISECONDS = 10_000L
 
     override fun reduce(state: ToolState, event: ToolEvent, now: Timestamp): Transition<ToolState, ToolEffect> = when {
         state.ended -> Transition(state)
@@ -30,7 +30,7 @@
         val startedAt = state.startedAt
         return when {
             startedAt == null -> start(state.copy(startedAt = now))
-            now - startedAt < TIMEOUT_MILLISECONDS -> Transition(state)
+            now - startedAt < OPERATION_TIMEOUT_MILLISECONDS -> Transition(state)
             else -> timeOut(state)
         }
     }
@@ -40,7 +40,7 @@
         val problem = if (proposed) "whether the change was accepted is not known" else "nothing was changed"
         return state.end(
             if (proposed) ExitCode.UNKNOWN else ExitCode.REFUSED,
-            ToolEffect.PrintError("no answer within $TIMEOUT_MILLISECONDS milliseconds; $problem"),
+            ToolEffect.PrintError("no answer within $OPERATION_TIMEOUT_MILLISECONDS milliseconds; $problem"),
         )
     }
 
