--- a/bench/src/main/kotlin/org/quetzalloom/bench/FleetBenchmark.kt
+++ b/bench/src/main/kotlin/org/quetzalloom/bench/FleetBenchmark.kt
@@ -19,8 +19,9 @@
         vm.initialize()
         val stateBytes = sizeInMemory(harness.state)
         val servers = harness.state.status(Timestamp(harness.now)).running.keys.sorted()
-        val request = harness.averageCpuNanoseconds(RUNS) { vm.runRequest("request-$it", chunks = 0) }
-        val longRequest = harness.averageCpuNanoseconds(RUNS) { vm.runRequest("long-$it", chunks = SimulatedVm.CHUNKS) }
+        val requestNanoseconds = harness.averageCpuNanoseconds(RUNS) { vm.runRequest("request-$it", chunks = 0) }
+        val longRequestNanoseconds =
+            harness.averageCpuNanoseconds(RUNS) { vm.runRequest("long-$it", chunks = SimulatedVm.CHUNKS) }
         return FleetCosts(
             vms = size.vms,
             replicas = size.replicas,
@@ -29,8 +30,8 @@
             digestNanoseconds = harness.averageCpuNanoseconds(RUNS) { vm.receiveDigest() },
             loadNanoseconds = harness.averageCpuNanoseconds(RUNS) { vm.receiveLoadReport(servers.first()) },
             changeNanoseconds = harness.averageCpuNanoseconds(CHANGES) { vm.receiveConfigurationChange(it) },
-            requestNanoseconds = request,
-            tokenNanoseconds = (longRequest - request) / SimulatedVm.CHUNKS,
+            requestNanoseconds = requestNanoseconds,
+            tokenNanoseconds = (longRequestNanoseconds - requestNanoseconds) / SimulatedVm.CHUNKS,
             commandNanoseconds = harness.averageCpuNanoseconds(RUNS) { vm.receiveCommand("key-$it") },
             digestBytes = wire.digest(),
             changeBytes = wire.change(),
--- a/daemon/src/test/kotlin/org/quetzalloom/daemon/DaemonProcessTest.kt
+++ b/daemon/src/test/kotlin/org/quetzalloom/daemon/DaemonProcessTest.kt
@@ -94,7 +94,7 @@
         answers.forEachIndexed { index, answer ->
             val response = WireFormat.decodeFromString<ChatResponse>(answer.body())
             val prompt = "user: long ${index + 1}"
-            val expected = AnswerText.tokens("m@1", prompt, 0, AnswerText.length(prompt, 400))
+            val expected = AnswerText.tokens("m@1", prompt, 0, AnswerText.tokenCount(prompt, 400))
             assertEquals(expected, response.choices.single().message.content)
         }
         assertTrue(processes.getValue("vm-1").waitFor(60, TimeUnit.SECONDS))
--- a/standins/src/main/kotlin/org/quetzalloom/standins/engine/AnswerText.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/engine/AnswerText.kt
@@ -16,7 +16,7 @@
      *
      * It is the same for all versions.
      */
-    fun length(prompt: String, maximumTokens: Int): Int =
+    fun tokenCount(prompt: String, maximumTokens: Int): Int =
         1 + Math.floorMod(hash("length", prompt), maximumTokens.toLong()).toInt()
 
     /** Returns [count] tokens of the answer of [version] to [prompt], starting with the token at [position]. */
--- a/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineWork.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineWork.kt
@@ -22,7 +22,7 @@
         prompt = request.prompt,
         priority = request.priority,
         position = request.resumeFrom,
-        totalTokens = AnswerText.length(request.prompt, request.maximumTokens),
+        totalTokens = AnswerText.tokenCount(request.prompt, request.maximumTokens),
         dueAt = now + settings.tokenMilliseconds,
     )
 
--- a/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadClient.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadClient.kt
@@ -173,8 +173,12 @@
             else -> "wrong"
         }
 
-        private fun expected(prompt: String): String =
-            AnswerText.tokens(version, prompt, position = 0, count = AnswerText.length(prompt, settings.maximumTokens))
+        private fun expected(prompt: String): String = AnswerText.tokens(
+            version,
+            prompt,
+            position = 0,
+            count = AnswerText.tokenCount(prompt, settings.maximumTokens),
+        )
     }
 
     private companion object {
--- a/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadReducer.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/load/LoadReducer.kt
@@ -33,14 +33,14 @@
     private fun request(number: Long): LoadEffect {
         val target = settings.targets[(number % settings.targets.size).toInt()]
         val suffix = "${settings.seed}-$number"
-        return if (percentile(number) < settings.commandPercent) {
+        return if (hashPercent(number) < settings.commandPercent) {
             LoadEffect.SendCommand(number, target, key = "command-$suffix")
         } else {
             LoadEffect.SendCompletion(number, target, prompt = "prompt $suffix", session = session(number))
         }
     }
 
-    private fun percentile(number: Long): Long = Math.floorMod(hash(number), PERCENT)
+    private fun hashPercent(number: Long): Long = Math.floorMod(hash(number), PERCENT)
 
     private fun session(number: Long): String? =
         if (settings.sessions == 0) {
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/ChangeSteps.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/ChangeSteps.kt
@@ -13,15 +13,15 @@
      * Adds the entries read to the state. Ends the operation if they show that its proposal was accepted; else reads on
      * until there are no more, and then continues the operation.
      */
-    fun read(state: ToolState, event: ToolEvent.LogRead): ToolStep {
+    fun handleLogRead(state: ToolState, event: ToolEvent.LogRead): ToolStep {
         val next = event.entries
             .fold(state) { current, entry -> current.withEntry(entry) }
             .copy(nextOffset = event.nextOffset)
         return when {
             next.ended -> next.end(ExitCode.DONE, ToolEffect.Print("accepted as revision ${next.view.revision}"))
             event.entries.isNotEmpty() -> next.with(ToolEffect.ReadLog(next.nextOffset))
-            next.operation is Operation.Diff -> diff(next, next.operation)
-            next.operation is Operation.Change -> change(next, next.operation)
+            next.operation is Operation.Diff -> printDiff(next, next.operation)
+            next.operation is Operation.Change -> continueChange(next, next.operation)
             else -> Transition(next)
         }
     }
@@ -38,7 +38,7 @@
         return copy(view = updatedView, ended = isOwnProposal && updatedView.revision > view.revision)
     }
 
-    private fun diff(state: ToolState, operation: Operation.Diff): ToolStep {
+    private fun printDiff(state: ToolState, operation: Operation.Diff): ToolStep {
         val lines = ConfigurationDiff.lines(state.view.current, operation.wanted)
         return state.end(ExitCode.DONE, ToolEffect.Print(lines.joinToString("\n").ifEmpty { "no difference" }))
     }
@@ -50,7 +50,7 @@
      * A proposal that is known to be in the log but was not accepted has lost against another change; it is decided and
      * proposed again on the new revision if the operation retries and has no fixed base.
      */
-    private fun change(state: ToolState, operation: Operation.Change): ToolStep {
+    private fun continueChange(state: ToolState, operation: Operation.Change): ToolStep {
         val base = operation.base ?: state.view.revision
         return when {
             state.proposalBase != null && !state.appended -> state.with(ToolEffect.ReadLog(state.nextOffset))
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/ToolReducer.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/ToolReducer.kt
@@ -18,7 +18,7 @@
     override fun reduce(state: ToolState, event: ToolEvent, now: Timestamp): Transition<ToolState, ToolEffect> = when {
         state.ended -> Transition(state)
         event is ToolEvent.Tick -> tick(state, now)
-        event is ToolEvent.LogRead -> ChangeSteps.read(state, event)
+        event is ToolEvent.LogRead -> ChangeSteps.handleLogRead(state, event)
         event is ToolEvent.LogReadFailed -> state.with(ToolEffect.ReadLog(state.nextOffset))
         event is ToolEvent.Appended -> state.copy(appended = true).with(ToolEffect.ReadLog(state.nextOffset))
         event is ToolEvent.AppendFailed -> state.with(ToolEffect.ReadLog(state.nextOffset))
