Let an attempt go on while nothing else can take its request

Callers saw streams cut off, and requests answered with 502, although their backend server was sound: it was silent for longer than the timeout of the attempt (one and a half times the longest pause that is on time).

Cause: the relay closed the connection when the timeout passed and reported a failure, and the reducer looked for another server only then. With the attempts or the retry budget used up, or no other server free, nothing was left but to end the answer. The class: a decision that cannot be taken back was made where the alternatives are not known.

The relay now reports the pause (AttemptStalled) and leaves the attempt as it is. The reducer moves the request if another server can take it at once, and cancels the old attempt only then. Otherwise the attempt goes on until the deadline, and the relay asks again twice a second.

Evidence: SilentServerTest failed before with a stream that ends after its first event, and with 'HTTP/1.1 502 Bad Gateway ... backend_failed: no backend server gave a complete response'; the server answered in time in both. StalledAttemptsTest holds the reducer to it with the attempts used up, the retry budget used up, and a single server.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
@@ -68,6 +68,19 @@
         public val lastEventId: String? = null,
     ) : RelayEvent
 
+    /**
+     * The response of an attempt has not begun, or not continued, within its timeout. The attempt goes on, and the
+     * event is repeated while the pause lasts.
+     *
+     * @property lastEventId the id of the last event that this attempt forwarded to the caller, or `null` if there is
+     *   none.
+     */
+    public data class AttemptStalled(
+        public val exchange: ExchangeId,
+        public val attempt: Int,
+        public val lastEventId: String? = null,
+    ) : RelayEvent
+
     /**
      * Records of a feed have been read, in order.
      *
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempt.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempt.kt
@@ -13,6 +13,8 @@
  *   server had still to read, this attempt's own included. The unit is that of [pendingWork].
  * @property pendingWork the part of this attempt's prompt that the backend server has still to read, in tokens weighted
  *   by model size; 0 once its response has begun.
+ * @property stalled whether its response has paused for longer than its timeout and no other backend server could take
+ *   the request.
  */
 internal data class Attempt(
     val number: Int,
@@ -22,4 +24,5 @@
     val sentAt: Timestamp,
     val workUntilResponse: Long = 0,
     val pendingWork: Long = 0,
+    val stalled: Boolean = false,
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/AttemptTimeouts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/AttemptTimeouts.kt
@@ -22,8 +22,8 @@
 private const val MINIMUM_START_TIMEOUT_MILLISECONDS = 200L
 
 /**
- * Returns how long the response of [attempt] may take to begin before another backend server is tried, in milliseconds;
- * `null`, for no limit, if the request may not run again.
+ * Returns how long the response of [attempt] may take to begin before the request moves to another backend server, if
+ * one can take it, in milliseconds; `null`, for no limit, if the request may not run again.
  */
 internal fun RelayState.startTimeoutOrNull(exchange: Exchange, attempt: Attempt): Long? {
     val route = exchange.route
@@ -46,8 +46,8 @@
 }
 
 /**
- * Returns the maximum pause in a response of [route] before another backend server resumes it, in milliseconds; `null`,
- * for no limit, if the route is not resumable or has no target for pauses.
+ * Returns the maximum pause in a response of [route] before another backend server resumes it, if one can, in
+ * milliseconds; `null`, for no limit, if the route is not resumable or has no target for pauses.
  */
 internal fun idleTimeoutOrNull(route: Route): Long? =
     (route.targetGapMilliseconds * IDLE_TIMEOUT_GAPS).toLong().takeIf { route.resumable && it > 0 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
@@ -22,11 +22,16 @@
  * Every attempt after the first counts against the retry budget, which is not checked here.
  */
 internal fun RelayState.placeOrWait(exchange: Exchange, now: Timestamp): RelayStep {
+    val view = chooseServerOrNull(exchange, now)
+    return if (view == null) waitOrGiveUp(exchange, now) else send(exchange, view, now)
+}
+
+/** Returns the backend server that the placement policy chooses for [exchange], or `null` if none can take it. */
+internal fun RelayState.chooseServerOrNull(exchange: Exchange, now: Timestamp): ServerView? {
     // The work of the exchange itself is left out, as it is the same at each candidate.
     val candidates = untriedServers(exchange, now).map { it.toCandidate(workUntilResponse(it, work = 0), now) }
     val chosen = policies.placement.chooseOrNull(candidates, placementRequest(exchange))
-    val view = chosen?.let { servers.views[it.server] }
-    return if (view == null) waitOrGiveUp(exchange, now) else send(exchange, view, now)
+    return chosen?.let { servers.views[it.server] }
 }
 
 private fun RelayState.placementRequest(exchange: Exchange): PlacementRequest = PlacementRequest(
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ExchangesPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ExchangesPart.kt
@@ -19,6 +19,7 @@
         is RelayEvent.ResponseStarted -> state.responseStarted(event, now)
         is RelayEvent.ResponseFinished -> state.responseFinished(event, now)
         is RelayEvent.AttemptFailed -> state.attemptFailed(event, now)
+        is RelayEvent.AttemptStalled -> state.attemptStalled(event, now)
         is RelayEvent.CallerLeft -> state.callerLeft(event, now)
         is RelayEvent.SettingsChanged -> state.copy(settings = event.settings).report(now, "settings_changed")
         RelayEvent.Tick -> state.expireAndPlace(now)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
@@ -72,6 +72,9 @@
         exchanges.remove(call.exchange.id)
     }
 
+    override fun attemptStalled(call: BackendCall, lastEventId: String?): Unit =
+        post(RelayEvent.AttemptStalled(call.exchange.id, call.number, lastEventId))
+
     override fun attemptFailed(call: BackendCall, failure: AttemptFailure, lastEventId: String?): Unit =
         post(RelayEvent.AttemptFailed(call.exchange.id, call.number, failure, lastEventId))
 
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
@@ -30,8 +30,8 @@
     private val idleTimer = RestartableTimer(executor)
 
     private val onIdleTimeout: () -> Unit = {
-        connection?.abandon()
-        onFailure(AttemptFailure.SILENT)
+        idleTimer.restart(STALL_INTERVAL_MILLISECONDS, onIdleTimeout)
+        listener.attemptStalled(this, buffered?.lastEventId)
     }
 
     /** Whether the attempt has ended: its response was forwarded, it failed or it was abandoned. */
@@ -111,4 +111,9 @@
         idleTimer.cancel()
         buffered?.release()
     }
+
+    private companion object {
+        /** The time after which [listener] is told again of a pause that goes on. */
+        const val STALL_INTERVAL_MILLISECONDS = 500L
+    }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCallListener.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCallListener.kt
@@ -11,6 +11,12 @@
     /** The complete response has been written to the caller. */
     fun responseForwarded(call: BackendCall)
 
+    /**
+     * The response has not begun, or not continued, within its timeout. The attempt goes on. [lastEventId] is the id of
+     * the last event that it forwarded, or `null` if none.
+     */
+    fun attemptStalled(call: BackendCall, lastEventId: String?)
+
     /** The attempt has failed. [lastEventId] is the id of the last event that it forwarded, or `null` if none. */
     fun attemptFailed(call: BackendCall, failure: AttemptFailure, lastEventId: String?)
 }
