Take a stream that ends inside an event for a broken one

Callers got a part of an event, followed by the end of a stream that looked complete, when a server closed a connection inside an event of a stream without a length.

Cause: the end of a response came from its framing alone, and without a length each end of a connection is one. The end of a stream now also has to be the end of an event. Otherwise the attempt counts as a lost connection: the stream resumes after its last whole event, or is cut off if its route does not allow that.

A search for the same cause: plain responses are passed on by their framing only, as nothing in their bodies tells an end; streams in chunks had it as well.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
@@ -61,14 +61,18 @@
         if (forwarding) response.forwardAvailable(exchange.response)
     }
 
-    /** Handles the end of the response. */
+    /** Handles the end of the response. A stream that ends inside an event has been broken off. */
     fun onEnd() {
         val response = buffered
         if (ended || response == null) return
         complete = true
         connection = null
         idleTimer.cancel()
-        if (forwarding) finish(response) else if (!response.isStream) listener.responseStarted(this, response.head)
+        when {
+            response.isStream && response.endsInsideEvent -> onFailure(AttemptFailure.CONNECTION_LOST)
+            forwarding -> finish(response)
+            !response.isStream -> listener.responseStarted(this, response.head)
+        }
     }
 
     /** Ends the attempt with [failure], unless it has ended already. */
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BufferedResponse.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BufferedResponse.kt
@@ -25,6 +25,9 @@
     /** The id of the last forwarded event that had one, or `null`. */
     val lastEventId: String? get() = splitter.lastEventId
 
+    /** Whether the buffered bytes end with a part of an event. At the end of the response that event has been lost. */
+    val endsInsideEvent: Boolean get() = isEventStream && splitter.endsInsideEvent(bytes)
+
     /** Appends a copy of [content] to the buffered body. */
     fun add(content: ByteBuf) {
         bytes.writeBytes(content)
@@ -42,7 +45,7 @@
         bytes.discardSomeReadBytes()
     }
 
-    /** Writes the rest of the body, also an incomplete event, and ends the response. */
+    /** Writes the rest of the body, and ends the response. */
     fun forwardEnd(response: ResponseWriter) {
         if (bytes.isReadable) response.write(bytes.readBytes(bytes.readableBytes()))
         response.finish()
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/EventSplitter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/EventSplitter.kt
@@ -18,6 +18,10 @@
         return events
     }
 
+    /** Returns whether [bytes] end with a part of an event. Line breaks after the last event are no part of one. */
+    fun endsInsideEvent(bytes: ByteBuf): Boolean =
+        bytes.toString(Charsets.ISO_8859_1).drop(completeLength(bytes)).any { it != '\n' && it != '\r' }
+
     private fun completeLength(bytes: ByteBuf): Int {
         val text = bytes.toString(Charsets.ISO_8859_1)
         val positions = EVENT_DELIMITERS.map { text.lastIndexOf(it).let { at -> if (at < 0) 0 else at + it.length } }
