Let a longer idle timeout apply to connections that are idle already

Beside a change of the configuration, requests on kept connections ended without an answer or a refusal: a caller may use a connection for as long as the newest configuration says, but the timers of idle connections went on with the timeout of the one before, and closed them under a request.

Cause: limits were read when a timer was started, and a change reached only the timers started later. The class: a value that is copied out of the configuration and outlives it. A longer timeout now starts the idle timers anew; after a shorter one they still run for the longer time, as callers may not know of it yet.

The same cause elsewhere: the header and body timers belong to a request that is being received, and end with it; the header size of an open connection stays that of its start (documented).

--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
@@ -15,6 +15,7 @@
     private var active: CallerExchange? = null
     private var receiving = false
     private var rejected = false
+    private val idle: Boolean get() = active == null && !receiving && pipelined.isEmpty()
 
     /** Closes this connection gracefully, at once or after an idle timeout. */
     lateinit var gracefulClose: GracefulClose
@@ -67,14 +68,19 @@
         val next = pipelined.removeFirstOrNull()
         if (next != null) {
             dispatch(next)
-        } else if (!receiving) {
-            gracefulClose.closeAfter(server.limits.idleTimeoutMilliseconds)
+        } else {
+            restartIdleTimeout()
         }
     }
 
+    /** Starts the idle timeout anew if the connection has no request, neither in flight nor waiting nor partly received. */
+    fun restartIdleTimeout() {
+        if (idle) gracefulClose.closeAfter(server.limits.idleTimeoutMilliseconds)
+    }
+
     /** Closes the connection if it has no request, neither in flight nor waiting nor partly received. */
     fun closeIfIdle() {
-        if (active == null && !receiving && pipelined.isEmpty()) gracefulClose.close()
+        if (idle) gracefulClose.close()
     }
 
     private fun onRequest(request: CallerMessage.Complete) {
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
@@ -26,10 +26,16 @@
     /**
      * The limits on requests.
      *
-     * A new maximum header size applies to new connections, new timeouts apply to timers that are started afterwards,
-     * and a new maximum body size applies at once.
+     * A new maximum header size applies to new connections, and a new maximum body size applies at once. A longer idle
+     * timeout applies to idle connections, too, which callers may use for that long from now on; all other timeouts
+     * apply to timers that are started afterwards.
      */
     var limits: CallerLimits = INITIAL_LIMITS
+        set(value) {
+            val extended = value.idleTimeoutMilliseconds > field.idleTimeoutMilliseconds
+            field = value
+            if (extended) connections.toList().forEach { it.restartIdleTimeout() }
+        }
 
     /** Whether each connection is closed after its current or next response. */
     var draining: Boolean = false
--- a/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
@@ -68,6 +68,16 @@
         awaitReady()
     }
 
+    /** Delivers the configuration [version], in which callers may keep connections idle for [idleTimeoutMilliseconds]. */
+    fun changeIdleTimeout(version: Long, idleTimeoutMilliseconds: Long) {
+        val limits = table.limits.copy(idleTimeoutMilliseconds = idleTimeoutMilliseconds)
+        val changed = FeedEntry.Configuration(table.copy(version = version, limits = limits))
+        program.post(RelayEvent.FeedRead(Feed.ORDERS, listOf(changed), nextOffset = version, snapshot = false))
+    }
+
+    /** Asks the relay to stop gracefully. */
+    fun requestStop(): Unit = program.post(RelayEvent.StopRequested)
+
     private fun awaitReady() {
         val waitStart = System.nanoTime()
         while (System.nanoTime() - waitStart < READ_TIMEOUT_MILLISECONDS * NANOSECONDS_PER_MILLISECOND) {
