Answer all requests of a connection before it is closed

Callers that send requests without waiting for the answers before them lost some: the fifth request behind one in progress closed the connection, also under the answer in progress; a malformed one, or a graceful stop, closed it after the answer in progress, with requests that had been read whole behind it; and the malformed one got no answer of its own.

Cause: whether a connection closes was decided without a look at the requests that it still owed an answer. Requests and rejections now wait in one queue, in order; the connection closes only behind the last of them; and reading pauses while many wait, instead of the connection being closed.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
@@ -5,24 +5,29 @@
 import java.io.IOException
 
 /**
- * One connection from a caller. Dispatches its requests one at a time, in order; pipelined requests wait.
+ * One connection from a caller. Answers its requests one at a time, in order; pipelined requests wait, and so does the
+ * rejection of an invalid one.
  *
- * Reading continues while a request is in flight, so that a disconnected caller is noticed at once.
+ * Reading continues while a request is in flight, so that a disconnected caller is noticed at once. It pauses while
+ * many requests wait.
  */
 internal class CallerConnection(private val server: CallerServer) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
-    private val pipelined = ArrayDeque<CallerMessage.Complete>()
+    private val waiting = ArrayDeque<CallerMessage>()
     private var active: CallerExchange? = null
     private var receiving = false
-    private var rejected = false
-    private val idle: Boolean get() = active == null && !receiving && pipelined.isEmpty()
+    private var rejecting = false
+    private var answering = false
+    private var lastResponseWritten = false
+    private val mayAnswer: Boolean get() = active == null && !lastResponseWritten && !gracefulClose.closing
+    private val idle: Boolean get() = active == null && !receiving && waiting.isEmpty()
 
     /** Closes this connection gracefully, at once or after an idle timeout. */
     lateinit var gracefulClose: GracefulClose
         private set
 
-    /** Whether the connection is to be closed after the current response. */
-    val closesAfterResponse: Boolean get() = server.draining || rejected
+    /** Whether the connection is to be closed after the current response: unless a request behind it waits. */
+    val closesAfterResponse: Boolean get() = waiting.isEmpty() && (server.draining || rejecting)
 
     override fun channelActive(context: ChannelHandlerContext) {
         this.context = context
@@ -34,19 +39,24 @@
     override fun channelInactive(context: ChannelHandlerContext) {
         gracefulClose.onClosed()
         server.onClosed(this)
-        pipelined.forEach { it.body.release() }
+        waiting.filterIsInstance<CallerMessage.Complete>().forEach { it.body.release() }
+        waiting.clear()
         active?.let { server.handler.onCallerDisconnected(it) }
         active = null
     }
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
-        when (message) {
-            is CallerMessage.Started -> {
+        when {
+            message is CallerMessage.Started -> {
                 receiving = true
                 gracefulClose.cancel()
             }
-            is CallerMessage.Complete -> onRequest(message)
-            is CallerMessage.Rejected -> reject(message)
+            gracefulClose.closing -> (message as? CallerMessage.Complete)?.body?.release()
+            message is CallerMessage -> {
+                receiving = false
+                waiting.add(message)
+                answerWaiting()
+            }
         }
     }
 
@@ -61,19 +71,20 @@
         context.close()
     }
 
-    /** Handles the end of the current response: dispatches the next pipelined request, or starts the idle timeout. */
-    fun onResponseWritten() {
+    /**
+     * Handles the end of the current response: answers the requests that wait, or starts the idle timeout.
+     *
+     * @param closes whether the connection is about to be closed.
+     */
+    fun onResponseWritten(closes: Boolean) {
         active = null
-        if (rejected || gracefulClose.closing) return
-        val next = pipelined.removeFirstOrNull()
-        if (next != null) {
-            dispatch(next)
-        } else {
-            restartIdleTimeout()
-        }
+        lastResponseWritten = closes
+        if (closes || gracefulClose.closing) return
+        answerWaiting()
+        restartIdleTimeout()
     }
 
-    /** Starts the idle timeout anew if the connection has no request, neither in flight nor waiting nor partly received. */
+    /** Starts the idle timeout anew if the connection has no request, in flight, waiting or partly received. */
     fun restartIdleTimeout() {
         if (idle) gracefulClose.closeAfter(server.limits.idleTimeoutMilliseconds)
     }
@@ -83,39 +94,32 @@
         if (idle) gracefulClose.close()
     }
 
-    private fun onRequest(request: CallerMessage.Complete) {
-        receiving = false
-        when {
-            gracefulClose.closing -> request.body.release()
-            active == null -> dispatch(request)
-            pipelined.size < MAXIMUM_PIPELINED_REQUESTS -> pipelined.add(request)
-            else -> {
-                request.body.release()
-                context.close()
-            }
-        }
-    }
-
-    private fun dispatch(request: CallerMessage.Complete) {
-        val response = ResponseWriter(this, context.channel(), request.head)
-        active = server.handler.onRequest(request.head, request.body, response)
+    /** Answers the requests that wait, up to the first whose response takes time. */
+    private fun answerWaiting() {
+        if (answering) return
+        answering = true
+        while (mayAnswer && waiting.isNotEmpty()) answer(waiting.removeFirst())
+        answering = false
+        context.channel().config().isAutoRead = waiting.size < MAXIMUM_WAITING_REQUESTS
     }
 
-    /**
-     * Writes an error response, after which the connection is closed. If another response is in progress, that one is
-     * completed instead, and the error response is not sent.
-     */
-    private fun reject(request: CallerMessage.Rejected) {
-        if (gracefulClose.closing) return
-        rejected = true
-        if (active == null) {
-            val response = ResponseWriter(this, context.channel(), request.head)
-            server.handler.refuse(response, request.kind, request.detail, retryAfterMilliseconds = null)
+    private fun answer(message: CallerMessage) {
+        when (message) {
+            CallerMessage.Started -> Unit
+            is CallerMessage.Complete -> {
+                val response = ResponseWriter(this, context.channel(), message.head)
+                active = server.handler.onRequest(message.head, message.body, response)
+            }
+            is CallerMessage.Rejected -> {
+                rejecting = true
+                val response = ResponseWriter(this, context.channel(), message.head)
+                server.handler.refuse(response, message.kind, message.detail, retryAfterMilliseconds = null)
+            }
         }
     }
 
     private companion object {
-        /** The maximum number of requests that wait behind the one in flight. A further one closes the connection. */
-        const val MAXIMUM_PIPELINED_REQUESTS = 4
+        /** The number of requests that wait behind the one in flight from which on no more are read. */
+        const val MAXIMUM_WAITING_REQUESTS = 4
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/ResponseWriter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/ResponseWriter.kt
@@ -33,6 +33,8 @@
     /** HTTP/1.0 has no chunked encoding. Its connections are closed after each response, which ends the body. */
     private val supportsChunked = request.protocolVersion().isKeepAliveDefault
 
+    private var announcedClose = false
+
     /** Whether the head of the response has been written. */
     var headWritten = false
         private set
@@ -54,7 +56,8 @@
         if (supportsChunked) {
             response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
         }
-        if (closesConnection()) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        announcedClose = closesConnection()
+        if (announcedClose) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         channel.write(response)
     }
 
@@ -79,12 +82,12 @@
         if (last is DefaultFullHttpResponse && closesConnection()) {
             last.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         }
-        val closeAfterwards = closesConnection()
+        val closeAfterwards = announcedClose || closesConnection()
         val written = channel.writeAndFlush(last)
         if (closeAfterwards) {
             written.addListener(ChannelFutureListener { connection.gracefulClose.close() })
         }
-        connection.onResponseWritten()
+        connection.onResponseWritten(closes = closeAfterwards)
     }
 
     private fun closesConnection(): Boolean = !keepAlive || connection.closesAfterResponse || !supportsChunked
--- a/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
@@ -68,7 +68,7 @@
         awaitReady()
     }
 
-    /** Delivers the configuration [version], in which callers may keep connections idle for [idleTimeoutMilliseconds]. */
+    /** Delivers the configuration [version], by which connections may be idle for [idleTimeoutMilliseconds]. */
     fun changeIdleTimeout(version: Long, idleTimeoutMilliseconds: Long) {
         val limits = table.limits.copy(idleTimeoutMilliseconds = idleTimeoutMilliseconds)
         val changed = FeedEntry.Configuration(table.copy(version = version, limits = limits))
