Answer a stream that fails before its first event with an error

Callers of streams whose server broke off after the head of its response, and before the first event, saw their connection close without a single byte.

Cause: the reducer counts a response as begun when it decides to forward it, but its head was only queued and never flushed before the first event, so that aborting the response closed a connection on which nothing had been written. The head is now written together with the first bytes of the body, and the effect that aborts a response names the error to answer with if nothing has been written.

Evidence: the new case of ResponsesTest failed before (an empty response).

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
@@ -49,8 +49,15 @@
         public val retryAfterMilliseconds: Long? = null,
     ) : RelayEffect
 
-    /** Closes the caller's connection in such a way that the response begun on it does not look complete. */
-    public data class AbortResponse(public val exchange: ExchangeId) : RelayEffect
+    /**
+     * Closes the caller's connection in such a way that the response begun on it does not look complete. If nothing of
+     * a response has been written yet, answers with the error [kind] instead.
+     */
+    public data class AbortResponse(
+        public val exchange: ExchangeId,
+        public val kind: ErrorKind,
+        public val detail: String,
+    ) : RelayEffect
 
     /**
      * Sets the path for all further calls to the platform's store.
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Endings.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Endings.kt
@@ -14,6 +14,8 @@
 /** The retry-after time of a request that no backend server could take. */
 private const val NO_CAPACITY_RETRY_MILLISECONDS = 250L
 
+private const val INCOMPLETE = "no backend server gave a complete response"
+
 /** Returns the transition that cancels the attempt in flight of [exchange], if there is one. */
 internal fun RelayState.cancelAttempt(exchange: Exchange): RelayStep {
     val attempt = exchange.attempt ?: return unchanged()
@@ -54,9 +56,8 @@
  * a response has been forwarded, by aborting that response.
  */
 internal fun RelayState.giveUp(exchange: Exchange, now: Timestamp): RelayStep = when {
-    exchange.headForwarded -> abortResponse(exchange, "no_server", now)
-    exchange.mayHaveRun ->
-        failExchange(exchange, ErrorKind.BACKEND_FAILED, "no backend server gave a complete response", now)
+    exchange.headForwarded -> abortResponse(exchange, "no_server", ErrorKind.BACKEND_FAILED, INCOMPLETE, now)
+    exchange.mayHaveRun -> failExchange(exchange, ErrorKind.BACKEND_FAILED, INCOMPLETE, now)
     else -> failExchange(exchange, ErrorKind.NO_CAPACITY, "no backend server could take the request", now)
 }
 
@@ -69,10 +70,17 @@
 }
 
 /**
- * Returns the transition that ends [exchange], part of whose response has been forwarded, by closing the caller's
- * connection before the end of the response. [reason] is logged.
+ * Returns the transition that ends [exchange], whose response has been forwarded in part: by closing the caller's
+ * connection before the end of the response, or with the error [kind] if no byte has been written yet. [reason] is
+ * logged.
  */
-internal fun RelayState.abortResponse(exchange: Exchange, reason: String, now: Timestamp): RelayStep =
+internal fun RelayState.abortResponse(
+    exchange: Exchange,
+    reason: String,
+    kind: ErrorKind,
+    detail: String,
+    now: Timestamp,
+): RelayStep =
     copy(exchanges = exchanges.without(exchange.id))
-        .with(RelayEffect.AbortResponse(exchange.id))
+        .with(RelayEffect.AbortResponse(exchange.id, kind, detail))
         .then { it.reportEnd(exchange, "cut_off", now, "reason" to reason) }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
@@ -149,9 +149,10 @@
  */
 private fun RelayState.expire(exchange: Exchange, now: Timestamp): RelayStep = cancelAttempt(exchange).then {
     val sent = exchange.mayHaveRun || exchange.attempt != null
+    val detail = "the deadline passed while the request ran"
     when {
-        exchange.headForwarded -> it.abortResponse(exchange, "deadline", now)
-        sent -> it.failExchange(exchange, ErrorKind.DEADLINE_EXCEEDED, "the deadline passed while the request ran", now)
+        exchange.headForwarded -> it.abortResponse(exchange, "deadline", ErrorKind.DEADLINE_EXCEEDED, detail, now)
+        sent -> it.failExchange(exchange, ErrorKind.DEADLINE_EXCEEDED, detail, now)
         else -> it.giveUp(exchange, now)
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/ReducerRequestHandler.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/ReducerRequestHandler.kt
@@ -34,6 +34,16 @@
         refuse(exchange.response, effect.kind, effect.detail, effect.retryAfterMilliseconds)
     }
 
+    /** Aborts the response of the exchange of [effect], or writes its error response if none has begun. */
+    fun abort(effect: RelayEffect.AbortResponse) {
+        val response = exchanges.remove(effect.exchange)?.response ?: return
+        if (response.headWritten) {
+            response.abort()
+        } else {
+            refuse(response, effect.kind, effect.detail, retryAfterMilliseconds = null)
+        }
+    }
+
     override fun onRequest(head: HttpRequest, body: ByteBuf, response: ResponseWriter): CallerExchange? =
         codec.decodeRequest(head).fold(
             success = { onRequest(it, head, body, response) },
--- a/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
@@ -56,7 +56,7 @@
             is RelayEffect.ForwardResponse -> exchanges.callOrNull(effect.exchange, effect.attempt)?.forward()
             is RelayEffect.CancelAttempt -> exchanges.callOrNull(effect.exchange, effect.attempt)?.abandon()
             is RelayEffect.Refuse -> requestHandler.refuse(effect)
-            is RelayEffect.AbortResponse -> exchanges.remove(effect.exchange)?.response?.abort()
+            is RelayEffect.AbortResponse -> requestHandler.abort(effect)
             is RelayEffect.ApplyLimits -> callerServer.limits = effect.limits
             RelayEffect.AcceptCallers -> callerServer.accept()
             RelayEffect.DrainConnections -> callerServer.drain(group, IDLE_CLOSE_DELAY_MILLISECONDS)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BufferedResponse.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BufferedResponse.kt
@@ -34,19 +34,25 @@
     }
 
     /**
-     * Writes what can be forwarded now: the head, unless it has been written, and the buffered body. An event stream
-     * is forwarded up to its last complete event.
+     * Writes what can be forwarded now: the buffered body, after the head unless that has been written. An event stream
+     * is forwarded up to its last complete event. The head is written together with the first bytes of the body, so
+     * that a response that fails before them can still be replaced.
      */
     fun forwardAvailable(response: ResponseWriter) {
-        if (!response.headWritten) response.writeHead(head.status(), head.headers().withoutHopByHopHeaders())
         val available =
             if (isEventStream) splitter.takeCompleteEvents(bytes) else bytes.readBytes(bytes.readableBytes())
-        if (available.isReadable) response.write(available) else available.release()
+        if (available.isReadable) {
+            writeHeadOnce(response)
+            response.write(available)
+        } else {
+            available.release()
+        }
         bytes.discardSomeReadBytes()
     }
 
     /** Writes the rest of the body, and ends the response. */
     fun forwardEnd(response: ResponseWriter) {
+        writeHeadOnce(response)
         if (bytes.isReadable) response.write(bytes.readBytes(bytes.readableBytes()))
         response.finish()
     }
@@ -55,6 +61,10 @@
     fun forwardWhole(response: ResponseWriter): Unit =
         response.writeWhole(head.status(), head.headers().withoutHopByHopHeaders(), bytes.copy())
 
+    private fun writeHeadOnce(response: ResponseWriter) {
+        if (!response.headWritten) response.writeHead(head.status(), head.headers().withoutHopByHopHeaders())
+    }
+
     /** Releases the buffered bytes. */
     fun release() {
         bytes.release()
--- a/relay/src/test/kotlin/org/quetzalloom/relay/ResponsesTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/ResponsesTest.kt
@@ -120,6 +120,19 @@
         }
     }
 
+    @Test
+    fun `a stream that breaks before its first event is answered with an error, not with a closed connection`() {
+        TestRelay({
+            it.startStream()
+            Thread.sleep(50)
+            it.reset()
+        }).use { relay ->
+            val response = relay.exchange(draft.replace("/draft/", "/note/"))
+            assertTrue(response.startsWith("HTTP/1.1 502 "), response)
+            assertEquals(1, relay.servers[0].requests.size)
+        }
+    }
+
     @Test
     fun `events are forwarded as they arrive`() {
         TestRelay({
