--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
@@ -88,6 +88,7 @@
     "listed_ms_ago" to servers.listReadAt?.let { now - it },
     "time_left_ms" to (exchange.deadlineAt - now),
     "last_event_id" to exchange.lastEventId,
+    "shared_parts" to exchange.request.sharedParts.takeIf { it.isNotEmpty() }?.joinToString(",") { it.id },
 )
 
 private fun RelayState.sendParameters(
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/RelayRequest.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/RelayRequest.kt
@@ -35,4 +35,8 @@
      */
     public val sharedPartOrNull: PromptPart?
         get() = if (prompt.size >= 2) prompt[prompt.size - 2] else prompt.lastOrNull()
+
+    /** The parts of the prompt that other requests may share: all but the last one, in order. */
+    internal val sharedParts: List<PromptPart>
+        get() = prompt.dropLast(1)
 }
