Quarantine content that crashes backend servers

What callers saw: while one request in twenty of one kind held a certain part of a prompt, servers crashed one after the other until such requests stopped coming. Streams of all kinds broke or were refused, and half of the requests were served.

Cause: a lost connection was taken for a matter of the server alone. Each request with the part was sent to up to three servers, and nothing counted what the requests had in common.

Change: the new part CrashesPart counts, for each shared part of a prompt, the servers that were lost before an answer began. Three losses without an answer since quarantine the part at all routers, which tell each other in beacons. Such requests are answered at once: with 503 if they were never sent, else with 502. A rare trial, by one router at a time, ends the quarantine.

Evidence: in the logs the part is in 34 of 36 crashes, and no request with it was ever answered; the head of its response arrives, the first event does not. Two other parts are in as many crashes, as they are in the same requests; they also belong to sound requests. So losses are explained by as little content as possible.

Ruled out: a fingerprint of the whole request (new requests with the part have another one); load (the first three servers were lost at 0, 9 and 16 of 64 requests).

--- a/core/src/main/kotlin/org/quetzalloom/core/error/ErrorKind.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/error/ErrorKind.kt
@@ -50,6 +50,9 @@
     /** Two backend servers went down while they ran the request; the whole fleet refuses it. */
     QUARANTINED("request_quarantined", status = 422, notRun = false, retryable = false),
 
+    /** Backend servers crashed under requests with the same content, so this one was not sent. */
+    CONTENT_QUARANTINED("content_quarantined", status = 503, notRun = true, retryable = true),
+
     /** This VM has no configuration, or it has not heard from the log or a peer for too long. */
     NOT_READY("not_ready", status = 503, notRun = true, retryable = true),
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayPolicies.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayPolicies.kt
@@ -1,5 +1,7 @@
 package org.quetzalloom.core.relay
 
+import org.quetzalloom.core.relay.crash.QuarantinePolicy
+import org.quetzalloom.core.relay.crash.RepeatedLosses
 import org.quetzalloom.core.relay.model.ConfidenceCascade
 import org.quetzalloom.core.relay.model.ModelChoice
 import org.quetzalloom.core.relay.model.PromptWork
@@ -15,4 +17,5 @@
     public val placement: Placement = AffinityPlacement(),
     public val workEstimate: WorkEstimate = PromptWork(),
     public val exposure: ExposurePolicy = SteppedExposure,
+    public val quarantine: QuarantinePolicy = RepeatedLosses(),
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
@@ -6,6 +6,8 @@
 import org.quetzalloom.core.reducer.Reducer
 import org.quetzalloom.core.reducer.Transition
 import org.quetzalloom.core.relay.access.StorePathPart
+import org.quetzalloom.core.relay.crash.CrashesPart
+import org.quetzalloom.core.relay.crash.QuarantineEndsPart
 import org.quetzalloom.core.relay.exchange.ExchangesPart
 import org.quetzalloom.core.relay.feed.FeedsPart
 import org.quetzalloom.core.relay.member.MembersPart
@@ -24,8 +26,9 @@
  * and `platform` carry out its effects. The router with its own interface, in the module `daemon`, has
  * [org.quetzalloom.core.router.RouterReducer]; they share the reducer framework, identifiers, errors and log entries.
  *
- * Each part sees every event, in a fixed order, with the state that the parts before it have produced. [OutcomesPart]
- * and [PinsPart] come before [ExchangesPart], which ends or changes the exchange whose attempt they look up.
+ * Each part sees every event, in a fixed order, with the state that the parts before it have produced. [OutcomesPart],
+ * [PinsPart] and [CrashesPart] come before [ExchangesPart], which ends or changes the exchange whose attempt they look
+ * up.
  */
 public object RelayReducer : Reducer<RelayState, RelayEvent, RelayEffect> {
     internal val parts: PersistentList<RelayPart> = persistentListOf(
@@ -39,7 +42,9 @@
         OutcomesPart,
         RolloutsPart,
         PinsPart,
+        CrashesPart,
         ExchangesPart,
+        QuarantineEndsPart,
         StopPart,
     )
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
@@ -1,6 +1,7 @@
 package org.quetzalloom.core.relay
 
 import org.quetzalloom.core.relay.access.StorePathState
+import org.quetzalloom.core.relay.crash.CrashesState
 import org.quetzalloom.core.relay.exchange.ExchangesState
 import org.quetzalloom.core.relay.feed.FeedsState
 import org.quetzalloom.core.relay.member.MembersState
@@ -33,6 +34,7 @@
     internal val peers: PeersState = PeersState(),
     internal val rollouts: RolloutsState = RolloutsState(),
     internal val pins: PinsState = PinsState(),
+    internal val crashes: CrashesState = CrashesState(),
     internal val exchanges: ExchangesState = ExchangesState(),
     internal val stop: StopState = StopState(),
 ) {
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/crash/ContentKey.kt
@@ -0,0 +1,19 @@
+package org.quetzalloom.core.relay.crash
+
+/** Identifies something that requests may have in common: a part of their prompts, or all that they ask for. */
+@JvmInline
+public value class ContentKey(public val value: String) : Comparable<ContentKey> {
+    override fun compareTo(other: ContentKey): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value
+
+    public companion object {
+        /** Returns the key of the part [id] of a prompt. */
+        public fun ofPart(id: String): ContentKey = ContentKey("part:$id")
+
+        /** Returns the key of all requests with the content hash [hash]. */
+        public fun ofContent(hash: Long): ContentKey = ContentKey("content:${hash.toULong().toString(HEXADECIMAL)}")
+
+        private const val HEXADECIMAL = 16
+    }
+}
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempt.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempt.kt
@@ -15,6 +15,8 @@
  *   by model size; 0 once its response has begun.
  * @property stalled whether its response has paused for longer than its timeout and no other backend server could take
  *   the request.
+ * @property begunAt when its response began, or `null` before that.
+ * @property succeeds whether its response has a status of success.
  */
 internal data class Attempt(
     val number: Int,
@@ -25,4 +27,6 @@
     val workUntilResponse: Long = 0,
     val pendingWork: Long = 0,
     val stalled: Boolean = false,
+    val begunAt: Timestamp? = null,
+    val succeeds: Boolean = false,
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
@@ -4,6 +4,10 @@
 import org.quetzalloom.core.relay.RelayEffect
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.RelayStep
+import org.quetzalloom.core.relay.crash.mayTry
+import org.quetzalloom.core.relay.crash.noteTrial
+import org.quetzalloom.core.relay.crash.quarantinedKeys
+import org.quetzalloom.core.relay.crash.refuseQuarantined
 import org.quetzalloom.core.relay.report
 import org.quetzalloom.core.relay.server.PlacementRequest
 import org.quetzalloom.core.relay.server.ServerView
@@ -17,11 +21,24 @@
 
 /**
  * Returns the transition that sends [exchange] to the backend server that the placement policy chooses. If no backend
- * server can take it, the exchange waits, or ends once it has waited for too long.
+ * server can take it, the exchange waits, or ends once it has waited for too long. An exchange whose content is
+ * quarantined ends at once, unless it is sent as a trial.
  *
  * Every attempt after the first counts against the retry budget, which is not checked here.
  */
 internal fun RelayState.placeOrWait(exchange: Exchange, now: Timestamp): RelayStep {
+    val quarantined = quarantinedKeys(exchange)
+    return when {
+        quarantined.isEmpty() -> place(exchange, now)
+        quarantined.all { mayTry(it, now) } -> place(exchange, now).then {
+            val sent = it.exchanges.byId[exchange.id]?.attempt != null
+            if (sent) it.noteTrial(exchange, quarantined, now) else it.unchanged()
+        }
+        else -> refuseQuarantined(exchange, quarantined, now)
+    }
+}
+
+private fun RelayState.place(exchange: Exchange, now: Timestamp): RelayStep {
     val view = chooseServerOrNull(exchange, now)
     return if (view == null) waitOrGiveUp(exchange, now) else send(exchange, view, now)
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/RelayRequest.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/RelayRequest.kt
@@ -15,6 +15,8 @@
  * @property outputTokens the maximum number of tokens to generate; 0 if the request is not for a model.
  * @property session the id of the session that the request belongs to, or `null` if it belongs to none.
  * @property lastEventId the id of the event after which the caller wants to resume a stream, or `null` to start it.
+ * @property contentHash a hash of all that the request asks for and of who asks, the same for each time that a request
+ *   is sent again; `null` if it is not known.
  */
 public data class RelayRequest(
     public val callerId: String?,
@@ -28,6 +30,7 @@
     public val outputTokens: Int = 0,
     public val session: String? = null,
     public val lastEventId: String? = null,
+    public val contentHash: Long? = null,
 ) {
     /**
      * The last part of the prompt that other requests may share: the second to last, as the last one is the request's
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Responses.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Responses.kt
@@ -20,7 +20,7 @@
  */
 internal fun RelayState.responseStarted(event: RelayEvent.ResponseStarted, now: Timestamp): RelayStep {
     val (previous, sent) = exchanges.currentOrNull(event.exchange, event.attempt) ?: return unchanged()
-    val attempt = sent.copy(pendingWork = 0)
+    val attempt = sent.copy(pendingWork = 0, begunAt = now, succeeds = event.head.isSuccess)
     val exchange = previous.copy(attempt = attempt)
     val updated = copy(
         exchanges = exchanges.with(exchange),
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Stalls.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Stalls.kt
@@ -5,6 +5,7 @@
 import org.quetzalloom.core.relay.RelayEvent
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.RelayStep
+import org.quetzalloom.core.relay.crash.quarantinedKeys
 import org.quetzalloom.core.relay.report
 import org.quetzalloom.core.relay.server.afterFailure
 import org.quetzalloom.core.relay.unchanged
@@ -30,6 +31,7 @@
     val elsewhere = exchange.copy(triedServers = exchange.triedServers.add(attempt.server))
     return (!exchange.headForwarded || exchange.route.resumable) &&
         mayRunOnceMore(exchange, now) &&
+        quarantinedKeys(exchange).isEmpty() &&
         chooseServerOrNull(elsewhere, now) != null
 }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeerBeacon.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeerBeacon.kt
@@ -5,6 +5,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import org.quetzalloom.core.identity.BackendServerId
 import org.quetzalloom.core.identity.VmId
+import org.quetzalloom.core.relay.crash.CrashReport
 
 /**
  * The message that a router sends to the other routers at short intervals.
@@ -14,10 +15,13 @@
  * @property work the prompts that servers have still to read for [vm], in tokens weighted by model size; servers
  *   without such work are left out, and those with little work if there are too many for one beacon.
  * @property rollouts the reports of the roll-outs that [vm] knows to be in progress.
+ * @property crashes the reports about the content of requests under which backend servers were lost lately; if there
+ *   are too many for one beacon, some are left to the next ones.
  */
 public data class PeerBeacon(
     public val vm: VmId,
     public val sequence: Long,
     public val work: PersistentMap<BackendServerId, Long>,
     public val rollouts: PersistentList<RolloutReport> = persistentListOf(),
+    public val crashes: PersistentList<CrashReport> = persistentListOf(),
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersPart.kt
@@ -7,6 +7,7 @@
 import org.quetzalloom.core.relay.RelayPart
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.RelayStep
+import org.quetzalloom.core.relay.crash.crashReports
 import org.quetzalloom.core.relay.rollout.completionReceivers
 import org.quetzalloom.core.relay.rollout.rolloutReports
 import org.quetzalloom.core.relay.unchanged
@@ -80,5 +81,6 @@
             .take(MAXIMUM_SERVERS)
             .associate { it.listing.id to it.pendingWork }.toPersistentMap(),
         rollouts = rolloutReports(now).toPersistentList(),
+        crashes = crashReports(sequence, now),
     )
 }
--- a/relay/src/test/kotlin/org/quetzalloom/relay/peer/BeaconFormatTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/peer/BeaconFormatTest.kt
@@ -2,15 +2,21 @@
 
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentMap
 import org.junit.jupiter.api.assertThrows
 import org.quetzalloom.core.identity.BackendServerId
 import org.quetzalloom.core.identity.VmId
+import org.quetzalloom.core.relay.crash.ContentKey
+import org.quetzalloom.core.relay.crash.CrashReport
+import org.quetzalloom.core.relay.crash.ServerRun
 import org.quetzalloom.core.relay.peer.PeerBeacon
 import org.quetzalloom.core.relay.peer.RolloutReport
 import org.quetzalloom.core.relay.rollout.OutcomeSums
 import org.quetzalloom.core.relay.routing.ServiceName
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 
 /** Tests the JSON format of beacons. */
 class BeaconFormatTest {
@@ -31,6 +37,15 @@
                 agreedWith = VmId("vm-2"),
             ),
         ),
+        crashes = persistentListOf(
+            CrashReport(
+                key = ContentKey.ofPart("c035e0a55d7f"),
+                position = 3,
+                lossAges = persistentMapOf(ServerRun(-1_839_274_123) to 120L, ServerRun(12) to 4_000L),
+                answerAgeMilliseconds = 9_000,
+                trialAgeMilliseconds = 500,
+            ),
+        ),
     )
 
     @Test
@@ -41,7 +56,20 @@
     @Test
     fun `unknown fields are ignored, and an absent list is empty`() {
         val text = """{"vm":"vm-1","sequence":7,"work":{"s-1":1200},"later":true}"""
-        assertEquals(beacon.copy(rollouts = persistentListOf()), BeaconFormat.decode(text))
+        assertEquals(
+            beacon.copy(rollouts = persistentListOf(), crashes = persistentListOf()),
+            BeaconFormat.decode(text)
+        )
+    }
+
+    @Test
+    fun `the largest reports of crashes fit one datagram`() {
+        val losses = (1..5).associate { ServerRun(Int.MIN_VALUE + it) to 59_000L }.toPersistentMap()
+        val reports = (1..6).map { CrashReport(ContentKey.ofContent(-1L - it), position = 3, losses, 59_000, 59_000) }
+        val bytes = BeaconFormat.encode(
+            beacon.copy(rollouts = persistentListOf(), crashes = reports.toPersistentList())
+        )
+        assertTrue(bytes.length < 1_200, "${bytes.length} bytes")
     }
 
     @Test
