Recognize a request that comes again and crashes servers

The same request may crash each server that runs it and come again at any router. The hash of its method, target, credentials and body joins the parts of its prompt as content that can be quarantined; the decisions are those for parts. `a request that comes again crashes one server after the other` tests them with a content hash.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/ReducerRequestHandler.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/ReducerRequestHandler.kt
@@ -15,6 +15,7 @@
 import org.quetzalloom.relay.caller.RequestHandler
 import org.quetzalloom.relay.caller.ResponseWriter
 import org.quetzalloom.relay.http.MessageCodec
+import org.quetzalloom.relay.http.contentHash
 import org.quetzalloom.relay.report.Reporter
 
 /**
@@ -46,7 +47,7 @@
 
     override fun onRequest(head: HttpRequest, body: ByteBuf, response: ResponseWriter): CallerExchange? =
         codec.decodeRequest(head).fold(
-            success = { onRequest(it, head, body, response) },
+            success = { onRequest(it.copy(contentHash = contentHash(head, body)), head, body, response) },
             failure = { problem ->
                 body.release()
                 refuse(response, ErrorKind.MALFORMED, problem, retryAfterMilliseconds = null)
