Believe a refusal without an id only on a new connection

Callers would see: a backend server repeats an earlier refusal, without an id, on a kept connection. The request that is in flight there is taken to be refused. It is sent to a second server although the first one runs it, or its caller is told "not run, try again".

Cause: an unsigned error response without an id was taken for the response to whatever request was in flight, on any connection.

Why it works: the codec says which request a response names, and the relay decides. A response that names none belongs to the request in flight only if no other request was sent on the connection and no other response came first. Otherwise it is skipped like one that names another request; the true response still counts, and the end of the connection leaves the request as one that may have run. On a new connection such a refusal is still believed, as nothing else was asked there; the connection is not used again. Requests without an id get a new connection, as all their responses are without one.

A server that breaks the protocol and never echoes ids in refusals is waited for until the deadline if the connection had been used before.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
@@ -28,6 +28,7 @@
     private lateinit var channel: Channel
     private var reader: ResponseReader? = null
     private var reusable = true
+    private var used = false
     private var requestWritten = true
     private var responseComplete = false
 
@@ -54,7 +55,8 @@
 
     /** Sends the request of [call] with [headers], and passes the response to [call]. */
     fun send(call: BackendCall, headers: HttpHeaders) {
-        reader = ResponseReader(codec, call)
+        reader = ResponseReader(codec, call, firstOnConnection = !used)
+        used = true
         call.onSending(this)
         val head = call.exchange.head
         val body = call.exchange.body.retainedDuplicate()
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
@@ -43,14 +43,15 @@
         private set
 
     /**
-     * Sends [call] on an idle connection, or else on a new one.
+     * Sends [call] on an idle connection, or else on a new one. A request without an id gets a new one, as its response
+     * names no request.
      *
      * The call fails with [AttemptFailure.NO_CONNECTION_LEFT] if its server's connection limit is reached, and with
      * [AttemptFailure.NOT_CONNECTED] if no connection can be established.
      */
     fun send(call: BackendCall) {
         val endpoint = endpoints.getOrPut(call.parameters.address) { Endpoint() }
-        val reused = takeIdle(endpoint, call.parameters.requiresLiveConnection)
+        val reused = call.exchange.request.callerId?.let { takeIdle(endpoint, call.parameters.requiresLiveConnection) }
         when {
             reused != null -> reused.send(call, codec.encodeRequest(call.exchange.head, call.parameters))
             endpoint.all.size + endpoint.connectingCount >= call.parameters.maximumConnections ->
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/ResponseReader.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/ResponseReader.kt
@@ -8,14 +8,20 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import org.quetzalloom.relay.http.MessageCodec
+import org.quetzalloom.relay.http.ResponseOrigin
 
 /**
  * Reads the response to [call] from the messages of its connection.
  *
  * Skips interim (1xx) responses, and responses to other requests that arrive first. A response with a content encoding
  * is invalid.
+ *
+ * A response that names no request is accepted only if nothing else has been sent or received on the connection: a late
+ * copy of the response to an earlier request would look the same, and may say that the request has not run.
+ *
+ * @param firstOnConnection whether no other request has been sent on the connection.
  */
-internal class ResponseReader(private val codec: MessageCodec, val call: BackendCall) {
+internal class ResponseReader(private val codec: MessageCodec, val call: BackendCall, firstOnConnection: Boolean) {
     /** The state of the response after a message. */
     enum class Progress {
         /** More messages are expected. */
@@ -29,6 +35,7 @@
     }
 
     private var skipping = false
+    private var acceptsUnnamed = firstOnConnection
 
     /** Whether the connection can be reused after this response. */
     var reusable = true
@@ -47,9 +54,12 @@
     /** Reads the head of a response, and passes it to [call] unless it is skipped. Returns whether it is valid. */
     private fun readHead(response: HttpResponse): Boolean {
         val interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
-        val mismatched = !interim && !codec.isResponseTo(call.exchange.request, response)
-        skipping = interim || mismatched
-        reusable = reusable && !mismatched
+        val origin = codec.originOf(response, call.exchange.request)
+        skipping = interim || !isAccepted(origin)
+        // A server that leaves out the name once may do so again, which is accepted on a new connection only.
+        val named = interim || origin == ResponseOrigin.THIS_REQUEST
+        reusable = reusable && named
+        acceptsUnnamed = acceptsUnnamed && named
         val valid =
             !response.decoderResult().isFailure && !response.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
         if (valid && !skipping) {
@@ -60,6 +70,12 @@
         return valid
     }
 
+    private fun isAccepted(origin: ResponseOrigin): Boolean = when (origin) {
+        ResponseOrigin.THIS_REQUEST -> true
+        ResponseOrigin.OTHER_REQUEST -> false
+        ResponseOrigin.UNNAMED -> acceptsUnnamed
+    }
+
     private fun readContent(content: HttpContent): Progress {
         if (content.decoderResult().isFailure) return Progress.INVALID
         if (!skipping && content.content().isReadable) call.onBody(content.content())
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/MessageCodec.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/MessageCodec.kt
@@ -19,8 +19,8 @@
      */
     public fun encodeRequest(head: HttpRequest, parameters: SendParameters): HttpHeaders
 
-    /** Returns whether [response] belongs to [request], and not to another request on the same connection. */
-    public fun isResponseTo(request: RelayRequest, response: HttpResponse): Boolean
+    /** Returns whether [response] names [request], another request on the same connection, or none. */
+    public fun originOf(response: HttpResponse, request: RelayRequest): ResponseOrigin
 
     /** Decodes the head of a response. */
     public fun decodeResponse(response: HttpResponse): ResponseHead
--- a/relay/src/test/kotlin/org/quetzalloom/relay/PlainCodec.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/PlainCodec.kt
@@ -10,6 +10,7 @@
 import org.quetzalloom.core.relay.exchange.ResponseHead
 import org.quetzalloom.core.relay.exchange.SendParameters
 import org.quetzalloom.relay.http.MessageCodec
+import org.quetzalloom.relay.http.ResponseOrigin
 import org.quetzalloom.relay.http.withoutHopByHopHeaders
 
 /** A minimal codec for tests: a request carries an `Id` header, which backend servers echo. */
@@ -32,8 +33,12 @@
         return headers
     }
 
-    override fun isResponseTo(request: RelayRequest, response: HttpResponse): Boolean =
-        response.headers().get("Id") == request.callerId
+    override fun originOf(response: HttpResponse, request: RelayRequest): ResponseOrigin =
+        if (response.headers().get("Id") == request.callerId) {
+            ResponseOrigin.THIS_REQUEST
+        } else {
+            ResponseOrigin.OTHER_REQUEST
+        }
 
     override fun decodeResponse(response: HttpResponse): ResponseHead =
         ResponseHead(status = response.status().code(), notRun = response.headers().contains("Not-Run"))
