Skip entries whose address is not an IP address and a port

Callers would see: an entry with port 65536 names a server, and each request that is placed there costs an attempt and the pause of a failed connection. An entry with a host name makes the thread of the event loop resolve it, and all requests of the router stand still meanwhile.

Cause: the address was checked only when a connection was made, and a host name was never refused.

Evidence: `OddRecordsTest` failed before for 10.0.0.9:0, :65536, :-1, an address without port or host, localhost:80, 10.0.0.999:80 and 1:80: "Server(listing=ServerListing(..., address=10.0.0.9:65536, ...))".

Why it works: `Address` accepts IP addresses only, as its documentation said, and entries are decoded with it. The same type now refuses names in the settings, which are documented as IP:PORT, and in members' ids.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/Address.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/Address.kt
@@ -1,15 +1,17 @@
 package org.quetzalloom.relay.http
 
+import io.netty.util.NetUtil
 import java.net.InetSocketAddress
 
 /**
  * A network address.
  *
  * @property host an IP address; a host name would be resolved on the thread that uses the address.
+ * @throws IllegalArgumentException if the host is not an IP address, or the port is not in 1..65535.
  */
 public data class Address(public val host: String, public val port: Int) {
     init {
-        require(host.isNotEmpty()) { "the host of an address must not be empty" }
+        require(isIpAddress(host)) { "the host '$host' is not an IP address" }
         require(port in PORTS) { "the port $port is not in $PORTS" }
     }
 
@@ -21,11 +23,14 @@
     public companion object {
         private val PORTS = 1..65_535
 
-        /** Parses `host:port`. Returns `null` if the host is empty or the port is not in 1..65535. */
+        /** Parses `host:port`. Returns `null` if the host is not an IP address, or the port is not in 1..65535. */
         public fun parseOrNull(text: String): Address? {
             val host = text.substringBeforeLast(':', missingDelimiterValue = "")
             val port = text.substringAfterLast(':').toIntOrNull()?.takeIf { it in PORTS }
-            return if (host.isEmpty() || port == null) null else Address(host, port)
+            return if (port == null || !isIpAddress(host)) null else Address(host, port)
         }
+
+        private fun isIpAddress(host: String): Boolean =
+            NetUtil.isValidIpV4Address(host) || NetUtil.isValidIpV6Address(host)
     }
 }
