Let the last entry of a server in one read count

Callers would see: a server whose entry is removed and written again within one read of the list, as at a restart under the same id, gets no requests until it writes once more.

Cause: all listings of a read were applied before all removals, whatever their order.

Evidence: `ServersTest` failed before: "the last of several entries of a server in one read counts: Expected value to be true."

Why it works: only the last entry of each server in a read is applied.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersPart.kt
@@ -31,13 +31,21 @@
     }
 
     private fun RelayState.feedRead(event: RelayEvent.FeedRead, now: Timestamp): RelayStep {
-        val listed = event.entries.filterIsInstance<FeedEntry.Server>().associateBy { it.listing.id }
-        val removed = event.entries.filterIsInstance<FeedEntry.ServerRemoved>().map { it.id }
-        val absent = if (event.feed == Feed.SERVERS && event.snapshot) servers.views.keys - listed.keys else emptySet()
-        val updated = if (event.feed == Feed.SERVERS) copy(servers = servers.copy(listReadAt = now)) else this
-        return updated.unchanged()
-            .thenEach(listed.values) { current, entry -> current.updateListing(entry.listing, now) }
-            .thenEach(removed + absent) { current, id -> current.markRemoved(id, now) }
+        if (event.feed != Feed.SERVERS) return unchanged()
+        val lastEntries = event.entries.mapNotNull { entry -> entry.serverIdOrNull()?.let { it to entry } }.toMap()
+        val listings = lastEntries.values.filterIsInstance<FeedEntry.Server>().map { it.listing }
+        val absent = if (event.snapshot) servers.views.keys - lastEntries.keys else emptySet()
+        val unlisted = lastEntries.keys - listings.map { it.id }.toSet() + absent
+        return copy(servers = servers.copy(listReadAt = now)).unchanged()
+            .thenEach(listings) { current, listing -> current.updateListing(listing, now) }
+            .thenEach(unlisted) { current, id -> current.markRemoved(id, now) }
+    }
+
+    /** Returns the server that an entry of the list is about. */
+    private fun FeedEntry.serverIdOrNull(): BackendServerId? = when (this) {
+        is FeedEntry.Server -> listing.id
+        is FeedEntry.ServerRemoved -> id
+        else -> null
     }
 
     private fun RelayState.updateListing(listing: ServerListing, now: Timestamp): RelayStep {
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/ServersTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/ServersTest.kt
@@ -52,6 +52,17 @@
         assertEquals(2, rig.state.knownServers)
     }
 
+    /** A server that came back within one read stayed out of use until it wrote again. */
+    @Test
+    fun `the last of several entries of a server in one read counts`() {
+        val rig = RelayRig().start()
+        val back = FeedEntry.Server(one.copy(startedAt = 2))
+        rig.read(Feed.SERVERS, FeedEntry.ServerRemoved(one.id), back)
+        assertTrue(rig.mayUse("s-1"))
+        rig.read(Feed.SERVERS, back, FeedEntry.ServerRemoved(one.id))
+        assertTrue(!rig.mayUse("s-1"))
+    }
+
     @Test
     fun `a server whose entry lapsed while the list could not be read is kept until the entry is renewed`() {
         val rig = RelayRig().start()
