Stop using a server whose entry is replaced by an odd one

Callers would see: an entry of another writer takes the place of a good one under the same key. A router that reads the change goes on sending to the server of the entry before, while one that starts does not use it.

Evidence: `ServersTest` failed before: "a server whose entry is replaced by one that cannot be read gets no requests until it writes again: Expected value to be true."

Why it works: the entry in force names no server to use, so the server of its key is taken out as if the entry had been removed, on all routers alike. The server is used again with its next entry.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedEntry.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedEntry.kt
@@ -35,6 +35,9 @@
     /** The removal of the entry of the backend server [id]. */
     public data class ServerRemoved(public val id: BackendServerId) : FeedEntry
 
-    /** A record that could not be decoded because of [problem]; it is skipped. */
+    /**
+     * A record that could not be decoded because of [problem]. In the list of servers it takes the place of the entry
+     * before, and names no server; elsewhere it is skipped.
+     */
     public data class Unreadable(public val key: String, public val problem: String) : FeedEntry
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersPart.kt
@@ -1,6 +1,7 @@
 package org.quetzalloom.core.relay.server
 
 import org.quetzalloom.core.identity.BackendServerId
+import org.quetzalloom.core.identity.isIdentifier
 import org.quetzalloom.core.reducer.thenEach
 import org.quetzalloom.core.relay.RelayEvent
 import org.quetzalloom.core.relay.RelayPart
@@ -41,10 +42,11 @@
             .thenEach(unlisted) { current, id -> current.markRemoved(id, now) }
     }
 
-    /** Returns the server that an entry of the list is about. */
+    /** Returns the server that an entry of the list is about; an entry that cannot be read is about that of its key. */
     private fun FeedEntry.serverIdOrNull(): BackendServerId? = when (this) {
         is FeedEntry.Server -> listing.id
         is FeedEntry.ServerRemoved -> id
+        is FeedEntry.Unreadable -> if (isIdentifier(key)) BackendServerId(key) else null
         else -> null
     }
 
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/ServersTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/ServersTest.kt
@@ -52,6 +52,16 @@
         assertEquals(2, rig.state.knownServers)
     }
 
+    /** The server of the entry before stayed in use. */
+    @Test
+    fun `a server whose entry is replaced by one that cannot be read gets no requests until it writes again`() {
+        val rig = RelayRig().start()
+        rig.read(Feed.SERVERS, FeedEntry.Unreadable("s-1", "odd"), FeedEntry.Unreadable("no id\n", "odd"))
+        assertTrue(!rig.mayUse("s-1") && rig.mayUse("s-2"))
+        rig.read(Feed.SERVERS, FeedEntry.Server(one.copy(sequence = 9)))
+        assertTrue(rig.mayUse("s-1"))
+    }
+
     /** A server that came back within one read stayed out of use until it wrote again. */
     @Test
     fun `the last of several entries of a server in one read counts`() {
@@ -59,6 +69,8 @@
         val back = FeedEntry.Server(one.copy(startedAt = 2))
         rig.read(Feed.SERVERS, FeedEntry.ServerRemoved(one.id), back)
         assertTrue(rig.mayUse("s-1"))
+        rig.read(Feed.SERVERS, back, FeedEntry.Unreadable("s-1", "odd"), back)
+        assertTrue(rig.mayUse("s-1"))
         rig.read(Feed.SERVERS, back, FeedEntry.ServerRemoved(one.id))
         assertTrue(!rig.mayUse("s-1"))
     }
