Keep one failed event or effect from ending the others

Callers would see: an exception while a tick is reduced ends the ticks, and with them all deadlines and reads of the store, without a log line. One in an effect loses the effects after it, such as the responses of other callers, and closes the connection whose message happened to be handled.

Cause: the loop let exceptions pass to whoever had posted the event; a scheduled task that throws is not run again.

Evidence: `RelayLoopTest` failed before: "an effect that fails does not keep the others from being carried out: IllegalState bad-a", and "a tick that fails is followed by others: []" after 5 s.

Why it works: the reduction of an event, and each of its effects, is carried out by itself. What fails is logged as `event_failed` or `effect_failed`; the state stays as it was, and the others go on. Errors of the virtual machine still pass.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/RelayLoop.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/RelayLoop.kt
@@ -11,6 +11,9 @@
  *
  * An event that is posted while another is being processed is queued until the effects of that one are carried out.
  *
+ * An event whose reduction throws is dropped, and the state stays as it was. An effect that cannot be carried out does
+ * not keep the others from it. Neither reaches the caller of [post], whose connection may have no part in it.
+ *
  * @param tick the event that is posted at a fixed interval, for everything that depends on time.
  * @param pauseEventOrNull returns the event to reduce before any other if there was a pause since the last call that
  *   [clock] may not have counted; `null` if there was none.
@@ -33,6 +36,9 @@
     /** Carries out the effects. Must be set before the first [post]. */
     lateinit var interpreter: Interpreter<F>
 
+    /** Receives what an event or an effect has thrown, as `event_failed` or `effect_failed`. Set like [interpreter]. */
+    lateinit var onProblem: (name: String, cause: Exception) -> Unit
+
     /** Reduces [event] and carries out its effects. Must be called on the event loop's thread. */
     fun post(event: E) {
         pending.add(event)
@@ -56,9 +62,16 @@
     }
 
     private fun apply(event: E) {
-        val transition = reducer.reduce(state, event, clock.now())
+        val transition = isolate("event_failed") { reducer.reduce(state, event, clock.now()) } ?: return
         state = transition.state
-        transition.effects.forEach { interpreter.carryOut(it) }
+        transition.effects.forEach { effect -> isolate("effect_failed") { interpreter.carryOut(effect) } }
+    }
+
+    /** Returns the result of [action], or `null` if it threw an exception. Errors of the virtual machine pass. */
+    private fun <T : Any> isolate(name: String, action: () -> T): T? = runCatching(action).getOrElse { problem ->
+        if (problem !is Exception) throw problem
+        onProblem(name, problem)
+        null
     }
 
     private companion object {
--- a/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
@@ -73,6 +73,7 @@
      */
     public fun start() {
         loop.interpreter = Interpreter { carryOut(it) }
+        loop.onProblem = reporter::reportProblem
         metrics.registerConnectionGauges(relay)
         val status = StatusServer(group)
         status.listen(listeners.ready) { StatusServer.Page(ok = ready, text = if (ready) "ready\n" else "not ready\n") }
--- /dev/null
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/RelayLoopTest.kt
@@ -0,0 +1,70 @@
+package org.quetzalloom.relay
+
+import io.netty.channel.DefaultEventLoop
+import kotlinx.collections.immutable.persistentListOf
+import org.quetzalloom.core.reducer.Reducer
+import org.quetzalloom.core.reducer.Transition
+import org.quetzalloom.core.time.Timestamp
+import org.quetzalloom.runtime.Interpreter
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** Tests that an event or effect that fails concerns no other. */
+class RelayLoopTest {
+    private val problems = CopyOnWriteArrayList<String>()
+    private val carriedOut = CopyOnWriteArrayList<String>()
+
+    /** Each event has two effects; those that begin with "bad" fail, and so do events that begin with "odd". */
+    private val reducer = Reducer<Int, String, String> { state, event, _ ->
+        check(!event.startsWith("odd")) { event }
+        Transition(state + 1, persistentListOf("bad-$event", "good-$event"))
+    }
+
+    private fun loop(eventLoop: DefaultEventLoop) = RelayLoop(
+        initial = 0,
+        reducer = reducer,
+        tick = "odd-tick",
+        eventLoop = eventLoop,
+        clock = { Timestamp.EPOCH },
+        pauseEventOrNull = { null },
+    ).apply {
+        onProblem = { name, cause -> problems += "$name ${cause.message}" }
+        interpreter = Interpreter { effect ->
+            check(!effect.startsWith("bad")) { effect }
+            carriedOut += effect
+        }
+    }
+
+    /** The other effects were lost, and the exception went to whoever had posted the event. */
+    @Test
+    fun `an effect that fails does not keep the others from being carried out`() {
+        val loop = loop(DefaultEventLoop())
+        loop.post("a")
+        loop.post("odd")
+        loop.post("b")
+        assertEquals(listOf("good-a", "good-b"), carriedOut)
+        assertEquals(listOf("effect_failed bad-a", "event_failed odd", "effect_failed bad-b"), problems)
+        assertEquals(2, loop.state)
+    }
+
+    /** The ticks ended, and with them all timeouts and reads of the store. */
+    @Test
+    fun `a tick that fails is followed by others`() {
+        val eventLoop = DefaultEventLoop()
+        val failures = CountDownLatch(3)
+        val loop = loop(eventLoop)
+        eventLoop.execute { loop.startTicking() }
+        eventLoop.scheduleAtFixedRate(
+            { if (problems.size >= 3) repeat(3) { failures.countDown() } },
+            0,
+            5,
+            TimeUnit.MILLISECONDS,
+        )
+        assertTrue(failures.await(5, TimeUnit.SECONDS), "$problems")
+        eventLoop.shutdownGracefully(0, 0, TimeUnit.SECONDS)
+    }
+}
