Compare response times of a new version with usual ones under the same load

Callers saw a new version of the model servers answer about four and a half times slower.

Cause: the mean time to the heads of the new version's responses was compared with that of the old one. Times between the events of streams were not compared at all, and attempts that were given up left no trace. Where half of the responses are eight times slower, their geometric mean is 2.8 times the usual one, below the factor of 3.

Each router now learns how long the start of a response takes for the work ahead of it (by route where there is none), and the time between events for the number of requests at the server. Each outcome of both versions is compared with that, and the mean ratio, by stage, condemns a version if it is larger by a factor of 1.65 and three standard errors. An attempt that is given up is counted if it has taken twice the usual time by then. Routers share the sums in beacons, in fields that older ones ignore; those of older ones read as no comparisons. What the judgement saw is in the log.

SlowVersionTest before: "expected: <[IN_PROGRESS, REVERTED]> but was: <[IN_PROGRESS, COMPLETED]>" in four tests.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
@@ -52,8 +52,32 @@
         public val head: ResponseHead,
     ) : RelayEvent
 
-    /** The response of an attempt has been forwarded completely. */
-    public data class ResponseFinished(public val exchange: ExchangeId, public val attempt: Int) : RelayEvent
+    /**
+     * At least [EVENTS] events of a stream have been forwarded. Occurs once in an attempt.
+     *
+     * @property events the number of events forwarded.
+     */
+    public data class ResponseProgressed(
+        public val exchange: ExchangeId,
+        public val attempt: Int,
+        public val events: Int,
+    ) : RelayEvent {
+        public companion object {
+            /** Enough events for a mean of the time between them, and few enough to come early in most streams. */
+            public const val EVENTS: Int = 16
+        }
+    }
+
+    /**
+     * The response of an attempt has been forwarded completely.
+     *
+     * @property events the number of events in the response; 0 if it is not an event stream.
+     */
+    public data class ResponseFinished(
+        public val exchange: ExchangeId,
+        public val attempt: Int,
+        public val events: Int = 0,
+    ) : RelayEvent
 
     /**
      * An attempt has ended without a complete response.
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/crash/QuarantineEndsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/crash/QuarantineEndsPart.kt
@@ -30,7 +30,7 @@
 
     private fun Exchange.isEndangered(added: Set<ContentKey>, now: Timestamp): Boolean {
         val current = attempt ?: return false
-        val beginsToWrite = current.begunAt?.let { now - it < DANGEROUS_START_MILLISECONDS } ?: true
+        val beginsToWrite = current.startedAt?.let { now - it < DANGEROUS_START_MILLISECONDS } ?: true
         return beginsToWrite && request.contentKeys.any { it in added }
     }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempt.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempt.kt
@@ -15,8 +15,10 @@
  *   by model size; 0 once its response has begun.
  * @property stalled whether its response has paused for longer than its timeout and no other backend server could take
  *   the request.
- * @property begunAt when its response began, or `null` before that.
  * @property succeeds whether its response has a status of success.
+ * @property startedAt when the response began, or `null` before that.
+ * @property loadAtStart the requests at the backend server when the response began, as far as it reported them.
+ * @property eventsTimed whether the time between the events of the response has been measured.
  */
 internal data class Attempt(
     val number: Int,
@@ -27,6 +29,8 @@
     val workUntilResponse: Long = 0,
     val pendingWork: Long = 0,
     val stalled: Boolean = false,
-    val begunAt: Timestamp? = null,
     val succeeds: Boolean = false,
+    val startedAt: Timestamp? = null,
+    val loadAtStart: Int = 0,
+    val eventsTimed: Boolean = false,
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Exchange.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Exchange.kt
@@ -43,6 +43,9 @@
     val lastEventId: String? = null,
     val escalation: EscalationDecision? = null,
 ) {
+    /** The exchange with its attempt in flight, or `null` if it has none. */
+    val currentAttemptOrNull: CurrentAttempt? get() = attempt?.let { CurrentAttempt(this, it) }
+
     /** The name of the model to ask, or `null` if the router does not choose the model. */
     val modelName: String? get() = if (request.routerChoosesModel) route.models.getOrNull(modelIndex) else null
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ExchangesPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ExchangesPart.kt
@@ -17,6 +17,7 @@
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
         is RelayEvent.RequestArrived -> state.admitOrRefuse(event, now)
         is RelayEvent.ResponseStarted -> state.responseStarted(event, now)
+        is RelayEvent.ResponseProgressed -> state.responseProgressed(event)
         is RelayEvent.ResponseFinished -> state.responseFinished(event, now)
         is RelayEvent.AttemptFailed -> state.attemptFailed(event, now)
         is RelayEvent.AttemptStalled -> state.attemptStalled(event, now)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Responses.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Responses.kt
@@ -20,7 +20,12 @@
  */
 internal fun RelayState.responseStarted(event: RelayEvent.ResponseStarted, now: Timestamp): RelayStep {
     val (previous, sent) = exchanges.currentOrNull(event.exchange, event.attempt) ?: return unchanged()
-    val attempt = sent.copy(pendingWork = 0, begunAt = now, succeeds = event.head.isSuccess)
+    val attempt = sent.copy(
+        pendingWork = 0,
+        startedAt = now,
+        loadAtStart = event.head.load?.let { it.running + it.waiting } ?: 0,
+        succeeds = event.head.isSuccess,
+    )
     val exchange = previous.copy(attempt = attempt)
     val updated = copy(
         exchanges = exchanges.with(exchange),
@@ -38,6 +43,12 @@
     }
 }
 
+/** Returns the transition that notes that the time between the events of a response has been measured. */
+internal fun RelayState.responseProgressed(event: RelayEvent.ResponseProgressed): RelayStep {
+    val (exchange, attempt) = exchanges.currentOrNull(event.exchange, event.attempt) ?: return unchanged()
+    return copy(exchanges = exchanges.with(exchange.copy(attempt = attempt.copy(eventsTimed = true)))).unchanged()
+}
+
 /** Returns the transition that ends an exchange whose response has been forwarded completely. */
 internal fun RelayState.responseFinished(event: RelayEvent.ResponseFinished, now: Timestamp): RelayStep {
     val (exchange, attempt) = exchanges.currentOrNull(event.exchange, event.attempt) ?: return unchanged()
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Stalls.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Stalls.kt
@@ -18,16 +18,19 @@
  * answer the request. Events of attempts that are no longer current change nothing.
  */
 internal fun RelayState.attemptStalled(event: RelayEvent.AttemptStalled, now: Timestamp): RelayStep {
-    val (exchange, attempt) = exchanges.currentOrNull(event.exchange, event.attempt) ?: return unchanged()
+    val current = exchanges.currentOrNull(event.exchange, event.attempt) ?: return unchanged()
+    val (exchange, attempt) = current
     val failed = RelayEvent.AttemptFailed(exchange.id, attempt.number, AttemptFailure.SILENT, event.lastEventId)
-    return if (mayMove(exchange, attempt, now)) {
+    return if (mayMove(current, now)) {
         with(RelayEffect.CancelAttempt(exchange.id, attempt.number)).then { it.attemptFailed(failed, now) }
     } else {
         keepWaiting(exchange, attempt, now)
     }
 }
 
-private fun RelayState.mayMove(exchange: Exchange, attempt: Attempt, now: Timestamp): Boolean {
+/** Returns whether [current], whose response pauses, can be given up because another backend server takes its request. */
+internal fun RelayState.mayMove(current: CurrentAttempt, now: Timestamp): Boolean {
+    val (exchange, attempt) = current
     val elsewhere = exchange.copy(triedServers = exchange.triedServers.add(attempt.server))
     return (!exchange.headForwarded || exchange.route.resumable) &&
         mayRunOnceMore(exchange, now) &&
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/Completions.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/Completions.kt
@@ -24,6 +24,12 @@
         "members" to members.routerCount,
         "answers" to progress.allNew.answers,
         "failures" to progress.allNew.failures,
+        "starts_timed" to progress.allNew.starts.count,
+        "start_excess" to progress.allNew.starts.mean,
+        "old_start_excess" to progress.allOld.starts.mean,
+        "events_timed" to progress.allNew.events.count,
+        "event_excess" to progress.allNew.events.mean,
+        "old_event_excess" to progress.allOld.events.mean,
     )
 }
 
@@ -66,6 +72,12 @@
         "leader" to sender,
         "answers" to progress.allNew.answers,
         "failures" to progress.allNew.failures,
+        "starts_timed" to progress.allNew.starts.count,
+        "start_excess" to progress.allNew.starts.mean,
+        "old_start_excess" to progress.allOld.starts.mean,
+        "events_timed" to progress.allNew.events.count,
+        "event_excess" to progress.allNew.events.mean,
+        "old_event_excess" to progress.allOld.events.mean,
     )
 }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/OutcomeSums.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/OutcomeSums.kt
@@ -6,11 +6,15 @@
  * @property answers the number of responses, failures included.
  * @property failures the number of responses that were server failures.
  * @property logLatency the sum of the natural logarithms of the milliseconds that the responses took to begin.
+ * @property starts the times until responses began, compared with usual ones.
+ * @property events the times between the events of streams, compared with usual ones.
  */
 public data class OutcomeSums(
     public val answers: Int = 0,
     public val failures: Int = 0,
     public val logLatency: Double = 0.0,
+    public val starts: TimingSums = TimingSums(),
+    public val events: TimingSums = TimingSums(),
 ) {
     /** The share of responses that were failures, from 0 to 1; 0 before the first response. */
     public val failureRate: Double get() = if (answers == 0) 0.0 else failures.toDouble() / answers
@@ -23,12 +27,20 @@
         answers = answers + other.answers,
         failures = failures + other.failures,
         logLatency = logLatency + other.logLatency,
+        starts = starts + other.starts,
+        events = events + other.events,
     )
 
     /** Returns the sums with one more response, which took [latencyMilliseconds] to begin. */
-    public fun record(failed: Boolean, latencyMilliseconds: Long): OutcomeSums = OutcomeSums(
+    public fun record(failed: Boolean, latencyMilliseconds: Long): OutcomeSums = copy(
         answers = answers + 1,
         failures = if (failed) failures + 1 else failures,
         logLatency = logLatency + Math.log(latencyMilliseconds.coerceAtLeast(1).toDouble()),
     )
+
+    /** Returns the sums with one more time of [stage], the logarithm of whose ratio to the usual one is [logRatio]. */
+    internal fun recordTiming(stage: TimedStage, logRatio: Double): OutcomeSums = when (stage) {
+        TimedStage.START -> copy(starts = starts.record(logRatio))
+        TimedStage.EVENT -> copy(events = events.record(logRatio))
+    }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutProgress.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutProgress.kt
@@ -41,6 +41,10 @@
     /** The outcomes of the new version at this router and all routers that have reported theirs. */
     val allNew: OutcomeSums get() = peerOutcomes.values.fold(new) { sums, outcomes -> sums + outcomes.new }
 
+    /** Returns the progress with [change] applied to this router's outcomes of [version]. */
+    fun record(version: String, change: (OutcomeSums) -> OutcomeSums): RolloutProgress =
+        if (version == order.version) copy(new = change(new)) else copy(old = change(old))
+
     /** Returns whether this router must not condemn the new version at [now]: it has agreed to the completion. */
     fun isBoundByAgreement(now: Timestamp): Boolean = agreement?.isInForce(now) ?: false
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutReports.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutReports.kt
@@ -82,5 +82,11 @@
     "failures" to progress.allNew.failures,
     "old_answers" to progress.allOld.answers,
     "old_failures" to progress.allOld.failures,
+    "starts_timed" to progress.allNew.starts.count,
+    "start_excess" to progress.allNew.starts.mean,
+    "old_start_excess" to progress.allOld.starts.mean,
+    "events_timed" to progress.allNew.events.count,
+    "event_excess" to progress.allNew.events.mean,
+    "old_event_excess" to progress.allOld.events.mean,
     "log_latency_rise" to progress.allNew.meanLogLatency - progress.allOld.meanLogLatency,
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/SteppedExposure.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/SteppedExposure.kt
@@ -28,10 +28,17 @@
     private const val MINIMUM_FAILURE_RATE = 0.2
     private const val FAILURE_FACTOR = 2.0
 
-    /** The mean latency of fewer responses, of all routers together, depends too much on the prompts in the sample. */
-    private const val MINIMUM_LATENCIES = 16
-    private const val LATENCY_FACTOR = 3.0
-    private val LOG_LATENCY_FACTOR = Math.log(LATENCY_FACTOR)
+    /** Fewer times may be those of one request and its retries. */
+    private const val MINIMUM_TIMES = 4
+
+    /** The mean rise, as a natural logarithm, from which a version is slow. Equal backend servers differ by less. */
+    private const val MINIMUM_EXCESS = 0.5
+
+    /** The mean rise of a slow version, in standard errors. Less may be due to the sample. */
+    private const val MINIMUM_STANDARD_ERRORS = 3.0
+
+    /** The standard deviation is never taken to be lower, as the new version is measured under other conditions. */
+    private const val MINIMUM_VARIANCE = 0.16
 
     override fun share(elapsed: Double, limit: Double): Double =
         if (elapsed < 1 - LAST_STEP_TIME_OF_LIMIT * limit) FIRST_STEP_SHARE_OF_LIMIT * limit else 1.0
@@ -40,12 +47,17 @@
 
     override fun mayComplete(elapsed: Double): Boolean = elapsed >= COMPLETION_AT
 
-    override fun isBad(old: OutcomeSums, new: OutcomeSums): Boolean = failsMoreOften(old, new) || isSlow(old, new)
+    override fun isBad(old: OutcomeSums, new: OutcomeSums): Boolean = failsMoreOften(old, new) ||
+        isSlower(old.starts, new.starts) || isSlower(old.events, new.events)
 
     private fun failsMoreOften(old: OutcomeSums, new: OutcomeSums): Boolean = new.failures >= MINIMUM_FAILURES &&
         new.failureRate >= MINIMUM_FAILURE_RATE && new.failureRate > FAILURE_FACTOR * old.failureRate
 
-    private fun isSlow(old: OutcomeSums, new: OutcomeSums): Boolean =
-        minOf(old.answers, new.answers) >= MINIMUM_LATENCIES &&
-            new.meanLogLatency - old.meanLogLatency > LOG_LATENCY_FACTOR
+    /** Compares times relative to the usual ones under the same load, of which the new version has less at first. */
+    private fun isSlower(old: TimingSums, new: TimingSums): Boolean {
+        if (minOf(old.count, new.count) < MINIMUM_TIMES) return false
+        val variance = maxOf(old.variance, MINIMUM_VARIANCE)
+        val standardError = Math.sqrt(variance / old.count + variance / new.count)
+        return new.mean - old.mean >= maxOf(MINIMUM_EXCESS, MINIMUM_STANDARD_ERRORS * standardError)
+    }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
@@ -67,8 +67,11 @@
     override fun responseStarted(call: BackendCall, head: HttpResponse): Unit =
         post(RelayEvent.ResponseStarted(call.exchange.id, call.number, codec.decodeResponse(head)))
 
-    override fun responseForwarded(call: BackendCall) {
-        post(RelayEvent.ResponseFinished(call.exchange.id, call.number))
+    override fun responseProgressed(call: BackendCall, events: Int): Unit =
+        post(RelayEvent.ResponseProgressed(call.exchange.id, call.number, events))
+
+    override fun responseForwarded(call: BackendCall, events: Int) {
+        post(RelayEvent.ResponseFinished(call.exchange.id, call.number, events))
         exchanges.remove(call.exchange.id)
     }
 
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.util.concurrent.EventExecutor
+import org.quetzalloom.core.relay.RelayEvent
 import org.quetzalloom.core.relay.exchange.AttemptFailure
 import org.quetzalloom.core.relay.exchange.SendParameters
 import org.quetzalloom.relay.caller.CallerExchange
@@ -58,7 +59,7 @@
         if (ended || response == null) return
         idleTimer.restart(parameters.idleTimeoutMilliseconds, onIdleTimeout)
         response.add(bytes)
-        if (forwarding) response.forwardAvailable(exchange.response)
+        if (forwarding) forwardAvailable(response)
     }
 
     /** Handles the end of the response. A stream that ends inside an event has been broken off. */
@@ -88,7 +89,7 @@
         val response = buffered
         if (ended || response == null) return
         forwarding = true
-        if (response.isStream) response.forwardAvailable(exchange.response)
+        if (response.isStream) forwardAvailable(response)
         if (complete) finish(response)
     }
 
@@ -104,10 +105,20 @@
         connection?.readingPaused = paused
     }
 
+    private fun forwardAvailable(response: BufferedResponse) {
+        val before = response.eventCount
+        response.forwardAvailable(exchange.response)
+        val progressed = before < RelayEvent.ResponseProgressed.EVENTS
+        if (progressed && response.eventCount >= RelayEvent.ResponseProgressed.EVENTS) {
+            listener.responseProgressed(this, response.eventCount)
+        }
+    }
+
     private fun finish(response: BufferedResponse) {
         if (response.isStream) response.forwardEnd(exchange.response) else response.forwardWhole(exchange.response)
+        val events = response.eventCount
         end()
-        listener.responseForwarded(this)
+        listener.responseForwarded(this, events)
     }
 
     private fun end() {
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCallListener.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCallListener.kt
@@ -8,8 +8,11 @@
     /** The head of a successful stream has arrived, or any other response is complete. */
     fun responseStarted(call: BackendCall, head: HttpResponse)
 
-    /** The complete response has been written to the caller. */
-    fun responseForwarded(call: BackendCall)
+    /** [events] events of the response have been written to the caller, enough to measure the time between them. */
+    fun responseProgressed(call: BackendCall, events: Int)
+
+    /** The complete response, with [events] events, has been written to the caller. */
+    fun responseForwarded(call: BackendCall, events: Int)
 
     /**
      * The response has not begun, or not continued, within its timeout. The attempt goes on. [lastEventId] is the id of
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BufferedResponse.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BufferedResponse.kt
@@ -28,6 +28,9 @@
     /** Whether the buffered bytes end with a part of an event. At the end of the response that event has been lost. */
     val endsInsideEvent: Boolean get() = isEventStream && splitter.endsInsideEvent(bytes)
 
+    /** The number of events that have been forwarded; 0 if the response is not an event stream. */
+    val eventCount: Int get() = splitter.eventCount
+
     /** Appends a copy of [content] to the buffered body. */
     fun add(content: ByteBuf) {
         bytes.writeBytes(content)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/EventSplitter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/EventSplitter.kt
@@ -9,12 +9,19 @@
     var lastEventId: String? = null
         private set
 
+    /** The number of taken events. */
+    var eventCount: Int = 0
+        private set
+
     /** Removes all complete events from [bytes] and returns them; may be empty. The rest is the start of an event. */
     fun takeCompleteEvents(bytes: ByteBuf): ByteBuf {
         val length = completeLength(bytes)
         if (length == 0) return Unpooled.EMPTY_BUFFER
         val events = bytes.readBytes(length)
-        lastEventId = lastIdOrNull(events) ?: lastEventId
+        val lines = events.toString(Charsets.UTF_8).lines()
+        lastEventId = lastIdOrNull(lines) ?: lastEventId
+        // The text after the last delimiter is an empty line too.
+        eventCount += lines.count { it.isEmpty() } - 1
         return events
     }
 
@@ -28,7 +35,7 @@
         return positions.max()
     }
 
-    private fun lastIdOrNull(events: ByteBuf): String? = events.toString(Charsets.UTF_8).lineSequence()
+    private fun lastIdOrNull(lines: List<String>): String? = lines
         .filter { it.startsWith(ID_FIELD) }
         .map { it.removePrefix(ID_FIELD).trim() }
         .lastOrNull()
--- a/relay/src/main/kotlin/org/quetzalloom/relay/peer/BeaconFormat.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/peer/BeaconFormat.kt
@@ -13,6 +13,7 @@
 import org.quetzalloom.core.relay.peer.PeerBeacon
 import org.quetzalloom.core.relay.peer.RolloutReport
 import org.quetzalloom.core.relay.rollout.OutcomeSums
+import org.quetzalloom.core.relay.rollout.TimingSums
 import org.quetzalloom.core.relay.routing.ServiceName
 
 /** Encodes and decodes beacons as JSON. */
@@ -51,8 +52,18 @@
     private class Completion(val proposal: Long?, val agreement: Long?, val agreedWith: String?)
 
     @Serializable
-    private class Outcomes(val answers: Int, val failures: Int, val logLatency: Double)
+    private class Outcomes(
+        val answers: Int,
+        val failures: Int,
+        val logLatency: Double,
+        val starts: Timings? = null,
+        val events: Timings? = null,
+    )
+
+    @Serializable
+    private class Timings(val count: Int, val excess: Double, val excessSquares: Double)
 
+    private const val THOUSAND = 1_000.0
     private val json = Json { ignoreUnknownKeys = true }
 
     /** Returns [beacon] as JSON. */
@@ -116,7 +127,27 @@
         trialAgeMilliseconds = trialAge,
     )
 
-    private fun OutcomeSums.toDocument(): Outcomes = Outcomes(answers, failures, logLatency)
+    private fun OutcomeSums.toDocument(): Outcomes = Outcomes(
+        answers = answers,
+        failures = failures,
+        logLatency = logLatency,
+        starts = starts.toDocument(),
+        events = events.toDocument(),
+    )
+
+    private fun Outcomes.toSums(): OutcomeSums = OutcomeSums(
+        answers = answers,
+        failures = failures,
+        logLatency = logLatency,
+        starts = starts?.toSums() ?: TimingSums(),
+        events = events?.toSums() ?: TimingSums(),
+    )
+
+    private fun TimingSums.toDocument(): Timings? =
+        if (count == 0) null else Timings(count, excess.toThousandths(), excessSquares.toThousandths())
+
+    private fun Timings.toSums(): TimingSums = TimingSums(count, excess, excessSquares)
 
-    private fun Outcomes.toSums(): OutcomeSums = OutcomeSums(answers, failures, logLatency)
+    /** Rounds to three decimals, which keeps beacons short. */
+    private fun Double.toThousandths(): Double = Math.round(this * THOUSAND) / THOUSAND
 }
--- a/relay/src/test/kotlin/org/quetzalloom/relay/peer/BeaconFormatTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/peer/BeaconFormatTest.kt
@@ -13,6 +13,7 @@
 import org.quetzalloom.core.relay.peer.PeerBeacon
 import org.quetzalloom.core.relay.peer.RolloutReport
 import org.quetzalloom.core.relay.rollout.OutcomeSums
+import org.quetzalloom.core.relay.rollout.TimingSums
 import org.quetzalloom.core.relay.routing.ServiceName
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -30,7 +31,13 @@
                 version = "v2",
                 ageMilliseconds = 1_500,
                 old = OutcomeSums(answers = 40, failures = 1, logLatency = 120.5),
-                new = OutcomeSums(answers = 4, failures = 2, logLatency = 11.25),
+                new = OutcomeSums(
+                    answers = 4,
+                    failures = 2,
+                    logLatency = 11.25,
+                    starts = TimingSums(count = 4, excess = 2.5, excessSquares = 3.25),
+                    events = TimingSums(count = 1, excess = -0.125, excessSquares = 0.016),
+                ),
                 condemned = true,
                 proposal = 1_796_405_000_000,
                 agreement = 1_796_404_000_000,
@@ -72,6 +79,16 @@
         assertTrue(bytes.length < 1_200, "${bytes.length} bytes")
     }
 
+    @Test
+    fun `outcomes of a router that does not compare times are read, with none compared`() {
+        val outcomes = """{"answers":4,"failures":2,"logLatency":11.25}"""
+        val rollout =
+            """{"service":"loom","version":"v2","ageMilliseconds":1,"old":$outcomes,"new":$outcomes,"condemned":true}"""
+        val decoded = BeaconFormat.decode("""{"vm":"vm-1","sequence":7,"work":{},"rollouts":[$rollout]}""")
+        val expected = OutcomeSums(answers = 4, failures = 2, logLatency = 11.25)
+        assertEquals(expected to expected, decoded.rollouts.single().let { it.old to it.new })
+    }
+
     @Test
     fun `decoding text that is not a beacon fails`() {
         assertThrows<IllegalArgumentException> { BeaconFormat.decode("nothing") }
