--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Stalls.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Stalls.kt
@@ -28,7 +28,7 @@
     }
 }
 
-/** Returns whether [current], whose response pauses, can be given up because another backend server takes its request. */
+/** Returns whether another backend server can take the request of [current], whose response pauses. */
 internal fun RelayState.mayMove(current: CurrentAttempt, now: Timestamp): Boolean {
     val (exchange, attempt) = current
     val elsewhere = exchange.copy(triedServers = exchange.triedServers.add(attempt.server))
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
@@ -100,10 +100,12 @@
         connection?.abandon()
     }
 
-    /** Pauses or resumes reading the response, so that it is read no faster than the caller reads it (backpressure). */
-    fun setReadingPaused(paused: Boolean) {
-        connection?.readingPaused = paused
-    }
+    /** Whether the response is not being read, so that it is read no faster than the caller reads it (backpressure). */
+    var readingPaused: Boolean
+        get() = connection?.readingPaused ?: false
+        set(value) {
+            connection?.readingPaused = value
+        }
 
     private fun forwardAvailable(response: BufferedResponse) {
         val before = response.eventCount
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
@@ -61,7 +61,7 @@
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
-        active?.call?.setReadingPaused(!context.channel().isWritable)
+        active?.call?.readingPaused = !context.channel().isWritable
     }
 
     @Deprecated("Overrides a deprecated method.")
--- a/relay/src/main/kotlin/org/quetzalloom/relay/peer/BeaconFormat.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/peer/BeaconFormat.kt
@@ -2,14 +2,10 @@
 
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
-import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import org.quetzalloom.core.identity.BackendServerId
 import org.quetzalloom.core.identity.VmId
-import org.quetzalloom.core.relay.crash.ContentKey
-import org.quetzalloom.core.relay.crash.CrashReport
-import org.quetzalloom.core.relay.crash.ServerRun
 import org.quetzalloom.core.relay.peer.PeerBeacon
 import org.quetzalloom.core.relay.peer.RolloutReport
 import org.quetzalloom.core.relay.rollout.OutcomeSums
@@ -24,17 +20,7 @@
         val sequence: Long,
         val work: Map<String, Long>,
         val rollouts: List<Rollout> = emptyList(),
-        val crashes: List<Crash> = emptyList(),
-    )
-
-    /** Short names, as a beacon holds many losses and must fit one datagram. */
-    @Serializable
-    private class Crash(
-        val key: String,
-        @SerialName("at") val position: Int,
-        @SerialName("lost") val lossAges: Map<Int, Long> = emptyMap(),
-        @SerialName("answered") val answerAge: Long? = null,
-        @SerialName("tried") val trialAge: Long? = null,
+        val crashes: List<CrashDocument> = emptyList(),
     )
 
     @Serializable
@@ -73,7 +59,7 @@
             sequence = beacon.sequence,
             work = beacon.work.entries.associate { it.key.value to it.value },
             rollouts = beacon.rollouts.map { it.toDocument() },
-            crashes = beacon.crashes.map { it.toDocument() },
+            crashes = beacon.crashes.map { CrashDocument.of(it) },
         ),
     )
 
@@ -111,22 +97,6 @@
         agreedWith = completion?.agreedWith?.let { VmId(it) },
     )
 
-    private fun CrashReport.toDocument(): Crash = Crash(
-        key = key.value,
-        position = position,
-        lossAges = lossAges.entries.associate { it.key.hash to it.value },
-        answerAge = answerAgeMilliseconds,
-        trialAge = trialAgeMilliseconds,
-    )
-
-    private fun Crash.toReport(): CrashReport = CrashReport(
-        key = ContentKey(key),
-        position = position,
-        lossAges = lossAges.entries.associate { ServerRun(it.key) to it.value }.toPersistentMap(),
-        answerAgeMilliseconds = answerAge,
-        trialAgeMilliseconds = trialAge,
-    )
-
     private fun OutcomeSums.toDocument(): Outcomes = Outcomes(
         answers = answers,
         failures = failures,
