Give a new version half as many requests again before the last step

A slow version of a service with few requests was judged by eight to ten responses in the whole roll-out. The share before the last step is now 0.3 of the limit instead of 0.2, and the last step takes 0.42 of it instead of 0.45, so that a version that is never recognized gets 0.70 of the limit instead of 0.64, and with 1.7 times the usual requests in the last step still stays within it.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/SteppedExposure.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/SteppedExposure.kt
@@ -5,14 +5,14 @@
  * that the limit holds even for a bad version that is never recognized.
  *
  * Some versions fail only under a load that the canary share does not reach, or long after their start. The two steps
- * together give the new version two thirds of the limit; the rest allows for a burst of requests at the end.
+ * together give the new version seven tenths of the limit; the rest allows for a burst of requests at the end.
  */
 public object SteppedExposure : ExposurePolicy {
     /** The first step's share of requests, as a part of the limit. Some dozen requests expose most bad versions. */
-    private const val FIRST_STEP_SHARE_OF_LIMIT = 0.2
+    private const val FIRST_STEP_SHARE_OF_LIMIT = 0.3
 
     /** The last step's share of the roll-out's duration, as a part of the limit. */
-    private const val LAST_STEP_TIME_OF_LIMIT = 0.45
+    private const val LAST_STEP_TIME_OF_LIMIT = 0.42
 
     /**
      * When the roll-out may be completed. The time left allows for the agreement of the other routers and several
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/CompletionTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/CompletionTest.kt
@@ -108,7 +108,7 @@
         const val SUCCESS = 200
         const val FAILURE = 500
 
-        /** Requests go to the new version only from 22,380 ms on; completion is due at 23,040 ms. */
+        /** Requests go to the new version only from 22,488 ms on; completion is due at 23,040 ms. */
         const val LOAD_START = 22_000L
         const val FIRST_FAILURE = 22_940L
         const val FAILURE_STEP = 10L
