--- a/core/src/test/kotlin/org/quetzalloom/core/relay/crash/CrashRig.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/crash/CrashRig.kt
@@ -34,8 +34,7 @@
     private class Running(
         val router: Int,
         val send: RelayEffect.Send,
-        val sharedParts: List<String>,
-        val content: Long?,
+        val request: RelayRequest,
         val beginsAt: Long,
         var begun: Boolean = false,
     )
@@ -44,9 +43,8 @@
     private val listings = (1..servers).map {
         RelayRig.server("e-$it", RelayRig.engines, RelayRig.zones[it % RelayRig.zones.size])
     }
-    private val rigs = (1..routers).map {
-        RelayRig("vm-$it", policies).start(listings, members = routers)
-    }.toMutableList()
+    private val rigs =
+        (1..routers).map { RelayRig("vm-$it", policies).start(listings, members = routers) }.toMutableList()
     private val running = mutableListOf<Running>()
     private val downUntil = mutableMapOf<BackendServerId, Long>()
     private val requests = mutableMapOf<Pair<Int, ExchangeId>, RelayRequest>()
@@ -133,15 +131,15 @@
         }
     }
 
-    private val Running.isDeadly: Boolean get() = sharedParts.any { it in deadly } || content in deadlyContent
+    private val Running.isDeadly: Boolean
+        get() = request.contentHash in deadlyContent || request.prompt.any { it.id in deadly }
 
     private val Running.lastEventId: String? get() = "7".takeIf { elapsed >= beginsAt + FIRST_EVENT && !isDeadly }
 
     private fun serve() {
         running.filter { it.beginsAt <= elapsed && !it.begun }.forEach { attempt ->
             attempt.begun = true
-            val effects = rigs[attempt.router].respond(attempt.send, ResponseHead(200))
-            carryOut(attempt.router, effects)
+            carryOut(attempt.router, rigs[attempt.router].respond(attempt.send, ResponseHead(200)))
         }
         running.filter { it.beginsAt + FIRST_EVENT <= elapsed && it.isDeadly }.forEach {
             if (it in running) {
@@ -151,8 +149,7 @@
         }
         running.filter { it.beginsAt + STREAM <= elapsed }.forEach {
             if (running.remove(it)) {
-                val request = requests.getValue(it.router to it.send.exchange)
-                ended += EndedRequest(elapsed, request, answered = true, refusal = null)
+                ended += EndedRequest(elapsed, it.request, answered = true)
                 carryOut(it.router, rigs[it.router].on(RelayEvent.ResponseFinished(it.send.exchange, it.send.attempt)))
             }
         }
@@ -188,9 +185,7 @@
         if (elapsed < (downUntil[server] ?: 0)) return fail(router, send, AttemptFailure.NOT_CONNECTED)
         val request = requests.getValue(router to send.exchange)
         sent += SentAttempt(elapsed, server, request)
-        val parts = request.prompt.dropLast(1).map { it.id }
-        val beginsAt = elapsed + random.nextLong(SHORTEST_START, LONGEST_START)
-        running += Running(router, send, parts, request.contentHash, beginsAt)
+        running += Running(router, send, request, beginsAt = elapsed + random.nextLong(SHORTEST_START, LONGEST_START))
     }
 
     companion object {
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/crash/CrashingPartTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/crash/CrashingPartTest.kt
@@ -58,6 +58,16 @@
         assertTrue(rig.crashes.size <= 6, "${rig.crashes.size} crashes")
     }
 
+    @Test
+    fun `in a large fleet all routers learn of it within a second`() {
+        val rig = CrashRig(routers = 60, servers = 30, seed = 3).also { it.deadly += "bad" }
+        rig.load(4_000, perSecond = 2.0)
+        val quarantinedAt = rig.lines.filter { "content_quarantined" in it && "content=part:bad" in it }
+            .map { it.substringBefore(' ').toLong() }
+        assertEquals(60, quarantinedAt.size)
+        assertTrue(quarantinedAt.max() - quarantinedAt.min() <= 1_000, "$quarantinedAt")
+    }
+
     @Test
     fun `routers that do not hear one another each let servers crash`() {
         val rig = rig()
