Bound what the prompt of a request may add to the evidence of crashes

Callers choose the ids and the number of the parts of a prompt. Found by reading; `CrashesStateTest` was not run without the bounds.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/crash/CrashesState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/crash/CrashesState.kt
@@ -76,11 +76,18 @@
         }
         return copy(
             evidence = kept.toPersistentMap(),
-            answered = answered.filterValues { now - it <= ANSWER_RETENTION_MILLISECONDS }.toPersistentMap(),
+            answered = answered.filterValues { now - it <= ANSWER_RETENTION_MILLISECONDS }.newest(MAXIMUM_ANSWERED),
             pruneDueAt = now + PRUNE_INTERVAL_MILLISECONDS,
         )
     }
 
+    private fun Map<ContentKey, Timestamp>.newest(count: Int): PersistentMap<ContentKey, Timestamp> =
+        if (size <= count) {
+            toPersistentMap()
+        } else {
+            entries.sortedByDescending { it.value }.take(count).associate { it.key to it.value }.toPersistentMap()
+        }
+
     private fun retention(key: ContentKey): Long =
         if (key in quarantined) QUARANTINE_RETENTION_MILLISECONDS else SUSPICION_RETENTION_MILLISECONDS
 
@@ -97,6 +104,7 @@
         /** Longer than the longest time between two trials. */
         const val QUARANTINE_RETENTION_MILLISECONDS = 3_600_000L
         const val MAXIMUM_EVIDENCE = 256
+        const val MAXIMUM_ANSWERED = 4_096
     }
 }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/crash/Evidence.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/crash/Evidence.kt
@@ -11,8 +11,12 @@
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.time.Timestamp
 
+/** The maximum number of parts of a prompt that are considered, which bounds what one request may add to the state. */
+private const val MAXIMUM_PARTS = 32
+
 /** The keys of the parts of the prompt that other requests may share, in order. */
-internal val RelayRequest.partKeys: List<ContentKey> get() = sharedParts.map { ContentKey.ofPart(it.id) }
+internal val RelayRequest.partKeys: List<ContentKey>
+    get() = sharedParts.take(MAXIMUM_PARTS).map { ContentKey.ofPart(it.id) }
 
 /** The keys of what other requests may have in common with this one: its whole content, and parts of its prompt. */
 internal val RelayRequest.contentKeys: List<ContentKey>
