Take neither time nor connections from servers for callers that read slowly

Callers of any route got 504 after a stream of another caller, who read slowly, had ended on the same connection to the server: the request was sent and its answer never read. Streams of callers who did not read for 1.5 s were sent to another server as well, although the first one was sound, and ended after the attempts were used up.

Cause: reading from the server pauses while the caller's buffer is full. A response that ended during the pause left its connection in the pool with reading off for good, as only the exchange that had ended would have turned it on again. The idle timeout went on during the pause. Reading is now turned on at the end of each response, and the idle timeout stops while it is off.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
@@ -7,7 +7,6 @@
 import org.quetzalloom.core.relay.exchange.AttemptFailure
 import org.quetzalloom.core.relay.exchange.SendParameters
 import org.quetzalloom.relay.caller.CallerExchange
-import org.quetzalloom.relay.http.RestartableTimer
 
 /**
  * One attempt to serve a request at one backend server. Confined to the event loop's thread.
@@ -28,12 +27,21 @@
     private var buffered: BufferedResponse? = null
     private var complete = false
     private var forwarding = false
-    private val idleTimer = RestartableTimer(executor)
-
-    private val onIdleTimeout: () -> Unit = {
-        idleTimer.restart(STALL_INTERVAL_MILLISECONDS, onIdleTimeout)
-        listener.attemptStalled(this, buffered?.lastEventId)
-    }
+    private val stallTimer = StallTimer(executor) { listener.attemptStalled(this, buffered?.lastEventId) }
+
+    /**
+     * Whether the response is not being read, so that it is read no faster than the caller reads it (backpressure). The
+     * idle timeout does not run meanwhile, as the backend server is not the one that is waited for.
+     *
+     * Setting it has no effect before the head of the response, and after its end.
+     */
+    var readingPaused = false
+        set(value) {
+            if (ended || complete || buffered == null) return
+            field = value
+            connection?.readingPaused = value
+            stallTimer.suspended = value
+        }
 
     /** Whether the attempt has ended: its response was forwarded, it failed or it was abandoned. */
     var ended = false
@@ -42,14 +50,14 @@
     /** Handles the start of sending on [connection]. Starts the timeout for the first byte of the response. */
     fun onSending(connection: BackendConnection) {
         this.connection = connection
-        idleTimer.restart(parameters.startTimeoutMilliseconds, onIdleTimeout)
+        stallTimer.restart(parameters.startTimeoutMilliseconds)
     }
 
     /** Handles the head of the response. Restarts the idle timeout. */
     fun onHead(head: HttpResponse) {
         val response = BufferedResponse(head, mayStream = parameters.streaming)
         buffered = response
-        idleTimer.restart(parameters.idleTimeoutMilliseconds, onIdleTimeout)
+        stallTimer.restart(parameters.idleTimeoutMilliseconds)
         if (response.isStream) listener.responseStarted(this, head)
     }
 
@@ -57,7 +65,7 @@
     fun onBody(bytes: ByteBuf) {
         val response = buffered
         if (ended || response == null) return
-        idleTimer.restart(parameters.idleTimeoutMilliseconds, onIdleTimeout)
+        stallTimer.restart(parameters.idleTimeoutMilliseconds)
         response.add(bytes)
         if (forwarding) forwardAvailable(response)
     }
@@ -68,7 +76,7 @@
         if (ended || response == null) return
         complete = true
         connection = null
-        idleTimer.cancel()
+        stallTimer.cancel()
         when {
             response.isStream && response.endsInsideEvent -> onFailure(AttemptFailure.CONNECTION_LOST)
             forwarding -> finish(response)
@@ -100,13 +108,6 @@
         connection?.abandon()
     }
 
-    /** Whether the response is not being read, so that it is read no faster than the caller reads it (backpressure). */
-    var readingPaused: Boolean
-        get() = connection?.readingPaused ?: false
-        set(value) {
-            connection?.readingPaused = value
-        }
-
     private fun forwardAvailable(response: BufferedResponse) {
         val before = response.eventCount
         response.forwardAvailable(exchange.response)
@@ -125,12 +126,7 @@
 
     private fun end() {
         ended = true
-        idleTimer.cancel()
+        stallTimer.cancel()
         buffered?.release()
     }
-
-    private companion object {
-        /** The time after which [listener] is told again of a pause that goes on. */
-        const val STALL_INTERVAL_MILLISECONDS = 500L
-    }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
@@ -115,6 +115,8 @@
     private fun finish(current: ResponseReader) {
         if (reader !== current) return
         reader = null
+        // The next response has another reader, and the pool has to see that the connection is closed.
+        readingPaused = false
         responseComplete = true
         reusable = reusable && current.reusable
         keepAliveMilliseconds = current.keepAliveMilliseconds
--- a/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
@@ -21,6 +21,7 @@
 import org.quetzalloom.standins.scripted.ScriptedRequest
 import org.quetzalloom.standins.scripted.ScriptedServer
 import java.net.InetAddress
+import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
 import kotlin.test.assertTrue
@@ -92,6 +93,16 @@
     /** Opens a connection as a caller. */
     fun connect(): CallerSocket = CallerSocket(Socket(callers.host, callers.port))
 
+    /** Opens a connection as a caller for whom the system buffers only about [receiveBufferBytes]. */
+    fun connectWithBuffer(receiveBufferBytes: Int): CallerSocket {
+        val socket = Socket().apply { receiveBufferSize = receiveBufferBytes }
+        socket.connect(InetSocketAddress(callers.host, callers.port))
+        return CallerSocket(socket)
+    }
+
+    /** Blocks until the relay has ended after [requestStop]. */
+    fun awaitTermination(): Unit = program.awaitTermination()
+
     /** Sends [request] on a new connection, and returns all input until the relay closes it. */
     fun exchange(request: String): String = connect().use { it.send(request).readAll() }
 
