Resume streams with signed responses only

A caller could get a success without a server's signature, if a stream broke off before its first event and the next server's response was not signed.

Cause: the response that resumes a stream was not checked, as the caller had the head of the first one. Since the head is written together with the first event, the caller may get the head of the second one.

Evidence: the new case of RetriesTest failed before (the unsigned response was forwarded).

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Responses.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Responses.kt
@@ -61,8 +61,8 @@
         .with(RelayEffect.ForwardResponse(exchange.id, attempt.number))
 
 /**
- * Resumes a broken stream with the response of another backend server, or tries one more if that is not a success. Does
- * not check whether the response is signed.
+ * Resumes a broken stream with the response of another backend server, or tries one more if that is not a signed
+ * success. If the stream broke before its first event, the caller gets the head of this response.
  */
 private fun RelayState.resumeStream(
     exchange: Exchange,
@@ -70,7 +70,7 @@
     head: ResponseHead,
     now: Timestamp,
 ): RelayStep =
-    if (head.isSuccess) {
+    if (head.isSuccess && head.signed) {
         forwardResponse(exchange, attempt)
     } else {
         retryElsewhere(exchange, attempt, "resumption_failed", now)
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RetriesTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RetriesTest.kt
@@ -38,6 +38,18 @@
         assertEquals(second.attempt, rig.respond(second, ResponseHead(200)).only<RelayEffect.ForwardResponse>().attempt)
     }
 
+    @Test
+    fun `a broken stream is not resumed with a response that is not signed`() {
+        val rig = RelayRig().start(RelayRig.engineServers)
+        val first = rig.arrive(RelayRig.prompt).second.only<RelayEffect.Send>()
+        rig.respond(first, ResponseHead(200, confidence = 90))
+        val second = rig.failAttempt(first, AttemptFailure.CONNECTION_LOST).only<RelayEffect.Send>()
+        val effects = rig.respond(second, ResponseHead(200, signed = false))
+        assertTrue(effects.none<RelayEffect.ForwardResponse>())
+        assertEquals(second.attempt, effects.only<RelayEffect.CancelAttempt>().attempt)
+        assertEquals(1, effects.filterIsInstance<RelayEffect.Send>().size)
+    }
+
     @Test
     fun `a stream that cannot be resumed is cut off`() {
         val rig = RelayRig().start(RelayRig.engineServers.take(1))
