Bound how much of a response is buffered

A server that sent a body without end took the memory of the router, whose heap is 80 MB, and an event without end kept its thread busy besides.

Cause: whatever cannot be forwarded yet was buffered without a bound, and each piece of an event was searched from the event's first byte on. More than 4 MB now end the attempt as one with a bad answer, and only new bytes are searched.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
@@ -61,13 +61,20 @@
         if (response.isStream) listener.responseStarted(this, head)
     }
 
-    /** Handles [bytes] of the response body. Restarts the idle timeout. The caller keeps ownership of [bytes]. */
+    /**
+     * Handles [bytes] of the response body. Restarts the idle timeout. Ends the attempt if too much would have to be
+     * buffered. The caller keeps ownership of [bytes].
+     */
     fun onBody(bytes: ByteBuf) {
         val response = buffered
         if (ended || response == null) return
         stallTimer.restart(parameters.idleTimeoutMilliseconds)
         response.add(bytes)
         if (forwarding) forwardAvailable(response)
+        if (response.isTooLarge) {
+            connection?.abandon()
+            onFailure(AttemptFailure.BAD_ANSWER)
+        }
     }
 
     /** Handles the end of the response. A stream that ends inside an event has been broken off. */
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BufferedResponse.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BufferedResponse.kt
@@ -31,6 +31,9 @@
     /** The number of events that have been forwarded; 0 if the response is not an event stream. */
     val eventCount: Int get() = splitter.eventCount
 
+    /** Whether more bytes are buffered than any whole response or event has. */
+    val isTooLarge: Boolean get() = bytes.readableBytes() > MAXIMUM_BUFFERED_BYTES
+
     /** Appends a copy of [content] to the buffered body. */
     fun add(content: ByteBuf) {
         bytes.writeBytes(content)
@@ -76,5 +79,8 @@
     private companion object {
         /** Fits most responses that are not streams, and most events. */
         const val INITIAL_CAPACITY_BYTES = 1_024
+
+        /** A server in trouble may send bytes without end. */
+        const val MAXIMUM_BUFFERED_BYTES = 4 * 1_024 * 1_024
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/EventSplitter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/EventSplitter.kt
@@ -13,9 +13,13 @@
     var eventCount: Int = 0
         private set
 
+    /** The number of bytes, from the first one on, that are known to hold no end of an event. */
+    private var searchedBytes = 0
+
     /** Removes all complete events from [bytes] and returns them; may be empty. The rest is the start of an event. */
     fun takeCompleteEvents(bytes: ByteBuf): ByteBuf {
         val length = completeLength(bytes)
+        searchedBytes = bytes.readableBytes() - length
         if (length == 0) return Unpooled.EMPTY_BUFFER
         val events = bytes.readBytes(length)
         val lines = events.toString(Charsets.UTF_8).lines()
@@ -30,8 +34,10 @@
         bytes.toString(Charsets.ISO_8859_1).drop(completeLength(bytes)).any { it != '\n' && it != '\r' }
 
     private fun completeLength(bytes: ByteBuf): Int {
-        val text = bytes.toString(Charsets.ISO_8859_1)
-        val positions = EVENT_DELIMITERS.map { text.lastIndexOf(it).let { at -> if (at < 0) 0 else at + it.length } }
+        val start = (searchedBytes - LONGEST_DELIMITER_BYTES).coerceAtLeast(0)
+        val text = bytes.toString(bytes.readerIndex() + start, bytes.readableBytes() - start, Charsets.ISO_8859_1)
+        val positions =
+            EVENT_DELIMITERS.map { text.lastIndexOf(it).let { at -> if (at < 0) 0 else start + at + it.length } }
         return positions.max()
     }
 
@@ -42,6 +48,7 @@
 
     private companion object {
         const val ID_FIELD = "id:"
+        const val LONGEST_DELIMITER_BYTES = 4
         val EVENT_DELIMITERS = listOf("\n\n", "\r\n\r\n")
     }
 }
