Count events, not bytes, as progress of a stream

Callers of a stream whose server sent a byte now and then, and no event, got nothing until the deadline, though another server could have gone on.

Cause: each byte restarted the idle timeout. Now only what is forwarded to the caller does, which is whole events in an event stream.

Evidence: the new case of SilentServerTest failed before (the response ended after the first event, at the deadline).

--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
@@ -62,15 +62,15 @@
     }
 
     /**
-     * Handles [bytes] of the response body. Restarts the idle timeout. Ends the attempt if too much would have to be
-     * buffered. The caller keeps ownership of [bytes].
+     * Handles [bytes] of the response body. Restarts the idle timeout if the caller gets something. Ends the attempt if
+     * too much would have to be buffered. The caller keeps ownership of [bytes].
      */
     fun onBody(bytes: ByteBuf) {
         val response = buffered
         if (ended || response == null) return
-        stallTimer.restart(parameters.idleTimeoutMilliseconds)
         response.add(bytes)
-        if (forwarding) forwardAvailable(response)
+        val forwarded = forwarding && forwardAvailable(response)
+        if (!forwarding || forwarded) stallTimer.restart(parameters.idleTimeoutMilliseconds)
         if (response.isTooLarge) {
             connection?.abandon()
             onFailure(AttemptFailure.BAD_ANSWER)
@@ -115,13 +115,15 @@
         connection?.abandon()
     }
 
-    private fun forwardAvailable(response: BufferedResponse) {
+    /** Forwards what can be forwarded now. Returns whether that is anything. */
+    private fun forwardAvailable(response: BufferedResponse): Boolean {
         val before = response.eventCount
-        response.forwardAvailable(exchange.response)
+        val anything = response.forwardAvailable(exchange.response)
         val progressed = before < RelayEvent.ResponseProgressed.EVENTS
         if (progressed && response.eventCount >= RelayEvent.ResponseProgressed.EVENTS) {
             listener.responseProgressed(this, response.eventCount)
         }
+        return anything
     }
 
     private fun finish(response: BufferedResponse) {
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BufferedResponse.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BufferedResponse.kt
@@ -42,18 +42,20 @@
     /**
      * Writes what can be forwarded now: the buffered body, after the head unless that has been written. An event stream
      * is forwarded up to its last complete event. The head is written together with the first bytes of the body, so
-     * that a response that fails before them can still be replaced.
+     * that a response that fails before them can still be replaced. Returns whether anything was written.
      */
-    fun forwardAvailable(response: ResponseWriter) {
+    fun forwardAvailable(response: ResponseWriter): Boolean {
         val available =
             if (isEventStream) splitter.takeCompleteEvents(bytes) else bytes.readBytes(bytes.readableBytes())
-        if (available.isReadable) {
+        val anything = available.isReadable
+        if (anything) {
             writeHeadOnce(response)
             response.write(available)
         } else {
             available.release()
         }
         bytes.discardSomeReadBytes()
+        return anything
     }
 
     /** Writes the rest of the body, and ends the response. */
--- a/relay/src/test/kotlin/org/quetzalloom/relay/SilentServerTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/SilentServerTest.kt
@@ -57,8 +57,31 @@
         }
     }
 
+    @Test
+    fun `a stream whose server sends bytes, but no events, continues on another server`() {
+        val script: (ScriptedRequest) -> Unit = { request ->
+            request.startStream()
+            if (request.headers["last-event-id"] == null) {
+                request.writeChunk("id: 1\ndata: one\n\n")
+                repeat(SINGLE_BYTES) {
+                    Thread.sleep(SINGLE_BYTE_INTERVAL_MILLISECONDS)
+                    request.writeChunk("x")
+                }
+            } else {
+                request.writeChunk("id: 2\ndata: two\n\n")
+                request.write("0\r\n\r\n")
+            }
+        }
+        TestRelay(script, script).use { relay ->
+            val response = relay.exchange(draft)
+            assertTrue(response.endsWith("id: 2\ndata: two\n\n\r\n0\r\n\r\n"), response)
+        }
+    }
+
     private companion object {
         /** The routes end requests after 2 s. */
+        const val SINGLE_BYTES = 20
+        const val SINGLE_BYTE_INTERVAL_MILLISECONDS = 100L
         const val LONGER_THAN_IDLE_TIMEOUT_MILLISECONDS = 1_700L
         const val LONGER_THAN_START_TIMEOUT_MILLISECONDS = 900L
     }
