Write all responses before a stop ends the process, or an idle connection closes

Callers that read slowly lost the rest of responses that the router had already got whole: when a graceful stop closed idle connections, when the process ended, and when an idle timeout passed.

Cause: a response counted as finished when its last write was queued. Half-closing a connection discards what waits to be written, and a stop ended the process once no exchange was in progress. A connection is now half-closed behind its last byte, and the effect that ends the process names the time left, within which all responses are written first.

Evidence: GracefulStopTest failed before ('the relay ended with a part of the response unwritten'), and with only the second half of the change as well.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
@@ -125,6 +125,9 @@
     /** Writes a line to the log. */
     public data class Report(public val entry: TimelineEntry) : RelayEffect
 
-    /** Ends the process. */
-    public data object Finish : RelayEffect
+    /**
+     * Ends the process once all responses have been written to their callers, but after [withinMilliseconds] at the
+     * latest.
+     */
+    public data class Finish(public val withinMilliseconds: Long) : RelayEffect
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/stop/StopPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/stop/StopPart.kt
@@ -61,13 +61,16 @@
         if (elapsed == null || !mayFinish(elapsed)) return unchanged()
         return copy(stop = stop.copy(finished = true))
             .report(now, "stopped", "active" to exchanges.byId.size, "after_ms" to elapsed)
-            .then { it.with(RelayEffect.Finish) }
+            .then { it.with(RelayEffect.Finish(withinMilliseconds = (latestExit - elapsed).coerceAtLeast(0))) }
     }
 
     private fun RelayState.mayFinish(elapsed: Long): Boolean {
         val drained = exchanges.byId.isEmpty() && elapsed >= LATE_CONNECTIONS_MILLISECONDS
-        return drained || elapsed >= settings.graceMilliseconds - EXIT_MARGIN_MILLISECONDS
+        return drained || elapsed >= latestExit
     }
+
+    /** The time from the request to stop until the process ends, whatever is in progress. */
+    private val RelayState.latestExit: Long get() = settings.graceMilliseconds - EXIT_MARGIN_MILLISECONDS
 }
 
 /** The process ends this long before the end of the grace time, when it would be killed. */
--- a/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
@@ -14,6 +14,7 @@
 import org.quetzalloom.relay.http.MessageCodec
 import org.quetzalloom.relay.report.Reporter
 import java.nio.channels.ServerSocketChannel
+import java.util.concurrent.TimeUnit
 
 /**
  * Connects the sockets of callers and backend servers to the reducer: posts what happens on them as events, and carries
@@ -49,6 +50,13 @@
     /** Closes backend connections whose idle time has run out. */
     fun prune(): Unit = pool.prune()
 
+    /** Calls [action] once all responses have been written, but after [withinMilliseconds] at the latest. */
+    fun awaitResponses(withinMilliseconds: Long, action: () -> Unit) {
+        if (withinMilliseconds <= 0 || callerServer.allWritten) return action()
+        val wait = minOf(withinMilliseconds, WRITE_CHECK_INTERVAL_MILLISECONDS)
+        executor.schedule({ awaitResponses(withinMilliseconds - wait, action) }, wait, TimeUnit.MILLISECONDS)
+    }
+
     /** Carries out [effect] if it concerns an exchange or callers' connections; ignores any other effect. */
     fun carryOut(effect: RelayEffect) {
         when (effect) {
@@ -91,5 +99,6 @@
     private companion object {
         /** Idle connections are closed this long after readiness is withdrawn, when new ones have ceased to arrive. */
         const val IDLE_CLOSE_DELAY_MILLISECONDS = 2_500L
+        const val WRITE_CHECK_INTERVAL_MILLISECONDS = 20L
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
@@ -105,7 +105,7 @@
             is RelayEffect.Report -> reporter.report(effect.entry)
             is RelayEffect.SetReady -> ready = effect.ready
             is RelayEffect.SendBeacon -> peers.send(effect)
-            RelayEffect.Finish -> finished.countDown()
+            is RelayEffect.Finish -> relay.awaitResponses(effect.withinMilliseconds) { finished.countDown() }
             else -> {
                 relay.carryOut(effect)
                 storeInterpreter.carryOut(effect)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
@@ -26,6 +26,10 @@
     lateinit var gracefulClose: GracefulClose
         private set
 
+    /** Whether nothing waits to be written. */
+    val allWritten: Boolean
+        get() = context.channel().unsafe().outboundBuffer().let { it == null || it.totalPendingWriteBytes() == 0L }
+
     /** Whether the connection is to be closed after the current response: unless a request behind it waits. */
     val closesAfterResponse: Boolean get() = waiting.isEmpty() && (server.draining || rejecting)
 
@@ -98,8 +102,11 @@
     private fun answerWaiting() {
         if (answering) return
         answering = true
-        while (mayAnswer && waiting.isNotEmpty()) answer(waiting.removeFirst())
-        answering = false
+        try {
+            while (mayAnswer && waiting.isNotEmpty()) answer(waiting.removeFirst())
+        } finally {
+            answering = false
+        }
         context.channel().config().isAutoRead = waiting.size < MAXIMUM_WAITING_REQUESTS
     }
 
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
@@ -41,6 +41,9 @@
     var draining: Boolean = false
         private set
 
+    /** Whether nothing waits to be written on any connection. */
+    val allWritten: Boolean get() = connections.all { it.allWritten }
+
     /** The number of open connections. */
     val connectionCount: Int get() = connections.size
 
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/GracefulClose.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/GracefulClose.kt
@@ -1,5 +1,6 @@
 package org.quetzalloom.relay.caller
 
+import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.socket.SocketChannel
 import org.quetzalloom.relay.http.RestartableTimer
@@ -26,12 +27,19 @@
         if (!closing) timer.cancel()
     }
 
-    /** Half-closes the connection, and closes it completely unless the caller does so within the linger timeout. */
+    /**
+     * Half-closes the connection once everything is written, and closes it completely unless the caller does so within
+     * the linger timeout.
+     */
     fun close() {
         if (closing) return
         closing = true
-        (channel as SocketChannel).shutdownOutput()
-        timer.restart(LINGER_TIMEOUT_MILLISECONDS) { channel.close() }
+        timer.restart(WRITE_TIMEOUT_MILLISECONDS) { channel.close() }
+        // Half-closing discards what waits to be written.
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener {
+            (channel as SocketChannel).shutdownOutput()
+            timer.restart(LINGER_TIMEOUT_MILLISECONDS) { channel.close() }
+        }
     }
 
     /** Handles that the connection has been closed. */
@@ -41,6 +49,9 @@
     }
 
     private companion object {
+        /** How long a connection waits for the caller to read the rest of its response. */
+        const val WRITE_TIMEOUT_MILLISECONDS = 30_000L
+
         /** How long a half-closed connection waits for the caller to close its side. */
         const val LINGER_TIMEOUT_MILLISECONDS = 1_000L
     }
--- a/relay/src/test/kotlin/org/quetzalloom/relay/GracefulStopTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/GracefulStopTest.kt
@@ -19,7 +19,8 @@
                 val end = CompletableFuture.runAsync { relay.awaitTermination() }
                 Thread.sleep(LONGER_THAN_STOP_MILLISECONDS)
                 assertFalse(end.isDone, "the relay ended with a part of the response unwritten")
-                assertEquals(REQUESTS, caller.readAll().split("\r\n\r\n").count { it.startsWith("xxx") && it.count { x -> x == 'x' } >= BODY_BYTES })
+                val bodies = caller.readAll().split("\r\n\r\n").filter { it.startsWith("xxx") }
+                assertEquals(REQUESTS, bodies.count { body -> body.count { it == 'x' } >= BODY_BYTES })
                 end.get(LONGER_THAN_STOP_MILLISECONDS, TimeUnit.MILLISECONDS)
             }
         }
