Give tests ports that no outgoing connection takes; tell copies of answers by their ids

DaemonTest failed once beside other builds: 'java.net.BindException: Address already in use'. Its ports came from the range from which the system chooses ports of outgoing connections, and were free only until they were closed. They now come from below that range.

'surplus bytes after a response never reach the next request' failed twice beside load ('expected: <mine> but was: <late>'). All its requests had the same id, so that a late copy could not be told from an answer. Each request now has its own id, and must get its own answer, 20 times in place of five.

--- a/daemon/src/test/kotlin/org/quetzalloom/daemon/TestSite.kt
+++ b/daemon/src/test/kotlin/org/quetzalloom/daemon/TestSite.kt
@@ -11,6 +11,7 @@
 import org.quetzalloom.standins.http.StandIn
 import org.quetzalloom.standins.http.StandInServer
 import org.quetzalloom.standins.log.LogStandIn
+import org.quetzalloom.standins.port.FreePorts
 import org.quetzalloom.standins.ratings.RatingServiceStandIn
 import org.quetzalloom.standins.service.ExecutedCalls
 import org.quetzalloom.standins.service.ServiceStandIn
@@ -22,7 +23,6 @@
 import org.quetzalloom.wire.platform.ReadResponse
 import org.quetzalloom.wire.site.SiteFile
 import java.io.IOException
-import java.net.ServerSocket
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
@@ -34,7 +34,7 @@
  * settings of two entry VMs that use them.
  */
 class TestSite {
-    private val ports = freePorts(7)
+    private val ports = List(7) { FreePorts.next() }
     val vmPorts = ports.take(2)
     private val logPort = ports[2]
     private val enginePort = ports[5]
@@ -146,11 +146,6 @@
     companion object {
         private val client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
 
-        fun freePorts(count: Int): List<Int> {
-            val sockets = List(count) { ServerSocket(0) }
-            return sockets.map { it.localPort }.also { sockets.forEach { it.close() } }
-        }
-
         fun get(url: String): HttpResponse<String> = send(HttpRequest.newBuilder(URI(url)).GET())
 
         fun post(url: String, body: String, vararg headers: Pair<String, String>): HttpResponse<String> {
--- a/relay/src/test/kotlin/org/quetzalloom/relay/CallForwarderTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/CallForwarderTest.kt
@@ -7,8 +7,8 @@
 import org.quetzalloom.relay.http.CallClient
 import org.quetzalloom.relay.http.CallForwarder
 import org.quetzalloom.relay.http.Forwarding
+import org.quetzalloom.standins.port.FreePorts
 import org.quetzalloom.standins.scripted.ScriptedServer
-import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CountDownLatch
 import kotlin.test.assertEquals
@@ -22,7 +22,7 @@
         mayRespond.await()
         it.respond("200 OK", emptyMap(), "records of ${it.requestLine.split(' ')[1]}")
     }.start()
-    private val address = Address("127.0.0.1", ServerSocket(0).use { it.localPort })
+    private val address = Address("127.0.0.1", FreePorts.next())
 
     init {
         val target = Address("127.0.0.1", store.port)
--- a/relay/src/test/kotlin/org/quetzalloom/relay/ResponsesTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/ResponsesTest.kt
@@ -33,10 +33,12 @@
     @Test
     fun `surplus bytes after a response never reach the next request`() {
         TestRelay({
-            it.respondWithOwnId()
-            it.respond("200 OK", mapOf("Id" to "a"), "late")
+            val id = it.headers.getValue("id")
+            it.respond("200 OK", mapOf("Id" to id), "for $id")
+            it.respond("200 OK", mapOf("Id" to id), "late, for $id")
         }).use { relay ->
-            repeat(5) { assertEquals("mine", body(relay.exchange(get))) }
+            val ids = (1..20).map { "r$it" }
+            assertEquals(ids.map { "for $it" }, ids.map { body(relay.exchange(get.replace("Id: a", "Id: $it"))) })
         }
     }
 
--- a/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
@@ -18,11 +18,10 @@
 import org.quetzalloom.core.relay.server.ServerListing
 import org.quetzalloom.relay.http.Address
 import org.quetzalloom.runtime.Interpreter
+import org.quetzalloom.standins.port.FreePorts
 import org.quetzalloom.standins.scripted.ScriptedRequest
 import org.quetzalloom.standins.scripted.ScriptedServer
-import java.net.InetAddress
 import java.net.InetSocketAddress
-import java.net.ServerSocket
 import java.net.Socket
 import kotlin.test.assertTrue
 
@@ -38,8 +37,8 @@
     configured: Boolean = true,
 ) : AutoCloseable {
     val servers = scripts.map { ScriptedServer(respondBeforeBody, it).start() }
-    private val callers = Address("127.0.0.1", freePort())
-    private val ready = Address("127.0.0.1", freePort())
+    private val callers = Address("127.0.0.1", FreePorts.next())
+    private val ready = Address("127.0.0.1", FreePorts.next())
     private val program = RelayProgram(
         settings = RelaySettings(
             vm = VmId("vm-1"),
@@ -196,7 +195,5 @@
                 idleTimeoutMilliseconds = 5_000,
             ),
         )
-
-        private fun freePort(): Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
     }
 }
