Count a pause of a server once, however long it lasts

A server that was silent for some seconds was left out for up to two more seconds after it went on: each report of the pause counted as one more failure and doubled the suspension.

Now the first report counts, and the others only extend the suspension while the pause lasts. Found by review; 'a server that was silent for long is used again soon after its pause' in StalledAttemptsTest.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Exchange.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Exchange.kt
@@ -20,7 +20,7 @@
  * @property runs the number of attempts that have ended and may have run the request.
  * @property triedServers the backend servers that failed or refused the request; it is not sent to them again.
  * @property mayHaveRun whether a backend server may have run the request.
- * @property headForwarded whether the caller has got the head of a response.
+ * @property headForwarded whether a response is being forwarded to the caller; its first byte may still be due.
  * @property lastEventId the id of the last event that the caller has, or `null` before the first.
  * @property escalation the decision about the latest response with a confidence, or `null` before one.
  */
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Stalls.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Stalls.kt
@@ -8,6 +8,7 @@
 import org.quetzalloom.core.relay.crash.quarantinedKeys
 import org.quetzalloom.core.relay.report
 import org.quetzalloom.core.relay.server.afterFailure
+import org.quetzalloom.core.relay.server.afterFurtherSilence
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.relay.with
 import org.quetzalloom.core.time.Timestamp
@@ -42,7 +43,9 @@
 private fun RelayState.keepWaiting(exchange: Exchange, attempt: Attempt, now: Timestamp): RelayStep {
     val next = copy(
         exchanges = exchanges.with(exchange.copy(attempt = attempt.copy(stalled = true))),
-        servers = servers.update(attempt.server) { it.afterFailure(AttemptFailure.SILENT, now) },
+        servers = servers.update(attempt.server) {
+            if (attempt.stalled) it.afterFurtherSilence(now) else it.afterFailure(AttemptFailure.SILENT, now)
+        },
     )
     if (attempt.stalled) return next.unchanged()
     return next.report(
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerOutcomes.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerOutcomes.kt
@@ -59,6 +59,10 @@
         .copy(consecutiveFailures = consecutiveFailures + 1, suspendedUntil = now + pause)
 }
 
+/** Returns the view after an attempt that was counted as a failure has gone on without a response. */
+internal fun ServerView.afterFurtherSilence(now: Timestamp): ServerView =
+    copy(suspendedUntil = maxOf(suspendedUntil, now + SILENT_SUSPENSION_MILLISECONDS))
+
 private fun ServerView.withOutcome(failed: Boolean, now: Timestamp): ServerView {
     val latest = if (failed) 1.0 else 0.0
     return copy(
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/StalledAttemptsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/StalledAttemptsTest.kt
@@ -71,6 +71,19 @@
         assertNotEquals(first.parameters.server, second.parameters.server)
     }
 
+    @Test
+    fun `a server that was silent for long is used again soon after its pause`() {
+        val rig = RelayRig().start(RelayRig.plainServers.take(1))
+        val send = rig.arrive(RelayRig.read.copy(timeLeftMilliseconds = 20_000)).second.only<RelayEffect.Send>()
+        repeat(5) {
+            rig.stall(send)
+            rig.pass(100)
+        }
+        rig.pass(600)
+        val sends = rig.arrive(RelayRig.read.copy(callerId = "next")).second.filterIsInstance<RelayEffect.Send>()
+        assertEquals(1, sends.size)
+    }
+
     @Test
     fun `a silent server gets no other requests for a while`() {
         val rig = RelayRig().start(RelayRig.plainServers.take(1))
