--- a/standins/src/main/kotlin/org/quetzalloom/standins/port/FreePorts.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/port/FreePorts.kt
@@ -6,13 +6,15 @@
 
 /** Finds TCP ports for programs that are told their ports before they listen on them. */
 object FreePorts {
+    private const val FIRST = 10_000
+
     /** Below the ports that systems give to outgoing connections, which could take a port before its program does. */
-    private val candidates = 10_000..32_000
+    private const val LAST = 32_000
     private val taken = HashSet<Int>()
 
     /** Returns a port on which nothing listens, and which it has not returned before. */
     @Synchronized
-    fun next(): Int = generateSequence { Random.nextInt(candidates.first, candidates.last) }
+    fun next(): Int = generateSequence { Random.nextInt(FIRST, LAST) }
         .first { it !in taken && isFree(it) }
         .also { taken.add(it) }
 
