Receive beacons of more than 2,048 bytes whole

Routers would stop hearing a peer whose beacon is long: with several roll-outs in progress, reports of crashes and work at many servers.

Cause: a datagram channel receives 2,048 bytes by default and cuts off the rest, and a beacon that is cut off cannot be decoded. The new reports made this likelier. Up to 8,192 bytes are received now.

Evidence: PeerSocketTest failed before (no beacon within 2 s).

--- a/relay/src/main/kotlin/org/quetzalloom/relay/peer/PeerSocket.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/peer/PeerSocket.kt
@@ -4,7 +4,9 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
+import io.netty.channel.FixedRecvByteBufAllocator
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
@@ -34,6 +36,7 @@
      */
     fun listen(address: Address) {
         val bootstrap = Bootstrap().group(group).channel(NioDatagramChannel::class.java).handler(Receiver())
+            .option(ChannelOption.RCVBUF_ALLOCATOR, FixedRecvByteBufAllocator(MAXIMUM_BEACON_BYTES))
         channel = bootstrap.bind(address.toSocketAddress()).sync().channel()
     }
 
@@ -56,4 +59,9 @@
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable): Unit =
             reporter.reportProblem("beacon_dropped", cause)
     }
+
+    private companion object {
+        /** A longer beacon would be cut off when it is received, and dropped. */
+        const val MAXIMUM_BEACON_BYTES = 8_192
+    }
 }
