review: large bodies of one tenant hang or end the router

While one tenant sends six times its usual number of requests, of 250 kB each, the router runs out of heap.

--- a/review/standins/src/LargeBodies.java
+++ b/review/standins/src/LargeBodies.java
@@ -11,10 +11,10 @@
  * Afterwards small requests must be answered.
  */
 final class LargeBodies {
-    private static final int USUAL_CLIENTS = 50;
+    private static final int USUAL_CLIENTS = 100;
     private static final double HOT_TENANT_FACTOR = 6;
     private static final int OTHER_CLIENTS = 100;
-    private static final int LARGE_BODY_BYTES = 500_000;
+    private static final int LARGE_BODY_BYTES = 250_000;
     private static final int OTHER_BODY_BYTES = 12_000;
     private static final int WORK_MILLISECONDS = 2_000;
     private static final int PLAN_TIMEOUT_MILLISECONDS = 20_000;
@@ -43,7 +43,7 @@
     }
 
     private static boolean run(Deployment deployment) throws Exception {
-        for (String service : List.of("plans", "plans", "ovens")) {
+        for (String service : List.of("plans", "plans", "plans", "ovens")) {
             ReplicaStandIn replica = new ReplicaStandIn(deployment.address, 0, (head, in, out) -> {
                 Http.readExactly(in, head.length());
                 if (service.equals("plans")) Thread.sleep(WORK_MILLISECONDS);
