Do not take a reset during the request for the end of the response

Cause: a failed write closed the channel without an exception. On the close the decoder ends a response without a length, and the connection noted that the write had ended, not how.

Why this works: neither a failed write nor the end of the input closes a connection to a backend server any more. A response that ends with the input is complete only once the whole request has been written; whatever was sent before a reset is still read. CallClient fails a call whose request could not be written.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
@@ -1,8 +1,10 @@
 package org.quetzalloom.relay.backend
 
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
@@ -12,6 +14,7 @@
 import org.quetzalloom.core.time.Timestamp
 import org.quetzalloom.relay.http.MessageCodec
 import org.quetzalloom.relay.http.ResponseDecoder
+import java.io.IOException
 
 /**
  * One keep-alive connection to a backend server, which serves one request at a time.
@@ -19,6 +22,10 @@
  * The connection is closed if bytes arrive while no request is in flight. It returns to the pool only after everything
  * that was received together with the end of a response has been read, so that surplus bytes are never taken for the
  * response to the next request.
+ *
+ * A response that ends with its connection is complete only if the whole request has been written: a reset that a write
+ * has found looks like an orderly end to the reads that follow. After a failed write, the input is still read to its
+ * end, so that a response with a length that was sent before is not lost.
  */
 internal class BackendConnection(
     private val pool: BackendPool,
@@ -26,12 +33,15 @@
     private val decoder: ResponseDecoder,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var channel: Channel
+    private lateinit var requestWrite: ChannelFuture
     private var reader: ResponseReader? = null
     private var reusable = true
     private var used = false
-    private var requestWritten = true
     private var responseComplete = false
 
+    /** Whether the end of the input has ended the response, which had no length. */
+    private var endsWithInput = false
+
     /** The backend server's keep-alive timeout in milliseconds, or `null` if the last response did not give it. */
     var keepAliveMilliseconds: Long? = null
         private set
@@ -51,6 +61,7 @@
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         channel = context.channel()
+        requestWrite = channel.newSucceededFuture()
     }
 
     /** Sends the request of [call] with [headers], and passes the response to [call]. */
@@ -66,14 +77,16 @@
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
         }
         decoder.method = head.method()
-        requestWritten = false
-        channel.writeAndFlush(request).addListener { requestWritten = true }
+        requestWrite = channel.writeAndFlush(request).addListener { written ->
+            // After an I/O error the input ends by itself.
+            if (!written.isSuccess && written.cause() !is IOException) channel.close()
+        }
     }
 
     /** Closes the connection without reporting a failure to the request in flight. */
     fun abandon() {
         reader = null
-        close()
+        channel.close()
     }
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
@@ -82,22 +95,28 @@
         ReferenceCountUtil.release(message)
         when (progress) {
             ResponseReader.Progress.INCOMPLETE -> Unit
-            ResponseReader.Progress.COMPLETE -> current?.let { finish(it) }
-            ResponseReader.Progress.INVALID -> {
-                close()
-                fail(AttemptFailure.BAD_ANSWER)
-            }
+            ResponseReader.Progress.COMPLETE ->
+                current?.let { if (decoder.inputEnded) endsWithInput = true else finish(it) }
+            ResponseReader.Progress.INVALID -> fail(AttemptFailure.BAD_ANSWER)
         }
     }
 
     override fun channelReadComplete(context: ChannelHandlerContext) {
         if (!responseComplete) return
         responseComplete = false
-        if (open && requestWritten) pool.release(this) else close()
+        if (open && requestWrite.isSuccess) pool.release(this) else channel.close()
+    }
+
+    /** Closes the connection at the end of its input, after the rest of the request has been written or has failed. */
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        if (event !is ChannelInputShutdownEvent) return
+        requestWrite.addListener { written ->
+            if (endsWithInput && written.isSuccess) reader?.let { finish(it) }
+            channel.close()
+        }
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
-        reusable = false
         pool.onClosed(this)
         fail(AttemptFailure.CONNECTION_LOST)
     }
@@ -108,7 +127,6 @@
      */
     @Deprecated("Overrides a deprecated method.")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        close()
         fail(AttemptFailure.CONNECTION_LOST)
     }
 
@@ -123,12 +141,9 @@
         current.call.onEnd()
     }
 
-    private fun close() {
-        reusable = false
-        channel.close()
-    }
-
+    /** Closes the connection, and fails the request in flight. */
     private fun fail(failure: AttemptFailure) {
+        channel.close()
         val current = reader ?: return
         reader = null
         current.call.onFailure(failure)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
@@ -110,6 +110,9 @@
             .channel(NioSocketChannel::class.java)
             .withRelayOptions()
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
+            // The connection decides what the end of the input or a failed write means for a response.
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+            .option(ChannelOption.AUTO_CLOSE, false)
             .handler(Initializer(decoder, connection))
         bootstrap.connect(address.toSocketAddress()).addListener { future ->
             endpoint.connectingCount--
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/CallClient.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/CallClient.kt
@@ -87,7 +87,10 @@
                 request.release()
                 open?.close()
             } else {
-                open.writeAndFlush(request)
+                // A failed write closes the connection, which would otherwise end a response without a length.
+                open.writeAndFlush(request).addListener { written ->
+                    written.cause()?.let { complete(Err("the request could not be sent: $it")) }
+                }
             }
         }
 
--- a/standins/src/main/kotlin/org/quetzalloom/standins/scripted/ScriptedRequest.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/scripted/ScriptedRequest.kt
@@ -44,6 +44,9 @@
     /** Closes the connection normally, with a FIN. */
     fun close(): Unit = socket.close()
 
+    /** Ends the output with a FIN. The server goes on reading. */
+    fun endOutput(): Unit = socket.shutdownOutput()
+
     /** Closes the connection with a reset (RST). */
     fun reset() {
         socket.setSoLinger(true, 0)
