Bound the memory of all responses that are being read

From other operators: a faulty server sent bytes without end, the process that had called it ran out of memory, and the requests of other callers ended with it.

Cause: limits on each response and none on their sum; interim responses and responses to other requests were skipped without a limit.

Empty lines, chunk extensions and trailers were bounded already.

Why this works: the memory of all unfinished responses is counted, and above a fifth of the heap the largest of them ends, which is the least likely to have an end, rather than the one that happens to go on.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/AttemptFailure.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/AttemptFailure.kt
@@ -26,6 +26,9 @@
     /** The response violated the protocol or had a content encoding. */
     BAD_ANSWER(mayHaveArrived = true, serverSuspect = false),
 
+    /** The response, or all responses that the router was reading together, took too much memory. */
+    TOO_LARGE(mayHaveArrived = true, serverSuspect = false),
+
     /** The response did not begin, or did not continue, within its timeout, and the request moves elsewhere. */
     SILENT(mayHaveArrived = true, serverSuspect = true, serverReacted = false),
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/ExchangeTable.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/ExchangeTable.kt
@@ -33,6 +33,10 @@
      */
     fun callOrNull(id: ExchangeId, attempt: Int): BackendCall? = exchanges[id]?.call?.takeIf { it.number == attempt }
 
+    /** Returns the attempt whose unfinished response takes the most memory, or `null` if none takes any. */
+    fun largestCallOrNull(): BackendCall? =
+        exchanges.values.mapNotNull { it.call }.maxByOrNull { it.memoryBytes }?.takeIf { it.memoryBytes > 0 }
+
     /** Removes the exchange [id] and releases its body. Returns it, or `null` if it had been removed before. */
     fun remove(id: ExchangeId): CallerExchange? = exchanges.remove(id)?.also { it.body.release() }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
@@ -1,6 +1,5 @@
 package org.quetzalloom.relay
 
-import io.netty.channel.EventLoop
 import io.netty.channel.EventLoopGroup
 import io.netty.handler.codec.http.HttpResponse
 import org.quetzalloom.core.relay.RelayEffect
@@ -10,6 +9,7 @@
 import org.quetzalloom.relay.backend.BackendCall
 import org.quetzalloom.relay.backend.BackendCallListener
 import org.quetzalloom.relay.backend.BackendPool
+import org.quetzalloom.relay.backend.ResponseMemory
 import org.quetzalloom.relay.caller.CallerServer
 import org.quetzalloom.relay.http.MessageCodec
 import org.quetzalloom.relay.report.Reporter
@@ -20,17 +20,20 @@
  * Connects the sockets of callers and backend servers to the reducer: posts what happens on them as events, and carries
  * out the effects on them. Confined to the event loop's thread.
  *
+ * @param responseMemoryBytes the memory that all responses that are being read may take together.
  * @param post posts an event to the reducer.
  */
 internal class Relay(
     private val group: EventLoopGroup,
-    private val executor: EventLoop,
     private val codec: MessageCodec,
     reporter: Reporter,
     clock: Clock,
+    responseMemoryBytes: Long,
     private val post: (RelayEvent) -> Unit,
 ) : BackendCallListener {
+    private val executor = group.next()
     private val exchanges = ExchangeTable()
+    private val responseMemory = ResponseMemory(responseMemoryBytes) { exchanges.largestCallOrNull() }
     private val requestHandler = ReducerRequestHandler(exchanges, codec, reporter, post)
     private val callerServer = CallerServer(requestHandler)
     private val pool = BackendPool(group, codec, clock)
@@ -91,7 +94,7 @@
 
     private fun send(effect: RelayEffect.Send) {
         val exchange = exchanges.getOrNull(effect.exchange) ?: return
-        val call = BackendCall(exchange, effect.attempt, effect.parameters, this, executor)
+        val call = BackendCall(exchange, effect.attempt, effect.parameters, this, responseMemory, executor)
         exchange.call = call
         pool.send(call)
     }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
@@ -34,15 +34,18 @@
  * @param codec encodes and decodes the headers of the front end.
  * @param store creates the interpreter of the effects that concern the platform's store, from an HTTP client and a
  *   function that posts events to the reducer.
+ * @param responseMemoryBytes the memory that all responses that are being read may take together. Above it, the largest
+ *   of them fails.
  */
 public class RelayProgram(
     settings: RelaySettings,
     private val listeners: Listeners,
     codec: MessageCodec,
     store: (CallClient, (RelayEvent) -> Unit) -> Interpreter<RelayEffect>,
-    private val clock: Clock = SystemClock(),
     policies: RelayPolicies = RelayPolicies(),
+    responseMemoryBytes: Long = Runtime.getRuntime().maxMemory() / RESPONSE_MEMORY_DIVISOR,
 ) {
+    private val clock: Clock = SystemClock()
     private val group = NioEventLoopGroup(1)
     private val executor = group.next()
     private val finished = CountDownLatch(1)
@@ -60,7 +63,7 @@
         )
     private val metrics = RelayMetrics { loop.state }
     private val reporter = Reporter(metrics)
-    private val relay = Relay(group, executor, codec, reporter, clock, loop::post)
+    private val relay = Relay(group, codec, reporter, clock, responseMemoryBytes, loop::post)
     private val peers = PeerSocket(group, reporter, loop::post)
     private val callClient = CallClient(group)
     private val storeInterpreter = store(callClient, loop::post)
@@ -115,5 +118,8 @@
 
     private companion object {
         const val PRUNE_INTERVAL_MILLISECONDS = 500L
+
+        /** The rest of the heap is for requests, the state and garbage. */
+        const val RESPONSE_MEMORY_DIVISOR = 5
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
@@ -21,6 +21,7 @@
     val number: Int,
     val parameters: SendParameters,
     private val listener: BackendCallListener,
+    private val memory: ResponseMemory,
     executor: EventExecutor,
 ) {
     private var connection: BackendConnection? = null
@@ -43,6 +44,9 @@
             stallTimer.suspended = value
         }
 
+    /** The memory that the response takes while it is being read; 0 once it is complete. */
+    val memoryBytes: Int get() = if (ended || complete) 0 else buffered?.memoryBytes ?: 0
+
     /** Whether the attempt has ended: its response was forwarded, it failed or it was abandoned. */
     var ended = false
         private set
@@ -55,7 +59,7 @@
 
     /** Handles the head of the response. Restarts the idle timeout. */
     fun onHead(head: HttpResponse) {
-        val response = BufferedResponse(head, mayStream = parameters.streaming)
+        val response = BufferedResponse(head, mayStream = parameters.streaming, memory)
         buffered = response
         stallTimer.restart(parameters.idleTimeoutMilliseconds)
         if (response.isStream) listener.responseStarted(this, head)
@@ -63,7 +67,8 @@
 
     /**
      * Handles [bytes] of the response body. Restarts the idle timeout if the caller gets something. Ends the attempt if
-     * too much would have to be buffered. The caller keeps ownership of [bytes].
+     * too much would have to be buffered, and others if all responses together take too much memory. The caller keeps
+     * ownership of [bytes].
      */
     fun onBody(bytes: ByteBuf) {
         val response = buffered
@@ -71,10 +76,8 @@
         response.add(bytes)
         val forwarded = forwarding && forwardAvailable(response)
         if (!forwarding || forwarded) stallTimer.restart(parameters.idleTimeoutMilliseconds)
-        if (response.isTooLarge) {
-            connection?.abandon()
-            onFailure(AttemptFailure.BAD_ANSWER)
-        }
+        if (response.isTooLarge) abandon(AttemptFailure.TOO_LARGE)
+        memory.enforceLimit()
     }
 
     /** Handles the end of the response. A stream that ends inside an event has been broken off. */
@@ -108,11 +111,14 @@
         if (complete) finish(response)
     }
 
-    /** Abandons the attempt. Closes its connection, because the backend server may still be working on the request. */
-    fun abandon() {
+    /**
+     * Abandons the attempt, with [failure] unless it is `null`. Closes its connection, because the backend server may
+     * still be working on the request.
+     */
+    fun abandon(failure: AttemptFailure? = null) {
         if (ended) return
-        end()
         connection?.abandon()
+        if (failure == null) end() else onFailure(failure)
     }
 
     /** Forwards what can be forwarded now. Returns whether that is anything. */
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BufferedResponse.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BufferedResponse.kt
@@ -12,10 +12,18 @@
  * A response that is being read, with the part of its body that has not been forwarded.
  *
  * @param mayStream whether a successful response is forwarded as it arrives.
+ * @param memory counts the memory that the response takes until it is released.
  */
-internal class BufferedResponse(val head: HttpResponse, mayStream: Boolean) {
+internal class BufferedResponse(val head: HttpResponse, mayStream: Boolean, private val memory: ResponseMemory) {
     private val bytes: ByteBuf = Unpooled.buffer(INITIAL_CAPACITY_BYTES)
     private val splitter = EventSplitter()
+
+    /** The memory that the response takes. */
+    var memoryBytes: Int = 0
+        private set(value) {
+            memory.change(value - field)
+            field = value
+        }
     private val isEventStream =
         head.headers().get(HttpHeaderNames.CONTENT_TYPE)?.startsWith("text/event-stream", ignoreCase = true) ?: false
 
@@ -37,6 +45,7 @@
     /** Appends a copy of [content] to the buffered body. */
     fun add(content: ByteBuf) {
         bytes.writeBytes(content)
+        memoryBytes = bytes.capacity()
     }
 
     /**
@@ -76,6 +85,7 @@
     /** Releases the buffered bytes. */
     fun release() {
         bytes.release()
+        memoryBytes = 0
     }
 
     private companion object {
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/ResponseReader.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/ResponseReader.kt
@@ -13,8 +13,8 @@
 /**
  * Reads the response to [call] from the messages of its connection.
  *
- * Skips interim (1xx) responses, and responses to other requests that arrive first. A response with a content encoding
- * is invalid.
+ * Skips interim (1xx) responses, and responses to other requests that arrive first, up to a limit. A response with a
+ * content encoding is invalid.
  *
  * A response that names no request is accepted only if nothing else has been sent or received on the connection: a late
  * copy of the response to an earlier request would look the same, and may say that the request has not run.
@@ -35,6 +35,8 @@
     }
 
     private var skipping = false
+    private var skippedResponses = 0
+    private var skippedBytes = 0
     private var acceptsUnnamed = firstOnConnection
 
     /** Whether the connection can be reused after this response. */
@@ -56,12 +58,13 @@
         val interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
         val origin = codec.originOf(response, call.exchange.request)
         skipping = interim || !isAccepted(origin)
+        if (skipping) skippedResponses++
         // A server that leaves out the name once may do so again, which is accepted on a new connection only.
         val named = interim || origin == ResponseOrigin.THIS_REQUEST
         reusable = reusable && named
         acceptsUnnamed = acceptsUnnamed && named
-        val valid =
-            !response.decoderResult().isFailure && !response.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
+        val valid = skippedResponses <= MAXIMUM_SKIPPED_RESPONSES && !response.decoderResult().isFailure &&
+            !response.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
         if (valid && !skipping) {
             keepAliveMilliseconds = keepAliveMillisecondsOrNull(response.headers())
             reusable = reusable && HttpUtil.isKeepAlive(response) && isFramed(response)
@@ -77,7 +80,8 @@
     }
 
     private fun readContent(content: HttpContent): Progress {
-        if (content.decoderResult().isFailure) return Progress.INVALID
+        if (skipping) skippedBytes += content.content().readableBytes()
+        if (content.decoderResult().isFailure || skippedBytes > MAXIMUM_SKIPPED_BYTES) return Progress.INVALID
         if (!skipping && content.content().isReadable) call.onBody(content.content())
         return if (!skipping && content is LastHttpContent) Progress.COMPLETE else Progress.INCOMPLETE
     }
@@ -86,6 +90,11 @@
         HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
 
     private companion object {
+        /** More than the late responses and the interim ones of a sound server. */
+        const val MAXIMUM_SKIPPED_RESPONSES = 32
+
+        /** As long as the longest response that is forwarded. */
+        const val MAXIMUM_SKIPPED_BYTES = 4 * 1_024 * 1_024
         const val MILLISECONDS_PER_SECOND = 1_000L
         val KEEP_ALIVE_TIMEOUT = Regex("""timeout\s*=\s*(\d+)""")
 
--- a/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
@@ -30,11 +30,13 @@
  *
  * @param respondBeforeBody whether the servers respond before they read the request body.
  * @param configured whether to call [configure] at once.
+ * @param responseMemoryBytes the memory that all responses that are being read may take together.
  */
 class TestRelay(
     vararg scripts: (ScriptedRequest) -> Unit,
     respondBeforeBody: Boolean = false,
     configured: Boolean = true,
+    responseMemoryBytes: Long = Long.MAX_VALUE,
 ) : AutoCloseable {
     val servers = scripts.map { ScriptedServer(respondBeforeBody, it).start() }
     private val callers = Address("127.0.0.1", FreePorts.next())
@@ -53,6 +55,7 @@
         listeners = Listeners(callers, ready),
         codec = PlainCodec,
         store = { _, _ -> Interpreter { } },
+        responseMemoryBytes = responseMemoryBytes,
     )
 
     init {
