Go on ticking after an error of the virtual machine

Callers of a router whose heap was full for a moment could have got no answer any more: without ticks there are no deadlines, no placements of waiting requests and no reads of the store, while the process stays up and ready. Found by reading; not seen in a run of the process.

Cause: RelayLoop let errors that are no exceptions pass to the scheduler, which ends a repeated task that throws.

Evidence: "a tick that runs out of memory is followed by others" failed on the code before.

Why this works: such an error ends only the event or effect that met it, as an exception does. The state is immutable, so a reduction that failed has changed nothing.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/RelayLoop.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/RelayLoop.kt
@@ -37,7 +37,7 @@
     lateinit var interpreter: Interpreter<F>
 
     /** Receives what an event or an effect has thrown, as `event_failed` or `effect_failed`. Set like [interpreter]. */
-    lateinit var onProblem: (name: String, cause: Exception) -> Unit
+    lateinit var onProblem: (name: String, cause: Throwable) -> Unit
 
     /** Reduces [event] and carries out its effects. Must be called on the event loop's thread. */
     fun post(event: E) {
@@ -67,9 +67,11 @@
         transition.effects.forEach { effect -> isolate("effect_failed") { interpreter.carryOut(effect) } }
     }
 
-    /** Returns the result of [action], or `null` if it threw an exception. Errors of the virtual machine pass. */
+    /**
+     * Returns the result of [action], or `null` if it threw anything. That includes errors of the virtual machine: when
+     * one event has found no memory, the next may find some.
+     */
     private fun <T : Any> isolate(name: String, action: () -> T): T? = runCatching(action).getOrElse { problem ->
-        if (problem !is Exception) throw problem
         onProblem(name, problem)
         null
     }
--- a/relay/src/test/kotlin/org/quetzalloom/relay/RelayLoopTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/RelayLoopTest.kt
@@ -18,16 +18,20 @@
     private val problems = CopyOnWriteArrayList<String>()
     private val carriedOut = CopyOnWriteArrayList<String>()
 
-    /** Each event has two effects; those that begin with "bad" fail, and so do events that begin with "odd". */
+    /**
+     * Each event has two effects; those that begin with "bad" fail, and so do events that begin with "odd". No memory
+     * is left for events that begin with "large".
+     */
     private val reducer = Reducer<Int, String, String> { state, event, _ ->
+        if (event.startsWith("large")) throw OutOfMemoryError(event)
         check(!event.startsWith("odd")) { event }
         Transition(state + 1, persistentListOf("bad-$event", "good-$event"))
     }
 
-    private fun loop(eventLoop: DefaultEventLoop) = RelayLoop(
+    private fun loop(eventLoop: DefaultEventLoop, tick: String = "odd-tick") = RelayLoop(
         initial = 0,
         reducer = reducer,
-        tick = "odd-tick",
+        tick = tick,
         eventLoop = eventLoop,
         clock = { Timestamp.EPOCH },
         pauseEventOrNull = { null },
@@ -53,10 +57,16 @@
 
     /** The ticks ended, and with them all timeouts and reads of the store. */
     @Test
-    fun `a tick that fails is followed by others`() {
+    fun `a tick that fails is followed by others`() = assertFollowedByOthers("odd-tick")
+
+    /** When the heap was full once, the ticks ended, and the process went on without any timeout. */
+    @Test
+    fun `a tick that runs out of memory is followed by others`() = assertFollowedByOthers("large-tick")
+
+    private fun assertFollowedByOthers(tick: String) {
         val eventLoop = DefaultEventLoop()
         val failures = CountDownLatch(3)
-        val loop = loop(eventLoop)
+        val loop = loop(eventLoop, tick)
         eventLoop.execute { loop.startTicking() }
         eventLoop.scheduleAtFixedRate(
             { if (problems.size >= 3) repeat(3) { failures.countDown() } },
