Answer the requests that are in progress at the end of a planned stop

Callers whose requests were in progress 300 ms before the end of the grace time lost their connections without an answer: requests that ran, requests that waited for a server or behind another on their connection, and bodies that were still arriving.

Cause: the end of the grace time ended the process without regard to what was in progress. A stop that completed early did not look at bodies that were arriving, and requests that came after the decision to end were sent on.

Why this works: each request gets the answer that is true for it before the process ends: 504 or an aborted stream if it may have run, and 503, as not run, only if it was never sent. After the decision to end, further requests are refused. The process waits until all this is written, up to 100 ms before it would be killed.

--- a/core/src/main/kotlin/org/quetzalloom/core/error/ErrorKind.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/error/ErrorKind.kt
@@ -74,7 +74,7 @@
      */
     BACKEND_FAILED("backend_failed", status = 502, notRun = false, retryable = true),
 
-    /** The deadline passed while the request was running, or between two attempts. */
+    /** The deadline passed, or the router stopped, while the request was running or between two attempts. */
     DEADLINE_EXCEEDED("deadline_exceeded", status = 504, notRun = false, retryable = true),
 
     /** A call that may run at most once was sent and its outcome is not known; it will not be sent again. */
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
@@ -126,8 +126,8 @@
     public data class Report(public val entry: TimelineEntry) : RelayEffect
 
     /**
-     * Ends the process once all responses have been written to their callers, but after [withinMilliseconds] at the
-     * latest.
+     * Ends the process once no request is being received and all responses have been written to their callers, but
+     * after [withinMilliseconds] at the latest.
      */
     public data class Finish(public val withinMilliseconds: Long) : RelayEffect
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
@@ -39,9 +39,10 @@
  * The retry-after time while this router shuts down. Another router can serve the caller at once, though the caller's
  * next connection may still reach this one.
  */
-private const val SHUTTING_DOWN_RETRY_MILLISECONDS = 50L
+internal const val SHUTTING_DOWN_RETRY_MILLISECONDS = 50L
 
-private val SHUTTING_DOWN =
+/** The refusal of a request that has not run, because this router shuts down. */
+internal val SHUTTING_DOWN =
     RouterError(ErrorKind.SHUTTING_DOWN, "this router is shutting down before the request could finish")
 
 private class Admission(val route: Route, val workspace: WorkspaceId?)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
@@ -1,6 +1,5 @@
 package org.quetzalloom.core.relay.exchange
 
-import org.quetzalloom.core.error.ErrorKind
 import org.quetzalloom.core.reducer.then
 import org.quetzalloom.core.reducer.thenEach
 import org.quetzalloom.core.relay.RelayEvent
@@ -142,17 +141,3 @@
 
 /** Larger than any deadline in milliseconds since the Unix epoch, so that the priority outweighs the deadline. */
 private const val PRIORITY_STEP = 1_000_000_000_000_000L
-
-/**
- * Ends [exchange], whose deadline has passed. The error says that the request has not run only if no attempt was in
- * flight and none before it may have run the request.
- */
-private fun RelayState.expire(exchange: Exchange, now: Timestamp): RelayStep = cancelAttempt(exchange).then {
-    val sent = exchange.mayHaveRun || exchange.attempt != null
-    val detail = "the deadline passed while the request ran"
-    when {
-        exchange.headForwarded -> it.abortResponse(exchange, "deadline", ErrorKind.DEADLINE_EXCEEDED, detail, now)
-        sent -> it.failExchange(exchange, ErrorKind.DEADLINE_EXCEEDED, detail, now)
-        else -> it.giveUp(exchange, now)
-    }
-}
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/stop/StopPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/stop/StopPart.kt
@@ -7,6 +7,7 @@
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.RelayStep
 import org.quetzalloom.core.relay.exchange.RelayRequest
+import org.quetzalloom.core.relay.exchange.endAllForStop
 import org.quetzalloom.core.relay.report
 import org.quetzalloom.core.relay.routing.Route
 import org.quetzalloom.core.relay.unchanged
@@ -14,7 +15,8 @@
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * Sets the readiness of the router, and ends the process once a graceful stop is complete or its grace time is over.
+ * Sets the readiness of the router, and ends the process once a graceful stop is complete or its grace time is almost
+ * over. Requests that are in progress then are answered before the process ends.
  */
 internal object StopPart : RelayPart {
     /**
@@ -61,31 +63,38 @@
         if (elapsed == null || !mayFinish(elapsed)) return unchanged()
         return copy(stop = stop.copy(finished = true))
             .report(now, "stopped", "active" to exchanges.byId.size, "after_ms" to elapsed)
+            .then { it.endAllForStop(now) }
             .then { it.with(RelayEffect.Finish(withinMilliseconds = (latestExit - elapsed).coerceAtLeast(0))) }
     }
 
     private fun RelayState.mayFinish(elapsed: Long): Boolean {
         val drained = exchanges.byId.isEmpty() && elapsed >= LATE_CONNECTIONS_MILLISECONDS
-        return drained || elapsed >= latestExit
+        return drained || elapsed >= latestAnswer
     }
 
-    /** The time from the request to stop until the process ends, whatever is in progress. */
+    /** The time from the request to stop until the process ends, whatever is still being received or written. */
     private val RelayState.latestExit: Long get() = settings.graceMilliseconds - EXIT_MARGIN_MILLISECONDS
 }
 
 /** The process ends this long before the end of the grace time, when it would be killed. */
-private const val EXIT_MARGIN_MILLISECONDS = 300L
+private const val EXIT_MARGIN_MILLISECONDS = 100L
+
+/** Requests in progress are ended this long before the end of the grace time, so that their answers can be written. */
+private const val ANSWER_MARGIN_MILLISECONDS = 300L
 
 /** How long after the stop was requested new requests are admitted, whatever their time limits. */
 private const val LATE_REQUESTS_MILLISECONDS = 2_500L
 
+/** The time from the request to stop until all requests in progress are ended. */
+private val RelayState.latestAnswer: Long get() = settings.graceMilliseconds - ANSWER_MARGIN_MILLISECONDS
+
 /**
  * Returns whether [request] may be admitted at [now]: no stop was requested, the stop was requested only recently, or
- * the time limit of the request ends before the process does.
+ * the time limit of the request ends before requests in progress are ended; but none once the process is about to end.
  */
 internal fun RelayState.mayAdmitWhileStopping(request: RelayRequest, route: Route, now: Timestamp): Boolean {
     val requestedAt = stop.requestedAt ?: return true
     val timeLimit = minOf(request.timeLeftMilliseconds ?: Long.MAX_VALUE, route.timeoutMilliseconds)
-    val timeUntilExit = settings.graceMilliseconds - EXIT_MARGIN_MILLISECONDS - (now - requestedAt)
-    return now - requestedAt <= LATE_REQUESTS_MILLISECONDS || timeLimit <= timeUntilExit
+    val elapsed = now - requestedAt
+    return !stop.finished && (elapsed <= LATE_REQUESTS_MILLISECONDS || timeLimit <= latestAnswer - elapsed)
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
@@ -53,11 +53,14 @@
     /** Closes backend connections whose idle time has run out. */
     fun prune(): Unit = pool.prune()
 
-    /** Calls [action] once all responses have been written, but after [withinMilliseconds] at the latest. */
-    fun awaitResponses(withinMilliseconds: Long, action: () -> Unit) {
-        if (withinMilliseconds <= 0 || callerServer.allWritten) return action()
-        val wait = minOf(withinMilliseconds, WRITE_CHECK_INTERVAL_MILLISECONDS)
-        executor.schedule({ awaitResponses(withinMilliseconds - wait, action) }, wait, TimeUnit.MILLISECONDS)
+    /**
+     * Calls [action] once no request is being received and all responses have been written, but after
+     * [withinMilliseconds] at the latest.
+     */
+    fun awaitCallers(withinMilliseconds: Long, action: () -> Unit) {
+        if (withinMilliseconds <= 0 || callerServer.allDone) return action()
+        val wait = minOf(withinMilliseconds, CALLER_CHECK_INTERVAL_MILLISECONDS)
+        executor.schedule({ awaitCallers(withinMilliseconds - wait, action) }, wait, TimeUnit.MILLISECONDS)
     }
 
     /** Carries out [effect] if it concerns an exchange or callers' connections; ignores any other effect. */
@@ -102,6 +105,6 @@
     private companion object {
         /** Idle connections are closed this long after readiness is withdrawn, when new ones have ceased to arrive. */
         const val IDLE_CLOSE_DELAY_MILLISECONDS = 2_500L
-        const val WRITE_CHECK_INTERVAL_MILLISECONDS = 20L
+        const val CALLER_CHECK_INTERVAL_MILLISECONDS = 20L
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
@@ -108,7 +108,7 @@
             is RelayEffect.Report -> reporter.report(effect.entry)
             is RelayEffect.SetReady -> ready = effect.ready
             is RelayEffect.SendBeacon -> peers.send(effect)
-            is RelayEffect.Finish -> relay.awaitResponses(effect.withinMilliseconds) { finished.countDown() }
+            is RelayEffect.Finish -> relay.awaitCallers(effect.withinMilliseconds) { finished.countDown() }
             else -> {
                 relay.carryOut(effect)
                 storeInterpreter.carryOut(effect)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
@@ -26,9 +26,12 @@
     lateinit var gracefulClose: GracefulClose
         private set
 
-    /** Whether nothing waits to be written. */
-    val allWritten: Boolean
-        get() = context.channel().unsafe().outboundBuffer().let { it == null || it.totalPendingWriteBytes() == 0L }
+    /** Whether no request is being received or answered, and nothing waits to be written. */
+    val done: Boolean
+        get() {
+            val written = context.channel().unsafe().outboundBuffer()?.let { it.totalPendingWriteBytes() == 0L } ?: true
+            return written && (idle || gracefulClose.closing)
+        }
 
     /** Whether the connection is to be closed after the current response: unless a request behind it waits. */
     val closesAfterResponse: Boolean get() = waiting.isEmpty() && (server.draining || rejecting)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
@@ -41,8 +41,8 @@
     var draining: Boolean = false
         private set
 
-    /** Whether nothing waits to be written on any connection. */
-    val allWritten: Boolean get() = connections.all { it.allWritten }
+    /** Whether no request is being received, or has a response that is still to be written, on any connection. */
+    val allDone: Boolean get() = connections.all { it.done }
 
     /** The number of open connections. */
     val connectionCount: Int get() = connections.size
--- a/relay/src/test/kotlin/org/quetzalloom/relay/GracefulStopTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/GracefulStopTest.kt
@@ -5,9 +5,45 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
+import kotlin.test.assertTrue
 
-/** The process ended while responses were still being written to callers that read slowly. */
+/** The process ended while requests were in progress, or while responses were being written to slow callers. */
 class GracefulStopTest {
+    private fun TestRelay.awaitTerminationInTime() {
+        val end = CompletableFuture.runAsync { awaitTermination() }
+        end.get(LONGER_THAN_STOP_MILLISECONDS, TimeUnit.MILLISECONDS)
+    }
+
+    @Test
+    fun `requests in progress at the end of the grace time are answered before the relay ends`() {
+        TestRelay({ it.awaitClose(milliseconds = 5_000) }, graceMilliseconds = 1_000).use { relay ->
+            relay.connect().use { caller ->
+                caller.send("GET /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\n\r\n".repeat(2))
+                Thread.sleep(RESPONSES_MILLISECONDS)
+                relay.requestStop()
+                relay.awaitTerminationInTime()
+                val statuses = Regex("HTTP/1.1 \\d+").findAll(caller.readAll()).map { it.value }.toList()
+                // The second has not been sent, as it waited for the answer to the first.
+                assertEquals(listOf("HTTP/1.1 504", "HTTP/1.1 503"), statuses)
+            }
+        }
+    }
+
+    @Test
+    fun `a request whose body is arriving when nothing else is in progress is answered before the relay ends`() {
+        TestRelay({ it.respond("200 OK", mapOf("Id" to "a"), "mine") }).use { relay ->
+            relay.connect().use { caller ->
+                caller.send("POST /book/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nContent-Length: 2\r\n\r\n1")
+                Thread.sleep(RESPONSES_MILLISECONDS)
+                relay.requestStop()
+                Thread.sleep(LONGER_THAN_STOP_MILLISECONDS)
+                caller.send("2")
+                relay.awaitTerminationInTime()
+                assertTrue(caller.readAll().startsWith("HTTP/1.1 503 "))
+            }
+        }
+    }
+
     @Test
     fun `the relay does not end before a slow caller has got its response`() {
         TestRelay({ it.respond("200 OK", mapOf("Id" to "a"), "x".repeat(BODY_BYTES)) }).use { relay ->
--- a/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
@@ -30,6 +30,7 @@
  *
  * @param respondBeforeBody whether the servers respond before they read the request body.
  * @param configured whether to call [configure] at once.
+ * @param graceMilliseconds the grace time of a stop.
  * @param responseMemoryBytes the memory that all responses that are being read may take together.
  */
 class TestRelay(
@@ -37,6 +38,7 @@
     respondBeforeBody: Boolean = false,
     configured: Boolean = true,
     responseMemoryBytes: Long = Long.MAX_VALUE,
+    graceMilliseconds: Long = 8_000,
 ) : AutoCloseable {
     val servers = scripts.map { ScriptedServer(respondBeforeBody, it).start() }
     private val callers = Address("127.0.0.1", FreePorts.next())
@@ -45,7 +47,7 @@
         settings = RelaySettings(
             vm = VmId("vm-1"),
             zone = zone,
-            graceMilliseconds = 8_000,
+            graceMilliseconds = graceMilliseconds,
             retryRatio = 0.9,
             retryWindowMilliseconds = 10_000,
             retrySlack = 54.0,
