Send nothing to a server that leaves or has named a time to come back

Two new rules of the platform. A backend server that leaves says so in all its responses, of which the list may tell later or never; requests went on to reach it until then. A server that refuses a request with 503 may name the time for which it wants none; it got requests again after 100 ms.

Both are what one router knows of one server. The announcement holds until the server starts anew. The time holds whatever else the server answers meanwhile. What another server at the address says does not count.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ResponseHead.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ResponseHead.kt
@@ -11,6 +11,9 @@
  * @property confidence the model's confidence in its response, from 0 to 100, or `null` if it reported none.
  * @property load the backend server's load, or `null` if it reported none.
  * @property coldMilliseconds the rest of the backend server's warm-up, or `null` if it reported none.
+ * @property leaving whether the backend server has announced that it shuts down.
+ * @property retryAfterMilliseconds how long the backend server wants no requests, or `null` if it did not refuse this
+ *   one or named no time.
  */
 public data class ResponseHead(
     public val status: Int,
@@ -20,6 +23,8 @@
     public val confidence: Int? = null,
     public val load: LoadReport? = null,
     public val coldMilliseconds: Long? = null,
+    public val leaving: Boolean = false,
+    public val retryAfterMilliseconds: Long? = null,
 ) {
     /** Whether the backend server failed (status 500 or above) without a guarantee that it has not run the request. */
     public val isServerFailure: Boolean get() = !notRun && status >= SERVER_FAILURE
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerOutcomes.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerOutcomes.kt
@@ -29,6 +29,8 @@
         loadReport = head.load ?: loadReport,
         loadReportedAt = if (head.load != null) now else loadReportedAt,
         coldUntil = head.coldMilliseconds?.let { maxOf(coldUntil, now + it) } ?: coldUntil,
+        leaving = leaving || head.leaving && !head.misdirected,
+        closedUntil = head.retryAfterMilliseconds?.let { maxOf(closedUntil, now + it) } ?: closedUntil,
     )
     return when {
         head.misdirected -> updated.copy(dropAt = now)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerView.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerView.kt
@@ -10,6 +10,8 @@
  * @property listing the server's last entry in the list.
  * @property coldUntil the time until which the server counts as cold.
  * @property suspendedUntil the time until which the server gets no requests after it refused one or failed.
+ * @property closedUntil the time until which the server wants no requests, as it said when it refused one.
+ * @property leaving whether the server has announced in a response that it shuts down.
  * @property consecutiveFailures the number of failures that made the server suspect since its last response.
  * @property failureRate the share of recent attempts that failed, from 0 to 1, as of [failureRateUpdatedAt].
  * @property failureRateUpdatedAt when [failureRate] last changed.
@@ -27,6 +29,8 @@
     val listing: ServerListing,
     val coldUntil: Timestamp = Timestamp.EPOCH,
     val suspendedUntil: Timestamp = Timestamp.EPOCH,
+    val closedUntil: Timestamp = Timestamp.EPOCH,
+    val leaving: Boolean = false,
     val consecutiveFailures: Int = 0,
     val failureRate: Double = 0.0,
     val failureRateUpdatedAt: Timestamp = Timestamp.EPOCH,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
@@ -26,7 +26,7 @@
     val dropDueAt: Timestamp = Timestamp.EPOCH,
     val prefillPaces: PersistentMap<ServiceName, PrefillPace> = persistentMapOf(),
 ) {
-    /** Returns the servers of [service] that are listed and neither draining, suspended nor in an evacuated zone. */
+    /** Returns the servers of [service] that are listed, want requests, and are neither suspended nor evacuated. */
     fun usable(service: ServiceName, now: Timestamp): List<ServerView> =
         views.values.filter { it.listing.service == service && it.isUsable(now) }
 
@@ -52,6 +52,9 @@
         }
     }
 
-    private fun ServerView.isUsable(now: Timestamp): Boolean =
-        !listing.draining && dropAt == null && now >= suspendedUntil && listing.zone !in evacuatedZones
+    private fun ServerView.isUsable(now: Timestamp): Boolean = wantsRequests(now) &&
+        dropAt == null && now >= suspendedUntil && listing.zone !in evacuatedZones
+
+    private fun ServerView.wantsRequests(now: Timestamp): Boolean =
+        !listing.draining && !leaving && now >= closedUntil
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/ServersTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/ServersTest.kt
@@ -96,6 +96,43 @@
         assertTrue(!rig.mayUse("s-1"))
     }
 
+    /** Requests went on to reach a server that was leaving until its entry in the list said so. */
+    @Test
+    fun `a server that announces in a response that it leaves gets no requests until it starts anew`() {
+        val rig = RelayRig().start(listOf(one))
+        val send = rig.arrive(RelayRig.read).second.only<RelayEffect.Send>()
+        rig.respond(send, ResponseHead(status = 200, leaving = true))
+        rig.read(Feed.SERVERS, FeedEntry.Server(one.copy(sequence = 2)))
+        rig.pass(5_000)
+        assertTrue(!rig.mayUse("s-1"))
+        rig.read(Feed.SERVERS, FeedEntry.Server(one.copy(startedAt = 2)))
+        assertTrue(rig.mayUse("s-1"))
+    }
+
+    @Test
+    fun `what another server at the address says of itself does not count`() {
+        val rig = RelayRig().start(listOf(one))
+        val send = rig.arrive(RelayRig.read).second.only<RelayEffect.Send>()
+        rig.respond(send, ResponseHead(status = 421, notRun = true, misdirected = true, leaving = true))
+        rig.read(Feed.SERVERS, FeedEntry.Server(one.copy(sequence = 2)))
+        rig.pass(200)
+        assertTrue(rig.mayUse("s-1"))
+    }
+
+    /** A server that had named a time in its refusal got requests again after 100 ms. */
+    @Test
+    fun `a server that refuses a request for a time gets none until it is over, whatever else it answers`() {
+        val rig = RelayRig().start(listOf(one))
+        val sends = List(3) { rig.arrive(RelayRig.read.copy(callerId = "r-$it")).second.only<RelayEffect.Send>() }
+        rig.respond(sends[0], ResponseHead(status = 503, notRun = true, retryAfterMilliseconds = 3_000))
+        rig.respond(sends[1], ResponseHead(status = 503, notRun = true))
+        rig.failAttempt(sends[2], AttemptFailure.CONNECTION_LOST)
+        rig.pass(2_900)
+        assertTrue(!rig.mayUse("s-1"))
+        rig.pass(200)
+        assertTrue(rig.mayUse("s-1"))
+    }
+
     @Test
     fun `a server that cannot be reached is suspended, for longer each time`() {
         val rig = RelayRig().start(listOf(one))
