Answer HEAD requests without a body

Cause: the encoder did not know the method of the request, and the writer left out the length of the body, but not the body.

Why this works: the encoder writes no content for HEAD, whatever is passed to it.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
@@ -7,7 +7,6 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
-import io.netty.handler.codec.http.HttpResponseEncoder
 import org.quetzalloom.core.relay.routing.CallerLimits
 import org.quetzalloom.relay.http.StrictRequestDecoder
 import org.quetzalloom.relay.http.withRelayOptions
@@ -93,7 +92,7 @@
         override fun initChannel(channel: SocketChannel) {
             val reader = RequestReader { limits }
             channel.pipeline().addLast(
-                HttpResponseEncoder(),
+                ResponseEncoder(),
                 InboundBytesHandler(reader),
                 StrictRequestDecoder(limits.maximumHeaderBytes),
                 reader,
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/ResponseWriter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/ResponseWriter.kt
@@ -45,6 +45,7 @@
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
         response.headers().add(headers)
         if (hasBody(status)) response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+        selectMethod()
         end(response)
     }
 
@@ -58,6 +59,7 @@
         }
         announcedClose = closesConnection()
         if (announcedClose) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        selectMethod()
         channel.write(response)
     }
 
@@ -78,6 +80,10 @@
         channel.close()
     }
 
+    private fun selectMethod() {
+        channel.pipeline().get(ResponseEncoder::class.java)?.method = request.method()
+    }
+
     private fun end(last: LastHttpContent) {
         if (last is DefaultFullHttpResponse && closesConnection()) {
             last.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
