Do not forward a refusal that may not be true

Cause: the failure of a server was forwarded as it was if the request could not run again, also with a status that callers take for that promise.

Why this works: only a response with the server's guarantee says that the request has not run. Without it, such a status counts as a failure: the request is tried elsewhere if it may run again, and else answered with the router's own 502.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Endings.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Endings.kt
@@ -75,6 +75,16 @@
         .then { it.reportEnd(exchange, "refused", now, "kind" to kind.code) }
 }
 
+/**
+ * Returns the transition that drops the response with [head], whose status says that [exchange] has not run although it
+ * may have, and ends the exchange with an error that promises nothing.
+ */
+internal fun RelayState.failAsPossiblyRun(exchange: Exchange, head: ResponseHead, now: Timestamp): RelayStep {
+    val detail = "the backend server answered with ${head.status}, but the request may have run"
+    val possiblyRun = exchange.copy(mayHaveRun = true)
+    return cancelAttempt(possiblyRun).then { it.failExchange(possiblyRun, ErrorKind.BACKEND_FAILED, detail, now) }
+}
+
 /**
  * Returns the transition that ends [exchange], whose response has been forwarded in part: by closing the caller's
  * connection before the end of the response, or with the error [kind] if no byte has been written yet. [reason] is
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ResponseHead.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ResponseHead.kt
@@ -1,5 +1,6 @@
 package org.quetzalloom.core.relay.exchange
 
+import kotlinx.collections.immutable.persistentSetOf
 import org.quetzalloom.core.relay.server.LoadReport
 
 /**
@@ -29,11 +30,17 @@
     /** Whether the backend server failed (status 500 or above) without a guarantee that it has not run the request. */
     public val isServerFailure: Boolean get() = !notRun && status >= SERVER_FAILURE
 
+    /** Whether the status tells callers that the request has not run, without the backend server's guarantee. */
+    public val claimsNotRun: Boolean get() = !notRun && status in NOT_RUN_STATUSES
+
     /** Whether the status is in the range 200 to 299. */
     public val isSuccess: Boolean get() = status in SUCCESS
 
     private companion object {
         const val SERVER_FAILURE = 500
         val SUCCESS = 200..299
+
+        /** Request Timeout, Misdirected Request, Too Many Requests, Service Unavailable. */
+        val NOT_RUN_STATUSES = persistentSetOf(408, 421, 429, 503)
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Responses.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Responses.kt
@@ -36,7 +36,8 @@
     return when {
         event.head.notRun -> updated.handleNotRun(exchange, attempt, event.head, now)
         exchange.headForwarded -> updated.resumeStream(exchange, attempt, event.head, now)
-        event.head.isServerFailure -> updated.handleServerError(exchange, attempt, event.head, now)
+        event.head.isServerFailure || event.head.claimsNotRun ->
+            updated.handleServerError(exchange, attempt, event.head, now)
         event.head.isSuccess && !event.head.signed -> updated.retryElsewhere(exchange, attempt, "unsigned", now)
         event.head.isSuccess -> updated.handleSuccess(exchange, attempt, event.head, now)
         else -> updated.forwardResponse(exchange, attempt)
@@ -132,9 +133,8 @@
     attempt: Attempt,
     head: ResponseHead,
     now: Timestamp,
-): RelayStep =
-    if (mayRunOnceMore(exchange, now)) {
-        retryElsewhere(exchange, attempt, "status_${head.status}", now)
-    } else {
-        forwardResponse(exchange, attempt)
-    }
+): RelayStep = when {
+    mayRunOnceMore(exchange, now) -> retryElsewhere(exchange, attempt, "status_${head.status}", now)
+    head.claimsNotRun -> failAsPossiblyRun(exchange, head, now)
+    else -> forwardResponse(exchange, attempt)
+}
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/AtMostOnceTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/AtMostOnceTest.kt
@@ -66,6 +66,27 @@
         assertTrue(effects.none<RelayEffect.Send>())
     }
 
+    /** Callers sent commands again that had run, because the server's own failure had a status that says "not run". */
+    @Test
+    fun `a status that says not run is not forwarded without the server's guarantee`() {
+        listOf(408, 421, 429, 503).forEach { status ->
+            val rig = RelayRig().start()
+            val send = rig.arrive(RelayRig.command).second.only<RelayEffect.Send>()
+            val effects = rig.respond(send, ResponseHead(status = status))
+            assertTrue(effects.none<RelayEffect.ForwardResponse>() && effects.none<RelayEffect.Send>(), "$status")
+            assertEquals(ErrorKind.BACKEND_FAILED, effects.only<RelayEffect.Refuse>().kind)
+            assertEquals(send.attempt, effects.only<RelayEffect.CancelAttempt>().attempt)
+        }
+    }
+
+    @Test
+    fun `a read that a server answers with such a status goes to another server`() {
+        val rig = RelayRig().start()
+        val first = rig.arrive(RelayRig.read).second.only<RelayEffect.Send>()
+        val second = rig.respond(first, ResponseHead(status = 429)).only<RelayEffect.Send>()
+        assertNotEquals(first.parameters.server, second.parameters.server)
+    }
+
     @Test
     fun `a command that still runs at its deadline is answered as deadline exceeded, and its attempt is cancelled`() {
         val rig = RelayRig().start()
