Bound the memory of all request bodies

Cause: the body of one request was bounded, and their sum was not; each is kept until its request has been answered.

Why this works: the memory of all bodies is counted.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
@@ -11,6 +11,7 @@
 import org.quetzalloom.relay.backend.BackendPool
 import org.quetzalloom.relay.backend.ResponseMemory
 import org.quetzalloom.relay.caller.CallerServer
+import org.quetzalloom.relay.caller.RequestMemory
 import org.quetzalloom.relay.http.MessageCodec
 import org.quetzalloom.relay.report.Reporter
 import java.nio.channels.ServerSocketChannel
@@ -20,7 +21,7 @@
  * Connects the sockets of callers and backend servers to the reducer: posts what happens on them as events, and carries
  * out the effects on them. Confined to the event loop's thread.
  *
- * @param responseMemoryBytes the memory that all responses that are being read may take together.
+ * @param memory the memory that messages may take.
  * @param post posts an event to the reducer.
  */
 internal class Relay(
@@ -28,14 +29,14 @@
     private val codec: MessageCodec,
     reporter: Reporter,
     clock: Clock,
-    responseMemoryBytes: Long,
+    memory: MemoryLimits,
     private val post: (RelayEvent) -> Unit,
 ) : BackendCallListener {
     private val executor = group.next()
     private val exchanges = ExchangeTable()
-    private val responseMemory = ResponseMemory(responseMemoryBytes) { exchanges.largestCallOrNull() }
+    private val responseMemory = ResponseMemory(memory.responseBytes) { exchanges.largestCallOrNull() }
     private val requestHandler = ReducerRequestHandler(exchanges, codec, reporter, post)
-    private val callerServer = CallerServer(requestHandler)
+    private val callerServer = CallerServer(requestHandler, RequestMemory(memory.requestBytes))
     private val pool = BackendPool(group, codec, clock)
 
     /** The number of open connections from callers. */
--- a/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
@@ -34,8 +34,7 @@
  * @param codec encodes and decodes the headers of the front end.
  * @param store creates the interpreter of the effects that concern the platform's store, from an HTTP client and a
  *   function that posts events to the reducer.
- * @param responseMemoryBytes the memory that all responses that are being read may take together. Above it, the largest
- *   of them fails.
+ * @param memory the memory that messages may take.
  */
 public class RelayProgram(
     settings: RelaySettings,
@@ -43,7 +42,7 @@
     codec: MessageCodec,
     store: (CallClient, (RelayEvent) -> Unit) -> Interpreter<RelayEffect>,
     policies: RelayPolicies = RelayPolicies(),
-    responseMemoryBytes: Long = Runtime.getRuntime().maxMemory() / RESPONSE_MEMORY_DIVISOR,
+    memory: MemoryLimits = MemoryLimits(),
 ) {
     private val clock: Clock = SystemClock()
     private val group = NioEventLoopGroup(1)
@@ -63,7 +62,7 @@
         )
     private val metrics = RelayMetrics { loop.state }
     private val reporter = Reporter(metrics)
-    private val relay = Relay(group, codec, reporter, clock, responseMemoryBytes, loop::post)
+    private val relay = Relay(group, codec, reporter, clock, memory, loop::post)
     private val peers = PeerSocket(group, reporter, loop::post)
     private val callClient = CallClient(group)
     private val storeInterpreter = store(callClient, loop::post)
@@ -118,8 +117,5 @@
 
     private companion object {
         const val PRUNE_INTERVAL_MILLISECONDS = 500L
-
-        /** The rest of the heap is for requests, the state and garbage. */
-        const val RESPONSE_MEMORY_DIVISOR = 5
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
@@ -123,7 +123,7 @@
             is CallerMessage.Rejected -> {
                 rejecting = true
                 val response = ResponseWriter(this, context.channel(), message.head)
-                server.handler.refuse(response, message.kind, message.detail, retryAfterMilliseconds = null)
+                server.handler.refuse(response, message.kind, message.detail, message.retryAfterMilliseconds)
             }
         }
     }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerMessage.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerMessage.kt
@@ -12,6 +12,15 @@
     /** A complete request. The receiver must release [body]. */
     class Complete(val head: HttpRequest, val body: ByteBuf) : CallerMessage
 
-    /** An invalid request. Nothing after it on the connection can be trusted. */
-    class Rejected(val head: HttpRequest, val kind: ErrorKind, val detail: String) : CallerMessage
+    /**
+     * A request that is invalid or cannot be taken. Nothing after it on the connection can be trusted.
+     *
+     * @property retryAfterMilliseconds the time after which the caller may retry, or `null` to name none.
+     */
+    class Rejected(
+        val head: HttpRequest,
+        val kind: ErrorKind,
+        val detail: String,
+        val retryAfterMilliseconds: Long? = null,
+    ) : CallerMessage
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
@@ -17,8 +17,9 @@
  * Accepts connections from callers and tracks the open ones. Confined to the event loop's thread, except for [attach].
  *
  * @property handler receives the requests.
+ * @param memory bounds the memory of their bodies.
  */
-internal class CallerServer(val handler: RequestHandler) {
+internal class CallerServer(val handler: RequestHandler, private val memory: RequestMemory) {
     private val connections = LinkedHashSet<CallerConnection>()
     private var listener: Channel? = null
 
@@ -90,7 +91,7 @@
 
     private inner class Initializer : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
-            val reader = RequestReader { limits }
+            val reader = RequestReader(memory) { limits }
             channel.pipeline().addLast(
                 ResponseEncoder(),
                 InboundBytesHandler(reader),
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestReader.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestReader.kt
@@ -1,6 +1,6 @@
 package org.quetzalloom.relay.caller
 
-import io.netty.buffer.Unpooled
+import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.DefaultFullHttpResponse
@@ -23,13 +23,15 @@
  * The head of a request must arrive within the header timeout, and then its whole body within the idle timeout.
  * After a rejection all further input is discarded.
  *
+ * @param memory bounds the memory of the bodies of all requests.
  * @param limits returns the current limits.
  */
-internal class RequestReader(private val limits: () -> CallerLimits) : ChannelInboundHandlerAdapter() {
-    /** A request whose head is valid, with the part of its body that has been received. */
-    private class PartialRequest(val head: HttpRequest) {
-        val body = Unpooled.buffer()
-    }
+internal class RequestReader(
+    private val memory: RequestMemory,
+    private val limits: () -> CallerLimits,
+) : ChannelInboundHandlerAdapter() {
+    /** A request whose head is valid, with the part of its [body] that has been received. */
+    private class PartialRequest(val head: HttpRequest, val body: ByteBuf)
 
     private val validator = RequestValidator(limits)
     private var partialRequest: PartialRequest? = null
@@ -74,10 +76,11 @@
         betweenRequests = false
         val problem = validator.problemOrNull(head)
         if (problem != null) return reject(context, head, problem.first, problem.second)
+        if (!memory.mayHold(HttpUtil.getContentLength(head, 0L))) return rejectForMemory(context, head)
         if (HttpUtil.is100ContinueExpected(head)) {
             context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
         }
-        partialRequest = PartialRequest(head)
+        partialRequest = PartialRequest(head, memory.newBody())
         timeout.restart(limits().idleTimeoutMilliseconds) {
             reject(context, head, ErrorKind.TOO_SLOW, "the body did not arrive in time")
         }
@@ -90,6 +93,7 @@
                 reject(context, current.head, ErrorKind.MALFORMED, "the body is malformed")
             size > limits().maximumBodyBytes ->
                 reject(context, current.head, ErrorKind.TOO_LARGE, validator.bodyTooLarge())
+            !memory.mayHold(size.toLong()) -> rejectForMemory(context, current.head)
             else -> {
                 current.body.writeBytes(content.content())
                 if (content is LastHttpContent) complete(context, current)
@@ -104,10 +108,24 @@
         context.fireChannelRead(CallerMessage.Complete(request.head, request.body))
     }
 
-    private fun reject(context: ChannelHandlerContext, head: HttpRequest, kind: ErrorKind, detail: String) {
+    private fun rejectForMemory(context: ChannelHandlerContext, head: HttpRequest) = reject(
+        context,
+        head,
+        ErrorKind.OVERLOADED,
+        "the bodies of other requests take the memory of this router",
+        MEMORY_RETRY_MILLISECONDS,
+    )
+
+    private fun reject(
+        context: ChannelHandlerContext,
+        head: HttpRequest,
+        kind: ErrorKind,
+        detail: String,
+        retryAfterMilliseconds: Long? = null,
+    ) {
         discard()
         rejected = true
-        context.fireChannelRead(CallerMessage.Rejected(head, kind, detail))
+        context.fireChannelRead(CallerMessage.Rejected(head, kind, detail, retryAfterMilliseconds))
     }
 
     private fun discard() {
@@ -117,6 +135,9 @@
     }
 
     private companion object {
+        /** By then a part of the requests that take the memory has usually been answered. */
+        const val MEMORY_RETRY_MILLISECONDS = 500L
+
         /** Replaces a head that has not arrived in time; the error response does not depend on it. */
         val PLACEHOLDER_HEAD = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/")
     }
--- a/relay/src/test/kotlin/org/quetzalloom/relay/EndlessResponsesTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/EndlessResponsesTest.kt
@@ -114,7 +114,7 @@
                     it.write("-rest")
                 }
             },
-            responseMemoryBytes = RESPONSE_MEMORY_BYTES,
+            memory = MemoryLimits(responseBytes = RESPONSE_MEMORY_BYTES),
         ).use { relay ->
             relay.connect().use { neighbour ->
                 neighbour.send(request("look"))
--- a/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
@@ -31,13 +31,13 @@
  * @param respondBeforeBody whether the servers respond before they read the request body.
  * @param configured whether to call [configure] at once.
  * @param graceMilliseconds the grace time of a stop.
- * @param responseMemoryBytes the memory that all responses that are being read may take together.
+ * @param memory the memory that messages may take.
  */
 class TestRelay(
     vararg scripts: (ScriptedRequest) -> Unit,
     respondBeforeBody: Boolean = false,
     configured: Boolean = true,
-    responseMemoryBytes: Long = Long.MAX_VALUE,
+    memory: MemoryLimits = MemoryLimits(),
     graceMilliseconds: Long = 8_000,
 ) : AutoCloseable {
     val servers = scripts.map { ScriptedServer(respondBeforeBody, it).start() }
@@ -57,7 +57,7 @@
         listeners = Listeners(callers, ready),
         codec = PlainCodec,
         store = { _, _ -> Interpreter { } },
-        responseMemoryBytes = responseMemoryBytes,
+        memory = memory,
     )
 
     init {
