Do not send requests whose callers have closed their connections

Cause: callers connect while a router starts, and their requests wait in the system. The router handled a request as soon as it was read, and found the close that had arrived behind it with the next read only. The trace of one request: sent 39.207 s, its caller left at 39.555 s, at a server 40.399 s.

Evidence: CallersThatLeftTest failed on the code before, with all 20 requests of callers that had left handled.

Why this works: a read goes on to the end of the input, and what it has brought is handled afterwards, unless the connection is closed by then.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
@@ -20,7 +20,9 @@
     private var answering = false
     private var lastResponseWritten = false
     private val mayAnswer: Boolean get() = active == null && !lastResponseWritten && !gracefulClose.closing
-    private val idle: Boolean get() = active == null && !receiving && waiting.isEmpty()
+
+    /** Whether the connection has no request, neither in flight nor waiting nor partly received. */
+    val idle: Boolean get() = active == null && !receiving && waiting.isEmpty()
 
     /** Closes this connection gracefully, at once or after an idle timeout. */
     lateinit var gracefulClose: GracefulClose
@@ -62,11 +64,19 @@
             message is CallerMessage -> {
                 receiving = false
                 waiting.add(message)
-                answerWaiting()
+                // May be due to a timeout, without anything read.
+                if (message is CallerMessage.Rejected) answerWaiting()
             }
         }
     }
 
+    /** Answers the requests that have been read, unless the caller has closed the connection behind them. */
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        if (waiting.isEmpty()) return
+        // A close that has been read takes effect after this call.
+        context.executor().execute { if (context.channel().isActive) answerWaiting() }
+    }
+
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
         active?.call?.readingPaused = !context.channel().isWritable
     }
@@ -91,16 +101,11 @@
         restartIdleTimeout()
     }
 
-    /** Starts the idle timeout anew if the connection has no request, in flight, waiting or partly received. */
+    /** Starts the idle timeout anew if the connection is idle. */
     fun restartIdleTimeout() {
         if (idle) gracefulClose.closeAfter(server.limits.idleTimeoutMilliseconds)
     }
 
-    /** Closes the connection if it has no request, neither in flight nor waiting nor partly received. */
-    fun closeIfIdle() {
-        if (idle) gracefulClose.close()
-    }
-
     /** Answers the requests that wait, up to the first whose response takes time. */
     private fun answerWaiting() {
         if (answering) return
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
@@ -1,6 +1,7 @@
 package org.quetzalloom.relay.caller
 
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -57,10 +58,15 @@
             .channelFactory { NioServerSocketChannel(socket) }
             .withRelayOptions()
             .option(ChannelOption.AUTO_READ, false)
+            .childOption(ChannelOption.RCVBUF_ALLOCATOR, readToEnd())
             .childHandler(Initializer())
         listener = bootstrap.register().sync().channel()
     }
 
+    /** Lets each read go on to the end of the input, so that the caller's close behind a request is found with it. */
+    private fun readToEnd() = AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false)
+        .maxMessagesPerRead(READS_IN_A_ROW)
+
     /** Accepts connections from now on, those that wait already first. */
     fun accept() {
         listener?.config()?.isAutoRead = true
@@ -73,7 +79,7 @@
     fun drain(group: EventLoopGroup, idleCloseDelayMilliseconds: Long) {
         draining = true
         group.schedule(
-            { connections.toList().forEach { it.closeIfIdle() } },
+            { connections.filter { it.idle }.forEach { it.gracefulClose.close() } },
             idleCloseDelayMilliseconds,
             TimeUnit.MILLISECONDS,
         )
@@ -103,6 +109,9 @@
     }
 
     private companion object {
+        /** The number of reads after which other connections have their turn. */
+        const val READS_IN_A_ROW = 16
+
         /** The limits until a configuration has been read; until then every request is refused. */
         val INITIAL_LIMITS = CallerLimits(
             maximumHeaderBytes = 16_384,
