--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/MessageCodec.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/MessageCodec.kt
@@ -22,6 +22,9 @@
     /** Returns whether [response] names [request], another request on the same connection, or none. */
     public fun originOf(response: HttpResponse, request: RelayRequest): ResponseOrigin
 
+    /** Returns whether [headers] name a request, whichever it is. */
+    public fun nameRequest(headers: HttpHeaders): Boolean
+
     /** Decodes the head of a response. */
     public fun decodeResponse(response: HttpResponse): ResponseHead
 
--- a/relay/src/test/kotlin/org/quetzalloom/relay/PlainCodec.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/PlainCodec.kt
@@ -40,6 +40,8 @@
             ResponseOrigin.OTHER_REQUEST
         }
 
+    override fun nameRequest(headers: HttpHeaders): Boolean = headers.contains("Id")
+
     override fun decodeResponse(response: HttpResponse): ResponseHead =
         ResponseHead(status = response.status().code(), notRun = response.headers().contains("Not-Run"))
 
