Fail a call whose response is not whole

Callers of the store, and other routers through a router that forwards calls, got status 200 with an empty or short body when the store stopped in the middle of a response. Netty's aggregator turns a response that cannot be decoded to its end into a full response with a failed decoder result, and CallClient did not look at that result.

A failed decoder result covers the head, the chunks and the trailer, so that one check is enough.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/CallClient.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/CallClient.kt
@@ -106,12 +106,13 @@
         }
 
         override fun channelRead0(context: ChannelHandlerContext, response: FullHttpResponse) {
-            if (listener == null || !HttpUtil.isKeepAlive(response)) {
+            val failure = response.decoderResult().cause()
+            if (listener == null || failure != null || !HttpUtil.isKeepAlive(response)) {
                 context.close()
             } else {
                 idle.getOrPut(address) { ArrayDeque() }.addLast(this)
             }
-            complete(Ok(response))
+            complete(if (failure == null) Ok(response) else Err("the response is not whole: ${failure.message}"))
         }
 
         override fun channelInactive(context: ChannelHandlerContext) {
