Forward only whole calls of other routers

A router that forwards calls sent a truncated or malformed request of another router on to the store, with the part of the body that had arrived and a length that matched it. An append could so have written a part of a record, and a call whose router was gone was made for nobody. The cause is that of truncated responses: the aggregator's failed decoder result was not looked at.

ForwardedCallsAreWholeTest cuts a request with a length and one in chunks at every byte. Before, 77 truncated requests reached the store, and the first of three malformed ones was not answered 400, at which the test stops. Now none reaches the store, and the router answers 400 and closes the connection, because the end of such a request is unknown. Whole requests of both framings are forwarded with their bodies as before.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/CallForwarder.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/CallForwarder.kt
@@ -4,6 +4,8 @@
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.EventLoopGroup
@@ -27,8 +29,8 @@
  * Forwards calls of other routers to one target, without their headers, and returns the status and body of the
  * response.
  *
- * A path that is not in [Forwarding.paths] is answered 404, and a call that fails or times out 502. Calls are not
- * retried.
+ * A path that is not in [Forwarding.paths] is answered 404, and a call that fails or times out 502. A request that is
+ * truncated or malformed is answered 400, and its connection is closed. Calls are not retried.
  *
  * On [Forwarding.sharedPaths] a call joins an equal one that is under way and gets the same response. So many routers
  * that wait for the same records cost one call.
@@ -60,14 +62,21 @@
     private inner class Handler : SimpleChannelInboundHandler<FullHttpRequest>() {
         override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
             val path = request.uri().substringBefore('?')
-            when (path) {
-                !in forwarding.paths ->
+            when {
+                request.decoderResult().isFailure -> reject(context, request.decoderResult().cause())
+                path !in forwarding.paths ->
                     context.respond(HttpResponseStatus.NOT_FOUND, text("this path is not forwarded"))
-                in forwarding.sharedPaths -> joinOrForward(context, request)
+                path in forwarding.sharedPaths -> joinOrForward(context, request)
                 else -> forward(request) { persistentListOf(context) }
             }
         }
 
+        /** The end of an invalid request is unknown, so that no other request can follow on its connection. */
+        private fun reject(context: ChannelHandlerContext, problem: Throwable) {
+            context.respond(HttpResponseStatus.BAD_REQUEST, text("the request is not whole: ${problem.message}"))
+                .addListener(ChannelFutureListener.CLOSE)
+        }
+
         @Deprecated("Overrides a deprecated method.")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
             context.close()
@@ -106,10 +115,10 @@
         return request
     }
 
-    private fun ChannelHandlerContext.respond(status: HttpResponseStatus, body: ByteBuf) {
+    private fun ChannelHandlerContext.respond(status: HttpResponseStatus, body: ByteBuf): ChannelFuture {
         val response: FullHttpResponse = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
-        writeAndFlush(response)
+        return writeAndFlush(response)
     }
 
     private fun text(problem: String): ByteBuf = Unpooled.copiedBuffer("$problem\n", Charsets.UTF_8)
