--- a/relay/src/test/kotlin/org/quetzalloom/relay/http/TruncatedCallResponsesTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/http/TruncatedCallResponsesTest.kt
@@ -85,6 +85,16 @@
         }
     }
 
+    /** The interim response was taken for the response, which has another status and a body. */
+    @Test
+    fun `interim responses are skipped`() {
+        val interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n"
+        TestCalls { it.write(interim + TestCalls.withLength("records")) }.use { calls ->
+            assertEquals(listOf("records", "records"), calls.call("/read", "/read"))
+            assertEquals(1, calls.server.acceptedConnections)
+        }
+    }
+
     private companion object {
         const val BEFORE_RESET_MILLISECONDS = 100L
     }
