Keep calls of different purposes on different connections

Responses of the store name no call, so that a late copy, which arrives after the next call was sent, was taken for the response to that call. On a shared connection that could be any call: a list of owners passed for a join and made a router the leader, since it lists the leader's partition too; a read of one topic passed for that of another; the response to one append accepted the next one at the same offset, which the store had rejected; and on a router that forwards calls the response to one router went to another.

CallClient pools connections by address and purpose. No call is added.

What remains: a late copy of a join of the same router, or of a read of the same topic from an earlier offset.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/CallClient.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/CallClient.kt
@@ -17,34 +17,48 @@
 /**
  * An HTTP client for calls with short responses, which are aggregated. Confined to the event loop's thread.
  *
- * Keep-alive connections are pooled by address. A connection whose call times out is closed. [group] has one event loop.
+ * Keep-alive connections are pooled by address and purpose. Responses do not name their calls, so that a late copy of
+ * one can be taken only for the response to a later call of the same purpose. A connection whose call times out is
+ * closed.
+ *
+ * @param group has one event loop.
  */
 public class CallClient(private val group: EventLoopGroup) {
-    private val idle = HashMap<Address, ArrayDeque<CallConnection>>()
+    private val idle = HashMap<Destination, ArrayDeque<CallConnection>>()
 
     /**
      * Sends [request] to [address], and calls [listener] once, at the latest after [timeoutMilliseconds].
      *
      * Takes ownership of [request]. The response has a status and a body, and is valid until [listener] returns. A call
      * that failed may still have been carried out.
+     *
+     * @param purpose names the calls with which this one may share a connection; `null` for a connection of its own.
      */
-    public fun call(address: Address, request: FullHttpRequest, timeoutMilliseconds: Long, listener: CallListener) {
-        val reused = takeIdle(address)
-        val connection = reused ?: newConnection(address)
+    public fun call(
+        address: Address,
+        request: FullHttpRequest,
+        timeoutMilliseconds: Long,
+        purpose: String?,
+        listener: CallListener,
+    ) {
+        val destination = purpose?.let { Destination(address, it) }
+        val reused = destination?.let { takeIdle(it) }
+        val connection = reused ?: newConnection(destination)
         connection.begin(listener, timeoutMilliseconds)
         if (reused != null) reused.send(request) else connect(address, connection, request)
     }
 
-    private fun takeIdle(address: Address): CallConnection? {
-        val connections = idle[address]
+    private fun takeIdle(destination: Destination): CallConnection? {
+        val connections = idle[destination]
         connections?.removeAll { !it.isOpen }
         return connections?.removeLastOrNull()
     }
 
-    private fun newConnection(address: Address) = CallConnection(
+    /** Returns a connection that is pooled for [destination], or not reused if that is `null`. */
+    private fun newConnection(destination: Destination?) = CallConnection(
         timeout = RestartableTimer(group.next()),
-        onIdle = { idle.getOrPut(address) { ArrayDeque() }.addLast(it) },
-        onClosed = { idle[address]?.remove(it) },
+        onIdle = destination?.let { { connection -> idle.getOrPut(it) { ArrayDeque() }.addLast(connection) } },
+        onClosed = { connection -> destination?.let { idle[it]?.remove(connection) } },
     )
 
     private fun connect(address: Address, connection: CallConnection, request: FullHttpRequest) {
@@ -69,6 +83,9 @@
         }
     }
 
+    /** The calls that may use the same connections. */
+    private data class Destination(val address: Address, val purpose: String)
+
     private companion object {
         /** The store answers within a few milliseconds, and a lost packet is retransmitted within this time. */
         const val CONNECT_TIMEOUT_MILLISECONDS = 500
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/CallConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/CallConnection.kt
@@ -20,12 +20,12 @@
  * that surplus bytes are never taken for the response to the next call. For the same reason each response has a decoder
  * of its own, which is removed at the end of the response.
  *
- * @param onIdle called when the connection can take another call.
+ * @param onIdle called when the connection can take another call; `null` if it is closed after its first call.
  * @param onClosed called when the connection has been closed.
  */
 internal class CallConnection(
     private val timeout: RestartableTimer,
-    private val onIdle: (CallConnection) -> Unit,
+    private val onIdle: ((CallConnection) -> Unit)?,
     private val onClosed: (CallConnection) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
@@ -103,10 +103,10 @@
     override fun channelReadComplete(context: ChannelHandlerContext) {
         val response = received ?: return
         received = null
-        val reusable = isOpen && response.reusable && requestWrite.isSuccess
-        if (reusable) onIdle(this)
+        val release = onIdle?.takeIf { isOpen && response.reusable && requestWrite.isSuccess }
+        release?.invoke(this)
         complete(Ok(response.toFullResponse()))
-        if (!reusable) channel.close()
+        if (release == null) channel.close()
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/CallForwarder.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/CallForwarder.kt
@@ -67,7 +67,7 @@
                 path !in forwarding.paths ->
                     context.respond(HttpResponseStatus.NOT_FOUND, text("this path is not forwarded"))
                 path in forwarding.sharedPaths -> joinOrForward(context, request)
-                else -> forward(request) { persistentListOf(context) }
+                else -> forward(request, purpose = null) { persistentListOf(context) }
             }
         }
 
@@ -88,16 +88,21 @@
         val waiting = sharedCalls[uri]
         sharedCalls = sharedCalls.put(uri, (waiting ?: persistentListOf()).add(context))
         if (waiting != null) return
-        forward(request) {
+        forward(request, purpose = uri.substringBefore('?')) {
             val callers = sharedCalls[uri] ?: persistentListOf()
             sharedCalls = sharedCalls.remove(uri)
             callers
         }
     }
 
-    /** Forwards [request] and passes the response on to all [callers] at that time. */
-    private fun forward(request: FullHttpRequest, callers: () -> List<ChannelHandlerContext>) {
-        client.call(forwarding.target, request.copyForTarget(), CALL_TIMEOUT_MILLISECONDS) { result ->
+    /**
+     * Forwards [request] and passes the response on to all [callers] at that time.
+     *
+     * [purpose] names the calls with which it shares connections. It is `null` where the response is about the calling
+     * router, which must not get a late copy of the response to another.
+     */
+    private fun forward(request: FullHttpRequest, purpose: String?, callers: () -> List<ChannelHandlerContext>) {
+        client.call(forwarding.target, request.copyForTarget(), CALL_TIMEOUT_MILLISECONDS, purpose) { result ->
             callers().forEach { caller ->
                 result.fold(
                     success = { caller.respond(it.status(), it.content().retainedDuplicate()) },
--- a/relay/src/test/kotlin/org/quetzalloom/relay/ForwardedCallsAreWholeTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/ForwardedCallsAreWholeTest.kt
@@ -82,6 +82,20 @@
         }
     }
 
+    /** The call of one router got a late copy of the response to another router. */
+    @Test
+    fun `a late copy of a response is not forwarded to the next caller`() {
+        respond = { request ->
+            val copies = if (store.requests.size == 2 && store.acceptedConnections == 1) 1 else 0
+            repeat(copies) { request.respond("200 OK", emptyMap(), "first") }
+            request.respond("200 OK", emptyMap(), if (store.requests.size == 1) "first" else "second")
+        }
+        listOf("first", "second").forEach { body ->
+            val caller = TestRelay.CallerSocket(Socket(address.host, address.port))
+            caller.use { it.send("GET /owners HTTP/1.1\r\nHost: store\r\n\r\n").readUntil(body) }
+        }
+    }
+
     private companion object {
         const val TIMEOUT_MILLISECONDS = 2_000
         const val WITH_LENGTH = "POST /append HTTP/1.1\r\nHost: store\r\nContent-Length: 7\r\n\r\nrecords"
--- a/relay/src/test/kotlin/org/quetzalloom/relay/http/TestCalls.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/http/TestCalls.kt
@@ -40,7 +40,8 @@
 
     private fun callNext(paths: List<String>, outcomes: List<CompletableFuture<String>>, bodyBytes: Int) {
         val path = paths.firstOrNull() ?: return
-        client.call(Address("127.0.0.1", server.port), request(path, bodyBytes), TIMEOUT_MILLISECONDS) { result ->
+        val address = Address("127.0.0.1", server.port)
+        client.call(address, request(path, bodyBytes), TIMEOUT_MILLISECONDS, purpose = "test") { result ->
             val outcome = result.fold({ it.content().toString(Charsets.UTF_8) }, { "problem: $it" })
             callNext(paths.drop(1), outcomes.drop(1), bodyBytes)
             outcomes.first().complete(outcome)
