Count a request as being received from its first byte on

Callers saw their connection close, without an answer or a refusal, after a request that had begun within the idle timeout. The idle timeout ran until the end of the head; a connection could be closed with half a head in it, and the rest of the request was read and discarded. A shorter idle timeout in a new configuration makes it more likely. The same happened to a head that began while the response before it was in progress.

The idle timeout now ends with the first byte, from which on the header timeout bounds the request: a head that never becomes complete is refused with 408. A graceful stop, too, no longer takes such a connection for an idle one.

A head whose first bytes arrive in the same read as the end of the request before still counts from its next bytes on.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerMessage.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerMessage.kt
@@ -6,7 +6,7 @@
 
 /** What a [RequestReader] reads from a caller's connection. */
 internal sealed interface CallerMessage {
-    /** The head of a request has been received. */
+    /** A request has begun to arrive. Comes once or twice before its end. */
     data object Started : CallerMessage
 
     /** A complete request. The receiver must release [body]. */
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestReader.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestReader.kt
@@ -46,12 +46,13 @@
     }
 
     /**
-     * Handles the arrival of undecoded bytes. The first byte of a request starts its header timeout, unless it arrives
-     * together with the end of the request before; the next bytes start the timeout then.
+     * Handles the arrival of undecoded bytes. A request starts with its first byte, and so does its header timeout. If
+     * that byte arrives together with the end of the request before, both start with the next bytes.
      */
     fun onBytesReceived() {
         if (!betweenRequests || rejected) return
         betweenRequests = false
+        context.fireChannelRead(CallerMessage.Started)
         timeout.restart(limits().headerTimeoutMilliseconds) {
             reject(context, PLACEHOLDER_HEAD, ErrorKind.TOO_SLOW, "the header did not arrive in time")
         }
--- a/relay/src/test/kotlin/org/quetzalloom/relay/KeptConnectionsTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/KeptConnectionsTest.kt
@@ -4,13 +4,15 @@
 import kotlin.test.Test
 import kotlin.test.assertTrue
 
-/** After a change of the configuration, connections were closed that callers could still use by its limits. */
+/** Connections were closed that callers could still use, and what arrived on them was discarded without an answer. */
 class KeptConnectionsTest {
     private val echo: (ScriptedRequest) -> Unit =
         { it.respond("200 OK", mapOf("Id" to it.headers.getValue("id")), "for ${it.headers["id"]}") }
 
     private fun get(id: String) = "GET /look/1 HTTP/1.1\r\nHost: app\r\nId: $id\r\n\r\n"
 
+    private fun halves(request: String): Pair<String, String> = request.take(HEAD_PART) to request.drop(HEAD_PART)
+
     @Test
     fun `a connection that was idle when its idle timeout was raised is kept for the new timeout`() {
         TestRelay(echo).use { relay ->
@@ -23,4 +25,54 @@
             }
         }
     }
+
+    @Test
+    fun `a request whose head is arriving at the end of the idle timeout is answered`() {
+        TestRelay(echo).use { relay ->
+            relay.changeIdleTimeout(version = 2, idleTimeoutMilliseconds = 400)
+            relay.connect().use { caller ->
+                caller.send(get("a")).readUntil("for a")
+                val (begin, end) = halves(get("b"))
+                Thread.sleep(250)
+                caller.send(begin)
+                Thread.sleep(350)
+                assertTrue(caller.send(end).readUntil("for b").startsWith("HTTP/1.1 200"))
+            }
+        }
+    }
+
+    @Test
+    fun `a head that began behind another request is bounded by the header timeout, not by the idle timeout`() {
+        val slowEcho: (ScriptedRequest) -> Unit = {
+            Thread.sleep(200)
+            echo(it)
+        }
+        TestRelay(slowEcho).use { relay ->
+            relay.changeIdleTimeout(version = 2, idleTimeoutMilliseconds = 300)
+            relay.connect().use { caller ->
+                val (begin, end) = halves(get("b"))
+                caller.send(get("a"))
+                Thread.sleep(50)
+                caller.send(begin).readUntil("for a")
+                Thread.sleep(500)
+                assertTrue(caller.send(end).readUntil("for b").startsWith("HTTP/1.1 200"))
+            }
+        }
+    }
+
+    @Test
+    fun `a head that never becomes complete is refused after the header timeout`() {
+        TestRelay(echo).use { relay ->
+            relay.changeIdleTimeout(version = 2, idleTimeoutMilliseconds = 300)
+            relay.connect().use { caller ->
+                caller.send(get("a")).readUntil("for a")
+                assertTrue(caller.send(halves(get("b")).first).readAll().startsWith("HTTP/1.1 408"))
+            }
+        }
+    }
+
+    private companion object {
+        /** Within the second line of the head. */
+        const val HEAD_PART = 27
+    }
 }
