Start the idle timeout when the response has been written

Callers that took longer than the idle timeout to read a response got no answer to the next request on its connection, although they had not let it be idle. The timeout ran from the time at which the response was handed to the connection, and then everything that was received was discarded. A shorter idle timeout in a new configuration makes it more likely.

The timeout now starts once the response has been written. Until then it is longer by the write timeout, so that callers that read nothing are closed no later than before.

The test in KeptConnectionsTest failed before (the connection ended without a byte) and passes now.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
@@ -28,12 +28,10 @@
     lateinit var gracefulClose: GracefulClose
         private set
 
+    private val written: Boolean get() = context.channel().unsafe().outboundBuffer()?.isEmpty ?: true
+
     /** Whether no request is being received or answered, and nothing waits to be written. */
-    val done: Boolean
-        get() {
-            val written = context.channel().unsafe().outboundBuffer()?.let { it.totalPendingWriteBytes() == 0L } ?: true
-            return written && (idle || gracefulClose.closing)
-        }
+    val done: Boolean get() = written && (idle || gracefulClose.closing)
 
     /** Whether the connection is to be closed after the current response: unless a request behind it waits. */
     val closesAfterResponse: Boolean get() = waiting.isEmpty() && (server.draining || rejecting)
@@ -93,7 +91,7 @@
      *
      * @param closes whether the connection is about to be closed.
      */
-    fun onResponseWritten(closes: Boolean) {
+    fun onResponseEnded(closes: Boolean) {
         active = null
         lastResponseWritten = closes
         if (closes || gracefulClose.closing) return
@@ -101,9 +99,10 @@
         restartIdleTimeout()
     }
 
-    /** Starts the idle timeout anew if the connection is idle. */
+    /** Starts the idle timeout anew if the connection is idle. Until the response is written, it is longer. */
     fun restartIdleTimeout() {
-        if (idle) gracefulClose.closeAfter(server.limits.idleTimeoutMilliseconds)
+        val writeTimeout = if (written) 0 else GracefulClose.WRITE_TIMEOUT_MILLISECONDS
+        if (idle) gracefulClose.closeAfter(server.limits.idleTimeoutMilliseconds + writeTimeout)
     }
 
     /** Answers the requests that wait, up to the first whose response takes time. */
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/GracefulClose.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/GracefulClose.kt
@@ -48,11 +48,11 @@
         timer.cancel()
     }
 
-    private companion object {
+    companion object {
         /** How long a connection waits for the caller to read the rest of its response. */
         const val WRITE_TIMEOUT_MILLISECONDS = 30_000L
 
         /** How long a half-closed connection waits for the caller to close its side. */
-        const val LINGER_TIMEOUT_MILLISECONDS = 1_000L
+        private const val LINGER_TIMEOUT_MILLISECONDS = 1_000L
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/ResponseWriter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/ResponseWriter.kt
@@ -90,10 +90,12 @@
         }
         val closeAfterwards = announcedClose || closesConnection()
         val written = channel.writeAndFlush(last)
-        if (closeAfterwards) {
-            written.addListener(ChannelFutureListener { connection.gracefulClose.close() })
-        }
-        connection.onResponseWritten(closes = closeAfterwards)
+        connection.onResponseEnded(closes = closeAfterwards)
+        written.addListener(
+            ChannelFutureListener {
+                if (closeAfterwards) connection.gracefulClose.close() else connection.restartIdleTimeout()
+            },
+        )
     }
 
     private fun closesConnection(): Boolean = !keepAlive || connection.closesAfterResponse || !supportsChunked
--- a/relay/src/test/kotlin/org/quetzalloom/relay/KeptConnectionsTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/KeptConnectionsTest.kt
@@ -71,8 +71,32 @@
         }
     }
 
+    @Test
+    fun `a caller that took longer than the idle timeout to read a response can use its connection again`() {
+        val large: (ScriptedRequest) -> Unit =
+            { it.respond("200 OK", mapOf("Id" to it.headers.getValue("id")), "x".repeat(BODY_BYTES)) }
+        TestRelay(large).use { relay ->
+            relay.changeIdleTimeout(version = 2, idleTimeoutMilliseconds = 300)
+            relay.connectWithBuffer(RECEIVE_BUFFER_BYTES).use { caller ->
+                caller.send(get("a").repeat(RESPONSES))
+                Thread.sleep(800)
+                repeat(RESPONSES) {
+                    caller.readUntil("\r\n\r\n")
+                    caller.readBytes(BODY_BYTES)
+                }
+                assertTrue(caller.send(get("b")).readUntil("\r\n\r\n").startsWith("HTTP/1.1 200"))
+            }
+        }
+    }
+
     private companion object {
         /** Within the second line of the head. */
         const val HEAD_PART = 27
+        const val RECEIVE_BUFFER_BYTES = 16_384
+
+        const val BODY_BYTES = 3_000_000
+
+        /** More in total than the buffers of a loopback connection hold. */
+        const val RESPONSES = 4
     }
 }
--- a/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
@@ -146,6 +146,9 @@
         /** Reads until the relay closes the connection, and returns the input. */
         fun readAll(): String = socket.getInputStream().readAllBytes().toString(Charsets.ISO_8859_1)
 
+        /** Reads [count] bytes, or fewer if the connection ends before, and returns them. */
+        fun readBytes(count: Int): ByteArray = socket.getInputStream().readNBytes(count)
+
         /** Reads until the input contains [text], and returns the input. */
         fun readUntil(text: String): String {
             val read = StringBuilder()
