Reset requests that cross the close of an idle connection

Callers whose request crossed the close of an idle connection, after an idle timeout or in a graceful stop, couldn't tell whether it was lost: the connection was only half-closed at first, and for up to a second whole requests were read and discarded. A caller may repeat a request that may not run twice only if nothing of it was read.

A connection whose response is still being written is not closed by a graceful stop before that has been written.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
@@ -22,9 +22,9 @@
     private val mayAnswer: Boolean get() = active == null && !lastResponseWritten && !gracefulClose.closing
 
     /** Whether the connection has no request, neither in flight nor waiting nor partly received. */
-    val idle: Boolean get() = active == null && !receiving && waiting.isEmpty()
+    private val idle: Boolean get() = active == null && !receiving && waiting.isEmpty()
 
-    /** Closes this connection gracefully, at once or after an idle timeout. */
+    /** Closes this connection after a response or after an idle timeout. */
     lateinit var gracefulClose: GracefulClose
         private set
 
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
@@ -79,7 +79,7 @@
     fun drain(group: EventLoopGroup, idleCloseDelayMilliseconds: Long) {
         draining = true
         group.schedule(
-            { connections.filter { it.idle }.forEach { it.gracefulClose.closeAfter(milliseconds = 0) } },
+            { connections.filter { it.done }.forEach { it.gracefulClose.closeAfter(milliseconds = 0) } },
             idleCloseDelayMilliseconds,
             TimeUnit.MILLISECONDS,
         )
--- a/relay/src/test/kotlin/org/quetzalloom/relay/KeptConnectionsTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/KeptConnectionsTest.kt
@@ -1,7 +1,10 @@
 package org.quetzalloom.relay
 
 import org.quetzalloom.standins.scripted.ScriptedRequest
+import java.net.SocketException
 import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
 import kotlin.test.assertTrue
 
 /** Connections were closed that callers could still use, and what arrived on them was discarded without an answer. */
@@ -71,6 +74,23 @@
         }
     }
 
+    @Test
+    fun `a request that crosses the close of an idle connection is reset, not read and discarded`() {
+        TestRelay(echo).use { relay ->
+            relay.changeIdleTimeout(version = 2, idleTimeoutMilliseconds = 200)
+            relay.connect().use { caller ->
+                caller.send(get("a")).readUntil("for a")
+                assertEquals("", caller.readAll())
+                assertFailsWith<SocketException> {
+                    repeat(2) {
+                        caller.send(get("b"))
+                        Thread.sleep(200)
+                    }
+                }
+            }
+        }
+    }
+
     @Test
     fun `a caller that took longer than the idle timeout to read a response can use its connection again`() {
         val large: (ScriptedRequest) -> Unit =
