Answer requests that are arriving when a response ends during a stop

Callers that had sent a part of a request behind another one got no answer to it if a graceful stop was requested meanwhile: the response before it announced the close of the connection and ended it, and the rest was discarded.

A response announces the close only if no request behind it has begun to arrive; the response to that one does.

The test in PipelinedRequestsTest failed before (1 of 1: the input ended without the second response) and passes now.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
@@ -33,8 +33,8 @@
     /** Whether no request is being received or answered, and nothing waits to be written. */
     val done: Boolean get() = written && (idle || gracefulClose.closing)
 
-    /** Whether the connection is to be closed after the current response: unless a request behind it waits. */
-    val closesAfterResponse: Boolean get() = waiting.isEmpty() && (server.draining || rejecting)
+    /** Whether the connection is to be closed after the current response: unless a request behind it has begun. */
+    val closesAfterResponse: Boolean get() = waiting.isEmpty() && !receiving && (server.draining || rejecting)
 
     override fun channelActive(context: ChannelHandlerContext) {
         this.context = context
--- a/relay/src/test/kotlin/org/quetzalloom/relay/PipelinedRequestsTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/PipelinedRequestsTest.kt
@@ -53,6 +53,20 @@
         }
     }
 
+    @Test
+    fun `a request that was arriving when the response before it ended during a graceful stop is answered`() {
+        TestRelay(slowEcho).use { relay ->
+            relay.connect().use { caller ->
+                val post = "POST /look/1 HTTP/1.1\r\nHost: app\r\nId: b\r\nContent-Length: 2\r\n\r\nok"
+                caller.send(get("a"))
+                relay.requestStop()
+                Thread.sleep(RESPONSE_MILLISECONDS / 4)
+                caller.send(post.dropLast(1)).readUntil("for a;")
+                assertTrue("for b;" in caller.send(post.takeLast(1)).readAll())
+            }
+        }
+    }
+
     private companion object {
         const val RESPONSE_MILLISECONDS = 100L
     }
