Don't half-close connections whose stream ended during a stop

Callers that sent a request right after a stream got no answer to it if a graceful stop was requested during the stream: its head had not announced a close, but the connection was half-closed at its end, and the request was read and discarded.

Such a connection is now closed like an idle one: what has arrived by then is answered, and what arrives later is reset without having been read. Responses that are not streams announce the close as before.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
@@ -99,10 +99,14 @@
         restartIdleTimeout()
     }
 
-    /** Starts the idle timeout anew if the connection is idle. Until the response is written, it is longer. */
+    /**
+     * Starts the idle timeout anew if the connection is idle. Until the response has been written, it is longer by the
+     * write timeout. It is 0 during a graceful stop, for a response that could not announce the close any more.
+     */
     fun restartIdleTimeout() {
+        val idleTimeout = if (server.draining) 0 else server.limits.idleTimeoutMilliseconds
         val writeTimeout = if (written) 0 else GracefulClose.WRITE_TIMEOUT_MILLISECONDS
-        if (idle) gracefulClose.closeAfter(server.limits.idleTimeoutMilliseconds + writeTimeout)
+        if (idle) gracefulClose.closeAfter(idleTimeout + writeTimeout)
     }
 
     /** Answers the requests that wait, up to the first whose response takes time. */
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
@@ -35,7 +35,7 @@
         set(value) {
             val extended = value.idleTimeoutMilliseconds > field.idleTimeoutMilliseconds
             field = value
-            if (extended) connections.toList().forEach { it.restartIdleTimeout() }
+            if (extended && !draining) connections.toList().forEach { it.restartIdleTimeout() }
         }
 
     /** Whether each connection is closed after its current or next response. */
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/ResponseWriter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/ResponseWriter.kt
@@ -85,15 +85,15 @@
     }
 
     private fun end(last: LastHttpContent) {
-        if (last is DefaultFullHttpResponse && closesConnection()) {
-            last.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        if (last is DefaultFullHttpResponse) {
+            announcedClose = closesConnection()
+            if (announcedClose) last.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         }
-        val closeAfterwards = announcedClose || closesConnection()
         val written = channel.writeAndFlush(last)
-        connection.onResponseEnded(closes = closeAfterwards)
+        connection.onResponseEnded(closes = announcedClose)
         written.addListener(
             ChannelFutureListener {
-                if (closeAfterwards) connection.gracefulClose.close() else connection.restartIdleTimeout()
+                if (announcedClose) connection.gracefulClose.close() else connection.restartIdleTimeout()
             },
         )
     }
--- a/relay/src/test/kotlin/org/quetzalloom/relay/GracefulStopTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/GracefulStopTest.kt
@@ -1,9 +1,12 @@
 package org.quetzalloom.relay
 
+import org.quetzalloom.standins.scripted.ScriptedRequest
+import java.net.SocketException
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 
@@ -62,6 +65,31 @@
         }
     }
 
+    @Test
+    fun `a request that is sent right after a stream during which the stop began is answered or reset`() {
+        val stream: (ScriptedRequest) -> Unit = {
+            it.write("HTTP/1.1 200 OK\r\nId: a\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+            it.writeChunk("id: 1\ndata: x\n\n")
+            Thread.sleep(RESPONSES_MILLISECONDS)
+            it.write("0\r\n\r\n")
+        }
+        TestRelay(stream).use { relay ->
+            relay.connect().use { caller ->
+                val request = "POST /draft/1 HTTP/1.1\r\nHost: app\r\nId: a\r\n\r\n"
+                caller.send(request).readUntil("data: x")
+                relay.requestStop()
+                caller.readUntil("\r\n0\r\n\r\n")
+                val answered = runCatching { "HTTP/1.1 200" in caller.send(request).readAll() }.getOrDefault(false)
+                if (!answered) assertFailsWith<SocketException> { repeat(2) { caller.sendSlowly(request) } }
+            }
+        }
+    }
+
+    private fun TestRelay.CallerSocket.sendSlowly(text: String) {
+        send(text)
+        Thread.sleep(RESPONSES_MILLISECONDS / 5)
+    }
+
     private companion object {
         const val BODY_BYTES = 3_000_000
 
