--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
@@ -22,21 +22,19 @@
     private val mayAnswer: Boolean get() = active == null && !lastResponseWritten && !gracefulClose.closing
 
     /** Whether the connection has no request, neither in flight nor waiting nor partly received. */
-    val idle: Boolean get() = active == null && !receiving && waiting.isEmpty()
+    private val idle: Boolean get() = active == null && !receiving && waiting.isEmpty()
 
-    /** Closes this connection gracefully, at once or after an idle timeout. */
+    /** Closes this connection after a response or after an idle timeout. */
     lateinit var gracefulClose: GracefulClose
         private set
 
+    private val written: Boolean get() = context.channel().unsafe().outboundBuffer()?.isEmpty ?: true
+
     /** Whether no request is being received or answered, and nothing waits to be written. */
-    val done: Boolean
-        get() {
-            val written = context.channel().unsafe().outboundBuffer()?.let { it.totalPendingWriteBytes() == 0L } ?: true
-            return written && (idle || gracefulClose.closing)
-        }
+    val done: Boolean get() = written && (idle || gracefulClose.closing)
 
-    /** Whether the connection is to be closed after the current response: unless a request behind it waits. */
-    val closesAfterResponse: Boolean get() = waiting.isEmpty() && (server.draining || rejecting)
+    /** Whether the connection is to be closed after the current response: unless a request behind it has begun. */
+    val closesAfterResponse: Boolean get() = waiting.isEmpty() && !receiving && (server.draining || rejecting)
 
     override fun channelActive(context: ChannelHandlerContext) {
         this.context = context
@@ -93,7 +91,7 @@
      *
      * @param closes whether the connection is about to be closed.
      */
-    fun onResponseWritten(closes: Boolean) {
+    fun onResponseEnded(closes: Boolean) {
         active = null
         lastResponseWritten = closes
         if (closes || gracefulClose.closing) return
@@ -101,9 +99,14 @@
         restartIdleTimeout()
     }
 
-    /** Starts the idle timeout anew if the connection is idle. */
+    /**
+     * Starts the idle timeout anew if the connection is idle. Until the response has been written, it is longer by the
+     * write timeout. It is 0 during a graceful stop, for a response that could not announce the close any more.
+     */
     fun restartIdleTimeout() {
-        if (idle) gracefulClose.closeAfter(server.limits.idleTimeoutMilliseconds)
+        val idleTimeout = if (server.draining) 0 else server.limits.idleTimeoutMilliseconds
+        val writeTimeout = if (written) 0 else GracefulClose.WRITE_TIMEOUT_MILLISECONDS
+        if (idle) gracefulClose.closeAfter(idleTimeout + writeTimeout)
     }
 
     /** Answers the requests that wait, up to the first whose response takes time. */
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
@@ -35,7 +35,7 @@
         set(value) {
             val extended = value.idleTimeoutMilliseconds > field.idleTimeoutMilliseconds
             field = value
-            if (extended) connections.toList().forEach { it.restartIdleTimeout() }
+            if (extended && !draining) connections.toList().forEach { it.restartIdleTimeout() }
         }
 
     /** Whether each connection is closed after its current or next response. */
@@ -79,7 +79,7 @@
     fun drain(group: EventLoopGroup, idleCloseDelayMilliseconds: Long) {
         draining = true
         group.schedule(
-            { connections.filter { it.idle }.forEach { it.gracefulClose.close() } },
+            { connections.filter { it.done }.forEach { it.gracefulClose.closeAfter(milliseconds = 0) } },
             idleCloseDelayMilliseconds,
             TimeUnit.MILLISECONDS,
         )
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/GracefulClose.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/GracefulClose.kt
@@ -8,7 +8,8 @@
 /**
  * Closes the connection of [channel] without losing response bytes that the caller has not read yet.
  *
- * The connection is half-closed first: closing it with unread input would reset it, and a reset discards such bytes.
+ * After a response that announced it, the connection is half-closed first: closing it with unread input would reset it,
+ * and a reset discards such bytes.
  */
 internal class GracefulClose(private val channel: Channel) {
     private val timer = RestartableTimer(channel.eventLoop())
@@ -17,12 +18,18 @@
     var closing = false
         private set
 
-    /** Schedules [close] after [milliseconds], in place of any earlier schedule. */
+    /**
+     * Schedules the close of an idle connection after [milliseconds], in place of any earlier schedule.
+     *
+     * After a pause of the process, timers may be handled before the input that has arrived meanwhile. So there is a
+     * short time in which that input is read, and may [cancel] the schedule. Then the connection is closed completely:
+     * the caller of a request that arrives later sees a reset, and knows that nothing of it was read.
+     */
     fun closeAfter(milliseconds: Long) {
-        if (!closing) timer.restart(milliseconds) { close() }
+        if (!closing) timer.restart(milliseconds) { timer.restart(READ_MILLISECONDS) { channel.close() } }
     }
 
-    /** Cancels a scheduled [close]. Has no effect once closing has begun. */
+    /** Cancels a scheduled close. Has no effect once closing has begun. */
     fun cancel() {
         if (!closing) timer.cancel()
     }
@@ -48,11 +55,14 @@
         timer.cancel()
     }
 
-    private companion object {
+    companion object {
         /** How long a connection waits for the caller to read the rest of its response. */
         const val WRITE_TIMEOUT_MILLISECONDS = 30_000L
 
+        /** The time in which input that has arrived is read. */
+        private const val READ_MILLISECONDS = 10L
+
         /** How long a half-closed connection waits for the caller to close its side. */
-        const val LINGER_TIMEOUT_MILLISECONDS = 1_000L
+        private const val LINGER_TIMEOUT_MILLISECONDS = 1_000L
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/ResponseWriter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/ResponseWriter.kt
@@ -85,15 +85,17 @@
     }
 
     private fun end(last: LastHttpContent) {
-        if (last is DefaultFullHttpResponse && closesConnection()) {
-            last.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        if (last is DefaultFullHttpResponse) {
+            announcedClose = closesConnection()
+            if (announcedClose) last.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         }
-        val closeAfterwards = announcedClose || closesConnection()
         val written = channel.writeAndFlush(last)
-        if (closeAfterwards) {
-            written.addListener(ChannelFutureListener { connection.gracefulClose.close() })
-        }
-        connection.onResponseWritten(closes = closeAfterwards)
+        connection.onResponseEnded(closes = announcedClose)
+        written.addListener(
+            ChannelFutureListener {
+                if (announcedClose) connection.gracefulClose.close() else connection.restartIdleTimeout()
+            },
+        )
     }
 
     private fun closesConnection(): Boolean = !keepAlive || connection.closesAfterResponse || !supportsChunked
