End a stream whose event ids do not increase

Callers got events twice or out of order: a server that began its stream again within one response (ids 1, 2, 1, 3) was forwarded as it was, and the stream ended as complete.

Cause: ids were compared only for the first event of a resumed response. The events after it, and all events of a first response, were taken as one block in which only the last id was read.

Each event is now compared with the last id before it, by the rule that applied to resumed streams. The correct events before the wrong one are forwarded, none after it is, and the attempt ends with BAD_ANSWER, so that the stream resumes after the last forwarded id, or is aborted. Each received byte is searched for the end of an event once, also in a long line.

An id is decoded as ISO 8859-1, as header values are, so that Last-Event-Id has the bytes that the server sent. An empty id counts as none. An empty line is recognized beside lines of the other line end, and a run of line breaks no longer counts as events.

SlowCallerTest sent up to 45 events that all had the id 1, which a sound server does not: its stream was ended as invalid (2 requests instead of 1), and its other case would have passed without filling the buffers. Its events now have the ids 1, 2, 3 and so on; its checks are unchanged.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
@@ -28,9 +28,6 @@
     private var buffered: BufferedResponse? = null
     private var complete = false
     private var forwarding = false
-
-    /** Whether the caller has received the first part of a stream, and no event of this response yet. */
-    private var resuming = false
     private val stallTimer = StallTimer(executor) { listener.attemptStalled(this, buffered?.lastEventId) }
 
     /**
@@ -62,7 +59,9 @@
 
     /** Handles the head of the response. Restarts the idle timeout. */
     fun onHead(head: HttpResponse) {
-        val response = BufferedResponse(head, mayStream = parameters.streaming, memory)
+        val resuming = exchange.response.headWritten
+        val splitter = EventSplitter(parameters.lastEventId.takeIf { resuming }, requiresId = resuming)
+        val response = BufferedResponse(head, mayStream = parameters.streaming, splitter, memory)
         buffered = response
         stallTimer.restart(parameters.idleTimeoutMilliseconds)
         if (response.isStream) listener.responseStarted(this, head)
@@ -107,15 +106,15 @@
 
     /**
      * Forwards the response to the caller: what is buffered at once, and the rest of a stream as it arrives. If the
-     * caller has received the first part of a stream, a response that does not continue it fails the attempt.
+     * caller has received the first part of a stream, a response that does not continue it fails the attempt. So does
+     * an event that cannot belong to the stream.
      */
     fun forward() {
         val response = buffered
         if (ended || response == null) return
         forwarding = true
-        resuming = exchange.response.headWritten
         val mayContinue = response.isEventStream && parameters.lastEventId != null
-        if (resuming && !mayContinue) return abandon(AttemptFailure.BAD_ANSWER)
+        if (exchange.response.headWritten && !mayContinue) return abandon(AttemptFailure.BAD_ANSWER)
         if (response.isStream) forwardAvailable(response)
         if (complete && !ended) finish(response)
     }
@@ -130,20 +129,16 @@
         if (failure == null) end() else onFailure(failure)
     }
 
-    /** Forwards what can be forwarded now. Returns whether that is anything. */
+    /** Forwards what can be forwarded now. Returns whether that is anything, and the attempt goes on. */
     private fun forwardAvailable(response: BufferedResponse): Boolean {
-        if (resuming && !response.follows(parameters.lastEventId.orEmpty())) {
-            abandon(AttemptFailure.BAD_ANSWER)
-            return false
-        }
         val before = response.eventCount
         val anything = response.forwardAvailable(exchange.response)
-        resuming = resuming && response.lastEventId == null
         val progressed = before < RelayEvent.ResponseProgressed.EVENTS
         if (progressed && response.eventCount >= RelayEvent.ResponseProgressed.EVENTS) {
             listener.responseProgressed(this, response.eventCount)
         }
-        return anything
+        if (response.foundInvalidEvent) abandon(AttemptFailure.BAD_ANSWER)
+        return anything && !ended
     }
 
     private fun finish(response: BufferedResponse) {
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BufferedResponse.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BufferedResponse.kt
@@ -12,11 +12,16 @@
  * A response that is being read, with the part of its body that has not been forwarded.
  *
  * @param mayStream whether a successful response is forwarded as it arrives.
+ * @param splitter takes the events from the body if it is a series of them.
  * @param memory counts the memory that the response takes until it is released.
  */
-internal class BufferedResponse(val head: HttpResponse, mayStream: Boolean, private val memory: ResponseMemory) {
+internal class BufferedResponse(
+    val head: HttpResponse,
+    mayStream: Boolean,
+    private val splitter: EventSplitter,
+    private val memory: ResponseMemory,
+) {
     private val bytes: ByteBuf = Unpooled.buffer(INITIAL_CAPACITY_BYTES)
-    private val splitter = EventSplitter()
 
     /** The memory that the response takes. */
     var memoryBytes: Int = 0
@@ -38,8 +43,8 @@
     /** Whether the buffered bytes end with a part of an event. At the end of the response that event has been lost. */
     val endsInsideEvent: Boolean get() = isEventStream && splitter.endsInsideEvent(bytes)
 
-    /** Returns whether the next event to forward has an id after [lastId]; also if it has not been received. */
-    fun follows(lastId: String): Boolean = splitter.follows(lastId, bytes)
+    /** Whether the event after the last forwarded one is complete, and cannot belong to the stream. */
+    val foundInvalidEvent: Boolean get() = splitter.foundInvalidEvent
 
     /** The number of events that have been forwarded; 0 if the response is not an event stream. */
     val eventCount: Int get() = splitter.eventCount
@@ -55,8 +60,9 @@
 
     /**
      * Writes what can be forwarded now: the buffered body, after the head unless that has been written. An event stream
-     * is forwarded up to its last complete event. The head is written together with the first bytes of the body, so
-     * that a response that fails before them can still be replaced. Returns whether anything was written.
+     * is forwarded up to its last complete event, or up to an invalid one. The head is written together with the first
+     * bytes of the body, so that a response that fails before them can still be replaced. Returns whether anything was
+     * written.
      */
     fun forwardAvailable(response: ResponseWriter): Boolean {
         val available =
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/EventSplitter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/EventSplitter.kt
@@ -3,8 +3,17 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 
-/** Takes complete events from a `text/event-stream` body, and tracks the id of the last one. */
-internal class EventSplitter {
+/**
+ * Takes complete events from a `text/event-stream` body up to the first invalid one, and tracks the id of the last one.
+ *
+ * The ids of a stream increase: numbers are compared, and any other id only has to differ from the one before.
+ *
+ * @param previousId the id of the event after which the stream continues, or `null` if it begins anew.
+ * @param requiresId whether the first event must have an id, because the caller has received the events before it.
+ */
+internal class EventSplitter(private var previousId: String? = null, private var requiresId: Boolean = false) {
+    private val search = EventEndSearch()
+
     /** The id of the last taken event that had one, or `null`. */
     var lastEventId: String? = null
         private set
@@ -13,58 +22,59 @@
     var eventCount: Int = 0
         private set
 
-    /** The number of bytes, from the first one on, that are known to hold no end of an event. */
-    private var searchedBytes = 0
+    /** Whether the event after the last taken one is complete, and cannot belong to the stream. */
+    var foundInvalidEvent: Boolean = false
+        private set
 
-    /** Removes all complete events from [bytes] and returns them; may be empty. The rest is the start of an event. */
+    /**
+     * Removes all complete events from [bytes] and returns them; may be empty. The rest is the start of an event, or
+     * starts with an invalid one.
+     */
     fun takeCompleteEvents(bytes: ByteBuf): ByteBuf {
-        val length = completeLength(bytes)
-        searchedBytes = bytes.readableBytes() - length
-        if (length == 0) return Unpooled.EMPTY_BUFFER
-        val events = bytes.readBytes(length)
-        val lines = events.toString(Charsets.UTF_8).lines()
-        lastEventId = lastIdOrNull(lines) ?: lastEventId
-        // The text after the last delimiter is an empty line too.
-        eventCount += lines.count { it.isEmpty() } - 1
-        return events
+        val start = bytes.readerIndex()
+        var end = start
+        while (!foundInvalidEvent) {
+            val next = search.endOrNull(bytes, end) ?: break
+            val event = StreamEvent(bytes.toString(end, next - end, Charsets.ISO_8859_1))
+            if (isNext(event)) {
+                record(event)
+                end = next
+            } else {
+                foundInvalidEvent = true
+            }
+        }
+        return if (end == start) Unpooled.EMPTY_BUFFER else bytes.readBytes(end - start)
+    }
+
+    /** Returns whether [bytes] end with a part of an event. Line breaks after the last event are no part of one. */
+    fun endsInsideEvent(bytes: ByteBuf): Boolean {
+        val text = bytes.toString(Charsets.ISO_8859_1)
+        val lineBreaks = text.takeLastWhile { it == '\n' || it == '\r' }
+        return lineBreaks.length < text.length && lineBreaks.count { it == '\n' } < LINE_BREAKS_AFTER_EVENT
     }
 
-    /** Returns whether the first complete event in [bytes] has an id after [lastId]; also if there is none yet. */
-    fun follows(lastId: String, bytes: ByteBuf): Boolean {
-        val lines = bytes.toString(bytes.readerIndex(), completeLength(bytes), Charsets.UTF_8).lines()
-        val firstEvent = lines.dropWhile { it.isEmpty() || it.startsWith(COMMENT) }.takeWhile { it.isNotEmpty() }
-        val id = lastIdOrNull(firstEvent)
-        return firstEvent.isEmpty() || id != null && isAfter(id, lastId)
+    private fun isNext(event: StreamEvent): Boolean {
+        val id = event.id ?: return !requiresId || !event.hasContent
+        return previousId?.let { isAfter(id, it) } ?: true
     }
 
-    /** Numbers are compared; any other id is taken to be later unless it is the same. */
     private fun isAfter(id: String, lastId: String): Boolean {
         val number = id.toLongOrNull()
         val lastNumber = lastId.toLongOrNull()
         return if (number != null && lastNumber != null) number > lastNumber else id != lastId
     }
 
-    /** Returns whether [bytes] end with a part of an event. Line breaks after the last event are no part of one. */
-    fun endsInsideEvent(bytes: ByteBuf): Boolean =
-        bytes.toString(Charsets.ISO_8859_1).drop(completeLength(bytes)).any { it != '\n' && it != '\r' }
-
-    private fun completeLength(bytes: ByteBuf): Int {
-        val start = (searchedBytes - LONGEST_DELIMITER_BYTES).coerceAtLeast(0)
-        val text = bytes.toString(bytes.readerIndex() + start, bytes.readableBytes() - start, Charsets.ISO_8859_1)
-        val positions =
-            EVENT_DELIMITERS.map { text.lastIndexOf(it).let { at -> if (at < 0) 0 else start + at + it.length } }
-        return positions.max()
+    private fun record(event: StreamEvent) {
+        if (event.hasLines) eventCount++
+        event.id?.let {
+            lastEventId = it
+            previousId = it
+            requiresId = false
+        }
     }
 
-    private fun lastIdOrNull(lines: List<String>): String? = lines
-        .filter { it.startsWith(ID_FIELD) }
-        .map { it.removePrefix(ID_FIELD).trim() }
-        .lastOrNull()
-
     private companion object {
-        const val ID_FIELD = "id:"
-        const val COMMENT = ":"
-        const val LONGEST_DELIMITER_BYTES = 4
-        val EVENT_DELIMITERS = listOf("\n\n", "\r\n\r\n")
+        /** The end of the last line, and the empty line. */
+        const val LINE_BREAKS_AFTER_EVENT = 2
     }
 }
--- a/relay/src/test/kotlin/org/quetzalloom/relay/SlowCallerTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/SlowCallerTest.kt
@@ -9,7 +9,8 @@
 class SlowCallerTest {
     private val draft = "POST /draft/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nConnection: close\r\n\r\n"
     private val get = "GET /look/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nConnection: close\r\n\r\n"
-    private val largeEvent = "id: 1\ndata: ${"x".repeat(EVENT_BYTES)}\n\n"
+
+    private fun largeEvent(id: Int) = "id: $id\ndata: ${"x".repeat(EVENT_BYTES)}\n\n"
 
     private fun ScriptedRequest.startStream() = write(
         "HTTP/1.1 200 OK\r\nId: a\r\nContent-Type: text/event-stream\r\nKeep-Alive: timeout=5\r\n" +
@@ -18,8 +19,10 @@
 
     private fun ScriptedRequest.streamLargeEvents() {
         startStream()
-        repeat(requestLine.substringAfter("/draft/").substringBefore(' ').toInt() - 1) { writeChunk(largeEvent) }
-        write("${largeEvent.length.toString(radix = 16)}\r\n$largeEvent\r\n0\r\n\r\n")
+        val count = requestLine.substringAfter("/draft/").substringBefore(' ').toInt()
+        (1 until count).forEach { writeChunk(largeEvent(it)) }
+        val last = largeEvent(count)
+        write("${last.length.toString(radix = 16)}\r\n$last\r\n0\r\n\r\n")
     }
 
     private val serve: (ScriptedRequest) -> Unit = { request ->
--- a/relay/src/test/kotlin/org/quetzalloom/relay/backend/EventSplitterTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/backend/EventSplitterTest.kt
@@ -3,19 +3,66 @@
 import io.netty.buffer.Unpooled
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
 
-/** Tests that events are taken and counted once they are complete. */
+/** Tests that events are taken and counted once they are complete, up to the first that cannot follow. */
 class EventSplitterTest {
+    private val bytes = Unpooled.buffer()
+
+    private fun EventSplitter.take(text: String): String {
+        bytes.writeCharSequence(text, Charsets.ISO_8859_1)
+        val taken = takeCompleteEvents(bytes)
+        return taken.toString(Charsets.ISO_8859_1).also { taken.release() }
+    }
+
     @Test
     fun `complete events are counted, and an incomplete one is left`() {
         val splitter = EventSplitter()
-        val bytes = Unpooled.buffer()
         val counts = listOf("id: 1\ndata: a\n", "\nid: 2\ndata: b\n\nid: 3\n\n", "data: c", "\r\n\r\n").map {
-            bytes.writeCharSequence(it, Charsets.UTF_8)
-            splitter.takeCompleteEvents(bytes).release()
+            splitter.take(it)
             splitter.eventCount
         }
         assertEquals(listOf(0, 3, 3, 4), counts)
         assertEquals("3", splitter.lastEventId)
     }
+
+    @Test
+    fun `events that are received byte by byte are taken at their ends`() {
+        val events = listOf("id: 1\ndata: a\n\n", "id: 2\r\ndata: b\r\n\r\n", ":\n\r\n", "\n", "data: c\n\n")
+        val splitter = EventSplitter()
+        val taken = events.joinToString("").map { splitter.take(it.toString()) }.filter { it.isNotEmpty() }
+        assertEquals(events, taken)
+        assertEquals(4, splitter.eventCount)
+    }
+
+    @Test
+    fun `events are taken up to one whose id does not follow, and none after it`() {
+        val splitter = EventSplitter()
+        assertEquals("id: 9\n\nid: 10\n\n", splitter.take("id: 9\n\nid: 10\n\nid: 9\n\nid: 11\n\n"))
+        assertTrue(splitter.foundInvalidEvent)
+        assertEquals("", splitter.take("id: 12\n\n"))
+        assertEquals("10", splitter.lastEventId)
+        assertEquals(2, splitter.eventCount)
+    }
+
+    @Test
+    fun `a stream that continues must have an id in its first event, but not in comments and retry times`() {
+        val begin = ": comment\n\nretry: 5\n\n\n"
+        val sound = EventSplitter("7", requiresId = true)
+        assertEquals("${begin}id: 8\n\ndata: x\n\n", sound.take("${begin}id: 8\n\ndata: x\n\n"))
+        val withoutId = EventSplitter("7", requiresId = true)
+        assertEquals(begin, withoutId.take("${begin}data: x\n\nid: 8\n\n"))
+        assertTrue(withoutId.foundInvalidEvent)
+        assertEquals(null, withoutId.lastEventId)
+    }
+
+    @Test
+    fun `the end of a body is inside an event unless an empty line was received after its last line`() {
+        val complete = listOf("", "\n", "\r\n", "data: a\n\n", "data: a\r\n\r\n", "data: a\n\r\n\n", "a\n\nb\n\n\n")
+        val incomplete = listOf("d", "data: a", "data: a\n", "data: a\r\n", "data: a\n\nid", "a\n\nb\r\n")
+        fun endsInside(text: String) = EventSplitter().endsInsideEvent(Unpooled.copiedBuffer(text, Charsets.UTF_8))
+        complete.forEach { assertFalse(endsInside(it), it) }
+        incomplete.forEach { assertTrue(endsInside(it), it) }
+    }
 }
