Forward no event that contains the head of another response

Callers got the head of a second response as an event of their stream (`HTTP/1.1 200 OK`, `Date: ...`, `Id: ...`), and the body of that response after it; a stream without a length then ended as complete.

Cause: a server wrote a part of a stream and then another response on the same connection. The rest of a chunk, of a length or of a body that ends with its connection took the second response, whose head ends with an empty line as an event does. Events were split at empty lines, and their lines were never read.

A line of an event is a comment or a field. Field names have only lower-case letters, digits, '-', '_' and '.', which no status line and few headers share. A data line may quote a status line; the event is invalid only if headers that name a request follow, which finds a joint inside a data line also where header names are in lower case. The wrong event ends the attempt as ids that go back do: it is not forwarded, and the stream resumes after the event before it, or is aborted.

An attempt now takes the effect that asks for it, in place of its parts.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
@@ -98,7 +98,7 @@
 
     private fun send(effect: RelayEffect.Send) {
         val exchange = exchanges.getOrNull(effect.exchange) ?: return
-        val call = BackendCall(exchange, effect.attempt, effect.parameters, this, responseMemory, executor)
+        val call = BackendCall(exchange, effect, codec, this, responseMemory, executor)
         exchange.call = call
         pool.send(call)
     }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
@@ -3,10 +3,12 @@
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.util.concurrent.EventExecutor
+import org.quetzalloom.core.relay.RelayEffect
 import org.quetzalloom.core.relay.RelayEvent
 import org.quetzalloom.core.relay.exchange.AttemptFailure
 import org.quetzalloom.core.relay.exchange.SendParameters
 import org.quetzalloom.relay.caller.CallerExchange
+import org.quetzalloom.relay.http.MessageCodec
 
 /**
  * One attempt to serve a request at one backend server. Confined to the event loop's thread.
@@ -14,16 +16,22 @@
  * The response is buffered until [forward] is called. [listener] is asked for that decision when the head of a
  * successful stream has arrived, and when any other response is complete.
  *
- * @property number the number of the attempt within its exchange, starting at 1.
+ * @param effect asks for the attempt.
+ * @param codec tells the headers of a response inside an event from other lines.
  */
 internal class BackendCall(
     val exchange: CallerExchange,
-    val number: Int,
-    val parameters: SendParameters,
+    private val effect: RelayEffect.Send,
+    private val codec: MessageCodec,
     private val listener: BackendCallListener,
     private val memory: ResponseMemory,
     executor: EventExecutor,
 ) {
+    /** The number of the attempt within its exchange, starting at 1. */
+    val number: Int get() = effect.attempt
+
+    /** Where and how the attempt is sent. */
+    val parameters: SendParameters get() = effect.parameters
     private var connection: BackendConnection? = null
     private var buffered: BufferedResponse? = null
     private var complete = false
@@ -60,7 +68,8 @@
     /** Handles the head of the response. Restarts the idle timeout. */
     fun onHead(head: HttpResponse) {
         val resuming = exchange.response.headWritten
-        val splitter = EventSplitter(parameters.lastEventId.takeIf { resuming }, requiresId = resuming)
+        val previousId = parameters.lastEventId.takeIf { resuming }
+        val splitter = EventSplitter(codec::nameRequest, previousId, requiresId = resuming)
         val response = BufferedResponse(head, mayStream = parameters.streaming, splitter, memory)
         buffered = response
         stallTimer.restart(parameters.idleTimeoutMilliseconds)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/EventSplitter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/EventSplitter.kt
@@ -2,17 +2,24 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.HttpHeaders
 
 /**
  * Takes complete events from a `text/event-stream` body up to the first invalid one, and tracks the id of the last one.
  *
  * The ids of a stream increase: numbers are compared, and any other id only has to differ from the one before.
  *
+ * @param nameRequest returns whether headers name a request, as those of a response do.
  * @param previousId the id of the event after which the stream continues, or `null` if it begins anew.
  * @param requiresId whether the first event must have an id, because the caller has received the events before it.
  */
-internal class EventSplitter(private var previousId: String? = null, private var requiresId: Boolean = false) {
+internal class EventSplitter(
+    private val nameRequest: (HttpHeaders) -> Boolean,
+    private var previousId: String? = null,
+    private var requiresId: Boolean = false,
+) {
     private val search = EventEndSearch()
+    private var atStart = true
 
     /** The id of the last taken event that had one, or `null`. */
     var lastEventId: String? = null
@@ -35,8 +42,9 @@
         var end = start
         while (!foundInvalidEvent) {
             val next = search.endOrNull(bytes, end) ?: break
-            val event = StreamEvent(bytes.toString(end, next - end, Charsets.ISO_8859_1))
-            if (isNext(event)) {
+            val text = bytes.toString(end, next - end, Charsets.ISO_8859_1)
+            val event = StreamEvent(if (atStart) text.removePrefix(BYTE_ORDER_MARK) else text)
+            if (event.isValid(nameRequest) && isNext(event)) {
                 record(event)
                 end = next
             } else {
@@ -65,6 +73,7 @@
     }
 
     private fun record(event: StreamEvent) {
+        atStart = false
         if (event.hasLines) eventCount++
         event.id?.let {
             lastEventId = it
@@ -76,5 +85,8 @@
     private companion object {
         /** The end of the last line, and the empty line. */
         const val LINE_BREAKS_AFTER_EVENT = 2
+
+        /** The mark in UTF-8, decoded as ISO 8859-1. */
+        const val BYTE_ORDER_MARK = "\u00EF\u00BB\u00BF"
     }
 }
--- a/relay/src/test/kotlin/org/quetzalloom/relay/backend/EventSplitterTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/backend/EventSplitterTest.kt
@@ -10,6 +10,9 @@
 class EventSplitterTest {
     private val bytes = Unpooled.buffer()
 
+    private fun eventSplitter(previousId: String? = null, requiresId: Boolean = false) =
+        EventSplitter({ it.contains("X-Request") }, previousId, requiresId)
+
     private fun EventSplitter.take(text: String): String {
         bytes.writeCharSequence(text, Charsets.ISO_8859_1)
         val taken = takeCompleteEvents(bytes)
@@ -18,7 +21,7 @@
 
     @Test
     fun `complete events are counted, and an incomplete one is left`() {
-        val splitter = EventSplitter()
+        val splitter = eventSplitter()
         val counts = listOf("id: 1\ndata: a\n", "\nid: 2\ndata: b\n\nid: 3\n\n", "data: c", "\r\n\r\n").map {
             splitter.take(it)
             splitter.eventCount
@@ -30,7 +33,7 @@
     @Test
     fun `events that are received byte by byte are taken at their ends`() {
         val events = listOf("id: 1\ndata: a\n\n", "id: 2\r\ndata: b\r\n\r\n", ":\n\r\n", "\n", "data: c\n\n")
-        val splitter = EventSplitter()
+        val splitter = eventSplitter()
         val taken = events.joinToString("").map { splitter.take(it.toString()) }.filter { it.isNotEmpty() }
         assertEquals(events, taken)
         assertEquals(4, splitter.eventCount)
@@ -38,7 +41,7 @@
 
     @Test
     fun `events are taken up to one whose id does not follow, and none after it`() {
-        val splitter = EventSplitter()
+        val splitter = eventSplitter()
         assertEquals("id: 9\n\nid: 10\n\n", splitter.take("id: 9\n\nid: 10\n\nid: 9\n\nid: 11\n\n"))
         assertTrue(splitter.foundInvalidEvent)
         assertEquals("", splitter.take("id: 12\n\n"))
@@ -49,19 +52,39 @@
     @Test
     fun `a stream that continues must have an id in its first event, but not in comments and retry times`() {
         val begin = ": comment\n\nretry: 5\n\n\n"
-        val sound = EventSplitter("7", requiresId = true)
+        val sound = eventSplitter("7", requiresId = true)
         assertEquals("${begin}id: 8\n\ndata: x\n\n", sound.take("${begin}id: 8\n\ndata: x\n\n"))
-        val withoutId = EventSplitter("7", requiresId = true)
+        val withoutId = eventSplitter("7", requiresId = true)
         assertEquals(begin, withoutId.take("${begin}data: x\n\nid: 8\n\n"))
         assertTrue(withoutId.foundInvalidEvent)
         assertEquals(null, withoutId.lastEventId)
     }
 
+    @Test
+    fun `a head inside an event is invalid also in lower case, but not a quoted status line`() {
+        val head = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 7\r\nx-request: a\r\n\r\n"
+        val joined = listOf(
+            head,
+            "data: on$head",
+            "data: on\n$head",
+            ": on$head",
+            "id: 1\ndata: HTTP/1.1 200 OK\n$head",
+        )
+        joined.forEach { text ->
+            val splitter = eventSplitter()
+            assertEquals("id: 1\n\n", splitter.take("id: 1\n\n$text"), text)
+            assertTrue(splitter.foundInvalidEvent, text)
+            bytes.clear()
+        }
+        val quoted = "data: ${head.trim().replace("\r\n", "\ndata: ")}\nid: 2\nx-weight-versions: 3\n\n"
+        assertEquals(quoted, eventSplitter().take(quoted))
+    }
+
     @Test
     fun `the end of a body is inside an event unless an empty line was received after its last line`() {
         val complete = listOf("", "\n", "\r\n", "data: a\n\n", "data: a\r\n\r\n", "data: a\n\r\n\n", "a\n\nb\n\n\n")
         val incomplete = listOf("d", "data: a", "data: a\n", "data: a\r\n", "data: a\n\nid", "a\n\nb\r\n")
-        fun endsInside(text: String) = EventSplitter().endsInsideEvent(Unpooled.copiedBuffer(text, Charsets.UTF_8))
+        fun endsInside(text: String) = eventSplitter().endsInsideEvent(Unpooled.copiedBuffer(text, Charsets.UTF_8))
         complete.forEach { assertFalse(endsInside(it), it) }
         incomplete.forEach { assertTrue(endsInside(it), it) }
     }
