Forward a stream that the caller resumes only from where it continues

A caller that resumed a stream by Last-Event-Id got the events up to that one again if the server began the stream anew.

Cause: the first event was compared with the id to continue after only if the router itself resumed the stream for its caller. In the first attempt of a request, the caller's own Last-Event-Id was passed on and not compared.

Events without an id still pass in the first attempt; they are refused before the first id only where the caller has received a part of this response.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
@@ -124,6 +124,7 @@
         model = exchange.modelName,
         lastEventId = exchange.lastEventId,
         streaming = route.streaming,
+        resumable = route.resumable,
         startTimeoutMilliseconds = startTimeoutOrNull(exchange, attempt),
         idleTimeoutMilliseconds = idleTimeoutOrNull(route),
         requiresLiveConnection = !route.mayRunAgain,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/SendParameters.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/SendParameters.kt
@@ -13,6 +13,7 @@
  * @property model the name of the model to ask, or `null` to forward what the caller asked for.
  * @property lastEventId the id of the last event that the caller has, or `null` to forward what the caller sent.
  * @property streaming whether the response is forwarded as it arrives; otherwise it is buffered until it is complete.
+ * @property resumable whether a stream continues after the event that [lastEventId] names.
  * @property startTimeoutMilliseconds the maximum time until the response begins, or `null` for no limit.
  * @property idleTimeoutMilliseconds the maximum pause within the response, or `null` for no limit.
  * @property requiresLiveConnection whether only a new connection, or one that is known to be alive, may be used.
@@ -26,6 +27,7 @@
     public val model: String?,
     public val lastEventId: String?,
     public val streaming: Boolean,
+    public val resumable: Boolean,
     public val startTimeoutMilliseconds: Long?,
     public val idleTimeoutMilliseconds: Long?,
     public val requiresLiveConnection: Boolean,
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
@@ -67,9 +67,9 @@
 
     /** Handles the head of the response. Restarts the idle timeout. */
     fun onHead(head: HttpResponse) {
-        val resuming = exchange.response.headWritten
-        val previousId = parameters.lastEventId.takeIf { resuming }
-        val splitter = EventSplitter(codec::nameRequest, previousId, requiresId = resuming)
+        // The caller may resume a stream too. On other routes a server may begin it again.
+        val previousId = parameters.lastEventId.takeIf { parameters.resumable }
+        val splitter = EventSplitter(codec::nameRequest, previousId, requiresId = exchange.response.headWritten)
         val response = BufferedResponse(head, mayStream = parameters.streaming, splitter, memory)
         buffered = response
         stallTimer.restart(parameters.idleTimeoutMilliseconds)
