--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
@@ -3,10 +3,12 @@
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.util.concurrent.EventExecutor
+import org.quetzalloom.core.relay.RelayEffect
 import org.quetzalloom.core.relay.RelayEvent
 import org.quetzalloom.core.relay.exchange.AttemptFailure
 import org.quetzalloom.core.relay.exchange.SendParameters
 import org.quetzalloom.relay.caller.CallerExchange
+import org.quetzalloom.relay.http.MessageCodec
 
 /**
  * One attempt to serve a request at one backend server. Confined to the event loop's thread.
@@ -14,23 +16,26 @@
  * The response is buffered until [forward] is called. [listener] is asked for that decision when the head of a
  * successful stream has arrived, and when any other response is complete.
  *
- * @property number the number of the attempt within its exchange, starting at 1.
+ * @param effect asks for the attempt.
+ * @param codec tells the headers of a response inside an event from other lines.
  */
 internal class BackendCall(
     val exchange: CallerExchange,
-    val number: Int,
-    val parameters: SendParameters,
+    private val effect: RelayEffect.Send,
+    private val codec: MessageCodec,
     private val listener: BackendCallListener,
     private val memory: ResponseMemory,
     executor: EventExecutor,
 ) {
+    /** The number of the attempt within its exchange, starting at 1. */
+    val number: Int get() = effect.attempt
+
+    /** Where and how the attempt is sent. */
+    val parameters: SendParameters get() = effect.parameters
     private var connection: BackendConnection? = null
     private var buffered: BufferedResponse? = null
     private var complete = false
     private var forwarding = false
-
-    /** Whether the caller has received the first part of a stream, and no event of this response yet. */
-    private var resuming = false
     private val stallTimer = StallTimer(executor) { listener.attemptStalled(this, buffered?.lastEventId) }
 
     /**
@@ -62,7 +67,10 @@
 
     /** Handles the head of the response. Restarts the idle timeout. */
     fun onHead(head: HttpResponse) {
-        val response = BufferedResponse(head, mayStream = parameters.streaming, memory)
+        // The caller may resume a stream too. On other routes a server may begin it again.
+        val previousId = parameters.lastEventId.takeIf { parameters.resumable }
+        val splitter = EventSplitter(codec::nameRequest, previousId, requiresId = exchange.response.headWritten)
+        val response = BufferedResponse(head, mayStream = parameters.streaming, splitter, memory)
         buffered = response
         stallTimer.restart(parameters.idleTimeoutMilliseconds)
         if (response.isStream) listener.responseStarted(this, head)
@@ -107,15 +115,15 @@
 
     /**
      * Forwards the response to the caller: what is buffered at once, and the rest of a stream as it arrives. If the
-     * caller has received the first part of a stream, a response that does not continue it fails the attempt.
+     * caller has received the first part of a stream, a response that does not continue it fails the attempt. So does
+     * an event that cannot belong to the stream.
      */
     fun forward() {
         val response = buffered
         if (ended || response == null) return
         forwarding = true
-        resuming = exchange.response.headWritten
         val mayContinue = response.isEventStream && parameters.lastEventId != null
-        if (resuming && !mayContinue) return abandon(AttemptFailure.BAD_ANSWER)
+        if (exchange.response.headWritten && !mayContinue) return abandon(AttemptFailure.BAD_ANSWER)
         if (response.isStream) forwardAvailable(response)
         if (complete && !ended) finish(response)
     }
@@ -130,20 +138,16 @@
         if (failure == null) end() else onFailure(failure)
     }
 
-    /** Forwards what can be forwarded now. Returns whether that is anything. */
+    /** Forwards what can be forwarded now. Returns whether that is anything, and the attempt goes on. */
     private fun forwardAvailable(response: BufferedResponse): Boolean {
-        if (resuming && !response.follows(parameters.lastEventId.orEmpty())) {
-            abandon(AttemptFailure.BAD_ANSWER)
-            return false
-        }
         val before = response.eventCount
         val anything = response.forwardAvailable(exchange.response)
-        resuming = resuming && response.lastEventId == null
         val progressed = before < RelayEvent.ResponseProgressed.EVENTS
         if (progressed && response.eventCount >= RelayEvent.ResponseProgressed.EVENTS) {
             listener.responseProgressed(this, response.eventCount)
         }
-        return anything
+        if (response.foundInvalidEvent) abandon(AttemptFailure.BAD_ANSWER)
+        return anything && !ended
     }
 
     private fun finish(response: BufferedResponse) {
