Reject a response head that another response was joined to

Callers got a 200 with the signature and the body of a 500, or of another caller's response.

Cause: a server broke off a response in its head and began another one on the same connection. Half a header followed by a status line is one well-formed header, and the headers of the second response follow it.

Now the head is invalid if its version is not 1.0 or 1.1, if its reason phrase or a header contains a status line or a control character, or if a header that a response has once comes twice. The codec names those of its front end. Trailers that belong to a head, and a status line behind the size of a chunk, which the decoder ignored, make the response invalid too. The attempt then ends with BAD_ANSWER and its connection is closed.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
@@ -104,7 +104,7 @@
             ?: return call.onFailure(AttemptFailure.NOT_CONNECTED)
         endpoint.connectingCount++
         connectionAttempts++
-        val decoder = ResponseDecoder()
+        val decoder = ResponseDecoder(codec.singleHeaders)
         val connection = BackendConnection(this, codec, decoder)
         val bootstrap = Bootstrap().group(group)
             .channel(NioSocketChannel::class.java)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/EmbeddedHead.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/EmbeddedHead.kt
@@ -3,7 +3,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.HttpHeaders
 
-/** The head of a response inside another message, where a server has begun a response before the end of the one before. */
+/** The head of a response inside another message: a server has begun a response before the end of the one before. */
 internal object EmbeddedHead {
     private val STATUS_LINE = Regex("""HTTP/1\.[01] [1-5]\d\d\b""")
 
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/MessageCodec.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/MessageCodec.kt
@@ -4,12 +4,16 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
+import kotlinx.collections.immutable.PersistentSet
 import org.quetzalloom.core.relay.exchange.RelayRequest
 import org.quetzalloom.core.relay.exchange.ResponseHead
 import org.quetzalloom.core.relay.exchange.SendParameters
 
 /** Encodes and decodes the headers of requests and responses. Each front end has its own. */
 public interface MessageCodec {
+    /** The headers of the front end that a response has at most once, such as the id of its request. */
+    public val singleHeaders: PersistentSet<String>
+
     /** Decodes the head of a request. Returns a message for the caller if it is invalid. */
     public fun decodeRequest(head: HttpRequest): Result<RelayRequest, String>
 
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/ResponseDecoder.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/ResponseDecoder.kt
@@ -2,12 +2,31 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.DecoderResult
+import io.netty.handler.codec.http.DefaultLastHttpContent
+import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+
+/**
+ * Decodes responses. It has to know the request method, because a response to `HEAD` has a length but no body.
+ *
+ * The [decoder result][HttpObject.decoderResult] of a head or of trailers that
+ * [ResponseValidator] rejects, and of a chunk whose size is followed by a status line, is a failure.
+ *
+ * @param singleHeaders headers that a response has at most once, in addition to those of HTTP.
+ */
+internal class ResponseDecoder(singleHeaders: Set<String> = emptySet()) : HttpResponseDecoder() {
+    private val validator = ResponseValidator(singleHeaders)
+
+    /** Whether the head of a response has been decoded, and its end has not. */
+    private var insideBody = false
 
-/** Decodes responses. It has to know the request method, because a response to `HEAD` has a length but no body. */
-internal class ResponseDecoder : HttpResponseDecoder() {
     /** The method of the request in flight. */
     var method: HttpMethod = HttpMethod.GET
 
@@ -15,6 +34,34 @@
     var inputEnded = false
         private set
 
+    override fun decode(context: ChannelHandlerContext, input: ByteBuf, output: MutableList<Any>) {
+        val inputBefore = input.readerIndex()
+        val decodedBefore = output.size
+        val wasInsideBody = insideBody
+        super.decode(context, input, output)
+        val decoded = output.drop(decodedBefore).filterIsInstance<HttpObject>()
+        decoded.forEach { insideBody = it !is LastHttpContent }
+        val contentBytes = decoded.sumOf { if (it is HttpContent) it.content().readableBytes() else 0 }
+        val framingBytes = input.readerIndex() - inputBefore - contentBytes
+        if (wasInsideBody && hasStatusLine(input, inputBefore, framingBytes)) {
+            decoded.forEach { ReferenceCountUtil.release(it) }
+            output.subList(decodedBefore, output.size).clear()
+            output += DefaultLastHttpContent().also { it.fail("a chunk begins with a status line") }
+        } else {
+            decoded.filter { it.decoderResult().isSuccess }.forEach { message ->
+                problemOrNull(message)?.let { message.fail(it) }
+            }
+        }
+    }
+
+    /** The decoder ignores the rest of a line that begins with the size of a chunk. */
+    private fun hasStatusLine(input: ByteBuf, start: Int, length: Int): Boolean =
+        length > 0 && EmbeddedHead.hasStatusLine(input.toString(start, length, Charsets.ISO_8859_1))
+
+    private fun HttpObject.fail(problem: String) {
+        decoderResult = DecoderResult.failure(IllegalArgumentException(problem))
+    }
+
     override fun decodeLast(context: ChannelHandlerContext, input: ByteBuf, output: MutableList<Any>) {
         inputEnded = true
         super.decodeLast(context, input, output)
@@ -22,4 +69,10 @@
 
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         method == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
+
+    private fun problemOrNull(message: HttpObject): String? = when (message) {
+        is HttpResponse -> validator.headProblemOrNull(message)
+        is LastHttpContent -> validator.trailersProblemOrNull(message.trailingHeaders())
+        else -> null
+    }
 }
--- a/relay/src/test/kotlin/org/quetzalloom/relay/PlainCodec.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/PlainCodec.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
+import kotlinx.collections.immutable.persistentSetOf
 import org.quetzalloom.core.relay.exchange.RelayRequest
 import org.quetzalloom.core.relay.exchange.ResponseHead
 import org.quetzalloom.core.relay.exchange.SendParameters
@@ -15,6 +16,8 @@
 
 /** A minimal codec for tests: a request carries an `Id` header, which backend servers echo. */
 object PlainCodec : MessageCodec {
+    override val singleHeaders = persistentSetOf("Id", "Sig")
+
     override fun decodeRequest(head: HttpRequest): Result<RelayRequest, String> {
         val id = head.headers().get("Id") ?: return Err("the header Id is missing")
         return Ok(
