Reject a response in whose body another response begins

Callers got a body whose rest was the head of another response, with the status and signature of the first: a whole response by its length.

Cause: a server broke off a response in its body and began another one on the same connection. Bodies with a length and bodies that end with their connection were not searched for it.

Now each piece of a body is searched for a status line whose headers name a request, also one that begins in its last bytes and goes on in what was received behind it. A body that only quotes a response, without an id, is forwarded. The search covers streaming routes and skipped responses too.

Evidence: JoinedResponsesTest, at every byte of a body. A late copy inside a chunk was rejected before.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
@@ -91,7 +91,7 @@
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         val current = reader
-        val progress = current?.read(message) ?: ResponseReader.Progress.INVALID
+        val progress = current?.read(message, decoder.surplus) ?: ResponseReader.Progress.INVALID
         ReferenceCountUtil.release(message)
         when (progress) {
             ResponseReader.Progress.INCOMPLETE -> Unit
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/ResponseReader.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/ResponseReader.kt
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
+import org.quetzalloom.relay.http.EmbeddedHeadDetector
 import org.quetzalloom.relay.http.MessageCodec
 import org.quetzalloom.relay.http.ResponseOrigin
 
@@ -14,7 +15,7 @@
  * Reads the response to [call] from the messages of its connection.
  *
  * Skips interim (1xx) responses, and responses to other requests that arrive first, up to a limit. A response with a
- * content encoding is invalid.
+ * content encoding is invalid, and so is one in whose body another response begins.
  *
  * A response that names no request is accepted only if nothing else has been sent or received on the connection: a late
  * copy of the response to an earlier request would look the same, and may say that the request has not run.
@@ -47,16 +48,25 @@
     var keepAliveMilliseconds: Long? = null
         private set
 
-    /** Reads [message], the next one of the connection, and returns the state of the response after it. */
-    fun read(message: Any): Progress {
+    private var detector = newDetector()
+
+    /**
+     * Reads [message], the next one of the connection, and returns the state of the response after it.
+     *
+     * @param surplus the start of what has been received behind a response that [message] ends.
+     */
+    fun read(message: Any, surplus: String): Progress {
         if (message is HttpResponse && !readHead(message)) return Progress.INVALID
-        return if (message is HttpContent) readContent(message) else Progress.INCOMPLETE
+        return if (message is HttpContent) readContent(message, surplus) else Progress.INCOMPLETE
     }
 
+    private fun newDetector() = EmbeddedHeadDetector(codec::nameRequest)
+
     /** Reads the head of a response, and passes it to [call] unless it is skipped. Returns whether it is valid. */
     private fun readHead(response: HttpResponse): Boolean {
         val interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
         val origin = codec.originOf(response, call.exchange.request)
+        detector = newDetector()
         skipping = interim || !isAccepted(origin)
         if (skipping) skippedResponses++
         // A server that leaves out the name once may do so again, which is accepted on a new connection only.
@@ -79,13 +89,19 @@
         ResponseOrigin.UNNAMED -> acceptsUnnamed
     }
 
-    private fun readContent(content: HttpContent): Progress {
+    private fun readContent(content: HttpContent, surplus: String): Progress {
         if (skipping) skippedBytes += content.content().readableBytes()
-        if (content.decoderResult().isFailure || skippedBytes > MAXIMUM_SKIPPED_BYTES) return Progress.INVALID
+        val tooLong = skippedBytes > MAXIMUM_SKIPPED_BYTES
+        if (content.decoderResult().isFailure || tooLong || isJoined(content, surplus)) return Progress.INVALID
         if (!skipping && content.content().isReadable) call.onBody(content.content())
         return if (!skipping && content is LastHttpContent) Progress.COMPLETE else Progress.INCOMPLETE
     }
 
+    private fun isJoined(content: HttpContent, surplus: String): Boolean {
+        val following = if (content is LastHttpContent) surplus else ""
+        return detector.hasBegun(content.content().toString(Charsets.ISO_8859_1), following)
+    }
+
     private fun isFramed(response: HttpResponse): Boolean =
         HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
 
--- /dev/null
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/EmbeddedHeadDetector.kt
@@ -0,0 +1,30 @@
+package org.quetzalloom.relay.http
+
+import io.netty.handler.codec.http.HttpHeaders
+
+/**
+ * Finds the head of another response in a body that is read piece by piece.
+ *
+ * A body may contain an example of a response. Therefore a status line counts only if [isHead] accepts the headers that
+ * follow it.
+ */
+internal class EmbeddedHeadDetector(private val isHead: (HttpHeaders) -> Boolean) {
+    /** The end of the body so far, in which a head may have begun. */
+    private var recent = ""
+
+    /**
+     * Returns whether a head has begun in the body that continues with [text], as far as it and [following], what was
+     * received after the body, show.
+     */
+    fun hasBegun(text: String, following: String = ""): Boolean {
+        val searched = recent + text
+        recent = searched.takeLast(if (EmbeddedHead.hasStatusLine(searched)) HEAD_LENGTH else STATUS_LINE_LENGTH - 1)
+        return EmbeddedHead.findAll(searched, following).any(isHead)
+    }
+
+    private companion object {
+        /** The length in which the headers that identify a head are expected. */
+        const val HEAD_LENGTH = 4_096
+        const val STATUS_LINE_LENGTH = "HTTP/1.1 200".length
+    }
+}
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/ResponseDecoder.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/ResponseDecoder.kt
@@ -34,6 +34,10 @@
     var inputEnded = false
         private set
 
+    /** The start of what had been received behind the last response when it was decoded. */
+    var surplus = ""
+        private set
+
     override fun decode(context: ChannelHandlerContext, input: ByteBuf, output: MutableList<Any>) {
         val inputBefore = input.readerIndex()
         val decodedBefore = output.size
@@ -41,6 +45,7 @@
         super.decode(context, input, output)
         val decoded = output.drop(decodedBefore).filterIsInstance<HttpObject>()
         decoded.forEach { insideBody = it !is LastHttpContent }
+        if (decoded.lastOrNull() is LastHttpContent) surplus = input.startAsText()
         val contentBytes = decoded.sumOf { if (it is HttpContent) it.content().readableBytes() else 0 }
         val framingBytes = input.readerIndex() - inputBefore - contentBytes
         if (wasInsideBody && hasStatusLine(input, inputBefore, framingBytes)) {
@@ -54,6 +59,9 @@
         }
     }
 
+    private fun ByteBuf.startAsText(): String =
+        toString(readerIndex(), readableBytes().coerceAtMost(MAXIMUM_SURPLUS_BYTES), Charsets.ISO_8859_1)
+
     /** The decoder ignores the rest of a line that begins with the size of a chunk. */
     private fun hasStatusLine(input: ByteBuf, start: Int, length: Int): Boolean =
         length > 0 && EmbeddedHead.hasStatusLine(input.toString(start, length, Charsets.ISO_8859_1))
@@ -75,4 +83,9 @@
         is LastHttpContent -> validator.trailersProblemOrNull(message.trailingHeaders())
         else -> null
     }
+
+    private companion object {
+        /** Longer than the head of a response. */
+        const val MAXIMUM_SURPLUS_BYTES = 8_192
+    }
 }
--- a/relay/src/test/kotlin/org/quetzalloom/relay/JoinedResponsesTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/JoinedResponsesTest.kt
@@ -34,6 +34,38 @@
     fun `a late copy that begins inside the head of a stream is not joined to it`() =
         assertNoMixture("POST /note/1", stream, foreign, streamHeadCuts)
 
+    @Test
+    fun `a failure that begins inside a body is not taken for its rest`() =
+        assertNoMixture("GET /book/1", first, failure, headCuts.last + 1..<first.length)
+
+    @Test
+    fun `a late copy that begins inside a body is not taken for its rest`() =
+        assertNoMixture("GET /book/1", first, foreign, headCuts.last + 1..<first.length)
+
+    @Test
+    fun `a late copy that begins inside a chunk is not taken for its rest`() {
+        val head = first.substringBefore("Content-Length")
+        val chunked = "${head}Transfer-Encoding: chunked\r\n\r\n18\r\nfirst one, first two, end\r\n0\r\n\r\n"
+        assertNoMixture("GET /book/1", chunked, foreign, chunked.indexOf("18\r\n")..<chunked.length)
+    }
+
+    @Test
+    fun `a late copy that begins inside a body without a length is not taken for its rest`() {
+        val unlimited = first.substringBefore("Content-Length") + "\r\nfirst one, first two, end"
+        assertNoMixture("GET /book/1", unlimited, foreign, unlimited.indexOf("first one")..<unlimited.length)
+    }
+
+    @Test
+    fun `a late copy that begins inside a body on a streaming route is not taken for its rest`() =
+        assertNoMixture("POST /note/1", first, foreign, headCuts.last + 1..<first.length)
+
+    @Test
+    fun `a body that quotes a response without an id is forwarded`() {
+        val quoted = "as in\r\n\r\nHTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nor HTTP/1.1 404 Not Found"
+        val quoting = response("200 OK", id = "a", signature = "quote", body = quoted)
+        TestRelay({ it.write(quoting) }).use { assertEquals(partsOrNull(quoting), partsOrNull(it.ask("GET /book/1", 0))) }
+    }
+
     private fun assertNoMixture(request: String, first: String, second: String, cuts: IntRange) {
         val sound = setOf(first, second).map { partsOrNull(it) }
         val script: (ScriptedRequest) -> Unit = {
