Close a connection that holds surplus bytes

Callers got 502 for a sound response.

Cause: surplus bytes behind a response that are no whole message stay in the decoder, and give no message that closes the connection. It went back to the pool, and the bytes became the start of the next response.

Now the connection is closed if bytes are left after a read while no request is in flight.

Evidence: JoinedResponsesTest writes seven kinds of surplus behind responses to seven requests in a row. Now all seven callers get their response.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
@@ -102,6 +102,8 @@
     }
 
     override fun channelReadComplete(context: ChannelHandlerContext) {
+        // Surplus bytes that are no whole message would become the start of the next response.
+        if (reader == null && decoder.holdsInput) channel.close()
         if (!responseComplete) return
         responseComplete = false
         if (open && requestWrite.isSuccess) pool.release(this) else channel.close()
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/ResponseDecoder.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/ResponseDecoder.kt
@@ -34,6 +34,9 @@
     var inputEnded = false
         private set
 
+    /** Whether bytes have been received that are not yet part of a decoded message. */
+    val holdsInput: Boolean get() = actualReadableBytes() > 0
+
     /** The start of what had been received behind the last response when it was decoded. */
     var surplus = ""
         private set
--- a/relay/src/test/kotlin/org/quetzalloom/relay/JoinedResponsesTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/JoinedResponsesTest.kt
@@ -59,11 +59,22 @@
     fun `a late copy that begins inside a body on a streaming route is not taken for its rest`() =
         assertNoMixture("POST /note/1", first, foreign, headCuts.last + 1..<first.length)
 
+    @Test
+    fun `surplus bytes and late copies behind a response do not cost the caller the response`() {
+        val surplus = listOf("", "x", "garbage garbage\r\n\r\n", first, failure, foreign, "HTTP/1.1 ")
+        TestRelay({ it.write(first + surplus[it.headers.getValue("cut").toInt()]) }).use { relay ->
+            val received = surplus.indices.map { partsOrNull(relay.ask("GET /book/1", it)) }
+            assertEquals(List(surplus.size) { partsOrNull(first) }, received)
+        }
+    }
+
     @Test
     fun `a body that quotes a response without an id is forwarded`() {
         val quoted = "as in\r\n\r\nHTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nor HTTP/1.1 404 Not Found"
         val quoting = response("200 OK", id = "a", signature = "quote", body = quoted)
-        TestRelay({ it.write(quoting) }).use { assertEquals(partsOrNull(quoting), partsOrNull(it.ask("GET /book/1", 0))) }
+        TestRelay(
+            { it.write(quoting) }
+        ).use { assertEquals(partsOrNull(quoting), partsOrNull(it.ask("GET /book/1", 0))) }
     }
 
     private fun assertNoMixture(request: String, first: String, second: String, cuts: IntRange) {
