Send no attempt on a connection that carried an earlier one of the request

Callers could get the response to a dropped attempt, of a smaller model, in place of that to the attempt that followed.

Cause: all attempts of a request carry the same id. If a complete response is dropped, its connection is idle, and the next attempt could go over it. A late copy of the first response then names the second attempt too.

Now an exchange keeps the connections of its attempts, and the pool gives it others.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
@@ -68,6 +68,7 @@
     fun send(call: BackendCall, headers: HttpHeaders) {
         reader = ResponseReader(codec, call, firstOnConnection = !used)
         used = true
+        call.exchange.connections = call.exchange.connections.add(this)
         call.onSending(this)
         val head = call.exchange.head
         val body = call.exchange.body.retainedDuplicate()
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
@@ -51,7 +51,7 @@
      */
     fun send(call: BackendCall) {
         val endpoint = endpoints.getOrPut(call.parameters.address) { Endpoint() }
-        val reused = call.exchange.request.callerId?.let { takeIdle(endpoint, call.parameters.requiresLiveConnection) }
+        val reused = call.exchange.request.callerId?.let { takeIdle(endpoint, call) }
         when {
             reused != null -> reused.send(call, codec.encodeRequest(call.exchange.head, call.parameters))
             endpoint.all.size + endpoint.connectingCount >= call.parameters.maximumConnections ->
@@ -84,15 +84,16 @@
     }
 
     /**
-     * Takes the most recently used idle connection, which the backend server is least likely to close, or returns
-     * `null` if even that one is too old. Drops closed connections.
+     * Takes the most recently used idle connection that carried no earlier attempt of the exchange of [call]. It is the
+     * one that the backend server is least likely to close. Returns `null` if even that one is too old. Drops closed
+     * connections.
      */
-    private fun takeIdle(endpoint: Endpoint, requiresLiveConnection: Boolean): BackendConnection? {
+    private fun takeIdle(endpoint: Endpoint, call: BackendCall): BackendConnection? {
         val now = clock.now()
-        val share = if (requiresLiveConnection) SAFE_REUSE_SHARE else REUSE_SHARE
+        val share = if (call.parameters.requiresLiveConnection) SAFE_REUSE_SHARE else REUSE_SHARE
         endpoint.idle.removeAll { !it.open }
-        val newest = endpoint.idle.lastOrNull()?.takeIf { it.isFresh(now, share) }
-        newest?.let { endpoint.idle.removeLast() }
+        val newest = endpoint.idle.lastOrNull { it !in call.exchange.connections }?.takeIf { it.isFresh(now, share) }
+        newest?.let { endpoint.idle.remove(it) }
         return newest
     }
 
