--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
@@ -68,6 +68,7 @@
     fun send(call: BackendCall, headers: HttpHeaders) {
         reader = ResponseReader(codec, call, firstOnConnection = !used)
         used = true
+        call.exchange.connections = call.exchange.connections.add(this)
         call.onSending(this)
         val head = call.exchange.head
         val body = call.exchange.body.retainedDuplicate()
@@ -91,7 +92,7 @@
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         val current = reader
-        val progress = current?.read(message) ?: ResponseReader.Progress.INVALID
+        val progress = current?.read(message, decoder.surplus) ?: ResponseReader.Progress.INVALID
         ReferenceCountUtil.release(message)
         when (progress) {
             ResponseReader.Progress.INCOMPLETE -> Unit
@@ -102,6 +103,8 @@
     }
 
     override fun channelReadComplete(context: ChannelHandlerContext) {
+        // Surplus bytes that are no whole message would become the start of the next response.
+        if (reader == null && decoder.holdsInput) channel.close()
         if (!responseComplete) return
         responseComplete = false
         if (open && requestWrite.isSuccess) pool.release(this) else channel.close()
