End calls whose response is not valid HTTP

Callers of services and models waited until the core gave up a silent attempt. A read of the log, the VM list or the ratings, an append or a load report posted no result at all.

Cause: the HTTP client reports malformed heads, a wrong status, a wrong content type and a body that is shorter than Content-Length by ParserException, NumberFormatException and other exceptions that are no IOException. So is an invalid start identity. The clients caught only IOException and some of the rest, so the coroutine ended without an event.

All calls now go through ResponseCheck.rejectingInvalid, which turns these exceptions into InvalidResponseException, an IOException: the attempt ends as broken, so it may have run, and a platform call fails. A cancellation is passed on. The creation of the client moves to ClientFactory, so that tests use the same client as a process.

--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/Daemon.kt
@@ -3,9 +3,6 @@
 import arrow.fx.coroutines.ResourceScope
 import arrow.fx.coroutines.resourceScope
 import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
-import io.ktor.client.engine.cio.endpoint
-import io.ktor.client.plugins.HttpTimeout
 import io.ktor.server.engine.EmbeddedServer
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.routing.Route
@@ -23,6 +20,7 @@
 import org.quetzalloom.daemon.caller.CallerRoutes
 import org.quetzalloom.daemon.caller.PendingAnswers
 import org.quetzalloom.daemon.caller.RequestParser
+import org.quetzalloom.daemon.client.ClientFactory
 import org.quetzalloom.daemon.peer.PeerClient
 import org.quetzalloom.daemon.peer.PeerRoutes
 import org.quetzalloom.daemon.platform.PlatformClient
@@ -70,7 +68,7 @@
     }
 
     private suspend fun ResourceScope.installClient(): HttpClient = install(
-        acquire = { createHttpClient() },
+        acquire = { ClientFactory.create() },
         release = { client, _ -> client.close() },
     )
 
@@ -117,19 +115,8 @@
         )
     }
 
-    private fun createHttpClient(): HttpClient = HttpClient(CIO) {
-        install(HttpTimeout) { connectTimeoutMillis = CONNECT_TIMEOUT_MILLISECONDS }
-        engine {
-            requestTimeout = 0 // No timeout: the core ends attempts that make no progress.
-            maxConnectionsCount = MAX_CONNECTIONS
-            endpoint { maxConnectionsPerRoute = MAX_CONNECTIONS }
-        }
-    }
-
     private companion object {
         const val STOP_GRACE_MILLISECONDS = 500L
         const val STOP_TIMEOUT_MILLISECONDS = 2_000L
-        const val CONNECT_TIMEOUT_MILLISECONDS = 500L
-        const val MAX_CONNECTIONS = 10_000
     }
 }
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/BackendCall.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/BackendCall.kt
@@ -10,6 +10,7 @@
      * @throws kotlinx.io.IOException if the connection fails.
      * @throws kotlinx.serialization.SerializationException if the response cannot be parsed.
      * @throws IllegalArgumentException if the response names a start identity that is not a valid identifier.
+     * @throws io.ktor.http.cio.ParserException if the response is not valid HTTP.
      */
     suspend fun run(): Event.OfBackend
 }
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/BackendClient.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/BackendClient.kt
@@ -10,7 +10,6 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import kotlinx.io.IOException
-import kotlinx.serialization.SerializationException
 import org.quetzalloom.core.backend.AttemptFailure
 import org.quetzalloom.core.backend.AttemptOrder
 import org.quetzalloom.core.effect.Effect
@@ -19,6 +18,7 @@
 import org.quetzalloom.core.identity.StartIdentity
 import org.quetzalloom.core.request.Target
 import org.quetzalloom.daemon.RouterLoop
+import org.quetzalloom.daemon.client.ResponseCheck
 import org.quetzalloom.wire.WireFormat
 import org.quetzalloom.wire.backend.LoadResponse
 import org.slf4j.Logger
@@ -62,7 +62,7 @@
             is Target.ServiceCall -> ServiceCall(client, order, loop)
         }
         val finalEvent = try {
-            call.run()
+            ResponseCheck.rejectingInvalid { call.run() }
         } catch (cancelled: CancellationException) {
             throw cancelled
         } catch (problem: ConnectException) {
@@ -71,9 +71,6 @@
         } catch (problem: IOException) {
             logFailure(order, problem)
             Event.OfBackend.Failed(order.attempt, AttemptFailure.BROKEN)
-        } catch (problem: SerializationException) {
-            logFailure(order, problem)
-            Event.OfBackend.Failed(order.attempt, AttemptFailure.BROKEN)
         }
         loop.post(finalEvent) { jobs = jobs.remove(order.attempt) }
     }
@@ -85,25 +82,27 @@
     private fun requestLoad(effect: Effect.OfBackend.RequestLoadReport) {
         scope.launch {
             val event = try {
-                val text = client.get("http://${effect.address}/load") {
-                    timeout { requestTimeoutMillis = LOAD_TIMEOUT_MILLISECONDS }
-                }.bodyAsText()
-                val load = WireFormat.decodeFromString<LoadResponse>(text)
-                Event.OfBackend.LoadReported(
-                    effect.server,
-                    StartIdentity(load.start),
-                    load.running,
-                    load.upForMilliseconds,
-                )
+                ResponseCheck.rejectingInvalid { readLoad(effect) }
             } catch (_: IOException) {
                 Event.OfBackend.LoadReportFailed(effect.server)
-            } catch (_: IllegalArgumentException) {
-                Event.OfBackend.LoadReportFailed(effect.server)
             }
             loop.post(event)
         }
     }
 
+    private suspend fun readLoad(effect: Effect.OfBackend.RequestLoadReport): Event.OfBackend.LoadReported {
+        val response = client.get("http://${effect.address}/load") {
+            timeout { requestTimeoutMillis = LOAD_TIMEOUT_MILLISECONDS }
+        }
+        val load = WireFormat.decodeFromString<LoadResponse>(response.bodyAsText())
+        return Event.OfBackend.LoadReported(
+            server = effect.server,
+            start = StartIdentity(load.start),
+            running = load.running,
+            uptimeMilliseconds = load.upForMilliseconds,
+        )
+    }
+
     private companion object {
         const val LOAD_TIMEOUT_MILLISECONDS = 1_000L
         val logger: Logger = LoggerFactory.getLogger(BackendClient::class.java)
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/peer/PeerClient.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/peer/PeerClient.kt
@@ -13,6 +13,7 @@
 import kotlinx.serialization.encodeToString
 import org.quetzalloom.core.effect.Effect
 import org.quetzalloom.core.identity.VmId
+import org.quetzalloom.daemon.client.ResponseCheck
 import org.quetzalloom.wire.WireFormat
 import org.quetzalloom.wire.peer.PeerEnvelope
 import org.quetzalloom.wire.peer.toDocument
@@ -35,10 +36,12 @@
 
     private suspend fun send(address: String, body: String) {
         try {
-            client.post("http://$address/peers") {
-                timeout { requestTimeoutMillis = TIMEOUT_MILLISECONDS }
-                contentType(ContentType.Application.Json)
-                setBody(body)
+            ResponseCheck.rejectingInvalid {
+                client.post("http://$address/peers") {
+                    timeout { requestTimeoutMillis = TIMEOUT_MILLISECONDS }
+                    contentType(ContentType.Application.Json)
+                    setBody(body)
+                }
             }
         } catch (problem: IOException) {
             logger.debug("event=peer_unreachable address={} problem=\"{}\"", address, problem.message)
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/platform/PlatformHttp.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/platform/PlatformHttp.kt
@@ -11,6 +11,7 @@
 import io.ktor.http.contentType
 import io.ktor.http.isSuccess
 import kotlinx.io.IOException
+import org.quetzalloom.daemon.client.ResponseCheck
 
 /** An HTTP client for the platform's services; each call has a timeout. */
 internal class PlatformHttp(private val client: HttpClient) {
@@ -39,11 +40,9 @@
 
     /** Returns the result of [call], or [fallback] if the call fails or its response cannot be parsed. */
     suspend fun <T> callOrElse(fallback: T, call: suspend () -> T): T = try {
-        call()
+        ResponseCheck.rejectingInvalid(call)
     } catch (_: IOException) {
         fallback
-    } catch (_: IllegalArgumentException) {
-        fallback
     }
 
     private companion object {
