Reject a response that is shorter than its length

Callers of a service got a success with a part of the body when the server stopped in the middle of it.

Cause: the HTTP client does not compare the length of a streamed body that is read as text with Content-Length.

Evidence: before the change, 9 of 107 cuts of a small response were taken for whole, which are all cuts inside the body. ResponseCheck now compares the lengths, except for HEAD and 304, which have a length and no body.

--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/BackendClient.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/BackendClient.kt
@@ -3,7 +3,6 @@
 import io.ktor.client.HttpClient
 import io.ktor.client.plugins.timeout
 import io.ktor.client.request.get
-import io.ktor.client.statement.bodyAsText
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
@@ -94,7 +93,7 @@
         val response = client.get("http://${effect.address}/load") {
             timeout { requestTimeoutMillis = LOAD_TIMEOUT_MILLISECONDS }
         }
-        val load = WireFormat.decodeFromString<LoadResponse>(response.bodyAsText())
+        val load = WireFormat.decodeFromString<LoadResponse>(ResponseCheck.readWholeText(response))
         return Event.OfBackend.LoadReported(
             server = effect.server,
             start = StartIdentity(load.start),
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/ServiceCall.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/ServiceCall.kt
@@ -5,7 +5,6 @@
 import io.ktor.client.request.prepareRequest
 import io.ktor.client.request.setBody
 import io.ktor.client.statement.HttpResponse
-import io.ktor.client.statement.bodyAsText
 import io.ktor.http.ContentType
 import io.ktor.http.HttpMethod
 import io.ktor.http.contentType
@@ -13,6 +12,7 @@
 import org.quetzalloom.core.event.Event
 import org.quetzalloom.core.request.Target
 import org.quetzalloom.daemon.RouterLoop
+import org.quetzalloom.daemon.client.ResponseCheck
 import org.quetzalloom.wire.backend.BackendHeaders
 
 /**
@@ -41,7 +41,8 @@
     private suspend fun readResponse(response: HttpResponse): Event.OfBackend {
         if (response.headers[BackendHeaders.NOT_RUN] != null) return failureOf(order, response)
         acceptedOrNull(order, response)?.let { loop.post(it) }
-        loop.post(Event.OfBackend.ChunkReceived(order.attempt, position = 0, tokens = 1, text = response.bodyAsText()))
+        val text = ResponseCheck.readWholeText(response)
+        loop.post(Event.OfBackend.ChunkReceived(order.attempt, position = 0, tokens = 1, text = text))
         return Event.OfBackend.Finished(order.attempt, tokens = 1, status = response.status.value)
     }
 }
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/client/ResponseCheck.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/client/ResponseCheck.kt
@@ -1,10 +1,32 @@
 package org.quetzalloom.daemon.client
 
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsChannel
+import io.ktor.client.statement.request
 import io.ktor.http.BadContentTypeFormatException
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpMethod
+import io.ktor.http.HttpStatusCode
+import io.ktor.http.charset
+import io.ktor.utils.io.toByteArray
 import kotlinx.coroutines.CancellationException
 
-/** Turns the exceptions of invalid responses into one kind. */
+/** Checks that what was received is one whole response, which the HTTP client does only in part. */
 internal object ResponseCheck {
+    /**
+     * Reads the body of [response], which must be as long as its head says.
+     *
+     * @throws InvalidResponseException if it is shorter.
+     */
+    suspend fun readWholeText(response: HttpResponse): String {
+        val bytes = response.bodyAsChannel().toByteArray()
+        val expected = bodyLengthOrNull(response)
+        requireValid(expected == null || expected == bytes.size.toLong()) {
+            "its body has ${bytes.size} bytes instead of $expected"
+        }
+        return bytes.toString(response.charset() ?: Charsets.UTF_8)
+    }
+
     /**
      * Returns the result of [call].
      *
@@ -22,4 +44,14 @@
     } catch (problem: IllegalArgumentException) {
         throw InvalidResponseException(problem.message, problem)
     }
+
+    /** Returns the length of the body according to the head, or `null` if the head does not tell. */
+    private fun bodyLengthOrNull(response: HttpResponse): Long? = response.headers[HttpHeaders.ContentLength]
+        ?.takeIf { response.headers[HttpHeaders.TransferEncoding] == null }
+        ?.takeIf { response.request.method != HttpMethod.Head && response.status != HttpStatusCode.NotModified }
+        ?.toLongOrNull()
+
+    private inline fun requireValid(condition: Boolean, problem: () -> String) {
+        if (!condition) throw InvalidResponseException("the response is invalid: ${problem()}")
+    }
 }
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/platform/PlatformHttp.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/platform/PlatformHttp.kt
@@ -6,7 +6,6 @@
 import io.ktor.client.request.post
 import io.ktor.client.request.setBody
 import io.ktor.client.statement.HttpResponse
-import io.ktor.client.statement.bodyAsText
 import io.ktor.http.ContentType
 import io.ktor.http.contentType
 import io.ktor.http.isSuccess
@@ -22,7 +21,7 @@
      */
     suspend fun get(url: String): String = client.get(url) {
         timeout { requestTimeoutMillis = TIMEOUT_MILLISECONDS }
-    }.requireSuccess().bodyAsText()
+    }.requireSuccess().let { ResponseCheck.readWholeText(it) }
 
     /**
      * Posts the JSON text [body] to [url] and returns the response body.
@@ -33,7 +32,7 @@
         timeout { requestTimeoutMillis = TIMEOUT_MILLISECONDS }
         contentType(ContentType.Application.Json)
         setBody(body)
-    }.requireSuccess().bodyAsText()
+    }.requireSuccess().let { ResponseCheck.readWholeText(it) }
 
     private fun HttpResponse.requireSuccess(): HttpResponse =
         if (status.isSuccess()) this else throw IOException("the platform responded with status $status")
--- a/daemon/src/test/kotlin/org/quetzalloom/daemon/client/ServiceResponsesTest.kt
+++ b/daemon/src/test/kotlin/org/quetzalloom/daemon/client/ServiceResponsesTest.kt
@@ -31,6 +31,12 @@
         request.close()
     }.start().use { server -> clients.attempt(server.port, call)() }
 
+    private fun attempt(port: Int) = clients.attempt(port, call)
+
+    @Test
+    fun `a response with a length that ends early fails the attempt`() =
+        CutResponses.check(bodyHead + "the whole", second = "", ::attempt) { it == broken }
+
     @Test
     fun `a response that is not valid HTTP fails the attempt`() {
         val responses = listOf(
