Reject a head that contains the start of another response

Callers of a service got a 200 with the body of a 500: a server had written a part of a head and, 25 ms later, a whole second response on the same connection.

Cause: the HTTP client takes the second status line for the rest of a reason phrase or of a header's value, and the headers that follow it for headers of the first response.

--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/client/ResponseCheck.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/client/ResponseCheck.kt
@@ -10,9 +10,30 @@
 import io.ktor.http.charset
 import io.ktor.utils.io.toByteArray
 import kotlinx.coroutines.CancellationException
+import org.quetzalloom.wire.backend.BackendHeaders
 
 /** Checks that what was received is one whole response, which the HTTP client does only in part. */
 internal object ResponseCheck {
+    private val STATUS_LINE = Regex("""HTTP/1\.[01] [1-5]\d\d\b""")
+    private val SINGLE_HEADERS =
+        listOf(HttpHeaders.ContentLength, HttpHeaders.ContentType, BackendHeaders.START, BackendHeaders.NOT_RUN)
+
+    /**
+     * Checks that the head of [response] does not contain the start of another response, which a faulty server may send
+     * on the same connection before the first one is complete.
+     *
+     * @throws InvalidResponseException if the head is rejected, or if the length of the body is not a number.
+     */
+    fun requireOneHead(response: HttpResponse) {
+        val lines = response.headers.entries().flatMap { it.value } + response.status.description
+        requireValid(lines.none { STATUS_LINE.containsMatchIn(it) }) { "its head contains another status line" }
+        SINGLE_HEADERS.forEach { name ->
+            requireValid(response.headers.getAll(name).orEmpty().size <= 1) { "the header $name is repeated" }
+        }
+        val length = response.headers[HttpHeaders.ContentLength]
+        requireValid(length == null || length.isLength()) { "'$length' is not a length" }
+    }
+
     /**
      * Reads the body of [response], which must be as long as its head says.
      *
@@ -49,7 +70,9 @@
     private fun bodyLengthOrNull(response: HttpResponse): Long? = response.headers[HttpHeaders.ContentLength]
         ?.takeIf { response.headers[HttpHeaders.TransferEncoding] == null }
         ?.takeIf { response.request.method != HttpMethod.Head && response.status != HttpStatusCode.NotModified }
-        ?.toLongOrNull()
+        ?.toLong()
+
+    private fun String.isLength() = all { it in '0'..'9' } && toLongOrNull() != null
 
     private inline fun requireValid(condition: Boolean, problem: () -> String) {
         if (!condition) throw InvalidResponseException("the response is invalid: ${problem()}")
--- a/daemon/src/test/kotlin/org/quetzalloom/daemon/client/ServiceResponsesTest.kt
+++ b/daemon/src/test/kotlin/org/quetzalloom/daemon/client/ServiceResponsesTest.kt
@@ -37,12 +37,22 @@
     fun `a response with a length that ends early fails the attempt`() =
         CutResponses.check(bodyHead + "the whole", second = "", ::attempt) { it == broken }
 
+    @Test
+    fun `a head that goes on as another response fails the attempt`() =
+        CutResponses.check(bodyHead, second, ::attempt) { it == broken || it == answered(500, "problem") }
+
+    @Test
+    fun `a head of a response in chunks that goes on as another response fails the attempt`() =
+        CutResponses.check(chunksHead, second, ::attempt) { it == broken || it == answered(500, "problem") }
+
     @Test
     fun `a response that is not valid HTTP fails the attempt`() {
         val responses = listOf(
             "HTTP/1.1 abc OK\r\n\r\n",
             "this is no response\r\n\r\n",
             "${head}this is no header\r\n\r\n",
+            "${head}Content-Length: many\r\n\r\nok",
+            "${head}Content-Length: 2\r\nContent-Length: 3\r\n\r\nok",
             "HTTP/1.1 200 OK\r\nX-Start-Identity: not valid\r\nContent-Length: 2\r\n\r\nok",
             "HTTP/1.1 200 OK\r\nContent-Type: none\r\nContent-Length: 2\r\n\r\nok",
             "${chunksHead}size\r\nok\r\n0\r\n\r\n",
