Reject interim responses, which the client takes for the final one

Callers of a service got the status 103 or 100 with an empty body when the server sent an interim response first.

Cause: the HTTP client returns the first head that it reads, whatever its status.

Evidence: a trial with a 103 and a 100 before a whole response ended as an answer with the status 103 and 100. The attempt now ends as broken. The final response is lost still: the client has no way to go on reading.

--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/client/ResponseCheck.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/client/ResponseCheck.kt
@@ -22,9 +22,12 @@
      * Checks that the head of [response] does not contain the start of another response, which a faulty server may send
      * on the same connection before the first one is complete.
      *
+     * An interim response is rejected as well: the HTTP client takes it for the final one.
+     *
      * @throws InvalidResponseException if the head is rejected, or if the length of the body is not a number.
      */
     fun requireOneHead(response: HttpResponse) {
+        requireValid(!response.status.isInformational()) { "it is an interim one" }
         val lines = response.headers.entries().flatMap { it.value } + response.status.description
         requireValid(lines.none { STATUS_LINE.containsMatchIn(it) }) { "its head contains another status line" }
         SINGLE_HEADERS.forEach { name ->
@@ -72,6 +75,8 @@
         ?.takeIf { response.request.method != HttpMethod.Head && response.status != HttpStatusCode.NotModified }
         ?.toLong()
 
+    private fun HttpStatusCode.isInformational() = value < HttpStatusCode.OK.value
+
     private fun String.isLength() = all { it in '0'..'9' } && toLongOrNull() != null
 
     private inline fun requireValid(condition: Boolean, problem: () -> String) {
--- a/daemon/src/test/kotlin/org/quetzalloom/daemon/client/ServiceResponsesTest.kt
+++ b/daemon/src/test/kotlin/org/quetzalloom/daemon/client/ServiceResponsesTest.kt
@@ -60,6 +60,12 @@
         assertEquals(responses.associateWith { broken }, responses.associateWith { outcomeOf(it) })
     }
 
+    @Test
+    fun `an interim response is not taken for the answer`() {
+        val responses = listOf("HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n")
+        assertEquals(List(2) { broken }, responses.map { outcomeOf("$it${bodyHead}the whole") })
+    }
+
     @Test
     fun `sound responses are forwarded`() {
         val responses = mapOf(
