Reject streams that are begun anew in the middle

A stream that an engine broke off and began anew on the same connection was read as one stream; tokens of the second one followed those of the first, and the answer counted as complete.

Cause: lines that are no field of an event were ignored, a second head included, and positions that go back within a response were dropped as tokens delivered before.

Now a line that is no comment and no field of an event, or a position that does not follow the one before, fails the attempt. Comments and all four fields of events still pass.

--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/EngineCall.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/EngineCall.kt
@@ -11,6 +11,7 @@
 import io.ktor.http.isSuccess
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.readLine
+import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.serialization.encodeToString
 import org.quetzalloom.core.backend.AttemptFailure
 import org.quetzalloom.core.backend.AttemptOrder
@@ -18,6 +19,7 @@
 import org.quetzalloom.core.identity.StartIdentity
 import org.quetzalloom.core.request.Target
 import org.quetzalloom.daemon.RouterLoop
+import org.quetzalloom.daemon.client.InvalidResponseException
 import org.quetzalloom.wire.WireFormat
 import org.quetzalloom.wire.backend.BackendHeaders
 import org.quetzalloom.wire.backend.GenerateEvent
@@ -64,13 +66,22 @@
     /**
      * Posts tokens as they arrive. Returns the number of tokens of the whole answer, or `null` if the stream ends
      * before the engine has reported it.
+     *
+     * @throws InvalidResponseException if the tokens do not follow one another, or a line is not part of an event
+     *   stream: the engine has begun another response on the same connection.
      */
     private suspend fun readTokens(channel: ByteReadChannel): Int? {
+        var expectedPosition: Int? = null
         while (true) {
             val line = channel.readLine() ?: return null
+            if (!isEventLine(line)) throw InvalidResponseException("a line is not part of an event stream")
             val event = line.takeIf { it.startsWith(DATA_PREFIX) }?.let { parseEvent(it) }
             if (event?.total != null) return event.total
             if (event != null) {
+                if (event.position != (expectedPosition ?: event.position)) {
+                    throw InvalidResponseException("position ${event.position} follows instead of $expectedPosition")
+                }
+                expectedPosition = event.position + event.tokens
                 loop.post(Event.OfBackend.ChunkReceived(order.attempt, event.position, event.tokens, event.text))
             }
         }
@@ -78,7 +89,12 @@
 
     private fun parseEvent(line: String): GenerateEvent = WireFormat.decodeFromString(line.removePrefix(DATA_PREFIX))
 
+    /** Returns whether [line] is an empty line, a comment or a field of a server-sent event. */
+    private fun isEventLine(line: String): Boolean =
+        line.isEmpty() || line.startsWith(':') || line.substringBefore(':') in EVENT_FIELDS
+
     private companion object {
+        val EVENT_FIELDS = persistentSetOf("data", "event", "id", "retry")
         const val DATA_PREFIX = "data: "
     }
 }
