Fail an append that is answered without an offset

The router took records for appended after a response with an empty body, for which the log may have stored nothing.

Cause: the body of the response was not read.

Evidence: before the change, an append that was answered with an empty 200 counted as done. The body must now be an AppendResponse, so half of a response and a joined one fail as well.

--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/platform/PlatformClient.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/platform/PlatformClient.kt
@@ -22,6 +22,7 @@
 import org.quetzalloom.wire.log.toDocument
 import org.quetzalloom.wire.log.toRecord
 import org.quetzalloom.wire.platform.AppendRequest
+import org.quetzalloom.wire.platform.AppendResponse
 import org.quetzalloom.wire.platform.LogEntryDocument
 import org.quetzalloom.wire.platform.RatingDocument
 import org.quetzalloom.wire.platform.RatingsResponse
@@ -58,7 +59,8 @@
     private suspend fun append(effect: Effect.OfPlatform.Append) {
         val request = AppendRequest(effect.stamp, effect.records.map { it.toDocument() })
         val event = http.callOrElse(fallback = Event.OfPlatform.LogAppendFailed(effect.append)) {
-            http.post(streamUrl(effect.stream), WireFormat.encodeToString(request))
+            val body = http.post(streamUrl(effect.stream), WireFormat.encodeToString(request))
+            WireFormat.decodeFromString<AppendResponse>(body)
             Event.OfPlatform.LogAppended(effect.append)
         }
         loop.post(event)
--- a/daemon/src/test/kotlin/org/quetzalloom/daemon/client/PlatformResponsesTest.kt
+++ b/daemon/src/test/kotlin/org/quetzalloom/daemon/client/PlatformResponsesTest.kt
@@ -7,7 +7,9 @@
 import org.quetzalloom.core.event.Event
 import org.quetzalloom.core.identity.BackendServerId
 import org.quetzalloom.core.log.LogStream
+import org.quetzalloom.standins.scripted.ScriptedServer
 import kotlin.test.Test
+import kotlin.test.assertEquals
 
 /** Calls to the platform, and load reports, whose responses are cut off or joined with another one. */
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
@@ -15,6 +17,7 @@
     private val clients = RecordedClients()
     private val second = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\nno"
     private val read = Effect.OfPlatform.Read(LogStream.CONFIGURATION, from = 0)
+    private val append = Effect.OfPlatform.Append(7, LogStream.CONFIGURATION, stamp = 0, persistentListOf())
     private val ratings = Effect.OfPlatform.ReadRatings(from = 0)
 
     @AfterAll
@@ -45,6 +48,14 @@
         whole = Event.OfPlatform.LogRead(LogStream.CONFIGURATION, persistentListOf(), next = 5, earliest = 0),
     )
 
+    @Test
+    fun `an append without a whole response fails`() = check(
+        effect = append,
+        failure = Event.OfPlatform.LogAppendFailed(7),
+        body = """{"offset":5}""",
+        whole = Event.OfPlatform.LogAppended(7),
+    )
+
     @Test
     fun `half a list of VMs fails`() = check(
         effect = Effect.OfPlatform.ListVms,
@@ -61,6 +72,13 @@
         whole = Event.OfPlatform.RatingsRead(persistentListOf(), next = 5),
     )
 
+    @Test
+    fun `an append that is answered with an empty success fails`() {
+        ScriptedServer { it.respond("200 OK", headers = emptyMap(), body = "") }.start().use { server ->
+            assertEquals(Event.OfPlatform.LogAppendFailed(7), clients.callPlatform(server.port, append)())
+        }
+    }
+
     @Test
     fun `half a load report fails`() {
         val response = withLength("""{"start":"s","running":3,"up_for_milliseconds":55}""")
