--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/platform/PlatformHttp.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/platform/PlatformHttp.kt
@@ -6,11 +6,11 @@
 import io.ktor.client.request.post
 import io.ktor.client.request.setBody
 import io.ktor.client.statement.HttpResponse
-import io.ktor.client.statement.bodyAsText
 import io.ktor.http.ContentType
 import io.ktor.http.contentType
 import io.ktor.http.isSuccess
 import kotlinx.io.IOException
+import org.quetzalloom.daemon.client.ResponseCheck
 
 /** An HTTP client for the platform's services; each call has a timeout. */
 internal class PlatformHttp(private val client: HttpClient) {
@@ -21,7 +21,7 @@
      */
     suspend fun get(url: String): String = client.get(url) {
         timeout { requestTimeoutMillis = TIMEOUT_MILLISECONDS }
-    }.requireSuccess().bodyAsText()
+    }.requireSuccess().let { ResponseCheck.readWholeText(it) }
 
     /**
      * Posts the JSON text [body] to [url] and returns the response body.
@@ -32,18 +32,16 @@
         timeout { requestTimeoutMillis = TIMEOUT_MILLISECONDS }
         contentType(ContentType.Application.Json)
         setBody(body)
-    }.requireSuccess().bodyAsText()
+    }.requireSuccess().let { ResponseCheck.readWholeText(it) }
 
     private fun HttpResponse.requireSuccess(): HttpResponse =
         if (status.isSuccess()) this else throw IOException("the platform responded with status $status")
 
     /** Returns the result of [call], or [fallback] if the call fails or its response cannot be parsed. */
     suspend fun <T> callOrElse(fallback: T, call: suspend () -> T): T = try {
-        call()
+        ResponseCheck.rejectingInvalid(call)
     } catch (_: IOException) {
         fallback
-    } catch (_: IllegalArgumentException) {
-        fallback
     }
 
     private companion object {
