Search event streams for other responses only event by event

Sound events that quote a response with the fields of an event behind it were rejected: the search of bodies took these fields for headers. Streams that are forwarded event by event are validated by event only.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
@@ -55,6 +55,9 @@
     /** The memory that the response takes while it is being read; 0 once it is complete. */
     val memoryBytes: Int get() = if (ended || complete) 0 else buffered?.memoryBytes ?: 0
 
+    /** Whether the response is forwarded event by event, each of which is validated. */
+    val forwardsEvents: Boolean get() = buffered?.let { it.isStream && it.isEventStream } ?: false
+
     /** Whether the attempt has ended: its response was forwarded, it failed or it was abandoned. */
     var ended = false
         private set
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/ResponseReader.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/ResponseReader.kt
@@ -98,6 +98,8 @@
     }
 
     private fun isJoined(content: HttpContent, surplus: String): Boolean {
+        // The lines of an event may be taken for headers of a response that the event quotes.
+        if (!skipping && call.forwardsEvents) return false
         val following = if (content is LastHttpContent) surplus else ""
         return detector.hasBegun(content.content().toString(Charsets.ISO_8859_1), following)
     }
