--- a/relay/src/test/kotlin/org/quetzalloom/relay/GracefulStopTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/GracefulStopTest.kt
@@ -68,7 +68,9 @@
     @Test
     fun `a request that is sent right after a stream during which the stop began is answered or reset`() {
         val stream: (ScriptedRequest) -> Unit = {
-            it.write("HTTP/1.1 200 OK\r\nId: a\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+            it.write(
+                "HTTP/1.1 200 OK\r\nId: a\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+            )
             it.writeChunk("id: 1\ndata: x\n\n")
             Thread.sleep(RESPONSES_MILLISECONDS)
             it.write("0\r\n\r\n")
--- a/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
@@ -74,9 +74,12 @@
     }
 
     /** Delivers the configuration [version], by which connections may be idle for [idleTimeoutMilliseconds]. */
-    fun changeIdleTimeout(version: Long, idleTimeoutMilliseconds: Long) {
-        val limits = table.limits.copy(idleTimeoutMilliseconds = idleTimeoutMilliseconds)
-        val changed = FeedEntry.Configuration(table.copy(version = version, limits = limits))
+    fun changeIdleTimeout(version: Long, idleTimeoutMilliseconds: Long): Unit =
+        change(version) { it.copy(limits = it.limits.copy(idleTimeoutMilliseconds = idleTimeoutMilliseconds)) }
+
+    /** Delivers the first configuration with [change] as the configuration [version]. */
+    fun change(version: Long, change: (RoutingTable) -> RoutingTable) {
+        val changed = FeedEntry.Configuration(change(table).copy(version = version))
         program.post(RelayEvent.FeedRead(Feed.ORDERS, listOf(changed), nextOffset = version, snapshot = false))
     }
 
