Log what was wrong with a response that cannot be used

BAD_ANSWER covered malformed heads, joined responses, events out of order and resumptions that continue nothing, so that the log could not tell them apart. attempt_failed has the field detail now, bounded to 100 characters where it may quote a server.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
@@ -84,12 +84,14 @@
      *
      * @property lastEventId the id of the last event that this attempt forwarded to the caller, or `null` if there is
      *   none.
+     * @property detail what was wrong with the response, for logs; `null` if [failure] says it all.
      */
     public data class AttemptFailed(
         public val exchange: ExchangeId,
         public val attempt: Int,
         public val failure: AttemptFailure,
         public val lastEventId: String? = null,
+        public val detail: String? = null,
     ) : RelayEvent
 
     /**
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
@@ -29,6 +29,7 @@
         "attempt" to attempt.number,
         "server" to attempt.server,
         "failure" to failure,
+        "detail" to event.detail,
         "after_ms" to (now - attempt.sentAt),
         "passing" to exchange.headForwarded,
         "last_event_id" to withoutAttempt.lastEventId,
--- a/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
@@ -93,8 +93,12 @@
     override fun attemptStalled(call: BackendCall, lastEventId: String?): Unit =
         post(RelayEvent.AttemptStalled(call.exchange.id, call.number, lastEventId))
 
-    override fun attemptFailed(call: BackendCall, failure: AttemptFailure, lastEventId: String?): Unit =
-        post(RelayEvent.AttemptFailed(call.exchange.id, call.number, failure, lastEventId))
+    override fun attemptFailed(
+        call: BackendCall,
+        failure: AttemptFailure,
+        lastEventId: String?,
+        detail: String?,
+    ): Unit = post(RelayEvent.AttemptFailed(call.exchange.id, call.number, failure, lastEventId, detail))
 
     private fun send(effect: RelayEffect.Send) {
         val exchange = exchanges.getOrNull(effect.exchange) ?: return
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
@@ -108,12 +108,12 @@
         }
     }
 
-    /** Ends the attempt with [failure], unless it has ended already. */
-    fun onFailure(failure: AttemptFailure) {
+    /** Ends the attempt with [failure], unless it has ended already. [detail] is for logs. */
+    fun onFailure(failure: AttemptFailure, detail: String? = null) {
         if (ended) return
         val lastEventId = buffered?.lastEventId
         end()
-        listener.attemptFailed(this, failure, lastEventId)
+        listener.attemptFailed(this, failure, lastEventId, detail)
     }
 
     /**
@@ -126,19 +126,19 @@
         if (ended || response == null) return
         forwarding = true
         val mayContinue = response.isEventStream && parameters.lastEventId != null
-        if (exchange.response.headWritten && !mayContinue) return abandon(AttemptFailure.BAD_ANSWER)
+        if (exchange.response.headWritten && !mayContinue) return abandon(AttemptFailure.BAD_ANSWER, "it does not continue the stream")
         if (response.isStream) forwardAvailable(response)
         if (complete && !ended) finish(response)
     }
 
     /**
      * Abandons the attempt, with [failure] unless it is `null`. Closes its connection, because the backend server may
-     * still be working on the request.
+     * still be working on the request. [detail] is for logs.
      */
-    fun abandon(failure: AttemptFailure? = null) {
+    fun abandon(failure: AttemptFailure? = null, detail: String? = null) {
         if (ended) return
         connection?.abandon()
-        if (failure == null) end() else onFailure(failure)
+        if (failure == null) end() else onFailure(failure, detail)
     }
 
     /** Forwards what can be forwarded now. Returns whether that is anything, and the attempt goes on. */
@@ -149,7 +149,7 @@
         if (progressed && response.eventCount >= RelayEvent.ResponseProgressed.EVENTS) {
             listener.responseProgressed(this, response.eventCount)
         }
-        if (response.foundInvalidEvent) abandon(AttemptFailure.BAD_ANSWER)
+        response.eventProblem?.let { abandon(AttemptFailure.BAD_ANSWER, it) }
         return anything && !ended
     }
 
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCallListener.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCallListener.kt
@@ -20,6 +20,9 @@
      */
     fun attemptStalled(call: BackendCall, lastEventId: String?)
 
-    /** The attempt has failed. [lastEventId] is the id of the last event that it forwarded, or `null` if none. */
-    fun attemptFailed(call: BackendCall, failure: AttemptFailure, lastEventId: String?)
+    /**
+     * The attempt has failed. [lastEventId] is the id of the last event that it forwarded, or `null` if none, and
+     * [detail] says what was wrong with the response, or is `null` if [failure] says it all.
+     */
+    fun attemptFailed(call: BackendCall, failure: AttemptFailure, lastEventId: String?, detail: String?)
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
@@ -98,7 +98,7 @@
             ResponseReader.Progress.INCOMPLETE -> Unit
             ResponseReader.Progress.COMPLETE ->
                 current?.let { if (decoder.inputEnded) endsWithInput = true else finish(it) }
-            ResponseReader.Progress.INVALID -> fail(AttemptFailure.BAD_ANSWER)
+            ResponseReader.Progress.INVALID -> fail(AttemptFailure.BAD_ANSWER, current?.problem)
         }
     }
 
@@ -144,11 +144,11 @@
         current.call.onEnd()
     }
 
-    /** Closes the connection, and fails the request in flight. */
-    private fun fail(failure: AttemptFailure) {
+    /** Closes the connection, and fails the request in flight. [detail] is for logs. */
+    private fun fail(failure: AttemptFailure, detail: String? = null) {
         channel.close()
         val current = reader ?: return
         reader = null
-        current.call.onFailure(failure)
+        current.call.onFailure(failure, detail)
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BufferedResponse.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BufferedResponse.kt
@@ -43,8 +43,8 @@
     /** Whether the buffered bytes end with a part of an event. At the end of the response that event has been lost. */
     val endsInsideEvent: Boolean get() = isEventStream && splitter.endsInsideEvent(bytes)
 
-    /** Whether the event after the last forwarded one is complete, and cannot belong to the stream. */
-    val foundInvalidEvent: Boolean get() = splitter.foundInvalidEvent
+    /** Why the event after the last forwarded one cannot belong to the stream; `null` if it can, or is incomplete. */
+    val eventProblem: String? get() = splitter.problem
 
     /** The number of events that have been forwarded; 0 if the response is not an event stream. */
     val eventCount: Int get() = splitter.eventCount
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/EventSplitter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/EventSplitter.kt
@@ -29,8 +29,8 @@
     var eventCount: Int = 0
         private set
 
-    /** Whether the event after the last taken one is complete, and cannot belong to the stream. */
-    var foundInvalidEvent: Boolean = false
+    /** Why the event after the last taken one cannot belong to the stream; `null` if it can, or is incomplete. */
+    var problem: String? = null
         private set
 
     /**
@@ -40,15 +40,14 @@
     fun takeCompleteEvents(bytes: ByteBuf): ByteBuf {
         val start = bytes.readerIndex()
         var end = start
-        while (!foundInvalidEvent) {
+        while (problem == null) {
             val next = search.endOrNull(bytes, end) ?: break
             val text = bytes.toString(end, next - end, Charsets.ISO_8859_1)
             val event = StreamEvent(if (atStart) text.removePrefix(BYTE_ORDER_MARK) else text)
-            if (event.isValid(nameRequest) && isNext(event)) {
+            problem = problemOrNull(event)
+            if (problem == null) {
                 record(event)
                 end = next
-            } else {
-                foundInvalidEvent = true
             }
         }
         return if (end == start) Unpooled.EMPTY_BUFFER else bytes.readBytes(end - start)
@@ -61,6 +60,12 @@
         return lineBreaks.length < text.length && lineBreaks.count { it == '\n' } < LINE_BREAKS_AFTER_EVENT
     }
 
+    private fun problemOrNull(event: StreamEvent): String? = when {
+        !event.isValid(nameRequest) -> "a part of the stream is no event"
+        !isNext(event) -> "an event does not follow the one before"
+        else -> null
+    }
+
     private fun isNext(event: StreamEvent): Boolean {
         val id = event.id ?: return !requiresId || !event.hasContent
         return previousId?.let { isAfter(id, it) } ?: true
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/ResponseReader.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/ResponseReader.kt
@@ -1,5 +1,6 @@
 package org.quetzalloom.relay.backend
 
+import io.netty.handler.codec.DecoderResult
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
@@ -48,6 +49,10 @@
     var keepAliveMilliseconds: Long? = null
         private set
 
+    /** What is wrong with a response that cannot be used, for logs; `null` unless that is known. */
+    var problem: String? = null
+        private set
+
     private var detector = newDetector()
 
     /**
@@ -73,8 +78,8 @@
         val named = interim || origin == ResponseOrigin.THIS_REQUEST
         reusable = reusable && named
         acceptsUnnamed = acceptsUnnamed && named
-        val valid = skippedResponses <= MAXIMUM_SKIPPED_RESPONSES && !response.decoderResult().isFailure &&
-            !response.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
+        problem = headProblemOrNull(response)
+        val valid = problem == null
         if (valid && !skipping) {
             keepAliveMilliseconds = keepAliveMillisecondsOrNull(response.headers())
             reusable = reusable && HttpUtil.isKeepAlive(response) && isFramed(response)
@@ -83,6 +88,13 @@
         return valid
     }
 
+    private fun headProblemOrNull(response: HttpResponse): String? = when {
+        skippedResponses > MAXIMUM_SKIPPED_RESPONSES -> "more than $MAXIMUM_SKIPPED_RESPONSES responses precede it"
+        response.decoderResult().isFailure -> "the head is invalid: ${response.decoderResult().describe()}"
+        response.headers().contains(HttpHeaderNames.CONTENT_ENCODING) -> "it has a content encoding"
+        else -> null
+    }
+
     private fun isAccepted(origin: ResponseOrigin): Boolean = when (origin) {
         ResponseOrigin.THIS_REQUEST -> true
         ResponseOrigin.OTHER_REQUEST -> false
@@ -91,12 +103,22 @@
 
     private fun readContent(content: HttpContent, surplus: String): Progress {
         if (skipping) skippedBytes += content.content().readableBytes()
-        val tooLong = skippedBytes > MAXIMUM_SKIPPED_BYTES
-        if (content.decoderResult().isFailure || tooLong || isJoined(content, surplus)) return Progress.INVALID
+        problem = contentProblemOrNull(content, surplus)
+        if (problem != null) return Progress.INVALID
         if (!skipping && content.content().isReadable) call.onBody(content.content())
         return if (!skipping && content is LastHttpContent) Progress.COMPLETE else Progress.INCOMPLETE
     }
 
+    private fun contentProblemOrNull(content: HttpContent, surplus: String): String? = when {
+        content.decoderResult().isFailure -> "the body is invalid: ${content.decoderResult().describe()}"
+        skippedBytes > MAXIMUM_SKIPPED_BYTES -> "more than $MAXIMUM_SKIPPED_BYTES bytes of other responses precede it"
+        isJoined(content, surplus) -> "another response begins in the body"
+        else -> null
+    }
+
+    /** The message may quote what the backend server has sent. */
+    private fun DecoderResult.describe(): String = cause().message.orEmpty().take(MAXIMUM_DESCRIPTION_CHARACTERS)
+
     private fun isJoined(content: HttpContent, surplus: String): Boolean {
         // The lines of an event may be taken for headers of a response that the event quotes.
         if (!skipping && call.forwardsEvents) return false
@@ -113,6 +135,7 @@
 
         /** As long as the longest response that is forwarded. */
         const val MAXIMUM_SKIPPED_BYTES = 4 * 1_024 * 1_024
+        const val MAXIMUM_DESCRIPTION_CHARACTERS = 100
         const val MILLISECONDS_PER_SECOND = 1_000L
         val KEEP_ALIVE_TIMEOUT = Regex("""timeout\s*=\s*(\d+)""")
 
--- a/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
@@ -21,6 +21,7 @@
 import org.quetzalloom.standins.port.FreePorts
 import org.quetzalloom.standins.scripted.ScriptedRequest
 import org.quetzalloom.standins.scripted.ScriptedServer
+import java.io.InputStream
 import java.net.InetSocketAddress
 import java.net.Socket
 import kotlin.test.assertTrue
@@ -163,6 +164,9 @@
             return read.toString()
         }
 
+        /** Returns what [reader] makes of the input. */
+        fun <T> read(reader: (InputStream) -> T): T = reader(socket.getInputStream())
+
         override fun close(): Unit = socket.close()
     }
 
--- a/relay/src/test/kotlin/org/quetzalloom/relay/backend/EventSplitterTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/backend/EventSplitterTest.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.Unpooled
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 
@@ -43,7 +44,7 @@
     fun `events are taken up to one whose id does not follow, and none after it`() {
         val splitter = eventSplitter()
         assertEquals("id: 9\n\nid: 10\n\n", splitter.take("id: 9\n\nid: 10\n\nid: 9\n\nid: 11\n\n"))
-        assertTrue(splitter.foundInvalidEvent)
+        assertNotNull(splitter.problem)
         assertEquals("", splitter.take("id: 12\n\n"))
         assertEquals("10", splitter.lastEventId)
         assertEquals(2, splitter.eventCount)
@@ -56,7 +57,7 @@
         assertEquals("${begin}id: 8\n\ndata: x\n\n", sound.take("${begin}id: 8\n\ndata: x\n\n"))
         val withoutId = eventSplitter("7", requiresId = true)
         assertEquals(begin, withoutId.take("${begin}data: x\n\nid: 8\n\n"))
-        assertTrue(withoutId.foundInvalidEvent)
+        assertNotNull(withoutId.problem)
         assertEquals(null, withoutId.lastEventId)
     }
 
@@ -73,7 +74,7 @@
         joined.forEach { text ->
             val splitter = eventSplitter()
             assertEquals("id: 1\n\n", splitter.take("id: 1\n\n$text"), text)
-            assertTrue(splitter.foundInvalidEvent, text)
+            assertNotNull(splitter.problem, text)
             bytes.clear()
         }
         val quoted = "data: ${head.trim().replace("\r\n", "\ndata: ")}\nid: 2\nx-weight-versions: 3\n\n"
--- a/relay/src/test/kotlin/org/quetzalloom/relay/backend/RepeatedAttemptTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/backend/RepeatedAttemptTest.kt
@@ -118,8 +118,13 @@
             response.complete(head)
         }
 
-        override fun attemptFailed(call: BackendCall, failure: AttemptFailure, lastEventId: String?) {
-            response.completeExceptionally(IllegalStateException("$failure"))
+        override fun attemptFailed(
+            call: BackendCall,
+            failure: AttemptFailure,
+            lastEventId: String?,
+            detail: String?,
+        ) {
+            response.completeExceptionally(IllegalStateException("$failure $detail"))
         }
 
         override fun responseProgressed(call: BackendCall, events: Int) = Unit
