--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
@@ -126,7 +126,9 @@
         if (ended || response == null) return
         forwarding = true
         val mayContinue = response.isEventStream && parameters.lastEventId != null
-        if (exchange.response.headWritten && !mayContinue) return abandon(AttemptFailure.BAD_ANSWER, "it does not continue the stream")
+        if (exchange.response.headWritten && !mayContinue) {
+            return abandon(AttemptFailure.BAD_ANSWER, "it does not continue the stream")
+        }
         if (response.isStream) forwardAvailable(response)
         if (complete && !ended) finish(response)
     }
--- a/relay/src/test/kotlin/org/quetzalloom/relay/soak/CutResponsesSoakTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/soak/CutResponsesSoakTest.kt
@@ -100,13 +100,19 @@
 
         private fun InputStream.readChunksOrNull(): String? {
             val body = StringBuilder()
-            while (true) {
-                val length = readLineOrNull()?.toIntOrNull(HEXADECIMAL) ?: return null
-                val chunk = readTextOrNull(length)
-                if (chunk == null || readLineOrNull() == null) return null
-                if (length == 0) return body.toString()
+            var chunk: String?
+            do {
+                chunk = readChunkOrNull()
                 body.append(chunk)
-            }
+            } while (!chunk.isNullOrEmpty())
+            return body.toString().takeIf { chunk != null }
+        }
+
+        private fun InputStream.readChunkOrNull(): String? {
+            val length = readLineOrNull()?.toIntOrNull(HEXADECIMAL)
+            val chunk = length?.let { readTextOrNull(it) }
+            val end = chunk?.let { readLineOrNull() }
+            return chunk.takeIf { end != null }
         }
 
         private fun InputStream.readTextOrNull(length: Int): String? =
--- a/relay/src/test/kotlin/org/quetzalloom/relay/soak/FaultyServer.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/soak/FaultyServer.kt
@@ -64,7 +64,7 @@
         if (random.nextInt(4) > 0) request.close()
     }
 
-    /** A part of a body that ends with its connection looks whole unless the connection is reset or something follows. */
+    /** A part of a body that ends with its connection looks whole, unless that is reset or something follows. */
     private fun continuation(response: ServerResponse, cut: Int, random: Random): Continuation {
         val chosen = Continuation.values().random(random)
         val following = chosen == Continuation.COPY || chosen == Continuation.ERROR
