Search bodies for heads in linear time

A server could stop the event loop, and with it all callers of the router, with a body or an event of many status lines: for each, the rest of the text was copied and its lines were read as headers.

The headers of a status line now end at the next one, and within 4,096 characters.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/EmbeddedHead.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/EmbeddedHead.kt
@@ -5,22 +5,31 @@
 
 /** Finds the head of a response inside another message: a server has begun it before the end of the message. */
 internal object EmbeddedHead {
+    private const val START = "HTTP/1."
     private val STATUS_LINE = Regex("""HTTP/1\.[01] [1-5]\d\d\b""")
 
+    /** The length in which the headers that identify a head are expected. */
+    const val HEAD_LENGTH: Int = 4_096
+
     /** Returns whether [text] contains the start of a status line. */
-    fun hasStatusLine(text: String): Boolean = STATUS_LINE.containsMatchIn(text)
+    fun hasStatusLine(text: String): Boolean = START in text && STATUS_LINE.containsMatchIn(text)
 
     /**
-     * Returns the headers that follow each status line in [text], up to the first line that is no header. A status line
-     * that starts in the last bytes of the text is included if [following], what was received after it, completes it.
+     * Returns the headers that follow each status line in [text], up to the first line that is no header or the next
+     * status line. A status line that starts in the last bytes of the text is included if [following], what was
+     * received after it, completes it. Takes a time linear in the length of the texts.
      */
-    fun findAll(text: String, following: String = ""): Sequence<HttpHeaders> =
-        STATUS_LINE.findAll(text + following).filter { it.range.first < text.length }
-            .map { headersAfter(text + following, it.range.last + 1) }
+    fun findAll(text: String, following: String = ""): List<HttpHeaders> {
+        val joined = text + following
+        if (START !in joined) return emptyList()
+        val starts = STATUS_LINE.findAll(joined).map { it.range.first }.toList() + joined.length
+        return starts.zipWithNext().filter { (start, _) -> start < text.length }
+            .map { (start, next) -> headersIn(joined.substring(start, minOf(next, start + HEAD_LENGTH))) }
+    }
 
-    private fun headersAfter(text: String, start: Int): HttpHeaders {
+    private fun headersIn(head: String): HttpHeaders {
         val headers = DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders()
-        text.substring(start).lineSequence().drop(1).takeWhile { ':' in it }
+        head.lineSequence().drop(1).takeWhile { ':' in it }
             .forEach { headers.add(it.substringBefore(':').trim(), it.substringAfter(':').trim()) }
         return headers
     }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/EmbeddedHeadDetector.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/EmbeddedHeadDetector.kt
@@ -18,13 +18,12 @@
      */
     fun hasBegun(text: String, following: String = ""): Boolean {
         val searched = recent + text
-        recent = searched.takeLast(if (EmbeddedHead.hasStatusLine(searched)) HEAD_LENGTH else STATUS_LINE_LENGTH - 1)
+        val kept = if (EmbeddedHead.hasStatusLine(searched)) EmbeddedHead.HEAD_LENGTH else STATUS_LINE_LENGTH - 1
+        recent = searched.takeLast(kept)
         return EmbeddedHead.findAll(searched, following).any(isHead)
     }
 
     private companion object {
-        /** The length in which the headers that identify a head are expected. */
-        const val HEAD_LENGTH = 4_096
         const val STATUS_LINE_LENGTH = "HTTP/1.1 200".length
     }
 }
