--- a/relay/src/test/kotlin/org/quetzalloom/relay/JoinedResponsesTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/JoinedResponsesTest.kt
@@ -38,6 +38,12 @@
     fun `a failure that begins inside a body is not taken for its rest`() =
         assertNoMixture("GET /book/1", first, failure, headCuts.last + 1..<first.length)
 
+    @Test
+    fun `a failure without an id that begins inside a body is not taken for its rest`() {
+        val unnamed = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 7\r\n\r\nproblem"
+        assertNoMixture("GET /book/1", first, unnamed, headCuts.last + 1..<first.length)
+    }
+
     @Test
     fun `a late copy that begins inside a body is not taken for its rest`() =
         assertNoMixture("GET /book/1", first, foreign, headCuts.last + 1..<first.length)
