Close connections on surplus bytes that end with a line

The next caller got 502 for a sound response: whole lines behind a response are taken from the input by the decoder, which then was inside a head, while the connection looked clean and went back to the pool.

Bytes that arrive while no response is expected are now decoded as an invalid message, which closes the connection. Both cases of SurplusBytesTest, behind a response and on an idle connection, got 502 before, and pass now.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
@@ -78,6 +78,7 @@
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
         }
         decoder.method = head.method()
+        decoder.responseExpected = true
         requestWrite = channel.writeAndFlush(request).addListener { written ->
             // After an I/O error the input ends by itself.
             if (!written.isSuccess && written.cause() !is IOException) channel.close()
@@ -103,8 +104,6 @@
     }
 
     override fun channelReadComplete(context: ChannelHandlerContext) {
-        // Surplus bytes that are no whole message would become the start of the next response.
-        if (reader == null && decoder.holdsInput) channel.close()
         if (!responseComplete) return
         responseComplete = false
         if (open && requestWrite.isSuccess) pool.release(this) else channel.close()
@@ -136,6 +135,7 @@
     private fun finish(current: ResponseReader) {
         if (reader !== current) return
         reader = null
+        decoder.responseExpected = false
         // The next response has another reader, and the pool has to see that the connection is closed.
         readingPaused = false
         responseComplete = true
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/ResponseDecoder.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/ResponseDecoder.kt
@@ -34,14 +34,15 @@
     var inputEnded = false
         private set
 
-    /** Whether bytes have been received that are not yet part of a decoded message. */
-    val holdsInput: Boolean get() = actualReadableBytes() > 0
+    /** Whether a response is expected or being received. All other bytes are decoded as an invalid message. */
+    var responseExpected = true
 
     /** The start of what had been received behind the last response when it was decoded. */
     var surplus = ""
         private set
 
     override fun decode(context: ChannelHandlerContext, input: ByteBuf, output: MutableList<Any>) {
+        if (!responseExpected) return rejectSurplus(input, output)
         val inputBefore = input.readerIndex()
         val decodedBefore = output.size
         val wasInsideBody = insideBody
@@ -62,6 +63,12 @@
         }
     }
 
+    /** A surplus that ends with a line of a head would otherwise be kept, and joined to the next response. */
+    private fun rejectSurplus(input: ByteBuf, output: MutableList<Any>) {
+        input.skipBytes(input.readableBytes())
+        output += DefaultLastHttpContent().also { it.fail("the bytes belong to no response") }
+    }
+
     private fun ByteBuf.startAsText(): String =
         toString(readerIndex(), readableBytes().coerceAtMost(MAXIMUM_SURPLUS_BYTES), Charsets.ISO_8859_1)
 
