Accept usual trailers, and headers that are repeated with the same value

Sound responses were rejected after their request had run: with trailers such as ETag and Expires, or with a Date that a proxy had added once more. Found by the review; the two cases of ResponseDecoderTest failed before.

The id, the signature, the length and the type still come once and not in trailers. The other single headers may be repeated with the same value.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/ResponseValidator.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/ResponseValidator.kt
@@ -14,7 +14,7 @@
  * @param singleHeaders headers that a response has at most once, in addition to those of HTTP.
  */
 internal class ResponseValidator(singleHeaders: Set<String>) {
-    private val singleHeaders = HTTP_SINGLE_HEADERS.addAll(singleHeaders)
+    private val singleHeaders = FRAMING_HEADERS.addAll(singleHeaders)
 
     /** Returns what is wrong with the head of [response], or `null` if it is sound. */
     fun headProblemOrNull(response: HttpResponse): String? {
@@ -34,6 +34,7 @@
     private fun headersProblemOrNull(headers: HttpHeaders): String? =
         headers.entries().firstNotNullOfOrNull { (name, value) -> valueProblemOrNull(name, value) }
             ?: singleHeaders.find { headers.getAll(it).size > 1 }?.let { "the header $it comes twice" }
+            ?: SINGLE_VALUE_HEADERS.find { headers.getAll(it).distinct().size > 1 }?.let { "the header $it has two values" }
 
     private fun valueProblemOrNull(name: String, value: String): String? = when {
         EmbeddedHead.hasStatusLine(value) -> "the header $name contains a status line"
@@ -45,12 +46,14 @@
         /** Bytes from here on are text in a character set that the header does not name. */
         const val FIRST_ABOVE_ASCII = '\u0080'
 
-        val HTTP_SINGLE_HEADERS: PersistentSet<String> = listOf(
+        val FRAMING_HEADERS: PersistentSet<String> =
+            listOf(HttpHeaderNames.CONTENT_LENGTH, HttpHeaderNames.CONTENT_TYPE).map { it.toString() }.toPersistentSet()
+
+        /** Headers that a proxy may repeat with the same value. */
+        val SINGLE_VALUE_HEADERS: PersistentSet<String> = listOf(
             HttpHeaderNames.AGE,
-            HttpHeaderNames.CONTENT_LENGTH,
             HttpHeaderNames.CONTENT_LOCATION,
             HttpHeaderNames.CONTENT_RANGE,
-            HttpHeaderNames.CONTENT_TYPE,
             HttpHeaderNames.DATE,
             HttpHeaderNames.ETAG,
             HttpHeaderNames.EXPIRES,
--- a/relay/src/test/kotlin/org/quetzalloom/relay/http/ResponseDecoderTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/http/ResponseDecoderTest.kt
@@ -106,6 +106,7 @@
     @Test
     fun `unusual but sound heads are valid`() = assertSound(
         withHeaders("Set-Cookie: a=1", "Set-Cookie: b=2", "Vary: A", "Vary: B", "Via: 1.1 x", "Via: HTTP/1.1 y"),
+        withHeaders("Date: today", "Date: today"),
         withHeaders("Warning: 199 - \"a\"", "Warning: 199 - \"b\""),
         withHeaders("Cache-Control: private", "Cache-Control: max-age=1"),
         withHeaders("X-Extra: anything", "Empty:", "X-Text: caf\u00e9, \u00a7", "X-Tab: a\tb", "X-Colon: a: b: c"),
@@ -129,6 +130,7 @@
             chunked("2\r\nok\r\n0\r\n\r\n"),
             chunked("2;name=value\r\nok\r\n0\r\n\r\n"),
             chunked("2;name=\"a value\"\r\nok\r\n00\r\nDigest: a\r\n\r\n"),
+            chunked("2\r\nok\r\n0\r\nETag: \"a\"\r\nExpires: today\r\n\r\n"),
             chunked("A\r\n0123456789\r\n0a\r\n0123456789\r\n0\r\n\r\n"),
         )
         assertSound("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n", method = HttpMethod.HEAD)
