Replace an idle connection that an attempt may not use

An attempt failed with NO_CONNECTION_LEFT if its server's connections were used up and the idle ones had carried an earlier attempt of the same request. The pool now closes one of them in favour of a new one. The new case of RepeatedAttemptTest failed before.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
@@ -54,12 +54,23 @@
         val reused = call.exchange.request.callerId?.let { takeIdle(endpoint, call) }
         when {
             reused != null -> reused.send(call, codec.encodeRequest(call.exchange.head, call.parameters))
-            endpoint.all.size + endpoint.connectingCount >= call.parameters.maximumConnections ->
+            !hasRoom(endpoint, call.parameters.maximumConnections) ->
                 call.onFailure(AttemptFailure.NO_CONNECTION_LEFT)
             else -> connect(endpoint, call)
         }
     }
 
+    /** Returns whether [endpoint] may have one more connection, in place of an idle one if it must. */
+    private fun hasRoom(endpoint: Endpoint, maximumConnections: Int): Boolean {
+        val room = maximumConnections - endpoint.all.size - endpoint.connectingCount
+        val replaced = if (room == 0) endpoint.idle.firstOrNull() else null
+        replaced?.let {
+            onClosed(it)
+            it.abandon()
+        }
+        return room > 0 || replaced != null
+    }
+
     /** Returns [connection], which has no request in flight, to the pool. */
     fun release(connection: BackendConnection) {
         val endpoint = addresses[connection]?.let { endpoints[it] } ?: return
--- a/relay/src/test/kotlin/org/quetzalloom/relay/backend/RepeatedAttemptTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/backend/RepeatedAttemptTest.kt
@@ -41,6 +41,7 @@
 
     @Volatile
     private var answers = 0
+    private var maximumConnections = 20
 
     /** Answers the first request `a`, and writes a copy of that answer before the next one on the same connection. */
     private fun ScriptedRequest.answerTwice() {
@@ -73,6 +74,14 @@
         assertEquals(1, server.acceptedConnections)
     }
 
+    @Test
+    fun `an attempt is sent though the only connection that is allowed carried an earlier one`() {
+        maximumConnections = 1
+        val exchange = exchange("a")
+        assertEquals("first", signature(exchange, attempt = 1))
+        assertEquals("second", signature(exchange, attempt = 2))
+    }
+
     private fun exchange(id: String): CallerExchange {
         val head = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/book/1")
         head.headers().add("Host", "app").add("Id", id)
@@ -101,7 +110,7 @@
     private fun parameters() = SendParameters(
         server = BackendServerId("s"),
         address = "127.0.0.1:${server.port}",
-        maximumConnections = 20,
+        maximumConnections = maximumConnections,
         timeLeftMilliseconds = 2_000,
         workspace = null,
         model = null,
