Keep written responses through the close of an idle connection

A caller that had not read the whole response when its connection was closed as idle lost the rest of it if it sent another request: a closed connection answers with a reset, which discards what is still to be read.

The connection is half-closed first, as behind a response, but nothing is read from it any more. The new case of KeptConnectionsTest ended with a reset before.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/GracefulClose.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/GracefulClose.kt
@@ -8,8 +8,7 @@
 /**
  * Closes the connection of [channel] without losing response bytes that the caller has not read yet.
  *
- * After a response that announced it, the connection is half-closed first: closing it with unread input would reset it,
- * and a reset discards such bytes.
+ * The connection is half-closed first: closing it with unread input would reset it, and a reset discards such bytes.
  */
 internal class GracefulClose(private val channel: Channel) {
     private val timer = RestartableTimer(channel.eventLoop())
@@ -22,11 +21,17 @@
      * Schedules the close of an idle connection after [milliseconds], in place of any earlier schedule.
      *
      * After a pause of the process, timers may be handled before the input that has arrived meanwhile. So there is a
-     * short time in which that input is read, and may [cancel] the schedule. Then the connection is closed completely:
-     * the caller of a request that arrives later sees a reset, and knows that nothing of it was read.
+     * short time in which that input is read, and may [cancel] the schedule. After that nothing is read: a request that
+     * arrives later is reset after the linger timeout, and its caller knows that it has not run.
      */
     fun closeAfter(milliseconds: Long) {
-        if (!closing) timer.restart(milliseconds) { timer.restart(READ_MILLISECONDS) { channel.close() } }
+        if (closing) return
+        timer.restart(milliseconds) {
+            timer.restart(READ_MILLISECONDS) {
+                channel.config().isAutoRead = false
+                close()
+            }
+        }
     }
 
     /** Cancels a scheduled close. Has no effect once closing has begun. */
--- a/relay/src/test/kotlin/org/quetzalloom/relay/KeptConnectionsTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/KeptConnectionsTest.kt
@@ -81,12 +81,15 @@
             relay.connect().use { caller ->
                 caller.send(get("a")).readUntil("for a")
                 assertEquals("", caller.readAll())
+                caller.send(get("b"))
+                Thread.sleep(AFTER_LINGER_MILLISECONDS)
                 assertFailsWith<SocketException> {
                     repeat(2) {
                         caller.send(get("b"))
                         Thread.sleep(200)
                     }
                 }
+                assertEquals(1, relay.servers[0].requests.size)
             }
         }
     }
@@ -109,7 +112,30 @@
         }
     }
 
+    @Test
+    fun `a response that is still being read survives the close of its connection after the idle timeout`() {
+        val response: (ScriptedRequest) -> Unit =
+            { it.respond("200 OK", mapOf("Id" to it.headers.getValue("id")), "x".repeat(BUFFERED_BYTES)) }
+        TestRelay(response).use { relay ->
+            relay.changeIdleTimeout(version = 2, idleTimeoutMilliseconds = 300)
+            relay.connectWithBuffer(RECEIVE_BUFFER_BYTES).use { caller ->
+                caller.send(get("a"))
+                Thread.sleep(700)
+                caller.send(get("b"))
+                Thread.sleep(50)
+                caller.readUntil("\r\n\r\n")
+                assertEquals(BUFFERED_BYTES, caller.readBytes(BUFFERED_BYTES).size)
+            }
+        }
+    }
+
     private companion object {
+        /** Longer than a connection lingers after the close. */
+        const val AFTER_LINGER_MILLISECONDS = 1_300L
+
+        /** Fits the buffers of a loopback connection. */
+        const val BUFFERED_BYTES = 400_000
+
         /** Within the second line of the head. */
         const val HEAD_PART = 27
         const val RECEIVE_BUFFER_BYTES = 16_384
