Fail a call in whose response another one begins

A call took the head of a second response for the rest of its body, and a read could skip a record that way. A sound store sends nothing behind a response, so that a status line in a body with a surplus behind it is enough to fail the call. Records may hold any text, and a body without a surplus is not searched.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/CallConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/CallConnection.kt
@@ -103,6 +103,7 @@
     override fun channelReadComplete(context: ChannelHandlerContext) {
         val response = received ?: return
         received = null
+        if (surplus && response.containsStatusLine(decoder.surplus)) return fail("another response begins in the body")
         val release = onIdle?.takeIf { isOpen && response.reusable && requestWrite.isSuccess }
         release?.invoke(this)
         complete(Ok(response.toFullResponse()))
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/CallResponse.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/CallResponse.kt
@@ -38,6 +38,10 @@
         return if (message is HttpContent && head != null) readContent(message) else Progress.INCOMPLETE
     }
 
+    /** Returns whether a status line begins in the body, which is followed by [surplus]. */
+    fun containsStatusLine(surplus: String): Boolean =
+        EmbeddedHead.findAll(body.toString(Charsets.ISO_8859_1), surplus).isNotEmpty()
+
     /** Returns the whole response, of which only the status and the body are kept. Its body needs no release. */
     fun toFullResponse(): FullHttpResponse = checkNotNull(head) { "the response has no head" }
         .let { DefaultFullHttpResponse(it.protocolVersion(), it.status(), body) }
--- a/relay/src/test/kotlin/org/quetzalloom/relay/http/SurplusCallResponsesTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/http/SurplusCallResponsesTest.kt
@@ -29,6 +29,15 @@
         return calls.use { it.call("/first", "/second") }
     }
 
+    @Test
+    fun `a response that begins in the body of another is not taken for its rest`() {
+        TestCalls {
+            it.write("HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\nfirst half")
+            Thread.sleep(BEFORE_SECOND_RESPONSE_MILLISECONDS)
+            it.write(TestCalls.withLength("the second response"))
+        }.use { assertTrue(it.call("/read").single().startsWith("problem: ")) }
+    }
+
     @Test
     fun `bytes that arrive on an idle connection close it`() {
         listOf(copy, copy.take(4), copy.dropLast(1), "no response").forEach { bytes ->
@@ -65,6 +74,7 @@
     }
 
     private companion object {
+        const val BEFORE_SECOND_RESPONSE_MILLISECONDS = 25L
         const val IDLE_MILLISECONDS = 50L
         const val CLOSE_TIMEOUT_MILLISECONDS = 1_000
     }
