--- a/relay/src/test/kotlin/org/quetzalloom/relay/backend/EventSplitterTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/backend/EventSplitterTest.kt
@@ -3,8 +3,8 @@
 import io.netty.buffer.Unpooled
 import kotlin.test.Test
 import kotlin.test.assertEquals
-import kotlin.test.assertNotNull
 import kotlin.test.assertFalse
+import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
 
 /** Tests that events are taken and counted once they are complete, up to the first that cannot follow. */
--- a/relay/src/test/kotlin/org/quetzalloom/relay/soak/CutResponsesSoakTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/soak/CutResponsesSoakTest.kt
@@ -4,10 +4,12 @@
 import java.io.InputStream
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 
 /**
  * Callers took parts of several responses for one whole response.
@@ -16,6 +18,7 @@
  */
 class CutResponsesSoakTest {
     private val responses = ConcurrentHashMap<String, ServerResponse>()
+    private val whole = AtomicInteger()
     private val violations = ConcurrentLinkedQueue<String>()
 
     @Test
@@ -24,6 +27,8 @@
         val seeds = only?.let { listOf(it) } ?: (1L..(System.getProperty("seeds")?.toLong() ?: SEEDS)).toList()
         seeds.forEach { play(it) }
         assertEquals("", violations.joinToString("\n\n"))
+        val required = (seeds.size * CALLERS * REQUESTS * FaultyServer.SOUND_SHARE).toInt()
+        assertTrue(whole.get() >= required, "${whole.get()} responses of servers arrived whole instead of $required")
     }
 
     private fun play(seed: Long) {
@@ -54,6 +59,7 @@
         val signature = response?.headers?.get("signature")
         if (response == null || signature == null && !response.isSuccess) return null
         val sent = responses[signature]
+        whole.incrementAndGet()
         return when {
             sent == null -> "no server sent it: $response"
             sent.id != id -> "it belongs to ${sent.id}: $response"
--- a/relay/src/test/kotlin/org/quetzalloom/relay/soak/FaultyServer.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/soak/FaultyServer.kt
@@ -80,9 +80,10 @@
         ServerResponse.Framing.LENGTH,
     ).also { responses[it.signature] = it }
 
-    private companion object {
+    companion object {
+        /** The share of responses that are written as they are. */
         const val SOUND_SHARE = 0.5
-        const val PAUSE_MILLISECONDS = 25L
-        const val PRIME = 1_000_003L
+        private const val PAUSE_MILLISECONDS = 25L
+        private const val PRIME = 1_000_003L
     }
 }
