--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/ResponseValidator.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/ResponseValidator.kt
@@ -34,7 +34,8 @@
     private fun headersProblemOrNull(headers: HttpHeaders): String? =
         headers.entries().firstNotNullOfOrNull { (name, value) -> valueProblemOrNull(name, value) }
             ?: singleHeaders.find { headers.getAll(it).size > 1 }?.let { "the header $it comes twice" }
-            ?: SINGLE_VALUE_HEADERS.find { headers.getAll(it).distinct().size > 1 }?.let { "the header $it has two values" }
+            ?: SINGLE_VALUE_HEADERS.find { headers.getAll(it).distinct().size > 1 }
+                ?.let { "the header $it has two values" }
 
     private fun valueProblemOrNull(name: String, value: String): String? = when {
         EmbeddedHead.hasStatusLine(value) -> "the header $name contains a status line"
--- a/relay/src/test/kotlin/org/quetzalloom/relay/soak/ServerResponse.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/soak/ServerResponse.kt
@@ -20,8 +20,8 @@
                 Framing.CHUNKED -> "Transfer-Encoding: chunked\r\n"
                 Framing.CONNECTION_END -> ""
             }
-            val lines = listOf("HTTP/1.1 $status", "Date: today", "Id: $id", "Content-Type: $type", "Signature: $signature")
-            return lines.joinToString("") { "$it\r\n" } + "$length\r\n"
+            return "HTTP/1.1 $status\r\nDate: today\r\nId: $id\r\nContent-Type: $type\r\n" +
+                "Signature: $signature\r\n$length\r\n"
         }
 
     /** The length of the head in bytes. */
