--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/CallClient.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/CallClient.kt
@@ -10,6 +10,9 @@
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.FullHttpResponse
 import io.netty.handler.codec.http.HttpRequestEncoder
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
 
 /** Receives the whole response to a call, whatever its status, or a description of why there is none. */
 public typealias CallListener = (Result<FullHttpResponse, String>) -> Unit
@@ -24,7 +27,7 @@
  * @param group has one event loop.
  */
 public class CallClient(private val group: EventLoopGroup) {
-    private val idle = HashMap<Destination, ArrayDeque<CallConnection>>()
+    private var idle = persistentMapOf<Destination, PersistentList<CallConnection>>()
 
     /**
      * Sends [request] to [address], and calls [listener] once, at the latest after [timeoutMilliseconds].
@@ -49,16 +52,25 @@
     }
 
     private fun takeIdle(destination: Destination): CallConnection? {
-        val connections = idle[destination]
-        connections?.removeAll { !it.isOpen }
-        return connections?.removeLastOrNull()
+        updateIdle(destination) { connections -> connections.removeAll { !it.isOpen } }
+        val newest = idle[destination]?.lastOrNull()
+        newest?.let { taken -> updateIdle(destination) { it.remove(taken) } }
+        return newest
+    }
+
+    private fun updateIdle(
+        destination: Destination,
+        change: (PersistentList<CallConnection>) -> PersistentList<CallConnection>,
+    ) {
+        val changed = change(idle[destination] ?: persistentListOf())
+        idle = if (changed.isEmpty()) idle.remove(destination) else idle.put(destination, changed)
     }
 
     /** Returns a connection that is pooled for [destination], or not reused if that is `null`. */
     private fun newConnection(destination: Destination?) = CallConnection(
         timeout = RestartableTimer(group.next()),
-        onIdle = destination?.let { { connection -> idle.getOrPut(it) { ArrayDeque() }.addLast(connection) } },
-        onClosed = { connection -> destination?.let { idle[it]?.remove(connection) } },
+        onIdle = destination?.let { { connection -> updateIdle(it) { idle -> idle.add(connection) } } },
+        onClosed = { connection -> destination?.let { updateIdle(it) { idle -> idle.remove(connection) } } },
     )
 
     private fun connect(address: Address, connection: CallConnection, request: FullHttpRequest) {
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/ResponseDecoder.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/ResponseDecoder.kt
@@ -16,8 +16,8 @@
 /**
  * Decodes responses. It has to know the request method, because a response to `HEAD` has a length but no body.
  *
- * The [decoder result][HttpObject.decoderResult] of a head or of trailers that
- * [ResponseValidator] rejects, and of a chunk whose size is followed by a status line, is a failure.
+ * The [decoder result][HttpObject.decoderResult] of a head or of trailers that [ResponseValidator] rejects, and of a
+ * chunk whose size is followed by a status line, is a failure.
  *
  * @param singleHeaders headers that a response has at most once, in addition to those of HTTP.
  */
@@ -55,18 +55,27 @@
         if (wasInsideBody && hasStatusLine(input, inputBefore, framingBytes)) {
             decoded.forEach { ReferenceCountUtil.release(it) }
             output.subList(decodedBefore, output.size).clear()
-            output += DefaultLastHttpContent().also { it.fail("a chunk begins with a status line") }
+            output += invalidMessage("a chunk begins with a status line")
         } else {
-            decoded.filter { it.decoderResult().isSuccess }.forEach { message ->
-                problemOrNull(message)?.let { message.fail(it) }
-            }
+            decoded.filter { it.decoderResult().isSuccess }.forEach { validate(it) }
         }
     }
 
     /** A surplus that ends with a line of a head would otherwise be kept, and joined to the next response. */
     private fun rejectSurplus(input: ByteBuf, output: MutableList<Any>) {
         input.skipBytes(input.readableBytes())
-        output += DefaultLastHttpContent().also { it.fail("the bytes belong to no response") }
+        output += invalidMessage("the bytes belong to no response")
+    }
+
+    private fun invalidMessage(problem: String): HttpObject = DefaultLastHttpContent().also { it.fail(problem) }
+
+    private fun validate(message: HttpObject) {
+        val problem = when (message) {
+            is HttpResponse -> validator.headProblemOrNull(message)
+            is LastHttpContent -> validator.trailersProblemOrNull(message.trailingHeaders())
+            else -> null
+        }
+        problem?.let { message.fail(it) }
     }
 
     private fun ByteBuf.startAsText(): String =
@@ -88,12 +97,6 @@
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         method == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
 
-    private fun problemOrNull(message: HttpObject): String? = when (message) {
-        is HttpResponse -> validator.headProblemOrNull(message)
-        is LastHttpContent -> validator.trailersProblemOrNull(message.trailingHeaders())
-        else -> null
-    }
-
     private companion object {
         /** Longer than the head of a response. */
         const val MAXIMUM_SURPLUS_BYTES = 8_192
