Call plain services by the HTTP client of the relay

The HTTP client that it used tells neither where the chunks ended nor what was written. The client of the relay does, as calls to the store had the same faults.

A response is forwarded whole, as before. A line of a head without a colon is rejected in both programs, which the decoder took for a header.

Streams of model engines still use the other client.

--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/Daemon.kt
@@ -17,6 +17,7 @@
 import org.quetzalloom.core.router.RouterState
 import org.quetzalloom.core.router.status
 import org.quetzalloom.daemon.backend.BackendClient
+import org.quetzalloom.daemon.backend.ServiceClient
 import org.quetzalloom.daemon.caller.CallerRoutes
 import org.quetzalloom.daemon.caller.PendingAnswers
 import org.quetzalloom.daemon.caller.RequestParser
@@ -61,7 +62,7 @@
     suspend fun run(): Unit = resourceScope {
         val client = installClient()
         val scope = installWorkerScope()
-        loop.start(createInterpreter(client, scope))
+        loop.start(createInterpreter(client, installServiceClient(), scope))
         installServer()
         stopped.await()
         loop.stop()
@@ -72,6 +73,11 @@
         release = { client, _ -> client.close() },
     )
 
+    private suspend fun ResourceScope.installServiceClient(): ServiceClient = install(
+        acquire = { ServiceClient() },
+        release = { client, _ -> client.close() },
+    )
+
     private suspend fun ResourceScope.installWorkerScope(): CoroutineScope = install(
         acquire = { CoroutineScope(SupervisorJob() + Dispatchers.Default) },
         release = { scope, _ -> scope.cancel() },
@@ -97,11 +103,15 @@
         CallerRoutes(loop, pendingAnswers, parser, settings.largestBodyBytes).install(routing)
     }
 
-    private fun createInterpreter(client: HttpClient, scope: CoroutineScope): EffectInterpreter {
+    private fun createInterpreter(
+        client: HttpClient,
+        services: ServiceClient,
+        scope: CoroutineScope,
+    ): EffectInterpreter {
         val router = settings.router
         return EffectInterpreter(
             pendingAnswers = pendingAnswers,
-            backends = BackendClient(client, scope, loop),
+            backends = BackendClient(client, services, scope, loop),
             platform = PlatformClient(
                 PlatformHttp(client),
                 scope,
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/BackendClient.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/BackendClient.kt
@@ -27,10 +27,14 @@
 /**
  * Sends requests to backend servers, reads their load reports, and posts the results to the loop.
  *
+ * @param client streams responses of model engines.
+ * @param services calls plain services.
+ *
  * Confined to the loop's thread: [carryOut] is called there, and the jobs of ended attempts are removed there.
  */
 internal class BackendClient(
     private val client: HttpClient,
+    private val services: ServiceClient,
     private val scope: CoroutineScope,
     private val loop: RouterLoop,
 ) {
@@ -58,7 +62,7 @@
     private suspend fun run(order: AttemptOrder) {
         val call: BackendCall = when (order.target) {
             is Target.Completion -> EngineCall(client, order, loop)
-            is Target.ServiceCall -> ServiceCall(client, order, loop)
+            is Target.ServiceCall -> ServiceCall(services, order, loop)
         }
         val finalEvent = try {
             ResponseCheck.rejectingInvalid { call.run() }
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/EngineCall.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/EngineCall.kt
@@ -53,8 +53,8 @@
     }
 
     private suspend fun readResponse(response: HttpResponse): Event.OfBackend {
-        if (!response.status.isSuccess()) return failureOf(order, response)
-        acceptedOrNull(order, response)?.let { loop.post(it) }
+        if (!response.status.isSuccess()) return failureOf(order, notRun = BackendHeaders.NOT_RUN in response.headers)
+        acceptedOrNull(order, response.headers[BackendHeaders.START])?.let { loop.post(it) }
         val total = readTokens(response.bodyAsChannel())
         return if (total == null) {
             Event.OfBackend.Failed(order.attempt, AttemptFailure.BROKEN)
@@ -100,19 +100,17 @@
 }
 
 /**
- * Returns the event that [order] was accepted, with the start identity of the backend server in [response], or `null`
- * if the response has none.
+ * Returns the event that [order] was accepted by the backend server with the identity [start], or `null` if that is
+ * not known.
  *
  * @throws IllegalArgumentException if the start identity is not a valid identifier.
  */
-internal fun acceptedOrNull(order: AttemptOrder, response: HttpResponse): Event.OfBackend.Accepted? =
-    response.headers[BackendHeaders.START]?.let { Event.OfBackend.Accepted(order.attempt, StartIdentity(it)) }
+internal fun acceptedOrNull(order: AttemptOrder, start: String?): Event.OfBackend.Accepted? =
+    start?.let { Event.OfBackend.Accepted(order.attempt, StartIdentity(it)) }
 
 /**
- * Returns the failure of [order] for [response]: [AttemptFailure.REFUSED] if the backend server states that it did not
- * run the request, else [AttemptFailure.BROKEN].
+ * Returns the failure of [order]: [AttemptFailure.REFUSED] if the backend server states that it did not run the
+ * request, else [AttemptFailure.BROKEN].
  */
-internal fun failureOf(order: AttemptOrder, response: HttpResponse): Event.OfBackend.Failed {
-    val notRun = response.headers[BackendHeaders.NOT_RUN] != null
-    return Event.OfBackend.Failed(order.attempt, if (notRun) AttemptFailure.REFUSED else AttemptFailure.BROKEN)
-}
+internal fun failureOf(order: AttemptOrder, notRun: Boolean): Event.OfBackend.Failed =
+    Event.OfBackend.Failed(order.attempt, if (notRun) AttemptFailure.REFUSED else AttemptFailure.BROKEN)
--- a/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/ServiceCall.kt
+++ b/daemon/src/main/kotlin/org/quetzalloom/daemon/backend/ServiceCall.kt
@@ -1,18 +1,16 @@
 package org.quetzalloom.daemon.backend
 
-import io.ktor.client.HttpClient
-import io.ktor.client.request.header
-import io.ktor.client.request.prepareRequest
-import io.ktor.client.request.setBody
-import io.ktor.client.statement.HttpResponse
-import io.ktor.http.ContentType
-import io.ktor.http.HttpMethod
-import io.ktor.http.contentType
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpVersion
 import org.quetzalloom.core.backend.AttemptOrder
 import org.quetzalloom.core.event.Event
 import org.quetzalloom.core.request.Target
 import org.quetzalloom.daemon.RouterLoop
-import org.quetzalloom.daemon.client.ResponseCheck
 import org.quetzalloom.wire.backend.BackendHeaders
 
 /**
@@ -22,27 +20,29 @@
  * A response of any status is passed on as the answer, unless it states that the service did not run the call.
  */
 internal class ServiceCall(
-    private val client: HttpClient,
+    private val client: ServiceClient,
     private val order: AttemptOrder,
     private val loop: RouterLoop,
 ) : BackendCall {
     override suspend fun run(): Event.OfBackend {
-        val target = order.target as Target.ServiceCall
-        return client.prepareRequest("http://${order.address}${target.path}") {
-            method = HttpMethod.parse(target.method)
-            contentType(ContentType.Application.Json)
-            header(BackendHeaders.ATTEMPT, order.attempt.value)
-            order.fencing?.let { header(BackendHeaders.FENCING, it) }
-            order.scope?.let { header(BackendHeaders.FENCING_SCOPE, it) }
-            if (order.body.isNotEmpty()) setBody(order.body)
-        }.execute { readResponse(it) }
+        val response = client.call(order.address, request())
+        if (response.notRun) return failureOf(order, notRun = true)
+        acceptedOrNull(order, response.start)?.let { loop.post(it) }
+        loop.post(Event.OfBackend.ChunkReceived(order.attempt, position = 0, tokens = 1, text = response.text))
+        return Event.OfBackend.Finished(order.attempt, tokens = 1, status = response.status)
     }
 
-    private suspend fun readResponse(response: HttpResponse): Event.OfBackend {
-        if (response.headers[BackendHeaders.NOT_RUN] != null) return failureOf(order, response)
-        acceptedOrNull(order, response)?.let { loop.post(it) }
-        val text = ResponseCheck.readWholeText(response)
-        loop.post(Event.OfBackend.ChunkReceived(order.attempt, position = 0, tokens = 1, text = text))
-        return Event.OfBackend.Finished(order.attempt, tokens = 1, status = response.status.value)
+    private fun request(): FullHttpRequest {
+        val target = order.target as Target.ServiceCall
+        val body = Unpooled.copiedBuffer(order.body, Charsets.UTF_8)
+        val method = HttpMethod.valueOf(target.method)
+        return DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, target.path, body).apply {
+            headers().set(HttpHeaderNames.HOST, order.address)
+            headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+            headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+            headers().set(BackendHeaders.ATTEMPT, order.attempt.value)
+            order.fencing?.let { headers().set(BackendHeaders.FENCING, it) }
+            order.scope?.let { headers().set(BackendHeaders.FENCING_SCOPE, it) }
+        }
     }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/CallForwarder.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/CallForwarder.kt
@@ -106,7 +106,7 @@
             callers().forEach { caller ->
                 result.fold(
                     success = { caller.respond(it.status(), it.content().retainedDuplicate()) },
-                    failure = { caller.respond(HttpResponseStatus.BAD_GATEWAY, text(it)) },
+                    failure = { caller.respond(HttpResponseStatus.BAD_GATEWAY, text(it.problem)) },
                 )
             }
         }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/CallResponse.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/CallResponse.kt
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.EmptyHttpHeaders
 import io.netty.handler.codec.http.FullHttpResponse
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
@@ -42,9 +43,10 @@
     fun containsStatusLine(surplus: String): Boolean =
         EmbeddedHead.findAll(body.toString(Charsets.ISO_8859_1), surplus).isNotEmpty()
 
-    /** Returns the whole response, of which only the status and the body are kept. Its body needs no release. */
-    fun toFullResponse(): FullHttpResponse = checkNotNull(head) { "the response has no head" }
-        .let { DefaultFullHttpResponse(it.protocolVersion(), it.status(), body) }
+    /** Returns the whole response, without trailers. Its body needs no release. */
+    fun toFullResponse(): FullHttpResponse = checkNotNull(head) { "the response has no head" }.let {
+        DefaultFullHttpResponse(it.protocolVersion(), it.status(), body, it.headers(), EmptyHttpHeaders.INSTANCE)
+    }
 
     private fun readHead(response: HttpResponse) {
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) return
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/ResponseDecoder.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/ResponseDecoder.kt
@@ -16,13 +16,14 @@
 /**
  * Decodes responses. It has to know the request method, because a response to `HEAD` has a length but no body.
  *
- * The [decoder result][HttpObject.decoderResult] of a head or of trailers that [ResponseValidator] rejects, and of a
- * chunk whose size is followed by a status line, is a failure.
+ * The [decoder result][HttpObject.decoderResult] of a head or of trailers that [ResponseValidator] rejects, of a head
+ * with a line that is no header, and of a chunk whose size is followed by a status line, is a failure.
  *
  * @param singleHeaders headers that a response has at most once, in addition to those of HTTP.
  */
 internal class ResponseDecoder(singleHeaders: Set<String> = emptySet()) : HttpResponseDecoder() {
     private val validator = ResponseValidator(singleHeaders)
+    private val headLines = HeadLines()
 
     /** Whether the head of a response has been decoded, and its end has not. */
     private var insideBody = false
@@ -42,14 +43,18 @@
         private set
 
     override fun decode(context: ChannelHandlerContext, input: ByteBuf, output: MutableList<Any>) {
-        if (!responseExpected) return rejectSurplus(input, output)
+        if (!responseExpected) return reject(input, output, "the bytes belong to no response")
+        if (!insideBody && headLines.hasLineWithoutColon(input)) return reject(input, output, "a line is no header")
         val inputBefore = input.readerIndex()
         val decodedBefore = output.size
         val wasInsideBody = insideBody
         super.decode(context, input, output)
         val decoded = output.drop(decodedBefore).filterIsInstance<HttpObject>()
         decoded.forEach { insideBody = it !is LastHttpContent }
-        if (decoded.lastOrNull() is LastHttpContent) surplus = input.startAsText()
+        if (decoded.lastOrNull() is LastHttpContent) {
+            surplus = input.startAsText()
+            headLines.reset()
+        }
         val contentBytes = decoded.sumOf { if (it is HttpContent) it.content().readableBytes() else 0 }
         val framingBytes = input.readerIndex() - inputBefore - contentBytes
         if (wasInsideBody && hasStatusLine(input, inputBefore, framingBytes)) {
@@ -61,10 +66,10 @@
         }
     }
 
-    /** A surplus that ends with a line of a head would otherwise be kept, and joined to the next response. */
-    private fun rejectSurplus(input: ByteBuf, output: MutableList<Any>) {
+    /** The rest of [input] would otherwise be kept, and joined to the next response. */
+    private fun reject(input: ByteBuf, output: MutableList<Any>, problem: String) {
         input.skipBytes(input.readableBytes())
-        output += invalidMessage("the bytes belong to no response")
+        output += invalidMessage(problem)
     }
 
     private fun invalidMessage(problem: String): HttpObject = DefaultLastHttpContent().also { it.fail(problem) }
