Rank requests at model servers by urgency

Model servers admitted all requests as equals, and the priority of a workspace was not read. A rank now goes with each attempt of a request for a model: by the priority of the workspace, then of the route, and within it by what is left of the target and by attempts made before. Requests that wait at a router are placed in the same order.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayPolicies.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayPolicies.kt
@@ -10,12 +10,15 @@
 import org.quetzalloom.core.relay.rollout.SteppedExposure
 import org.quetzalloom.core.relay.server.AffinityPlacement
 import org.quetzalloom.core.relay.server.Placement
+import org.quetzalloom.core.relay.urgency.TargetUrgency
+import org.quetzalloom.core.relay.urgency.Urgency
 
 /** The replaceable decision rules of a relay, with their defaults. */
 public data class RelayPolicies(
     public val modelChoice: ModelChoice = ConfidenceCascade(),
     public val placement: Placement = AffinityPlacement(),
     public val workEstimate: WorkEstimate = PromptWork(),
+    public val urgency: Urgency = TargetUrgency(),
     public val exposure: ExposurePolicy = SteppedExposure,
     public val quarantine: QuarantinePolicy = RepeatedLosses(),
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
@@ -16,6 +16,7 @@
 import org.quetzalloom.core.relay.server.toCandidate
 import org.quetzalloom.core.relay.session.pin
 import org.quetzalloom.core.relay.unchanged
+import org.quetzalloom.core.relay.urgency.urgencyRank
 import org.quetzalloom.core.relay.with
 import org.quetzalloom.core.time.Timestamp
 
@@ -128,5 +129,6 @@
         startTimeoutMilliseconds = startTimeoutOrNull(exchange, attempt),
         idleTimeoutMilliseconds = idleTimeoutOrNull(route),
         requiresLiveConnection = !route.mayRunAgain,
+        urgency = if (attempt.pendingWork > 0) urgencyRank(exchange, now) else null,
     )
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
@@ -8,6 +8,7 @@
 import org.quetzalloom.core.relay.report
 import org.quetzalloom.core.relay.server.afterFailure
 import org.quetzalloom.core.relay.unchanged
+import org.quetzalloom.core.relay.urgency.urgencyRank
 import org.quetzalloom.core.time.Timestamp
 
 /** The maximum number of attempts of a request that end without having run it: refusals and failed connections. */
@@ -116,11 +117,12 @@
 
 /**
  * Returns the transition that ends the exchanges whose deadline has passed, and places the waiting ones again, in the
- * order of their priority and deadline.
+ * order of their urgency and deadline.
  */
 internal fun RelayState.expireAndPlace(now: Timestamp): RelayStep {
     val (due, inTime) = exchanges.byId.values.partition { now >= it.deadlineAt }
-    val waiting = inTime.filter { it.attempt == null }.sortedBy { it.queueRank }
+    val waiting = inTime.filter { it.attempt == null }
+        .sortedWith(compareBy({ urgencyRank(it, now) }, { it.deadlineAt }))
     return unchanged().thenEach(due) { current, exchange -> current.expire(exchange, now) }
         .thenEach(waiting) { current, exchange -> current.placeWaiting(exchange, now) }
 }
@@ -135,10 +137,3 @@
     } else {
         waitOrGiveUp(exchange, now)
     }
-
-/** The sort key of waiting requests, lowest first: by priority, of which 0 is the most urgent, then by deadline. */
-private val Exchange.queueRank: Long
-    get() = route.priority * PRIORITY_STEP + deadlineAt.epochMilliseconds % PRIORITY_STEP
-
-/** Larger than any deadline in milliseconds since the Unix epoch, so that the priority outweighs the deadline. */
-private const val PRIORITY_STEP = 1_000_000_000_000_000L
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/SendParameters.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/SendParameters.kt
@@ -17,6 +17,8 @@
  * @property startTimeoutMilliseconds the maximum time until the response begins, or `null` for no limit.
  * @property idleTimeoutMilliseconds the maximum pause within the response, or `null` for no limit.
  * @property requiresLiveConnection whether only a new connection, or one that is known to be alive, may be used.
+ * @property urgency the rank among the requests at the backend server, from 0, the most urgent, to 9; `null` to state
+ *   none.
  */
 public data class SendParameters(
     public val server: BackendServerId,
@@ -31,4 +33,5 @@
     public val startTimeoutMilliseconds: Long?,
     public val idleTimeoutMilliseconds: Long?,
     public val requiresLiveConnection: Boolean,
+    public val urgency: Int? = null,
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/routing/RoutingPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/routing/RoutingPart.kt
@@ -33,6 +33,8 @@
                 "previous" to inForce?.version,
                 "routes" to table.routes.size,
                 "services" to table.services.size,
+                "workspace_priorities" to table.workspacePriorities.values.groupingBy { it }.eachCount()
+                    .toSortedMap().takeIf { it.isNotEmpty() }?.entries?.joinToString(","),
             )
         }
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/routing/RoutingTable.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/routing/RoutingTable.kt
@@ -11,6 +11,8 @@
  *
  * @property version the number of the configuration, which rises with each change, in uneven steps.
  * @property limits the limits on callers' requests.
+ * @property workspacePriorities the priorities of workspaces that have one of their own, which goes before that of the
+ *   route; 0 is the most urgent.
  * @property workspacesByKey the workspace that each API key belongs to; `null` if requests need no key at all.
  */
 public data class RoutingTable(
@@ -19,6 +21,7 @@
     public val services: PersistentMap<ServiceName, BackendService> = persistentMapOf(),
     public val limits: CallerLimits,
     public val workspacesByKey: PersistentMap<String, WorkspaceId>? = null,
+    public val workspacePriorities: PersistentMap<WorkspaceId, Int> = persistentMapOf(),
 ) {
     private val routesByHost = routes.groupBy { it.host.lowercase() }
         .mapValues { (_, sameHost) -> sameHost.sortedByDescending { it.pathPrefix.length } }
