Ask the model for which there is room and confidence

The middle model is asked where its gain of confidence, learned from second responses, is expected to suffice.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
@@ -5,6 +5,7 @@
 import org.quetzalloom.core.relay.exchange.ExchangesState
 import org.quetzalloom.core.relay.feed.FeedsState
 import org.quetzalloom.core.relay.member.MembersState
+import org.quetzalloom.core.relay.model.ConfidenceGains
 import org.quetzalloom.core.relay.peer.PeersState
 import org.quetzalloom.core.relay.rollout.RolloutsState
 import org.quetzalloom.core.relay.routing.RoutingTable
@@ -35,6 +36,7 @@
     internal val rollouts: RolloutsState = RolloutsState(),
     internal val pins: PinsState = PinsState(),
     internal val crashes: CrashesState = CrashesState(),
+    internal val confidenceGains: ConfidenceGains = ConfidenceGains(),
     internal val exchanges: ExchangesState = ExchangesState(),
     internal val stop: StopState = StopState(),
 ) {
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
@@ -15,6 +15,8 @@
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.RelayStep
 import org.quetzalloom.core.relay.report
+import org.quetzalloom.core.relay.model.ModelLatencyEstimate
+import org.quetzalloom.core.relay.model.ModelOutlook
 import org.quetzalloom.core.relay.routing.Route
 import org.quetzalloom.core.relay.routing.RoutingTable
 import org.quetzalloom.core.relay.routing.ServiceName
@@ -117,12 +119,21 @@
         arrivedAt = now,
         deadlineAt = now + timeLimit,
         waitUntil = now + timeLimit / QUEUE_TIME_DIVISOR,
-        modelIndex = if (request.routerChoosesModel) policies.modelChoice.firstModel(route, request) else 0,
         lastEventId = request.lastEventId,
     )
     val budget = (exchanges.budgets[exchange.service] ?: RetryBudget()).countRequest(now)
-    val counted = exchanges.copy(budgets = exchanges.budgets.put(exchange.service, budget))
-    return copy(exchanges = counted.with(exchange)).placeOrWait(exchange, now)
+    val counted = copy(exchanges = exchanges.copy(budgets = exchanges.budgets.put(exchange.service, budget)))
+    val withModel = exchange.copy(modelIndex = counted.firstModel(exchange, now))
+    return counted.copy(exchanges = counted.exchanges.with(withModel)).placeOrWait(withModel, now)
+}
+
+/** Returns the index of the model to ask first; 0 if the router does not choose the model. */
+private fun RelayState.firstModel(exchange: Exchange, now: Timestamp): Int {
+    if (!exchange.request.routerChoosesModel) return 0
+    val maySendAgain = hasRetryBudget(exchange, now, SECOND_RESPONSE_RESERVED_SHARE)
+    val latencies = if (maySendAgain) null else latencyEstimateOrNull(exchange, now)
+    val outlook = ModelOutlook(latencies ?: ModelLatencyEstimate(), confidenceGains, maySendAgain)
+    return policies.modelChoice.firstModel(exchange.route, exchange.request, outlook)
 }
 
 /**
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
@@ -110,9 +110,12 @@
     return if (allowed) placeOrWait(exchange, now) else giveUp(exchange, now)
 }
 
-/** Returns whether the retry budget of the service of [exchange] allows one more retry. */
-internal fun RelayState.hasRetryBudget(exchange: Exchange, now: Timestamp): Boolean =
-    exchanges.budgets[exchange.service]?.mayRetry(settings, members.routerCount, now) ?: false
+/**
+ * Returns whether the retry budget of the service of [exchange] allows one more retry and leaves [reservedShare] of it,
+ * from 0 to 1, to others.
+ */
+internal fun RelayState.hasRetryBudget(exchange: Exchange, now: Timestamp, reservedShare: Double = 0.0): Boolean =
+    exchanges.budgets[exchange.service]?.mayRetry(settings, members.routerCount, now, reservedShare) ?: false
 
 /**
  * Returns the transition that ends the exchanges whose deadline has passed, and places the waiting ones again, in the
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Responses.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Responses.kt
@@ -5,6 +5,8 @@
 import org.quetzalloom.core.relay.RelayEvent
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.RelayStep
+import org.quetzalloom.core.relay.model.ModelOutlook
+import org.quetzalloom.core.relay.model.ModelPair
 import org.quetzalloom.core.relay.model.ModelResponse
 import org.quetzalloom.core.relay.report
 import org.quetzalloom.core.relay.server.afterPromptRead
@@ -13,6 +15,9 @@
 import org.quetzalloom.core.relay.with
 import org.quetzalloom.core.time.Timestamp
 
+/** The share of the retry budget that second responses leave to requests that have no response yet. */
+internal const val SECOND_RESPONSE_RESERVED_SHARE = 0.2
+
 /**
  * Returns the transition that handles the head of a response: forwards the response to the caller, drops it and tries
  * another backend server or a larger model, or ends the exchange with an error. Events of attempts that are no longer
@@ -83,15 +88,26 @@
     head: ResponseHead,
     now: Timestamp,
 ): RelayStep {
-    val escalation = escalationOrNull(exchange, head, now)
+    val learned = learnConfidence(exchange, head)
+    val escalation = learned.escalationOrNull(exchange, head, now)
     val withDecision = exchange.copy(escalation = escalation)
     return if (escalation?.nextModelIndex == null) {
-        forwardResponse(withDecision, attempt)
+        learned.forwardResponse(withDecision, attempt)
     } else {
-        escalate(withDecision, escalation.nextModelIndex, now)
+        learned.escalate(withDecision, escalation.nextModelIndex, now)
     }
 }
 
+/** Returns the state that has compared the confidence of [head] with that of the response dropped before it. */
+private fun RelayState.learnConfidence(exchange: Exchange, head: ResponseHead): RelayState {
+    val dropped = exchange.escalation
+    val confidence = head.confidence
+    if (dropped == null || confidence == null || dropped.modelIndex == exchange.modelIndex) return this
+    val models = exchange.route.models
+    val steps = ModelPair(models[dropped.modelIndex], models[exchange.modelIndex])
+    return copy(confidenceGains = confidenceGains.record(steps, before = dropped.confidence, after = confidence))
+}
+
 private fun RelayState.escalate(exchange: Exchange, modelIndex: Int, now: Timestamp): RelayStep {
     val next = exchange.copy(modelIndex = modelIndex, mayHaveRun = true, runs = exchange.runs + 1)
     return copy(exchanges = exchanges.with(next)).cancelAttempt(next)
@@ -115,12 +131,24 @@
  */
 private fun RelayState.escalationOrNull(exchange: Exchange, head: ResponseHead, now: Timestamp): EscalationDecision? {
     val confidence = head.confidence?.takeIf { exchange.request.routerChoosesModel } ?: return null
-    val latencies = if (mayRunOnceMore(exchange, now)) latencyEstimateOrNull(exchange, now) else null
+    val route = exchange.route
+    val latencies = if (mayGiveSecondResponse(exchange, now)) latencyEstimateOrNull(exchange, now) else null
     val response = ModelResponse(exchange.modelIndex, confidence)
-    val next = latencies?.let { policies.modelChoice.nextOrNull(exchange.route, exchange.request, response, it) }
-    return EscalationDecision(confidence, latencies?.startMilliseconds(exchange.route.models.lastIndex), next)
+    val next = latencies?.let {
+        policies.modelChoice.nextOrNull(route, exchange.request, response, ModelOutlook(it, confidenceGains))
+    }
+    return EscalationDecision(
+        modelIndex = exchange.modelIndex,
+        confidence = confidence,
+        largestModelStartMilliseconds = latencies?.startMilliseconds(route.models.lastIndex),
+        nextModelIndex = next,
+    )
 }
 
+/** Returns whether the response to [exchange] may be dropped for one of another model. */
+private fun RelayState.mayGiveSecondResponse(exchange: Exchange, now: Timestamp): Boolean =
+    mayRunOnceMore(exchange, now) && hasRetryBudget(exchange, now, SECOND_RESPONSE_RESERVED_SHARE)
+
 /**
  * Returns whether [exchange], which may have run, may run once more: its route, its number of attempts and the retry
  * budget of its service allow it.
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/model/ConfidenceCascade.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/model/ConfidenceCascade.kt
@@ -4,11 +4,12 @@
 import org.quetzalloom.core.relay.routing.Route
 
 /**
- * Asks the smallest model first, and the largest one if the confidence of the response is below a threshold and the
- * largest could still answer in time.
+ * Asks the smallest model first. If the confidence of its response is below a threshold, asks the smallest of the other
+ * models that can answer in time and is expected to be confident enough, or else the largest one.
  *
  * While backend servers are busy, a second response would be late and would delay all others as well, so the first
- * response is kept. A request that may not run twice goes to the largest model at once.
+ * response is kept. A request that can have no second response goes to the largest model that can answer it in time; one
+ * that may not run twice goes to the largest model in any case.
  *
  * @property threshold the confidence below which a response is dropped, for a request whose prompt has the usual share
  *   of the work.
@@ -19,25 +20,40 @@
  * @property maximumQueueShare the maximum time that the prompts ahead may take to read, as a share of the route's
  *   target. A queue at the least busy backend server means that all are busy, and that each second response delays
  *   first ones.
+ * @property middleMargin how far above the threshold the expected confidence of a model between the smallest and the
+ *   largest has to be, as a third response costs more than the larger model would have.
  */
 public data class ConfidenceCascade(
     public val threshold: Int = 50,
     public val promptPenalty: Double = 20.0,
     public val maximumStartTargets: Double = 1.0,
     public val maximumQueueShare: Double = 0.05,
+    public val middleMargin: Double = 3.0,
 ) : ModelChoice {
-    override fun firstModel(route: Route, request: RelayRequest): Int =
-        if (route.mayRunAgain && route.maximumAttempts > 1) 0 else route.models.lastIndex
+    override fun firstModel(route: Route, request: RelayRequest, outlook: ModelOutlook): Int = when {
+        !route.mayRunAgain || route.maximumAttempts <= 1 -> route.models.lastIndex
+        outlook.allowsSecondResponse -> 0
+        else -> route.models.indices.lastOrNull { route.allows(it, outlook.latencies) } ?: 0
+    }
 
     override fun nextOrNull(
         route: Route,
         request: RelayRequest,
         response: ModelResponse,
-        latencies: ModelLatencyEstimate,
-    ): Int? = route.models.lastIndex.takeIf {
-        response.modelIndex < it && response.confidence < confidenceThreshold(request) && route.allows(it, latencies)
+        outlook: ModelOutlook,
+    ): Int? {
+        val required = confidenceThreshold(request)
+        if (response.confidence >= required) return null
+        return (response.modelIndex + 1..route.models.lastIndex).firstOrNull { model ->
+            val sufficient = model == route.models.lastIndex ||
+                response.confidence + route.expectedGain(response.modelIndex, model, outlook) >= required + middleMargin
+            sufficient && route.allows(model, outlook.latencies)
+        }
     }
 
+    private fun Route.expectedGain(from: Int, to: Int, outlook: ModelOutlook): Double =
+        outlook.confidenceGains.expected(ModelPair(models[from], models[to]))
+
     private fun confidenceThreshold(request: RelayRequest): Double {
         val prompt = request.promptTokens.toDouble()
         val total = prompt + ANSWER_TOKEN_WEIGHT * request.outputTokens
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/model/ModelChoice.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/model/ModelChoice.kt
@@ -8,18 +8,18 @@
  * listed from the smallest to the largest.
  */
 public interface ModelChoice {
-    /** Returns the index of the model to ask first. */
-    public fun firstModel(route: Route, request: RelayRequest): Int
+    /** Returns the index of the model to ask first, given the [outlook] for the request as it arrives. */
+    public fun firstModel(route: Route, request: RelayRequest, outlook: ModelOutlook): Int
 
     /**
      * Returns the index of the model to ask after another one has given [response], or `null` to keep that response.
      *
-     * @param latencies how soon each model could answer the request now.
+     * @param outlook what another response can be expected to be like.
      */
     public fun nextOrNull(
         route: Route,
         request: RelayRequest,
         response: ModelResponse,
-        latencies: ModelLatencyEstimate,
+        outlook: ModelOutlook,
     ): Int?
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/CascadeTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/CascadeTest.kt
@@ -1,12 +1,17 @@
 package org.quetzalloom.core.relay
 
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentList
 import org.quetzalloom.core.relay.exchange.ResponseHead
 import org.quetzalloom.core.relay.feed.Feed
 import org.quetzalloom.core.relay.feed.FeedEntry
 import org.quetzalloom.core.relay.model.ConfidenceCascade
+import org.quetzalloom.core.relay.model.ConfidenceGains
 import org.quetzalloom.core.relay.model.ModelChoice
 import org.quetzalloom.core.relay.model.ModelLatencyEstimate
+import org.quetzalloom.core.relay.model.ModelOutlook
+import org.quetzalloom.core.relay.model.ModelPair
 import org.quetzalloom.core.relay.model.ModelResponse
 import org.quetzalloom.core.relay.routing.Route
 import kotlin.test.Test
@@ -104,10 +109,58 @@
         val short = RelayRig.prompt.copy(promptTokens = 800, outputTokens = 300)
         val long = RelayRig.prompt.copy(promptTokens = 12_000, outputTokens = 100)
         val response = ModelResponse(modelIndex = 0, confidence = 55)
-        assertEquals(2, ConfidenceCascade().nextOrNull(route, short, response, ModelLatencyEstimate()))
-        assertEquals(null, ConfidenceCascade().nextOrNull(route, long, response, ModelLatencyEstimate()))
+        assertEquals(2, ConfidenceCascade().nextOrNull(route, short, response, withoutGains))
+        assertEquals(null, ConfidenceCascade().nextOrNull(route, long, response, withoutGains))
     }
 
+    @Test
+    fun `the middle model is asked if it is expected to be confident enough`() {
+        val route = RelayRig.table.routes.last()
+        val gains = ConfidenceGains(persistentMapOf(ModelPair("small", "middle") to 16.0))
+        fun nextAfter(confidence: Int, gains: ConfidenceGains): Int? = ConfidenceCascade().nextOrNull(
+            route,
+            RelayRig.prompt,
+            ModelResponse(modelIndex = 0, confidence),
+            ModelOutlook(confidenceGains = gains),
+        )
+        assertEquals(1, nextAfter(confidence = 45, gains))
+        assertEquals(2, nextAfter(confidence = 20, gains))
+        assertEquals(2, nextAfter(confidence = 45, ConfidenceGains(persistentMapOf(gains.means.keys.single() to 0.0))))
+    }
+
+    @Test
+    fun `the gain of a model is learned from its response to a request whose first response was dropped`() {
+        val rig = RelayRig().start(RelayRig.engineServers)
+        val pair = ModelPair("small", "middle")
+        val before = rig.state.confidenceGains.expected(pair)
+        val first = rig.arrive(RelayRig.prompt.copy(promptTokens = 7, outputTokens = 0)).second.only<RelayEffect.Send>()
+        val second = rig.respond(first, ResponseHead(200, confidence = 42)).only<RelayEffect.Send>()
+        assertEquals("middle", second.parameters.model)
+        rig.respond(second, ResponseHead(200, confidence = 92))
+        assertTrue(rig.state.confidenceGains.expected(pair) > before)
+    }
+
+    @Test
+    fun `without room for a second response the largest model that can answer in time is asked first`() {
+        val route = RelayRig.table.routes.last().copy(targetMilliseconds = 1_000)
+        fun first(vararg waits: Long, roomForSecond: Boolean = false): Int = ConfidenceCascade().firstModel(
+            route,
+            RelayRig.prompt,
+            ModelOutlook(
+                latencies = ModelLatencyEstimate(waitsMilliseconds = waits.toList().toPersistentList()),
+                allowsSecondResponse = roomForSecond,
+            ),
+        )
+        assertEquals(2, first(10, 30, 900))
+        assertEquals(1, first(10, 30, 1_001))
+        assertEquals(0, first(10, 1_001, 2_000))
+        assertEquals(0, first(10, 30, 900, roomForSecond = true))
+    }
+
+    private val withoutGains = ModelOutlook(
+        confidenceGains = ConfidenceGains(persistentMapOf(ModelPair("small", "middle") to 0.0)),
+    )
+
     private fun ModelChoice.after(route: Route, latencies: ModelLatencyEstimate): Int? =
-        nextOrNull(route, RelayRig.prompt, ModelResponse(modelIndex = 0, confidence = 20), latencies)
+        nextOrNull(route, RelayRig.prompt, ModelResponse(modelIndex = 0, confidence = 20), ModelOutlook(latencies))
 }
