Keep sessions on their version at every router during a roll-out

Callers of a session got answers of the new version in the first half of a roll-out though the answer before was of the old one, or the other way round. Cause: pins live in one router, and a request of the session that came to another router got the version that this one would have chosen.

Only canary sessions, which follow from the session's name, can run on the new version in the first half. A canary session that any router has served on an old version stays there: the routers tell each other of these sessions, at once and in their beacons. Sessions start on the new version only after the routers have had time to read the order. Later the version follows from the session and the stage of the roll-out alone; the first router that enters a stage tells the others at once. A session that sends too much of what the new version may get goes back once. Pins are kept by service.

Ruled out: an owner that is asked on the way of each request, which fails with the owner; pins of all sessions in beacons, which grow with the sessions.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
@@ -13,6 +13,7 @@
 import org.quetzalloom.core.relay.member.MembersPart
 import org.quetzalloom.core.relay.peer.PeersPart
 import org.quetzalloom.core.relay.rollout.OutcomesPart
+import org.quetzalloom.core.relay.rollout.RolloutNoticesPart
 import org.quetzalloom.core.relay.rollout.RolloutsPart
 import org.quetzalloom.core.relay.routing.RoutingPart
 import org.quetzalloom.core.relay.server.EvacuationsPart
@@ -46,6 +47,7 @@
         ExchangesPart,
         QuarantineEndsPart,
         StopPart,
+        RolloutNoticesPart,
     )
 
     private val composed = PartsReducer(parts)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersPart.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
+import org.quetzalloom.core.identity.VmId
 import org.quetzalloom.core.relay.RelayEffect
 import org.quetzalloom.core.relay.RelayEvent
 import org.quetzalloom.core.relay.RelayPart
@@ -14,6 +15,9 @@
 import org.quetzalloom.core.relay.with
 import org.quetzalloom.core.time.Timestamp
 
+/** The maximum number of servers in a beacon, which must fit into one datagram; those with the most work are named. */
+private const val MAXIMUM_SERVERS = 24
+
 /** Sends beacons about this router's work to other routers, and keeps the beacons received from them. */
 internal object PeersPart : RelayPart {
     /** The time between two beacons. A server reads a prompt of usual length in about this time. */
@@ -26,11 +30,6 @@
      */
     private const val MAXIMUM_RECEIVERS = 8
 
-    /**
-     * The maximum number of servers in a beacon, which must fit into one datagram; those with the most work are named.
-     */
-    private const val MAXIMUM_SERVERS = 24
-
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
         is RelayEvent.BeaconReceived -> state.receive(event.beacon, now)
         RelayEvent.Tick -> state.sendIfDue(now)
@@ -70,17 +69,31 @@
             val inTurn = (first until first + MAXIMUM_RECEIVERS).map { others[Math.floorMod(it, others.size)] }
             (inTurn + completionReceivers(now)).distinct()
         }
-        return receivers.mapNotNull { members.addresses[it] }.filter { it.isNotEmpty() }
+        return addressesOf(receivers)
     }
+}
 
-    private fun RelayState.beacon(sequence: Long, now: Timestamp): PeerBeacon = PeerBeacon(
-        vm = settings.vm,
-        sequence = sequence,
-        work = servers.views.values.filter { it.pendingWork > 0 }
-            .sortedByDescending { it.pendingWork }
-            .take(MAXIMUM_SERVERS)
-            .associate { it.listing.id to it.pendingWork }.toPersistentMap(),
-        rollouts = rolloutReports(now).toPersistentList(),
-        crashes = crashReports(sequence, now),
-    )
+/**
+ * Returns the transition that sends a beacon to all other routers at [now], whoever's turn it is. The next ones follow
+ * at their usual times.
+ */
+internal fun RelayState.sendBeaconToAll(now: Timestamp): RelayStep {
+    val next = copy(peers = peers.copy(sequence = peers.sequence + 1))
+    val addresses = next.addressesOf(members.sortedMembers.filter { it != settings.vm })
+    val send = RelayEffect.SendBeacon(addresses.toPersistentList(), beacon(next.peers.sequence, now))
+    return if (addresses.isEmpty()) unchanged() else next.with(send)
 }
+
+private fun RelayState.addressesOf(routers: List<VmId>): List<String> =
+    routers.mapNotNull { members.addresses[it] }.filter { it.isNotEmpty() }
+
+private fun RelayState.beacon(sequence: Long, now: Timestamp): PeerBeacon = PeerBeacon(
+    vm = settings.vm,
+    sequence = sequence,
+    work = servers.views.values.filter { it.pendingWork > 0 }
+        .sortedByDescending { it.pendingWork }
+        .take(MAXIMUM_SERVERS)
+        .associate { it.listing.id to it.pendingWork }.toPersistentMap(),
+    rollouts = rolloutReports(sequence, now).toPersistentList(),
+    crashes = crashReports(sequence, now),
+)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/ExposurePolicy.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/ExposurePolicy.kt
@@ -13,6 +13,12 @@
     /** Returns whether a session may move from the old version to the new one at [elapsed]. */
     public fun mayMoveSessions(elapsed: Double): Boolean
 
+    /**
+     * Returns whether the new version has got many more requests than its first share, by the number of responses of
+     * the [old] versions and of the [new] one.
+     */
+    public fun isExcessive(old: Int, new: Int, limit: Double): Boolean
+
     /** Returns whether a roll-out may be completed at [elapsed]. */
     public fun mayComplete(elapsed: Double): Boolean
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutDecisions.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutDecisions.kt
@@ -24,4 +24,4 @@
 
 /** Returns the share of the roll-out's duration that has elapsed; more than 1 after its end. */
 internal fun elapsedShare(progress: RolloutProgress, now: Timestamp): Double =
-    (now - progress.firstSeenAt).toDouble() / progress.order.durationMilliseconds.coerceAtLeast(1)
+    progress.ageMilliseconds(now).toDouble() / progress.order.durationMilliseconds.coerceAtLeast(1)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutProgress.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutProgress.kt
@@ -1,7 +1,9 @@
 package org.quetzalloom.core.relay.rollout
 
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
 import org.quetzalloom.core.identity.VmId
 import org.quetzalloom.core.time.Timestamp
 
@@ -16,6 +18,13 @@
  * @property condemned whether this router or another one has found the new version to be bad.
  * @property proposal this router's latest proposal to complete the roll-out, or `null` if it made none.
  * @property agreement this router's latest agreement to complete the roll-out, or `null` if it gave none.
+ * @property stage how far the roll-out has come; it is entered by the clock or a report of another router.
+ * @property heardAgeMilliseconds the highest age of the roll-out that another router has reported.
+ * @property oldSessions the hashes of the canary sessions that any router has served on an old version.
+ * @property heavySessions the hashes of the canary sessions that went back to the old version, as they sent too much of
+ *   what the new version got.
+ * @property newSessions the requests of each canary session, by its hash, that this router has sent to the new version.
+ * @property noticeDue whether the other routers have to be told of a change at once.
  * @property writing whether a status is being written.
  * @property writeDueAt the earliest time to write the next status.
  */
@@ -29,6 +38,12 @@
     val condemned: Boolean = false,
     val proposal: CompletionProposal? = null,
     val agreement: CompletionAgreement? = null,
+    val stage: RolloutStage = RolloutStage(),
+    val heardAgeMilliseconds: Long = 0,
+    val oldSessions: PersistentSet<Int> = persistentSetOf(),
+    val heavySessions: PersistentSet<Int> = persistentSetOf(),
+    val newSessions: PersistentMap<Int, Int> = persistentMapOf(),
+    val noticeDue: Boolean = false,
     val writing: Boolean = false,
     val writeDueAt: Timestamp = Timestamp.EPOCH,
 ) {
@@ -45,6 +60,34 @@
     fun record(version: String, change: (OutcomeSums) -> OutcomeSums): RolloutProgress =
         if (version == order.version) copy(new = change(new)) else copy(old = change(old))
 
+    /** Returns the time since the order in milliseconds, as far as this router or another one that it heard knows. */
+    fun ageMilliseconds(now: Timestamp): Long = maxOf(now - firstSeenAt, heardAgeMilliseconds)
+
+    /**
+     * Returns the progress in [stage]. The first router that enters a stage tells the others at once, so that no
+     * session meets a router that is a stage behind.
+     */
+    fun enter(stage: RolloutStage): RolloutProgress =
+        if (stage == this.stage) this else copy(stage = stage, noticeDue = true)
+
+    /** Returns the progress with one more request of the canary session [hash] sent to the new version. */
+    fun countSession(hash: Int): RolloutProgress {
+        val count = (newSessions[hash] ?: 0) + 1
+        return copy(newSessions = newSessions.put(hash, count))
+    }
+
+    /** Returns the progress that knows that the canary session [hash] runs on an old version. */
+    fun keepOnOld(hash: Int): RolloutProgress =
+        if (hash in oldSessions) this else copy(oldSessions = oldSessions.add(hash), noticeDue = true)
+
+    /** Returns the progress in which the canary session [hash] goes back to the old version until the last stage. */
+    fun returnToOld(hash: Int): RolloutProgress =
+        keepOnOld(hash).copy(heavySessions = heavySessions.add(hash), noticeDue = true)
+
+    /** Returns the requests of the canary session [hash] that all routers have sent to the new version. */
+    fun newSessionRequests(hash: Int): Int =
+        (newSessions[hash] ?: 0) + peerOutcomes.values.sumOf { it.newSessions[hash] ?: 0 }
+
     /** Returns whether this router must not condemn the new version at [now]: it has agreed to the completion. */
     fun isBoundByAgreement(now: Timestamp): Boolean = agreement?.isInForce(now) ?: false
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutsPart.kt
@@ -11,6 +11,7 @@
 import org.quetzalloom.core.relay.feed.FeedEntry
 import org.quetzalloom.core.relay.report
 import org.quetzalloom.core.relay.routing.ServiceName
+import org.quetzalloom.core.relay.session.canarySessionsOnOldVersions
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.relay.with
 import org.quetzalloom.core.time.Timestamp
@@ -56,13 +57,21 @@
 
     private fun RelayState.startRollout(order: RolloutOrder, now: Timestamp): RelayStep {
         if (rollouts.byService[order.service]?.order == order) return unchanged()
-        val next = copy(rollouts = rollouts.with(RolloutProgress(order = order, firstSeenAt = now)))
+        val sessions = canarySessionsOnOldVersions(order, now)
+        val progress = RolloutProgress(
+            order = order,
+            firstSeenAt = now,
+            oldSessions = sessions,
+            noticeDue = sessions.isNotEmpty(),
+        )
+        val next = copy(rollouts = rollouts.with(progress.copy(stage = stageOf(progress, now))))
         return next.report(
             now,
             "rollout_ordered",
             "service" to order.service,
             "version" to order.version,
             "duration_ms" to order.durationMilliseconds,
+            "canary_sessions_on_old" to sessions.size,
         )
     }
 
@@ -76,12 +85,14 @@
             .report(now, "rollout_phase", "service" to entry.service, "phase" to entry.phase)
     }
 
-    private fun RelayState.proposeAndAdvance(progress: RolloutProgress, now: Timestamp): RelayStep =
-        proposeCompletionIfDue(progress, now).then { current ->
+    private fun RelayState.proposeAndAdvance(known: RolloutProgress, now: Timestamp): RelayStep {
+        val progress = known.enter(stageOf(known, now))
+        return copy(rollouts = rollouts.with(progress)).proposeCompletionIfDue(progress, now).then { current ->
             current.rollouts.byService[progress.order.service]
                 ?.let { current.advance(it, now) }
                 ?: current.unchanged()
         }
+    }
 
     private fun RelayState.advance(progress: RolloutProgress, now: Timestamp): RelayStep {
         val phase = targetPhase(progress, now)?.takeIf { it != progress.phase && progress.mayWrite(now) }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/SteppedExposure.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/SteppedExposure.kt
@@ -14,6 +14,10 @@
     /** The last step's share of the roll-out's duration, as a part of the limit. */
     private const val LAST_STEP_TIME_OF_LIMIT = 0.42
 
+    /** What the new version may get before the last step, as a part of the limit, and beyond that a few responses. */
+    private const val TOLERATED_SHARE_OF_LIMIT = 0.4
+    private const val TOLERATED_RESPONSES = 10
+
     /**
      * When the roll-out may be completed. The time left allows for the agreement of the other routers and several
      * attempts to write the status to the store. Requests that old backend servers still work on continue at new ones.
@@ -45,6 +49,9 @@
 
     override fun mayMoveSessions(elapsed: Double): Boolean = elapsed >= SESSIONS_MOVE_AT
 
+    override fun isExcessive(old: Int, new: Int, limit: Double): Boolean =
+        new > TOLERATED_RESPONSES + TOLERATED_SHARE_OF_LIMIT * limit * (old + new)
+
     override fun mayComplete(elapsed: Double): Boolean = elapsed >= COMPLETION_AT
 
     override fun isBad(old: OutcomeSums, new: OutcomeSums): Boolean = failsMoreOften(old, new) ||
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/Candidates.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/Candidates.kt
@@ -4,13 +4,11 @@
 import org.quetzalloom.core.relay.exchange.Exchange
 import org.quetzalloom.core.relay.rollout.RolloutPhase
 import org.quetzalloom.core.relay.rollout.RolloutProgress
-import org.quetzalloom.core.relay.rollout.elapsedShare
 import org.quetzalloom.core.relay.routing.ServiceName
-import org.quetzalloom.core.router.bucketOf
+import org.quetzalloom.core.relay.session.isSampled
+import org.quetzalloom.core.relay.session.usesNewVersion
 import org.quetzalloom.core.time.Timestamp
 
-private const val PER_THOUSAND = 1_000
-
 /**
  * Returns the backend servers that may get [exchange] at [now]: those that are usable, run the version chosen for the
  * exchange, and have a connection and, while cold, a request left in this router's share.
@@ -67,21 +65,11 @@
     else -> samplesNewVersion(state, exchange, now)
 }
 
-/**
- * Returns whether [exchange] is in the sample of requests for the new version. A session on the old version stays there
- * until the exposure policy lets it move, and a session on the new version never goes back.
- */
 private fun RolloutProgress.samplesNewVersion(state: RelayState, exchange: Exchange, now: Timestamp): Boolean {
-    val exposure = state.policies.exposure
     val session = exchange.request.session
-    val pin = session?.let { state.pins.pinOrNull(it, state.settings.sessionIdleTimeoutMilliseconds, now) }
-    val elapsed = elapsedShare(this, now)
-    return when {
-        pin?.version == order.version -> true
-        pin != null && !exposure.mayMoveSessions(elapsed) -> false
-        else -> {
-            val samplingKey = session ?: exchange.request.callerId ?: exchange.id
-            bucketOf(samplingKey, PER_THOUSAND) < exposure.share(elapsed, state.settings.exposureLimit) * PER_THOUSAND
-        }
+    return if (session == null) {
+        isSampled(exchange.request.callerId ?: exchange.id, stage.share)
+    } else {
+        state.usesNewVersion(this, session, now)
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/session/PinsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/session/PinsPart.kt
@@ -23,15 +23,20 @@
 
     private fun RelayState.touch(id: ExchangeId, attemptNumber: Int, now: Timestamp): RelayStep {
         val (exchange, attempt) = exchanges.currentOrNull(id, attemptNumber) ?: return unchanged()
-        return pin(exchange, attempt.version, now).unchanged()
+        return renewPin(exchange, attempt.version, now).unchanged()
     }
 }
 
 /**
- * Returns the state in which the session of [exchange] is pinned to [version] as of [now]; the same state if the
- * request belongs to no session.
+ * Returns the state in which the session of [exchange] is pinned to [version], to which the request is sent at [now];
+ * the same state if the request belongs to no session. Its part in a roll-out is noted as well.
  */
 internal fun RelayState.pin(exchange: Exchange, version: String, now: Timestamp): RelayState {
     val session = exchange.request.session ?: return this
-    return copy(pins = pins.touch(session, version, now))
+    return renewPin(exchange, version, now).noteCanarySession(exchange.service, session, version)
+}
+
+private fun RelayState.renewPin(exchange: Exchange, version: String, now: Timestamp): RelayState {
+    val session = exchange.request.session ?: return this
+    return copy(pins = pins.touch(ServiceSession(exchange.service, session), version, now))
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/session/PinsState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/session/PinsState.kt
@@ -10,15 +10,15 @@
  * @property prunedAt when the pins were last pruned.
  */
 internal data class PinsState(
-    val bySession: PersistentMap<String, VersionPin> = persistentMapOf(),
+    val bySession: PersistentMap<ServiceSession, VersionPin> = persistentMapOf(),
     val prunedAt: Timestamp = Timestamp.EPOCH,
 ) {
     /** Returns the state in which [session] is pinned to [version], last used at [now]. */
-    fun touch(session: String, version: String, now: Timestamp): PinsState =
+    fun touch(session: ServiceSession, version: String, now: Timestamp): PinsState =
         copy(bySession = bySession.put(session, VersionPin(version, now)))
 
     /** Returns the pin of [session], or `null` if it has none that was used in the last [timeToLiveMilliseconds]. */
-    fun pinOrNull(session: String, timeToLiveMilliseconds: Long, now: Timestamp): VersionPin? =
+    fun pinOrNull(session: ServiceSession, timeToLiveMilliseconds: Long, now: Timestamp): VersionPin? =
         bySession[session]?.takeIf { now - it.usedAt <= timeToLiveMilliseconds }
 
     /**
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RelayFleet.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RelayFleet.kt
@@ -19,12 +19,14 @@
  * @param routers the number of routers.
  * @param seed the seed of all delays and losses.
  * @param beaconLoss the share of beacons that are lost, from 0 to 1.
+ * @param policies the decision rules of all routers.
  * @param respond the response to each attempt, from the backend server's id and the time since the start.
  */
 class RelayFleet(
     routers: Int,
     seed: Long,
     private val beaconLoss: Double = 0.0,
+    private val policies: RelayPolicies = RelayPolicies(),
     private val respond: (server: String, elapsed: Long) -> ResponseHead = { _, _ -> ResponseHead(status = 200) },
 ) {
     private class Pending(val at: Timestamp, val order: Long, val vm: VmId, val event: RelayEvent)
@@ -33,7 +35,7 @@
 
     val vms: List<VmId> = (1..routers).map { VmId("vm-${it.toString().padStart(DIGITS, '0')}") }
     val states: MutableMap<VmId, RelayState> =
-        vms.associateWith { RelayState.initial(RelayRig.settings(it.value)) }.toMutableMap()
+        vms.associateWith { initialState(it) }.toMutableMap()
 
     /** The routers whose calls the store refuses, and those that stand still. */
     val refused: MutableSet<VmId> = mutableSetOf()
@@ -49,6 +51,9 @@
     /** Called when the store has accepted a status. */
     var onStatus: (writer: VmId, phase: RolloutPhase) -> Unit = { _, _ -> }
 
+    /** Called for each attempt that a router sends, with the request that it belongs to. */
+    var onSend: (request: RelayRequest, server: String) -> Unit = { _, _ -> }
+
     private val random = Random(seed)
     private val start = Timestamp(1_000_000)
     private var now = start
@@ -80,6 +85,13 @@
     fun arrive(vm: VmId, request: RelayRequest): Unit =
         deliver(vm, RelayEvent.RequestArrived(ExchangeId(++requests), request.copy(callerId = "f-$requests")))
 
+    /** Starts [vm] again, without what it knew. */
+    fun restart(vm: VmId) {
+        states[vm] = initialState(vm)
+    }
+
+    private fun initialState(vm: VmId) = RelayState.initial(RelayRig.settings(vm.value), policies)
+
     /** Lets [vm] stand still: reads that wait at it fail only by their timeouts. */
     fun pause(vm: VmId) {
         paused += vm
@@ -121,19 +133,18 @@
             }
             is RelayEffect.SendBeacon -> effect.addresses.forEach { send(effect.beacon, VmId(it.substringBefore(':'))) }
             is RelayEffect.WriteRolloutStatus -> writeStatus(vm, effect)
-            is RelayEffect.Send -> deliver(
-                vm,
-                RelayEvent.ResponseStarted(
-                    effect.exchange,
-                    effect.attempt,
-                    respond(effect.parameters.server.value, elapsed),
-                ),
-            )
+            is RelayEffect.Send -> send(vm, effect)
             is RelayEffect.ForwardResponse -> deliver(vm, RelayEvent.ResponseFinished(effect.exchange, effect.attempt))
             else -> Unit
         }
     }
 
+    private fun send(vm: VmId, effect: RelayEffect.Send) {
+        val server = effect.parameters.server.value
+        states.getValue(vm).exchanges.byId[effect.exchange]?.let { onSend(it.request, server) }
+        deliver(vm, RelayEvent.ResponseStarted(effect.exchange, effect.attempt, respond(server, elapsed)))
+    }
+
     private fun addresses(): Map<VmId, String> = lastJoins.keys.associateWith { "$it:70" }
 
     private fun read(vm: VmId, effect: RelayEffect.ReadFeed) {
--- a/relay/src/main/kotlin/org/quetzalloom/relay/peer/BeaconFormat.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/peer/BeaconFormat.kt
@@ -32,6 +32,9 @@
         val new: Outcomes,
         val condemned: Boolean,
         val completion: Completion? = null,
+        val oldSessions: List<Int> = emptyList(),
+        val heavySessions: List<Int> = emptyList(),
+        val newSessions: Map<Int, Int> = emptyMap(),
     )
 
     @Serializable
@@ -83,6 +86,9 @@
         new = new.toDocument(),
         condemned = condemned,
         completion = Completion(proposal, agreement, agreedWith?.value),
+        oldSessions = oldSessions,
+        heavySessions = heavySessions,
+        newSessions = newSessions,
     )
 
     private fun Rollout.toReport(): RolloutReport = RolloutReport(
@@ -95,6 +101,9 @@
         proposal = completion?.proposal,
         agreement = completion?.agreement,
         agreedWith = completion?.agreedWith?.let { VmId(it) },
+        oldSessions = oldSessions.toPersistentList(),
+        heavySessions = heavySessions.toPersistentList(),
+        newSessions = newSessions.toPersistentMap(),
     )
 
     private fun OutcomeSums.toDocument(): Outcomes = Outcomes(
--- a/relay/src/test/kotlin/org/quetzalloom/relay/peer/BeaconFormatTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/peer/BeaconFormatTest.kt
@@ -42,6 +42,9 @@
                 proposal = 1_796_405_000_000,
                 agreement = 1_796_404_000_000,
                 agreedWith = VmId("vm-2"),
+                oldSessions = persistentListOf(-17, 1_839_274_123),
+                heavySessions = persistentListOf(12),
+                newSessions = persistentMapOf(12 to 40, -3 to 2),
             ),
         ),
         crashes = persistentListOf(
@@ -79,6 +82,16 @@
         assertTrue(bytes.length < 1_200, "${bytes.length} bytes")
     }
 
+    @Test
+    fun `the largest reports of sessions fit one datagram beside others`() {
+        val rollout = beacon.rollouts.single()
+        val hashes = (1..200).map { Int.MIN_VALUE + it }.toPersistentList()
+        val added = BeaconFormat.encode(
+            beacon.copy(rollouts = persistentListOf(rollout.copy(oldSessions = hashes)))
+        ).length - BeaconFormat.encode(beacon).length
+        assertTrue(added < 2_600, "$added bytes")
+    }
+
     @Test
     fun `outcomes of a router that does not compare times are read, with none compared`() {
         val outcomes = """{"answers":4,"failures":2,"logLatency":11.25}"""
