--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
@@ -14,13 +14,14 @@
 import org.quetzalloom.core.relay.RelayEvent
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.RelayStep
-import org.quetzalloom.core.relay.report
 import org.quetzalloom.core.relay.model.ModelLatencyEstimate
 import org.quetzalloom.core.relay.model.ModelOutlook
+import org.quetzalloom.core.relay.report
 import org.quetzalloom.core.relay.routing.Route
 import org.quetzalloom.core.relay.routing.RoutingTable
 import org.quetzalloom.core.relay.routing.ServiceName
 import org.quetzalloom.core.relay.stop.mayAdmitWhileStopping
+import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.relay.with
 import org.quetzalloom.core.router.bucketOf
 import org.quetzalloom.core.time.Timestamp
@@ -123,17 +124,33 @@
     )
     val budget = (exchanges.budgets[exchange.service] ?: RetryBudget()).countRequest(now)
     val counted = copy(exchanges = exchanges.copy(budgets = exchanges.budgets.put(exchange.service, budget)))
-    val withModel = exchange.copy(modelIndex = counted.firstModel(exchange, now))
-    return counted.copy(exchanges = counted.exchanges.with(withModel)).placeOrWait(withModel, now)
+    val outlook = counted.outlookOnArrival(exchange, now)
+    val withModel = exchange.copy(
+        modelIndex = outlook?.let { policies.modelChoice.firstModel(exchange.route, request, it) } ?: 0,
+    )
+    val next = counted.copy(exchanges = counted.exchanges.with(withModel))
+    return next.reportFirstModel(withModel, outlook, now).then { it.placeOrWait(withModel, now) }
 }
 
-/** Returns the index of the model to ask first; 0 if the router does not choose the model. */
-private fun RelayState.firstModel(exchange: Exchange, now: Timestamp): Int {
-    if (!exchange.request.routerChoosesModel) return 0
+/** Returns the outlook for [exchange], or `null` if the router does not choose the model. */
+private fun RelayState.outlookOnArrival(exchange: Exchange, now: Timestamp): ModelOutlook? {
+    if (!exchange.request.routerChoosesModel) return null
     val maySendAgain = hasRetryBudget(exchange, now, SECOND_RESPONSE_RESERVED_SHARE)
     val latencies = if (maySendAgain) null else latencyEstimateOrNull(exchange, now)
-    val outlook = ModelOutlook(latencies ?: ModelLatencyEstimate(), confidenceGains, maySendAgain)
-    return policies.modelChoice.firstModel(exchange.route, exchange.request, outlook)
+    return ModelOutlook(latencies ?: ModelLatencyEstimate(), confidenceGains, maySendAgain)
+}
+
+private fun RelayState.reportFirstModel(exchange: Exchange, outlook: ModelOutlook?, now: Timestamp): RelayStep {
+    if (outlook == null || outlook.allowsSecondResponse) return unchanged()
+    return report(
+        now,
+        "single_response",
+        "request" to exchange.request.callerId,
+        "model" to exchange.modelName,
+        "queue_ms" to outlook.latencies.queueMilliseconds,
+        "mean_queue_ms" to outlook.latencies.meanQueueMilliseconds,
+        "largest_after_ms" to outlook.latencies.startMilliseconds(exchange.route.models.lastIndex),
+    )
 }
 
 /**
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/model/ConfidenceCascade.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/model/ConfidenceCascade.kt
@@ -8,8 +8,8 @@
  * models that can answer in time and is expected to be confident enough, or else the largest one.
  *
  * While backend servers are busy, a second response would be late and would delay all others as well, so the first
- * response is kept. A request that can have no second response goes to the largest model that can answer it in time; one
- * that may not run twice goes to the largest model in any case.
+ * response is kept. A request that can have no second response goes to the largest model that can answer it with time
+ * to spare; one that may not run twice goes to the largest model in any case.
  *
  * @property threshold the confidence below which a response is dropped, for a request whose prompt has the usual share
  *   of the work.
@@ -22,6 +22,10 @@
  *   first ones.
  * @property middleMargin how far above the threshold the expected confidence of a model between the smallest and the
  *   largest has to be, as a third response costs more than the larger model would have.
+ * @property maximumFirstStartTargets the maximum time until the response of a larger model begins that is asked first,
+ *   in targets of the route.
+ * @property maximumMeanQueueShare the maximum mean time that the prompts ahead may take to read at the backend servers
+ *   when a larger model is asked first, as a share of the route's target.
  */
 public data class ConfidenceCascade(
     public val threshold: Int = 50,
@@ -29,11 +33,13 @@
     public val maximumStartTargets: Double = 1.0,
     public val maximumQueueShare: Double = 0.05,
     public val middleMargin: Double = 3.0,
+    public val maximumFirstStartTargets: Double = 0.5,
+    public val maximumMeanQueueShare: Double = 0.02,
 ) : ModelChoice {
     override fun firstModel(route: Route, request: RelayRequest, outlook: ModelOutlook): Int = when {
         !route.mayRunAgain || route.maximumAttempts <= 1 -> route.models.lastIndex
         outlook.allowsSecondResponse -> 0
-        else -> route.models.indices.lastOrNull { route.allows(it, outlook.latencies) } ?: 0
+        else -> route.models.indices.lastOrNull { route.allowsFirst(it, outlook.latencies) } ?: 0
     }
 
     override fun nextOrNull(
@@ -65,6 +71,14 @@
         latencies.queueMilliseconds <= maximumQueueShare * targetMilliseconds &&
             latencies.startMilliseconds(model) <= maximumStartTargets * targetMilliseconds
 
+    /**
+     * Returns whether [model] may be asked first: without the response of a smaller one, nothing tells whether it is
+     * needed, so there has to be time to spare.
+     */
+    private fun Route.allowsFirst(model: Int, latencies: ModelLatencyEstimate): Boolean =
+        latencies.meanQueueMilliseconds <= maximumMeanQueueShare * targetMilliseconds &&
+            latencies.startMilliseconds(model) <= maximumFirstStartTargets * targetMilliseconds
+
     private companion object {
         /** A token of the response takes as long as this many tokens of the prompt. */
         const val ANSWER_TOKEN_WEIGHT = 10
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/CascadeTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/CascadeTest.kt
@@ -143,18 +143,19 @@
     @Test
     fun `without room for a second response the largest model that can answer in time is asked first`() {
         val route = RelayRig.table.routes.last().copy(targetMilliseconds = 1_000)
-        fun first(vararg waits: Long, roomForSecond: Boolean = false): Int = ConfidenceCascade().firstModel(
-            route,
-            RelayRig.prompt,
-            ModelOutlook(
-                latencies = ModelLatencyEstimate(waitsMilliseconds = waits.toList().toPersistentList()),
-                allowsSecondResponse = roomForSecond,
-            ),
-        )
-        assertEquals(2, first(10, 30, 900))
-        assertEquals(1, first(10, 30, 1_001))
-        assertEquals(0, first(10, 1_001, 2_000))
-        assertEquals(0, first(10, 30, 900, roomForSecond = true))
+        fun first(vararg waits: Long, roomForSecond: Boolean = false, meanQueue: Long = 0): Int {
+            val latencies = ModelLatencyEstimate(
+                meanQueueMilliseconds = meanQueue,
+                waitsMilliseconds = waits.toList().toPersistentList(),
+            )
+            val outlook = ModelOutlook(latencies, allowsSecondResponse = roomForSecond)
+            return ConfidenceCascade().firstModel(route, RelayRig.prompt, outlook)
+        }
+        assertEquals(2, first(10, 30, 500))
+        assertEquals(1, first(10, 30, 501))
+        assertEquals(0, first(10, 501, 2_000))
+        assertEquals(0, first(10, 30, 500, roomForSecond = true))
+        assertEquals(0, first(10, 30, 500, meanQueue = 21))
     }
 
     private val withoutGains = ModelOutlook(
