Bound retries by the requests of the same window again

Counting the requests of earlier windows let the retries of 60 routers exceed the ratio in one window (RetriesTest, window from 10,250 ms): each router takes its own busiest window, and the sum of these is more than the busiest window of all when callers move between routers.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/RetryBudget.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/RetryBudget.kt
@@ -29,7 +29,7 @@
      * Returns whether this router may send one more retry to the service at [now].
      *
      * The retries in the last [RelaySettings.retryWindowMilliseconds], this one included, may be at most
-     * [RATIO_SAFETY_FACTOR] * [RelaySettings.retryRatio] times this router's [requests][countedRequests], plus this
+     * [RATIO_SAFETY_FACTOR] * [RelaySettings.retryRatio] times this router's requests in that window, plus this
      * router's share of [RelaySettings.retrySlack]: the slack divided by [routerCount], rounded down.
      *
      * @param reservedShare the share of these retries, from 0 to 1, that is left to others.
@@ -42,25 +42,13 @@
     ): Boolean {
         val second = now.second
         val span = settings.retryWindowMilliseconds / MILLISECONDS_PER_SECOND
+        val requestsInWindow = requests.entries.sumOf { (at, count) -> if (at > second - span) count else 0 }
         val retriesInWindow = retries.entries.sumOf { (at, count) -> if (at >= second - span) count else 0 }
         val ratio = settings.retryRatio * RATIO_SAFETY_FACTOR
-        val allowed = ratio * countedRequests(second, span) + Math.floor(settings.retrySlack / routerCount)
+        val allowed = ratio * requestsInWindow + Math.floor(settings.retrySlack / routerCount)
         return retriesInWindow + 1 <= allowed * (1 - reservedShare)
     }
 
-    /**
-     * Returns the requests in the window of [span] seconds that ends with [second], or [EARLIER_WINDOW_WEIGHT] times
-     * those in the window before it or half a window before it, if that is more: retries follow their requests, so when
-     * demand falls, those of a busier time are still under way.
-     */
-    private fun countedRequests(second: Long, span: Long): Double {
-        val earlier = maxOf(requestsIn(second - span / 2, span), requestsIn(second - span, span))
-        return maxOf(requestsIn(second, span).toDouble(), earlier * EARLIER_WINDOW_WEIGHT)
-    }
-
-    private fun requestsIn(second: Long, span: Long): Int =
-        requests.entries.sumOf { (at, count) -> if (at > second - span && at <= second) count else 0 }
-
     private fun PersistentMap<Long, Int>.increment(now: Timestamp): PersistentMap<Long, Int> {
         val second = now.second
         val kept = keys.filter { it < second - COUNT_RETENTION_SECONDS }
@@ -80,8 +68,5 @@
          * Lowers the limit that follows from the ratio, as attempts arrive at backend servers later than they are sent.
          */
         const val RATIO_SAFETY_FACTOR = 0.9
-
-        /** Requests of an earlier window count for less, as their callers may have gone to other routers since. */
-        const val EARLIER_WINDOW_WEIGHT = 0.85
     }
 }
