--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutNoticesPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutNoticesPart.kt
@@ -1,10 +1,12 @@
 package org.quetzalloom.core.relay.rollout
 
+import org.quetzalloom.core.reducer.thenEach
 import org.quetzalloom.core.relay.RelayEvent
 import org.quetzalloom.core.relay.RelayPart
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.RelayStep
 import org.quetzalloom.core.relay.peer.sendBeaconToAll
+import org.quetzalloom.core.relay.report
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.time.Timestamp
 
@@ -18,5 +20,19 @@
         if (due.isEmpty()) return state.unchanged()
         val rollouts = due.fold(state.rollouts) { current, progress -> current.with(progress.copy(noticeDue = false)) }
         return state.copy(rollouts = rollouts).sendBeaconToAll(now)
+            .thenEach(due) { current, progress -> current.reportNotice(progress, now) }
     }
+
+    private fun RelayState.reportNotice(progress: RolloutProgress, now: Timestamp): RelayStep = report(
+        now,
+        "rollout_notice_sent",
+        "service" to progress.order.service,
+        "version" to progress.order.version,
+        "share" to progress.stage.share,
+        "sessions_start" to progress.stage.sessionsStart,
+        "sessions_move" to progress.stage.sessionsMove,
+        "old_sessions" to progress.oldSessions.size,
+        "heavy_sessions" to progress.heavySessions.size,
+        "condemned" to progress.condemned,
+    )
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/SessionVersionsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/SessionVersionsTest.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
+import org.quetzalloom.core.relay.exchange.RelayRequest
 import org.quetzalloom.core.relay.exchange.ResponseHead
 import org.quetzalloom.core.relay.feed.Feed
 import org.quetzalloom.core.relay.feed.FeedEntry
@@ -164,8 +165,34 @@
         assertTrue(notice.beacon.rollouts.single().oldSessions.size in 5..50)
     }
 
-    private fun RelayRig.run(session: String): List<RelayEffect> {
-        val (id, effects) = arrive(RelayRig.read.copy(callerId = session, session = session))
+    @Test
+    fun `sessions at two services are told for both`() {
+        val rig = RelayRig().start(RelayRig.plainServers + RelayRig.engineServers, members = 67)
+        repeat(400) {
+            rig.run("s-$it")
+            rig.run("s-$it", RelayRig.prompt)
+        }
+        val orders = listOf(RelayRig.plain, RelayRig.engines).map { RolloutOrder(it, "v2", SessionLoad.DURATION) }
+        val notice = rig.read(Feed.ORDERS, *orders.map { FeedEntry.Rollout(it) }.toTypedArray())
+            .only<RelayEffect.SendBeacon>()
+        val (first, second) = notice.beacon.rollouts.map { it.oldSessions.toSet() }
+        assertTrue(first.isNotEmpty())
+        assertEquals(first, second)
+    }
+
+    @Test
+    fun `a session whose request takes longer than its idle timeout is told when an order is read`() {
+        val rig = RelayRig().start(RelayRig.engineServers, members = 1)
+        repeat(400) { rig.arrive(RelayRig.prompt.copy(callerId = "l-$it", session = "s-$it")) }
+        rig.pass(6_000)
+        rig.join(members = 2)
+        val order = FeedEntry.Rollout(RolloutOrder(RelayRig.engines, "v2", SessionLoad.DURATION))
+        val notice = rig.read(Feed.ORDERS, order).only<RelayEffect.SendBeacon>()
+        assertTrue(notice.beacon.rollouts.single().oldSessions.size in 5..50)
+    }
+
+    private fun RelayRig.run(session: String, request: RelayRequest = RelayRig.read): List<RelayEffect> {
+        val (id, effects) = arrive(request.copy(callerId = session, session = session))
         on(RelayEvent.CallerLeft(id))
         return effects
     }
