Refuse at once what no server can take in time, and say when to return

A request that no backend server could take waited for a quarter of its time and its caller was told 250 ms, as were all others. It is now refused at once if the pauses, closing times and cold limits of the servers tell that none can take it while it may wait; Retry-After is the time at which one can, spread by a hash of the request. While others wait, a workspace beyond its share and a caller that returns before its time are refused; a server with room gets their requests as before.

A larger model asked first now goes by the median server's queue and half the target, and second responses leave a twentieth of the retry budget.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayPolicies.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayPolicies.kt
@@ -1,5 +1,7 @@
 package org.quetzalloom.core.relay
 
+import org.quetzalloom.core.relay.admission.Admission
+import org.quetzalloom.core.relay.admission.ForecastAdmission
 import org.quetzalloom.core.relay.crash.QuarantinePolicy
 import org.quetzalloom.core.relay.crash.RepeatedLosses
 import org.quetzalloom.core.relay.model.ConfidenceCascade
@@ -16,6 +18,7 @@
     public val modelChoice: ModelChoice = ConfidenceCascade(),
     public val placement: Placement = AffinityPlacement(),
     public val workEstimate: WorkEstimate = PromptWork(),
+    public val admission: Admission = ForecastAdmission(),
     public val exposure: ExposurePolicy = SteppedExposure,
     public val quarantine: QuarantinePolicy = RepeatedLosses(),
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
@@ -1,6 +1,7 @@
 package org.quetzalloom.core.relay
 
 import org.quetzalloom.core.relay.access.StorePathState
+import org.quetzalloom.core.relay.admission.AdmissionState
 import org.quetzalloom.core.relay.crash.CrashesState
 import org.quetzalloom.core.relay.exchange.ExchangesState
 import org.quetzalloom.core.relay.feed.FeedsState
@@ -37,6 +38,7 @@
     internal val pins: PinsState = PinsState(),
     internal val crashes: CrashesState = CrashesState(),
     internal val confidenceGains: ConfidenceGains = ConfidenceGains(),
+    internal val admission: AdmissionState = AdmissionState(),
     internal val exchanges: ExchangesState = ExchangesState(),
     internal val stop: StopState = StopState(),
 ) {
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
@@ -148,7 +148,7 @@
         "request" to exchange.request.callerId,
         "model" to exchange.modelName,
         "queue_ms" to outlook.latencies.queueMilliseconds,
-        "mean_queue_ms" to outlook.latencies.meanQueueMilliseconds,
+        "median_queue_ms" to outlook.latencies.medianQueueMilliseconds,
         "largest_after_ms" to outlook.latencies.startMilliseconds(exchange.route.models.lastIndex),
     )
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
@@ -4,6 +4,7 @@
 import org.quetzalloom.core.relay.RelayEffect
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.RelayStep
+import org.quetzalloom.core.relay.admission.waitOrGiveUp
 import org.quetzalloom.core.relay.crash.mayTry
 import org.quetzalloom.core.relay.crash.noteTrial
 import org.quetzalloom.core.relay.crash.quarantinedKeys
@@ -58,12 +59,6 @@
     zone = settings.zone,
 )
 
-/** Returns the transition that leaves [exchange] waiting for a backend server, or ends it if it has waited too long. */
-internal fun RelayState.waitOrGiveUp(exchange: Exchange, now: Timestamp): RelayStep {
-    val waiting = copy(exchanges = exchanges.with(exchange.copy(attempt = null)))
-    return if (now < exchange.waitUntil) waiting.unchanged() else waiting.giveUp(exchange, now)
-}
-
 private fun RelayState.send(exchange: Exchange, view: ServerView, now: Timestamp): RelayStep {
     val work = policies.workEstimate.of(exchange.request, exchange.modelIndex)
     val attempt = Attempt(
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Escalations.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Escalations.kt
@@ -10,7 +10,7 @@
 import org.quetzalloom.core.time.Timestamp
 
 /** The share of the retry budget that second responses leave to requests that have no response yet. */
-internal const val SECOND_RESPONSE_RESERVED_SHARE = 0.2
+internal const val SECOND_RESPONSE_RESERVED_SHARE = 0.05
 
 /**
  * Returns the transition that forwards the response with [head], a signed success, or drops it and asks another model.
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
@@ -5,6 +5,7 @@
 import org.quetzalloom.core.relay.RelayEvent
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.RelayStep
+import org.quetzalloom.core.relay.admission.waitOrGiveUp
 import org.quetzalloom.core.relay.report
 import org.quetzalloom.core.relay.server.afterFailure
 import org.quetzalloom.core.relay.unchanged
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/LatencyEstimates.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/LatencyEstimates.kt
@@ -24,14 +24,14 @@
  * take it now. While the prefill pace of the service is unknown, prompts count as read in no time.
  */
 internal fun RelayState.latencyEstimateOrNull(exchange: Exchange, now: Timestamp): ModelLatencyEstimate? {
-    val works = untriedServers(exchange, now).map { workUntilResponse(it, work = 0) }
-    val leastWork = works.minOrNull() ?: return null
+    val works = untriedServers(exchange, now).map { workUntilResponse(it, work = 0) }.sorted()
+    val leastWork = works.firstOrNull() ?: return null
     val pace = servers.prefillPaces[exchange.service] ?: PrefillPace()
     fun readingTime(ahead: Long): Long = pace.estimateOrNull(ahead) ?: 0
     return ModelLatencyEstimate(
         elapsedMilliseconds = now - exchange.arrivedAt,
         queueMilliseconds = readingTime(leastWork),
-        meanQueueMilliseconds = readingTime(works.sum() / works.size),
+        medianQueueMilliseconds = readingTime(works[works.size / 2]),
         waitsMilliseconds = exchange.route.models.indices
             .map { readingTime(leastWork + policies.workEstimate.of(exchange.request, it)) }
             .toPersistentList(),
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/model/ModelLatencyEstimate.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/model/ModelLatencyEstimate.kt
@@ -8,14 +8,14 @@
  *
  * @property elapsedMilliseconds the time since the request arrived.
  * @property queueMilliseconds the time to read the prompts ahead at the backend server with the fewest of them.
- * @property meanQueueMilliseconds the mean time to read the prompts ahead at the backend servers.
+ * @property medianQueueMilliseconds the time to read the prompts ahead at the median backend server.
  * @property waitsMilliseconds the time from now until the response of each model would begin at that backend server,
  *   from the smallest model to the largest; empty, which counts as 0 for each, while nothing is known.
  */
 public data class ModelLatencyEstimate(
     public val elapsedMilliseconds: Long = 0,
     public val queueMilliseconds: Long = 0,
-    public val meanQueueMilliseconds: Long = 0,
+    public val medianQueueMilliseconds: Long = 0,
     public val waitsMilliseconds: PersistentList<Long> = persistentListOf(),
 ) {
     /** Returns the time from the request's arrival to the start of a response of the model with the index [model]. */
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ColdShares.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ColdShares.kt
@@ -38,6 +38,12 @@
     return if (Math.floorMod(position - first, members.sortedMembers.size) < coldLimit) 1 else 0
 }
 
+/** Returns when this router may send one more request to a cold server to which it may send none at [now]. */
+internal fun ServerView.nextColdSendAt(now: Timestamp): Timestamp {
+    val oldest = coldSends.firstOrNull { now - it < COLD_WINDOW_MILLISECONDS } ?: return coldUntil
+    return minOf(coldUntil, oldest + COLD_WINDOW_MILLISECONDS)
+}
+
 /** Returns the view after an attempt with [work] to read was sent at [now]. */
 internal fun ServerView.afterSend(work: Long, now: Timestamp): ServerView {
     val recent = coldSends.filter { now - it < COLD_WINDOW_MILLISECONDS }
