--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
@@ -1,10 +1,13 @@
 package org.quetzalloom.core.relay
 
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
 import org.quetzalloom.core.error.ErrorKind
+import org.quetzalloom.core.identity.VmId
 import org.quetzalloom.core.relay.exchange.ExchangeId
 import org.quetzalloom.core.relay.exchange.SendParameters
 import org.quetzalloom.core.relay.feed.Feed
+import org.quetzalloom.core.relay.feed.FeedAnswer
 import org.quetzalloom.core.relay.peer.PeerBeacon
 import org.quetzalloom.core.relay.rollout.RolloutPhase
 import org.quetzalloom.core.relay.routing.CallerLimits
@@ -71,12 +74,31 @@
      *
      * @property waitMilliseconds how long a read from an offset waits if there is no record yet.
      * @property reader the `host:port` of the router through which to read, or `null` for the path of all calls.
+     * @property readerTimeoutMilliseconds how long a read through [reader] may take.
      */
     public data class ReadFeed(
         public val feed: Feed,
         public val from: Long?,
         public val waitMilliseconds: Long,
         public val reader: String? = null,
+        public val readerTimeoutMilliseconds: Long = 0,
+    ) : RelayEffect
+
+    /**
+     * Answers the call of another router for records.
+     *
+     * @property answer the answer, or `null` if nothing has been read yet.
+     */
+    public data class AnswerFeed(public val call: Long, public val answer: FeedAnswer?) : RelayEffect
+
+    /**
+     * Answers the call of another router for the members of the group.
+     *
+     * @property addresses the `host:port` of each member, empty for this router; `null` if it knows no recent list.
+     */
+    public data class AnswerMembers(
+        public val call: Long,
+        public val addresses: PersistentMap<VmId, String>?,
     ) : RelayEffect
 
     /**
@@ -84,15 +106,21 @@
      *
      * @property generation the last known generation of the group; 0 before the first.
      * @property sentAt when the call is sent, to be returned with the confirmation.
+     * @property timeToLiveMilliseconds how long the membership lasts without a renewal.
      */
-    public data class JoinGroup(public val generation: Long, public val sentAt: Timestamp) : RelayEffect
+    public data class JoinGroup(
+        public val generation: Long,
+        public val sentAt: Timestamp,
+        public val timeToLiveMilliseconds: Long,
+    ) : RelayEffect
 
     /**
      * Lists the members of the group.
      *
      * @property generation the last known generation of the group, to be returned with the members.
+     * @property reader the `host:port` of the router to ask, or `null` to ask the store.
      */
-    public data class ListMembers(public val generation: Long) : RelayEffect
+    public data class ListMembers(public val generation: Long, public val reader: String? = null) : RelayEffect
 
     /** Sends [beacon] to the routers at [addresses], each a `host:port`. */
     public data class SendBeacon(
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
@@ -8,6 +8,7 @@
 import org.quetzalloom.core.relay.feed.Feed
 import org.quetzalloom.core.relay.feed.FeedEntry
 import org.quetzalloom.core.relay.feed.FeedProblem
+import org.quetzalloom.core.relay.feed.FeedRecord
 import org.quetzalloom.core.relay.peer.PeerBeacon
 import org.quetzalloom.core.relay.rollout.RolloutPhase
 import org.quetzalloom.core.relay.routing.ServiceName
@@ -113,6 +114,12 @@
      * @property nextOffset the offset from which to read on.
      * @property snapshot whether the records are the newest of each key, rather than those from an offset.
      * @property throughReader whether they were read through another router, as the read asked for.
+     * @property records the same records as they were read, for other routers.
+     * @property hasMore whether the feed goes on at [nextOffset].
+     * @property ageMilliseconds how long before its response the reader had read the store; 0 for a read of the store.
+     * @property storeFailedMillisecondsAgo how long before its response a read of the feed by the reader had failed, or
+     *   `null` if none had lately.
+     * @property generation the generation of the group that the reader knew of; 0 if it is not told.
      */
     public data class FeedRead(
         public val feed: Feed,
@@ -120,6 +127,11 @@
         public val nextOffset: Long,
         public val snapshot: Boolean,
         public val throughReader: Boolean = false,
+        public val records: List<FeedRecord> = emptyList(),
+        public val hasMore: Boolean = false,
+        public val ageMilliseconds: Long = 0,
+        public val storeFailedMillisecondsAgo: Long? = null,
+        public val generation: Long = 0,
     ) : RelayEvent
 
     /**
@@ -147,8 +159,33 @@
         public val sentAt: Timestamp,
     ) : RelayEvent
 
-    /** The group could not be joined or listed. */
-    public data class GroupFailed(public val detail: String) : RelayEvent
+    /**
+     * The group could not be joined or listed.
+     *
+     * @property throughReader whether it was to be listed by another router.
+     */
+    public data class GroupFailed(public val detail: String, public val throughReader: Boolean = false) : RelayEvent
+
+    /**
+     * Another router asks for records of a feed.
+     *
+     * @property call the number of the call, to be named in its answer.
+     * @property from the offset from which it asks, or `null` if it has read nothing.
+     * @property waitMilliseconds how long the call waits if there is nothing new.
+     */
+    public data class FeedAsked(
+        public val call: Long,
+        public val feed: Feed,
+        public val from: Long?,
+        public val waitMilliseconds: Long,
+    ) : RelayEvent
+
+    /**
+     * Another router asks for the members of the group.
+     *
+     * @property generation the generation of the group that it knows of.
+     */
+    public data class MembersAsked(public val call: Long, public val generation: Long) : RelayEvent
 
     /**
      * The members of the group have been listed.
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
@@ -5,7 +5,10 @@
 import org.quetzalloom.core.reducer.PartsReducer
 import org.quetzalloom.core.reducer.Reducer
 import org.quetzalloom.core.reducer.Transition
+import org.quetzalloom.core.relay.access.AnswersPart
+import org.quetzalloom.core.relay.access.ReadersPart
 import org.quetzalloom.core.relay.access.StorePathPart
+import org.quetzalloom.core.relay.access.withoutOldNews
 import org.quetzalloom.core.relay.crash.CrashesPart
 import org.quetzalloom.core.relay.crash.QuarantineEndsPart
 import org.quetzalloom.core.relay.exchange.ExchangesPart
@@ -26,14 +29,18 @@
  * and `platform` carry out its effects. The router with its own interface, in the module `daemon`, has
  * [org.quetzalloom.core.router.RouterReducer]; they share the reducer framework, identifiers, errors and log entries.
  *
+ * An answer of a reader that would go back is replaced by a failure before any part sees it, see [withoutOldNews].
+ *
  * Each part sees every event, in a fixed order, with the state that the parts before it have produced. [OutcomesPart],
  * [PinsPart] and [CrashesPart] come before [ExchangesPart], which ends or changes the exchange whose attempt they look
- * up.
+ * up. [ReadersPart] comes before [FeedsPart], which ends the read whose reader it looks up.
  */
 public object RelayReducer : Reducer<RelayState, RelayEvent, RelayEffect> {
     internal val parts: PersistentList<RelayPart> = persistentListOf(
         StorePathPart,
+        ReadersPart,
         FeedsPart,
+        AnswersPart,
         RoutingPart,
         ServersPart,
         EvacuationsPart,
@@ -51,5 +58,5 @@
     private val composed = PartsReducer(parts)
 
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): Transition<RelayState, RelayEffect> =
-        composed.reduce(state, event, now)
+        composed.reduce(state, state.withoutOldNews(event), now)
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelaySettings.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelaySettings.kt
@@ -17,7 +17,9 @@
  * @property exposureLimit the maximum share, from 0 to 1, of a service's requests during a roll-out that the new
  *   version may get if it turns out to be bad.
  * @property sessionIdleTimeoutMilliseconds the idle time after which a session ends, and with it its version affinity.
- * @property serversReadIntervalMilliseconds the time between two reads of the list of backend servers.
+ * @property serversReadIntervalMilliseconds the longest time between two reads of the list of backend servers.
+ * @property changeBoundMilliseconds the shortest time within which all routers must act on a change in the store. The
+ *   pace of all reads follows from it, so that a reader can fail without another router missing the bound.
  */
 public data class RelaySettings(
     public val vm: VmId,
@@ -29,27 +31,47 @@
     public val exposureLimit: Double,
     public val sessionIdleTimeoutMilliseconds: Long,
     public val serversReadIntervalMilliseconds: Long = SERVERS_READ_INTERVAL_MILLISECONDS,
+    public val changeBoundMilliseconds: Long = CHANGE_BOUND_MILLISECONDS,
 ) {
+    /** How long a read through another router waits for a record, in milliseconds. */
+    internal val readerWaitMilliseconds: Long get() = changeBoundMilliseconds / READER_WAIT_DIVISOR
+
+    /** How much longer than its wait a read through another router may take, in milliseconds. */
+    internal val readerTimeoutMilliseconds: Long get() = changeBoundMilliseconds / READER_TIMEOUT_DIVISOR
+
     /** Returns the time between two reads of [feed], in milliseconds; 0 for a feed whose reads wait for records. */
     internal fun readInterval(feed: Feed): Long = when (feed) {
-        Feed.ORDERS -> 0
-        Feed.SERVERS -> serversReadIntervalMilliseconds
-        Feed.STATUS -> STATUS_READ_INTERVAL_MILLISECONDS
+        Feed.SERVERS -> minOf(serversReadIntervalMilliseconds, changeBoundMilliseconds / SERVERS_INTERVAL_DIVISOR)
+        Feed.ORDERS, Feed.STATUS -> 0
     }
 
-    /** Returns how long a read of [feed] waits for a record, in milliseconds. */
-    internal fun readWait(feed: Feed): Long = if (feed == Feed.ORDERS) ORDERS_READ_WAIT_MILLISECONDS else 0
+    /** Returns how long a read of [feed] from the store waits for a record, in milliseconds. */
+    internal fun readWait(feed: Feed): Long =
+        if (feed == Feed.SERVERS) 0 else changeBoundMilliseconds * WAIT_PERCENT / PERCENT
 
-    private companion object {
-        /** Short enough to notice a dead connection soon. */
-        const val ORDERS_READ_WAIT_MILLISECONDS = 1_500L
+    /** Returns the age in milliseconds that the records of [feed] at a reader do not reach while its reads succeed. */
+    internal fun maximumAge(feed: Feed): Long =
+        readInterval(feed) + readWait(feed) + changeBoundMilliseconds / AGE_MARGIN_DIVISOR
 
+    public companion object {
         /**
-         * A server must get no more requests 2 s after the store knows that it drains; this allows for a failed read.
+         * The largest [changeBoundMilliseconds] that makes sense: with a larger one a dead connection goes unnoticed.
          */
-        const val SERVERS_READ_INTERVAL_MILLISECONDS = 1_000L
+        public const val LARGEST_CHANGE_BOUND_MILLISECONDS: Long = 3_000
+
+        private const val SERVERS_READ_INTERVAL_MILLISECONDS = 1_000L
 
-        /** A reverted version must get no more requests within seconds. */
-        const val STATUS_READ_INTERVAL_MILLISECONDS = 1_000L
+        private const val CHANGE_BOUND_MILLISECONDS = 3_000L
+
+        /*
+         * A reader that stops just before a read delays a change by the interval of its reads, the wait and the timeout
+         * of a read through it, and a read through the next one. The sum must stay below the bound.
+         */
+        private const val SERVERS_INTERVAL_DIVISOR = 3
+        private const val READER_WAIT_DIVISOR = 5
+        private const val READER_TIMEOUT_DIVISOR = 6
+        private const val AGE_MARGIN_DIVISOR = 5
+        private const val WAIT_PERCENT = 40
+        private const val PERCENT = 100
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
@@ -1,8 +1,10 @@
 package org.quetzalloom.core.relay
 
+import org.quetzalloom.core.relay.access.ReadersState
 import org.quetzalloom.core.relay.access.StorePathState
 import org.quetzalloom.core.relay.crash.CrashesState
 import org.quetzalloom.core.relay.exchange.ExchangesState
+import org.quetzalloom.core.relay.feed.Feed
 import org.quetzalloom.core.relay.feed.FeedsState
 import org.quetzalloom.core.relay.member.MembersState
 import org.quetzalloom.core.relay.peer.PeersState
@@ -11,6 +13,7 @@
 import org.quetzalloom.core.relay.server.ServersState
 import org.quetzalloom.core.relay.session.PinsState
 import org.quetzalloom.core.relay.stop.StopState
+import org.quetzalloom.core.time.Timestamp
 
 /**
  * Everything that a relay, the deciding part of one router, knows. Immutable, with a slice for each part of the
@@ -28,6 +31,7 @@
     internal val stampCounter: Long = 0,
     internal val routing: RoutingTable? = null,
     internal val storePath: StorePathState = StorePathState(),
+    internal val readers: ReadersState = ReadersState(),
     internal val feeds: FeedsState = FeedsState(),
     internal val servers: ServersState = ServersState(),
     internal val members: MembersState = MembersState(),
@@ -47,6 +51,11 @@
     /** The version of the configuration in force, or `null` before the first one. */
     public val configurationVersion: Long? get() = routing?.version
 
+    /**
+     * Returns for how long [feed] may have changed unnoticed at [now], in milliseconds; `null` before the first read.
+     */
+    public fun feedAge(feed: Feed, now: Timestamp): Long? = feeds.of(feed).readAt?.let { now - it }
+
     public companion object {
         /** Returns the state of a relay that has just started with [settings]. */
         public fun initial(settings: RelaySettings, policies: RelayPolicies = RelayPolicies()): RelayState =
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/Readers.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/Readers.kt
@@ -1,50 +1,46 @@
 package org.quetzalloom.core.relay.access
 
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.toPersistentList
 import org.quetzalloom.core.identity.VmId
 import org.quetzalloom.core.relay.RelayState
+import org.quetzalloom.core.router.stableHash
 import org.quetzalloom.core.time.Timestamp
 
 /**
- * The number of routers that read the store for the others. The routers of a zone stand together in the order of
- * members, so those at equal distances are usually in different zones.
+ * The number of readers with old records that are tried: the acting one and its standby. If both have old records, the
+ * store is probably down, and more callers would not help.
  */
-private const val READER_COUNT = 3
-
-/** The fleet from which on routers read through others. In a smaller one direct calls cost little. */
-private const val SMALLEST_FLEET_WITH_READERS = 17
-
-/** How long a router reads directly after a reader has failed. Pauses and outages of a router last for seconds. */
-private const val READ_DIRECTLY_MILLISECONDS = 5_000L
-
-/** Returns the routers that read the store for the others; empty if each router reads for itself. */
-internal fun RelayState.readers(): List<VmId> {
-    val sorted = members.sortedMembers
-    return if (sorted.size < SMALLEST_FLEET_WITH_READERS) {
-        emptyList()
-    } else {
-        (0 until READER_COUNT).map { sorted[it * sorted.size / READER_COUNT] }
-    }
-}
+private const val MAXIMUM_OLD_READERS = 2
 
 /**
- * Returns the address of the router through which this one reads the store at [now], or `null` if it reads directly:
- * the fleet is small, or its reader has failed lately. A reader reads through another one, so that its reads are shared
- * as well.
+ * Returns [members] in the order in which they are used as readers. When a router joins or leaves, the others keep
+ * their order, so that the acting reader changes only if the new one comes first.
  */
-internal fun RelayState.readerAddressOrNull(now: Timestamp): String? {
-    val readers = readers().filter { it != settings.vm }
-    if (readers.isEmpty() || now < storePath.readDirectlyUntil) return null
-    val turn = members.sortedMembers.indexOf(settings.vm) + storePath.readerChanges
-    return members.addresses[readers[Math.floorMod(turn, readers.size)]]?.takeIf { it.isNotEmpty() }
-}
+internal fun readerOrder(members: Collection<VmId>): PersistentList<VmId> =
+    members.sortedWith(compareBy({ stableHash(it, "reader") }, { it })).toPersistentList()
 
 /**
- * Returns the state after a read through a reader has failed at [now]: this router reads directly for a while, and then
- * through the next reader. It does not try that one at once, as several readers may fail together.
+ * Returns the router through which this one reads the store at [now], or `null` if it reads directly.
+ *
+ * That is the first one in the order of readers that has not failed lately. A router reads directly if it is the first
+ * itself, if others read through it, or if no other router answers.
  */
-internal fun RelayState.afterReaderFailure(now: Timestamp): RelayState = copy(
-    storePath = storePath.copy(
-        readerChanges = storePath.readerChanges + 1,
-        readDirectlyUntil = now + READ_DIRECTLY_MILLISECONDS,
-    ),
-)
+internal fun RelayState.readerOrNull(now: Timestamp): VmId? {
+    if (readers.isAsked(now)) return null
+    val candidates = members.readerOrder.filter { it == settings.vm || !members.addresses[it].isNullOrEmpty() }
+    val old = candidates.filter { suspicionOrNull(it, now)?.answers ?: false }.take(MAXIMUM_OLD_READERS)
+    val first = candidates.firstOrNull { suspicionOrNull(it, now) == null }
+    val afterOld = old.size == MAXIMUM_OLD_READERS &&
+        (first == null || candidates.indexOf(first) > candidates.indexOf(old.last()))
+    val chosen = if (first == null || afterOld) old.minByOrNull { suspicionOrNull(it, now)?.until ?: now } else first
+    return chosen?.takeIf { it != settings.vm }
+}
+
+/** Returns whether this router reads the store for others, or comes first in the order of readers. */
+internal fun RelayState.isActingReader(now: Timestamp): Boolean =
+    readers.isAsked(now) || members.readerOrder.firstOrNull() == settings.vm
+
+/** Returns why [vm] is not used as a reader at [now], or `null` if it may be used. */
+internal fun RelayState.suspicionOrNull(vm: VmId, now: Timestamp): Suspicion? =
+    readers.suspicions[vm]?.takeIf { now < it.until }
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/ReadersPart.kt
@@ -0,0 +1,81 @@
+package org.quetzalloom.core.relay.access
+
+import org.quetzalloom.core.identity.VmId
+import org.quetzalloom.core.relay.RelayEvent
+import org.quetzalloom.core.relay.RelayPart
+import org.quetzalloom.core.relay.RelayState
+import org.quetzalloom.core.relay.RelayStep
+import org.quetzalloom.core.relay.feed.Feed
+import org.quetzalloom.core.relay.feed.FeedProblem
+import org.quetzalloom.core.relay.report
+import org.quetzalloom.core.relay.unchanged
+import org.quetzalloom.core.time.Timestamp
+
+/**
+ * Decides which routers are used as readers: one that does not answer, or whose records are too old, is left out for a
+ * while. A router whose own reads of the store fail leaves itself out.
+ */
+internal object ReadersPart : RelayPart {
+    /** How long a router that did not answer is left out. Pauses and outages of a router last for seconds. */
+    private const val SILENT_MILLISECONDS = 10_000L
+
+    /** How long a router with old records is left out. */
+    private const val OLD_MILLISECONDS = 5_000L
+
+    override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
+        is RelayEvent.FeedRead -> state.feedRead(event, now)
+        is RelayEvent.FeedFailed -> state.feedFailed(event, now)
+        else -> state.unchanged()
+    }
+
+    private fun RelayState.feedRead(event: RelayEvent.FeedRead, now: Timestamp): RelayStep {
+        val cursor = feeds.of(event.feed)
+        val failedAt = event.storeFailedMillisecondsAgo?.let { now + -it }
+        val noted = if (failedAt == null) this else noteStoreFailure(event.feed, failedAt)
+        val source = if (event.throughReader) cursor.reader else settings.vm
+        val isOld = event.ageMilliseconds > settings.maximumAge(event.feed)
+        return when {
+            source == null || !cursor.expects(event.throughReader) -> noted.unchanged()
+            isOld -> noted.suspect(source, answers = true, "records of ${event.ageMilliseconds} ms ago", now)
+            source !in readers.suspicions -> noted.unchanged()
+            else -> noted.copy(readers = noted.readers.copy(suspicions = noted.readers.suspicions.remove(source)))
+                .unchanged()
+        }
+    }
+
+    private fun RelayState.feedFailed(event: RelayEvent.FeedFailed, now: Timestamp): RelayStep {
+        val cursor = feeds.of(event.feed)
+        val reader = cursor.reader
+        return when {
+            event.problem != FeedProblem.UNAVAILABLE || !cursor.expects(event.throughReader) -> unchanged()
+            reader != null -> suspect(reader, answers = false, event.detail, now)
+            // A single failure may be a lost response.
+            cursor.failures == 0 -> noteStoreFailure(event.feed, now).unchanged()
+            else -> noteStoreFailure(event.feed, now).suspect(settings.vm, answers = true, event.detail, now)
+        }
+    }
+
+    private fun RelayState.noteStoreFailure(
+        feed: Feed,
+        at: Timestamp,
+    ): RelayState = copy(readers = readers.copy(failedAt = readers.failedAt.put(feed, at)))
+
+    private fun RelayState.suspect(vm: VmId, answers: Boolean, reason: String, now: Timestamp): RelayStep {
+        val until = now + if (answers) OLD_MILLISECONDS else SILENT_MILLISECONDS
+        val next = copy(readers = readers.copy(suspicions = readers.suspicions.put(vm, Suspicion(answers, until))))
+        val known = suspicionOrNull(vm, now) != null
+        return if (known) next.unchanged() else next.report(now, "reader_left_out", "reader" to vm, "reason" to reason)
+    }
+}
+
+/**
+ * Returns [event], or a failure in its place if it is the answer of a reader that has read less than this router: it
+ * may be older than what is known.
+ */
+internal fun RelayState.withoutOldNews(event: RelayEvent): RelayEvent {
+    val read = event as? RelayEvent.FeedRead
+    val known = read?.takeIf { it.throughReader }?.let { feeds.of(it.feed).nextOffset }
+    if (read == null || known == null || read.nextOffset >= known) return event
+    val detail = "the reader is at ${read.nextOffset}, before $known"
+    return RelayEvent.FeedFailed(read.feed, FeedProblem.UNAVAILABLE, detail, throughReader = true)
+}
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/StorePathPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/StorePathPart.kt
@@ -19,8 +19,8 @@
  * The store may refuse some routers while it serves the others and the operators. A router cannot tell this from an
  * outage, so it tries other routers in turn as proxies, and calls the store directly again every few seconds.
  *
- * In a large fleet the feeds are read through a few routers, see [readerAddressOrNull]; a failure of such a read says
- * nothing about the direct path.
+ * The feeds are read through one router, see [readerOrNull]; a failure of such a read says nothing about the direct
+ * path.
  */
 internal object StorePathPart : RelayPart {
     /** The failures in a row before the path changes. A single failure may be a lost response. */
@@ -33,7 +33,7 @@
         is RelayEvent.FeedRead -> if (event.throughReader) state.unchanged() else state.succeeded()
         is RelayEvent.GroupJoined -> state.succeeded()
         is RelayEvent.FeedFailed -> state.feedFailed(event, now)
-        is RelayEvent.GroupFailed -> state.failed(now)
+        is RelayEvent.GroupFailed -> if (event.throughReader) state.unchanged() else state.failed(now)
         RelayEvent.Tick -> state.retryDirectIfDue(now)
         else -> state.unchanged()
     }
@@ -43,7 +43,7 @@
 
     private fun RelayState.feedFailed(event: RelayEvent.FeedFailed, now: Timestamp): RelayStep = when {
         event.problem != FeedProblem.UNAVAILABLE -> unchanged()
-        event.throughReader -> afterReaderFailure(now).unchanged()
+        event.throughReader -> unchanged()
         else -> failed(now)
     }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/StorePathState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/StorePathState.kt
@@ -10,14 +10,10 @@
  * @property failures the number of failed calls in a row since the last change of the path.
  * @property pathChanges the number of changes of the path.
  * @property directRetryAt when the store is to be called directly again.
- * @property readerChanges how often this router has gone on to the next reader.
- * @property readDirectlyUntil the time until which this router reads directly, as its reader has failed.
  */
 internal data class StorePathState(
     val viaRouter: String? = null,
     val failures: Int = 0,
     val pathChanges: Int = 0,
     val directRetryAt: Timestamp = Timestamp.EPOCH,
-    val readerChanges: Int = 0,
-    val readDirectlyUntil: Timestamp = Timestamp.EPOCH,
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedCursor.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedCursor.kt
@@ -1,5 +1,6 @@
 package org.quetzalloom.core.relay.feed
 
+import org.quetzalloom.core.identity.VmId
 import org.quetzalloom.core.time.Timestamp
 
 /**
@@ -9,7 +10,11 @@
  * @property reading whether a read is under way.
  * @property dueAt the earliest time of the next read.
  * @property failures the number of failed reads since the last successful one.
- * @property readAt when the feed was last read, or `null` before the first time.
+ * @property readAt the time of which the records read last tell the state, or `null` before the first time. Through a
+ *   reader, that is when the reader read them.
+ * @property sentAt when the last read was sent.
+ * @property waitMilliseconds how long the last read may have waited for records.
+ * @property reader the router through which the last read was sent, or `null` if it was sent to the store.
  */
 internal data class FeedCursor(
     val nextOffset: Long? = null,
@@ -17,4 +22,17 @@
     val dueAt: Timestamp = Timestamp.EPOCH,
     val failures: Int = 0,
     val readAt: Timestamp? = null,
-)
+    val sentAt: Timestamp = Timestamp.EPOCH,
+    val waitMilliseconds: Long = 0,
+    val reader: VmId? = null,
+) {
+    /** Returns whether a result that came [throughReader] belongs to the last read, rather than to an abandoned one. */
+    fun expects(throughReader: Boolean): Boolean = throughReader == (reader != null)
+
+    /**
+     * Returns the time of which a result that arrives at [now] tells the state, if its records were [age] milliseconds
+     * old when it was sent. A result that this router was late to receive was sent by the end of its wait.
+     */
+    fun stateTime(age: Long, now: Timestamp): Timestamp =
+        (if (reading) minOf(now, sentAt + waitMilliseconds) else now) + -age
+}
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
@@ -7,7 +7,7 @@
 import org.quetzalloom.core.relay.RelayPart
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.RelayStep
-import org.quetzalloom.core.relay.access.readerAddressOrNull
+import org.quetzalloom.core.relay.access.readerOrNull
 import org.quetzalloom.core.relay.report
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.relay.with
@@ -17,25 +17,12 @@
  * Decides when each feed is read, and from which offset.
  *
  * At most one read of each feed is under way at a time. A feed whose records have expired is read again from a
- * snapshot. The status feed is read only while a roll-out is in progress.
+ * snapshot. The status feed is read only while a roll-out is in progress, or while another router asks for it. Reads go
+ * through the router that [readerOrNull] names.
  */
 internal object FeedsPart : RelayPart {
-    /** The backoff after the first failed read; it doubles with each further one. */
-    private const val FIRST_BACKOFF_MILLISECONDS = 100L
-
-    /**
-     * The maximum backoff, short enough to read the list of servers well within a second once the store answers again.
-     */
-    private const val MAXIMUM_BACKOFF_MILLISECONDS = 500L
-
-    /**
-     * How long a read through another router waits for a record. If that router stands still, this and the timeout of
-     * the call pass before the store is asked directly, which must leave time to stop using a server that drains.
-     */
-    private const val READER_WAIT_MILLISECONDS = 1_000L
-
-    /** The pause between reads through another router, in which records that follow each other are collected. */
-    private const val READER_PAUSE_MILLISECONDS = 20L
+    /** How long a router that starts waits to learn of others through which it can read. */
+    private const val MEMBERS_WAIT_MILLISECONDS = 300L
 
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
         RelayEvent.Tick -> state.unchanged().thenEach(Feed.entries) { current, feed -> current.readIfDue(feed, now) }
@@ -46,20 +33,42 @@
 
     private fun RelayState.readIfDue(feed: Feed, now: Timestamp): RelayStep {
         val cursor = feeds.of(feed)
-        val wanted = feed != Feed.STATUS || rollouts.active.isNotEmpty()
-        if (cursor.reading || now < cursor.dueAt || !wanted) return unchanged()
-        val reader = readerAddressOrNull(now)?.takeIf { cursor.nextOffset != null }
-        val wait = if (reader == null) settings.readWait(feed) else READER_WAIT_MILLISECONDS
-        return copy(feeds = feeds.with(feed, cursor.copy(reading = true)))
-            .with(RelayEffect.ReadFeed(feed, cursor.nextOffset, wait, reader))
+        if (now < cursor.dueAt || isBusy(cursor, now) || !isWanted(feed, now)) return unchanged()
+        val reader = readerOrNull(now)
+        val wait = if (reader == null) settings.readWait(feed) else settings.readerWaitMilliseconds
+        val next = cursor.copy(reading = true, sentAt = now, waitMilliseconds = wait, reader = reader)
+        return copy(feeds = feeds.with(feed, next)).with(
+            RelayEffect.ReadFeed(
+                feed = feed,
+                from = cursor.nextOffset,
+                waitMilliseconds = wait,
+                reader = reader?.let { members.addresses[it] },
+                readerTimeoutMilliseconds = wait + settings.readerTimeoutMilliseconds,
+            ),
+        )
     }
 
+    private fun RelayState.isWanted(feed: Feed, now: Timestamp): Boolean = !awaitsMembers(now) &&
+        (feed != Feed.STATUS || rollouts.active.isNotEmpty() || readers.isAskedFor(feed, now))
+
+    /** A router through which others read does not wait for the reader that has failed them. */
+    private fun RelayState.isBusy(cursor: FeedCursor, now: Timestamp): Boolean =
+        cursor.reading && !(cursor.reader != null && readers.isAsked(now))
+
+    private fun RelayState.awaitsMembers(now: Timestamp): Boolean = members.sortedMembers.isEmpty() &&
+        members.failures == 0 && now - (stop.startedAt ?: now) < MEMBERS_WAIT_MILLISECONDS
+
     private fun RelayState.feedRead(event: RelayEvent.FeedRead, now: Timestamp): RelayStep {
         val cursor = feeds.of(event.feed)
+        val nextOffset = maxOf(cursor.nextOffset ?: 0, event.nextOffset)
+        if (!cursor.expects(event.throughReader)) {
+            return copy(feeds = feeds.with(event.feed, cursor.copy(nextOffset = nextOffset))).unchanged()
+        }
         val next = FeedCursor(
-            nextOffset = event.nextOffset,
-            dueAt = now + if (event.throughReader) READER_PAUSE_MILLISECONDS else settings.readInterval(event.feed),
-            readAt = now,
+            nextOffset = nextOffset,
+            dueAt = now + event.pause(settings),
+            readAt = maxOf(cursor.readAt ?: Timestamp.EPOCH, cursor.stateTime(event.ageMilliseconds, now)),
+            reader = cursor.reader,
         )
         val unreadable = event.entries.filterIsInstance<FeedEntry.Unreadable>()
         return copy(feeds = feeds.with(event.feed, next)).unchanged()
@@ -69,11 +78,11 @@
 
     private fun RelayState.feedFailed(event: RelayEvent.FeedFailed, now: Timestamp): RelayStep {
         val cursor = feeds.of(event.feed)
-        val backoff = if (event.problem == FeedProblem.EXPIRED) 0 else backoffAfter(cursor.failures)
+        if (!cursor.expects(event.throughReader)) return unchanged()
         val next = cursor.copy(
             reading = false,
             nextOffset = cursor.nextOffset.takeUnless { event.problem == FeedProblem.EXPIRED },
-            dueAt = now + backoff,
+            dueAt = now + event.pause(cursor.failures),
             failures = cursor.failures + 1,
         )
         return copy(feeds = feeds.with(event.feed, next)).unchanged().then {
@@ -81,10 +90,6 @@
         }
     }
 
-    private fun backoffAfter(failures: Int): Long =
-        (FIRST_BACKOFF_MILLISECONDS shl failures.coerceAtMost(Byte.SIZE_BITS))
-            .coerceAtMost(MAXIMUM_BACKOFF_MILLISECONDS)
-
     private fun RelayState.reportLost(event: RelayEvent.FeedFailed, now: Timestamp): RelayStep = report(
         now,
         "feed_lost",
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersPart.kt
@@ -8,6 +8,9 @@
 import org.quetzalloom.core.relay.RelayPart
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.RelayStep
+import org.quetzalloom.core.relay.access.isActingReader
+import org.quetzalloom.core.relay.access.readerOrNull
+import org.quetzalloom.core.relay.access.readerOrder
 import org.quetzalloom.core.relay.report
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.relay.with
@@ -18,34 +21,74 @@
  * was asked to stop no longer renews its membership.
  */
 internal object MembersPart : RelayPart {
-    /** The time between two heartbeats, which join the group again; a third of a member's time to live. */
-    private const val JOIN_INTERVAL_MILLISECONDS = 1_000L
+    /** The time between two renewals of the leader, of routers that read for others, and of one that starts. */
+    private const val FREQUENT_JOIN_MILLISECONDS = 1_000L
+
+    /** The time between two renewals of another router, to which that for each member is added. */
+    private const val JOIN_INTERVAL_MILLISECONDS = 3_000L
+
+    /** Added to the time between two renewals for each member, so that their calls hardly grow with the fleet. */
+    private const val JOIN_MILLISECONDS_PER_MEMBER = 60L
+
+    /** A member lives for as many intervals, so that two renewals may fail. */
+    private const val TIME_TO_LIVE_INTERVALS = 3
 
     /** The pause before the next call after a failed one, and between two listings of the members. */
     private const val PAUSE_MILLISECONDS = 500L
 
+    /** Doubles the pause after each failure up to four times, which stays below the life of a member. */
+    private const val MAXIMUM_DOUBLINGS = 2
+
     /** Added to the pause between two listings for each member, so that their calls do not grow with the fleet. */
     private const val LIST_PAUSE_MILLISECONDS_PER_MEMBER = 20L
 
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
-        RelayEvent.Tick -> state.joinIfDue(now).then { it.listIfDue(now) }.then { it.endLeadershipIfUnconfirmed(now) }
+        RelayEvent.Tick -> state.joinIfDue(now).then { it.listIfDue(now) }
+            .then { it.endLeadershipIfUnconfirmed(now) }
+            .then { it.answerMembersCalls(now) }
         is RelayEvent.GroupJoined -> state.groupJoined(event, now)
         is RelayEvent.GroupFailed -> state.groupFailed(event, now)
-        is RelayEvent.MembersListed -> state.membersListed(event, now)
+        is RelayEvent.MembersListed -> state.membersListed(event, now).then { it.answerMembersCalls(now) }
+        is RelayEvent.FeedRead -> state.generationHeard(event.generation)
+        is RelayEvent.MembersAsked -> state.generationHeard(event.generation).then { it.membersAsked(event, now) }
         is RelayEvent.PauseDetected -> state.endLeadershipAfterPause(event, now)
         else -> state.unchanged()
     }
 
     private fun RelayState.joinIfDue(now: Timestamp): RelayStep {
-        if (members.joining || now < members.joinDueAt || stop.requestedAt != null) return unchanged()
+        if (members.joining || stop.requestedAt != null || now < nextJoinAt(now)) return unchanged()
+        val timeToLive = joinInterval(now) * TIME_TO_LIVE_INTERVALS
         return copy(members = members.copy(joining = true))
-            .with(RelayEffect.JoinGroup(members.generation, sentAt = now))
+            .with(RelayEffect.JoinGroup(members.generation, sentAt = now, timeToLiveMilliseconds = timeToLive))
+    }
+
+    /** Returns when to join; sooner than was planned if the interval has become shorter since the last time. */
+    private fun RelayState.nextJoinAt(now: Timestamp): Timestamp = if (members.failures > 0) {
+        members.joinDueAt
+    } else {
+        minOf(members.joinDueAt, members.lastJoinAt + joinInterval(now))
+    }
+
+    private fun RelayState.joinInterval(now: Timestamp): Long =
+        if (members.isLeader || members.sortedMembers.isEmpty() || isActingReader(now)) {
+            FREQUENT_JOIN_MILLISECONDS
+        } else {
+            JOIN_INTERVAL_MILLISECONDS + members.sortedMembers.size * JOIN_MILLISECONDS_PER_MEMBER
+        }
+
+    /** Renews the membership at once after a change of the group, which may give this router other partitions. */
+    private fun RelayState.generationHeard(generation: Long): RelayStep {
+        if (generation <= members.generation || members.failures > 0) return unchanged()
+        val due = minOf(members.joinDueAt, members.lastJoinAt + FREQUENT_JOIN_MILLISECONDS)
+        return copy(members = members.copy(joinDueAt = due)).unchanged()
     }
 
     private fun RelayState.listIfDue(now: Timestamp): RelayStep {
         val stale = members.generation != members.listedGeneration
         if (!stale || members.listing || now < members.listDueAt) return unchanged()
-        return copy(members = members.copy(listing = true)).with(RelayEffect.ListMembers(members.generation))
+        val reader = readerOrNull(now)?.takeUnless { members.listsDirectly }
+        return copy(members = members.copy(listing = true))
+            .with(RelayEffect.ListMembers(members.generation, reader?.let { members.addresses[it] }))
     }
 
     private fun RelayState.groupJoined(event: RelayEvent.GroupJoined, now: Timestamp): RelayStep {
@@ -55,7 +98,8 @@
                 generation = event.generation,
                 isLeader = event.isLeader && !sentBeforePause,
                 joinedAt = event.sentAt,
-                joinDueAt = now + JOIN_INTERVAL_MILLISECONDS,
+                joinDueAt = now + joinInterval(now),
+                lastJoinAt = now,
                 joining = false,
                 failures = 0,
             ),
@@ -68,12 +112,17 @@
         report(now, "group_joined", "generation" to event.generation, "duty" to members.isLeader)
 
     private fun RelayState.groupFailed(event: RelayEvent.GroupFailed, now: Timestamp): RelayStep {
+        if (event.throughReader) {
+            val retry = members.copy(listing = false, listsDirectly = true, listDueAt = now + PAUSE_MILLISECONDS)
+            return copy(members = retry).unchanged()
+        }
+        val pause = PAUSE_MILLISECONDS shl members.failures.coerceAtMost(MAXIMUM_DOUBLINGS)
         val next = copy(
             members = members.copy(
                 joining = false,
                 listing = false,
-                joinDueAt = now + PAUSE_MILLISECONDS,
-                listDueAt = now + PAUSE_MILLISECONDS,
+                joinDueAt = now + pause,
+                listDueAt = now + pause,
                 failures = members.failures + 1,
             ),
         )
@@ -85,8 +134,10 @@
         val next = members.copy(
             addresses = addresses,
             sortedMembers = addresses.keys.sorted().toPersistentList(),
+            readerOrder = readerOrder(event.memberAddresses.keys),
             listedGeneration = event.generation,
             listing = false,
+            listsDirectly = false,
             listDueAt = now + maxOf(PAUSE_MILLISECONDS, addresses.size * LIST_PAUSE_MILLISECONDS_PER_MEMBER),
         )
         val updated = copy(members = next)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersPart.kt
@@ -37,7 +37,9 @@
         val listings = lastEntries.values.filterIsInstance<FeedEntry.Server>().map { it.listing }
         val absent = if (event.snapshot) servers.views.keys - lastEntries.keys else emptySet()
         val unlisted = lastEntries.keys - listings.map { it.id }.toSet() + absent
-        return copy(servers = servers.copy(listReadAt = now)).unchanged()
+        val failedAt = listOfNotNull(servers.listFailedAt, readers.failedAt[Feed.SERVERS]).maxOrNull()
+        val readAt = feeds.of(Feed.SERVERS).readAt ?: now
+        return copy(servers = servers.copy(listReadAt = readAt, listFailedAt = failedAt)).unchanged()
             .thenEach(listings) { current, listing -> current.updateListing(listing, now) }
             .thenEach(unlisted) { current, id -> current.markRemoved(id, now) }
     }
--- /dev/null
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/FleetStore.kt
@@ -0,0 +1,139 @@
+package org.quetzalloom.core.relay
+
+import org.quetzalloom.core.identity.VmId
+import org.quetzalloom.core.relay.feed.Feed
+import org.quetzalloom.core.relay.feed.FeedEntry
+import org.quetzalloom.core.relay.feed.FeedProblem
+import org.quetzalloom.core.relay.feed.FeedRecord
+import org.quetzalloom.core.relay.feed.RecordContent
+import org.quetzalloom.core.time.Timestamp
+
+/**
+ * The platform's store of a [RelayFleet]: feeds with waiting reads, and the group of routers.
+ *
+ * @param deliver delivers a response to a router, after at least the given number of milliseconds.
+ */
+internal class FleetStore(private val deliver: (VmId, RelayEvent, Long) -> Unit) {
+    private class Read(val vm: VmId, val effect: RelayEffect.ReadFeed, val until: Timestamp)
+
+    private class Silence(val vm: VmId, val event: RelayEvent, val until: Timestamp)
+
+    /** The routers that the store refuses, and those whose calls or responses are lost. */
+    val refused: MutableSet<VmId> = mutableSetOf()
+    val silentTo: MutableSet<VmId> = mutableSetOf()
+    var isDown = false
+    var responseMilliseconds = 0L
+
+    /** The calls so far without joins, refused ones included, and the joins. */
+    var calls = 0
+        private set
+    var joins = 0
+        private set
+    val callsByVm: MutableMap<VmId, Int> = mutableMapOf()
+
+    private val logs = Feed.entries.associateWith { mutableListOf<FeedRecord>() }
+    private val reads = mutableListOf<Read>()
+    private val silences = mutableListOf<Silence>()
+    private val expiries = sortedMapOf<VmId, Timestamp>()
+    private var generation = 0L
+
+    val leader: VmId get() = expiries.firstKey()
+
+    fun endOf(feed: Feed): Long = logs.getValue(feed).size.toLong()
+
+    fun write(feed: Feed, entries: List<FeedEntry>) {
+        val log = logs.getValue(feed)
+        entries.forEach { log += FeedRecord(it.key(), log.size.toLong(), it.content(log.size), it) }
+        val woken = reads.filter { it.effect.feed == feed }
+        reads.removeAll(woken)
+        woken.forEach { respond(it.vm, it.effect) }
+    }
+
+    fun read(vm: VmId, effect: RelayEffect.ReadFeed, now: Timestamp) {
+        count(vm)
+        val from = effect.from
+        val failure = RelayEvent.FeedFailed(effect.feed, FeedProblem.UNAVAILABLE, "refused")
+        when {
+            fails(vm, failure, now + effect.waitMilliseconds + CALL_TIMEOUT) -> Unit
+            from == null || endOf(effect.feed) > from || effect.waitMilliseconds == 0L -> respond(vm, effect)
+            else -> reads += Read(vm, effect, now + effect.waitMilliseconds)
+        }
+    }
+
+    fun list(vm: VmId, effect: RelayEffect.ListMembers, now: Timestamp) {
+        count(vm)
+        if (fails(vm, RelayEvent.GroupFailed("refused"), now + CALL_TIMEOUT)) return
+        val addresses = expiries.keys.associateWith { "$it:70" }
+        deliver(vm, RelayEvent.MembersListed(effect.generation, addresses), responseMilliseconds)
+    }
+
+    fun join(vm: VmId, effect: RelayEffect.JoinGroup, now: Timestamp) {
+        joins++
+        if (fails(vm, RelayEvent.GroupFailed("refused"), now + CALL_TIMEOUT)) return
+        if (expiries.put(vm, now + effect.timeToLiveMilliseconds) == null) generation++
+        val joined = RelayEvent.GroupJoined(generation, isLeader = vm == leader, sentAt = effect.sentAt)
+        deliver(vm, joined, responseMilliseconds)
+    }
+
+    /** Ends the waits, and the memberships that were not renewed; both pause while the store is down. */
+    fun expire(now: Timestamp) {
+        val gone = if (isDown) emptySet() else expiries.filterValues { now > it }.keys.toSet()
+        if (gone.isNotEmpty()) generation++
+        expiries.keys.removeAll(gone)
+        val due = reads.filter { it.until <= now }
+        reads.removeAll(due)
+        due.forEach { respond(it.vm, it.effect) }
+        val silent = silences.filter { it.until <= now }
+        silences.removeAll(silent)
+        silent.forEach { deliver(it.vm, it.event, 0) }
+    }
+
+    private fun count(vm: VmId) {
+        calls++
+        callsByVm.merge(vm, 1, Int::plus)
+    }
+
+    private fun fails(vm: VmId, failure: RelayEvent, timeout: Timestamp): Boolean {
+        val refuses = isDown || vm in refused
+        when {
+            vm in silentTo -> silences += Silence(vm, failure, timeout)
+            refuses -> deliver(vm, failure, 0)
+        }
+        return refuses || vm in silentTo
+    }
+
+    private fun respond(vm: VmId, effect: RelayEffect.ReadFeed) {
+        val log = logs.getValue(effect.feed)
+        val records = effect.from?.let { log.drop(it.toInt()) }
+            ?: log.associateBy { it.key }.values.filter { it.content != null }
+        val event = RelayEvent.FeedRead(
+            feed = effect.feed,
+            entries = records.mapNotNull { it.entry },
+            nextOffset = log.size.toLong(),
+            snapshot = effect.from == null,
+            records = records,
+        )
+        deliver(vm, event, responseMilliseconds)
+    }
+
+    private fun FeedEntry.key(): String = when (this) {
+        is FeedEntry.Configuration -> "config"
+        is FeedEntry.Evacuation -> "evacuate/$zone"
+        is FeedEntry.Rollout -> "rollout/${order.service}"
+        is FeedEntry.RolloutRemoved -> "rollout/$service"
+        is FeedEntry.RolloutStatus -> "rollout/$service"
+        is FeedEntry.Server -> listing.id.value
+        is FeedEntry.ServerRemoved -> id.value
+        is FeedEntry.Unreadable -> key
+    }
+
+    private fun FeedEntry.content(number: Int): RecordContent? = when (this) {
+        is FeedEntry.ServerRemoved, is FeedEntry.RolloutRemoved -> null
+        is FeedEntry.Evacuation -> if (active) RecordContent("$number".toByteArray()) else null
+        else -> RecordContent("$number".toByteArray())
+    }
+
+    private companion object {
+        const val CALL_TIMEOUT = 900L
+    }
+}
--- a/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
@@ -15,6 +15,7 @@
 import org.quetzalloom.relay.http.MessageCodec
 import org.quetzalloom.relay.http.StatusServer
 import org.quetzalloom.relay.peer.PeerSocket
+import org.quetzalloom.relay.reader.ReaderServer
 import org.quetzalloom.relay.report.RelayMetrics
 import org.quetzalloom.relay.report.Reporter
 import org.quetzalloom.runtime.Interpreter
@@ -65,6 +66,7 @@
     private val relay = Relay(group, codec, reporter, clock, memory, loop::post)
     private val peers = PeerSocket(group, reporter, loop::post)
     private val callClient = CallClient(group)
+    private val readers = ReaderServer(listeners.peers, loop::post)
     private val storeInterpreter = store(callClient, loop::post)
     private var ready = false
 
@@ -84,7 +86,7 @@
         }
         listeners.peers?.let { address ->
             peers.listen(address)
-            listeners.forwarding?.let { CallForwarder(group, callClient, it).listen(address) }
+            listeners.forwarding?.let { CallForwarder(group, callClient, it, readers).listen(address) }
         }
         relay.attach(listeners.callerSocket ?: CallerSocket.bind(listeners.callers))
         executor.execute { loop.startTicking() }
@@ -107,6 +109,7 @@
             is RelayEffect.Report -> reporter.report(effect.entry)
             is RelayEffect.SetReady -> ready = effect.ready
             is RelayEffect.SendBeacon -> peers.send(effect)
+            is RelayEffect.AnswerFeed, is RelayEffect.AnswerMembers -> readers.carryOut(effect)
             is RelayEffect.Finish -> relay.awaitCallers(effect.withinMilliseconds) { finished.countDown() }
             else -> {
                 relay.carryOut(effect)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/CallForwarder.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/CallForwarder.kt
@@ -24,6 +24,7 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
+import org.quetzalloom.relay.reader.ReaderServer
 
 /**
  * Forwards calls of other routers to one target, without their headers, and returns the status and body of the
@@ -32,6 +33,8 @@
  * A path that is not in [Forwarding.paths] is answered 404, and a call that fails or times out 502. A request that is
  * truncated or malformed is answered 400, and its connection is closed. Calls are not retried.
  *
+ * Calls that [readers] accepts are answered by this router itself.
+ *
  * On [Forwarding.sharedPaths] a call joins an equal one that is under way and gets the same response. So many routers
  * that wait for the same records cost one call.
  */
@@ -39,6 +42,7 @@
     private val group: EventLoopGroup,
     private val client: CallClient,
     private val forwarding: Forwarding,
+    private val readers: ReaderServer? = null,
 ) {
     /** The callers that wait for the response to each shared call that is under way, by its URI. */
     private var sharedCalls = persistentMapOf<String, PersistentList<ChannelHandlerContext>>()
@@ -64,6 +68,8 @@
             val path = request.uri().substringBefore('?')
             when {
                 request.decoderResult().isFailure -> reject(context, request.decoderResult().cause())
+                readers != null && readers.accepts(path) ->
+                    readers.receive(request.uri()) { status, body -> context.respond(status, body) }
                 path !in forwarding.paths ->
                     context.respond(HttpResponseStatus.NOT_FOUND, text("this path is not forwarded"))
                 path in forwarding.sharedPaths -> joinOrForward(context, request)
--- /dev/null
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/reader/FeedAnswerFormat.kt
@@ -0,0 +1,66 @@
+package org.quetzalloom.relay.reader
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import kotlinx.collections.immutable.toPersistentList
+import org.quetzalloom.core.relay.feed.FeedAnswer
+import org.quetzalloom.core.relay.feed.FeedRecord
+import org.quetzalloom.core.relay.feed.RecordContent
+
+/**
+ * The binary format of [FeedAnswer] between routers.
+ *
+ * Four numbers of 8 bytes (next offset, age, age of the last failure or -1, generation) and a byte that is 1 for a
+ * snapshot. Each record follows with its offset (8 bytes), the length of its key (2 bytes), the key, the length of its
+ * content (4 bytes; -1 if the key is removed) and the content.
+ */
+internal object FeedAnswerFormat {
+    private const val NONE = -1L
+    private const val REMOVED = -1
+
+    /** Encodes [answer]. What the records say is left out. */
+    fun encode(answer: FeedAnswer): ByteBuf {
+        val body = Unpooled.buffer()
+            .writeLong(answer.nextOffset)
+            .writeLong(answer.ageMilliseconds)
+            .writeLong(answer.storeFailedMillisecondsAgo ?: NONE)
+            .writeLong(answer.generation)
+            .writeBoolean(answer.snapshot)
+        answer.records.forEach { body.writeRecord(it) }
+        return body
+    }
+
+    /** Decodes [body]; the records are without entries. Throws [IllegalArgumentException] if [body] is truncated. */
+    fun decode(body: ByteBuf): FeedAnswer = try {
+        FeedAnswer(
+            nextOffset = body.readLong(),
+            ageMilliseconds = body.readLong(),
+            storeFailedMillisecondsAgo = body.readLong().takeUnless { it == NONE },
+            generation = body.readLong(),
+            snapshot = body.readBoolean(),
+            records = generateSequence { if (body.isReadable) body.readRecord() else null }.toPersistentList(),
+        )
+    } catch (problem: IndexOutOfBoundsException) {
+        throw IllegalArgumentException("the answer is truncated", problem)
+    }
+
+    private fun ByteBuf.writeRecord(record: FeedRecord) {
+        val key = record.key.toByteArray()
+        val content = record.content?.toByteArray()
+        writeLong(record.offset).writeShort(key.size).writeBytes(key)
+        if (content == null) writeInt(REMOVED) else writeInt(content.size).writeBytes(content)
+    }
+
+    private fun ByteBuf.readRecord(): FeedRecord {
+        val offset = readLong()
+        val key = readArray(readUnsignedShort()).decodeToString()
+        val length = readInt()
+        val content = if (length == REMOVED) null else RecordContent(readArray(length))
+        return FeedRecord(key, offset, content, entry = null)
+    }
+
+    private fun ByteBuf.readArray(length: Int): ByteArray {
+        require(length in 0..readableBytes()) { "$length bytes are truncated" }
+        return ByteArray(length).also { readBytes(it) }
+    }
+}
--- /dev/null
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/reader/ReaderServer.kt
@@ -0,0 +1,74 @@
+package org.quetzalloom.relay.reader
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.QueryStringDecoder
+import kotlinx.collections.immutable.persistentMapOf
+import org.quetzalloom.core.relay.RelayEffect
+import org.quetzalloom.core.relay.RelayEvent
+import org.quetzalloom.core.relay.feed.Feed
+import org.quetzalloom.relay.http.Address
+
+/** Sends the response to a call. */
+internal typealias Responder = (HttpResponseStatus, ByteBuf) -> Unit
+
+/**
+ * Posts the calls of routers that read the store through this one, and responds to them as the reducer answers.
+ *
+ * Confined to the event loop's thread.
+ *
+ * @param ownAddress the address of this router for the others.
+ * @param post posts an event to the reducer.
+ */
+internal class ReaderServer(private val ownAddress: Address?, private val post: (RelayEvent) -> Unit) {
+    private var waiting = persistentMapOf<Long, Responder>()
+    private var lastCall = 0L
+
+    /** Returns whether calls of [path] are for this server. */
+    fun accepts(path: String): Boolean = path == ReaderPaths.FEED || path == ReaderPaths.MEMBERS
+
+    /** Posts the call of [uri], whose response goes to [respond]. */
+    fun receive(uri: String, respond: Responder) {
+        val query = QueryStringDecoder(uri)
+        val call = ++lastCall
+        val event = when (query.path()) {
+            ReaderPaths.FEED -> feedCallOrNull(call, query)
+            else -> query.numberOrNull(ReaderPaths.GENERATION)?.let { RelayEvent.MembersAsked(call, it) }
+        }
+        if (event == null) return respond(HttpResponseStatus.BAD_REQUEST, text("the query is incomplete\n"))
+        waiting = waiting.put(call, respond)
+        post(event)
+    }
+
+    /** Responds to the call of [effect] if it answers one; ignores any other effect. */
+    fun carryOut(effect: RelayEffect) {
+        when (effect) {
+            is RelayEffect.AnswerFeed -> respond(effect.call, effect.answer?.let { FeedAnswerFormat.encode(it) })
+            is RelayEffect.AnswerMembers -> respond(effect.call, effect.addresses?.let { encodeMembers(effect) })
+            else -> Unit
+        }
+    }
+
+    private fun respond(call: Long, body: ByteBuf?) {
+        val respond = waiting[call] ?: return
+        waiting = waiting.remove(call)
+        if (body != null) return respond(HttpResponseStatus.OK, body)
+        respond(HttpResponseStatus.SERVICE_UNAVAILABLE, text("this router has not read it\n"))
+    }
+
+    private fun feedCallOrNull(call: Long, query: QueryStringDecoder): RelayEvent.FeedAsked? {
+        val name = query.parameters()[ReaderPaths.FEED_NAME]?.firstOrNull()
+        val feed = Feed.entries.firstOrNull { it.name == name } ?: return null
+        val wait = query.numberOrNull(ReaderPaths.WAIT) ?: return null
+        return RelayEvent.FeedAsked(call, feed, query.numberOrNull(ReaderPaths.FROM), wait)
+    }
+
+    private fun encodeMembers(effect: RelayEffect.AnswerMembers): ByteBuf =
+        text(effect.addresses.orEmpty().entries.joinToString("") { (vm, address) -> "$vm ${address.ifEmpty { "$ownAddress" }}\n" })
+
+    private fun QueryStringDecoder.numberOrNull(name: String): Long? =
+        parameters()[name]?.firstOrNull()?.toLongOrNull()
+
+    private fun text(text: String): ByteBuf = Unpooled.copiedBuffer(text, Charsets.UTF_8)
+}
