--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RelayFleet.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RelayFleet.kt
@@ -100,11 +100,6 @@
     fun arrive(vm: VmId, request: RelayRequest): Unit =
         deliver(vm, RelayEvent.RequestArrived(ExchangeId(++requests), request.copy(callerId = "f-$requests")))
 
-    /** Starts [vm] again, without what it knew. */
-    fun restart(vm: VmId) {
-        states[vm] = initialState(vm)
-    }
-
     private fun initialState(vm: VmId) = RelayState.initial(settings(vm), policies)
 
     /** Lets [vm] stand still: reads that wait at it fail only by their timeouts. */
@@ -114,7 +109,7 @@
 
     /** Starts [vm] anew, with nothing of what it knew. */
     fun restart(vm: VmId) {
-        states[vm] = RelayState.initial(states.getValue(vm).settings)
+        states[vm] = initialState(vm)
         peerCalls.values.removeAll { it.caller == vm }
         queue.removeIf { it.vm == vm }
     }
