Replace failed readers in time, with hardly more calls

A reader with failing reads reads through the next one, though others ask it, and leaves itself out. The backoff of reads of the store survives reads through other routers, which reset it before; while the list of servers cannot be read, the other feeds wait. An answer whose records grow old while it waits is given at once.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelaySettings.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelaySettings.kt
@@ -51,7 +51,7 @@
 
     /** Returns the age in milliseconds that the records of [feed] at a reader do not reach while its reads succeed. */
     internal fun maximumAge(feed: Feed): Long =
-        readInterval(feed) + readWait(feed) + changeBoundMilliseconds / AGE_MARGIN_DIVISOR
+        readInterval(feed) + readWait(feed) + changeBoundMilliseconds * AGE_MARGIN_PERCENT / PERCENT
 
     public companion object {
         /**
@@ -70,8 +70,8 @@
         private const val SERVERS_INTERVAL_DIVISOR = 3
         private const val READER_WAIT_DIVISOR = 5
         private const val READER_TIMEOUT_DIVISOR = 6
-        private const val AGE_MARGIN_DIVISOR = 5
-        private const val WAIT_PERCENT = 40
+        private const val WAIT_PERCENT = 45
+        private const val AGE_MARGIN_PERCENT = 22
         private const val PERCENT = 100
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/AnswersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/AnswersPart.kt
@@ -45,7 +45,8 @@
     }
 
     private fun RelayState.feedAsked(event: RelayEvent.FeedAsked, now: Timestamp): RelayStep {
-        val call = WaitingCall(event.call, event.feed, event.from, until = now + event.waitMilliseconds)
+        val until = now + event.waitMilliseconds
+        val call = WaitingCall(event.call, event.feed, event.from, until, beganRecent = isRecent(event.feed, now))
         val next = copy(
             readers = readers.copy(
                 askedAt = readers.askedAt.put(event.feed, now),
@@ -64,11 +65,12 @@
             .thenEach(due) { current, call -> current.with(current.answer(call, now)) }
     }
 
-    private fun RelayState.mayAnswer(call: WaitingCall, now: Timestamp): Boolean {
-        val age = feedAge(call.feed, now)
-        val isRecent = age != null && age <= settings.maximumAge(call.feed)
-        return isRecent && readers.buffers[call.feed]?.hasNews(call.from) ?: false
-    }
+    /** An answer that has waited while the records grew old is given at once, so that the caller can turn elsewhere. */
+    private fun RelayState.mayAnswer(call: WaitingCall, now: Timestamp): Boolean =
+        if (isRecent(call.feed, now)) readers.buffers[call.feed]?.hasNews(call.from) ?: false else call.beganRecent
+
+    private fun RelayState.isRecent(feed: Feed, now: Timestamp): Boolean =
+        feedAge(feed, now)?.let { it <= settings.maximumAge(feed) } ?: false
 
     private fun RelayState.answer(call: WaitingCall, now: Timestamp): RelayEffect {
         val buffer = readers.buffers[call.feed]
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/Readers.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/Readers.kt
@@ -27,7 +27,7 @@
  * itself, if others read through it, or if no other router answers.
  */
 internal fun RelayState.readerOrNull(now: Timestamp): VmId? {
-    if (readers.isAsked(now)) return null
+    if (readsForOthers(now)) return null
     val candidates = members.readerOrder.filter { it == settings.vm || !members.addresses[it].isNullOrEmpty() }
     val old = candidates.filter { suspicionOrNull(it, now)?.answers ?: false }.take(MAXIMUM_OLD_READERS)
     val first = candidates.firstOrNull { suspicionOrNull(it, now) == null }
@@ -37,9 +37,13 @@
     return chosen?.takeIf { it != settings.vm }
 }
 
+/** Returns whether other routers read through this one, and its own reads of the store do not fail. */
+internal fun RelayState.readsForOthers(now: Timestamp): Boolean =
+    readers.isAsked(now) && suspicionOrNull(settings.vm, now) == null
+
 /** Returns whether this router reads the store for others, or comes first in the order of readers. */
 internal fun RelayState.isActingReader(now: Timestamp): Boolean =
-    readers.isAsked(now) || members.readerOrder.firstOrNull() == settings.vm
+    readsForOthers(now) || members.readerOrder.firstOrNull() == settings.vm
 
 /** Returns why [vm] is not used as a reader at [now], or `null` if it may be used. */
 internal fun RelayState.suspicionOrNull(vm: VmId, now: Timestamp): Suspicion? =
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/ReadersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/ReadersPart.kt
@@ -19,8 +19,8 @@
     /** How long a router that did not answer is left out. Pauses and outages of a router last for seconds. */
     private const val SILENT_MILLISECONDS = 10_000L
 
-    /** How long a router with old records is left out. */
-    private const val OLD_MILLISECONDS = 5_000L
+    /** How long a router with old records is left out, unless all others have old records too. */
+    private const val OLD_MILLISECONDS = 15_000L
 
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
         is RelayEvent.FeedRead -> state.feedRead(event, now)
@@ -37,7 +37,8 @@
         return when {
             source == null || !cursor.expects(event.throughReader) -> noted.unchanged()
             isOld -> noted.suspect(source, answers = true, "records of ${event.ageMilliseconds} ms ago", now)
-            source !in readers.suspicions -> noted.unchanged()
+            // Others leave this router out for a while too, and one reader is enough.
+            source !in readers.suspicions || source == settings.vm -> noted.unchanged()
             else -> noted.copy(readers = noted.readers.copy(suspicions = noted.readers.suspicions.remove(source)))
                 .unchanged()
         }
@@ -50,7 +51,7 @@
             event.problem != FeedProblem.UNAVAILABLE || !cursor.expects(event.throughReader) -> unchanged()
             reader != null -> suspect(reader, answers = false, event.detail, now)
             // A single failure may be a lost response.
-            cursor.failures == 0 -> noteStoreFailure(event.feed, now).unchanged()
+            cursor.storeFailures == 0 -> noteStoreFailure(event.feed, now).unchanged()
             else -> noteStoreFailure(event.feed, now).suspect(settings.vm, answers = true, event.detail, now)
         }
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/ReadersState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/ReadersState.kt
@@ -52,5 +52,12 @@
  * @property call the number of the call.
  * @property from the offset up to which the caller has read [feed], or `null` if it has read nothing.
  * @property until when the call is answered at the latest.
+ * @property beganRecent whether the records were recent when the call came.
  */
-internal data class WaitingCall(val call: Long, val feed: Feed, val from: Long?, val until: Timestamp)
+internal data class WaitingCall(
+    val call: Long,
+    val feed: Feed,
+    val from: Long?,
+    val until: Timestamp,
+    val beganRecent: Boolean,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/DueReads.kt
@@ -0,0 +1,30 @@
+package org.quetzalloom.core.relay.feed
+
+import org.quetzalloom.core.relay.RelayState
+import org.quetzalloom.core.relay.access.readerOrNull
+import org.quetzalloom.core.relay.access.readsForOthers
+import org.quetzalloom.core.time.Timestamp
+
+/** How long a router that starts waits to learn of others through which it can read. */
+private const val MEMBERS_WAIT_MILLISECONDS = 300L
+
+/** Returns whether [feed] is to be read at [now]. */
+internal fun RelayState.isReadDue(feed: Feed, now: Timestamp): Boolean {
+    val cursor = feeds.of(feed)
+    val mayRead = now >= cursor.dueAt && !isBusy(cursor, now) && isWanted(feed, now)
+    return mayRead && (readerOrNull(now) != null || mayReadStore(feed, now))
+}
+
+private fun RelayState.isWanted(feed: Feed, now: Timestamp): Boolean = !awaitsMembers(now) &&
+    (feed != Feed.STATUS || rollouts.active.isNotEmpty() || readers.isAskedFor(feed, now))
+
+/** While the list of servers cannot be read, the other feeds wait: one read is enough to see that the store is back. */
+private fun RelayState.mayReadStore(feed: Feed, now: Timestamp): Boolean =
+    now >= feeds.of(feed).storeDueAt && (feed == Feed.SERVERS || feeds.of(Feed.SERVERS).storeFailures <= 1)
+
+/** A router through which others read does not wait for the reader that has failed them. */
+private fun RelayState.isBusy(cursor: FeedCursor, now: Timestamp): Boolean =
+    cursor.reading && !(cursor.reader != null && readsForOthers(now))
+
+private fun RelayState.awaitsMembers(now: Timestamp): Boolean = members.sortedMembers.isEmpty() &&
+    members.failures == 0 && now - (stop.startedAt ?: now) < MEMBERS_WAIT_MILLISECONDS
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedCursor.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedCursor.kt
@@ -10,6 +10,9 @@
  * @property reading whether a read is under way.
  * @property dueAt the earliest time of the next read.
  * @property failures the number of failed reads since the last successful one.
+ * @property storeFailures the number of failed reads of the store since the last successful one, whatever has been read
+ *   through other routers since.
+ * @property storeDueAt the earliest time of the next read of the store.
  * @property readAt the time of which the records read last tell the state, or `null` before the first time. Through a
  *   reader, that is when the reader read them.
  * @property sentAt when the last read was sent.
@@ -21,6 +24,8 @@
     val reading: Boolean = false,
     val dueAt: Timestamp = Timestamp.EPOCH,
     val failures: Int = 0,
+    val storeFailures: Int = 0,
+    val storeDueAt: Timestamp = Timestamp.EPOCH,
     val readAt: Timestamp? = null,
     val sentAt: Timestamp = Timestamp.EPOCH,
     val waitMilliseconds: Long = 0,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
@@ -21,9 +21,6 @@
  * through the router that [readerOrNull] names.
  */
 internal object FeedsPart : RelayPart {
-    /** How long a router that starts waits to learn of others through which it can read. */
-    private const val MEMBERS_WAIT_MILLISECONDS = 300L
-
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
         RelayEvent.Tick -> state.unchanged().thenEach(Feed.entries) { current, feed -> current.readIfDue(feed, now) }
         is RelayEvent.FeedRead -> state.feedRead(event, now)
@@ -32,8 +29,8 @@
     }
 
     private fun RelayState.readIfDue(feed: Feed, now: Timestamp): RelayStep {
+        if (!isReadDue(feed, now)) return unchanged()
         val cursor = feeds.of(feed)
-        if (now < cursor.dueAt || isBusy(cursor, now) || !isWanted(feed, now)) return unchanged()
         val reader = readerOrNull(now)
         val wait = if (reader == null) settings.readWait(feed) else settings.readerWaitMilliseconds
         val next = cursor.copy(reading = true, sentAt = now, waitMilliseconds = wait, reader = reader)
@@ -48,16 +45,6 @@
         )
     }
 
-    private fun RelayState.isWanted(feed: Feed, now: Timestamp): Boolean = !awaitsMembers(now) &&
-        (feed != Feed.STATUS || rollouts.active.isNotEmpty() || readers.isAskedFor(feed, now))
-
-    /** A router through which others read does not wait for the reader that has failed them. */
-    private fun RelayState.isBusy(cursor: FeedCursor, now: Timestamp): Boolean =
-        cursor.reading && !(cursor.reader != null && readers.isAsked(now))
-
-    private fun RelayState.awaitsMembers(now: Timestamp): Boolean = members.sortedMembers.isEmpty() &&
-        members.failures == 0 && now - (stop.startedAt ?: now) < MEMBERS_WAIT_MILLISECONDS
-
     private fun RelayState.feedRead(event: RelayEvent.FeedRead, now: Timestamp): RelayStep {
         val cursor = feeds.of(event.feed)
         val nextOffset = maxOf(cursor.nextOffset ?: 0, event.nextOffset)
@@ -66,9 +53,11 @@
         }
         val next = FeedCursor(
             nextOffset = nextOffset,
-            dueAt = now + event.pause(settings),
+            dueAt = cursor.nextReadAt(event, settings, now),
             readAt = maxOf(cursor.readAt ?: Timestamp.EPOCH, cursor.stateTime(event.ageMilliseconds, now)),
             reader = cursor.reader,
+            storeFailures = if (event.throughReader) cursor.storeFailures else 0,
+            storeDueAt = cursor.storeDueAt,
         )
         val unreadable = event.entries.filterIsInstance<FeedEntry.Unreadable>()
         return copy(feeds = feeds.with(event.feed, next)).unchanged()
@@ -82,8 +71,10 @@
         val next = cursor.copy(
             reading = false,
             nextOffset = cursor.nextOffset.takeUnless { event.problem == FeedProblem.EXPIRED },
-            dueAt = now + event.pause(cursor.failures),
+            dueAt = now + if (event.throughReader) event.pause(cursor.failures) else 0,
             failures = cursor.failures + 1,
+            storeDueAt = if (event.throughReader) cursor.storeDueAt else now + event.pause(cursor.storeFailures),
+            storeFailures = cursor.storeFailures + if (event.throughReader) 0 else 1,
         )
         return copy(feeds = feeds.with(event.feed, next)).unchanged().then {
             if (cursor.failures == 0) it.reportLost(event, now) else it.unchanged()
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersPart.kt
@@ -8,7 +8,6 @@
 import org.quetzalloom.core.relay.RelayPart
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.RelayStep
-import org.quetzalloom.core.relay.access.isActingReader
 import org.quetzalloom.core.relay.access.readerOrNull
 import org.quetzalloom.core.relay.access.readerOrder
 import org.quetzalloom.core.relay.report
@@ -21,23 +20,14 @@
  * was asked to stop no longer renews its membership.
  */
 internal object MembersPart : RelayPart {
-    /** The time between two renewals of the leader, of routers that read for others, and of one that starts. */
-    private const val FREQUENT_JOIN_MILLISECONDS = 1_000L
-
-    /** The time between two renewals of another router, to which that for each member is added. */
-    private const val JOIN_INTERVAL_MILLISECONDS = 3_000L
-
-    /** Added to the time between two renewals for each member, so that their calls hardly grow with the fleet. */
-    private const val JOIN_MILLISECONDS_PER_MEMBER = 60L
-
     /** A member lives for as many intervals, so that two renewals may fail. */
     private const val TIME_TO_LIVE_INTERVALS = 3
 
     /** The pause before the next call after a failed one, and between two listings of the members. */
     private const val PAUSE_MILLISECONDS = 500L
 
-    /** Doubles the pause after each failure up to four times, which stays below the life of a member. */
-    private const val MAXIMUM_DOUBLINGS = 2
+    /** The pause after a failed call doubles with each further one as often, up to the time between two renewals. */
+    private const val MAXIMUM_DOUBLINGS = 6
 
     /** Added to the pause between two listings for each member, so that their calls do not grow with the fleet. */
     private const val LIST_PAUSE_MILLISECONDS_PER_MEMBER = 20L
@@ -62,24 +52,10 @@
             .with(RelayEffect.JoinGroup(members.generation, sentAt = now, timeToLiveMilliseconds = timeToLive))
     }
 
-    /** Returns when to join; sooner than was planned if the interval has become shorter since the last time. */
-    private fun RelayState.nextJoinAt(now: Timestamp): Timestamp = if (members.failures > 0) {
-        members.joinDueAt
-    } else {
-        minOf(members.joinDueAt, members.lastJoinAt + joinInterval(now))
-    }
-
-    private fun RelayState.joinInterval(now: Timestamp): Long =
-        if (members.isLeader || members.sortedMembers.isEmpty() || isActingReader(now)) {
-            FREQUENT_JOIN_MILLISECONDS
-        } else {
-            JOIN_INTERVAL_MILLISECONDS + members.sortedMembers.size * JOIN_MILLISECONDS_PER_MEMBER
-        }
-
     /** Renews the membership at once after a change of the group, which may give this router other partitions. */
     private fun RelayState.generationHeard(generation: Long): RelayStep {
         if (generation <= members.generation || members.failures > 0) return unchanged()
-        val due = minOf(members.joinDueAt, members.lastJoinAt + FREQUENT_JOIN_MILLISECONDS)
+        val due = minOf(members.joinDueAt, members.lastJoinAt + LEAST_JOIN_INTERVAL_MILLISECONDS)
         return copy(members = members.copy(joinDueAt = due)).unchanged()
     }
 
@@ -116,7 +92,8 @@
             val retry = members.copy(listing = false, listsDirectly = true, listDueAt = now + PAUSE_MILLISECONDS)
             return copy(members = retry).unchanged()
         }
-        val pause = PAUSE_MILLISECONDS shl members.failures.coerceAtMost(MAXIMUM_DOUBLINGS)
+        val pause = (PAUSE_MILLISECONDS shl members.failures.coerceAtMost(MAXIMUM_DOUBLINGS))
+            .coerceAtMost(joinInterval(now))
         val next = copy(
             members = members.copy(
                 joining = false,
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/FleetStore.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/FleetStore.kt
@@ -18,6 +18,9 @@
 
     private class Silence(val vm: VmId, val event: RelayEvent, val until: Timestamp)
 
+    /** The routers through which others call the store, by the caller. */
+    val paths: MutableMap<VmId, VmId> = mutableMapOf()
+
     /** The routers that the store refuses, and those whose calls or responses are lost. */
     val refused: MutableSet<VmId> = mutableSetOf()
     val silentTo: MutableSet<VmId> = mutableSetOf()
@@ -94,12 +97,13 @@
     }
 
     private fun fails(vm: VmId, failure: RelayEvent, timeout: Timestamp): Boolean {
-        val refuses = isDown || vm in refused
+        val path = paths[vm] ?: vm
+        val refuses = isDown || path in refused
         when {
-            vm in silentTo -> silences += Silence(vm, failure, timeout)
+            path in silentTo -> silences += Silence(vm, failure, timeout)
             refuses -> deliver(vm, failure, 0)
         }
-        return refuses || vm in silentTo
+        return refuses || path in silentTo
     }
 
     private fun respond(vm: VmId, effect: RelayEffect.ReadFeed) {
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RelayFleet.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RelayFleet.kt
@@ -133,6 +133,7 @@
 
     private fun carryOut(vm: VmId, effect: RelayEffect) {
         when (effect) {
+            is RelayEffect.SetStorePath -> setPath(vm, effect.viaRouter?.toVm())
             is RelayEffect.ReadFeed -> if (effect.reader == null) store.read(vm, effect, now) else ask(vm, effect)
             is RelayEffect.JoinGroup -> store.join(vm, effect, now)
             is RelayEffect.ListMembers -> if (effect.reader == null) store.list(vm, effect, now) else ask(vm, effect)
@@ -153,6 +154,10 @@
         }
     }
 
+    private fun setPath(vm: VmId, viaRouter: VmId?) {
+        if (viaRouter == null) store.paths.remove(vm) else store.paths[vm] = viaRouter
+    }
+
     private fun String.toVm(): VmId = VmId(substringBefore(':'))
 
     private fun ask(vm: VmId, effect: RelayEffect.ReadFeed) {
