--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RelayFleet.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RelayFleet.kt
@@ -141,6 +141,12 @@
             is RelayEffect.AnswerMembers -> answerMembers(vm, effect)
             is RelayEffect.SendBeacon -> effect.addresses.forEach { send(vm, effect.beacon, it.toVm()) }
             is RelayEffect.WriteRolloutStatus -> writeStatus(vm, effect)
+            else -> carryOutRequest(vm, effect)
+        }
+    }
+
+    private fun carryOutRequest(vm: VmId, effect: RelayEffect) {
+        when (effect) {
             is RelayEffect.Send -> deliver(
                 vm,
                 RelayEvent.ResponseStarted(
