--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RelayFleet.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RelayFleet.kt
@@ -140,6 +140,7 @@
 
     private fun carryOut(vm: VmId, effect: RelayEffect) {
         when (effect) {
+            is RelayEffect.SetStorePath -> setPath(vm, effect.viaRouter?.toVm())
             is RelayEffect.ReadFeed -> if (effect.reader == null) store.read(vm, effect, now) else ask(vm, effect)
             is RelayEffect.JoinGroup -> store.join(vm, effect, now)
             is RelayEffect.ListMembers -> if (effect.reader == null) store.list(vm, effect, now) else ask(vm, effect)
@@ -147,6 +148,12 @@
             is RelayEffect.AnswerMembers -> answerMembers(vm, effect)
             is RelayEffect.SendBeacon -> effect.addresses.forEach { send(vm, effect.beacon, it.toVm()) }
             is RelayEffect.WriteRolloutStatus -> writeStatus(vm, effect)
+            else -> carryOutRequest(vm, effect)
+        }
+    }
+
+    private fun carryOutRequest(vm: VmId, effect: RelayEffect) {
+        when (effect) {
             is RelayEffect.Send -> send(vm, effect)
             is RelayEffect.ForwardResponse -> deliver(vm, RelayEvent.ResponseFinished(effect.exchange, effect.attempt))
             else -> Unit
@@ -159,6 +166,10 @@
         deliver(vm, RelayEvent.ResponseStarted(effect.exchange, effect.attempt, respond(server, elapsed)))
     }
 
+    private fun setPath(vm: VmId, viaRouter: VmId?) {
+        if (viaRouter == null) store.paths.remove(vm) else store.paths[vm] = viaRouter
+    }
+
     private fun String.toVm(): VmId = VmId(substringBefore(':'))
 
     private fun ask(vm: VmId, effect: RelayEffect.ReadFeed) {
