Place requests by forecast where servers tell how long work takes

Placement saw prompts only, so servers that need 2.4 times as long as others got as many requests, and long prompts there missed their target. Routers now learn the duration of work from load reports and beacons, the pace of generation from responses, and choose where the response ends first; homes of shared parts are weighted by speed. Without such reports the choice is as before. The length hint is read, and the error of forecasts is measured and fed back.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayPolicies.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayPolicies.kt
@@ -8,7 +8,7 @@
 import org.quetzalloom.core.relay.model.WorkEstimate
 import org.quetzalloom.core.relay.rollout.ExposurePolicy
 import org.quetzalloom.core.relay.rollout.SteppedExposure
-import org.quetzalloom.core.relay.server.AffinityPlacement
+import org.quetzalloom.core.relay.server.ForecastPlacement
 import org.quetzalloom.core.relay.server.Placement
 import org.quetzalloom.core.relay.urgency.TargetUrgency
 import org.quetzalloom.core.relay.urgency.Urgency
@@ -16,7 +16,7 @@
 /** The replaceable decision rules of a relay, with their defaults. */
 public data class RelayPolicies(
     public val modelChoice: ModelChoice = ConfidenceCascade(),
-    public val placement: Placement = AffinityPlacement(),
+    public val placement: Placement = ForecastPlacement(),
     public val workEstimate: WorkEstimate = PromptWork(),
     public val urgency: Urgency = TargetUrgency(),
     public val exposure: ExposurePolicy = SteppedExposure,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
@@ -10,6 +10,7 @@
 import org.quetzalloom.core.relay.crash.QuarantineEndsPart
 import org.quetzalloom.core.relay.exchange.ExchangesPart
 import org.quetzalloom.core.relay.feed.FeedsPart
+import org.quetzalloom.core.relay.forecast.ForecastsPart
 import org.quetzalloom.core.relay.member.MembersPart
 import org.quetzalloom.core.relay.peer.PeersPart
 import org.quetzalloom.core.relay.rollout.OutcomesPart
@@ -27,8 +28,8 @@
  * [org.quetzalloom.core.router.RouterReducer]; they share the reducer framework, identifiers, errors and log entries.
  *
  * Each part sees every event, in a fixed order, with the state that the parts before it have produced. [OutcomesPart],
- * [PinsPart] and [CrashesPart] come before [ExchangesPart], which ends or changes the exchange whose attempt they look
- * up.
+ * [PinsPart], [CrashesPart] and [ForecastsPart] come before [ExchangesPart], which ends or changes the exchange whose
+ * attempt they look up.
  */
 public object RelayReducer : Reducer<RelayState, RelayEvent, RelayEffect> {
     internal val parts: PersistentList<RelayPart> = persistentListOf(
@@ -43,6 +44,7 @@
         RolloutsPart,
         PinsPart,
         CrashesPart,
+        ForecastsPart,
         ExchangesPart,
         QuarantineEndsPart,
         StopPart,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
@@ -4,6 +4,7 @@
 import org.quetzalloom.core.relay.crash.CrashesState
 import org.quetzalloom.core.relay.exchange.ExchangesState
 import org.quetzalloom.core.relay.feed.FeedsState
+import org.quetzalloom.core.relay.forecast.ForecastsState
 import org.quetzalloom.core.relay.member.MembersState
 import org.quetzalloom.core.relay.peer.PeersState
 import org.quetzalloom.core.relay.rollout.RolloutsState
@@ -36,6 +37,7 @@
     internal val pins: PinsState = PinsState(),
     internal val crashes: CrashesState = CrashesState(),
     internal val exchanges: ExchangesState = ExchangesState(),
+    internal val forecasts: ForecastsState = ForecastsState(),
     internal val stop: StopState = StopState(),
 ) {
     /** The number of requests that have not been answered completely. */
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempt.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempt.kt
@@ -1,6 +1,7 @@
 package org.quetzalloom.core.relay.exchange
 
 import org.quetzalloom.core.identity.BackendServerId
+import org.quetzalloom.core.relay.forecast.ResponseForecast
 import org.quetzalloom.core.time.Timestamp
 
 /**
@@ -13,6 +14,7 @@
  *   server had still to read, this attempt's own included. The unit is that of [pendingWork].
  * @property pendingWork the part of this attempt's prompt that the backend server has still to read, in tokens weighted
  *   by model size; 0 once its response has begun.
+ * @property forecast when the response was expected when the attempt was sent, or `null` if too little was known.
  * @property stalled whether its response has paused for longer than its timeout and no other backend server could take
  *   the request.
  * @property succeeds whether its response has a status of success.
@@ -28,6 +30,7 @@
     val sentAt: Timestamp,
     val workUntilResponse: Long = 0,
     val pendingWork: Long = 0,
+    val forecast: ResponseForecast? = null,
     val stalled: Boolean = false,
     val succeeds: Boolean = false,
     val startedAt: Timestamp? = null,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/AttemptTimeouts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/AttemptTimeouts.kt
@@ -41,7 +41,9 @@
 private fun RelayState.streamStartTimeout(exchange: Exchange, attempt: Attempt): Long {
     val target = exchange.route.targetMilliseconds
     val longest = maxOf(target * MAXIMUM_STREAM_START_TARGETS, MINIMUM_START_TIMEOUT_MILLISECONDS)
-    val usual = servers.prefillPaces[exchange.service]?.estimateOrNull(attempt.workUntilResponse) ?: return longest
+    val duration = servers.views[attempt.server]?.workDurationOrUsual ?: 1.0
+    val usual = servers.prefillPaces[exchange.service]?.estimateOrNull(attempt.workUntilResponse)
+        ?.let { (it * duration).toLong() } ?: return longest
     return maxOf(target / 2, usual * STREAM_START_FACTOR + STREAM_START_ALLOWANCE_MILLISECONDS).coerceAtMost(longest)
 }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
@@ -8,6 +8,8 @@
 import org.quetzalloom.core.relay.crash.noteTrial
 import org.quetzalloom.core.relay.crash.quarantinedKeys
 import org.quetzalloom.core.relay.crash.refuseQuarantined
+import org.quetzalloom.core.relay.forecast.forecastOrNull
+import org.quetzalloom.core.relay.forecast.generationWork
 import org.quetzalloom.core.relay.report
 import org.quetzalloom.core.relay.server.PlacementRequest
 import org.quetzalloom.core.relay.server.ServerView
@@ -55,6 +57,7 @@
 private fun RelayState.placementRequest(exchange: Exchange): PlacementRequest = PlacementRequest(
     sharedPart = exchange.request.sharedPartOrNull,
     work = policies.workEstimate.of(exchange.request, exchange.modelIndex),
+    generationWork = generationWork(exchange),
     seed = (exchange.request.callerId ?: exchange.request.path) + exchange.attempts,
     zone = settings.zone,
 )
@@ -75,6 +78,7 @@
         sentAt = now,
         workUntilResponse = workUntilResponse(view, work),
         pendingWork = work,
+        forecast = if (work > 0) forecastOrNull(exchange, view, now) else null,
     )
     val sent = exchange.copy(attempt = attempt, attempts = attempt.number)
     val next = pin(exchange, attempt.version, now).copy(
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Endings.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Endings.kt
@@ -48,6 +48,8 @@
     "confidence" to exchange.escalation?.confidence,
     "largest_after_ms" to exchange.escalation?.largestModelStartMilliseconds,
     "server" to exchange.attempt?.server,
+    "start_ms" to exchange.attempt?.let { attempt -> attempt.startedAt?.let { it - attempt.sentAt } },
+    "forecast_ms" to exchange.attempt?.forecast?.startMilliseconds,
     *fields,
 )
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/LatencyEstimates.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/LatencyEstimates.kt
@@ -24,9 +24,12 @@
  * take it now. While the prefill pace of the service is unknown, prompts count as read in no time.
  */
 internal fun RelayState.latencyEstimateOrNull(exchange: Exchange, now: Timestamp): ModelLatencyEstimate? {
-    val leastWork = untriedServers(exchange, now).minOfOrNull { workUntilResponse(it, work = 0) } ?: return null
+    val best = untriedServers(exchange, now)
+        .minByOrNull { workUntilResponse(it, work = 0) * it.workDurationOrUsual }
+        ?: return null
+    val leastWork = workUntilResponse(best, work = 0)
     val pace = servers.prefillPaces[exchange.service] ?: PrefillPace()
-    fun readingTime(ahead: Long): Long = pace.estimateOrNull(ahead) ?: 0
+    fun readingTime(ahead: Long): Long = ((pace.estimateOrNull(ahead) ?: 0) * best.workDurationOrUsual).toLong()
     return ModelLatencyEstimate(
         elapsedMilliseconds = now - exchange.arrivedAt,
         queueMilliseconds = readingTime(leastWork),
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/RelayRequest.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/RelayRequest.kt
@@ -13,6 +13,7 @@
  * @property prompt the parts of the prompt, in order.
  * @property promptTokens the length of the prompt; 0 if the request is not for a model.
  * @property outputTokens the maximum number of tokens to generate; 0 if the request is not for a model.
+ * @property lengthHint the caller's estimate of the number of tokens to generate, or `null` if it gave none.
  * @property session the id of the session that the request belongs to, or `null` if it belongs to none.
  * @property lastEventId the id of the event after which the caller wants to resume a stream, or `null` to start it.
  * @property contentHash a hash of all that the request asks for and of who asks, the same for each time that a request
@@ -31,7 +32,12 @@
     public val session: String? = null,
     public val lastEventId: String? = null,
     public val contentHash: Long? = null,
+    public val lengthHint: Int? = null,
 ) {
+    /** The expected number of tokens to generate: the caller's estimate, or the maximum without one. */
+    public val expectedOutputTokens: Int
+        get() = lengthHint?.coerceAtMost(outputTokens) ?: outputTokens
+
     /**
      * The last part of the prompt that other requests may share: the second to last, as the last one is the request's
      * own. Returns the only part of a prompt of one part, and `null` if there is no prompt.
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/forecast/Forecasts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/forecast/Forecasts.kt
@@ -13,13 +13,27 @@
  */
 internal fun RelayState.forecastOrNull(exchange: Exchange, view: ServerView, now: Timestamp): ResponseForecast? {
     val work = policies.workEstimate.of(exchange.request, exchange.modelIndex)
-    val pace = servers.prefillPaces[exchange.service] ?: PrefillPace()
     val load = ServerLoad(
         slots = view.listing.slots,
         requests = view.loadAt(now),
         workAhead = workUntilResponse(view, work = 0),
+        workDuration = view.workDurationOrUsual,
         slowness = view.slowness.factorAt(now),
         report = view.loadReport,
     )
-    return PrefillForecast(pace).ofOrNull(load, ForecastRequest(work))
+    val forecast = LearnedForecast(
+        prefill = servers.prefillPaces[exchange.service] ?: PrefillPace(),
+        generation = generationPace(exchange),
+        bias = forecasts.biases[exchange.service] ?: ForecastBias(),
+    )
+    return forecast.ofOrNull(load, ForecastRequest(work, exchange.request.expectedOutputTokens))
+}
+
+/** Returns the time that the response to [exchange] takes to generate, as the work that is read in the same time. */
+internal fun RelayState.generationWork(exchange: Exchange): Long {
+    val milliseconds = generationPace(exchange).estimateOrNull(exchange.request.expectedOutputTokens) ?: return 0
+    return servers.prefillPaces[exchange.service]?.workIn(milliseconds) ?: 0
 }
+
+private fun RelayState.generationPace(exchange: Exchange): GenerationPace =
+    forecasts.generation[ForecastsState.ModelOfService(exchange.service, exchange.modelIndex)] ?: GenerationPace()
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeerBeacon.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeerBeacon.kt
@@ -3,6 +3,7 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
 import org.quetzalloom.core.identity.BackendServerId
 import org.quetzalloom.core.identity.VmId
 import org.quetzalloom.core.relay.crash.CrashReport
@@ -17,6 +18,8 @@
  * @property rollouts the reports of the roll-outs that [vm] knows to be in progress.
  * @property crashes the reports about the content of requests under which backend servers were lost lately; if there
  *   are too many for one beacon, some are left to the next ones.
+ * @property durations how long work takes at servers that have told [vm] so since its last beacon, in percent of the
+ *   usual duration; if there are too many for one beacon, some are left out.
  */
 public data class PeerBeacon(
     public val vm: VmId,
@@ -24,4 +27,5 @@
     public val work: PersistentMap<BackendServerId, Long>,
     public val rollouts: PersistentList<RolloutReport> = persistentListOf(),
     public val crashes: PersistentList<CrashReport> = persistentListOf(),
+    public val durations: PersistentMap<BackendServerId, Int> = persistentMapOf(),
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersPart.kt
@@ -31,6 +31,9 @@
      */
     private const val MAXIMUM_SERVERS = 24
 
+    /** The maximum number of durations in a beacon. All routers tell of all servers, so single ones may be left out. */
+    private const val MAXIMUM_DURATIONS = 8
+
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
         is RelayEvent.BeaconReceived -> state.receive(event.beacon, now)
         RelayEvent.Tick -> state.sendIfDue(now)
@@ -46,7 +49,10 @@
             ?.takeIf { it.isFresh(now) }
             ?.let { it.beacon.sequence >= beacon.sequence }
         if (beacon.vm == settings.vm || outdated == true) return unchanged()
-        return copy(peers = peers.received(beacon, now)).unchanged()
+        val durations = beacon.durations.entries.fold(servers) { current, (id, percent) ->
+            current.update(id) { it.copy(workDuration = it.workDuration.record(percent)) }
+        }
+        return copy(peers = peers.received(beacon, now), servers = durations).unchanged()
     }
 
     private fun RelayState.sendIfDue(now: Timestamp): RelayStep {
@@ -80,6 +86,9 @@
             .sortedByDescending { it.pendingWork }
             .take(MAXIMUM_SERVERS)
             .associate { it.listing.id to it.pendingWork }.toPersistentMap(),
+        durations = servers.views.values.filter { now - it.loadReportedAt <= BEACON_INTERVAL_MILLISECONDS }
+            .mapNotNull { view -> view.loadReport?.workDurationPercent?.let { view.listing.id to it } }
+            .take(MAXIMUM_DURATIONS).toMap().toPersistentMap(),
         rollouts = rolloutReports(now).toPersistentList(),
         crashes = crashReports(sequence, now),
     )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/AffinityPlacement.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/AffinityPlacement.kt
@@ -26,7 +26,7 @@
     public val maximumSlowness: Double = 2.5,
 ) : Placement {
     override fun chooseOrNull(candidates: List<Candidate>, request: PlacementRequest): Candidate? {
-        val healthy = candidates.filter { it.failureRate <= maximumFailureRate }.ifEmpty { candidates }.withoutSlow()
+        val healthy = healthy(candidates)
         val sharedPart = request.sharedPart?.takeIf { it.tokens >= minimumSharedTokens }
         return when {
             healthy.isEmpty() -> null
@@ -36,8 +36,12 @@
         }
     }
 
+    /** Returns the [candidates] that neither fail often nor are slow, or all if there are no others. */
+    internal fun healthy(candidates: List<Candidate>): List<Candidate> =
+        candidates.filter { it.failureRate <= maximumFailureRate }.ifEmpty { candidates }.withoutSlow()
+
     private fun List<Candidate>.withoutSlow(): List<Candidate> {
-        if (isEmpty()) return this
+        if (all { it.slowness == 1.0 }) return this
         val median = map { it.slowness }.sorted()[(size - 1) / 2]
         return filter { it.slowness <= maximumSlowness * median }
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/Candidate.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/Candidate.kt
@@ -13,6 +13,8 @@
  *   tokens weighted by model size.
  * @property failureRate the share of recent attempts at the server that failed, from 0 to 1.
  * @property slowness the time that the server's responses take to begin, in multiples of the usual time of its service.
+ * @property workDuration how long work takes at the server, in multiples of the usual duration; `null` if it does not
+ *   say.
  */
 public data class Candidate(
     public val server: BackendServerId,
@@ -23,4 +25,5 @@
     public val pendingWork: Long,
     public val failureRate: Double,
     public val slowness: Double = 1.0,
+    public val workDuration: Double? = null,
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/PrefillPace.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/PrefillPace.kt
@@ -18,6 +18,10 @@
     fun estimateOrNull(workUntilResponse: Long): Long? =
         (workUntilResponse * milliseconds / work).toLong().takeIf { work >= MAXIMUM_WORK * HALF }
 
+    /** Returns how much work is read in [milliseconds]; 0 while too little was measured. */
+    fun workIn(milliseconds: Double): Long =
+        if (work >= MAXIMUM_WORK * HALF) (milliseconds * work / this.milliseconds.coerceAtLeast(1.0)).toLong() else 0
+
     private companion object {
         /** Less work is not recorded: the time until its response says more about the network than about reading. */
         const val MINIMUM_SAMPLE_WORK = 2_000L
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerOutcomes.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerOutcomes.kt
@@ -27,6 +27,7 @@
     val updated = withOutcome(failed, now).copy(
         consecutiveFailures = 0,
         loadReport = head.load ?: loadReport,
+        workDuration = head.load?.workDurationPercent?.let { workDuration.record(it) } ?: workDuration,
         loadReportedAt = if (head.load != null) now else loadReportedAt,
         coldUntil = head.coldMilliseconds?.let { maxOf(coldUntil, now + it) } ?: coldUntil,
         leaving = leaving || head.leaving && !head.misdirected,
@@ -83,4 +84,5 @@
     pendingWork = allWork,
     failureRate = failureRateAt(now),
     slowness = slowness.factorAt(now),
+    workDuration = workDuration.factor,
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerView.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerView.kt
@@ -21,6 +21,7 @@
  * @property loadReport the server's last load report, or `null` before the first.
  * @property loadReportedAt when [loadReport] arrived.
  * @property slowness how long the server's responses take to begin, compared with the usual time of its service.
+ * @property workDuration how long work usually takes at the server.
  * @property coldSends the times of this router's recent attempts at the server while it was cold.
  * @property dropAt when the server is dropped, because its entry was removed or another server answers at its address;
  *   `null` while it is listed. It gets no requests in the meantime.
@@ -39,11 +40,16 @@
     val loadReport: LoadReport? = null,
     val loadReportedAt: Timestamp = Timestamp.EPOCH,
     val slowness: Slowness = Slowness(),
+    val workDuration: WorkDuration = WorkDuration(),
     val coldSends: PersistentList<Timestamp> = persistentListOf(),
     val dropAt: Timestamp? = null,
 ) {
+    /** The usual duration of work at the server, in multiples of the usual one; 1 if it does not say. */
+    val workDurationOrUsual: Double get() = workDuration.factor ?: 1.0
+
     /** Returns the failure rate at [now]; it halves every [FAILURE_HALF_LIFE_MILLISECONDS] without an attempt. */
     fun failureRateAt(now: Timestamp): Double {
+        if (failureRate == 0.0) return 0.0
         val halves = (now - failureRateUpdatedAt).coerceAtLeast(0).toDouble() / FAILURE_HALF_LIFE_MILLISECONDS
         return failureRate * Math.pow(HALF, halves)
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
@@ -38,10 +38,12 @@
 
     /**
      * Returns the state after the response of [attempt] at [service] has begun at [now]: updates the pace of the
-     * service and, against the pace before, the slowness of the server.
+     * service and, against the pace before, the slowness of the server. Both leave out what the server's work usually
+     * takes longer than elsewhere.
      */
     fun recordResponseStart(attempt: Attempt, service: ServiceName, now: Timestamp): ServersState {
-        val elapsed = now - attempt.sentAt
+        val duration = views[attempt.server]?.workDuration?.factor ?: 1.0
+        val elapsed = ((now - attempt.sentAt) / duration).toLong()
         val pace = prefillPaces[service] ?: PrefillPace()
         val usual = pace.estimateOrNull(attempt.workUntilResponse)
         val withPace = copy(prefillPaces = prefillPaces.put(service, pace.record(attempt.workUntilResponse, elapsed)))
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/Slowness.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/Slowness.kt
@@ -12,7 +12,7 @@
     /**
      * Returns the factor at [now]. Without responses it returns to 1, so that a server that was slow is tried again.
      */
-    fun factorAt(now: Timestamp): Double = Math.exp(logFactorAt(now))
+    fun factorAt(now: Timestamp): Double = if (logFactor == 0.0) 1.0 else Math.exp(logFactorAt(now))
 
     /** Returns the slowness after a response that took [elapsed] milliseconds to begin instead of the [usual] time. */
     fun record(elapsed: Long, usual: Long, now: Timestamp): Slowness {
--- a/relay/src/main/kotlin/org/quetzalloom/relay/peer/BeaconFormat.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/peer/BeaconFormat.kt
@@ -19,6 +19,7 @@
         val vm: String,
         val sequence: Long,
         val work: Map<String, Long>,
+        val durations: Map<String, Int> = emptyMap(),
         val rollouts: List<Rollout> = emptyList(),
         val crashes: List<CrashDocument> = emptyList(),
     )
@@ -58,6 +59,7 @@
             vm = beacon.vm.value,
             sequence = beacon.sequence,
             work = beacon.work.entries.associate { it.key.value to it.value },
+            durations = beacon.durations.entries.associate { it.key.value to it.value },
             rollouts = beacon.rollouts.map { it.toDocument() },
             crashes = beacon.crashes.map { CrashDocument.of(it) },
         ),
@@ -70,6 +72,7 @@
             vm = VmId(document.vm),
             sequence = document.sequence,
             work = document.work.entries.associate { BackendServerId(it.key) to it.value }.toPersistentMap(),
+            durations = document.durations.entries.associate { BackendServerId(it.key) to it.value }.toPersistentMap(),
             rollouts = document.rollouts.map { it.toReport() }.toPersistentList(),
             crashes = document.crashes.map { it.toReport() }.toPersistentList(),
         )
--- a/relay/src/main/kotlin/org/quetzalloom/relay/report/RelayMetrics.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/report/RelayMetrics.kt
@@ -32,6 +32,14 @@
         .classicExponentialUpperBounds(FIRST_BOUND_SECONDS, BOUND_FACTOR, BOUND_COUNT)
         .register(registry)
 
+    private val forecastRatio = Histogram.builder()
+        .name("quetzalloom_relay_forecast_ratio")
+        .help("Time until a response began, in multiples of the forecast, by route.")
+        .labelNames("route")
+        .classicOnly()
+        .classicExponentialUpperBounds(FIRST_RATIO, BOUND_FACTOR, RATIO_COUNT)
+        .register(registry)
+
     init {
         gauge("quetzalloom_relay_active_requests", "Requests in flight.") { it.activeExchanges.toDouble() }
         gauge("quetzalloom_relay_backend_servers", "Backend servers known.") { it.knownServers.toDouble() }
@@ -59,6 +67,13 @@
         requests.labelValues(outcome).inc()
         val milliseconds = entry.fields["after_ms"]?.toDoubleOrNull() ?: return
         latency.labelValues(entry.fields["route"].orEmpty()).observe(milliseconds / MILLISECONDS_PER_SECOND)
+        observeForecast(entry)
+    }
+
+    private fun observeForecast(entry: TimelineEntry) {
+        val start = entry.fields["start_ms"]?.toDoubleOrNull() ?: return
+        val forecast = entry.fields["forecast_ms"]?.toDoubleOrNull() ?: return
+        forecastRatio.labelValues(entry.fields["route"].orEmpty()).observe(start / forecast.coerceAtLeast(1.0))
     }
 
     /** Counts an error response that the relay generated. */
@@ -88,5 +103,9 @@
         const val FIRST_BOUND_SECONDS = 0.01
         const val BOUND_FACTOR = 2.0
         const val BOUND_COUNT = 12
+
+        /** The histogram of ratios covers an eighth to 8 times the forecast. */
+        const val FIRST_RATIO = 0.125
+        const val RATIO_COUNT = 7
     }
 }
--- a/relay/src/test/kotlin/org/quetzalloom/relay/peer/BeaconFormatTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/peer/BeaconFormatTest.kt
@@ -53,6 +53,7 @@
                 trialAgeMilliseconds = 500,
             ),
         ),
+        durations = persistentMapOf(BackendServerId("s-2") to 170),
     )
 
     @Test
@@ -64,7 +65,7 @@
     fun `unknown fields are ignored, and an absent list is empty`() {
         val text = """{"vm":"vm-1","sequence":7,"work":{"s-1":1200},"later":true}"""
         assertEquals(
-            beacon.copy(rollouts = persistentListOf(), crashes = persistentListOf()),
+            beacon.copy(rollouts = persistentListOf(), crashes = persistentListOf(), durations = persistentMapOf()),
             BeaconFormat.decode(text)
         )
     }
