--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
@@ -13,6 +13,7 @@
 import org.quetzalloom.core.relay.crash.QuarantineEndsPart
 import org.quetzalloom.core.relay.exchange.ExchangesPart
 import org.quetzalloom.core.relay.feed.FeedsPart
+import org.quetzalloom.core.relay.forecast.ForecastsPart
 import org.quetzalloom.core.relay.member.MembersPart
 import org.quetzalloom.core.relay.peer.PeersPart
 import org.quetzalloom.core.relay.rollout.OutcomesPart
@@ -33,8 +34,8 @@
  * An answer of a reader that would go back is replaced by a failure before any part sees it, see [withoutOldNews].
  *
  * Each part sees every event, in a fixed order, with the state that the parts before it have produced. [OutcomesPart],
- * [PinsPart] and [CrashesPart] come before [ExchangesPart], which ends or changes the exchange whose attempt they look
- * up. [ReadersPart] comes before [FeedsPart], which ends the read whose reader it looks up.
+ * [PinsPart], [CrashesPart] and [ForecastsPart] come before [ExchangesPart], which ends or changes the exchange whose
+ * attempt they look up. [ReadersPart] comes before [FeedsPart], which ends the read whose reader it looks up.
  */
 public object RelayReducer : Reducer<RelayState, RelayEvent, RelayEffect> {
     internal val parts: PersistentList<RelayPart> = persistentListOf(
@@ -51,6 +52,7 @@
         RolloutsPart,
         PinsPart,
         CrashesPart,
+        ForecastsPart,
         ExchangesPart,
         QuarantineEndsPart,
         StopPart,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
@@ -7,6 +7,7 @@
 import org.quetzalloom.core.relay.exchange.ExchangesState
 import org.quetzalloom.core.relay.feed.Feed
 import org.quetzalloom.core.relay.feed.FeedsState
+import org.quetzalloom.core.relay.forecast.ForecastsState
 import org.quetzalloom.core.relay.member.MembersState
 import org.quetzalloom.core.relay.model.ConfidenceGains
 import org.quetzalloom.core.relay.peer.PeersState
@@ -44,6 +45,7 @@
     internal val confidenceGains: ConfidenceGains = ConfidenceGains(),
     internal val admission: AdmissionState = AdmissionState(),
     internal val exchanges: ExchangesState = ExchangesState(),
+    internal val forecasts: ForecastsState = ForecastsState(),
     internal val stop: StopState = StopState(),
 ) {
     /** The number of requests that have not been answered completely. */
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/LatencyEstimates.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/LatencyEstimates.kt
@@ -24,16 +24,17 @@
  * take it now. While the prefill pace of the service is unknown, prompts count as read in no time.
  */
 internal fun RelayState.latencyEstimateOrNull(exchange: Exchange, now: Timestamp): ModelLatencyEstimate? {
-    val works = untriedServers(exchange, now).map { workUntilResponse(it, work = 0) }.sorted()
-    val leastWork = works.firstOrNull() ?: return null
+    val byQueue = untriedServers(exchange, now).sortedBy { workUntilResponse(it, work = 0) * it.workDurationOrUsual }
+    val best = byQueue.firstOrNull() ?: return null
     val pace = servers.prefillPaces[exchange.service] ?: PrefillPace()
-    fun readingTime(ahead: Long): Long = pace.estimateOrNull(ahead) ?: 0
+    fun readingTime(view: ServerView, work: Long): Long =
+        ((pace.estimateOrNull(workUntilResponse(view, work)) ?: 0) * view.workDurationOrUsual).toLong()
     return ModelLatencyEstimate(
         elapsedMilliseconds = now - exchange.arrivedAt,
-        queueMilliseconds = readingTime(leastWork),
-        medianQueueMilliseconds = readingTime(works[works.size / 2]),
+        queueMilliseconds = readingTime(best, work = 0),
+        medianQueueMilliseconds = readingTime(byQueue[byQueue.size / 2], work = 0),
         waitsMilliseconds = exchange.route.models.indices
-            .map { readingTime(leastWork + policies.workEstimate.of(exchange.request, it)) }
+            .map { readingTime(best, policies.workEstimate.of(exchange.request, it)) }
             .toPersistentList(),
     )
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersPart.kt
@@ -18,11 +18,14 @@
 /** The maximum number of servers in a beacon, which must fit into one datagram; those with the most work are named. */
 private const val MAXIMUM_SERVERS = 24
 
+/** The maximum number of durations in a beacon. All routers tell of all servers, so single ones may be left out. */
+private const val MAXIMUM_DURATIONS = 8
+
+/** The time between two beacons. A server reads a prompt of usual length in about this time. */
+private const val BEACON_INTERVAL_MILLISECONDS = 100L
+
 /** Sends beacons about this router's work to other routers, and keeps the beacons received from them. */
 internal object PeersPart : RelayPart {
-    /** The time between two beacons. A server reads a prompt of usual length in about this time. */
-    private const val BEACON_INTERVAL_MILLISECONDS = 100L
-
     /**
      * The maximum number of receivers of a beacon, which bounds the traffic. In a larger fleet the other routers get
      * beacons in turn, and each router begins with its successor, so that each receives as many as it sends. Only
@@ -45,7 +48,10 @@
             ?.takeIf { it.isFresh(now) }
             ?.let { it.beacon.sequence >= beacon.sequence }
         if (beacon.vm == settings.vm || outdated == true) return unchanged()
-        return copy(peers = peers.received(beacon, now)).unchanged()
+        val durations = beacon.durations.entries.fold(servers) { current, (id, percent) ->
+            current.update(id) { it.copy(workDuration = it.workDuration.record(percent)) }
+        }
+        return copy(peers = peers.received(beacon, now), servers = durations).unchanged()
     }
 
     private fun RelayState.sendIfDue(now: Timestamp): RelayStep {
@@ -94,6 +100,9 @@
         .sortedByDescending { it.pendingWork }
         .take(MAXIMUM_SERVERS)
         .associate { it.listing.id to it.pendingWork }.toPersistentMap(),
+    durations = servers.views.values.filter { now - it.loadReportedAt <= BEACON_INTERVAL_MILLISECONDS }
+        .mapNotNull { view -> view.loadReport?.workDurationPercent?.let { view.listing.id to it } }
+        .take(MAXIMUM_DURATIONS).toMap().toPersistentMap(),
     rollouts = rolloutReports(sequence, now).toPersistentList(),
     crashes = crashReports(sequence, now),
 )
