Keep the lines of heads compactly, and bound the memory of all heads

Callers saw no answers any more, or the process ended, when many clients sent heads of legal size that consisted of very many short lines. Only bodies were counted, and each line became objects of about 136 bytes. Now a head is one array of bytes; connections, heads, trailers, undecoded bytes, prompts and bodies share one account, and a connection may take a quarter of what is free. Heads of responses count among the responses. Too many connections, or requests at the addresses for health checks, metrics and other routers that do not end, are closed. Without memory the process ends.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/ReducerRequestHandler.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/ReducerRequestHandler.kt
@@ -14,6 +14,8 @@
 import org.quetzalloom.relay.caller.CallerExchange
 import org.quetzalloom.relay.caller.RequestHandler
 import org.quetzalloom.relay.caller.ResponseWriter
+import org.quetzalloom.relay.head.CompactHeaders
+import org.quetzalloom.relay.head.HeadMemoryException
 import org.quetzalloom.relay.http.MessageCodec
 import org.quetzalloom.relay.http.contentHash
 import org.quetzalloom.relay.report.Reporter
@@ -47,7 +49,15 @@
 
     override fun onRequest(head: HttpRequest, body: ByteBuf, response: ResponseWriter): CallerExchange? =
         codec.decodeRequest(head).fold(
-            success = { onRequest(it.copy(contentHash = contentHash(head, body)), head, body, response) },
+            success = { request ->
+                if (reservePrompt(request, head)) {
+                    onRequest(request.copy(contentHash = contentHash(head, body)), head, body, response)
+                } else {
+                    body.release()
+                    refuse(response, ErrorKind.OVERLOADED, NO_MEMORY, MEMORY_RETRY_MILLISECONDS)
+                    null
+                }
+            },
             failure = { problem ->
                 body.release()
                 refuse(response, ErrorKind.MALFORMED, problem, retryAfterMilliseconds = null)
@@ -55,6 +65,14 @@
             },
         )
 
+    /** Counts the memory of the prompt of [request] with that of its [head]. Returns whether there is room for it. */
+    private fun reservePrompt(request: RelayRequest, head: HttpRequest): Boolean = try {
+        (head.headers() as? CompactHeaders)?.reserve(request.prompt.size * PROMPT_PART_BYTES)
+        true
+    } catch (_: HeadMemoryException) {
+        false
+    }
+
     override fun onCallerDisconnected(exchange: CallerExchange) {
         if (exchanges.getOrNull(exchange.id) == null) return
         post(RelayEvent.CallerLeft(exchange.id))
@@ -82,4 +100,11 @@
         post(RelayEvent.RequestArrived(exchange.id, request))
         return exchanges.getOrNull(exchange.id)
     }
+
+    private companion object {
+        /** About what the objects of one part of a prompt take. */
+        const val PROMPT_PART_BYTES = 128
+        const val NO_MEMORY = "other requests take the memory of this router"
+        const val MEMORY_RETRY_MILLISECONDS = 500L
+    }
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
@@ -27,7 +27,7 @@
 internal class Relay(
     private val group: EventLoopGroup,
     private val codec: MessageCodec,
-    reporter: Reporter,
+    private val reporter: Reporter,
     clock: Clock,
     memory: MemoryLimits,
     private val post: (RelayEvent) -> Unit,
@@ -35,13 +35,22 @@
     private val executor = group.next()
     private val exchanges = ExchangeTable()
     private val responseMemory = ResponseMemory(memory.responseBytes) { exchanges.largestCallOrNull() }
+
+    /** Counts the memory of all requests, also of those that other programs than callers send. */
+    val requestMemory = RequestMemory(memory.requestBytes)
     private val requestHandler = ReducerRequestHandler(exchanges, codec, reporter, post)
-    private val callerServer = CallerServer(requestHandler, RequestMemory(memory.requestBytes))
-    private val pool = BackendPool(group, codec, clock)
+    private val callerServer = CallerServer(requestHandler, requestMemory)
+    private val pool = BackendPool(group, codec, clock, responseMemory)
+
+    private var reportedHeads = 0L
+    private var reportedConnections = 0L
 
     /** The number of open connections from callers. */
     val callerConnections: Int get() = callerServer.connectionCount
 
+    /** The number of connections from callers that were dropped because there were too many. */
+    val droppedCallerConnections: Long get() = callerServer.droppedConnections
+
     /** The number of open connections to backend servers. */
     val backendConnections: Int get() = pool.connectionCount
 
@@ -51,8 +60,16 @@
     /** Attaches the [socket] for callers, whose connections are accepted once the reducer asks for it. */
     fun attach(socket: ServerSocketChannel): Unit = callerServer.attach(group, socket)
 
-    /** Closes backend connections whose idle time has run out. */
-    fun prune(): Unit = pool.prune()
+    /** Closes backend connections whose idle time has run out, and logs what was refused for want of memory lately. */
+    fun prune() {
+        pool.prune()
+        val refused = requestMemory.refusedHeads - reportedHeads
+        val dropped = droppedCallerConnections - reportedConnections
+        if (refused == 0L && dropped == 0L) return
+        reportedHeads += refused
+        reportedConnections += dropped
+        reporter.reportRefusedHeads(refused, dropped, requestMemory.usedBytes)
+    }
 
     /**
      * Calls [action] once no request is being received and all responses have been written, but after
--- a/relay/src/main/kotlin/org/quetzalloom/relay/RelayLoop.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/RelayLoop.kt
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop
 import org.quetzalloom.core.reducer.Reducer
 import org.quetzalloom.core.time.Clock
+import org.quetzalloom.relay.http.endProcessIfOutOfMemory
 import org.quetzalloom.runtime.Interpreter
 import java.util.concurrent.TimeUnit
 
@@ -68,10 +69,11 @@
     }
 
     /**
-     * Returns the result of [action], or `null` if it threw anything. That includes errors of the virtual machine: when
-     * one event has found no memory, the next may find some.
+     * Returns the result of [action], or `null` if it threw anything. Without memory the process ends, if it has a
+     * handler of uncaught exceptions: what else has failed is not known.
      */
     private fun <T : Any> isolate(name: String, action: () -> T): T? = runCatching(action).getOrElse { problem ->
+        problem.endProcessIfOutOfMemory()
         onProblem(name, problem)
         null
     }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
@@ -77,14 +77,14 @@
         loop.interpreter = Interpreter { carryOut(it) }
         loop.onProblem = reporter::reportProblem
         metrics.registerConnectionGauges(relay)
-        val status = StatusServer(group)
+        val status = StatusServer(group, relay.requestMemory)
         status.listen(listeners.ready) { StatusServer.Page(ok = ready, text = if (ready) "ready\n" else "not ready\n") }
         listeners.metrics?.let { address ->
             status.listen(address) { StatusServer.Page(ok = true, text = metrics.format()) }
         }
         listeners.peers?.let { address ->
             peers.listen(address)
-            listeners.forwarding?.let { CallForwarder(group, callClient, it).listen(address) }
+            listeners.forwarding?.let { CallForwarder(group, callClient, it, relay.requestMemory).listen(address) }
         }
         relay.attach(listeners.callerSocket ?: CallerSocket.bind(listeners.callers))
         executor.execute { loop.startTicking() }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
@@ -53,7 +53,8 @@
         }
 
     /** The memory that the response takes while it is being read; 0 once it is complete. */
-    val memoryBytes: Int get() = if (ended || complete) 0 else buffered?.memoryBytes ?: 0
+    val memoryBytes: Int
+        get() = if (ended || complete) 0 else (buffered?.memoryBytes ?: 0) + (connection?.headBytes ?: 0)
 
     /** Whether the response is forwarded event by event, each of which is validated. */
     val forwardsEvents: Boolean get() = buffered?.let { it.isStream && it.isEventStream } ?: false
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
@@ -14,6 +14,7 @@
 import org.quetzalloom.core.time.Timestamp
 import org.quetzalloom.relay.http.MessageCodec
 import org.quetzalloom.relay.http.ResponseDecoder
+import org.quetzalloom.relay.http.endProcessIfOutOfMemory
 import java.io.IOException
 
 /**
@@ -31,6 +32,7 @@
     private val pool: BackendPool,
     private val codec: MessageCodec,
     private val decoder: ResponseDecoder,
+    private val heads: ResponseHeadMemory,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var channel: Channel
     private lateinit var requestWrite: ChannelFuture
@@ -56,6 +58,9 @@
             channel.config().isAutoRead = !value
         }
 
+    /** The memory that the head of the response takes. */
+    val headBytes: Int get() = heads.heldBytes
+
     /** Whether the connection can take another request. */
     val open: Boolean get() = channel.isActive && reusable
 
@@ -129,6 +134,7 @@
      */
     @Deprecated("Overrides a deprecated method.")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        cause.endProcessIfOutOfMemory()
         fail(AttemptFailure.CONNECTION_LOST)
     }
 
@@ -136,6 +142,7 @@
         if (reader !== current) return
         reader = null
         decoder.responseExpected = false
+        decoder.releaseHead()
         // The next response has another reader, and the pool has to see that the connection is closed.
         readingPaused = false
         responseComplete = true
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
@@ -19,11 +19,14 @@
  * Pools the connections to all backend servers by address. Confined to the event loop's thread.
  *
  * An idle connection is reused only well before the backend server's keep-alive timeout would close it.
+ *
+ * @param memory counts the heads of the responses.
  */
 internal class BackendPool(
     private val group: EventLoopGroup,
     private val codec: MessageCodec,
     private val clock: Clock,
+    private val memory: ResponseMemory,
 ) {
     /** The connections to one address; [connectingCount] are still being established. */
     private class Endpoint {
@@ -116,8 +119,9 @@
             ?: return call.onFailure(AttemptFailure.NOT_CONNECTED)
         endpoint.connectingCount++
         connectionAttempts++
-        val decoder = ResponseDecoder(codec.singleHeaders)
-        val connection = BackendConnection(this, codec, decoder)
+        val heads = ResponseHeadMemory(memory)
+        val decoder = ResponseDecoder(codec.singleHeaders, heads)
+        val connection = BackendConnection(this, codec, decoder, heads)
         val bootstrap = Bootstrap().group(group)
             .channel(NioSocketChannel::class.java)
             .withRelayOptions()
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
@@ -2,6 +2,7 @@
 
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import org.quetzalloom.relay.head.ConnectionMemory
 import java.io.IOException
 
 /**
@@ -10,8 +11,13 @@
  *
  * Reading continues while a request is in flight, so that a disconnected caller is noticed at once. It pauses while
  * many requests wait.
+ *
+ * @param memory counts the memory of the connection.
  */
-internal class CallerConnection(private val server: CallerServer) : ChannelInboundHandlerAdapter() {
+internal class CallerConnection(
+    private val server: CallerServer,
+    private val memory: ConnectionMemory,
+) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
     private val waiting = ArrayDeque<CallerMessage>()
     private var active: CallerExchange? = null
@@ -33,6 +39,9 @@
     /** Whether no request is being received or answered, and nothing waits to be written. */
     val done: Boolean get() = written && (idle || gracefulClose.closing)
 
+    /** Whether no request has arrived in full that has no response yet, so that none is lost if the connection ends. */
+    val expendable: Boolean get() = written && active == null && waiting.isEmpty()
+
     /** Whether the connection is to be closed after the current response: unless a request behind it has begun. */
     val closesAfterResponse: Boolean get() = waiting.isEmpty() && !receiving && (server.draining || rejecting)
 
@@ -46,6 +55,7 @@
     override fun channelInactive(context: ChannelHandlerContext) {
         gracefulClose.onClosed()
         server.onClosed(this)
+        memory.close()
         waiting.filterIsInstance<CallerMessage.Complete>().forEach { it.body.release() }
         waiting.clear()
         active?.let { server.handler.onCallerDisconnected(it) }
@@ -62,6 +72,7 @@
             message is CallerMessage -> {
                 receiving = false
                 waiting.add(message)
+                if (waiting.size >= MAXIMUM_WAITING_REQUESTS) context.channel().config().isAutoRead = false
                 // May be due to a timeout, without anything read.
                 if (message is CallerMessage.Rejected) answerWaiting()
             }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import org.quetzalloom.core.relay.routing.CallerLimits
+import org.quetzalloom.relay.head.ConnectionMemory
 import org.quetzalloom.relay.http.StrictRequestDecoder
 import org.quetzalloom.relay.http.withRelayOptions
 import java.nio.channels.ServerSocketChannel
@@ -18,7 +19,7 @@
  * Accepts connections from callers and tracks the open ones. Confined to the event loop's thread, except for [attach].
  *
  * @property handler receives the requests.
- * @param memory bounds the memory of their bodies.
+ * @param memory bounds the memory of the requests and their connections.
  */
 internal class CallerServer(val handler: RequestHandler, private val memory: RequestMemory) {
     private val connections = LinkedHashSet<CallerConnection>()
@@ -45,6 +46,15 @@
     /** Whether no request is being received, or has a response that is still to be written, on any connection. */
     val allDone: Boolean get() = connections.all { it.done }
 
+    /** The number of connections that were dropped because there were too many. */
+    var droppedConnections: Long = 0
+        private set
+
+    private val maximumConnections = minOf(
+        memory.limitBytes / CONNECTIONS_DIVISOR / ConnectionMemory.CONNECTION_BYTES,
+        Descriptors.limitOrNull()?.let { it / CONNECTIONS_DIVISOR - RESERVED_DESCRIPTORS } ?: Long.MAX_VALUE,
+    ).coerceAtLeast(1)
+
     /** The number of open connections. */
     val connectionCount: Int get() = connections.size
 
@@ -64,7 +74,8 @@
     }
 
     /** Lets each read go on to the end of the input, so that the caller's close behind a request is found with it. */
-    private fun readToEnd() = AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false)
+    private fun readToEnd() = AdaptiveRecvByteBufAllocator(SMALLEST_READ, FIRST_READ, LARGEST_READ)
+        .respectMaybeMoreData(false)
         .maxMessagesPerRead(READS_IN_A_ROW)
 
     /** Accepts connections from now on, those that wait already first. */
@@ -85,9 +96,15 @@
         )
     }
 
-    /** Adds [connection], which has been accepted. */
+    /**
+     * Adds [connection], which has been accepted. If there are too many, drops the oldest that has no request to be
+     * answered.
+     */
     fun onOpened(connection: CallerConnection) {
         connections.add(connection)
+        if (connections.size <= maximumConnections) return
+        droppedConnections++
+        (connections.firstOrNull { it.expendable } ?: connection).gracefulClose.drop()
     }
 
     /** Removes [connection], which has been closed. */
@@ -97,21 +114,33 @@
 
     private inner class Initializer : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
+            val connectionMemory = ConnectionMemory(memory)
             val reader = RequestReader(memory) { limits }
             channel.pipeline().addLast(
                 ResponseEncoder(),
                 InboundBytesHandler(reader),
-                StrictRequestDecoder(limits.maximumHeaderBytes),
+                StrictRequestDecoder(limits.maximumHeaderBytes, connectionMemory),
                 reader,
-                CallerConnection(this@CallerServer),
+                CallerConnection(this@CallerServer, connectionMemory),
             )
         }
     }
 
     private companion object {
+        /** The sizes of reads in bytes. A buffer that ends with a part of a line is kept until its end arrives. */
+        const val SMALLEST_READ = 64
+        const val FIRST_READ = 2_048
+        const val LARGEST_READ = 32_768
+
         /** The number of reads after which other connections have their turn. */
         const val READS_IN_A_ROW = 16
 
+        /** The share of the memory for requests, and of the descriptors, that connections may take. */
+        const val CONNECTIONS_DIVISOR = 2
+
+        /** Descriptors for the process's files and its connections to the store and to other routers. */
+        const val RESERVED_DESCRIPTORS = 64
+
         /** The limits until a configuration has been read; until then every request is refused. */
         val INITIAL_LIMITS = CallerLimits(
             maximumHeaderBytes = 16_384,
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/GracefulClose.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/GracefulClose.kt
@@ -54,6 +54,11 @@
         }
     }
 
+    /** Closes the connection at once. */
+    fun drop() {
+        channel.close()
+    }
+
     /** Handles that the connection has been closed. */
     fun onClosed() {
         closing = true
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestReader.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/RequestReader.kt
@@ -12,10 +12,14 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.util.ReferenceCountUtil
 import org.quetzalloom.core.error.ErrorKind
 import org.quetzalloom.core.relay.routing.CallerLimits
+import org.quetzalloom.relay.head.HeadMemoryException
+import org.quetzalloom.relay.head.releaseMemory
 import org.quetzalloom.relay.http.RestartableTimer
+import org.quetzalloom.relay.http.StrictRequestDecoder
 
 /**
  * Aggregates requests within the limits, and passes [CallerMessage]s to the next handler of the pipeline.
@@ -23,7 +27,7 @@
  * The head of a request must arrive within the header timeout, and then its whole body within the idle timeout.
  * After a rejection all further input is discarded.
  *
- * @param memory bounds the memory of the bodies of all requests.
+ * @param memory bounds the memory of all requests.
  * @param limits returns the current limits.
  */
 internal class RequestReader(
@@ -62,11 +66,19 @@
         try {
             if (!rejected && message is HttpRequest) onHead(context, message)
             if (!rejected && message is HttpContent) partialRequest?.let { onContent(context, it, message) }
+            if (message is LastHttpContent) message.trailingHeaders().releaseMemory()
         } finally {
             ReferenceCountUtil.release(message)
         }
     }
 
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        when {
+            event !is StrictRequestDecoder.MemoryExhausted -> context.fireUserEventTriggered(event)
+            !rejected -> rejectForMemory(context, PLACEHOLDER_HEAD)
+        }
+    }
+
     override fun channelInactive(context: ChannelHandlerContext) {
         discard()
         context.fireChannelInactive()
@@ -75,13 +87,14 @@
     private fun onHead(context: ChannelHandlerContext, head: HttpRequest) {
         context.fireChannelRead(CallerMessage.Started)
         betweenRequests = false
-        val problem = validator.problemOrNull(head)
+        val exhausted = head.decoderResult().cause() is HeadMemoryException
+        val problem = if (exhausted) null else validator.problemOrNull(head)
         if (problem != null) return reject(context, head, problem.first, problem.second)
-        if (!memory.mayHold(HttpUtil.getContentLength(head, 0L))) return rejectForMemory(context, head)
+        if (exhausted || !memory.mayHold(HttpUtil.getContentLength(head, 0L))) return rejectForMemory(context, head)
         if (HttpUtil.is100ContinueExpected(head)) {
             context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
         }
-        partialRequest = PartialRequest(head, memory.newBody())
+        partialRequest = PartialRequest(head, memory.newBody(head))
         timeout.restart(limits().idleTimeoutMilliseconds) {
             reject(context, head, ErrorKind.TOO_SLOW, "the body did not arrive in time")
         }
@@ -89,31 +102,32 @@
 
     private fun onContent(context: ChannelHandlerContext, current: PartialRequest, content: HttpContent) {
         val size = current.body.readableBytes() + content.content().readableBytes()
+        val failure = content.decoderResult().cause()
         when {
-            content.decoderResult().isFailure ->
+            failure is HeadMemoryException -> rejectForMemory(context, current.head)
+            failure is TooLongHttpHeaderException ->
+                reject(context, current.head, ErrorKind.HEADER_TOO_LARGE, "the trailers are too large")
+            failure != null ->
                 reject(context, current.head, ErrorKind.MALFORMED, "the body is malformed")
             size > limits().maximumBodyBytes ->
                 reject(context, current.head, ErrorKind.TOO_LARGE, validator.bodyTooLarge())
             !memory.mayHold(size.toLong()) -> rejectForMemory(context, current.head)
             else -> {
                 current.body.writeBytes(content.content())
-                if (content is LastHttpContent) complete(context, current)
+                if (content !is LastHttpContent) return
+                timeout.cancel()
+                betweenRequests = true
+                partialRequest = null
+                context.fireChannelRead(CallerMessage.Complete(current.head, current.body))
             }
         }
     }
 
-    private fun complete(context: ChannelHandlerContext, request: PartialRequest) {
-        timeout.cancel()
-        betweenRequests = true
-        partialRequest = null
-        context.fireChannelRead(CallerMessage.Complete(request.head, request.body))
-    }
-
     private fun rejectForMemory(context: ChannelHandlerContext, head: HttpRequest) = reject(
         context,
         head,
         ErrorKind.OVERLOADED,
-        "the bodies of other requests take the memory of this router",
+        "other requests take the memory of this router",
         MEMORY_RETRY_MILLISECONDS,
     )
 
@@ -126,6 +140,9 @@
     ) {
         discard()
         rejected = true
+        head.headers().releaseMemory()
+        // Ends the count of what has been received, and lets the rest of the input pass undecoded.
+        context.pipeline().get(StrictRequestDecoder::class.java)?.let { context.pipeline().remove(it) }
         context.fireChannelRead(CallerMessage.Rejected(head, kind, detail, retryAfterMilliseconds))
     }
 
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/CallConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/CallConnection.kt
@@ -116,8 +116,10 @@
     }
 
     @Deprecated("Overrides a deprecated method.")
-    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable): Unit =
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        cause.endProcessIfOutOfMemory()
         fail("the connection failed: ${cause.message}")
+    }
 
     private fun complete(result: Result<FullHttpResponse, String>) {
         timeout.cancel()
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/CallForwarder.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/CallForwarder.kt
@@ -1,29 +1,24 @@
 package org.quetzalloom.relay.http
 
 import com.github.michaelbull.result.fold
-import io.netty.bootstrap.ServerBootstrap
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInitializer
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.SimpleChannelInboundHandler
-import io.netty.channel.socket.SocketChannel
-import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.FullHttpResponse
 import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpResponseStatus
-import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpVersion
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
+import org.quetzalloom.relay.head.MessageMemory
 
 /**
  * Forwards calls of other routers to one target, without their headers, and returns the status and body of the
@@ -39,24 +34,17 @@
     private val group: EventLoopGroup,
     private val client: CallClient,
     private val forwarding: Forwarding,
+    private val memory: MessageMemory,
 ) {
     /** The callers that wait for the response to each shared call that is under way, by its URI. */
     private var sharedCalls = persistentMapOf<String, PersistentList<ChannelHandlerContext>>()
 
+    /** The number of calls that have not been answered. */
+    private var callersWaiting = 0
+
     /** Listens for calls at [address]. Blocks until the address is bound, and throws if it cannot be. */
     fun listen(address: Address) {
-        ServerBootstrap().group(group)
-            .channel(NioServerSocketChannel::class.java)
-            .withRelayOptions()
-            .childHandler(Initializer())
-            .bind(address.toSocketAddress())
-            .sync()
-    }
-
-    private inner class Initializer : ChannelInitializer<SocketChannel>() {
-        override fun initChannel(channel: SocketChannel) {
-            channel.pipeline().addLast(HttpServerCodec(), HttpObjectAggregator(MAXIMUM_REQUEST_BYTES), Handler())
-        }
+        ShortRequestServer(group, memory, MAXIMUM_REQUEST_BYTES) { Handler() }.listen(address)
     }
 
     private inner class Handler : SimpleChannelInboundHandler<FullHttpRequest>() {
@@ -64,6 +52,10 @@
             val path = request.uri().substringBefore('?')
             when {
                 request.decoderResult().isFailure -> reject(context, request.decoderResult().cause())
+                callersWaiting >= MAXIMUM_CALLERS -> context.respond(
+                    HttpResponseStatus.SERVICE_UNAVAILABLE,
+                    text("too many calls are being forwarded")
+                )
                 path !in forwarding.paths ->
                     context.respond(HttpResponseStatus.NOT_FOUND, text("this path is not forwarded"))
                 path in forwarding.sharedPaths -> joinOrForward(context, request)
@@ -87,7 +79,10 @@
         val uri = request.uri()
         val waiting = sharedCalls[uri]
         sharedCalls = sharedCalls.put(uri, (waiting ?: persistentListOf()).add(context))
-        if (waiting != null) return
+        if (waiting != null) {
+            callersWaiting++
+            return
+        }
         forward(request, purpose = uri.substringBefore('?')) {
             val callers = sharedCalls[uri] ?: persistentListOf()
             sharedCalls = sharedCalls.remove(uri)
@@ -102,8 +97,11 @@
      * router, which must not get a late copy of the response to another.
      */
     private fun forward(request: FullHttpRequest, purpose: String?, callers: () -> List<ChannelHandlerContext>) {
+        callersWaiting++
         client.call(forwarding.target, request.copyForTarget(), CALL_TIMEOUT_MILLISECONDS, purpose) { result ->
-            callers().forEach { caller ->
+            val waiting = callers()
+            callersWaiting -= waiting.size
+            waiting.forEach { caller ->
                 result.fold(
                     success = { caller.respond(it.status(), it.content().retainedDuplicate()) },
                     failure = { caller.respond(HttpResponseStatus.BAD_GATEWAY, text(it)) },
@@ -132,6 +130,9 @@
         /** Slightly longer than a router's longest timeout: a read waits 1.5 s for a record, plus 0.9 s. */
         const val CALL_TIMEOUT_MILLISECONDS = 2_500L
 
+        /** More than the routers of the largest fleet make at a time. */
+        const val MAXIMUM_CALLERS = 2_048
+
         /** Calls carry at most one record, of a few hundred bytes. */
         const val MAXIMUM_REQUEST_BYTES = 64 * 1_024
     }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/HopHeaders.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/HopHeaders.kt
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
+import org.quetzalloom.relay.head.CompactHeaders
 
 private val HOP_BY_HOP_HEADERS = listOf(
     "connection",
@@ -24,7 +25,11 @@
 public fun HttpHeaders.withoutHopByHopHeaders(): HttpHeaders {
     val named = getAll(HttpHeaderNames.CONNECTION).flatMap { it.split(',') }.map { it.trim() }
     val dropped = HOP_BY_HOP_HEADERS + named.filter { it.isNotEmpty() }
-    val copy = DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders().add(this)
+    val copy = if (this is CompactHeaders) {
+        copy()
+    } else {
+        DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders().add(this)
+    }
     dropped.forEach { copy.remove(it) }
     copy.remove(HttpHeaderNames.CONTENT_LENGTH)
     return copy
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/ResponseDecoder.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/ResponseDecoder.kt
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.DecoderResult
 import io.netty.handler.codec.http.DefaultLastHttpContent
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
@@ -12,6 +13,9 @@
 import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import org.quetzalloom.relay.head.HeadMemory
+import org.quetzalloom.relay.head.compactDecoderConfig
+import org.quetzalloom.relay.head.releaseLatestHeaders
 
 /**
  * Decodes responses. It has to know the request method, because a response to `HEAD` has a length but no body.
@@ -21,7 +25,15 @@
  *
  * @param singleHeaders headers that a response has at most once, in addition to those of HTTP.
  */
-internal class ResponseDecoder(singleHeaders: Set<String> = emptySet()) : HttpResponseDecoder() {
+internal class ResponseDecoder private constructor(
+    singleHeaders: Set<String>,
+    private val config: HttpDecoderConfig,
+) : HttpResponseDecoder(config) {
+    constructor(singleHeaders: Set<String> = emptySet(), memory: HeadMemory = HeadMemory.Uncounted) : this(
+        singleHeaders,
+        compactDecoderConfig(memory, MAXIMUM_HEAD_BYTES).setMaxInitialLineLength(MAXIMUM_LINE_BYTES),
+    )
+
     private val validator = ResponseValidator(singleHeaders)
 
     /** Whether the head of a response has been decoded, and its end has not. */
@@ -49,7 +61,7 @@
         super.decode(context, input, output)
         val decoded = output.drop(decodedBefore).filterIsInstance<HttpObject>()
         decoded.forEach { insideBody = it !is LastHttpContent }
-        if (decoded.lastOrNull() is LastHttpContent) surplus = input.startAsText()
+        if (decoded.lastOrNull() is LastHttpContent) surplus = input.startAsText(MAXIMUM_SURPLUS_BYTES)
         val contentBytes = decoded.sumOf { if (it is HttpContent) it.content().readableBytes() else 0 }
         val framingBytes = input.readerIndex() - inputBefore - contentBytes
         if (wasInsideBody && hasStatusLine(input, inputBefore, framingBytes)) {
@@ -78,9 +90,6 @@
         problem?.let { message.fail(it) }
     }
 
-    private fun ByteBuf.startAsText(): String =
-        toString(readerIndex(), readableBytes().coerceAtMost(MAXIMUM_SURPLUS_BYTES), Charsets.ISO_8859_1)
-
     /** The decoder ignores the rest of a line that begins with the size of a chunk. */
     private fun hasStatusLine(input: ByteBuf, start: Int, length: Int): Boolean =
         length > 0 && EmbeddedHead.hasStatusLine(input.toString(start, length, Charsets.ISO_8859_1))
@@ -97,8 +106,19 @@
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         method == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
 
+    /** Ends the count of the memory of the last response's head and trailers. */
+    fun releaseHead(): Unit = config.releaseLatestHeaders()
+
+    override fun handlerRemoved0(context: ChannelHandlerContext): Unit = releaseHead()
+
     private companion object {
+        const val MAXIMUM_HEAD_BYTES = 8_192
+        const val MAXIMUM_LINE_BYTES = 4_096
+
         /** Longer than the head of a response. */
         const val MAXIMUM_SURPLUS_BYTES = 8_192
     }
 }
+
+private fun ByteBuf.startAsText(maximumBytes: Int): String =
+    toString(readerIndex(), readableBytes().coerceAtMost(maximumBytes), Charsets.ISO_8859_1)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/StatusServer.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/StatusServer.kt
@@ -1,25 +1,20 @@
 package org.quetzalloom.relay.http
 
-import io.netty.bootstrap.ServerBootstrap
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInitializer
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.SimpleChannelInboundHandler
-import io.netty.channel.socket.SocketChannel
-import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpResponseStatus
-import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
+import org.quetzalloom.relay.head.MessageMemory
 
 /** Serves one page per listener, whatever the path: the readiness of the process, or its metrics. */
-internal class StatusServer(private val group: EventLoopGroup) {
+internal class StatusServer(private val group: EventLoopGroup, private val memory: MessageMemory) {
     /**
      * The content of a response.
      *
@@ -33,22 +28,17 @@
      * Blocks until the address is bound, and throws if it cannot be.
      */
     fun listen(address: Address, page: () -> Page) {
-        ServerBootstrap().group(group)
-            .channel(NioServerSocketChannel::class.java)
-            .withRelayOptions()
-            .childHandler(Initializer(page))
-            .bind(address.toSocketAddress())
-            .sync()
-    }
-
-    private class Initializer(private val page: () -> Page) : ChannelInitializer<SocketChannel>() {
-        override fun initChannel(channel: SocketChannel) {
-            channel.pipeline().addLast(HttpServerCodec(), HttpObjectAggregator(MAXIMUM_REQUEST_BYTES), Handler(page))
-        }
+        ShortRequestServer(group, memory, MAXIMUM_REQUEST_BYTES) { Handler(page) }.listen(address)
     }
 
     private class Handler(private val page: () -> Page) : SimpleChannelInboundHandler<FullHttpRequest>() {
         override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
+            val invalid = request.decoderResult().isFailure
+            // A client that sends more requests without reading the responses would have them pile up here.
+            if (invalid || !context.channel().isWritable) {
+                context.close()
+                return
+            }
             val content = page()
             val status = if (content.ok) HttpResponseStatus.OK else HttpResponseStatus.SERVICE_UNAVAILABLE
             val body = Unpooled.copiedBuffer(content.text, Charsets.UTF_8)
@@ -61,6 +51,7 @@
 
         @Deprecated("Overrides a deprecated method.")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            cause.endProcessIfOutOfMemory()
             context.close()
         }
     }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/report/RelayMetrics.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/report/RelayMetrics.kt
@@ -43,6 +43,15 @@
     /** Registers the connection gauges of [relay]. */
     fun registerConnectionGauges(relay: Relay) {
         gauge("quetzalloom_relay_caller_connections", "Open caller connections.") { relay.callerConnections.toDouble() }
+        gauge("quetzalloom_relay_caller_connections_dropped", "Caller connections dropped as there were too many.") {
+            relay.droppedCallerConnections.toDouble()
+        }
+        gauge("quetzalloom_relay_heads_refused", "Heads of requests that found no room in the memory for messages.") {
+            relay.requestMemory.refusedHeads.toDouble()
+        }
+        gauge("quetzalloom_relay_request_memory_bytes", "Memory of requests, their heads and connections.") {
+            relay.requestMemory.usedBytes.toDouble()
+        }
         gauge("quetzalloom_relay_backend_connections", "Open connections to backend servers.") {
             relay.backendConnections.toDouble()
         }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/report/Reporter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/report/Reporter.kt
@@ -3,6 +3,7 @@
 import ch.qos.logback.classic.AsyncAppender
 import org.quetzalloom.core.error.ErrorKind
 import org.quetzalloom.core.timeline.TimelineEntry
+import org.quetzalloom.relay.http.endProcessIfOutOfMemory
 import org.quetzalloom.runtime.toLogLine
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
@@ -16,11 +17,15 @@
     /** Logs and counts [entry]. */
     fun report(entry: TimelineEntry) {
         metrics.count(entry)
-        log { logger.info(entry.toLogLine()) }
+        log { logger.info(entry.toLogLine().take(MAXIMUM_LINE_LENGTH)) }
     }
 
-    /** Logs a problem that affects only one connection or datagram, as the event [name]. */
+    /**
+     * Logs a problem that affects only one connection or datagram, as the event [name]. Ends the process if there is no
+     * memory left.
+     */
     fun reportProblem(name: String, cause: Throwable) {
+        cause.endProcessIfOutOfMemory()
         log { logger.warn("event={} problem=\"{}\"", name, cause.toString().replace('"', '\'')) }
     }
 
@@ -32,7 +37,14 @@
         write()
     }
 
+    /** Logs that [refused] heads have found no room lately, and [dropped] connections were too many. */
+    fun reportRefusedHeads(refused: Long, dropped: Long, usedBytes: Long) {
+        log { logger.warn("event=heads_refused refused={} dropped={} used_bytes={}", refused, dropped, usedBytes) }
+    }
+
     private companion object {
+        /** Callers choose what some fields hold, and lines wait in a queue. */
+        const val MAXIMUM_LINE_LENGTH = 2_048
         val logger: Logger = LoggerFactory.getLogger("quetzalloom")
     }
 }
--- a/relay/src/test/kotlin/org/quetzalloom/relay/CallForwarderTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/CallForwarderTest.kt
@@ -3,6 +3,7 @@
 import io.netty.channel.nio.NioEventLoopGroup
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
+import org.quetzalloom.relay.head.MessageMemory
 import org.quetzalloom.relay.http.Address
 import org.quetzalloom.relay.http.CallClient
 import org.quetzalloom.relay.http.CallForwarder
@@ -27,7 +28,7 @@
     init {
         val target = Address("127.0.0.1", store.port)
         val forwarding = Forwarding(target, paths = setOf("/read", "/owners"), sharedPaths = setOf("/read"))
-        CallForwarder(group, CallClient(group), forwarding).listen(address)
+        CallForwarder(group, CallClient(group), forwarding, MessageMemory(limitBytes = Long.MAX_VALUE)).listen(address)
     }
 
     @AfterEach
--- a/relay/src/test/kotlin/org/quetzalloom/relay/ForwardedCallsAreWholeTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/ForwardedCallsAreWholeTest.kt
@@ -1,6 +1,7 @@
 package org.quetzalloom.relay
 
 import io.netty.channel.nio.NioEventLoopGroup
+import org.quetzalloom.relay.head.MessageMemory
 import org.quetzalloom.relay.http.Address
 import org.quetzalloom.relay.http.CallClient
 import org.quetzalloom.relay.http.CallForwarder
@@ -23,7 +24,7 @@
 
     init {
         val forwarding = Forwarding(Address("127.0.0.1", store.port), paths = setOf("/append", "/owners"))
-        CallForwarder(group, CallClient(group), forwarding).listen(address)
+        CallForwarder(group, CallClient(group), forwarding, MessageMemory(limitBytes = Long.MAX_VALUE)).listen(address)
     }
 
     @AfterTest
--- a/relay/src/test/kotlin/org/quetzalloom/relay/RelayLoopTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/RelayLoopTest.kt
@@ -59,10 +59,26 @@
     @Test
     fun `a tick that fails is followed by others`() = assertFollowedByOthers("odd-tick")
 
-    /** When the heap was full once, the ticks ended, and the process went on without any timeout. */
+    /** In a process without a handler that ends it, the ticks ended, and it went on without any timeout. */
     @Test
     fun `a tick that runs out of memory is followed by others`() = assertFollowedByOthers("large-tick")
 
+    /** The process went on without what the failed allocation was for. Its handler of uncaught exceptions ends it. */
+    @Test
+    fun `an event that runs out of memory goes to the handler that ends the process`() {
+        val previous = Thread.getDefaultUncaughtExceptionHandler()
+        val errors = CopyOnWriteArrayList<Throwable>()
+        Thread.setDefaultUncaughtExceptionHandler { _, error -> errors += error }
+        try {
+            loop(DefaultEventLoop()).post("odd")
+            assertEquals(emptyList(), errors.toList())
+            loop(DefaultEventLoop()).post("large")
+            assertEquals(listOf("large"), errors.map { it.message })
+        } finally {
+            Thread.setDefaultUncaughtExceptionHandler(previous)
+        }
+    }
+
     private fun assertFollowedByOthers(tick: String) {
         val eventLoop = DefaultEventLoop()
         val failures = CountDownLatch(3)
--- a/relay/src/test/kotlin/org/quetzalloom/relay/backend/RepeatedAttemptTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/backend/RepeatedAttemptTest.kt
@@ -23,6 +23,7 @@
 import org.quetzalloom.relay.caller.RecordingHandler
 import org.quetzalloom.relay.caller.RequestMemory
 import org.quetzalloom.relay.caller.ResponseWriter
+import org.quetzalloom.relay.head.ConnectionMemory
 import org.quetzalloom.standins.scripted.ScriptedRequest
 import org.quetzalloom.standins.scripted.ScriptedServer
 import java.util.concurrent.CompletableFuture
@@ -34,7 +35,12 @@
 /** A late copy of the response to the first attempt of a request was taken for the response to the second one. */
 class RepeatedAttemptTest {
     private val group = NioEventLoopGroup(1)
-    private val pool = BackendPool(group, PlainCodec, Clock { Timestamp.EPOCH })
+    private val pool = BackendPool(
+        group,
+        PlainCodec,
+        Clock { Timestamp.EPOCH },
+        ResponseMemory(Long.MAX_VALUE) { null }
+    )
     private val memory = ResponseMemory(limitBytes = 1_000_000) { null }
 
     private val server: ScriptedServer = ScriptedServer { it.answerTwice() }.start()
@@ -90,7 +96,8 @@
     }
 
     private fun unusedWriter(head: HttpRequest): ResponseWriter {
-        val connection = CallerConnection(CallerServer(RecordingHandler(), RequestMemory(limitBytes = 0)))
+        val memory = RequestMemory(limitBytes = 0)
+        val connection = CallerConnection(CallerServer(RecordingHandler(), memory), ConnectionMemory(memory))
         return ResponseWriter(connection, EmbeddedChannel(), head)
     }
 
