Explain where a request would go now, and why

An operator could not ask a router why a request was refused or went to a server; the lines of a past request were the only source. explain() reduces the arrival of the request and drops the next state, so the verdict is the reducer's own. The page /explain of the status listener answers callers on the same machine.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
@@ -47,6 +47,10 @@
     /** The version of the configuration in force, or `null` before the first one. */
     public val configurationVersion: Long? get() = routing?.version
 
+    /** Returns a key of [workspace], or `null` if none is known. */
+    public fun keyOfOrNull(workspace: String): String? =
+        routing?.workspacesByKey?.entries?.firstOrNull { it.value.value == workspace }?.key
+
     public companion object {
         /** Returns the state of a relay that has just started with [settings]. */
         public fun initial(settings: RelaySettings, policies: RelayPolicies = RelayPolicies()): RelayState =
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/Candidates.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/Candidates.kt
@@ -12,20 +12,26 @@
 /**
  * Returns the backend servers that may get [exchange] at [now]: those that are usable, run the version chosen for the
  * exchange, and have a connection and, while cold, a request left in this router's share.
+ */
+internal fun RelayState.eligibleServers(exchange: Exchange, now: Timestamp): List<ServerView> {
+    val connections = connectionShare(exchange.service)
+    return serversOfChosenVersion(exchange, now).filter { it.inFlight < connections && withinColdLimit(it, now) }
+}
+
+/**
+ * Returns the usable backend servers that run the version chosen for [exchange].
  *
  * If all usable servers run one version, it is chosen unless its roll-out was reverted or is to be. If they run
  * several, there may be none of the version chosen, and the exchange waits.
  */
-internal fun RelayState.eligibleServers(exchange: Exchange, now: Timestamp): List<ServerView> {
+internal fun RelayState.serversOfChosenVersion(exchange: Exchange, now: Timestamp): List<ServerView> {
     val usable = servers.usable(exchange.service, now)
     val versions = usable.map { it.listing.version }.toSet()
-    val matching = if (versions.size <= 1) {
+    return if (versions.size <= 1) {
         usable.withoutReverted(this, exchange)
     } else {
         usable.ofChosenVersion(this, exchange, now)
     }
-    val connections = connectionShare(exchange.service)
-    return matching.filter { it.inFlight < connections && withinColdLimit(it, now) }
 }
 
 /**
--- a/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
@@ -15,6 +15,7 @@
 import org.quetzalloom.relay.http.MessageCodec
 import org.quetzalloom.relay.http.StatusServer
 import org.quetzalloom.relay.peer.PeerSocket
+import org.quetzalloom.relay.report.ExplanationPage
 import org.quetzalloom.relay.report.RelayMetrics
 import org.quetzalloom.relay.report.Reporter
 import org.quetzalloom.runtime.Interpreter
@@ -80,7 +81,10 @@
         val status = StatusServer(group)
         status.listen(listeners.ready) { StatusServer.Page(ok = ready, text = if (ready) "ready\n" else "not ready\n") }
         listeners.metrics?.let { address ->
-            status.listen(address) { StatusServer.Page(ok = true, text = metrics.format()) }
+            val explanations = ExplanationPage(clock) { loop.state }
+            status.listen(address) { request ->
+                explanations.pageOrNull(request) ?: StatusServer.Page(ok = true, text = metrics.format())
+            }
         }
         listeners.peers?.let { address ->
             peers.listen(address)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/StatusServer.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/StatusServer.kt
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInitializer
@@ -17,22 +18,30 @@
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
+import java.net.InetSocketAddress
 
-/** Serves one page per listener, whatever the path: the readiness of the process, or its metrics. */
+/** Serves the pages of a listener: the readiness of the process, its metrics, or what it knows of a request. */
 internal class StatusServer(private val group: EventLoopGroup) {
+    /** The content of a response. */
+    class Page(val status: HttpResponseStatus, val text: String, val contentType: String = TEXT) {
+        /** A page of status 200 if [ok], and otherwise of 503. */
+        constructor(ok: Boolean, text: String) :
+            this(if (ok) HttpResponseStatus.OK else HttpResponseStatus.SERVICE_UNAVAILABLE, text)
+    }
+
     /**
-     * The content of a response.
+     * A request for a page.
      *
-     * @property ok whether the status is 200; otherwise it is 503.
+     * @property isLocal whether it comes from this machine.
      */
-    class Page(val ok: Boolean, val text: String)
+    class PageRequest(val uri: String, val isLocal: Boolean)
 
     /**
      * Listens at [address], and answers each request with the current result of [page].
      *
      * Blocks until the address is bound, and throws if it cannot be.
      */
-    fun listen(address: Address, page: () -> Page) {
+    fun listen(address: Address, page: (PageRequest) -> Page) {
         ServerBootstrap().group(group)
             .channel(NioServerSocketChannel::class.java)
             .withRelayOptions()
@@ -41,24 +50,28 @@
             .sync()
     }
 
-    private class Initializer(private val page: () -> Page) : ChannelInitializer<SocketChannel>() {
+    private class Initializer(private val page: (PageRequest) -> Page) : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
             channel.pipeline().addLast(HttpServerCodec(), HttpObjectAggregator(MAXIMUM_REQUEST_BYTES), Handler(page))
         }
     }
 
-    private class Handler(private val page: () -> Page) : SimpleChannelInboundHandler<FullHttpRequest>() {
+    private class Handler(private val page: (PageRequest) -> Page) : SimpleChannelInboundHandler<FullHttpRequest>() {
         override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
-            val content = page()
-            val status = if (content.ok) HttpResponseStatus.OK else HttpResponseStatus.SERVICE_UNAVAILABLE
+            val content = page(PageRequest(request.uri(), context.channel().isLocal()))
             val body = Unpooled.copiedBuffer(content.text, Charsets.UTF_8)
-            val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
+            val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, content.status, body)
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
-            response.headers().set(HttpHeaderNames.CONTENT_TYPE, CONTENT_TYPE)
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, content.contentType)
             val written = context.writeAndFlush(response)
             if (!HttpUtil.isKeepAlive(request)) written.addListener(ChannelFutureListener.CLOSE)
         }
 
+        private fun Channel.isLocal(): Boolean {
+            val remote = (remoteAddress() as? InetSocketAddress)?.address ?: return false
+            return remote.isLoopbackAddress || remote == (localAddress() as? InetSocketAddress)?.address
+        }
+
         @Deprecated("Overrides a deprecated method.")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
             context.close()
@@ -67,7 +80,7 @@
 
     private companion object {
         /** The content type of the Prometheus text format; health checks ignore it. */
-        const val CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+        const val TEXT = "text/plain; version=0.0.4; charset=utf-8"
 
         /** Health checks and metric scrapes have no body, or a tiny one. */
         const val MAXIMUM_REQUEST_BYTES = 4_096
