--- a/core/src/test/kotlin/org/quetzalloom/core/relay/SessionVersionsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/SessionVersionsTest.kt
@@ -1,13 +1,17 @@
 package org.quetzalloom.core.relay
 
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentList
+import org.quetzalloom.core.identity.VmId
 import org.quetzalloom.core.relay.exchange.RelayRequest
 import org.quetzalloom.core.relay.exchange.ResponseHead
 import org.quetzalloom.core.relay.feed.Feed
 import org.quetzalloom.core.relay.feed.FeedEntry
+import org.quetzalloom.core.relay.peer.PeerBeacon
 import org.quetzalloom.core.relay.peer.RolloutReport
 import org.quetzalloom.core.relay.rollout.ExposurePolicy
+import org.quetzalloom.core.relay.rollout.OutcomeSums
 import org.quetzalloom.core.relay.rollout.RolloutOrder
 import org.quetzalloom.core.relay.rollout.SteppedExposure
 import kotlin.test.Test
@@ -165,6 +169,23 @@
         assertTrue(notice.beacon.rollouts.single().oldSessions.size in 5..50)
     }
 
+    @Test
+    fun `a router enters a stage as soon as another one has entered it`() {
+        val added = RelayRig.server("s-9", RelayRig.plain, version = "v2")
+        val rig = RelayRig().start(RelayRig.plainServers + added, members = 2)
+        val order = RolloutOrder(RelayRig.plain, "v2", SessionLoad.DURATION)
+        rig.read(Feed.ORDERS, FeedEntry.Rollout(order))
+        rig.pass(22_400)
+        assertTrue((1..40).any { rig.serverOf("s-$it") != added.id })
+        val sums = OutcomeSums()
+        val report = RolloutReport(order.service, order.version, ageMilliseconds = 22_500, sums, sums, condemned = false)
+        val beacon = PeerBeacon(VmId("vm-2"), 1, persistentMapOf(), persistentListOf(report))
+        rig.on(RelayEvent.BeaconReceived(beacon))
+        assertTrue((1..40).all { rig.serverOf("s-$it") == added.id })
+    }
+
+    private fun RelayRig.serverOf(session: String) = run(session).only<RelayEffect.Send>().parameters.server
+
     @Test
     fun `sessions at two services are told for both`() {
         val rig = RelayRig().start(RelayRig.plainServers + RelayRig.engineServers, members = 67)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/report/ExplanationFormat.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/report/ExplanationFormat.kt
@@ -24,7 +24,9 @@
         put("workspace", explanation.workspace?.value)
         explanation.rollout?.let { putJsonObject("rollout") { putRollout(it) } }
         put("known_servers", explanation.serverCount)
-        putJsonObject("left_out") { explanation.exclusionCounts.forEach { (why, count) -> put(why.name.lowercase(), count) } }
+        putJsonObject("left_out") {
+            explanation.exclusionCounts.forEach { (exclusion, count) -> put(exclusion.name.lowercase(), count) }
+        }
         putJsonArray("servers") { explanation.servers.forEach { addJsonObject { putServer(it) } } }
         putJsonObject("beliefs") { putBeliefs(explanation.beliefs) }
     }.toString()
--- a/relay/src/main/kotlin/org/quetzalloom/relay/report/ExplanationPage.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/report/ExplanationPage.kt
@@ -21,14 +21,21 @@
     /** Returns the answer to [request], or `null` if it asks for something else. */
     fun pageOrNull(request: PageRequest): Page? {
         val query = QueryStringDecoder(request.uri)
-        if (query.path() != PATH) return null
-        if (!request.isLocal) return Page(HttpResponseStatus.FORBIDDEN, "only callers on this machine may ask\n")
-        val current = state()
-        return runCatching { query.toRequest(current) }.fold(
-            onSuccess = { Page(HttpResponseStatus.OK, ExplanationFormat.encode(current.explain(it, clock.now())), JSON) },
+        return when {
+            query.path() != PATH -> null
+            !request.isLocal -> Page(HttpResponseStatus.FORBIDDEN, "only callers on this machine may ask\n")
+            else -> answer(query, state())
+        }
+    }
+
+    private fun answer(query: QueryStringDecoder, current: RelayState): Page =
+        runCatching { query.toRequest(current) }.fold(
+            onSuccess = { request ->
+                val explanation = current.explain(request, clock.now())
+                Page(HttpResponseStatus.OK, ExplanationFormat.encode(explanation), JSON)
+            },
             onFailure = { Page(HttpResponseStatus.BAD_REQUEST, "${it.message}\n") },
         )
-    }
 
     private fun QueryStringDecoder.toRequest(state: RelayState): RelayRequest {
         val prompt = valueOrNull("prompt")?.split(',')?.map { parsePart(it) }.orEmpty()
--- a/tool/src/main/kotlin/org/quetzalloom/tool/Main.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/Main.kt
@@ -5,6 +5,7 @@
 import org.quetzalloom.tool.command.CheckCommand
 import org.quetzalloom.tool.command.DiffCommand
 import org.quetzalloom.tool.command.DrainCommand
+import org.quetzalloom.tool.command.ExplainCommand
 import org.quetzalloom.tool.command.PublishCommand
 import org.quetzalloom.tool.command.RolloutCommand
 import org.quetzalloom.tool.command.StatusCommand
@@ -26,6 +27,7 @@
         RolloutCommand(),
         WithdrawCommand(),
         TimelineCommand(),
+        ExplainCommand(),
     )
     parser.parse(if (arguments.isEmpty()) arrayOf("--help") else arguments)
 }
