Report a roll-out notice only if it was sent

A router without other members logged notices that went nowhere, which RolloutsTest found as a second line beside the condemnation. Documents how to ask where a request would go.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutNoticesPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutNoticesPart.kt
@@ -19,8 +19,12 @@
         val due = state.rollouts.byService.values.filter { it.noticeDue }
         if (due.isEmpty()) return state.unchanged()
         val rollouts = due.fold(state.rollouts) { current, progress -> current.with(progress.copy(noticeDue = false)) }
-        return state.copy(rollouts = rollouts).sendBeaconToAll(now)
-            .thenEach(due) { current, progress -> current.reportNotice(progress, now) }
+        val told = state.copy(rollouts = rollouts).sendBeaconToAll(now)
+        return if (told.effects.isEmpty()) {
+            told
+        } else {
+            told.thenEach(due) { current, progress -> current.reportNotice(progress, now) }
+        }
     }
 
     private fun RelayState.reportNotice(progress: RolloutProgress, now: Timestamp): RelayStep = report(
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/ExplainTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/ExplainTest.kt
@@ -135,6 +135,18 @@
         }
     }
 
+    @Test
+    fun `a router that does not know the members yet has no connection left for a second request`() {
+        val rig = RelayRig()
+        rig.read(Feed.ORDERS, FeedEntry.Configuration(RelayRig.table), snapshot = true)
+        rig.read(Feed.SERVERS, *RelayRig.plainServers.map { FeedEntry.Server(it) }.toTypedArray(), snapshot = true)
+        repeat(3) { rig.arrive(RelayRig.read.copy(callerId = "m-$it")) }
+        val explanation = rig.state.explain(RelayRig.read, rig.now)
+        assertTrue(explanation.verdict is Verdict.Waits)
+        assertEquals(mapOf(Exclusion.NO_CONNECTION to 3), explanation.exclusionCounts)
+        assertEquals(0, explanation.beliefs.members)
+    }
+
     @Test
     fun `a request that waits is refused with the time that is said`() {
         val rig = RelayRig().start(emptyList())
