--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
@@ -62,6 +62,10 @@
      */
     public fun feedAge(feed: Feed, now: Timestamp): Long? = feeds.of(feed).readAt?.let { now - it }
 
+    /** Returns a key of [workspace], or `null` if none is known. */
+    public fun keyOfOrNull(workspace: String): String? =
+        routing?.workspacesByKey?.entries?.firstOrNull { it.value.value == workspace }?.key
+
     public companion object {
         /** Returns the state of a relay that has just started with [settings]. */
         public fun initial(settings: RelaySettings, policies: RelayPolicies = RelayPolicies()): RelayState =
