--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutsPart.kt
@@ -9,8 +9,6 @@
 import org.quetzalloom.core.relay.RelayStep
 import org.quetzalloom.core.relay.feed.Feed
 import org.quetzalloom.core.relay.feed.FeedEntry
-import org.quetzalloom.core.relay.peer.ReceivedBeacon
-import org.quetzalloom.core.relay.peer.RolloutReport
 import org.quetzalloom.core.relay.report
 import org.quetzalloom.core.relay.routing.ServiceName
 import org.quetzalloom.core.relay.session.canarySessionsOnOldVersions
@@ -77,18 +75,6 @@
         ).then { it.applyEarlierReports(order, now) }
     }
 
-    /** Applies what others told of the roll-out before this router read its order, as after a restart. */
-    private fun RelayState.applyEarlierReports(order: RolloutOrder, now: Timestamp): RelayStep =
-        unchanged().thenEach(peers.lastBeacons.values) { current, received ->
-            current.unchanged().thenEach(received.reportsOf(order)) { latest, report ->
-                val age = report.ageMilliseconds + (now - received.receivedAt)
-                latest.applyReport(received.beacon.vm, report.copy(ageMilliseconds = age), now)
-            }
-        }
-
-    private fun ReceivedBeacon.reportsOf(order: RolloutOrder): List<RolloutReport> =
-        beacon.rollouts.filter { it.service == order.service && it.version == order.version }
-
     private fun RelayState.forget(service: ServiceName): RelayStep =
         copy(rollouts = rollouts.copy(byService = rollouts.byService.remove(service))).unchanged()
 
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/CompletionTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/CompletionTest.kt
@@ -30,13 +30,15 @@
 
     /**
      * Plays a roll-out of a version that begins to fail shortly before its end, while the store refuses all routers but
-     * the leader, and half of all beacons are lost. Returns the phases written, each with the number of routers that held the version to be bad.
+     * the leader, and half of all beacons are lost. Returns the phases written, each with the number of routers that
+     * held the version to be bad.
      */
     private fun playLateFailure(
         seed: Long,
         received: RelayFleet.(VmId, PeerBeacon) -> PeerBeacon = { _, beacon -> beacon },
     ): List<Pair<RolloutPhase, Int>> {
-        val fleet = fleet(routers = 9, seed = seed, loss = 0.5, failsFrom = FIRST_FAILURE + seed * FAILURE_STEP)
+        val failsFrom = FIRST_FAILURE + seed * FAILURE_STEP
+        val fleet = fleet(routers = 9, seed = seed, loss = 0.5, failsFrom = failsFrom)
         val written = mutableListOf<Pair<RolloutPhase, Int>>()
         fleet.onStatus = { _, phase -> written += phase to fleet.holdersOfCondemnation().size }
         fleet.tamper = { receiver, beacon -> fleet.received(receiver, beacon) }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/SessionVersionsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/SessionVersionsTest.kt
@@ -77,7 +77,7 @@
         assertEquals(emptyList(), moved)
     }
 
-    /** A fifth of the routers reach neither the store nor a router that reads it in the first second of the roll-out. */
+    /** A fifth of the routers reach neither the store nor another router in the first second of the roll-out. */
     private fun playWithLateReaders(seed: Long, prepare: RelayFleet.() -> Unit = {}): SessionLoad = play(
         fleet = RelayFleet(routers = 15, seed, beaconLoss = 0.05).apply(prepare),
         sessions = SessionLoad.sessions(count = 2_000, seed),
@@ -181,7 +181,8 @@
         rig.pass(22_400)
         assertTrue((1..40).any { rig.serverOf("s-$it") != added.id })
         val sums = OutcomeSums()
-        val report = RolloutReport(order.service, order.version, ageMilliseconds = 22_500, sums, sums, condemned = false)
+        val report =
+            RolloutReport(order.service, order.version, ageMilliseconds = 22_500, sums, sums, condemned = false)
         val beacon = PeerBeacon(VmId("vm-2"), 1, persistentMapOf(), persistentListOf(report))
         rig.on(RelayEvent.BeaconReceived(beacon))
         assertTrue((1..40).all { rig.serverOf("s-$it") == added.id })
