--- a/core/src/test/kotlin/org/quetzalloom/core/relay/SessionVersionsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/SessionVersionsTest.kt
@@ -178,7 +178,7 @@
         rig.pass(22_400)
         assertTrue((1..40).any { rig.serverOf("s-$it") != added.id })
         val sums = OutcomeSums()
-        val report = RolloutReport(order.service, order.version, ageMilliseconds = 22_500, sums, sums, condemned = false)
+        val report = RolloutReport(order.service, order.version, 22_500, sums, sums, condemned = false)
         val beacon = PeerBeacon(VmId("vm-2"), 1, persistentMapOf(), persistentListOf(report))
         rig.on(RelayEvent.BeaconReceived(beacon))
         assertTrue((1..40).all { rig.serverOf("s-$it") == added.id })
