--- a/relay/src/test/kotlin/org/quetzalloom/relay/http/AddressTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/http/AddressTest.kt
@@ -19,7 +19,16 @@
 
     @Test
     fun `a host name or a wrong number is not parsed`() {
-        val wrong = listOf("router.example", "10.1.0", "10.1.0.256", "10.1.0.1.2", "10.1..2", "", "1e1.1.1.1", "-1.1.1.1")
+        val wrong = listOf(
+            "router.example",
+            "10.1.0",
+            "10.1.0.256",
+            "10.1.0.1.2",
+            "10.1..2",
+            "",
+            "1e1.1.1.1",
+            "-1.1.1.1",
+        )
         wrong.forEach { assertNull(Address.parseOrNull("$it:80"), it) }
     }
 
