--- a/relay/src/main/kotlin/org/quetzalloom/relay/reader/FeedAnswerFormat.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/reader/FeedAnswerFormat.kt
@@ -17,6 +17,7 @@
 internal object FeedAnswerFormat {
     private const val NONE = -1L
     private const val REMOVED = -1
+    private const val HEAD_BYTES = 4 * Long.SIZE_BYTES + 1
 
     /** Encodes [answer]. What the records say is left out. */
     fun encode(answer: FeedAnswer): ByteBuf {
@@ -31,8 +32,9 @@
     }
 
     /** Decodes [body]; the records are without entries. Throws [IllegalArgumentException] if [body] is truncated. */
-    fun decode(body: ByteBuf): FeedAnswer = try {
-        FeedAnswer(
+    fun decode(body: ByteBuf): FeedAnswer {
+        require(body.readableBytes() >= HEAD_BYTES) { "the head is truncated" }
+        return FeedAnswer(
             nextOffset = body.readLong(),
             ageMilliseconds = body.readLong(),
             storeFailedMillisecondsAgo = body.readLong().takeUnless { it == NONE },
@@ -40,8 +42,6 @@
             snapshot = body.readBoolean(),
             records = generateSequence { if (body.isReadable) body.readRecord() else null }.toPersistentList(),
         )
-    } catch (problem: IndexOutOfBoundsException) {
-        throw IllegalArgumentException("the answer is truncated", problem)
     }
 
     private fun ByteBuf.writeRecord(record: FeedRecord) {
@@ -52,8 +52,10 @@
     }
 
     private fun ByteBuf.readRecord(): FeedRecord {
+        require(readableBytes() >= Long.SIZE_BYTES + Short.SIZE_BYTES) { "a record is truncated" }
         val offset = readLong()
         val key = readArray(readUnsignedShort()).decodeToString()
+        require(readableBytes() >= Int.SIZE_BYTES) { "a record is truncated" }
         val length = readInt()
         val content = if (length == REMOVED) null else RecordContent(readArray(length))
         return FeedRecord(key, offset, content, entry = null)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/reader/ReaderClient.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/reader/ReaderClient.kt
@@ -7,6 +7,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.FullHttpResponse
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -25,7 +26,7 @@
         val from = effect.from?.let { "&${ReaderPaths.FROM}=$it" }.orEmpty()
         val wait = "${ReaderPaths.WAIT}=${effect.waitMilliseconds}"
         val uri = "${ReaderPaths.FEED}?${ReaderPaths.FEED_NAME}=${effect.feed}&$wait$from"
-        call(reader, uri, effect.readerTimeoutMilliseconds, purpose = "feed ${effect.feed}", onResult) {
+        call(Call(reader, uri, effect.readerTimeoutMilliseconds, purpose = "feed ${effect.feed}"), onResult) {
             FeedAnswerFormat.decode(it)
         }
     }
@@ -33,33 +34,21 @@
     /** Lists the members of the group, as of [generation] or later, through [reader]. */
     public fun listMembers(generation: Long, reader: Address, onResult: (Result<Map<VmId, String>, String>) -> Unit) {
         val uri = "${ReaderPaths.MEMBERS}?${ReaderPaths.GENERATION}=$generation"
-        call(reader, uri, MEMBERS_TIMEOUT_MILLISECONDS, purpose = "members", onResult) { decodeMembers(it) }
+        call(Call(reader, uri, MEMBERS_TIMEOUT_MILLISECONDS, purpose = "members"), onResult) { decodeMembers(it) }
     }
 
-    private fun <T> call(
-        reader: Address,
-        uri: String,
-        timeoutMilliseconds: Long,
-        purpose: String,
-        onResult: (Result<T, String>) -> Unit,
-        decode: (ByteBuf) -> T,
-    ) {
-        val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri, Unpooled.EMPTY_BUFFER)
-        request.headers().set(HttpHeaderNames.HOST, reader.toString())
-        client.call(reader, request, timeoutMilliseconds, purpose) { result ->
-            onResult(
-                result.fold(
-                    success = {
-                        if (it.status() == HttpResponseStatus.OK) decodeOrErr(it.content(), decode) else Err("status ${it.status()}")
-                    },
-                    failure = { Err(it) },
-                ),
-            )
+    private class Call(val reader: Address, val uri: String, val timeoutMilliseconds: Long, val purpose: String)
+
+    private fun <T> call(call: Call, onResult: (Result<T, String>) -> Unit, decode: (ByteBuf) -> T) {
+        val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, call.uri, Unpooled.EMPTY_BUFFER)
+        request.headers().set(HttpHeaderNames.HOST, call.reader.toString())
+        client.call(call.reader, request, call.timeoutMilliseconds, call.purpose) { result ->
+            onResult(result.fold(success = { decodeOrErr(it, decode) }, failure = { Err(it) }))
         }
     }
 
-    private fun <T> decodeOrErr(body: ByteBuf, decode: (ByteBuf) -> T): Result<T, String> = try {
-        Ok(decode(body))
+    private fun <T> decodeOrErr(response: FullHttpResponse, decode: (ByteBuf) -> T): Result<T, String> = try {
+        if (response.status() == HttpResponseStatus.OK) Ok(decode(response.content())) else Err("${response.status()}")
     } catch (problem: IllegalArgumentException) {
         Err("the answer cannot be decoded: ${problem.message}")
     }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/reader/ReaderServer.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/reader/ReaderServer.kt
@@ -59,13 +59,16 @@
 
     private fun feedCallOrNull(call: Long, query: QueryStringDecoder): RelayEvent.FeedAsked? {
         val name = query.parameters()[ReaderPaths.FEED_NAME]?.firstOrNull()
-        val feed = Feed.entries.firstOrNull { it.name == name } ?: return null
-        val wait = query.numberOrNull(ReaderPaths.WAIT) ?: return null
-        return RelayEvent.FeedAsked(call, feed, query.numberOrNull(ReaderPaths.FROM), wait)
+        val feed = Feed.entries.firstOrNull { it.name == name }
+        val wait = query.numberOrNull(ReaderPaths.WAIT)
+        val from = query.numberOrNull(ReaderPaths.FROM)
+        return if (feed == null || wait == null) null else RelayEvent.FeedAsked(call, feed, from, wait)
     }
 
-    private fun encodeMembers(effect: RelayEffect.AnswerMembers): ByteBuf =
-        text(effect.addresses.orEmpty().entries.joinToString("") { (vm, address) -> "$vm ${address.ifEmpty { "$ownAddress" }}\n" })
+    private fun encodeMembers(effect: RelayEffect.AnswerMembers): ByteBuf {
+        val lines = effect.addresses.orEmpty().map { (vm, address) -> "$vm ${address.ifEmpty { "$ownAddress" }}\n" }
+        return text(lines.joinToString(""))
+    }
 
     private fun QueryStringDecoder.numberOrNull(name: String): Long? =
         parameters()[name]?.firstOrNull()?.toLongOrNull()
