--- a/core/src/test/kotlin/org/quetzalloom/core/relay/ReaderFleet.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/ReaderFleet.kt
@@ -20,7 +20,7 @@
         routers,
         seed = System.getProperty("seed")?.toLong() ?: seed,
         reducer = reducer,
-        settings = { RelayRig.settings(it.value).copy(changeBoundMilliseconds = bound) },
+        initialState = { RelayState.initial(RelayRig.settings(it.value).copy(changeBoundMilliseconds = bound)) },
     ).apply {
         write(Feed.ORDERS, FeedEntry.Configuration(RelayRig.table))
         write(Feed.SERVERS, *RelayRig.plainServers.map { FeedEntry.Server(it) }.toTypedArray())
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RelayFleet.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RelayFleet.kt
@@ -21,18 +21,16 @@
  * @param routers the number of routers.
  * @param seed the seed of all delays and losses.
  * @param beaconLoss the share of beacons that are lost, from 0 to 1.
- * @param policies the decision rules of all routers.
  * @param reducer the reducer of all routers.
- * @param settings the settings of a router.
+ * @param initialState the state of a router that has just started.
  * @param respond the response to each attempt, from the backend server's id and the time since the start.
  */
 class RelayFleet(
     routers: Int,
     seed: Long,
     private val beaconLoss: Double = 0.0,
-    private val policies: RelayPolicies = RelayPolicies(),
     private val reducer: Reducer<RelayState, RelayEvent, RelayEffect> = RelayReducer,
-    private val settings: (VmId) -> RelaySettings = { RelayRig.settings(it.value) },
+    private val initialState: (VmId) -> RelayState = { RelayState.initial(RelayRig.settings(it.value)) },
     private val respond: (server: String, elapsed: Long) -> ResponseHead = { _, _ -> ResponseHead(status = 200) },
 ) {
     private class Pending(val at: Timestamp, val order: Long, val vm: VmId, val event: RelayEvent)
@@ -100,8 +98,6 @@
     fun arrive(vm: VmId, request: RelayRequest): Unit =
         deliver(vm, RelayEvent.RequestArrived(ExchangeId(++requests), request.copy(callerId = "f-$requests")))
 
-    private fun initialState(vm: VmId) = RelayState.initial(settings(vm), policies)
-
     /** Lets [vm] stand still: reads that wait at it fail only by their timeouts. */
     fun pause(vm: VmId) {
         paused += vm
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/SessionVersionsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/SessionVersionsTest.kt
@@ -142,7 +142,9 @@
 
     private fun exposureWithHeavySession(name: String, policy: ExposurePolicy): Double {
         val heavy = SessionLoad.Session(name, startsAt = 10_600, count = 1_000, interval = 21)
-        val fleet = RelayFleet(routers = 9, seed = 1, policies = RelayPolicies(exposure = policy)) { _, _ ->
+        val policies = RelayPolicies(exposure = policy)
+        val initial = { vm: VmId -> RelayState.initial(RelayRig.settings(vm.value), policies) }
+        val fleet = RelayFleet(routers = 9, seed = 1, initialState = initial) { _, _ ->
             ResponseHead(status = 200)
         }
         val load = play(fleet, SessionLoad.sessions(count = 2_500, seed = 2) + heavy)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/reader/ReaderClient.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/reader/ReaderClient.kt
@@ -43,7 +43,7 @@
         val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, call.uri, Unpooled.EMPTY_BUFFER)
         request.headers().set(HttpHeaderNames.HOST, call.reader.toString())
         client.call(call.reader, request, call.timeoutMilliseconds, call.purpose) { result ->
-            onResult(result.fold(success = { decodeOrErr(it, decode) }, failure = { Err(it) }))
+            onResult(result.fold(success = { decodeOrErr(it, decode) }, failure = { Err(it.problem) }))
         }
     }
 
