Let records that are too large for a reader's link come from the store

An answer with more than 32 KB of records now tells the caller to read the store, which is one call each. So are the first records of large fleets.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
@@ -120,6 +120,7 @@
      * @property storeFailedMillisecondsAgo how long before its response a read of the feed by the reader had failed, or
      *   `null` if none had lately.
      * @property generation the generation of the group that the reader knew of; 0 if it is not told.
+     * @property tooLarge whether the reader has records that are too large to be passed on; [entries] is empty then.
      */
     public data class FeedRead(
         public val feed: Feed,
@@ -132,6 +133,7 @@
         public val ageMilliseconds: Long = 0,
         public val storeFailedMillisecondsAgo: Long? = null,
         public val generation: Long = 0,
+        public val tooLarge: Boolean = false,
     ) : RelayEvent
 
     /**
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/AnswersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/AnswersPart.kt
@@ -1,5 +1,6 @@
 package org.quetzalloom.core.relay.access
 
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 import org.quetzalloom.core.reducer.then
 import org.quetzalloom.core.reducer.thenEach
@@ -27,6 +28,12 @@
     /** Failures of the store longer ago are not told, as nobody acts on them. */
     private const val TOLD_FAILURE_MILLISECONDS = 10_000L
 
+    /**
+     * The maximum size of the records in an answer. Many callers that wait for larger ones would share the link of one
+     * VM, while the store has a faster one.
+     */
+    private const val MAXIMUM_ANSWER_BYTES = 32 * 1_024
+
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
         is RelayEvent.FeedRead -> state.keep(event).answerWaiting(now)
         is RelayEvent.FeedAsked -> state.feedAsked(event, now)
@@ -76,7 +83,7 @@
         val buffer = readers.buffers[call.feed]
         val age = feedAge(call.feed, now)
         val answer = if (buffer == null || age == null) null else answer(call, buffer, age, now)
-        return RelayEffect.AnswerFeed(call.call, answer)
+        return RelayEffect.AnswerFeed(call.call, answer?.withoutLargeRecords(call.from))
     }
 
     private fun RelayState.answer(call: WaitingCall, buffer: FeedBuffer, age: Long, now: Timestamp): FeedAnswer =
@@ -89,6 +96,12 @@
             generation = members.generation,
         )
 
+    private fun FeedAnswer.withoutLargeRecords(from: Long?): FeedAnswer {
+        val bytes = records.sumOf { it.content?.size ?: 0 }
+        if (bytes <= MAXIMUM_ANSWER_BYTES) return this
+        return copy(records = persistentListOf(), nextOffset = from ?: 0, snapshot = false, tooLarge = true)
+    }
+
     private fun RelayState.storeFailureAge(feed: Feed, now: Timestamp): Long? =
         readers.failedAt[feed]?.let { now - it }?.takeIf { it <= TOLD_FAILURE_MILLISECONDS }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/DueReads.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/DueReads.kt
@@ -12,7 +12,8 @@
 internal fun RelayState.isReadDue(feed: Feed, now: Timestamp): Boolean {
     val cursor = feeds.of(feed)
     val mayRead = now >= cursor.dueAt && !isBusy(cursor, now) && isWanted(feed, now)
-    return mayRead && (readerOrNull(now) != null || mayReadStore(feed, now))
+    val throughReader = !cursor.readStore && readerOrNull(now) != null
+    return mayRead && (throughReader || mayReadStore(feed, now))
 }
 
 private fun RelayState.isWanted(feed: Feed, now: Timestamp): Boolean = !awaitsMembers(now) &&
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedAnswer.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedAnswer.kt
@@ -10,6 +10,7 @@
  * @property snapshot whether the caller is to forget keys that are not in [records].
  * @property ageMilliseconds how long ago the store was read.
  * @property storeFailedMillisecondsAgo how long ago a read of the feed last failed, or `null` if none has lately.
+ * @property tooLarge whether the caller is to read the store instead, as the records are too large to be passed on.
  * @property generation the last known generation of the group of routers.
  */
 public data class FeedAnswer(
@@ -19,4 +20,5 @@
     public val ageMilliseconds: Long,
     public val storeFailedMillisecondsAgo: Long?,
     public val generation: Long,
+    public val tooLarge: Boolean = false,
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
@@ -31,7 +31,7 @@
     private fun RelayState.readIfDue(feed: Feed, now: Timestamp): RelayStep {
         if (!isReadDue(feed, now)) return unchanged()
         val cursor = feeds.of(feed)
-        val reader = readerOrNull(now)
+        val reader = readerOrNull(now).takeUnless { cursor.readStore }
         val wait = if (reader == null) settings.readWait(feed) else settings.readerWaitMilliseconds
         val next = cursor.copy(reading = true, sentAt = now, waitMilliseconds = wait, reader = reader)
         return copy(feeds = feeds.with(feed, next)).with(
@@ -51,6 +51,10 @@
         if (!cursor.expects(event.throughReader)) {
             return copy(feeds = feeds.with(event.feed, cursor.copy(nextOffset = nextOffset))).unchanged()
         }
+        if (event.tooLarge) {
+            val retry = cursor.copy(reading = false, readStore = true, dueAt = now)
+            return copy(feeds = feeds.with(event.feed, retry)).unchanged()
+        }
         val next = FeedCursor(
             nextOffset = nextOffset,
             dueAt = cursor.nextReadAt(event, settings, now),
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/RecordContent.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/RecordContent.kt
@@ -4,6 +4,9 @@
 public class RecordContent(bytes: ByteArray) {
     private val bytes = bytes.copyOf()
 
+    /** The number of bytes. */
+    public val size: Int get() = bytes.size
+
     /** Returns a copy of the bytes. */
     public fun toByteArray(): ByteArray = bytes.copyOf()
 
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/ReadersTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/ReadersTest.kt
@@ -1,8 +1,13 @@
 package org.quetzalloom.core.relay
 
+import kotlinx.collections.immutable.persistentListOf
 import org.junit.jupiter.api.Test
 import org.quetzalloom.core.relay.feed.Feed
 import org.quetzalloom.core.relay.feed.FeedAnswer
+import org.quetzalloom.core.relay.feed.FeedEntry
+import org.quetzalloom.core.relay.feed.FeedRecord
+import org.quetzalloom.core.relay.feed.RecordContent
+import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
 /** One router reads the store for all, at a few calls a second whatever the size of the fleet. */
@@ -28,6 +33,27 @@
         assertTrue(calls.all { it <= 1 }, "$calls")
     }
 
+    /** Configurations of thousands of routes were late where the link of the reader's VM was narrow. */
+    @Test
+    fun `records that are too large for a reader's link are read from the store`() {
+        val rig = RelayRig()
+        val large = FeedRecord("config", offset = 4, RecordContent(ByteArray(100_000)), entry = null)
+        rig.on(RelayEvent.FeedRead(Feed.ORDERS, emptyList(), nextOffset = 5, snapshot = true, records = listOf(large)))
+        val answers = rig.on(RelayEvent.FeedAsked(1, Feed.ORDERS, from = null, waitMilliseconds = 0))
+        assertEquals(true, answers.only<RelayEffect.AnswerFeed>().answer?.tooLarge)
+        assertTrue(answers.only<RelayEffect.AnswerFeed>().answer?.records.isNullOrEmpty())
+
+        val fleet = ReaderFleet(routers = 7).fleet
+        val calls = fleet.storeCalls
+        fleet.tamperAnswer = { _, feed, answer ->
+            if (feed == Feed.ORDERS) answer.copy(records = persistentListOf(), tooLarge = true) else answer
+        }
+        fleet.write(Feed.ORDERS, FeedEntry.Configuration(RelayRig.table.copy(version = RelayRig.table.version + 1)))
+        fleet.pass(2_000)
+        assertTrue(fleet.vms.all { fleet.states.getValue(it).configurationVersion == RelayRig.table.version + 1 })
+        assertTrue(fleet.storeCalls > calls)
+    }
+
     @Test
     fun `a change is known everywhere at once while the reader answers`() {
         for (routers in listOf(1, 2, 7, 40)) {
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RelayFleet.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RelayFleet.kt
@@ -202,6 +202,7 @@
                 ageMilliseconds = it.ageMilliseconds,
                 storeFailedMillisecondsAgo = it.storeFailedMillisecondsAgo,
                 generation = it.generation,
+                tooLarge = it.tooLarge,
             )
         }
     }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/reader/FeedAnswerFormat.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/reader/FeedAnswerFormat.kt
@@ -10,14 +10,14 @@
 /**
  * The binary format of [FeedAnswer] between routers.
  *
- * Four numbers of 8 bytes (next offset, age, age of the last failure or -1, generation) and a byte that is 1 for a
- * snapshot. Each record follows with its offset (8 bytes), the length of its key (2 bytes), the key, the length of its
+ * Four numbers of 8 bytes (next offset, age, age of the last failure or -1, generation), a byte that is 1 for a snapshot,
+ * and one that is 1 if the records are too large. Each record follows with its offset (8 bytes), the length of its key (2 bytes), the key, the length of its
  * content (4 bytes; -1 if the key is removed) and the content.
  */
 internal object FeedAnswerFormat {
     private const val NONE = -1L
     private const val REMOVED = -1
-    private const val HEAD_BYTES = 4 * Long.SIZE_BYTES + 1
+    private const val HEAD_BYTES = 4 * Long.SIZE_BYTES + 2
 
     /** Encodes [answer]. What the records say is left out. */
     fun encode(answer: FeedAnswer): ByteBuf {
@@ -27,6 +27,7 @@
             .writeLong(answer.storeFailedMillisecondsAgo ?: NONE)
             .writeLong(answer.generation)
             .writeBoolean(answer.snapshot)
+            .writeBoolean(answer.tooLarge)
         answer.records.forEach { body.writeRecord(it) }
         return body
     }
@@ -40,6 +41,7 @@
             storeFailedMillisecondsAgo = body.readLong().takeUnless { it == NONE },
             generation = body.readLong(),
             snapshot = body.readBoolean(),
+            tooLarge = body.readBoolean(),
             records = generateSequence { if (body.isReadable) body.readRecord() else null }.toPersistentList(),
         )
     }
