--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedCursor.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedCursor.kt
@@ -17,8 +17,8 @@
  *   reader, that is when the reader read them.
  * @property sentAt when the last read was sent.
  * @property waitMilliseconds how long the last read may have waited for records.
- * @property readStore whether the next read goes to the store, as the reader has records that are too large to be passed
- *   on.
+ * @property readStore whether the next read goes to the store, as the reader has records that are too large to be
+ *   passed on.
  * @property reader the router through which the last read was sent, or `null` if it was sent to the store.
  */
 internal data class FeedCursor(
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
@@ -51,10 +51,21 @@
         if (!cursor.expects(event.throughReader)) {
             return copy(feeds = feeds.with(event.feed, cursor.copy(nextOffset = nextOffset))).unchanged()
         }
-        if (event.tooLarge) {
-            val retry = cursor.copy(reading = false, readStore = true, dueAt = now)
-            return copy(feeds = feeds.with(event.feed, retry)).unchanged()
+        return if (event.tooLarge) {
+            copy(
+                feeds = feeds.with(event.feed, cursor.copy(reading = false, readStore = true, dueAt = now))
+            ).unchanged()
+        } else {
+            advance(cursor, event, nextOffset, now)
         }
+    }
+
+    private fun RelayState.advance(
+        cursor: FeedCursor,
+        event: RelayEvent.FeedRead,
+        nextOffset: Long,
+        now: Timestamp,
+    ): RelayStep {
         val next = FeedCursor(
             nextOffset = nextOffset,
             dueAt = cursor.nextReadAt(event, settings, now),
