--- a/review/standins-2/src/Deployment.java
+++ b/review/standins-2/src/Deployment.java
@@ -112,7 +112,13 @@
         }
 
         Socket connect() throws IOException {
+            return connect(0);
+        }
+
+        /** Connects with a window of some bytes, or with the usual one if that is 0. */
+        Socket connect(int windowBytes) throws IOException {
             Socket socket = new Socket();
+            if (windowBytes > 0) socket.setReceiveBufferSize(windowBytes);
             socket.setTcpNoDelay(true);
             socket.connect(new InetSocketAddress(ip, callers), 1_000);
             return socket;
