--- a/review/standins-2/src/NamedHeaders.java
+++ b/review/standins-2/src/NamedHeaders.java
@@ -12,7 +12,7 @@
  */
 public final class NamedHeaders {
     private static final int MACHINES = 2;
-    private static final int CLIENTS = Integer.getInteger("clients", 20);
+    private static final int CLIENTS = 60;
     private static final int TIMEOUT_MILLISECONDS = 1_500;
     private static final int SLACK_MILLISECONDS = 500;
     private static final int HEADER_BYTES = 16_384;
