--- a/review/standins-2/src/EndlessLines.java
+++ b/review/standins-2/src/EndlessLines.java
@@ -16,7 +16,7 @@
 public final class EndlessLines {
     private static final int MACHINES = 2;
     private static final int REPLICAS = 4;
-    private static final int STREAM_CLIENTS = 2;
+    private static final int STREAM_CLIENTS = 16;
     private static final int ORDINARY_CLIENTS = 5;
     private static final int TIMEOUT_MILLISECONDS = 1_500;
     private static final int SLACK_MILLISECONDS = 500;
