--- a/review/standins-2/src/UnreadAnswers.java
+++ b/review/standins-2/src/UnreadAnswers.java
@@ -12,7 +12,7 @@
  */
 public final class UnreadAnswers {
     private static final int MACHINES = 2;
-    private static final int CLIENTS = Integer.getInteger("clients", 4);
+    private static final int CLIENTS = 4;
     private static final int BODY_BYTES = 4_800;
     private static final int ENDS_THAT_BREAK_THE_RULE = 3;
     /** Links have small windows. */
