Log when a router's knowledge of a feed has become too old

Three causes were possible: a read whose result is lost, a read of the store that is not due, and a reader with old records. feed_stale now tells them apart: it has the age, whether a read is under way, since when and through whom, whether the records are too large to be passed on, and when the store may be read next. feed_recent ends it, and the gauge quetzalloom_relay_stale_feeds counts the feeds that are too old.

No decision changes.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
@@ -13,6 +13,7 @@
 import org.quetzalloom.core.relay.crash.QuarantineEndsPart
 import org.quetzalloom.core.relay.exchange.ExchangesPart
 import org.quetzalloom.core.relay.feed.FeedsPart
+import org.quetzalloom.core.relay.feed.FreshnessPart
 import org.quetzalloom.core.relay.forecast.ForecastsPart
 import org.quetzalloom.core.relay.member.MembersPart
 import org.quetzalloom.core.relay.peer.PeersPart
@@ -42,6 +43,7 @@
         StorePathPart,
         ReadersPart,
         FeedsPart,
+        FreshnessPart,
         AnswersPart,
         RoutingPart,
         ServersPart,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
@@ -62,6 +62,9 @@
      */
     public fun feedAge(feed: Feed, now: Timestamp): Long? = feeds.of(feed).readAt?.let { now - it }
 
+    /** The number of feeds of which too little has been read lately. */
+    public val staleFeeds: Int get() = feeds.staleSince.size
+
     /** Returns a key of [workspace], or `null` if none is known. */
     public fun keyOfOrNull(workspace: String): String? =
         routing?.workspacesByKey?.entries?.firstOrNull { it.value.value == workspace }?.key
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsState.kt
@@ -1,11 +1,19 @@
 package org.quetzalloom.core.relay.feed
 
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentMap
+import org.quetzalloom.core.time.Timestamp
 
-/** The cursor of each feed. */
+/**
+ * What this router knows of the feeds.
+ *
+ * @property cursors the cursor of each feed.
+ * @property staleSince the feeds of which too little has been read lately, and since when.
+ */
 internal data class FeedsState(
     val cursors: PersistentMap<Feed, FeedCursor> = Feed.entries.associateWith { FeedCursor() }.toPersistentMap(),
+    val staleSince: PersistentMap<Feed, Timestamp> = persistentMapOf(),
 ) {
     /** Returns the cursor of [feed]. */
     fun of(feed: Feed): FeedCursor = cursors[feed] ?: FeedCursor()
--- a/relay/src/main/kotlin/org/quetzalloom/relay/report/RelayMetrics.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/report/RelayMetrics.kt
@@ -43,6 +43,7 @@
     init {
         gauge("quetzalloom_relay_active_requests", "Requests in flight.") { it.activeExchanges.toDouble() }
         gauge("quetzalloom_relay_backend_servers", "Backend servers known.") { it.knownServers.toDouble() }
+        gauge("quetzalloom_relay_stale_feeds", "Feeds of the store that are too old.") { it.staleFeeds.toDouble() }
         gauge("quetzalloom_relay_configuration_version", "Version of the current configuration, or -1.") {
             it.configurationVersion?.toDouble() ?: -1.0
         }
