Show that a router that was cut off from the store stays behind large configurations

The store of the fleet in the tests now loses calls that go through a router to which the link is cut.

--- a/core/src/test/kotlin/org/quetzalloom/core/relay/FleetStore.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/FleetStore.kt
@@ -11,9 +11,13 @@
 /**
  * The platform's store of a [RelayFleet]: feeds with waiting reads, and the group of routers.
  *
+ * @param isCut returns whether nothing arrives from one router at another.
  * @param deliver delivers a response to a router, after at least the given number of milliseconds.
  */
-internal class FleetStore(private val deliver: (VmId, RelayEvent, Long) -> Unit) {
+internal class FleetStore(
+    private val isCut: (VmId, VmId) -> Boolean = { _, _ -> false },
+    private val deliver: (VmId, RelayEvent, Long) -> Unit,
+) {
     private class Read(val vm: VmId, val effect: RelayEffect.ReadFeed, val until: Timestamp)
 
     private class Silence(val vm: VmId, val event: RelayEvent, val until: Timestamp)
@@ -25,6 +29,9 @@
     val refused: MutableSet<VmId> = mutableSetOf()
     val silentTo: MutableSet<VmId> = mutableSetOf()
     var isDown = false
+
+    /** The size of a configuration that is written from now on. */
+    var configurationBytes = 0
     var responseMilliseconds = 0L
 
     /** The calls so far without joins, refused ones included, and the joins. */
@@ -98,12 +105,13 @@
 
     private fun fails(vm: VmId, failure: RelayEvent, timeout: Timestamp): Boolean {
         val path = paths[vm] ?: vm
+        val silent = path in silentTo || path != vm && (isCut(vm, path) || isCut(path, vm))
         val refuses = isDown || path in refused
         when {
-            path in silentTo -> silences += Silence(vm, failure, timeout)
+            silent -> silences += Silence(vm, failure, timeout)
             refuses -> deliver(vm, failure, 0)
         }
-        return refuses || path in silentTo
+        return refuses || silent
     }
 
     private fun respond(vm: VmId, effect: RelayEffect.ReadFeed) {
@@ -134,6 +142,7 @@
     private fun FeedEntry.content(number: Int): RecordContent? = when (this) {
         is FeedEntry.ServerRemoved, is FeedEntry.RolloutRemoved -> null
         is FeedEntry.Evacuation -> if (active) RecordContent("$number".toByteArray()) else null
+        is FeedEntry.Configuration -> RecordContent("$number".padEnd(configurationBytes).toByteArray())
         else -> RecordContent("$number".toByteArray())
     }
 
