Show that callers of routers that reach no backend server are not served

The fleet of the tests learns to cut routers off from servers, with kept connections that hang and new ones that fail late, or at once.

--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RelayFleet.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RelayFleet.kt
@@ -66,6 +66,12 @@
     /** The links on which nothing arrives, from sender to receiver. */
     val cutLinks: MutableSet<Pair<VmId, VmId>> = mutableSetOf()
 
+    /** The routers that reach no backend server, and how their attempts end. */
+    val cutFromServers: MutableMap<VmId, ServerCut> = mutableMapOf()
+
+    /** Called when a request at a router has ended, with whether it was answered by a backend server. */
+    var onEnd: (vm: VmId, exchange: ExchangeId, served: Boolean) -> Unit = { _, _, _ -> }
+
     /** The share of calls between routers that get no answer, and of those whose answer arrives twice. */
     var callLoss = 0.0
     var doubled = 0.0
@@ -98,8 +104,9 @@
     fun write(feed: Feed, vararg entries: FeedEntry): Unit = store.write(feed, entries.toList())
 
     /** Delivers [request] to the router [vm]. */
-    fun arrive(vm: VmId, request: RelayRequest): Unit =
-        deliver(vm, RelayEvent.RequestArrived(ExchangeId(++requests), request.copy(callerId = "f-$requests")))
+    fun arrive(vm: VmId, request: RelayRequest): ExchangeId = ExchangeId(++requests).also {
+        deliver(vm, RelayEvent.RequestArrived(it, request.copy(callerId = "f-$requests")))
+    }
 
     /** Lets [vm] stand still: reads that wait at it fail only by their timeouts. */
     fun pause(vm: VmId) {
@@ -154,17 +161,29 @@
     private fun carryOutRequest(vm: VmId, effect: RelayEffect) {
         when (effect) {
             is RelayEffect.Send -> send(vm, effect)
-            is RelayEffect.ForwardResponse -> deliver(vm, RelayEvent.ResponseFinished(effect.exchange, effect.attempt))
+            is RelayEffect.ForwardResponse -> {
+                deliver(vm, RelayEvent.ResponseFinished(effect.exchange, effect.attempt))
+                end(vm, effect.exchange, ResponseHead(SUCCESS))
+            }
+            is RelayEffect.Refuse ->
+                end(vm, effect.exchange, ResponseHead(effect.kind.status, signed = false))
+            is RelayEffect.AbortResponse -> end(vm, effect.exchange, head = null)
             else -> Unit
         }
     }
 
     private fun send(vm: VmId, effect: RelayEffect.Send) {
-        val server = effect.parameters.server.value
-        states.getValue(vm).exchanges.byId[effect.exchange]?.let { onSend(it.request, server) }
-        deliver(vm, RelayEvent.ResponseStarted(effect.exchange, effect.attempt, respond(server, elapsed)))
+        val server = effect.parameters.server
+        val cut = cutFromServers[vm]
+        if (cut != null) return cut.send(server.value, effect) { event, delay -> deliver(vm, event, delay) }
+        states.getValue(vm).exchanges.byId[effect.exchange]?.let { onSend(it.request, server.value) }
+        deliver(vm, RelayEvent.ResponseStarted(effect.exchange, effect.attempt, respond(server.value, elapsed)))
     }
 
+    /** Handles the end of a request at [vm] with a response, or without one if [head] is `null`. */
+    private fun end(vm: VmId, exchange: ExchangeId, head: ResponseHead?): Unit =
+        onEnd(vm, exchange, head?.status == SUCCESS)
+
     private fun setPath(vm: VmId, viaRouter: VmId?) {
         if (viaRouter == null) store.paths.remove(vm) else store.paths[vm] = viaRouter
     }
@@ -246,5 +265,6 @@
         const val LONGEST_DELAY = 12L
         const val LATEST_START = 300L
         const val MEMBERS_TIMEOUT = 2_500L
+        const val SUCCESS = 200
     }
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/SessionLoad.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/SessionLoad.kt
@@ -79,7 +79,9 @@
         fleet.write(Feed.ORDERS, FeedEntry.Rollout(RolloutOrder(RelayRig.plain, "v2", DURATION)))
     }
 
-    private fun send(vm: VmId, session: String): Unit = fleet.arrive(vm, RelayRig.read.copy(session = session))
+    private fun send(vm: VmId, session: String) {
+        fleet.arrive(vm, RelayRig.read.copy(session = session))
+    }
 
     private fun observe(session: String?, isNew: Boolean) {
         val age = fleet.elapsed - orderedAt
