--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsState.kt
@@ -20,7 +20,7 @@
     /** Returns the cursor of [feed]. */
     fun of(feed: Feed): FeedCursor = cursors[feed] ?: FeedCursor()
 
-    /** Returns the state after the store has answered a call at [now]. If it had been away, all feeds may read it now. */
+    /** Returns the state after the store has answered a call at [now]; if it had been away, all feeds may read it. */
     fun storeAnswered(now: Timestamp): FeedsState = when {
         store.failures == 0 -> this
         store.isAway -> FeedsState(
