Reject responses whose status line is invalid

Cause: the head was checked after it had been decoded, and the decoder parses any number as a status: 000, 0200 and +200 passed, and so did controls before the status line. The raw status line is now checked before it is decoded, for servers, the store and other routers, which are read with the same decoder. A switch of protocols, which no request asks for, is invalid too.

--- a/daemon/src/test/kotlin/org/quetzalloom/daemon/client/EngineResponsesTest.kt
+++ b/daemon/src/test/kotlin/org/quetzalloom/daemon/client/EngineResponsesTest.kt
@@ -41,6 +41,14 @@
         it == broken || it == answered("first") || it == answered("second")
     }
 
+    @Test
+    fun `a stream with an odd head fails the attempt`() {
+        val rest = "X-Start-Identity: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n" +
+            events("first").joinToString("")
+        val heads = listOf("000 OK", "600 OK")
+        assertEquals(heads.associateWith { broken }, heads.associateWith { outcomeOf("HTTP/1.1 $it\r\n$rest") })
+    }
+
     @Test
     fun `a stream that ends early fails the attempt`() {
         check(withoutLength("first"), second = "")
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/ResponseDecoder.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/ResponseDecoder.kt
@@ -20,8 +20,8 @@
 /**
  * Decodes responses. It has to know the request method, because a response to `HEAD` has a length but no body.
  *
- * The [decoder result][HttpObject.decoderResult] of a head or of trailers that [ResponseValidator] rejects, of a head
- * with a line that is no header, and of a chunk whose size is followed by a status line, is a failure.
+ * The [decoder result][HttpObject.decoderResult] of a head that [HeadLines] or [ResponseValidator] rejects, of trailers
+ * that the latter rejects, and of a chunk whose size is followed by a status line, is a failure.
  *
  * @param singleHeaders headers that a response has at most once, in addition to those of HTTP.
  */
@@ -56,7 +56,8 @@
 
     override fun decode(context: ChannelHandlerContext, input: ByteBuf, output: MutableList<Any>) {
         if (!responseExpected) return reject(input, output, "the bytes belong to no response")
-        if (!insideBody && headLines.hasLineWithoutColon(input)) return reject(input, output, "a line is no header")
+        val headProblem = if (insideBody) null else headLines.problemOrNull(input)
+        if (headProblem != null) return reject(input, output, headProblem)
         val inputBefore = input.readerIndex()
         val decodedBefore = output.size
         val wasInsideBody = insideBody
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/ResponseValidator.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/ResponseValidator.kt
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.toPersistentSet
@@ -21,6 +22,7 @@
         val version = response.protocolVersion()
         return when {
             version != HttpVersion.HTTP_1_1 && version != HttpVersion.HTTP_1_0 -> "the version is $version"
+            response.status() == HttpResponseStatus.SWITCHING_PROTOCOLS -> "it switches to another protocol"
             EmbeddedHead.hasStatusLine(response.status().reasonPhrase()) -> "the reason phrase contains a status line"
             else -> headersProblemOrNull(response.headers())
         }
--- a/relay/src/test/kotlin/org/quetzalloom/relay/http/ResponseDecoderTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/http/ResponseDecoderTest.kt
@@ -58,6 +58,28 @@
         "RTSP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n",
     )
 
+    @Test
+    fun `a status outside 100 to 599 or of another form is invalid`() = assertInvalid(
+        "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 099 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 600 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 999 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 0200 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 +200 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 -200 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 20 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1  200 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1\t200 OK\r\nContent-Length: 0\r\n\r\n",
+        " HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        "\u0000HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+    )
+
+    @Test
+    fun `a switch to another protocol is invalid`() = assertInvalid(
+        "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\nConnection: upgrade\r\n\r\n",
+    )
+
     @Test
     fun `a head with a line that is no header is invalid`() {
         assertInvalid(withHeaders("this is no header"), withHeaders("A: 1", "word"), withHeaders("a b", "A: 1"))
