Reject responses with a header whose name is no token

It could happen here: the decoder ends a name at the first blank, so that 'No te: a' became 'No: a', and 'Transfer-Encoding x: chunked' changed how the body was read. The raw names are now checked before they are decoded. Folded lines stay valid, but not before the first header.

OddHeadsTest and ResponseDecoderTest failed on these heads before and pass.

--- a/daemon/src/test/kotlin/org/quetzalloom/daemon/client/EngineResponsesTest.kt
+++ b/daemon/src/test/kotlin/org/quetzalloom/daemon/client/EngineResponsesTest.kt
@@ -45,7 +45,7 @@
     fun `a stream with an odd head fails the attempt`() {
         val rest = "X-Start-Identity: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n" +
             events("first").joinToString("")
-        val heads = listOf("000 OK", "600 OK")
+        val heads = listOf("000 OK", "600 OK", "200 OK\r\nNo te: a", "200 OK\r\nNo\u0001te: a")
         assertEquals(heads.associateWith { broken }, heads.associateWith { outcomeOf("HTTP/1.1 $it\r\n$rest") })
     }
 
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/HeadLines.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/HeadLines.kt
@@ -4,7 +4,7 @@
 
 /**
  * Checks the lines of a response's head before they are decoded. The decoder takes any number for a status, skips
- * controls before the status line, and takes a line without a colon for a header.
+ * controls before the status line, and ends the name of a header at the first blank.
  */
 internal class HeadLines {
     private var startLineRead = false
@@ -40,7 +40,7 @@
         isContinuation(input, start) -> "a line continues no header".takeUnless { headerRead }
         else -> {
             headerRead = true
-            "a line is no header".takeUnless { input.indexOf(start, end, COLON) >= 0 }
+            "a line is no header".takeUnless { hasName(input, start, end) }
         }
     }
 
@@ -53,6 +53,16 @@
     private fun isContinuation(input: ByteBuf, start: Int): Boolean =
         input.getByte(start) == SPACE || input.getByte(start) == TAB
 
+    /** Returns whether the line begins with a token and a colon. */
+    private fun hasName(input: ByteBuf, start: Int, end: Int): Boolean {
+        val colon = input.indexOf(start, end, COLON)
+        return colon > start && (start until colon).all { isTokenCharacter(input.getByte(it)) }
+    }
+
+    private fun isTokenCharacter(byte: Byte): Boolean = byte.toInt().toChar().let {
+        it in 'a'..'z' || it in 'A'..'Z' || it in '0'..'9' || it in "!#$%&'*+-.^_`|~"
+    }
+
     private companion object {
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
--- a/relay/src/test/kotlin/org/quetzalloom/relay/OddHeadsTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/OddHeadsTest.kt
@@ -16,6 +16,10 @@
         "HTTP/1.1 000 OK",
         "HTTP/1.1 000",
         "HTTP/1.1 0200 OK",
+        "HTTP/1.1 200 OK\r\nNo te: a",
+        "HTTP/1.1 200 OK\r\nNo\u0001te: a",
+        "HTTP/1.1 200 OK\r\nContent-Length : 1",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding x: chunked",
     )
 
     @Test
--- a/relay/src/test/kotlin/org/quetzalloom/relay/http/ResponseDecoderTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/http/ResponseDecoderTest.kt
@@ -80,6 +80,27 @@
         "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\nConnection: upgrade\r\n\r\n",
     )
 
+    @Test
+    fun `a header whose name is no token is invalid`() {
+        assertInvalid(
+            withHeaders("No te: a"),
+            withHeaders("Note : a"),
+            withHeaders("Note\t: a"),
+            withHeaders("No\u0001te: a"),
+            withHeaders("No\u0000te: a"),
+            withHeaders("No\rte: a"),
+            withHeaders("No\u007fte: a"),
+            withHeaders("No\u00e9te: a"),
+            withHeaders("No\"te: a"),
+            withHeaders("Content-Length x: 1"),
+            withHeaders("Transfer-Encoding x: chunked"),
+            "HTTP/1.1 200 OK\r\n Note: a\r\nContent-Length: 2\r\n\r\nok",
+        )
+        val split = withHeaders("A: 1", "No te: a")
+        assertEquals(emptyList(), split.indices.filter { cut -> decode(split.take(cut), split.drop(cut)).valid })
+        assertSound(withHeaders("!#$%&'*+-.^_`|~09azAZ: a"))
+    }
+
     @Test
     fun `a head with a line that is no header is invalid`() {
         assertInvalid(withHeaders("this is no header"), withHeaders("A: 1", "word"), withHeaders("a b", "A: 1"))
