--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/HeadLines.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/HeadLines.kt
@@ -14,17 +14,10 @@
      * Returns what is wrong with the next whole lines of [input], up to the end of the head; `null` if they are sound.
      * The decoder must consume these lines before the next call.
      */
-    fun problemOrNull(input: ByteBuf): String? {
-        var start = input.readerIndex()
-        var end = input.indexOf(start, input.writerIndex(), LINE_FEED)
-        var problem: String? = null
-        while (problem == null && end >= 0 && (!startLineRead || !isBlank(input, start, end))) {
-            if (!isBlank(input, start, end)) problem = lineProblemOrNull(input, start, end)
-            start = end + 1
-            end = input.indexOf(start, input.writerIndex(), LINE_FEED)
-        }
-        return problem
-    }
+    fun problemOrNull(input: ByteBuf): String? = wholeLines(input)
+        .takeWhile { !startLineRead || !isBlank(input, it) }
+        .filterNot { isBlank(input, it) }
+        .firstNotNullOfOrNull { lineProblemOrNull(input, it) }
 
     /** Starts anew for the head of the next message. */
     fun reset() {
@@ -32,31 +25,40 @@
         headerRead = false
     }
 
-    private fun lineProblemOrNull(input: ByteBuf, start: Int, end: Int): String? = when {
+    /** Returns the ranges of the lines of [input] that end, each without its line feed. */
+    private fun wholeLines(input: ByteBuf): Sequence<IntRange> {
+        fun lineAt(start: Int): IntRange? =
+            input.indexOf(start, input.writerIndex(), LINE_FEED).takeIf { it >= 0 }?.let { start until it }
+        return generateSequence(lineAt(input.readerIndex())) { lineAt(it.last + 2) }
+    }
+
+    private fun lineProblemOrNull(input: ByteBuf, line: IntRange): String? = when {
         !startLineRead -> {
             startLineRead = true
-            "the status line is invalid".takeUnless { isStatusLine(input, start, end) }
+            "the status line is invalid".takeUnless { isStatusLine(input, line) }
         }
-        isContinuation(input, start) -> "a line continues no header".takeUnless { headerRead }
+        isContinuation(input, line) -> "a line continues no header".takeUnless { headerRead }
         else -> {
             headerRead = true
-            "a line is no header".takeUnless { hasName(input, start, end) }
+            "a line is no header".takeUnless { hasName(input, line) }
         }
     }
 
-    private fun isBlank(input: ByteBuf, start: Int, end: Int): Boolean =
-        start == end || end == start + 1 && input.getByte(start) == CARRIAGE_RETURN
+    private fun isBlank(input: ByteBuf, line: IntRange): Boolean =
+        line.isEmpty() || line.first == line.last && input.getByte(line.first) == CARRIAGE_RETURN
 
-    private fun isStatusLine(input: ByteBuf, start: Int, end: Int): Boolean =
-        STATUS_LINE.matches(input.toString(start, end - start, Charsets.ISO_8859_1).removeSuffix("\r"))
+    private fun isStatusLine(input: ByteBuf, line: IntRange): Boolean {
+        val text = input.toString(line.first, line.last - line.first + 1, Charsets.ISO_8859_1)
+        return STATUS_LINE.matches(text.removeSuffix("\r"))
+    }
 
-    private fun isContinuation(input: ByteBuf, start: Int): Boolean =
-        input.getByte(start) == SPACE || input.getByte(start) == TAB
+    private fun isContinuation(input: ByteBuf, line: IntRange): Boolean =
+        input.getByte(line.first) == SPACE || input.getByte(line.first) == TAB
 
-    /** Returns whether the line begins with a token and a colon. */
-    private fun hasName(input: ByteBuf, start: Int, end: Int): Boolean {
-        val colon = input.indexOf(start, end, COLON)
-        return colon > start && (start until colon).all { isTokenCharacter(input.getByte(it)) }
+    /** Returns whether [line] begins with a token and a colon. */
+    private fun hasName(input: ByteBuf, line: IntRange): Boolean {
+        val colon = input.indexOf(line.first, line.last + 1, COLON)
+        return colon > line.first && (line.first until colon).all { isTokenCharacter(input.getByte(it)) }
     }
 
     private fun isTokenCharacter(byte: Byte): Boolean = byte.toInt().toChar().let {
