Count a hand-over of a request that may have run as a retry

A request that was lost at one router and handed over to another, or that a server may have run before, reaches its service once more, which the retry budget did not see. One that has not run arrived nowhere, and costs none. HandoversTest shows both.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
@@ -102,7 +102,8 @@
     return copy(exchanges = exchanges.copy(budgets = exchanges.budgets.put(exchange.service, budget)))
 }
 
-private fun RelayState.countRetry(exchange: Exchange, now: Timestamp): ExchangesState {
+/** Returns the exchanges after one more attempt of [exchange]; all after its first are retries. */
+internal fun RelayState.countRetry(exchange: Exchange, now: Timestamp): ExchangesState {
     if (exchange.attempts == 0) return exchanges
     val budget = (exchanges.budgets[exchange.service] ?: RetryBudget()).countRetry(now)
     return exchanges.copy(budgets = exchanges.budgets.put(exchange.service, budget))
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/handover/HandoverChoice.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/handover/HandoverChoice.kt
@@ -6,6 +6,7 @@
 import org.quetzalloom.core.relay.RelayStep
 import org.quetzalloom.core.relay.exchange.Exchange
 import org.quetzalloom.core.relay.exchange.SendParameters
+import org.quetzalloom.core.relay.exchange.countRetry
 import org.quetzalloom.core.relay.exchange.idleTimeoutOrNull
 import org.quetzalloom.core.relay.peer.PeerBeacon
 import org.quetzalloom.core.relay.report
@@ -45,7 +46,9 @@
     val host = members.addresses[beacon.vm].orEmpty().substringBeforeLast(':')
     val parameters = handoverParameters(exchange, address = "$host:${beacon.callerPort}", now)
     val send = RelayEffect.Send(exchange.id, handover.number, parameters)
-    return copy(exchanges = exchanges.with(sent)).with(send).then {
+    // An attempt that has not run did not arrive at a backend server, so that this is not one more for the service.
+    val counted = if (exchange.mayHaveRun) countRetry(exchange, now) else exchanges
+    return copy(exchanges = counted.with(sent)).with(send).then {
         it.report(
             now,
             "request_handed_over",
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/HandoversTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/HandoversTest.kt
@@ -102,6 +102,18 @@
         assertEquals(1, second.parameters.earlierRuns)
     }
 
+    @Test
+    fun `only a request that may have run counts as a retry when it is handed over`() {
+        for ((failure, counted) in listOf(AttemptFailure.NOT_CONNECTED to 0, AttemptFailure.CONNECTION_LOST to 1)) {
+            val rig = cutOffRouter()
+            fun retries() = rig.state.exchanges.budgets.getValue(RelayRig.engines).retries.values.sum()
+            val before = retries()
+            val first = rig.arrive(RelayRig.prompt).second.handover()
+            rig.failAttempt(first, failure).handover()
+            assertEquals(counted, retries() - before, "$failure")
+        }
+    }
+
     @Test
     fun `a request counts its runs before it was handed over`() {
         val rig = RelayRig().start()
