Take no negative counts of tokens

Cause: the count went into the forecast of a placement, whose least end was negative, so that no server lay within the limit and the exception left the reduction of the whole tick.

The test now waits until connections are refused.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/RelayRequest.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/RelayRequest.kt
@@ -20,6 +20,7 @@
  *   is sent again; `null` if it is not known.
  * @property earlierRuns the number of times that the request may have run before another router handed it over, or
  *   `null` if it comes from its caller.
+ * @throws IllegalArgumentException if a number of tokens is negative.
  */
 public data class RelayRequest(
     public val callerId: String?,
@@ -37,6 +38,10 @@
     public val lengthHint: Int? = null,
     public val earlierRuns: Int? = null,
 ) {
+    init {
+        require(promptTokens >= 0 && outputTokens >= 0) { "$promptTokens tokens in, $outputTokens out" }
+    }
+
     /** The expected number of tokens to generate: the caller's estimate, or the maximum without one. */
     public val expectedOutputTokens: Int
         get() = lengthHint?.coerceAtMost(outputTokens) ?: outputTokens
--- a/relay/src/test/kotlin/org/quetzalloom/relay/HandedOverRequestsTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/HandedOverRequestsTest.kt
@@ -1,6 +1,9 @@
 package org.quetzalloom.relay
 
 import org.quetzalloom.standins.scripted.ScriptedRequest
+import org.quetzalloom.standins.scripted.ScriptedServer
+import java.net.ConnectException
+import java.net.Socket
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -15,6 +18,20 @@
             "Transfer-Encoding: chunked\r\n\r\n",
     )
 
+    /** Closes this server, whose last call to accept a connection may still succeed after that. */
+    private fun ScriptedServer.stopListening() {
+        close()
+        val refused = (1..ATTEMPTS).any {
+            try {
+                Socket("127.0.0.1", port).close()
+                false
+            } catch (_: ConnectException) {
+                true
+            }
+        }
+        assertTrue(refused, "the server still listens")
+    }
+
     /** Calls [test] with a router whose only server is gone, and another one that reaches a server with [script]. */
     private fun withCutOffRouter(
         script: (ScriptedRequest) -> Unit,
@@ -22,7 +39,7 @@
     ) {
         TestRelay(respond).use { cutOff ->
             TestRelay(script).use { other ->
-                cutOff.servers.single().close()
+                cutOff.servers.single().stopListening()
                 cutOff.know(other)
                 test(cutOff, other)
             }
@@ -66,4 +83,8 @@
         val response = cutOff.exchange("POST /note/1 HTTP/1.1\r\nHost: app\r\nId: a\r\nConnection: close\r\n\r\n")
         assertTrue("data: one" in response && !response.endsWith("0\r\n\r\n"), response)
     }
+
+    private companion object {
+        const val ATTEMPTS = 100
+    }
 }
