Name the service in probes of servers

A probe whose server was dropped while it was under way found no service to end in, and its router would have handed requests over until a response came by itself. HandoversTest shows it.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
@@ -152,12 +152,13 @@
     public data object DrainConnections : RelayEffect
 
     /**
-     * Connects to [server] to see whether it can be reached. The connection may be used for requests.
+     * Connects to [server] of [service] to see whether it can be reached. The connection may be used for requests.
      *
      * @property address the `host:port` of the server.
      * @property maximumConnections the number of connections that this router may have to the server.
      */
     public data class ProbeServer(
+        public val service: ServiceName,
         public val server: BackendServerId,
         public val address: String,
         public val maximumConnections: Int,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
@@ -110,11 +110,15 @@
     ) : RelayEvent
 
     /**
-     * A probe of [server] has ended.
+     * A probe of [server] of [service] has ended.
      *
      * @property connected whether the server accepted the connection.
      */
-    public data class ServerProbed(public val server: BackendServerId, public val connected: Boolean) : RelayEvent
+    public data class ServerProbed(
+        public val service: ServiceName,
+        public val server: BackendServerId,
+        public val connected: Boolean,
+    ) : RelayEvent
 
     /**
      * Records of a feed have been read, in order.
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/handover/ReachPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/handover/ReachPart.kt
@@ -74,19 +74,17 @@
             ?: return reached(service, "none_listed", now)
         val next = copy(reach = reach.with(service, known.copy(probes = known.probes + 1, probing = true)))
         val listing = view.listing
-        return next.with(RelayEffect.ProbeServer(listing.id, listing.address, connectionShare(service)))
+        return next.with(RelayEffect.ProbeServer(service, listing.id, listing.address, connectionShare(service)))
     }
 
     private fun RelayState.probed(event: RelayEvent.ServerProbed, now: Timestamp): RelayStep {
-        val service = servers.views[event.server]?.listing?.service
-        val known = service?.let { reach.byService[it] } ?: return unchanged()
+        val known = reach.byService[event.service] ?: return unchanged()
         return if (event.connected) {
-            copy(
-                servers = servers.update(event.server) { it.copy(suspendedUntil = now) }
-            ).reached(service, "probe", now)
+            copy(servers = servers.update(event.server) { it.copy(suspendedUntil = now) })
+                .reached(event.service, "probe", now)
         } else {
             val retry = known.copy(probing = false, probeAt = now + PROBE_INTERVAL_MILLISECONDS)
-            copy(reach = reach.with(service, retry)).unchanged()
+            copy(reach = reach.with(event.service, retry)).unchanged()
         }
     }
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/HandoversTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/HandoversTest.kt
@@ -6,6 +6,8 @@
 import org.quetzalloom.core.relay.exchange.AttemptFailure
 import org.quetzalloom.core.relay.exchange.RelayRequest
 import org.quetzalloom.core.relay.exchange.ResponseHead
+import org.quetzalloom.core.relay.feed.Feed
+import org.quetzalloom.core.relay.feed.FeedEntry
 import org.quetzalloom.core.relay.peer.PeerBeacon
 import org.quetzalloom.core.time.Timestamp
 import kotlin.test.Test
@@ -142,13 +144,25 @@
     @Test
     fun `requests go to servers again once one accepts a connection`() {
         val rig = cutOffRouter()
-        val probes = rig.pass(600).filterIsInstance<RelayEffect.ProbeServer>()
-        val plain = RelayRig.plainServers.map { it.id }.toSet()
-        rig.on(RelayEvent.ServerProbed(probes.first { it.server in plain }.server, connected = true))
+        val probe = rig.probe()
+        rig.on(RelayEvent.ServerProbed(probe.service, probe.server, connected = true))
         val effects = rig.arrive(RelayRig.command).second
-        assertTrue(effects.only<RelayEffect.Send>().parameters.server in plain)
+        assertTrue(effects.only<RelayEffect.Send>().parameters.server in RelayRig.plainServers.map { it.id })
     }
 
+    @Test
+    fun `another server is probed if the one before is gone when its probe ends`() {
+        val rig = cutOffRouter()
+        val probe = rig.probe()
+        rig.read(Feed.SERVERS, FeedEntry.ServerRemoved(probe.server))
+        rig.pass(1_000)
+        rig.on(RelayEvent.ServerProbed(probe.service, probe.server, connected = false))
+        assertNotEquals(probe.server, rig.probe().server)
+    }
+
+    private fun RelayRig.probe(): RelayEffect.ProbeServer =
+        pass(1_000).filterIsInstance<RelayEffect.ProbeServer>().first { it.service == RelayRig.plain }
+
     @Test
     fun `one server that fails by itself does not cut a router off`() {
         val rig = RelayRig().start(members = 3)
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RelayFleet.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RelayFleet.kt
@@ -174,7 +174,8 @@
             is RelayEffect.AbortResponse -> end(vm, effect.exchange, head = null)
             is RelayEffect.ProbeServer -> {
                 val connected = vm !in cutFromServers
-                deliver(vm, RelayEvent.ServerProbed(effect.server, connected), if (connected) 0 else CONNECT_TIMEOUT)
+                val probed = RelayEvent.ServerProbed(effect.service, effect.server, connected)
+                deliver(vm, probed, if (connected) 0 else CONNECT_TIMEOUT)
             }
             else -> Unit
         }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
@@ -86,7 +86,7 @@
         when (effect) {
             is RelayEffect.Send -> send(effect)
             is RelayEffect.ProbeServer -> pool.probe(effect.address, effect.maximumConnections) { connected ->
-                post(RelayEvent.ServerProbed(effect.server, connected))
+                post(RelayEvent.ServerProbed(effect.service, effect.server, connected))
             }
             is RelayEffect.ForwardResponse -> exchanges.callOrNull(effect.exchange, effect.attempt)?.forward()
             is RelayEffect.CancelAttempt -> exchanges.callOrNull(effect.exchange, effect.attempt)?.abandon()
