Show that a reader and its standby that are cut off together delay large configurations

The logs of the second show the acting reader and its standby cut off from the store together: the other routers find old records at both, take the store to be down, and wait until one of the two reaches it through another router. The test has 1,200 to 2,400 ms, over 1,900 ms on 12 of 24 seeds.

--- a/core/src/test/kotlin/org/quetzalloom/core/relay/StaleOrdersTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/StaleOrdersTest.kt
@@ -1,6 +1,7 @@
 package org.quetzalloom.core.relay
 
 import org.quetzalloom.core.identity.VmId
+import org.junit.jupiter.api.Tag
 import kotlin.test.Test
 import kotlin.test.assertTrue
 
@@ -42,6 +43,20 @@
         assertTrue(times.all { it <= ReaderFleet.SHORT_BOUND }, "$times")
     }
 
+    /** The other routers reach the store, and must not wait until these two reach it through others. */
+    @Test
+    @Tag("known-red")
+    fun `a large configuration is known in time when the reader and its standby are cut off from the store`() {
+        val times = (1L..SEEDS).map { seed ->
+            val readers = largeConfigurations(seed)
+            readers.fleet.pass(seed * PHASE)
+            val cutOff = readers.readers.take(2)
+            readers.fleet.store.silentTo += cutOff
+            readers.timeToSpread(readers.fleet.vms - cutOff.toSet())
+        }
+        assertTrue(times.all { it <= ReaderFleet.SHORT_BOUND - ReaderFleet.MARGIN }, "$times")
+    }
+
     private companion object {
         const val SEEDS = 24L
 
