--- a/core/src/test/kotlin/org/quetzalloom/core/relay/StaleOrdersTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/StaleOrdersTest.kt
@@ -1,7 +1,7 @@
 package org.quetzalloom.core.relay
 
-import org.quetzalloom.core.identity.VmId
 import org.junit.jupiter.api.Tag
+import org.quetzalloom.core.identity.VmId
 import kotlin.test.Test
 import kotlin.test.assertTrue
 
@@ -46,7 +46,7 @@
     /** The other routers reach the store, and must not wait until these two reach it through others. */
     @Test
     @Tag("known-red")
-    fun `a large configuration is known in time when the reader and its standby are cut off from the store`() {
+    fun `a large configuration is known in time when the reader and its standby are cut off`() {
         val times = (1L..SEEDS).map { seed ->
             val readers = largeConfigurations(seed)
             readers.fleet.pass(seed * PHASE)
