Match the result of each read of a feed with its read

A result was matched with the last read only by whether either went through another router. A router that gives up a read through one reader and asks another took a late result of the first for that of the second: it left out the wrong router, and began one more read.

Reads now have numbers, which their results name.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
@@ -76,6 +76,7 @@
      * @property waitMilliseconds how long a read from an offset waits if there is no record yet.
      * @property reader the `host:port` of the router through which to read, or `null` for the path of all calls.
      * @property readerTimeoutMilliseconds how long a read through [reader] may take.
+     * @property number the number of the read, which its result names.
      */
     public data class ReadFeed(
         public val feed: Feed,
@@ -83,6 +84,7 @@
         public val waitMilliseconds: Long,
         public val reader: String? = null,
         public val readerTimeoutMilliseconds: Long = 0,
+        public val number: Long = 0,
     ) : RelayEffect
 
     /**
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
@@ -133,6 +133,7 @@
      *   `null` if none had lately.
      * @property generation the generation of the group that the reader knew of; 0 if it is not told.
      * @property tooLarge whether the reader has records that are too large to be passed on; [entries] is empty then.
+     * @property number the number of the read, or `null` if it is not known.
      */
     public data class FeedRead(
         public val feed: Feed,
@@ -146,18 +147,21 @@
         public val storeFailedMillisecondsAgo: Long? = null,
         public val generation: Long = 0,
         public val tooLarge: Boolean = false,
+        public val number: Long? = null,
     ) : RelayEvent
 
     /**
      * A feed could not be read.
      *
      * @property throughReader whether it was to be read through another router.
+     * @property number the number of the read, or `null` if it is not known.
      */
     public data class FeedFailed(
         public val feed: Feed,
         public val problem: FeedProblem,
         public val detail: String,
         public val throughReader: Boolean = false,
+        public val number: Long? = null,
     ) : RelayEvent
 
     /**
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/ReadersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/ReadersPart.kt
@@ -35,7 +35,7 @@
         val source = if (event.throughReader) cursor.reader else settings.vm
         val isOld = event.ageMilliseconds > settings.maximumAge(event.feed)
         return when {
-            source == null || !cursor.expects(event.throughReader) -> noted.unchanged()
+            source == null || !cursor.expects(event) -> noted.unchanged()
             isOld -> noted.suspect(source, answers = true, "records of ${event.ageMilliseconds} ms ago", now)
             // Others leave this router out for a while too, and one reader is enough.
             source !in readers.suspicions || source == settings.vm -> noted.unchanged()
@@ -48,7 +48,7 @@
         val cursor = feeds.of(event.feed)
         val reader = cursor.reader
         return when {
-            event.problem != FeedProblem.UNAVAILABLE || !cursor.expects(event.throughReader) -> unchanged()
+            event.problem != FeedProblem.UNAVAILABLE || !cursor.expects(event) -> unchanged()
             reader != null -> suspect(reader, answers = false, event.detail, now)
             // A single failure may be a lost response.
             cursor.storeFailures == 0 -> noteStoreFailure(event.feed, now).unchanged()
@@ -78,5 +78,5 @@
     val known = read?.takeIf { it.throughReader }?.let { feeds.of(it.feed).nextOffset }
     if (read == null || known == null || read.nextOffset >= known) return event
     val detail = "the reader is at ${read.nextOffset}, before $known"
-    return RelayEvent.FeedFailed(read.feed, FeedProblem.UNAVAILABLE, detail, throughReader = true)
+    return RelayEvent.FeedFailed(read.feed, FeedProblem.UNAVAILABLE, detail, throughReader = true, read.number)
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedCursor.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedCursor.kt
@@ -1,6 +1,7 @@
 package org.quetzalloom.core.relay.feed
 
 import org.quetzalloom.core.identity.VmId
+import org.quetzalloom.core.relay.RelayEvent
 import org.quetzalloom.core.time.Timestamp
 
 /**
@@ -19,6 +20,7 @@
  * @property readStore whether the next read goes to the store, as the reader has records that are too large to be
  *   passed on.
  * @property reader the router through which the last read was sent, or `null` if it was sent to the store.
+ * @property number the number of the last read.
  */
 internal data class FeedCursor(
     val nextOffset: Long? = null,
@@ -32,12 +34,19 @@
     val waitMilliseconds: Long = 0,
     val readStore: Boolean = false,
     val reader: VmId? = null,
+    val number: Long = 0,
 ) {
     /** Whether a read of the store is under way. */
     val readsStore: Boolean get() = reading && reader == null
 
-    /** Returns whether a result that came [throughReader] belongs to the last read, rather than to an abandoned one. */
-    fun expects(throughReader: Boolean): Boolean = throughReader == (reader != null)
+    /** Returns whether [event] is the result of the last read, rather than of an abandoned one. */
+    fun expects(event: RelayEvent.FeedRead): Boolean = expects(event.number, event.throughReader)
+
+    /** Returns whether [event] is the result of the last read, rather than of an abandoned one. */
+    fun expects(event: RelayEvent.FeedFailed): Boolean = expects(event.number, event.throughReader)
+
+    private fun expects(number: Long?, throughReader: Boolean): Boolean =
+        throughReader == (reader != null) && (number ?: this.number) == this.number
 
     /**
      * Returns the time of which a result that arrives at [now] tells the state, if its records were [age] milliseconds
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
@@ -38,7 +38,13 @@
             feeds.store.isAway -> 0
             else -> settings.readWait(feed)
         }
-        val next = cursor.copy(reading = true, sentAt = now, waitMilliseconds = wait, reader = reader)
+        val next = cursor.copy(
+            reading = true,
+            sentAt = now,
+            waitMilliseconds = wait,
+            reader = reader,
+            number = cursor.number + 1,
+        )
         return copy(feeds = feeds.with(feed, next)).with(
             RelayEffect.ReadFeed(
                 feed = feed,
@@ -46,6 +52,7 @@
                 waitMilliseconds = wait,
                 reader = reader?.let { members.addresses[it] },
                 readerTimeoutMilliseconds = wait + settings.readerTimeoutMilliseconds,
+                number = next.number,
             ),
         )
     }
@@ -53,7 +60,7 @@
     private fun RelayState.feedRead(event: RelayEvent.FeedRead, now: Timestamp): RelayStep {
         val cursor = feeds.of(event.feed)
         val nextOffset = maxOf(cursor.nextOffset ?: 0, event.nextOffset)
-        if (!cursor.expects(event.throughReader)) {
+        if (!cursor.expects(event)) {
             return copy(feeds = feeds.with(event.feed, cursor.copy(nextOffset = nextOffset))).unchanged()
         }
         return if (event.tooLarge) {
@@ -76,6 +83,7 @@
             dueAt = cursor.nextReadAt(event, settings, now),
             readAt = maxOf(cursor.readAt ?: Timestamp.EPOCH, cursor.stateTime(event.ageMilliseconds, now)),
             reader = cursor.reader,
+            number = cursor.number,
             storeDueAt = cursor.storeDueAt,
         )
         val unreadable = event.entries.filterIsInstance<FeedEntry.Unreadable>()
@@ -87,7 +95,7 @@
 
     private fun RelayState.feedFailed(event: RelayEvent.FeedFailed, now: Timestamp): RelayStep {
         val cursor = feeds.of(event.feed)
-        if (!cursor.expects(event.throughReader)) return unchanged()
+        if (!cursor.expects(event)) return unchanged()
         val next = cursor.copy(
             reading = false,
             nextOffset = cursor.nextOffset.takeUnless { event.problem == FeedProblem.EXPIRED },
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/FleetStore.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/FleetStore.kt
@@ -62,7 +62,7 @@
     fun read(vm: VmId, effect: RelayEffect.ReadFeed, now: Timestamp) {
         count(vm)
         val from = effect.from
-        val failure = RelayEvent.FeedFailed(effect.feed, FeedProblem.UNAVAILABLE, "refused")
+        val failure = RelayEvent.FeedFailed(effect.feed, FeedProblem.UNAVAILABLE, "refused", number = effect.number)
         when {
             fails(vm, failure, now + effect.waitMilliseconds + CALL_TIMEOUT) -> Unit
             from == null || endOf(effect.feed) > from || effect.waitMilliseconds == 0L -> respond(vm, effect)
@@ -124,6 +124,7 @@
             nextOffset = log.size.toLong(),
             snapshot = effect.from == null,
             records = records,
+            number = effect.number,
         )
         deliver(vm, event, responseMilliseconds)
     }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RelayFleet.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RelayFleet.kt
@@ -217,7 +217,13 @@
     private fun String.toVm(): VmId = VmId(substringBefore(':'))
 
     private fun ask(vm: VmId, effect: RelayEffect.ReadFeed) {
-        val failure = RelayEvent.FeedFailed(effect.feed, FeedProblem.UNAVAILABLE, "silent", throughReader = true)
+        val failure = RelayEvent.FeedFailed(
+            feed = effect.feed,
+            problem = FeedProblem.UNAVAILABLE,
+            detail = "silent",
+            throughReader = true,
+            number = effect.number,
+        )
         val until = now + effect.readerTimeoutMilliseconds
         ask(PeerCall(vm, effect.reader.orEmpty().toVm(), failure, until)) {
             RelayEvent.FeedAsked(it, effect.feed, effect.from, effect.waitMilliseconds)
@@ -251,6 +257,7 @@
                 storeFailedMillisecondsAgo = it.storeFailedMillisecondsAgo,
                 generation = it.generation,
                 tooLarge = it.tooLarge,
+                number = call.failure.number,
             )
         }
     }
