Lose responses to waiting reads of routers that are cut off, in tests

The store of the tests answered a read that had begun before its router was cut off, so that an acting reader that was cut off just before a change still heard of it and told the others. The response is now lost, and the read fails by its timeout.

--- a/core/src/test/kotlin/org/quetzalloom/core/relay/FleetStore.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/FleetStore.kt
@@ -56,7 +56,7 @@
         entries.forEach { log += FeedRecord(it.key(), log.size.toLong(), it.content(log.size), it) }
         val woken = reads.filter { it.effect.feed == feed }
         reads.removeAll(woken)
-        woken.forEach { respond(it.vm, it.effect) }
+        woken.forEach { respondOrLose(it) }
     }
 
     fun read(vm: VmId, effect: RelayEffect.ReadFeed, now: Timestamp) {
@@ -92,21 +92,36 @@
         expiries.keys.removeAll(gone)
         val due = reads.filter { it.until <= now }
         reads.removeAll(due)
-        due.forEach { respond(it.vm, it.effect) }
+        due.forEach { respondOrLose(it) }
         val silent = silences.filter { it.until <= now }
         silences.removeAll(silent)
         silent.forEach { deliver(it.vm, it.event, 0) }
     }
 
+    /** Answers a read that has waited; the response is lost if its router has been cut off meanwhile. */
+    private fun respondOrLose(read: Read) {
+        val effect = read.effect
+        val failure = RelayEvent.FeedFailed(effect.feed, FeedProblem.UNAVAILABLE, "silent", number = effect.number)
+        if (isSilentTo(read.vm)) {
+            silences += Silence(read.vm, failure, read.until + CALL_TIMEOUT)
+        } else {
+            respond(read.vm, effect)
+        }
+    }
+
+    private fun isSilentTo(vm: VmId): Boolean {
+        val path = paths[vm] ?: vm
+        return path in silentTo || path != vm && (isCut(vm, path) || isCut(path, vm))
+    }
+
     private fun count(vm: VmId) {
         calls++
         callsByVm.merge(vm, 1, Int::plus)
     }
 
     private fun fails(vm: VmId, failure: RelayEvent, timeout: Timestamp): Boolean {
-        val path = paths[vm] ?: vm
-        val silent = path in silentTo || path != vm && (isCut(vm, path) || isCut(path, vm))
-        val refuses = isDown || path in refused
+        val silent = isSilentTo(vm)
+        val refuses = isDown || (paths[vm] ?: vm) in refused
         when {
             silent -> silences += Silence(vm, failure, timeout)
             refuses -> deliver(vm, failure, 0)
