Let a router that takes over as the reader have recent records at once

A change, an evacuation among them, could reach routers late after their reader had failed. Cause: the router that takes over reads the orders with a read that waits for a change for up to 0.45 of the bound, while its records are already as old as the failed reader's. They passed the age at which the others leave a reader out before the read was answered. So the second reader was left out too, although it reached the store, and with two readers left out nobody asks a third one.

Evidence: in virtual time, a reader that the store refuses, bound 3 s: at 300 ms the second one sends the read, with records 1,290 ms old; at 1,060 ms it is left out for records of 2,030 ms ago; its read is answered at 1,650 ms.

A read of the store now waits only until the records would be as old as after a full wait, so that the first one of a router that takes over is answered at once. The new test of ReaderFailuresTest failed before (bound 2 s, 500 ms after the start) and passes.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
@@ -36,7 +36,8 @@
         val wait = when {
             reader != null -> settings.readerWaitMilliseconds
             feeds.store.isAway -> 0
-            else -> settings.readWait(feed)
+            // The answer tells that the records are recent; those of a router that takes over as the reader are not.
+            else -> (settings.readWait(feed) - (feedAge(feed, now) ?: 0)).coerceAtLeast(0)
         }
         val next = cursor.copy(
             reading = true,
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/ReaderFailuresTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/ReaderFailuresTest.kt
@@ -149,6 +149,22 @@
         assertTrue(time <= ReaderFleet.BOUND, "$time ms after the outage")
     }
 
+    /** Its read of the store waited for a change until its records were so old that the others left it out, too. */
+    @Test
+    fun `a router that takes over as the reader is not left out for its old records`() {
+        for (bound in listOf(ReaderFleet.SHORT_BOUND, ReaderFleet.BOUND)) {
+            for (wait in 0L..LATEST_FAILURE step FAILURE_STEP) {
+                val readers = ReaderFleet(routers = 7, bound = bound)
+                val (first, second) = readers.readers
+                readers.fleet.pass(wait)
+                readers.fleet.refused += first
+                readers.fleet.pass(bound)
+                val leftOutBy = readers.fleet.states.filterValues { second in it.readers.suspicions }.keys
+                assertTrue(leftOutBy.isEmpty(), "bound $bound, after $wait ms: $leftOutBy")
+            }
+        }
+    }
+
     @Test
     fun `offsets never go back while readers are replaced`() {
         val readers = ReaderFleet(routers = 24)
