Retry renewals of the membership less often while the store is down

While the store was down, each router called it more often than in calm to renew its membership: 245 calls to join in 20 s with 40 routers, 150 in calm. The first retry came after 500 ms, though a member lives for three times the time between two renewals, which is 7 s there.

The first retry now comes after a quarter of that time, 500 ms at least, so that the leader, the acting reader and routers that start retry as before. This leaves room for the calls that test whether the store can be reached, with which ReadersTest otherwise counts more calls than it allows.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersPart.kt
@@ -23,9 +23,12 @@
     /** A member lives for as many intervals, so that two renewals may fail. */
     private const val TIME_TO_LIVE_INTERVALS = 3
 
-    /** The pause before the next call after a failed one, and between two listings of the members. */
+    /** The shortest pause before the next call after a failed one, and that between two listings of the members. */
     private const val PAUSE_MILLISECONDS = 500L
 
+    /** The time between two renewals divided by the pause after a failed one. A member lives for several such times. */
+    private const val RETRIES_PER_INTERVAL = 4
+
     /** The pause after a failed call doubles with each further one as often, up to the time between two renewals. */
     private const val MAXIMUM_DOUBLINGS = 6
 
@@ -92,8 +95,9 @@
             val retry = members.copy(listing = false, listsDirectly = true, listDueAt = now + PAUSE_MILLISECONDS)
             return copy(members = retry).unchanged()
         }
-        val pause = (PAUSE_MILLISECONDS shl members.failures.coerceAtMost(MAXIMUM_DOUBLINGS))
-            .coerceAtMost(joinInterval(now))
+        val interval = joinInterval(now)
+        val firstPause = (interval / RETRIES_PER_INTERVAL).coerceAtLeast(PAUSE_MILLISECONDS)
+        val pause = (firstPause shl members.failures.coerceAtMost(MAXIMUM_DOUBLINGS)).coerceAtMost(interval)
         val next = copy(
             members = members.copy(
                 joining = false,
