Leave out a reader with old records until it has recent ones of the same feed

While a router's orders were old, a change could stay unknown although its entries of servers were recent: a good answer for one feed ended the time for which the router was left out for another. Seen in virtual time with two of 24 routers cut off from the store, one of which read the entries of servers through another router again: six routers went back to it and waited 400 ms more for its orders, one after the other.

Whoever leaves out a router now remembers for which feed, and only recent records of this feed end it before its time. The new test of FeedReadsTest failed before and passes.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/ReadersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/ReadersPart.kt
@@ -36,9 +36,9 @@
         val isOld = event.ageMilliseconds > settings.maximumAge(event.feed)
         return when {
             source == null || !cursor.expects(event) -> noted.unchanged()
-            isOld -> noted.suspect(source, answers = true, "records of ${event.ageMilliseconds} ms ago", now)
+            isOld -> noted.suspect(source, event.feed, answers = true, "records of ${event.ageMilliseconds} ms ago", now)
             // Others leave this router out for a while too, and one reader is enough.
-            source !in readers.suspicions || source == settings.vm -> noted.unchanged()
+            readers.suspicions[source]?.feed != event.feed || source == settings.vm -> noted.unchanged()
             else -> noted.copy(readers = noted.readers.copy(suspicions = noted.readers.suspicions.remove(source)))
                 .unchanged()
         }
@@ -49,10 +49,10 @@
         val reader = cursor.reader
         return when {
             event.problem != FeedProblem.UNAVAILABLE || !cursor.expects(event) -> unchanged()
-            reader != null -> suspect(reader, answers = false, event.detail, now)
+            reader != null -> suspect(reader, event.feed, answers = false, event.detail, now)
             // A single failure may be a lost response.
             cursor.storeFailures == 0 -> noteStoreFailure(event.feed, now).unchanged()
-            else -> noteStoreFailure(event.feed, now).suspect(settings.vm, answers = true, event.detail, now)
+            else -> noteStoreFailure(event.feed, now).suspect(settings.vm, event.feed, answers = true, event.detail, now)
         }
     }
 
@@ -61,9 +61,15 @@
         at: Timestamp,
     ): RelayState = copy(readers = readers.copy(failedAt = readers.failedAt.put(feed, at)))
 
-    private fun RelayState.suspect(vm: VmId, answers: Boolean, reason: String, now: Timestamp): RelayStep {
+    private fun RelayState.suspect(
+        vm: VmId,
+        feed: Feed,
+        answers: Boolean,
+        reason: String,
+        now: Timestamp,
+    ): RelayStep {
         val until = now + if (answers) OLD_MILLISECONDS else SILENT_MILLISECONDS
-        val next = copy(readers = readers.copy(suspicions = readers.suspicions.put(vm, Suspicion(answers, until))))
+        val next = copy(readers = readers.copy(suspicions = readers.suspicions.put(vm, Suspicion(feed, answers, until))))
         val known = suspicionOrNull(vm, now) != null
         return if (known) next.unchanged() else next.report(now, "reader_left_out", "reader" to vm, "reason" to reason)
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/ReadersState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/ReadersState.kt
@@ -41,10 +41,11 @@
 /**
  * Why a router is not used as a reader for a while.
  *
+ * @property feed the feed of which it failed to give recent records.
  * @property answers whether it answers, but with records that are too old.
  * @property until the time until which it is used only if there is no other.
  */
-internal data class Suspicion(val answers: Boolean, val until: Timestamp)
+internal data class Suspicion(val feed: Feed, val answers: Boolean, val until: Timestamp)
 
 /**
  * A call of another router that waits for records.
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/FeedReadsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/FeedReadsTest.kt
@@ -23,7 +23,7 @@
     /** A router that follows others, and its first reads through the acting reader. */
     private fun follower(): Pair<RelayRig, List<RelayEffect>> {
         val rig = RelayRig("vm-2").start(members = 4)
-        return rig to rig.pass(LONGEST_INTERVAL)
+        return rig to rig.pass(READ_INTERVAL)
     }
 
     /** The late answer of a reader was taken for that of the reader asked after it. */
@@ -40,8 +40,24 @@
         assertEquals(next.reader, rig.pass(LONGEST_INTERVAL).read(Feed.ORDERS).reader)
     }
 
+    /** A reader with old orders was asked for them again as soon as it had answered with recent servers. */
+    @Test
+    fun `recent records of one feed do not make up for old ones of another`() {
+        val (rig, effects) = follower()
+        val orders = effects.read(Feed.ORDERS)
+        val servers = effects.read(Feed.SERVERS)
+        rig.on(answer(orders, ageMilliseconds = OLD))
+        rig.on(answer(servers, ageMilliseconds = 0))
+        val next = rig.pass(LONGEST_INTERVAL)
+        assertTrue(next.read(Feed.ORDERS).reader != orders.reader, "$next")
+        assertTrue(next.read(Feed.SERVERS).reader != orders.reader, "$next")
+    }
+
     private companion object {
         const val OLD = 10_000L
         const val LONGEST_INTERVAL = 100L
+
+        /** After this time each feed is being read through another router. */
+        const val READ_INTERVAL = 1_200L
     }
 }
