Play more roll-outs that fail late beside a completion

CompletionTest has to show that without the agreement of the other routers a completion would win against a condemnation. Of the 36 seeds one or two showed it, by chance: the condemnation has to be lost on its way in the last 100 ms. With reads of the store at other moments none did.

Each of the 36 moments of failure is now played with five fleets in place of one, 180 seeds in all, which must all keep the rule.

--- a/core/src/test/kotlin/org/quetzalloom/core/relay/CompletionTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/CompletionTest.kt
@@ -37,7 +37,7 @@
         seed: Long,
         received: RelayFleet.(VmId, PeerBeacon) -> PeerBeacon = { _, beacon -> beacon },
     ): List<Pair<RolloutPhase, Int>> {
-        val failsFrom = FIRST_FAILURE + seed * FAILURE_STEP
+        val failsFrom = FIRST_FAILURE + seed % FAILURE_STEPS * FAILURE_STEP
         val fleet = fleet(routers = 9, seed = seed, loss = 0.5, failsFrom = failsFrom)
         val written = mutableListOf<Pair<RolloutPhase, Int>>()
         fleet.onStatus = { _, phase -> written += phase to fleet.holdersOfCondemnation().size }
@@ -106,7 +106,7 @@
     }
 
     private companion object {
-        const val SEEDS = 36L
+        const val SEEDS = 180L
         const val SUCCESS = 200
         const val FAILURE = 500
 
@@ -114,6 +114,7 @@
         const val LOAD_START = 22_000L
         const val FIRST_FAILURE = 22_940L
         const val FAILURE_STEP = 20L
+        const val FAILURE_STEPS = 36L
         const val ROUTERS_PER_REQUEST = 3
     }
 }
