Hand requests over only to routers whose configuration is not older

A router that reaches no backend server hands requests over, and the other router decided about them by what it knew. Cause: any router whose beacon named a port was taken, and its own refusals, but for those that promise that the request may be tried again, were passed on as if they were answers.

A router whose records are older than the bound withdraws its port while another one is known to have read the store. While the store is down for all, requests are handed over as before. An unsigned 401, 403 or 404 says that the other router has another configuration: the request has not run and goes to the next one.

Both new tests of HandoversTest failed before and pass.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ResponseHead.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ResponseHead.kt
@@ -33,6 +33,9 @@
     /** Whether the status tells callers that the request has not run, without the backend server's guarantee. */
     public val claimsNotRun: Boolean get() = !notRun && status in NOT_RUN_STATUSES
 
+    /** Whether the status says that the configuration does not allow the request. */
+    public val isNotAdmitted: Boolean get() = status in NOT_ADMITTED_STATUSES
+
     /** Whether the status is in the range 200 to 299. */
     public val isSuccess: Boolean get() = status in SUCCESS
 
@@ -42,5 +45,8 @@
 
         /** Request Timeout, Misdirected Request, Too Many Requests, Service Unavailable. */
         val NOT_RUN_STATUSES = persistentSetOf(408, 421, 429, 503)
+
+        /** Unauthorized, Forbidden, Not Found. */
+        val NOT_ADMITTED_STATUSES = persistentSetOf(401, 403, 404)
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/handover/HandoversPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/handover/HandoversPart.kt
@@ -43,10 +43,13 @@
     private fun RelayState.forHandover(id: ExchangeId, number: Int, then: (Exchange) -> RelayStep): RelayStep =
         exchanges.byId[id]?.takeIf { it.handover?.number == number }?.let(then) ?: unchanged()
 
-    /** An unsigned error comes from the other router itself, whose refusals say truly that the request has not run. */
+    /**
+     * An unsigned error comes from the other router itself, whose refusals say truly that the request has not run. One
+     * for an unknown route or key means that its configuration is another one: this router has admitted the request.
+     */
     private fun RelayState.responseStarted(exchange: Exchange, head: ResponseHead, now: Timestamp): RelayStep {
         val usable = head.signed && (head.isSuccess || !exchange.headForwarded)
-        val refused = !head.signed && (head.notRun || head.claimsNotRun)
+        val refused = !head.signed && (head.notRun || head.claimsNotRun || head.isNotAdmitted)
         val failed = head.isSuccess || head.isServerFailure || exchange.headForwarded
         return when {
             usable -> forward(exchange)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersPart.kt
@@ -8,6 +8,7 @@
 import org.quetzalloom.core.relay.RelayPart
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.RelayStep
+import org.quetzalloom.core.relay.access.provenReaderOrNull
 import org.quetzalloom.core.relay.crash.crashReports
 import org.quetzalloom.core.relay.rollout.completionReceivers
 import org.quetzalloom.core.relay.rollout.rolloutReports
@@ -93,6 +94,12 @@
 private fun RelayState.addressesOf(routers: List<VmId>): List<String> =
     routers.mapNotNull { members.addresses[it] }.filter { it.isNotEmpty() }
 
+/** A router that is behind the others would decide about their requests by an older configuration. */
+private fun RelayState.takesOverRequests(now: Timestamp): Boolean {
+    val isBehind = feeds.staleSince.isNotEmpty() && provenReaderOrNull(now) != null
+    return stop.requestedAt == null && reach.cutOffServices.isEmpty() && !isBehind
+}
+
 private fun RelayState.beacon(sequence: Long, now: Timestamp): PeerBeacon {
     val storeReadMillisecondsAgo = (now - feeds.store.readAt).takeIf { it <= settings.changeBoundMilliseconds }
     return PeerBeacon(
@@ -107,7 +114,7 @@
             .take(MAXIMUM_DURATIONS).toMap().toPersistentMap(),
         rollouts = rolloutReports(sequence, now).toPersistentList(),
         crashes = crashReports(sequence, tellsOfStore = storeReadMillisecondsAgo != null, now),
-        callerPort = settings.callerPort.takeIf { stop.requestedAt == null && reach.cutOffServices.isEmpty() },
+        callerPort = settings.callerPort.takeIf { takesOverRequests(now) },
         storeReadMillisecondsAgo = storeReadMillisecondsAgo,
     )
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/HandoversTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/HandoversTest.kt
@@ -50,6 +50,38 @@
     private fun List<RelayEffect>.handover(): RelayEffect.Send =
         only<RelayEffect.Send>().also { assertEquals(null, it.parameters.server) }
 
+    /** Its caller got 404 for a route that had been added, from a router that did not know of it yet. */
+    @Test
+    fun `a request goes on to the next router if one does not know its route or key`() {
+        for (status in listOf(401, 403, 404)) {
+            val rig = cutOffRouter()
+            val first = rig.arrive(RelayRig.command).second.handover()
+            val second = rig.respond(first, ResponseHead(status, signed = false)).handover()
+            assertNotEquals(first.parameters.address, second.parameters.address)
+            val effects = rig.respond(second, ResponseHead(status, signed = false))
+            assertTrue(effects.none { it is RelayEffect.ForwardResponse }, "$effects")
+        }
+    }
+
+    /** Requests in an evacuated zone or by an old configuration could come from a router that was behind the others. */
+    @Test
+    fun `a router that is behind the others takes over no requests`() {
+        val rig = RelayRig().start(members = 3)
+        rig.on(RelayEvent.SettingsChanged(rig.state.settings.copy(callerPort = 80)))
+        assertEquals(80, rig.callerPort())
+        rig.pass(rig.state.settings.changeBoundMilliseconds)
+        assertEquals(80, rig.callerPort(), "the store may be down for all")
+        announce(rig) { it.copy(storeReadMillisecondsAgo = 0) }
+        assertEquals(null, rig.callerPort())
+        for (feed in listOf(Feed.ORDERS, Feed.SERVERS)) {
+            rig.on(RelayEvent.FeedRead(feed, emptyList(), nextOffset = 1, snapshot = false, throughReader = true))
+        }
+        assertEquals(80, rig.callerPort())
+    }
+
+    private fun RelayRig.callerPort(): Int? =
+        pass(BEACON_INTERVAL).filterIsInstance<RelayEffect.SendBeacon>().last().beacon.callerPort
+
     @Test
     fun `a request is handed over at once, with the time that is left`() {
         val send = cutOffRouter().arrive(RelayRig.command).second.handover()
@@ -175,4 +207,8 @@
             rig.pass(400)
         }
     }
+
+    private companion object {
+        const val BEACON_INTERVAL = 100L
+    }
 }
