--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/ReadersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/ReadersPart.kt
@@ -83,7 +83,8 @@
  */
 internal fun RelayState.withoutOldNews(event: RelayEvent): RelayEvent {
     val read = event as? RelayEvent.FeedRead
-    val known = read?.takeIf { it.throughReader }?.let { feeds.of(it.feed).nextOffset }
+    // What has been read is known from the buffer, too, after the records at the offset have expired.
+    val known = read?.takeIf { it.throughReader }?.let { feeds.of(it.feed).nextOffset ?: readers.buffers[it.feed]?.end }
     if (read == null || known == null || read.nextOffset >= known) return event
     val detail = "the reader is at ${read.nextOffset}, before $known"
     return RelayEvent.FeedFailed(read.feed, FeedProblem.UNAVAILABLE, detail, throughReader = true, read.number)
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/FeedReadsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/FeedReadsTest.kt
@@ -1,6 +1,8 @@
 package org.quetzalloom.core.relay
 
 import org.quetzalloom.core.relay.feed.Feed
+import org.quetzalloom.core.relay.feed.FeedEntry
+import org.quetzalloom.core.relay.feed.FeedProblem
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -53,6 +55,24 @@
         assertTrue(next.read(Feed.SERVERS).reader != orders.reader, "$next")
     }
 
+    /** After the records at its offset had expired, a router took an older snapshot, and ended an evacuation by it. */
+    @Test
+    fun `a snapshot of a reader that has read less is not taken after records have expired`() {
+        val rig = RelayRig("vm-2").start()
+        val zone = RelayRig.zones[1]
+        val evacuation = FeedEntry.Evacuation(zone, active = true)
+        rig.on(RelayEvent.FeedRead(Feed.ORDERS, listOf(evacuation), nextOffset = 5, snapshot = false))
+        rig.on(RelayEvent.FeedFailed(Feed.ORDERS, FeedProblem.EXPIRED, "status 410"))
+        rig.join(members = 4)
+        val read = rig.pass(READ_INTERVAL).filterIsInstance<RelayEffect.ReadFeed>().last { it.feed == Feed.ORDERS }
+        assertEquals(null, read.from)
+        rig.on(answer(read, ageMilliseconds = 0).copy(nextOffset = 3, snapshot = true))
+        assertTrue(zone in rig.state.servers.evacuatedZones)
+        val next = rig.pass(LONGEST_INTERVAL).read(Feed.ORDERS)
+        rig.on(answer(next, ageMilliseconds = 0).copy(nextOffset = 6, snapshot = true))
+        assertTrue(zone !in rig.state.servers.evacuatedZones)
+    }
+
     private companion object {
         const val OLD = 10_000L
         const val LONGEST_INTERVAL = 100L
