Send a request on after an unknown route only if it may run again

A server's own 404 without a signature, passed on by the other router, can't be told from that router's refusal, and the request may have run. HandoversTest checks both.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/handover/HandoversPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/handover/HandoversPart.kt
@@ -43,23 +43,27 @@
     private fun RelayState.forHandover(id: ExchangeId, number: Int, then: (Exchange) -> RelayStep): RelayStep =
         exchanges.byId[id]?.takeIf { it.handover?.number == number }?.let(then) ?: unchanged()
 
-    /**
-     * An unsigned error comes from the other router itself, whose refusals say truly that the request has not run. One
-     * for an unknown route or key means that its configuration is another one: this router has admitted the request.
-     */
     private fun RelayState.responseStarted(exchange: Exchange, head: ResponseHead, now: Timestamp): RelayStep {
         val usable = head.signed && (head.isSuccess || !exchange.headForwarded)
-        val refused = !head.signed && (head.notRun || head.claimsNotRun || head.isNotAdmitted)
         val failed = head.isSuccess || head.isServerFailure || exchange.headForwarded
         return when {
             usable -> forward(exchange)
-            refused -> cancel(exchange).then { it.failed(exchange, "status_${head.status}", mayHaveRun = false, now) }
+            exchange.wasRefused(head) ->
+                cancel(exchange).then { it.failed(exchange, "status_${head.status}", mayHaveRun = false, now) }
             failed && mayRunOnceMore(exchange, now) || head.isSuccess || exchange.headForwarded ->
                 cancel(exchange).then { it.failed(exchange, "status_${head.status}", mayHaveRun = true, now) }
             else -> forward(exchange)
         }
     }
 
+    /**
+     * An unsigned error comes from the other router itself, whose refusals say truly that the request has not run. One
+     * for an unknown route or key means that its configuration is another one: this router has admitted the request. It
+     * cannot be told from a server's, so that a request that may not run again is not sent again after it.
+     */
+    private fun Exchange.wasRefused(head: ResponseHead): Boolean =
+        !head.signed && (head.notRun || head.claimsNotRun || head.isNotAdmitted && route.mayRunAgain)
+
     private fun RelayState.forward(exchange: Exchange): RelayStep {
         val forwarded = exchange.copy(headForwarded = true, mayHaveRun = true)
         val number = exchange.handover?.number ?: exchange.attempts
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/HandoversTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/HandoversTest.kt
@@ -55,11 +55,13 @@
     fun `a request goes on to the next router if one does not know its route or key`() {
         for (status in listOf(401, 403, 404)) {
             val rig = cutOffRouter()
-            val first = rig.arrive(RelayRig.command).second.handover()
+            val first = rig.arrive(RelayRig.read).second.handover()
             val second = rig.respond(first, ResponseHead(status, signed = false)).handover()
             assertNotEquals(first.parameters.address, second.parameters.address)
             val effects = rig.respond(second, ResponseHead(status, signed = false))
             assertTrue(effects.none { it is RelayEffect.ForwardResponse }, "$effects")
+            val command = rig.arrive(RelayRig.command).second.handover()
+            rig.respond(command, ResponseHead(status, signed = false)).only<RelayEffect.ForwardResponse>()
         }
     }
 
