Tell of reads of the store only where others need to know

A router that reads a large configuration from the store, as the reader had told it to, with old records of its own, told all others of it by beacon. In a fleet of 67 after two readers had been cut off that were 65 beacons to each router at once (worked out, not played).

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
@@ -108,7 +108,8 @@
         )
         val unreadable = event.entries.filterIsInstance<FeedEntry.Unreadable>()
         val answered = if (event.throughReader) feeds else feeds.storeRead(now)
-        val tellsOthers = !event.throughReader && hasOldRecords(event.feed, now)
+        // A router that reads the store only for large records has been told of them by the reader, as have all others.
+        val tellsOthers = !event.throughReader && !cursor.readStore && hasOldRecords(event.feed, now)
         return copy(feeds = answered.with(event.feed, next)).unchanged()
             .then { if (tellsOthers) it.sendBeaconToAll(now) else it.unchanged() }
             .then {
