--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelaySettings.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelaySettings.kt
@@ -42,8 +42,8 @@
     /** How much longer than its wait a read through another router may take, in milliseconds. */
     internal val readerTimeoutMilliseconds: Long get() = changeBoundMilliseconds / READER_TIMEOUT_DIVISOR
 
-    /** The age of a feed's records from which routers test whether the store can be read, in milliseconds. */
-    internal val storeTestAgeMilliseconds: Long get() = changeBoundMilliseconds * STORE_TEST_PERCENT / PERCENT
+    /** The age of a feed's records from which routers check whether the store can be read, in milliseconds. */
+    internal val storeCheckAgeMilliseconds: Long get() = changeBoundMilliseconds * STORE_CHECK_PERCENT / PERCENT
 
     /** Returns the time between two reads of [feed], in milliseconds; 0 for a feed whose reads wait for records. */
     internal fun readInterval(feed: Feed): Long = when (feed) {
@@ -81,10 +81,10 @@
 
         /*
          * Above the age that records have at a router just before an answer of a reader whose reads succeed: the wait
-         * of the reader's own read and that of the call to it. What is left of the bound is enough for the test of the
+         * of the reader's own read and that of the call to it. What is left of the bound is enough for the check of the
          * store, the news of it, and a read through the router that has succeeded.
          */
-        private const val STORE_TEST_PERCENT = 70
+        private const val STORE_CHECK_PERCENT = 70
         private const val PERCENT = 100
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/Readers.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/Readers.kt
@@ -9,7 +9,7 @@
 
 /**
  * The number of readers with old records that are asked: the acting one and its standby. If both have old records, the
- * store may be down, so that others are asked only if they have read it, see [isStoreTestDue].
+ * store may be down, so that others are asked only if they have read it, see [isStoreCheckDue].
  */
 internal const val MAXIMUM_OLD_READERS: Int = 2
 
@@ -34,9 +34,9 @@
     val first = candidates.firstOrNull { suspicionOrNull(it, now) == null }
     val afterOld = old.size == MAXIMUM_OLD_READERS &&
         (first == null || candidates.indexOf(first) > candidates.indexOf(old.last()))
-    val unasked = first.takeUnless { afterOld }
-    val proven = if (unasked == null || needsStoreTest(now)) provenReaderOrNull(now) else null
-    val chosen = proven ?: unasked ?: old.minByOrNull { suspicionOrNull(it, now)?.until ?: now }
+    val usual = first.takeUnless { afterOld }
+    val proven = if (usual == null || needsStoreCheck(now)) provenReaderOrNull(now) else null
+    val chosen = proven ?: usual ?: old.minByOrNull { suspicionOrNull(it, now)?.until ?: now }
     return chosen?.takeIf { it != settings.vm }
 }
 
@@ -50,7 +50,7 @@
 /** Returns whether [vm] has read the store lately, and, if the records of this router are old, after they were read. */
 private fun RelayState.hasReadStore(vm: VmId, now: Timestamp): Boolean {
     val readAt = if (vm == settings.vm) feeds.store.readAt else peers.lastBeacons[vm]?.storeReadAt
-    val maximum = if (needsStoreTest(now)) settings.storeTestAgeMilliseconds else settings.changeBoundMilliseconds
+    val maximum = if (needsStoreCheck(now)) settings.storeCheckAgeMilliseconds else settings.changeBoundMilliseconds
     return readAt != null && now - readAt < maximum
 }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/DueReads.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/DueReads.kt
@@ -1,7 +1,8 @@
 package org.quetzalloom.core.relay.feed
 
+import org.quetzalloom.core.identity.VmId
 import org.quetzalloom.core.relay.RelayState
-import org.quetzalloom.core.relay.access.needsStoreTest
+import org.quetzalloom.core.relay.access.needsStoreCheck
 import org.quetzalloom.core.relay.access.provenReaderOrNull
 import org.quetzalloom.core.relay.access.readerOrNull
 import org.quetzalloom.core.relay.access.readsForOthers
@@ -38,14 +39,14 @@
         (cursor.readStore || readerOrNull(now) == null)
 }
 
-/** A router does not wait for a reader that has failed others, or if it has old records and a better one is known. */
-private fun RelayState.isBusy(cursor: FeedCursor, now: Timestamp): Boolean {
-    val mayAbandon = cursor.reader != null && (readsForOthers(now) || needsStoreTest(now) && knowsBetter(cursor, now))
-    return cursor.reading && !mayAbandon
-}
+private fun RelayState.isBusy(cursor: FeedCursor, now: Timestamp): Boolean =
+    cursor.reading && !(cursor.reader != null && mayGiveUp(cursor.reader, now))
 
-private fun RelayState.knowsBetter(cursor: FeedCursor, now: Timestamp): Boolean =
-    provenReaderOrNull(now).let { it != null && it != cursor.reader }
+/** A router does not wait for a reader that has failed others, or if it has old records and knows of newer ones. */
+private fun RelayState.mayGiveUp(reader: VmId, now: Timestamp): Boolean {
+    val newer = if (needsStoreCheck(now)) provenReaderOrNull(now) else null
+    return readsForOthers(now) || newer != null && newer != reader
+}
 
 private fun RelayState.awaitsMembers(now: Timestamp): Boolean = members.sortedMembers.isEmpty() &&
     members.failures == 0 && now - (stop.startedAt ?: now) < MEMBERS_WAIT_MILLISECONDS
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
@@ -9,7 +9,7 @@
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.RelayStep
 import org.quetzalloom.core.relay.access.hasOldRecords
-import org.quetzalloom.core.relay.access.needsStoreTest
+import org.quetzalloom.core.relay.access.needsStoreCheck
 import org.quetzalloom.core.relay.access.readerOrNull
 import org.quetzalloom.core.relay.peer.sendBeaconToAll
 import org.quetzalloom.core.relay.report
@@ -33,12 +33,12 @@
         else -> state.unchanged()
     }
 
-    /** If the call was a test of the store, the feeds are read without asking the readers, whose records are old. */
+    /** If the call was a check of the store, the feeds are read without asking the readers, whose records are old. */
     private fun RelayState.groupJoined(event: RelayEvent.GroupJoined, now: Timestamp): RelayStep {
-        val passedTest = event.sentAt == feeds.store.testedAt && needsStoreTest(now)
-        val unread = if (passedTest) Feed.entries.filter { it.continuous && !feeds.of(it).readsStore } else emptyList()
+        val passedCheck = event.sentAt == feeds.store.checkedAt && needsStoreCheck(now)
+        val unread = if (passedCheck) Feed.entries.filter { it.continuous && !feeds.of(it).readsStore } else emptyList()
         return copy(feeds = feeds.storeAnswered(now)).unchanged()
-            .then { if (passedTest) it.reportTestPassed(now) else it.unchanged() }
+            .then { if (passedCheck) it.reportCheckPassed(now) else it.unchanged() }
             .thenEach(unread) { current, feed -> current.read(feed, reader = null, now) }
     }
 
@@ -135,9 +135,9 @@
         }
     }
 
-    private fun RelayState.reportTestPassed(now: Timestamp): RelayStep = report(
+    private fun RelayState.reportCheckPassed(now: Timestamp): RelayStep = report(
         now,
-        "store_test_passed",
+        "store_check_passed",
         "orders_read_ms_ago" to feedAge(Feed.ORDERS, now),
         "servers_read_ms_ago" to feedAge(Feed.SERVERS, now),
     )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/StoreAccess.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/StoreAccess.kt
@@ -10,14 +10,14 @@
  * @property failedAt when the last read failed.
  * @property probeAt the earliest time of the next read while the store seems to be away.
  * @property readAt when this router last read a feed from the store.
- * @property testedAt when this router last tested whether the store can be read, see [isStoreTestDue].
+ * @property checkedAt when this router last checked whether the store can be read, see [isStoreCheckDue].
  */
 internal data class StoreAccess(
     val failures: Int = 0,
     val failedAt: Timestamp = Timestamp.EPOCH,
     val probeAt: Timestamp = Timestamp.EPOCH,
     val readAt: Timestamp = Timestamp.EPOCH,
-    val testedAt: Timestamp = Timestamp.EPOCH,
+    val checkedAt: Timestamp = Timestamp.EPOCH,
 ) {
     /** Whether the store does not seem to answer. A single failure may be a lost response. */
     val isAway: Boolean get() = failures > 1
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersPart.kt
@@ -8,7 +8,7 @@
 import org.quetzalloom.core.relay.RelayPart
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.RelayStep
-import org.quetzalloom.core.relay.access.isStoreTestDue
+import org.quetzalloom.core.relay.access.isStoreCheckDue
 import org.quetzalloom.core.relay.access.readerOrNull
 import org.quetzalloom.core.relay.access.readerOrder
 import org.quetzalloom.core.relay.report
@@ -50,11 +50,11 @@
     }
 
     private fun RelayState.joinIfDue(now: Timestamp): RelayStep {
-        val testsStore = isStoreTestDue(now)
-        val isDue = testsStore || now >= nextJoinAt(now)
+        val checksStore = isStoreCheckDue(now)
+        val isDue = checksStore || now >= nextJoinAt(now)
         if (members.joining || stop.requestedAt != null || !isDue) return unchanged()
         val timeToLive = joinInterval(now) * TIME_TO_LIVE_INTERVALS
-        val store = if (testsStore) feeds.store.copy(testedAt = now) else feeds.store
+        val store = if (checksStore) feeds.store.copy(checkedAt = now) else feeds.store
         return copy(members = members.copy(joining = true), feeds = feeds.copy(store = store))
             .with(RelayEffect.JoinGroup(members.generation, sentAt = now, timeToLiveMilliseconds = timeToLive))
     }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/CutOffReadersTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/CutOffReadersTest.kt
@@ -82,10 +82,10 @@
     }
 
     @Test
-    fun `a change is late if no other router tests the store`() {
+    fun `a change is late if no other router checks the store`() {
         val reducer = Reducer<RelayState, RelayEvent, RelayEffect> { state, event, now ->
-            val tested = state.feeds.copy(store = state.feeds.store.copy(testedAt = now))
-            RelayReducer.reduce(state.copy(feeds = tested), event, now)
+            val checked = state.feeds.copy(store = state.feeds.store.copy(checkedAt = now))
+            RelayReducer.reduce(state.copy(feeds = checked), event, now)
         }
         val times = timesWithTwoCutOff(reducer)
         assertTrue(times.any { it > ReaderFleet.SHORT_BOUND }, "$times")
