Wait for a closed stand-in also if a connection to it is reset

Traced: the connection was made while the listening socket closed, and Java reports its reset from connect as a SocketException that is no ConnectException. The test still waits for a refused connection; a reset one is tried again.

--- a/relay/src/test/kotlin/org/quetzalloom/relay/HandedOverRequestsTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/HandedOverRequestsTest.kt
@@ -4,6 +4,7 @@
 import org.quetzalloom.standins.scripted.ScriptedServer
 import java.net.ConnectException
 import java.net.Socket
+import java.net.SocketException
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -18,15 +19,18 @@
             "Transfer-Encoding: chunked\r\n\r\n",
     )
 
-    /** Closes this server, whose last call to accept a connection may still succeed after that. */
+    /**
+     * Closes this server, whose last call to accept a connection may still succeed after that. A connection that is
+     * made while the server closes is reset.
+     */
     private fun ScriptedServer.stopListening() {
         close()
         val refused = (1..ATTEMPTS).any {
             try {
                 Socket("127.0.0.1", port).close()
                 false
-            } catch (_: ConnectException) {
-                true
+            } catch (problem: SocketException) {
+                problem is ConnectException
             }
         }
         assertTrue(refused, "the server still listens")
