--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/StoreAccess.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/StoreAccess.kt
@@ -10,7 +10,7 @@
  * @property failedAt when the last read failed.
  * @property probeAt the earliest time of the next read while the store seems to be away.
  * @property readAt when this router last read a feed from the store.
- * @property checkedAt when this router last checked whether the store can be read, see [isStoreCheckDue].
+ * @property checkedAt when this router last checked whether the store can be read.
  */
 internal data class StoreAccess(
     val failures: Int = 0,
