Let a router whose records have expired read large records from the store

Since readers' answers are compared with all that has been read, a router whose records had expired rejected the answer of a reader with records that are too large to be passed on: it has no offset of its own. It left that reader out for 10 s, and then the next one. Such an answer is no longer compared. The new test of FeedReadsTest failed before and passes.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/ReadersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/ReadersPart.kt
@@ -82,7 +82,8 @@
  * may be older than what is known.
  */
 internal fun RelayState.withoutOldNews(event: RelayEvent): RelayEvent {
-    val read = event as? RelayEvent.FeedRead
+    // An answer without records, as they are too large, has no offset of its own.
+    val read = (event as? RelayEvent.FeedRead)?.takeUnless { it.tooLarge }
     // What has been read is known from the buffer, too, after the records at the offset have expired.
     val known = read?.takeIf { it.throughReader }?.let { feeds.of(it.feed).nextOffset ?: readers.buffers[it.feed]?.end }
     if (read == null || known == null || read.nextOffset >= known) return event
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/FeedReadsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/FeedReadsTest.kt
@@ -73,6 +73,18 @@
         assertTrue(zone !in rig.state.servers.evacuatedZones)
     }
 
+    /** The answer was rejected as older, and its reader left out, after the records had expired. */
+    @Test
+    fun `a router whose records have expired reads the store if the reader has large records`() {
+        val rig = RelayRig("vm-2").start()
+        rig.on(RelayEvent.FeedFailed(Feed.ORDERS, FeedProblem.EXPIRED, "status 410"))
+        rig.join(members = 4)
+        val read = rig.pass(LONGEST_INTERVAL).filterIsInstance<RelayEffect.ReadFeed>().last { it.feed == Feed.ORDERS }
+        rig.on(answer(read, ageMilliseconds = 0).copy(tooLarge = true))
+        val next = rig.pass(LONGEST_INTERVAL).read(Feed.ORDERS)
+        assertEquals(null to null, next.from to next.reader)
+    }
+
     private companion object {
         const val OLD = 10_000L
         const val LONGEST_INTERVAL = 100L
