End a detour to the store at its first failure

Cause: two failures in a row, which may date from a cut that has ended, set a detour through a router chosen by a hash, for 2.5 s. A failure on the detour counted like one of the store, so that it took two, of a second and more each, to try the next router, and never the direct way. Failures of calls that had been sent before the path changed counted for the new path.

Change: a failure on a detour ends it. Calls that were sent before the path changed tell nothing of it.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/StorePathPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/StorePathPart.kt
@@ -1,15 +1,11 @@
 package org.quetzalloom.core.relay.access
 
-import org.quetzalloom.core.reducer.then
-import org.quetzalloom.core.relay.RelayEffect
 import org.quetzalloom.core.relay.RelayEvent
 import org.quetzalloom.core.relay.RelayPart
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.RelayStep
 import org.quetzalloom.core.relay.feed.FeedProblem
-import org.quetzalloom.core.relay.report
 import org.quetzalloom.core.relay.unchanged
-import org.quetzalloom.core.relay.with
 import org.quetzalloom.core.router.stableHash
 import org.quetzalloom.core.time.Timestamp
 
@@ -17,44 +13,48 @@
  * Calls the platform's store through another router while the store does not answer this one.
  *
  * The store may refuse some routers while it serves the others and the operators. A router cannot tell this from an
- * outage, so it tries other routers in turn as proxies, and calls the store directly again every few seconds.
+ * outage, so it tries other routers in turn as proxies. It calls the store directly again every few seconds, and after
+ * each failure on a detour, which may be the fault of the proxy.
  *
  * The feeds are read through one router, see [readerOrNull]; a failure of such a read says nothing about the direct
  * path.
  */
 internal object StorePathPart : RelayPart {
-    /** The failures in a row before the path changes. A single failure may be a lost response. */
-    private const val FAILURES_BEFORE_DETOUR = 2
-
-    /** How long calls go through other routers. It is not shorter, as a failed direct call costs about a second. */
-    private const val DETOUR_MILLISECONDS = 2_500L
-
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
-        is RelayEvent.FeedRead -> if (event.throughReader) state.unchanged() else state.succeeded()
-        is RelayEvent.GroupJoined -> state.succeeded()
+        is RelayEvent.FeedRead -> state.feedRead(event)
+        is RelayEvent.GroupJoined -> state.succeeded(event.sentAt)
         is RelayEvent.FeedFailed -> state.feedFailed(event, now)
-        is RelayEvent.GroupFailed -> if (event.throughReader) state.unchanged() else state.failed(now)
-        RelayEvent.Tick -> state.retryDirectIfDue(now)
+        is RelayEvent.GroupFailed ->
+            if (event.throughReader) state.unchanged() else state.failed(state.members.calledAt, now)
+        RelayEvent.Tick -> if (now >= state.storePath.directRetryAt) state.endDetour(now) else state.unchanged()
         else -> state.unchanged()
     }
 
-    private fun RelayState.succeeded(): RelayStep =
-        if (storePath.failures == 0) unchanged() else copy(storePath = storePath.copy(failures = 0)).unchanged()
+    private fun RelayState.feedRead(event: RelayEvent.FeedRead): RelayStep =
+        if (event.throughReader) unchanged() else succeeded(feeds.of(event.feed).sentAt)
 
-    private fun RelayState.feedFailed(event: RelayEvent.FeedFailed, now: Timestamp): RelayStep = when {
-        event.problem != FeedProblem.UNAVAILABLE -> unchanged()
-        event.throughReader -> unchanged()
-        else -> failed(now)
+    private fun RelayState.feedFailed(event: RelayEvent.FeedFailed, now: Timestamp): RelayStep {
+        val cursor = feeds.of(event.feed)
+        val tellsOfPath = event.problem == FeedProblem.UNAVAILABLE && !event.throughReader && cursor.expects(event)
+        return if (tellsOfPath) failed(cursor.sentAt, now) else unchanged()
     }
 
-    private fun RelayState.failed(now: Timestamp): RelayStep {
-        val withFailure = copy(storePath = storePath.copy(failures = storePath.failures + 1))
-        val proxyRouter = proxyRouterOrNull(storePath.pathChanges)
-        val directRetryAt = if (storePath.viaRouter == null) now + DETOUR_MILLISECONDS else storePath.directRetryAt
-        return if (withFailure.storePath.failures < FAILURES_BEFORE_DETOUR || proxyRouter == null) {
-            withFailure.unchanged()
+    private fun RelayState.succeeded(sentAt: Timestamp): RelayStep =
+        if (storePath.failures == 0 || sentAt < storePath.changedAt) {
+            unchanged()
         } else {
-            withFailure.setPath(proxyRouter, directRetryAt, now)
+            copy(storePath = storePath.copy(failures = 0)).unchanged()
+        }
+
+    private fun RelayState.failed(sentAt: Timestamp, now: Timestamp): RelayStep {
+        if (sentAt < storePath.changedAt) return unchanged()
+        if (storePath.viaRouter != null) return endDetour(now)
+        val failures = storePath.failures + 1
+        val proxyRouter = if (failures < FAILURES_BEFORE_DETOUR) null else proxyRouterOrNull(storePath.pathChanges)
+        return if (proxyRouter == null) {
+            copy(storePath = storePath.copy(failures = failures)).unchanged()
+        } else {
+            setStorePath(proxyRouter, failures = 0, now)
         }
     }
 
@@ -66,26 +66,4 @@
         .filter { it.key != settings.vm && it.value.isNotEmpty() }
         .minByOrNull { stableHash(it.key, seed) }
         ?.value
-
-    private fun RelayState.retryDirectIfDue(now: Timestamp): RelayStep =
-        if (storePath.viaRouter == null || now < storePath.directRetryAt) {
-            unchanged()
-        } else {
-            setPath(null, directRetryAt = now, now)
-        }
-
-    private fun RelayState.setPath(viaRouter: String?, directRetryAt: Timestamp, now: Timestamp): RelayStep {
-        val next = copy(
-            storePath = storePath.copy(
-                viaRouter = viaRouter,
-                failures = 0,
-                pathChanges = storePath.pathChanges + 1,
-                directRetryAt = directRetryAt,
-            ),
-        )
-        if (viaRouter == storePath.viaRouter) return next.unchanged()
-        return next.with(RelayEffect.SetStorePath(viaRouter)).then {
-            it.report(now, "store_path", "through" to (viaRouter ?: "direct"), "failures" to storePath.failures)
-        }
-    }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/StorePathState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/StorePathState.kt
@@ -9,11 +9,13 @@
  *   directly.
  * @property failures the number of failed calls in a row since the last change of the path.
  * @property pathChanges the number of changes of the path.
+ * @property changedAt when the path last changed. Calls that were sent before tell nothing of it.
  * @property directRetryAt when the store is to be called directly again.
  */
 internal data class StorePathState(
     val viaRouter: String? = null,
     val failures: Int = 0,
     val pathChanges: Int = 0,
+    val changedAt: Timestamp = Timestamp.EPOCH,
     val directRetryAt: Timestamp = Timestamp.EPOCH,
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersPart.kt
@@ -55,7 +55,7 @@
         if (members.joining || stop.requestedAt != null || !isDue) return unchanged()
         val timeToLive = joinInterval(now) * TIME_TO_LIVE_INTERVALS
         val store = if (checksStore) feeds.store.copy(checkedAt = now) else feeds.store
-        return copy(members = members.copy(joining = true), feeds = feeds.copy(store = store))
+        return copy(members = members.copy(joining = true, calledAt = now), feeds = feeds.copy(store = store))
             .with(RelayEffect.JoinGroup(members.generation, sentAt = now, timeToLiveMilliseconds = timeToLive))
     }
 
@@ -70,7 +70,7 @@
         val stale = members.generation != members.listedGeneration
         if (!stale || members.listing || now < members.listDueAt) return unchanged()
         val reader = readerOrNull(now)?.takeUnless { members.listsDirectly }
-        return copy(members = members.copy(listing = true))
+        return copy(members = members.copy(listing = true, calledAt = now))
             .with(RelayEffect.ListMembers(members.generation, reader?.let { members.addresses[it] }))
     }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersState.kt
@@ -21,6 +21,7 @@
  * @property joinedAt when the call was sent with which the group last confirmed this router's membership, or `null`
  *   before the first confirmation.
  * @property pausedAt when a pause of this process was last detected, or `null` if that never happened.
+ * @property calledAt when the last call to join or to list the members was sent.
  * @property joinDueAt the earliest time of the next call to join.
  * @property lastJoinAt when the group last confirmed this router's membership.
  * @property joining whether a call to join is under way.
@@ -39,6 +40,7 @@
     val isLeader: Boolean = false,
     val joinedAt: Timestamp? = null,
     val pausedAt: Timestamp? = null,
+    val calledAt: Timestamp = Timestamp.EPOCH,
     val joinDueAt: Timestamp = Timestamp.EPOCH,
     val lastJoinAt: Timestamp = Timestamp.EPOCH,
     val joining: Boolean = false,
