Keep the calls that wait at a reader whole when others are answered

What callers saw: a router of a fleet of more than 33 threw in each tick and each read, from one event on. Its reads of the store, its beacons and its timeouts had ended, and it went on to place requests by what it had last known, until it was restarted: DRAIN, CONFIG and EVAC together.

Cause: PersistentList.removeAll of kotlinx.collections.immutable 0.4.0. If the first 32, 64, 96 ... elements of a list longer by more than 32 are what remains, it throws (32), or returns a list whose further arrays hold nulls. A reader comes there in ordinary work: the calls for one feed came first, and all those for the other are answered at once. The members' calls had the same call of removeAll, and the pool of connections that of a predicate.

Evidence: with `without` as removeAll and the callers as they were, WaitingCallsTest failed in both cases and PersistentCollectionsTest in its first, with "Trie-based persistent vector should have at least 33 elements, got 32" at 32 calls that stay of 72.

All operations compared with plain lists, 50,853 lists of up to 200 elements each (prefixes, suffixes, scattered): removeAll of a collection or predicate, minus, retainAll, and mutate with removeAll are wrong for the same 360, all with a prefix of 32 to 160 left. Sound: remove and removeAt in a fold, mutate with removeIf or an iterator, all operations on sets, hash sets, maps and hash maps. Of the wrong ones only these three calls were in use. `minus` of an ordered set with absent elements meets an assertion of the library, with assertions on; the code uses Kotlin's own minus there.

After: `without` filters into a new list; both tests pass, with a seeded comparison of the operations that the code uses.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/AnswersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/AnswersPart.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
+import org.quetzalloom.core.collection.without
 import org.quetzalloom.core.reducer.then
 import org.quetzalloom.core.reducer.thenEach
 import org.quetzalloom.core.relay.RelayEffect
@@ -66,15 +67,18 @@
     }
 
     private fun RelayState.answerWaiting(now: Timestamp): RelayStep {
-        val due = readers.waiting.filter { now >= it.until || mayAnswer(it, now) }
+        val due = readers.waiting.filter { isDue(it, now) }
         if (due.isEmpty()) return unchanged()
-        return copy(readers = readers.copy(waiting = readers.waiting.removeAll(due))).unchanged()
+        return copy(readers = readers.copy(waiting = readers.waiting.without { isDue(it, now) })).unchanged()
             .thenEach(due) { current, call -> current.with(current.answer(call, now)) }
     }
 
     /** An answer that has waited while the records grew old is given at once, so that the caller can turn elsewhere. */
-    private fun RelayState.mayAnswer(call: WaitingCall, now: Timestamp): Boolean =
-        if (isRecent(call.feed, now)) readers.buffers[call.feed]?.hasNews(call.from) ?: false else call.beganRecent
+    private fun RelayState.isDue(call: WaitingCall, now: Timestamp): Boolean = when {
+        now >= call.until -> true
+        isRecent(call.feed, now) -> readers.buffers[call.feed]?.hasNews(call.from) ?: false
+        else -> call.beganRecent
+    }
 
     private fun RelayState.isRecent(feed: Feed, now: Timestamp): Boolean =
         feedAge(feed, now)?.let { it <= settings.maximumAge(feed) } ?: false
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersCalls.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/member/MembersCalls.kt
@@ -1,5 +1,6 @@
 package org.quetzalloom.core.relay.member
 
+import org.quetzalloom.core.collection.without
 import org.quetzalloom.core.reducer.then
 import org.quetzalloom.core.reducer.thenEach
 import org.quetzalloom.core.relay.RelayEffect
@@ -31,14 +32,16 @@
 
 /** Returns the transition that answers the calls for members whose list is known, and those that have waited enough. */
 internal fun RelayState.answerMembersCalls(now: Timestamp): RelayStep {
-    val due = members.waiting.filter { now >= it.until || isListed(it) }
+    val due = members.waiting.filter { isDue(it, now) }
     if (due.isEmpty()) return unchanged()
-    return copy(members = members.copy(waiting = members.waiting.removeAll(due))).unchanged()
+    return copy(members = members.copy(waiting = members.waiting.without { isDue(it, now) })).unchanged()
         .thenEach(due) { current, call ->
             val addresses = current.members.addresses.takeIf { current.isListed(call) }
             current.with(RelayEffect.AnswerMembers(call.call, addresses))
         }
 }
 
+private fun RelayState.isDue(call: MembersCall, now: Timestamp): Boolean = now >= call.until || isListed(call)
+
 private fun RelayState.isListed(call: MembersCall): Boolean =
     members.listedGeneration >= call.generation && members.addresses.isNotEmpty()
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/CallClient.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/CallClient.kt
@@ -13,6 +13,7 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
+import org.quetzalloom.core.collection.without
 
 /** Receives the whole response to a call, whatever its status, or the reason why there is none. */
 public typealias CallListener = (Result<FullHttpResponse, CallFailure>) -> Unit
@@ -57,7 +58,7 @@
     }
 
     private fun takeIdle(destination: Destination): CallConnection? {
-        updateIdle(destination) { connections -> connections.removeAll { !it.isOpen } }
+        updateIdle(destination) { connections -> connections.without { !it.isOpen } }
         val newest = idle[destination]?.lastOrNull()
         newest?.let { taken -> updateIdle(destination) { it.remove(taken) } }
         return newest
