Remove from the lists of the stand-ins by `without` too

The product has no further call.

PlatformRouterTest, which uses the store's stand-in, PersistentCollectionsTest and WaitingCallsTest pass.

--- a/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineTokens.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/engine/EngineTokens.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.serialization.encodeToString
+import org.quetzalloom.core.collection.without
 import org.quetzalloom.core.reducer.Transition
 import org.quetzalloom.core.time.Timestamp
 import org.quetzalloom.standins.http.HttpEffect
@@ -76,7 +77,7 @@
         if (free <= 0 || state.queue.isEmpty()) return state
         val selected = state.queue.sortedBy { it.priority }.take(free)
         val started = selected.map { it.copy(dueAt = now + settings.tokenMilliseconds) }
-        val next = state.copy(running = state.running.addAll(started), queue = state.queue.removeAll(selected))
+        val next = state.copy(running = state.running.addAll(started), queue = state.queue.without { it in selected })
         return started.fold(next) { current, generation ->
             with(work) { current.withGenerationCounted(generation, now) }
         }
--- a/standins/src/main/kotlin/org/quetzalloom/standins/fault/FaultInjectingStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/fault/FaultInjectingStandIn.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
+import org.quetzalloom.core.collection.without
 import org.quetzalloom.core.reducer.Transition
 import org.quetzalloom.core.time.Timestamp
 import org.quetzalloom.standins.http.HttpCall
@@ -47,7 +48,7 @@
         val dueAt = now + faults.delayMilliseconds
         val delayed = state.delayed.addAll(loss.effects.map { DelayedEffect(dueAt, it) })
         val due = delayed.filter { it.dueAt <= now }
-        val next = state.copy(inner = transition.state, faults = faults, delayed = delayed.removeAll(due))
+        val next = state.copy(inner = transition.state, faults = faults, delayed = delayed.without { it.dueAt <= now })
         return Transition(next, due.map { it.effect }.toPersistentList())
     }
 
--- a/standins/src/main/kotlin/org/quetzalloom/standins/service/ServiceStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/service/ServiceStandIn.kt
@@ -7,6 +7,7 @@
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.encodeToString
+import org.quetzalloom.core.collection.without
 import org.quetzalloom.core.reducer.Transition
 import org.quetzalloom.core.time.Timestamp
 import org.quetzalloom.standins.http.HttpCall
@@ -130,7 +131,7 @@
     private fun finishCalls(state: ServiceState, now: Timestamp): Transition<ServiceState, HttpEffect> {
         val finished = state.running.filter { it.dueAt <= now }
         if (finished.isEmpty()) return state.unchanged()
-        val next = state.copy(running = state.running.removeAll(finished))
+        val next = state.copy(running = state.running.without { it.dueAt <= now })
         return Transition(next, finished.map { response(it.call) }.toPersistentList())
     }
 
--- a/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreStandIn.kt
@@ -1,5 +1,6 @@
 package org.quetzalloom.standins.store
 
+import org.quetzalloom.core.collection.without
 import org.quetzalloom.core.reducer.Transition
 import org.quetzalloom.core.time.Timestamp
 import org.quetzalloom.standins.http.HttpCall
@@ -28,7 +29,7 @@
     override fun reduce(state: StoreState, event: HttpEvent, now: Timestamp): StoreStep = when (event) {
         is HttpEvent.RequestReceived -> handleRequest(state, event.call, now)
         is HttpEvent.ClientDisconnected ->
-            state.copy(waitingReads = state.waitingReads.removeAll { it.exchangeId == event.exchangeId }).unchanged()
+            state.copy(waitingReads = state.waitingReads.without { it.exchangeId == event.exchangeId }).unchanged()
         HttpEvent.Tick -> StoreLog.completeReads(state, state.waitingReads.filter { it.dueAt <= now })
     }
 
