Log with a refused request how old the orders were

The record of the incident shows refused requests with the version that decided, but neither how long ago the orders had been read from the store nor through which router, so that it can't tell a router that is behind from one whose requests ask for what no version allows.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
@@ -17,6 +17,7 @@
 import org.quetzalloom.core.relay.model.ModelLatencyEstimate
 import org.quetzalloom.core.relay.model.ModelOutlook
 import org.quetzalloom.core.relay.report
+import org.quetzalloom.core.relay.feed.Feed
 import org.quetzalloom.core.relay.routing.Route
 import org.quetzalloom.core.relay.routing.RoutingTable
 import org.quetzalloom.core.relay.routing.ServiceName
@@ -99,6 +100,8 @@
             "path" to event.request.path,
             "host" to event.request.host,
             "version" to routing?.version,
+            "orders_read_ms_ago" to feedAge(Feed.ORDERS, now),
+            "orders_reader" to feeds.of(Feed.ORDERS).reader,
         )
     }
 }
