Read the store without other routers while they are silent

Cause: the order of readers is the same for all routers. One that is cut off from the others asks the first, the second and so on, each for its wait and a timeout, 0.73 s at a bound of 2 s. Three silent ones use up any bound, while the store would have answered at any moment.

Change: from 75% of the bound on, a router reads the store itself as soon as the answer of the router it has asked is overdue, or has failed. Near the bound it asks others with a shorter wait. After a silence, the next one asked is one whose beacons tell that it has read the store. An own read takes no detour. Pauses between calls to a store that fails count from when the failed call was sent, and a call that hangs on a detour doesn't hold up the probe of the direct way.

ReaderFailuresTest's check without suspicions takes own reads out, too, as either keeps the bound now; it is as strict as before on the code without both. StorePathTest has the test of an own read that ends a detour.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelaySettings.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelaySettings.kt
@@ -45,6 +45,9 @@
     /** The age of a feed's records from which routers check whether the store can be read, in milliseconds. */
     internal val storeCheckAgeMilliseconds: Long get() = changeBoundMilliseconds * STORE_CHECK_PERCENT / PERCENT
 
+    /** The age of a feed's records from which a router does not depend on others to read it, in milliseconds. */
+    internal val ownReadAgeMilliseconds: Long get() = changeBoundMilliseconds * OWN_READ_PERCENT / PERCENT
+
     /** Returns the time between two reads of [feed], in milliseconds; 0 for a feed whose reads wait for records. */
     internal fun readInterval(feed: Feed): Long = when (feed) {
         Feed.SERVERS -> minOf(serversReadIntervalMilliseconds, changeBoundMilliseconds / SERVERS_INTERVAL_DIVISOR)
@@ -85,6 +88,12 @@
          * store, the news of it, and a read through the router that has succeeded.
          */
         private const val STORE_CHECK_PERCENT = 70
+
+        /*
+         * Above the age that records reach while one reader is silent, so that its standby is asked first. What is left
+         * of the bound is enough for a read of the store.
+         */
+        private const val OWN_READ_PERCENT = 75
         private const val PERCENT = 100
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/Readers.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/Readers.kt
@@ -23,9 +23,9 @@
 /**
  * Returns the router through which this one reads the store at [now], or `null` if it reads directly.
  *
- * That is the first one in the order of readers that has not failed lately. If that one would be asked in vain, or has
- * not given recent records for long, it is the first one that is known to have read the store. A router reads directly
- * if it is that one itself, if others read through it, or if no other router answers.
+ * That is the first one in the order of readers that has not failed lately. If that one would be asked in vain, has not
+ * given recent records for long, or if others have been silent, it is the first one that is known to have read the
+ * store. A router reads directly if it is that one itself, if others read through it, or if no other router answers.
  */
 internal fun RelayState.readerOrNull(now: Timestamp): VmId? {
     if (readsForOthers(now)) return null
@@ -35,7 +35,11 @@
     val afterOld = old.size == MAXIMUM_OLD_READERS &&
         (first == null || candidates.indexOf(first) > candidates.indexOf(old.last()))
     val usual = first.takeUnless { afterOld }
-    val proven = if (usual == null || needsStoreCheck(now)) provenReaderOrNull(now) else null
+    val proven = when {
+        usual == null || needsStoreCheck(now) -> provenReaderOrNull(now)
+        hasSilentReaders(now) -> provenReaderOrNull(now).takeUnless { it == settings.vm }
+        else -> null
+    }
     val chosen = proven ?: usual ?: old.minByOrNull { suspicionOrNull(it, now)?.until ?: now }
     return chosen?.takeIf { it != settings.vm }
 }
@@ -44,6 +48,9 @@
 internal fun RelayState.provenReaderOrNull(now: Timestamp): VmId? =
     readerCandidates().firstOrNull { hasReadStore(it, now) && suspicionOrNull(it, now) == null }
 
+private fun RelayState.hasSilentReaders(now: Timestamp): Boolean =
+    readers.suspicions.values.any { !it.answers && now < it.until }
+
 private fun RelayState.readerCandidates(): List<VmId> =
     members.readerOrder.filter { it == settings.vm || !members.addresses[it].isNullOrEmpty() }
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/StorePathPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/StorePathPart.kt
@@ -13,8 +13,8 @@
  * Calls the platform's store through another router while the store does not answer this one.
  *
  * The store may refuse some routers while it serves the others and the operators. A router cannot tell this from an
- * outage, so it tries other routers in turn as proxies. It calls the store directly again every few seconds, and after
- * each failure on a detour, which may be the fault of the proxy.
+ * outage, so it tries other routers in turn as proxies. It calls the store directly again every few seconds, after each
+ * failure on a detour, which may be the fault of the proxy, and before its records become too old, see [needsOwnRead].
  *
  * The feeds are read through one router, see [readerOrNull]; a failure of such a read says nothing about the direct
  * path.
@@ -46,9 +46,13 @@
             copy(storePath = storePath.copy(failures = 0)).unchanged()
         }
 
-    private fun RelayState.failed(sentAt: Timestamp, now: Timestamp): RelayStep {
-        if (sentAt < storePath.changedAt) return unchanged()
-        if (storePath.viaRouter != null) return endDetour(now)
+    private fun RelayState.failed(sentAt: Timestamp, now: Timestamp): RelayStep = when {
+        sentAt < storePath.changedAt -> unchanged()
+        storePath.viaRouter != null -> endDetour(now)
+        else -> directCallFailed(now)
+    }
+
+    private fun RelayState.directCallFailed(now: Timestamp): RelayStep {
         val failures = storePath.failures + 1
         val proxyRouter = if (failures < FAILURES_BEFORE_DETOUR) null else proxyRouterOrNull(storePath.pathChanges)
         return if (proxyRouter == null) {
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/StorePaths.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/StorePaths.kt
@@ -19,7 +19,7 @@
 internal fun RelayState.endDetour(now: Timestamp): RelayStep =
     if (storePath.viaRouter == null) unchanged() else setStorePath(null, FAILURES_BEFORE_DETOUR - 1, now)
 
-/** Calls the store through [viaRouter] from [now] on, or directly if it is `null`, as if [failures] calls had failed. */
+/** Calls the store through [viaRouter] from [now] on, or directly if it is `null`. [failures] calls count as failed. */
 internal fun RelayState.setStorePath(viaRouter: String?, failures: Int, now: Timestamp): RelayStep {
     val next = copy(
         storePath = StorePathState(
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
@@ -14,10 +14,10 @@
 import org.quetzalloom.core.relay.RelayEvent
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.RelayStep
+import org.quetzalloom.core.relay.feed.Feed
 import org.quetzalloom.core.relay.model.ModelLatencyEstimate
 import org.quetzalloom.core.relay.model.ModelOutlook
 import org.quetzalloom.core.relay.report
-import org.quetzalloom.core.relay.feed.Feed
 import org.quetzalloom.core.relay.routing.Route
 import org.quetzalloom.core.relay.routing.RoutingTable
 import org.quetzalloom.core.relay.routing.ServiceName
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedCursor.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedCursor.kt
@@ -21,6 +21,7 @@
  *   passed on.
  * @property reader the router through which the last read was sent, or `null` if it was sent to the store.
  * @property number the number of the last read.
+ * @property unanswered the number of reads sent since the last one that succeeded.
  */
 internal data class FeedCursor(
     val nextOffset: Long? = null,
@@ -35,6 +36,7 @@
     val readStore: Boolean = false,
     val reader: VmId? = null,
     val number: Long = 0,
+    val unanswered: Int = 0,
 ) {
     /** Whether a read of the store is under way. */
     val readsStore: Boolean get() = reading && reader == null
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
@@ -8,9 +8,10 @@
 import org.quetzalloom.core.relay.RelayPart
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.RelayStep
+import org.quetzalloom.core.relay.access.endDetour
 import org.quetzalloom.core.relay.access.hasOldRecords
 import org.quetzalloom.core.relay.access.needsStoreCheck
-import org.quetzalloom.core.relay.access.readerOrNull
+import org.quetzalloom.core.relay.access.readerWait
 import org.quetzalloom.core.relay.peer.sendBeaconToAll
 import org.quetzalloom.core.relay.report
 import org.quetzalloom.core.relay.unchanged
@@ -44,7 +45,11 @@
 
     private fun RelayState.readIfDue(feed: Feed, now: Timestamp): RelayStep =
         if (isReadDue(feed, now)) {
-            read(feed, readerOrNull(now).takeUnless { feeds.of(feed).readStore }, now)
+            val reader = readerOrNull(feed, now)
+            val isOwnRead = isOwnReadDue(feed, now)
+            unchanged()
+                .then { if (isOwnRead) it.reportOwnRead(feed, now).then { step -> step.endDetour(now) } else it.unchanged() }
+                .then { it.read(feed, reader, now) }
         } else {
             unchanged()
         }
@@ -53,7 +58,7 @@
     private fun RelayState.read(feed: Feed, reader: VmId?, now: Timestamp): RelayStep {
         val cursor = feeds.of(feed)
         val wait = when {
-            reader != null -> settings.readerWaitMilliseconds
+            reader != null -> readerWait(feed, now)
             feeds.store.isAway -> 0
             // The answer tells that the records are recent; those of a router that takes over as the reader are not.
             else -> (settings.readWait(feed) - (feedAge(feed, now) ?: 0)).coerceAtLeast(0)
@@ -64,6 +69,7 @@
             waitMilliseconds = wait,
             reader = reader,
             number = cursor.number + 1,
+            unanswered = cursor.unanswered + 1,
         )
         return copy(feeds = feeds.with(feed, next)).with(
             RelayEffect.ReadFeed(
@@ -122,36 +128,17 @@
     private fun RelayState.feedFailed(event: RelayEvent.FeedFailed, now: Timestamp): RelayStep {
         val cursor = feeds.of(event.feed)
         if (!cursor.expects(event)) return unchanged()
+        val storePause = event.pause(cursor.storeFailures)
         val next = cursor.copy(
             reading = false,
             nextOffset = cursor.nextOffset.takeUnless { event.problem == FeedProblem.EXPIRED },
             dueAt = now + if (event.throughReader) event.pause(cursor.failures) else 0,
             failures = cursor.failures + 1,
-            storeDueAt = if (event.throughReader) cursor.storeDueAt else now + event.pause(cursor.storeFailures),
+            storeDueAt = if (event.throughReader) cursor.storeDueAt else cursor.sentAt + storePause,
             storeFailures = cursor.storeFailures + if (event.throughReader) 0 else 1,
         )
         return copy(feeds = feeds.readFailed(event, now).with(event.feed, next)).unchanged().then {
             if (cursor.failures == 0) it.reportLost(event, now) else it.unchanged()
         }
     }
-
-    private fun RelayState.reportCheckPassed(now: Timestamp): RelayStep = report(
-        now,
-        "store_check_passed",
-        "orders_read_ms_ago" to feedAge(Feed.ORDERS, now),
-        "servers_read_ms_ago" to feedAge(Feed.SERVERS, now),
-    )
-
-    private fun RelayState.reportLost(event: RelayEvent.FeedFailed, now: Timestamp): RelayStep = report(
-        now,
-        "feed_lost",
-        "feed" to event.feed,
-        "problem" to event.problem,
-        "detail" to event.detail,
-        "through_reader" to event.throughReader,
-        "last_read_ms_ago" to feeds.of(event.feed).readAt?.let { now - it },
-    )
-
-    private fun RelayState.reportUnreadable(feed: Feed, entry: FeedEntry.Unreadable, now: Timestamp): RelayStep =
-        report(now, "record_skipped", "feed" to feed, "key" to entry.key, "problem" to entry.problem)
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/StoreAccess.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/StoreAccess.kt
@@ -29,6 +29,6 @@
     fun failed(sentAt: Timestamp, now: Timestamp): StoreAccess = if (sentAt < failedAt) {
         this
     } else {
-        copy(failures = failures + 1, failedAt = now, probeAt = now + storePause(failures))
+        copy(failures = failures + 1, failedAt = now, probeAt = sentAt + storePause(failures))
     }
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/ReaderFailuresTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/ReaderFailuresTest.kt
@@ -103,8 +103,10 @@
     private fun failure(name: String): Failure = failures.first { it.name == name }
 
     @Test
-    fun `a reader that is not replaced keeps a change from the others`() {
-        val reducer = without { it.copy(readers = it.readers.copy(suspicions = persistentMapOf())) }
+    fun `a reader that is neither replaced nor passed over keeps a change from the others`() {
+        val reducer = without {
+            it.copy(readers = it.readers.copy(suspicions = persistentMapOf()), feeds = it.feeds.withoutSilence())
+        }
         val time = worstTime(failure("paused"), ReaderFleet.BOUND, reducer)
         assertTrue(time > ReaderFleet.BOUND, "$time ms")
     }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/ReaderFleet.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/ReaderFleet.kt
@@ -1,9 +1,11 @@
 package org.quetzalloom.core.relay
 
+import kotlinx.collections.immutable.toPersistentMap
 import org.quetzalloom.core.identity.VmId
 import org.quetzalloom.core.reducer.Reducer
 import org.quetzalloom.core.relay.feed.Feed
 import org.quetzalloom.core.relay.feed.FeedEntry
+import org.quetzalloom.core.relay.feed.FeedsState
 
 /**
  * A [RelayFleet] that has settled, and measures how long a change takes to reach all its routers.
@@ -32,24 +34,31 @@
     private var version = RelayRig.table.version
     private var sequence = 100L
 
-    /** Writes a configuration and a draining server; returns after how long all running [routers] know both. */
-    fun timeToSpread(routers: List<VmId> = fleet.vms): Long {
-        val begin = fleet.elapsed
+    /** Writes a configuration and a draining server; returns their version. */
+    fun write(): Long {
         version++
         val server = RelayRig.plainServers.first().copy(draining = true, startedAt = version)
         fleet.write(Feed.ORDERS, FeedEntry.Configuration(RelayRig.table.copy(version = version)))
         fleet.write(Feed.SERVERS, FeedEntry.Server(server))
-        while (routers.any { it !in fleet.paused && !knowsChange(it) }) {
+        return version
+    }
+
+    /** Writes a configuration and a draining server; returns after how long all running [routers] know both. */
+    fun timeToSpread(routers: List<VmId> = fleet.vms): Long {
+        val begin = fleet.elapsed
+        write()
+        while (routers.any { it !in fleet.paused && knownVersion(it) < version }) {
             fleet.pass(RelayRig.TICK)
             if (fleet.elapsed - begin > PATIENCE) return PATIENCE
         }
         return fleet.elapsed - begin
     }
 
-    private fun knowsChange(vm: VmId): Boolean {
+    /** Returns the newest version of which [vm] knows both the configuration and the server, or 0 for none. */
+    fun knownVersion(vm: VmId): Long {
         val state = fleet.states.getValue(vm)
         val listing = state.servers.views[RelayRig.plainServers.first().id]?.listing
-        return state.configurationVersion == version && listing?.startedAt == version
+        return minOf(state.configurationVersion ?: 0, listing?.startedAt ?: 0)
     }
 
     /** Counts the calls of [milliseconds], in which all servers renew their entries; a join counts as a tenth. */
@@ -79,3 +88,10 @@
         private const val JOINS_PER_CALL = 10.0
     }
 }
+
+/** Returns the state in which no read seems to be overdue or to have failed, so that no router reads by itself. */
+internal fun FeedsState.withoutSilence(): FeedsState = copy(
+    cursors = cursors.mapValues { (_, cursor) ->
+        cursor.copy(unanswered = 0, failures = 0, waitMilliseconds = ReaderFleet.PATIENCE)
+    }.toPersistentMap(),
+)
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RelayFleet.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RelayFleet.kt
@@ -13,6 +13,7 @@
 import org.quetzalloom.core.relay.peer.PeerBeacon
 import org.quetzalloom.core.relay.rollout.RolloutPhase
 import org.quetzalloom.core.time.Timestamp
+import org.quetzalloom.core.timeline.TimelineEntry
 import java.util.PriorityQueue
 import kotlin.random.Random
 
@@ -73,6 +74,9 @@
     /** Called when a request at a router has ended, with whether it was answered by a backend server. */
     var onEnd: (vm: VmId, exchange: ExchangeId, served: Boolean) -> Unit = { _, _, _ -> }
 
+    /** Called for each entry of the timeline that a router reports. */
+    var onReport: (vm: VmId, entry: TimelineEntry) -> Unit = { _, _ -> }
+
     /** The share of calls between routers that get no answer, and of those whose answer arrives twice. */
     var callLoss = 0.0
     var doubled = 0.0
@@ -120,6 +124,7 @@
     /** Starts [vm] anew, with nothing of what it knew. */
     fun restart(vm: VmId) {
         states[vm] = initialState(vm)
+        store.paths.remove(vm)
         peerCalls.values.removeAll { it.caller == vm }
         queue.removeIf { it.vm == vm }
     }
@@ -171,6 +176,7 @@
             }
             is RelayEffect.Refuse ->
                 end(vm, effect.exchange, ResponseHead(effect.kind.status, signed = false))
+            is RelayEffect.Report -> onReport(vm, effect.entry)
             is RelayEffect.AbortResponse -> end(vm, effect.exchange, head = null)
             is RelayEffect.ProbeServer -> {
                 val connected = vm !in cutFromServers
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/StorePathTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/StorePathTest.kt
@@ -33,7 +33,9 @@
 
     /** Lets what the router knows of all feeds be recent. */
     private fun RelayRig.readAll() {
-        val feeds = Feed.entries.fold(state.feeds) { feeds, feed -> feeds.with(feed, feeds.of(feed).copy(readAt = now)) }
+        val feeds = Feed.entries.fold(state.feeds) { feeds, feed ->
+            feeds.with(feed, feeds.of(feed).copy(readAt = now))
+        }
         state = state.copy(feeds = feeds)
     }
 
@@ -71,6 +73,15 @@
         assertTrue(rig.fail().none<RelayEffect.SetStorePath>())
     }
 
+    @Test
+    fun `a router whose records grow old does not wait for calls through another one`() {
+        val rig = RelayRig().start(members = 3)
+        rig.fail()
+        assertNotNull(rig.fail().path().viaRouter)
+        val old = rig.state.settings.ownReadAgeMilliseconds
+        assertEquals(null, rig.pass(old + RelayRig.TICK).path().viaRouter)
+    }
+
     @Test
     fun `a router that knows no other keeps calling the store directly`() {
         val rig = RelayRig().start(members = 1)
