Leave out records of the store that a reader's answer has overtaken

Cause: answers of readers alone were compared with the offset that is known. The class: a result that was overtaken is taken for news.

Evidence: by reading, and by the new test of FeedReadsTest.

Change: a result of the store that ends before what is known counts as an answer of the store, without its records. Reads without an offset, after records have expired, are taken as before.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/ReadersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/ReadersPart.kt
@@ -1,5 +1,6 @@
 package org.quetzalloom.core.relay.access
 
+import kotlinx.collections.immutable.persistentListOf
 import org.quetzalloom.core.identity.VmId
 import org.quetzalloom.core.relay.RelayEvent
 import org.quetzalloom.core.relay.RelayPart
@@ -78,15 +79,31 @@
 }
 
 /**
- * Returns [event], or a failure in its place if it is the answer of a reader that has read less than this router: it
- * may be older than what is known.
+ * Returns [event], or what takes its place if it is the result of a read that knows less than this router: a failure for
+ * the answer of a reader, as it may be older than what is known; for a read of the store that was overtaken by the late
+ * answer of a reader, the same result without records.
  */
 internal fun RelayState.withoutOldNews(event: RelayEvent): RelayEvent {
     // An answer without records, as they are too large, has no offset of its own.
-    val read = (event as? RelayEvent.FeedRead)?.takeUnless { it.tooLarge }
+    val read = (event as? RelayEvent.FeedRead)?.takeUnless { it.tooLarge } ?: return event
+    return if (read.throughReader) withoutOldAnswer(read) else withoutOvertakenRecords(read)
+}
+
+private fun RelayState.withoutOldAnswer(read: RelayEvent.FeedRead): RelayEvent {
     // What has been read is known from the buffer, too, after the records at the offset have expired.
-    val known = read?.takeIf { it.throughReader }?.let { feeds.of(it.feed).nextOffset ?: readers.buffers[it.feed]?.end }
-    if (read == null || known == null || read.nextOffset >= known) return event
+    val known = feeds.of(read.feed).nextOffset ?: readers.buffers[read.feed]?.end
+    if (known == null || read.nextOffset >= known) return read
     val detail = "the reader is at ${read.nextOffset}, before $known"
     return RelayEvent.FeedFailed(read.feed, FeedProblem.UNAVAILABLE, detail, throughReader = true, read.number)
 }
+
+private fun RelayState.withoutOvertakenRecords(read: RelayEvent.FeedRead): RelayEvent {
+    val known = feeds.of(read.feed).nextOffset
+    if (known == null || read.nextOffset >= known) return read
+    return read.copy(
+        entries = persistentListOf(),
+        records = persistentListOf(),
+        snapshot = false,
+        nextOffset = known,
+    )
+}
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/FeedReadsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/FeedReadsTest.kt
@@ -55,6 +55,22 @@
         assertTrue(next.read(Feed.SERVERS).reader != orders.reader, "$next")
     }
 
+    /** A read of the store ended an evacuation that a late answer of a reader had begun, for good. */
+    @Test
+    fun `a read of the store that was overtaken by a reader's answer does not bring back older records`() {
+        val (rig, effects) = follower()
+        val zone = RelayRig.zones.first()
+        val read = effects.read(Feed.ORDERS)
+        rig.pass(LONGEST_INTERVAL)
+        rig.on(
+            answer(read, ageMilliseconds = 0)
+                .copy(entries = listOf(FeedEntry.Evacuation(zone, active = true)), nextOffset = 9),
+        )
+        rig.on(RelayEvent.FeedRead(Feed.ORDERS, listOf(FeedEntry.Evacuation(zone, active = false)), nextOffset = 8))
+        assertTrue(zone in rig.state.servers.evacuatedZones)
+        assertEquals(9, rig.state.feeds.of(Feed.ORDERS).nextOffset)
+    }
+
     /** After the records at its offset had expired, a router took an older snapshot, and ended an evacuation by it. */
     @Test
     fun `a snapshot of a reader that has read less is not taken after records have expired`() {
