Log when a connection for an attempt is open and when a long request is written

The lines of requests that reached a server after it had said that it leaves could not tell an old list from a decision that was carried out late: attempt_sent has the age of the list at the choice, and nothing tells when the request left this router.

attempt_connected follows each new connection for an attempt, attempt_written each request that took more than one write. Both say how long ago the server was chosen, how old the list is by now, the sequence of the server's entry, and whether the server still wants requests; a histogram has the times. attempt_sent has the sequence of the entry, too. Attempts on open connections are written with the choice itself and have no further line.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
@@ -42,6 +42,18 @@
     /** The caller has closed its connection. */
     public data class CallerLeft(public val exchange: ExchangeId) : RelayEvent
 
+    /**
+     * A new connection for an attempt at a backend server has been established. Attempts on connections that were open
+     * before have no such event.
+     */
+    public data class AttemptConnected(public val exchange: ExchangeId, public val attempt: Int) : RelayEvent
+
+    /**
+     * The request of an attempt at a backend server has been written to its connection. Occurs only if that took more
+     * than one write.
+     */
+    public data class RequestWritten(public val exchange: ExchangeId, public val attempt: Int) : RelayEvent
+
     /**
      * The response of an attempt can be decided upon: the head of a stream that succeeds has arrived, or any other
      * response completely.
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Attempts.kt
@@ -122,6 +122,7 @@
     "load" to view.loadAt(now),
     "configuration" to routing?.version,
     "listed_ms_ago" to servers.listReadAt?.let { now - it },
+    "sequence" to view.listing.sequence,
     "time_left_ms" to (exchange.deadlineAt - now),
     "last_event_id" to exchange.lastEventId,
     "shared_parts" to exchange.request.sharedParts.takeIf { it.isNotEmpty() }?.joinToString(",") { it.id },
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ExchangesPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ExchangesPart.kt
@@ -16,6 +16,10 @@
 internal object ExchangesPart : RelayPart {
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
         is RelayEvent.RequestArrived -> state.admitOrRefuse(event, now)
+        is RelayEvent.AttemptConnected ->
+            state.reportDelay("attempt_connected", state.exchanges.currentOrNull(event.exchange, event.attempt), now)
+        is RelayEvent.RequestWritten ->
+            state.reportDelay("attempt_written", state.exchanges.currentOrNull(event.exchange, event.attempt), now)
         is RelayEvent.ResponseStarted -> state.responseStarted(event, now)
         is RelayEvent.ResponseProgressed -> state.responseProgressed(event)
         is RelayEvent.ResponseFinished -> state.responseFinished(event, now)
@@ -27,6 +31,23 @@
         else -> state.unchanged()
     }
 
+    /** Logs as [name] how long after its server was chosen an attempt has come so far, and what is known since. */
+    private fun RelayState.reportDelay(name: String, current: CurrentAttempt?, now: Timestamp): RelayStep {
+        val (exchange, attempt) = current ?: return unchanged()
+        val view = servers.views[attempt.server]
+        return report(
+            now,
+            name,
+            "request" to exchange.request.callerId,
+            "attempt" to attempt.number,
+            "server" to attempt.server,
+            "after_ms" to (now - attempt.sentAt),
+            "listed_ms_ago" to servers.listReadAt?.let { now - it },
+            "sequence" to view?.listing?.sequence,
+            "wanted" to servers.mayReceive(attempt.server, now),
+        )
+    }
+
     private fun RelayState.callerLeft(event: RelayEvent.CallerLeft, now: Timestamp): RelayStep {
         val exchange = exchanges.byId[event.exchange] ?: return unchanged()
         return unchanged().then { it.cancelAttempt(exchange) }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
@@ -54,8 +54,13 @@
         }
     }
 
-    private fun ServerView.isUsable(now: Timestamp): Boolean = wantsRequests(now) &&
-        dropAt == null && now >= suspendedUntil && listing.zone !in evacuatedZones
+    /** Returns whether the server [id] is listed, wants requests and is not evacuated. It may be suspended. */
+    fun mayReceive(id: BackendServerId, now: Timestamp): Boolean = views[id]?.mayReceive(now) ?: false
+
+    private fun ServerView.isUsable(now: Timestamp): Boolean = mayReceive(now) && now >= suspendedUntil
+
+    private fun ServerView.mayReceive(now: Timestamp): Boolean =
+        wantsRequests(now) && dropAt == null && listing.zone !in evacuatedZones
 
     private fun ServerView.wantsRequests(now: Timestamp): Boolean =
         !listing.draining && !leaving && now >= closedUntil
--- a/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
@@ -99,6 +99,12 @@
         }
     }
 
+    override fun attemptConnected(call: BackendCall): Unit =
+        post(RelayEvent.AttemptConnected(call.exchange.id, call.number))
+
+    override fun requestWritten(call: BackendCall): Unit =
+        post(RelayEvent.RequestWritten(call.exchange.id, call.number))
+
     override fun responseStarted(call: BackendCall, head: HttpResponse): Unit =
         post(RelayEvent.ResponseStarted(call.exchange.id, call.number, codec.decodeResponse(head)))
 
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
@@ -63,6 +63,14 @@
     var ended = false
         private set
 
+    /** Handles the establishment of a new connection for the attempt. */
+    fun onConnected(): Unit = listener.attemptConnected(this)
+
+    /** Handles the end of a write of the request that did not end at once. */
+    fun onWritten() {
+        if (!ended) listener.requestWritten(this)
+    }
+
     /** Handles the start of sending on [connection]. Starts the timeout for the first byte of the response. */
     fun onSending(connection: BackendConnection) {
         this.connection = connection
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCallListener.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCallListener.kt
@@ -5,6 +5,12 @@
 
 /** Receives the progress of an attempt. */
 internal interface BackendCallListener {
+    /** A new connection for the attempt has been established; its request is written next. */
+    fun attemptConnected(call: BackendCall)
+
+    /** The request of the attempt has been written, which took more than one write. */
+    fun requestWritten(call: BackendCall)
+
     /** The head of a successful stream has arrived, or any other response is complete. */
     fun responseStarted(call: BackendCall, head: HttpResponse)
 
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
@@ -84,7 +84,10 @@
         }
         decoder.method = head.method()
         decoder.responseExpected = true
-        requestWrite = channel.writeAndFlush(request).addListener { written ->
+        requestWrite = channel.writeAndFlush(request)
+        val delayed = !requestWrite.isDone
+        requestWrite.addListener { written ->
+            if (written.isSuccess && delayed) call.onWritten()
             // After an I/O error the input ends by itself.
             if (!written.isSuccess && written.cause() !is IOException) channel.close()
         }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
@@ -131,7 +131,10 @@
                 connection == null -> call.onFailure(AttemptFailure.NOT_CONNECTED)
                 // The call may have been abandoned while the connection was being established.
                 call.ended -> release(connection)
-                else -> connection.send(call, codec.encodeRequest(call.exchange.head, call.parameters))
+                else -> {
+                    call.onConnected()
+                    connection.send(call, codec.encodeRequest(call.exchange.head, call.parameters))
+                }
             }
         }
 
--- a/relay/src/main/kotlin/org/quetzalloom/relay/report/RelayMetrics.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/report/RelayMetrics.kt
@@ -40,6 +40,14 @@
         .classicExponentialUpperBounds(FIRST_RATIO, BOUND_FACTOR, RATIO_COUNT)
         .register(registry)
 
+    private val delay = Histogram.builder()
+        .name("quetzalloom_relay_attempt_delay_seconds")
+        .help("Time from the choice of a server until a new connection to it is open, or a long request is written.")
+        .labelNames("name")
+        .classicOnly()
+        .classicExponentialUpperBounds(FIRST_DELAY_SECONDS, BOUND_FACTOR, BOUND_COUNT)
+        .register(registry)
+
     init {
         gauge("quetzalloom_relay_active_requests", "Requests in flight.") { it.activeExchanges.toDouble() }
         gauge("quetzalloom_relay_backend_servers", "Backend servers known.") { it.knownServers.toDouble() }
@@ -73,6 +81,7 @@
     fun count(entry: TimelineEntry) {
         events.labelValues(entry.name).inc()
         entry.fields["failure"]?.let { failures.labelValues(it).inc() }
+        if (entry.name in DELAY_NAMES) observeDelay(entry)
         val outcome = entry.fields["outcome"] ?: return
         requests.labelValues(outcome).inc()
         val milliseconds = entry.fields["after_ms"]?.toDoubleOrNull() ?: return
@@ -80,6 +89,11 @@
         observeForecast(entry)
     }
 
+    private fun observeDelay(entry: TimelineEntry) {
+        val milliseconds = entry.fields["after_ms"]?.toDoubleOrNull() ?: return
+        delay.labelValues(entry.name).observe(milliseconds / MILLISECONDS_PER_SECOND)
+    }
+
     private fun observeForecast(entry: TimelineEntry) {
         val start = entry.fields["start_ms"]?.toDoubleOrNull() ?: return
         val forecast = entry.fields["forecast_ms"]?.toDoubleOrNull() ?: return
@@ -114,6 +128,10 @@
         const val BOUND_FACTOR = 2.0
         const val BOUND_COUNT = 12
 
+        /** The histogram of delays covers 1 ms to 2 s: a connection takes 0.4 s at most. */
+        const val FIRST_DELAY_SECONDS = 0.001
+        val DELAY_NAMES = setOf("attempt_connected", "attempt_written")
+
         /** The histogram of ratios covers an eighth to 8 times the forecast. */
         const val FIRST_RATIO = 0.125
         const val RATIO_COUNT = 7
--- a/relay/src/test/kotlin/org/quetzalloom/relay/backend/RepeatedAttemptTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/backend/RepeatedAttemptTest.kt
@@ -143,6 +143,10 @@
             response.completeExceptionally(IllegalStateException("$failure $detail"))
         }
 
+        override fun attemptConnected(call: BackendCall) = Unit
+
+        override fun requestWritten(call: BackendCall) = Unit
+
         override fun responseProgressed(call: BackendCall, events: Int) = Unit
 
         override fun responseForwarded(call: BackendCall, events: Int) = Unit
