Leave out an entry that a server wrote before the last one read

What callers saw: nothing, as a server that leaves goes on to answer for a while; the users saw requests at back ends that had said that they leave (DRAIN).

Cause: each entry of the list was taken as it came, and its sequence compared with nothing. A write that the store executes late ("done 1 to 6 s later"), an entry of an earlier run or an older copy of the store made a draining server ready again, until its next entry. Class: the order in which statements arrive is taken for the order in which they were made.

Change: an entry with an earlier start, or with a lower sequence of the same run, is left out and logged as server_entry_older. The entries of a server that does not say when it started are taken as before, as a new run cannot be told from an older entry. So is an older entry of the same run if the server was removed without having said that it leaves: it may have been silent, and readers leave out later entries that repeat this one. An entry of a service that no configuration names, in place of the server's own, removes the server without changing what is known of it: entries of other writers may have any numbers, and none may close a server out.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/admission/RoomForecasts.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/admission/RoomForecasts.kt
@@ -19,7 +19,7 @@
         ?.coerceAtLeast(0)
 
 private fun RelayState.mayTakeLater(exchange: Exchange, view: ServerView): Boolean =
-    !view.listing.draining && !view.leaving && view.dropAt == null &&
+    !view.isLeaving && view.dropAt == null &&
         view.listing.zone !in servers.evacuatedZones && view.listing.id !in exchange.triedServers
 
 private fun RelayState.roomAt(view: ServerView, now: Timestamp): Timestamp {
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/handover/ReachChanges.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/handover/ReachChanges.kt
@@ -46,6 +46,6 @@
 
 /** Returns the backend servers of [service] that want requests, whether or not they have failed lately. */
 internal fun RelayState.wantedServers(service: ServiceName): List<ServerView> = servers.views.values.filter {
-    it.listing.service == service && it.dropAt == null && !it.listing.draining && !it.leaving &&
+    it.listing.service == service && it.dropAt == null && !it.isLeaving &&
         it.listing.zone !in servers.evacuatedZones
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerListing.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerListing.kt
@@ -13,7 +13,7 @@
  * @property draining whether the server has announced that it shuts down.
  * @property coldMilliseconds the rest of the server's warm-up at the time it wrote the entry; 0 if it is warm.
  * @property startedAt the start of the server's process, in milliseconds since the Unix epoch by the server's own
- *   clock; distinguishes one run from the next.
+ *   clock; distinguishes one run from the next. 0 if the server does not say.
  * @property sequence the number of the entry, which rises within one run of the server.
  */
 public data class ServerListing(
@@ -27,4 +27,11 @@
     public val coldMilliseconds: Long,
     public val startedAt: Long,
     public val sequence: Long,
-)
+) {
+    /**
+     * Returns whether the server wrote this entry before [other], which it wrote too. The runs of a server that does
+     * not say when it started cannot be told apart.
+     */
+    internal fun isOlderThan(other: ServerListing): Boolean =
+        startedAt < other.startedAt || startedAt == other.startedAt && startedAt != 0L && sequence < other.sequence
+}
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerView.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerView.kt
@@ -44,6 +44,9 @@
     val coldSends: PersistentList<Timestamp> = persistentListOf(),
     val dropAt: Timestamp? = null,
 ) {
+    /** Whether the server has announced that it shuts down, in its entry or in a response. */
+    val isLeaving: Boolean get() = leaving || listing.draining
+
     /** The usual duration of work at the server, in multiples of the usual one; 1 if it does not say. */
     val workDurationOrUsual: Double get() = workDuration.factor ?: 1.0
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersPart.kt
@@ -10,6 +10,7 @@
 import org.quetzalloom.core.relay.feed.Feed
 import org.quetzalloom.core.relay.feed.FeedEntry
 import org.quetzalloom.core.relay.report
+import org.quetzalloom.core.relay.routing.ServiceName
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.time.Timestamp
 
@@ -52,7 +53,46 @@
         else -> null
     }
 
+    /**
+     * The store may execute a server's writes late and return to an older copy of its records, and there are other
+     * writers. An entry that is older than the last one is left out, unless it is of the same run and the server was
+     * removed without having said that it leaves. One that names an unknown service in place of the server's is not the
+     * server's own.
+     */
     private fun RelayState.updateListing(listing: ServerListing, now: Timestamp): RelayStep {
+        val known = servers.views[listing.id]?.listing
+        return when {
+            known == null -> putListing(listing, now)
+            known.service != listing.service ->
+                if (isUnknown(listing.service)) markRemoved(listing.id, now) else putListing(listing, now)
+            isOutdated(listing, known) -> reportOlder(listing, known, now)
+            else -> putListing(listing, now)
+        }
+    }
+
+    private fun RelayState.isOutdated(listing: ServerListing, known: ServerListing): Boolean =
+        listing.isOlderThan(known) &&
+            (listing.startedAt != known.startedAt || servers.isListedOrLeaving(listing.id))
+
+    private fun RelayState.isUnknown(service: ServiceName): Boolean = routing?.let { service !in it.services } ?: false
+
+    private fun RelayState.reportOlder(
+        listing: ServerListing,
+        known: ServerListing,
+        now: Timestamp,
+    ): RelayStep = report(
+        now,
+        "server_entry_older",
+        "server" to listing.id,
+        "sequence" to listing.sequence,
+        "known_sequence" to known.sequence,
+        "started_at" to listing.startedAt,
+        "known_started_at" to known.startedAt,
+        "draining" to listing.draining,
+        "known_draining" to known.draining,
+    )
+
+    private fun RelayState.putListing(listing: ServerListing, now: Timestamp): RelayStep {
         val previous = servers.views[listing.id]
         val view = previous?.withListing(listing, now) ?: ServerView(
             listing = listing,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
@@ -30,6 +30,9 @@
     fun usable(service: ServiceName, now: Timestamp): List<ServerView> =
         views.values.filter { it.listing.service == service && it.isUsable(now) }
 
+    /** Returns whether the server [id] is listed, or has been and has announced that it shuts down. */
+    fun isListedOrLeaving(id: BackendServerId): Boolean = views[id]?.let { it.dropAt == null || it.isLeaving } ?: false
+
     /** Returns the state with [change] applied to the view of [id]; the same state if [id] is unknown. */
     fun update(id: BackendServerId, change: (ServerView) -> ServerView): ServersState {
         val view = views[id] ?: return this
@@ -63,5 +66,5 @@
         wantsRequests(now) && dropAt == null && listing.zone !in evacuatedZones
 
     private fun ServerView.wantsRequests(now: Timestamp): Boolean =
-        !listing.draining && !leaving && now >= closedUntil
+        !isLeaving && now >= closedUntil
 }
