Remember servers that have left for some minutes after they are dropped

A router that had passed on an answer with Server-Leaving sent requests to that server later; the rule binds it whether or not it is in touch.

Cause: half a second after the entry of a server was removed, its view was dropped, and with it that the server had said that it leaves. An entry that came afterwards (a late write, an older copy of the store, one that lapsed while the store was away) began anew. Class: what was learned from one source is kept with the record of another, and goes with it.

Change: the last entry of a server that is dropped, and whether it has announced its leaving in a response, are remembered for five minutes. Entries that are older than it are left out, and an entry of the same run keeps the announcement; a new run does not.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersPart.kt
@@ -60,7 +60,7 @@
      * server's own.
      */
     private fun RelayState.updateListing(listing: ServerListing, now: Timestamp): RelayStep {
-        val known = servers.views[listing.id]?.listing
+        val known = servers.lastListingOrNull(listing.id)
         return when {
             known == null -> putListing(listing, now)
             known.service != listing.service ->
@@ -94,15 +94,26 @@
 
     private fun RelayState.putListing(listing: ServerListing, now: Timestamp): RelayStep {
         val previous = servers.views[listing.id]
-        val view = previous?.withListing(listing, now) ?: ServerView(
-            listing = listing,
-            coldUntil = now + listing.coldMilliseconds,
+        val view = previous?.withListing(listing, now) ?: newView(listing, now)
+        val next = copy(
+            servers = servers.copy(
+                views = servers.views.put(listing.id, view),
+                departed = servers.departed.remove(listing.id),
+            ),
         )
-        val next = copy(servers = servers.copy(views = servers.views.put(listing.id, view)))
         val changed = previous == null || previous.dropAt != null || previous.listing.differsFrom(listing)
         return if (changed) next.reportListed(view, now) else next.unchanged()
     }
 
+    private fun RelayState.newView(listing: ServerListing, now: Timestamp): ServerView {
+        val sameRun = servers.departed[listing.id]?.takeIf { it.listing.startedAt == listing.startedAt }
+        return ServerView(
+            listing = listing,
+            coldUntil = now + listing.coldMilliseconds,
+            leaving = sameRun?.leaving ?: false,
+        )
+    }
+
     private fun ServerListing.differsFrom(other: ServerListing): Boolean =
         draining != other.draining || startedAt != other.startedAt || address != other.address
 
@@ -138,9 +149,8 @@
         if (now < servers.dropDueAt) return unchanged()
         val removable = servers.views.values
             .filter { view -> view.inFlight == 0 && view.dropAt?.let { it <= now } ?: false }
-        val remaining = removable.fold(servers.views) { views, view -> views.remove(view.listing.id) }
-        val next = servers.copy(views = remaining, dropDueAt = now + DROP_INTERVAL_MILLISECONDS)
-        return copy(servers = next).unchanged()
+        val remaining = removable.fold(servers) { current, view -> current.drop(view, now) }.forgetDeparted(now)
+        return copy(servers = remaining.copy(dropDueAt = now + DROP_INTERVAL_MILLISECONDS)).unchanged()
     }
 
     /** Notes a failed read of the list. One through another router says nothing about the store. */
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/LeavingServersTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/LeavingServersTest.kt
@@ -1,7 +1,9 @@
 package org.quetzalloom.core.relay
 
+import org.quetzalloom.core.relay.exchange.ResponseHead
 import org.quetzalloom.core.relay.feed.Feed
 import org.quetzalloom.core.relay.feed.FeedEntry
+import org.quetzalloom.core.relay.feed.FeedProblem
 import org.quetzalloom.core.relay.routing.ServiceName
 import kotlin.test.Test
 import kotlin.test.assertTrue
@@ -18,6 +20,12 @@
 
     private fun RelayRig.list(entry: FeedEntry): RelayRig = apply { read(Feed.SERVERS, entry) }
 
+    private fun RelayRig.announceLeaving(): RelayRig = apply {
+        val send = arrive(RelayRig.read).second.only<RelayEffect.Send>()
+        respond(send, ResponseHead(status = 200, leaving = true))
+        on(RelayEvent.ResponseFinished(send.exchange, send.attempt))
+    }
+
     @Test
     fun `an entry that a draining server wrote before does not make it ready again`() {
         val rig = RelayRig().start(listOf(one)).list(FeedEntry.Server(one.copy(draining = true, sequence = 8)))
@@ -34,6 +42,16 @@
         assertTrue(rig.mayUse())
     }
 
+    @Test
+    fun `an entry that a draining server wrote before does not bring it back after its removal`() {
+        val rig = RelayRig().start(listOf(one)).list(FeedEntry.Server(one.copy(draining = true, sequence = 8)))
+        rig.list(FeedEntry.ServerRemoved(one.id)).pass(10_000)
+        rig.list(FeedEntry.Server(one.copy(sequence = 7)))
+        assertTrue(!rig.mayUse())
+        rig.list(FeedEntry.Server(one.copy(startedAt = 6, sequence = 1)))
+        assertTrue(rig.mayUse())
+    }
+
     @Test
     fun `a server that was removed without having said that it leaves comes back with any entry`() {
         val rig = RelayRig().start(listOf(one)).list(FeedEntry.ServerRemoved(one.id))
@@ -42,6 +60,18 @@
         assertTrue(rig.mayUse())
     }
 
+    @Test
+    fun `a server that has announced its leaving gets no requests when its entry comes back`() {
+        val rig = RelayRig().start(listOf(one)).announceLeaving()
+        rig.on(RelayEvent.FeedFailed(Feed.SERVERS, FeedProblem.UNAVAILABLE, "down"))
+        rig.list(FeedEntry.ServerRemoved(one.id))
+        rig.pass(10_000)
+        rig.list(FeedEntry.Server(one.copy(sequence = 9)))
+        assertTrue(!rig.mayUse())
+        rig.list(FeedEntry.Server(one.copy(startedAt = 6, sequence = 1)))
+        assertTrue(rig.mayUse())
+    }
+
     /** Entries of another writer may have any numbers. */
     @Test
     fun `an entry of an unknown service does not keep the server from coming back`() {
