--- a/core/src/test/kotlin/org/quetzalloom/core/relay/LeavingServersTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/LeavingServersTest.kt
@@ -6,6 +6,7 @@
 import org.quetzalloom.core.relay.feed.FeedProblem
 import org.quetzalloom.core.relay.routing.ServiceName
 import kotlin.test.Test
+import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
 /** Requests reached backend servers that had said that they leave. */
@@ -72,6 +73,18 @@
         assertTrue(rig.mayUse())
     }
 
+    @Test
+    fun `a request is not written to a server that has left while the connection was being established`() {
+        val two = RelayRig.server("s-2", RelayRig.plain)
+        val rig = RelayRig().start(listOf(one, two))
+        val first = rig.arrive(RelayRig.command).second.only<RelayEffect.Send>()
+        val left = listOf(one, two).first { it.id == first.serverId }
+        rig.list(FeedEntry.Server(left.copy(draining = true, sequence = 9)))
+        val effects = rig.on(RelayEvent.AttemptConnected(first.exchange, first.attempt))
+        assertEquals(first.attempt, effects.only<RelayEffect.CancelAttempt>().attempt)
+        assertTrue(effects.only<RelayEffect.Send>().serverId != first.serverId)
+    }
+
     /** Entries of another writer may have any numbers. */
     @Test
     fun `an entry of an unknown service does not keep the server from coming back`() {
