Tell the other routers with each beacon which servers leave

Cause: that a server leaves came to a router by one way only, the list, through one reader at a time, or from an answer of that server to this very router, which on the grown fleet it gets every dozen seconds. A router whose readers do not answer knows for seconds too little, though all around it know. A router that hands a request over passes on an answer with Server-Leaving, and learns nothing, as the answer does not name its server. Class: one way for news that many have.

Change: a beacon names the servers that are known to leave, each with the start of its run and the sequence of the entry that says so, or none if the server said it in a response. A router takes that like an entry of the list: a later one of the server replaces it, an announcement in a response lasts until a new run. As each router tells eight others ten times a second, and those go on to tell it, no message is added.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
@@ -24,6 +24,7 @@
 import org.quetzalloom.core.relay.rollout.RolloutsPart
 import org.quetzalloom.core.relay.routing.RoutingPart
 import org.quetzalloom.core.relay.server.EvacuationsPart
+import org.quetzalloom.core.relay.server.LeavingPart
 import org.quetzalloom.core.relay.server.ServersPart
 import org.quetzalloom.core.relay.session.PinsPart
 import org.quetzalloom.core.relay.stop.StopPart
@@ -37,7 +38,7 @@
  * An answer of a reader that would go back is replaced by a failure before any part sees it, see [withoutOldNews].
  *
  * Each part sees every event, in a fixed order, with the state that the parts before it have produced. [OutcomesPart],
- * [PinsPart], [CrashesPart], [ForecastsPart] and [ReachPart] come before [ExchangesPart], which ends or changes the
+ * [PinsPart], [CrashesPart], [ForecastsPart], [ReachPart] and [LeavingPart] come before [ExchangesPart], which ends or changes the
  * exchange whose attempt they look up. [ReadersPart] comes before [FeedsPart], which ends the read whose reader it
  * looks up.
  */
@@ -50,6 +51,7 @@
         AnswersPart,
         RoutingPart,
         ServersPart,
+        LeavingPart,
         EvacuationsPart,
         MembersPart,
         PeersPart,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeerBeacon.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeerBeacon.kt
@@ -7,6 +7,7 @@
 import org.quetzalloom.core.identity.BackendServerId
 import org.quetzalloom.core.identity.VmId
 import org.quetzalloom.core.relay.crash.CrashReport
+import org.quetzalloom.core.relay.server.LeavingReport
 
 /**
  * The message that a router sends to the other routers at short intervals.
@@ -20,6 +21,8 @@
  *   are too many for one beacon, some are left to the next ones.
  * @property durations how long work takes at servers that have told [vm] so since its last beacon, in percent of the
  *   usual duration; if there are too many for one beacon, some are left out.
+ * @property leaving servers that shut down, as [vm] knows; if there are too many for one beacon, some are left to the
+ *   next ones.
  * @property callerPort the port at which [vm] takes over requests, or `null` if it takes over none now.
  * @property storeReadMillisecondsAgo how long ago [vm] last read a feed from the store, or `null` if it has not lately.
  */
@@ -30,6 +33,7 @@
     public val rollouts: PersistentList<RolloutReport> = persistentListOf(),
     public val crashes: PersistentList<CrashReport> = persistentListOf(),
     public val durations: PersistentMap<BackendServerId, Int> = persistentMapOf(),
+    public val leaving: PersistentList<LeavingReport> = persistentListOf(),
     public val callerPort: Int? = null,
     public val storeReadMillisecondsAgo: Long? = null,
 )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersPart.kt
@@ -12,6 +12,7 @@
 import org.quetzalloom.core.relay.crash.crashReports
 import org.quetzalloom.core.relay.rollout.completionReceivers
 import org.quetzalloom.core.relay.rollout.rolloutReports
+import org.quetzalloom.core.relay.server.leavingReports
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.relay.with
 import org.quetzalloom.core.time.Timestamp
@@ -114,6 +115,7 @@
             .take(MAXIMUM_DURATIONS).toMap().toPersistentMap(),
         rollouts = rolloutReports(sequence, now).toPersistentList(),
         crashes = crashReports(sequence, tellsOfStore = storeReadMillisecondsAgo != null, now),
+        leaving = leavingReports(sequence).toPersistentList(),
         callerPort = settings.callerPort.takeIf { takesOverRequests(now) },
         storeReadMillisecondsAgo = storeReadMillisecondsAgo,
     )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerOutcomes.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerOutcomes.kt
@@ -30,7 +30,6 @@
         workDuration = head.load?.workDurationPercent?.let { workDuration.record(it) } ?: workDuration,
         loadReportedAt = if (head.load != null) now else loadReportedAt,
         coldUntil = head.coldMilliseconds?.let { maxOf(coldUntil, now + it) } ?: coldUntil,
-        leaving = leaving || head.leaving && !head.misdirected,
         closedUntil = head.retryAfterMilliseconds?.let { maxOf(closedUntil, now + it) } ?: closedUntil,
     )
     return when {
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerView.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerView.kt
@@ -11,7 +11,8 @@
  * @property coldUntil the time until which the server counts as cold.
  * @property suspendedUntil the time until which the server gets no requests after it refused one or failed.
  * @property closedUntil the time until which the server wants no requests, as it said when it refused one.
- * @property leaving whether the server has announced in a response that it shuts down.
+ * @property leaving whether the server has announced in a response, of this router or of another one, that it shuts
+ *   down.
  * @property consecutiveFailures the number of failures that made the server suspect since its last response.
  * @property failureRate the share of recent attempts that failed, from 0 to 1, as of [failureRateUpdatedAt].
  * @property failureRateUpdatedAt when [failureRate] last changed.
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/LeavingServersTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/LeavingServersTest.kt
@@ -85,6 +85,32 @@
         assertTrue(effects.only<RelayEffect.Send>().serverId != first.serverId)
     }
 
+    /** The router that hands a request over passes on an answer that does not name its server. */
+    @Test
+    fun `a router learns from another one that a server has announced its leaving`() {
+        val beacon = RelayRig("vm-2").start(listOf(one), members = 2).announceLeaving().pass(200)
+            .filterIsInstance<RelayEffect.SendBeacon>().last().beacon
+        val rig = RelayRig().start(listOf(one), members = 2)
+        rig.on(RelayEvent.BeaconReceived(beacon))
+        rig.list(FeedEntry.Server(one.copy(sequence = 9)))
+        assertTrue(!rig.mayUse())
+        rig.list(FeedEntry.Server(one.copy(startedAt = 6, sequence = 1)))
+        rig.on(RelayEvent.BeaconReceived(beacon.copy(sequence = beacon.sequence + 1)))
+        assertTrue(rig.mayUse())
+    }
+
+    @Test
+    fun `a router that cannot read the list learns from another one that a server drains`() {
+        val beacon = RelayRig("vm-2").start(listOf(one), members = 2)
+            .list(FeedEntry.Server(one.copy(draining = true, sequence = 9))).pass(200)
+            .filterIsInstance<RelayEffect.SendBeacon>().last().beacon
+        val rig = RelayRig().start(listOf(one), members = 2)
+        rig.on(RelayEvent.BeaconReceived(beacon))
+        assertTrue(!rig.mayUse())
+        rig.list(FeedEntry.Server(one.copy(sequence = 10)))
+        assertTrue(rig.mayUse())
+    }
+
     /** Entries of another writer may have any numbers. */
     @Test
     fun `an entry of an unknown service does not keep the server from coming back`() {
--- a/relay/src/main/kotlin/org/quetzalloom/relay/peer/BeaconFormat.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/peer/BeaconFormat.kt
@@ -11,6 +11,7 @@
 import org.quetzalloom.core.relay.rollout.OutcomeSums
 import org.quetzalloom.core.relay.rollout.TimingSums
 import org.quetzalloom.core.relay.routing.ServiceName
+import org.quetzalloom.core.relay.server.LeavingReport
 
 /** Encodes and decodes beacons as JSON. */
 internal object BeaconFormat {
@@ -22,10 +23,14 @@
         val durations: Map<String, Int> = emptyMap(),
         val rollouts: List<Rollout> = emptyList(),
         val crashes: List<CrashDocument> = emptyList(),
+        val leaving: List<Leaving> = emptyList(),
         val callerPort: Int? = null,
         val storeReadMillisecondsAgo: Long? = null,
     )
 
+    @Serializable
+    private data class Leaving(val server: String, val startedAt: Long, val sequence: Long? = null)
+
     @Serializable
     private data class Rollout(
         val service: String,
@@ -67,6 +72,7 @@
             durations = beacon.durations.entries.associate { it.key.value to it.value },
             rollouts = beacon.rollouts.map { it.toDocument() },
             crashes = beacon.crashes.map { CrashDocument.of(it) },
+            leaving = beacon.leaving.map { Leaving(it.server.value, it.startedAt, it.sequence) },
             callerPort = beacon.callerPort,
             storeReadMillisecondsAgo = beacon.storeReadMillisecondsAgo,
         ),
@@ -82,6 +88,8 @@
             durations = document.durations.entries.associate { BackendServerId(it.key) to it.value }.toPersistentMap(),
             rollouts = document.rollouts.map { it.toReport() }.toPersistentList(),
             crashes = document.crashes.map { it.toReport() }.toPersistentList(),
+            leaving = document.leaving
+                .map { LeavingReport(BackendServerId(it.server), it.startedAt, it.sequence) }.toPersistentList(),
             callerPort = document.callerPort,
             storeReadMillisecondsAgo = document.storeReadMillisecondsAgo,
         )
--- a/relay/src/test/kotlin/org/quetzalloom/relay/peer/BeaconFormatTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/peer/BeaconFormatTest.kt
@@ -15,6 +15,7 @@
 import org.quetzalloom.core.relay.rollout.OutcomeSums
 import org.quetzalloom.core.relay.rollout.TimingSums
 import org.quetzalloom.core.relay.routing.ServiceName
+import org.quetzalloom.core.relay.server.LeavingReport
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -57,6 +58,10 @@
             ),
         ),
         durations = persistentMapOf(BackendServerId("s-2") to 170),
+        leaving = persistentListOf(
+            LeavingReport(BackendServerId("s-1"), startedAt = 1_796_405_000_000, sequence = 12),
+            LeavingReport(BackendServerId("s-2"), startedAt = 0, sequence = null),
+        ),
         callerPort = 65_535,
         storeReadMillisecondsAgo = 670,
     )
