--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerView.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServerView.kt
@@ -11,7 +11,8 @@
  * @property coldUntil the time until which the server counts as cold.
  * @property suspendedUntil the time until which the server gets no requests after it refused one or failed.
  * @property closedUntil the time until which the server wants no requests, as it said when it refused one.
- * @property leaving whether the server has announced in a response that it shuts down.
+ * @property leaving whether the server has announced in a response, of this router or of another one, that it shuts
+ *   down.
  * @property consecutiveFailures the number of failures that made the server suspect since its last response.
  * @property failureRate the share of recent attempts that failed, from 0 to 1, as of [failureRateUpdatedAt].
  * @property failureRateUpdatedAt when [failureRate] last changed.
@@ -44,6 +45,9 @@
     val coldSends: PersistentList<Timestamp> = persistentListOf(),
     val dropAt: Timestamp? = null,
 ) {
+    /** Whether the server has announced that it shuts down, in its entry or in a response. */
+    val isLeaving: Boolean get() = leaving || listing.draining
+
     /** The usual duration of work at the server, in multiples of the usual one; 1 if it does not say. */
     val workDurationOrUsual: Double get() = workDuration.factor ?: 1.0
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersPart.kt
@@ -10,6 +10,7 @@
 import org.quetzalloom.core.relay.feed.Feed
 import org.quetzalloom.core.relay.feed.FeedEntry
 import org.quetzalloom.core.relay.report
+import org.quetzalloom.core.relay.routing.ServiceName
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.time.Timestamp
 
@@ -52,17 +53,67 @@
         else -> null
     }
 
+    /**
+     * The store may execute a server's writes late and return to an older copy of its records, and there are other
+     * writers. An entry that is older than the last one is left out, unless it is of the same run and the server was
+     * removed without having said that it leaves. One that names an unknown service in place of the server's is not the
+     * server's own.
+     */
     private fun RelayState.updateListing(listing: ServerListing, now: Timestamp): RelayStep {
+        val known = servers.lastListingOrNull(listing.id)
+        return when {
+            known == null -> putListing(listing, now)
+            known.service != listing.service ->
+                if (isUnknown(listing.service)) markRemoved(listing.id, now) else putListing(listing, now)
+            isOutdated(listing, known) -> reportOlder(listing, known, now)
+            else -> putListing(listing, now)
+        }
+    }
+
+    private fun RelayState.isOutdated(listing: ServerListing, known: ServerListing): Boolean =
+        listing.isOlderThan(known) &&
+            (listing.startedAt != known.startedAt || servers.isListedOrLeaving(listing.id))
+
+    private fun RelayState.isUnknown(service: ServiceName): Boolean = routing?.let { service !in it.services } ?: false
+
+    private fun RelayState.reportOlder(
+        listing: ServerListing,
+        known: ServerListing,
+        now: Timestamp,
+    ): RelayStep = report(
+        now,
+        "server_entry_older",
+        "server" to listing.id,
+        "sequence" to listing.sequence,
+        "known_sequence" to known.sequence,
+        "started_at" to listing.startedAt,
+        "known_started_at" to known.startedAt,
+        "draining" to listing.draining,
+        "known_draining" to known.draining,
+    )
+
+    private fun RelayState.putListing(listing: ServerListing, now: Timestamp): RelayStep {
         val previous = servers.views[listing.id]
-        val view = previous?.withListing(listing, now) ?: ServerView(
-            listing = listing,
-            coldUntil = now + listing.coldMilliseconds,
+        val view = previous?.withListing(listing, now) ?: newView(listing, now)
+        val next = copy(
+            servers = servers.copy(
+                views = servers.views.put(listing.id, view),
+                departed = servers.departed.remove(listing.id),
+            ),
         )
-        val next = copy(servers = servers.copy(views = servers.views.put(listing.id, view)))
         val changed = previous == null || previous.dropAt != null || previous.listing.differsFrom(listing)
         return if (changed) next.reportListed(view, now) else next.unchanged()
     }
 
+    private fun RelayState.newView(listing: ServerListing, now: Timestamp): ServerView {
+        val sameRun = servers.departed[listing.id]?.takeIf { it.listing.startedAt == listing.startedAt }
+        return ServerView(
+            listing = listing,
+            coldUntil = now + listing.coldMilliseconds,
+            leaving = sameRun?.leaving ?: false,
+        )
+    }
+
     private fun ServerListing.differsFrom(other: ServerListing): Boolean =
         draining != other.draining || startedAt != other.startedAt || address != other.address
 
@@ -98,9 +149,8 @@
         if (now < servers.dropDueAt) return unchanged()
         val removable = servers.views.values
             .filter { view -> view.inFlight == 0 && view.dropAt?.let { it <= now } ?: false }
-        val remaining = removable.fold(servers.views) { views, view -> views.remove(view.listing.id) }
-        val next = servers.copy(views = remaining, dropDueAt = now + DROP_INTERVAL_MILLISECONDS)
-        return copy(servers = next).unchanged()
+        val remaining = removable.fold(servers) { current, view -> current.drop(view, now) }.forgetDeparted(now)
+        return copy(servers = remaining.copy(dropDueAt = now + DROP_INTERVAL_MILLISECONDS)).unchanged()
     }
 
     /** Notes a failed read of the list. One through another router says nothing about the store. */
--- a/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
@@ -88,6 +88,7 @@
             is RelayEffect.ProbeServer -> pool.probe(effect.address, effect.maximumConnections) { connected ->
                 post(RelayEvent.ServerProbed(effect.service, effect.server, connected))
             }
+            is RelayEffect.WriteRequest -> exchanges.callOrNull(effect.exchange, effect.attempt)?.write()
             is RelayEffect.ForwardResponse -> exchanges.callOrNull(effect.exchange, effect.attempt)?.forward()
             is RelayEffect.CancelAttempt -> exchanges.callOrNull(effect.exchange, effect.attempt)?.abandon()
             is RelayEffect.Refuse -> requestHandler.refuse(effect)
@@ -99,6 +100,12 @@
         }
     }
 
+    override fun attemptConnected(call: BackendCall): Unit =
+        post(RelayEvent.AttemptConnected(call.exchange.id, call.number))
+
+    override fun requestWritten(call: BackendCall): Unit =
+        post(RelayEvent.RequestWritten(call.exchange.id, call.number))
+
     override fun responseStarted(call: BackendCall, head: HttpResponse): Unit =
         post(RelayEvent.ResponseStarted(call.exchange.id, call.number, codec.decodeResponse(head)))
 
