Check the store at each router whose readers give old records

A router that reaches the store could learn of a change far too late: its acting reader and standby answer, with old records, as both are cut off from the store, and the routers that check the store are cut off from it.

Cause: four routers a round check the store, on the assumption that they are heard.

Change: each router makes one check when its records reach 80% of the bound, a tenth of a call. Any renewal of a membership that succeeds while the records are old counts as a check if no other router is known to have read the store. An own read takes the present path, and ends a detour only when it is overdue there, so that a router that the store refuses still reads by its detour.

Tests: ReaderFailuresTest refuses 23 of 24 routers, too; the series of faults may put several faults on one router.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelaySettings.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelaySettings.kt
@@ -48,6 +48,9 @@
     /** The age of a feed's records from which a router does not depend on others to read it, in milliseconds. */
     internal val ownReadAgeMilliseconds: Long get() = changeBoundMilliseconds * OWN_READ_PERCENT / PERCENT
 
+    /** The age of a feed's records from which each router checks whether the store can be read, in milliseconds. */
+    internal val ownCheckAgeMilliseconds: Long get() = changeBoundMilliseconds * OWN_CHECK_PERCENT / PERCENT
+
     /** Returns the time between two reads of [feed], in milliseconds; 0 for a feed whose reads wait for records. */
     internal fun readInterval(feed: Feed): Long = when (feed) {
         Feed.SERVERS -> minOf(serversReadIntervalMilliseconds, changeBoundMilliseconds / SERVERS_INTERVAL_DIVISOR)
@@ -94,6 +97,9 @@
          * of the bound is enough for a read of the store.
          */
         private const val OWN_READ_PERCENT = 75
+
+        /* Late enough for the news of a check that another router has made. */
+        private const val OWN_CHECK_PERCENT = 80
         private const val PERCENT = 100
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/OwnReads.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/OwnReads.kt
@@ -20,10 +20,13 @@
  * Routers that are cut off from some others can't know which ones answer. Each that they ask in vain costs the time of
  * a timeout, while the store would answer at once. Readers that answer, but with old records, are left to the checks of
  * the store: the store may be down, and a read by each router would be of no use.
+ *
+ * The read takes the present path to the store. If it is overdue on a detour, the next one is sent directly.
  */
 internal fun RelayState.needsOwnRead(feed: Feed, now: Timestamp): Boolean {
     val cursor = feeds.of(feed)
-    val failed = !cursor.reading && cursor.failures > 0 || cursor.unanswered > MAXIMUM_UNANSWERED_READS
+    val failed = !cursor.readsStore &&
+        (!cursor.reading && cursor.failures > 0 || cursor.unanswered > MAXIMUM_UNANSWERED_READS)
     return feed.continuous && isNearBound(feed, now) && !isReadingDirectly(feed) &&
         (failed || isAnswerOverdue(feed, now))
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/ReadersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/ReadersPart.kt
@@ -79,9 +79,9 @@
 }
 
 /**
- * Returns [event], or what takes its place if it is the result of a read that knows less than this router: a failure for
- * the answer of a reader, as it may be older than what is known; for a read of the store that was overtaken by the late
- * answer of a reader, the same result without records.
+ * Returns [event], or what takes its place if it is the result of a read that knows less than this router: a failure
+ * for the answer of a reader, as it may be older than what is known; for a read of the store that was overtaken by the
+ * late answer of a reader, the same result without records.
  */
 internal fun RelayState.withoutOldNews(event: RelayEvent): RelayEvent {
     // An answer without records, as they are too large, has no offset of its own.
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/StoreChecks.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/StoreChecks.kt
@@ -18,8 +18,19 @@
  * standby make one call each, in the order of readers; when a round begins, the records are twice as old as at the
  * beginning of the one before. So an outage adds few calls, however many routers there are. The age of the records is
  * inherited from the readers, so that it is about the same everywhere.
+ *
+ * Besides, each router makes one check when its records come near the bound: none of those that made a check before may
+ * reach the store, or reach this router.
  */
-internal fun RelayState.isStoreCheckDue(now: Timestamp): Boolean {
+internal fun RelayState.isStoreCheckDue(now: Timestamp): Boolean = isRoundCheckDue(now) || isOwnCheckDue(now)
+
+private fun RelayState.isOwnCheckDue(now: Timestamp): Boolean {
+    val readAt = oldestReadAtOrNull()
+    return readAt != null && mayCheckStore(now) && now >= readAt + settings.ownCheckAgeMilliseconds &&
+        feeds.store.checkedAt < readAt + settings.storeCheckAgeMilliseconds
+}
+
+private fun RelayState.isRoundCheckDue(now: Timestamp): Boolean {
     val checkers = members.readerOrder.drop(MAXIMUM_OLD_READERS)
     val position = checkers.indexOf(settings.vm)
     val readAt = oldestReadAtOrNull()
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/StorePathPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/StorePathPart.kt
@@ -30,8 +30,10 @@
         else -> state.unchanged()
     }
 
-    private fun RelayState.feedRead(event: RelayEvent.FeedRead): RelayStep =
-        if (event.throughReader) unchanged() else succeeded(feeds.of(event.feed).sentAt)
+    private fun RelayState.feedRead(event: RelayEvent.FeedRead): RelayStep {
+        val cursor = feeds.of(event.feed)
+        return if (event.throughReader || !cursor.expects(event)) unchanged() else succeeded(cursor.sentAt)
+    }
 
     private fun RelayState.feedFailed(event: RelayEvent.FeedFailed, now: Timestamp): RelayStep {
         val cursor = feeds.of(event.feed)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/StorePathState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/StorePathState.kt
@@ -7,7 +7,7 @@
  *
  * @property viaRouter the `host:port` of the router that forwards the calls, or `null` while the store is called
  *   directly.
- * @property failures the number of failed calls in a row since the last change of the path.
+ * @property failures the number of failed calls in a row that count against the present path.
  * @property pathChanges the number of changes of the path.
  * @property changedAt when the path last changed. Calls that were sent before tell nothing of it.
  * @property directRetryAt when the store is to be called directly again.
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedCursor.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedCursor.kt
@@ -21,7 +21,7 @@
  *   passed on.
  * @property reader the router through which the last read was sent, or `null` if it was sent to the store.
  * @property number the number of the last read.
- * @property unanswered the number of reads sent since the last one that succeeded.
+ * @property unanswered the number of reads sent since the last one that gave records or said that there are none.
  */
 internal data class FeedCursor(
     val nextOffset: Long? = null,
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
@@ -11,6 +11,7 @@
 import org.quetzalloom.core.relay.access.endDetour
 import org.quetzalloom.core.relay.access.hasOldRecords
 import org.quetzalloom.core.relay.access.needsStoreCheck
+import org.quetzalloom.core.relay.access.provenReaderOrNull
 import org.quetzalloom.core.relay.access.readerWait
 import org.quetzalloom.core.relay.peer.sendBeaconToAll
 import org.quetzalloom.core.relay.report
@@ -34,9 +35,10 @@
         else -> state.unchanged()
     }
 
-    /** If the call was a check of the store, the feeds are read without asking the readers, whose records are old. */
+    /** While the records of all readers are old, the feeds are read without asking them once the store answers. */
     private fun RelayState.groupJoined(event: RelayEvent.GroupJoined, now: Timestamp): RelayStep {
-        val passedCheck = event.sentAt == feeds.store.checkedAt && needsStoreCheck(now)
+        val isCheck = event.sentAt == feeds.store.checkedAt
+        val passedCheck = needsStoreCheck(now) && (isCheck || provenReaderOrNull(now) == null)
         val unread = if (passedCheck) Feed.entries.filter { it.continuous && !feeds.of(it).readsStore } else emptyList()
         return copy(feeds = feeds.storeAnswered(now)).unchanged()
             .then { if (passedCheck) it.reportCheckPassed(now) else it.unchanged() }
@@ -47,8 +49,10 @@
         if (isReadDue(feed, now)) {
             val reader = readerOrNull(feed, now)
             val isOwnRead = isOwnReadDue(feed, now)
+            val isOverdueOnDetour = isOwnRead && feeds.of(feed).readsStore
             unchanged()
-                .then { if (isOwnRead) it.reportOwnRead(feed, now).then { step -> step.endDetour(now) } else it.unchanged() }
+                .then { if (isOwnRead) it.reportOwnRead(feed, now) else it.unchanged() }
+                .then { if (isOverdueOnDetour) it.endDetour(now) else it.unchanged() }
                 .then { it.read(feed, reader, now) }
         } else {
             unchanged()
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/Pauses.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/Pauses.kt
@@ -9,8 +9,8 @@
 
 /**
  * The maximum backoff of reads of the store, with which two readers call a store that is down no more often than one
- * reads a store that answers. With the timeout of a read before it, it is shorter than the time in which a router that
- * reaches the store again has to catch up.
+ * reads a store that answers. It is shorter than the time in which a router that reaches the store again has to catch
+ * up.
  */
 private const val MAXIMUM_BACKOFF_MILLISECONDS = 2_000L
 
@@ -28,7 +28,10 @@
         else -> (if (reading) sentAt else now) + settings.readInterval(event.feed)
     }
 
-/** Returns the pause from this failed read, after [failures] others, to the next one of its feed, in milliseconds. */
+/**
+ * Returns the pause until the next read of the feed after this failed one and [failures] others, in milliseconds. It is
+ * counted from the failure for reads through other routers, and from when the read was sent for those of the store.
+ */
 internal fun RelayEvent.FeedFailed.pause(failures: Int): Long = when {
     problem == FeedProblem.EXPIRED -> 0
     throughReader -> backoff(READER_PAUSE_MILLISECONDS, failures, MAXIMUM_READER_BACKOFF_MILLISECONDS)
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/FaultSeries.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/FaultSeries.kt
@@ -60,8 +60,8 @@
         nextFaultAt = fleet.elapsed + random.nextLong(LONGEST_PAUSE)
         val affected = lasting.flatMap { it.routers }.toSet()
         val room = fleet.vms.size * MAXIMUM_PERCENT / PERCENT - affected.size
-        if (room < 1) return lasting
-        val routers = (fleet.vms - affected).shuffled(random).take(random.nextInt(room) + 1).toSet()
+        val candidates = affected + (fleet.vms - affected).shuffled(random).take(room)
+        val routers = candidates.shuffled(random).take(random.nextInt(candidates.size) + 1).toSet()
         val until = fleet.elapsed + random.nextLong(SHORTEST_FAULT, LONGEST_FAULT)
         val fault = Fault(kinds.random(random), routers, until)
         onFault("${fault.kind} of ${routers.sorted()} until $until")
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/FeedReadsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/FeedReadsTest.kt
@@ -66,7 +66,8 @@
             answer(read, ageMilliseconds = 0)
                 .copy(entries = listOf(FeedEntry.Evacuation(zone, active = true)), nextOffset = 9),
         )
-        rig.on(RelayEvent.FeedRead(Feed.ORDERS, listOf(FeedEntry.Evacuation(zone, active = false)), nextOffset = 8))
+        val overtaken = listOf(FeedEntry.Evacuation(zone, active = false))
+        rig.on(RelayEvent.FeedRead(Feed.ORDERS, overtaken, nextOffset = 8, snapshot = false))
         assertTrue(zone in rig.state.servers.evacuatedZones)
         assertEquals(9, rig.state.feeds.of(Feed.ORDERS).nextOffset)
     }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/ReaderFailuresTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/ReaderFailuresTest.kt
@@ -74,7 +74,7 @@
     /** The bounds are longer for a router that the store refuses itself. */
     @Test
     fun `routers that the store refuses learn of a change through others`() {
-        for (count in listOf(1, 2, 3, 12)) {
+        for (count in listOf(1, 2, 3, 12, 23)) {
             val readers = ReaderFleet(routers = 24, seed = count.toLong())
             readers.fleet.refused += readers.readers.take(count)
             val time = readers.timeToSpread()
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/StorePathTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/StorePathTest.kt
@@ -79,7 +79,7 @@
         rig.fail()
         assertNotNull(rig.fail().path().viaRouter)
         val old = rig.state.settings.ownReadAgeMilliseconds
-        assertEquals(null, rig.pass(old + RelayRig.TICK).path().viaRouter)
+        assertEquals(null, rig.pass(old + 200).path().viaRouter)
     }
 
     @Test
