End a process that cannot reduce its ticks any more

What callers saw: a router whose ticks threw, one after the other, was ready and took requests, sent them by what it had last known, and ended none at its deadline, until someone restarted it.

Cause: a tick is reduced by all parts or by none, and a failure leaves the state that caused it, so that one part's exception stops all of them for ever. It was logged as event_failed each time, was not counted, and nothing acted on it.

Change: the loop reduces TickFailed after a tick that has thrown, by TickFailuresPart alone. What the loop posts itself is LoopEvents.

RelayLoopTest now counts the failures of its tick by name, as other events may fail beside it.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
@@ -172,6 +172,8 @@
     /**
      * Ends the process once no request is being received and all responses have been written to their callers, but
      * after [withinMilliseconds] at the latest.
+     *
+     * @property failed whether the process ends because it cannot go on, and should be started again.
      */
-    public data class Finish(public val withinMilliseconds: Long) : RelayEffect
+    public data class Finish(public val withinMilliseconds: Long, public val failed: Boolean = false) : RelayEffect
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
@@ -23,6 +23,9 @@
     /** Time has passed. Occurs at short, regular intervals; everything that becomes due is checked on it. */
     public data object Tick : RelayEvent
 
+    /** The reduction of [Tick] has thrown, and the state is what it was before. Occurs after each such tick. */
+    public data object TickFailed : RelayEvent
+
     /**
      * The process, or the whole VM, may have stood still: the time of day has run ahead of the monotonic clock.
      *
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
@@ -27,6 +27,7 @@
 import org.quetzalloom.core.relay.server.ServersPart
 import org.quetzalloom.core.relay.session.PinsPart
 import org.quetzalloom.core.relay.stop.StopPart
+import org.quetzalloom.core.relay.stop.TickFailuresPart
 import org.quetzalloom.core.time.Timestamp
 
 /**
@@ -40,6 +41,8 @@
  * [PinsPart], [CrashesPart], [ForecastsPart] and [ReachPart] come before [ExchangesPart], which ends or changes the
  * exchange whose attempt they look up. [ReadersPart] comes before [FeedsPart], which ends the read whose reader it
  * looks up.
+ *
+ * [RelayEvent.TickFailed] goes to [TickFailuresPart] alone, as any other part may be the one that fails.
  */
 public object RelayReducer : Reducer<RelayState, RelayEvent, RelayEffect> {
     internal val parts: PersistentList<RelayPart> = persistentListOf(
@@ -64,10 +67,15 @@
         QuarantineEndsPart,
         StopPart,
         RolloutNoticesPart,
+        TickFailuresPart,
     )
 
     private val composed = PartsReducer(parts)
 
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): Transition<RelayState, RelayEffect> =
-        composed.reduce(state, state.withoutOldNews(event), now)
+        if (event == RelayEvent.TickFailed) {
+            TickFailuresPart.reduce(state, event, now)
+        } else {
+            composed.reduce(state, state.withoutOldNews(event), now)
+        }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
@@ -17,6 +17,7 @@
 import org.quetzalloom.core.relay.server.ServersState
 import org.quetzalloom.core.relay.session.PinsState
 import org.quetzalloom.core.relay.stop.StopState
+import org.quetzalloom.core.relay.stop.TickFailuresState
 import org.quetzalloom.core.time.Timestamp
 
 /**
@@ -49,6 +50,7 @@
     internal val exchanges: ExchangesState = ExchangesState(),
     internal val forecasts: ForecastsState = ForecastsState(),
     internal val stop: StopState = StopState(),
+    internal val tickFailures: TickFailuresState = TickFailuresState(),
 ) {
     /** The number of requests that have not been answered completely. */
     public val activeExchanges: Int get() = exchanges.byId.size
@@ -67,6 +69,9 @@
     /** The number of feeds of which too little has been read lately. */
     public val staleFeeds: Int get() = feeds.staleSince.size
 
+    /** The number of ticks in a row that could not be reduced. */
+    public val failedTicks: Int get() = tickFailures.count
+
     /** Returns a key of [workspace], or `null` if none is known. */
     public fun keyOfOrNull(workspace: String): String? =
         routing?.workspacesByKey?.entries?.firstOrNull { it.value.value == workspace }?.key
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RelayRig.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RelayRig.kt
@@ -45,6 +45,17 @@
         if (confirmed) effects + on(RelayEvent.GroupJoined(generation = 1, isLeader = true, sentAt = now)) else effects
     }
 
+    /** Lets [milliseconds] pass without any event. */
+    fun pause(milliseconds: Long) {
+        now += milliseconds
+    }
+
+    /** Lets [milliseconds] pass with ticks that fail; returns all effects. */
+    fun passWithFailingTicks(milliseconds: Long): List<RelayEffect> = (1..milliseconds / TICK).flatMap {
+        now += TICK
+        on(RelayEvent.TickFailed)
+    }
+
     /** Delivers [entries] of [feed]; returns the effects. */
     fun read(feed: Feed, vararg entries: FeedEntry, snapshot: Boolean = false): List<RelayEffect> =
         on(RelayEvent.FeedRead(feed, entries.toList(), nextOffset = 1, snapshot = snapshot))
--- a/relay/src/main/kotlin/org/quetzalloom/relay/RelayLoop.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/RelayLoop.kt
@@ -15,17 +15,14 @@
  * An event whose reduction throws is dropped, and the state stays as it was. An effect that cannot be carried out does
  * not keep the others from it. Neither reaches the caller of [post], whose connection may have no part in it.
  *
- * @param tick the event that is posted at a fixed interval, for everything that depends on time.
- * @param pauseEventOrNull returns the event to reduce before any other if there was a pause since the last call that
- *   [clock] may not have counted; `null` if there was none.
+ * @param events the events that the loop posts itself.
  */
 internal class RelayLoop<S : Any, E : Any, F : Any>(
     initial: S,
     private val reducer: Reducer<S, E, F>,
-    private val tick: E,
+    private val events: LoopEvents<E>,
     private val eventLoop: EventLoop,
     private val clock: Clock,
-    private val pauseEventOrNull: () -> E?,
 ) {
     private val pending = ArrayDeque<E>()
     private var reducing = false
@@ -54,16 +51,20 @@
 
     /** Starts to post a tick every [TICK_INTERVAL_MILLISECONDS], the first one at once. */
     fun startTicking() {
-        eventLoop.scheduleWithFixedDelay({ post(tick) }, 0, TICK_INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS)
+        eventLoop.scheduleWithFixedDelay({ post(events.tick) }, 0, TICK_INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS)
     }
 
     private fun reduce(event: E) {
-        pauseEventOrNull()?.let { apply(it) }
+        events.pauseOrNull()?.let { apply(it) }
         apply(event)
     }
 
     private fun apply(event: E) {
-        val transition = isolate("event_failed") { reducer.reduce(state, event, clock.now()) } ?: return
+        val transition = isolate("event_failed") { reducer.reduce(state, event, clock.now()) }
+        if (transition == null) {
+            events.failureOrNull(event)?.let { pending.addFirst(it) }
+            return
+        }
         state = transition.state
         transition.effects.forEach { effect -> isolate("effect_failed") { interpreter.carryOut(effect) } }
     }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/RelayProgram.kt
@@ -22,7 +22,7 @@
 import org.quetzalloom.runtime.Interpreter
 import org.quetzalloom.runtime.PauseDetector
 import org.quetzalloom.runtime.SystemClock
-import java.util.concurrent.CountDownLatch
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 
 /**
@@ -49,18 +49,15 @@
     private val clock: Clock = SystemClock()
     private val group = NioEventLoopGroup(1)
     private val executor = group.next()
-    private val finished = CountDownLatch(1)
+    private val finished = CompletableFuture<RelayEffect.Finish>()
     private val pauses = PauseDetector(monotonic = clock, timeOfDay = { Timestamp(System.currentTimeMillis()) })
     private val loop =
         RelayLoop<RelayState, RelayEvent, RelayEffect>(
             initial = RelayState.initial(settings, policies),
             reducer = RelayReducer,
-            tick = RelayEvent.Tick,
+            events = ProgramEvents(pauses),
             eventLoop = executor,
             clock = clock,
-            pauseEventOrNull = {
-                pauses.pauseMilliseconds().takeIf { it > 0 }?.let { RelayEvent.PauseDetected(it) }
-            },
         )
     private val metrics = RelayMetrics { loop.state }
     private val reporter = Reporter(metrics)
@@ -107,8 +104,11 @@
     /** Posts [event] to the reducer. May be called from any thread. */
     public fun post(event: RelayEvent): Unit = executor.execute { loop.post(event) }
 
-    /** Blocks until the reducer has ended the relay after a requested stop. */
-    public fun awaitTermination(): Unit = finished.await()
+    /**
+     * Blocks until the reducer has ended the relay. Returns whether it was asked to stop; otherwise it cannot go on,
+     * and the process should end with a status that says so.
+     */
+    public fun awaitTermination(): Boolean = !finished.get().failed
 
     private fun carryOut(effect: RelayEffect) {
         when (effect) {
@@ -116,7 +116,7 @@
             is RelayEffect.SetReady -> ready = effect.ready
             is RelayEffect.SendBeacon -> peers.send(effect)
             is RelayEffect.AnswerFeed, is RelayEffect.AnswerMembers -> readers.carryOut(effect)
-            is RelayEffect.Finish -> relay.awaitCallers(effect.withinMilliseconds) { finished.countDown() }
+            is RelayEffect.Finish -> relay.awaitCallers(effect.withinMilliseconds) { finished.complete(effect) }
             else -> {
                 relay.carryOut(effect)
                 storeInterpreter.carryOut(effect)
@@ -124,6 +124,16 @@
         }
     }
 
+    private class ProgramEvents(private val pauses: PauseDetector) : LoopEvents<RelayEvent> {
+        override val tick = RelayEvent.Tick
+
+        override fun pauseOrNull(): RelayEvent? =
+            pauses.pauseMilliseconds().takeIf { it > 0 }?.let { RelayEvent.PauseDetected(it) }
+
+        override fun failureOrNull(event: RelayEvent): RelayEvent? =
+            RelayEvent.TickFailed.takeIf { event == RelayEvent.Tick }
+    }
+
     private companion object {
         const val PRUNE_INTERVAL_MILLISECONDS = 500L
     }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/report/RelayMetrics.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/report/RelayMetrics.kt
@@ -44,6 +44,7 @@
         gauge("quetzalloom_relay_active_requests", "Requests in flight.") { it.activeExchanges.toDouble() }
         gauge("quetzalloom_relay_backend_servers", "Backend servers known.") { it.knownServers.toDouble() }
         gauge("quetzalloom_relay_stale_feeds", "Feeds of the store that are too old.") { it.staleFeeds.toDouble() }
+        gauge("quetzalloom_relay_failed_ticks", "Ticks in a row that failed.") { it.failedTicks.toDouble() }
         gauge("quetzalloom_relay_configuration_version", "Version of the current configuration, or -1.") {
             it.configurationVersion?.toDouble() ?: -1.0
         }
@@ -86,6 +87,9 @@
         forecastRatio.labelValues(entry.fields["route"].orEmpty()).observe(start / forecast.coerceAtLeast(1.0))
     }
 
+    /** Counts a problem that was logged as the event [name]. */
+    fun countProblem(name: String): Unit = events.labelValues(name).inc()
+
     /** Counts an error response that the relay generated. */
     fun countRefusal(kind: ErrorKind): Unit = refusals.labelValues(kind.code).inc()
 
--- a/relay/src/main/kotlin/org/quetzalloom/relay/report/Reporter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/report/Reporter.kt
@@ -21,12 +21,14 @@
     }
 
     /**
-     * Logs a problem that affects only one connection or datagram, as the event [name]. Ends the process if there is no
-     * memory left.
+     * Logs and counts a problem that affects only one event, connection or datagram, as the event [name]. Ends the
+     * process if there is no memory left.
      */
     fun reportProblem(name: String, cause: Throwable) {
         cause.endProcessIfOutOfMemory()
-        log { logger.warn("event={} problem=\"{}\"", name, cause.toString().replace('"', '\'')) }
+        metrics.countProblem(name)
+        val place = cause.stackTrace.firstOrNull { it.className.startsWith(OWN_PACKAGES) }
+        log { logger.warn("event={} problem=\"{}\" at={}", name, cause.toString().replace('"', '\''), place) }
     }
 
     /** Counts an error response that the relay generated. */
@@ -45,6 +47,7 @@
     private companion object {
         /** Callers choose what some fields hold, and lines wait in a queue. */
         const val MAXIMUM_LINE_LENGTH = 2_048
+        const val OWN_PACKAGES = "org.quetzalloom."
         val logger: Logger = LoggerFactory.getLogger("quetzalloom")
     }
 }
--- a/relay/src/test/kotlin/org/quetzalloom/relay/RelayLoopTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/RelayLoopTest.kt
@@ -31,10 +31,15 @@
     private fun loop(eventLoop: DefaultEventLoop, tick: String = "odd-tick") = RelayLoop(
         initial = 0,
         reducer = reducer,
-        tick = tick,
+        events = object : LoopEvents<String> {
+            override val tick = tick
+
+            override fun pauseOrNull(): String? = null
+
+            override fun failureOrNull(event: String): String? = TICK_FAILED.takeIf { event == tick }
+        },
         eventLoop = eventLoop,
         clock = { Timestamp.EPOCH },
-        pauseEventOrNull = { null },
     ).apply {
         onProblem = { name, cause -> problems += "$name ${cause.message}" }
         interpreter = Interpreter { effect ->
@@ -79,13 +84,25 @@
         }
     }
 
+    /** Nothing came of the failure of each tick but lines in the log. */
+    @Test
+    fun `a tick that fails is followed by an event that says so, and no other event is`() {
+        val eventLoop = DefaultEventLoop()
+        val loop = loop(eventLoop)
+        loop.post("odd")
+        assertEquals(emptyList(), carriedOut)
+        loop.post("odd-tick")
+        assertEquals(listOf("good-$TICK_FAILED"), carriedOut)
+        assertEquals(1, loop.state)
+    }
+
     private fun assertFollowedByOthers(tick: String) {
         val eventLoop = DefaultEventLoop()
         val failures = CountDownLatch(3)
         val loop = loop(eventLoop, tick)
         eventLoop.execute { loop.startTicking() }
         eventLoop.scheduleAtFixedRate(
-            { if (problems.size >= 3) repeat(3) { failures.countDown() } },
+            { if (problems.count { it == "event_failed $tick" } >= 3) repeat(3) { failures.countDown() } },
             0,
             5,
             TimeUnit.MILLISECONDS,
@@ -93,4 +110,8 @@
         assertTrue(failures.await(5, TimeUnit.SECONDS), "$problems")
         eventLoop.shutdownGracefully(0, 0, TimeUnit.SECONDS)
     }
+
+    private companion object {
+        const val TICK_FAILED = "tick-failed"
+    }
 }
--- a/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/TestRelay.kt
@@ -6,6 +6,7 @@
 import org.quetzalloom.core.identity.BackendServerId
 import org.quetzalloom.core.identity.VmId
 import org.quetzalloom.core.relay.RelayEvent
+import org.quetzalloom.core.relay.RelayPolicies
 import org.quetzalloom.core.relay.RelaySettings
 import org.quetzalloom.core.relay.feed.Feed
 import org.quetzalloom.core.relay.feed.FeedEntry
@@ -34,6 +35,7 @@
  * @param configured whether to call [configure] at once.
  * @param graceMilliseconds the grace time of a stop.
  * @param memory the memory that messages may take.
+ * @param policies the replaceable decision rules.
  */
 class TestRelay(
     vararg scripts: (ScriptedRequest) -> Unit,
@@ -41,6 +43,7 @@
     configured: Boolean = true,
     memory: MemoryLimits = MemoryLimits(),
     graceMilliseconds: Long = 8_000,
+    policies: RelayPolicies = RelayPolicies(),
 ) : AutoCloseable {
     val servers = scripts.map { ScriptedServer(respondBeforeBody, it).start() }
     private val callers = Address("127.0.0.1", FreePorts.next())
@@ -59,6 +62,7 @@
         listeners = Listeners(callers, ready),
         codec = PlainCodec,
         store = { _, _ -> Interpreter { } },
+        policies = policies,
         memory = memory,
     )
 
@@ -97,13 +101,16 @@
     /** Asks the relay to stop gracefully. */
     fun requestStop(): Unit = program.post(RelayEvent.StopRequested)
 
+    /** Whether health checks find the relay ready. */
+    val isReady: Boolean
+        get() = CallerSocket(Socket(ready.host, ready.port)).use {
+            " 200 " in it.send("GET / HTTP/1.1\r\nHost: app\r\nConnection: close\r\n\r\n").readAll()
+        }
+
     private fun awaitReady() {
         val waitStart = System.nanoTime()
         while (System.nanoTime() - waitStart < READ_TIMEOUT_MILLISECONDS * NANOSECONDS_PER_MILLISECOND) {
-            val answer = CallerSocket(Socket(ready.host, ready.port)).use {
-                it.send("GET / HTTP/1.1\r\nHost: app\r\nConnection: close\r\n\r\n").readAll()
-            }
-            if (" 200 " in answer) return
+            if (isReady) return
         }
         error("the relay is not ready")
     }
@@ -118,8 +125,8 @@
         return CallerSocket(socket)
     }
 
-    /** Blocks until the relay has ended after [requestStop]. */
-    fun awaitTermination(): Unit = program.awaitTermination()
+    /** Blocks until the relay has ended. Returns whether it was asked to stop. */
+    fun awaitTermination(): Boolean = program.awaitTermination()
 
     /** Sends [request] on a new connection, and returns all input until the relay closes it. */
     fun exchange(request: String): String = connect().use { it.send(request).readAll() }
