Move the updates of server entries to a file of their own

No change of behaviour. LeavingServersTest, LeavingServersOrderTest, LeavingServersSpreadTest and ServersTest pass.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
@@ -38,9 +38,9 @@
  * An answer of a reader that would go back is replaced by a failure before any part sees it, see [withoutOldNews].
  *
  * Each part sees every event, in a fixed order, with the state that the parts before it have produced. [OutcomesPart],
- * [PinsPart], [CrashesPart], [ForecastsPart], [ReachPart] and [LeavingPart] come before [ExchangesPart], which ends or changes the
- * exchange whose attempt they look up. [ReadersPart] comes before [FeedsPart], which ends the read whose reader it
- * looks up.
+ * [PinsPart], [CrashesPart], [ForecastsPart], [ReachPart] and [LeavingPart] come before [ExchangesPart], which ends or
+ * changes the exchange whose attempt they look up. [ReadersPart] comes before [FeedsPart], which ends the read whose
+ * reader it looks up.
  */
 public object RelayReducer : Reducer<RelayState, RelayEvent, RelayEffect> {
     internal val parts: PersistentList<RelayPart> = persistentListOf(
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersState.kt
@@ -32,26 +32,6 @@
     fun usable(service: ServiceName, now: Timestamp): List<ServerView> =
         views.values.filter { it.listing.service == service && it.isUsable(now) }
 
-    /** Returns the last entry of the server [id], or `null` if none is remembered. */
-    fun lastListingOrNull(id: BackendServerId): ServerListing? = views[id]?.listing ?: departed[id]?.listing
-
-    /** Returns whether the server [id] is listed, or has been and has announced that it shuts down. */
-    fun isListedOrLeaving(id: BackendServerId): Boolean =
-        views[id]?.let { it.dropAt == null || it.isLeaving } ?: departed[id]?.isLeaving ?: false
-
-    /** Returns the state in which [view], which has been dropped at [now], is remembered. */
-    fun drop(view: ServerView, now: Timestamp): ServersState {
-        val id = view.listing.id
-        val server = DepartedServer(view.listing, view.leaving, now)
-        return copy(views = views.remove(id), departed = departed.put(id, server))
-    }
-
-    /** Returns the state in which nothing is remembered at [now] of servers that were dropped long ago. */
-    fun forgetDeparted(now: Timestamp): ServersState {
-        val forgotten = departed.values.filter { now - it.at >= DEPARTED_MEMORY_MILLISECONDS }
-        return copy(departed = forgotten.fold(departed) { rest, server -> rest.remove(server.listing.id) })
-    }
-
     /** Returns the state with [change] applied to the view of [id]; the same state if [id] is unknown. */
     fun update(id: BackendServerId, change: (ServerView) -> ServerView): ServersState {
         val view = views[id] ?: return this
@@ -86,9 +66,4 @@
 
     private fun ServerView.wantsRequests(now: Timestamp): Boolean =
         !isLeaving && now >= closedUntil
-
-    private companion object {
-        /** Longer than a server goes on after its entry was removed, and than the store is late to execute a write. */
-        const val DEPARTED_MEMORY_MILLISECONDS = 300_000L
-    }
 }
