Take all entries of a server in one read, in turn

Cause: of several entries of a server in one read only the last one counted, so that an older entry behind one that says draining was compared with what was known before the read, and taken. Reads come once a second, so both are often in one. The class is that of the older entries.

Change: each entry is taken in turn. LeavingServersTest, LeavingServersOrderTest, LeavingServersSpreadTest and ServersTest pass.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/ServersPart.kt
@@ -26,15 +26,22 @@
 
     private fun RelayState.feedRead(event: RelayEvent.FeedRead, now: Timestamp): RelayStep {
         if (event.feed != Feed.SERVERS) return unchanged()
-        val lastEntries = event.entries.mapNotNull { entry -> entry.serverIdOrNull()?.let { it to entry } }.toMap()
-        val listings = lastEntries.values.filterIsInstance<FeedEntry.Server>().map { it.listing }
-        val absent = if (event.snapshot) servers.views.keys - lastEntries.keys else emptySet()
-        val unlisted = lastEntries.keys - listings.map { it.id }.toSet() + absent
+        val named = event.entries.mapNotNull { it.serverIdOrNull() }.toSet()
+        val absent = if (event.snapshot) servers.views.keys - named else emptySet()
         val failedAt = listOfNotNull(servers.listFailedAt, readers.failedAt[Feed.SERVERS]).maxOrNull()
         val readAt = feeds.of(Feed.SERVERS).readAt ?: now
         return copy(servers = servers.copy(listReadAt = readAt, listFailedAt = failedAt)).unchanged()
-            .thenEach(listings) { current, listing -> current.updateListing(listing, now) }
-            .thenEach(unlisted) { current, id -> current.markRemoved(id, now) }
+            .thenEach(event.entries) { current, entry -> current.take(entry, now) }
+            .thenEach(absent) { current, id -> current.markRemoved(id, now) }
+    }
+
+    private fun RelayState.take(entry: FeedEntry, now: Timestamp): RelayStep {
+        val id = entry.serverIdOrNull()
+        return when {
+            entry is FeedEntry.Server -> updateListing(entry.listing, now)
+            id != null -> markRemoved(id, now)
+            else -> unchanged()
+        }
     }
 
     /** Returns the server that an entry of the list is about; an entry that cannot be read is about that of its key. */
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/LeavingServersTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/LeavingServersTest.kt
@@ -34,6 +34,14 @@
         assertTrue(!rig.mayUse())
     }
 
+    @Test
+    fun `an entry that a draining server wrote before does not make it ready again in the same read`() {
+        val rig = RelayRig().start(listOf(one))
+        val drains = FeedEntry.Server(one.copy(draining = true, sequence = 8))
+        rig.read(Feed.SERVERS, drains, FeedEntry.Server(one.copy(sequence = 7)))
+        assertTrue(!rig.mayUse())
+    }
+
     @Test
     fun `an entry of an earlier run does not make a draining server ready again`() {
         val rig = RelayRig().start(listOf(one)).list(FeedEntry.Server(one.copy(draining = true, sequence = 7)))
