End streams of line breaks and comments without end

Cause: each line break costs as much as an event, and what is forwarded counted toward no limit.

After 10,000 line breaks, comments and retry times without an event between them, the attempt now fails with BAD_ANSWER, as with any other part that cannot belong to the stream.

Not changed: very short events without end.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/EventSplitter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/EventSplitter.kt
@@ -21,6 +21,9 @@
     private val search = EventEndSearch()
     private var atStart = true
 
+    /** The number of line breaks, comments and retry times since the last event with content. */
+    private var emptyEvents = 0
+
     /** The id of the last taken event that had one, or `null`. */
     var lastEventId: String? = null
         private set
@@ -63,6 +66,8 @@
     private fun problemOrNull(event: StreamEvent): String? = when {
         !event.isValid(nameRequest) -> "a part of the stream is no event"
         !isNext(event) -> "an event does not follow the one before"
+        !event.hasContent && emptyEvents >= MAXIMUM_EMPTY_EVENTS ->
+            "more than $MAXIMUM_EMPTY_EVENTS line breaks and comments follow an event"
         else -> null
     }
 
@@ -80,6 +85,7 @@
     private fun record(event: StreamEvent) {
         atStart = false
         if (event.hasLines) eventCount++
+        emptyEvents = if (event.hasContent) 0 else emptyEvents + 1
         event.id?.let {
             lastEventId = it
             previousId = it
@@ -88,6 +94,9 @@
     }
 
     private companion object {
+        /** A server in trouble may send line breaks without end. */
+        const val MAXIMUM_EMPTY_EVENTS = 10_000
+
         /** The end of the last line, and the empty line. */
         const val LINE_BREAKS_AFTER_EVENT = 2
 
--- a/relay/src/test/kotlin/org/quetzalloom/relay/backend/EventSplitterTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/backend/EventSplitterTest.kt
@@ -81,6 +81,35 @@
         assertEquals(quoted, eventSplitter().take(quoted))
     }
 
+    @Test
+    fun `line breaks and comments without end are taken up to a limit, also where they are received in parts`() {
+        for (text in listOf("\n", "\r\n", ":\n\n", "retry: 5\n\n", ": comment\r\n\r\n")) {
+            for (repetitions in listOf(1, REPETITIONS)) {
+                val splitter = eventSplitter()
+                splitter.take("id: 1\ndata: a\n\n")
+                var pieces = 0
+                while (splitter.problem == null && pieces < FAR_TOO_MANY) {
+                    splitter.take(text.repeat(repetitions))
+                    pieces += repetitions
+                }
+                assertNotNull(splitter.problem, "$pieces times ${text.trim()}")
+                assertEquals("1", splitter.lastEventId)
+                bytes.clear()
+            }
+        }
+    }
+
+    @Test
+    fun `line breaks and comments between the events of a long stream do not count together`() {
+        val splitter = eventSplitter()
+        repeat(REPETITIONS) { number ->
+            val part = "\n\r\n".repeat(LINE_BREAKS) + ":\n\n".repeat(LINE_BREAKS) + "id: $number\ndata: a\n\n"
+            assertEquals(part, splitter.take(part))
+        }
+        assertEquals(null, splitter.problem)
+        assertEquals("${REPETITIONS - 1}", splitter.lastEventId)
+    }
+
     @Test
     fun `the end of a body is inside an event unless an empty line was received after its last line`() {
         val complete = listOf("", "\n", "\r\n", "data: a\n\n", "data: a\r\n\r\n", "data: a\n\r\n\n", "a\n\nb\n\n\n")
@@ -89,4 +118,10 @@
         complete.forEach { assertFalse(endsInside(it), it) }
         incomplete.forEach { assertTrue(endsInside(it), it) }
     }
+
+    private companion object {
+        const val REPETITIONS = 500
+        const val LINE_BREAKS = 100
+        const val FAR_TOO_MANY = 200_000
+    }
 }
