--- a/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreRecords.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreRecords.kt
@@ -18,13 +18,22 @@
         return StoredRecord(offset, key, value.takeIf { it.isNotEmpty() })
     }
 
-    /** Returns the end offset and the first offset of [topic] (8 bytes each) and its records from [offset] on. */
+    private const val HEADER_BYTES = 2 * Long.SIZE_BYTES
+
+    /** The default of the store's parameter `max_size`, which its clients don't send, in bytes. */
+    private const val MAXIMUM_READ_BYTES = 1_024 * 1_024
+
+    /**
+     * Returns the end offset and the first offset of [topic] (8 bytes each) and its records from [offset] on, as many as
+     * one read returns.
+     */
     fun encode(topic: StoredTopic, offset: Long): String {
         val bytes = ByteArrayOutputStream()
         val out = DataOutputStream(bytes)
         out.writeLong(topic.endOffset)
         out.writeLong(topic.firstOffset)
-        topic.records.filter { it.offset >= offset }.forEach { record ->
+        for (record in topic.records.filter { it.offset >= offset }) {
+            if (bytes.size() + record.value.orEmpty().length > MAXIMUM_READ_BYTES && bytes.size() > HEADER_BYTES) break
             val key = record.key.toByteArray(Charsets.ISO_8859_1)
             val value = record.value.orEmpty().toByteArray(Charsets.ISO_8859_1)
             out.writeInt(1 + key.size + value.size)
