--- a/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreRecords.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreRecords.kt
@@ -24,8 +24,8 @@
     private const val MAXIMUM_READ_BYTES = 1_024 * 1_024
 
     /**
-     * Returns the end offset and the first offset of [topic] (8 bytes each) and its records from [offset] on, as many as
-     * one read returns.
+     * Returns the end offset and the first offset of [topic] (8 bytes each) and its records from [offset] on, as many
+     * as one read returns.
      */
     fun encode(topic: StoredTopic, offset: Long): String {
         val bytes = ByteArrayOutputStream()
