Write requests to new connections at once again

This takes back the second look at a server once a new connection to it is open. The log lines that tell the time from the choice of a server to its connection stay.

What it was for, a request that is sent to a server that left while the connection was being opened, was shown in the reducer alone: on loopback a connection is open at once or lost.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEffect.kt
@@ -22,8 +22,7 @@
  */
 public sealed interface RelayEffect {
     /**
-     * Sends the request of [exchange] to a backend server, or hands it over to another router. If that takes a new
-     * connection to a backend server, the request is written only on [WriteRequest].
+     * Sends the request of [exchange] to a backend server, or hands it over to another router.
      *
      * @property attempt the number of the attempt, from 1.
      */
@@ -33,9 +32,6 @@
         public val parameters: SendParameters,
     ) : RelayEffect
 
-    /** Writes the request of [attempt] to its new connection, see [RelayEvent.AttemptConnected]. */
-    public data class WriteRequest(public val exchange: ExchangeId, public val attempt: Int) : RelayEffect
-
     /**
      * Forwards the response of [attempt] to the caller: its head, unless one was forwarded before, and its body as it
      * arrives.
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayEvent.kt
@@ -46,8 +46,8 @@
     public data class CallerLeft(public val exchange: ExchangeId) : RelayEvent
 
     /**
-     * A new connection for an attempt at a backend server has been established. The request has not been written.
-     * Attempts on connections that were open before have no such event.
+     * A new connection for an attempt at a backend server has been established. Attempts on connections that were open
+     * before have no such event.
      */
     public data class AttemptConnected(public val exchange: ExchangeId, public val attempt: Int) : RelayEvent
 
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ExchangesPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/ExchangesPart.kt
@@ -1,14 +1,12 @@
 package org.quetzalloom.core.relay.exchange
 
 import org.quetzalloom.core.reducer.then
-import org.quetzalloom.core.relay.RelayEffect
 import org.quetzalloom.core.relay.RelayEvent
 import org.quetzalloom.core.relay.RelayPart
 import org.quetzalloom.core.relay.RelayState
 import org.quetzalloom.core.relay.RelayStep
 import org.quetzalloom.core.relay.report
 import org.quetzalloom.core.relay.unchanged
-import org.quetzalloom.core.relay.with
 import org.quetzalloom.core.time.Timestamp
 
 /**
@@ -18,7 +16,8 @@
 internal object ExchangesPart : RelayPart {
     override fun reduce(state: RelayState, event: RelayEvent, now: Timestamp): RelayStep = when (event) {
         is RelayEvent.RequestArrived -> state.admitOrRefuse(event, now)
-        is RelayEvent.AttemptConnected -> state.attemptConnected(event, now)
+        is RelayEvent.AttemptConnected ->
+            state.reportDelay("attempt_connected", state.exchanges.currentOrNull(event.exchange, event.attempt), now)
         is RelayEvent.RequestWritten ->
             state.reportDelay("attempt_written", state.exchanges.currentOrNull(event.exchange, event.attempt), now)
         is RelayEvent.ResponseStarted -> state.responseStarted(event, now)
@@ -32,18 +31,6 @@
         else -> state.unchanged()
     }
 
-    /** The server may have left, or its zone may have been evacuated, while the connection was being established. */
-    private fun RelayState.attemptConnected(event: RelayEvent.AttemptConnected, now: Timestamp): RelayStep {
-        val current = exchanges.currentOrNull(event.exchange, event.attempt) ?: return unchanged()
-        return reportDelay("attempt_connected", current, now).then {
-            if (it.servers.mayReceive(current.attempt.server, now)) {
-                it.with(RelayEffect.WriteRequest(event.exchange, event.attempt))
-            } else {
-                it.withdrawAttempt(current.exchange, current.attempt, now)
-            }
-        }
-    }
-
     /** Logs as [name] how long after its server was chosen an attempt has come so far, and what is known since. */
     private fun RelayState.reportDelay(name: String, current: CurrentAttempt?, now: Timestamp): RelayStep {
         val (exchange, attempt) = current ?: return unchanged()
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
@@ -103,13 +103,6 @@
     )
 }.then { it.retryNotRun(exchange.copy(attempt = null, triedServers = exchange.triedServers.add(attempt.server)), now) }
 
-/** Returns the transition that cancels [attempt], whose request has not been written, and retries [exchange]. */
-internal fun RelayState.withdrawAttempt(exchange: Exchange, attempt: Attempt, now: Timestamp): RelayStep =
-    cancelAttempt(exchange).then {
-        val withoutAttempt = exchange.copy(attempt = null, triedServers = exchange.triedServers.add(attempt.server))
-        it.retryNotRun(withoutAttempt, now)
-    }
-
 /**
  * Places [exchange], whose last attempt has not run it, at another backend server, or ends it if too many attempts have
  * not run it or the retry budget of its service is used up.
--- a/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
@@ -88,7 +88,6 @@
             is RelayEffect.ProbeServer -> pool.probe(effect.address, effect.maximumConnections) { connected ->
                 post(RelayEvent.ServerProbed(effect.service, effect.server, connected))
             }
-            is RelayEffect.WriteRequest -> exchanges.callOrNull(effect.exchange, effect.attempt)?.write()
             is RelayEffect.ForwardResponse -> exchanges.callOrNull(effect.exchange, effect.attempt)?.forward()
             is RelayEffect.CancelAttempt -> exchanges.callOrNull(effect.exchange, effect.attempt)?.abandon()
             is RelayEffect.Refuse -> requestHandler.refuse(effect)
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
@@ -1,7 +1,6 @@
 package org.quetzalloom.relay.backend
 
 import io.netty.buffer.ByteBuf
-import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.util.concurrent.EventExecutor
 import org.quetzalloom.core.relay.RelayEffect
@@ -64,19 +63,8 @@
     var ended = false
         private set
 
-    /** Handles the establishment of a new [connection] for the attempt, on which nothing has been written. */
-    fun onConnected(connection: BackendConnection) {
-        this.connection = connection
-        listener.attemptConnected(this)
-    }
-
-    /** Writes the request to the new connection of the attempt. */
-    fun write() {
-        if (!ended) connection?.send(this, encodeHeaders())
-    }
-
-    /** Returns the headers of the request. */
-    fun encodeHeaders(): HttpHeaders = codec.encodeRequest(exchange.head, parameters)
+    /** Handles the establishment of a new connection for the attempt. */
+    fun onConnected(): Unit = listener.attemptConnected(this)
 
     /** Handles the end of a write of the request that did not end at once. */
     fun onWritten() {
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCallListener.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCallListener.kt
@@ -5,7 +5,7 @@
 
 /** Receives the progress of an attempt. */
 internal interface BackendCallListener {
-    /** A new connection for the attempt has been established; its request is written on [BackendCall.write]. */
+    /** A new connection for the attempt has been established; its request is written next. */
     fun attemptConnected(call: BackendCall)
 
     /** The request of the attempt has been written, which took more than one write. */
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
@@ -46,7 +46,7 @@
         private set
 
     /**
-     * Sends [call] on an idle connection, or else on a new one, once it is asked to be written there. A request without an id gets a new one, as its response
+     * Sends [call] on an idle connection, or else on a new one. A request without an id gets a new one, as its response
      * names no request, and so does one that another router is to answer, as errors of that router name none either.
      *
      * The call fails with [AttemptFailure.NO_CONNECTION_LEFT] if its server's connection limit is reached, and with
@@ -57,7 +57,7 @@
         val mayReuse = call.parameters.server != null && call.exchange.request.callerId != null
         val reused = if (mayReuse) takeIdle(endpoint, call) else null
         when {
-            reused != null -> reused.send(call, call.encodeHeaders())
+            reused != null -> reused.send(call, codec.encodeRequest(call.exchange.head, call.parameters))
             !hasRoom(endpoint, call.parameters.maximumConnections) ->
                 call.onFailure(AttemptFailure.NO_CONNECTION_LEFT)
             else -> connect(endpoint, call)
@@ -131,8 +131,10 @@
                 connection == null -> call.onFailure(AttemptFailure.NOT_CONNECTED)
                 // The call may have been abandoned while the connection was being established.
                 call.ended -> release(connection)
-                call.parameters.server == null -> connection.send(call, call.encodeHeaders())
-                else -> call.onConnected(connection)
+                else -> {
+                    call.onConnected()
+                    connection.send(call, codec.encodeRequest(call.exchange.head, call.parameters))
+                }
             }
         }
 
