Tell of servers that leave in beacons with room for them

A beacon full of crash reports had no room for reports of servers that leave: 1,293 bytes in BeaconFormatTest, of at most 1,200 for one datagram. Beacons tell of either in turn while there are both, and of six servers at most. The test of crash reports leaves the servers out, as no beacon has both now, with the same bound; a new one fills a beacon with servers that leave.

A router that has read nothing yet counts the time since its start as the age of what it knows, so that routers that start together with a late reader don't all read the store.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/OwnReads.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/OwnReads.kt
@@ -46,7 +46,7 @@
 }
 
 private fun RelayState.isNearBound(feed: Feed, now: Timestamp): Boolean =
-    feedAge(feed, now)?.let { it >= settings.ownReadAgeMilliseconds } ?: true
+    (feedAge(feed, now) ?: (now - (stop.startedAt ?: now))) >= settings.ownReadAgeMilliseconds
 
 /** Returns whether the read of [feed] that is under way has taken longer than reads do if nothing is wrong. */
 internal fun RelayState.isAnswerOverdue(feed: Feed, now: Timestamp): Boolean = feeds.of(feed).let {
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/peer/PeersPart.kt
@@ -1,5 +1,6 @@
 package org.quetzalloom.core.relay.peer
 
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
 import org.quetzalloom.core.identity.VmId
@@ -103,6 +104,10 @@
 
 private fun RelayState.beacon(sequence: Long, now: Timestamp): PeerBeacon {
     val storeReadMillisecondsAgo = (now - feeds.store.readAt).takeIf { it <= settings.changeBoundMilliseconds }
+    val crashes = crashReports(sequence, tellsOfStore = storeReadMillisecondsAgo != null, now)
+    val leaving = leavingReports(sequence / 2)
+    // Both together may not fit into one datagram.
+    val tellsOfLeaving = leaving.isNotEmpty() && (crashes.isEmpty() || sequence % 2 == 1L)
     return PeerBeacon(
         vm = settings.vm,
         sequence = sequence,
@@ -114,8 +119,8 @@
             .mapNotNull { view -> view.loadReport?.workDurationPercent?.let { view.listing.id to it } }
             .take(MAXIMUM_DURATIONS).toMap().toPersistentMap(),
         rollouts = rolloutReports(sequence, now).toPersistentList(),
-        crashes = crashReports(sequence, tellsOfStore = storeReadMillisecondsAgo != null, now),
-        leaving = leavingReports(sequence).toPersistentList(),
+        crashes = if (tellsOfLeaving) persistentListOf() else crashes,
+        leaving = if (tellsOfLeaving) leaving.toPersistentList() else persistentListOf(),
         callerPort = settings.callerPort.takeIf { takesOverRequests(now) },
         storeReadMillisecondsAgo = storeReadMillisecondsAgo,
     )
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/server/LeavingPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/server/LeavingPart.kt
@@ -10,7 +10,7 @@
 import org.quetzalloom.core.time.Timestamp
 
 /** The maximum number of servers in a beacon, which must fit into one datagram. The others are named in turn. */
-private const val MAXIMUM_REPORTS = 16
+private const val MAXIMUM_REPORTS = 6
 
 /**
  * Notes backend servers that announce in a response that they shut down, and those that other routers know to do so.
@@ -59,10 +59,10 @@
     else -> copy(listing = listing.copy(draining = true, sequence = report.sequence))
 }
 
-/** Returns what the beacon with the number [sequence] tells of servers that shut down. */
-internal fun RelayState.leavingReports(sequence: Long): List<LeavingReport> {
+/** Returns what a beacon tells of servers that shut down; [turn] decides which ones, if there are too many. */
+internal fun RelayState.leavingReports(turn: Long): List<LeavingReport> {
     val leaving = servers.views.values.filter { it.isLeaving }
-    val first = if (leaving.size > MAXIMUM_REPORTS) Math.floorMod(sequence * MAXIMUM_REPORTS, leaving.size) else 0
+    val first = if (leaving.size > MAXIMUM_REPORTS) Math.floorMod(turn * MAXIMUM_REPORTS, leaving.size) else 0
     return (leaving.drop(first) + leaving.take(first)).take(MAXIMUM_REPORTS).map { it.leavingReport() }
 }
 
--- a/relay/src/test/kotlin/org/quetzalloom/relay/peer/BeaconFormatTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/peer/BeaconFormatTest.kt
@@ -80,6 +80,8 @@
 
     @Test
     fun `the largest reports of crashes fit one datagram`() {
+        // A beacon that tells of crashes tells of no servers that leave.
+        val beacon = beacon.copy(leaving = persistentListOf())
         val losses = (1..5).associate { ServerRun(Int.MIN_VALUE + it) to 59_000L }.toPersistentMap()
         val reports = (1..6).map { CrashReport(ContentKey.ofContent(-1L - it), position = 3, losses, 59_000, 59_000) }
         val beacons = listOf(
@@ -92,6 +94,21 @@
         }
     }
 
+    @Test
+    fun `the largest reports of servers that leave fit one datagram`() {
+        val servers = (10..40).map { BackendServerId("i-d17a8a$it") }
+        val leaving = servers.take(6).map { LeavingReport(it, startedAt = 1_796_405_000_000, sequence = 99_999) }
+        val full = beacon.copy(
+            work = servers.take(24).associateWith { 9_999L }.toPersistentMap(),
+            durations = servers.take(8).associateWith { 170 }.toPersistentMap(),
+            rollouts = persistentListOf(),
+            crashes = persistentListOf(),
+            leaving = leaving.toPersistentList(),
+        )
+        val bytes = BeaconFormat.encode(full)
+        assertTrue(bytes.length < 1_200, "${bytes.length} bytes")
+    }
+
     @Test
     fun `the largest reports of sessions fit one datagram beside others`() {
         val rollout = beacon.rollouts.single()
