--- a/core/src/test/kotlin/org/quetzalloom/core/relay/ReaderFleet.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/ReaderFleet.kt
@@ -91,8 +91,8 @@
 }
 
 /**
- * Returns the state in which no read seems to be overdue or to have failed, and no check of the store is due, so that no
- * router finds out by itself.
+ * Returns the state in which no read seems to be overdue or to have failed, and no check of the store is due, so that
+ * no router finds out by itself.
  */
 internal fun FeedsState.withoutOwnReadsAndChecks(): FeedsState = copy(
     cursors = cursors.mapValues { (_, cursor) ->
--- a/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
@@ -1,13 +1,10 @@
 package org.quetzalloom.relay
 
 import io.netty.channel.EventLoopGroup
-import io.netty.handler.codec.http.HttpResponse
 import org.quetzalloom.core.relay.RelayEffect
 import org.quetzalloom.core.relay.RelayEvent
-import org.quetzalloom.core.relay.exchange.AttemptFailure
 import org.quetzalloom.core.time.Clock
 import org.quetzalloom.relay.backend.BackendCall
-import org.quetzalloom.relay.backend.BackendCallListener
 import org.quetzalloom.relay.backend.BackendPool
 import org.quetzalloom.relay.backend.ResponseMemory
 import org.quetzalloom.relay.caller.CallerServer
@@ -31,9 +28,10 @@
     clock: Clock,
     memory: MemoryLimits,
     private val post: (RelayEvent) -> Unit,
-) : BackendCallListener {
+) {
     private val executor = group.next()
     private val exchanges = ExchangeTable()
+    private val attemptEvents = PostedAttemptEvents(exchanges, codec, post)
     private val responseMemory = ResponseMemory(memory.responseBytes) { exchanges.largestCallOrNull() }
 
     /** Counts the memory of all requests, also of those that other programs than callers send. */
@@ -99,36 +97,9 @@
         }
     }
 
-    override fun attemptConnected(call: BackendCall): Unit =
-        post(RelayEvent.AttemptConnected(call.exchange.id, call.number))
-
-    override fun requestWritten(call: BackendCall): Unit =
-        post(RelayEvent.RequestWritten(call.exchange.id, call.number))
-
-    override fun responseStarted(call: BackendCall, head: HttpResponse): Unit =
-        post(RelayEvent.ResponseStarted(call.exchange.id, call.number, codec.decodeResponse(head)))
-
-    override fun responseProgressed(call: BackendCall, events: Int): Unit =
-        post(RelayEvent.ResponseProgressed(call.exchange.id, call.number, events))
-
-    override fun responseForwarded(call: BackendCall, events: Int) {
-        post(RelayEvent.ResponseFinished(call.exchange.id, call.number, events))
-        exchanges.remove(call.exchange.id)
-    }
-
-    override fun attemptStalled(call: BackendCall, lastEventId: String?): Unit =
-        post(RelayEvent.AttemptStalled(call.exchange.id, call.number, lastEventId))
-
-    override fun attemptFailed(
-        call: BackendCall,
-        failure: AttemptFailure,
-        lastEventId: String?,
-        detail: String?,
-    ): Unit = post(RelayEvent.AttemptFailed(call.exchange.id, call.number, failure, lastEventId, detail))
-
     private fun send(effect: RelayEffect.Send) {
         val exchange = exchanges.getOrNull(effect.exchange) ?: return
-        val call = BackendCall(exchange, effect, codec, this, responseMemory, executor)
+        val call = BackendCall(exchange, effect, codec, attemptEvents, responseMemory, executor)
         exchange.call = call
         pool.send(call)
     }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
@@ -23,7 +23,7 @@
     val exchange: CallerExchange,
     private val effect: RelayEffect.Send,
     private val codec: MessageCodec,
-    private val listener: BackendCallListener,
+    val listener: BackendCallListener,
     private val memory: ResponseMemory,
     executor: EventExecutor,
 ) {
@@ -63,14 +63,6 @@
     var ended = false
         private set
 
-    /** Handles the establishment of a new connection for the attempt. */
-    fun onConnected(): Unit = listener.attemptConnected(this)
-
-    /** Handles the end of a write of the request that did not end at once. */
-    fun onWritten() {
-        if (!ended) listener.requestWritten(this)
-    }
-
     /** Handles the start of sending on [connection]. Starts the timeout for the first byte of the response. */
     fun onSending(connection: BackendConnection) {
         this.connection = connection
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendConnection.kt
@@ -87,7 +87,7 @@
         requestWrite = channel.writeAndFlush(request)
         val delayed = !requestWrite.isDone
         requestWrite.addListener { written ->
-            if (written.isSuccess && delayed) call.onWritten()
+            if (written.isSuccess && delayed && !call.ended) call.listener.requestWritten(call)
             // After an I/O error the input ends by itself.
             if (!written.isSuccess && written.cause() !is IOException) channel.close()
         }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendPool.kt
@@ -132,7 +132,7 @@
                 // The call may have been abandoned while the connection was being established.
                 call.ended -> release(connection)
                 else -> {
-                    call.onConnected()
+                    call.listener.attemptConnected(call)
                     connection.send(call, codec.encodeRequest(call.exchange.head, call.parameters))
                 }
             }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/head/CompactHeaders.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/head/CompactHeaders.kt
@@ -44,14 +44,15 @@
     override fun clear(): HttpHeaders = apply { while (lines.exists(0)) lines.remove(0) }
 
     /** Returns a copy without limits, whose memory is not counted. */
-    override fun copy(): CompactHeaders = CompactHeaders(lines.copy(), NO_VALIDATION)
+    override fun copy(): CompactHeaders = CompactHeaders(lines.copyIf { true }, NO_VALIDATION)
 
-    /** Returns a copy as [copy] does, without the lines whose names in lower case are in [names]. */
-    fun copyWithout(names: Set<String>): CompactHeaders =
-        CompactHeaders(lines.copyIf { it.toString().lowercase() !in names }, NO_VALIDATION)
+    companion object {
+        private val NO_VALIDATION: DefaultHttpHeadersFactory =
+            DefaultHttpHeadersFactory.headersFactory().withValidation(false)
 
-    private companion object {
-        val NO_VALIDATION: DefaultHttpHeadersFactory = DefaultHttpHeadersFactory.headersFactory().withValidation(false)
+        /** Returns a copy of [headers] as [copy] does, without the lines whose names in lower case are in [names]. */
+        fun copyWithout(headers: CompactHeaders, names: Set<String>): CompactHeaders =
+            CompactHeaders(headers.lines.copyIf { it.toString().lowercase() !in names }, NO_VALIDATION)
     }
 }
 
--- a/relay/src/main/kotlin/org/quetzalloom/relay/head/HeaderLines.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/head/HeaderLines.kt
@@ -70,27 +70,21 @@
         count--
     }
 
-    /** Returns a copy whose memory is not counted. */
-    fun copy(): HeaderLines = copyIf { true }
-
     /** Returns a copy of the lines whose names fulfil [condition]. Its memory is not counted. */
     fun copyIf(condition: (AsciiString) -> Boolean): HeaderLines = HeaderLines(HeadMemory.Uncounted).also { copy ->
         copy.bytes = ByteArray(usedBytes + COPY_ROOM_BYTES)
         var line = 0
         while (exists(line)) {
             val next = after(line)
-            if (condition(name(line))) copy.appendLine(bytes, line, next)
+            if (condition(name(line))) {
+                bytes.copyInto(copy.bytes, copy.usedBytes, line, next)
+                copy.usedBytes += next - line
+                copy.count++
+            }
             line = next
         }
     }
 
-    /** Appends the line in [source] from [start] to [end]. There must be room for it. */
-    private fun appendLine(source: ByteArray, start: Int, end: Int) {
-        source.copyInto(bytes, usedBytes, start, end)
-        usedBytes += end - start
-        count++
-    }
-
     private fun ensureRoom(more: Int) {
         val needed = usedBytes + more
         if (needed <= bytes.size) return
--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/HopHeaders.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/HopHeaders.kt
@@ -26,7 +26,7 @@
  */
 public fun HttpHeaders.withoutHopByHopHeaders(): HttpHeaders {
     val dropped = DROPPED_HEADERS + connectionOptions()
-    return if (this is CompactHeaders) copyWithout(dropped) else defaultCopyWithout(dropped)
+    return if (this is CompactHeaders) CompactHeaders.copyWithout(this, dropped) else defaultCopyWithout(dropped)
 }
 
 /** Returns what the `Connection` header names, in lower case. */
