--- a/core/src/test/kotlin/org/quetzalloom/core/relay/ReaderFleet.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/ReaderFleet.kt
@@ -91,12 +91,12 @@
 }
 
 /**
- * Returns the state in which no read seems to be overdue or to have failed, and no check of the store is due, so that
- * no router finds out by itself.
+ * Returns the state in which no read seems to be overdue or to have failed, no check of the store is due, and no router
+ * tells that it has read the store, so that none finds out without its readers.
  */
 internal fun FeedsState.withoutOwnReadsAndChecks(): FeedsState = copy(
     cursors = cursors.mapValues { (_, cursor) ->
         cursor.copy(unanswered = 0, failures = 0, waitMilliseconds = ReaderFleet.PATIENCE)
     }.toPersistentMap(),
-    store = store.copy(checkedAt = Timestamp(Long.MAX_VALUE / 2)),
+    store = store.copy(checkedAt = Timestamp(Long.MAX_VALUE / 2), readAt = Timestamp.EPOCH),
 )
