Answer the read that is under way in the test of routers that are behind

With the store unanswered, the router of the test reads the store itself now, so that an answer of a reader is that of a read that was given up. The test answers the read that is under way, whichever way it goes, and checks the same.

--- a/core/src/test/kotlin/org/quetzalloom/core/relay/HandoversTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/HandoversTest.kt
@@ -76,7 +76,8 @@
         announce(rig) { it.copy(storeReadMillisecondsAgo = 0) }
         assertEquals(null, rig.callerPort())
         for (feed in listOf(Feed.ORDERS, Feed.SERVERS)) {
-            rig.on(RelayEvent.FeedRead(feed, emptyList(), nextOffset = 1, snapshot = false, throughReader = true))
+            val throughReader = rig.state.feeds.of(feed).reader != null
+            rig.on(RelayEvent.FeedRead(feed, emptyList(), nextOffset = 1, snapshot = false, throughReader))
         }
         assertEquals(80, rig.callerPort())
     }
