Show that changes are late while the store holds reads, and that ages are too young

The fleet of the tests gets a store that holds reads from an offset for 0.9 to 1.5 s while changes are acknowledged and then drops its history, and one that answers some routers 50 to 850 ms late. FaultSeriesTest checks the bound beside both, and the ages that routers claim.

A router that restarts loses its calls to the store in the fleet of the tests, too: a response to the one before was taken for one to the new process.

--- a/core/src/test/kotlin/org/quetzalloom/core/relay/FaultKind.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/FaultKind.kt
@@ -27,6 +27,9 @@
     /** The store refuses some routers. */
     REFUSED_BY_STORE(disturbs = true),
 
+    /** The store answers some routers late. */
+    ANSWERED_LATE(disturbs = true),
+
     /** Some routers stand still. */
     PAUSED(disturbs = true),
 
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/FaultSeries.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/FaultSeries.kt
@@ -1,19 +1,22 @@
 package org.quetzalloom.core.relay
 
 import org.quetzalloom.core.identity.VmId
+import org.quetzalloom.core.relay.feed.Feed
 import java.util.TreeMap
 import kotlin.random.Random
 
 /**
  * Faults that follow each other and overlap in a [ReaderFleet], beside changes. Measures the longest time for which a
- * router in touch did not know of a change.
+ * router in touch did not know of a change, and by how much the ages that routers claim are too young.
  *
  * @param kinds the kinds of faults, of which each fault has one at random.
+ * @param holdsReads whether the store holds reads again and again, and drops its history after each time.
  */
 internal class FaultSeries(
     private val readers: ReaderFleet,
     private val kinds: List<FaultKind>,
     seed: Long,
+    private val holdsReads: Boolean = false,
 ) {
     private class Fault(val kind: FaultKind, val routers: Set<VmId>, val until: Long)
 
@@ -24,6 +27,7 @@
     private var faults = emptyList<Fault>()
     private var nextFaultAt = 0L
     private var nextChangeAt = 0L
+    private var nextHoldChangeAt = 0L
 
     /** The longest time for which a router in touch did not know of a change, in milliseconds. */
     var longestDelay = 0L
@@ -33,6 +37,17 @@
     var description = "none"
         private set
 
+    /**
+     * The longest time by which the records of a router were older than it claimed, in milliseconds: it did not know of
+     * a change that had been made before the time of which its records told the state.
+     */
+    var longestUnderstatement = 0L
+        private set
+
+    /** The longest understatement, with the router, the feed and the time since the start of the fleet. */
+    var understatement = "none"
+        private set
+
     /** Called with a description of each fault when it begins. */
     var onFault: (String) -> Unit = {}
 
@@ -40,15 +55,28 @@
     fun run(milliseconds: Long): Long {
         fleet.pass(milliseconds) {
             changeFaults()
+            if (holdsReads) changeHold()
             if (fleet.elapsed >= nextChangeAt) {
                 writtenAt[readers.write()] = fleet.elapsed
                 nextChangeAt = fleet.elapsed + random.nextLong(SHORTEST_GAP, LONGEST_GAP)
             }
-            fleet.vms.forEach { measure(it) }
+            fleet.vms.forEach {
+                measure(it)
+                checkAges(it)
+            }
         }
         return longestDelay
     }
 
+    private fun changeHold() {
+        if (fleet.elapsed < nextHoldChangeAt) return
+        fleet.store.holdsReads = !fleet.store.holdsReads
+        val holds = fleet.store.holdsReads
+        val duration = if (holds) random.nextLong(SHORTEST_HOLD, LONGEST_HOLD) else random.nextLong(LONGEST_HOLD_PAUSE)
+        nextHoldChangeAt = fleet.elapsed + duration
+        onFault("the store ${if (holds) "holds reads" else "drops its history"} until $nextHoldChangeAt")
+    }
+
     private fun changeFaults() {
         val lasting = faults.filter { it.until > fleet.elapsed }
         val next = if (fleet.elapsed >= nextFaultAt) begin(lasting) else lasting
@@ -76,6 +104,8 @@
         fleet.store.silentTo.replace(FaultKind.CUT_FROM_STORE, FaultKind.CUT_FROM_ALL)
         fleet.refused.replace(FaultKind.REFUSED_BY_STORE)
         fleet.paused.replace(FaultKind.PAUSED)
+        val late = next.filter { it.kind == FaultKind.ANSWERED_LATE }.flatMap { it.routers }.toSet()
+        fleet.store.lateness = { if (it in late) random.nextLong(LEAST_LATENESS, MOST_LATENESS) else 0 }
     }
 
     private fun MutableSet<VmId>.replace(vararg kinds: FaultKind) {
@@ -91,6 +121,22 @@
         description = "$delay ms at $vm, ${fleet.elapsed} ms after the start"
     }
 
+    private fun checkAges(vm: VmId) {
+        val known = mapOf(
+            Feed.ORDERS to readers.knownConfiguration(vm),
+            Feed.SERVERS to readers.knownServer(vm),
+        )
+        known.forEach { (feed, version) ->
+            val claimed = fleet.states.getValue(vm).feedAge(feed, fleet.now)
+            val unknownSince = writtenAt.higherEntry(version)?.value
+            if (claimed == null || unknownSince == null) return@forEach
+            val understated = fleet.elapsed - unknownSince - claimed
+            if (understated <= longestUnderstatement) return@forEach
+            longestUnderstatement = understated
+            understatement = "$understated ms at $vm, $feed, ${fleet.elapsed} ms after the start"
+        }
+    }
+
     private companion object {
         /** The time after the end of a disturbance from which a router is in touch. */
         const val CONTACT_TIME = 3_000L
@@ -102,5 +148,10 @@
         const val LONGEST_PAUSE = 2_000L
         const val SHORTEST_GAP = 300L
         const val LONGEST_GAP = 2_500L
+        const val SHORTEST_HOLD = 900L
+        const val LONGEST_HOLD = 1_500L
+        const val LONGEST_HOLD_PAUSE = 3_000L
+        const val LEAST_LATENESS = 50L
+        const val MOST_LATENESS = 850L
     }
 }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/FaultSeriesTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/FaultSeriesTest.kt
@@ -1,5 +1,6 @@
 package org.quetzalloom.core.relay
 
+import org.junit.jupiter.api.Tag
 import org.quetzalloom.core.reducer.Reducer
 import kotlin.test.Test
 import kotlin.test.assertTrue
@@ -19,34 +20,79 @@
         seed: Long,
         configurationBytes: Int = 0,
         reducer: Reducer<RelayState, RelayEvent, RelayEffect> = RelayReducer,
+        holdsReads: Boolean = false,
     ): FaultSeries {
         val readers = ReaderFleet(routers, ReaderFleet.SHORT_BOUND, seed, reducer)
         readers.fleet.store.configurationBytes = configurationBytes
-        return FaultSeries(readers, kinds, seed)
+        return FaultSeries(readers, kinds, seed, holdsReads)
     }
 
-    private fun assertInTime(kinds: List<FaultKind>) {
-        for (routers in listOf(6, 24)) {
-            for (bytes in listOf(0, LARGE_CONFIGURATION)) {
-                for (seed in seeds) {
-                    val series = series(routers, kinds, seed, bytes)
-                    val delay = series.run(DURATION)
-                    val name = "$kinds, $routers routers, $bytes bytes, seed $seed"
-                    assertTrue(delay <= ReaderFleet.SHORT_BOUND - ReaderFleet.MARGIN, "$name: ${series.description}")
-                }
+    /** Runs series with all sizes and seeds, and returns what [problem] says of each, with the name of the series. */
+    private fun problems(
+        kinds: List<FaultKind>,
+        holdsReads: Boolean,
+        problem: (FaultSeries) -> String?,
+    ): List<String> = listOf(6, 24).flatMap { routers ->
+        listOf(0, LARGE_CONFIGURATION).flatMap { bytes ->
+            seeds.mapNotNull { seed ->
+                val series = series(routers, kinds, seed, bytes, holdsReads = holdsReads)
+                series.run(DURATION)
+                problem(series)?.let { "$kinds, $routers routers, $bytes bytes, seed $seed: $it" }
+            }
+        }
+    }
+
+    private fun assertInTime(sets: List<List<FaultKind>>, holdsReads: Boolean = false) {
+        val late = sets.flatMap { kinds ->
+            problems(kinds, holdsReads) { series ->
+                series.description.takeIf { series.longestDelay > ReaderFleet.SHORT_BOUND - ReaderFleet.MARGIN }
+            }
+        }
+        assertTrue(late.isEmpty(), late.joinToString("\n"))
+    }
+
+    private fun assertTrueAges(sets: List<List<FaultKind>>, holdsReads: Boolean = false) {
+        val young = sets.flatMap { kinds ->
+            problems(kinds, holdsReads) { series ->
+                series.understatement.takeIf { series.longestUnderstatement > AGE_TOLERANCE }
             }
         }
+        assertTrue(young.isEmpty(), young.joinToString("\n"))
+    }
+
+    /** The kinds to play, each by itself. */
+    private fun kinds(): List<List<FaultKind>> {
+        val kind = System.getProperty("kind")
+        return FaultKind.entries.filter { kind == null || it.name == kind }.map { listOf(it) }
     }
 
     @Test
     fun `changes are known in time beside faults of one kind`() {
-        val kind = System.getProperty("kind")
-        FaultKind.entries.filter { kind == null || it.name == kind }.forEach { assertInTime(listOf(it)) }
+        assertInTime(kinds())
+    }
+
+    @Test
+    @Tag("known-red")
+    fun `changes are known in time while the store holds reads, beside faults of one kind`() {
+        assertInTime(kinds(), holdsReads = true)
+    }
+
+    @Test
+    @Tag("known-red")
+    fun `changes are known in time while the store holds reads, beside faults of all kinds`() {
+        assertInTime(listOf(FaultKind.entries), holdsReads = true)
+    }
+
+    @Test
+    @Tag("known-red")
+    fun `no router takes its records for younger than they are`() {
+        assertTrueAges(kinds())
+        assertTrueAges(listOf(FaultKind.entries), holdsReads = true)
     }
 
     @Test
     fun `changes are known in time beside faults of all kinds`() {
-        assertInTime(FaultKind.entries)
+        assertInTime(listOf(FaultKind.entries))
     }
 
     /** Returns the longest delay of all seeds with [reducer]. */
@@ -70,6 +116,9 @@
         const val DURATION = 40_000L
         const val SEEDS_WITHOUT = 6L
 
+        /** The time between two ticks, and that in which a response that is sent at once arrives. */
+        const val AGE_TOLERANCE = 40L
+
         /** Longer than what routers pass on to each other. */
         const val LARGE_CONFIGURATION = 100_000
     }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/FleetStore.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/FleetStore.kt
@@ -22,6 +22,8 @@
 
     private class Silence(val vm: VmId, val event: RelayEvent, val until: Timestamp)
 
+    private class HeldRead(val read: Read, val failsAt: Timestamp)
+
     /** The routers through which others call the store, by the caller. */
     val paths: MutableMap<VmId, VmId> = mutableMapOf()
 
@@ -34,6 +36,20 @@
     var configurationBytes = 0
     var responseMilliseconds = 0L
 
+    /** Returns by how many milliseconds each response to a router is delayed. */
+    var lateness: (VmId) -> Long = { 0 }
+
+    /**
+     * Whether reads from an offset get no response, while the newest records are still given. At the end of this the
+     * history of the feeds is dropped, so that these reads fail as expired.
+     */
+    var holdsReads = false
+        set(value) {
+            if (value && !field) holdWaitingReads()
+            if (!value && field) dropHistory()
+            field = value
+        }
+
     /** The calls so far without joins, refused ones included, and the joins. */
     var calls = 0
         private set
@@ -44,6 +60,8 @@
     private val logs = Feed.entries.associateWith { mutableListOf<FeedRecord>() }
     private val reads = mutableListOf<Read>()
     private val silences = mutableListOf<Silence>()
+    private val heldReads = mutableListOf<HeldRead>()
+    private val firstOffsets = Feed.entries.associateWith { 0L }.toMutableMap()
     private val expiries = sortedMapOf<VmId, Timestamp>()
     private var generation = 0L
 
@@ -54,7 +72,7 @@
     fun write(feed: Feed, entries: List<FeedEntry>) {
         val log = logs.getValue(feed)
         entries.forEach { log += FeedRecord(it.key(), log.size.toLong(), it.content(log.size), it) }
-        val woken = reads.filter { it.effect.feed == feed }
+        val woken = if (holdsReads) emptyList() else reads.filter { it.effect.feed == feed }
         reads.removeAll(woken)
         woken.forEach { respondOrLose(it) }
     }
@@ -62,9 +80,11 @@
     fun read(vm: VmId, effect: RelayEffect.ReadFeed, now: Timestamp) {
         count(vm)
         val from = effect.from
-        val failure = RelayEvent.FeedFailed(effect.feed, FeedProblem.UNAVAILABLE, "refused", number = effect.number)
+        val failure = effect.failure("refused")
         when {
             fails(vm, failure, now + effect.waitMilliseconds + CALL_TIMEOUT) -> Unit
+            from != null && from < firstOffsets.getValue(effect.feed) -> respondExpired(vm, effect)
+            from != null && holdsReads -> hold(Read(vm, effect, now + effect.waitMilliseconds))
             from == null || endOf(effect.feed) > from || effect.waitMilliseconds == 0L -> respond(vm, effect)
             else -> reads += Read(vm, effect, now + effect.waitMilliseconds)
         }
@@ -74,7 +94,7 @@
         count(vm)
         if (fails(vm, RelayEvent.GroupFailed("refused"), now + CALL_TIMEOUT)) return
         val addresses = expiries.keys.associateWith { "$it:70" }
-        deliver(vm, RelayEvent.MembersListed(effect.generation, addresses), responseMilliseconds)
+        deliver(vm, RelayEvent.MembersListed(effect.generation, addresses), responseMilliseconds + lateness(vm))
     }
 
     fun join(vm: VmId, effect: RelayEffect.JoinGroup, now: Timestamp) {
@@ -82,7 +102,15 @@
         if (fails(vm, RelayEvent.GroupFailed("refused"), now + CALL_TIMEOUT)) return
         if (expiries.put(vm, now + effect.timeToLiveMilliseconds) == null) generation++
         val joined = RelayEvent.GroupJoined(generation, isLeader = vm == leader, sentAt = effect.sentAt)
-        deliver(vm, joined, responseMilliseconds)
+        deliver(vm, joined, responseMilliseconds + lateness(vm))
+    }
+
+    /** Drops the calls of [vm] that are under way, as its connections end with its process. */
+    fun forget(vm: VmId) {
+        paths.remove(vm)
+        reads.removeAll { it.vm == vm }
+        heldReads.removeAll { it.read.vm == vm }
+        silences.removeAll { it.vm == vm }
     }
 
     /** Ends the waits, and the memberships that were not renewed; both pause while the store is down. */
@@ -96,12 +124,48 @@
         val silent = silences.filter { it.until <= now }
         silences.removeAll(silent)
         silent.forEach { deliver(it.vm, it.event, 0) }
+        val heldTooLong = heldReads.filter { it.failsAt <= now }
+        heldReads.removeAll(heldTooLong)
+        heldTooLong.forEach { deliver(it.read.vm, it.read.effect.failure("silent"), 0) }
+    }
+
+    private fun holdWaitingReads() {
+        reads.forEach { hold(it) }
+        reads.clear()
+    }
+
+    private fun hold(read: Read) {
+        heldReads += HeldRead(read, failsAt = read.until + CALL_TIMEOUT)
+    }
+
+    private fun dropHistory() {
+        listOf(Feed.ORDERS, Feed.SERVERS).forEach { firstOffsets[it] = endOf(it) }
+        val (dropped, kept) = heldReads.partition {
+            it.read.effect.from.let { from -> from != null && from < firstOffsets.getValue(it.read.effect.feed) }
+        }
+        heldReads.clear()
+        reads += kept.map { it.read }
+        dropped.map { it.read }.forEach {
+            if (isSilentTo(it.vm)) {
+                silences += Silence(it.vm, it.effect.failure("silent"), it.until + CALL_TIMEOUT)
+            } else {
+                respondExpired(it.vm, it.effect)
+            }
+        }
+    }
+
+    private fun respondExpired(vm: VmId, effect: RelayEffect.ReadFeed) {
+        val failure = RelayEvent.FeedFailed(effect.feed, FeedProblem.EXPIRED, "expired", number = effect.number)
+        deliver(vm, failure, responseMilliseconds + lateness(vm))
     }
 
+    private fun RelayEffect.ReadFeed.failure(detail: String) =
+        RelayEvent.FeedFailed(feed, FeedProblem.UNAVAILABLE, detail, number = number)
+
     /** Answers a read that has waited; the response is lost if its router has been cut off meanwhile. */
     private fun respondOrLose(read: Read) {
         val effect = read.effect
-        val failure = RelayEvent.FeedFailed(effect.feed, FeedProblem.UNAVAILABLE, "silent", number = effect.number)
+        val failure = effect.failure("silent")
         if (isSilentTo(read.vm)) {
             silences += Silence(read.vm, failure, read.until + CALL_TIMEOUT)
         } else {
@@ -141,7 +205,7 @@
             records = records,
             number = effect.number,
         )
-        deliver(vm, event, responseMilliseconds)
+        deliver(vm, event, responseMilliseconds + lateness(vm))
     }
 
     private fun FeedEntry.key(): String = when (this) {
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/ReaderFleet.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/ReaderFleet.kt
@@ -56,11 +56,14 @@
     }
 
     /** Returns the newest version of which [vm] knows both the configuration and the server, or 0 for none. */
-    fun knownVersion(vm: VmId): Long {
-        val state = fleet.states.getValue(vm)
-        val listing = state.servers.views[RelayRig.plainServers.first().id]?.listing
-        return minOf(state.configurationVersion ?: 0, listing?.startedAt ?: 0)
-    }
+    fun knownVersion(vm: VmId): Long = minOf(knownConfiguration(vm), knownServer(vm))
+
+    /** Returns the newest version of which [vm] knows the configuration, or 0 for none. */
+    fun knownConfiguration(vm: VmId): Long = fleet.states.getValue(vm).configurationVersion ?: 0
+
+    /** Returns the newest version of which [vm] knows the server, or 0 for none. */
+    fun knownServer(vm: VmId): Long =
+        fleet.states.getValue(vm).servers.views[RelayRig.plainServers.first().id]?.listing?.startedAt ?: 0
 
     /** Counts the calls of [milliseconds], in which all servers renew their entries; a join counts as a tenth. */
     fun callsIn(milliseconds: Long): Double {
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RelayFleet.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RelayFleet.kt
@@ -55,7 +55,8 @@
 
     private val random = Random(seed)
     private val start = Timestamp(1_000_000)
-    private var now = start
+    internal var now = start
+        private set
     internal val store =
         FleetStore(isCut = { sender, receiver -> sender to receiver in cutLinks }) { vm, event, delay ->
             deliver(vm, event, delay)
@@ -124,7 +125,7 @@
     /** Starts [vm] anew, with nothing of what it knew. */
     fun restart(vm: VmId) {
         states[vm] = initialState(vm)
-        store.paths.remove(vm)
+        store.forget(vm)
         peerCalls.values.removeAll { it.caller == vm }
         queue.removeIf { it.vm == vm }
     }
