Read a feed again as soon as the store answers another call

A router that the store had refused kept the orders of 8 s ago for the rest of a pause of two seconds after each failure, though its joins and its reads of the other feed were answered meanwhile: answers ended the pauses of the feeds only while the whole store counted as away. Now any answer ends them. A feed whose own part of the store is away is read as often as another is answered, once a second or less, in place of each two seconds.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsState.kt
@@ -21,14 +21,17 @@
     /** Returns the cursor of [feed]. */
     fun of(feed: Feed): FeedCursor = cursors[feed] ?: FeedCursor()
 
-    /** Returns the state after the store has answered a call at [now]; if it had been away, all feeds may read it. */
-    fun storeAnswered(now: Timestamp): FeedsState = when {
-        store.failures == 0 -> this
-        store.isAway -> copy(
-            cursors = cursors.mapValues { (_, cursor) -> cursor.copy(storeDueAt = now) }.toPersistentMap(),
-            store = store.answered(),
-        )
-        else -> copy(store = store.answered())
+    /** Returns the state after the store has answered a call at [now], after which all feeds may read it. */
+    fun storeAnswered(now: Timestamp): FeedsState {
+        val pausing = cursors.filterValues { it.storeDueAt > now }
+        return when {
+            pausing.isEmpty() && store.failures == 0 -> this
+            pausing.isEmpty() -> copy(store = store.answered())
+            else -> copy(
+                cursors = cursors.putAll(pausing.mapValues { (_, cursor) -> cursor.copy(storeDueAt = now) }),
+                store = store.answered(),
+            )
+        }
     }
 
     /** Returns the state after a feed has been read from the store at [now]. */
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/FeedReadsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/FeedReadsTest.kt
@@ -102,7 +102,30 @@
         assertEquals(null to null, next.from to next.reader)
     }
 
+    /** A feed waited for two seconds after failures though the store had answered other calls meanwhile. */
+    @Test
+    fun `a feed that failed is read again as soon as the store answers another call`() {
+        val rig = RelayRig("vm-1").start()
+        var lastRead = 0L
+        for (elapsed in 0L..FAILURES_LAST step RelayRig.TICK) {
+            rig.pass(RelayRig.TICK).filterIsInstance<RelayEffect.ReadFeed>().forEach { read ->
+                if (read.feed == Feed.ORDERS) {
+                    assertTrue(elapsed - lastRead <= SERVERS_INTERVAL + RelayRig.TICK, "$lastRead to $elapsed ms")
+                    lastRead = elapsed
+                    rig.on(RelayEvent.FeedFailed(read.feed, FeedProblem.UNAVAILABLE, "refused", number = read.number))
+                } else {
+                    rig.on(answer(read, ageMilliseconds = 0).copy(throughReader = false))
+                }
+            }
+        }
+        assertTrue(FAILURES_LAST - lastRead <= SERVERS_INTERVAL, "$lastRead ms")
+    }
+
     private companion object {
+        const val FAILURES_LAST = 8_000L
+
+        /** The time between two reads of the list of servers. */
+        const val SERVERS_INTERVAL = 1_000L
         const val OLD = 10_000L
         const val LONGEST_INTERVAL = 100L
 
