--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/AnswersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/AnswersPart.kt
@@ -46,7 +46,8 @@
         val buffer = readers.buffers[event.feed]
         val next = when {
             !event.snapshot -> buffer?.append(event.records, event.nextOffset)
-            buffer == null || event.nextOffset >= buffer.end -> FeedBuffer.of(event.records, event.nextOffset)
+            buffer == null -> FeedBuffer.of(event.records, event.nextOffset)
+            event.nextOffset >= buffer.end -> buffer.advance(event.records, event.nextOffset)
             else -> buffer
         }
         return if (next == null) this else copy(readers = readers.copy(buffers = readers.buffers.put(event.feed, next)))
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedBuffer.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedBuffer.kt
@@ -28,6 +28,18 @@
         return appended.copy(end = maxOf(end, nextOffset)).trim()
     }
 
+    /**
+     * Returns the buffer after a snapshot with [records] was read, which reflects all records before [nextOffset]. What
+     * differs counts as changed just before that offset, so that others get the changes rather than the snapshot.
+     */
+    fun advance(records: List<FeedRecord>, nextOffset: Long): FeedBuffer {
+        val snapshot = of(records, nextOffset).newest
+        val changed = snapshot.values.filter { record -> newest[record.key]?.let { !record.says(it) } ?: true }
+        val removed = newest.values.filter { it.key !in snapshot }.map { it.copy(content = null, entry = it.removal()) }
+        val differences = (changed + removed).map { it.copy(offset = nextOffset - 1) }
+        return copy(newest = snapshot, changes = changes.addAll(differences), end = nextOffset).trim()
+    }
+
     /** Returns whether a reader that has read up to [from] lacks records; `null` is one that has read nothing. */
     fun hasNews(from: Long?): Boolean =
         from == null || from < changesFrom || changes.lastOrNull()?.let { it.offset >= from } ?: false
@@ -71,6 +83,15 @@
     }
 }
 
+private fun FeedRecord.says(earlier: FeedRecord): Boolean = content == earlier.content || repeats(earlier)
+
+private fun FeedRecord.removal(): FeedEntry? = when (val removed = entry) {
+    is FeedEntry.Server -> FeedEntry.ServerRemoved(removed.listing.id)
+    is FeedEntry.Evacuation -> removed.copy(active = false)
+    is FeedEntry.Rollout -> FeedEntry.RolloutRemoved(removed.order.service)
+    else -> null
+}
+
 /**
  * Returns whether this record says the same as [earlier], the one before of its key. A server that is cold says with
  * each record for how much longer, so that none repeats another.
