--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsState.kt
@@ -21,19 +21,27 @@
     /** Returns the cursor of [feed]. */
     fun of(feed: Feed): FeedCursor = cursors[feed] ?: FeedCursor()
 
-    /** Returns the state after the store has answered a call at [now]; if it had been away, all feeds may read it. */
-    fun storeAnswered(now: Timestamp): FeedsState = when {
-        store.failures == 0 -> this
-        store.isAway -> copy(
-            cursors = cursors.mapValues { (_, cursor) -> cursor.copy(storeDueAt = now) }.toPersistentMap(),
-            store = store.answered(),
-        )
-        else -> copy(store = store.answered())
+    /** Returns the state after the store has answered a call at [now], after which all feeds may read it. */
+    fun storeAnswered(now: Timestamp): FeedsState {
+        val pausing = cursors.filterValues { it.storeDueAt > now }
+        return when {
+            pausing.isEmpty() && store.failures == 0 -> this
+            pausing.isEmpty() -> copy(store = store.answered())
+            else -> copy(
+                cursors = cursors.putAll(pausing.mapValues { (_, cursor) -> cursor.copy(storeDueAt = now) }),
+                store = store.answered(),
+            )
+        }
     }
 
-    /** Returns the state after a feed has been read from the store at [now]. */
-    fun storeRead(now: Timestamp): FeedsState =
-        storeAnswered(now).let { it.copy(store = it.store.copy(readAt = now)) }
+    /** Returns the state after [event], the result of a read of the store, has arrived at [now]. */
+    fun storeRead(event: RelayEvent.FeedRead, now: Timestamp): FeedsState {
+        val delay = of(event.feed).delayOrNull(event, now) ?: store.delayMilliseconds
+        return storeAnswered(now).let { it.copy(store = it.store.copy(readAt = now)) }.withDelay(delay)
+    }
+
+    /** Returns the state after the store has taken [milliseconds] to answer a call. */
+    fun withDelay(milliseconds: Long): FeedsState = copy(store = store.copy(delayMilliseconds = milliseconds))
 
     /** Returns what is known of the store after the read of [event] has failed at [now]. */
     fun readFailed(event: RelayEvent.FeedFailed, now: Timestamp): FeedsState = when {
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/ReaderFleet.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/ReaderFleet.kt
@@ -56,11 +56,14 @@
     }
 
     /** Returns the newest version of which [vm] knows both the configuration and the server, or 0 for none. */
-    fun knownVersion(vm: VmId): Long {
-        val state = fleet.states.getValue(vm)
-        val listing = state.servers.views[RelayRig.plainServers.first().id]?.listing
-        return minOf(state.configurationVersion ?: 0, listing?.startedAt ?: 0)
-    }
+    fun knownVersion(vm: VmId): Long = minOf(knownConfiguration(vm), knownServer(vm))
+
+    /** Returns the newest version of which [vm] knows the configuration, or 0 for none. */
+    fun knownConfiguration(vm: VmId): Long = fleet.states.getValue(vm).configurationVersion ?: 0
+
+    /** Returns the newest version of which [vm] knows the server, or 0 for none. */
+    fun knownServer(vm: VmId): Long =
+        fleet.states.getValue(vm).servers.views[RelayRig.plainServers.first().id]?.listing?.startedAt ?: 0
 
     /** Counts the calls of [milliseconds], in which all servers renew their entries; a join counts as a tenth. */
     fun callsIn(milliseconds: Long): Double {
@@ -90,13 +93,17 @@
     }
 }
 
-/**
- * Returns the state in which no read seems to be overdue or to have failed, no check of the store is due, and no router
- * tells that it has read the store, so that none finds out without its readers.
- */
-internal fun FeedsState.withoutOwnReadsAndChecks(): FeedsState = copy(
+/** Returns the state in which no read seems to be overdue or to have failed, so that none is replaced by an own read. */
+internal fun FeedsState.withoutOwnReads(): FeedsState = copy(
     cursors = cursors.mapValues { (_, cursor) ->
         cursor.copy(unanswered = 0, failures = 0, waitMilliseconds = ReaderFleet.PATIENCE)
     }.toPersistentMap(),
+)
+
+/**
+ * Returns the state in which, besides, no check of the store is due, and no router tells that it has read the store, so
+ * that none finds out without its readers.
+ */
+internal fun FeedsState.withoutOwnReadsAndChecks(): FeedsState = withoutOwnReads().copy(
     store = store.copy(checkedAt = Timestamp(Long.MAX_VALUE / 2), readAt = Timestamp.EPOCH),
 )
