Write the fields of a log line in the order of the reporting code

Cause: lines sorted their fields by name. `request` and `version` came last in `request_refused`, behind a path that the caller chooses, and the fields of the store came last in `feed_stale`.

Change: the map of an entry keeps the order in which the code names the fields, and the line, the JSON form and the timeline of the tool keep it too. `request_refused` ends with host and path.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayPart.kt
@@ -19,7 +19,10 @@
 /** Returns the transition to this state with [effects]. */
 internal fun RelayState.with(vararg effects: RelayEffect): RelayStep = Transition(this, persistentListOf(*effects))
 
-/** Returns the transition that logs the event [name] with [fields], under the next causal stamp. */
+/**
+ * Returns the transition that logs the event [name] with [fields], the most decisive first, under the next causal
+ * stamp. Fields whose value is `null` are left out.
+ */
 internal fun RelayState.report(now: Timestamp, name: String, vararg fields: Pair<String, Any?>): RelayStep {
     val next = copy(stampCounter = stampCounter + 1)
     val entry = TimelineEntry.of(CausalStamp(counter = next.stampCounter, vm = settings.vm), now, name, fields)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
@@ -97,11 +97,11 @@
             "request_refused",
             "request" to event.request.callerId,
             "kind" to error.kind.code,
-            "path" to event.request.path,
-            "host" to event.request.host,
             "version" to routing?.version,
             "orders_read_ms_ago" to feedAge(Feed.ORDERS, now),
             "orders_reader" to feeds.of(Feed.ORDERS).reader,
+            "host" to event.request.host,
+            "path" to event.request.path,
         )
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FreshnessPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FreshnessPart.kt
@@ -42,10 +42,10 @@
             "reading" to cursor.reading,
             "read_sent_ms_ago" to now - cursor.sentAt,
             "reader" to cursor.reader,
-            "too_large" to cursor.readStore,
             "failures" to cursor.failures,
             "store_failures" to feeds.store.failures,
             "store_due_in_ms" to (maxOf(cursor.storeDueAt, feeds.store.probeAt) - now).coerceAtLeast(0),
+            "too_large" to cursor.readStore,
         )
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/router/Part.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/router/Part.kt
@@ -27,7 +27,7 @@
 /**
  * Returns the transition that adds an entry called [name] to the time line, under the next causal stamp.
  *
- * Fields whose value is `null` are left out.
+ * The most decisive fields come first. Fields whose value is `null` are left out.
  */
 internal fun RouterState.report(now: Timestamp, name: String, vararg fields: Pair<String, Any?>): Step {
     val next = copy(stamp = stamp + 1)
--- a/core/src/main/kotlin/org/quetzalloom/core/timeline/TimelineEntry.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/timeline/TimelineEntry.kt
@@ -10,7 +10,8 @@
  *
  * @property at the time by the clock of the VM; not comparable between VMs.
  * @property name the kind of event, such as `attempt_started`.
- * @property fields the attributes of the event; the key `request` holds the identifier of the request.
+ * @property fields the attributes of the event, the most decisive first, as the end of a long line may be cut off; the
+ *   key `request` holds the identifier of the request.
  */
 public data class TimelineEntry(
     public val stamp: CausalStamp,
@@ -19,7 +20,7 @@
     public val fields: PersistentMap<String, String> = persistentMapOf(),
 ) {
     internal companion object {
-        /** Returns the entry with the text forms of [fields]; those whose value is `null` are left out. */
+        /** Returns the entry with the text forms of [fields], in their order; leaves out those that are `null`. */
         fun of(stamp: CausalStamp, at: Timestamp, name: String, fields: Array<out Pair<String, Any?>>): TimelineEntry =
             TimelineEntry(
                 stamp = stamp,
--- a/relay/src/main/kotlin/org/quetzalloom/relay/report/Reporter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/report/Reporter.kt
@@ -17,7 +17,7 @@
     /** Logs and counts [entry]. */
     fun report(entry: TimelineEntry) {
         metrics.count(entry)
-        log { logger.info(entry.toLogLine().take(MAXIMUM_LINE_LENGTH)) }
+        log { logger.info(entry.toLogLine(MAXIMUM_LINE_LENGTH)) }
     }
 
     /**
--- a/tool/src/main/kotlin/org/quetzalloom/tool/operation/TimelineTable.kt
+++ b/tool/src/main/kotlin/org/quetzalloom/tool/operation/TimelineTable.kt
@@ -12,7 +12,7 @@
  * respond are left out.
  */
 internal object TimelineTable {
-    /** Returns a line for each entry: stamp, VM, time, name and fields, separated by tabs. */
+    /** Returns a line for each entry: stamp, VM, time, name and the fields in their order, separated by tabs. */
     fun text(answers: Map<String, String?>, filter: TimelineFilter): String =
         filter.select(merge(answers)).joinToString("\n") { line(it) }
 
@@ -25,7 +25,7 @@
         .map { it.toEntry() }
 
     private fun line(entry: TimelineEntry): String {
-        val fields = entry.fields.toSortedMap().entries.joinToString(" ") { "${it.key}=${it.value}" }
+        val fields = entry.fields.entries.joinToString(" ") { "${it.key}=${it.value}" }
         return "${entry.stamp.counter}\t${entry.stamp.vm}\t${entry.at}\t${entry.name}\t$fields"
     }
 }
