Name texts of exceptions last in log lines

`attempt_failed` named the detail before the time and what had been passed on, `event_failed` the exception before the place in our code, and the daemon's `request_refused` the caller's key before the error. With fields in the order of the code, a long text would push what decides out of the part of a line that operators keep. The names of the fields are the same.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Failures.kt
@@ -32,10 +32,10 @@
         "attempt" to attempt.number,
         "server" to attempt.server,
         "failure" to failure,
-        "detail" to event.detail,
         "after_ms" to (now - attempt.sentAt),
         "passing" to exchange.headForwarded,
         "last_event_id" to withoutAttempt.lastEventId,
+        "detail" to event.detail,
     ).then {
         if (failure.mayHaveArrived) {
             it.retryOrGiveUp(withoutAttempt, attempt, now)
--- a/core/src/main/kotlin/org/quetzalloom/core/request/Arrival.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/request/Arrival.kt
@@ -33,10 +33,10 @@
             now,
             "request_refused",
             "request" to event.request,
+            "error" to error.kind.code,
             "workspace" to event.call.workspace,
             "key" to event.call.key,
             "session" to event.call.session,
-            "error" to error.kind.code,
         )
     }
 
--- a/relay/src/main/kotlin/org/quetzalloom/relay/report/Reporter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/report/Reporter.kt
@@ -28,7 +28,7 @@
         cause.endProcessIfOutOfMemory()
         metrics.countProblem(name)
         val place = cause.stackTrace.firstOrNull { it.className.startsWith(OWN_PACKAGES) }
-        log { logger.warn("event={} problem=\"{}\" at={}", name, cause.toString().replace('"', '\''), place) }
+        log { logger.warn("event={} at={} problem=\"{}\"", name, place, cause.toString().replace('"', '\'')) }
     }
 
     /** Counts an error response that the relay generated. */
