--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayState.kt
@@ -28,6 +28,7 @@
  * @property policies the replaceable decision rules.
  * @property stampCounter the counter of the last causal stamp of a log line.
  * @property routing the configuration in force, or `null` before the first.
+ * @property routingAppliedAt when [routing] came into force, or `null` before the first.
  */
 @ConsistentCopyVisibility
 public data class RelayState internal constructor(
@@ -35,6 +36,7 @@
     public val policies: RelayPolicies,
     internal val stampCounter: Long = 0,
     internal val routing: RoutingTable? = null,
+    internal val routingAppliedAt: Timestamp? = null,
     internal val storePath: StorePathState = StorePathState(),
     internal val readers: ReadersState = ReadersState(),
     internal val feeds: FeedsState = FeedsState(),
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Arrivals.kt
@@ -98,6 +98,7 @@
             "request" to event.request.callerId,
             "kind" to error.kind.code,
             "version" to routing?.version,
+            "applied_ms_ago" to routingAppliedAt?.let { now - it },
             "orders_read_ms_ago" to feedAge(Feed.ORDERS, now),
             "orders_reader" to feeds.of(Feed.ORDERS).reader,
             "host" to event.request.host,
