--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
@@ -14,7 +14,6 @@
 import org.quetzalloom.core.relay.access.provenReaderOrNull
 import org.quetzalloom.core.relay.access.readerWait
 import org.quetzalloom.core.relay.peer.sendBeaconToAll
-import org.quetzalloom.core.relay.report
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.relay.with
 import org.quetzalloom.core.time.Timestamp
@@ -123,8 +122,7 @@
         return copy(feeds = answered.with(event.feed, next)).unchanged()
             .then { if (tellsOthers) it.sendBeaconToAll(now) else it.unchanged() }
             .then {
-                if (cursor.failures == 0) return@then it.unchanged()
-                it.report(now, "feed_regained", "feed" to event.feed, "failures" to cursor.failures)
+                if (cursor.failures == 0) it.unchanged() else it.reportRegained(event.feed, cursor.failures, now)
             }
             .thenEach(unreadable) { current, entry -> current.reportUnreadable(event.feed, entry, now) }
     }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FreshnessPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FreshnessPart.kt
@@ -31,21 +31,4 @@
                 .report(now, "feed_recent", "feed" to feed, "stale_ms" to feeds.staleSince[feed]?.let { now - it })
         }
     }
-
-    private fun RelayState.reportStale(feed: Feed, now: Timestamp): RelayStep {
-        val cursor = feeds.of(feed)
-        return report(
-            now,
-            "feed_stale",
-            "feed" to feed,
-            "age_ms" to feedAge(feed, now),
-            "reading" to cursor.reading,
-            "read_sent_ms_ago" to now - cursor.sentAt,
-            "reader" to cursor.reader,
-            "failures" to cursor.failures,
-            "store_failures" to feeds.store.failures,
-            "store_due_in_ms" to (maxOf(cursor.storeDueAt, feeds.store.probeAt) - now).coerceAtLeast(0),
-            "too_large" to cursor.readStore,
-        )
-    }
 }
