--- a/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Endings.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/exchange/Endings.kt
@@ -44,18 +44,18 @@
     "request_ended",
     "request" to exchange.request.callerId,
     "outcome" to outcome,
-    "route" to exchange.route.name,
+    *fields,
     "after_ms" to (now - exchange.arrivedAt),
     "attempts" to exchange.attempts,
     "may_have_run" to exchange.mayHaveRun,
+    "server" to exchange.attempt?.server,
+    "router" to exchange.handover?.router,
+    "route" to exchange.route.name,
     "model" to exchange.modelName,
     "confidence" to exchange.escalation?.confidence,
     "largest_after_ms" to exchange.escalation?.largestModelStartMilliseconds,
-    "server" to exchange.attempt?.server,
-    "router" to exchange.handover?.router,
     "start_ms" to exchange.attempt?.let { attempt -> attempt.startedAt?.let { it - attempt.sentAt } },
     "forecast_ms" to exchange.attempt?.forecast?.startMilliseconds,
-    *fields,
 )
 
 /**
