--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedReports.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedReports.kt
@@ -28,6 +28,18 @@
     "detour" to storePath.viaRouter,
 )
 
+/** Reports that the newest records of [feed] are read in place of a read that the store seems to hold. */
+internal fun RelayState.reportHeldRead(feed: Feed, now: Timestamp): RelayStep = report(
+    now,
+    "feed_read_held",
+    "feed" to feed,
+    "age_ms" to feedAge(feed, now),
+    "read_sent_ms_ago" to now - feeds.of(feed).sentAt,
+    "wait_ms" to feeds.of(feed).waitMilliseconds,
+    "store_delay_ms" to feeds.store.delayMilliseconds,
+    "detour" to storePath.viaRouter,
+)
+
 /** Reports that what is known of [feed] has become too old, with everything that decides about its next read. */
 internal fun RelayState.reportStale(feed: Feed, now: Timestamp): RelayStep {
     val cursor = feeds.of(feed)
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
@@ -53,6 +53,7 @@
             val isOverdueOnDetour = isOwnRead && feeds.of(feed).readsStore
             unchanged()
                 .then { if (isOwnRead) it.reportOwnRead(feed, now) else it.unchanged() }
+                .then { if (isReadHeld(feed, now)) it.reportHeldRead(feed, now) else it.unchanged() }
                 .then { if (isOverdueOnDetour) it.endDetour(now) else it.unchanged() }
                 .then { it.read(feed, reader, now) }
         } else {
