Expect the read that is under way after a held one in the line on old records

The test had no answer for three seconds and expected the line to name the first read. Since reads that the store holds are replaced, that line names the second, sent at half of the bound. A second test pins the line on the held read itself.

--- a/core/src/test/kotlin/org/quetzalloom/core/relay/ReportedReadsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/ReportedReadsTest.kt
@@ -52,6 +52,17 @@
         val stale = effects.entry("feed_stale", Feed.ORDERS).fields
         val shown = listOf("feed", "age_ms", "reading", "read_sent_ms_ago", "failures", "store_failures")
         assertEquals(shown, stale.keys.take(shown.size))
-        assertEquals(listOf("true", "3020", "3020"), listOf("reading", "age_ms", "read_sent_ms_ago").map { stale[it] })
+        assertEquals(listOf("true", "3020", "1520"), listOf("reading", "age_ms", "read_sent_ms_ago").map { stale[it] })
+    }
+
+    @Test
+    fun `a read that the store holds tells for how long, before the newest records are read in its place`() {
+        val rig = RelayRig().start()
+        rig.on(RelayEvent.Tick)
+        val effects = rig.pass(RelayRig.settings("vm-1").changeBoundMilliseconds)
+        val held = effects.entry("feed_read_held", Feed.ORDERS).fields
+        assertEquals(listOf("ORDERS", "1500", "1500"), listOf("feed", "age_ms", "read_sent_ms_ago").map { held[it] })
+        val reads = effects.filterIsInstance<RelayEffect.ReadFeed>().filter { it.feed == Feed.ORDERS }
+        assertEquals(null, reads.last().from)
     }
 }
