Show that routers miss changes after the store has come back from an older copy

What callers would see: routes and servers that an older configuration names, for many seconds, at routers whose records look recent. The test plays a store that is away for a moment and comes back from a copy of 1 to 4 s before; its feeds then end before the offsets that the routers know, or have grown past them.

--- a/core/src/test/kotlin/org/quetzalloom/core/relay/FleetStore.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/FleetStore.kt
@@ -65,6 +65,8 @@
         val failure = RelayEvent.FeedFailed(effect.feed, FeedProblem.UNAVAILABLE, "refused", number = effect.number)
         when {
             fails(vm, failure, now + effect.waitMilliseconds + CALL_TIMEOUT) -> Unit
+            from != null && from > endOf(effect.feed) ->
+                deliver(vm, failure.copy(problem = FeedProblem.EXPIRED, detail = "gone"), responseMilliseconds)
             from == null || endOf(effect.feed) > from || effect.waitMilliseconds == 0L -> respond(vm, effect)
             else -> reads += Read(vm, effect, now + effect.waitMilliseconds)
         }
@@ -109,6 +111,20 @@
         }
     }
 
+    /** Returns what [rewind] needs to return to the present state. */
+    fun ends(): Map<Feed, Long> = Feed.entries.associateWith { endOf(it) }
+
+    /** Returns to the state at [ends], as a store that comes back from an older copy. Reads that wait fail. */
+    fun rewind(ends: Map<Feed, Long>) {
+        ends.forEach { (feed, end) -> logs.getValue(feed).run { subList(end.toInt(), size).clear() } }
+        val broken = reads.toList()
+        reads.clear()
+        broken.forEach {
+            val feed = it.effect.feed
+            deliver(it.vm, RelayEvent.FeedFailed(feed, FeedProblem.UNAVAILABLE, "reset", number = it.effect.number), 0)
+        }
+    }
+
     private fun isSilentTo(vm: VmId): Boolean {
         val path = paths[vm] ?: vm
         return path in silentTo || path != vm && (isCut(vm, path) || isCut(path, vm))
