--- a/relay/src/main/kotlin/org/quetzalloom/relay/http/CallForwarder.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/http/CallForwarder.kt
@@ -23,7 +23,7 @@
 
 /**
  * Forwards calls of other routers to one target, without their headers, and returns the status and body of the
- * response.
+ * response, with those of its headers that are in [Forwarding.responseHeaders].
  *
  * A path that is not in [Forwarding.paths] is answered 404, and a call that fails or times out 502. A request that is
  * truncated or malformed is answered 400, and its connection is closed. Calls are not retried.
@@ -57,7 +57,7 @@
             when {
                 request.decoderResult().isFailure -> reject(context, request.decoderResult().cause())
                 readers != null && readers.accepts(path) ->
-                    readers.receive(request.uri()) { status, body -> context.respond(status, body) }
+                    readers.receive(request.uri()) { status, body, headers -> context.respond(status, body, headers) }
                 callersWaiting >= MAXIMUM_CALLERS -> context.respond(
                     HttpResponseStatus.SERVICE_UNAVAILABLE,
                     text("too many calls are being forwarded")
@@ -109,7 +109,7 @@
             callersWaiting -= waiting.size
             waiting.forEach { caller ->
                 result.fold(
-                    success = { caller.respond(it.status(), it.content().retainedDuplicate()) },
+                    success = { caller.respond(it.status(), it.content().retainedDuplicate(), it.passedOnHeaders()) },
                     failure = { caller.respond(HttpResponseStatus.BAD_GATEWAY, text(it.problem)) },
                 )
             }
@@ -124,8 +124,16 @@
         return request
     }
 
-    private fun ChannelHandlerContext.respond(status: HttpResponseStatus, body: ByteBuf): ChannelFuture {
+    private fun FullHttpResponse.passedOnHeaders(): Map<String, List<String>> =
+        forwarding.responseHeaders.associateWith { headers().getAll(it) }
+
+    private fun ChannelHandlerContext.respond(
+        status: HttpResponseStatus,
+        body: ByteBuf,
+        headers: Map<String, List<String>> = emptyMap(),
+    ): ChannelFuture {
         val response: FullHttpResponse = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
+        headers.forEach { (name, values) -> response.headers().add(name, values) }
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
         return writeAndFlush(response)
     }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/reader/FeedAnswerFormat.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/reader/FeedAnswerFormat.kt
@@ -13,6 +13,8 @@
  * Four numbers of 8 bytes (next offset, age, age of the last failure or -1, generation), a byte that is 1 for a
  * snapshot, and one that is 1 if the records are too large. Each record follows with its offset (8 bytes), the length
  * of its key (2 bytes), the key, the length of its content (4 bytes; -1 if the key is removed) and the content.
+ *
+ * [FeedAnswer.era] is left out, as earlier versions would not know the number: see [ReaderPaths.ERA_HEADER].
  */
 internal object FeedAnswerFormat {
     private const val NONE = -1L
--- a/relay/src/main/kotlin/org/quetzalloom/relay/reader/ReaderServer.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/reader/ReaderServer.kt
@@ -8,10 +8,11 @@
 import org.quetzalloom.core.relay.RelayEffect
 import org.quetzalloom.core.relay.RelayEvent
 import org.quetzalloom.core.relay.feed.Feed
+import org.quetzalloom.core.relay.feed.FeedAnswer
 import org.quetzalloom.relay.http.Address
 
-/** Sends the response to a call. */
-internal typealias Responder = (HttpResponseStatus, ByteBuf) -> Unit
+/** Sends the response to a call, with its headers by their names. */
+internal typealias Responder = (HttpResponseStatus, ByteBuf, Map<String, List<String>>) -> Unit
 
 /**
  * Posts the calls of routers that read the store through this one, and responds to them as the reducer answers.
@@ -36,7 +37,7 @@
             ReaderPaths.FEED -> feedCallOrNull(call, query)
             else -> query.numberOrNull(ReaderPaths.GENERATION)?.let { RelayEvent.MembersAsked(call, it) }
         }
-        if (event == null) return respond(HttpResponseStatus.BAD_REQUEST, text("the query is incomplete\n"))
+        if (event == null) return respond(HttpResponseStatus.BAD_REQUEST, text("the query is incomplete\n"), emptyMap())
         waiting = waiting.put(call, respond)
         post(event)
     }
@@ -44,17 +45,23 @@
     /** Responds to the call of [effect] if it answers one; ignores any other effect. */
     fun carryOut(effect: RelayEffect) {
         when (effect) {
-            is RelayEffect.AnswerFeed -> respond(effect.call, effect.answer?.let { FeedAnswerFormat.encode(it) })
+            is RelayEffect.AnswerFeed -> answerFeed(effect.call, effect.answer)
             is RelayEffect.AnswerMembers -> respond(effect.call, effect.addresses?.let { encodeMembers(effect) })
             else -> Unit
         }
     }
 
-    private fun respond(call: Long, body: ByteBuf?) {
+    private fun answerFeed(call: Long, answer: FeedAnswer?) {
+        val era = answer?.era ?: 0
+        val headers = if (era == 0L) emptyMap() else mapOf(ReaderPaths.ERA_HEADER to listOf("$era"))
+        respond(call, answer?.let { FeedAnswerFormat.encode(it) }, headers)
+    }
+
+    private fun respond(call: Long, body: ByteBuf?, headers: Map<String, List<String>> = emptyMap()) {
         val respond = waiting[call] ?: return
         waiting = waiting.remove(call)
-        if (body != null) return respond(HttpResponseStatus.OK, body)
-        respond(HttpResponseStatus.SERVICE_UNAVAILABLE, text("this router has not read it\n"))
+        if (body != null) return respond(HttpResponseStatus.OK, body, headers)
+        respond(HttpResponseStatus.SERVICE_UNAVAILABLE, text("this router has not read it\n"), emptyMap())
     }
 
     private fun feedCallOrNull(call: Long, query: QueryStringDecoder): RelayEvent.FeedAsked? {
@@ -62,7 +69,8 @@
         val feed = Feed.entries.firstOrNull { it.name == name }
         val wait = query.numberOrNull(ReaderPaths.WAIT)
         val from = query.numberOrNull(ReaderPaths.FROM)
-        return if (feed == null || wait == null) null else RelayEvent.FeedAsked(call, feed, from, wait)
+        val era = query.numberOrNull(ReaderPaths.ERA) ?: 0
+        return if (feed == null || wait == null) null else RelayEvent.FeedAsked(call, feed, from, wait, era)
     }
 
     private fun encodeMembers(effect: RelayEffect.AnswerMembers): ByteBuf {
