Write phases of roll-outs again that an older copy of the store lacks

What operators would see: a roll-out that was completed or reverted is in progress, or unknown, in the store for ever, or begins anew at the routers, after the store has come back from an older copy. Cause: routers followed the status feed wherever it went, and wrote a phase once. What is known of phases is to be confirmed when the era rises: the status feed is read again, and the leader writes what it lacks.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/era/StoreEras.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/era/StoreEras.kt
@@ -12,6 +12,7 @@
 import org.quetzalloom.core.relay.feed.FeedProblem
 import org.quetzalloom.core.relay.feed.FeedsState
 import org.quetzalloom.core.relay.report
+import org.quetzalloom.core.relay.rollout.withUnconfirmedPhases
 import org.quetzalloom.core.relay.unchanged
 import org.quetzalloom.core.time.Timestamp
 
@@ -57,6 +58,7 @@
             readers = readers.copy(buffers = persistentMapOf()),
             // The copy may lack entries of servers that are alive, as the list does after an outage.
             servers = servers.copy(listFailedAt = now),
+            rollouts = rollouts.withUnconfirmedPhases(),
         ).unchanged()
     }
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/StoreReads.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/StoreReads.kt
@@ -5,6 +5,7 @@
 import org.quetzalloom.core.relay.access.isReadingDirectly
 import org.quetzalloom.core.relay.access.needsOwnRead
 import org.quetzalloom.core.relay.access.readerOrNull
+import org.quetzalloom.core.relay.rollout.rolloutsWithLostPhases
 import org.quetzalloom.core.time.Timestamp
 
 /** How long a router that starts waits to learn of others through which it can read. */
@@ -12,7 +13,10 @@
 
 /** Returns whether this router follows [feed] at [now]. */
 internal fun RelayState.isWanted(feed: Feed, now: Timestamp): Boolean = !awaitsMembers(now) &&
-    (feed != Feed.STATUS || rollouts.active.isNotEmpty() || readers.isAskedFor(feed, now))
+    (feed != Feed.STATUS || followsRollouts(now) || readers.isAskedFor(feed, now))
+
+private fun RelayState.followsRollouts(now: Timestamp): Boolean =
+    rollouts.active.isNotEmpty() || rolloutsWithLostPhases(now).isNotEmpty()
 
 /** Returns whether [feed] may be read from the store at [now]. */
 internal fun RelayState.mayReadStore(feed: Feed, now: Timestamp): Boolean =
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutProgress.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutProgress.kt
@@ -12,6 +12,7 @@
  *
  * @property firstSeenAt when the order was first read by this router, or by another one that reported an earlier time.
  * @property phase the phase in the store, or `null` while none is known.
+ * @property unconfirmed whether [phase] has not been read or written since the store came back from an older copy.
  * @property old the outcomes of the old versions at this router.
  * @property new the outcomes of the new version at this router.
  * @property peerOutcomes the outcomes that the other routers have reported last.
@@ -32,6 +33,7 @@
     val order: RolloutOrder,
     val firstSeenAt: Timestamp,
     val phase: RolloutPhase? = null,
+    val unconfirmed: Boolean = false,
     val old: OutcomeSums = OutcomeSums(),
     val new: OutcomeSums = OutcomeSums(),
     val peerOutcomes: PersistentMap<VmId, PeerOutcomes> = persistentMapOf(),
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/rollout/RolloutsPart.kt
@@ -33,9 +33,9 @@
         is RelayEvent.BeaconReceived -> state.unchanged().thenEach(event.beacon.rollouts) { current, received ->
             current.applyReport(event.beacon.vm, received, now)
         }
-        RelayEvent.Tick -> state.unchanged().thenEach(
-            state.rollouts.active
-        ) { current, progress -> current.proposeAndAdvance(progress, now) }
+        RelayEvent.Tick -> state.unchanged()
+            .thenEach(state.rollouts.active) { current, progress -> current.proposeAndAdvance(progress, now) }
+            .thenEach(state.rolloutsWithLostPhases(now)) { current, progress -> current.writeAgain(progress, now) }
         else -> state.unchanged()
     }
 
@@ -78,13 +78,6 @@
     private fun RelayState.forget(service: ServiceName): RelayStep =
         copy(rollouts = rollouts.copy(byService = rollouts.byService.remove(service))).unchanged()
 
-    private fun RelayState.applyStatus(entry: FeedEntry.RolloutStatus, now: Timestamp): RelayStep {
-        val progress = rollouts.byService[entry.service]?.takeIf { it.order.version == entry.version }
-        if (progress == null || progress.phase == entry.phase) return unchanged()
-        return copy(rollouts = rollouts.with(progress.copy(phase = entry.phase)))
-            .report(now, "rollout_phase", "service" to entry.service, "phase" to entry.phase)
-    }
-
     private fun RelayState.proposeAndAdvance(known: RolloutProgress, now: Timestamp): RelayStep {
         val progress = known.enter(stageOf(known, now))
         return copy(rollouts = rollouts.with(progress)).proposeCompletionIfDue(progress, now).then { current ->
@@ -95,9 +88,18 @@
     }
 
     private fun RelayState.advance(progress: RolloutProgress, now: Timestamp): RelayStep {
-        val phase = targetPhase(progress, now)?.takeIf { it != progress.phase && progress.mayWrite(now) }
+        val phase = targetPhase(progress, now)?.takeIf { it != progress.phase || progress.unconfirmed }
+        return if (phase == null) unchanged() else write(progress, phase, now)
+    }
+
+    private fun RelayState.writeAgain(progress: RolloutProgress, now: Timestamp): RelayStep {
+        val phase = lostPhaseOrNull(progress, now)
+        return if (phase == null) unchanged() else write(progress, phase, now)
+    }
+
+    private fun RelayState.write(progress: RolloutProgress, phase: RolloutPhase, now: Timestamp): RelayStep {
         val statusEnd = feeds.of(Feed.STATUS).nextOffset
-        if (phase == null || statusEnd == null) return unchanged()
+        if (statusEnd == null || !progress.mayWrite(now)) return unchanged()
         val order = progress.order
         val own = progress.proposal?.takeIf { phase == RolloutPhase.COMPLETED }
             ?.let { CompletionAgreement(leader = settings.vm, proposal = it.number, agreedAt = now) }
@@ -112,6 +114,7 @@
             writing = false,
             writeDueAt = now + WRITE_INTERVAL_MILLISECONDS,
             phase = if (event.accepted) event.phase else progress.phase,
+            unconfirmed = progress.unconfirmed && !event.accepted,
         )
         return copy(rollouts = rollouts.with(next)).report(
             now,
