--- a/core/src/test/kotlin/org/quetzalloom/core/relay/OlderCopy.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/OlderCopy.kt
@@ -23,6 +23,9 @@
     private val writtenAt = TreeMap<Long, Long>()
     private val versions = mutableMapOf<VmId, Long>()
     private var inTouchAt = 0L
+
+    /** Called when the store has come back. */
+    var onReturn: () -> Unit = {}
     private var nextChangeAt = 0L
     private var evacuationKnownAt = Long.MAX_VALUE
 
@@ -55,6 +58,7 @@
         fleet.pass(random.nextLong(SHORTEST_OUTAGE, LONGEST_OUTAGE)) { checkMemory() }
         fleet.store.rewind(copy)
         fleet.store.isDown = false
+        onReturn()
         inTouchAt = fleet.elapsed + CONTACT_TIME
         // Nothing else tells of this change until the next one.
         if (records > 0) write()
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/OlderCopyTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/OlderCopyTest.kt
@@ -52,17 +52,51 @@
         assertInTime(records = MANY_RECORDS)
     }
 
-    /** Routers of an earlier version neither know nor tell the era, and go on from their offsets. */
-    @Test
-    fun `changes are known in time though the acting reader and its standby are of an earlier version`() {
+    private fun assertInTimeIn(play: (records: Int, seed: Long) -> OlderCopy) {
         val failures = seeds.flatMap { seed ->
-            listOf(0, MANY_RECORDS).mapNotNull { records ->
-                playBesideEarlierVersion(records, seed).failureOrNull("$records, $seed")
-            }
+            listOf(0, MANY_RECORDS).mapNotNull { play(it, seed).failureOrNull("$it, $seed") }
         }
         assertTrue(failures.isEmpty(), "records, seed:\n${failures.joinToString("\n")}")
     }
 
+    @Test
+    fun `changes are known in time though the store comes back from older copies again and again`() {
+        assertInTimeIn { records, seed ->
+            val readers = ReaderFleet(ROUTERS, ReaderFleet.SHORT_BOUND, seed)
+            OlderCopy(readers, seed).apply { repeat(3) { run(lostMilliseconds(seed), records) } }
+        }
+    }
+
+    @Test
+    fun `changes are known in time though the acting reader is refused once the store has come back`() {
+        assertInTimeIn { records, seed ->
+            val readers = ReaderFleet(ROUTERS, ReaderFleet.SHORT_BOUND, seed)
+            val reader = readers.readers.first()
+            OlderCopy(readers, seed, readers.fleet.vms - reader).apply {
+                onReturn = { readers.fleet.refused += reader }
+                run(lostMilliseconds(seed), records)
+            }
+        }
+    }
+
+    @Test
+    fun `changes are known in time though the acting reader does not answer once the store has come back`() {
+        assertInTimeIn { records, seed ->
+            val readers = ReaderFleet(ROUTERS, ReaderFleet.SHORT_BOUND, seed)
+            val reader = readers.readers.first()
+            OlderCopy(readers, seed, readers.fleet.vms - reader).apply {
+                onReturn = { readers.fleet.pause(reader) }
+                run(lostMilliseconds(seed), records)
+            }
+        }
+    }
+
+    /** Routers of an earlier version neither know nor tell the era, and go on from their offsets. */
+    @Test
+    fun `changes are known in time though the acting reader and its standby are of an earlier version`() {
+        assertInTimeIn { records, seed -> playBesideEarlierVersion(records, seed) }
+    }
+
     private fun playBesideEarlierVersion(records: Int, seed: Long): OlderCopy {
         val earlier = ReaderFleet(ROUTERS, ReaderFleet.SHORT_BOUND, seed).readers.take(2)
         val reducer = Reducer<RelayState, RelayEvent, RelayEffect> { state, event, now ->
