--- a/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreLog.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreLog.kt
@@ -58,14 +58,15 @@
      * Responds with the records from the offset `source` on.
      *
      * If there is none yet, it waits for one for at most `wait_ms` and then responds without records. The status is
-     * 410 if the offset is no longer readable.
+     * 410 if the offset is no longer readable, or after the end.
      */
     fun read(state: StoreState, call: HttpCall, now: Timestamp): StoreStep {
         val topic = state.topic(call)
         val offset = call.query.getValue("source").toLong()
         val wait = call.query["wait_ms"]?.toLong() ?: 0
         return when {
-            offset < topic.firstOffset -> state.with(HttpEffect.Respond(call.exchangeId, status = GONE))
+            offset < topic.firstOffset || offset > topic.endOffset ->
+                state.with(HttpEffect.Respond(call.exchangeId, status = GONE))
             offset < topic.endOffset || wait == 0L -> state.with(recordsResponse(topic, call.exchangeId, offset))
             else -> {
                 val read = WaitingRead(call.exchangeId, call.query.getValue("topic"), offset, now + wait)
--- a/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreStandIn.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreStandIn.kt
@@ -19,14 +19,17 @@
  * consumer group.
  *
  * Only tests run it; there is no subcommand for it. `PUT /fault?mode=MODE` sets a [StoreFault], and
- * `PUT /forget?topic=NAME` discards the history of a topic except for the newest record of each key. Both work during a
- * fault.
+ * `PUT /forget?topic=NAME` discards the history of a topic except for the newest record of each key. `PUT /copy` takes
+ * a copy of all topics, to which `PUT /rewind` returns. All work during a fault.
  */
 class StoreStandIn : StandIn<StoreState> {
     override val initial: StoreState = StoreState()
     override val hasBinaryBodies: Boolean get() = true
 
-    override fun reduce(state: StoreState, event: HttpEvent, now: Timestamp): StoreStep = when (event) {
+    override fun reduce(state: StoreState, event: HttpEvent, now: Timestamp): StoreStep =
+        StoreEras.tellEra(reduceInEra(state, event, now))
+
+    private fun reduceInEra(state: StoreState, event: HttpEvent, now: Timestamp): StoreStep = when (event) {
         is HttpEvent.RequestReceived -> handleRequest(state, event.call, now)
         is HttpEvent.ClientDisconnected ->
             state.copy(waitingReads = state.waitingReads.without { it.exchangeId == event.exchangeId }).unchanged()
@@ -38,6 +41,8 @@
             val fault = StoreFault.valueOf(call.query.getValue("mode"))
             state.copy(fault = fault).with(HttpEffect.Respond(call.exchangeId))
         }
+        call.matches("PUT", "/copy") -> StoreEras.takeCopy(state, call)
+        call.matches("PUT", "/rewind") -> StoreEras.rewind(state, call)
         call.matches("PUT", "/forget") -> StoreLog.discardHistory(state, call)
         state.fault == StoreFault.REFUSES -> state.with(HttpEffect.Respond(call.exchangeId, status = UNAVAILABLE))
         state.fault == StoreFault.LOSES_ANSWERS -> {
--- a/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreState.kt
+++ b/standins/src/main/kotlin/org/quetzalloom/standins/store/StoreState.kt
@@ -50,6 +50,8 @@
  * @property waitingReads the reads that wait for a record.
  * @property members the members of the group, in the order of joining.
  * @property generation the number of times that the group has changed.
+ * @property copiedTopics the topics as they were when the last copy was taken.
+ * @property era the number of times that the store has returned to a copy, from 1.
  */
 data class StoreState(
     val topics: PersistentMap<String, StoredTopic> = persistentMapOf(),
@@ -57,4 +59,6 @@
     val members: PersistentList<String> = persistentListOf(),
     val generation: Long = 0,
     val fault: StoreFault = StoreFault.NONE,
+    val copiedTopics: PersistentMap<String, StoredTopic> = persistentMapOf(),
+    val era: Long = 1,
 )
