--- a/core/src/test/kotlin/org/quetzalloom/core/relay/FleetStore.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/FleetStore.kt
@@ -65,6 +65,9 @@
     private val expiries = sortedMapOf<VmId, Timestamp>()
     private var generation = 0L
 
+    /** Rises each time the store comes back from an older copy; 0 if it is not told. */
+    var era = 1L
+
     val leader: VmId get() = expiries.firstKey()
 
     fun endOf(feed: Feed): Long = logs.getValue(feed).size.toLong()
@@ -84,6 +87,7 @@
         when {
             fails(vm, failure, now + effect.waitMilliseconds + CALL_TIMEOUT) -> Unit
             from != null && from < firstOffsets.getValue(effect.feed) -> respondExpired(vm, effect)
+            from != null && from > endOf(effect.feed) -> respondExpired(vm, effect)
             from != null && holdsReads -> hold(Read(vm, effect, now + effect.waitMilliseconds))
             from == null || endOf(effect.feed) > from || effect.waitMilliseconds == 0L -> respond(vm, effect)
             else -> reads += Read(vm, effect, now + effect.waitMilliseconds)
@@ -101,7 +105,7 @@
         joins++
         if (fails(vm, RelayEvent.GroupFailed("refused"), now + CALL_TIMEOUT)) return
         if (expiries.put(vm, now + effect.timeToLiveMilliseconds) == null) generation++
-        val joined = RelayEvent.GroupJoined(generation, isLeader = vm == leader, sentAt = effect.sentAt)
+        val joined = RelayEvent.GroupJoined(generation, isLeader = vm == leader, sentAt = effect.sentAt, era = era)
         deliver(vm, joined, responseMilliseconds + lateness(vm))
     }
 
@@ -155,8 +159,7 @@
     }
 
     private fun respondExpired(vm: VmId, effect: RelayEffect.ReadFeed) {
-        val failure = RelayEvent.FeedFailed(effect.feed, FeedProblem.EXPIRED, "expired", number = effect.number)
-        deliver(vm, failure, responseMilliseconds + lateness(vm))
+        deliver(vm, effect.failure("refused").expired(), responseMilliseconds + lateness(vm))
     }
 
     private fun RelayEffect.ReadFeed.failure(detail: String) =
@@ -173,6 +176,25 @@
         }
     }
 
+    /** Returns what [rewind] needs to return to the present state. */
+    fun ends(): Map<Feed, Long> = Feed.entries.associateWith { endOf(it) }
+
+    /** Returns to the state at [ends], as a store that comes back from an older copy. Reads that wait fail. */
+    fun rewind(ends: Map<Feed, Long>) {
+        if (era > 0) era++
+        ends.forEach { (feed, end) -> logs.getValue(feed).run { subList(end.toInt(), size).clear() } }
+        ends.forEach { (feed, end) -> firstOffsets.computeIfPresent(feed) { _, first -> minOf(first, end) } }
+        val broken = reads.toList()
+        reads.clear()
+        broken.forEach {
+            val feed = it.effect.feed
+            deliver(it.vm, RelayEvent.FeedFailed(feed, FeedProblem.UNAVAILABLE, "reset", number = it.effect.number), 0)
+        }
+    }
+
+    private fun RelayEvent.FeedFailed.expired(): RelayEvent =
+        copy(problem = FeedProblem.EXPIRED, detail = "gone", era = this@FleetStore.era)
+
     private fun isSilentTo(vm: VmId): Boolean {
         val path = paths[vm] ?: vm
         return path in silentTo || path != vm && (isCut(vm, path) || isCut(path, vm))
@@ -204,6 +226,7 @@
             snapshot = effect.from == null,
             records = records,
             number = effect.number,
+            era = era,
         )
         deliver(vm, event, responseMilliseconds + lateness(vm))
     }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/RelayFleet.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/RelayFleet.kt
@@ -233,7 +233,7 @@
         )
         val until = now + effect.readerTimeoutMilliseconds
         ask(PeerCall(vm, effect.reader.orEmpty().toVm(), failure, until)) {
-            RelayEvent.FeedAsked(it, effect.feed, effect.from, effect.waitMilliseconds)
+            RelayEvent.FeedAsked(it, effect.feed, effect.from, effect.waitMilliseconds, effect.era)
         }
     }
 
@@ -265,6 +265,7 @@
                 generation = it.generation,
                 tooLarge = it.tooLarge,
                 number = call.failure.number,
+                era = it.era,
             )
         }
     }
