Keep an expired offset from coming back with the result of a read that was given up

The result of a read that was given up set the next offset also where it was void since a 410; one that sends its caller to the store for large records has the offset of the question. The next read then asked for expired records.

FeedReadsTest failed before: offset 5 in place of none.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedCursor.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedCursor.kt
@@ -54,6 +54,15 @@
     private fun expects(number: Long?, throughReader: Boolean): Boolean =
         throughReader == (reader != null) && (number ?: this.number) == this.number
 
+    /**
+     * Returns the cursor after [event], the result of a read that was given up. It does not bring back an offset whose
+     * records have expired meanwhile.
+     */
+    fun afterGivenUpRead(event: RelayEvent.FeedRead): FeedCursor = when {
+        event.tooLarge || nextOffset == null && !event.snapshot -> this
+        else -> copy(nextOffset = maxOf(nextOffset ?: 0, event.nextOffset))
+    }
+
     /**
      * Returns how long the store took for [event], beyond the wait of the read, in milliseconds, or `null` if it can't be
      * told, as the records may have come at any moment of the wait.
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedsPart.kt
@@ -93,10 +93,10 @@
 
     private fun RelayState.feedRead(event: RelayEvent.FeedRead, now: Timestamp): RelayStep {
         val cursor = feeds.of(event.feed)
-        val nextOffset = maxOf(cursor.nextOffset ?: 0, event.nextOffset)
         if (!cursor.expects(event)) {
-            return copy(feeds = feeds.with(event.feed, cursor.copy(nextOffset = nextOffset))).unchanged()
+            return copy(feeds = feeds.with(event.feed, cursor.afterGivenUpRead(event))).unchanged()
         }
+        val nextOffset = maxOf(cursor.nextOffset ?: 0, event.nextOffset)
         return if (event.tooLarge) {
             copy(
                 feeds = feeds.with(event.feed, cursor.copy(reading = false, readStore = true, dueAt = now))
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/FeedReadsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/FeedReadsTest.kt
@@ -102,6 +102,30 @@
         assertEquals(null to null, next.from to next.reader)
     }
 
+    /** A router went on from an offset that had expired, and got no answer for as long as the store held such reads. */
+    @Test
+    fun `the result of a read that was given up does not bring back an offset that has expired`() {
+        for (isTooLarge in listOf(true, false)) {
+            val rig = RelayRig("vm-2").start()
+            rig.on(RelayEvent.FeedRead(Feed.ORDERS, emptyList(), nextOffset = 5, snapshot = false))
+            rig.join(members = 4)
+            val givenUp = rig.pass(READ_INTERVAL).filterIsInstance<RelayEffect.ReadFeed>().last { it.feed == Feed.ORDERS }
+            rig.on(answer(givenUp, ageMilliseconds = OLD))
+            rig.pass(LONGEST_INTERVAL)
+            val last = rig.state.feeds.of(Feed.ORDERS)
+            val expired = RelayEvent.FeedFailed(
+                feed = Feed.ORDERS,
+                problem = FeedProblem.EXPIRED,
+                detail = "status 410",
+                throughReader = last.reader != null,
+                number = last.number,
+            )
+            rig.on(expired)
+            rig.on(answer(givenUp, ageMilliseconds = 0).copy(tooLarge = isTooLarge))
+            assertEquals(null, rig.state.feeds.of(Feed.ORDERS).nextOffset, "too large: $isTooLarge")
+        }
+    }
+
     /** A feed waited for two seconds after failures though the store had answered other calls meanwhile. */
     @Test
     fun `a feed that failed is read again as soon as the store answers another call`() {
