Bound what waits for callers that don't read their responses

Cause: the next request of a connection was begun as soon as the response before it had been handed to the channel, and nothing counted or bounded what waited there. A stream that began while the output was full was not paused, as only a change of that pauses it. The head of a request was kept until its response had been read.

Change: what waits for callers counts in the memory for requests, and may take a quarter of it. Above half of that, a caller with unread bytes gets no further response before it has read these; above the bound, the caller that has read nothing for the longest time is dropped. While memory or connections are scarce, callers that have read nothing for the idle timeout are dropped, too. A stream begins paused if the caller's output is full.

--- a/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/Relay.kt
@@ -9,6 +9,7 @@
 import org.quetzalloom.relay.backend.ResponseMemory
 import org.quetzalloom.relay.caller.CallerServer
 import org.quetzalloom.relay.caller.RequestMemory
+import org.quetzalloom.relay.caller.UnreadResponses
 import org.quetzalloom.relay.http.MessageCodec
 import org.quetzalloom.relay.report.Reporter
 import java.nio.channels.ServerSocketChannel
@@ -37,11 +38,13 @@
     /** Counts the memory of all requests, also of those that other programs than callers send. */
     val requestMemory = RequestMemory(memory.requestBytes)
     private val requestHandler = ReducerRequestHandler(exchanges, codec, reporter, post)
-    private val callerServer = CallerServer(requestHandler, requestMemory)
+    private val unreadResponses = UnreadResponses(memory.unreadBytes, clock)
+    private val callerServer = CallerServer(requestHandler, requestMemory, unreadResponses)
     private val pool = BackendPool(group, codec, clock, responseMemory)
 
     private var reportedHeads = 0L
     private var reportedConnections = 0L
+    private var reportedCallers = 0L
 
     /** The number of open connections from callers. */
     val callerConnections: Int get() = callerServer.connectionCount
@@ -49,6 +52,12 @@
     /** The number of connections from callers that were dropped because there were too many. */
     val droppedCallerConnections: Long get() = callerServer.droppedConnections
 
+    /** The memory that responses take which callers have not read. */
+    val unreadResponseBytes: Long get() = unreadResponses.usedBytes
+
+    /** The number of callers that were dropped because they did not read their responses. */
+    val droppedSilentCallers: Long get() = unreadResponses.droppedCallers
+
     /** The number of open connections to backend servers. */
     val backendConnections: Int get() = pool.connectionCount
 
@@ -58,9 +67,25 @@
     /** Attaches the [socket] for callers, whose connections are accepted once the reducer asks for it. */
     fun attach(socket: ServerSocketChannel): Unit = callerServer.attach(group, socket)
 
-    /** Closes backend connections whose idle time has run out, and logs what was refused for want of memory lately. */
+    /**
+     * Closes backend connections whose idle time has run out, and those of callers that do not read while memory is
+     * scarce. Logs what was refused or dropped for want of memory lately.
+     */
     fun prune() {
         pool.prune()
+        callerServer.dropSilentCallers()
+        reportRefusedHeads()
+        reportSilentCallers()
+    }
+
+    private fun reportSilentCallers() {
+        val dropped = droppedSilentCallers - reportedCallers
+        if (dropped == 0L) return
+        reportedCallers += dropped
+        reporter.reportSilentCallers(dropped, unreadResponseBytes, requestMemory.usedBytes)
+    }
+
+    private fun reportRefusedHeads() {
         val refused = requestMemory.refusedHeads - reportedHeads
         val dropped = droppedCallerConnections - reportedConnections
         if (refused == 0L && dropped == 0L) return
--- a/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/backend/BackendCall.kt
@@ -42,7 +42,8 @@
      * Whether the response is not being read, so that it is read no faster than the caller reads it (backpressure). The
      * idle timeout does not run meanwhile, as the backend server is not the one that is waited for.
      *
-     * Setting it has no effect before the head of the response, and after its end.
+     * Setting it has no effect before the head of the response, and after its end. A stream begins paused if the caller
+     * has not read the responses before it.
      */
     var readingPaused = false
         set(value) {
@@ -77,7 +78,9 @@
         val response = BufferedResponse(head, mayStream = parameters.streaming, splitter, memory)
         buffered = response
         stallTimer.restart(parameters.idleTimeoutMilliseconds)
-        if (response.isStream) listener.responseStarted(this, head)
+        if (!response.isStream) return
+        if (!exchange.response.isWritable) readingPaused = true
+        listener.responseStarted(this, head)
     }
 
     /**
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerConnection.kt
@@ -7,16 +7,19 @@
 
 /**
  * One connection from a caller. Answers its requests one at a time, in order; pipelined requests wait, and so does the
- * rejection of an invalid one.
+ * rejection of an invalid one. While unread responses make memory scarce, a request is begun only when the socket has
+ * taken the responses to those before it.
  *
  * Reading continues while a request is in flight, so that a disconnected caller is noticed at once. It pauses while
  * many requests wait.
  *
  * @param memory counts the memory of the connection.
+ * @param unread counts what the caller has not read.
  */
 internal class CallerConnection(
     private val server: CallerServer,
     private val memory: ConnectionMemory,
+    private val unread: UnreadBytes,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
     private val waiting = ArrayDeque<CallerMessage>()
@@ -25,7 +28,8 @@
     private var rejecting = false
     private var answering = false
     private var lastResponseWritten = false
-    private val mayAnswer: Boolean get() = active == null && !lastResponseWritten && !gracefulClose.closing
+    private val mayAnswer: Boolean
+        get() = active == null && unread.mayGrow && !lastResponseWritten && !gracefulClose.closing
 
     /** Whether the connection has no request, neither in flight nor waiting nor partly received. */
     private val idle: Boolean get() = active == null && !receiving && waiting.isEmpty()
@@ -34,7 +38,7 @@
     lateinit var gracefulClose: GracefulClose
         private set
 
-    private val written: Boolean get() = context.channel().unsafe().outboundBuffer()?.isEmpty ?: true
+    private val written: Boolean get() = unread.memoryBytes == 0L
 
     /** Whether no request is being received or answered, and nothing waits to be written. */
     val done: Boolean get() = written && (idle || gracefulClose.closing)
@@ -48,6 +52,7 @@
     override fun channelActive(context: ChannelHandlerContext) {
         this.context = context
         gracefulClose = GracefulClose(context.channel())
+        unread.onAllTaken = { if (waiting.isNotEmpty()) answerWaiting() }
         server.onOpened(this)
         gracefulClose.closeAfter(server.limits.idleTimeoutMilliseconds)
     }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/CallerServer.kt
@@ -20,8 +20,13 @@
  *
  * @property handler receives the requests.
  * @param memory bounds the memory of the requests and their connections.
+ * @param unread bounds the memory of the responses that callers have not read.
  */
-internal class CallerServer(val handler: RequestHandler, private val memory: RequestMemory) {
+internal class CallerServer(
+    val handler: RequestHandler,
+    private val memory: RequestMemory,
+    private val unread: UnreadResponses,
+) {
     private val connections = LinkedHashSet<CallerConnection>()
     private var listener: Channel? = null
 
@@ -98,13 +103,22 @@
 
     /**
      * Adds [connection], which has been accepted. If there are too many, drops the oldest that has no request to be
-     * answered.
+     * answered, or else one whose caller has read nothing for the idle timeout.
      */
     fun onOpened(connection: CallerConnection) {
         connections.add(connection)
         if (connections.size <= maximumConnections) return
         droppedConnections++
-        (connections.firstOrNull { it.expendable } ?: connection).gracefulClose.drop()
+        val expendable = connections.firstOrNull { it.expendable }
+        if (expendable == null && unread.dropLongestSilent(limits.idleTimeoutMilliseconds)) return
+        (expendable ?: connection).gracefulClose.drop()
+    }
+
+    /** While memory is scarce, drops the callers that have read nothing of their responses for the idle timeout. */
+    fun dropSilentCallers() {
+        unread.refresh()
+        if (memory.usedBytes <= memory.limitBytes / SCARCE_DIVISOR) return
+        while (unread.dropLongestSilent(limits.idleTimeoutMilliseconds)) continue
     }
 
     /** Removes [connection], which has been closed. */
@@ -115,13 +129,15 @@
     private inner class Initializer : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
             val connectionMemory = ConnectionMemory(memory)
+            val unreadBytes = UnreadBytes(memory, unread)
             val reader = RequestReader(memory) { limits }
             channel.pipeline().addLast(
+                unreadBytes,
                 ResponseEncoder(),
                 InboundBytesHandler(reader),
                 StrictRequestDecoder(limits.maximumHeaderBytes, connectionMemory),
                 reader,
-                CallerConnection(this@CallerServer, connectionMemory),
+                CallerConnection(this@CallerServer, connectionMemory, unreadBytes),
             )
         }
     }
@@ -138,6 +154,9 @@
         /** The share of the memory for requests, and of the descriptors, that connections may take. */
         const val CONNECTIONS_DIVISOR = 2
 
+        /** The share of the memory for requests above which memory is scarce. */
+        const val SCARCE_DIVISOR = 2
+
         /** Descriptors for the process's files and its connections to the store and to other routers. */
         const val RESERVED_DESCRIPTORS = 64
 
--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/ResponseWriter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/ResponseWriter.kt
@@ -22,12 +22,14 @@
  *
  * @param connection the connection on which the request arrived.
  * @param channel the channel of that connection.
+ * @param request the request, which is not kept: its memory is free before the response has been read.
  */
 internal class ResponseWriter(
     private val connection: CallerConnection,
     private val channel: Channel,
-    private val request: HttpRequest,
+    request: HttpRequest,
 ) {
+    private val method = request.method()
     private val keepAlive = HttpUtil.isKeepAlive(request)
 
     /** HTTP/1.0 has no chunked encoding. Its connections are closed after each response, which ends the body. */
@@ -35,6 +37,9 @@
 
     private var announcedClose = false
 
+    /** Whether the caller reads what is written. */
+    val isWritable: Boolean get() = channel.isWritable
+
     /** Whether the head of the response has been written. */
     var headWritten = false
         private set
@@ -81,7 +86,7 @@
     }
 
     private fun selectMethod() {
-        channel.pipeline().get(ResponseEncoder::class.java)?.method = request.method()
+        channel.pipeline().get(ResponseEncoder::class.java)?.method = method
     }
 
     private fun end(last: LastHttpContent) {
@@ -101,6 +106,6 @@
     private fun closesConnection(): Boolean = !keepAlive || connection.closesAfterResponse || !supportsChunked
 
     private fun hasBody(status: HttpResponseStatus): Boolean =
-        request.method() != HttpMethod.HEAD && status != HttpResponseStatus.NO_CONTENT &&
+        method != HttpMethod.HEAD && status != HttpResponseStatus.NO_CONTENT &&
             status != HttpResponseStatus.NOT_MODIFIED
 }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/report/RelayMetrics.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/report/RelayMetrics.kt
@@ -67,9 +67,15 @@
         gauge("quetzalloom_relay_heads_refused", "Heads of requests that found no room in the memory for messages.") {
             relay.requestMemory.refusedHeads.toDouble()
         }
-        gauge("quetzalloom_relay_request_memory_bytes", "Memory of requests, their heads and connections.") {
+        gauge("quetzalloom_relay_request_memory_bytes", "Memory of requests, connections and unread responses.") {
             relay.requestMemory.usedBytes.toDouble()
         }
+        gauge("quetzalloom_relay_unread_response_bytes", "Memory of responses that callers have not read.") {
+            relay.unreadResponseBytes.toDouble()
+        }
+        gauge("quetzalloom_relay_silent_callers_dropped", "Callers dropped as they did not read their responses.") {
+            relay.droppedSilentCallers.toDouble()
+        }
         gauge("quetzalloom_relay_backend_connections", "Open connections to backend servers.") {
             relay.backendConnections.toDouble()
         }
--- a/relay/src/main/kotlin/org/quetzalloom/relay/report/Reporter.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/report/Reporter.kt
@@ -44,6 +44,12 @@
         log { logger.warn("event=heads_refused refused={} dropped={} used_bytes={}", refused, dropped, usedBytes) }
     }
 
+    /** Logs that [dropped] callers lately were dropped that had not read their responses. */
+    fun reportSilentCallers(dropped: Long, unreadBytes: Long, usedBytes: Long) {
+        val format = "event=callers_dropped dropped={} unread_bytes={} used_bytes={}"
+        log { logger.warn(format, dropped, unreadBytes, usedBytes) }
+    }
+
     private companion object {
         /** Callers choose what some fields hold, and lines wait in a queue. */
         const val MAXIMUM_LINE_LENGTH = 2_048
--- a/relay/src/test/kotlin/org/quetzalloom/relay/backend/RepeatedAttemptTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/backend/RepeatedAttemptTest.kt
@@ -17,13 +17,10 @@
 import org.quetzalloom.core.time.Clock
 import org.quetzalloom.core.time.Timestamp
 import org.quetzalloom.relay.PlainCodec
-import org.quetzalloom.relay.caller.CallerConnection
 import org.quetzalloom.relay.caller.CallerExchange
-import org.quetzalloom.relay.caller.CallerServer
-import org.quetzalloom.relay.caller.RecordingHandler
 import org.quetzalloom.relay.caller.RequestMemory
 import org.quetzalloom.relay.caller.ResponseWriter
-import org.quetzalloom.relay.head.ConnectionMemory
+import org.quetzalloom.relay.caller.TestCallers
 import org.quetzalloom.standins.scripted.ScriptedRequest
 import org.quetzalloom.standins.scripted.ScriptedServer
 import java.util.concurrent.CompletableFuture
@@ -96,8 +93,7 @@
     }
 
     private fun unusedWriter(head: HttpRequest): ResponseWriter {
-        val memory = RequestMemory(limitBytes = 0)
-        val connection = CallerConnection(CallerServer(RecordingHandler(), memory), ConnectionMemory(memory))
+        val connection = TestCallers.connection(RequestMemory(limitBytes = 0))
         return ResponseWriter(connection, EmbeddedChannel(), head)
     }
 
--- a/relay/src/test/kotlin/org/quetzalloom/relay/caller/CallersThatLeftTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/caller/CallersThatLeftTest.kt
@@ -26,7 +26,7 @@
     @Test
     fun `a request whose caller has closed its connection behind it is not handled`() {
         val handler = RecordingHandler()
-        val server = CallerServer(handler, RequestMemory(limitBytes = Long.MAX_VALUE))
+        val server = TestCallers.server(handler)
         val address = Address("127.0.0.1", FreePorts.next())
         server.attach(group, CallerSocket.bind(address))
         repeat(CALLERS) { caller -> Socket(address.host, address.port).use { it.send("/left/$caller") } }
--- a/relay/src/test/kotlin/org/quetzalloom/relay/caller/PausedProcessTest.kt
+++ b/relay/src/test/kotlin/org/quetzalloom/relay/caller/PausedProcessTest.kt
@@ -66,7 +66,7 @@
     @Test
     fun `a request that arrived in time during a pause is answered after it`() {
         val handler = RecordingHandler()
-        val server = CallerServer(handler, RequestMemory(limitBytes = Long.MAX_VALUE))
+        val server = TestCallers.server(handler)
         server.limits = CallerLimits(16_384, 1_048_576, headerTimeoutMilliseconds = 3_000, IDLE_TIMEOUT_MILLISECONDS)
         val address = Address("127.0.0.1", FreePorts.next())
         server.attach(group, CallerSocket.bind(address))
