--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedBuffer.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedBuffer.kt
@@ -15,12 +15,15 @@
  * @property changes the last records in the order of their offsets, removals included; at most [MAXIMUM_CHANGES].
  * @property changesFrom the offset from which [changes] is complete.
  * @property end the offset after the last record read.
+ * @property skipped the offsets from which [changes] is not complete, as a snapshot was read in place of the records
+ *   around them.
  */
 internal data class FeedBuffer(
     val newest: PersistentMap<String, FeedRecord>,
     val changes: PersistentList<FeedRecord>,
     val changesFrom: Long,
     val end: Long,
+    val skipped: PersistentList<LongRange> = persistentListOf(),
 ) {
     /** Returns the buffer after [records] and everything else before [nextOffset] were read. Never goes backwards. */
     fun append(records: List<FeedRecord>, nextOffset: Long): FeedBuffer {
@@ -30,26 +33,32 @@
 
     /**
      * Returns the buffer after a snapshot with [records] was read, which reflects all records before [nextOffset]. What
-     * differs counts as changed just before that offset, so that others get the changes rather than the snapshot.
+     * differs counts as changed just before that offset, so that others get the changes rather than the snapshot. One
+     * that has read more than this buffer had may know what has changed back, and gets the snapshot.
      */
     fun advance(records: List<FeedRecord>, nextOffset: Long): FeedBuffer {
         val snapshot = of(records, nextOffset).newest
         val changed = snapshot.values.filter { record -> newest[record.key]?.let { !record.says(it) } ?: true }
         val removed = newest.values.filter { it.key !in snapshot }.map { it.copy(content = null, entry = it.removal()) }
         val differences = (changed + removed).map { it.copy(offset = nextOffset - 1) }
-        return copy(newest = snapshot, changes = changes.addAll(differences), end = nextOffset).trim()
+        return copy(
+            newest = snapshot,
+            changes = changes.addAll(differences),
+            end = nextOffset,
+            skipped = skipped.add(end + 1 until nextOffset),
+        ).trim()
     }
 
     /** Returns whether a reader that has read up to [from] lacks records; `null` is one that has read nothing. */
     fun hasNews(from: Long?): Boolean =
-        from == null || from < changesFrom || changes.lastOrNull()?.let { it.offset >= from } ?: false
+        needsSnapshot(from) || changes.lastOrNull()?.let { from != null && it.offset >= from } ?: false
 
     /** Returns whether one that has read up to [from] needs the newest record of each key. */
-    fun needsSnapshot(from: Long?): Boolean = from == null || from < changesFrom
+    fun needsSnapshot(from: Long?): Boolean = from == null || from < changesFrom || skipped.any { from in it }
 
     /** Returns the records that one that has read up to [from] lacks. */
     fun since(from: Long?): List<FeedRecord> = when {
-        from == null || from < changesFrom -> newest.values.sortedBy { it.offset }
+        from == null || needsSnapshot(from) -> newest.values.sortedBy { it.offset }
         else -> changes.takeLastWhile { it.offset >= from }
     }
 
@@ -61,17 +70,27 @@
 
     private fun trim(): FeedBuffer {
         val surplus = changes.size - MAXIMUM_CHANGES
-        if (surplus <= 0) return this
+        if (surplus <= 0) return withoutOldSkips()
         return copy(
             changes = changes.drop(surplus).toPersistentList(),
             changesFrom = changes[surplus - 1].offset + 1,
-        )
+        ).withoutOldSkips()
+    }
+
+    private fun withoutOldSkips(): FeedBuffer {
+        val kept = skipped.filter { !it.isEmpty() && it.last >= changesFrom }.takeLast(MAXIMUM_SKIPS)
+        if (kept.size == skipped.size) return this
+        val dropped = skipped.filter { !it.isEmpty() && it !in kept }.maxOfOrNull { it.last + 1 } ?: changesFrom
+        return copy(skipped = kept.toPersistentList(), changesFrom = maxOf(changesFrom, dropped))
     }
 
     companion object {
         /** The maximum number of changes kept. One that lacks more gets the newest record of each key. */
         const val MAXIMUM_CHANGES = 512
 
+        /** The maximum number of skipped ranges kept. Before them, the newest record of each key is given. */
+        const val MAXIMUM_SKIPS = 32
+
         /** Returns the buffer after a snapshot with [records] was read, which reflects all records before [end]. */
         fun of(records: List<FeedRecord>, end: Long): FeedBuffer = FeedBuffer(
             newest = records.filter { it.content != null }
