Keep the age of a read whose records were overtaken

A read of the store that a late answer of a reader had overtaken told the state as of the end of its wait: its records are left out as old, and a result without records is taken to have waited. Its age is now kept. FeedReadsTest failed before.

--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelayReducer.kt
@@ -86,5 +86,5 @@
         }
 
     private fun RelayState.reduceInEra(event: RelayEvent, now: Timestamp): Transition<RelayState, RelayEffect> =
-        composed.reduce(this, withoutOldNews(withoutOldEra(event, now)), now)
+        composed.reduce(this, withoutOldNews(withoutOldEra(event, now), now), now)
 }
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/ReadersPart.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/ReadersPart.kt
@@ -83,10 +83,10 @@
  * for the answer of a reader, as it may be older than what is known; for a read of the store that was overtaken by the
  * late answer of a reader, the same result without records.
  */
-internal fun RelayState.withoutOldNews(event: RelayEvent): RelayEvent {
+internal fun RelayState.withoutOldNews(event: RelayEvent, now: Timestamp): RelayEvent {
     // An answer without records, as they are too large, has no offset of its own.
     val read = (event as? RelayEvent.FeedRead)?.takeUnless { it.tooLarge } ?: return event
-    return if (read.throughReader) withoutOldAnswer(read) else withoutOvertakenRecords(read)
+    return if (read.throughReader) withoutOldAnswer(read) else withoutOvertakenRecords(read, now)
 }
 
 private fun RelayState.withoutOldAnswer(read: RelayEvent.FeedRead): RelayEvent {
@@ -97,10 +97,14 @@
     return RelayEvent.FeedFailed(read.feed, FeedProblem.UNAVAILABLE, detail, throughReader = true, read.number)
 }
 
-private fun RelayState.withoutOvertakenRecords(read: RelayEvent.FeedRead): RelayEvent {
-    val known = feeds.of(read.feed).nextOffset
+private fun RelayState.withoutOvertakenRecords(read: RelayEvent.FeedRead, now: Timestamp): RelayEvent {
+    val cursor = feeds.of(read.feed)
+    val known = cursor.nextOffset
     if (known == null || read.nextOffset >= known) return read
+    val endOfWait = minOf(now, cursor.sentAt + cursor.waitMilliseconds)
     return read.copy(
+        // Without records, it would tell the state as of the end of its wait.
+        ageMilliseconds = (endOfWait - cursor.stateTime(read, now)).coerceAtLeast(0),
         entries = persistentListOf(),
         records = persistentListOf(),
         snapshot = false,
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/FeedReadsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/FeedReadsTest.kt
@@ -126,6 +126,20 @@
         }
     }
 
+    /** The time at which a result arrived was taken for that of its state, as its records had been left out. */
+    @Test
+    fun `a read that was overtaken tells the state as of when it was sent`() {
+        val rig = RelayRig("vm-1").start()
+        val read = rig.pass(READ_INTERVAL).filterIsInstance<RelayEffect.ReadFeed>().last { it.feed == Feed.ORDERS }
+        val sentAt = rig.state.feeds.of(Feed.ORDERS).sentAt
+        rig.on(answer(read, ageMilliseconds = 0).copy(nextOffset = 9, snapshot = true, number = read.number - 1))
+        rig.pass(LONGEST_INTERVAL)
+        val evacuation = FeedEntry.Evacuation(RelayRig.zones.first(), active = true)
+        val result = answer(read, ageMilliseconds = 0).copy(throughReader = false, nextOffset = 7)
+        rig.on(result.copy(entries = listOf(evacuation)))
+        assertEquals(sentAt, rig.state.feeds.of(Feed.ORDERS).readAt)
+    }
+
     /** A feed waited for two seconds after failures though the store had answered other calls meanwhile. */
     @Test
     fun `a feed that failed is read again as soon as the store answers another call`() {
