Show that checks of the store alone bring a change in time

The test took out own reads, checks and the news of reads together, and would not have told if the checks broke while routers still tell of reads. It now also shows that a change is in time with the checks alone.

--- a/core/src/test/kotlin/org/quetzalloom/core/relay/CutOffReadersTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/CutOffReadersTest.kt
@@ -2,6 +2,7 @@
 
 import org.quetzalloom.core.identity.VmId
 import org.quetzalloom.core.reducer.Reducer
+import org.quetzalloom.core.time.Timestamp
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertTrue
@@ -89,7 +90,13 @@
         val withoutChecks = Reducer<RelayState, RelayEvent, RelayEffect> { state, event, now ->
             RelayReducer.reduce(state.copy(feeds = state.feeds.withoutOwnReadsAndChecks()), event, now)
         }
+        val checksAlone = Reducer<RelayState, RelayEvent, RelayEffect> { state, event, now ->
+            val feeds = state.feeds.withoutOwnReads()
+            val untold = feeds.copy(store = feeds.store.copy(readAt = Timestamp.EPOCH))
+            RelayReducer.reduce(state.copy(feeds = untold), event, now)
+        }
         assertInTime("checked", ReaderFleet.SHORT_BOUND, timesWithTwoCutOff(withoutOwnReads))
+        assertInTime("checked, not told", ReaderFleet.SHORT_BOUND, timesWithTwoCutOff(checksAlone))
         val times = timesWithTwoCutOff(withoutChecks)
         assertTrue(times.any { it > ReaderFleet.SHORT_BOUND }, "$times")
     }
