--- a/core/src/main/kotlin/org/quetzalloom/core/relay/RelaySettings.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/RelaySettings.kt
@@ -51,6 +51,9 @@
      */
     internal val heldReadAgeMilliseconds: Long get() = changeBoundMilliseconds * HELD_READ_PERCENT / PERCENT
 
+    /** How long a read of the store is given for a slow answer before it counts as held, in milliseconds. */
+    internal val longestDelayMilliseconds: Long get() = changeBoundMilliseconds / LONGEST_DELAY_DIVISOR
+
     /** The age of a feed's records from which a router does not depend on others to read it, in milliseconds. */
     internal val ownReadAgeMilliseconds: Long get() = changeBoundMilliseconds * OWN_READ_PERCENT / PERCENT
 
@@ -87,6 +90,7 @@
          */
         private const val SERVERS_INTERVAL_DIVISOR = 3
         private const val READER_WAIT_DIVISOR = 5
+        private const val LONGEST_DELAY_DIVISOR = 5
         private const val READER_TIMEOUT_DIVISOR = 6
         private const val WAIT_PERCENT = 45
         private const val AGE_MARGIN_PERCENT = 22
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/OwnReads.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/OwnReads.kt
@@ -45,7 +45,8 @@
 internal fun RelayState.isReadHeld(feed: Feed, now: Timestamp): Boolean {
     val cursor = feeds.of(feed)
     val age = feedAge(feed, now) ?: return false
-    val answerBy = cursor.sentAt + (cursor.waitMilliseconds + USUAL_DELAY_MILLISECONDS + feeds.store.delayMilliseconds)
+    val delay = USUAL_DELAY_MILLISECONDS + minOf(feeds.store.delayMilliseconds, settings.longestDelayMilliseconds)
+    val answerBy = cursor.sentAt + (cursor.waitMilliseconds + delay)
     return cursor.readsStore && !cursor.readsNewest && age >= settings.heldReadAgeMilliseconds && now > answerBy
 }
 
