--- a/core/src/main/kotlin/org/quetzalloom/core/relay/access/OwnReads.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/access/OwnReads.kt
@@ -36,8 +36,8 @@
     feeds.of(feed).let { it.readsStore && storePath.viaRouter == null && it.sentAt >= storePath.changedAt }
 
 /**
- * Returns whether the read of [feed] from an offset that is under way at [now] seems to be held by the store, so that the
- * newest records are to be read in its place.
+ * Returns whether the read of [feed] from an offset that is under way at [now] seems to be held by the store, so that
+ * the newest records are to be read in its place.
  *
  * A store that drops its history may leave reads from an offset unanswered for a second or more, while it answers all
  * other calls. Such a read can't be told from one whose response is lost, and the newest records serve in both cases.
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedCursor.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/FeedCursor.kt
@@ -64,8 +64,8 @@
     }
 
     /**
-     * Returns how long the store took for [event], beyond the wait of the read, in milliseconds, or `null` if it can't be
-     * told, as the records may have come at any moment of the wait.
+     * Returns how long the store took for [event], beyond the wait of the read, in milliseconds, or `null` if it can't
+     * be told, as the records may have come at any moment of the wait.
      */
     fun delayOrNull(event: RelayEvent.FeedRead, now: Timestamp): Long? =
         if (reading && (event.isEmpty || waitMilliseconds == 0L)) {
@@ -77,8 +77,8 @@
     /**
      * Returns the time of which [event] tells the state when it arrives at [now].
      *
-     * A result may arrive late. One without records was sent at the end of the wait, and any other may have been sent as
-     * soon as the read arrived.
+     * A result may arrive late. One without records was sent at the end of the wait, and any other may have been sent
+     * as soon as the read arrived.
      */
     fun stateTime(event: RelayEvent.FeedRead, now: Timestamp): Timestamp {
         val waited = if (event.isEmpty) waitMilliseconds else 0
--- a/core/src/main/kotlin/org/quetzalloom/core/relay/feed/StoreAccess.kt
+++ b/core/src/main/kotlin/org/quetzalloom/core/relay/feed/StoreAccess.kt
@@ -10,8 +10,8 @@
  * @property failedAt when the last read failed.
  * @property probeAt the earliest time of the next read while the store seems to be away.
  * @property readAt when this router last read a feed from the store.
- * @property delayMilliseconds how long the store last took to answer a call, beyond the time for which it may have waited
- *   for records.
+ * @property delayMilliseconds how long the store last took to answer a call, beyond the time for which it may have
+ *   waited for records.
  * @property checkedAt when this router last checked whether the store can be read.
  */
 internal data class StoreAccess(
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/FaultSeriesTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/FaultSeriesTest.kt
@@ -14,17 +14,17 @@
         it until it + System.getProperty("seeds", "2").toLong()
     }
 
+    private class Setup(val routers: Int, val configurationBytes: Int = 0, val holdsReads: Boolean = false)
+
     private fun series(
-        routers: Int,
+        setup: Setup,
         kinds: List<FaultKind>,
         seed: Long,
-        configurationBytes: Int = 0,
         reducer: Reducer<RelayState, RelayEvent, RelayEffect> = RelayReducer,
-        holdsReads: Boolean = false,
     ): FaultSeries {
-        val readers = ReaderFleet(routers, ReaderFleet.SHORT_BOUND, seed, reducer)
-        readers.fleet.store.configurationBytes = configurationBytes
-        return FaultSeries(readers, kinds, seed, holdsReads)
+        val readers = ReaderFleet(setup.routers, ReaderFleet.SHORT_BOUND, seed, reducer)
+        readers.fleet.store.configurationBytes = setup.configurationBytes
+        return FaultSeries(readers, kinds, seed, setup.holdsReads)
     }
 
     /** Runs series with all sizes and seeds, and returns what [problem] says of each, with the name of the series. */
@@ -35,7 +35,7 @@
     ): List<String> = listOf(6, 24).flatMap { routers ->
         listOf(0, LARGE_CONFIGURATION).flatMap { bytes ->
             seeds.mapNotNull { seed ->
-                val series = series(routers, kinds, seed, bytes, holdsReads = holdsReads)
+                val series = series(Setup(routers, bytes, holdsReads), kinds, seed)
                 series.run(DURATION)
                 problem(series)?.let { "$kinds, $routers routers, $bytes bytes, seed $seed: $it" }
             }
@@ -98,7 +98,7 @@
         kind: FaultKind,
         bytes: Int,
         reducer: Reducer<RelayState, RelayEvent, RelayEffect>,
-    ): Long = (1L..SEEDS_WITHOUT).maxOf { series(routers, listOf(kind), it, bytes, reducer).run(DURATION) }
+    ): Long = (1L..SEEDS_WITHOUT).maxOf { series(Setup(routers, bytes), listOf(kind), it, reducer).run(DURATION) }
 
     @Test
     fun `without own reads and checks, a change is late behind silent routers`() {
@@ -116,7 +116,7 @@
             RelayReducer.reduce(state.copy(feeds = state.feeds.copy(cursors = cursors.toPersistentMap())), event, now)
         }
         val delay = (1L..SEEDS_WITHOUT).maxOf {
-            series(routers = 6, listOf(FaultKind.CUT_OUTGOING), it, 0, reducer, holdsReads = true).run(DURATION)
+            series(Setup(routers = 6, holdsReads = true), listOf(FaultKind.CUT_OUTGOING), it, reducer).run(DURATION)
         }
         assertTrue(delay > ReaderFleet.SHORT_BOUND, "$delay ms")
     }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/FeedBufferTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/FeedBufferTest.kt
@@ -20,7 +20,10 @@
         entry = FeedEntry.Evacuation(AvailabilityZoneId(zone), active = content != null),
     )
 
-    private val buffer = FeedBuffer.of(emptyList(), end = 3).append(listOf(record("a", 3), record("b", 4)), nextOffset = 5)
+    private val buffer = FeedBuffer.of(
+        emptyList(),
+        end = 3
+    ).append(listOf(record("a", 3), record("b", 4)), nextOffset = 5)
 
     @Test
     fun `records that a snapshot adds, changes or lacks are told as changes`() {
@@ -51,25 +54,35 @@
     private fun state(log: List<FeedRecord>, offset: Long): Map<String, RecordContent?> =
         log.filter { it.offset < offset }.associate { it.key to it.content }.filterValues { it != null }
 
+    private fun randomLog(random: Random): List<FeedRecord> = (0L until LENGTH).map {
+        record(zone = "${random.nextInt(3)}", offset = it, content = "x".repeat(random.nextInt(3)).ifEmpty { null })
+    }
+
+    /** Returns the buffer after the records of [log] before [end], which are read from its offset or as a snapshot. */
+    private fun FeedBuffer.read(log: List<FeedRecord>, end: Long, asSnapshot: Boolean): FeedBuffer {
+        if (!asSnapshot) return append(log.filter { it.offset in this.end until end }, end)
+        val newest = log.filter { it.offset < end }.associateBy { it.key }.values.filter { it.content != null }
+        return advance(newest.map { it.copy(offset = end - 1) }, end)
+    }
+
+    private fun assertComplete(buffer: FeedBuffer, log: List<FeedRecord>, name: String) {
+        for (from in 0..buffer.end) {
+            val known = if (buffer.needsSnapshot(from)) emptyMap() else state(log, from)
+            val after = buffer.since(from).fold(known) { all, one -> all + (one.key to one.content) }
+            assertEquals(state(log, buffer.end), after.filterValues { it != null }, "$name, from $from")
+        }
+    }
+
     @Test
     fun `whatever a router has read, it ends in the state of the buffer`() {
         for (seed in 1L..SEEDS) {
             val random = Random(seed)
-            val log = (0L until LENGTH).map { record("${random.nextInt(3)}", it, "x".repeat(random.nextInt(3)).ifEmpty { null }) }
-            var read = FeedBuffer.of(emptyList(), end = 0)
-            while (read.end < LENGTH) {
-                val end = read.end + random.nextLong(1, LENGTH - read.end + 1)
-                val newest = log.filter { it.offset < end }.associateBy { it.key }.values.filter { it.content != null }
-                read = if (random.nextBoolean()) {
-                    read.append(log.filter { it.offset in read.end until end }, end)
-                } else {
-                    read.advance(newest.map { it.copy(offset = end - 1) }, end)
-                }
-                for (from in 0..read.end) {
-                    val known = if (read.needsSnapshot(from)) emptyMap() else state(log, from)
-                    val after = read.since(from).fold(known) { all, one -> all + (one.key to one.content) }
-                    assertEquals(state(log, read.end), after.filterValues { it != null }, "seed $seed, from $from")
-                }
+            val log = randomLog(random)
+            var buffer = FeedBuffer.of(emptyList(), end = 0)
+            while (buffer.end < LENGTH) {
+                val end = buffer.end + random.nextLong(1, LENGTH - buffer.end + 1)
+                buffer = buffer.read(log, end, asSnapshot = random.nextBoolean())
+                assertComplete(buffer, log, "seed $seed")
             }
         }
     }
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/FeedReadsTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/FeedReadsTest.kt
@@ -109,7 +109,9 @@
             val rig = RelayRig("vm-2").start()
             rig.on(RelayEvent.FeedRead(Feed.ORDERS, emptyList(), nextOffset = 5, snapshot = false))
             rig.join(members = 4)
-            val givenUp = rig.pass(READ_INTERVAL).filterIsInstance<RelayEffect.ReadFeed>().last { it.feed == Feed.ORDERS }
+            val givenUp = rig.pass(
+                READ_INTERVAL
+            ).filterIsInstance<RelayEffect.ReadFeed>().last { it.feed == Feed.ORDERS }
             rig.on(answer(givenUp, ageMilliseconds = OLD))
             rig.pass(LONGEST_INTERVAL)
             val last = rig.state.feeds.of(Feed.ORDERS)
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/OlderCopyTest.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/OlderCopyTest.kt
@@ -92,8 +92,8 @@
     }
 
     /**
-     * Routers of an earlier version neither know nor tell the era, and go on from their offsets. They pass on snapshots as
-     * a whole, and don't ask for them while the store seems to be away.
+     * Routers of an earlier version neither know nor tell the era, and go on from their offsets. They pass on snapshots
+     * as a whole, and don't ask for them while the store seems to be away.
      */
     @Test
     fun `changes are known in time though the acting reader and its standby are of an earlier version`() {
--- a/core/src/test/kotlin/org/quetzalloom/core/relay/ReaderFleet.kt
+++ b/core/src/test/kotlin/org/quetzalloom/core/relay/ReaderFleet.kt
@@ -93,7 +93,7 @@
     }
 }
 
-/** Returns the state in which no read seems to be overdue or to have failed, so that none is replaced by an own read. */
+/** Returns the state in which no read seems to be overdue or to have failed, so that no own read takes its place. */
 internal fun FeedsState.withoutOwnReads(): FeedsState = copy(
     cursors = cursors.mapValues { (_, cursor) ->
         cursor.copy(unanswered = 0, failures = 0, waitMilliseconds = ReaderFleet.PATIENCE)
