--- a/relay/src/main/kotlin/org/quetzalloom/relay/caller/UnreadResponses.kt
+++ b/relay/src/main/kotlin/org/quetzalloom/relay/caller/UnreadResponses.kt
@@ -1,5 +1,6 @@
 package org.quetzalloom.relay.caller
 
+import kotlinx.collections.immutable.persistentMapOf
 import org.quetzalloom.core.time.Clock
 import org.quetzalloom.core.time.Timestamp
 
@@ -11,7 +12,7 @@
  */
 internal class UnreadResponses(private val limitBytes: Long, private val clock: Clock) {
     /** The callers with unread bytes and since when they have read nothing, the longest time first. */
-    private val silentSince = LinkedHashMap<UnreadBytes, Timestamp>()
+    private var silentSince = persistentMapOf<UnreadBytes, Timestamp>()
 
     /** The memory that all unread bytes take. */
     var usedBytes = 0L
@@ -27,14 +28,14 @@
     /** Handles that unread bytes of [caller] take [bytes] more. */
     fun onWritten(caller: UnreadBytes, bytes: Int) {
         usedBytes += bytes
-        silentSince.putIfAbsent(caller, clock.now())
+        if (caller !in silentSince) silentSince = silentSince.put(caller, clock.now())
     }
 
     /** Handles that [caller] has taken [bytes], or has lost its connection. */
     fun onTaken(caller: UnreadBytes, bytes: Int) {
         usedBytes -= bytes
-        silentSince.remove(caller)
-        if (caller.memoryBytes > 0) silentSince[caller] = clock.now()
+        silentSince = silentSince.remove(caller)
+        if (caller.memoryBytes > 0) silentSince = silentSince.put(caller, clock.now())
     }
 
     /** Drops callers while the unread bytes of all take too much. */
@@ -44,12 +45,12 @@
 
     /** Notes the time if [caller] has read a part of its unread bytes lately. */
     fun refresh(caller: UnreadBytes) {
-        if (!caller.hasProgressed() || silentSince.remove(caller) == null) return
-        silentSince[caller] = clock.now()
+        if (!caller.hasProgressed() || caller !in silentSince) return
+        silentSince = silentSince.remove(caller).put(caller, clock.now())
     }
 
     /** Notes the time for all callers that have read a part of their unread bytes lately. */
-    fun refresh(): Unit = silentSince.keys.toList().forEach { refresh(it) }
+    fun refresh(): Unit = silentSince.keys.forEach { refresh(it) }
 
     /**
      * Drops the caller that has read nothing for the longest time, if that is at least [silentMilliseconds]. Returns
@@ -59,7 +60,7 @@
         refresh()
         val caller = silentSince.keys.firstOrNull()?.takeIf { silentMilliseconds(it) >= silentMilliseconds }
             ?: return false
-        silentSince.remove(caller)
+        silentSince = silentSince.remove(caller)
         usedBytes -= caller.memoryBytes
         droppedCallers++
         caller.drop()
